--- /dev/null
+++ b/Makefile
@@ -0,0 +1,100 @@
+# make            build the daemon, the command line and the tests
+# make demo       install what is missing, build, run the main job
+# make check      run all tests (VARIANT=release|asan|tsan)
+# make bench      timings; see docs/MEASUREMENTS.md
+# make format     rewrite the sources in the project's format
+# make lint       formatter and linter, as in CI
+# make proto      regenerate the committed message code (protobuf-c-compiler)
+
+VARIANT ?= release
+BUILD := build/$(VARIANT)
+
+PKGS := talloc tevent libzmq libmicrohttpd libcurl argtable2 glib-2.0 \
+	libprotobuf-c jansson libxxhash
+CFLAGS_release := -O2 -g
+CFLAGS_asan := -O1 -g -fsanitize=address,undefined -fno-sanitize-recover=all
+CFLAGS_tsan := -O1 -g -fsanitize=thread
+WARNINGS := -Wall -Wextra -Wvla -Werror
+CPPFLAGS += -D_GNU_SOURCE -Ilib -Itests
+PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
+ALL_CFLAGS := -std=c11 -Wstrict-prototypes -Wmissing-prototypes $(WARNINGS) \
+	$(CFLAGS_$(VARIANT)) $(CFLAGS) $(PKG_CFLAGS) $(CPPFLAGS) -MMD -MP
+ALL_CXXFLAGS := -std=c++17 -include limits -Wall -Wextra -Werror \
+	$(CFLAGS_$(VARIANT)) $(CXXFLAGS) $(CPPFLAGS) -MMD -MP
+LDLIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lm -lpthread
+
+LIB_C := $(sort $(wildcard lib/*/*.c))
+LIB_CXX := $(sort $(wildcard lib/*/*.cc))
+LIB_OBJ := $(LIB_C:%.c=$(BUILD)/%.o) $(LIB_CXX:%.cc=$(BUILD)/%.o)
+LIB := $(BUILD)/libgypsumnotch.a
+SUPPORT_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(sort $(wildcard tests/support/*.c)))
+
+PROGRAMS := $(BUILD)/gypsumnotchd $(BUILD)/gypsumnotchctl
+STANDINS := $(patsubst tests/standin/%.c,$(BUILD)/tests/standin/%,$(sort $(wildcard tests/standin/*.c)))
+TESTS := $(patsubst %.c,$(BUILD)/%,$(sort $(wildcard tests/unit/test_*.c tests/contract/test_*.c)))
+BENCHES := $(patsubst %.c,$(BUILD)/%,$(sort $(wildcard tests/bench/*.c)))
+
+SOURCES := $(filter-out %.pb-c.c %.pb-c.h,$(sort $(wildcard lib/*.h lib/*/*.[ch] \
+	programs/*/*.[ch] tests/*/*.[ch])))
+LINT_C := $(filter %.c,$(SOURCES))
+
+.PHONY: all check bench demo format lint proto clean install-deps
+.SECONDARY:
+
+all: $(PROGRAMS) $(STANDINS) $(TESTS) $(BENCHES)
+
+$(BUILD)/%.pb-c.o: %.pb-c.c
+	@mkdir -p $(@D)
+	$(CC) -std=c11 $(CFLAGS_$(VARIANT)) $(PKG_CFLAGS) $(CPPFLAGS) -MMD -MP -c -o $@ $<
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(ALL_CFLAGS) -c -o $@ $<
+
+$(BUILD)/%.o: %.cc
+	@mkdir -p $(@D)
+	$(CXX) $(ALL_CXXFLAGS) -c -o $@ $<
+
+$(LIB): $(LIB_OBJ)
+	@rm -f $@
+	$(AR) rcs $@ $^
+
+LINK := $(CXX) $(CFLAGS_$(VARIANT)) -o
+
+$(BUILD)/gypsumnotchd: $(patsubst %.c,$(BUILD)/%.o,$(sort $(wildcard programs/gypsumnotchd/*.c))) $(LIB)
+	$(LINK) $@ $^ $(LDLIBS)
+
+$(BUILD)/gypsumnotchctl: $(patsubst %.c,$(BUILD)/%.o,$(sort $(wildcard programs/gypsumnotchctl/*.c))) $(LIB)
+	$(LINK) $@ $^ $(LDLIBS)
+
+$(BUILD)/tests/%: $(BUILD)/tests/%.o $(SUPPORT_OBJ) $(LIB)
+	$(LINK) $@ $^ $(LDLIBS)
+
+check: all
+	tests/run.sh $(BUILD)
+
+bench: all
+	tests/bench.sh $(BUILD)
+
+demo:
+	@.ci/install-deps
+	@$(MAKE) --no-print-directory -j$$(nproc) all >/dev/null
+	tests/demo.sh $(BUILD)
+
+install-deps:
+	.ci/install-deps
+
+format:
+	clang-format -i $(SOURCES)
+
+lint:
+	clang-format --dry-run -Werror $(SOURCES)
+	printf '%s\n' $(LINT_C) | xargs -P$$(nproc) -n1 tests/lint.sh $(PKG_CFLAGS) $(CPPFLAGS) --
+
+proto:
+	cd lib/wire && protoc-c --c_out=. gypsumnotch.proto
+
+clean:
+	rm -rf build
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/lib/config/settings.h
@@ -0,0 +1,74 @@
+/**
+ * @file settings.h
+ * @brief The settings of one process, read from a TOML file and checked whole.
+ */
+#ifndef GN_CONFIG_SETTINGS_H
+#define GN_CONFIG_SETTINGS_H
+
+#include <talloc.h>
+
+#include "common/error.h"
+
+/** What a daemon is. */
+typedef enum gn_role_e {
+	GN_ROLE_ENTRY = 0, /**< on an entry host */
+	GN_ROLE_AGENT, /**< beside a backend server */
+	GN_ROLE_COUNT
+} gn_role_t;
+
+/** Most entries an agent may name. */
+#define GN_ENTRIES_MAX 256
+
+/** The settings; all strings are terminated and owned by the struct. */
+typedef struct gn_settings_s {
+	gn_role_t role; /**< role = "entry" or "agent" */
+	const char *name; /**< name: the entry's or the worker's, 1..63 bytes */
+	const char *region; /**< region, 1..63 bytes */
+	const char *data_centre; /**< data_centre, 1..63 bytes */
+	int log_level; /**< log_level = "err" .. "debug"; default "info" */
+
+	const char *http_listen; /**< [http] listen = "IP:PORT" */
+	unsigned http_connections; /**< [http] connections, 1..65536; 1024 */
+	unsigned http_timeout_ms; /**< [http] timeout_ms, 100..600000; 10000 */
+	unsigned http_threads; /**< [http] threads, 1..16; 1 */
+
+	const char
+		*platform_address; /**< [platform] address = "IP:PORT", entry */
+	unsigned
+		platform_calls_per_s; /**< [platform] calls_per_s, 1..2000; 40 */
+	unsigned
+		lease_ttl_ms; /**< [platform] lease_ttl_ms, 1000..60000; 6000 */
+
+	const char *link_listen; /**< [link] listen = "IP:PORT", entry */
+	const char **entries; /**< [link] entries = ["IP:PORT"], agent */
+	size_t entry_count; /**< 1..GN_ENTRIES_MAX, agent */
+	unsigned
+		beat_interval_ms; /**< [link] beat_interval_ms, 50..10000; 500 */
+	unsigned
+		beat_timeout_ms; /**< [link] beat_timeout_ms, 3 intervals at least; 2000 */
+
+	const char *service; /**< [worker] service, 1..63 bytes, agent */
+	const char *rack; /**< [worker] rack, 1..63 bytes */
+	unsigned max_tasks; /**< [worker] max_tasks, 1..4096 */
+	unsigned max_connections; /**< [worker] max_connections, 1..4096 */
+	unsigned cores; /**< [worker] cores, 1..4096 */
+	unsigned memory_mb; /**< [worker] memory_mb, 1..16777216 */
+	unsigned accelerators; /**< [worker] accelerators, 0..256; 0 */
+
+	unsigned stop_grace_ms; /**< stop_grace_ms, 0..600000; 30000 */
+} gn_settings_t;
+
+/**
+ * Reads and checks the settings file at @p path.
+ * @param parent talloc parent of the result
+ * @param settings set to the settings on success, else untouched
+ * @param error step "settings", peer the file; the detail names the line
+ *        where known, the key and the bounds
+ * @return GN_OK, GN_ERR_NOT_FOUND (no such file), GN_ERR_INVALID (malformed,
+ *         unknown key, wrong type, duplicated address), GN_ERR_RANGE,
+ *         GN_ERR_MEMORY
+ */
+gn_code_t gn_settings_load(TALLOC_CTX *parent, const char *path,
+			   gn_settings_t **settings, gn_error_t *error);
+
+#endif
