--- /dev/null
+++ b/lib/agent/agent.c
@@ -0,0 +1,104 @@
+#include "agent/agent.h"
+
+#include "agent/agent_internal.h"
+
+/** The agent's timers need no finer step, milliseconds. */
+#define TICK_MS 50
+/** Connections to the agent itself: backend server and operators. */
+#define OWN_CONNECTIONS 64
+
+static void open_counters(agent_t *agent)
+{
+	gn_counters_t *all = agent->runtime->counters;
+	agent_counters_t *counters = &agent->counters;
+
+	counters->dispatched = gn_counters_get(all, "agent.dispatched");
+	counters->refused = gn_counters_get(all, "agent.refused");
+	counters->done = gn_counters_get(all, "agent.done");
+	counters->unknown = gn_counters_get(all, "agent.unknown");
+	counters->links_replaced = gn_counters_get(all, "agent.links_replaced");
+	counters->announcements = gn_counters_get(all, "agent.announcements");
+}
+
+static gn_code_t start_http(agent_t *agent, gn_error_t *error)
+{
+	const gn_settings_t *settings = agent->runtime->settings;
+	const gn_http_server_config_t server = {
+		.events = agent->runtime->events,
+		.zmq = agent->runtime->zmq,
+		.address = settings->http_listen,
+		.connections = OWN_CONNECTIONS,
+		.timeout_ms = settings->http_timeout_ms,
+		.threads = 1,
+		.body_max = GN_BODY_MAX,
+		.counters = agent->runtime->counters,
+		.handler = agent_on_http,
+		.arg = agent,
+	};
+	const gn_http_client_config_t client = {
+		.events = agent->runtime->events,
+		.zmq = agent->runtime->zmq,
+		.host_connections = settings->max_connections,
+		.answer_max = GN_BODY_MAX,
+		.counters = agent->runtime->counters,
+	};
+	gn_code_t code;
+
+	code = gn_http_client_start(agent, &client, &agent->client, error);
+	if (code)
+		return code;
+	return gn_http_server_start(agent, &server, &agent->server, error);
+}
+
+static gn_code_t agent_start(gn_runtime_t *runtime, void **state,
+			     gn_error_t *error)
+{
+	agent_t *agent = talloc_zero(NULL, agent_t);
+	gn_code_t code;
+
+	if (!agent)
+		return gn_error_set(error, GN_ERR_MEMORY, "start", NULL,
+				    "agent");
+	*state = agent;
+	agent->runtime = runtime;
+	open_counters(agent);
+	code = start_http(agent, error);
+	if (code)
+		return code;
+	return agent_links_open(agent, error);
+}
+
+static void agent_tick(void *state)
+{
+	agent_links_tick(state);
+}
+
+static void agent_stop(void *state)
+{
+	agent_t *agent = state;
+
+	/* Beats now say that the worker drains. */
+	for (size_t i = 0; i < agent->link_count; i++)
+		agent->links[i].beat_us = 0;
+}
+
+static bool agent_is_stopped(const void *state)
+{
+	const agent_t *agent = state;
+	const gn_runtime_t *runtime = agent->runtime;
+	uint64_t told_us = 2 * (uint64_t)runtime->settings->beat_interval_ms *
+			   GN_US_PER_MS;
+
+	/* Entries first learn, by a beat, to send nothing more. */
+	return agent->running == 0 && gn_http_client_pending(agent->client) == 0 &&
+	       gn_runtime_now_us(runtime) - runtime->stop_us > told_us;
+}
+
+const gn_role_ops_t gn_agent_role = {
+	.name = "agent",
+	.tick_ms = TICK_MS,
+	.start = agent_start,
+	.tick = agent_tick,
+	.stop = agent_stop,
+	.is_stopped = agent_is_stopped,
+};
--- /dev/null
+++ b/lib/agent/links.c
@@ -0,0 +1,174 @@
+/**
+ * @file links.c
+ * @brief Links from the agent to the entries: sessions, beats, replacement.
+ */
+#include "agent/agent_internal.h"
+#include "common/log.h"
+
+static uint64_t interval_us(const agent_t *agent)
+{
+	return (uint64_t)agent->runtime->settings->beat_interval_ms *
+	       GN_US_PER_MS;
+}
+
+static uint64_t timeout_us(const agent_t *agent)
+{
+	return (uint64_t)agent->runtime->settings->beat_timeout_ms *
+	       GN_US_PER_MS;
+}
+
+void agent_load(const agent_t *agent, Gn__Load *load)
+{
+	gn__load__init(load);
+	load->running_requests = agent->running;
+	load->service_time_us = agent->service_time_us;
+	load->draining = agent->runtime->stopping || agent->backend.draining;
+	load->backend_up = agent_backend_is_up(agent);
+}
+
+gn_code_t agent_link_send(agent_link_t *link, Gn__Envelope *envelope)
+{
+	envelope->incarnation = link->agent->runtime->incarnation;
+	envelope->session = link->session;
+	return gn_link_send(link->link, NULL, envelope);
+}
+
+static void send_hello(agent_link_t *link)
+{
+	const gn_settings_t *settings = link->agent->runtime->settings;
+	Gn__Envelope envelope = GN__ENVELOPE__INIT;
+	Gn__Hello hello = GN__HELLO__INIT;
+
+	hello.worker = (char *)settings->name;
+	hello.data_centre = (char *)settings->data_centre;
+	hello.rack = (char *)settings->rack;
+	hello.service = (char *)settings->service;
+	hello.max_tasks = settings->max_tasks;
+	hello.max_connections = settings->max_connections;
+	hello.cores = settings->cores;
+	hello.memory_mb = settings->memory_mb;
+	hello.accelerators = settings->accelerators;
+	envelope.body_case = GN__ENVELOPE__BODY_HELLO;
+	envelope.hello = &hello;
+	agent_link_send(link, &envelope);
+}
+
+static void send_beat(agent_link_t *link)
+{
+	Gn__Envelope envelope = GN__ENVELOPE__INIT;
+	Gn__Beat beat = GN__BEAT__INIT;
+	Gn__Load load;
+
+	agent_load(link->agent, &load);
+	beat.sequence = ++link->sequence;
+	beat.load = &load;
+	envelope.body_case = GN__ENVELOPE__BODY_BEAT;
+	envelope.beat = &beat;
+	agent_link_send(link, &envelope);
+}
+
+static void on_welcome(agent_link_t *link, const Gn__Envelope *envelope)
+{
+	if (link->entry_incarnation == envelope->incarnation)
+		return;
+	link->entry_incarnation = envelope->incarnation;
+	gn_log(LOG_INFO, "welcome", link->address, "entry %s",
+	       envelope->welcome->entry);
+}
+
+static void on_envelope(void *arg, const gn_link_peer_t *peer,
+			const Gn__Envelope *envelope)
+{
+	agent_link_t *link = arg;
+
+	(void)peer;
+	/* An earlier session's messages must neither run nor refresh. */
+	if (envelope->session != link->session)
+		return;
+	link->heard_us = gn_runtime_now_us(link->agent->runtime);
+	switch (envelope->body_case) {
+	case GN__ENVELOPE__BODY_WELCOME:
+		on_welcome(link, envelope);
+		break;
+	case GN__ENVELOPE__BODY_DISPATCH:
+		agent_on_dispatch(link, envelope->dispatch);
+		break;
+	default:
+		break;
+	}
+}
+
+static gn_code_t open_link(agent_link_t *link, gn_error_t *error)
+{
+	agent_t *agent = link->agent;
+	const gn_link_config_t config = {
+		.events = agent->runtime->events,
+		.zmq = agent->runtime->zmq,
+		.address = link->address,
+		.counters = agent->runtime->counters,
+		.handler = on_envelope,
+		.arg = link,
+	};
+
+	link->session = gn_runtime_random_id();
+	link->entry_incarnation = 0;
+	link->opened_us = gn_runtime_now_us(agent->runtime);
+	link->heard_us = link->opened_us;
+	link->beat_us = 0;
+	return gn_link_connect(agent, &config, &link->link, error);
+}
+
+static void replace_link(agent_link_t *link)
+{
+	gn_error_t error = { 0 };
+
+	gn_log(LOG_WARNING, "beat", link->address,
+	       "silent, opening a new connection");
+	gn_counter_inc(link->agent->counters.links_replaced);
+	TALLOC_FREE(link->link);
+	if (open_link(link, &error))
+		gn_log_error(LOG_ERR, &error);
+}
+
+static void tick_link(agent_link_t *link)
+{
+	uint64_t now_us = gn_runtime_now_us(link->agent->runtime);
+
+	if (!link->link || now_us - link->heard_us > timeout_us(link->agent))
+		replace_link(link);
+	if (!link->link ||
+	    (link->beat_us && now_us - link->beat_us < interval_us(link->agent)))
+		return;
+	link->beat_us = now_us;
+	if (link->entry_incarnation)
+		send_beat(link);
+	else
+		send_hello(link);
+}
+
+gn_code_t agent_links_open(agent_t *agent, gn_error_t *error)
+{
+	const gn_settings_t *settings = agent->runtime->settings;
+
+	agent->links =
+		talloc_zero_array(agent, agent_link_t, settings->entry_count);
+	if (!agent->links)
+		return gn_error_set(error, GN_ERR_MEMORY, "start", NULL,
+				    "links");
+	agent->link_count = settings->entry_count;
+	for (size_t i = 0; i < agent->link_count; i++) {
+		agent_link_t *link = &agent->links[i];
+
+		link->agent = agent;
+		link->address = settings->entries[i];
+		if (open_link(link, error))
+			return error->code;
+	}
+	return GN_OK;
+}
+
+void agent_links_tick(agent_t *agent)
+{
+	for (size_t i = 0; i < agent->link_count; i++)
+		tick_link(&agent->links[i]);
+}
--- /dev/null
+++ b/lib/agent/requests.c
@@ -0,0 +1,184 @@
+/**
+ * @file requests.c
+ * @brief Requests on the agent: admission, the backend server, the answer.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "agent/agent_internal.h"
+#include "common/log.h"
+
+/** Weight of the newest service time: one part in this many. */
+#define SMOOTHING 8
+
+/* A request at the backend server. */
+typedef struct agent_request_s {
+	agent_link_t *link;
+	uint64_t session; /**< of the link when it came */
+	uint64_t id;
+	uint64_t started_us;
+} agent_request_t;
+
+static void send_answer(agent_link_t *link, Gn__Answer *answer)
+{
+	Gn__Envelope envelope = GN__ENVELOPE__INIT;
+	Gn__Load load;
+
+	agent_load(link->agent, &load);
+	answer->load = &load;
+	envelope.body_case = GN__ENVELOPE__BODY_ANSWER;
+	envelope.answer = answer;
+	agent_link_send(link, &envelope);
+}
+
+static void refuse(agent_link_t *link, const Gn__Dispatch *dispatch,
+		   gn_code_t reason)
+{
+	Gn__Answer answer = GN__ANSWER__INIT;
+
+	gn_counter_inc(link->agent->counters.refused);
+	answer.request = dispatch->request;
+	answer.outcome = GN_OUTCOME_NOT_RUN;
+	answer.reason = reason;
+	send_answer(link, &answer);
+}
+
+static gn_code_t admit(const agent_link_t *link, const Gn__Dispatch *dispatch)
+{
+	const agent_t *agent = link->agent;
+	const gn_settings_t *settings = agent->runtime->settings;
+
+	if (dispatch->agent_incarnation != agent->runtime->incarnation)
+		return GN_ERR_STALE;
+	if (strcmp(dispatch->service, settings->service) != 0)
+		return GN_ERR_NOT_FOUND;
+	if (agent->runtime->stopping || agent->backend.draining ||
+	    !agent_backend_is_up(agent))
+		return GN_ERR_UNAVAILABLE;
+	if (agent->running >= settings->max_connections)
+		return GN_ERR_CAPACITY;
+	if (dispatch->budget_us < GN_US_PER_MS)
+		return GN_ERR_TIMEOUT;
+	return GN_OK;
+}
+
+static gn_outcome_t judge_outcome(const gn_http_call_t *call)
+{
+	if (call->code == GN_OK)
+		return call->not_run ? GN_OUTCOME_NOT_RUN : GN_OUTCOME_DONE;
+	if (call->code == GN_ERR_UNAVAILABLE)
+		return GN_OUTCOME_NOT_RUN;
+	return GN_OUTCOME_UNKNOWN;
+}
+
+static void count_outcome(agent_t *agent, gn_outcome_t outcome)
+{
+	if (outcome == GN_OUTCOME_DONE)
+		gn_counter_inc(agent->counters.done);
+	else if (outcome == GN_OUTCOME_UNKNOWN)
+		gn_counter_inc(agent->counters.unknown);
+	else
+		gn_counter_inc(agent->counters.refused);
+}
+
+static void smooth_service_time(agent_t *agent, uint64_t spent_us)
+{
+	uint32_t old_us = agent->service_time_us;
+
+	if (!old_us)
+		agent->service_time_us = (uint32_t)spent_us;
+	else
+		agent->service_time_us =
+			(uint32_t)((old_us * (uint64_t)(SMOOTHING - 1) +
+				    spent_us) /
+				   SMOOTHING);
+}
+
+static void on_call_done(void *arg, const gn_http_call_t *call)
+{
+	agent_request_t *request = arg;
+	agent_t *agent = request->link->agent;
+	Gn__Answer answer = GN__ANSWER__INIT;
+	gn_outcome_t outcome = judge_outcome(call);
+
+	agent->running--;
+	count_outcome(agent, outcome);
+	if (call->code)
+		gn_log(LOG_WARNING, "backend call", agent->backend.address,
+		       "error=%s", gn_code_name(call->code));
+	else
+		smooth_service_time(agent,
+				    gn_runtime_now_us(agent->runtime) -
+					    request->started_us);
+	answer.request = request->id;
+	answer.outcome = outcome;
+	answer.reason = call->code ? call->code : GN_ERR_UNAVAILABLE;
+	if (outcome == GN_OUTCOME_DONE) {
+		answer.reason = GN_OK;
+		answer.status = call->status;
+		answer.body.data = (uint8_t *)call->answer;
+		answer.body.len = call->answer_len;
+	}
+	/* A new session means that the entry has given the request up. */
+	if (request->session == request->link->session)
+		send_answer(request->link, &answer);
+	free(request);
+}
+
+static gn_http_call_t *create_call(const agent_t *agent,
+				   const Gn__Dispatch *dispatch)
+{
+	gn_http_call_t *call = gn_http_call_create();
+
+	if (!call)
+		return NULL;
+	call->method = GN_HTTP_POST;
+	snprintf(call->url, sizeof(call->url), "http://%s/v1/run",
+		 agent->backend.address);
+	call->body_len = dispatch->body.len;
+	if (call->body_len) {
+		call->body = malloc(call->body_len);
+		if (!call->body) {
+			free(call);
+			return NULL;
+		}
+		memcpy(call->body, dispatch->body.data, call->body_len);
+	}
+	call->timeout_ms = dispatch->budget_us / GN_US_PER_MS;
+	call->once = !dispatch->repeatable;
+	call->done = on_call_done;
+	return call;
+}
+
+static void run(agent_link_t *link, const Gn__Dispatch *dispatch)
+{
+	agent_t *agent = link->agent;
+	agent_request_t *request = calloc(1, sizeof(*request));
+	gn_http_call_t *call = create_call(agent, dispatch);
+
+	if (!request || !call) {
+		free(request);
+		free(call);
+		refuse(link, dispatch, GN_ERR_MEMORY);
+		return;
+	}
+	request->link = link;
+	request->session = link->session;
+	request->id = dispatch->request;
+	request->started_us = gn_runtime_now_us(agent->runtime);
+	call->arg = request;
+	agent->running++;
+	gn_counter_inc(agent->counters.dispatched);
+	gn_http_client_call(agent->client, call);
+}
+
+void agent_on_dispatch(agent_link_t *link, const Gn__Dispatch *dispatch)
+{
+	gn_code_t reason = admit(link, dispatch);
+
+	if (reason)
+		refuse(link, dispatch, reason);
+	else
+		run(link, dispatch);
+}
--- /dev/null
+++ b/lib/daemon/runtime.c
@@ -0,0 +1,184 @@
+#include "daemon/runtime.h"
+
+#include <inttypes.h>
+#include <signal.h>
+#include <stdio.h>
+#include <sys/random.h>
+#include <zmq.h>
+
+#include "common/log.h"
+
+/** Traffic inside one process and to a few hundred peers needs one thread. */
+#define ZMQ_IO_THREADS 1
+#define ZMQ_SOCKETS_MAX 2048
+
+typedef struct daemon_s {
+	gn_runtime_t runtime;
+	const gn_role_ops_t *role;
+	void *state;
+	bool done;
+} daemon_t;
+
+uint64_t gn_runtime_random_id(void)
+{
+	uint64_t id = 0;
+
+	while (!id)
+		if (getrandom(&id, sizeof(id), 0) != (ssize_t)sizeof(id))
+			id = 0;
+	return id;
+}
+
+uint64_t gn_runtime_now_us(const gn_runtime_t *runtime)
+{
+	return gn_clock_now_us(&runtime->clock);
+}
+
+json_t *gn_runtime_dump(const gn_runtime_t *runtime)
+{
+	char incarnation[sizeof("0123456789abcdef")];
+	json_t *dump = json_object();
+
+	snprintf(incarnation, sizeof(incarnation), "%016" PRIx64,
+		 runtime->incarnation);
+	json_object_set_new(dump, "version", json_string(GN_VERSION));
+	json_object_set_new(dump, "name", json_string(runtime->settings->name));
+	json_object_set_new(dump, "data_centre",
+			    json_string(runtime->settings->data_centre));
+	json_object_set_new(dump, "incarnation", json_string(incarnation));
+	json_object_set_new(dump, "stopping", json_boolean(runtime->stopping));
+	json_object_set_new(dump, "counters",
+			    gn_counters_dump(runtime->counters));
+	return dump;
+}
+
+static void on_signal(struct tevent_context *events, struct tevent_signal *se,
+		      int signum, int count, void *siginfo, void *data)
+{
+	daemon_t *daemon = data;
+
+	(void)events;
+	(void)se;
+	(void)count;
+	(void)siginfo;
+	if (daemon->runtime.stopping)
+		return;
+	gn_log(LOG_NOTICE, "stop", NULL, "signal %d, stopping gracefully",
+	       signum);
+	daemon->runtime.stopping = true;
+	daemon->runtime.stop_us = gn_runtime_now_us(&daemon->runtime);
+	daemon->role->stop(daemon->state);
+}
+
+static bool is_grace_over(const gn_runtime_t *runtime)
+{
+	uint64_t grace_us =
+		(uint64_t)runtime->settings->stop_grace_ms * GN_US_PER_MS;
+
+	return gn_runtime_now_us(runtime) - runtime->stop_us > grace_us;
+}
+
+static bool schedule_tick(daemon_t *daemon);
+
+static void on_tick(struct tevent_context *events, struct tevent_timer *timer,
+		    struct timeval now, void *data)
+{
+	daemon_t *daemon = data;
+	gn_runtime_t *runtime = &daemon->runtime;
+
+	(void)events;
+	(void)timer;
+	(void)now;
+	daemon->role->tick(daemon->state);
+	if (runtime->stopping && daemon->role->is_stopped(daemon->state)) {
+		daemon->done = true;
+	} else if (runtime->stopping && is_grace_over(runtime)) {
+		gn_log(LOG_WARNING, "stop", NULL,
+		       "grace of %u ms is over with work in progress",
+		       runtime->settings->stop_grace_ms);
+		daemon->done = true;
+	}
+	if (!daemon->done && !schedule_tick(daemon))
+		daemon->done = true;
+}
+
+/* The timer only wakes the loop; all deadlines are kept on the clock. */
+static bool schedule_tick(daemon_t *daemon)
+{
+	unsigned usecs = daemon->role->tick_ms * GN_US_PER_MS;
+	struct timeval next = tevent_timeval_current_ofs(0, usecs);
+
+	return tevent_add_timer(daemon->runtime.events, daemon, next, on_tick,
+				daemon) != NULL;
+}
+
+static gn_code_t open_runtime(daemon_t *daemon, const gn_settings_t *settings,
+			      gn_error_t *error)
+{
+	gn_runtime_t *runtime = &daemon->runtime;
+
+	runtime->settings = settings;
+	runtime->incarnation = gn_runtime_random_id();
+	runtime->random = g_rand_new_with_seed((guint32)runtime->incarnation);
+	gn_clock_init_boot(&runtime->clock);
+	runtime->events = tevent_context_init(daemon);
+	runtime->counters = gn_counters_create(daemon);
+	runtime->zmq = zmq_ctx_new();
+	if (!runtime->events || !runtime->counters || !runtime->zmq)
+		return gn_error_set(error, GN_ERR_MEMORY, "start", NULL,
+				    "no memory");
+	zmq_ctx_set(runtime->zmq, ZMQ_IO_THREADS, ZMQ_IO_THREADS);
+	zmq_ctx_set(runtime->zmq, ZMQ_MAX_SOCKETS, ZMQ_SOCKETS_MAX);
+	signal(SIGPIPE, SIG_IGN);
+	if (!tevent_add_signal(runtime->events, daemon, SIGTERM, 0, on_signal,
+			       daemon) ||
+	    !tevent_add_signal(runtime->events, daemon, SIGINT, 0, on_signal,
+			       daemon))
+		return gn_error_set(error, GN_ERR_SYSTEM, "start", NULL,
+				    "no signal handler");
+	return GN_OK;
+}
+
+static void close_runtime(gn_runtime_t *runtime)
+{
+	TALLOC_FREE(runtime->events);
+	if (runtime->zmq)
+		zmq_ctx_term(runtime->zmq);
+	if (runtime->random)
+		g_rand_free(runtime->random);
+}
+
+gn_code_t gn_runtime_run(const gn_settings_t *settings,
+			 const gn_role_ops_t *role, gn_error_t *error)
+{
+	daemon_t *daemon = talloc_zero(NULL, daemon_t);
+	gn_code_t code;
+
+	if (!daemon)
+		return gn_error_set(error, GN_ERR_MEMORY, "start", NULL,
+				    "no memory");
+	daemon->role = role;
+	code = open_runtime(daemon, settings, error);
+	if (code)
+		goto out;
+	code = role->start(&daemon->runtime, &daemon->state, error);
+	if (code)
+		goto out;
+	if (!schedule_tick(daemon)) {
+		code = gn_error_set(error, GN_ERR_MEMORY, "start", NULL,
+				    "no timer");
+		goto out;
+	}
+	gn_log(LOG_NOTICE, "start", NULL, "%s %s is up", role->name,
+	       settings->name);
+	while (!daemon->done)
+		if (tevent_loop_once(daemon->runtime.events))
+			daemon->done = true;
+	gn_log(LOG_NOTICE, "stop", NULL, "%s %s has stopped", role->name,
+	       settings->name);
+out:
+	TALLOC_FREE(daemon->state);
+	close_runtime(&daemon->runtime);
+	talloc_free(daemon);
+	return code;
+}
--- /dev/null
+++ b/lib/entry/entry.c
@@ -0,0 +1,124 @@
+#include "entry/entry.h"
+
+#include "entry/entry_internal.h"
+
+/** Deadlines are kept to this step, milliseconds. */
+#define TICK_MS 5
+/** A stopping entry still takes new connections until the balancer has seen
+ * it, milliseconds. */
+#define LAME_DUCK_MS 1000
+
+static void open_counters(entry_t *entry)
+{
+	gn_counters_t *all = entry->runtime->counters;
+	entry_counters_t *counters = &entry->counters;
+
+	counters->done = gn_counters_get(all, "entry.done");
+	counters->not_run = gn_counters_get(all, "entry.not_run");
+	counters->unknown = gn_counters_get(all, "entry.unknown");
+	counters->retries = gn_counters_get(all, "entry.retries");
+	counters->late_answers = gn_counters_get(all, "entry.late_answers");
+	counters->workers_silent = gn_counters_get(all, "entry.workers_silent");
+	counters->stale_sessions = gn_counters_get(all, "entry.stale_sessions");
+}
+
+static gn_code_t start_server(entry_t *entry, gn_error_t *error)
+{
+	const gn_settings_t *settings = entry->runtime->settings;
+	const gn_http_server_config_t config = {
+		.events = entry->runtime->events,
+		.zmq = entry->runtime->zmq,
+		.address = settings->http_listen,
+		.connections = settings->http_connections,
+		.timeout_ms = settings->http_timeout_ms,
+		.threads = settings->http_threads,
+		.body_max = GN_BODY_MAX,
+		.counters = entry->runtime->counters,
+		.handler = entry_on_http,
+		.arg = entry,
+	};
+
+	return gn_http_server_start(entry, &config, &entry->server, error);
+}
+
+static gn_code_t start_link(entry_t *entry, gn_error_t *error)
+{
+	const gn_link_config_t config = {
+		.events = entry->runtime->events,
+		.zmq = entry->runtime->zmq,
+		.address = entry->runtime->settings->link_listen,
+		.counters = entry->runtime->counters,
+		.handler = entry_on_envelope,
+		.arg = entry,
+	};
+
+	return gn_link_listen(entry, &config, &entry->link, error);
+}
+
+static int entry_destructor(entry_t *entry)
+{
+	if (entry->requests)
+		g_hash_table_destroy(entry->requests);
+	if (entry->deadlines)
+		g_sequence_free(entry->deadlines);
+	if (entry->workers)
+		g_hash_table_destroy(entry->workers);
+	return 0;
+}
+
+static gn_code_t entry_start(gn_runtime_t *runtime, void **state,
+			     gn_error_t *error)
+{
+	entry_t *entry = talloc_zero(NULL, entry_t);
+
+	if (!entry)
+		return gn_error_set(error, GN_ERR_MEMORY, "start", NULL,
+				    "entry");
+	*state = entry;
+	entry->runtime = runtime;
+	talloc_set_destructor(entry, entry_destructor);
+	open_counters(entry);
+	if (entry_workers_open(entry) || entry_requests_open(entry))
+		return gn_error_set(error, GN_ERR_MEMORY, "start", NULL,
+				    "tables");
+	if (start_link(entry, error))
+		return error->code;
+	return start_server(entry, error);
+}
+
+static void entry_tick(void *state)
+{
+	entry_t *entry = state;
+	const gn_runtime_t *runtime = entry->runtime;
+	uint64_t now_us = gn_runtime_now_us(runtime);
+
+	entry_workers_tick(entry);
+	entry_requests_tick(entry);
+	if (runtime->stopping && !entry->quiesced &&
+	    now_us - runtime->stop_us >= LAME_DUCK_MS * GN_US_PER_MS) {
+		entry->quiesced = true;
+		gn_http_server_quiesce(entry->server);
+	}
+}
+
+static void entry_stop(void *state)
+{
+	/* The status page tells the balancer; see entry_tick(). */
+	(void)state;
+}
+
+static bool entry_is_stopped(const void *state)
+{
+	const entry_t *entry = state;
+
+	return entry->quiesced && gn_http_server_idle(entry->server);
+}
+
+const gn_role_ops_t gn_entry_role = {
+	.name = "entry",
+	.tick_ms = TICK_MS,
+	.start = entry_start,
+	.tick = entry_tick,
+	.stop = entry_stop,
+	.is_stopped = entry_is_stopped,
+};
--- /dev/null
+++ b/lib/entry/http.c
@@ -0,0 +1,101 @@
+/**
+ * @file http.c
+ * @brief The entry's HTTP interface: its table of paths and the plain queries.
+ */
+#include <inttypes.h>
+#include <stdio.h>
+
+#include "entry/entry_internal.h"
+#include "http/router.h"
+
+#define HTTP_OK 200
+#define HTTP_UNAVAILABLE 503
+
+static const char *worker_state(const entry_worker_t *worker)
+{
+	if (worker->silent)
+		return "silent";
+	if (worker->draining)
+		return "draining";
+	return worker->backend_up ? "live" : "down";
+}
+
+static json_t *dump_worker(const entry_worker_t *worker)
+{
+	return json_pack("{s:s, s:s, s:s, s:s, s:s, s:i, s:i}", "name",
+			 worker->name, "data_centre", worker->data_centre,
+			 "rack", worker->rack, "service", worker->service,
+			 "state", worker_state(worker), "running_requests",
+			 (int)worker->reported_running, "in_flight",
+			 (int)worker->in_flight);
+}
+
+static json_t *dump_workers(const entry_t *entry)
+{
+	GList *names = g_list_sort(g_hash_table_get_keys(entry->workers),
+				   (GCompareFunc)g_strcmp0);
+	json_t *hosts = json_array();
+
+	for (GList *item = names; item; item = item->next)
+		json_array_append_new(
+			hosts, dump_worker(g_hash_table_lookup(entry->workers,
+							       item->data)));
+	g_list_free(names);
+	return hosts;
+}
+
+static void on_hosts(void *arg, gn_http_request_t *request, gn_str_t name)
+{
+	entry_t *entry = arg;
+
+	(void)name;
+	gn_http_reply_json(entry->server, request, HTTP_OK,
+			   json_pack("{s:o}", "hosts", dump_workers(entry)));
+}
+
+/* The balancer reads this: a stopping entry is no longer to be chosen. */
+static void on_status(void *arg, gn_http_request_t *request, gn_str_t name)
+{
+	entry_t *entry = arg;
+	const gn_runtime_t *runtime = entry->runtime;
+	json_t *json = gn_runtime_dump(runtime);
+
+	(void)name;
+	json_object_del(json, "counters");
+	json_object_set_new(json, "draining", json_boolean(runtime->stopping));
+	json_object_set_new(
+		json, "workers",
+		json_integer(g_hash_table_size(entry->workers)));
+	gn_http_reply_json(entry->server, request,
+			   runtime->stopping ? HTTP_UNAVAILABLE : HTTP_OK,
+			   json);
+}
+
+static void on_dump(void *arg, gn_http_request_t *request, gn_str_t name)
+{
+	entry_t *entry = arg;
+	json_t *dump = gn_runtime_dump(entry->runtime);
+
+	(void)name;
+	json_object_set_new(dump, "role", json_string("entry"));
+	json_object_set_new(dump, "hosts", dump_workers(entry));
+	json_object_set_new(
+		dump, "requests",
+		json_integer(g_hash_table_size(entry->requests)));
+	gn_http_reply_json(entry->server, request, HTTP_OK, dump);
+}
+
+static const gn_http_route_t routes[] = {
+	{ GN_HTTP_POST, "/v1/services/*/requests", entry_on_request },
+	{ GN_HTTP_GET, "/v1/status", on_status },
+	{ GN_HTTP_GET, "/v1/hosts", on_hosts },
+	{ GN_HTTP_GET, "/dump", on_dump },
+	{ GN_HTTP_GET, NULL, NULL },
+};
+
+void entry_on_http(void *arg, gn_http_request_t *request)
+{
+	entry_t *entry = arg;
+
+	gn_http_route(routes, entry->server, entry, request);
+}
--- /dev/null
+++ b/lib/http/client.c
@@ -0,0 +1,345 @@
+#include "http/client.h"
+
+#include <curl/curl.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "wire/pipe.h"
+
+/** Longest sleep of the traffic thread, milliseconds. */
+#define POLL_MAX_MS 1000
+/** Time to make a connection, milliseconds. */
+#define CONNECT_MS 1000
+/** Idle connections kept to all hosts. */
+#define CONNECTIONS_KEPT 128
+#define NOT_RUN_HEADER "Gypsumnotch-Outcome: not-run"
+
+struct gn_http_client_s {
+	pthread_t thread;
+	bool running;
+	CURLM *multi;
+	gn_pipe_t *near; /**< the control thread's end */
+	gn_pipe_t *far; /**< the traffic thread's end */
+	size_t answer_max;
+	size_t pending;
+	gn_counter_t *calls;
+	gn_counter_t *failed;
+};
+
+/* A call on its way; the traffic thread's. */
+typedef struct transfer_s {
+	gn_http_call_t *call;
+	CURL *easy;
+	struct curl_slist *headers;
+	size_t answer_max;
+	size_t answer_size;
+	bool too_long;
+} transfer_t;
+
+static char stop_item;
+
+gn_http_call_t *gn_http_call_create(void)
+{
+	return calloc(1, sizeof(gn_http_call_t));
+}
+
+static void call_free(gn_http_call_t *call)
+{
+	free(call->body);
+	free(call->answer);
+	free(call);
+}
+
+static size_t on_data(char *data, size_t size, size_t count, void *arg)
+{
+	transfer_t *transfer = arg;
+	gn_http_call_t *call = transfer->call;
+	size_t len = size * count;
+	char *grown;
+
+	if (len > transfer->answer_max - call->answer_len) {
+		transfer->too_long = true;
+		return 0;
+	}
+	if (call->answer_len + len + 1 > transfer->answer_size) {
+		transfer->answer_size = 2 * (call->answer_len + len + 1);
+		grown = realloc(call->answer, transfer->answer_size);
+		if (!grown)
+			return 0;
+		call->answer = grown;
+	}
+	memcpy(call->answer + call->answer_len, data, len);
+	call->answer_len += len;
+	call->answer[call->answer_len] = '\0';
+	return len;
+}
+
+static size_t on_header(char *data, size_t size, size_t count, void *arg)
+{
+	transfer_t *transfer = arg;
+	const size_t len = sizeof(NOT_RUN_HEADER) - 1;
+
+	if (size * count >= len && !strncasecmp(data, NOT_RUN_HEADER, len))
+		transfer->call->not_run = true;
+	return size * count;
+}
+
+static void set_method(CURL *easy, const gn_http_call_t *call)
+{
+	curl_off_t len = (curl_off_t)call->body_len;
+
+	switch (call->method) {
+	case GN_HTTP_GET:
+		curl_easy_setopt(easy, CURLOPT_HTTPGET, 1L);
+		return;
+	case GN_HTTP_PUT:
+		curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, "PUT");
+		break;
+	case GN_HTTP_DELETE:
+		curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, "DELETE");
+		break;
+	default:
+		break;
+	}
+	curl_easy_setopt(easy, CURLOPT_POST, 1L);
+	curl_easy_setopt(easy, CURLOPT_POSTFIELDS,
+			 call->body ? call->body : "");
+	curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, len);
+}
+
+static void set_headers(transfer_t *transfer)
+{
+	transfer->headers = curl_slist_append(NULL, "Expect:");
+	transfer->headers = curl_slist_append(
+		transfer->headers, "Content-Type: application/octet-stream");
+	if (transfer->call->header[0])
+		transfer->headers = curl_slist_append(transfer->headers,
+						      transfer->call->header);
+	curl_easy_setopt(transfer->easy, CURLOPT_HTTPHEADER, transfer->headers);
+}
+
+static void set_options(transfer_t *transfer)
+{
+	const gn_http_call_t *call = transfer->call;
+	CURL *easy = transfer->easy;
+
+	curl_easy_setopt(easy, CURLOPT_URL, call->url);
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)call->timeout_ms);
+	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_MS);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_data);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer);
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer);
+	curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer);
+	if (call->once) {
+		curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+		curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+	}
+	set_method(easy, call);
+	set_headers(transfer);
+}
+
+static void transfer_free(transfer_t *transfer)
+{
+	curl_slist_free_all(transfer->headers);
+	curl_easy_cleanup(transfer->easy);
+	free(transfer);
+}
+
+/* Gives the call back to the control thread. */
+static void end_call(gn_http_client_t *client, gn_http_call_t *call,
+		     gn_code_t code)
+{
+	call->code = code;
+	if (code)
+		gn_counter_inc(client->failed);
+	gn_pipe_send(client->far, call);
+}
+
+static void start_call(gn_http_client_t *client, gn_http_call_t *call)
+{
+	transfer_t *transfer = calloc(1, sizeof(*transfer));
+
+	gn_counter_inc(client->calls);
+	if (!transfer) {
+		end_call(client, call, GN_ERR_UNAVAILABLE);
+		return;
+	}
+	transfer->call = call;
+	transfer->answer_max = client->answer_max;
+	transfer->easy = curl_easy_init();
+	if (!transfer->easy)
+		goto fail;
+	call->transfer = transfer;
+	set_options(transfer);
+	if (curl_multi_add_handle(client->multi, transfer->easy))
+		goto fail;
+	return;
+fail:
+	call->transfer = NULL;
+	transfer_free(transfer);
+	end_call(client, call, GN_ERR_UNAVAILABLE);
+}
+
+/* Whether the request surely never left, so that it can't have run. */
+static bool is_unsent(CURL *easy, CURLcode result)
+{
+	long request_size = 0;
+
+	if (result == CURLE_COULDNT_CONNECT)
+		return true;
+	curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &request_size);
+	return result != CURLE_OK && request_size == 0;
+}
+
+static gn_code_t classify(const transfer_t *transfer, CURLcode result)
+{
+	if (result == CURLE_OK)
+		return GN_OK;
+	if (is_unsent(transfer->easy, result))
+		return GN_ERR_UNAVAILABLE;
+	if (transfer->too_long || result == CURLE_PARTIAL_FILE)
+		return GN_ERR_TRUNCATED;
+	if (result == CURLE_OPERATION_TIMEDOUT)
+		return GN_ERR_TIMEOUT;
+	return GN_ERR_UNKNOWN;
+}
+
+static void finish_transfer(gn_http_client_t *client, const CURLMsg *message)
+{
+	CURL *easy = message->easy_handle;
+	CURLcode result = message->data.result;
+	transfer_t *transfer = NULL;
+	gn_http_call_t *call;
+	gn_code_t code;
+	long status = 0;
+
+	curl_easy_getinfo(easy, CURLINFO_PRIVATE, &transfer);
+	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+	call = transfer->call;
+	call->status = (unsigned)status;
+	code = classify(transfer, result);
+	curl_multi_remove_handle(client->multi, easy);
+	call->transfer = NULL;
+	transfer_free(transfer);
+	end_call(client, call, code);
+}
+
+static void finish_transfers(gn_http_client_t *client)
+{
+	CURLMsg *message;
+	int left;
+
+	while ((message = curl_multi_info_read(client->multi, &left)))
+		if (message->msg == CURLMSG_DONE)
+			finish_transfer(client, message);
+}
+
+/* Starts the calls that wait; false once told to stop. */
+static bool take_items(gn_http_client_t *client)
+{
+	void *item;
+
+	while ((item = gn_pipe_receive(client->far))) {
+		if (item == &stop_item)
+			return false;
+		start_call(client, item);
+	}
+	return true;
+}
+
+static void *client_run(void *arg)
+{
+	gn_http_client_t *client = arg;
+	struct curl_waitfd waitfd = { .fd = gn_pipe_fd(client->far),
+				      .events = CURL_WAIT_POLLIN };
+	int running;
+
+	while (take_items(client)) {
+		curl_multi_perform(client->multi, &running);
+		finish_transfers(client);
+		/* Sending an ended call can use up the pipe's edge. */
+		if (!take_items(client))
+			break;
+		curl_multi_poll(client->multi, &waitfd, 1, POLL_MAX_MS, NULL);
+	}
+	return NULL;
+}
+
+static void on_item(void *arg, void *item)
+{
+	gn_http_client_t *client = arg;
+	gn_http_call_t *call = item;
+
+	client->pending--;
+	call->done(call->arg, call);
+	call_free(call);
+}
+
+static int client_destructor(gn_http_client_t *client)
+{
+	if (client->running) {
+		gn_pipe_send(client->near, &stop_item);
+		pthread_join(client->thread, NULL);
+	}
+	if (client->multi)
+		curl_multi_cleanup(client->multi);
+	return 0;
+}
+
+gn_code_t gn_http_client_start(TALLOC_CTX *parent,
+			       const gn_http_client_config_t *config,
+			       gn_http_client_t **result, gn_error_t *error)
+{
+	static const char step[] = "start http client";
+	gn_http_client_t *client = talloc_zero(parent, gn_http_client_t);
+
+	if (!client)
+		return gn_error_set(error, GN_ERR_MEMORY, step, NULL, "client");
+	talloc_set_destructor(client, client_destructor);
+	client->answer_max = config->answer_max;
+	client->calls = gn_counters_get(config->counters, "client.calls");
+	client->failed = gn_counters_get(config->counters, "client.failed");
+	client->multi = curl_multi_init();
+	if (!client->multi) {
+		gn_error_set(error, GN_ERR_MEMORY, step, NULL, "libcurl");
+		goto fail;
+	}
+	curl_multi_setopt(client->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+			  (long)config->host_connections);
+	curl_multi_setopt(client->multi, CURLMOPT_MAXCONNECTS,
+			  (long)CONNECTIONS_KEPT);
+	if (gn_pipe_open(client, config->zmq, &client->near, &client->far,
+			 error))
+		goto fail;
+	if (gn_pipe_attach(client->near, config->events, on_item, client)) {
+		gn_error_set(error, GN_ERR_MEMORY, step, NULL, "event");
+		goto fail;
+	}
+	if (pthread_create(&client->thread, NULL, client_run, client)) {
+		gn_error_set(error, GN_ERR_SYSTEM, step, NULL, "thread");
+		goto fail;
+	}
+	client->running = true;
+	*result = client;
+	return GN_OK;
+fail:
+	talloc_free(client);
+	return error->code;
+}
+
+void gn_http_client_call(gn_http_client_t *client, gn_http_call_t *call)
+{
+	client->pending++;
+	gn_pipe_send(client->near, call);
+}
+
+size_t gn_http_client_pending(const gn_http_client_t *client)
+{
+	return client->pending;
+}
--- /dev/null
+++ b/lib/http/server.c
@@ -0,0 +1,274 @@
+#include "http/server.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netdb.h>
+#include <poll.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "common/str.h"
+#include "http/server_internal.h"
+
+/** Memory for the headers of one connection, bytes. */
+#define CONNECTION_MEMORY 16384
+#define LISTEN_BACKLOG 1024
+/** Longest sleep of a traffic thread, milliseconds. */
+#define POLL_MAX_MS 1000
+
+struct gn_http_server_s {
+	http_thread_t *threads;
+	unsigned thread_count;
+	gn_http_handler_t handler;
+	void *arg;
+	size_t pending;
+	bool quiesced;
+};
+
+char http_thread_wake;
+char http_thread_stop;
+
+/* Handles the control thread's items; false once told to stop. */
+static bool take_items(http_thread_t *thread)
+{
+	void *item;
+
+	while ((item = gn_pipe_receive(thread->far))) {
+		if (item == &http_thread_stop)
+			return false;
+		if (item != &http_thread_wake)
+			http_exchange_resume(
+				((gn_http_request_t *)item)->connection);
+	}
+	return true;
+}
+
+static int poll_timeout_ms(struct MHD_Daemon *daemon)
+{
+	MHD_UNSIGNED_LONG_LONG timeout_ms;
+
+	if (MHD_get_timeout(daemon, &timeout_ms) != MHD_YES ||
+	    timeout_ms > POLL_MAX_MS)
+		return POLL_MAX_MS;
+	return (int)timeout_ms;
+}
+
+void *http_thread_run(void *arg)
+{
+	http_thread_t *thread = arg;
+	const union MHD_DaemonInfo *info =
+		MHD_get_daemon_info(thread->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+	struct pollfd fds[2] = {
+		{ .fd = info->epoll_fd, .events = POLLIN },
+		{ .fd = gn_pipe_fd(thread->far), .events = POLLIN },
+	};
+	bool quiesced = false;
+
+	while (take_items(thread)) {
+		if (!quiesced && atomic_load(&thread->quiesce)) {
+			int fd = (int)MHD_quiesce_daemon(thread->daemon);
+
+			if (fd >= 0)
+				close(fd);
+			quiesced = true;
+		}
+		MHD_run(thread->daemon);
+		/* Sending from a handler can use up the pipe's edge. */
+		if (!take_items(thread))
+			break;
+		poll(fds, 2, poll_timeout_ms(thread->daemon));
+	}
+	return NULL;
+}
+
+static int open_socket(const char *address, gn_error_t *error)
+{
+	struct addrinfo hints = { .ai_flags = AI_NUMERICHOST | AI_NUMERICSERV,
+				  .ai_socktype = SOCK_STREAM };
+	struct addrinfo *info = NULL;
+	char host[GN_ADDRESS_MAX + 1];
+	char *port;
+	const int on = 1;
+	int fd = -1;
+
+	gn_error_set(error, GN_ERR_INVALID, "listen", address,
+		     "not an IP:PORT address");
+	if (gn_str_copy(host, sizeof(host), gn_str_from(address)))
+		return -1;
+	port = strrchr(host, ':');
+	if (!port)
+		return -1;
+	*port = '\0';
+	if (getaddrinfo(host, port + 1, &hints, &info))
+		return -1;
+	fd = socket(info->ai_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC,
+		    0);
+	if (fd < 0)
+		goto out;
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	setsockopt(fd, SOL_SOCKET, SO_REUSEPORT, &on, sizeof(on));
+	if (bind(fd, info->ai_addr, info->ai_addrlen) ||
+	    listen(fd, LISTEN_BACKLOG)) {
+		gn_error_set(error, GN_ERR_SYSTEM, "listen", address, "%s",
+			     strerror(errno));
+		close(fd);
+		fd = -1;
+	}
+out:
+	freeaddrinfo(info);
+	return fd;
+}
+
+static void on_item(void *arg, void *item)
+{
+	http_thread_t *thread = arg;
+
+	thread->server->pending++;
+	thread->server->handler(thread->server->arg, item);
+}
+
+static struct MHD_Daemon *start_daemon(http_thread_t *thread, int fd,
+				       const gn_http_server_config_t *config)
+{
+	unsigned timeout_s = (config->timeout_ms + 999) / 1000;
+	unsigned connections =
+		(config->connections + config->threads - 1) / config->threads;
+
+	return MHD_start_daemon(
+		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
+		http_on_request, thread, MHD_OPTION_LISTEN_SOCKET, fd,
+		MHD_OPTION_CONNECTION_LIMIT, connections,
+		MHD_OPTION_CONNECTION_TIMEOUT, timeout_s,
+		MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
+		MHD_OPTION_NOTIFY_COMPLETED, http_on_completed, thread,
+		MHD_OPTION_NOTIFY_CONNECTION, http_on_connection, thread,
+		MHD_OPTION_END);
+}
+
+static gn_code_t start_thread(gn_http_server_t *server, http_thread_t *thread,
+			      const gn_http_server_config_t *config,
+			      gn_error_t *error)
+{
+	int fd;
+
+	thread->server = server;
+	thread->body_max = config->body_max;
+	thread->timeout_us = (uint64_t)config->timeout_ms * GN_US_PER_MS;
+	thread->requests = gn_counters_get(config->counters, "http.requests");
+	thread->refused = gn_counters_get(config->counters, "http.refused");
+	gn_clock_init_boot(&thread->clock);
+	if (gn_pipe_open(server, config->zmq, &thread->near, &thread->far,
+			 error))
+		return error->code;
+	if (gn_pipe_attach(thread->near, config->events, on_item, thread))
+		return gn_error_set(error, GN_ERR_MEMORY, "start http",
+				    config->address, "no event");
+	fd = open_socket(config->address, error);
+	if (fd < 0)
+		return error->code;
+	thread->daemon = start_daemon(thread, fd, config);
+	if (!thread->daemon) {
+		close(fd);
+		return gn_error_set(error, GN_ERR_SYSTEM, "start http",
+				    config->address, "%s", strerror(errno));
+	}
+	if (pthread_create(&thread->thread, NULL, http_thread_run, thread))
+		return gn_error_set(error, GN_ERR_SYSTEM, "start http",
+				    config->address, "no thread");
+	thread->running = true;
+	return GN_OK;
+}
+
+/* Lets go of what neither side has handled, or libmicrohttpd would abort. */
+static void resume_leftovers(http_thread_t *thread)
+{
+	gn_http_request_t *request;
+
+	take_items(thread);
+	while ((request = gn_pipe_receive(thread->near))) {
+		request->answer.status = MHD_HTTP_SERVICE_UNAVAILABLE;
+		http_exchange_resume(request->connection);
+	}
+}
+
+static int server_destructor(gn_http_server_t *server)
+{
+	for (unsigned i = 0; i < server->thread_count; i++) {
+		http_thread_t *thread = &server->threads[i];
+
+		if (thread->running) {
+			gn_pipe_send(thread->near, &http_thread_stop);
+			pthread_join(thread->thread, NULL);
+			resume_leftovers(thread);
+		}
+		if (thread->daemon)
+			MHD_stop_daemon(thread->daemon);
+	}
+	return 0;
+}
+
+gn_code_t gn_http_server_start(TALLOC_CTX *parent,
+			       const gn_http_server_config_t *config,
+			       gn_http_server_t **result, gn_error_t *error)
+{
+	gn_http_server_t *server = talloc_zero(parent, gn_http_server_t);
+
+	if (!server)
+		goto no_memory;
+	server->threads =
+		talloc_zero_array(server, http_thread_t, config->threads);
+	if (!server->threads)
+		goto no_memory;
+	server->handler = config->handler;
+	server->arg = config->arg;
+	server->thread_count = config->threads;
+	talloc_set_destructor(server, server_destructor);
+	for (unsigned i = 0; i < config->threads; i++) {
+		if (start_thread(server, &server->threads[i], config, error)) {
+			talloc_free(server);
+			return error->code;
+		}
+	}
+	*result = server;
+	return GN_OK;
+no_memory:
+	talloc_free(server);
+	return gn_error_set(error, GN_ERR_MEMORY, "start http", config->address,
+			    "no memory");
+}
+
+void gn_http_server_answer(gn_http_server_t *server, gn_http_request_t *request)
+{
+	http_exchange_t *exchange = request->connection;
+
+	server->pending--;
+	gn_pipe_send(exchange->thread->near, request);
+}
+
+void gn_http_server_quiesce(gn_http_server_t *server)
+{
+	if (server->quiesced)
+		return;
+	server->quiesced = true;
+	for (unsigned i = 0; i < server->thread_count; i++) {
+		atomic_store(&server->threads[i].quiesce, true);
+		gn_pipe_send(server->threads[i].near, &http_thread_wake);
+	}
+}
+
+size_t gn_http_server_pending(const gn_http_server_t *server)
+{
+	return server->pending;
+}
+
+bool gn_http_server_idle(const gn_http_server_t *server)
+{
+	if (server->pending)
+		return false;
+	for (unsigned i = 0; i < server->thread_count; i++)
+		if (atomic_load(&server->threads[i].connections))
+			return false;
+	return true;
+}
--- /dev/null
+++ b/lib/http/server_internal.h
@@ -0,0 +1,67 @@
+/**
+ * @file server_internal.h
+ * @brief One traffic thread of the HTTP server.
+ */
+#ifndef GN_HTTP_SERVER_INTERNAL_H
+#define GN_HTTP_SERVER_INTERNAL_H
+
+#include <microhttpd.h>
+#include <pthread.h>
+#include <stdatomic.h>
+
+#include "common/clock.h"
+#include "http/server.h"
+#include "wire/pipe.h"
+
+typedef struct http_thread_s http_thread_t;
+
+/** A connection's request, from its first header to its answer. */
+typedef struct http_exchange_s {
+	gn_http_request_t request; /**< first: the two are one */
+	http_thread_t *thread;
+	struct MHD_Connection *connection;
+	size_t body_size; /**< allocated, bytes */
+	uint64_t started_us;
+	unsigned refused; /**< status to refuse with, or 0 */
+	bool handed_over; /**< to the control thread, once */
+} http_exchange_t;
+
+/** A traffic thread. */
+struct http_thread_s {
+	pthread_t thread;
+	bool running;
+	struct MHD_Daemon *daemon;
+	gn_pipe_t *near; /**< the control thread's end */
+	gn_pipe_t *far; /**< the traffic thread's end */
+	gn_http_server_t *server;
+	gn_clock_t clock;
+	size_t body_max;
+	uint64_t timeout_us;
+	atomic_bool quiesce;
+	atomic_uint connections;
+	gn_counter_t *requests;
+	gn_counter_t *refused;
+};
+
+/** Messages from the control thread that are no requests. */
+extern char http_thread_wake;
+extern char http_thread_stop;
+
+/** What a traffic thread runs; @p arg is its http_thread_t. */
+void *http_thread_run(void *arg);
+
+/** libmicrohttpd's callbacks. */
+enum MHD_Result http_on_request(void *cls, struct MHD_Connection *connection,
+				const char *url, const char *method,
+				const char *version, const char *data,
+				size_t *data_size, void **context);
+void http_on_completed(void *cls, struct MHD_Connection *connection,
+		       void **context, enum MHD_RequestTerminationCode code);
+void http_on_connection(void *cls, struct MHD_Connection *connection,
+			void **context,
+			enum MHD_ConnectionNotificationCode code);
+
+/** Resumes the connection of @p exchange, whose answer is filled in. */
+void http_exchange_resume(http_exchange_t *exchange);
+
+#endif
--- /dev/null
+++ b/lib/wire/link.h
@@ -0,0 +1,67 @@
+/**
+ * @file link.h
+ * @brief Links between the system's own processes: envelopes over ZeroMQ.
+ *
+ * An entry listens; an agent connects to each entry. Nothing is kept for a
+ * peer that is gone: what can't be sent at once is dropped and counted, and
+ * the layers above recover by their own beats and deadlines.
+ */
+#ifndef GN_WIRE_LINK_H
+#define GN_WIRE_LINK_H
+
+#include <talloc.h>
+#include <tevent.h>
+
+#include "common/counter.h"
+#include "common/error.h"
+#include "wire/gypsumnotch.pb-c.h"
+
+typedef struct gn_link_s gn_link_t;
+
+/** The connection of a peer, as the listening side knows it. */
+typedef struct gn_link_peer_s {
+	uint8_t id[16]; /**< ZeroMQ's routing id */
+	size_t len; /**< bytes of it; 0 on the connecting side */
+} gn_link_peer_t;
+
+/**
+ * Called for each valid envelope.
+ * @param peer from whom; to be copied if kept
+ * @param envelope valid during the call
+ */
+typedef void (*gn_link_handler_t)(void *arg, const gn_link_peer_t *peer,
+				  const Gn__Envelope *envelope);
+
+/** What a link needs; all pointers outlive it. */
+typedef struct gn_link_config_s {
+	struct tevent_context *events;
+	void *zmq;
+	const char *address; /**< "IP:PORT" */
+	gn_counters_t *counters;
+	gn_link_handler_t handler;
+	void *arg;
+} gn_link_config_t;
+
+/**
+ * Listens at the address.
+ * @return GN_OK, GN_ERR_MEMORY or GN_ERR_SYSTEM (step "listen")
+ */
+gn_code_t gn_link_listen(TALLOC_CTX *parent, const gn_link_config_t *config,
+			 gn_link_t **link, gn_error_t *error);
+
+/**
+ * Connects to the address; the connection is made in the background.
+ * @return GN_OK, GN_ERR_MEMORY or GN_ERR_SYSTEM (step "connect")
+ */
+gn_code_t gn_link_connect(TALLOC_CTX *parent, const gn_link_config_t *config,
+			  gn_link_t **link, gn_error_t *error);
+
+/**
+ * Sends @p envelope; its version is filled in.
+ * @param peer to whom; NULL on the connecting side
+ * @return GN_OK, or GN_ERR_UNAVAILABLE if it surely was not sent
+ */
+gn_code_t gn_link_send(gn_link_t *link, const gn_link_peer_t *peer,
+		       Gn__Envelope *envelope);
+
+#endif
--- /dev/null
+++ b/tests/scenario.sh
@@ -0,0 +1,239 @@
+#!/bin/bash
+# Runs one scenario on separate processes and compares its output with the
+# text that the scenario expects. docs/SCENARIOS.md describes the language.
+# usage: tests/scenario.sh BUILD_FOLDER FILE.scn
+set -u
+build=$1
+file=$2
+name=$(basename "$file" .scn)
+work=$(mktemp -d)
+# Ports are derived from the scenario's place, so that scenarios run side by side.
+index=$(ls tests/scenarios/*.scn | grep -n "/$name.scn\$" | cut -d: -f1)
+variant_offset=$([[ $build == *release ]] && echo 0 || echo 6000)
+base=$((20000 + variant_offset + index * 60))
+declare -A pid http link
+next=0
+last_status=0
+
+cleanup() {
+	for p in "${pid[@]}"; do
+		kill -CONT "$p" 2>/dev/null
+		kill -KILL "$p" 2>/dev/null
+	done
+	wait 2>/dev/null
+	[ "${KEEP:-}" ] && cp -r "$work" "$KEEP"
+	rm -rf "$work"
+}
+trap cleanup EXIT
+
+port() {
+	next=$((next + 1))
+	allotted=127.0.0.1:$((base + next))
+}
+
+launch() { # NAME PROGRAM ARGS...
+	local key=$1
+	shift
+	"$@" >>"$work/$key.log" 2>&1 &
+	pid[$key]=$!
+}
+
+cmd_platform() {
+	[ "${http[platform]:-}" ] || { port; http[platform]=$allotted; }
+	launch platform "$build/tests/standin/platform" --listen "${http[platform]}"
+}
+
+# entry NAME DATA_CENTRE [KEY=VALUE...]
+cmd_entry() {
+	local key=$1 dc=$2
+	shift 2
+	[ "${http[$key]:-}" ] || { port; http[$key]=$allotted; port; link[$key]=$allotted; }
+	[ "${http[platform]:-}" ] || { port; http[platform]=$allotted; }
+	cat >"$work/$key.toml" <<-T
+	role = "entry"
+	name = "$key"
+	region = "test"
+	data_centre = "$dc"
+	stop_grace_ms = 10000
+	[http]
+	listen = "${http[$key]}"
+	timeout_ms = 3000
+	[platform]
+	address = "${http[platform]}"
+	calls_per_s = 200
+	lease_ttl_ms = 3000
+	[link]
+	listen = "${link[$key]}"
+	beat_interval_ms = 100
+	beat_timeout_ms = 1500
+	T
+	launch "$key" "$build/gypsumnotchd" --settings "$work/$key.toml"
+}
+
+# worker NAME DATA_CENTRE SERVICE ENTRY...: an agent and its backend server
+cmd_worker() {
+	cmd_agent "$@"
+	cmd_backend "$1"
+}
+
+cmd_agent() {
+	local key=$1 dc=$2 service=$3 list= e
+	shift 3
+	[ "${http[$key]:-}" ] || { port; http[$key]=$allotted; port; http[$key.backend]=$allotted; }
+	for e in "$@"; do
+		list="$list${list:+, }\"${link[$e]}\""
+	done
+	[ -s "$work/$key.toml" ] || cat >"$work/$key.toml" <<-T
+	role = "agent"
+	name = "$key"
+	region = "test"
+	data_centre = "$dc"
+	stop_grace_ms = 10000
+	[http]
+	listen = "${http[$key]}"
+	timeout_ms = 3000
+	[link]
+	entries = [$list]
+	beat_interval_ms = 100
+	beat_timeout_ms = 1500
+	[worker]
+	service = "$service"
+	rack = "rack-$key"
+	max_tasks = 8
+	max_connections = 64
+	cores = 32
+	memory_mb = 128000
+	T
+	launch "$key" "$build/gypsumnotchd" --settings "$work/$key.toml"
+}
+
+cmd_backend() {
+	launch "$1.backend" "$build/tests/standin/backend" --listen "${http[$1.backend]}" --agent "${http[$1]}"
+}
+
+cmd_restart() { # an agent that was stopped or killed
+	launch "$1" "$build/gypsumnotchd" --settings "$work/$1.toml"
+}
+
+fetch() { curl -s -m 20 --noproxy '*' "$@"; }
+
+# wait_workers ENTRY COUNT: until the entry has that many live workers
+cmd_wait_workers() {
+	for _ in $(seq 300); do
+		[ "$(fetch "http://${http[$1]}/v1/hosts" | grep -o '"state":"live"' | wc -l)" = "$2" ] && return
+		sleep 0.1
+	done
+	echo "no $2 live workers at $1"
+}
+
+cmd_wait_up() {
+	for _ in $(seq 300); do
+		fetch -o /dev/null "http://${http[$1]}/" && return
+		sleep 0.1
+	done
+	echo "$1 is not up"
+}
+
+# request ENTRY SERVICE BODY [HEADER...]: prints status, outcome and body
+cmd_request() {
+	local e=$1 service=$2 body=$3 args=() h
+	shift 3
+	for h in "$@"; do args+=(-H "$h"); done
+	fetch -D "$work/head" -o "$work/body" "${args[@]}" --data-binary "$body" \
+		"http://${http[$e]}/v1/services/$service/requests"
+	last_status=$?
+	local status outcome reason retry
+	status=$(awk 'NR==1 {print $2}' "$work/head" 2>/dev/null)
+	outcome=$(tr -d '\r' <"$work/head" | sed -n 's/^Gypsumnotch-Outcome: //p')
+	reason=$(tr -d '\r' <"$work/head" | sed -n 's/^Gypsumnotch-Reason: //p')
+	retry=$(grep -qi '^Retry-After: [0-9]' "$work/head" && echo " retry-after")
+	if [ "$outcome" = done ]; then
+		echo "$status $outcome $(cat "$work/body")"
+	else
+		echo "$status $outcome $reason$retry"
+	fi
+	rm -f "$work/head" "$work/body"
+}
+
+# requests ENTRY SERVICE COUNT PREFIX [HEADER...]: a count of each answer
+cmd_requests() {
+	local e=$1 service=$2 count=$3 prefix=$4 i
+	shift 4
+	for i in $(seq "$count"); do
+		cmd_request "$e" "$service" "$prefix$i" "$@"
+	done | sed "s/$prefix[0-9]*\$/$prefix*/" | sort | uniq -c | sed 's/^ *//'
+}
+
+# background COMMAND...: its output is printed by "join"
+cmd_background() {
+	(run_line "$*" >"$work/background.out") &
+	pid[background]=$!
+}
+cmd_join() {
+	wait "${pid[background]}"
+	cat "$work/background.out"
+}
+
+cmd_fault() { # NAME JSON
+	fetch -o /dev/null --data-binary "$2" "http://${http[$1]}/fault"
+}
+cmd_drain_backend() { fetch -o /dev/null -X POST "http://${http[$1.backend]}/drain"; }
+cmd_kill() { kill -KILL "${pid[$1]}"; wait "${pid[$1]}" 2>/dev/null; }
+cmd_freeze() { kill -STOP "${pid[$1]}"; }
+cmd_thaw() { kill -CONT "${pid[$1]}"; }
+cmd_stop() { kill -TERM "${pid[$1]}"; }
+cmd_wait_exit() { wait "${pid[$1]}"; echo "exit $?"; }
+cmd_sleep() { sleep "$1"; }
+
+# journal WORKER...: what the backend servers ran, sorted, with counts over 1
+cmd_journal() {
+	local w
+	for w in "$@"; do
+		fetch "http://${http[$w.backend]}/journal"
+	done | sort | uniq -c | awk '$1 > 1 {print "ran " $1 " times: " $2; bad=1} END {print NR " ran, " (bad ? "some twice" : "none twice")}'
+}
+
+# counter NAME COUNTER: the value of a counter
+cmd_counter() { fetch "http://${http[$1]}/dump" | grep -o "\"$2\":[0-9]*" | cut -d: -f2; }
+
+# ctl ENTRY ARGS...: the command line against an entry
+cmd_ctl() {
+	local e=$1
+	shift
+	"$build/gypsumnotchctl" --entry "${http[$e]}" "$@"
+	echo "exit $?"
+}
+
+cmd_get() { fetch "http://${http[$1]}$2"; echo; }
+
+run_line() {
+	local -a words
+	eval "words=($1)"
+	local verb=${words[0]}
+	if ! declare -F "cmd_$verb" >/dev/null; then
+		echo "unknown command: $verb"
+		return
+	fi
+	"cmd_$verb" "${words[@]:1}"
+}
+
+expected=$work/expected
+actual=$work/actual
+: >"$expected"
+: >"$actual"
+while IFS= read -r line || [ -n "$line" ]; do
+	case $line in
+	'' | '#'*) ;;
+	'> '*) printf '%s\n' "${line#> }" >>"$expected" ;;
+	*) run_line "$line" >>"$actual" 2>>"$work/shell.log" ;;
+	esac
+done <"$file"
+
+if diff -u "$expected" "$actual" >"$work/diff"; then
+	echo "ok 1 $name"
+else
+	echo "not ok 1 $name"
+	cat "$work/diff" >&2
+	tail -n 15 "$work"/*.log >&2
+	exit 1
+fi
