Read the settings of a daemon from TOML, checked whole

Cause: a daemon must not start half-configured, and TOML has no library for C here; cpptoml (C++) stands behind lib/config/toml.cc, which lets no exception out. What: lib/config/schema reads a document by a table of its keys (type, bounds, place), so an unknown key, a wrong type, a value out of range, a missing key and a key of the other role are each one line. settings.c adds the duplicated addresses and the beat timeout. Names are letters, digits, '.', '_' and '-', for they go into URLs. Ruled out: a chain of ifs for each key; getaddrinfo, which takes "127.1". cpptoml gives a line for malformed text only, so other errors name the key. With the bracket bound taken out /settings/hostile ends by a stack overflow; with the unknown-key check out /settings/bad/unknown-key fails. Conclusion: gn_settings_load() keeps what its header states.

--- /dev/null
+++ b/lib/config/settings.c
@@ -0,0 +1,274 @@
+#include "config/settings.h"
+
+#include <glib.h>
+#include <syslog.h>
+
+#include "config/file.h"
+#include "config/schema.h"
+
+#define STEP "settings"
+/** Longest settings file, bytes. */
+#define FILE_MAX (1024 * 1024)
+/** Beat intervals that must fit into a beat timeout. */
+#define BEATS_PER_TIMEOUT 3
+
+#define ENTRY (1U << GN_ROLE_ENTRY)
+#define AGENT (1U << GN_ROLE_AGENT)
+#define BOTH (ENTRY | AGENT)
+
+#define AT(member) .offset = offsetof(gn_settings_t, member)
+#define NUMBER(name, member, low, high, value)                         \
+	{                                                              \
+		.key = (name), .read = gn_schema_unsigned, AT(member), \
+		.min = (low), .max = (high), .preset = (value)         \
+	}
+#define LAST                \
+	{                   \
+		.key = NULL \
+	}
+
+static const char *const role_names[] = { "entry", "agent", NULL };
+
+/** The levels from LOG_ERR on. */
+static const char *const level_names[] = { "err",  "warning", "notice",
+					   "info", "debug",   NULL };
+
+static gn_code_t read_level(gn_schema_reader_t *reader, const char *path,
+			    const gn_schema_field_t *field,
+			    const gn_toml_table_t *table, void *target)
+{
+	gn_settings_t *settings = target;
+	gn_code_t code = gn_schema_enum(reader, path, field, table, target);
+
+	settings->log_level += LOG_ERR;
+	return code;
+}
+
+static const gn_schema_field_t http_fields[] = {
+	{ .key = "listen",
+	  .read = gn_schema_address,
+	  AT(http_listen),
+	  .required = BOTH },
+	NUMBER("connections", http_connections, 1, 65536, 1024),
+	NUMBER("timeout_ms", http_timeout_ms, 100, 600000, 10000),
+	NUMBER("threads", http_threads, 1, 16, 1),
+	LAST,
+};
+
+static const gn_schema_field_t platform_fields[] = {
+	{ .key = "address",
+	  .read = gn_schema_address,
+	  AT(platform_address),
+	  .required = ENTRY },
+	NUMBER("calls_per_s", platform_calls_per_s, 1, 2000, 40),
+	NUMBER("lease_ttl_ms", lease_ttl_ms, 1000, 60000, 6000),
+	LAST,
+};
+
+static const gn_schema_field_t link_fields[] = {
+	{ .key = "listen",
+	  .read = gn_schema_address,
+	  AT(link_listen),
+	  .required = ENTRY,
+	  .forbidden = AGENT },
+	{ .key = "entries",
+	  .read = gn_schema_addresses,
+	  AT(entries),
+	  .count_offset = offsetof(gn_settings_t, entry_count),
+	  .min = 1,
+	  .max = GN_ENTRIES_MAX,
+	  .required = AGENT,
+	  .forbidden = ENTRY },
+	NUMBER("beat_interval_ms", beat_interval_ms, 50, 10000, 500),
+	NUMBER("beat_timeout_ms", beat_timeout_ms, 150, 600000, 2000),
+	LAST,
+};
+
+#define WORKER_NUMBER(name, member, high)                              \
+	{                                                              \
+		.key = (name), .read = gn_schema_unsigned, AT(member), \
+		.min = 1, .max = (high), .required = AGENT             \
+	}
+
+static const gn_schema_field_t worker_fields[] = {
+	{ .key = "service",
+	  .read = gn_schema_name,
+	  AT(service),
+	  .required = AGENT },
+	{ .key = "rack", .read = gn_schema_name, AT(rack), .required = AGENT },
+	WORKER_NUMBER("max_tasks", max_tasks, 4096),
+	WORKER_NUMBER("max_connections", max_connections, 4096),
+	WORKER_NUMBER("cores", cores, 4096),
+	WORKER_NUMBER("memory_mb", memory_mb, 16777216),
+	NUMBER("accelerators", accelerators, 0, 256, 0),
+	LAST,
+};
+
+static const gn_schema_field_t settings_fields[] = {
+	{ .key = "role",
+	  .read = gn_schema_enum,
+	  AT(role),
+	  .names = role_names,
+	  .required = BOTH },
+	{ .key = "name", .read = gn_schema_name, AT(name), .required = BOTH },
+	{ .key = "region",
+	  .read = gn_schema_name,
+	  AT(region),
+	  .required = BOTH },
+	{ .key = "data_centre",
+	  .read = gn_schema_name,
+	  AT(data_centre),
+	  .required = BOTH },
+	{ .key = "log_level",
+	  .read = read_level,
+	  AT(log_level),
+	  .names = level_names,
+	  .preset = LOG_INFO - LOG_ERR },
+	NUMBER("stop_grace_ms", stop_grace_ms, 0, 600000, 30000),
+	{ .key = "http",
+	  .read = gn_schema_table,
+	  .fields = http_fields,
+	  .required = BOTH },
+	{ .key = "platform",
+	  .read = gn_schema_table,
+	  .fields = platform_fields,
+	  .required = ENTRY,
+	  .forbidden = AGENT },
+	{ .key = "link",
+	  .read = gn_schema_table,
+	  .fields = link_fields,
+	  .required = BOTH },
+	{ .key = "worker",
+	  .read = gn_schema_table,
+	  .fields = worker_fields,
+	  .required = AGENT,
+	  .forbidden = ENTRY },
+	LAST,
+};
+
+/** Finds the one key that decides which others are required. */
+static gn_code_t read_role(gn_schema_reader_t *reader,
+			   const gn_toml_t *document)
+{
+	const gn_toml_table_t *root = gn_toml_root(document);
+	gn_settings_t settings = { 0 };
+	gn_code_t code;
+
+	if (gn_toml_kind(root, "role") == GN_TOML_NONE)
+		return gn_schema_fail(reader, GN_ERR_INVALID, "role",
+				      "missing");
+	code = gn_schema_enum(reader, "role", &settings_fields[0], root,
+			      &settings);
+	reader->audience = 1U << settings.role;
+	return code;
+}
+
+/** Adds an address to those @p seen, unless it is there already. */
+static gn_code_t add_address(gn_schema_reader_t *reader, GHashTable *seen,
+			     const char *path, const char *address)
+{
+	const char *first = g_hash_table_lookup(seen, address);
+
+	if (first)
+		return gn_schema_fail(reader, GN_ERR_INVALID, path,
+				      "%s is the address of %s too", address,
+				      first);
+	g_hash_table_insert(seen, (void *)address, (void *)path);
+	return GN_OK;
+}
+
+static gn_code_t check_addresses(gn_schema_reader_t *reader,
+				 const gn_settings_t *settings)
+{
+	const struct {
+		const char *path;
+		const char *address;
+	} single[] = {
+		{ "http.listen", settings->http_listen },
+		{ "platform.address", settings->platform_address },
+		{ "link.listen", settings->link_listen },
+	};
+	GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
+	gn_code_t code = GN_OK;
+
+	for (size_t i = 0; !code && i < G_N_ELEMENTS(single); i++)
+		if (single[i].address)
+			code = add_address(reader, seen, single[i].path,
+					   single[i].address);
+	for (size_t i = 0; !code && i < settings->entry_count; i++)
+		code = add_address(reader, seen, "link.entries",
+				   settings->entries[i]);
+	g_hash_table_destroy(seen);
+	return code;
+}
+
+static gn_code_t check_beats(gn_schema_reader_t *reader,
+			     const gn_settings_t *settings)
+{
+	unsigned least = BEATS_PER_TIMEOUT * settings->beat_interval_ms;
+
+	if (settings->beat_timeout_ms >= least)
+		return GN_OK;
+	return gn_schema_fail(reader, GN_ERR_RANGE, "link.beat_timeout_ms",
+			      "%u is less than %u, %d times "
+			      "link.beat_interval_ms",
+			      settings->beat_timeout_ms, least,
+			      BEATS_PER_TIMEOUT);
+}
+
+static gn_code_t read_settings(gn_schema_reader_t *reader,
+			       const gn_toml_t *document,
+			       gn_settings_t *settings)
+{
+	gn_code_t code = read_role(reader, document);
+
+	if (!code)
+		code = gn_schema_read(reader, document, settings_fields,
+				      settings);
+	if (!code)
+		code = check_addresses(reader, settings);
+	if (!code)
+		code = check_beats(reader, settings);
+	return code;
+}
+
+gn_code_t gn_settings_parse(TALLOC_CTX *parent, const char *path, gn_str_t text,
+			    gn_settings_t **settings, gn_error_t *error)
+{
+	gn_schema_reader_t reader = { .error = error,
+				      .step = STEP,
+				      .peer = path };
+	gn_toml_t *document = NULL;
+	gn_settings_t *made;
+	gn_code_t code;
+
+	made = talloc_zero(parent, gn_settings_t);
+	if (!made)
+		return gn_error_set(error, GN_ERR_MEMORY, STEP, path,
+				    "out of memory");
+	reader.owner = made;
+	code = gn_schema_parse(&reader, text, &document);
+	if (!code)
+		code = read_settings(&reader, document, made);
+	talloc_free(document);
+	if (code) {
+		talloc_free(made);
+		return code;
+	}
+	*settings = made;
+	return GN_OK;
+}
+
+gn_code_t gn_settings_load(TALLOC_CTX *parent, const char *path,
+			   gn_settings_t **settings, gn_error_t *error)
+{
+	gn_str_t text;
+	gn_code_t code;
+
+	code = gn_file_read(NULL, path, FILE_MAX, STEP, &text, error);
+	if (code)
+		return code;
+	code = gn_settings_parse(parent, path, text, settings, error);
+	talloc_free((void *)text.data);
+	return code;
+}
--- a/lib/config/settings.h
+++ b/lib/config/settings.h
@@ -1,6 +1,10 @@
 /**
  * @file settings.h
  * @brief The settings of one process, read from a TOML file and checked whole.
+ *
+ * Names are 1..63 letters, digits, '.', '_' and '-'. Addresses are IP numbers
+ * with a port of 1..65535 and are kept in canonical form. No address may be
+ * given twice. A key of the other role is refused.
  */
 #ifndef GN_CONFIG_SETTINGS_H
 #define GN_CONFIG_SETTINGS_H
@@ -71,4 +75,11 @@
 gn_code_t gn_settings_load(TALLOC_CTX *parent, const char *path,
 			   gn_settings_t **settings, gn_error_t *error);
 
+/**
+ * Checks the settings in @p text as gn_settings_load() does.
+ * @param path the name of the document in errors
+ */
+gn_code_t gn_settings_parse(TALLOC_CTX *parent, const char *path, gn_str_t text,
+			    gn_settings_t **settings, gn_error_t *error);
+
 #endif
--- /dev/null
+++ b/lib/config/toml.cc
@@ -0,0 +1,300 @@
+#include "config/toml.h"
+
+#include <cpptoml.h>
+#include <sstream>
+
+/** The C side sees a table only through a pointer. */
+static const gn_toml_table_t *wrap(const cpptoml::table *table)
+{
+	return reinterpret_cast<const gn_toml_table_t *>(table);
+}
+
+static const cpptoml::table *unwrap(const gn_toml_table_t *table)
+{
+	return reinterpret_cast<const cpptoml::table *>(table);
+}
+
+struct gn_toml_s {
+	std::shared_ptr<cpptoml::table> *root;
+};
+
+static int free_document(gn_toml_t *document)
+{
+	delete document->root;
+	return 0;
+}
+
+static const char *const kind_names[GN_TOML_KIND_COUNT] = {
+	"nothing", "a string", "an integer", "a float",
+	"a boolean", "a time", "an array", "a table",
+	"an array of tables",
+};
+
+const char *gn_toml_kind_name(gn_toml_kind_t kind)
+{
+	return kind_names[kind];
+}
+
+static gn_code_t say(char *message, gn_code_t code, const char *text)
+{
+	snprintf(message, GN_TOML_MESSAGE_SIZE, "%s", text);
+	return code;
+}
+
+/** Whether @p line is a table's header, "[a]" or "[[a]]", and nothing else. */
+static bool is_header(const std::string &line)
+{
+	static const char names[] = "abcdefghijklmnopqrstuvwxyz"
+				    "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+				    "0123456789_-. ";
+	size_t open = line.find_first_not_of('[');
+	size_t close;
+
+	if (open == 0 || open == std::string::npos || open > 2)
+		return false;
+	close = line.find_first_not_of(names, open);
+	return close != std::string::npos &&
+	       line.compare(close, std::string::npos,
+			    std::string(open, ']')) == 0;
+}
+
+/** Keeps deeply nested input from exhausting the stack of the parser. */
+static gn_code_t check_bounds(const std::string &text, char *message)
+{
+	std::istringstream in(text);
+	std::string line;
+	size_t number = 0;
+	size_t brackets = 0;
+
+	while (std::getline(in, line)) {
+		number++;
+		if (line.size() > GN_TOML_LINE_MAX) {
+			snprintf(message, GN_TOML_MESSAGE_SIZE,
+				 "line %zu: over %d bytes", number,
+				 GN_TOML_LINE_MAX);
+			return GN_ERR_RANGE;
+		}
+		if (is_header(line))
+			continue;
+		for (char c : line)
+			brackets += c == '[' || c == '{';
+		if (brackets > GN_TOML_BRACKETS_MAX) {
+			snprintf(message, GN_TOML_MESSAGE_SIZE,
+				 "line %zu: over %d opening brackets", number,
+				 GN_TOML_BRACKETS_MAX);
+			return GN_ERR_RANGE;
+		}
+	}
+	return GN_OK;
+}
+
+/** Turns "what at line N" into "line N: what". */
+static gn_code_t say_parse_error(char *message, const std::string &what)
+{
+	static const std::string mark = " at line ";
+	size_t at = what.rfind(mark);
+
+	if (at == std::string::npos)
+		return say(message, GN_ERR_INVALID, what.c_str());
+	snprintf(message, GN_TOML_MESSAGE_SIZE, "line %s: %.80s",
+		 what.c_str() + at + mark.size(), what.substr(0, at).c_str());
+	return GN_ERR_INVALID;
+}
+
+static gn_code_t parse(gn_str_t text, std::shared_ptr<cpptoml::table> **root,
+		       char *message)
+{
+	try {
+		std::string copy(text.data, text.len);
+		gn_code_t code = check_bounds(copy, message);
+
+		if (code)
+			return code;
+		if (copy.find('\0') != std::string::npos)
+			return say(message, GN_ERR_INVALID, "has a zero byte");
+		std::istringstream in(copy);
+		cpptoml::parser parser(in);
+
+		*root = new std::shared_ptr<cpptoml::table>(parser.parse());
+		return GN_OK;
+	} catch (const cpptoml::parse_exception &error) {
+		return say_parse_error(message, error.what());
+	} catch (const std::bad_alloc &) {
+		return say(message, GN_ERR_MEMORY, "out of memory");
+	} catch (const std::exception &error) {
+		return say(message, GN_ERR_INVALID, error.what());
+	}
+}
+
+gn_code_t gn_toml_parse(TALLOC_CTX *parent, gn_str_t text,
+			gn_toml_t **document, char *message)
+{
+	gn_toml_t *made;
+	gn_code_t code;
+
+	message[0] = '\0';
+	if (text.len > GN_TOML_TEXT_MAX)
+		return say(message, GN_ERR_RANGE, "over 8388608 bytes");
+	made = talloc_zero(parent, gn_toml_t);
+	if (!made)
+		return say(message, GN_ERR_MEMORY, "out of memory");
+	code = parse(text, &made->root, message);
+	if (code) {
+		talloc_free(made);
+		return code;
+	}
+	talloc_set_destructor(made, free_document);
+	*document = made;
+	return GN_OK;
+}
+
+const gn_toml_table_t *gn_toml_root(const gn_toml_t *document)
+{
+	return wrap(document->root->get());
+}
+
+/** The value at @p key, or NULL. */
+static const cpptoml::base *find(const gn_toml_table_t *table, const char *key)
+{
+	try {
+		if (!table || !unwrap(table)->contains(key))
+			return nullptr;
+		return unwrap(table)->get(key).get();
+	} catch (const std::exception &) {
+		return nullptr;
+	}
+}
+
+/** The typed value in @p base, or NULL. */
+template <class T> static const T *value_of(const cpptoml::base *base)
+{
+	auto typed = dynamic_cast<const cpptoml::value<T> *>(base);
+
+	return typed ? &typed->get() : nullptr;
+}
+
+static gn_toml_kind_t kind_of(const cpptoml::base *base)
+{
+	if (!base)
+		return GN_TOML_NONE;
+	if (base->is_table())
+		return GN_TOML_TABLE;
+	if (base->is_table_array())
+		return GN_TOML_TABLES;
+	if (base->is_array())
+		return GN_TOML_ARRAY;
+	if (value_of<std::string>(base))
+		return GN_TOML_STRING;
+	if (value_of<int64_t>(base))
+		return GN_TOML_INTEGER;
+	if (value_of<double>(base))
+		return GN_TOML_FLOAT;
+	if (value_of<bool>(base))
+		return GN_TOML_BOOLEAN;
+	return GN_TOML_TIME;
+}
+
+gn_toml_kind_t gn_toml_kind(const gn_toml_table_t *table, const char *key)
+{
+	return kind_of(find(table, key));
+}
+
+static bool read_string(const cpptoml::base *base, gn_str_t *value)
+{
+	const std::string *text = value_of<std::string>(base);
+
+	if (!text)
+		return false;
+	value->data = text->data();
+	value->len = text->size();
+	return true;
+}
+
+bool gn_toml_string(const gn_toml_table_t *table, const char *key,
+		    gn_str_t *value)
+{
+	return read_string(find(table, key), value);
+}
+
+bool gn_toml_integer(const gn_toml_table_t *table, const char *key,
+		     int64_t *value)
+{
+	const int64_t *number = value_of<int64_t>(find(table, key));
+
+	if (number)
+		*value = *number;
+	return number;
+}
+
+bool gn_toml_number(const gn_toml_table_t *table, const char *key,
+		    double *value)
+{
+	const double *number = value_of<double>(find(table, key));
+	int64_t whole;
+
+	if (number) {
+		*value = *number;
+		return true;
+	}
+	if (!gn_toml_integer(table, key, &whole))
+		return false;
+	*value = (double)whole;
+	return true;
+}
+
+bool gn_toml_boolean(const gn_toml_table_t *table, const char *key,
+		     bool *value)
+{
+	const bool *flag = value_of<bool>(find(table, key));
+
+	if (flag)
+		*value = *flag;
+	return flag;
+}
+
+const gn_toml_table_t *gn_toml_table(const gn_toml_table_t *table,
+				     const char *key)
+{
+	return wrap(dynamic_cast<const cpptoml::table *>(find(table, key)));
+}
+
+size_t gn_toml_length(const gn_toml_table_t *table, const char *key)
+{
+	const cpptoml::base *base = find(table, key);
+
+	if (auto array = dynamic_cast<const cpptoml::array *>(base))
+		return array->get().size();
+	if (auto tables = dynamic_cast<const cpptoml::table_array *>(base))
+		return tables->get().size();
+	return 0;
+}
+
+bool gn_toml_string_at(const gn_toml_table_t *table, const char *key,
+		       size_t index, gn_str_t *value)
+{
+	auto array = dynamic_cast<const cpptoml::array *>(find(table, key));
+
+	if (!array || index >= array->get().size())
+		return false;
+	return read_string(array->get()[index].get(), value);
+}
+
+const gn_toml_table_t *gn_toml_table_at(const gn_toml_table_t *table,
+					const char *key, size_t index)
+{
+	auto tables =
+		dynamic_cast<const cpptoml::table_array *>(find(table, key));
+
+	if (!tables || index >= tables->get().size())
+		return nullptr;
+	return wrap(tables->get()[index].get());
+}
+
+bool gn_toml_each_key(const gn_toml_table_t *table, gn_toml_key_fn_t visit,
+		      void *arg)
+{
+	for (const auto &entry : *unwrap(table))
+		if (!visit(arg, entry.first.c_str()))
+			return false;
+	return true;
+}
--- /dev/null
+++ b/tests/contract/test_settings.c
@@ -0,0 +1,337 @@
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <string.h>
+#include <syslog.h>
+
+#include "common/str.h"
+#include "config/settings.h"
+
+/* The rows of the table below change one line of a good document. */
+static const char entry_text[] = "role = \"entry\"\n"
+				 "name = \"entry-1\"\n"
+				 "region = \"is-sudvestur\"\n"
+				 "data_centre = \"reykjavik-a\"\n"
+				 "[http]\n"
+				 "listen = \"127.0.0.1:8080\"\n"
+				 "[platform]\n"
+				 "address = \"127.0.0.1:2379\"\n"
+				 "[link]\n"
+				 "listen = \"127.0.0.1:7000\"\n";
+
+static const char agent_text[] = "role = \"agent\"\n"
+				 "name = \"worker-1\"\n"
+				 "region = \"is-sudvestur\"\n"
+				 "data_centre = \"reykjavik-a\"\n"
+				 "[http]\n"
+				 "listen = \"127.0.0.1:8080\"\n"
+				 "[link]\n"
+				 "entries = [\"127.0.0.1:7000\"]\n"
+				 "[worker]\n"
+				 "service = \"timing-planner\"\n"
+				 "rack = \"rack-1\"\n"
+				 "max_tasks = 8\n"
+				 "max_connections = 64\n"
+				 "cores = 32\n"
+				 "memory_mb = 125000\n";
+
+#define NAME_63 \
+	"abcdefghijklmnopqrstuvwxyzabcdefghijklmnopqrstuvwxyzabcdefghijk"
+
+typedef struct bad_case_s {
+	const char *name;
+	const char *text; /**< the good document */
+	const char *line; /**< the line that is replaced */
+	const char *with; /**< what comes in its place */
+	gn_code_t code;
+	const char *detail;
+} bad_case_t;
+
+static const bad_case_t bad_cases[] = {
+	{ "syntax", entry_text, "name = \"entry-1\"", "name = ", GN_ERR_INVALID,
+	  "line 2: Failed to parse value type" },
+	{ "key-twice", entry_text, "name = \"entry-1\"", "role = \"agent\"",
+	  GN_ERR_INVALID, "line 2: Key role already present" },
+	{ "unknown-key", entry_text, "[http]", "[http]\nlisen = 1",
+	  GN_ERR_INVALID, "http.lisen: unknown key" },
+	{ "unknown-keys-first-by-name", entry_text, "[http]",
+	  "zeta = 1\nalpha = 2\n[http]", GN_ERR_INVALID, "alpha: unknown key" },
+	{ "unknown-table", entry_text, "[http]", "[htpp]\na = 1\n[http]",
+	  GN_ERR_INVALID, "htpp: unknown key" },
+	{ "no-role", entry_text, "role = \"entry\"", "", GN_ERR_INVALID,
+	  "role: missing" },
+	{ "bad-role", entry_text, "role = \"entry\"", "role = \"leader\"",
+	  GN_ERR_INVALID, "role: not one of entry, agent" },
+	{ "role-kind", entry_text, "role = \"entry\"", "role = 1",
+	  GN_ERR_INVALID, "role: expected a string, got an integer" },
+	{ "no-name", entry_text, "name = \"entry-1\"", "", GN_ERR_INVALID,
+	  "name: missing" },
+	{ "empty-name", entry_text, "name = \"entry-1\"", "name = \"\"",
+	  GN_ERR_RANGE, "name: 0 bytes, outside 1..63" },
+	{ "long-name", entry_text, "name = \"entry-1\"",
+	  "name = \"" NAME_63 "l\"", GN_ERR_RANGE,
+	  "name: 64 bytes, outside 1..63" },
+	{ "name-letters", entry_text, "name = \"entry-1\"",
+	  "name = \"entry/1\"", GN_ERR_INVALID,
+	  "name: a name holds letters, digits, '.', '_' and '-' only" },
+	{ "log-level", entry_text, "[http]", "log_level = \"loud\"\n[http]",
+	  GN_ERR_INVALID,
+	  "log_level: not one of err, warning, notice, info, debug" },
+	{ "no-http", entry_text, "[http]\nlisten = \"127.0.0.1:8080\"", "",
+	  GN_ERR_INVALID, "http: missing" },
+	{ "http-kind", entry_text, "[http]", "[[http]]", GN_ERR_INVALID,
+	  "http: expected a table, got an array of tables" },
+	{ "number-kind", entry_text, "[http]", "[http]\nthreads = \"2\"",
+	  GN_ERR_INVALID, "http.threads: expected an integer, got a string" },
+	{ "number-float", entry_text, "[http]", "[http]\nthreads = 2.0",
+	  GN_ERR_INVALID, "http.threads: expected an integer, got a float" },
+	{ "number-low", entry_text, "[http]", "[http]\nthreads = 0",
+	  GN_ERR_RANGE, "http.threads: 0 is outside 1..16" },
+	{ "number-high", entry_text, "[http]", "[http]\nthreads = 17",
+	  GN_ERR_RANGE, "http.threads: 17 is outside 1..16" },
+	{ "number-negative", entry_text, "[http]", "[http]\nthreads = -1",
+	  GN_ERR_RANGE, "http.threads: -1 is outside 1..16" },
+	{ "number-wraps", entry_text, "[http]", "[http]\nthreads = 4294967297",
+	  GN_ERR_RANGE, "http.threads: 4294967297 is outside 1..16" },
+	{ "address-kind", entry_text, "listen = \"127.0.0.1:8080\"",
+	  "listen = 8080", GN_ERR_INVALID,
+	  "http.listen: expected a string, got an integer" },
+	{ "address-name", entry_text, "listen = \"127.0.0.1:8080\"",
+	  "listen = \"localhost:8080\"", GN_ERR_INVALID,
+	  "http.listen: not IP:PORT with port 1..65535" },
+	{ "address-no-port", entry_text, "listen = \"127.0.0.1:8080\"",
+	  "listen = \"127.0.0.1\"", GN_ERR_INVALID,
+	  "http.listen: not IP:PORT with port 1..65535" },
+	{ "address-port-0", entry_text, "listen = \"127.0.0.1:8080\"",
+	  "listen = \"127.0.0.1:0\"", GN_ERR_INVALID,
+	  "http.listen: not IP:PORT with port 1..65535" },
+	{ "address-port-high", entry_text, "listen = \"127.0.0.1:8080\"",
+	  "listen = \"127.0.0.1:65536\"", GN_ERR_INVALID,
+	  "http.listen: not IP:PORT with port 1..65535" },
+	{ "address-short-ip", entry_text, "listen = \"127.0.0.1:8080\"",
+	  "listen = \"127.1:8080\"", GN_ERR_INVALID,
+	  "http.listen: not IP:PORT with port 1..65535" },
+	{ "address-v6-open", entry_text, "listen = \"127.0.0.1:8080\"",
+	  "listen = \"[::1:8080\"", GN_ERR_INVALID,
+	  "http.listen: not IP:PORT with port 1..65535" },
+	{ "address-twice", entry_text, "listen = \"127.0.0.1:7000\"",
+	  "listen = \"127.0.0.1:8080\"", GN_ERR_INVALID,
+	  "link.listen: 127.0.0.1:8080 is the address of http.listen too" },
+	{ "platform-address-twice", entry_text, "address = \"127.0.0.1:2379\"",
+	  "address = \"127.0.0.1:8080\"", GN_ERR_INVALID,
+	  "platform.address: 127.0.0.1:8080 is the address of http.listen "
+	  "too" },
+	{ "address-twice-written-differently", entry_text,
+	  "[http]\nlisten = \"127.0.0.1:8080\"\n[platform]\n"
+	  "address = \"127.0.0.1:2379\"",
+	  "[http]\nlisten = \"[::1]:80\"\n[platform]\n"
+	  "address = \"[0:0::1]:80\"",
+	  GN_ERR_INVALID,
+	  "platform.address: [::1]:80 is the address of http.listen too" },
+	{ "entry-without-platform", entry_text,
+	  "[platform]\naddress = \"127.0.0.1:2379\"", "", GN_ERR_INVALID,
+	  "platform: missing" },
+	{ "entry-with-entries", entry_text, "listen = \"127.0.0.1:7000\"",
+	  "listen = \"127.0.0.1:7000\"\nentries = [\"127.0.0.1:7001\"]",
+	  GN_ERR_INVALID, "link.entries: not a key of this role" },
+	{ "entry-with-worker", entry_text, "[platform]",
+	  "[worker]\ncores = 1\n[platform]", GN_ERR_INVALID,
+	  "worker: not a key of this role" },
+	{ "beat-timeout", entry_text, "[link]",
+	  "[link]\nbeat_interval_ms = 700", GN_ERR_RANGE,
+	  "link.beat_timeout_ms: 2000 is less than 2100, 3 times "
+	  "link.beat_interval_ms" },
+	{ "agent-with-platform", agent_text, "[link]",
+	  "[platform]\naddress = \"127.0.0.1:2379\"\n[link]", GN_ERR_INVALID,
+	  "platform: not a key of this role" },
+	{ "agent-without-worker", agent_text,
+	  "[worker]\nservice = \"timing-planner\"\nrack = \"rack-1\"\n"
+	  "max_tasks = 8\nmax_connections = 64\ncores = 32\n"
+	  "memory_mb = 125000",
+	  "", GN_ERR_INVALID, "worker: missing" },
+	{ "agent-without-tasks", agent_text, "max_tasks = 8", "",
+	  GN_ERR_INVALID, "worker.max_tasks: missing" },
+	{ "no-entries", agent_text, "entries = [\"127.0.0.1:7000\"]", "",
+	  GN_ERR_INVALID, "link.entries: missing" },
+	{ "empty-entries", agent_text, "entries = [\"127.0.0.1:7000\"]",
+	  "entries = []", GN_ERR_RANGE,
+	  "link.entries: 0 elements, outside 1..256" },
+	{ "entries-kind", agent_text, "entries = [\"127.0.0.1:7000\"]",
+	  "entries = \"127.0.0.1:7000\"", GN_ERR_INVALID,
+	  "link.entries: expected an array, got a string" },
+	{ "entries-numbers", agent_text, "entries = [\"127.0.0.1:7000\"]",
+	  "entries = [7000]", GN_ERR_INVALID,
+	  "link.entries[1]: expected a string" },
+	{ "entries-bad", agent_text, "entries = [\"127.0.0.1:7000\"]",
+	  "entries = [\"127.0.0.1:7000\", \"entry-2:7000\"]", GN_ERR_INVALID,
+	  "link.entries[2]: not IP:PORT with port 1..65535" },
+	{ "entries-twice", agent_text, "entries = [\"127.0.0.1:7000\"]",
+	  "entries = [\"127.0.0.1:7000\", \"127.0.0.1:7000\"]", GN_ERR_INVALID,
+	  "link.entries: 127.0.0.1:7000 is the address of link.entries "
+	  "too" },
+	{ "entry-is-own-address", agent_text, "entries = [\"127.0.0.1:7000\"]",
+	  "entries = [\"127.0.0.1:8080\"]", GN_ERR_INVALID,
+	  "link.entries: 127.0.0.1:8080 is the address of http.listen too" },
+};
+
+/** The document with one line replaced. */
+static char *edit(const bad_case_t *c)
+{
+	const char *at = strstr(c->text, c->line);
+
+	g_assert_nonnull(at);
+	return g_strdup_printf("%.*s%s%s", (int)(at - c->text), c->text,
+			       c->with, at + strlen(c->line));
+}
+
+static void test_bad(const void *data)
+{
+	const bad_case_t *c = data;
+	gn_settings_t *settings = NULL;
+	gn_error_t error = { 0 };
+	char *text = edit(c);
+
+	g_assert_cmpint(gn_settings_parse(NULL, "a.toml", gn_str_from(text),
+					  &settings, &error),
+			==, c->code);
+	g_assert_cmpstr(error.detail, ==, c->detail);
+	g_assert_cmpint(error.code, ==, c->code);
+	g_assert_cmpstr(error.step, ==, "settings");
+	g_assert_cmpstr(error.peer, ==, "a.toml");
+	g_assert_null(settings);
+	g_free(text);
+}
+
+static gn_settings_t *parse_good(const char *text)
+{
+	gn_settings_t *settings = NULL;
+	gn_error_t error = { 0 };
+
+	gn_settings_parse(NULL, "a.toml", gn_str_from(text), &settings, &error);
+	g_assert_cmpstr(error.detail, ==, "");
+	g_assert_nonnull(settings);
+	return settings;
+}
+
+static void test_entry(void)
+{
+	gn_settings_t *s = parse_good(entry_text);
+
+	g_assert_cmpint(s->role, ==, GN_ROLE_ENTRY);
+	g_assert_cmpstr(s->name, ==, "entry-1");
+	g_assert_cmpstr(s->region, ==, "is-sudvestur");
+	g_assert_cmpstr(s->data_centre, ==, "reykjavik-a");
+	g_assert_cmpint(s->log_level, ==, LOG_INFO);
+	g_assert_cmpstr(s->http_listen, ==, "127.0.0.1:8080");
+	g_assert_cmpuint(s->http_connections, ==, 1024);
+	g_assert_cmpuint(s->http_timeout_ms, ==, 10000);
+	g_assert_cmpuint(s->http_threads, ==, 1);
+	g_assert_cmpstr(s->platform_address, ==, "127.0.0.1:2379");
+	g_assert_cmpuint(s->platform_calls_per_s, ==, 40);
+	g_assert_cmpuint(s->lease_ttl_ms, ==, 6000);
+	g_assert_cmpstr(s->link_listen, ==, "127.0.0.1:7000");
+	g_assert_cmpuint(s->entry_count, ==, 0);
+	g_assert_cmpuint(s->beat_interval_ms, ==, 500);
+	g_assert_cmpuint(s->beat_timeout_ms, ==, 2000);
+	g_assert_cmpuint(s->stop_grace_ms, ==, 30000);
+	g_assert_null(s->service);
+	talloc_free(s);
+}
+
+static void test_agent(void)
+{
+	gn_settings_t *s = parse_good(agent_text);
+
+	g_assert_cmpint(s->role, ==, GN_ROLE_AGENT);
+	g_assert_cmpuint(s->entry_count, ==, 1);
+	g_assert_cmpstr(s->entries[0], ==, "127.0.0.1:7000");
+	g_assert_cmpstr(s->service, ==, "timing-planner");
+	g_assert_cmpstr(s->rack, ==, "rack-1");
+	g_assert_cmpuint(s->max_tasks, ==, 8);
+	g_assert_cmpuint(s->max_connections, ==, 64);
+	g_assert_cmpuint(s->cores, ==, 32);
+	g_assert_cmpuint(s->memory_mb, ==, 125000);
+	g_assert_cmpuint(s->accelerators, ==, 0);
+	g_assert_null(s->platform_address);
+	g_assert_null(s->link_listen);
+	talloc_free(s);
+}
+
+static void test_bounds_are_allowed(void)
+{
+	gn_settings_t *s;
+	const bad_case_t edge = {
+		.text = entry_text,
+		.line = "name = \"entry-1\"\n",
+		.with = "name = \"" NAME_63 "\"\nstop_grace_ms = 0\n"
+			"log_level = \"debug\"\n",
+	};
+	char *text = edit(&edge);
+
+	s = parse_good(text);
+	g_assert_cmpstr(s->name, ==, NAME_63);
+	g_assert_cmpuint(s->stop_grace_ms, ==, 0);
+	g_assert_cmpint(s->log_level, ==, LOG_DEBUG);
+	talloc_free(s);
+	g_free(text);
+}
+
+static void test_load(void)
+{
+	char *path =
+		g_build_filename(g_get_tmp_dir(), "gn-settings-XXXXXX", NULL);
+	gn_settings_t *settings = NULL;
+	gn_error_t error = { 0 };
+	int fd = g_mkstemp(path);
+
+	g_assert_cmpint(fd, >=, 0);
+	g_close(fd, NULL);
+	g_assert_true(g_file_set_contents(path, entry_text, -1, NULL));
+	g_assert_cmpint(gn_settings_load(NULL, path, &settings, &error), ==,
+			GN_OK);
+	g_assert_cmpstr(settings->name, ==, "entry-1");
+	talloc_free(settings);
+	g_unlink(path);
+	g_assert_cmpint(gn_settings_load(NULL, path, &settings, &error), ==,
+			GN_ERR_NOT_FOUND);
+	g_assert_cmpstr(error.detail, ==, "No such file or directory");
+	g_free(path);
+}
+
+/** Input that would exhaust the stack of a recursive parser. */
+static void test_hostile(void)
+{
+	static const char *const openings[] = { "[", "[\n", "{a=", "[[" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(openings); i++) {
+		GString *text = g_string_new("a = ");
+		gn_settings_t *settings = NULL;
+		gn_error_t error = { 0 };
+
+		while (text->len < 500000)
+			g_string_append(text, openings[i]);
+		g_assert_cmpint(
+			gn_settings_parse(NULL, "a.toml",
+					  (gn_str_t){ text->str, text->len },
+					  &settings, &error),
+			==, GN_ERR_RANGE);
+		g_string_free(text, TRUE);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	for (size_t i = 0; i < G_N_ELEMENTS(bad_cases); i++) {
+		char *path =
+			g_strdup_printf("/settings/bad/%s", bad_cases[i].name);
+
+		g_test_add_data_func(path, &bad_cases[i], test_bad);
+		g_free(path);
+	}
+	g_test_add_func("/settings/entry", test_entry);
+	g_test_add_func("/settings/agent", test_agent);
+	g_test_add_func("/settings/bounds", test_bounds_are_allowed);
+	g_test_add_func("/settings/load", test_load);
+	g_test_add_func("/settings/hostile", test_hostile);
+	return g_test_run();
+}
