--- /dev/null
+++ b/lib/config/rules_drain.c
@@ -0,0 +1,125 @@
+/* The one change of the rules that a command makes instead of a person. */
+#include <string.h>
+
+#include "common/str.h"
+#include "config/rules_internal.h"
+#include "config/toml.h"
+
+#define SOURCE "rules"
+#define DRAIN_FORMAT "\n[[drain]]\nhost = \"%s\"\n"
+
+/** Whether @p text drains @p host; fails if it is no valid document. */
+static gn_code_t is_drained(gn_str_t text, const char *host, bool *drained,
+			    gn_error_t *error)
+{
+	gn_rules_t *rules;
+	gn_code_t code;
+
+	code = gn_rules_parse(NULL, SOURCE, text, NULL, &rules, error);
+	if (code)
+		return code;
+	*drained = gn_rules_is_drained(rules, host);
+	talloc_free(rules);
+	return GN_OK;
+}
+
+static gn_code_t fail_memory(gn_error_t *error)
+{
+	return gn_error_set(error, GN_ERR_MEMORY, GN_RULES_STEP, SOURCE,
+			    "out of memory");
+}
+
+/** Whether the drain took: @p host may not be a name at all. */
+static gn_code_t check_drained(gn_str_t text, const char *host,
+			       gn_error_t *error)
+{
+	bool drained = false;
+	gn_code_t code = is_drained(text, host, &drained, error);
+
+	if (code || drained)
+		return code;
+	return gn_error_set(error, GN_ERR_INVALID, GN_RULES_STEP, SOURCE,
+			    "no name of a host");
+}
+
+static gn_code_t append_drain(TALLOC_CTX *parent, gn_str_t text,
+			      const char *host, gn_str_t *changed,
+			      gn_error_t *error)
+{
+	char *made = talloc_strndup(parent, text.data, text.len);
+	gn_code_t code;
+
+	if (made)
+		made = talloc_asprintf_append_buffer(made, DRAIN_FORMAT, host);
+	if (!made)
+		return fail_memory(error);
+	code = check_drained(gn_str_from(made), host, error);
+	if (code) {
+		talloc_free(made);
+		return code;
+	}
+	*changed = gn_str_from(made);
+	return GN_OK;
+}
+
+/** Cuts out what append_drain() wrote; false if it is not there as such. */
+static gn_code_t cut_drain(TALLOC_CTX *parent, gn_str_t text, const char *host,
+			   gn_str_t *changed)
+{
+	char *copy = talloc_strndup(parent, text.data, text.len);
+	char *drain = talloc_asprintf(parent, DRAIN_FORMAT, host);
+	char *at = copy && drain ? strstr(copy, drain) : NULL;
+	gn_code_t code = GN_ERR_NOT_FOUND;
+
+	if (!copy || !drain)
+		code = GN_ERR_MEMORY;
+	if (at) {
+		memmove(at, at + strlen(drain), strlen(at + strlen(drain)) + 1);
+		*changed = gn_str_from(copy);
+		code = GN_OK;
+	}
+	if (code)
+		talloc_free(copy);
+	talloc_free(drain);
+	return code;
+}
+
+static gn_code_t remove_drain(TALLOC_CTX *parent, gn_str_t text,
+			      const char *host, gn_str_t *changed,
+			      gn_error_t *error)
+{
+	char message[GN_TOML_MESSAGE_SIZE];
+	gn_code_t code = cut_drain(parent, text, host, changed);
+	bool drained = true;
+
+	/* The cut could have hit a string or a comment: look again. */
+	if (!code && !is_drained(*changed, host, &drained, NULL) && !drained)
+		return GN_OK;
+	code = gn_toml_remove(parent, text, "drain", "host", host, changed,
+			      message);
+	if (code)
+		gn_error_set(error, code, GN_RULES_STEP, SOURCE, "%s", message);
+	return code;
+}
+
+gn_code_t gn_rules_set_drain(TALLOC_CTX *parent, gn_str_t text,
+			     const char *host, bool drained, gn_str_t *changed,
+			     gn_error_t *error)
+{
+	bool before = false;
+	gn_code_t code = is_drained(text, host, &before, error);
+	char *same;
+
+	if (code)
+		return code;
+	if (before != drained)
+		return drained ? append_drain(parent, text, host, changed,
+					      error)
+			       : remove_drain(parent, text, host, changed,
+					      error);
+	same = talloc_strndup(parent, text.data, text.len);
+	if (!same)
+		return fail_memory(error);
+	*changed = gn_str_from(same);
+	return GN_OK;
+}
--- a/lib/config/schema.h
+++ b/lib/config/schema.h
@@ -131,4 +131,14 @@
 			 const char *path, const char *format, ...)
 	__attribute__((format(printf, 4, 5)));
 
+/**
+ * Fills the reader's error with "array[index + 1].key: text" and returns
+ * @p code.
+ * @param index counted from 0
+ */
+gn_code_t gn_schema_fail_at(gn_schema_reader_t *reader, gn_code_t code,
+			    const char *array, size_t index, const char *key,
+			    const char *format, ...)
+	__attribute__((format(printf, 6, 7)));
+
 #endif
--- a/lib/config/toml.cc
+++ b/lib/config/toml.cc
@@ -41,21 +41,29 @@
 	return code;
 }
 
-/** Whether @p line is a table's header, "[a]" or "[[a]]", and nothing else. */
+/**
+ * Whether @p line is a table's header, "[a]" or "[[a]]", and nothing else
+ * but a comment.
+ */
 static bool is_header(const std::string &line)
 {
+	static const char blanks[] = " \t\r";
 	static const char names[] = "abcdefghijklmnopqrstuvwxyz"
 				    "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
 				    "0123456789_-. ";
-	size_t open = line.find_first_not_of('[');
+	size_t begin = line.find_first_not_of(blanks);
+	size_t name = line.find_first_not_of('[', begin);
 	size_t close;
+	size_t rest;
 
-	if (open == 0 || open == std::string::npos || open > 2)
+	if (name == std::string::npos || name == begin || name - begin > 2)
 		return false;
-	close = line.find_first_not_of(names, open);
-	return close != std::string::npos &&
-	       line.compare(close, std::string::npos,
-			    std::string(open, ']')) == 0;
+	close = line.find_first_not_of(names, name);
+	if (close == std::string::npos ||
+	    line.compare(close, name - begin, std::string(name - begin, ']')))
+		return false;
+	rest = line.find_first_not_of(blanks, close + (name - begin));
+	return rest == std::string::npos || line[rest] == '#';
 }
 
 /** Keeps deeply nested input from exhausting the stack of the parser. */
@@ -298,3 +306,49 @@
 			return false;
 	return true;
 }
+
+/** Drops the tables of @p array whose @p key is @p value. */
+static void remove_tables(cpptoml::table &root, const char *array,
+			  const char *key, const char *value)
+{
+	auto tables = root.get_table_array(array);
+
+	if (!tables)
+		return;
+	for (auto it = tables->begin(); it != tables->end();) {
+		auto held = (*it)->get_as<std::string>(key);
+
+		it = held && *held == value ? tables->erase(it) : it + 1;
+	}
+	if (tables->get().empty())
+		root.erase(array);
+}
+
+gn_code_t gn_toml_remove(TALLOC_CTX *parent, gn_str_t text, const char *array,
+			 const char *key, const char *value, gn_str_t *changed,
+			 char *message)
+{
+	gn_toml_t *document;
+	gn_code_t code = gn_toml_parse(NULL, text, &document, message);
+	char *copy = NULL;
+	std::string out;
+
+	if (code)
+		return code;
+	try {
+		std::ostringstream stream;
+
+		remove_tables(**document->root, array, key, value);
+		stream << **document->root;
+		out = stream.str();
+		copy = talloc_strndup(parent, out.data(), out.size());
+	} catch (const std::exception &) {
+		copy = NULL;
+	}
+	talloc_free(document);
+	if (!copy)
+		return say(message, GN_ERR_MEMORY, "out of memory");
+	changed->data = copy;
+	changed->len = out.size();
+	return GN_OK;
+}
--- a/lib/config/toml.h
+++ b/lib/config/toml.h
@@ -112,6 +112,18 @@
 bool gn_toml_each_key(const gn_toml_table_t *table, gn_toml_key_fn_t visit,
 		      void *arg);
 
+/**
+ * Writes the document in @p text anew without some tables of an array:
+ * those whose string @p key is @p value. Comments are lost.
+ * @param parent talloc parent of the new text
+ * @param changed set on success, else untouched; terminated
+ * @param message as of gn_toml_parse()
+ * @return as gn_toml_parse()
+ */
+gn_code_t gn_toml_remove(TALLOC_CTX *parent, gn_str_t text, const char *array,
+			 const char *key, const char *value, gn_str_t *changed,
+			 char *message);
+
 #ifdef __cplusplus
 }
 #endif
