--- /dev/null
+++ b/tests/bench/load.c
@@ -0,0 +1,182 @@
+/**
+ * @file load.c
+ * @brief A closed-loop HTTP load: prints rate and latency percentiles.
+ *
+ * Bounded in requests and connections; loopback addresses only.
+ */
+#include <argtable2.h>
+#include <curl/curl.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/clock.h"
+
+#define CONNECTIONS_MAX 512
+#define REQUESTS_MAX 2000000
+#define BODY "0123456789abcdef0123456789abcdef"
+
+typedef struct slot_s {
+	CURL *easy;
+	uint64_t started_us;
+	uint64_t due_us; /**< when a paced slot sends next */
+} slot_t;
+
+static gn_clock_t wall;
+static CURLM *multi;
+static uint64_t *latencies_us;
+static size_t done;
+static size_t started;
+static size_t failed;
+
+static size_t drop_data(char *data, size_t size, size_t count, void *arg)
+{
+	(void)data;
+	(void)arg;
+	return size * count;
+}
+
+static int compare(const void *a, const void *b)
+{
+	const uint64_t left = *(const uint64_t *)a;
+	const uint64_t right = *(const uint64_t *)b;
+
+	return (left > right) - (left < right);
+}
+
+static void start(slot_t *slot)
+{
+	slot->started_us = gn_clock_now_us(&wall);
+	slot->due_us = 0;
+	started++;
+	curl_multi_add_handle(multi, slot->easy);
+}
+
+static void open_slot(slot_t *slot, const char *url, struct curl_slist *headers)
+{
+	slot->easy = curl_easy_init();
+	curl_easy_setopt(slot->easy, CURLOPT_URL, url);
+	curl_easy_setopt(slot->easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(slot->easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(slot->easy, CURLOPT_HTTPHEADER, headers);
+	curl_easy_setopt(slot->easy, CURLOPT_POSTFIELDS, BODY);
+	curl_easy_setopt(slot->easy, CURLOPT_WRITEFUNCTION, drop_data);
+	curl_easy_setopt(slot->easy, CURLOPT_TIMEOUT_MS, 20000L);
+	curl_easy_setopt(slot->easy, CURLOPT_PRIVATE, slot);
+}
+
+static void on_done(const CURLMsg *message, uint64_t pause_us)
+{
+	slot_t *slot = NULL;
+	long status = 0;
+	uint64_t now_us = gn_clock_now_us(&wall);
+
+	curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &slot);
+	curl_easy_getinfo(message->easy_handle, CURLINFO_RESPONSE_CODE,
+			  &status);
+	if (message->data.result != CURLE_OK || status != 200)
+		failed++;
+	latencies_us[done++] = now_us - slot->started_us;
+	curl_multi_remove_handle(multi, slot->easy);
+	slot->due_us = slot->started_us + pause_us;
+	if (slot->due_us <= now_us)
+		slot->due_us = now_us;
+}
+
+static void run(slot_t *slots, size_t connections, size_t total,
+		uint64_t pause_us)
+{
+	CURLMsg *message;
+	int running;
+	int left;
+
+	while (done < total) {
+		uint64_t now_us = gn_clock_now_us(&wall);
+		int wait_ms = 100;
+
+		for (size_t i = 0; i < connections; i++) {
+			if (!slots[i].due_us || started == total)
+				continue;
+			if (slots[i].due_us <= now_us)
+				start(&slots[i]);
+			else
+				wait_ms = 1;
+		}
+		curl_multi_perform(multi, &running);
+		while ((message = curl_multi_info_read(multi, &left)))
+			if (message->msg == CURLMSG_DONE)
+				on_done(message, pause_us);
+		if (running == (int)connections || wait_ms == 1)
+			curl_multi_poll(multi, NULL, 0, wait_ms, NULL);
+	}
+}
+
+static void report(const char *name, uint64_t spent_us)
+{
+	qsort(latencies_us, done, sizeof(*latencies_us), compare);
+	printf("%-28s %8.0f %9.3f %9.3f %9.3f %7zu %7zu\n", name,
+	       (double)done * GN_US_PER_S / (double)spent_us,
+	       (double)latencies_us[done / 2] / GN_US_PER_MS,
+	       (double)latencies_us[done * 99 / 100] / GN_US_PER_MS,
+	       (double)latencies_us[done * 999 / 1000] / GN_US_PER_MS, done,
+	       failed);
+}
+
+static void measure(const char *name, const char *url, size_t connections,
+		    size_t total, unsigned rate, struct curl_slist *headers)
+{
+	slot_t *slots = calloc(connections, sizeof(*slots));
+	uint64_t pause_us =
+		rate ? (uint64_t)connections * GN_US_PER_S / rate : 0;
+	uint64_t begin_us = gn_clock_now_us(&wall);
+
+	latencies_us = calloc(total, sizeof(*latencies_us));
+	multi = curl_multi_init();
+	curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, (long)connections);
+	for (size_t i = 0; i < connections; i++) {
+		open_slot(&slots[i], url, headers);
+		slots[i].due_us = begin_us + 1 + pause_us * i / connections;
+	}
+	run(slots, connections, total, pause_us);
+	report(name, gn_clock_now_us(&wall) - begin_us);
+	for (size_t i = 0; i < connections; i++)
+		curl_easy_cleanup(slots[i].easy);
+	curl_multi_cleanup(multi);
+	free(slots);
+	free(latencies_us);
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_str *name = arg_str1(NULL, "name", "TEXT", "row's name");
+	struct arg_str *url = arg_str1(NULL, "url", "URL", "http://127...");
+	struct arg_int *connections =
+		arg_int1("c", "connections", "N", "1..512");
+	struct arg_int *requests = arg_int1("n", "requests", "N", "1..2000000");
+	struct arg_int *rate =
+		arg_int0("r", "rate", "N", "requests a second; 0: closed loop");
+	struct arg_str *header =
+		arg_strn("H", "header", "TEXT", 0, 8, "header");
+	struct arg_end *end = arg_end(4);
+	void *table[] = { name, url, connections, requests, rate, header, end };
+	struct curl_slist *headers = curl_slist_append(NULL, "Expect:");
+
+	if (arg_parse(argc, argv, table) ||
+	    strncmp(url->sval[0], "http://127.", 11) != 0 ||
+	    connections->ival[0] < 1 ||
+	    connections->ival[0] > CONNECTIONS_MAX || requests->ival[0] < 1 ||
+	    requests->ival[0] > REQUESTS_MAX) {
+		arg_print_errors(stderr, end, "load");
+		return 2;
+	}
+	gn_clock_init_boot(&wall);
+	for (int i = 0; i < header->count; i++)
+		headers = curl_slist_append(headers, header->sval[i]);
+	measure(name->sval[0], url->sval[0], (size_t)connections->ival[0],
+		(size_t)requests->ival[0],
+		rate->count ? (unsigned)rate->ival[0] : 0, headers);
+	curl_slist_free_all(headers);
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return 0;
+}
