--- /dev/null
+++ b/lib/route/eject.c
@@ -0,0 +1,363 @@
+#include "route/eject.h"
+
+#include <assert.h>
+
+#include "route/tally.h"
+#include "route/view_internal.h"
+
+/** Dispatches in flight at which a recovering worker begins. */
+#define FIRST_LIMIT 2
+/** Least evidence about the others, in results. */
+#define REST_MIN_RESULTS 3.0
+/** Longest shift left of the first ejection. */
+#define MAX_DOUBLINGS 16
+/** Ejections end within this share of their length, per cent. */
+#define JITTER_PCT 25
+/** Fails that send a worker on probation or recovering back. */
+#define RELAPSE_FAILS 2.0
+
+struct gn_eject_s {
+	gn_route_view_t *view;
+	const gn_clock_t *clock;
+	GRand *rand;
+	gn_eject_config_t config;
+	GQueue changing; /**< the workers that aren't passing */
+};
+
+gn_eject_config_t gn_eject_defaults(void)
+{
+	gn_eject_config_t config = {
+		.half_life_ms = 2000,
+		.min_fails = 3,
+		.fail_margin_pct = 30,
+		.slow_factor = 4,
+		.slow_min_us = 20000,
+		.slow_min_passes = 20,
+		.max_ejected_pct = 50,
+		.first_ms = 1000,
+		.longest_ms = 60000,
+		.probe_interval_ms = 250,
+		.probes = 3,
+		.growth_interval_ms = 500,
+	};
+
+	return config;
+}
+
+static bool is_within(uint64_t value, uint64_t least, uint64_t most)
+{
+	return value >= least && value <= most;
+}
+
+static bool is_config_valid(const gn_eject_config_t *config)
+{
+	return is_within(config->half_life_ms, 100, 60000) &&
+	       is_within(config->min_fails, 2, 100) &&
+	       is_within(config->fail_margin_pct, 5, 100) &&
+	       is_within(config->slow_factor, 2, 100) &&
+	       is_within(config->slow_min_us, 1000, 10 * GN_US_PER_S) &&
+	       is_within(config->slow_min_passes, 5, 1000) &&
+	       is_within(config->max_ejected_pct, 1, 90) &&
+	       is_within(config->first_ms, 100, 60000) &&
+	       is_within(config->longest_ms, config->first_ms, 3600000) &&
+	       is_within(config->probe_interval_ms, 10, 60000) &&
+	       is_within(config->probes, 1, 100) &&
+	       is_within(config->growth_interval_ms, 10, 60000);
+}
+
+/* ======   Changes of health   ====== */
+
+static bool is_ejected(const gn_route_worker_t *worker)
+{
+	return worker->health == GN_ROUTE_EJECTED;
+}
+
+static void set_health(gn_eject_t *eject, gn_route_worker_t *worker,
+		       gn_route_health_t health, unsigned limit)
+{
+	bool was_changing = worker->health != GN_ROUTE_PASSING;
+	bool is_changing = health != GN_ROUTE_PASSING;
+
+	worker->service->ejected -= is_ejected(worker);
+	worker->health = health;
+	worker->dispatch_limit = limit;
+	worker->service->ejected += is_ejected(worker);
+	if (is_changing && !was_changing)
+		g_queue_push_tail_link(&eject->changing, &worker->link);
+	if (!is_changing && was_changing)
+		g_queue_unlink(&eject->changing, &worker->link);
+	gn_route_worker_refresh(worker);
+}
+
+static uint64_t after_ms(const gn_eject_t *eject, uint64_t delay_ms)
+{
+	return gn_clock_now_us(eject->clock) + delay_ms * GN_US_PER_MS;
+}
+
+static uint64_t ejection_ms(const gn_eject_t *eject,
+			    const gn_route_worker_t *worker)
+{
+	uint64_t length_ms = (uint64_t)eject->config.first_ms
+			     << MIN(worker->ejections, MAX_DOUBLINGS);
+	double jitter = g_rand_double_range(eject->rand, 0, JITTER_PCT / 100.0);
+
+	length_ms = MIN(length_ms, eject->config.longest_ms);
+	return length_ms + (uint64_t)((double)length_ms * jitter);
+}
+
+static void forget_results(gn_route_worker_t *worker)
+{
+	gn_route_tally_t *whole = &worker->service->tally;
+
+	/* What this worker did must not count against or for the others. */
+	*whole = gn_route_tally_rest(whole, &worker->tally);
+	worker->tally = (gn_route_tally_t){ .at_us = whole->at_us };
+}
+
+static void start_ejection(gn_eject_t *eject, gn_route_worker_t *worker)
+{
+	worker->change_us = after_ms(eject, ejection_ms(eject, worker));
+	worker->ejections++;
+	worker->good_probes = 0;
+	forget_results(worker);
+	set_health(eject, worker, GN_ROUTE_EJECTED, 0);
+}
+
+static void start_probation(gn_eject_t *eject, gn_route_worker_t *worker)
+{
+	worker->good_probes = 0;
+	worker->change_us = 0;
+	set_health(eject, worker, GN_ROUTE_PROBATION, 1);
+}
+
+static void start_recovery(gn_eject_t *eject, gn_route_worker_t *worker)
+{
+	worker->change_us = after_ms(eject, eject->config.growth_interval_ms);
+	set_health(eject, worker, GN_ROUTE_RECOVERING, FIRST_LIMIT);
+}
+
+/** How many live workers of @p service may be ejected at a time. */
+static unsigned most_ejected(const gn_eject_t *eject,
+			     const gn_route_service_t *service)
+{
+	return service->live * eject->config.max_ejected_pct / 100;
+}
+
+static bool may_eject(const gn_eject_t *eject,
+		      const gn_route_service_t *service)
+{
+	return service->ejected < most_ejected(eject, service);
+}
+
+/* ======   Outliers   ====== */
+
+static bool fails_alone(const gn_eject_config_t *config,
+			const gn_route_tally_t *own,
+			const gn_route_tally_t *rest)
+{
+	double margin = config->fail_margin_pct / 100.0;
+
+	/* Fading takes a little off each count. */
+	if (own->fails < config->min_fails - 0.5)
+		return false;
+	if (rest->passes + rest->fails < REST_MIN_RESULTS)
+		return false;
+	return gn_route_tally_fail_rate(own) >=
+	       gn_route_tally_fail_rate(rest) + margin;
+}
+
+static bool lags_alone(const gn_eject_config_t *config,
+		       const gn_route_tally_t *own,
+		       const gn_route_tally_t *rest)
+{
+	double mean_us = gn_route_tally_mean_us(own);
+	double rest_us = gn_route_tally_mean_us(rest);
+
+	if (own->passes < config->slow_min_passes)
+		return false;
+	if (rest->passes < config->slow_min_passes)
+		return false;
+	return mean_us >= rest_us * config->slow_factor &&
+	       mean_us >= rest_us + config->slow_min_us;
+}
+
+static bool is_outlier(const gn_eject_t *eject, const gn_route_worker_t *worker)
+{
+	const gn_route_tally_t *own = &worker->tally;
+	gn_route_tally_t rest =
+		gn_route_tally_rest(&worker->service->tally, own);
+
+	return fails_alone(&eject->config, own, &rest) ||
+	       lags_alone(&eject->config, own, &rest);
+}
+
+/* ======   Results   ====== */
+
+static void count_result(gn_eject_t *eject, gn_route_worker_t *worker,
+			 gn_eject_result_t result, uint64_t time_us)
+{
+	uint64_t half_life_us =
+		(uint64_t)eject->config.half_life_ms * GN_US_PER_MS;
+	uint64_t now_us = gn_clock_now_us(eject->clock);
+	gn_route_tally_t *tallies[] = { &worker->tally,
+					&worker->service->tally };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(tallies); i++) {
+		gn_route_tally_fade(tallies[i], now_us, half_life_us);
+		if (result == GN_EJECT_PASS)
+			gn_route_tally_pass(tallies[i], time_us);
+		else
+			gn_route_tally_fail(tallies[i]);
+	}
+}
+
+static void judge_passing(gn_eject_t *eject, gn_route_worker_t *worker)
+{
+	if (is_outlier(eject, worker) && may_eject(eject, worker->service))
+		start_ejection(eject, worker);
+}
+
+static void judge_probe(gn_eject_t *eject, gn_route_worker_t *worker,
+			gn_eject_result_t result)
+{
+	if (result == GN_EJECT_FAIL) {
+		start_ejection(eject, worker);
+		return;
+	}
+	worker->good_probes += result == GN_EJECT_PASS;
+	if (worker->good_probes >= eject->config.probes) {
+		start_recovery(eject, worker);
+		return;
+	}
+	/* Closed until the next probe is due. */
+	worker->change_us = after_ms(eject, eject->config.probe_interval_ms);
+	worker->dispatch_limit = 0;
+	gn_route_worker_refresh(worker);
+}
+
+static void judge_recovery(gn_eject_t *eject, gn_route_worker_t *worker)
+{
+	const gn_route_tally_t *own = &worker->tally;
+
+	if (own->fails >= RELAPSE_FAILS - 0.5 && own->fails > own->passes / 4)
+		start_ejection(eject, worker);
+	else
+		judge_passing(eject, worker);
+}
+
+void gn_eject_take_result(gn_eject_t *eject, gn_route_worker_t *worker,
+			  gn_eject_result_t result, uint64_t time_us)
+{
+	if (worker->removed)
+		return;
+	if (result != GN_EJECT_REFUSED)
+		count_result(eject, worker, result, time_us);
+	switch (worker->health) {
+	case GN_ROUTE_PASSING:
+		judge_passing(eject, worker);
+		break;
+	case GN_ROUTE_PROBATION:
+		judge_probe(eject, worker, result);
+		break;
+	case GN_ROUTE_RECOVERING:
+		judge_recovery(eject, worker);
+		break;
+	default:
+		/* A late result of a dispatch from before the ejection. */
+		forget_results(worker);
+		break;
+	}
+}
+
+/* ======   Time   ====== */
+
+static void grow(gn_eject_t *eject, gn_route_worker_t *worker)
+{
+	unsigned limit = worker->dispatch_limit * 2;
+
+	if (limit >= worker->max_connections) {
+		set_health(eject, worker, GN_ROUTE_PASSING, GN_ROUTE_NO_LIMIT);
+		return;
+	}
+	worker->change_us = after_ms(eject, eject->config.growth_interval_ms);
+	worker->dispatch_limit = limit;
+	gn_route_worker_refresh(worker);
+}
+
+static void move_on(gn_eject_t *eject, gn_route_worker_t *worker)
+{
+	switch (worker->health) {
+	case GN_ROUTE_EJECTED:
+		start_probation(eject, worker);
+		break;
+	case GN_ROUTE_PROBATION:
+		worker->dispatch_limit = 1;
+		gn_route_worker_refresh(worker);
+		break;
+	case GN_ROUTE_RECOVERING:
+		grow(eject, worker);
+		break;
+	default:
+		assert(0);
+	}
+}
+
+void gn_eject_tick(gn_eject_t *eject)
+{
+	uint64_t now_us = gn_clock_now_us(eject->clock);
+	GList *link = eject->changing.head;
+
+	while (link) {
+		gn_route_worker_t *worker = link->data;
+
+		link = link->next;
+		if (now_us >= worker->change_us) {
+			move_on(eject, worker);
+			continue;
+		}
+		/* Others went away: the cap holds for those that are left. */
+		if (is_ejected(worker) &&
+		    worker->service->ejected >
+			    most_ejected(eject, worker->service))
+			start_probation(eject, worker);
+	}
+}
+
+unsigned gn_eject_count(const gn_eject_t *eject)
+{
+	return eject->changing.length;
+}
+
+/* ======   Life   ====== */
+
+static void forget_worker(void *data, gn_route_worker_t *worker)
+{
+	gn_eject_t *eject = data;
+
+	forget_results(worker);
+	worker->ejections = 0;
+	if (worker->health != GN_ROUTE_PASSING)
+		set_health(eject, worker, GN_ROUTE_PASSING, GN_ROUTE_NO_LIMIT);
+}
+
+gn_eject_t *gn_eject_create(TALLOC_CTX *parent, gn_route_view_t *view,
+			    const gn_clock_t *clock, GRand *rand,
+			    const gn_eject_config_t *config)
+{
+	gn_eject_t *eject;
+
+	assert(!view->on_remove);
+	if (!is_config_valid(config))
+		return NULL;
+	eject = talloc_zero(parent, gn_eject_t);
+	if (!eject)
+		return NULL;
+	eject->view = view;
+	eject->clock = clock;
+	eject->rand = rand;
+	eject->config = *config;
+	g_queue_init(&eject->changing);
+	view->on_remove = forget_worker;
+	view->on_remove_data = eject;
+	return eject;
+}
--- /dev/null
+++ b/lib/route/view.c
@@ -0,0 +1,487 @@
+#include "route/view_internal.h"
+
+#include <assert.h>
+#include <string.h>
+
+#define MAX_CONNECTIONS 4096
+#define MAX_ONE_WAY_US (10 * GN_US_PER_S)
+#define FIRST_POOL_SIZE 16
+
+/** Weight of a new report in the smoothed values. */
+#define REPORT_WEIGHT 0.3
+/** Age, in service times, at which half of a report's news is out of date. */
+#define REPORT_HALF_AGE 1.0
+
+static const char *const health_names[GN_ROUTE_HEALTH_COUNT] = {
+	[GN_ROUTE_PASSING] = "passing",
+	[GN_ROUTE_EJECTED] = "ejected",
+	[GN_ROUTE_PROBATION] = "probation",
+	[GN_ROUTE_RECOVERING] = "recovering",
+};
+
+const char *gn_route_health_name(gn_route_health_t health)
+{
+	if ((unsigned)health >= GN_ROUTE_HEALTH_COUNT)
+		return "invalid";
+	return health_names[health];
+}
+
+/* ======   Pools   ====== */
+
+static void swap_workers(gn_route_pool_t *pool, unsigned a, unsigned b)
+{
+	gn_route_worker_t *worker = pool->workers[a];
+
+	pool->workers[a] = pool->workers[b];
+	pool->workers[b] = worker;
+	pool->workers[a]->index = a;
+	pool->workers[b]->index = b;
+}
+
+static gn_code_t reserve_slot(gn_route_service_t *service,
+			      gn_route_pool_t *pool)
+{
+	unsigned size = pool->size ? pool->size * 2 : FIRST_POOL_SIZE;
+	gn_route_worker_t **workers;
+
+	if (pool->count < pool->size)
+		return GN_OK;
+	workers = talloc_realloc(service, pool->workers, gn_route_worker_t *,
+				 size);
+	if (!workers)
+		return GN_ERR_MEMORY;
+	pool->workers = workers;
+	pool->size = size;
+	return GN_OK;
+}
+
+static gn_route_pool_t *pool_of(const gn_route_worker_t *worker)
+{
+	return &worker->service->pools[worker->zone];
+}
+
+static bool is_full(const gn_route_worker_t *worker)
+{
+	double others = MAX(worker->others_mean, 0.0);
+
+	return worker->in_flight + others >= worker->max_connections;
+}
+
+static void count_state(gn_route_worker_t *worker)
+{
+	gn_route_service_t *service = worker->service;
+	bool live = worker->link_up && worker->backend_up && !worker->draining;
+	bool full = live && is_full(worker);
+
+	service->live += (unsigned)live - (unsigned)worker->live;
+	service->full += (unsigned)full - (unsigned)worker->full;
+	worker->live = live;
+	worker->full = full;
+}
+
+void gn_route_worker_refresh(gn_route_worker_t *worker)
+{
+	gn_route_pool_t *pool;
+	bool was_ready;
+	bool ready;
+
+	if (worker->removed)
+		return;
+	count_state(worker);
+	pool = pool_of(worker);
+	was_ready = worker->index < pool->ready;
+	ready = worker->live && !worker->full &&
+		worker->in_flight < worker->dispatch_limit;
+	if (ready && !was_ready) {
+		swap_workers(pool, worker->index, pool->ready);
+		pool->ready++;
+	} else if (!ready && was_ready) {
+		pool->ready--;
+		swap_workers(pool, worker->index, pool->ready);
+	}
+	assert(pool->ready <= pool->count);
+}
+
+static void leave_pool(gn_route_worker_t *worker)
+{
+	gn_route_pool_t *pool = pool_of(worker);
+	gn_route_service_t *service = worker->service;
+
+	if (worker->index < pool->ready) {
+		pool->ready--;
+		swap_workers(pool, worker->index, pool->ready);
+	}
+	pool->count--;
+	swap_workers(pool, worker->index, pool->count);
+	service->live -= worker->live;
+	service->full -= worker->full;
+	service->in_flight -= worker->in_flight;
+	worker->live = false;
+	worker->full = false;
+	worker->service = NULL;
+}
+
+static gn_code_t join_pool(gn_route_worker_t *worker,
+			   gn_route_service_t *service, gn_route_zone_t zone)
+{
+	gn_route_pool_t *pool = &service->pools[zone];
+	gn_code_t code = reserve_slot(service, pool);
+
+	if (code != GN_OK)
+		return code;
+	worker->service = service;
+	worker->zone = zone;
+	worker->index = pool->count;
+	pool->workers[pool->count] = worker;
+	pool->count++;
+	service->in_flight += worker->in_flight;
+	return GN_OK;
+}
+
+/* ======   Services   ====== */
+
+gn_route_service_t *gn_route_view_service(const gn_route_view_t *view,
+					  gn_str_t name)
+{
+	char key[GN_NAME_MAX + 1];
+
+	if (gn_str_copy(key, sizeof(key), name) != GN_OK)
+		return NULL;
+	return g_hash_table_lookup(view->services, key);
+}
+
+static gn_route_service_t *need_service(gn_route_view_t *view, gn_str_t name)
+{
+	gn_route_service_t *service = gn_route_view_service(view, name);
+
+	if (service)
+		return service;
+	service = talloc_zero(view, gn_route_service_t);
+	if (!service)
+		return NULL;
+	gn_str_copy(service->name, sizeof(service->name), name);
+	service->name_len = name.len;
+	g_hash_table_insert(view->services, service->name, service);
+	return service;
+}
+
+static void drop_if_empty(gn_route_view_t *view, gn_route_service_t *service)
+{
+	for (int zone = 0; zone < GN_ROUTE_ZONE_COUNT; zone++)
+		if (service->pools[zone].count)
+			return;
+	assert(!service->in_flight && !service->ejected);
+	g_hash_table_remove(view->services, service->name);
+	talloc_free(service);
+}
+
+/* ======   The view   ====== */
+
+static int destroy_view(gn_route_view_t *view)
+{
+	g_hash_table_destroy(view->workers);
+	g_hash_table_destroy(view->services);
+	return 0;
+}
+
+gn_route_view_t *gn_route_view_create(TALLOC_CTX *parent,
+				      const gn_clock_t *clock,
+				      gn_str_t data_centre)
+{
+	gn_route_view_t *view = talloc_zero(parent, gn_route_view_t);
+
+	if (!view)
+		return NULL;
+	view->clock = clock;
+	gn_str_copy(view->data_centre, sizeof(view->data_centre), data_centre);
+	view->workers = g_hash_table_new(g_str_hash, g_str_equal);
+	view->services = g_hash_table_new(g_str_hash, g_str_equal);
+	talloc_set_destructor(view, destroy_view);
+	return view;
+}
+
+static bool is_name(gn_str_t name)
+{
+	return name.len >= 1 && name.len <= GN_NAME_MAX;
+}
+
+static gn_code_t check_spec(const gn_route_spec_t *spec)
+{
+	if (!is_name(spec->name) || !is_name(spec->service) ||
+	    !is_name(spec->data_centre))
+		return GN_ERR_RANGE;
+	if (!spec->max_connections || spec->max_connections > MAX_CONNECTIONS)
+		return GN_ERR_RANGE;
+	if (spec->cores > MAX_CONNECTIONS || spec->one_way_us > MAX_ONE_WAY_US)
+		return GN_ERR_RANGE;
+	return GN_OK;
+}
+
+static void forget_reports(gn_route_worker_t *worker)
+{
+	worker->reported = 0;
+	worker->reported_us = 0;
+	worker->service_time_us = 0;
+	worker->others_last = 0;
+	worker->others_mean = 0;
+	worker->backend_up = true;
+	worker->draining = false;
+}
+
+static void apply_spec(gn_route_worker_t *worker, const gn_route_spec_t *spec)
+{
+	if (worker->incarnation != spec->incarnation)
+		forget_reports(worker);
+	gn_str_copy(worker->data_centre, sizeof(worker->data_centre),
+		    spec->data_centre);
+	worker->data_centre_len = spec->data_centre.len;
+	worker->handle = spec->handle;
+	worker->incarnation = spec->incarnation;
+	worker->max_connections = spec->max_connections;
+	worker->cores = spec->cores ? spec->cores : spec->max_connections;
+	worker->one_way_us = spec->one_way_us;
+	worker->link_up = true;
+}
+
+static gn_route_worker_t *add_worker(gn_route_view_t *view,
+				     const gn_route_spec_t *spec)
+{
+	gn_route_worker_t *worker = talloc_zero(view, gn_route_worker_t);
+
+	if (!worker)
+		return NULL;
+	gn_str_copy(worker->name, sizeof(worker->name), spec->name);
+	worker->name_len = spec->name.len;
+	worker->id = ++view->last_id;
+	worker->dispatch_limit = GN_ROUTE_NO_LIMIT;
+	worker->link.data = worker;
+	forget_reports(worker);
+	return worker;
+}
+
+/** Takes the worker to another service or zone if its spec says so. */
+static gn_code_t place_worker(gn_route_view_t *view, gn_route_worker_t *worker,
+			      const gn_route_spec_t *spec)
+{
+	gn_route_service_t *service = need_service(view, spec->service);
+	gn_route_service_t *old = worker->service;
+	gn_route_zone_t zone = GN_ROUTE_REMOTE;
+
+	if (!service)
+		return GN_ERR_MEMORY;
+	if (gn_str_equal(spec->data_centre, gn_str_from(view->data_centre)))
+		zone = GN_ROUTE_LOCAL;
+	if (old == service && worker->zone == zone)
+		return GN_OK;
+	if (reserve_slot(service, &service->pools[zone]) != GN_OK)
+		return GN_ERR_MEMORY;
+	if (old) {
+		if (view->on_remove)
+			view->on_remove(view->on_remove_data, worker);
+		leave_pool(worker);
+	}
+	join_pool(worker, service, zone);
+	if (old)
+		drop_if_empty(view, old);
+	return GN_OK;
+}
+
+gn_code_t gn_route_view_put(gn_route_view_t *view, const gn_route_spec_t *spec,
+			    gn_route_worker_t **worker)
+{
+	gn_route_worker_t *found;
+	gn_code_t code = check_spec(spec);
+	bool is_new;
+
+	if (code != GN_OK)
+		return code;
+	found = gn_route_view_find(view, spec->name);
+	is_new = !found;
+	if (is_new)
+		found = add_worker(view, spec);
+	if (!found)
+		return GN_ERR_MEMORY;
+	code = place_worker(view, found, spec);
+	if (code != GN_OK) {
+		if (is_new)
+			talloc_free(found);
+		return code;
+	}
+	apply_spec(found, spec);
+	if (is_new)
+		g_hash_table_insert(view->workers, found->name, found);
+	gn_route_worker_refresh(found);
+	if (worker)
+		*worker = found;
+	return GN_OK;
+}
+
+gn_code_t gn_route_view_remove(gn_route_view_t *view, gn_str_t name)
+{
+	gn_route_worker_t *worker = gn_route_view_find(view, name);
+	gn_route_service_t *service;
+
+	if (!worker)
+		return GN_ERR_NOT_FOUND;
+	if (view->on_remove)
+		view->on_remove(view->on_remove_data, worker);
+	g_hash_table_remove(view->workers, worker->name);
+	service = worker->service;
+	leave_pool(worker);
+	drop_if_empty(view, service);
+	worker->removed = true;
+	if (!worker->in_flight)
+		talloc_free(worker);
+	return GN_OK;
+}
+
+void gn_route_view_set_link(gn_route_view_t *view, gn_route_worker_t *worker,
+			    bool up)
+{
+	(void)view;
+	worker->link_up = up;
+	gn_route_worker_refresh(worker);
+}
+
+static double smooth(double old, double value)
+{
+	return old + (value - old) * REPORT_WEIGHT;
+}
+
+static void take_service_time(gn_route_worker_t *worker, double time_us)
+{
+	gn_route_service_t *service = worker->service;
+
+	worker->service_time_us = time_us;
+	if (service->service_time_us > 0)
+		service->service_time_us =
+			smooth(service->service_time_us, time_us);
+	else
+		service->service_time_us = time_us;
+}
+
+void gn_route_view_report(gn_route_view_t *view, gn_route_worker_t *worker,
+			  const gn_route_report_t *report)
+{
+	bool is_first = !worker->reported_us;
+
+	(void)view;
+	if (worker->removed || report->received_us < worker->reported_us)
+		return;
+	worker->reported = report->running_requests;
+	worker->reported_us = MAX(report->received_us, 1);
+	worker->draining = report->draining;
+	worker->backend_up = report->backend_up;
+	worker->others_last =
+		(double)report->running_requests - worker->in_flight;
+	if (is_first)
+		worker->others_mean = worker->others_last;
+	else
+		worker->others_mean =
+			smooth(worker->others_mean, worker->others_last);
+	if (report->service_time_us)
+		take_service_time(worker, report->service_time_us);
+	gn_route_worker_refresh(worker);
+}
+
+void gn_route_view_begin(gn_route_view_t *view, gn_route_worker_t *worker)
+{
+	(void)view;
+	worker->in_flight++;
+	if (worker->removed)
+		return;
+	worker->service->in_flight++;
+	gn_route_worker_refresh(worker);
+}
+
+void gn_route_view_end(gn_route_view_t *view, gn_route_worker_t *worker)
+{
+	(void)view;
+	assert(worker->in_flight);
+	worker->in_flight--;
+	if (worker->removed) {
+		if (!worker->in_flight)
+			talloc_free(worker);
+		return;
+	}
+	worker->service->in_flight--;
+	gn_route_worker_refresh(worker);
+}
+
+/* ======   Queries   ====== */
+
+double gn_route_worker_load(const gn_route_worker_t *worker, uint64_t now_us)
+{
+	double half_age_us = worker->service_time_us * REPORT_HALF_AGE;
+	double age_us = (double)(now_us - worker->reported_us);
+	double others = worker->others_mean;
+
+	/* A report tells less of the present the older it is. */
+	if (half_age_us > 0)
+		others += (worker->others_last - others) * half_age_us /
+			  (half_age_us + age_us);
+	return worker->in_flight + MAX(others, 0.0);
+}
+
+gn_route_worker_t *gn_route_view_find(const gn_route_view_t *view,
+				      gn_str_t name)
+{
+	char key[GN_NAME_MAX + 1];
+
+	if (gn_str_copy(key, sizeof(key), name) != GN_OK)
+		return NULL;
+	return g_hash_table_lookup(view->workers, key);
+}
+
+void gn_route_worker_info(const gn_route_worker_t *worker,
+			  gn_route_info_t *info)
+{
+	const gn_route_service_t *service = worker->service;
+
+	memset(info, 0, sizeof(*info));
+	info->name = (gn_str_t){ worker->name, worker->name_len };
+	if (service)
+		info->service = (gn_str_t){ service->name, service->name_len };
+	info->data_centre =
+		(gn_str_t){ worker->data_centre, worker->data_centre_len };
+	info->id = worker->id;
+	info->handle = worker->handle;
+	info->incarnation = worker->incarnation;
+	info->max_connections = worker->max_connections;
+	info->in_flight = worker->in_flight;
+	info->reported = worker->reported;
+	info->service_time_us = (uint32_t)worker->service_time_us;
+	info->link_up = worker->link_up;
+	info->backend_up = worker->backend_up;
+	info->draining = worker->draining;
+	info->ready = service && worker->index < pool_of(worker)->ready;
+	info->health = worker->health;
+}
+
+void gn_route_view_totals(const gn_route_view_t *view, gn_str_t name,
+			  gn_route_totals_t *totals)
+{
+	const gn_route_service_t *service = gn_route_view_service(view, name);
+
+	memset(totals, 0, sizeof(*totals));
+	if (!service)
+		return;
+	for (int zone = 0; zone < GN_ROUTE_ZONE_COUNT; zone++) {
+		totals->workers += service->pools[zone].count;
+		totals->ready += service->pools[zone].ready;
+	}
+	totals->full = service->full;
+	totals->ejected = service->ejected;
+	totals->in_flight = service->in_flight;
+}
+
+void gn_route_view_each(const gn_route_view_t *view, gn_route_visit_t visit,
+			void *data)
+{
+	GHashTableIter iter;
+	gpointer worker;
+
+	g_hash_table_iter_init(&iter, view->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &worker))
+		visit(worker, data);
+}
