Add the entry's admission: total, class, team, deadline

Cause: an entry must refuse at once what can't be answered in time, keep teams to their shares, and tell refused callers when to come back. Ruled out: a queue at the entry (holds what will be late), a fixed limit (no one knows the workers' speed beforehand), one Retry-After for all (they would return together). Conclusion: concurrency limit by additive increase and multiplicative decrease on late answers, shares by weight that bind only under contention, returns placed behind each other.

--- /dev/null
+++ b/lib/limit/limit.c
@@ -0,0 +1,461 @@
+#include "limit/limit.h"
+
+#include <assert.h>
+
+#define PER_CENT 100
+/** Windows that a team counts as active after its last request. */
+#define ACTIVE_WINDOWS 10
+/** Windows without a further cut, so that the last one can take effect. */
+#define CUT_PAUSE_WINDOWS 2
+/** Use of the limit, per cent, from which it may grow. */
+#define IN_USE_PCT 80
+/** Ended requests below which a window runs on: too few to judge by. */
+#define MIN_ENDED 10
+/** Weight of a window in the smoothed rate of admissions. */
+#define RATE_WEIGHT 0.2
+/** A return is drawn from this part of its place to as much above it. */
+#define RETURN_SPREAD 0.5
+
+typedef struct gn_limit_team_s {
+	char name[GN_NAME_MAX + 1];
+	unsigned weight;
+	unsigned in_flight;
+	unsigned idle_windows; /**< since the last request */
+	bool counted; /**< in the weight of the active teams */
+	bool dropped; /**< freed by its last release */
+} team_t;
+
+/** Counts of the present window. */
+typedef struct window_s {
+	uint64_t start_us;
+	unsigned admitted;
+	unsigned ended;
+	unsigned bad; /**< late or pushed back */
+	unsigned peak; /**< most in flight */
+} window_t;
+
+struct gn_limit_s {
+	const gn_clock_t *clock;
+	GRand *rand;
+	gn_limit_config_t config;
+	GHashTable *teams;
+	team_t other; /**< all teams without a weight of their own */
+	unsigned active_weight; /**< of the teams that asked lately */
+
+	double limit;
+	unsigned in_flight;
+	unsigned class_in_flight[GN_CLASS_COUNT];
+	window_t window;
+	unsigned cut_pause; /**< windows left */
+
+	double admit_rate; /**< smoothed, a second */
+	uint64_t return_us; /**< place of the last caller told to return */
+
+	uint64_t admitted;
+	uint64_t refused[GN_LIMIT_REASON_COUNT];
+};
+
+static const char *const reason_names[GN_LIMIT_REASON_COUNT] = {
+	[GN_LIMIT_ADMITTED] = "admitted", [GN_LIMIT_DEADLINE] = "deadline",
+	[GN_LIMIT_TOTAL] = "total",	  [GN_LIMIT_CLASS] = "class",
+	[GN_LIMIT_TEAM] = "team",
+};
+
+const char *gn_limit_reason_name(gn_limit_reason_t reason)
+{
+	if ((unsigned)reason >= GN_LIMIT_REASON_COUNT)
+		return "invalid";
+	return reason_names[reason];
+}
+
+/* ======   Settings   ====== */
+
+gn_limit_config_t gn_limit_defaults(void)
+{
+	gn_limit_config_t config = {
+		.floor = 16,
+		.ceiling = 8192,
+		.start = 256,
+		.window_ms = 100,
+		.late_pct = 50,
+		.late_share_pct = 5,
+		.cut_pct = 85,
+		.growth_pct = 5,
+		.wait_margin_pct = 200,
+		.contend_pct = 70,
+		.class_pct = { 100, 50, 25 },
+		.other_weight = 1,
+		.return_pct = 20,
+		.return_min_ms = 200,
+		.return_max_ms = 30000,
+	};
+
+	return config;
+}
+
+static bool is_within(unsigned value, unsigned least, unsigned most)
+{
+	return value >= least && value <= most;
+}
+
+static bool is_config_valid(const gn_limit_config_t *config)
+{
+	for (int i = 0; i < GN_CLASS_COUNT; i++)
+		if (!is_within(config->class_pct[i], 1, 100))
+			return false;
+	return is_within(config->floor, 1, 4096) &&
+	       is_within(config->ceiling, config->floor, 1000000) &&
+	       is_within(config->start, config->floor, config->ceiling) &&
+	       is_within(config->window_ms, 10, 10000) &&
+	       is_within(config->late_pct, 10, 100) &&
+	       is_within(config->late_share_pct, 1, 50) &&
+	       is_within(config->cut_pct, 50, 99) &&
+	       is_within(config->growth_pct, 1, 50) &&
+	       is_within(config->wait_margin_pct, 100, 1000) &&
+	       is_within(config->contend_pct, 1, 100) &&
+	       is_within(config->other_weight, 1, GN_LIMIT_WEIGHT_MAX) &&
+	       is_within(config->return_pct, 1, 100) &&
+	       is_within(config->return_min_ms, 1, 60000) &&
+	       is_within(config->return_max_ms, config->return_min_ms, 3600000);
+}
+
+/* ======   Teams   ====== */
+
+static team_t *find_team(const gn_limit_t *limit, gn_str_t name)
+{
+	char key[GN_NAME_MAX + 1];
+
+	if (gn_str_copy(key, sizeof(key), name) != GN_OK)
+		return NULL;
+	return g_hash_table_lookup(limit->teams, key);
+}
+
+static void count_team(gn_limit_t *limit, team_t *team, bool counted)
+{
+	if (counted && !team->counted)
+		limit->active_weight += team->weight;
+	if (!counted && team->counted)
+		limit->active_weight -= team->weight;
+	team->counted = counted;
+}
+
+static void review_team(gn_limit_t *limit, team_t *team)
+{
+	if (team->idle_windows < ACTIVE_WINDOWS)
+		team->idle_windows++;
+	count_team(limit, team,
+		   team->in_flight || team->idle_windows < ACTIVE_WINDOWS);
+}
+
+static void review_teams(gn_limit_t *limit)
+{
+	GHashTableIter iter;
+	gpointer team;
+
+	review_team(limit, &limit->other);
+	g_hash_table_iter_init(&iter, limit->teams);
+	while (g_hash_table_iter_next(&iter, NULL, &team))
+		review_team(limit, team);
+}
+
+static void note_asking(gn_limit_t *limit, team_t *team)
+{
+	team->idle_windows = 0;
+	count_team(limit, team, true);
+}
+
+static gn_code_t add_team(gn_limit_t *limit, gn_str_t name, unsigned weight)
+{
+	team_t *team;
+
+	if (g_hash_table_size(limit->teams) >= GN_LIMIT_TEAMS_MAX)
+		return GN_ERR_CAPACITY;
+	team = talloc_zero(limit, team_t);
+	if (!team)
+		return GN_ERR_MEMORY;
+	gn_str_copy(team->name, sizeof(team->name), name);
+	team->weight = weight;
+	team->idle_windows = ACTIVE_WINDOWS;
+	g_hash_table_insert(limit->teams, team->name, team);
+	return GN_OK;
+}
+
+static void drop_team(gn_limit_t *limit, team_t *team)
+{
+	g_hash_table_remove(limit->teams, team->name);
+	count_team(limit, team, false);
+	if (team->in_flight)
+		team->dropped = true;
+	else
+		talloc_free(team);
+}
+
+gn_code_t gn_limit_set_team(gn_limit_t *limit, gn_str_t name, unsigned weight)
+{
+	team_t *team = find_team(limit, name);
+
+	if (!name.len || name.len > GN_NAME_MAX || weight > GN_LIMIT_WEIGHT_MAX)
+		return GN_ERR_RANGE;
+	if (!team)
+		return weight ? add_team(limit, name, weight) : GN_OK;
+	if (!weight) {
+		drop_team(limit, team);
+		return GN_OK;
+	}
+	if (team->counted)
+		limit->active_weight += weight - team->weight;
+	team->weight = weight;
+	return GN_OK;
+}
+
+/* ======   The limit in flight   ====== */
+
+static void cut(gn_limit_t *limit)
+{
+	if (limit->cut_pause)
+		return;
+	/* Cutting from what was in use: the rest of the limit is only air. */
+	limit->limit = MIN(limit->limit, MAX(limit->window.peak, 1));
+	limit->limit *= (double)limit->config.cut_pct / PER_CENT;
+	limit->limit = MAX(limit->limit, limit->config.floor);
+	limit->cut_pause = CUT_PAUSE_WINDOWS + 1;
+}
+
+static void grow(gn_limit_t *limit)
+{
+	limit->limit += 1 + limit->limit * limit->config.growth_pct / PER_CENT;
+	limit->limit = MIN(limit->limit, limit->config.ceiling);
+}
+
+static void review_limit(gn_limit_t *limit)
+{
+	const window_t *window = &limit->window;
+	bool in_use = window->peak * PER_CENT >= limit->limit * IN_USE_PCT;
+
+	if (window->ended >= MIN_ENDED &&
+	    window->bad * PER_CENT >
+		    window->ended * limit->config.late_share_pct)
+		cut(limit);
+	else if (in_use)
+		grow(limit);
+	if (limit->cut_pause)
+		limit->cut_pause--;
+}
+
+static void review(gn_limit_t *limit)
+{
+	uint64_t now_us = gn_clock_now_us(limit->clock);
+	uint64_t length_us = (uint64_t)limit->config.window_ms * GN_US_PER_MS;
+	uint64_t passed_us = now_us - limit->window.start_us;
+	double rate;
+
+	if (passed_us < length_us)
+		return;
+	rate = limit->window.admitted * (double)GN_US_PER_S / (double)passed_us;
+	limit->admit_rate += (rate - limit->admit_rate) * RATE_WEIGHT;
+	review_limit(limit);
+	review_teams(limit);
+	limit->window.start_us = now_us;
+	limit->window.admitted = 0;
+	limit->window.peak = limit->in_flight;
+	if (limit->window.ended >= MIN_ENDED) {
+		limit->window.ended = 0;
+		limit->window.bad = 0;
+	}
+}
+
+/* ======   Returns   ====== */
+
+static double soonest_us(const gn_limit_t *limit)
+{
+	return (double)limit->config.return_min_ms * GN_US_PER_MS;
+}
+
+/** Places a returning caller behind the ones told before it. */
+static double next_place_us(gn_limit_t *limit, uint64_t now_us)
+{
+	double rate = MAX(limit->admit_rate, 1.0) * limit->config.return_pct /
+		      PER_CENT;
+	uint64_t gap_us = (uint64_t)(GN_US_PER_S / rate);
+
+	limit->return_us = MAX(limit->return_us, now_us) + gap_us;
+	return (double)(limit->return_us - now_us);
+}
+
+uint32_t gn_limit_draw_return_ms(gn_limit_t *limit)
+{
+	uint64_t now_us = gn_clock_now_us(limit->clock);
+	double latest_us = (double)limit->config.return_max_ms * GN_US_PER_MS;
+	double place_us = next_place_us(limit, now_us);
+	double from_us = place_us * (1 - RETURN_SPREAD);
+	double to_us = place_us * (1 + RETURN_SPREAD);
+
+	if (place_us >= latest_us) {
+		/* More than fit: spread them over all of the time there is. */
+		limit->return_us = now_us + (uint64_t)latest_us;
+		from_us = 0;
+		to_us = latest_us;
+	}
+	from_us = MAX(from_us, soonest_us(limit));
+	to_us = MIN(MAX(to_us, 2 * from_us), latest_us);
+	if (to_us > from_us)
+		from_us = g_rand_double_range(limit->rand, from_us, to_us);
+	return (uint32_t)(from_us / GN_US_PER_MS);
+}
+
+/* ======   Asking   ====== */
+
+static bool has_time(const gn_limit_t *limit, const gn_limit_request_t *request)
+{
+	return request->wait_us * limit->config.wait_margin_pct / PER_CENT <
+	       request->time_left_us;
+}
+
+static bool has_class_room(const gn_limit_t *limit, gn_class_t work_class)
+{
+	double most =
+		limit->limit * limit->config.class_pct[work_class] / PER_CENT;
+
+	return limit->class_in_flight[work_class] < MAX(most, 1.0);
+}
+
+static bool has_team_room(const gn_limit_t *limit, const team_t *team)
+{
+	double share;
+
+	if (limit->in_flight * PER_CENT <
+	    limit->limit * limit->config.contend_pct)
+		return true;
+	assert(limit->active_weight >= team->weight);
+	share = limit->limit * team->weight / limit->active_weight;
+	return team->in_flight < MAX(share, 1.0);
+}
+
+static gn_limit_reason_t judge(const gn_limit_t *limit,
+			       const gn_limit_request_t *request,
+			       const team_t *team)
+{
+	if (!has_time(limit, request))
+		return GN_LIMIT_DEADLINE;
+	if (limit->in_flight >= (unsigned)limit->limit)
+		return GN_LIMIT_TOTAL;
+	if (!has_class_room(limit, request->work_class))
+		return GN_LIMIT_CLASS;
+	if (!has_team_room(limit, team))
+		return GN_LIMIT_TEAM;
+	return GN_LIMIT_ADMITTED;
+}
+
+static void count_in(gn_limit_t *limit, const gn_limit_request_t *request,
+		     team_t *team, gn_limit_ticket_t *ticket)
+{
+	limit->in_flight++;
+	limit->class_in_flight[request->work_class]++;
+	team->in_flight++;
+	limit->admitted++;
+	limit->window.admitted++;
+	limit->window.peak = MAX(limit->window.peak, limit->in_flight);
+	ticket->team = team;
+	ticket->work_class = request->work_class;
+	ticket->start_us = gn_clock_now_us(limit->clock);
+	ticket->time_left_us = request->time_left_us;
+}
+
+void gn_limit_ask(gn_limit_t *limit, const gn_limit_request_t *request,
+		  gn_limit_verdict_t *verdict)
+{
+	team_t *team = find_team(limit, request->team);
+
+	assert((unsigned)request->work_class < GN_CLASS_COUNT);
+	review(limit);
+	if (!team)
+		team = &limit->other;
+	note_asking(limit, team);
+	*verdict =
+		(gn_limit_verdict_t){ .reason = judge(limit, request, team) };
+	if (verdict->reason == GN_LIMIT_ADMITTED) {
+		count_in(limit, request, team, &verdict->ticket);
+		return;
+	}
+	limit->refused[verdict->reason]++;
+	verdict->retry_after_ms = gn_limit_draw_return_ms(limit);
+}
+
+static bool is_late(const gn_limit_t *limit, const gn_limit_ticket_t *ticket)
+{
+	uint64_t time_us = gn_clock_now_us(limit->clock) - ticket->start_us;
+
+	return time_us * PER_CENT >
+	       ticket->time_left_us * limit->config.late_pct;
+}
+
+void gn_limit_release(gn_limit_t *limit, const gn_limit_ticket_t *ticket,
+		      gn_limit_end_t end)
+{
+	team_t *team = ticket->team;
+
+	review(limit);
+	assert(limit->in_flight && team->in_flight);
+	assert(limit->class_in_flight[ticket->work_class]);
+	limit->in_flight--;
+	limit->class_in_flight[ticket->work_class]--;
+	team->in_flight--;
+	if (team->dropped && !team->in_flight)
+		talloc_free(team);
+	if (end == GN_LIMIT_OTHER)
+		return;
+	limit->window.ended++;
+	if (end == GN_LIMIT_PUSHED_BACK || is_late(limit, ticket))
+		limit->window.bad++;
+}
+
+/* ======   Life and queries   ====== */
+
+static int destroy_limit(gn_limit_t *limit)
+{
+	g_hash_table_destroy(limit->teams);
+	return 0;
+}
+
+gn_limit_t *gn_limit_create(TALLOC_CTX *parent, const gn_clock_t *clock,
+			    GRand *rand, const gn_limit_config_t *config)
+{
+	gn_limit_t *limit;
+
+	if (!is_config_valid(config))
+		return NULL;
+	limit = talloc_zero(parent, gn_limit_t);
+	if (!limit)
+		return NULL;
+	limit->clock = clock;
+	limit->rand = rand;
+	limit->config = *config;
+	limit->limit = config->start;
+	limit->window.start_us = gn_clock_now_us(clock);
+	limit->other.weight = config->other_weight;
+	limit->other.idle_windows = ACTIVE_WINDOWS;
+	limit->teams = g_hash_table_new(g_str_hash, g_str_equal);
+	talloc_set_destructor(limit, destroy_limit);
+	return limit;
+}
+
+void gn_limit_info(const gn_limit_t *limit, gn_limit_info_t *info)
+{
+	*info = (gn_limit_info_t){
+		.limit = (unsigned)limit->limit,
+		.in_flight = limit->in_flight,
+		.teams = g_hash_table_size(limit->teams),
+		.admitted = limit->admitted,
+	};
+	for (int i = 0; i < GN_CLASS_COUNT; i++)
+		info->class_in_flight[i] = limit->class_in_flight[i];
+	for (int i = 0; i < GN_LIMIT_REASON_COUNT; i++)
+		info->refused[i] = limit->refused[i];
+}
+
+unsigned gn_limit_team_in_flight(const gn_limit_t *limit, gn_str_t name)
+{
+	const team_t *team = find_team(limit, name);
+
+	return team ? team->in_flight : 0;
+}
