--- a/lib/limit/limit.c
+++ b/lib/limit/limit.c
@@ -2,6 +2,8 @@
 
 #include <assert.h>
 
+#include "limit/returns.h"
+
 #define PER_CENT 100
 /** Windows that a team counts as active after its last request. */
 #define ACTIVE_WINDOWS 10
@@ -13,8 +15,6 @@
 #define MIN_ENDED 10
 /** Weight of a window in the smoothed rate of admissions. */
 #define RATE_WEIGHT 0.2
-/** A return is drawn from this part of its place to as much above it. */
-#define RETURN_SPREAD 0.5
 
 typedef struct gn_limit_team_s {
 	char name[GN_NAME_MAX + 1];
@@ -49,7 +49,7 @@
 	unsigned cut_pause; /**< windows left */
 
 	double admit_rate; /**< smoothed, a second */
-	uint64_t return_us; /**< place of the last caller told to return */
+	gn_returns_t returns;
 
 	uint64_t admitted;
 	uint64_t refused[GN_LIMIT_REASON_COUNT];
@@ -264,43 +264,12 @@
 	}
 }
 
-/* ======   Returns   ====== */
-
-static double soonest_us(const gn_limit_t *limit)
-{
-	return (double)limit->config.return_min_ms * GN_US_PER_MS;
-}
-
-/** Places a returning caller behind the ones told before it. */
-static double next_place_us(gn_limit_t *limit, uint64_t now_us)
-{
-	double rate = MAX(limit->admit_rate, 1.0) * limit->config.return_pct /
-		      PER_CENT;
-	uint64_t gap_us = (uint64_t)(GN_US_PER_S / rate);
-
-	limit->return_us = MAX(limit->return_us, now_us) + gap_us;
-	return (double)(limit->return_us - now_us);
-}
-
 uint32_t gn_limit_draw_return_ms(gn_limit_t *limit)
 {
-	uint64_t now_us = gn_clock_now_us(limit->clock);
-	double latest_us = (double)limit->config.return_max_ms * GN_US_PER_MS;
-	double place_us = next_place_us(limit, now_us);
-	double from_us = place_us * (1 - RETURN_SPREAD);
-	double to_us = place_us * (1 + RETURN_SPREAD);
-
-	if (place_us >= latest_us) {
-		/* More than fit: spread them over all of the time there is. */
-		limit->return_us = now_us + (uint64_t)latest_us;
-		from_us = 0;
-		to_us = latest_us;
-	}
-	from_us = MAX(from_us, soonest_us(limit));
-	to_us = MIN(MAX(to_us, 2 * from_us), latest_us);
-	if (to_us > from_us)
-		from_us = g_rand_double_range(limit->rand, from_us, to_us);
-	return (uint32_t)(from_us / GN_US_PER_MS);
+	double rate = limit->admit_rate * limit->config.return_pct / PER_CENT;
+
+	return gn_returns_draw_ms(&limit->returns, limit->rand,
+				  gn_clock_now_us(limit->clock), rate);
 }
 
 /* ======   Asking   ====== */
@@ -431,6 +400,8 @@
 	limit->rand = rand;
 	limit->config = *config;
 	limit->limit = config->start;
+	limit->returns.min_ms = config->return_min_ms;
+	limit->returns.max_ms = config->return_max_ms;
 	limit->window.start_us = gn_clock_now_us(clock);
 	limit->other.weight = config->other_weight;
 	limit->other.idle_windows = ACTIVE_WINDOWS;
--- a/lib/route/view.c
+++ b/lib/route/view.c
@@ -5,7 +5,6 @@
 
 #define MAX_CONNECTIONS 4096
 #define MAX_ONE_WAY_US (10 * GN_US_PER_S)
-#define FIRST_POOL_SIZE 16
 
 /** Weight of a new report in the smoothed values. */
 #define REPORT_WEIGHT 0.3
@@ -26,118 +25,6 @@
 	return health_names[health];
 }
 
-/* ======   Pools   ====== */
-
-static void swap_workers(gn_route_pool_t *pool, unsigned a, unsigned b)
-{
-	gn_route_worker_t *worker = pool->workers[a];
-
-	pool->workers[a] = pool->workers[b];
-	pool->workers[b] = worker;
-	pool->workers[a]->index = a;
-	pool->workers[b]->index = b;
-}
-
-static gn_code_t reserve_slot(gn_route_service_t *service,
-			      gn_route_pool_t *pool)
-{
-	unsigned size = pool->size ? pool->size * 2 : FIRST_POOL_SIZE;
-	gn_route_worker_t **workers;
-
-	if (pool->count < pool->size)
-		return GN_OK;
-	workers = talloc_realloc(service, pool->workers, gn_route_worker_t *,
-				 size);
-	if (!workers)
-		return GN_ERR_MEMORY;
-	pool->workers = workers;
-	pool->size = size;
-	return GN_OK;
-}
-
-static gn_route_pool_t *pool_of(const gn_route_worker_t *worker)
-{
-	return &worker->service->pools[worker->zone];
-}
-
-static bool is_full(const gn_route_worker_t *worker)
-{
-	double others = MAX(worker->others_mean, 0.0);
-
-	return worker->in_flight + others >= worker->max_connections;
-}
-
-static void count_state(gn_route_worker_t *worker)
-{
-	gn_route_service_t *service = worker->service;
-	bool live = worker->link_up && worker->backend_up && !worker->draining;
-	bool full = live && is_full(worker);
-
-	service->live += (unsigned)live - (unsigned)worker->live;
-	service->full += (unsigned)full - (unsigned)worker->full;
-	worker->live = live;
-	worker->full = full;
-}
-
-void gn_route_worker_refresh(gn_route_worker_t *worker)
-{
-	gn_route_pool_t *pool;
-	bool was_ready;
-	bool ready;
-
-	if (worker->removed)
-		return;
-	count_state(worker);
-	pool = pool_of(worker);
-	was_ready = worker->index < pool->ready;
-	ready = worker->live && !worker->full &&
-		worker->in_flight < worker->dispatch_limit;
-	if (ready && !was_ready) {
-		swap_workers(pool, worker->index, pool->ready);
-		pool->ready++;
-	} else if (!ready && was_ready) {
-		pool->ready--;
-		swap_workers(pool, worker->index, pool->ready);
-	}
-	assert(pool->ready <= pool->count);
-}
-
-static void leave_pool(gn_route_worker_t *worker)
-{
-	gn_route_pool_t *pool = pool_of(worker);
-	gn_route_service_t *service = worker->service;
-
-	if (worker->index < pool->ready) {
-		pool->ready--;
-		swap_workers(pool, worker->index, pool->ready);
-	}
-	pool->count--;
-	swap_workers(pool, worker->index, pool->count);
-	service->live -= worker->live;
-	service->full -= worker->full;
-	service->in_flight -= worker->in_flight;
-	worker->live = false;
-	worker->full = false;
-	worker->service = NULL;
-}
-
-static gn_code_t join_pool(gn_route_worker_t *worker,
-			   gn_route_service_t *service, gn_route_zone_t zone)
-{
-	gn_route_pool_t *pool = &service->pools[zone];
-	gn_code_t code = reserve_slot(service, pool);
-
-	if (code != GN_OK)
-		return code;
-	worker->service = service;
-	worker->zone = zone;
-	worker->index = pool->count;
-	pool->workers[pool->count] = worker;
-	pool->count++;
-	service->in_flight += worker->in_flight;
-	return GN_OK;
-}
-
 /* ======   Services   ====== */
 
 gn_route_service_t *gn_route_view_service(const gn_route_view_t *view,
@@ -273,14 +160,14 @@
 		zone = GN_ROUTE_LOCAL;
 	if (old == service && worker->zone == zone)
 		return GN_OK;
-	if (reserve_slot(service, &service->pools[zone]) != GN_OK)
+	if (gn_route_pool_reserve(service, &service->pools[zone]) != GN_OK)
 		return GN_ERR_MEMORY;
 	if (old) {
 		if (view->on_remove)
 			view->on_remove(view->on_remove_data, worker);
-		leave_pool(worker);
+		gn_route_pool_leave(worker);
 	}
-	join_pool(worker, service, zone);
+	gn_route_pool_join(worker, service, zone);
 	if (old)
 		drop_if_empty(view, old);
 	return GN_OK;
@@ -327,7 +214,7 @@
 		view->on_remove(view->on_remove_data, worker);
 	g_hash_table_remove(view->workers, worker->name);
 	service = worker->service;
-	leave_pool(worker);
+	gn_route_pool_leave(worker);
 	drop_if_empty(view, service);
 	worker->removed = true;
 	if (!worker->in_flight)
@@ -454,7 +341,8 @@
 	info->link_up = worker->link_up;
 	info->backend_up = worker->backend_up;
 	info->draining = worker->draining;
-	info->ready = service && worker->index < pool_of(worker)->ready;
+	info->ready =
+		service && worker->index < gn_route_pool_of(worker)->ready;
 	info->health = worker->health;
 }
 
--- a/lib/route/view_internal.h
+++ b/lib/route/view_internal.h
@@ -99,6 +99,20 @@
 gn_route_service_t *gn_route_view_service(const gn_route_view_t *view,
 					  gn_str_t name);
 
+/** The pool that @p worker stands in. */
+gn_route_pool_t *gn_route_pool_of(const gn_route_worker_t *worker);
+
+/** Makes room for one more in @p pool: GN_OK or GN_ERR_MEMORY. */
+gn_code_t gn_route_pool_reserve(gn_route_service_t *service,
+				gn_route_pool_t *pool);
+
+/** Puts @p worker into a pool, behind those that may be picked. */
+gn_code_t gn_route_pool_join(gn_route_worker_t *worker,
+			     gn_route_service_t *service, gn_route_zone_t zone);
+
+/** Takes @p worker out of its pool and out of the sums of its service. */
+void gn_route_pool_leave(gn_route_worker_t *worker);
+
 /** Puts @p worker into the part of its pool where it now belongs. */
 void gn_route_worker_refresh(gn_route_worker_t *worker);
 
