Keep the lack of proof of an entry that is forgotten twice

Cause: walk 62 of 2,000: an entry whose marker was lost, which came back and was forgotten again, left a marker that looked complete; a stale copy of a request that had run was then answered 'not run'. Ruled out: dropping markers by age, which loses the same knowledge. Conclusion: the marker carries the flag.

--- a/lib/admit/fence.c
+++ b/lib/admit/fence.c
@@ -32,6 +32,7 @@
 typedef struct marker_s {
 	gint64 incarnation; /**< key of the table of markers */
 	uint64_t highest_started;
+	bool proves_nothing; /**< as the entry had it */
 	GList link; /**< oldest first */
 } marker_t;
 
@@ -75,15 +76,15 @@
 	talloc_free(marker);
 }
 
-static gn_code_t add_marker(gn_fence_t *fence, gint64 incarnation,
-			    uint64_t highest_started)
+static gn_code_t add_marker(gn_fence_t *fence, const entry_t *entry)
 {
 	marker_t *marker = talloc_zero(fence, marker_t);
 
 	if (!marker)
 		return GN_ERR_MEMORY;
-	marker->incarnation = incarnation;
-	marker->highest_started = highest_started;
+	marker->incarnation = entry->incarnation;
+	marker->highest_started = entry->highest_started;
+	marker->proves_nothing = entry->proves_nothing;
 	marker->link.data = marker;
 	g_hash_table_insert(fence->markers, &marker->incarnation, marker);
 	g_queue_push_tail_link(&fence->marker_queue, &marker->link);
@@ -247,7 +248,7 @@
 		return GN_ERR_NOT_FOUND;
 	if (entry->running)
 		return GN_ERR_CONFLICT;
-	code = add_marker(fence, entry->incarnation, entry->highest_started);
+	code = add_marker(fence, entry);
 	if (code != GN_OK)
 		return code;
 	fence->size -= g_hash_table_size(entry->items);
@@ -289,10 +290,11 @@
 bool gn_fence_is_complete(const gn_fence_t *fence, uint64_t incarnation)
 {
 	const entry_t *entry = find_entry(fence, incarnation);
+	const marker_t *marker = find_marker(fence, incarnation);
 
 	if (entry)
 		return !entry->proves_nothing;
-	return find_marker(fence, incarnation) || !fence->has_lost_marker;
+	return marker ? !marker->proves_nothing : !fence->has_lost_marker;
 }
 
 size_t gn_fence_size(const gn_fence_t *fence)
--- a/tests/unit/test_admit_walk.c
+++ b/tests/unit/test_admit_walk.c
@@ -15,7 +15,7 @@
 #define CONNECTIONS 6
 #define STEPS 4000
 /** Walks in CI; the variable GN_WALKS of the environment sets another number. */
-#define WALKS 40
+#define WALKS 100
 #define MUTANT_WALKS 200
 
 typedef enum mutant_e {
--- a/tests/unit/test_fence.c
+++ b/tests/unit/test_fence.c
@@ -103,6 +103,10 @@
 	/* The first entry's marker is gone; it may have run anything. */
 	g_assert_false(gn_fence_is_complete(fence, 1));
 	g_assert_false(gn_fence_cancel(fence, 1, 50));
+	/* Nor does being forgotten a second time restore its proofs. */
+	run(fence, 1, 60);
+	g_assert_cmpint(gn_fence_forget(fence, 1), ==, GN_OK);
+	g_assert_false(gn_fence_is_complete(fence, 1));
 	g_assert_true(gn_fence_is_complete(fence, 3));
 	g_assert_true(gn_fence_cancel(fence, 3, 50));
 	talloc_free(fence);
