--- /dev/null
+++ b/tests/unit/test_retry.c
@@ -0,0 +1,311 @@
+/**
+ * Retries: a table of how tries end, and seeded walks in which the mutants
+ * take a try without evidence for one that was not run.
+ */
+#include <glib.h>
+
+#include "route/retry.h"
+
+#define SERVICE GN_STR("s")
+#define WORKERS 5
+#define PLENTY_US GN_US_PER_S
+
+typedef struct fixture_s {
+	gn_clock_t clock;
+	gn_route_view_t *view;
+	gn_route_worker_t *workers[WORKERS];
+	gn_retry_budget_t *budget;
+} fixture_t;
+
+static void setup(fixture_t *f, const gn_retry_config_t *config)
+{
+	gn_clock_init_paused(&f->clock, 1);
+	f->view = gn_route_view_create(NULL, &f->clock, GN_STR("here"));
+	for (int i = 0; i < WORKERS; i++) {
+		char name[] = "a";
+		gn_route_spec_t spec = {
+			.name = gn_str_from(name),
+			.service = SERVICE,
+			.data_centre = GN_STR("here"),
+			.max_connections = 100,
+		};
+
+		name[0] = (char)('a' + i);
+		gn_route_view_put(f->view, &spec, &f->workers[i]);
+	}
+	f->budget = gn_retry_budget_create(f->view, config);
+	g_assert_nonnull(f->budget);
+}
+
+typedef struct case_s {
+	const char *name;
+	bool repeatable;
+	unsigned count;
+	gn_try_end_t ends[GN_ROUTE_TRIES_MAX];
+	gn_retry_step_t last_step;
+	gn_outcome_t outcome;
+} case_t;
+
+#define P GN_TRY_PASSED
+#define F GN_TRY_FAILED
+#define N GN_TRY_NOT_RUN
+#define U GN_TRY_UNKNOWN
+
+static const case_t cases[] = {
+	{ "passed", false, 1, { P }, GN_RETRY_STOP, GN_OUTCOME_DONE },
+	{ "failed", false, 1, { F }, GN_RETRY_STOP, GN_OUTCOME_DONE },
+	{ "not-run", false, 1, { N }, GN_RETRY_AGAIN, GN_OUTCOME_NOT_RUN },
+	{ "unknown", false, 1, { U }, GN_RETRY_STOP, GN_OUTCOME_UNKNOWN },
+	{ "not-run-unknown",
+	  false,
+	  2,
+	  { N, U },
+	  GN_RETRY_STOP,
+	  GN_OUTCOME_UNKNOWN },
+	{ "not-run-3",
+	  false,
+	  3,
+	  { N, N, N },
+	  GN_RETRY_STOP,
+	  GN_OUTCOME_NOT_RUN },
+	{ "rep-failed", true, 1, { F }, GN_RETRY_AGAIN, GN_OUTCOME_DONE },
+	{ "rep-unknown", true, 1, { U }, GN_RETRY_AGAIN, GN_OUTCOME_UNKNOWN },
+	/* An earlier try may have run: the last one's evidence isn't enough. */
+	{ "rep-unknown-not-run",
+	  true,
+	  2,
+	  { U, N },
+	  GN_RETRY_AGAIN,
+	  GN_OUTCOME_UNKNOWN },
+	{ "rep-unknown-passed",
+	  true,
+	  2,
+	  { U, P },
+	  GN_RETRY_STOP,
+	  GN_OUTCOME_DONE },
+	{ "rep-unknown-3",
+	  true,
+	  3,
+	  { U, U, U },
+	  GN_RETRY_STOP,
+	  GN_OUTCOME_UNKNOWN },
+};
+
+static void test_case(const void *data)
+{
+	const case_t *c = data;
+	gn_retry_config_t config = gn_retry_defaults();
+	gn_retry_step_t step = GN_RETRY_AGAIN;
+	gn_retry_t retry;
+	fixture_t f;
+
+	setup(&f, &config);
+	gn_retry_init(&retry, c->repeatable);
+	for (unsigned i = 0; i < c->count; i++) {
+		g_assert_cmpint(step, ==, GN_RETRY_AGAIN);
+		gn_retry_begin_try(&retry, f.workers[i]);
+		step = gn_retry_end_try(&retry, f.budget, c->ends[i], PLENTY_US,
+					1);
+	}
+	g_assert_cmpint(step, ==, c->last_step);
+	g_assert_cmpint(gn_retry_outcome(&retry), ==, c->outcome);
+	talloc_free(f.view);
+}
+
+static void test_never_sent(void)
+{
+	gn_retry_t retry;
+
+	gn_retry_init(&retry, false);
+	g_assert_cmpint(gn_retry_outcome(&retry), ==, GN_OUTCOME_NOT_RUN);
+}
+
+static void test_no_time(void)
+{
+	gn_retry_config_t config = gn_retry_defaults();
+	gn_retry_t retry;
+	fixture_t f;
+
+	setup(&f, &config);
+	gn_retry_init(&retry, true);
+	gn_retry_begin_try(&retry, f.workers[0]);
+	g_assert_cmpint(
+		gn_retry_end_try(&retry, f.budget, GN_TRY_NOT_RUN, 5000, 5000),
+		==, GN_RETRY_STOP);
+	talloc_free(f.view);
+}
+
+/** All fail for long, then pass again: the retries stay within the share. */
+static void test_outage(void)
+{
+	gn_retry_config_t config = gn_retry_defaults();
+	unsigned tries = 0;
+	const unsigned requests = 10000;
+	fixture_t f;
+
+	setup(&f, &config);
+	for (unsigned i = 0; i < requests; i++) {
+		gn_retry_t retry;
+		bool outage = i < requests / 2;
+		unsigned at = 0;
+
+		gn_retry_init(&retry, true);
+		do {
+			gn_retry_begin_try(&retry, f.workers[at++]);
+			tries++;
+		} while (
+			gn_retry_end_try(&retry, f.budget,
+					 outage ? GN_TRY_FAILED : GN_TRY_PASSED,
+					 PLENTY_US, 1) == GN_RETRY_AGAIN);
+		if (outage)
+			g_assert_cmpuint(tries, <=, i + 1 + config.reserve);
+	}
+	g_assert_cmpuint(gn_retry_budget_left(f.budget), ==, config.reserve);
+	talloc_free(f.view);
+}
+
+static void test_bounds(void)
+{
+	const gn_retry_config_t bad[] = {
+		{ 101, 10, 3 },
+		{ 10, 1001, 3 },
+		{ 10, 10, 0 },
+		{ 10, 10, GN_ROUTE_TRIES_MAX + 1 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++)
+		g_assert_null(gn_retry_budget_create(NULL, &bad[i]));
+}
+
+/* ======   Walks   ====== */
+
+#define WALKS 50
+#define REQUESTS 400
+
+typedef enum mutant_e {
+	MUTANT_NONE = 0,
+	MUTANT_WITHOUT_EVIDENCE, /**< takes silence for "not run" */
+	MUTANT_LAST_TRY_ONLY, /**< forgets what earlier tries may have done */
+	MUTANT_NO_BUDGET,
+	MUTANT_COUNT
+} mutant_t;
+
+static const char *const mutant_names[MUTANT_COUNT] = {
+	"none",
+	"without-evidence",
+	"last-try-only",
+	"no-budget",
+};
+
+static gn_try_end_t draw_end(GRand *rand, bool *ran)
+{
+	/* A third of the tries fail in one way or another. */
+	gn_try_end_t end =
+		g_rand_int_range(rand, 0, 3)
+			? GN_TRY_PASSED
+			: (gn_try_end_t)g_rand_int_range(rand, GN_TRY_FAILED,
+							 GN_TRY_END_COUNT);
+
+	*ran = end == GN_TRY_PASSED || end == GN_TRY_FAILED ||
+	       (end == GN_TRY_UNKNOWN && g_rand_int_range(rand, 0, 2));
+	return end;
+}
+
+static const char *check_request(const gn_retry_t *retry, bool repeatable,
+				 unsigned runs)
+{
+	if (!repeatable && runs > 1)
+		return "ran twice though not repeatable";
+	if (gn_retry_outcome(retry) == GN_OUTCOME_NOT_RUN && runs)
+		return "not run was told of one that ran";
+	return NULL;
+}
+
+static const char *run_request(fixture_t *f, GRand *rand, mutant_t mutant,
+			       unsigned *tries)
+{
+	bool repeatable = g_rand_int_range(rand, 0, 2);
+	gn_retry_step_t step;
+	gn_retry_t retry;
+	unsigned runs = 0;
+	unsigned at = 0;
+
+	gn_retry_init(&retry, repeatable);
+	do {
+		bool ran;
+		gn_try_end_t end = draw_end(rand, &ran);
+
+		gn_retry_begin_try(&retry, f->workers[at++]);
+		(*tries)++;
+		runs += ran;
+		if (mutant == MUTANT_WITHOUT_EVIDENCE && end == GN_TRY_UNKNOWN)
+			end = GN_TRY_NOT_RUN;
+		if (mutant == MUTANT_LAST_TRY_ONLY)
+			retry.may_have_run = false;
+		step = gn_retry_end_try(&retry, f->budget, end, PLENTY_US, 1);
+		if (mutant == MUTANT_NO_BUDGET && at < 3)
+			step = end == GN_TRY_NOT_RUN ? GN_RETRY_AGAIN : step;
+	} while (step == GN_RETRY_AGAIN);
+	return check_request(&retry, repeatable, runs);
+}
+
+static const char *run_walk(guint32 seed, mutant_t mutant)
+{
+	gn_retry_config_t config = gn_retry_defaults();
+	GRand *rand = g_rand_new_with_seed(seed);
+	const char *violation = NULL;
+	unsigned tries = 0;
+	fixture_t f;
+
+	setup(&f, &config);
+	for (int i = 0; i < REQUESTS && !violation; i++)
+		violation = run_request(&f, rand, mutant, &tries);
+	if (!violation && tries > REQUESTS + REQUESTS / 10 + config.reserve)
+		violation = "more tries than the budget allows";
+	talloc_free(f.view);
+	g_rand_free(rand);
+	return violation;
+}
+
+static void test_walks(void)
+{
+	for (guint32 seed = 1; seed <= WALKS; seed++) {
+		const char *violation = run_walk(seed, MUTANT_NONE);
+
+		if (violation)
+			g_error("seed %u: %s", seed, violation);
+	}
+}
+
+static void test_mutant(const void *data)
+{
+	const char *violation = NULL;
+
+	for (guint32 seed = 1; seed <= WALKS && !violation; seed++)
+		violation = run_walk(seed, GPOINTER_TO_INT(data));
+	g_assert_nonnull(violation);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char *path = g_strdup_printf("/retry/case/%s", cases[i].name);
+
+		g_test_add_data_func(path, &cases[i], test_case);
+		g_free(path);
+	}
+	g_test_add_func("/retry/never-sent", test_never_sent);
+	g_test_add_func("/retry/no-time", test_no_time);
+	g_test_add_func("/retry/outage", test_outage);
+	g_test_add_func("/retry/bounds", test_bounds);
+	g_test_add_func("/retry/walks", test_walks);
+	for (int i = MUTANT_NONE + 1; i < MUTANT_COUNT; i++) {
+		char *path =
+			g_strdup_printf("/retry/mutant/%s", mutant_names[i]);
+
+		g_test_add_data_func(path, GINT_TO_POINTER(i), test_mutant);
+		g_free(path);
+	}
+	return g_test_run();
+}
