Prove ejection and the entry's admission by tables and walks

Cause: a bad worker must leave the pick while a fault that strikes many must not empty it; shares, limits and returns must hold under contention.

--- /dev/null
+++ b/tests/unit/test_eject.c
@@ -0,0 +1,289 @@
+#include <glib.h>
+
+#include "route/eject.h"
+#include "route/pick.h"
+
+#define SERVICE GN_STR("planner")
+#define WORKERS 10
+#define STEP_US 10000
+#define PASS_US 5000
+
+/** How a worker behaves. */
+typedef enum manner_e {
+	PASSES = 0,
+	FAILS_FAST,
+	SLOW,
+	FLAPS, /**< fails for 3 s, passes for 3 s */
+} manner_t;
+
+typedef struct fixture_s {
+	gn_clock_t clock;
+	gn_route_view_t *view;
+	gn_eject_t *eject;
+	gn_eject_config_t config;
+	GRand *rand;
+	gn_route_worker_t *workers[WORKERS];
+	manner_t manners[WORKERS];
+	unsigned sent[WORKERS];
+	unsigned failed;
+} fixture_t;
+
+static void setup(fixture_t *f)
+{
+	*f = (fixture_t){ .config = gn_eject_defaults() };
+	gn_clock_init_paused(&f->clock, GN_US_PER_S);
+	f->rand = g_rand_new_with_seed(3);
+	f->view = gn_route_view_create(NULL, &f->clock, GN_STR("here"));
+	f->eject = gn_eject_create(f->view, f->view, &f->clock, f->rand,
+				   &f->config);
+	g_assert_nonnull(f->eject);
+	for (int i = 0; i < WORKERS; i++) {
+		char name[] = "a";
+		gn_route_spec_t spec = {
+			.name = gn_str_from(name),
+			.service = SERVICE,
+			.data_centre = GN_STR("here"),
+			.max_connections = 64,
+		};
+
+		name[0] = (char)('a' + i);
+		gn_route_view_put(f->view, &spec, &f->workers[i]);
+	}
+}
+
+static void teardown(fixture_t *f)
+{
+	talloc_free(f->view);
+	g_rand_free(f->rand);
+}
+
+static gn_eject_result_t answer(const fixture_t *f, int index,
+				uint64_t *time_us)
+{
+	uint64_t second = gn_clock_now_us(&f->clock) / GN_US_PER_S;
+
+	*time_us = PASS_US;
+	switch (f->manners[index]) {
+	case FAILS_FAST:
+		return GN_EJECT_FAIL;
+	case SLOW:
+		*time_us = 20 * PASS_US;
+		return GN_EJECT_PASS;
+	case FLAPS:
+		return second % 6 < 3 ? GN_EJECT_FAIL : GN_EJECT_PASS;
+	default:
+		return GN_EJECT_PASS;
+	}
+}
+
+/** Sends ten requests each 10 ms, each answered before the next is sent. */
+static void run(fixture_t *f, uint64_t length_us)
+{
+	const gn_route_policy_t *policy =
+		&gn_route_policies[GN_ROUTE_TWO_CHOICES];
+
+	for (uint64_t at = 0; at < length_us; at += STEP_US) {
+		gn_clock_advance(&f->clock, STEP_US);
+		gn_eject_tick(f->eject);
+		for (int i = 0; i < 10; i++) {
+			gn_route_choice_t choice;
+			gn_eject_result_t result;
+			uint64_t time_us;
+			int index = 0;
+
+			if (gn_route_pick(policy, f->view, SERVICE, f->rand,
+					  NULL, &choice) != GN_OK)
+				continue;
+			while (f->workers[index] != choice.worker)
+				index++;
+			gn_route_view_begin(f->view, choice.worker);
+			result = answer(f, index, &time_us);
+			f->sent[index]++;
+			f->failed += result == GN_EJECT_FAIL;
+			gn_eject_take_result(f->eject, choice.worker, result,
+					     time_us);
+			gn_route_view_end(f->view, choice.worker);
+		}
+	}
+}
+
+static gn_route_health_t health(const fixture_t *f, int index)
+{
+	gn_route_info_t info;
+
+	gn_route_worker_info(f->workers[index], &info);
+	return info.health;
+}
+
+static unsigned count_ejected(const fixture_t *f)
+{
+	gn_route_totals_t totals;
+
+	gn_route_view_totals(f->view, SERVICE, &totals);
+	return totals.ejected;
+}
+
+typedef struct case_s {
+	const char *name;
+	manner_t manner;
+	int bad; /**< workers of that manner, the first ones */
+	int ejected_least; /**< after 2 s */
+	int ejected_most;
+} case_t;
+
+static const case_t cases[] = {
+	{ "none", PASSES, WORKERS, 0, 0 },
+	{ "one-fails", FAILS_FAST, 1, 1, 1 },
+	{ "one-slow", SLOW, 1, 1, 1 },
+	{ "three-fail", FAILS_FAST, 3, 3, 3 },
+	{ "half-fail", FAILS_FAST, 5, 5, 5 },
+	{ "most-fail", FAILS_FAST, 8, 0, 5 },
+	/* Nobody passes what others fail: nobody is an outlier. */
+	{ "all-fail", FAILS_FAST, WORKERS, 0, 0 },
+	{ "all-slow", SLOW, WORKERS, 0, 0 },
+};
+
+static void test_case(const void *data)
+{
+	const case_t *c = data;
+	fixture_t f;
+	int ejected = 0;
+
+	setup(&f);
+	for (int i = 0; i < c->bad; i++)
+		f.manners[i] = c->manner;
+	run(&f, GN_US_PER_S / 2);
+	for (int i = 0; i < WORKERS; i++) {
+		bool out = health(&f, i) != GN_ROUTE_PASSING;
+
+		ejected += out;
+		g_assert_true(!out || i < c->bad);
+	}
+	g_assert_cmpint(ejected, >=, c->ejected_least);
+	g_assert_cmpint(ejected, <=, c->ejected_most);
+	g_assert_cmpuint(count_ejected(&f), ==, ejected);
+	teardown(&f);
+}
+
+/** A worker that keeps failing is probed ever more rarely. */
+static void test_backoff(void)
+{
+	fixture_t f;
+	unsigned early;
+
+	setup(&f);
+	f.manners[0] = FAILS_FAST;
+	run(&f, 10 * GN_US_PER_S);
+	early = f.sent[0];
+	run(&f, 60 * GN_US_PER_S);
+	g_assert_cmpuint(f.sent[0] - early, <=, early);
+	g_assert_cmpuint(f.failed, ==, f.sent[0]);
+	teardown(&f);
+}
+
+/** Back in order: probes first, then a growing share, then all of it. */
+static void test_recovery(void)
+{
+	static const gn_route_health_t order[] = { GN_ROUTE_EJECTED,
+						   GN_ROUTE_PROBATION,
+						   GN_ROUTE_RECOVERING,
+						   GN_ROUTE_PASSING };
+	fixture_t f;
+	unsigned at = 0;
+
+	setup(&f);
+	f.manners[0] = FAILS_FAST;
+	run(&f, GN_US_PER_S / 2);
+	f.manners[0] = PASSES;
+	for (int i = 0; i < 10000 && at < G_N_ELEMENTS(order) - 1; i++) {
+		run(&f, STEP_US);
+		if (health(&f, 0) == order[at])
+			continue;
+		at++;
+		g_assert_cmpint(health(&f, 0), ==, order[at]);
+		if (order[at] == GN_ROUTE_RECOVERING)
+			g_assert_cmpuint(f.sent[0], <=,
+					 f.config.min_fails + f.config.probes);
+	}
+	g_assert_cmpint(health(&f, 0), ==, GN_ROUTE_PASSING);
+	g_assert_cmpuint(gn_eject_count(f.eject), ==, 0);
+	teardown(&f);
+}
+
+/** When others go away, the ejected don't stay above their share. */
+static void test_cap_follows(void)
+{
+	fixture_t f;
+
+	setup(&f);
+	for (int i = 0; i < 4; i++)
+		f.manners[i] = FAILS_FAST;
+	run(&f, GN_US_PER_S / 2);
+	g_assert_cmpuint(count_ejected(&f), ==, 4);
+	for (int i = 4; i < WORKERS; i++)
+		gn_route_view_set_link(f.view, f.workers[i], false);
+	gn_eject_tick(f.eject);
+	g_assert_cmpuint(count_ejected(&f), <=, 2);
+	teardown(&f);
+}
+
+static void test_flapping(void)
+{
+	fixture_t f;
+
+	setup(&f);
+	f.manners[0] = FLAPS;
+	run(&f, 60 * GN_US_PER_S);
+	/* 60,000 requests; an even share of it would be 3,000 fails. */
+	g_assert_cmpuint(f.failed, <=, 300);
+	teardown(&f);
+}
+
+static void test_remove_ejected(void)
+{
+	gn_route_totals_t totals;
+	fixture_t f;
+
+	setup(&f);
+	f.manners[0] = FAILS_FAST;
+	run(&f, GN_US_PER_S / 2);
+	g_assert_cmpuint(gn_eject_count(f.eject), ==, 1);
+	g_assert_cmpint(gn_route_view_remove(f.view, GN_STR("a")), ==, GN_OK);
+	g_assert_cmpuint(gn_eject_count(f.eject), ==, 0);
+	gn_route_view_totals(f.view, SERVICE, &totals);
+	g_assert_cmpuint(totals.ejected, ==, 0);
+	g_assert_cmpuint(totals.workers, ==, WORKERS - 1);
+	teardown(&f);
+}
+
+/** Refusals for want of capacity say nothing against a worker. */
+static void test_refusals(void)
+{
+	fixture_t f;
+
+	setup(&f);
+	run(&f, GN_US_PER_S / 10);
+	for (int i = 0; i < 1000; i++)
+		gn_eject_take_result(f.eject, f.workers[0], GN_EJECT_REFUSED,
+				     10);
+	g_assert_cmpint(health(&f, 0), ==, GN_ROUTE_PASSING);
+	teardown(&f);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char *path = g_strdup_printf("/eject/case/%s", cases[i].name);
+
+		g_test_add_data_func(path, &cases[i], test_case);
+		g_free(path);
+	}
+	g_test_add_func("/eject/backoff", test_backoff);
+	g_test_add_func("/eject/recovery", test_recovery);
+	g_test_add_func("/eject/cap-follows", test_cap_follows);
+	g_test_add_func("/eject/flapping", test_flapping);
+	g_test_add_func("/eject/remove", test_remove_ejected);
+	g_test_add_func("/eject/refusals", test_refusals);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/unit/test_limit.c
@@ -0,0 +1,312 @@
+#include <glib.h>
+
+#include "limit/limit.h"
+
+#define DEADLINE_US (100 * GN_US_PER_MS)
+#define FAST_US (10 * GN_US_PER_MS)
+#define LATE_US (80 * GN_US_PER_MS)
+
+typedef struct fixture_s {
+	gn_clock_t clock;
+	GRand *rand;
+	gn_limit_config_t config;
+	gn_limit_t *limit;
+} fixture_t;
+
+static void setup(fixture_t *f, unsigned start)
+{
+	gn_clock_init_paused(&f->clock, GN_US_PER_S);
+	f->rand = g_rand_new_with_seed(1);
+	f->config = gn_limit_defaults();
+	f->config.start = start;
+	f->limit = gn_limit_create(NULL, &f->clock, f->rand, &f->config);
+	g_assert_nonnull(f->limit);
+}
+
+static void teardown(fixture_t *f)
+{
+	talloc_free(f->limit);
+	g_rand_free(f->rand);
+}
+
+static gn_limit_verdict_t ask(fixture_t *f, const char *team,
+			      gn_class_t work_class)
+{
+	gn_limit_request_t request = { work_class, gn_str_from(team),
+				       DEADLINE_US, FAST_US };
+	gn_limit_verdict_t verdict;
+
+	gn_limit_ask(f->limit, &request, &verdict);
+	return verdict;
+}
+
+static unsigned limit_of(const fixture_t *f)
+{
+	gn_limit_info_t info;
+
+	gn_limit_info(f->limit, &info);
+	return info.limit;
+}
+
+static void test_reasons(void)
+{
+	gn_limit_request_t late = { GN_CLASS_QUICK, GN_STR("a"), FAST_US,
+				    FAST_US };
+	gn_limit_verdict_t verdict;
+	fixture_t f;
+
+	setup(&f, 20);
+	gn_limit_ask(f.limit, &late, &verdict);
+	g_assert_cmpint(verdict.reason, ==, GN_LIMIT_DEADLINE);
+	g_assert_cmpuint(verdict.retry_after_ms, >=, f.config.return_min_ms);
+	for (int i = 0; i < 5; i++)
+		g_assert_cmpint(ask(&f, "a", GN_CLASS_STANDING).reason, ==,
+				GN_LIMIT_ADMITTED);
+	g_assert_cmpint(ask(&f, "a", GN_CLASS_STANDING).reason, ==,
+			GN_LIMIT_CLASS);
+	for (int i = 0; i < 15; i++)
+		g_assert_cmpint(ask(&f, "a", GN_CLASS_QUICK).reason, ==,
+				GN_LIMIT_ADMITTED);
+	verdict = ask(&f, "a", GN_CLASS_QUICK);
+	g_assert_cmpint(verdict.reason, ==, GN_LIMIT_TOTAL);
+	g_assert_cmpstr(gn_limit_reason_name(verdict.reason), ==, "total");
+	teardown(&f);
+}
+
+/** Shares bind under contention only, and then by weight. */
+static void test_teams(void)
+{
+	gn_limit_ticket_t tickets[100];
+	unsigned held = 0;
+	fixture_t f;
+
+	setup(&f, 100);
+	g_assert_cmpint(gn_limit_set_team(f.limit, GN_STR("big"), 3), ==,
+			GN_OK);
+	g_assert_cmpint(gn_limit_set_team(f.limit, GN_STR("small"), 1), ==,
+			GN_OK);
+	/* Alone, a team may have it all. */
+	for (; held < 100; held++) {
+		gn_limit_verdict_t verdict = ask(&f, "small", GN_CLASS_QUICK);
+
+		g_assert_cmpint(verdict.reason, ==, GN_LIMIT_ADMITTED);
+		tickets[held] = verdict.ticket;
+	}
+	g_assert_cmpint(ask(&f, "big", GN_CLASS_QUICK).reason, ==,
+			GN_LIMIT_TOTAL);
+	/* Both ask all the time; what ends goes to who has too little. */
+	for (int i = 0; i < 1000; i++) {
+		unsigned at = (unsigned)g_rand_int_range(f.rand, 0, 100);
+		gn_limit_verdict_t verdict;
+
+		gn_limit_release(f.limit, &tickets[at], GN_LIMIT_OTHER);
+		verdict = ask(&f, i % 2 ? "big" : "small", GN_CLASS_QUICK);
+		if (verdict.reason != GN_LIMIT_ADMITTED)
+			verdict = ask(&f, i % 2 ? "small" : "big",
+				      GN_CLASS_QUICK);
+		g_assert_cmpint(verdict.reason, ==, GN_LIMIT_ADMITTED);
+		tickets[at] = verdict.ticket;
+	}
+	g_assert_cmpuint(gn_limit_team_in_flight(f.limit, GN_STR("big")), >=,
+			 74);
+	g_assert_cmpuint(gn_limit_team_in_flight(f.limit, GN_STR("small")), >=,
+			 24);
+	/* A team that is dropped is freed by its last release. */
+	g_assert_cmpint(gn_limit_set_team(f.limit, GN_STR("small"), 0), ==,
+			GN_OK);
+	for (unsigned i = 0; i < held; i++)
+		gn_limit_release(f.limit, &tickets[i], GN_LIMIT_OTHER);
+	teardown(&f);
+}
+
+static void test_team_bounds(void)
+{
+	fixture_t f;
+
+	setup(&f, 20);
+	g_assert_cmpint(gn_limit_set_team(f.limit, GN_STR(""), 1), ==,
+			GN_ERR_RANGE);
+	g_assert_cmpint(gn_limit_set_team(f.limit, GN_STR("a"),
+					  GN_LIMIT_WEIGHT_MAX + 1),
+			==, GN_ERR_RANGE);
+	for (int i = 0; i <= GN_LIMIT_TEAMS_MAX; i++) {
+		char *name = g_strdup_printf("team-%d", i);
+		gn_code_t code =
+			gn_limit_set_team(f.limit, gn_str_from(name), 1);
+
+		g_assert_cmpint(code, ==,
+				i < GN_LIMIT_TEAMS_MAX ? GN_OK
+						       : GN_ERR_CAPACITY);
+		g_free(name);
+	}
+	teardown(&f);
+}
+
+/** Fills the limit, then ends all after @p time_us; @p rounds times. */
+static void run(fixture_t *f, int rounds, uint64_t time_us, gn_limit_end_t end)
+{
+	for (int i = 0; i < rounds; i++) {
+		GArray *tickets =
+			g_array_new(FALSE, FALSE, sizeof(gn_limit_ticket_t));
+
+		for (;;) {
+			gn_limit_verdict_t verdict =
+				ask(f, "a", GN_CLASS_QUICK);
+
+			if (verdict.reason != GN_LIMIT_ADMITTED)
+				break;
+			g_array_append_val(tickets, verdict.ticket);
+		}
+		gn_clock_advance(&f->clock, time_us);
+		for (guint j = 0; j < tickets->len; j++)
+			gn_limit_release(
+				f->limit,
+				&g_array_index(tickets, gn_limit_ticket_t, j),
+				end);
+		g_array_free(tickets, TRUE);
+	}
+}
+
+static void test_adapts(void)
+{
+	fixture_t f;
+	unsigned grown;
+
+	setup(&f, 100);
+	run(&f, 100, FAST_US, GN_LIMIT_ANSWERED);
+	grown = limit_of(&f);
+	g_assert_cmpuint(grown, >, 120);
+	run(&f, 200, LATE_US, GN_LIMIT_ANSWERED);
+	g_assert_cmpuint(limit_of(&f), <, grown / 2);
+	run(&f, 1000, LATE_US, GN_LIMIT_PUSHED_BACK);
+	g_assert_cmpuint(limit_of(&f), ==, f.config.floor);
+	run(&f, 100000, FAST_US, GN_LIMIT_ANSWERED);
+	g_assert_cmpuint(limit_of(&f), ==, f.config.ceiling);
+	teardown(&f);
+}
+
+/** The callers refused together don't return together. */
+static void test_returns(void)
+{
+	enum { CALLERS = 2000, SECONDS = 31 };
+	unsigned returns[SECONDS] = { 0 };
+	unsigned admitted;
+	gn_limit_info_t info;
+	fixture_t f;
+
+	setup(&f, 100);
+	run(&f, 200, FAST_US, GN_LIMIT_ANSWERED);
+	gn_limit_info(f.limit, &info);
+	admitted = (unsigned)info.admitted / 2; /* a second; 200 of 10 ms */
+	for (int i = 0; i < CALLERS; i++) {
+		uint32_t ms = gn_limit_draw_return_ms(f.limit);
+
+		g_assert_cmpuint(ms, >=, f.config.return_min_ms);
+		g_assert_cmpuint(ms, <=, f.config.return_max_ms);
+		returns[ms / 1000]++;
+	}
+	for (int i = 0; i < SECONDS; i++)
+		g_assert_cmpuint(returns[i], <=, admitted / 2);
+	teardown(&f);
+}
+
+static void test_config(void)
+{
+	gn_limit_config_t config = gn_limit_defaults();
+	gn_clock_t clock;
+
+	gn_clock_init_paused(&clock, 0);
+	config.start = config.floor - 1;
+	g_assert_null(gn_limit_create(NULL, &clock, NULL, &config));
+	config = gn_limit_defaults();
+	config.class_pct[GN_CLASS_BATCH] = 101;
+	g_assert_null(gn_limit_create(NULL, &clock, NULL, &config));
+}
+
+/* ======   Walks   ====== */
+
+#define WALKS 30
+#define STEPS 3000
+#define HELD_MAX 400
+
+typedef struct walk_s {
+	fixture_t f;
+	gn_limit_ticket_t held[HELD_MAX];
+	unsigned count;
+	unsigned by_class[GN_CLASS_COUNT];
+} walk_t;
+
+static void step(walk_t *walk)
+{
+	static const char *const teams[] = { "a", "b", "c", "unknown" };
+	fixture_t *f = &walk->f;
+	gn_class_t work_class =
+		(gn_class_t)g_rand_int_range(f->rand, 0, GN_CLASS_COUNT);
+	const char *team = teams[g_rand_int_range(f->rand, 0, 4)];
+	gn_limit_verdict_t verdict;
+	unsigned at;
+
+	switch (g_rand_int_range(f->rand, 0, 5)) {
+	case 0:
+	case 1:
+		verdict = ask(f, team, work_class);
+		if (verdict.reason != GN_LIMIT_ADMITTED)
+			break;
+		g_assert_cmpuint(walk->count, <, HELD_MAX);
+		walk->held[walk->count++] = verdict.ticket;
+		walk->by_class[work_class]++;
+		g_assert_cmpuint(walk->count, <=, limit_of(f));
+		break;
+	case 2:
+	case 3:
+		if (!walk->count)
+			break;
+		at = (unsigned)g_rand_int_range(f->rand, 0,
+						(gint32)walk->count);
+		gn_limit_release(f->limit, &walk->held[at],
+				 (gn_limit_end_t)g_rand_int_range(
+					 f->rand, 0, GN_LIMIT_END_COUNT));
+		walk->by_class[walk->held[at].work_class]--;
+		walk->held[at] = walk->held[--walk->count];
+		break;
+	default:
+		gn_limit_set_team(f->limit, gn_str_from(team),
+				  (unsigned)g_rand_int_range(f->rand, 0, 4));
+		gn_clock_advance(&f->clock, 20000);
+		break;
+	}
+}
+
+static void test_walks(void)
+{
+	for (guint32 seed = 1; seed <= WALKS; seed++) {
+		walk_t walk = { .count = 0 };
+		gn_limit_info_t info;
+
+		setup(&walk.f, 50);
+		g_rand_set_seed(walk.f.rand, seed);
+		for (int i = 0; i < STEPS; i++) {
+			step(&walk);
+			gn_limit_info(walk.f.limit, &info);
+			g_assert_cmpuint(info.in_flight, ==, walk.count);
+			for (int j = 0; j < GN_CLASS_COUNT; j++)
+				g_assert_cmpuint(info.class_in_flight[j], ==,
+						 walk.by_class[j]);
+			g_assert_cmpuint(info.limit, >=, walk.f.config.floor);
+		}
+		teardown(&walk.f);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/limit/reasons", test_reasons);
+	g_test_add_func("/limit/teams", test_teams);
+	g_test_add_func("/limit/team-bounds", test_team_bounds);
+	g_test_add_func("/limit/adapts", test_adapts);
+	g_test_add_func("/limit/returns", test_returns);
+	g_test_add_func("/limit/config", test_config);
+	g_test_add_func("/limit/walks", test_walks);
+	return g_test_run();
+}
