Add the command line: commands, queries, offline checks

Cause: operators drive the system by a separate program, which must tell them without doubt whether a change took effect. What: lib/ctl is the frame (subcommands as tables, common options by argtable2, one HTTP request by libcurl on a connection of its own, outcomes as a table); lib/commands changes state, lib/queries reads. Exit codes: 0 done, 1 refused, 2 usage, 3 conflict, 4 unknown, 5 unreachable. Only the entry's own word proves an outcome: a 5xx without one, a lost, cut or late answer is "unknown", with the change's id to ask about; nothing is sent twice. Control characters reach neither headers nor the terminal. Ruled out: trusting "not-run" from a question asked right after a lost answer, for the change may still be under way at the entry. Conclusion: thin over the library; it waits for the entry's interface.

--- /dev/null
+++ b/lib/ctl/ctl_http.c
@@ -0,0 +1,219 @@
+#include "ctl/ctl_http.h"
+
+#include <curl/curl.h>
+#include <string.h>
+#include <sys/random.h>
+
+#define STEP "ask-entry"
+#define CONNECT_TIMEOUT_MS 2000L
+#define ID_BYTES 16
+
+/** The body as it arrives. */
+typedef struct body_s {
+	char *data;
+	size_t len;
+} body_t;
+
+static size_t take_body(char *data, size_t size, size_t count, void *arg)
+{
+	body_t *body = arg;
+	size_t len = size * count;
+	char *grown;
+
+	if (len > GN_CTL_ANSWER_MAX - body->len)
+		return 0;
+	grown = talloc_realloc(NULL, body->data, char, body->len + len + 1);
+	if (!grown)
+		return 0;
+	memcpy(grown + body->len, data, len);
+	body->data = grown;
+	body->len += len;
+	return len;
+}
+
+/** A header with a line break would smuggle in another. */
+static bool is_clean(const char *value)
+{
+	for (; *value; value++)
+		if ((unsigned char)*value < ' ' || *value == '\x7f')
+			return false;
+	return true;
+}
+
+static gn_code_t add_header(struct curl_slist **list, const char *name,
+			    const char *value)
+{
+	char *line = talloc_asprintf(NULL, "%s: %s", name, value);
+	struct curl_slist *grown = line ? curl_slist_append(*list, line) : NULL;
+
+	talloc_free(line);
+	if (!grown)
+		return GN_ERR_MEMORY;
+	*list = grown;
+	return GN_OK;
+}
+
+static gn_code_t build_headers(const gn_ctl_t *ctl,
+			       const gn_ctl_request_t *request,
+			       struct curl_slist **list, gn_error_t *error)
+{
+	/* Without "Expect" the body isn't held back for a first answer. */
+	struct curl_slist *made = curl_slist_append(NULL, "Expect:");
+	gn_code_t code = made ? GN_OK : GN_ERR_MEMORY;
+
+	for (size_t i = 0; !code && i < GN_CTL_HEADERS_MAX; i++) {
+		const gn_ctl_header_t *header = &request->headers[i];
+
+		if (!header->name || !header->value)
+			continue;
+		if (!is_clean(header->value)) {
+			curl_slist_free_all(made);
+			return gn_error_set(
+				error, GN_ERR_INVALID, STEP, ctl->entry,
+				"%s has control characters", header->name);
+		}
+		code = add_header(&made, header->name, header->value);
+	}
+	if (code) {
+		curl_slist_free_all(made);
+		return gn_error_set(error, code, STEP, ctl->entry,
+				    "out of memory");
+	}
+	*list = made;
+	return GN_OK;
+}
+
+static void set_options(CURL *curl, const gn_ctl_t *ctl,
+			const gn_ctl_request_t *request, const char *url,
+			struct curl_slist *headers, body_t *body)
+{
+	curl_easy_setopt(curl, CURLOPT_URL, url);
+	curl_easy_setopt(curl, CURLOPT_PROTOCOLS_STR, "http");
+	curl_easy_setopt(curl, CURLOPT_PROXY, "");
+	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(curl, CURLOPT_FRESH_CONNECT, 1L);
+	curl_easy_setopt(curl, CURLOPT_FORBID_REUSE, 1L);
+	curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, (long)ctl->timeout_ms);
+	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
+	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, take_body);
+	curl_easy_setopt(curl, CURLOPT_WRITEDATA, body);
+	if (!strcmp(request->method, "GET"))
+		return;
+	curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, request->method);
+	if (!strcmp(request->method, "DELETE"))
+		return;
+	curl_easy_setopt(curl, CURLOPT_POSTFIELDS,
+			 request->body.len ? request->body.data : "");
+	curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE_LARGE,
+			 (curl_off_t)request->body.len);
+}
+
+/** What a transfer that failed means for the change it asked for. */
+static gn_code_t code_of_failure(CURL *curl)
+{
+	long sent = 0;
+
+	curl_easy_getinfo(curl, CURLINFO_REQUEST_SIZE, &sent);
+	return sent ? GN_ERR_UNKNOWN : GN_ERR_UNAVAILABLE;
+}
+
+static int free_answer(gn_ctl_answer_t *answer)
+{
+	json_decref(answer->json);
+	return 0;
+}
+
+static gn_ctl_answer_t *create_answer(CURL *curl, const body_t *body)
+{
+	gn_ctl_answer_t *made = talloc_zero(NULL, gn_ctl_answer_t);
+	curl_off_t retry_after_s = 0;
+	long status = 0;
+
+	if (!made)
+		return NULL;
+	curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
+	curl_easy_getinfo(curl, CURLINFO_RETRY_AFTER, &retry_after_s);
+	made->status = (unsigned)status;
+	made->retry_after_s = (unsigned)retry_after_s;
+	made->json =
+		json_loadb(body->data ? body->data : "", body->len, 0, NULL);
+	if (made->json && !json_is_object(made->json)) {
+		json_decref(made->json);
+		made->json = NULL;
+	}
+	talloc_set_destructor(made, free_answer);
+	return made;
+}
+
+static gn_code_t transfer(CURL *curl, const gn_ctl_t *ctl, const body_t *body,
+			  gn_ctl_answer_t **answer, gn_error_t *error)
+{
+	CURLcode result = curl_easy_perform(curl);
+
+	if (result)
+		return gn_error_set(error, code_of_failure(curl), STEP,
+				    ctl->entry, "%s",
+				    curl_easy_strerror(result));
+	*answer = create_answer(curl, body);
+	if (!*answer)
+		return gn_error_set(error, GN_ERR_UNKNOWN, STEP, ctl->entry,
+				    "out of memory");
+	return GN_OK;
+}
+
+gn_code_t gn_ctl_call(const gn_ctl_t *ctl, const gn_ctl_request_t *request,
+		      gn_ctl_answer_t **answer, gn_error_t *error)
+{
+	char *url =
+		talloc_asprintf(NULL, "http://%s%s", ctl->entry, request->path);
+	CURL *curl = url ? curl_easy_init() : NULL;
+	struct curl_slist *headers = NULL;
+	body_t body = { 0 };
+	gn_code_t code;
+
+	if (!curl) {
+		code = gn_error_set(error, GN_ERR_MEMORY, STEP, ctl->entry,
+				    "out of memory");
+		goto out;
+	}
+	code = build_headers(ctl, request, &headers, error);
+	if (code)
+		goto out;
+	set_options(curl, ctl, request, url, headers, &body);
+	code = transfer(curl, ctl, &body, answer, error);
+out:
+	curl_slist_free_all(headers);
+	if (curl)
+		curl_easy_cleanup(curl);
+	talloc_free(body.data);
+	talloc_free(url);
+	return code;
+}
+
+char *gn_ctl_path(TALLOC_CTX *parent, const char *prefix, const char *part,
+		  const char *suffix)
+{
+	char *escaped = curl_easy_escape(NULL, part, 0);
+	char *path = NULL;
+
+	if (escaped)
+		path = talloc_asprintf(parent, "%s%s%s", prefix, escaped,
+				       suffix);
+	curl_free(escaped);
+	return path;
+}
+
+char *gn_ctl_random_id(TALLOC_CTX *parent)
+{
+	unsigned char bytes[ID_BYTES];
+	char *id = talloc_strdup(parent, "");
+
+	if (getrandom(bytes, sizeof(bytes), 0) != sizeof(bytes)) {
+		talloc_free(id);
+		return NULL;
+	}
+	for (size_t i = 0; id && i < sizeof(bytes); i++)
+		id = talloc_asprintf_append_buffer(id, "%02x", bytes[i]);
+	return id;
+}
--- /dev/null
+++ b/lib/ctl/ctl_outcome.c
@@ -0,0 +1,251 @@
+#include "ctl/ctl_outcome.h"
+
+#include <string.h>
+
+#include "ctl/ctl_print.h"
+
+#define STATUS_OK 200
+#define STATUS_BAD_REQUEST 400
+#define STATUS_SERVER_ERROR 500
+
+/** What the entry, or the lack of its answer, says. */
+typedef enum outcome_e {
+	OUTCOME_ACCEPTED = 0,
+	OUTCOME_CONFLICT,
+	OUTCOME_REJECTED,
+	OUTCOME_NOT_RUN,
+	OUTCOME_UNKNOWN,
+	OUTCOME_UNREACHABLE,
+	OUTCOME_COUNT
+} outcome_t;
+
+/** Prints what follows "WHAT: " in plain text. */
+typedef void (*tell_fn_t)(FILE *file, const gn_ctl_change_t *change,
+			  const json_t *answer);
+
+static const char *text_of(const json_t *object, const char *key)
+{
+	const char *text = json_string_value(json_object_get(object, key));
+
+	return text ? text : "";
+}
+
+/** The entry's explanation: its error, else its reason. */
+static void print_why(FILE *file, const json_t *answer)
+{
+	const char *why = text_of(answer, "error");
+
+	if (!*why)
+		why = text_of(answer, "reason");
+	if (*why)
+		fputs(": ", file);
+	gn_ctl_print_text(file, why);
+}
+
+static void tell_accepted(FILE *file, const gn_ctl_change_t *change,
+			  const json_t *answer)
+{
+	const json_t *revision = json_object_get(answer, "revision");
+
+	fputs("accepted", file);
+	if (json_is_integer(revision))
+		fprintf(file, ", revision %lld",
+			(long long)json_integer_value(revision));
+	if (*text_of(answer, "job")) {
+		fputs(", job ", file);
+		gn_ctl_print_text(file, text_of(answer, "job"));
+	}
+	if (change->id)
+		fprintf(file, ", %s %s", change->id_name, change->id);
+}
+
+static void tell_conflict(FILE *file, const gn_ctl_change_t *change,
+			  const json_t *answer)
+{
+	const json_t *revision = json_object_get(answer, "revision");
+
+	(void)change;
+	fputs("conflict", file);
+	if (json_is_integer(revision))
+		fprintf(file, ", the revision is %lld now",
+			(long long)json_integer_value(revision));
+	fputs("; look at it and try again", file);
+}
+
+static void tell_rejected(FILE *file, const gn_ctl_change_t *change,
+			  const json_t *answer)
+{
+	(void)change;
+	fputs("rejected", file);
+	print_why(file, answer);
+}
+
+static void tell_not_run(FILE *file, const gn_ctl_change_t *change,
+			 const json_t *answer)
+{
+	const json_t *wait = json_object_get(answer, "retry_after_s");
+
+	(void)change;
+	fputs("not run", file);
+	print_why(file, answer);
+	if (json_is_integer(wait))
+		fprintf(file, "; try again after %lld s",
+			(long long)json_integer_value(wait));
+}
+
+static void tell_unknown(FILE *file, const gn_ctl_change_t *change,
+			 const json_t *answer)
+{
+	fputs("unknown, it may have taken effect", file);
+	print_why(file, answer);
+	if (change->id)
+		fprintf(file, "; %s %s", change->id_name, change->id);
+	if (change->advice)
+		fprintf(file, "; %s", change->advice);
+}
+
+static void tell_unreachable(FILE *file, const gn_ctl_change_t *change,
+			     const json_t *answer)
+{
+	(void)change;
+	fputs("unreachable, nothing was changed", file);
+	print_why(file, answer);
+}
+
+static const struct {
+	const char *name; /**< in JSON */
+	gn_ctl_exit_t exit;
+	tell_fn_t tell;
+} outcomes[OUTCOME_COUNT] = {
+	[OUTCOME_ACCEPTED] = { "accepted", GN_CTL_EXIT_OK, tell_accepted },
+	[OUTCOME_CONFLICT] = { "conflict", GN_CTL_EXIT_CONFLICT,
+			       tell_conflict },
+	[OUTCOME_REJECTED] = { "rejected", GN_CTL_EXIT_FAILED, tell_rejected },
+	[OUTCOME_NOT_RUN] = { "not-run", GN_CTL_EXIT_FAILED, tell_not_run },
+	[OUTCOME_UNKNOWN] = { "unknown", GN_CTL_EXIT_UNKNOWN, tell_unknown },
+	[OUTCOME_UNREACHABLE] = { "unreachable", GN_CTL_EXIT_UNREACHABLE,
+				  tell_unreachable },
+};
+
+/**
+ * Only the entry's own word proves an outcome. Without it a refusal of the
+ * request itself (4xx) changed nothing; anything else leaves it unknown, for
+ * a balancer in between may have answered.
+ */
+static outcome_t outcome_of(const gn_ctl_answer_t *answer)
+{
+	const char *name = text_of(answer->json, "outcome");
+
+	for (int i = 0; i < OUTCOME_COUNT; i++)
+		if (!strcmp(name, outcomes[i].name))
+			return (outcome_t)i;
+	if (answer->status >= STATUS_BAD_REQUEST &&
+	    answer->status < STATUS_SERVER_ERROR)
+		return OUTCOME_REJECTED;
+	return OUTCOME_UNKNOWN;
+}
+
+/** An answer in place of the one that didn't come. */
+static json_t *describe_failure(outcome_t outcome, const char *error)
+{
+	return json_pack("{s:s, s:s}", "outcome", outcomes[outcome].name,
+			 "error", error);
+}
+
+/** The entry's answer, or one that says which status came without JSON. */
+static json_t *describe_answer(outcome_t outcome, const gn_ctl_answer_t *answer)
+{
+	char error[] = "HTTP status 4294967295";
+	json_t *object;
+
+	if (answer->json) {
+		object = json_incref(answer->json);
+	} else {
+		snprintf(error, sizeof(error), "HTTP status %u",
+			 answer->status);
+		object = describe_failure(outcome, error);
+	}
+	if (answer->retry_after_s)
+		json_object_set_new(object, "retry_after_s",
+				    json_integer(answer->retry_after_s));
+	return object;
+}
+
+static int tell(gn_ctl_t *ctl, outcome_t outcome, const gn_ctl_change_t *change,
+		json_t *object)
+{
+	bool good = outcomes[outcome].exit == GN_CTL_EXIT_OK;
+	FILE *file = good ? ctl->out : ctl->err;
+
+	if (ctl->json) {
+		if (change->id && !json_object_get(object, "change_id"))
+			json_object_set_new(object, change->id_name,
+					    json_string(change->id));
+		gn_ctl_print_json(ctl->out, object);
+	} else {
+		fprintf(file, "%s: ", change->what);
+		outcomes[outcome].tell(file, change, object);
+		fputc('\n', file);
+	}
+	json_decref(object);
+	return outcomes[outcome].exit;
+}
+
+static outcome_t outcome_of_failure(gn_code_t code)
+{
+	return code == GN_ERR_UNKNOWN ? OUTCOME_UNKNOWN : OUTCOME_UNREACHABLE;
+}
+
+int gn_ctl_change(gn_ctl_t *ctl, const gn_ctl_request_t *request,
+		  const gn_ctl_change_t *change)
+{
+	gn_ctl_answer_t *answer = NULL;
+	gn_error_t error = { 0 };
+	gn_code_t code = gn_ctl_call(ctl, request, &answer, &error);
+	outcome_t outcome;
+	int status;
+
+	if (code == GN_ERR_INVALID)
+		return gn_ctl_usage(ctl, "%s", error.detail);
+	if (code) {
+		outcome = outcome_of_failure(code);
+		return tell(ctl, outcome, change,
+			    describe_failure(outcome, error.detail));
+	}
+	outcome = outcome_of(answer);
+	status = tell(ctl, outcome, change, describe_answer(outcome, answer));
+	talloc_free(answer);
+	return status;
+}
+
+/** A query that got no answer, or one that is no use. */
+static int fail_query(gn_ctl_t *ctl, const gn_ctl_answer_t *answer)
+{
+	const gn_ctl_change_t change = { .what = ctl->name };
+
+	return tell(ctl, OUTCOME_REJECTED, &change,
+		    describe_answer(OUTCOME_REJECTED, answer));
+}
+
+int gn_ctl_query(gn_ctl_t *ctl, const char *path, gn_ctl_show_fn_t show)
+{
+	const gn_ctl_request_t request = { .method = "GET", .path = path };
+	const gn_ctl_change_t change = { .what = ctl->name };
+	gn_ctl_answer_t *answer = NULL;
+	int status = GN_CTL_EXIT_OK;
+	gn_error_t error = { 0 };
+
+	/* A query changes nothing, so a lost answer is no unknown outcome. */
+	if (gn_ctl_call(ctl, &request, &answer, &error))
+		return tell(
+			ctl, OUTCOME_UNREACHABLE, &change,
+			describe_failure(OUTCOME_UNREACHABLE, error.detail));
+	if (answer->status != STATUS_OK || !answer->json)
+		status = fail_query(ctl, answer);
+	else if (ctl->json)
+		gn_ctl_print_json(ctl->out, answer->json);
+	else
+		show(ctl, answer->json);
+	talloc_free(answer);
+	return status;
+}
--- /dev/null
+++ b/lib/ctl/ctl_outcome.h
@@ -0,0 +1,35 @@
+/**
+ * @file ctl_outcome.h
+ * @brief What became of a change or a query, told to the operator.
+ */
+#ifndef GN_CTL_OUTCOME_H
+#define GN_CTL_OUTCOME_H
+
+#include "ctl/ctl_http.h"
+
+/** A change as the operator sees it. */
+typedef struct gn_ctl_change_s {
+	const char *what; /**< such as "drain of rey-01" */
+	const char *id_name; /**< "change", "job" or "key", with its id */
+	const char *id;
+	const char *advice; /**< what to do when the outcome is unknown */
+} gn_ctl_change_t;
+
+/**
+ * Sends a change and tells its outcome.
+ * @return an exit code
+ */
+int gn_ctl_change(gn_ctl_t *ctl, const gn_ctl_request_t *request,
+		  const gn_ctl_change_t *change);
+
+/** Prints the answer of a query in plain text. */
+typedef void (*gn_ctl_show_fn_t)(gn_ctl_t *ctl, const json_t *object);
+
+/**
+ * Sends a query and prints its answer, as JSON if that was asked for.
+ * @param show prints it otherwise
+ * @return an exit code
+ */
+int gn_ctl_query(gn_ctl_t *ctl, const char *path, gn_ctl_show_fn_t show);
+
+#endif
--- /dev/null
+++ b/lib/ctl/ctl_print.c
@@ -0,0 +1,116 @@
+#include "ctl/ctl_print.h"
+
+#include <stdbool.h>
+#include <string.h>
+
+/** Longest printed number with its terminator, bytes. */
+#define NUMBER_SIZE 32
+#define GAP 2
+
+static bool is_control(char c)
+{
+	return (unsigned char)c < ' ' || c == '\x7f';
+}
+
+void gn_ctl_print_text(FILE *file, const char *text)
+{
+	for (; *text; text++)
+		fputc(is_control(*text) ? '?' : *text, file);
+}
+
+/** The text of one cell; a number goes into @p number. */
+static const char *cell(const json_t *object, const char *key, char *number)
+{
+	const json_t *value = json_object_get(object, key);
+
+	if (json_is_string(value))
+		return *json_string_value(value) ? json_string_value(value)
+						 : "-";
+	if (json_is_boolean(value))
+		return json_is_true(value) ? "yes" : "no";
+	if (!json_is_number(value))
+		return "-";
+	if (json_is_integer(value))
+		snprintf(number, NUMBER_SIZE, "%lld",
+			 (long long)json_integer_value(value));
+	else
+		snprintf(number, NUMBER_SIZE, "%g", json_real_value(value));
+	return number;
+}
+
+/** Columns that a terminal needs for UTF-8 text: one a code point. */
+static size_t width_of(const char *text)
+{
+	size_t width = 0;
+
+	for (; *text; text++)
+		width += ((unsigned char)*text & 0xc0) != 0x80;
+	return width;
+}
+
+static size_t width_of_column(const gn_ctl_column_t *column, const json_t *rows)
+{
+	size_t width = strlen(column->title);
+	char number[NUMBER_SIZE];
+
+	for (size_t i = 0; i < json_array_size(rows); i++) {
+		size_t one = width_of(
+			cell(json_array_get(rows, i), column->key, number));
+
+		if (one > width)
+			width = one;
+	}
+	return width;
+}
+
+/** Prints a cell; the last of a line has no blanks after it. */
+static void print_cell(FILE *file, const char *text, size_t width, bool last)
+{
+	gn_ctl_print_text(file, text);
+	if (last)
+		fputc('\n', file);
+	else
+		fprintf(file, "%*s", (int)(width - width_of(text) + GAP), "");
+}
+
+void gn_ctl_print_table(FILE *file, const gn_ctl_column_t *columns,
+			const json_t *rows)
+{
+	enum { COLUMNS_MAX = 16 };
+	size_t widths[COLUMNS_MAX] = { 0 };
+	char number[NUMBER_SIZE];
+	size_t count = 0;
+
+	for (; columns[count].title && count < COLUMNS_MAX; count++)
+		widths[count] = width_of_column(&columns[count], rows);
+	for (size_t c = 0; c < count; c++)
+		print_cell(file, columns[c].title, widths[c], c + 1 == count);
+	for (size_t r = 0; r < json_array_size(rows); r++) {
+		const json_t *row = json_array_get(rows, r);
+
+		for (size_t c = 0; c < count; c++)
+			print_cell(file, cell(row, columns[c].key, number),
+				   widths[c], c + 1 == count);
+	}
+}
+
+void gn_ctl_print_record(FILE *file, const gn_ctl_column_t *columns,
+			 const json_t *object)
+{
+	char number[NUMBER_SIZE];
+	size_t width = 0;
+
+	for (const gn_ctl_column_t *c = columns; c->title; c++)
+		if (strlen(c->title) > width)
+			width = strlen(c->title);
+	for (const gn_ctl_column_t *c = columns; c->title; c++) {
+		print_cell(file, c->title, width, false);
+		print_cell(file, cell(object, c->key, number), 0, true);
+	}
+}
+
+void gn_ctl_print_json(FILE *file, const json_t *value)
+{
+	json_dumpf(value, file, JSON_INDENT(2) | JSON_SORT_KEYS);
+	fputc('\n', file);
+}
--- /dev/null
+++ b/lib/queries/query_config.c
@@ -0,0 +1,109 @@
+/* Queries of the configuration in force and of what became of a change. */
+#include <string.h>
+
+#include "ctl/ctl_outcome.h"
+#include "ctl/ctl_print.h"
+#include "queries/queries.h"
+
+/** Prints a document as it is; it came from an operator. */
+static void print_document(gn_ctl_t *ctl, const json_t *object,
+			   const char *part)
+{
+	const json_t *text = json_object_get(object, part);
+
+	if (json_is_string(text))
+		fwrite(json_string_value(text), 1, json_string_length(text),
+		       ctl->out);
+}
+
+static void show_inventory(gn_ctl_t *ctl, const json_t *object)
+{
+	print_document(ctl, object, "inventory");
+}
+
+static void show_rules(gn_ctl_t *ctl, const json_t *object)
+{
+	print_document(ctl, object, "rules");
+}
+
+static void show_both(gn_ctl_t *ctl, const json_t *object)
+{
+	long long revision = (long long)json_integer_value(
+		json_object_get(object, "revision"));
+
+	fprintf(ctl->out, "# revision %lld, inventory\n", revision);
+	show_inventory(ctl, object);
+	fprintf(ctl->out, "# revision %lld, rules\n", revision);
+	show_rules(ctl, object);
+}
+
+/** What `config PART` prints. */
+static const struct {
+	const char *part;
+	gn_ctl_show_fn_t show;
+} parts[] = {
+	{ "inventory", show_inventory },
+	{ "rules", show_rules },
+};
+
+static int show_part(gn_ctl_t *ctl, const char *part)
+{
+	if (!part)
+		return gn_ctl_query(ctl, "/v1/config", show_both);
+	for (size_t i = 0; i < sizeof(parts) / sizeof(parts[0]); i++)
+		if (!strcmp(part, parts[i].part))
+			return gn_ctl_query(ctl, "/v1/config", parts[i].show);
+	return gn_ctl_usage(ctl, "%s is not inventory or rules", part);
+}
+
+int gn_query_config(gn_ctl_t *ctl, int argc, char **argv)
+{
+	struct arg_str *part =
+		arg_str0(NULL, NULL, "PART", "inventory or rules; both");
+	gn_ctl_options_t o;
+	int status;
+
+	gn_ctl_options(&o);
+	void *table[] = { GN_CTL_FIRST(o), part, GN_CTL_LAST(o) };
+
+	status = gn_ctl_begin(ctl, &o, argc, argv, table);
+	if (status == GN_CTL_GO_ON)
+		status = show_part(ctl, gn_ctl_text(part));
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return status;
+}
+
+static int ask_change(gn_ctl_t *ctl, const char *id)
+{
+	gn_ctl_request_t request = { .method = "GET" };
+	const gn_ctl_change_t change = { .what = "change",
+					 .id_name = "change",
+					 .id = id };
+	char *path = gn_ctl_path(NULL, "/v1/changes/", id, "");
+	int status;
+
+	if (!path) {
+		fputs("change: out of memory\n", ctl->err);
+		return GN_CTL_EXIT_FAILED;
+	}
+	request.path = path;
+	status = gn_ctl_change(ctl, &request, &change);
+	talloc_free(path);
+	return status;
+}
+
+int gn_query_change(gn_ctl_t *ctl, int argc, char **argv)
+{
+	struct arg_str *id = arg_str1(NULL, NULL, "ID", "a change's id");
+	gn_ctl_options_t o;
+	int status;
+
+	gn_ctl_options(&o);
+	void *table[] = { GN_CTL_FIRST(o), id, GN_CTL_LAST(o) };
+
+	status = gn_ctl_begin(ctl, &o, argc, argv, table);
+	if (status == GN_CTL_GO_ON)
+		status = ask_change(ctl, id->sval[0]);
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return status;
+}
--- /dev/null
+++ b/lib/queries/query_state.c
@@ -0,0 +1,135 @@
+/* Queries of an entry's state. */
+#include <string.h>
+
+#include "ctl/ctl_outcome.h"
+#include "ctl/ctl_print.h"
+#include "queries/queries.h"
+
+static const gn_ctl_column_t status_columns[] = {
+	{ "NAME", "name" },
+	{ "INCARNATION", "incarnation" },
+	{ "DATA CENTRE", "data_centre" },
+	{ "REVISION", "config_revision" },
+	{ "WORKERS", "workers" },
+	{ "DRAINING", "draining" },
+	{ NULL, NULL },
+};
+
+static const gn_ctl_column_t host_columns[] = {
+	{ "NAME", "name" },
+	{ "DATA CENTRE", "data_centre" },
+	{ "RACK", "rack" },
+	{ "SERVICE", "service" },
+	{ "STATE", "state" },
+	{ "REQUESTS", "running_requests" },
+	{ "TASKS", "running_tasks" },
+	{ "REVISION", "config_revision" },
+	{ NULL, NULL },
+};
+
+static const gn_ctl_column_t job_columns[] = {
+	{ "ID", "id" },
+	{ "CLASS", "class" },
+	{ "TEAM", "team" },
+	{ "KIND", "kind" },
+	{ "STATE", "state" },
+	{ "WORKER", "worker" },
+	{ "ATTEMPTS", "attempts" },
+	{ "REASON", "reason" },
+	{ NULL, NULL },
+};
+
+static void show_status(gn_ctl_t *ctl, const json_t *object)
+{
+	gn_ctl_print_record(ctl->out, status_columns, object);
+}
+
+static void show_hosts(gn_ctl_t *ctl, const json_t *object)
+{
+	gn_ctl_print_table(ctl->out, host_columns,
+			   json_object_get(object, "hosts"));
+}
+
+static void show_jobs(gn_ctl_t *ctl, const json_t *object)
+{
+	gn_ctl_print_table(ctl->out, job_columns,
+			   json_object_get(object, "jobs"));
+}
+
+static void show_job(gn_ctl_t *ctl, const json_t *object)
+{
+	gn_ctl_print_record(ctl->out, job_columns, object);
+}
+
+static void show_dump(gn_ctl_t *ctl, const json_t *object)
+{
+	gn_ctl_print_json(ctl->out, object);
+}
+
+/** A query without arguments. */
+static int run_plain(gn_ctl_t *ctl, int argc, char **argv, const char *path,
+		     gn_ctl_show_fn_t show)
+{
+	gn_ctl_options_t o;
+	int status;
+
+	gn_ctl_options(&o);
+	void *table[] = { GN_CTL_FIRST(o), GN_CTL_LAST(o) };
+
+	status = gn_ctl_begin(ctl, &o, argc, argv, table);
+	if (status == GN_CTL_GO_ON)
+		status = gn_ctl_query(ctl, path, show);
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return status;
+}
+
+int gn_query_status(gn_ctl_t *ctl, int argc, char **argv)
+{
+	return run_plain(ctl, argc, argv, "/v1/status", show_status);
+}
+
+int gn_query_hosts(gn_ctl_t *ctl, int argc, char **argv)
+{
+	return run_plain(ctl, argc, argv, "/v1/hosts", show_hosts);
+}
+
+int gn_query_jobs(gn_ctl_t *ctl, int argc, char **argv)
+{
+	return run_plain(ctl, argc, argv, "/v1/jobs", show_jobs);
+}
+
+int gn_query_dump(gn_ctl_t *ctl, int argc, char **argv)
+{
+	return run_plain(ctl, argc, argv, "/dump", show_dump);
+}
+
+static int ask_for(gn_ctl_t *ctl, const char *prefix, const char *id,
+		   gn_ctl_show_fn_t show)
+{
+	char *path = gn_ctl_path(NULL, prefix, id, "");
+	int status;
+
+	if (!path) {
+		fprintf(ctl->err, "%s: out of memory\n", ctl->name);
+		return GN_CTL_EXIT_FAILED;
+	}
+	status = gn_ctl_query(ctl, path, show);
+	talloc_free(path);
+	return status;
+}
+
+int gn_query_job(gn_ctl_t *ctl, int argc, char **argv)
+{
+	struct arg_str *id = arg_str1(NULL, NULL, "JOB", "a job's id");
+	gn_ctl_options_t o;
+	int status;
+
+	gn_ctl_options(&o);
+	void *table[] = { GN_CTL_FIRST(o), id, GN_CTL_LAST(o) };
+
+	status = gn_ctl_begin(ctl, &o, argc, argv, table);
+	if (status == GN_CTL_GO_ON)
+		status = ask_for(ctl, "/v1/jobs/", id->sval[0], show_job);
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return status;
+}
