tests: a fake of the key-value service with seeded faults

Decision tests need the service's answers late, reordered, lost after the effect, or from an older state, on the paused clock and replayable by seed.

A fake that only fails calls was ruled out: the faults that matter are a write that takes effect after its client gave up, and a client that is paused while its requests still arrive.

--- /dev/null
+++ b/tests/support/fake_kv.c
@@ -0,0 +1,497 @@
+#include "support/fake_kv.h"
+
+#include "common/str.h"
+
+/** How many timeouts a late request may travel. */
+#define LATE_TIMEOUTS 3
+
+typedef enum kind_e {
+	KIND_GET,
+	KIND_LIST,
+	KIND_WATCH,
+	KIND_PUT,
+	KIND_REMOVE,
+	KIND_GRANT,
+	KIND_RENEW,
+	KIND_REVOKE,
+} kind_t;
+
+/* A call from its start until request and answer are both done with. */
+typedef struct call_s {
+	gn_kv_call_t id;
+	kind_t kind;
+	char *key;
+	GBytes *value;
+	char *change;
+	uint64_t revision; /* expected, or watched from */
+	uint64_t lease;
+	uint32_t limit_ms; /* ttl or wait */
+	gn_kv_done_t done; /* NULL once called or cancelled */
+	void *context;
+	uint64_t sent_us;
+	uint64_t floor; /* newest revision seen when sent */
+	uint64_t arrive_us; /* UINT64_MAX: never */
+	uint64_t answer_us; /* UINT64_MAX: never */
+	uint64_t give_up_us;
+	uint64_t wait_until_us; /* a waiting watch */
+	bool applied;
+	bool refused;
+	kv_answer_t answer;
+} call_t;
+
+struct fake_kv_s {
+	gn_kv_t kv;
+	kv_state_t *state;
+	const gn_clock_t *clock;
+	GRand *rand;
+	GPtrArray *calls;
+	gn_kv_call_t last_id;
+	uint64_t floor;
+	fake_kv_faults_t faults;
+	fake_kv_counts_t counts;
+};
+
+static void free_call(gpointer data)
+{
+	call_t *call = data;
+
+	g_free(call->key);
+	g_bytes_unref(call->value);
+	g_free(call->change);
+	kv_answer_clear(&call->answer);
+	g_free(call);
+}
+
+static bool is_read(const call_t *call)
+{
+	return call->kind <= KIND_WATCH;
+}
+
+static bool is_hit(fake_kv_t *fake, double chance, uint64_t *counter)
+{
+	if (g_rand_double(fake->rand) >= chance)
+		return false;
+	++*counter;
+	return true;
+}
+
+static uint64_t draw_delay(fake_kv_t *fake)
+{
+	uint32_t min = fake->faults.delay_min_us;
+	uint32_t max = fake->faults.delay_max_us;
+
+	return min +
+	       (uint64_t)((double)(max - min) * g_rand_double(fake->rand));
+}
+
+static void draw_arrival(fake_kv_t *fake, call_t *call)
+{
+	const fake_kv_faults_t *faults = &fake->faults;
+
+	call->arrive_us = call->sent_us + draw_delay(fake);
+	if (is_hit(fake, faults->late, &fake->counts.late))
+		call->arrive_us +=
+			(uint64_t)(g_rand_double(fake->rand) * LATE_TIMEOUTS *
+				   faults->timeout_us);
+	if (is_hit(fake, faults->drop_request, &fake->counts.dropped))
+		call->arrive_us = UINT64_MAX;
+	call->answer_us = UINT64_MAX;
+	call->give_up_us = call->sent_us + faults->timeout_us;
+}
+
+static call_t *start_call(fake_kv_t *fake, kind_t kind, gn_str_t key,
+			  gn_kv_done_t done, void *context)
+{
+	call_t *call = g_new0(call_t, 1);
+
+	call->id = ++fake->last_id;
+	call->kind = kind;
+	call->key = g_strndup(key.data ? key.data : "", key.len);
+	call->done = done;
+	call->context = context;
+	call->sent_us = gn_clock_now_us(fake->clock);
+	call->floor = fake->floor;
+	kv_answer_init(&call->answer);
+	g_ptr_array_add(fake->calls, call);
+	fake->counts.calls++;
+	draw_arrival(fake, call);
+	return call;
+}
+
+/* ======   The table   ====== */
+
+static gn_kv_call_t fake_get(gn_kv_t *kv, gn_str_t key, gn_kv_done_t done,
+			     void *context)
+{
+	return start_call((fake_kv_t *)kv, KIND_GET, key, done, context)->id;
+}
+
+static gn_kv_call_t fake_list(gn_kv_t *kv, gn_str_t prefix, gn_kv_done_t done,
+			      void *context)
+{
+	return start_call((fake_kv_t *)kv, KIND_LIST, prefix, done, context)
+		->id;
+}
+
+static gn_kv_call_t fake_watch(gn_kv_t *kv, gn_str_t prefix, uint64_t from,
+			       uint32_t wait_ms, gn_kv_done_t done,
+			       void *context)
+{
+	call_t *call =
+		start_call((fake_kv_t *)kv, KIND_WATCH, prefix, done, context);
+
+	call->revision = from;
+	call->limit_ms = wait_ms;
+	call->give_up_us += (uint64_t)wait_ms * GN_US_PER_MS;
+	return call->id;
+}
+
+static gn_kv_call_t fake_put(gn_kv_t *kv, const gn_kv_put_t *put,
+			     gn_kv_done_t done, void *context)
+{
+	call_t *call =
+		start_call((fake_kv_t *)kv, KIND_PUT, put->key, done, context);
+
+	call->value = g_bytes_new(put->value.data, put->value.len);
+	call->change = g_strndup(put->change.data ? put->change.data : "",
+				 put->change.len);
+	call->revision = put->expected;
+	call->lease = put->lease;
+	return call->id;
+}
+
+static gn_kv_call_t fake_remove(gn_kv_t *kv, gn_str_t key, uint64_t expected,
+				gn_kv_done_t done, void *context)
+{
+	call_t *call =
+		start_call((fake_kv_t *)kv, KIND_REMOVE, key, done, context);
+
+	call->revision = expected;
+	return call->id;
+}
+
+static gn_kv_call_t fake_grant(gn_kv_t *kv, uint32_t ttl_ms, gn_kv_done_t done,
+			       void *context)
+{
+	call_t *call = start_call((fake_kv_t *)kv, KIND_GRANT, GN_STR(""), done,
+				  context);
+
+	call->limit_ms = ttl_ms;
+	return call->id;
+}
+
+static gn_kv_call_t start_lease_call(gn_kv_t *kv, kind_t kind, uint64_t lease,
+				     gn_kv_done_t done, void *context)
+{
+	call_t *call =
+		start_call((fake_kv_t *)kv, kind, GN_STR(""), done, context);
+
+	call->lease = lease;
+	return call->id;
+}
+
+static gn_kv_call_t fake_renew(gn_kv_t *kv, uint64_t lease, gn_kv_done_t done,
+			       void *context)
+{
+	return start_lease_call(kv, KIND_RENEW, lease, done, context);
+}
+
+static gn_kv_call_t fake_revoke(gn_kv_t *kv, uint64_t lease, gn_kv_done_t done,
+				void *context)
+{
+	return start_lease_call(kv, KIND_REVOKE, lease, done, context);
+}
+
+static void fake_cancel(gn_kv_t *kv, gn_kv_call_t id)
+{
+	fake_kv_t *fake = (fake_kv_t *)kv;
+
+	for (guint i = 0; i < fake->calls->len; i++) {
+		call_t *call = g_ptr_array_index(fake->calls, i);
+
+		if (call->id == id)
+			call->done = NULL;
+	}
+}
+
+static const gn_kv_ops_t fake_ops = {
+	.get = fake_get,
+	.list = fake_list,
+	.put = fake_put,
+	.remove = fake_remove,
+	.grant = fake_grant,
+	.renew = fake_renew,
+	.revoke = fake_revoke,
+	.watch = fake_watch,
+	.cancel = fake_cancel,
+};
+
+/* ======   The service's side   ====== */
+
+static void apply_put(fake_kv_t *fake, call_t *call, uint64_t now_us)
+{
+	gsize size;
+	const char *value = g_bytes_get_data(call->value, &size);
+	gn_kv_put_t put = { gn_str_from(call->key),
+			    { value, size },
+			    gn_str_from(call->change),
+			    call->revision,
+			    call->lease };
+
+	kv_state_put(fake->state, now_us, &put, &call->answer);
+}
+
+static void apply(fake_kv_t *fake, call_t *call, uint64_t now_us)
+{
+	kv_state_t *state = fake->state;
+	unsigned back = 0;
+
+	kv_state_expire(state, now_us);
+	if (is_read(call) && call->kind != KIND_WATCH &&
+	    is_hit(fake, fake->faults.older_read, &fake->counts.older))
+		back = (unsigned)g_rand_int_range(fake->rand, 1,
+						  KV_STATE_DEPTH + 1);
+	switch (call->kind) {
+	case KIND_GET:
+		kv_state_get(state, call->key, back, &call->answer);
+		break;
+	case KIND_LIST:
+		kv_state_list(state, call->key, back, &call->answer);
+		break;
+	case KIND_WATCH:
+		kv_state_watch(state, call->key, call->revision, &call->answer);
+		break;
+	case KIND_PUT:
+		apply_put(fake, call, now_us);
+		break;
+	case KIND_REMOVE:
+		kv_state_remove(state, call->key, call->revision,
+				&call->answer);
+		break;
+	case KIND_GRANT:
+		kv_state_grant(state, now_us, call->limit_ms, &call->answer);
+		break;
+	case KIND_RENEW:
+		kv_state_renew(state, now_us, call->lease, &call->answer);
+		break;
+	case KIND_REVOKE:
+		kv_state_revoke(state, call->lease, &call->answer);
+		break;
+	}
+}
+
+static void send_answer(fake_kv_t *fake, call_t *call, uint64_t now_us)
+{
+	call->applied = true;
+	if (fake->faults.cut) {
+		fake->counts.cut++;
+		return;
+	}
+	if (is_hit(fake, fake->faults.lose_answer, &fake->counts.lost))
+		return;
+	call->answer_us = now_us + draw_delay(fake);
+}
+
+static bool is_watch_done(const call_t *call, uint64_t now_us)
+{
+	return call->answer.code != GN_OK || call->answer.items->len ||
+	       now_us >= call->wait_until_us;
+}
+
+static void arrive(fake_kv_t *fake, call_t *call, uint64_t now_us)
+{
+	if (fake->faults.cut) {
+		fake->counts.cut++;
+		call->arrive_us = UINT64_MAX;
+		return;
+	}
+	if (fake->faults.down) {
+		fake->counts.refused++;
+		call->refused = true;
+		call->applied = true;
+		call->answer_us = now_us + draw_delay(fake);
+		return;
+	}
+	if (call->kind == KIND_WATCH && !call->wait_until_us)
+		call->wait_until_us =
+			now_us + (uint64_t)call->limit_ms * GN_US_PER_MS;
+	g_ptr_array_set_size(call->answer.items, 0);
+	apply(fake, call, now_us);
+	if (call->kind != KIND_WATCH || is_watch_done(call, now_us))
+		send_answer(fake, call, now_us);
+}
+
+/* ======   The client's side   ====== */
+
+static void fill_entry(gn_kv_entry_t *entry, const kv_item_t *item)
+{
+	gsize size;
+
+	entry->key = gn_str_from(item->key);
+	entry->value.data = g_bytes_get_data(item->value, &size);
+	entry->value.len = size;
+	entry->change = gn_str_from(item->change);
+	entry->revision = item->revision;
+	entry->lease = item->lease;
+	entry->deleted = item->deleted;
+}
+
+static void deliver(call_t *call, gn_code_t code)
+{
+	guint count = call->answer.items->len;
+	gn_kv_entry_t *entries = g_new0(gn_kv_entry_t, count + 1);
+	gn_kv_done_t done = call->done;
+	gn_error_t error = { 0 };
+	gn_kv_result_t result = { 0 };
+
+	gn_error_set(&error, code, "platform", "fake", "%s",
+		     gn_code_name(code));
+	result.code = code;
+	result.error = &error;
+	result.sent_us = call->sent_us;
+	if (call->applied && !call->refused && code == call->answer.code) {
+		for (guint i = 0; i < count; i++)
+			fill_entry(&entries[i],
+				   g_ptr_array_index(call->answer.items, i));
+		result.revision = call->answer.revision;
+		result.entries = entries;
+		result.count = count;
+		result.lease = call->answer.lease;
+	}
+	call->done = NULL;
+	done(call->context, &result);
+	g_free(entries);
+}
+
+static void take_answer(fake_kv_t *fake, call_t *call)
+{
+	gn_code_t code = call->answer.code;
+
+	call->answer_us = UINT64_MAX;
+	if (!call->done)
+		return;
+	if (call->refused) {
+		deliver(call, GN_ERR_UNAVAILABLE);
+		return;
+	}
+	if (is_read(call) && call->answer.revision < call->floor)
+		code = GN_ERR_STALE;
+	if (call->answer.revision > fake->floor)
+		fake->floor = call->answer.revision;
+	deliver(call, code);
+}
+
+static void give_up(call_t *call)
+{
+	deliver(call, is_read(call) ? GN_ERR_UNAVAILABLE : GN_ERR_UNKNOWN);
+}
+
+/* Does the one thing that is due on @p call; false: nothing is. */
+static bool advance_call(fake_kv_t *fake, call_t *call, uint64_t now_us)
+{
+	if (!call->applied && call->arrive_us <= now_us) {
+		uint64_t revision = kv_state_revision(fake->state);
+
+		arrive(fake, call, now_us);
+		return call->applied ||
+		       revision != kv_state_revision(fake->state);
+	}
+	if (fake->faults.frozen)
+		return false;
+	if (call->answer_us <= now_us) {
+		take_answer(fake, call);
+		return true;
+	}
+	if (call->done && call->give_up_us <= now_us) {
+		give_up(call);
+		return true;
+	}
+	return false;
+}
+
+static bool is_over(const call_t *call)
+{
+	uint64_t next_us = call->applied ? call->answer_us : call->arrive_us;
+
+	return !call->done && next_us == UINT64_MAX;
+}
+
+void fake_kv_run(fake_kv_t *fake)
+{
+	uint64_t now_us = gn_clock_now_us(fake->clock);
+	bool busy = true;
+
+	/* callbacks may add calls: go by index, until nothing more is due */
+	while (busy) {
+		busy = false;
+		for (guint i = 0; i < fake->calls->len; i++)
+			busy |= advance_call(fake,
+					     g_ptr_array_index(fake->calls, i),
+					     now_us);
+	}
+	for (guint i = fake->calls->len; i-- > 0;)
+		if (is_over(g_ptr_array_index(fake->calls, i)))
+			g_ptr_array_remove_index(fake->calls, i);
+}
+
+void fake_kv_crash(fake_kv_t *fake)
+{
+	for (guint i = 0; i < fake->calls->len; i++) {
+		call_t *call = g_ptr_array_index(fake->calls, i);
+
+		call->done = NULL;
+	}
+	fake->floor = 0;
+}
+
+/* ======   Life   ====== */
+
+fake_kv_t *fake_kv_create(kv_state_t *state, const gn_clock_t *clock,
+			  guint32 seed)
+{
+	fake_kv_t *fake = g_new0(fake_kv_t, 1);
+
+	fake->kv.ops = &fake_ops;
+	fake->state = state;
+	fake->clock = clock;
+	fake->rand = g_rand_new_with_seed(seed);
+	fake->calls = g_ptr_array_new_with_free_func(free_call);
+	fake->faults.delay_min_us = GN_US_PER_MS;
+	fake->faults.delay_max_us = GN_US_PER_MS;
+	fake->faults.timeout_us = 2 * GN_US_PER_S;
+	return fake;
+}
+
+void fake_kv_free(fake_kv_t *fake)
+{
+	g_ptr_array_unref(fake->calls);
+	g_rand_free(fake->rand);
+	g_free(fake);
+}
+
+gn_kv_t *fake_kv_client(fake_kv_t *fake)
+{
+	return &fake->kv;
+}
+
+fake_kv_faults_t *fake_kv_faults(fake_kv_t *fake)
+{
+	return &fake->faults;
+}
+
+const fake_kv_counts_t *fake_kv_counts(const fake_kv_t *fake)
+{
+	return &fake->counts;
+}
+
+size_t fake_kv_pending(const fake_kv_t *fake)
+{
+	size_t pending = 0;
+
+	for (guint i = 0; i < fake->calls->len; i++) {
+		call_t *call = g_ptr_array_index(fake->calls, i);
+
+		pending += call->done != NULL;
+	}
+	return pending;
+}
--- /dev/null
+++ b/tests/support/kv_state.h
@@ -0,0 +1,81 @@
+/**
+ * @file kv_state.h
+ * @brief The state of the platform's key-value service, for stand-ins.
+ *
+ * Shared by the in-process fake and the HTTP stand-in: revisions, leases,
+ * change ids, deletions. No I/O; the time is an argument.
+ */
+#ifndef GN_TESTS_KV_STATE_H
+#define GN_TESTS_KV_STATE_H
+
+#include <glib.h>
+
+#include "platform/kv.h"
+
+/** How many revisions back an older read can go. */
+#define KV_STATE_DEPTH 8
+
+/** One version of a key; counted by g_rc_box. */
+typedef struct kv_item_s {
+	struct kv_item_s *older;
+	char *key;
+	GBytes *value;
+	char *change;
+	uint64_t revision;
+	uint64_t lease;
+	bool deleted;
+} kv_item_t;
+
+/** What the service answers. */
+typedef struct kv_answer_s {
+	gn_code_t code;
+	uint64_t revision;
+	uint64_t lease;
+	GPtrArray *items; /**< kv_item_t, sorted by key */
+} kv_answer_t;
+
+typedef struct kv_state_s kv_state_t;
+
+kv_state_t *kv_state_create(void);
+void kv_state_free(kv_state_t *state);
+
+/** Makes an empty answer; end it with kv_answer_clear(). */
+void kv_answer_init(kv_answer_t *answer);
+void kv_answer_clear(kv_answer_t *answer);
+
+/* ======   Reads   ====== */
+
+uint64_t kv_state_revision(const kv_state_t *state);
+
+/** Reads as of @p back revisions ago, 0..KV_STATE_DEPTH. */
+void kv_state_get(kv_state_t *state, const char *key, unsigned back,
+		  kv_answer_t *answer);
+void kv_state_list(kv_state_t *state, const char *prefix, unsigned back,
+		   kv_answer_t *answer);
+
+/** What changed after @p from; GN_ERR_STALE if that is forgotten. */
+void kv_state_watch(kv_state_t *state, const char *prefix, uint64_t from,
+		    kv_answer_t *answer);
+
+/* ======   Writes   ====== */
+
+void kv_state_put(kv_state_t *state, uint64_t now_us, const gn_kv_put_t *put,
+		  kv_answer_t *answer);
+void kv_state_remove(kv_state_t *state, const char *key, uint64_t expected,
+		     kv_answer_t *answer);
+void kv_state_grant(kv_state_t *state, uint64_t now_us, uint32_t ttl_ms,
+		    kv_answer_t *answer);
+void kv_state_renew(kv_state_t *state, uint64_t now_us, uint64_t lease,
+		    kv_answer_t *answer);
+void kv_state_revoke(kv_state_t *state, uint64_t lease, kv_answer_t *answer);
+
+/** Ends the leases that lapsed by @p now_us. */
+void kv_state_expire(kv_state_t *state, uint64_t now_us);
+
+/** While frozen no lease lapses. */
+void kv_state_freeze_leases(kv_state_t *state, bool frozen);
+
+/** Forgets deletions, as the service does in time. */
+void kv_state_compact(kv_state_t *state);
+
+#endif
