--- /dev/null
+++ b/lib/platform/watch.c
@@ -0,0 +1,133 @@
+#include "platform/watch.h"
+
+#include <assert.h>
+
+#include "common/str.h"
+#include "platform/backoff.h"
+
+#define INTERVAL_MAX_MS 60000
+
+struct gn_kv_watch_s {
+	gn_kv_t *kv;
+	const gn_clock_t *clock;
+	GRand *rand;
+	gn_kv_watch_options_t options;
+	char *prefix;
+	gn_kv_call_t call; /* in progress, or 0 */
+	bool is_listed; /* the list is there, watching goes on from it */
+	uint64_t revision;
+	uint64_t heard_us;
+	uint64_t due_us; /* of the next call */
+	gn_backoff_t backoff;
+};
+
+gn_kv_watch_t *gn_kv_watch_create(TALLOC_CTX *parent, gn_kv_t *kv,
+				  const gn_clock_t *clock, GRand *rand,
+				  const gn_kv_watch_options_t *options)
+{
+	gn_kv_watch_t *watch;
+
+	if (!gn_kv_is_key_text(gn_str_from(options->prefix), GN_KV_KEY_MAX) ||
+	    !options->wait_ms || options->wait_ms > GN_KV_WATCH_MAX_MS ||
+	    options->interval_ms > INTERVAL_MAX_MS)
+		return NULL;
+	watch = talloc_zero(parent, gn_kv_watch_t);
+	if (!watch)
+		return NULL;
+	watch->kv = kv;
+	watch->clock = clock;
+	watch->rand = rand;
+	watch->options = *options;
+	watch->prefix = talloc_strdup(watch, options->prefix);
+	if (!watch->prefix) {
+		talloc_free(watch);
+		return NULL;
+	}
+	return watch;
+}
+
+void gn_kv_watch_free(gn_kv_watch_t *watch)
+{
+	if (!watch)
+		return;
+	gn_kv_cancel(watch->kv, watch->call);
+	talloc_free(watch);
+}
+
+static void deliver(gn_kv_watch_t *watch, const gn_kv_result_t *result,
+		    bool whole)
+{
+	gn_kv_news_t news = { whole, result->revision, result->entries,
+			      result->count };
+
+	watch->revision = result->revision;
+	if (whole || result->count)
+		watch->options.on_news(watch->options.context, &news);
+}
+
+static void back_off(gn_kv_watch_t *watch)
+{
+	watch->due_us = gn_clock_now_us(watch->clock) +
+			gn_backoff_next_us(&watch->backoff, watch->rand);
+}
+
+static void succeed(gn_kv_watch_t *watch)
+{
+	watch->heard_us = gn_clock_now_us(watch->clock);
+	watch->due_us = watch->heard_us +
+			(uint64_t)watch->options.interval_ms * GN_US_PER_MS;
+	gn_backoff_reset(&watch->backoff);
+}
+
+static void take_list(void *context, const gn_kv_result_t *result)
+{
+	gn_kv_watch_t *watch = context;
+
+	watch->call = 0;
+	if (result->code != GN_OK || result->revision < watch->revision) {
+		back_off(watch);
+		return;
+	}
+	succeed(watch);
+	watch->is_listed = true;
+	deliver(watch, result, true);
+}
+
+static void take_changes(void *context, const gn_kv_result_t *result)
+{
+	gn_kv_watch_t *watch = context;
+
+	watch->call = 0;
+	if (result->code == GN_ERR_STALE)
+		watch->is_listed = false;
+	if (result->code != GN_OK || result->revision < watch->revision) {
+		back_off(watch);
+		return;
+	}
+	succeed(watch);
+	deliver(watch, result, false);
+}
+
+void gn_kv_watch_tick(gn_kv_watch_t *watch)
+{
+	gn_str_t prefix = gn_str_from(watch->prefix);
+
+	if (watch->call || gn_clock_now_us(watch->clock) < watch->due_us)
+		return;
+	if (watch->is_listed)
+		watch->call = gn_kv_watch(watch->kv, prefix, watch->revision,
+					  watch->options.wait_ms, take_changes,
+					  watch);
+	else
+		watch->call = gn_kv_list(watch->kv, prefix, take_list, watch);
+}
+
+uint64_t gn_kv_watch_revision(const gn_kv_watch_t *watch)
+{
+	return watch->revision;
+}
+
+uint64_t gn_kv_watch_heard_us(const gn_kv_watch_t *watch)
+{
+	return watch->heard_us;
+}
--- a/tests/contract/test_kv.c
+++ b/tests/contract/test_kv.c
@@ -9,17 +9,28 @@
 	fake_kv_t *fake;
 } bench_t;
 
-static void bench_run(void *context, uint32_t ms)
+static void bench_step(bench_t *bench)
+{
+	gn_clock_advance(&bench->clock, GN_US_PER_MS);
+	fake_kv_run(bench->fake);
+}
+
+static void bench_run(void *context)
 {
 	bench_t *bench = context;
-	bool was_pending = fake_kv_pending(bench->fake) > 0;
 
-	for (uint32_t i = 0; i < ms; i++) {
-		if (was_pending && !fake_kv_pending(bench->fake))
-			return;
-		gn_clock_advance(&bench->clock, GN_US_PER_MS);
-		fake_kv_run(bench->fake);
-	}
+	while (fake_kv_pending(bench->fake))
+		bench_step(bench);
+}
+
+static void bench_lapse(void *context, uint64_t lease)
+{
+	bench_t *bench = context;
+	kv_answer_t answer;
+
+	kv_answer_init(&answer);
+	kv_state_revoke(bench->state, lease, &answer);
+	kv_answer_clear(&answer);
 }
 
 static void bench_open(bench_t *bench, guint32 seed)
@@ -43,6 +54,7 @@
 	bench_open(&bench, 1);
 	rig.kv = fake_kv_client(bench.fake);
 	rig.run = bench_run;
+	rig.lapse = bench_lapse;
 	rig.context = &bench;
 	kv_case_run(data, &rig);
 	bench_close(&bench);
@@ -101,10 +113,10 @@
 	bench_open(&bench, 2);
 	*fake_kv_faults(bench.fake) = c->faults;
 	gn_kv_put(fake_kv_client(bench.fake), &put, kv_reply_take, &write);
-	bench_run(&bench, 300);
+	bench_run(&bench);
 	gn_kv_get(fake_kv_client(bench.fake), GN_STR("a"), kv_reply_take,
 		  &read);
-	bench_run(&bench, 300);
+	bench_run(&bench);
 	g_assert_cmpint(write.code, ==, c->write_code);
 	g_assert_cmpint(read.code, ==, c->read_code);
 	kv_answer_init(&answer);
@@ -125,11 +137,12 @@
 	bench_open(&bench, 3);
 	gn_kv_put(fake_kv_client(bench.fake), &put, kv_reply_take, &reply);
 	fake_kv_faults(bench.fake)->frozen = true;
-	bench_run(&bench, 100);
+	for (int i = 0; i < 100; i++)
+		bench_step(&bench);
 	g_assert_cmpuint(reply.calls, ==, 0);
 	g_assert_cmpuint(kv_state_revision(bench.state), ==, 1);
 	fake_kv_faults(bench.fake)->frozen = false;
-	bench_run(&bench, 1);
+	bench_step(&bench);
 	g_assert_cmpuint(reply.calls, ==, 1);
 	kv_reply_clear(&reply);
 	bench_close(&bench);
--- a/tests/support/kv_cases.c
+++ b/tests/support/kv_cases.c
@@ -4,11 +4,10 @@
 
 #include "common/str.h"
 
-/** Longest time a case waits for an answer, milliseconds. */
-#define ANSWER_MS 5000
-/** A lease that a case lets lapse, milliseconds. */
-#define SHORT_TTL_MS 200
-#define LONG_TTL_MS 60000
+/** The leases of the cases, milliseconds. */
+#define TTL_MS 60000
+/** How long a watch of the cases waits, milliseconds. */
+#define WAIT_MS 100
 #define STEPS_MAX 8
 
 typedef enum op_e {
@@ -21,7 +20,8 @@
 	OP_GRANT,
 	OP_RENEW,
 	OP_REVOKE,
-	OP_WAIT, /* for number milliseconds */
+	OP_LAPSE, /* of the granted lease */
+	OP_WATCH_LAPSE, /* the lease lapses after the watch began */
 } op_t;
 
 typedef struct step_s {
@@ -82,7 +82,7 @@
 	{ "empty-key", { PUT("", "1", 0, GN_ERR_INVALID, 0) } },
 	{ "empty-value", { PUT("a", "", 0, GN_OK, 1), GET("a", "") } },
 	{ "lease",
-	  { { OP_GRANT, NULL, NULL, LONG_TTL_MS, false, GN_OK, 0, 0 },
+	  { { OP_GRANT, NULL, NULL, TTL_MS, false, GN_OK, 0, 0 },
 	    { OP_PUT, "a", "1", 0, true, GN_OK, 0, 1 },
 	    { OP_RENEW, NULL, NULL, 0, true, GN_OK, 0, 0 },
 	    GET("a", "1"),
@@ -90,9 +90,9 @@
 	    GONE("a"),
 	    { OP_RENEW, NULL, NULL, 0, true, GN_ERR_NOT_FOUND, 0, 0 } } },
 	{ "lease-lapse",
-	  { { OP_GRANT, NULL, NULL, SHORT_TTL_MS, false, GN_OK, 0, 0 },
+	  { { OP_GRANT, NULL, NULL, TTL_MS, false, GN_OK, 0, 0 },
 	    { OP_PUT, "a", "1", 0, true, GN_OK, 0, 1 },
-	    { OP_WAIT, NULL, NULL, 2L * SHORT_TTL_MS, false, GN_OK, 0, 0 },
+	    { OP_LAPSE, NULL, NULL, 0, false, GN_OK, 0, 0 },
 	    GONE("a"),
 	    { OP_PUT, "a", "1", 0, true, GN_ERR_NOT_FOUND, 0, 0 } } },
 	{ "lease-range",
@@ -107,9 +107,9 @@
 	    { OP_REMOVE, "p/a", NULL, 1, false, GN_OK, 0, 2 },
 	    { OP_WATCH, "p/", "", 1, false, GN_OK, 1, 2 } } },
 	{ "watch-lapse",
-	  { { OP_GRANT, NULL, NULL, SHORT_TTL_MS, false, GN_OK, 0, 0 },
+	  { { OP_GRANT, NULL, NULL, TTL_MS, false, GN_OK, 0, 0 },
 	    { OP_PUT, "p/a", "1", 0, true, GN_OK, 0, 1 },
-	    { OP_WATCH, "p/", "", 1, false, GN_OK, 1, 2 } } },
+	    { OP_WATCH_LAPSE, "p/", "", 1, false, GN_OK, 1, 2 } } },
 };
 
 /* ======   Results   ====== */
@@ -176,8 +176,9 @@
 		gn_kv_list(kv, key, kv_reply_take, reply);
 		break;
 	case OP_WATCH:
-		gn_kv_watch(kv, key, step->number, 2 * SHORT_TTL_MS,
-			    kv_reply_take, reply);
+	case OP_WATCH_LAPSE:
+		gn_kv_watch(kv, key, step->number, WAIT_MS, kv_reply_take,
+			    reply);
 		break;
 	case OP_PUT:
 		start_put(rig, step, lease, reply);
@@ -221,13 +222,15 @@
 	     step < c->steps + STEPS_MAX && step->op; step++) {
 		kv_reply_t reply = { 0 };
 
-		if (step->op == OP_WAIT) {
-			rig->run(rig->context, (uint32_t)step->number);
+		if (step->op == OP_LAPSE) {
+			rig->lapse(rig->context, lease);
 			continue;
 		}
 		start_step(rig, step, lease, &reply);
 		g_assert_cmpuint(reply.calls, ==, 0);
-		rig->run(rig->context, ANSWER_MS);
+		if (step->op == OP_WATCH_LAPSE)
+			rig->lapse(rig->context, lease);
+		rig->run(rig->context);
 		check_step(step, &reply);
 		if (step->op == OP_GRANT)
 			lease = reply.lease;
--- a/tests/support/kv_cases.h
+++ b/tests/support/kv_cases.h
@@ -12,8 +12,10 @@
 /** An implementation under test. */
 typedef struct kv_rig_s {
 	gn_kv_t *kv;
-	/** Lets up to @p ms pass, or until the calls in progress have ended. */
-	void (*run)(void *context, uint32_t ms);
+	/** Runs until the calls in progress have ended. */
+	void (*run)(void *context);
+	/** Lets @p lease lapse. */
+	void (*lapse)(void *context, uint64_t lease);
 	void *context;
 } kv_rig_t;
 
--- a/tests/support/platform_server.c
+++ b/tests/support/platform_server.c
@@ -361,9 +361,12 @@
 		return MHD_YES;
 	}
 	g_mutex_lock(&server->lock);
-	result = request->phase == PHASE_BODY
-			 ? route(server, request, path, method)
-			 : resume_call(server, request);
+	if (server->stopping)
+		result = MHD_NO;
+	else if (request->phase == PHASE_BODY)
+		result = route(server, request, path, method);
+	else
+		result = resume_call(server, request);
 	g_mutex_unlock(&server->lock);
 	return result;
 }
