--- /dev/null
+++ b/tests/contract/test_kv_watch.c
@@ -0,0 +1,246 @@
+/* Seeded walks: a watch follows a prefix through faults, without a gap. */
+#include <string.h>
+
+#include "common/str.h"
+#include "platform/watch.h"
+#include "support/fake_kv.h"
+
+#define STEPS 6000
+#define STEP_US (20 * GN_US_PER_MS)
+/** Steps without faults after which the watch must have caught up: 20 s. */
+#define QUIET_STEPS 1000
+#define KEYS 6
+
+typedef struct walk_s {
+	gn_clock_t clock;
+	GRand *rand;
+	kv_state_t *state;
+	fake_kv_t *fake;
+	gn_kv_watch_t *watch;
+	GHashTable *view; /* key to value, as the watch told */
+	uint64_t revision;
+	unsigned news;
+	unsigned lists;
+} walk_t;
+
+static void take_news(void *context, const gn_kv_news_t *news)
+{
+	walk_t *walk = context;
+
+	g_assert_cmpuint(news->revision, >=, walk->revision);
+	walk->revision = news->revision;
+	walk->news++;
+	if (news->whole) {
+		walk->lists++;
+		g_hash_table_remove_all(walk->view);
+	}
+	for (size_t i = 0; i < news->count; i++) {
+		const gn_kv_entry_t *entry = &news->entries[i];
+		char *key = g_strndup(entry->key.data, entry->key.len);
+
+		if (entry->deleted) {
+			g_hash_table_remove(walk->view, key);
+			g_free(key);
+			continue;
+		}
+		g_hash_table_replace(
+			walk->view, key,
+			g_strndup(entry->value.data, entry->value.len));
+	}
+}
+
+static void walk_open(walk_t *walk, guint32 seed)
+{
+	gn_kv_watch_options_t options = { "p/", 2000, 100, take_news, walk };
+
+	memset(walk, 0, sizeof(*walk));
+	gn_clock_init_paused(&walk->clock, GN_US_PER_S);
+	walk->rand = g_rand_new_with_seed(seed);
+	walk->state = kv_state_create();
+	walk->fake = fake_kv_create(walk->state, &walk->clock, seed);
+	walk->view =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	walk->watch = gn_kv_watch_create(NULL, fake_kv_client(walk->fake),
+					 &walk->clock, walk->rand, &options);
+	g_assert_nonnull(walk->watch);
+}
+
+static void walk_close(walk_t *walk)
+{
+	gn_kv_watch_free(walk->watch);
+	g_hash_table_unref(walk->view);
+	fake_kv_free(walk->fake);
+	kv_state_free(walk->state);
+	g_rand_free(walk->rand);
+}
+
+/* Writes or deletes a random key, as another process would. */
+static void change_key(walk_t *walk)
+{
+	g_autofree char *key =
+		g_strdup_printf("%s/%d", g_rand_boolean(walk->rand) ? "p" : "q",
+				g_rand_int_range(walk->rand, 0, KEYS));
+	g_autofree char *value = g_strdup_printf("%u", g_rand_int(walk->rand));
+	uint64_t now_us = gn_clock_now_us(&walk->clock);
+	uint64_t expected = 0;
+	kv_answer_t answer;
+
+	kv_answer_init(&answer);
+	kv_state_get(walk->state, key, 0, &answer);
+	if (answer.items->len)
+		expected = ((kv_item_t *)answer.items->pdata[0])->revision;
+	if (expected && g_rand_double(walk->rand) < 0.3) {
+		kv_state_remove(walk->state, key, expected, &answer);
+	} else {
+		gn_kv_put_t put = { gn_str_from(key), gn_str_from(value),
+				    GN_STR("x"), expected, 0 };
+
+		kv_state_put(walk->state, now_us, &put, &answer);
+	}
+	kv_answer_clear(&answer);
+}
+
+static void set_random_faults(walk_t *walk)
+{
+	fake_kv_faults_t *faults = fake_kv_faults(walk->fake);
+
+	faults->delay_max_us = 300 * GN_US_PER_MS;
+	faults->lose_answer = 0.1;
+	faults->drop_request = 0.1;
+	faults->older_read = 0.2;
+	faults->late = 0.1;
+	faults->down = g_rand_double(walk->rand) < 0.2;
+	faults->cut = g_rand_double(walk->rand) < 0.1;
+	faults->frozen = g_rand_double(walk->rand) < 0.1;
+}
+
+static void walk_step(walk_t *walk)
+{
+	gn_clock_advance(&walk->clock, STEP_US);
+	if (!fake_kv_faults(walk->fake)->frozen)
+		gn_kv_watch_tick(walk->watch);
+	fake_kv_run(walk->fake);
+}
+
+static void check_view(walk_t *walk)
+{
+	kv_answer_t answer;
+
+	kv_answer_init(&answer);
+	kv_state_list(walk->state, "p/", 0, &answer);
+	g_assert_cmpuint(g_hash_table_size(walk->view), ==, answer.items->len);
+	for (guint i = 0; i < answer.items->len; i++) {
+		const kv_item_t *item = g_ptr_array_index(answer.items, i);
+		gsize size;
+		const char *value = g_bytes_get_data(item->value, &size);
+		const char *seen = g_hash_table_lookup(walk->view, item->key);
+
+		g_assert_nonnull(seen);
+		g_assert_cmpmem(seen, strlen(seen), value, size);
+	}
+	kv_answer_clear(&answer);
+}
+
+static void test_walk(const void *data)
+{
+	const fake_kv_counts_t *counts;
+	fake_kv_faults_t none;
+	walk_t walk;
+
+	walk_open(&walk, GPOINTER_TO_UINT(data));
+	none = *fake_kv_faults(walk.fake);
+	for (int i = 0; i < STEPS; i++) {
+		if (g_rand_double(walk.rand) < 0.05)
+			change_key(&walk);
+		if (g_rand_double(walk.rand) < 0.02)
+			set_random_faults(&walk);
+		if (g_rand_double(walk.rand) < 0.005)
+			kv_state_compact(walk.state);
+		walk_step(&walk);
+	}
+	*fake_kv_faults(walk.fake) = none;
+	for (int i = 0; i < QUIET_STEPS; i++)
+		walk_step(&walk);
+	check_view(&walk);
+	counts = fake_kv_counts(walk.fake);
+	g_assert_cmpuint(counts->lost, >, 0);
+	g_assert_cmpuint(counts->refused, >, 0);
+	g_assert_cmpuint(walk.news, >, 10);
+	walk_close(&walk);
+}
+
+/* The long poll must not become a busy loop towards the service. */
+static void test_call_rate(void)
+{
+	walk_t walk;
+
+	walk_open(&walk, 1);
+	for (int i = 0; i < 500; i++) {
+		change_key(&walk);
+		walk_step(&walk);
+	}
+	/* 10 s of constant change at one call in 100 ms */
+	g_assert_cmpuint(fake_kv_counts(walk.fake)->calls, <=, 101);
+	walk_close(&walk);
+}
+
+/* Steps through a minute of outage and counts the calls made meanwhile. */
+static uint64_t count_outage_calls(walk_t *walk)
+{
+	uint64_t before = fake_kv_counts(walk->fake)->calls;
+
+	fake_kv_faults(walk->fake)->down = true;
+	for (int i = 0; i < 3000; i++)
+		walk_step(walk);
+	return fake_kv_counts(walk->fake)->calls - before;
+}
+
+static void test_outage_rate(void)
+{
+	uint64_t calls;
+	walk_t walk;
+
+	/* the window soon is at its bound of 5 s, its half at 2.5 s */
+	walk_open(&walk, 1);
+	calls = count_outage_calls(&walk);
+	g_assert_cmpuint(calls, <=, 30);
+	g_assert_cmpuint(calls, >=, 10);
+	walk_close(&walk);
+	walk_open(&walk, 2);
+	for (int i = 0; i < 50; i++)
+		walk_step(&walk);
+	g_assert_cmpuint(walk.lists, ==, 1);
+	calls = count_outage_calls(&walk);
+	g_assert_cmpuint(calls, <=, 30);
+	g_assert_cmpuint(calls, >=, 10);
+	walk_close(&walk);
+}
+
+static void test_options(void)
+{
+	gn_kv_watch_options_t options = { "p/", 0, 0, take_news, NULL };
+	gn_clock_t clock;
+
+	gn_clock_init_paused(&clock, 0);
+	g_assert_null(gn_kv_watch_create(NULL, NULL, &clock, NULL, &options));
+	options.wait_ms = GN_KV_WATCH_MAX_MS + 1;
+	g_assert_null(gn_kv_watch_create(NULL, NULL, &clock, NULL, &options));
+	options.wait_ms = 1;
+	options.prefix = "p q";
+	g_assert_null(gn_kv_watch_create(NULL, NULL, &clock, NULL, &options));
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	for (guint seed = 1; seed <= 50; seed++) {
+		g_autofree char *path =
+			g_strdup_printf("/kv/watch/walk/%u", seed);
+
+		g_test_add_data_func(path, GUINT_TO_POINTER(seed), test_walk);
+	}
+	g_test_add_func("/kv/watch/call-rate", test_call_rate);
+	g_test_add_func("/kv/watch/outage-rate", test_outage_rate);
+	g_test_add_func("/kv/watch/options", test_options);
+	return g_test_run();
+}
