Add the decisions for batch and standing tasks

A bucket is the authority for its tasks: it is told what submitters, agents and the platform say, and answers with one value to write and the orders to send. Changes carry sequence numbers; one write makes all changes since the last durable, and starts, ends and answers wait for their number. The agent's side keeps runs under epochs and leases counted from the poll's sending.

Ruled out: copies of the state per write (a sequence number per task tells the same and costs nothing); taking every lost compare-and-swap for lost ownership (a transport that sends a write twice would make the owner drop its own bucket, so a conflict stops all orders until a read shows whose value it is).

--- /dev/null
+++ b/lib/batch/bucket_commit.c
@@ -0,0 +1,214 @@
+/**
+ * @file bucket_commit.c
+ * @brief Group commit of a bucket: one write in flight, settled by reading.
+ */
+#include "batch/bucket_internal.h"
+
+#include <assert.h>
+#include <string.h>
+
+static uint64_t draw_change_id(GRand *rand)
+{
+	return (uint64_t)g_rand_int(rand) << 32 | g_rand_int(rand);
+}
+
+static gn_code_t encode(gn_batch_bucket_t *bucket, uint64_t change_id,
+			gn_str_t *bytes)
+{
+	gn_batch_value_t *value = talloc_zero(bucket, gn_batch_value_t);
+	GHashTableIter iter;
+	gpointer task;
+	gn_code_t code;
+
+	if (!value)
+		return GN_ERR_MEMORY;
+	value->bucket = bucket->index;
+	value->owner =
+		bucket->standing == GN_BATCH_RELEASING ? 0 : bucket->owner;
+	value->owner_epoch = bucket->owner_epoch;
+	value->change_id = change_id;
+	value->next_serial = bucket->next_serial;
+	value->predecessor_count = bucket->predecessor_count;
+	memcpy(value->predecessors, bucket->predecessors,
+	       sizeof(value->predecessors));
+	value->tasks = talloc_array(value, gn_task_t *,
+				    g_hash_table_size(bucket->tasks));
+	if (!value->tasks) {
+		talloc_free(value);
+		return GN_ERR_MEMORY;
+	}
+	g_hash_table_iter_init(&iter, bucket->tasks);
+	while (g_hash_table_iter_next(&iter, NULL, &task))
+		value->tasks[value->task_count++] = task;
+	code = gn_batch_codec_encode(bucket, value,
+				     gn_clock_now_us(bucket->clock), bytes);
+	talloc_free(value);
+	return code;
+}
+
+static bool prepare(gn_batch_bucket_t *bucket)
+{
+	gn_bucket_flight_t *flight = &bucket->flight;
+	uint64_t change_id = draw_change_id(bucket->rand);
+	gn_str_t bytes;
+	gn_code_t code = encode(bucket, change_id, &bytes);
+
+	if (code == GN_ERR_CAPACITY) {
+		/* Ended tasks give way before running ones do. */
+		gn_bucket_prune(bucket, 0);
+		code = encode(bucket, change_id, &bytes);
+	}
+	if (code)
+		return false;
+	*flight = (gn_bucket_flight_t){
+		.active = true,
+		.change_id = change_id,
+		.seq = bucket->seq,
+		.value = bytes,
+		.standing = bucket->standing,
+	};
+	bucket->value_size = bytes.len;
+	return true;
+}
+
+bool gn_batch_bucket_next_commit(gn_batch_bucket_t *bucket,
+				 gn_batch_commit_t *commit)
+{
+	gn_bucket_flight_t *flight = &bucket->flight;
+
+	if (bucket->standing == GN_BATCH_LOST ||
+	    bucket->standing == GN_BATCH_RELEASED)
+		return false;
+	if (flight->active &&
+	    (flight->sent || flight->unknown || flight->conflicted))
+		return false;
+	if (!flight->active && bucket->seq == bucket->durable_seq)
+		return false;
+	if (!flight->active && !prepare(bucket))
+		return false;
+	flight->sent = true;
+	bucket->stats.commits++;
+	*commit = (gn_batch_commit_t){ flight->change_id, bucket->revision,
+				       flight->value };
+	return true;
+}
+
+static void end_flight(gn_batch_bucket_t *bucket)
+{
+	talloc_free((void *)bucket->flight.value.data);
+	memset(&bucket->flight, 0, sizeof(bucket->flight));
+}
+
+void gn_bucket_lose(gn_batch_bucket_t *bucket)
+{
+	end_flight(bucket);
+	bucket->standing = GN_BATCH_LOST;
+	g_hash_table_remove_all(bucket->ready);
+}
+
+/** Workers whose claims became durable get their starts without a new poll. */
+static void note_ready(gn_batch_bucket_t *bucket)
+{
+	GHashTableIter iter;
+	GHashTableIter held;
+	gpointer name;
+	gpointer worker;
+	gpointer task;
+
+	g_hash_table_iter_init(&iter, bucket->workers);
+	while (g_hash_table_iter_next(&iter, &name, &worker)) {
+		g_hash_table_iter_init(&held,
+				       ((gn_bucket_worker_t *)worker)->held);
+		while (g_hash_table_iter_next(&held, &task, NULL)) {
+			const gn_task_t *claimed = task;
+
+			if (claimed->ordered ||
+			    !gn_bucket_claim_is_durable(bucket, claimed))
+				continue;
+			g_hash_table_add(bucket->ready, g_strdup(name));
+			break;
+		}
+	}
+}
+
+static void settle_written(gn_batch_bucket_t *bucket, uint64_t revision)
+{
+	gn_bucket_flight_t *flight = &bucket->flight;
+	gn_batch_standing_t written = flight->standing;
+
+	bucket->durable_seq = flight->seq;
+	bucket->revision = revision;
+	end_flight(bucket);
+	if (written == GN_BATCH_TAKING) {
+		bucket->taken_us = gn_clock_now_us(bucket->clock);
+		if (bucket->standing == GN_BATCH_TAKING)
+			bucket->standing = GN_BATCH_OWNED;
+	}
+	if (written == GN_BATCH_RELEASING)
+		bucket->standing = GN_BATCH_RELEASED;
+	if (bucket->standing == GN_BATCH_OWNED)
+		note_ready(bucket);
+}
+
+void gn_batch_bucket_on_commit(gn_batch_bucket_t *bucket, uint64_t change_id,
+			       gn_code_t code, uint64_t revision)
+{
+	gn_bucket_flight_t *flight = &bucket->flight;
+
+	/* An answer to an earlier write, or a duplicate. */
+	if (!flight->active || flight->change_id != change_id)
+		return;
+	if (code == GN_OK) {
+		settle_written(bucket, revision);
+		return;
+	}
+	if (code != GN_ERR_CONFLICT && GN_MUTANT(blind_write)) {
+		settle_written(bucket, bucket->revision + 1);
+		return;
+	}
+	flight->sent = false;
+	if (code == GN_ERR_CONFLICT) {
+		/*
+		 * The transport may have sent the write twice, and the second
+		 * lost to the first. Nothing is ordered until a read tells.
+		 */
+		flight->conflicted = true;
+		bucket->stats.commit_conflicts++;
+	} else {
+		flight->unknown = true;
+		bucket->stats.commit_unknowns++;
+	}
+}
+
+bool gn_batch_bucket_wants_read(const gn_batch_bucket_t *bucket)
+{
+	return bucket->flight.active &&
+	       (bucket->flight.unknown || bucket->flight.conflicted);
+}
+
+void gn_batch_bucket_on_read(gn_batch_bucket_t *bucket, gn_str_t value,
+			     uint64_t revision)
+{
+	gn_bucket_flight_t *flight = &bucket->flight;
+	gn_batch_value_t *stored = NULL;
+	bool is_mine = false;
+
+	/* An answer that is older than what was seen tells nothing. */
+	if (!gn_batch_bucket_wants_read(bucket) || revision < bucket->revision)
+		return;
+	if (revision == bucket->revision) {
+		/* Not written; the same bytes again can take effect once. */
+		flight->unknown = false;
+		flight->conflicted = false;
+		return;
+	}
+	if (!gn_batch_codec_decode(bucket, value,
+				   gn_clock_now_us(bucket->clock), &stored,
+				   NULL))
+		is_mine = stored->change_id == flight->change_id;
+	talloc_free(stored);
+	if (is_mine)
+		settle_written(bucket, revision);
+	else
+		gn_bucket_lose(bucket);
+}
--- /dev/null
+++ b/lib/batch/order.c
@@ -0,0 +1,527 @@
+#include "batch/order.h"
+
+#include <assert.h>
+#include <string.h>
+
+#include "common/str.h"
+
+/** Tasks looked at from the head of a group before it is passed over. */
+#define HEAD_SCAN_MAX 4
+/** Run time of a task that declares none, milliseconds. */
+#define RUN_DEFAULT_MS (3600 * 1000)
+
+/** Waiting tasks of the same team, kind, service, priority, size class. */
+typedef struct group_s {
+	char *key;
+	GPtrArray *siblings; /**< all groups of the service */
+	guint index; /**< in siblings */
+	GQueue tasks;
+} group_t;
+
+/** Where one task stands: in a group or among those in backoff. */
+typedef struct place_s {
+	group_t *group;
+	GList *link;
+	GSequenceIter *delayed;
+} place_t;
+
+typedef struct team_s {
+	unsigned running_max;
+	unsigned running;
+} team_t;
+
+typedef struct largest_s {
+	unsigned cores;
+	unsigned memory_mb;
+	unsigned accelerators;
+} largest_t;
+
+struct gn_batch_order_s {
+	gn_batch_order_params_t params;
+	const gn_clock_t *clock;
+	GRand *rand;
+	GHashTable *groups; /**< key -> group_t */
+	GHashTable *services; /**< name -> GPtrArray of group_t */
+	GHashTable *teams; /**< name -> team_t */
+	GHashTable *forbidden; /**< kind -> GHashTable of kinds */
+	GHashTable *largest; /**< service -> largest_t */
+	GSequence *delayed; /**< tasks in backoff, the earliest first */
+	size_t count;
+};
+
+/* ======   Groups   ====== */
+
+static void free_group(gpointer data)
+{
+	group_t *group = data;
+
+	g_queue_clear(&group->tasks);
+	g_free(group->key);
+	g_free(group);
+}
+
+static void free_siblings(gpointer data)
+{
+	g_ptr_array_free(data, TRUE);
+}
+
+/** Declared sizes within a factor of two share a group. */
+static unsigned size_class_of(unsigned size)
+{
+	return size ? g_bit_storage(size) : 0;
+}
+
+static char *make_key(const gn_task_t *task)
+{
+	return g_strdup_printf("%s\n%s\n%s\n%u %u %u %u", task->service,
+			       task->team, task->kind, task->priority,
+			       size_class_of(task->cores),
+			       size_class_of(task->memory_mb),
+			       size_class_of(task->accelerators));
+}
+
+static GPtrArray *find_siblings(gn_batch_order_t *order, const char *service)
+{
+	GPtrArray *siblings = g_hash_table_lookup(order->services, service);
+
+	if (!siblings) {
+		siblings = g_ptr_array_new();
+		g_hash_table_insert(order->services, g_strdup(service),
+				    siblings);
+	}
+	return siblings;
+}
+
+static group_t *find_group(gn_batch_order_t *order, const gn_task_t *task)
+{
+	char *key = make_key(task);
+	group_t *group = g_hash_table_lookup(order->groups, key);
+
+	if (group) {
+		g_free(key);
+		return group;
+	}
+	group = g_new0(group_t, 1);
+	group->key = key;
+	g_queue_init(&group->tasks);
+	group->siblings = find_siblings(order, task->service);
+	group->index = group->siblings->len;
+	g_ptr_array_add(group->siblings, group);
+	g_hash_table_insert(order->groups, key, group);
+	return group;
+}
+
+static void drop_group(gn_batch_order_t *order, group_t *group)
+{
+	GPtrArray *siblings = group->siblings;
+	group_t *last = g_ptr_array_index(siblings, siblings->len - 1);
+
+	last->index = group->index;
+	g_ptr_array_remove_index_fast(siblings, group->index);
+	g_hash_table_remove(order->groups, group->key);
+}
+
+static uint64_t age_us(const gn_task_t *task, uint64_t now_us)
+{
+	return now_us - task->since_us;
+}
+
+/** Keeps a group oldest first; a task that comes back goes ahead. */
+static void enter_group(gn_batch_order_t *order, gn_task_t *task)
+{
+	place_t *place = task->group;
+	group_t *group = find_group(order, task);
+	uint64_t now_us = gn_clock_now_us(order->clock);
+	const gn_task_t *head = g_queue_peek_head(&group->tasks);
+
+	if (head && age_us(task, now_us) > age_us(head, now_us)) {
+		g_queue_push_head(&group->tasks, task);
+		place->link = group->tasks.head;
+	} else {
+		g_queue_push_tail(&group->tasks, task);
+		place->link = group->tasks.tail;
+	}
+	place->group = group;
+}
+
+static int compare_not_before(gconstpointer a, gconstpointer b, gpointer unused)
+{
+	const gn_task_t *left = a;
+	const gn_task_t *right = b;
+
+	(void)unused;
+	return (left->not_before_us > right->not_before_us) -
+	       (left->not_before_us < right->not_before_us);
+}
+
+static void release_due(gn_batch_order_t *order)
+{
+	uint64_t now_us = gn_clock_now_us(order->clock);
+
+	while (!g_sequence_is_empty(order->delayed)) {
+		GSequenceIter *first =
+			g_sequence_get_begin_iter(order->delayed);
+		gn_task_t *task = g_sequence_get(first);
+		place_t *place = task->group;
+
+		if (task->not_before_us > now_us)
+			return;
+		g_sequence_remove(first);
+		place->delayed = NULL;
+		enter_group(order, task);
+	}
+}
+
+/* ======   Life   ====== */
+
+static int destroy_order(gn_batch_order_t *order)
+{
+	g_hash_table_destroy(order->groups);
+	g_hash_table_destroy(order->services);
+	g_hash_table_destroy(order->teams);
+	g_hash_table_destroy(order->forbidden);
+	g_hash_table_destroy(order->largest);
+	g_sequence_free(order->delayed);
+	return 0;
+}
+
+gn_batch_order_t *gn_batch_order_create(TALLOC_CTX *parent,
+					const gn_batch_order_params_t *params,
+					const gn_clock_t *clock, GRand *rand)
+{
+	gn_batch_order_t *order = talloc_zero(parent, gn_batch_order_t);
+
+	if (!order)
+		return NULL;
+	assert(params->ageing_step_us >= GN_US_PER_S);
+	assert(params->backoff_least_us >= GN_US_PER_MS);
+	assert(params->backoff_most_us >= params->backoff_least_us);
+	order->params = *params;
+	order->clock = clock;
+	order->rand = rand;
+	order->groups = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					      free_group);
+	order->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+						free_siblings);
+	order->teams =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	order->forbidden =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+				      (GDestroyNotify)g_hash_table_destroy);
+	order->largest =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	order->delayed = g_sequence_new(NULL);
+	talloc_set_destructor(order, destroy_order);
+	return order;
+}
+
+/* ======   Rules   ====== */
+
+static team_t *find_team(gn_batch_order_t *order, const char *name)
+{
+	team_t *team = g_hash_table_lookup(order->teams, name);
+
+	if (!team) {
+		team = g_new0(team_t, 1);
+		team->running_max = UINT_MAX;
+		g_hash_table_insert(order->teams, g_strdup(name), team);
+	}
+	return team;
+}
+
+gn_code_t gn_batch_order_set_quota(gn_batch_order_t *order, const char *team,
+				   unsigned running_max)
+{
+	if (!team[0] || strlen(team) > GN_NAME_MAX)
+		return GN_ERR_RANGE;
+	find_team(order, team)->running_max = running_max;
+	return GN_OK;
+}
+
+static void add_forbidden(gn_batch_order_t *order, const char *kind,
+			  const char *other)
+{
+	GHashTable *others = g_hash_table_lookup(order->forbidden, kind);
+
+	if (!others) {
+		others = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					       NULL);
+		g_hash_table_insert(order->forbidden, g_strdup(kind), others);
+	}
+	g_hash_table_add(others, g_strdup(other));
+}
+
+gn_code_t gn_batch_order_forbid(gn_batch_order_t *order, const char *kind_a,
+				const char *kind_b)
+{
+	if (strlen(kind_a) > GN_NAME_MAX || strlen(kind_b) > GN_NAME_MAX)
+		return GN_ERR_RANGE;
+	add_forbidden(order, kind_a, kind_b);
+	add_forbidden(order, kind_b, kind_a);
+	return GN_OK;
+}
+
+void gn_batch_order_clear_rules(gn_batch_order_t *order)
+{
+	GHashTableIter iter;
+	gpointer team;
+
+	g_hash_table_remove_all(order->forbidden);
+	g_hash_table_iter_init(&iter, order->teams);
+	while (g_hash_table_iter_next(&iter, NULL, &team))
+		((team_t *)team)->running_max = UINT_MAX;
+}
+
+gn_code_t gn_batch_order_set_largest(gn_batch_order_t *order,
+				     const char *service, unsigned cores,
+				     unsigned memory_mb, unsigned accelerators)
+{
+	largest_t *largest;
+
+	if (!service[0] || strlen(service) > GN_NAME_MAX)
+		return GN_ERR_RANGE;
+	largest = g_new(largest_t, 1);
+	*largest = (largest_t){ cores, memory_mb, accelerators };
+	g_hash_table_insert(order->largest, g_strdup(service), largest);
+	return GN_OK;
+}
+
+void gn_batch_order_clear_largest(gn_batch_order_t *order)
+{
+	g_hash_table_remove_all(order->largest);
+}
+
+gn_task_reason_t gn_batch_order_check(const gn_batch_order_t *order,
+				      const char *service, unsigned cores,
+				      unsigned memory_mb, unsigned accelerators)
+{
+	const largest_t *largest;
+
+	if (!g_hash_table_size(order->largest))
+		return GN_TASK_REASON_NONE;
+	largest = g_hash_table_lookup(order->largest, service);
+	if (!largest)
+		return GN_TASK_REASON_NO_SERVICE;
+	if (cores > largest->cores)
+		return GN_TASK_REASON_CORES;
+	if (memory_mb > largest->memory_mb)
+		return GN_TASK_REASON_MEMORY;
+	if (accelerators > largest->accelerators)
+		return GN_TASK_REASON_ACCELERATORS;
+	return GN_TASK_REASON_NONE;
+}
+
+/* ======   Queue   ====== */
+
+gn_code_t gn_batch_order_add(gn_batch_order_t *order, gn_task_t *task)
+{
+	place_t *place;
+
+	assert(gn_task_state_is_waiting(task->state));
+	assert(!task->group);
+	place = talloc_zero(task, place_t);
+	if (!place)
+		return GN_ERR_MEMORY;
+	task->group = place;
+	order->count++;
+	if (task->not_before_us > gn_clock_now_us(order->clock))
+		place->delayed = g_sequence_insert_sorted(
+			order->delayed, task, compare_not_before, NULL);
+	else
+		enter_group(order, task);
+	return GN_OK;
+}
+
+void gn_batch_order_remove(gn_batch_order_t *order, gn_task_t *task)
+{
+	place_t *place = task->group;
+
+	if (!place)
+		return;
+	if (place->delayed) {
+		g_sequence_remove(place->delayed);
+	} else {
+		g_queue_delete_link(&place->group->tasks, place->link);
+		if (g_queue_is_empty(&place->group->tasks))
+			drop_group(order, place->group);
+	}
+	order->count--;
+	task->group = NULL;
+	talloc_free(place);
+}
+
+void gn_batch_order_use_quota(gn_batch_order_t *order, gn_task_t *task)
+{
+	if (task->quota_used)
+		return;
+	find_team(order, task->team)->running++;
+	task->quota_used = true;
+}
+
+void gn_batch_order_return_quota(gn_batch_order_t *order, gn_task_t *task)
+{
+	team_t *team;
+
+	if (!task->quota_used)
+		return;
+	team = find_team(order, task->team);
+	assert(team->running > 0);
+	team->running--;
+	task->quota_used = false;
+}
+
+static bool has_quota(gn_batch_order_t *order, const gn_task_t *task)
+{
+	const team_t *team = g_hash_table_lookup(order->teams, task->team);
+
+	return !team || team->running < team->running_max;
+}
+
+static bool may_share_host(const gn_batch_order_t *order, const char *kind,
+			   const gn_batch_worker_t *worker)
+{
+	GHashTable *others = g_hash_table_lookup(order->forbidden, kind);
+
+	if (!others)
+		return true;
+	for (size_t i = 0; i < worker->kind_count; i++) {
+		if (g_hash_table_contains(others, worker->kinds[i]))
+			return false;
+	}
+	return true;
+}
+
+/** How long a worker must stay for @p task to end or be checkpointed. */
+static uint64_t needed_us(const gn_task_t *task)
+{
+	uint64_t needed_ms = task->run_ms ? task->run_ms : RUN_DEFAULT_MS;
+
+	/* A standing task is stopped and started elsewhere at any time. */
+	if (task->work_class == GN_CLASS_STANDING)
+		return 0;
+	if (task->checkpoint_ms && task->checkpoint_ms < needed_ms)
+		needed_ms = task->checkpoint_ms;
+	return needed_ms * GN_US_PER_MS;
+}
+
+static bool fits_window(const gn_batch_order_t *order, const gn_task_t *task,
+			const gn_batch_worker_t *worker)
+{
+	uint64_t now_us = gn_clock_now_us(order->clock);
+	uint64_t end_us = now_us + needed_us(task);
+
+	return !worker->window_us ||
+	       end_us + order->params.window_lead_us < worker->window_us;
+}
+
+static bool fits(const gn_batch_order_t *order, const gn_task_t *task,
+		 const gn_batch_worker_t *worker)
+{
+	return task->cores <= worker->free_cores &&
+	       task->memory_mb <= worker->free_memory_mb &&
+	       task->accelerators <= worker->free_accelerators &&
+	       fits_window(order, task, worker) &&
+	       !gn_task_has_failed_on(task, worker->name);
+}
+
+/** The first task of @p group that fits @p worker, or NULL. */
+static gn_task_t *find_in_group(gn_batch_order_t *order, const group_t *group,
+				const gn_batch_worker_t *worker)
+{
+	gn_task_t *head = g_queue_peek_head((GQueue *)&group->tasks);
+	int scanned = 0;
+
+	if (!has_quota(order, head) ||
+	    !may_share_host(order, head->kind, worker))
+		return NULL;
+	for (GList *link = group->tasks.head; link && scanned < HEAD_SCAN_MAX;
+	     link = link->next, scanned++) {
+		if (fits(order, link->data, worker))
+			return link->data;
+	}
+	return NULL;
+}
+
+/** The priority of @p task after ageing; lower goes first. */
+static int64_t aged_priority(const gn_batch_order_t *order,
+			     const gn_task_t *task)
+{
+	uint64_t now_us = gn_clock_now_us(order->clock);
+
+	return (int64_t)task->priority -
+	       (int64_t)(age_us(task, now_us) / order->params.ageing_step_us);
+}
+
+static bool goes_before(const gn_batch_order_t *order, const gn_task_t *task,
+			const gn_task_t *other)
+{
+	uint64_t now_us = gn_clock_now_us(order->clock);
+	int64_t mine = aged_priority(order, task);
+	int64_t theirs = aged_priority(order, other);
+
+	if (mine != theirs)
+		return mine < theirs;
+	return age_us(task, now_us) > age_us(other, now_us);
+}
+
+static void subtract(gn_batch_worker_t *worker, const gn_task_t *task)
+{
+	worker->free_tasks--;
+	worker->free_cores -= task->cores;
+	worker->free_memory_mb -= task->memory_mb;
+	worker->free_accelerators -= task->accelerators;
+	if (worker->kind_count < GN_BATCH_KINDS_MAX)
+		worker->kinds[worker->kind_count++] = task->kind;
+	else
+		/* An unknown mix takes nothing more. */
+		worker->draining = true;
+}
+
+gn_task_t *gn_batch_order_take(gn_batch_order_t *order,
+			       gn_batch_worker_t *worker)
+{
+	GPtrArray *siblings;
+	gn_task_t *best = NULL;
+
+	release_due(order);
+	siblings = g_hash_table_lookup(order->services, worker->service);
+	if (!siblings || worker->draining || !worker->free_tasks)
+		return NULL;
+	for (guint i = 0; i < siblings->len; i++) {
+		gn_task_t *task = find_in_group(
+			order, g_ptr_array_index(siblings, i), worker);
+
+		if (task && (!best || goes_before(order, task, best)))
+			best = task;
+	}
+	if (!best)
+		return NULL;
+	gn_batch_order_remove(order, best);
+	subtract(worker, best);
+	return best;
+}
+
+uint64_t gn_batch_order_retry_at_us(gn_batch_order_t *order, unsigned attempts)
+{
+	unsigned doublings = attempts > 1 ? attempts - 1 : 0;
+	uint64_t wait_us = order->params.backoff_least_us;
+
+	for (; doublings && wait_us < order->params.backoff_most_us;
+	     doublings--)
+		wait_us *= 2;
+	if (wait_us > order->params.backoff_most_us)
+		wait_us = order->params.backoff_most_us;
+	/* Half fixed, half random, so that tasks that failed together part. */
+	return gn_clock_now_us(order->clock) + wait_us / 2 +
+	       (uint64_t)(g_rand_double(order->rand) * (double)wait_us / 2);
+}
+
+size_t gn_batch_order_count(const gn_batch_order_t *order)
+{
+	return order->count;
+}
+
+size_t gn_batch_order_group_count(const gn_batch_order_t *order)
+{
+	return g_hash_table_size(order->groups);
+}
--- /dev/null
+++ b/tests/unit/test_bucket.c
@@ -0,0 +1,560 @@
+#include <glib.h>
+#include <string.h>
+
+#include "batch/bucket.h"
+#include "common/str.h"
+
+#define WORKER "w1"
+#define PROMISE_US (10 * GN_US_PER_S)
+#define DRIFT_US GN_US_PER_S
+
+static const gn_batch_params_t params = {
+	.promise_us = PROMISE_US,
+	.drift_us = DRIFT_US,
+	.retention_us = 60 * GN_US_PER_S,
+	.order = { .ageing_step_us = 60 * GN_US_PER_S,
+		   .backoff_least_us = GN_US_PER_S,
+		   .backoff_most_us = 60 * GN_US_PER_S },
+};
+
+/** One bucket with its surroundings, all in one thread. */
+typedef struct fixture_s {
+	TALLOC_CTX *frame;
+	gn_clock_t clock;
+	GRand *rand;
+	gn_batch_bucket_t *bucket;
+	bool may_renew;
+	bool may_start;
+	bool settled;
+	bool draining; /**< what the worker says of itself */
+	uint64_t polled_us;
+	uint64_t revision; /**< of the stored value */
+	gn_str_t stored;
+	gn_batch_orders_t orders; /**< of the last poll */
+} fixture_t;
+
+static bool may_renew(void *context)
+{
+	return ((fixture_t *)context)->may_renew;
+}
+
+static bool may_start(void *context)
+{
+	return ((fixture_t *)context)->may_start;
+}
+
+static bool is_settled(void *context, uint64_t incarnation, uint64_t acked,
+		       uint64_t taken_us)
+{
+	(void)incarnation;
+	(void)acked;
+	(void)taken_us;
+	return ((fixture_t *)context)->settled;
+}
+
+static const gn_batch_gate_ops_t gate_ops = { may_renew, may_start,
+					      is_settled };
+
+/** Lets the platform take the next write; false if there is none. */
+static bool commit(fixture_t *f)
+{
+	gn_batch_commit_t write;
+
+	if (!gn_batch_bucket_next_commit(f->bucket, &write))
+		return false;
+	g_assert_cmpuint(write.expected_revision, ==, f->revision);
+	f->stored.data =
+		talloc_memdup(f->frame, write.value.data, write.value.len);
+	f->stored.len = write.value.len;
+	f->revision++;
+	gn_batch_bucket_on_commit(f->bucket, write.change_id, GN_OK,
+				  f->revision);
+	return true;
+}
+
+/** Makes @p owner take the bucket over from the stored value. */
+static void take_over(fixture_t *f, uint64_t owner)
+{
+	gn_batch_gate_t gate = { &gate_ops, f };
+	gn_error_t error;
+
+	g_assert_cmpint(gn_batch_bucket_create(f->frame, 3, owner, f->stored,
+					       f->revision, 0, &params, gate,
+					       &f->clock, f->rand, &f->bucket,
+					       &error),
+			==, GN_OK);
+	g_assert_cmpint(gn_batch_bucket_standing(f->bucket), ==,
+			GN_BATCH_TAKING);
+}
+
+static void set_up(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	f->frame = talloc_new(NULL);
+	gn_clock_init_paused(&f->clock, 1000 * GN_US_PER_S);
+	f->rand = g_rand_new_with_seed(1);
+	f->may_renew = f->may_start = f->settled = true;
+	take_over(f, 11);
+	g_assert_true(commit(f));
+}
+
+static void tear_down(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	talloc_free(f->frame);
+	g_rand_free(f->rand);
+}
+
+static uint64_t submit_keyed(fixture_t *f, gn_str_t key)
+{
+	gn_task_request_t request = { .work_class = GN_CLASS_BATCH,
+				      .team = GN_STR("t"),
+				      .kind = GN_STR("k"),
+				      .service = GN_STR("s"),
+				      .key = key,
+				      .cores = 1 };
+	gn_task_reason_t reason;
+	uint64_t id = 0;
+	uint64_t seq = 0;
+
+	g_assert_cmpint(
+		gn_batch_bucket_submit(f->bucket, &request, &id, &seq, &reason),
+		==, GN_OK);
+	return id;
+}
+
+static uint64_t submit(fixture_t *f)
+{
+	return submit_keyed(f, GN_STR(""));
+}
+
+static gn_code_t poll_at(fixture_t *f, const char *name, uint64_t sent_us,
+			 const gn_batch_report_t *reports, size_t count)
+{
+	gn_batch_worker_t worker = {
+		.name = name,
+		.service = "s",
+		.free_tasks = 8,
+		.free_cores = 8,
+		.draining = f->draining,
+	};
+	gn_batch_poll_t poll = { .incarnation = 1,
+				 .sent_us = sent_us,
+				 .reports = reports,
+				 .report_count = count,
+				 .worker = &worker };
+
+	return gn_batch_bucket_on_poll(f->bucket, &poll, f->frame, &f->orders);
+}
+
+static void poll_worker(fixture_t *f, const char *name,
+			const gn_batch_report_t *reports, size_t count)
+{
+	g_assert_cmpint(poll_at(f, name, ++f->polled_us, reports, count), ==,
+			GN_OK);
+}
+
+static const gn_batch_order_msg_t *only_order(fixture_t *f,
+					      gn_order_kind_t kind)
+{
+	g_assert_cmpuint(f->orders.count, ==, 1);
+	g_assert_cmpint(f->orders.orders[0].kind, ==, kind);
+	return &f->orders.orders[0];
+}
+
+/** Submits a task and has it started; returns what its worker reports. */
+static gn_batch_report_t start_task(fixture_t *f, uint64_t *id)
+{
+	*id = submit(f);
+	g_assert_true(commit(f));
+	poll_worker(f, WORKER, NULL, 0);
+	g_assert_cmpuint(f->orders.count, ==, 0);
+	g_assert_true(commit(f));
+	poll_worker(f, WORKER, NULL, 0);
+	return (gn_batch_report_t){
+		.task = *id, .epoch = only_order(f, GN_ORDER_START)->epoch
+	};
+}
+
+static gn_task_state_t state_of(fixture_t *f, uint64_t id)
+{
+	return gn_batch_bucket_find(f->bucket, id)->state;
+}
+
+static void test_run(fixture_t *f, gconstpointer data)
+{
+	uint64_t id;
+	gn_batch_report_t report = start_task(f, &id);
+
+	(void)data;
+	poll_worker(f, WORKER, &report, 1);
+	g_assert_cmpuint(only_order(f, GN_ORDER_RENEW)->promise_us, ==,
+			 PROMISE_US);
+	report.state = GN_RUN_DONE;
+	report.result_code = 200;
+	poll_worker(f, WORKER, &report, 1);
+	/* The end is stored before it is told or forgotten. */
+	g_assert_cmpuint(f->orders.count, ==, 0);
+	g_assert_false(gn_batch_bucket_task_is_durable(
+		f->bucket, gn_batch_bucket_find(f->bucket, id)));
+	g_assert_true(commit(f));
+	g_assert_true(gn_batch_bucket_task_is_durable(
+		f->bucket, gn_batch_bucket_find(f->bucket, id)));
+	poll_worker(f, WORKER, &report, 1);
+	only_order(f, GN_ORDER_FORGET);
+	g_assert_cmpint(state_of(f, id), ==, GN_TASK_DONE);
+	g_assert_cmpuint(gn_batch_bucket_stats(f->bucket)->finishes, ==, 1);
+	gn_clock_advance(&f->clock, params.retention_us);
+	gn_batch_bucket_tick(f->bucket);
+	g_assert_null(gn_batch_bucket_find(f->bucket, id));
+}
+
+static void test_starts_after_commit(fixture_t *f, gconstpointer data)
+{
+	uint64_t id = submit(f);
+	const char *worker = NULL;
+	uint64_t incarnation = 0;
+	uint64_t sent_us = 0;
+
+	(void)data;
+	poll_worker(f, WORKER, NULL, 0);
+	g_assert_false(gn_batch_bucket_next_starts(f->bucket, f->frame, &worker,
+						   &incarnation, &sent_us,
+						   &f->orders));
+	g_assert_true(commit(f));
+	g_assert_true(gn_batch_bucket_next_starts(f->bucket, f->frame, &worker,
+						  &incarnation, &sent_us,
+						  &f->orders));
+	g_assert_cmpstr(worker, ==, WORKER);
+	g_assert_cmpuint(sent_us, ==, f->polled_us);
+	g_assert_cmpuint(only_order(f, GN_ORDER_START)->id, ==, id);
+	g_assert_false(gn_batch_bucket_next_starts(f->bucket, f->frame, &worker,
+						   &incarnation, &sent_us,
+						   &f->orders));
+}
+
+static void test_idempotent_submit(fixture_t *f, gconstpointer data)
+{
+	uint64_t id = submit_keyed(f, GN_STR("night"));
+
+	(void)data;
+	g_assert_cmpuint(submit_keyed(f, GN_STR("night")), ==, id);
+	g_assert_cmpuint(submit_keyed(f, GN_STR("day")), !=, id);
+	g_assert_true(commit(f));
+	take_over(f, 12);
+	g_assert_true(commit(f));
+	g_assert_cmpuint(submit_keyed(f, GN_STR("night")), ==, id);
+	g_assert_cmpuint(gn_batch_bucket_task_count(f->bucket), ==, 2);
+}
+
+static void test_cancel(fixture_t *f, gconstpointer data)
+{
+	uint64_t id = submit(f);
+	uint64_t seq = 0;
+	gn_outcome_t outcome;
+	gn_batch_report_t report;
+
+	(void)data;
+	/* Claimed, and even so never ordered to start. */
+	poll_worker(f, WORKER, NULL, 0);
+	g_assert_true(commit(f));
+	gn_batch_bucket_cancel(f->bucket, id, &outcome, &seq);
+	g_assert_cmpint(outcome, ==, GN_OUTCOME_NOT_RUN);
+	poll_worker(f, WORKER, NULL, 0);
+	g_assert_cmpuint(f->orders.count, ==, 0);
+	g_assert_true(commit(f));
+	g_assert_true(gn_batch_bucket_is_durable(f->bucket, seq));
+
+	report = start_task(f, &id);
+	gn_batch_bucket_cancel(f->bucket, id, &outcome, &seq);
+	g_assert_cmpint(outcome, ==, GN_OUTCOME_UNKNOWN);
+	poll_worker(f, WORKER, &report, 1);
+	g_assert_cmpuint(f->orders.count, ==, 0);
+	g_assert_true(commit(f));
+	poll_worker(f, WORKER, &report, 1);
+	only_order(f, GN_ORDER_STOP);
+	report.state = GN_RUN_STOPPED;
+	poll_worker(f, WORKER, &report, 1);
+	only_order(f, GN_ORDER_FORGET);
+	g_assert_cmpint(state_of(f, id), ==, GN_TASK_CANCELLED);
+}
+
+static void test_cancel_wave(fixture_t *f, gconstpointer data)
+{
+	size_t count = 0;
+	uint64_t seq = 0;
+	uint64_t commits;
+
+	(void)data;
+	for (int i = 0; i < 3000; i++)
+		submit(f);
+	g_assert_true(commit(f));
+	commits = gn_batch_bucket_stats(f->bucket)->commits;
+	gn_batch_bucket_cancel_wave(f->bucket, GN_STR("t"), GN_STR(""), &count,
+				    &seq);
+	g_assert_cmpuint(count, ==, 3000);
+	g_assert_true(commit(f));
+	g_assert_false(commit(f));
+	g_assert_true(gn_batch_bucket_is_durable(f->bucket, seq));
+	g_assert_cmpuint(gn_batch_bucket_stats(f->bucket)->commits, ==,
+			 commits + 1);
+	poll_worker(f, WORKER, NULL, 0);
+	g_assert_false(commit(f));
+}
+
+typedef struct end_case_s {
+	const char *name;
+	gn_run_state_t state;
+	const char *checkpoint;
+	gn_task_state_t want;
+	unsigned attempts;
+} end_case_t;
+
+static const end_case_t end_cases[] = {
+	{ "failed", GN_RUN_FAILED, "", GN_TASK_QUEUED, 1 },
+	{ "failed-later", GN_RUN_FAILED, "c1", GN_TASK_CHECKPOINTED, 1 },
+	{ "released", GN_RUN_RELEASED, "c1", GN_TASK_CHECKPOINTED, 0 },
+	{ "stopped", GN_RUN_STOPPED, "", GN_TASK_QUEUED, 0 },
+	{ "refused", GN_RUN_REFUSED, "", GN_TASK_QUEUED, 0 },
+	{ "done", GN_RUN_DONE, "", GN_TASK_DONE, 0 },
+};
+
+static void test_end(fixture_t *f, gconstpointer data)
+{
+	const end_case_t *c = data;
+	uint64_t id;
+	gn_batch_report_t report = start_task(f, &id);
+
+	report.state = c->state;
+	report.checkpoint = c->checkpoint;
+	f->draining = true;
+	poll_worker(f, WORKER, &report, 1);
+	g_assert_cmpint(state_of(f, id), ==, c->want);
+	g_assert_cmpuint(gn_batch_bucket_find(f->bucket, id)->attempts, ==,
+			 c->attempts);
+	/* The same report again changes nothing. */
+	poll_worker(f, WORKER, &report, 1);
+	g_assert_cmpuint(gn_batch_bucket_find(f->bucket, id)->attempts, ==,
+			 c->attempts);
+}
+
+static void test_parked(fixture_t *f, gconstpointer data)
+{
+	static const char *const names[] = { "w1", "w2", "w3" };
+	uint64_t id = submit(f);
+
+	(void)data;
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+		gn_batch_report_t report = { .task = id,
+					     .state = GN_RUN_FAILED };
+
+		gn_clock_advance(&f->clock, 60 * GN_US_PER_S);
+		poll_worker(f, names[i], NULL, 0);
+		g_assert_true(commit(f));
+		poll_worker(f, names[i], NULL, 0);
+		report.epoch = only_order(f, GN_ORDER_START)->epoch;
+		poll_worker(f, names[i], &report, 1);
+		/* It is not offered to a worker that it failed on. */
+		gn_clock_advance(&f->clock, 60 * GN_US_PER_S);
+		poll_worker(f, names[i], NULL, 0);
+		g_assert_cmpint(state_of(f, id), !=, GN_TASK_CLAIMED);
+	}
+	g_assert_cmpint(state_of(f, id), ==, GN_TASK_PARKED);
+	g_assert_cmpint(gn_batch_bucket_find(f->bucket, id)->reason, ==,
+			GN_TASK_REASON_FAILED_WORKERS);
+}
+
+static void test_lapse(fixture_t *f, gconstpointer data)
+{
+	uint64_t id;
+	gn_batch_report_t report = start_task(f, &id);
+
+	(void)data;
+	gn_clock_advance(&f->clock, PROMISE_US + DRIFT_US);
+	gn_batch_bucket_tick(f->bucket);
+	g_assert_cmpint(state_of(f, id), ==, GN_TASK_CLAIMED);
+	gn_clock_advance(&f->clock, 1);
+	gn_batch_bucket_tick(f->bucket);
+	g_assert_cmpint(state_of(f, id), ==, GN_TASK_QUEUED);
+	/* Its result comes late, yet before another start: it counts. */
+	report.state = GN_RUN_DONE;
+	poll_worker(f, WORKER, &report, 1);
+	g_assert_cmpint(state_of(f, id), ==, GN_TASK_DONE);
+}
+
+static void test_unsettled(fixture_t *f, gconstpointer data)
+{
+	gn_batch_predecessor_t predecessors[2];
+	uint64_t id;
+	gn_batch_report_t report = start_task(f, &id);
+
+	(void)data;
+	take_over(f, 12);
+	g_assert_cmpint(poll_at(f, WORKER, 100, &report, 1), ==,
+			GN_ERR_UNAVAILABLE);
+	g_assert_true(commit(f));
+	take_over(f, 13);
+	g_assert_true(commit(f));
+	g_assert_cmpuint(gn_batch_bucket_unsettled(f->bucket, predecessors, 2),
+			 ==, 2);
+	f->settled = false;
+	gn_clock_advance(&f->clock, 10 * PROMISE_US);
+	gn_batch_bucket_tick(f->bucket);
+	g_assert_cmpint(state_of(f, id), ==, GN_TASK_CLAIMED);
+	/* A worker that answers keeps its task, with a newer epoch. */
+	poll_worker(f, WORKER, &report, 1);
+	g_assert_cmpuint(only_order(f, GN_ORDER_RENEW)->epoch, >, report.epoch);
+	gn_clock_advance(&f->clock, 10 * PROMISE_US);
+	f->settled = true;
+	gn_batch_bucket_tick(f->bucket);
+	g_assert_cmpint(state_of(f, id), ==, GN_TASK_QUEUED);
+}
+
+typedef struct answer_case_s {
+	const char *name;
+	gn_code_t answer;
+	int stored; /**< value a read shows: 0 old, 1 this write, 2 other */
+	gn_batch_standing_t standing;
+	bool durable;
+} answer_case_t;
+
+static const answer_case_t answer_cases[] = {
+	{ "unknown-written", GN_ERR_TIMEOUT, 1, GN_BATCH_OWNED, true },
+	{ "unknown-not-written", GN_ERR_TIMEOUT, 0, GN_BATCH_OWNED, false },
+	{ "unknown-other", GN_ERR_TIMEOUT, 2, GN_BATCH_LOST, false },
+	{ "conflict-with-itself", GN_ERR_CONFLICT, 1, GN_BATCH_OWNED, true },
+	{ "conflict-other", GN_ERR_CONFLICT, 2, GN_BATCH_LOST, false },
+};
+
+static void test_answer(fixture_t *f, gconstpointer data)
+{
+	const answer_case_t *c = data;
+	gn_batch_bucket_t *mine = f->bucket;
+	gn_batch_commit_t write;
+	gn_batch_commit_t again;
+
+	submit(f);
+	g_assert_true(gn_batch_bucket_next_commit(mine, &write));
+	g_assert_false(gn_batch_bucket_next_commit(mine, &again));
+	gn_batch_bucket_on_commit(mine, write.change_id, c->answer, 0);
+	g_assert_true(gn_batch_bucket_wants_read(mine));
+	g_assert_false(gn_batch_bucket_next_commit(mine, &again));
+	/* What is older than already seen settles nothing. */
+	gn_batch_bucket_on_read(mine, f->stored, f->revision - 1);
+	g_assert_true(gn_batch_bucket_wants_read(mine));
+	if (c->stored == 2) {
+		take_over(f, 12);
+		g_assert_true(commit(f));
+	}
+	gn_batch_bucket_on_read(mine, c->stored == 1 ? write.value : f->stored,
+				f->revision + (c->stored == 1));
+	g_assert_cmpint(gn_batch_bucket_standing(mine), ==, c->standing);
+	g_assert_cmpint(gn_batch_bucket_is_durable(mine, 2), ==, c->durable);
+	if (c->stored)
+		return;
+	g_assert_true(gn_batch_bucket_next_commit(mine, &again));
+	g_assert_cmpuint(again.change_id, ==, write.change_id);
+}
+
+static void test_gate(fixture_t *f, gconstpointer data)
+{
+	uint64_t id;
+	gn_batch_report_t report = start_task(f, &id);
+
+	(void)data;
+	f->may_start = false;
+	submit(f);
+	poll_worker(f, WORKER, &report, 1);
+	only_order(f, GN_ORDER_RENEW);
+	g_assert_cmpuint(gn_batch_order_count(gn_batch_bucket_order(f->bucket)),
+			 ==, 1);
+	f->may_renew = false;
+	poll_worker(f, WORKER, &report, 1);
+	g_assert_cmpuint(f->orders.count, ==, 0);
+	gn_clock_advance(&f->clock, 10 * PROMISE_US);
+	gn_batch_bucket_tick(f->bucket);
+	g_assert_cmpint(state_of(f, id), ==, GN_TASK_RUNNING);
+}
+
+static void test_stale_poll(fixture_t *f, gconstpointer data)
+{
+	uint64_t id;
+	gn_batch_report_t report = start_task(f, &id);
+
+	(void)data;
+	poll_worker(f, WORKER, &report, 1);
+	g_assert_cmpint(poll_at(f, WORKER, f->polled_us, NULL, 0), ==,
+			GN_ERR_STALE);
+}
+
+/** A task that its worker lost moves after the lease, as a failure. */
+static void test_lost(fixture_t *f, gconstpointer data)
+{
+	uint64_t id;
+	gn_batch_report_t report = start_task(f, &id);
+
+	(void)data;
+	poll_worker(f, WORKER, &report, 1);
+	poll_worker(f, WORKER, NULL, 0);
+	g_assert_cmpuint(f->orders.count, ==, 0);
+	gn_clock_advance(&f->clock, PROMISE_US + DRIFT_US + 1);
+	gn_batch_bucket_tick(f->bucket);
+	g_assert_cmpint(state_of(f, id), ==, GN_TASK_QUEUED);
+	g_assert_cmpuint(gn_batch_bucket_find(f->bucket, id)->attempts, ==, 1);
+}
+
+static void test_release(fixture_t *f, gconstpointer data)
+{
+	uint64_t id;
+	gn_batch_predecessor_t predecessors[1];
+
+	(void)data;
+	start_task(f, &id);
+	gn_batch_bucket_release(f->bucket);
+	g_assert_cmpint(poll_at(f, WORKER, 100, NULL, 0), ==,
+			GN_ERR_UNAVAILABLE);
+	g_assert_true(commit(f));
+	g_assert_cmpint(gn_batch_bucket_standing(f->bucket), ==,
+			GN_BATCH_RELEASED);
+	take_over(f, 12);
+	g_assert_true(commit(f));
+	g_assert_cmpuint(gn_batch_bucket_unsettled(f->bucket, predecessors, 1),
+			 ==, 0);
+}
+
+#define ADD(path, data, func) \
+	g_test_add("/bucket/" path, fixture_t, data, set_up, func, tear_down)
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	ADD("run", NULL, test_run);
+	ADD("starts-after-commit", NULL, test_starts_after_commit);
+	ADD("idempotent-submit", NULL, test_idempotent_submit);
+	ADD("cancel", NULL, test_cancel);
+	ADD("cancel-wave", NULL, test_cancel_wave);
+	ADD("parked", NULL, test_parked);
+	ADD("lapse", NULL, test_lapse);
+	ADD("unsettled", NULL, test_unsettled);
+	ADD("gate", NULL, test_gate);
+	ADD("stale-poll", NULL, test_stale_poll);
+	ADD("lost", NULL, test_lost);
+	ADD("release", NULL, test_release);
+	for (size_t i = 0; i < G_N_ELEMENTS(end_cases); i++) {
+		char *path =
+			g_strdup_printf("/bucket/end/%s", end_cases[i].name);
+
+		g_test_add(path, fixture_t, &end_cases[i], set_up, test_end,
+			   tear_down);
+		g_free(path);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(answer_cases); i++) {
+		char *path = g_strdup_printf("/bucket/answer/%s",
+					     answer_cases[i].name);
+
+		g_test_add(path, fixture_t, &answer_cases[i], set_up,
+			   test_answer, tear_down);
+		g_free(path);
+	}
+	return g_test_run();
+}
