Let a bucket be taken only from an owner that left the record

An entry with an old member record took an owner that had joined since for one that had left. The value now names the record revision under which its owner took it, and a taker needs a record at least as new that lacks the owner.

A start is repeated to the same agent alone: a new incarnation can't tell whether the earlier one ran the claim and lost it, so the claim lapses and the task is claimed anew; no claim is started twice.

--- a/lib/batch/bucket.c
+++ b/lib/batch/bucket.c
@@ -160,6 +160,15 @@
 	return GN_OK;
 }
 
+static bool may_take(const gn_batch_bucket_t *bucket,
+		     const gn_batch_value_t *value)
+{
+	if (!value->owner || value->owner == bucket->owner)
+		return true;
+	return bucket->gate.ops->has_left(bucket->gate.context, value->owner,
+					  value->owner_revision);
+}
+
 static gn_code_t adopt_value(gn_batch_bucket_t *bucket, gn_str_t bytes,
 			     uint64_t acked, gn_error_t *error)
 {
@@ -172,6 +181,11 @@
 	if (value->bucket != bucket->index)
 		return gn_error_set(error, GN_ERR_RANGE, STEP, NULL,
 				    "value of bucket %u", value->bucket);
+	if (!may_take(bucket, value)) {
+		talloc_free(value);
+		return gn_error_set(error, GN_ERR_UNAVAILABLE, STEP, NULL,
+				    "owned by another entry");
+	}
 	bucket->owner_epoch = value->owner_epoch;
 	bucket->next_serial = value->next_serial;
 	bucket->predecessor_count = value->predecessor_count;
@@ -253,6 +267,7 @@
 		return code;
 	}
 	made->owner_epoch++;
+	made->owner_revision = gate.ops->revision(gate.context);
 	made->seq = 1;
 	*bucket = made;
 	return GN_OK;
--- a/lib/batch/bucket.h
+++ b/lib/batch/bucket.h
@@ -41,6 +41,14 @@
 	 */
 	bool (*is_settled)(void *context, uint64_t incarnation, uint64_t acked,
 			   uint64_t taken_us);
+	/**
+	 * Whether @p incarnation, a member at record revision @p revision, has
+	 * left the record for good.
+	 */
+	bool (*has_left)(void *context, uint64_t incarnation,
+			 uint64_t revision);
+	/** The member record that the entry has adopted. */
+	uint64_t (*revision)(void *context);
 } gn_batch_gate_ops_t;
 
 typedef struct gn_batch_gate_s {
@@ -93,8 +101,8 @@
 /**
  * Opens bucket number @p index for the entry @p owner, to take it.
  * The first commit raises the owner's epoch; until it is durable the bucket
- * accepts nothing and orders nothing. The caller must know that the earlier
- * owner has left the member record, or that it handed over (owner 0).
+ * accepts nothing and orders nothing. A bucket whose owner has not left the
+ * member record and has not handed over is refused.
  *
  * @param value the bytes read from the platform's service, empty if none
  * @param revision of that value, 0 if there is none
@@ -102,7 +110,8 @@
  *        not known, which is always safe
  * @param gate what the run promise rules allow; outlives the bucket
  * @param rand seeded; outlives the bucket
- * @return GN_OK, GN_ERR_INVALID or GN_ERR_RANGE (stored value), GN_ERR_MEMORY,
+ * @return GN_OK, GN_ERR_UNAVAILABLE (another entry owns it), GN_ERR_INVALID or
+ *         GN_ERR_RANGE (stored value), GN_ERR_MEMORY,
  *         GN_ERR_CAPACITY (too many unsettled earlier owners)
  */
 gn_code_t gn_batch_bucket_create(TALLOC_CTX *parent, unsigned index,
--- a/lib/batch/bucket.pb-c.c
+++ b/lib/batch/bucket.pb-c.c
@@ -543,7 +543,7 @@
   (ProtobufCMessageInit) gn__batch__stored_predecessor__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gn__batch__stored_bucket__field_descriptors[8] =
+static const ProtobufCFieldDescriptor gn__batch__stored_bucket__field_descriptors[9] =
 {
   {
     "version",
@@ -641,6 +641,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "owner_revision",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gn__Batch__StoredBucket, owner_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gn__batch__stored_bucket__field_indices_by_name[] = {
   1,   /* field[1] = bucket */
@@ -648,6 +660,7 @@
   5,   /* field[5] = next_serial */
   2,   /* field[2] = owner */
   3,   /* field[3] = owner_epoch */
+  8,   /* field[8] = owner_revision */
   6,   /* field[6] = predecessors */
   7,   /* field[7] = tasks */
   0,   /* field[0] = version */
@@ -655,7 +668,7 @@
 static const ProtobufCIntRange gn__batch__stored_bucket__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor gn__batch__stored_bucket__descriptor =
 {
@@ -665,7 +678,7 @@
   "Gn__Batch__StoredBucket",
   "gn.batch",
   sizeof(Gn__Batch__StoredBucket),
-  8,
+  9,
   gn__batch__stored_bucket__field_descriptors,
   gn__batch__stored_bucket__field_indices_by_name,
   1,  gn__batch__stored_bucket__number_ranges,
--- a/lib/batch/bucket.pb-c.h
+++ b/lib/batch/bucket.pb-c.h
@@ -113,6 +113,10 @@
    */
   uint64_t change_id;
   uint64_t next_serial;
+  /*
+   * of the record, when the owner took it
+   */
+  uint64_t owner_revision;
   size_t n_predecessors;
   Gn__Batch__StoredPredecessor **predecessors;
   size_t n_tasks;
@@ -120,7 +124,7 @@
 };
 #define GN__BATCH__STORED_BUCKET__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gn__batch__stored_bucket__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
 
 
 /* Gn__Batch__StoredTask methods */
--- a/lib/batch/bucket_commit.c
+++ b/lib/batch/bucket_commit.c
@@ -26,6 +26,7 @@
 	value->owner =
 		bucket->standing == GN_BATCH_RELEASING ? 0 : bucket->owner;
 	value->owner_epoch = bucket->owner_epoch;
+	value->owner_revision = bucket->owner_revision;
 	value->change_id = change_id;
 	value->next_serial = bucket->next_serial;
 	value->predecessor_count = bucket->predecessor_count;
--- a/lib/batch/bucket_internal.h
+++ b/lib/batch/bucket_internal.h
@@ -32,6 +32,7 @@
 	gn_batch_standing_t standing;
 	uint64_t owner;
 	uint32_t owner_epoch;
+	uint64_t owner_revision; /**< member record when it was taken */
 	uint64_t revision; /**< of the value last seen */
 	uint64_t taken_us; /**< when the take was known to be durable */
 	uint64_t next_serial;
--- a/lib/batch/bucket_poll.c
+++ b/lib/batch/bucket_poll.c
@@ -60,20 +60,29 @@
 	bucket->stats.promises++;
 }
 
-static bool is_start_due(const gn_batch_bucket_t *bucket, const gn_task_t *task)
+/**
+ * A start is repeated, in case it was lost, only to the same agent: another
+ * incarnation can't tell whether the earlier one ran it and lost it again, so
+ * the claim lapses and the task is claimed anew.
+ */
+static bool is_start_due(const gn_batch_bucket_t *bucket, const gn_task_t *task,
+			 uint64_t incarnation)
 {
 	uint64_t waited_us = gn_clock_now_us(bucket->clock) - task->claimed_us;
 
+	if (task->ordered && task->start_incarnation != incarnation)
+		return false;
 	return !task->seen && gn_bucket_claim_is_durable(bucket, task) &&
 	       waited_us < START_PROMISES_MAX * bucket->params.promise_us;
 }
 
 static void add_start(gn_batch_bucket_t *bucket, gn_batch_orders_t *orders,
-		      gn_task_t *task)
+		      gn_task_t *task, uint64_t incarnation)
 {
 	add_promise(bucket, orders, GN_ORDER_START, task);
 	orders->orders[orders->count - 1].task = task;
 	task->ordered = true;
+	task->start_incarnation = incarnation;
 	bucket->stats.starts++;
 }
 
@@ -248,8 +257,8 @@
 		reserve(capacity, task);
 		/* Its worker lost it: it moves when its lease has lapsed. */
 		task->lost = task->seen;
-		if (starting && is_start_due(bucket, task))
-			add_start(bucket, orders, task);
+		if (starting && is_start_due(bucket, task, worker->incarnation))
+			add_start(bucket, orders, task, worker->incarnation);
 	}
 }
 
@@ -267,6 +276,7 @@
 	}
 	task->claim++;
 	task->ordered = false;
+	task->start_incarnation = 0;
 	task->seen = false;
 	task->lost = false;
 	task->lapsed = false;
@@ -342,8 +352,9 @@
 	while (g_hash_table_iter_next(&iter, &key, NULL)) {
 		gn_task_t *task = key;
 
-		if (!task->ordered && is_start_due(bucket, task))
-			add_start(bucket, orders, task);
+		if (!task->ordered &&
+		    is_start_due(bucket, task, worker->incarnation))
+			add_start(bucket, orders, task, worker->incarnation);
 	}
 	return GN_OK;
 }
--- a/lib/batch/codec.c
+++ b/lib/batch/codec.c
@@ -86,6 +86,7 @@
 	stored.bucket = value->bucket;
 	stored.owner = value->owner;
 	stored.owner_epoch = value->owner_epoch;
+	stored.owner_revision = value->owner_revision;
 	stored.change_id = value->change_id;
 	stored.next_serial = value->next_serial;
 	for (size_t i = 0; i < value->predecessor_count; i++) {
@@ -249,6 +250,7 @@
 	value->bucket = stored->bucket;
 	value->owner = stored->owner;
 	value->owner_epoch = stored->owner_epoch;
+	value->owner_revision = stored->owner_revision;
 	value->change_id = stored->change_id;
 	value->next_serial = stored->next_serial;
 	for (size_t i = 0; i < stored->n_predecessors; i++) {
--- a/lib/batch/codec.h
+++ b/lib/batch/codec.h
@@ -31,6 +31,7 @@
 	unsigned bucket; /**< 0..65535 */
 	uint64_t owner; /**< incarnation; 0 after a hand-over */
 	uint32_t owner_epoch;
+	uint64_t owner_revision; /**< member record adopted when it was taken */
 	uint64_t change_id; /**< of the write that made this value */
 	uint64_t next_serial;
 	gn_batch_predecessor_t predecessors[GN_BATCH_PREDECESSORS_MAX];
--- a/lib/batch/promise.c
+++ b/lib/batch/promise.c
@@ -383,7 +383,7 @@
 {
 	const gn_promise_params_t *params = &promise->params;
 	uint64_t longest_us = params->dark_us +
-			      params->dark_us / PPM * GN_PROMISE_RATE_PPM +
+			      params->dark_us / PPM * params->rate_ppm +
 			      params->promise_us + params->drift_us;
 
 	if (gn_clock_now_us(promise->clock) - taken_us > longest_us)
@@ -391,6 +391,14 @@
 	return is_vouched(promise, owner, acked) || GN_MUTANT(no_vouching);
 }
 
+bool gn_promise_has_left(const gn_promise_t *promise, uint64_t incarnation,
+			 uint64_t revision)
+{
+	/* A record older than its joining says nothing of it. */
+	return promise->revision >= revision &&
+	       !find_member(promise, incarnation);
+}
+
 static bool gate_may_renew(void *context)
 {
 	return gn_promise_may_renew(context);
@@ -407,12 +415,22 @@
 	return gn_promise_is_settled(context, incarnation, acked, taken_us);
 }
 
+static bool gate_has_left(void *context, uint64_t incarnation,
+			  uint64_t revision)
+{
+	return gn_promise_has_left(context, incarnation, revision);
+}
+
+static uint64_t gate_revision(void *context)
+{
+	return gn_promise_revision(context);
+}
+
 gn_batch_gate_t gn_promise_gate(gn_promise_t *promise)
 {
 	static const gn_batch_gate_ops_t ops = {
-		gate_may_renew,
-		gate_may_start,
-		gate_is_settled,
+		gate_may_renew, gate_may_start, gate_is_settled,
+		gate_has_left,	gate_revision,
 	};
 
 	return (gn_batch_gate_t){ &ops, promise };
--- a/lib/batch/promise.h
+++ b/lib/batch/promise.h
@@ -12,16 +12,14 @@
  * will, or dark_us has gone by. docs/OUTAGE.md gives the safety argument.
  *
  * Bounds: renew_us plus drift_us is below the platform's lease; drift_us
- * covers the difference of clock rates over promise_us + confirm_us;
- * GN_PROMISE_RATE_PPM covers it over dark_us.
+ * covers the difference of clock rates over promise_us + confirm_us, rate_ppm
+ * covers it over dark_us.
  */
 #ifndef GN_BATCH_PROMISE_H
 #define GN_BATCH_PROMISE_H
 
 #include "batch/bucket.h"
 
-/** Clocks of two hosts differ in rate by less than this; parts a million. */
-#define GN_PROMISE_RATE_PPM 1000
 /** Most members of the record. */
 #define GN_PROMISE_MEMBERS_MAX 256
 
@@ -32,6 +30,7 @@
 	uint64_t promise_us; /**< length of a run promise, 1 s..60 s */
 	uint64_t drift_us; /**< margin for clock rates, 10 ms..10 s */
 	uint64_t dark_us; /**< longest time without the platform, to 1 day */
+	unsigned rate_ppm; /**< clock rates differ by less, 1..100000 */
 } gn_promise_params_t;
 
 /** A member of the record. */
@@ -118,6 +117,10 @@
 bool gn_promise_is_settled(const gn_promise_t *promise, uint64_t owner,
 			   uint64_t acked, uint64_t taken_us);
 
+/** Whether @p incarnation, a member at @p revision, has left the record. */
+bool gn_promise_has_left(const gn_promise_t *promise, uint64_t incarnation,
+			 uint64_t revision);
+
 /** The gate that buckets of this entry use. */
 gn_batch_gate_t gn_promise_gate(gn_promise_t *promise);
 
--- a/lib/batch/task.h
+++ b/lib/batch/task.h
@@ -109,6 +109,7 @@
 	uint64_t
 		promised_us; /**< latest promise to the worker, owner's clock */
 	bool ordered; /**< a start went out, or an earlier owner's claim */
+	uint64_t start_incarnation; /**< agent it was ordered from, or 0 */
 	bool seen; /**< the worker reported this claim */
 	bool lost; /**< the worker reported it, and later no more */
 	uint64_t claimed_us; /**< when the last claim was made, owner's clock */
--- a/lib/batch/worker_tasks.h
+++ b/lib/batch/worker_tasks.h
@@ -37,10 +37,10 @@
 
 /** What the backend server is to do. */
 typedef enum gn_action_kind_e {
-	GN_ACTION_START = 0, /**< start under the lease; idempotent by epoch */
+	GN_ACTION_START = 0, /**< start; once per claim, unless lease lapsed */
 	GN_ACTION_LEASE, /**< the lease now runs until lease_until_us */
 	GN_ACTION_CHECKPOINT, /**< checkpoint, then stop */
-	GN_ACTION_STOP,
+	GN_ACTION_STOP, /**< also fences an epoch that it has not started */
 	GN_ACTION_FORGET, /**< drop what is kept of an ended run */
 	GN_ACTION_KIND_COUNT
 } gn_action_kind_t;
--- a/tests/unit/test_bucket.c
+++ b/tests/unit/test_bucket.c
@@ -26,8 +26,10 @@
 	bool may_renew;
 	bool may_start;
 	bool settled;
+	bool owner_lives; /**< the earlier owner is in the record */
 	bool draining; /**< what the worker says of itself */
 	uint64_t polled_us;
+	uint64_t agent; /**< incarnation */
 	uint64_t revision; /**< of the stored value */
 	gn_str_t stored;
 	gn_batch_orders_t orders; /**< of the last poll */
@@ -52,8 +54,21 @@
 	return ((fixture_t *)context)->settled;
 }
 
-static const gn_batch_gate_ops_t gate_ops = { may_renew, may_start,
-					      is_settled };
+static bool has_left(void *context, uint64_t incarnation, uint64_t revision)
+{
+	(void)incarnation;
+	(void)revision;
+	return !((fixture_t *)context)->owner_lives;
+}
+
+static uint64_t revision(void *context)
+{
+	(void)context;
+	return 1;
+}
+
+static const gn_batch_gate_ops_t gate_ops = { may_renew, may_start, is_settled,
+					      has_left, revision };
 
 /** Lets the platform take the next write; false if there is none. */
 static bool commit(fixture_t *f)
@@ -94,6 +109,7 @@
 	gn_clock_init_paused(&f->clock, 1000 * GN_US_PER_S);
 	f->rand = g_rand_new_with_seed(1);
 	f->may_renew = f->may_start = f->settled = true;
+	f->agent = 1;
 	take_over(f, 11);
 	g_assert_true(commit(f));
 }
@@ -138,7 +154,7 @@
 		.free_cores = 8,
 		.draining = f->draining,
 	};
-	gn_batch_poll_t poll = { .incarnation = 1,
+	gn_batch_poll_t poll = { .incarnation = f->agent,
 				 .sent_us = sent_us,
 				 .reports = reports,
 				 .report_count = count,
@@ -522,6 +538,38 @@
 			 ==, 0);
 }
 
+/** A bucket isn't taken from an owner that is in the member record. */
+static void test_take(fixture_t *f, gconstpointer data)
+{
+	gn_batch_gate_t gate = { &gate_ops, f };
+	gn_batch_bucket_t *bucket = NULL;
+
+	(void)data;
+	f->owner_lives = true;
+	g_assert_cmpint(gn_batch_bucket_create(f->frame, 3, 12, f->stored,
+					       f->revision, 0, &params, gate,
+					       &f->clock, f->rand, &bucket,
+					       NULL),
+			==, GN_ERR_UNAVAILABLE);
+}
+
+/** A claim that another owner or another agent started lapses instead. */
+static void test_no_second_start(fixture_t *f, gconstpointer data)
+{
+	uint64_t id;
+
+	start_task(f, &id);
+	poll_worker(f, WORKER, NULL, 0);
+	only_order(f, GN_ORDER_START);
+	f->agent = data ? 2 : 1;
+	if (!data) {
+		take_over(f, 12);
+		g_assert_true(commit(f));
+	}
+	poll_worker(f, WORKER, NULL, 0);
+	g_assert_cmpuint(f->orders.count, ==, 0);
+}
+
 #define ADD(path, data, func) \
 	g_test_add("/bucket/" path, fixture_t, data, set_up, func, tear_down)
 
@@ -540,6 +588,9 @@
 	ADD("stale-poll", NULL, test_stale_poll);
 	ADD("lost", NULL, test_lost);
 	ADD("release", NULL, test_release);
+	ADD("take", NULL, test_take);
+	ADD("no-second-start/owner", NULL, test_no_second_start);
+	ADD("no-second-start/agent", "agent", test_no_second_start);
 	for (size_t i = 0; i < G_N_ELEMENTS(end_cases); i++) {
 		char *path =
 			g_strdup_printf("/bucket/end/%s", end_cases[i].name);
--- a/tests/unit/test_promise.c
+++ b/tests/unit/test_promise.c
@@ -13,6 +13,7 @@
 	.promise_us = 10 * SECOND,
 	.drift_us = SECOND,
 	.dark_us = 3600 * SECOND,
+	.rate_ppm = 1000,
 };
 
 static const gn_promise_member_t record[] = { { ME, 1 }, { PEER, 2 } };
