Add cells: a rack group reports through its first live agent

An entry can't hear from each worker of its data centre within the bytes a node may spend. The new modules decide, without I/O, to whom an agent beats (cell), what the head of a cell tells each entry (cell_head) and what an entry believes (cell_view).

A line carries a version that its own worker counts, so an entry never moves to an older one, whichever head sent it; one bit for each head vouches for a worker, so summaries of two heads commute. A summary builds on the last one that its entry acknowledged, so a lost one is made good by the next. A single source for each line was ruled out: a head that is let go would have hidden a live worker. Forgetting a silent worker after 30 s was ruled out by the walk: a head that thawed later read beats that had waited for it and showed an older line.

--- /dev/null
+++ b/tests/unit/test_cell.c
@@ -0,0 +1,331 @@
+#include <glib.h>
+
+#include "member/cell_view.h"
+
+#define SIZE 4
+
+static const gn_cell_times_t times = { 500 * GN_US_PER_MS,
+				       2000 * GN_US_PER_MS };
+
+typedef struct load_case_s {
+	const char *name;
+	gn_cell_load_t before;
+	gn_cell_load_t now;
+	bool differs;
+} load_case_t;
+
+static const load_case_t load_cases[] = {
+	{ "same", { 4, 2, 900, 2000, 0, 1 }, { 4, 2, 900, 2000, 0, 1 }, 0 },
+	{ "one-more", { 4, 2, 900, 2000, 0, 1 }, { 5, 2, 900, 2000, 0, 1 }, 0 },
+	{ "two-more", { 4, 2, 900, 2000, 0, 1 }, { 6, 2, 900, 2000, 0, 1 }, 1 },
+	{ "quarter", { 0, 0, 900, 2000, 0, 1 }, { 0, 0, 1200, 2000, 0, 1 }, 0 },
+	{ "more", { 0, 0, 900, 2000, 0, 1 }, { 0, 0, 1201, 2000, 0, 1 }, 1 },
+	{ "less", { 0, 0, 1201, 2000, 0, 1 }, { 0, 0, 900, 2000, 0, 1 }, 1 },
+	{ "tail", { 0, 0, 900, 2000, 0, 1 }, { 0, 0, 900, 9000, 0, 1 }, 1 },
+	{ "tasks", { 0, 1, 0, 0, 0, 1 }, { 0, 8, 0, 0, 0, 1 }, 1 },
+	{ "draining", { 0, 0, 0, 0, 0, 1 }, { 0, 0, 0, 0, 1, 1 }, 1 },
+	{ "backend-down", { 0, 0, 0, 0, 0, 1 }, { 0, 0, 0, 0, 0, 0 }, 1 },
+};
+
+static void test_load(const void *data)
+{
+	const load_case_t *c = data;
+
+	g_assert_cmpint(gn_cell_load_differs(&c->before, &c->now), ==,
+			c->differs);
+}
+
+/** Events: 't' lets an interval pass, a digit is a rank's acknowledgement. */
+typedef struct agent_case_s {
+	const char *name;
+	unsigned rank;
+	const char *events;
+	unsigned target;
+	bool reports;
+} agent_case_t;
+
+static const agent_case_t agent_cases[] = {
+	{ "first-is-head", 0, "tttttttttt", 0, true },
+	{ "starts-with-first", 3, "ttt", 0, false },
+	{ "timeout-tries-next", 3, "tttt", 1, false },
+	{ "next-answers", 3, "tttt1t", 1, false },
+	{ "two-silent-reports", 3, "tttttt", 2, true },
+	{ "answer-ends-reports", 3, "tttttt2", 2, false },
+	{ "all-silent-is-head", 3, "tttttttt", 3, true },
+	{ "no-further", 3, "tttttttttttttttt", 3, true },
+	{ "lower-rank-returns", 3, "tttttttt1", 1, false },
+	{ "first-returns", 3, "tttttttt10", 0, false },
+	{ "higher-rank-ignored", 3, "tttt12", 1, false },
+	{ "own-rank-ignored", 1, "t1ttt", 1, true },
+	{ "acks-keep-head", 3, "ttt0ttt0ttt0", 0, false },
+	{ "known-head-has-timeout", 3, "tttt1ttt", 1, false },
+	{ "known-head-times-out", 3, "tttt1tttt", 2, false },
+};
+
+static void test_agent(const void *data)
+{
+	const agent_case_t *c = data;
+	gn_clock_t clock;
+	gn_cell_agent_t *agent;
+
+	gn_clock_init_paused(&clock, 1);
+	agent = gn_cell_agent_create(NULL, &clock, &times, c->rank, SIZE, 1);
+	for (const char *event = c->events; *event; event++) {
+		if (*event == 't') {
+			gn_clock_advance(&clock, times.interval_us);
+			gn_cell_agent_tick(agent);
+		} else {
+			gn_cell_agent_acked(agent, (unsigned)(*event - '0'));
+		}
+	}
+	g_assert_cmpuint(gn_cell_agent_target(agent), ==, c->target);
+	g_assert_cmpint(gn_cell_agent_reports(agent), ==, c->reports);
+	talloc_free(agent);
+}
+
+/** An agent without a head probes every lower rank within bounded time. */
+static void test_probe(void)
+{
+	gn_clock_t clock;
+	gn_cell_agent_t *agent;
+	unsigned probed = 0;
+	unsigned rank;
+
+	gn_clock_init_paused(&clock, 1);
+	agent = gn_cell_agent_create(NULL, &clock, &times, 3, SIZE, 1);
+	g_assert_false(gn_cell_agent_probe(agent, &rank));
+	for (int i = 0; i < 8 + 4 * 3; i++) {
+		gn_clock_advance(&clock, times.interval_us);
+		gn_cell_agent_tick(agent);
+		if (gn_cell_agent_probe(agent, &rank))
+			probed |= 1U << rank;
+	}
+	g_assert_cmpuint(probed, ==, 7);
+	talloc_free(agent);
+}
+
+/** One summary of a script; it holds one line, or none for rank SIZE. */
+typedef struct apply_step_s {
+	unsigned wait; /**< intervals before it */
+	unsigned head;
+	uint64_t head_incarnation;
+	uint64_t sequence;
+	uint64_t base;
+	gn_cell_line_t line;
+	gn_code_t code;
+	uint64_t acked;
+	bool is_live; /**< worker 2 afterwards */
+	uint64_t version; /**< of worker 2 afterwards */
+} apply_step_t;
+
+#define STEPS_MAX 4
+
+typedef struct view_case_s {
+	const char *name;
+	apply_step_t steps[STEPS_MAX];
+} view_case_t;
+
+#define LINE(incarnation, version, is_gone)                            \
+	{                                                              \
+		2, incarnation, version, { 0, 0, 0, 0, 0, 0 }, is_gone \
+	}
+#define NO_LINE                                         \
+	{                                               \
+		SIZE, 0, 0, { 0, 0, 0, 0, 0, 0 }, false \
+	}
+
+static const view_case_t view_cases[] = {
+	{ "full", { { 0, 0, 1, 4, 0, LINE(1, 3, 0), GN_OK, 4, true, 3 } } },
+	{ "delta",
+	  { { 0, 0, 1, 4, 0, LINE(1, 3, 0), GN_OK, 4, true, 3 },
+	    { 1, 0, 1, 5, 4, LINE(1, 4, 0), GN_OK, 5, true, 4 },
+	    { 1, 0, 1, 6, 5, NO_LINE, GN_OK, 6, true, 4 } } },
+	{ "lost-summary-is-made-good",
+	  { { 0, 0, 1, 4, 0, LINE(1, 3, 0), GN_OK, 4, true, 3 },
+	    { 2, 0, 1, 6, 4, LINE(1, 4, 0), GN_OK, 6, true, 4 } } },
+	{ "delta-without-its-base",
+	  { { 0, 0, 1, 5, 4, LINE(1, 3, 0), GN_ERR_CONFLICT, 0, false, 0 },
+	    { 1, 0, 1, 6, 0, LINE(1, 3, 0), GN_OK, 6, true, 3 } } },
+	{ "duplicate",
+	  { { 0, 0, 1, 4, 0, LINE(1, 3, 0), GN_OK, 4, true, 3 },
+	    { 0, 0, 1, 4, 0, LINE(1, 3, 0), GN_ERR_STALE, 4, true, 3 } } },
+	{ "reordered-gone",
+	  { { 0, 0, 1, 5, 0, LINE(1, 3, 0), GN_OK, 5, true, 3 },
+	    { 0, 0, 1, 4, 0, LINE(1, 3, 1), GN_ERR_STALE, 5, true, 3 } } },
+	{ "older-version-of-wrong-head",
+	  { { 0, 0, 1, 4, 0, LINE(1, 3, 0), GN_OK, 4, true, 3 },
+	    { 0, 1, 1, 9, 0, LINE(1, 2, 0), GN_OK, 9, true, 3 } } },
+	{ "wrong-head-lets-go",
+	  { { 0, 0, 1, 4, 0, LINE(1, 3, 0), GN_OK, 4, true, 3 },
+	    { 0, 1, 1, 9, 0, LINE(1, 3, 0), GN_OK, 9, true, 3 },
+	    { 1, 1, 1, 10, 9, LINE(1, 3, 1), GN_OK, 10, true, 3 } } },
+	{ "last-head-lets-go",
+	  { { 0, 0, 1, 4, 0, LINE(1, 3, 0), GN_OK, 4, true, 3 },
+	    { 1, 0, 1, 5, 4, LINE(1, 3, 1), GN_OK, 5, false, 3 } } },
+	{ "full-without-the-worker",
+	  { { 0, 0, 1, 4, 0, LINE(1, 3, 0), GN_OK, 4, true, 3 },
+	    { 1, 0, 1, 5, 0, NO_LINE, GN_OK, 5, false, 3 } } },
+	{ "restarted-worker",
+	  { { 0, 0, 1, 4, 0, LINE(1, 3, 0), GN_OK, 4, true, 3 },
+	    { 1, 0, 1, 5, 4, LINE(2, 1, 0), GN_OK, 5, true, 1 } } },
+	{ "restarted-worker-loses-old-vouchers",
+	  { { 0, 0, 1, 4, 0, LINE(1, 3, 0), GN_OK, 4, true, 3 },
+	    { 0, 1, 1, 9, 0, LINE(2, 1, 0), GN_OK, 9, true, 1 },
+	    { 1, 1, 1, 10, 9, LINE(2, 1, 1), GN_OK, 10, false, 1 } } },
+	{ "older-incarnation-of-worker",
+	  { { 0, 0, 1, 4, 0, LINE(2, 1, 0), GN_OK, 4, true, 1 },
+	    { 1, 0, 1, 5, 4, LINE(2, 1, 1), GN_OK, 5, false, 1 },
+	    { 0, 1, 1, 9, 0, LINE(1, 7, 0), GN_OK, 9, false, 1 } } },
+	{ "restarted-head",
+	  { { 0, 0, 1, 400, 0, LINE(1, 3, 0), GN_OK, 400, true, 3 },
+	    { 1, 0, 2, 4, 0, LINE(1, 3, 0), GN_OK, 4, true, 3 } } },
+	{ "older-incarnation-of-head",
+	  { { 0, 0, 2, 4, 0, LINE(1, 3, 0), GN_OK, 4, true, 3 },
+	    { 1, 0, 1, 400, 0, LINE(1, 3, 1), GN_ERR_STALE, 0, true, 3 } } },
+	{ "silent-head",
+	  { { 0, 0, 1, 4, 0, LINE(1, 3, 0), GN_OK, 4, true, 3 },
+	    { 4, 1, 1, 9, 0, NO_LINE, GN_OK, 9, false, 3 } } },
+	{ "head-speaks-within-timeout",
+	  { { 0, 0, 1, 4, 0, LINE(1, 3, 0), GN_OK, 4, true, 3 },
+	    { 3, 1, 1, 9, 0, NO_LINE, GN_OK, 9, true, 3 } } },
+	{ "head-out-of-range",
+	  { { 0, SIZE, 1, 4, 0, LINE(1, 3, 0), GN_ERR_RANGE, 0, false, 0 } } },
+};
+
+static void apply_step(gn_cell_view_t *view, gn_clock_t *clock,
+		       const apply_step_t *step)
+{
+	gn_cell_summary_t summary = { .cell = 0 };
+	gn_cell_ack_t ack;
+	gn_cell_line_t line;
+	bool is_live;
+
+	gn_clock_advance(clock, step->wait * times.interval_us);
+	gn_cell_view_expire(view);
+	summary.head = step->head;
+	summary.head_incarnation = step->head_incarnation;
+	summary.sequence = step->sequence;
+	summary.base = step->base;
+	summary.lines[0] = step->line;
+	summary.count = step->line.rank < SIZE;
+	g_assert_cmpint(gn_cell_view_apply(view, &summary, &ack), ==,
+			step->code);
+	g_assert_cmpuint(ack.applied, ==, step->acked);
+	is_live = gn_cell_view_worker(view, 0, 2, &line);
+	g_assert_cmpint(is_live, ==, step->is_live);
+	g_assert_cmpuint(line.version, ==, step->version);
+	g_assert_cmpuint(gn_cell_view_live(view), ==, step->is_live);
+}
+
+static void test_view(const void *data)
+{
+	static const unsigned sizes[] = { SIZE };
+	const view_case_t *c = data;
+	gn_clock_t clock;
+	gn_cell_view_t *view;
+
+	gn_clock_init_paused(&clock, 1);
+	view = gn_cell_view_create(NULL, &clock, &times, sizes, 1);
+	for (int i = 0; i < STEPS_MAX && c->steps[i].sequence; i++)
+		apply_step(view, &clock, &c->steps[i]);
+	talloc_free(view);
+}
+
+typedef struct beat_case_s {
+	const char *name;
+	gn_cell_beat_t
+		beat; /**< after (sequence 5, incarnation 2, version 3) */
+	gn_code_t code;
+	unsigned lines; /**< of the next summary */
+} beat_case_t;
+
+static const beat_case_t beat_cases[] = {
+	{ "unchanged", { 6, LINE(2, 3, 0) }, GN_OK, 0 },
+	{ "changed", { 6, LINE(2, 4, 0) }, GN_OK, 1 },
+	{ "restarted", { 1, LINE(3, 1, 0) }, GN_OK, 1 },
+	{ "duplicate", { 5, LINE(2, 3, 0) }, GN_ERR_STALE, 0 },
+	{ "reordered", { 4, LINE(2, 2, 0) }, GN_ERR_STALE, 0 },
+	{ "older-incarnation", { 9, LINE(1, 9, 0) }, GN_ERR_STALE, 0 },
+	{ "no-such-rank", { 6, NO_LINE }, GN_ERR_RANGE, 0 },
+};
+
+static void test_beat(const void *data)
+{
+	const beat_case_t *c = data;
+	const gn_cell_beat_t first = { 5, LINE(2, 3, 0) };
+	gn_cell_ack_t ack = { 7, 1 };
+	gn_cell_summary_t summary;
+	gn_clock_t clock;
+	gn_cell_head_t *head;
+
+	gn_clock_init_paused(&clock, 1);
+	head = gn_cell_head_create(NULL, &clock, &times, 0, 0, SIZE, 7);
+	g_assert_cmpint(gn_cell_head_beat(head, &first), ==, GN_OK);
+	gn_cell_head_round(head);
+	g_assert_false(gn_cell_head_summary(head, 0, &summary));
+	gn_clock_advance(&clock, times.timeout_us / 2);
+	g_assert_true(gn_cell_head_summary(head, 0, &summary));
+	g_assert_cmpuint(summary.count, ==, 1);
+	g_assert_cmpuint(summary.base, ==, 0);
+	gn_cell_head_acked(head, 0, &ack);
+	g_assert_cmpint(gn_cell_head_beat(head, &c->beat), ==, c->code);
+	gn_cell_head_round(head);
+	g_assert_true(gn_cell_head_summary(head, 0, &summary));
+	g_assert_cmpuint(summary.base, ==, 1);
+	g_assert_cmpuint(summary.count, ==, c->lines);
+	/* an entry that acknowledged nothing still gets the line */
+	g_assert_true(gn_cell_head_summary(head, 1, &summary));
+	g_assert_cmpuint(summary.count, ==, 1);
+	talloc_free(head);
+}
+
+/** A silent member is told as gone, once, and then there is silence. */
+static void test_gone(void)
+{
+	const gn_cell_beat_t beat = { 5, LINE(2, 3, 0) };
+	gn_cell_ack_t other = { 6, 2 };
+	gn_cell_ack_t ack = { 7, 3 };
+	gn_cell_summary_t summary;
+	gn_clock_t clock;
+	gn_cell_head_t *head;
+
+	gn_clock_init_paused(&clock, 1);
+	head = gn_cell_head_create(NULL, &clock, &times, 0, 0, SIZE, 7);
+	gn_cell_head_beat(head, &beat);
+	gn_cell_head_round(head);
+	gn_cell_head_acked(head, 0, &(gn_cell_ack_t){ 7, 1 });
+	gn_clock_advance(&clock, times.timeout_us);
+	gn_cell_head_round(head);
+	g_assert_true(gn_cell_head_summary(head, 0, &summary));
+	g_assert_cmpuint(summary.count, ==, 1);
+	g_assert_true(summary.lines[0].is_gone);
+	/* not acknowledged: the next summary builds on the same base */
+	gn_cell_head_acked(head, 0, &other);
+	gn_cell_head_round(head);
+	g_assert_true(gn_cell_head_summary(head, 0, &summary));
+	g_assert_cmpuint(summary.base, ==, 1);
+	g_assert_cmpuint(summary.count, ==, 1);
+	gn_cell_head_acked(head, 0, &ack);
+	g_assert_false(gn_cell_head_summary(head, 0, &summary));
+	talloc_free(head);
+}
+
+#define ADD_CASES(prefix, cases, test)                                       \
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {                   \
+		char *path = g_strdup_printf(prefix "/%s", (cases)[i].name); \
+                                                                             \
+		g_test_add_data_func(path, &(cases)[i], test);               \
+		g_free(path);                                                \
+	}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	ADD_CASES("/cell/load", load_cases, test_load);
+	ADD_CASES("/cell/agent", agent_cases, test_agent);
+	ADD_CASES("/cell/view", view_cases, test_view);
+	ADD_CASES("/cell/beat", beat_cases, test_beat);
+	g_test_add_func("/cell/probe", test_probe);
+	g_test_add_func("/cell/gone", test_gone);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/unit/test_cell_walk.c
@@ -0,0 +1,379 @@
+/**
+ * @file test_cell_walk.c
+ * @brief Seeded walks of a cell under kills, freezes, cuts and lost messages.
+ *
+ * After each step: no entry's line is older than what it showed before, none
+ * is newer than the worker's own, and each load is the one of its version.
+ * Once the faults end, each entry shows the truth within CONVERGE_BEATS.
+ */
+#include <glib.h>
+#include <string.h>
+
+#include "member/cell_view.h"
+
+#define AGENTS 7
+#define ENTRIES 2
+#define NODES (AGENTS + ENTRIES)
+#define FAULTY_BEATS 120
+/** A silent head (4), a candidate that is dead (2), a silent head at the
+ * entry (4), one summary and its acknowledgement (2). */
+#define CONVERGE_BEATS 12
+#define DELAY_MAX 6
+#define WALKS 150
+#define WALKS_SLOW 20000
+
+static const gn_cell_times_t times = { 500 * GN_US_PER_MS,
+				       2000 * GN_US_PER_MS };
+
+typedef enum kind_e { BEAT, BEAT_ACK, SUMMARY, SUMMARY_ACK } kind_t;
+
+typedef struct message_s {
+	kind_t kind;
+	unsigned from;
+	unsigned to;
+	unsigned due; /**< step of the delivery */
+	union {
+		gn_cell_beat_t beat;
+		gn_cell_summary_t summary;
+		gn_cell_ack_t ack;
+	} body;
+} message_t;
+
+typedef struct node_s {
+	bool is_dead;
+	bool is_frozen;
+	uint64_t incarnation;
+	gn_cell_agent_t *agent;
+	gn_cell_head_t *head;
+	gn_cell_view_t *view;
+	gn_cell_line_t truth; /**< of an agent */
+	gn_cell_line_t shown[AGENTS]; /**< by an entry, the newest so far */
+	uint32_t changes;
+} node_t;
+
+typedef struct walk_s {
+	GRand *rand;
+	gn_clock_t clock;
+	unsigned step;
+	bool is_calm;
+	node_t nodes[NODES];
+	bool is_cut[NODES][NODES];
+	GPtrArray *bus;
+} walk_t;
+
+typedef enum fault_e {
+	FAULT_KILL,
+	FAULT_RESTART,
+	FAULT_FREEZE,
+	FAULT_CUT,
+	FAULT_LOSS,
+	FAULT_DELAY,
+	FAULT_COUNT
+} fault_t;
+
+static uint64_t fault_counts[FAULT_COUNT];
+
+static bool chance(walk_t *walk, unsigned percent)
+{
+	return (unsigned)g_rand_int_range(walk->rand, 0, 100) < percent;
+}
+
+static void node_start(walk_t *walk, unsigned i)
+{
+	static const unsigned sizes[] = { AGENTS };
+	node_t *node = &walk->nodes[i];
+
+	talloc_free(node->agent);
+	talloc_free(node->head);
+	talloc_free(node->view);
+	node->agent = NULL;
+	node->head = NULL;
+	node->view = NULL;
+	node->incarnation++;
+	node->changes = 0;
+	node->is_dead = false;
+	memset(node->shown, 0, sizeof(node->shown));
+	if (i >= AGENTS) {
+		node->view = gn_cell_view_create(NULL, &walk->clock, &times,
+						 sizes, 1);
+		return;
+	}
+	node->agent = gn_cell_agent_create(NULL, &walk->clock, &times, i,
+					   AGENTS, node->incarnation);
+	node->head = gn_cell_head_create(NULL, &walk->clock, &times, 0, i,
+					 AGENTS, node->incarnation);
+}
+
+static message_t *message_new(kind_t kind, unsigned from, unsigned to)
+{
+	message_t *message = g_new0(message_t, 1);
+
+	message->kind = kind;
+	message->from = from;
+	message->to = to;
+	return message;
+}
+
+static void post(walk_t *walk, message_t *message)
+{
+	message->due = walk->step;
+	if (!walk->is_calm && chance(walk, 8)) {
+		fault_counts[FAULT_LOSS]++;
+		g_free(message);
+		return;
+	}
+	if (!walk->is_calm && chance(walk, 8)) {
+		fault_counts[FAULT_DELAY]++;
+		message->due +=
+			(unsigned)g_rand_int_range(walk->rand, 1, DELAY_MAX);
+	}
+	g_ptr_array_add(walk->bus, message);
+}
+
+static void deliver(walk_t *walk, const message_t *message)
+{
+	node_t *to = &walk->nodes[message->to];
+	message_t *reply;
+
+	switch (message->kind) {
+	case BEAT:
+		gn_cell_head_beat(to->head, &message->body.beat);
+		post(walk, message_new(BEAT_ACK, message->to, message->from));
+		break;
+	case BEAT_ACK:
+		gn_cell_agent_acked(to->agent, message->from);
+		break;
+	case SUMMARY:
+		reply = message_new(SUMMARY_ACK, message->to, message->from);
+		gn_cell_view_apply(to->view, &message->body.summary,
+				   &reply->body.ack);
+		post(walk, reply);
+		break;
+	case SUMMARY_ACK:
+		gn_cell_head_acked(to->head, message->from - AGENTS,
+				   &message->body.ack);
+		break;
+	}
+}
+
+/** Delivers what is due; what is due for a frozen node waits for it. */
+static void deliver_all(walk_t *walk)
+{
+	for (guint i = 0; i < walk->bus->len;) {
+		message_t *message = g_ptr_array_index(walk->bus, i);
+
+		if (message->due > walk->step ||
+		    walk->nodes[message->to].is_frozen) {
+			i++;
+			continue;
+		}
+		g_ptr_array_remove_index_fast(walk->bus, i);
+		if (!walk->nodes[message->to].is_dead &&
+		    !walk->is_cut[message->from][message->to])
+			deliver(walk, message);
+		g_free(message);
+	}
+}
+
+static void send_beat(walk_t *walk, unsigned from, unsigned to,
+		      const gn_cell_beat_t *beat)
+{
+	message_t *message;
+
+	if (from == to) {
+		gn_cell_head_beat(walk->nodes[to].head, beat);
+		return;
+	}
+	message = message_new(BEAT, from, to);
+	message->body.beat = *beat;
+	post(walk, message);
+}
+
+static void tick_agent(walk_t *walk, unsigned i)
+{
+	node_t *node = &walk->nodes[i];
+	gn_cell_beat_t beat;
+	unsigned target;
+	unsigned probe;
+
+	gn_cell_agent_tick(node->agent);
+	gn_cell_agent_beat(node->agent, &beat);
+	target = gn_cell_agent_target(node->agent);
+	send_beat(walk, i, target, &beat);
+	if (target != i && gn_cell_agent_reports(node->agent))
+		send_beat(walk, i, i, &beat);
+	if (gn_cell_agent_probe(node->agent, &probe))
+		send_beat(walk, i, probe, &beat);
+	gn_cell_head_round(node->head);
+	for (unsigned entry = 0; entry < ENTRIES; entry++) {
+		message_t *message = message_new(SUMMARY, i, AGENTS + entry);
+
+		if (gn_cell_head_summary(node->head, entry,
+					 &message->body.summary))
+			post(walk, message);
+		else
+			g_free(message);
+	}
+}
+
+static void change_load(node_t *node)
+{
+	gn_cell_beat_t beat;
+	gn_cell_load_t load = { 0 };
+
+	node->changes++;
+	load.service_time_us = UINT32_C(1) << (node->changes % 20);
+	load.tail_time_us = node->changes;
+	gn_cell_agent_observe(node->agent, &load);
+	gn_cell_agent_beat(node->agent, &beat);
+	node->truth = beat.line;
+}
+
+static void inject_faults(walk_t *walk)
+{
+	unsigned i = (unsigned)g_rand_int_range(walk->rand, 0, NODES);
+	unsigned j = (unsigned)g_rand_int_range(walk->rand, 0, NODES);
+	node_t *node = &walk->nodes[i];
+
+	if (chance(walk, 8)) {
+		node->is_dead = true;
+		fault_counts[FAULT_KILL]++;
+	}
+	if (chance(walk, 15) && !node->is_frozen) {
+		node_start(walk, i);
+		fault_counts[FAULT_RESTART]++;
+	}
+	if (chance(walk, 20)) {
+		node->is_frozen = !node->is_frozen;
+		fault_counts[FAULT_FREEZE] += node->is_frozen;
+	}
+	if (chance(walk, 30)) {
+		walk->is_cut[i][j] = !walk->is_cut[i][j];
+		fault_counts[FAULT_CUT] += walk->is_cut[i][j];
+	}
+}
+
+static bool is_before(const gn_cell_line_t *a, const gn_cell_line_t *b)
+{
+	if (a->incarnation != b->incarnation)
+		return a->incarnation < b->incarnation;
+	return a->version < b->version;
+}
+
+static void check_entry(walk_t *walk, node_t *entry)
+{
+	for (unsigned i = 0; i < AGENTS; i++) {
+		gn_cell_line_t line;
+
+		gn_cell_view_worker(entry->view, 0, i, &line);
+		if (!line.version)
+			continue;
+		g_assert_false(is_before(&line, &entry->shown[i]));
+		g_assert_cmpuint(line.incarnation, <=,
+				 walk->nodes[i].incarnation);
+		g_assert_cmpuint(line.load.tail_time_us, ==, line.version - 1);
+		entry->shown[i] = line;
+	}
+}
+
+static void step(walk_t *walk)
+{
+	gn_clock_advance(&walk->clock, times.interval_us);
+	walk->step++;
+	if (!walk->is_calm)
+		inject_faults(walk);
+	deliver_all(walk);
+	for (unsigned i = 0; i < NODES; i++) {
+		node_t *node = &walk->nodes[i];
+
+		if (node->is_dead || node->is_frozen)
+			continue;
+		if (i >= AGENTS) {
+			gn_cell_view_expire(node->view);
+			check_entry(walk, node);
+			continue;
+		}
+		if (!walk->is_calm && chance(walk, 30))
+			change_load(node);
+		tick_agent(walk, i);
+	}
+}
+
+static void calm(walk_t *walk)
+{
+	walk->is_calm = true;
+	memset(walk->is_cut, 0, sizeof(walk->is_cut));
+	for (unsigned i = 0; i < NODES; i++)
+		walk->nodes[i].is_frozen = false;
+	for (unsigned i = AGENTS; i < NODES; i++)
+		if (walk->nodes[i].is_dead)
+			node_start(walk, i);
+}
+
+static void check_converged(walk_t *walk, uint32_t seed)
+{
+	for (unsigned e = AGENTS; e < NODES; e++) {
+		for (unsigned i = 0; i < AGENTS; i++) {
+			const node_t *node = &walk->nodes[i];
+			gn_cell_line_t line;
+			bool is_live = gn_cell_view_worker(walk->nodes[e].view,
+							   0, i, &line);
+
+			if (is_live == node->is_dead ||
+			    (is_live &&
+			     (line.incarnation != node->incarnation ||
+			      line.load.tail_time_us != node->changes)))
+				g_error("seed %u: entry %u, worker %u", seed,
+					e - AGENTS, i);
+		}
+	}
+}
+
+static void walk_once(uint32_t seed)
+{
+	walk_t walk = { .rand = g_rand_new_with_seed(seed) };
+
+	gn_clock_init_paused(&walk.clock, GN_US_PER_S);
+	walk.bus = g_ptr_array_new();
+	for (unsigned i = 0; i < NODES; i++)
+		node_start(&walk, i);
+	while (walk.step < FAULTY_BEATS)
+		step(&walk);
+	calm(&walk);
+	while (walk.step < FAULTY_BEATS + CONVERGE_BEATS)
+		step(&walk);
+	check_converged(&walk, seed);
+	for (unsigned i = 0; i < NODES; i++) {
+		talloc_free(walk.nodes[i].agent);
+		talloc_free(walk.nodes[i].head);
+		talloc_free(walk.nodes[i].view);
+	}
+	g_ptr_array_set_free_func(walk.bus, g_free);
+	g_ptr_array_free(walk.bus, TRUE);
+	g_rand_free(walk.rand);
+}
+
+static void test_walks(void)
+{
+	uint32_t walks = g_test_slow() ? WALKS_SLOW : WALKS;
+
+	for (uint32_t seed = 1; seed <= walks; seed++)
+		walk_once(seed);
+	g_test_message("%u walks: kill %" G_GUINT64_FORMAT
+		       " restart %" G_GUINT64_FORMAT
+		       " freeze %" G_GUINT64_FORMAT " cut %" G_GUINT64_FORMAT
+		       " loss %" G_GUINT64_FORMAT " delay %" G_GUINT64_FORMAT,
+		       walks, fault_counts[FAULT_KILL],
+		       fault_counts[FAULT_RESTART], fault_counts[FAULT_FREEZE],
+		       fault_counts[FAULT_CUT], fault_counts[FAULT_LOSS],
+		       fault_counts[FAULT_DELAY]);
+	for (int i = 0; i < FAULT_COUNT; i++)
+		g_assert_cmpuint(fault_counts[i], >=, walks);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/cell/walks", test_walks);
+	return g_test_run();
+}
