Wire the routing, retry, ejection and limit decisions into the entry

Cause: the entry chose the worker with the fewest own requests by walking the whole fleet, retried without a budget and admitted everything. Change: the view, pick, eject, retry and limit modules decide; requests.c keeps a request's life, tries.c its tries. A request given up is fenced at its agent. Agents tell a backend server that can't be reached apart from one that refuses, so that only the former counts against the worker. Ruled out on the way: scenario "stop" failed with "deadline"; the limit was right, the scenario runner's "background" lost the quotes around a header and the request ran with the default deadline of 2 s. The runner keeps the words apart now.

--- a/lib/agent/requests.c
+++ b/lib/agent/requests.c
@@ -112,7 +112,9 @@
 						   request->started_us);
 	answer.request = request->id;
 	answer.outcome = outcome;
-	answer.reason = call->code ? call->code : GN_ERR_UNAVAILABLE;
+	answer.reason = call->code == GN_ERR_UNAVAILABLE ? GN_ERR_SYSTEM
+			: call->code			 ? call->code
+							 : GN_ERR_UNAVAILABLE;
 	if (outcome == GN_OUTCOME_DONE) {
 		answer.reason = GN_OK;
 		answer.status = call->status;
--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -19,6 +19,8 @@
 	counters->retries = gn_counters_get(all, "entry.retries");
 	counters->late_answers = gn_counters_get(all, "entry.late_answers");
 	counters->workers_silent = gn_counters_get(all, "entry.workers_silent");
+	counters->workers_forgotten =
+		gn_counters_get(all, "entry.workers_forgotten");
 	counters->stale_sessions = gn_counters_get(all, "entry.stale_sessions");
 }
 
@@ -57,12 +59,8 @@
 
 static int entry_destructor(entry_t *entry)
 {
-	if (entry->requests)
-		g_hash_table_destroy(entry->requests);
-	if (entry->deadlines)
-		g_sequence_free(entry->deadlines);
-	if (entry->workers)
-		g_hash_table_destroy(entry->workers);
+	entry_requests_close(entry);
+	entry_workers_close(entry);
 	return 0;
 }
 
--- a/lib/entry/entry_internal.h
+++ b/lib/entry/entry_internal.h
@@ -9,33 +9,35 @@
 #include "entry/entry.h"
 #include "http/reply.h"
 #include "http/server.h"
+#include "limit/limit.h"
+#include "route/eject.h"
+#include "route/retry.h"
 #include "wire/link.h"
 
 typedef struct entry_s entry_t;
 
+/** The retries of one service. */
+typedef struct entry_service_s {
+	char name[GN_NAME_MAX + 1];
+	gn_retry_budget_t *budget;
+} entry_service_t;
+
 /** A worker that announced itself through its agent. */
 typedef struct entry_worker_s {
 	char name[GN_NAME_MAX + 1];
-	char data_centre[GN_NAME_MAX + 1];
 	char rack[GN_NAME_MAX + 1];
-	char service[GN_NAME_MAX + 1];
-	uint32_t max_tasks;
-	uint32_t max_connections;
+	gn_route_worker_t *route; /**< its place in the view */
+	entry_service_t *service;
+	Gn__Hello *hello; /**< what its agent told */
 	uint64_t agent_incarnation;
 	uint64_t session;
 	gn_link_peer_t peer;
 	uint64_t heard_us;
 	bool silent; /**< no beat within the beat timeout */
-	bool draining;
-	bool backend_up;
-	uint32_t reported_running; /**< requests, by its last report */
-	uint32_t service_time_us; /**< smoothed, by its last report */
-	uint32_t in_flight; /**< this entry's own requests */
+	uint32_t running_tasks; /**< by its last report */
+	uint64_t config_revision; /**< by its last report */
 } entry_worker_t;
 
-/** Most tries of one request. */
-#define ENTRY_TRIES_MAX 3
-
 /** A request that a caller waits for. */
 typedef struct entry_request_s {
 	uint64_t id;
@@ -44,13 +46,13 @@
 	char service[GN_NAME_MAX + 1];
 	char team[GN_NAME_MAX + 1];
 	bool repeatable;
-	bool maybe_ran; /**< some try ended with an unknown outcome */
 	uint64_t deadline_us;
 	GSequenceIter *by_deadline;
-	entry_worker_t *worker; /**< where the present try is */
-	uint64_t worker_session;
-	entry_worker_t *tried[ENTRY_TRIES_MAX];
-	unsigned tries;
+	gn_limit_ticket_t ticket;
+	gn_limit_end_t end; /**< what to tell the limit */
+	gn_retry_t retry;
+	entry_worker_t *worker; /**< where the present try is, or NULL */
+	uint64_t try_us; /**< when the present try was sent */
 } entry_request_t;
 
 /** Counters of the entry. */
@@ -61,6 +63,7 @@
 	gn_counter_t *retries;
 	gn_counter_t *late_answers;
 	gn_counter_t *workers_silent;
+	gn_counter_t *workers_forgotten;
 	gn_counter_t *stale_sessions;
 } entry_counters_t;
 
@@ -68,7 +71,12 @@
 	gn_runtime_t *runtime;
 	gn_http_server_t *server;
 	gn_link_t *link;
+	gn_route_view_t *view;
+	gn_eject_t *eject;
+	gn_limit_t *limit;
 	GHashTable *workers; /**< by name */
+	GHashTable *sessions; /**< workers by session */
+	GHashTable *services; /**< by name */
 	GHashTable *requests; /**< by id */
 	GSequence *deadlines; /**< requests by deadline */
 	uint64_t next_request;
@@ -78,31 +86,49 @@
 
 /* ======   workers.c   ====== */
 
-/** Opens the table of workers. */
+/** Opens the tables of workers. */
 gn_code_t entry_workers_open(entry_t *entry);
+/** Closes them. */
+void entry_workers_close(entry_t *entry);
 /** Handles a message of an agent. */
 void entry_on_envelope(void *arg, const gn_link_peer_t *peer,
 		       const Gn__Envelope *envelope);
-/** Marks the workers silent whose beats are overdue. */
+/** Marks silent workers, and forgets those silent for long. */
 void entry_workers_tick(entry_t *entry);
 /** Takes over the load that came with a beat or an answer. */
-void entry_worker_take_load(entry_worker_t *worker, const Gn__Load *load);
-/** Whether @p worker can be given a request. */
-bool entry_worker_is_usable(const entry_worker_t *worker);
+void entry_worker_take_load(entry_t *entry, entry_worker_t *worker,
+			    const Gn__Load *load);
+/** Sends @p envelope to the agent of @p worker. */
+gn_code_t entry_worker_send(entry_t *entry, const entry_worker_t *worker,
+			    Gn__Envelope *envelope);
 
 /* ======   requests.c   ====== */
 
 /** Opens the table of requests. */
 gn_code_t entry_requests_open(entry_t *entry);
+/** Closes it. */
+void entry_requests_close(entry_t *entry);
 /** Handles POST /v1/services/NAME/requests. */
 void entry_on_request(void *arg, gn_http_request_t *request, gn_str_t service);
+/** Answers the requests whose deadline has passed. */
+void entry_requests_tick(entry_t *entry);
+/** Hands the whole answer of a backend server to the caller. */
+void entry_request_finish(entry_request_t *request, const Gn__Answer *answer);
+/** Ends a request without an answer of a backend server. */
+void entry_request_give_up(entry_request_t *request,
+			   const gn_refusal_t *refusal);
+
+/* ======   tries.c   ====== */
+
+/** Sends @p request to the worker chosen for it. */
+void entry_try_first(entry_request_t *request, gn_route_worker_t *worker);
+/** Ends the present try, if any, without judging its worker. */
+void entry_try_abandon(entry_request_t *request);
 /** Handles an agent's answer. */
 void entry_on_answer(entry_t *entry, entry_worker_t *worker,
 		     const Gn__Answer *answer);
 /** Ends the tries that are at @p worker, whose session is lost. */
-void entry_requests_lost(entry_t *entry, const entry_worker_t *worker);
-/** Answers the requests whose deadline has passed. */
-void entry_requests_tick(entry_t *entry);
+void entry_tries_lost(entry_t *entry, const entry_worker_t *worker);
 
 /* ======   http.c   ====== */
 
--- a/lib/entry/http.c
+++ b/lib/entry/http.c
@@ -11,23 +11,33 @@
 #define HTTP_OK 200
 #define HTTP_UNAVAILABLE 503
 
-static const char *worker_state(const entry_worker_t *worker)
+static const char *worker_state(const entry_worker_t *worker,
+				const gn_route_info_t *info)
 {
 	if (worker->silent)
 		return "silent";
-	if (worker->draining)
+	if (info->draining)
 		return "draining";
-	return worker->backend_up ? "live" : "down";
+	if (!info->backend_up)
+		return "down";
+	return info->health == GN_ROUTE_PASSING
+		       ? "live"
+		       : gn_route_health_name(info->health);
 }
 
 static json_t *dump_worker(const entry_worker_t *worker)
 {
-	return json_pack("{s:s, s:s, s:s, s:s, s:s, s:i, s:i}", "name",
-			 worker->name, "data_centre", worker->data_centre,
-			 "rack", worker->rack, "service", worker->service,
-			 "state", worker_state(worker), "running_requests",
-			 (int)worker->reported_running, "in_flight",
-			 (int)worker->in_flight);
+	gn_route_info_t info;
+
+	gn_route_worker_info(worker->route, &info);
+	return json_pack(
+		"{s:s, s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:I}", "name",
+		worker->name, "data_centre", worker->hello->data_centre, "rack",
+		worker->rack, "service", worker->service->name, "state",
+		worker_state(worker, &info), "running_requests",
+		(int)info.reported, "running_tasks", (int)worker->running_tasks,
+		"in_flight", (int)info.in_flight, "config_revision",
+		(json_int_t)worker->config_revision);
 }
 
 static json_t *dump_workers(const entry_t *entry)
--- /dev/null
+++ b/lib/entry/tries.c
@@ -0,0 +1,229 @@
+/**
+ * @file tries.c
+ * @brief The tries of a request: dispatch, answer, loss, another try.
+ */
+#include "entry/entry_internal.h"
+
+#define HTTP_SERVER_ERROR 500
+#define HTTP_BAD_GATEWAY 502
+#define HTTP_UNAVAILABLE 503
+#define HTTP_GATEWAY_TIMEOUT 504
+
+/* How a try ended, for each of the modules that learn from it. */
+typedef struct try_end_s {
+	gn_try_end_t retry;
+	gn_eject_result_t eject;
+	gn_refusal_t refusal; /**< what the caller is told if it was the last */
+} try_end_t;
+
+static const try_end_t ended_passed = { GN_TRY_PASSED, GN_EJECT_PASS, { 0 } };
+static const try_end_t ended_failed = { GN_TRY_FAILED, GN_EJECT_FAIL, { 0 } };
+static const try_end_t ended_full = { GN_TRY_NOT_RUN,
+				      GN_EJECT_REFUSED,
+				      { HTTP_UNAVAILABLE, GN_OUTCOME_NOT_RUN,
+					"capacity", 0 } };
+static const try_end_t ended_refused = { GN_TRY_NOT_RUN,
+					 GN_EJECT_REFUSED,
+					 { HTTP_UNAVAILABLE, GN_OUTCOME_NOT_RUN,
+					   "no-worker", 0 } };
+static const try_end_t ended_unreachable = {
+	GN_TRY_NOT_RUN,
+	GN_EJECT_FAIL,
+	{ HTTP_UNAVAILABLE, GN_OUTCOME_NOT_RUN, "no-worker", 0 }
+};
+static const try_end_t ended_late = {
+	GN_TRY_UNKNOWN,
+	GN_EJECT_FAIL,
+	{ HTTP_GATEWAY_TIMEOUT, GN_OUTCOME_UNKNOWN, "deadline-passed", 0 }
+};
+static const try_end_t ended_lost = { GN_TRY_UNKNOWN,
+				      GN_EJECT_FAIL,
+				      { HTTP_BAD_GATEWAY, GN_OUTCOME_UNKNOWN,
+					"answer-lost", 0 } };
+
+static const try_end_t *judge_not_run(const Gn__Answer *answer)
+{
+	switch ((gn_code_t)answer->reason) {
+	case GN_ERR_CAPACITY:
+		return &ended_full;
+	case GN_ERR_SYSTEM:
+		return &ended_unreachable;
+	default:
+		return &ended_refused;
+	}
+}
+
+static const try_end_t *judge(const Gn__Answer *answer)
+{
+	switch ((gn_outcome_t)answer->outcome) {
+	case GN_OUTCOME_DONE:
+		return answer->status < HTTP_SERVER_ERROR ? &ended_passed
+							  : &ended_failed;
+	case GN_OUTCOME_NOT_RUN:
+		return judge_not_run(answer);
+	default:
+		return answer->reason == GN_ERR_TIMEOUT ? &ended_late
+							: &ended_lost;
+	}
+}
+
+static entry_worker_t *to_worker(const gn_route_worker_t *route)
+{
+	gn_route_info_t info;
+
+	gn_route_worker_info(route, &info);
+	return (entry_worker_t *)(uintptr_t)info.handle;
+}
+
+static gn_code_t dispatch(entry_request_t *request, entry_worker_t *worker)
+{
+	uint64_t now_us = gn_runtime_now_us(request->entry->runtime);
+	Gn__Envelope envelope = GN__ENVELOPE__INIT;
+	Gn__Dispatch message = GN__DISPATCH__INIT;
+
+	message.request = request->id;
+	message.agent_incarnation = worker->agent_incarnation;
+	message.service = request->service;
+	message.repeatable = request->repeatable;
+	message.budget_us = request->deadline_us > now_us
+				    ? (uint32_t)(request->deadline_us - now_us)
+				    : 0;
+	message.body.data = (uint8_t *)request->http->body;
+	message.body.len = request->http->body_len;
+	envelope.body_case = GN__ENVELOPE__BODY_DISPATCH;
+	envelope.dispatch = &message;
+	return entry_worker_send(request->entry, worker, &envelope);
+}
+
+static void send_fence(entry_request_t *request)
+{
+	Gn__Envelope envelope = GN__ENVELOPE__INIT;
+	Gn__Fence fence = GN__FENCE__INIT;
+
+	fence.request = request->id;
+	envelope.body_case = GN__ENVELOPE__BODY_FENCE;
+	envelope.fence = &fence;
+	entry_worker_send(request->entry, request->worker, &envelope);
+}
+
+static void leave_worker(entry_request_t *request)
+{
+	gn_route_worker_t *route = request->worker->route;
+
+	request->worker = NULL;
+	gn_route_view_end(request->entry->view, route);
+}
+
+void entry_try_abandon(entry_request_t *request)
+{
+	if (!request->worker)
+		return;
+	/* A dispatch that is still on its way must not start any more. */
+	send_fence(request);
+	leave_worker(request);
+}
+
+static void end_try(entry_request_t *request, const try_end_t *end,
+		    const Gn__Answer *answer);
+
+static void begin_try(entry_request_t *request, gn_route_worker_t *route)
+{
+	entry_t *entry = request->entry;
+	entry_worker_t *worker = to_worker(route);
+
+	gn_retry_begin_try(&request->retry, route);
+	gn_route_view_begin(entry->view, route);
+	request->worker = worker;
+	request->try_us = gn_runtime_now_us(entry->runtime);
+	if (dispatch(request, worker))
+		end_try(request, &ended_unreachable, NULL);
+}
+
+void entry_try_first(entry_request_t *request, gn_route_worker_t *worker)
+{
+	begin_try(request, worker);
+}
+
+/* Tells the caller how the last try ended. */
+static void finish(entry_request_t *request, const try_end_t *end,
+		   const Gn__Answer *answer)
+{
+	gn_refusal_t refusal = end->refusal;
+
+	if (answer && request->retry.has_answer) {
+		entry_request_finish(request, answer);
+		return;
+	}
+	/* An earlier try may have run though the last one surely did not. */
+	refusal.outcome = gn_retry_outcome(&request->retry);
+	if (end == &ended_full)
+		request->end = GN_LIMIT_PUSHED_BACK;
+	else if (end == &ended_late)
+		request->end = GN_LIMIT_ANSWERED;
+	entry_request_give_up(request, &refusal);
+}
+
+static bool find_next(entry_request_t *request, gn_route_choice_t *choice)
+{
+	entry_t *entry = request->entry;
+
+	return gn_route_pick(&gn_route_policies[GN_ROUTE_TWO_CHOICES],
+			     entry->view, gn_str_from(request->service),
+			     entry->runtime->random, &request->retry.tried,
+			     choice) == GN_OK;
+}
+
+static void end_try(entry_request_t *request, const try_end_t *end,
+		    const Gn__Answer *answer)
+{
+	entry_t *entry = request->entry;
+	entry_service_t *service = request->worker->service;
+	uint64_t now_us = gn_runtime_now_us(entry->runtime);
+	uint64_t left_us = request->deadline_us > now_us
+				   ? request->deadline_us - now_us
+				   : 0;
+	gn_route_choice_t choice = { 0 };
+	bool found;
+
+	gn_eject_take_result(entry->eject, request->worker->route, end->eject,
+			     now_us - request->try_us);
+	leave_worker(request);
+	found = end != &ended_passed && find_next(request, &choice);
+	if (gn_retry_end_try(&request->retry, service->budget, end->retry,
+			     found ? left_us : 0,
+			     choice.wait_us) == GN_RETRY_AGAIN) {
+		gn_counter_inc(entry->counters.retries);
+		begin_try(request, choice.worker);
+	} else {
+		finish(request, end, answer);
+	}
+}
+
+void entry_on_answer(entry_t *entry, entry_worker_t *worker,
+		     const Gn__Answer *answer)
+{
+	uint64_t id = answer->request;
+	entry_request_t *request = g_hash_table_lookup(entry->requests, &id);
+
+	if (answer->load)
+		entry_worker_take_load(entry, worker, answer->load);
+	/* Only the present try may answer; an earlier one was given up. */
+	if (!request || request->worker != worker) {
+		gn_counter_inc(entry->counters.late_answers);
+		return;
+	}
+	end_try(request, judge(answer), answer);
+}
+
+void entry_tries_lost(entry_t *entry, const entry_worker_t *worker)
+{
+	GList *all = g_hash_table_get_values(entry->requests);
+
+	for (GList *item = all; item; item = item->next) {
+		entry_request_t *request = item->data;
+
+		if (request->worker == worker)
+			end_try(request, &ended_lost, NULL);
+	}
+	g_list_free(all);
+}
--- a/lib/entry/workers.c
+++ b/lib/entry/workers.c
@@ -7,38 +7,75 @@
 #include "common/log.h"
 #include "entry/entry_internal.h"
 
-static void free_worker(gpointer worker)
+/** A worker silent for longer has been replaced, milliseconds. */
+#define FORGET_MS (10 * 60 * 1000)
+/** Delay to a worker of another data centre until one is known. */
+#define OTHER_DATA_CENTRE_US 1000
+
+static void free_worker(gpointer data)
 {
+	entry_worker_t *worker = data;
+
+	if (worker->hello)
+		gn__hello__free_unpacked(worker->hello, NULL);
 	talloc_free(worker);
 }
 
+static void free_service(gpointer service)
+{
+	talloc_free(service);
+}
+
 gn_code_t entry_workers_open(entry_t *entry)
 {
+	const gn_runtime_t *runtime = entry->runtime;
+	const gn_eject_config_t eject = gn_eject_defaults();
+	gn_str_t data_centre = gn_str_from(runtime->settings->data_centre);
+
 	entry->workers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					       free_worker);
-	return entry->workers ? GN_OK : GN_ERR_MEMORY;
+	entry->sessions = g_hash_table_new(g_int64_hash, g_int64_equal);
+	entry->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+						free_service);
+	entry->view = gn_route_view_create(entry, &runtime->clock, data_centre);
+	if (!entry->view)
+		return GN_ERR_MEMORY;
+	entry->eject = gn_eject_create(entry, entry->view, &runtime->clock,
+				       runtime->random, &eject);
+	return entry->eject ? GN_OK : GN_ERR_MEMORY;
 }
 
-bool entry_worker_is_usable(const entry_worker_t *worker)
+void entry_workers_close(entry_t *entry)
 {
-	return !worker->silent && !worker->draining && worker->backend_up &&
-	       worker->in_flight < worker->max_connections;
+	if (entry->sessions)
+		g_hash_table_destroy(entry->sessions);
+	if (entry->workers)
+		g_hash_table_destroy(entry->workers);
+	if (entry->services)
+		g_hash_table_destroy(entry->services);
 }
 
-void entry_worker_take_load(entry_worker_t *worker, const Gn__Load *load)
+void entry_worker_take_load(entry_t *entry, entry_worker_t *worker,
+			    const Gn__Load *load)
 {
-	worker->draining = load->draining;
-	worker->backend_up = load->backend_up;
-	worker->reported_running = load->running_requests;
-	worker->service_time_us = load->service_time_us;
+	const gn_route_report_t report = {
+		.running_requests = load->running_requests,
+		.service_time_us = load->service_time_us,
+		.draining = load->draining,
+		.backend_up = load->backend_up,
+		.received_us = gn_runtime_now_us(entry->runtime),
+	};
+
+	worker->running_tasks = load->running_tasks;
+	gn_route_view_report(entry->view, worker->route, &report);
 }
 
-static void send_to(entry_t *entry, const entry_worker_t *worker,
-		    Gn__Envelope *envelope)
+gn_code_t entry_worker_send(entry_t *entry, const entry_worker_t *worker,
+			    Gn__Envelope *envelope)
 {
 	envelope->incarnation = entry->runtime->incarnation;
 	envelope->session = worker->session;
-	gn_link_send(entry->link, &worker->peer, envelope);
+	return gn_link_send(entry->link, &worker->peer, envelope);
 }
 
 static void send_welcome(entry_t *entry, const entry_worker_t *worker)
@@ -49,7 +86,7 @@
 	welcome.entry = (char *)entry->runtime->settings->name;
 	envelope.body_case = GN__ENVELOPE__BODY_WELCOME;
 	envelope.welcome = &welcome;
-	send_to(entry, worker, &envelope);
+	entry_worker_send(entry, worker, &envelope);
 }
 
 static void send_beat_ack(entry_t *entry, const entry_worker_t *worker,
@@ -61,13 +98,36 @@
 	ack.sequence = sequence;
 	envelope.body_case = GN__ENVELOPE__BODY_BEAT_ACK;
 	envelope.beat_ack = &ack;
-	send_to(entry, worker, &envelope);
+	entry_worker_send(entry, worker, &envelope);
 }
 
-static entry_worker_t *create_worker(entry_t *entry, const char *name)
+static entry_service_t *get_service(entry_t *entry, const char *name)
 {
-	entry_worker_t *worker = talloc_zero(NULL, entry_worker_t);
+	const gn_retry_config_t config = gn_retry_defaults();
+	entry_service_t *service = g_hash_table_lookup(entry->services, name);
 
+	if (service)
+		return service;
+	service = talloc_zero(NULL, entry_service_t);
+	if (!service)
+		return NULL;
+	service->budget = gn_retry_budget_create(service, &config);
+	if (!service->budget) {
+		talloc_free(service);
+		return NULL;
+	}
+	gn_str_copy(service->name, sizeof(service->name), gn_str_from(name));
+	g_hash_table_insert(entry->services, service->name, service);
+	return service;
+}
+
+static entry_worker_t *get_worker(entry_t *entry, const char *name)
+{
+	entry_worker_t *worker = g_hash_table_lookup(entry->workers, name);
+
+	if (worker)
+		return worker;
+	worker = talloc_zero(NULL, entry_worker_t);
 	if (!worker)
 		return NULL;
 	gn_str_copy(worker->name, sizeof(worker->name), gn_str_from(name));
@@ -82,43 +142,83 @@
 	return len > 0 && len <= GN_NAME_MAX;
 }
 
+static bool is_valid_hello(const Gn__Hello *hello)
+{
+	return is_name(hello->worker) && is_name(hello->data_centre) &&
+	       is_name(hello->rack) && is_name(hello->service);
+}
+
+static gn_code_t put_in_view(entry_t *entry, entry_worker_t *worker,
+			     const Gn__Envelope *envelope)
+{
+	const Gn__Hello *hello = envelope->hello;
+	const char *own = entry->runtime->settings->data_centre;
+	const gn_route_spec_t spec = {
+		.name = gn_str_from(hello->worker),
+		.service = gn_str_from(hello->service),
+		.data_centre = gn_str_from(hello->data_centre),
+		.max_connections = hello->max_connections,
+		.cores = hello->cores,
+		.one_way_us = strcmp(own, hello->data_centre)
+				      ? OTHER_DATA_CENTRE_US
+				      : 0,
+		.handle = (uint64_t)(uintptr_t)worker,
+		.incarnation = envelope->incarnation,
+	};
+
+	return gn_route_view_put(entry->view, &spec, &worker->route);
+}
+
 /* What was known of the worker's earlier session holds no longer. */
 static void begin_session(entry_t *entry, entry_worker_t *worker,
 			  uint64_t session)
 {
+	const Gn__Load nothing = GN__LOAD__INIT;
+
 	gn_log(LOG_INFO, "hello", worker->name, "new session");
-	if (worker->session)
-		entry_requests_lost(entry, worker);
+	if (worker->session) {
+		entry_tries_lost(entry, worker);
+		g_hash_table_remove(entry->sessions, &worker->session);
+	}
 	worker->session = session;
-	worker->in_flight = 0;
-	worker->backend_up = false;
+	g_hash_table_insert(entry->sessions, &worker->session, worker);
+	/* No request goes there before its first beat. */
+	entry_worker_take_load(entry, worker, &nothing);
+}
+
+static Gn__Hello *copy_hello(const Gn__Hello *hello)
+{
+	size_t size = gn__hello__get_packed_size(hello);
+	uint8_t *packed = g_malloc(size + 1);
+	Gn__Hello *copy;
+
+	gn__hello__pack(hello, packed);
+	copy = gn__hello__unpack(NULL, size, packed);
+	g_free(packed);
+	return copy;
 }
 
 static void on_hello(entry_t *entry, const gn_link_peer_t *peer,
 		     const Gn__Envelope *envelope)
 {
 	const Gn__Hello *hello = envelope->hello;
+	entry_service_t *service;
 	entry_worker_t *worker;
 
-	if (!is_name(hello->worker) || !is_name(hello->data_centre) ||
-	    !is_name(hello->rack) || !is_name(hello->service) ||
-	    !hello->max_connections)
+	if (!envelope->session || !is_valid_hello(hello))
 		return;
-	worker = g_hash_table_lookup(entry->workers, hello->worker);
-	if (!worker)
-		worker = create_worker(entry, hello->worker);
-	if (!worker)
+	service = get_service(entry, hello->service);
+	worker = get_worker(entry, hello->worker);
+	if (!service || !worker || put_in_view(entry, worker, envelope))
 		return;
 	if (worker->session != envelope->session)
 		begin_session(entry, worker, envelope->session);
-	gn_str_copy(worker->data_centre, sizeof(worker->data_centre),
-		    gn_str_from(hello->data_centre));
+	if (worker->hello)
+		gn__hello__free_unpacked(worker->hello, NULL);
+	worker->hello = copy_hello(hello);
 	gn_str_copy(worker->rack, sizeof(worker->rack),
 		    gn_str_from(hello->rack));
-	gn_str_copy(worker->service, sizeof(worker->service),
-		    gn_str_from(hello->service));
-	worker->max_tasks = hello->max_tasks;
-	worker->max_connections = hello->max_connections;
+	worker->service = service;
 	worker->agent_incarnation = envelope->incarnation;
 	worker->peer = *peer;
 	worker->heard_us = gn_runtime_now_us(entry->runtime);
@@ -126,54 +226,67 @@
 	send_welcome(entry, worker);
 }
 
-static entry_worker_t *find_by_session(entry_t *entry, uint64_t session)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, entry->workers);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		entry_worker_t *worker = value;
-
-		if (worker->session == session)
-			return worker;
-	}
-	return NULL;
-}
-
 static void on_beat(entry_t *entry, entry_worker_t *worker,
 		    const Gn__Beat *beat)
 {
 	if (beat->load)
-		entry_worker_take_load(worker, beat->load);
+		entry_worker_take_load(entry, worker, beat->load);
+	worker->config_revision = beat->config_revision;
 	send_beat_ack(entry, worker, beat->sequence);
 }
 
+static void note_heard(entry_t *entry, entry_worker_t *worker,
+		       const gn_link_peer_t *peer)
+{
+	/* ZeroMQ may have reconnected below the session. */
+	worker->peer = *peer;
+	worker->heard_us = gn_runtime_now_us(entry->runtime);
+	if (!worker->silent)
+		return;
+	worker->silent = false;
+	gn_route_view_set_link(entry->view, worker->route, true);
+}
+
 void entry_on_envelope(void *arg, const gn_link_peer_t *peer,
 		       const Gn__Envelope *envelope)
 {
 	entry_t *entry = arg;
+	uint64_t session = envelope->session;
 	entry_worker_t *worker;
 
 	if (envelope->body_case == GN__ENVELOPE__BODY_HELLO) {
 		on_hello(entry, peer, envelope);
 		return;
 	}
-	worker = find_by_session(entry, envelope->session);
-	if (!worker) {
+	worker = g_hash_table_lookup(entry->sessions, &session);
+	if (!worker || worker->agent_incarnation != envelope->incarnation) {
 		gn_counter_inc(entry->counters.stale_sessions);
 		return;
 	}
-	/* ZeroMQ may have reconnected below the session. */
-	worker->peer = *peer;
-	worker->heard_us = gn_runtime_now_us(entry->runtime);
-	worker->silent = false;
+	note_heard(entry, worker, peer);
 	if (envelope->body_case == GN__ENVELOPE__BODY_BEAT)
 		on_beat(entry, worker, envelope->beat);
 	else if (envelope->body_case == GN__ENVELOPE__BODY_ANSWER)
 		entry_on_answer(entry, worker, envelope->answer);
 }
 
+static void mark_silent(entry_t *entry, entry_worker_t *worker)
+{
+	worker->silent = true;
+	gn_counter_inc(entry->counters.workers_silent);
+	gn_log(LOG_WARNING, "beat", worker->name, "silent");
+	gn_route_view_set_link(entry->view, worker->route, false);
+	entry_tries_lost(entry, worker);
+}
+
+static void forget_worker(entry_t *entry, entry_worker_t *worker)
+{
+	gn_counter_inc(entry->counters.workers_forgotten);
+	gn_log(LOG_NOTICE, "beat", worker->name, "forgotten");
+	gn_route_view_remove(entry->view, gn_str_from(worker->name));
+	g_hash_table_remove(entry->sessions, &worker->session);
+}
+
 void entry_workers_tick(entry_t *entry)
 {
 	uint64_t now_us = gn_runtime_now_us(entry->runtime);
@@ -186,12 +299,14 @@
 	g_hash_table_iter_init(&iter, entry->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		entry_worker_t *worker = value;
+		uint64_t silence_us = now_us - worker->heard_us;
 
-		if (worker->silent || now_us - worker->heard_us <= timeout_us)
-			continue;
-		worker->silent = true;
-		gn_counter_inc(entry->counters.workers_silent);
-		gn_log(LOG_WARNING, "beat", worker->name, "silent");
-		entry_requests_lost(entry, worker);
+		if (!worker->silent && silence_us > timeout_us) {
+			mark_silent(entry, worker);
+		} else if (silence_us > (uint64_t)FORGET_MS * GN_US_PER_MS) {
+			forget_worker(entry, worker);
+			g_hash_table_iter_remove(&iter);
+		}
 	}
+	gn_eject_tick(entry->eject);
 }
--- a/tests/scenario.sh
+++ b/tests/scenario.sh
@@ -164,7 +164,7 @@
 
 # background COMMAND...: its output is printed by "join"
 cmd_background() {
-	(run_line "$*" >"$work/background.out") &
+	("cmd_$1" "${@:2}" >"$work/background.out") &
 	pid[background]=$!
 }
 cmd_join() {
