Tell a refused question from an answer in the command line

Cause: run against a real entry that lacks the path, `change ID` printed "not run" for the 404 of the question itself; and an entry that stops answers status with 503 and the whole state, which counted as a refusal. What: an answer about a change must name it, else the outcome stays unknown; a query's answer is known by the key it must have, not by its status.

--- a/lib/ctl/ctl_outcome.c
+++ b/lib/ctl/ctl_outcome.c
@@ -107,8 +107,9 @@
 static void tell_unreachable(FILE *file, const gn_ctl_change_t *change,
 			     const json_t *answer)
 {
-	(void)change;
-	fputs("unreachable, nothing was changed", file);
+	fputs(change->is_query ? "unreachable"
+			       : "unreachable, nothing was changed",
+	      file);
 	print_why(file, answer);
 }
 
@@ -196,6 +197,13 @@
 	return code == GN_ERR_UNKNOWN ? OUTCOME_UNKNOWN : OUTCOME_UNREACHABLE;
 }
 
+/** "not-run" without the change's id speaks of the question itself. */
+static bool is_about(const gn_ctl_answer_t *answer,
+		     const gn_ctl_change_t *change)
+{
+	return !strcmp(text_of(answer->json, "change_id"), change->id);
+}
+
 int gn_ctl_change(gn_ctl_t *ctl, const gn_ctl_request_t *request,
 		  const gn_ctl_change_t *change)
 {
@@ -213,6 +221,8 @@
 			    describe_failure(outcome, error.detail));
 	}
 	outcome = outcome_of(answer);
+	if (change->is_query && !is_about(answer, change))
+		outcome = OUTCOME_UNKNOWN;
 	status = tell(ctl, outcome, change, describe_answer(outcome, answer));
 	talloc_free(answer);
 	return status;
@@ -221,16 +231,27 @@
 /** A query that got no answer, or one that is no use. */
 static int fail_query(gn_ctl_t *ctl, const gn_ctl_answer_t *answer)
 {
-	const gn_ctl_change_t change = { .what = ctl->name };
+	const gn_ctl_change_t change = { .what = ctl->name, .is_query = true };
 
 	return tell(ctl, OUTCOME_REJECTED, &change,
 		    describe_answer(OUTCOME_REJECTED, answer));
 }
 
-int gn_ctl_query(gn_ctl_t *ctl, const char *path, gn_ctl_show_fn_t show)
+/** A stopping entry answers with 503, but with all that was asked for. */
+static bool is_shown_by(const gn_ctl_view_t *view,
+			const gn_ctl_answer_t *answer)
+{
+	if (!answer->json)
+		return false;
+	if (!view->key)
+		return answer->status == STATUS_OK;
+	return json_object_get(answer->json, view->key);
+}
+
+int gn_ctl_query(gn_ctl_t *ctl, const char *path, const gn_ctl_view_t *view)
 {
 	const gn_ctl_request_t request = { .method = "GET", .path = path };
-	const gn_ctl_change_t change = { .what = ctl->name };
+	const gn_ctl_change_t change = { .what = ctl->name, .is_query = true };
 	gn_ctl_answer_t *answer = NULL;
 	int status = GN_CTL_EXIT_OK;
 	gn_error_t error = { 0 };
@@ -240,12 +261,12 @@
 		return tell(
 			ctl, OUTCOME_UNREACHABLE, &change,
 			describe_failure(OUTCOME_UNREACHABLE, error.detail));
-	if (answer->status != STATUS_OK || !answer->json)
+	if (!is_shown_by(view, answer))
 		status = fail_query(ctl, answer);
 	else if (ctl->json)
 		gn_ctl_print_json(ctl->out, answer->json);
 	else
-		show(ctl, answer->json);
+		view->show(ctl, answer->json);
 	talloc_free(answer);
 	return status;
 }
--- a/lib/ctl/ctl_outcome.h
+++ b/lib/ctl/ctl_outcome.h
@@ -13,6 +13,8 @@
 	const char *id_name; /**< "change", "job" or "key", with its id */
 	const char *id;
 	const char *advice; /**< what to do when the outcome is unknown */
+	/** A question about the change; only an answer about id counts. */
+	bool is_query;
 } gn_ctl_change_t;
 
 /**
@@ -22,14 +24,18 @@
 int gn_ctl_change(gn_ctl_t *ctl, const gn_ctl_request_t *request,
 		  const gn_ctl_change_t *change);
 
-/** Prints the answer of a query in plain text. */
-typedef void (*gn_ctl_show_fn_t)(gn_ctl_t *ctl, const json_t *object);
+/** How the answer of a query is known and printed. */
+typedef struct gn_ctl_view_s {
+	const char *key; /**< that an answer has; NULL: any object will do */
+	/** Prints the answer in plain text. */
+	void (*show)(gn_ctl_t *ctl, const json_t *object);
+} gn_ctl_view_t;
 
 /**
  * Sends a query and prints its answer, as JSON if that was asked for.
- * @param show prints it otherwise
+ * @param view prints it otherwise
  * @return an exit code
  */
-int gn_ctl_query(gn_ctl_t *ctl, const char *path, gn_ctl_show_fn_t show);
+int gn_ctl_query(gn_ctl_t *ctl, const char *path, const gn_ctl_view_t *view);
 
 #endif
--- a/lib/queries/query_config.c
+++ b/lib/queries/query_config.c
@@ -40,19 +40,21 @@
 /** What `config PART` prints. */
 static const struct {
 	const char *part;
-	gn_ctl_show_fn_t show;
+	gn_ctl_view_t view;
 } parts[] = {
-	{ "inventory", show_inventory },
-	{ "rules", show_rules },
+	{ "inventory", { "inventory", show_inventory } },
+	{ "rules", { "rules", show_rules } },
 };
 
+static const gn_ctl_view_t both_view = { "revision", show_both };
+
 static int show_part(gn_ctl_t *ctl, const char *part)
 {
 	if (!part)
-		return gn_ctl_query(ctl, "/v1/config", show_both);
+		return gn_ctl_query(ctl, "/v1/config", &both_view);
 	for (size_t i = 0; i < sizeof(parts) / sizeof(parts[0]); i++)
 		if (!strcmp(part, parts[i].part))
-			return gn_ctl_query(ctl, "/v1/config", parts[i].show);
+			return gn_ctl_query(ctl, "/v1/config", &parts[i].view);
 	return gn_ctl_usage(ctl, "%s is not inventory or rules", part);
 }
 
@@ -78,7 +80,8 @@
 	gn_ctl_request_t request = { .method = "GET" };
 	const gn_ctl_change_t change = { .what = "change",
 					 .id_name = "change",
-					 .id = id };
+					 .id = id,
+					 .is_query = true };
 	char *path = gn_ctl_path(NULL, "/v1/changes/", id, "");
 	int status;
 
--- a/lib/queries/query_state.c
+++ b/lib/queries/query_state.c
@@ -66,9 +66,15 @@
 	gn_ctl_print_json(ctl->out, object);
 }
 
+static const gn_ctl_view_t status_view = { "name", show_status };
+static const gn_ctl_view_t hosts_view = { "hosts", show_hosts };
+static const gn_ctl_view_t jobs_view = { "jobs", show_jobs };
+static const gn_ctl_view_t job_view = { "id", show_job };
+static const gn_ctl_view_t dump_view = { NULL, show_dump };
+
 /** A query without arguments. */
 static int run_plain(gn_ctl_t *ctl, int argc, char **argv, const char *path,
-		     gn_ctl_show_fn_t show)
+		     const gn_ctl_view_t *view)
 {
 	gn_ctl_options_t o;
 	int status;
@@ -78,33 +84,33 @@
 
 	status = gn_ctl_begin(ctl, &o, argc, argv, table);
 	if (status == GN_CTL_GO_ON)
-		status = gn_ctl_query(ctl, path, show);
+		status = gn_ctl_query(ctl, path, view);
 	arg_freetable(table, sizeof(table) / sizeof(table[0]));
 	return status;
 }
 
 int gn_query_status(gn_ctl_t *ctl, int argc, char **argv)
 {
-	return run_plain(ctl, argc, argv, "/v1/status", show_status);
+	return run_plain(ctl, argc, argv, "/v1/status", &status_view);
 }
 
 int gn_query_hosts(gn_ctl_t *ctl, int argc, char **argv)
 {
-	return run_plain(ctl, argc, argv, "/v1/hosts", show_hosts);
+	return run_plain(ctl, argc, argv, "/v1/hosts", &hosts_view);
 }
 
 int gn_query_jobs(gn_ctl_t *ctl, int argc, char **argv)
 {
-	return run_plain(ctl, argc, argv, "/v1/jobs", show_jobs);
+	return run_plain(ctl, argc, argv, "/v1/jobs", &jobs_view);
 }
 
 int gn_query_dump(gn_ctl_t *ctl, int argc, char **argv)
 {
-	return run_plain(ctl, argc, argv, "/dump", show_dump);
+	return run_plain(ctl, argc, argv, "/dump", &dump_view);
 }
 
 static int ask_for(gn_ctl_t *ctl, const char *prefix, const char *id,
-		   gn_ctl_show_fn_t show)
+		   const gn_ctl_view_t *view)
 {
 	char *path = gn_ctl_path(NULL, prefix, id, "");
 	int status;
@@ -113,7 +119,7 @@
 		fprintf(ctl->err, "%s: out of memory\n", ctl->name);
 		return GN_CTL_EXIT_FAILED;
 	}
-	status = gn_ctl_query(ctl, path, show);
+	status = gn_ctl_query(ctl, path, view);
 	talloc_free(path);
 	return status;
 }
@@ -129,7 +135,7 @@
 
 	status = gn_ctl_begin(ctl, &o, argc, argv, table);
 	if (status == GN_CTL_GO_ON)
-		status = ask_for(ctl, "/v1/jobs/", id->sval[0], show_job);
+		status = ask_for(ctl, "/v1/jobs/", id->sval[0], &job_view);
 	arg_freetable(table, sizeof(table) / sizeof(table[0]));
 	return status;
 }
