config: the store of the accepted configuration

Operators must be told 'accepted' only of what is in force and stays so, with several of them racing through several entries and answers lost.

One document under one key: validated, compare-and-swap, and after a lost answer read back by change id. Ruled out: a key for each part (no common revision, rules could be checked against an inventory that is no longer there), and writing anew after a lost answer.

A walk found that a watch on a silent connection kept a change from being in force for its whole wait of 30 s: the wait is 3 s now.

--- /dev/null
+++ b/lib/config/store.c
@@ -0,0 +1,233 @@
+#include "config/store.h"
+
+#include <stdlib.h>
+
+#include "common/log.h"
+#include "common/str.h"
+#include "config/store_internal.h"
+
+#define STEP "configuration"
+/**
+ * How long one watch call waits, milliseconds. It bounds how long a watch
+ * whose connection has gone silent goes unnoticed.
+ */
+#define WATCH_WAIT_MS 3000
+/** Least time between two watch calls, milliseconds. */
+#define WATCH_INTERVAL_MS 200
+
+/* ======   Adopting   ====== */
+
+void gn_store_adopt(gn_store_t *store, const gn_config_doc_t *doc)
+{
+	gn_config_doc_t *copy;
+
+	if (store->current && doc->revision <= store->current->revision &&
+	    store->mutant != GN_STORE_MUTANT_ADOPT_OLDER)
+		return;
+	copy = gn_config_doc_copy(store, doc);
+	if (!copy)
+		return;
+	talloc_free(store->current);
+	store->current = copy;
+	if (store->options.on_adopt)
+		store->options.on_adopt(store->options.context, copy);
+}
+
+static void take_entry(gn_store_t *store, const gn_kv_entry_t *entry)
+{
+	gn_config_doc_t *doc;
+
+	if (entry->deleted || !gn_str_equal(entry->key, GN_STR(GN_STORE_KEY)))
+		return;
+	if (gn_config_doc_decode(store, entry->value, &doc) != GN_OK) {
+		gn_log(LOG_ERR, STEP, NULL, "malformed document at key %s",
+		       GN_STORE_KEY);
+		return;
+	}
+	gn_store_adopt(store, doc);
+	talloc_free(doc);
+}
+
+static void take_news(void *context, const gn_kv_news_t *news)
+{
+	for (size_t i = 0; i < news->count; i++)
+		take_entry(context, &news->entries[i]);
+}
+
+void gn_store_offer(gn_store_t *store, const gn_config_doc_t *doc)
+{
+	gn_store_adopt(store, doc);
+}
+
+/* ======   Changes   ====== */
+
+static gn_code_t admit_change(const gn_store_t *store,
+			      const gn_store_change_t *change)
+{
+	if (!change->id.len || change->part >= GN_CONFIG_PART_COUNT ||
+	    !gn_kv_is_key_text(change->id, GN_KV_CHANGE_MAX))
+		return GN_ERR_INVALID;
+	if (store->queue.length >= GN_STORE_QUEUE_MAX)
+		return GN_ERR_CAPACITY;
+	return GN_OK;
+}
+
+void gn_store_change(gn_store_t *store, const gn_store_change_t *change,
+		     gn_store_done_t done, void *context)
+{
+	gn_store_work_t *work =
+		gn_store_work_create(store, change, done, context);
+
+	/* as GLib does, which the queue's memory comes from */
+	if (!work)
+		abort();
+	if (admit_change(store, change) == GN_OK)
+		g_queue_push_tail(&store->queue, work);
+	else
+		g_queue_push_tail(&store->refused, work);
+}
+
+static void tell_refused(gn_store_t *store)
+{
+	while (store->refused.length) {
+		gn_store_work_t *work = g_queue_peek_head(&store->refused);
+		gn_code_t code = admit_change(store, &work->change);
+
+		gn_store_work_refuse(work, code == GN_ERR_INVALID
+						   ? GN_ERR_INVALID
+						   : GN_ERR_CAPACITY);
+	}
+}
+
+void gn_store_tick(gn_store_t *store)
+{
+	gn_store_work_t *work;
+
+	gn_kv_watch_tick(store->watch);
+	tell_refused(store);
+	/* a change that ends makes room for the next one */
+	do {
+		work = g_queue_peek_head(&store->queue);
+		if (work)
+			gn_store_work_tick(work);
+	} while (work && work != g_queue_peek_head(&store->queue));
+}
+
+/* ======   Queries   ====== */
+
+const gn_config_doc_t *gn_store_current(const gn_store_t *store)
+{
+	return store->current;
+}
+
+uint64_t gn_store_heard_us(const gn_store_t *store)
+{
+	return gn_kv_watch_heard_us(store->watch);
+}
+
+typedef struct question_s {
+	gn_store_t *store;
+	gn_kv_call_t call;
+	gn_str_t id;
+	gn_store_done_t done;
+	void *context;
+} question_t;
+
+static int cancel_question(question_t *question)
+{
+	gn_kv_cancel(question->store->options.kv, question->call);
+	return 0;
+}
+
+static gn_code_t find_change(const question_t *question, gn_str_t value,
+			     uint64_t *revision)
+{
+	const gn_config_change_t *change;
+	gn_config_doc_t *doc;
+	gn_code_t code = gn_config_doc_decode(question->store, value, &doc);
+
+	if (code != GN_OK)
+		return code;
+	change = gn_config_doc_find(doc, question->id);
+	*revision = change ? change->revision : doc->revision;
+	talloc_free(doc);
+	return change ? GN_OK : GN_ERR_NOT_FOUND;
+}
+
+static void take_read(void *context, const gn_kv_result_t *read)
+{
+	question_t *question = context;
+	gn_store_result_t result = { read->code, 0, question->id, read->error };
+
+	question->call = 0;
+	if (read->code == GN_OK)
+		result.code = find_change(question, read->entries[0].value,
+					  &result.revision);
+	question->done(question->context, &result);
+	talloc_free(question);
+}
+
+void gn_store_ask(gn_store_t *store, gn_str_t id, gn_store_done_t done,
+		  void *context)
+{
+	question_t *question = talloc_zero(store, question_t);
+
+	/* as GLib does, which the rest of the store's memory comes from */
+	if (!question)
+		abort();
+	question->store = store;
+	question->done = done;
+	question->context = context;
+	question->id.data = talloc_strndup(question, id.data, id.len);
+	question->id.len = id.len;
+	question->call = gn_kv_get(store->options.kv, GN_STR(GN_STORE_KEY),
+				   take_read, question);
+	talloc_set_destructor(question, cancel_question);
+}
+
+/* ======   Life   ====== */
+
+static int free_store(gn_store_t *store)
+{
+	gn_kv_watch_free(store->watch);
+	g_queue_clear(&store->queue);
+	g_queue_clear(&store->refused);
+	return 0;
+}
+
+gn_store_t *gn_store_create(TALLOC_CTX *parent,
+			    const gn_store_options_t *options)
+{
+	gn_kv_watch_options_t watch = { GN_STORE_KEY, WATCH_WAIT_MS,
+					WATCH_INTERVAL_MS, take_news, NULL };
+	gn_store_t *store;
+
+	if (options->timeout_ms < GN_STORE_TIMEOUT_MIN_MS ||
+	    options->timeout_ms > GN_STORE_TIMEOUT_MAX_MS)
+		return NULL;
+	store = talloc_zero(parent, gn_store_t);
+	if (!store)
+		return NULL;
+	store->options = *options;
+	watch.context = store;
+	g_queue_init(&store->queue);
+	g_queue_init(&store->refused);
+	store->watch = gn_kv_watch_create(NULL, options->kv, options->clock,
+					  options->rand, &watch);
+	if (!store->watch) {
+		talloc_free(store);
+		return NULL;
+	}
+	talloc_set_destructor(store, free_store);
+	return store;
+}
+
+void gn_store_free(gn_store_t *store)
+{
+	talloc_free(store);
+}
+
+void gn_store_set_mutant(gn_store_t *store, gn_store_mutant_t mutant)
+{
+	store->mutant = mutant;
+}
