--- a/lib/agent/agent.c
+++ b/lib/agent/agent.c
@@ -4,6 +4,8 @@
 
 /** The agent's timers need no finer step, milliseconds. */
 #define TICK_MS 50
+/** Thousandths of a core. */
+#define MILLI 1000
 /** Connections to the agent itself: backend server and operators. */
 #define OWN_CONNECTIONS 64
 
@@ -18,6 +20,11 @@
 	counters->unknown = gn_counters_get(all, "agent.unknown");
 	counters->links_replaced = gn_counters_get(all, "agent.links_replaced");
 	counters->announcements = gn_counters_get(all, "agent.announcements");
+	counters->fences = gn_counters_get(all, "agent.fences");
+	counters->lists = gn_counters_get(all, "agent.lists");
+	counters->actions = gn_counters_get(all, "agent.actions");
+	counters->actions_failed = gn_counters_get(all, "agent.actions_failed");
+	counters->stale_orders = gn_counters_get(all, "agent.stale_orders");
 }
 
 static gn_code_t start_http(agent_t *agent, gn_error_t *error)
@@ -50,6 +57,28 @@
 	return gn_http_server_start(agent, &server, &agent->server, error);
 }
 
+static gn_code_t open_admission(agent_t *agent)
+{
+	const gn_settings_t *settings = agent->runtime->settings;
+	const gn_admit_config_t config = {
+		.max_tasks = settings->max_tasks,
+		.max_connections = settings->max_connections,
+		.host = { (uint64_t)settings->cores * MILLI,
+			  settings->memory_mb, settings->accelerators },
+		.incarnation = agent->runtime->incarnation,
+		.fence = gn_fence_defaults(),
+	};
+
+	agent->admit = gn_admit_create(agent, &config);
+	return agent->admit ? GN_OK : GN_ERR_MEMORY;
+}
+
+static int agent_destructor(agent_t *agent)
+{
+	agent_tasks_close(agent);
+	return 0;
+}
+
 static gn_code_t agent_start(gn_runtime_t *runtime, void **state,
 			     gn_error_t *error)
 {
@@ -61,7 +90,11 @@
 				    "agent");
 	*state = agent;
 	agent->runtime = runtime;
+	talloc_set_destructor(agent, agent_destructor);
 	open_counters(agent);
+	if (open_admission(agent) || agent_tasks_open(agent))
+		return gn_error_set(error, GN_ERR_MEMORY, "start", NULL,
+				    "admission");
 	code = start_http(agent, error);
 	if (code)
 		return code;
@@ -70,7 +103,12 @@
 
 static void agent_tick(void *state)
 {
-	agent_links_tick(state);
+	agent_t *agent = state;
+
+	agent_backend_tick(agent);
+	gn_admit_set_draining(agent->admit, agent_is_draining(agent));
+	agent_tasks_tick(agent);
+	agent_links_tick(agent);
 }
 
 static void agent_stop(void *state)
--- a/lib/agent/agent_internal.h
+++ b/lib/agent/agent_internal.h
@@ -5,7 +5,9 @@
 #ifndef GN_AGENT_INTERNAL_H
 #define GN_AGENT_INTERNAL_H
 
+#include "admit/admit.h"
 #include "agent/agent.h"
+#include "batch/worker_tasks.h"
 #include "http/client.h"
 #include "http/server.h"
 #include "wire/link.h"
@@ -22,7 +24,9 @@
 	uint64_t opened_us;
 	uint64_t heard_us; /**< last time the entry was heard */
 	uint64_t beat_us; /**< last time a beat was sent */
+	uint64_t poll_us; /**< last time a task poll was sent */
 	uint64_t sequence;
+	uint64_t admit_session; /**< the admission's, 0 until welcomed */
 } agent_link_t;
 
 /** What the backend server beside the agent announced. */
@@ -30,7 +34,11 @@
 	char address[GN_ADDRESS_MAX + 1]; /**< empty until announced */
 	char incarnation[GN_NAME_MAX + 1]; /**< of the backend server */
 	bool draining; /**< it is in graceful shutdown */
+	bool lost; /**< went away after it was up */
 	uint64_t announced_us;
+	uint64_t listed_us; /**< last time it was asked for its list */
+	bool listing; /**< the list is under way */
+	bool list_spoiled; /**< an action ended since it was asked */
 } agent_backend_t;
 
 /** Counters of the agent. */
@@ -41,6 +49,11 @@
 	gn_counter_t *unknown;
 	gn_counter_t *links_replaced;
 	gn_counter_t *announcements;
+	gn_counter_t *fences;
+	gn_counter_t *lists;
+	gn_counter_t *actions;
+	gn_counter_t *actions_failed;
+	gn_counter_t *stale_orders;
 } agent_counters_t;
 
 struct agent_s {
@@ -51,6 +64,11 @@
 	size_t link_count;
 	agent_backend_t backend;
 	agent_counters_t counters;
+	gn_admit_t *admit; /**< the one authority on the host's capacity */
+	gn_worker_tasks_t *tasks;
+	GHashTable *admitted; /**< task ids that the admission counts */
+	gn_action_t *action; /**< at the backend server now, or NULL */
+	bool poll_soon; /**< something changed that owners wait for */
 	unsigned running; /**< requests at the backend server */
 	uint32_t service_time_us; /**< smoothed */
 };
@@ -66,17 +84,51 @@
 /** Fills in the load of the worker. */
 void agent_load(const agent_t *agent, Gn__Load *load);
 
+/** Whether the worker is to take no new work. */
+bool agent_is_draining(const agent_t *agent);
+
 /* ======   requests.c   ====== */
 
 /** Admits and runs, or refuses, one request. */
 void agent_on_dispatch(agent_link_t *link, const Gn__Dispatch *dispatch);
+/** Records that a request is not to start any more. */
+void agent_on_fence(agent_link_t *link, const Gn__Fence *fence);
 
 /* ======   backend.c   ====== */
 
-/** Whether the backend server can be given work. */
+/** Whether the backend server has announced itself and answers. */
 bool agent_backend_is_up(const agent_t *agent);
+/** Whether it has also listed what it runs, so that work can be admitted. */
+bool agent_backend_is_ready(const agent_t *agent);
 /** Handles the backend server's announcement. */
 void agent_on_announce(void *arg, gn_http_request_t *request, gn_str_t name);
+/** Asks for the list when it is due; notes a backend server that went away. */
+void agent_backend_tick(agent_t *agent);
+/**
+ * Calls the backend server.
+ * @param path below its address, with its first slash
+ * @param json consumed; NULL for a GET
+ * @return GN_OK, or GN_ERR_MEMORY and @p done won't be called
+ */
+gn_code_t agent_backend_call(agent_t *agent, const char *path, json_t *json,
+			     gn_http_done_t done, void *arg);
+
+/* ======   tasks.c   ====== */
+
+/** Opens the state of tasks. */
+gn_code_t agent_tasks_open(agent_t *agent);
+/** Closes it. */
+void agent_tasks_close(agent_t *agent);
+/** Takes the list that the backend server answered with. */
+gn_code_t agent_tasks_take_list(agent_t *agent, json_t *list);
+/** Moves leases, actions and polls on. */
+void agent_tasks_tick(agent_t *agent);
+/** Takes an owner's orders. */
+void agent_on_task_orders(agent_link_t *link, const Gn__TaskOrders *message);
+/** Whether every run has ended and its owner knows. */
+bool agent_tasks_are_settled(const agent_t *agent);
+/** The part of the state dump; the caller owns it. */
+json_t *agent_tasks_dump(const agent_t *agent);
 
 /* ======   http.c   ====== */
 
--- a/lib/agent/backend.c
+++ b/lib/agent/backend.c
@@ -2,6 +2,8 @@
  * @file backend.c
  * @brief What the agent knows of the backend server beside it.
  */
+#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "agent/agent_internal.h"
@@ -11,6 +13,10 @@
 
 /** A backend server that stays silent for longer is down, milliseconds. */
 #define ANNOUNCE_TIMEOUT_MS 3000
+/** Between questions for its list, milliseconds. */
+#define LIST_INTERVAL_MS 500
+/** Longest time of one call other than a request, milliseconds. */
+#define CALL_TIMEOUT_MS 2000
 #define HTTP_OK 200
 #define HTTP_BAD_REQUEST 400
 
@@ -23,6 +29,113 @@
 		       (uint64_t)ANNOUNCE_TIMEOUT_MS * GN_US_PER_MS;
 }
 
+bool agent_backend_is_ready(const agent_t *agent)
+{
+	gn_admit_info_t info;
+
+	gn_admit_info(agent->admit, &info);
+	return info.listed && agent_backend_is_up(agent);
+}
+
+/* ======   Calls   ====== */
+
+gn_code_t agent_backend_call(agent_t *agent, const char *path, json_t *json,
+			     gn_http_done_t done, void *arg)
+{
+	gn_http_call_t *call = gn_http_call_create();
+
+	if (!call) {
+		json_decref(json);
+		return GN_ERR_MEMORY;
+	}
+	call->method = json ? GN_HTTP_POST : GN_HTTP_GET;
+	snprintf(call->url, sizeof(call->url), "http://%s%s",
+		 agent->backend.address, path);
+	if (json) {
+		call->body = json_dumps(json, JSON_COMPACT);
+		call->body_len = call->body ? strlen(call->body) : 0;
+		json_decref(json);
+	}
+	call->timeout_ms = CALL_TIMEOUT_MS;
+	call->once = json != NULL;
+	call->done = done;
+	call->arg = arg;
+	gn_http_client_call(agent->client, call);
+	return GN_OK;
+}
+
+static void on_list(void *arg, const gn_http_call_t *call)
+{
+	agent_t *agent = arg;
+	agent_backend_t *backend = &agent->backend;
+	json_t *list = NULL;
+
+	backend->listing = false;
+	/* What an action changed meanwhile may or may not be on the list. */
+	if (backend->list_spoiled) {
+		backend->listed_us = 0;
+		return;
+	}
+	if (call->code == GN_OK && call->status == HTTP_OK)
+		list = json_loadb(call->answer, call->answer_len, 0, NULL);
+	if (!list || agent_tasks_take_list(agent, list))
+		gn_log(LOG_WARNING, "list", backend->address, "error=%s",
+		       gn_code_name(call->code));
+	else
+		gn_counter_inc(agent->counters.lists);
+	json_decref(list);
+}
+
+static void ask_for_list(agent_t *agent, uint64_t now_us)
+{
+	agent_backend_t *backend = &agent->backend;
+
+	backend->listed_us = now_us;
+	backend->list_spoiled = agent->action != NULL;
+	if (backend->list_spoiled)
+		return;
+	gn_admit_begin_list(agent->admit);
+	backend->listing = agent_backend_call(agent, "/v1/tasks", NULL, on_list,
+					      agent) == GN_OK;
+}
+
+void agent_backend_tick(agent_t *agent)
+{
+	agent_backend_t *backend = &agent->backend;
+	uint64_t now_us = gn_runtime_now_us(agent->runtime);
+
+	if (!agent_backend_is_up(agent)) {
+		if (backend->address[0] && !backend->lost) {
+			backend->lost = true;
+			gn_log(LOG_WARNING, "announce", backend->address,
+			       "silent");
+			gn_admit_lose_backend(agent->admit);
+		}
+		return;
+	}
+	if (!backend->listing &&
+	    now_us - backend->listed_us >=
+		    (uint64_t)LIST_INTERVAL_MS * GN_US_PER_MS)
+		ask_for_list(agent, now_us);
+}
+
+/* ======   Announcements   ====== */
+
+static void note_restart(agent_t *agent, const char *address,
+			 const char *incarnation)
+{
+	agent_backend_t *backend = &agent->backend;
+
+	if (!strcmp(backend->incarnation, incarnation) && !backend->lost)
+		return;
+	gn_log(LOG_NOTICE, "announce", address, "backend server %s",
+	       incarnation);
+	gn_admit_lose_backend(agent->admit);
+	backend->lost = false;
+	backend->listed_us = 0;
+	backend->list_spoiled = true;
+}
+
 static gn_code_t take_announcement(agent_t *agent, json_t *json)
 {
 	agent_backend_t *backend = &agent->backend;
@@ -36,9 +149,7 @@
 	    strlen(address) > GN_ADDRESS_MAX ||
 	    strlen(incarnation) > GN_NAME_MAX)
 		return GN_ERR_INVALID;
-	if (strcmp(backend->incarnation, incarnation) != 0)
-		gn_log(LOG_NOTICE, "announce", address, "backend server %s",
-		       incarnation);
+	note_restart(agent, address, incarnation);
 	if (draining && !backend->draining)
 		gn_log(LOG_NOTICE, "announce", address, "draining");
 	gn_str_copy(backend->address, sizeof(backend->address),
--- a/lib/agent/http.c
+++ b/lib/agent/http.c
@@ -44,6 +44,7 @@
 	json_object_set_new(dump, "role", json_string("agent"));
 	json_object_set_new(dump, "backend", backend);
 	json_object_set_new(dump, "links", dump_links(agent));
+	json_object_set_new(dump, "tasks", agent_tasks_dump(agent));
 	json_object_set_new(dump, "running_requests",
 			    json_integer(agent->running));
 	gn_http_reply_json(agent->server, request, HTTP_OK, dump);
--- a/lib/agent/links.c
+++ b/lib/agent/links.c
@@ -22,8 +22,14 @@
 	gn__load__init(load);
 	load->running_requests = agent->running;
 	load->service_time_us = agent->service_time_us;
-	load->draining = agent->runtime->stopping || agent->backend.draining;
-	load->backend_up = agent_backend_is_up(agent);
+	load->running_tasks = gn_worker_tasks_stats(agent->tasks)->running;
+	load->draining = agent_is_draining(agent);
+	load->backend_up = agent_backend_is_ready(agent);
+}
+
+bool agent_is_draining(const agent_t *agent)
+{
+	return agent->runtime->stopping || agent->backend.draining;
 }
 
 gn_code_t agent_link_send(agent_link_t *link, Gn__Envelope *envelope)
@@ -69,8 +75,15 @@
 
 static void on_welcome(agent_link_t *link, const Gn__Envelope *envelope)
 {
+	agent_t *agent = link->agent;
+
 	if (link->entry_incarnation == envelope->incarnation)
 		return;
+	if (link->entry_incarnation)
+		gn_admit_close_session(agent->admit, link->entry_incarnation);
+	if (gn_admit_open_session(agent->admit, envelope->incarnation,
+				  &link->admit_session))
+		return;
 	link->entry_incarnation = envelope->incarnation;
 	gn_log(LOG_INFO, "welcome", link->address, "entry %s",
 	       envelope->welcome->entry);
@@ -93,6 +106,12 @@
 	case GN__ENVELOPE__BODY_DISPATCH:
 		agent_on_dispatch(link, envelope->dispatch);
 		break;
+	case GN__ENVELOPE__BODY_FENCE:
+		agent_on_fence(link, envelope->fence);
+		break;
+	case GN__ENVELOPE__BODY_TASK_ORDERS:
+		agent_on_task_orders(link, envelope->task_orders);
+		break;
 	default:
 		break;
 	}
@@ -111,7 +130,10 @@
 	};
 
 	link->session = gn_runtime_random_id();
+	if (link->entry_incarnation)
+		gn_admit_close_session(agent->admit, link->entry_incarnation);
 	link->entry_incarnation = 0;
+	link->admit_session = 0;
 	link->opened_us = gn_runtime_now_us(agent->runtime);
 	link->heard_us = link->opened_us;
 	link->beat_us = 0;
--- a/lib/agent/requests.c
+++ b/lib/agent/requests.c
@@ -16,6 +16,7 @@
 typedef struct agent_request_s {
 	agent_link_t *link;
 	uint64_t session; /**< of the link when it came */
+	uint64_t entry; /**< incarnation of the entry */
 	uint64_t id;
 	uint64_t started_us;
 } agent_request_t;
@@ -33,34 +34,28 @@
 }
 
 static void refuse(agent_link_t *link, const Gn__Dispatch *dispatch,
-		   gn_code_t reason)
+		   gn_outcome_t outcome, gn_code_t reason)
 {
 	Gn__Answer answer = GN__ANSWER__INIT;
 
 	gn_counter_inc(link->agent->counters.refused);
 	answer.request = dispatch->request;
-	answer.outcome = GN_OUTCOME_NOT_RUN;
+	answer.outcome = outcome;
 	answer.reason = reason;
 	send_answer(link, &answer);
 }
 
-static gn_code_t admit(const agent_link_t *link, const Gn__Dispatch *dispatch)
+static gn_admit_reason_t ask(const agent_link_t *link,
+			     const Gn__Dispatch *dispatch)
 {
-	const agent_t *agent = link->agent;
-	const gn_settings_t *settings = agent->runtime->settings;
-
-	if (dispatch->agent_incarnation != agent->runtime->incarnation)
-		return GN_ERR_STALE;
-	if (strcmp(dispatch->service, settings->service) != 0)
-		return GN_ERR_NOT_FOUND;
-	if (agent->runtime->stopping || agent->backend.draining ||
-	    !agent_backend_is_up(agent))
-		return GN_ERR_UNAVAILABLE;
-	if (agent->running >= settings->max_connections)
-		return GN_ERR_CAPACITY;
-	if (dispatch->budget_us < GN_US_PER_MS)
-		return GN_ERR_TIMEOUT;
-	return GN_OK;
+	const gn_admit_request_t request = {
+		.entry = link->entry_incarnation,
+		.session = link->admit_session,
+		.agent = dispatch->agent_incarnation,
+		.request = dispatch->request,
+	};
+
+	return gn_admit_ask_request(link->agent->admit, &request);
 }
 
 static gn_outcome_t judge_outcome(const gn_http_call_t *call)
@@ -103,6 +98,7 @@
 	gn_outcome_t outcome = judge_outcome(call);
 
 	agent->running--;
+	gn_admit_end_request(agent->admit, request->entry, request->id);
 	count_outcome(agent, outcome);
 	if (call->code)
 		gn_log(LOG_WARNING, "backend call", agent->backend.address,
@@ -161,11 +157,14 @@
 	if (!request || !call) {
 		free(request);
 		free(call);
-		refuse(link, dispatch, GN_ERR_MEMORY);
+		gn_admit_end_request(agent->admit, link->entry_incarnation,
+				     dispatch->request);
+		refuse(link, dispatch, GN_OUTCOME_NOT_RUN, GN_ERR_MEMORY);
 		return;
 	}
 	request->link = link;
 	request->session = link->session;
+	request->entry = link->entry_incarnation;
 	request->id = dispatch->request;
 	request->started_us = gn_runtime_now_us(agent->runtime);
 	call->arg = request;
@@ -174,12 +173,47 @@
 	gn_http_client_call(agent->client, call);
 }
 
+/* What the admission does not know of: the service and the time left. */
+static gn_code_t check(const agent_t *agent, const Gn__Dispatch *dispatch)
+{
+	if (strcmp(dispatch->service, agent->runtime->settings->service) != 0)
+		return GN_ERR_NOT_FOUND;
+	if (!agent_backend_is_up(agent))
+		return GN_ERR_SYSTEM;
+	if (dispatch->budget_us < GN_US_PER_MS)
+		return GN_ERR_TIMEOUT;
+	return GN_OK;
+}
+
 void agent_on_dispatch(agent_link_t *link, const Gn__Dispatch *dispatch)
 {
-	gn_code_t reason = admit(link, dispatch);
+	gn_code_t code = check(link->agent, dispatch);
+	gn_admit_reason_t reason;
 
-	if (reason)
-		refuse(link, dispatch, reason);
-	else
+	if (code) {
+		refuse(link, dispatch, GN_OUTCOME_NOT_RUN, code);
+		return;
+	}
+	reason = ask(link, dispatch);
+	if (reason == GN_ADMIT_ADMITTED)
 		run(link, dispatch);
+	else if (reason != GN_ADMIT_DUPLICATE)
+		refuse(link, dispatch, gn_admit_outcome(reason),
+		       gn_admit_code(reason));
+}
+
+void agent_on_fence(agent_link_t *link, const Gn__Fence *fence)
+{
+	agent_t *agent = link->agent;
+	Gn__Envelope envelope = GN__ENVELOPE__INIT;
+	Gn__FenceAck ack = GN__FENCE_ACK__INIT;
+
+	gn_counter_inc(agent->counters.fences);
+	ack.request = fence->request;
+	ack.not_run = gn_admit_cancel_request(
+		agent->admit, link->entry_incarnation,
+		agent->runtime->incarnation, fence->request);
+	envelope.body_case = GN__ENVELOPE__BODY_FENCE_ACK;
+	envelope.fence_ack = &ack;
+	agent_link_send(link, &envelope);
 }
--- a/lib/wire/gypsumnotch.pb-c.c
+++ b/lib/wire/gypsumnotch.pb-c.c
@@ -457,49 +457,49 @@
   assert(message->base.descriptor == &gn__fence_ack__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   gn__task__init
-                     (Gn__Task         *message)
+void   gn__task_run__init
+                     (Gn__TaskRun         *message)
 {
-  static const Gn__Task init_value = GN__TASK__INIT;
+  static const Gn__TaskRun init_value = GN__TASK_RUN__INIT;
   *message = init_value;
 }
-size_t gn__task__get_packed_size
-                     (const Gn__Task *message)
+size_t gn__task_run__get_packed_size
+                     (const Gn__TaskRun *message)
 {
-  assert(message->base.descriptor == &gn__task__descriptor);
+  assert(message->base.descriptor == &gn__task_run__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t gn__task__pack
-                     (const Gn__Task *message,
+size_t gn__task_run__pack
+                     (const Gn__TaskRun *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &gn__task__descriptor);
+  assert(message->base.descriptor == &gn__task_run__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t gn__task__pack_to_buffer
-                     (const Gn__Task *message,
+size_t gn__task_run__pack_to_buffer
+                     (const Gn__TaskRun *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &gn__task__descriptor);
+  assert(message->base.descriptor == &gn__task_run__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Gn__Task *
-       gn__task__unpack
+Gn__TaskRun *
+       gn__task_run__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Gn__Task *)
-     protobuf_c_message_unpack (&gn__task__descriptor,
+  return (Gn__TaskRun *)
+     protobuf_c_message_unpack (&gn__task_run__descriptor,
                                 allocator, len, data);
 }
-void   gn__task__free_unpacked
-                     (Gn__Task *message,
+void   gn__task_run__free_unpacked
+                     (Gn__TaskRun *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &gn__task__descriptor);
+  assert(message->base.descriptor == &gn__task_run__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
 void   gn__task_poll__init
@@ -547,6 +547,51 @@
   assert(message->base.descriptor == &gn__task_poll__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gn__task_spec__init
+                     (Gn__TaskSpec         *message)
+{
+  static const Gn__TaskSpec init_value = GN__TASK_SPEC__INIT;
+  *message = init_value;
+}
+size_t gn__task_spec__get_packed_size
+                     (const Gn__TaskSpec *message)
+{
+  assert(message->base.descriptor == &gn__task_spec__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gn__task_spec__pack
+                     (const Gn__TaskSpec *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gn__task_spec__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gn__task_spec__pack_to_buffer
+                     (const Gn__TaskSpec *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gn__task_spec__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gn__TaskSpec *
+       gn__task_spec__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gn__TaskSpec *)
+     protobuf_c_message_unpack (&gn__task_spec__descriptor,
+                                allocator, len, data);
+}
+void   gn__task_spec__free_unpacked
+                     (Gn__TaskSpec *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gn__task_spec__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gn__task_order__init
                      (Gn__TaskOrder         *message)
 {
@@ -592,6 +637,51 @@
   assert(message->base.descriptor == &gn__task_order__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gn__bucket_orders__init
+                     (Gn__BucketOrders         *message)
+{
+  static const Gn__BucketOrders init_value = GN__BUCKET_ORDERS__INIT;
+  *message = init_value;
+}
+size_t gn__bucket_orders__get_packed_size
+                     (const Gn__BucketOrders *message)
+{
+  assert(message->base.descriptor == &gn__bucket_orders__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gn__bucket_orders__pack
+                     (const Gn__BucketOrders *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gn__bucket_orders__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gn__bucket_orders__pack_to_buffer
+                     (const Gn__BucketOrders *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gn__bucket_orders__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gn__BucketOrders *
+       gn__bucket_orders__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gn__BucketOrders *)
+     protobuf_c_message_unpack (&gn__bucket_orders__descriptor,
+                                allocator, len, data);
+}
+void   gn__bucket_orders__free_unpacked
+                     (Gn__BucketOrders *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gn__bucket_orders__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gn__task_orders__init
                      (Gn__TaskOrders         *message)
 {
@@ -1828,17 +1918,17 @@
   (ProtobufCMessageInit) gn__fence_ack__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gn__task__field_descriptors[8] =
+static const ProtobufCFieldDescriptor gn__task_run__field_descriptors[5] =
 {
   {
-    "id",
+    "task",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Gn__Task, id),
+    offsetof(Gn__TaskRun, task),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
@@ -1848,7 +1938,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Gn__Task, epoch),
+    offsetof(Gn__TaskRun, epoch),
     NULL,
     NULL,
     0,             /* flags */
@@ -1860,19 +1950,19 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gn__Task, state),
+    offsetof(Gn__TaskRun, state),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "bucket",
+    "result_code",
     4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Gn__Task, bucket),
+    offsetof(Gn__TaskRun, result_code),
     NULL,
     NULL,
     0,             /* flags */
@@ -1884,80 +1974,41 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Gn__Task, checkpoint),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "kind",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Gn__Task, kind),
+    offsetof(Gn__TaskRun, checkpoint),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "spec",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Gn__Task, spec),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "result_code",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Gn__Task, result_code),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
-static const unsigned gn__task__field_indices_by_name[] = {
-  3,   /* field[3] = bucket */
+static const unsigned gn__task_run__field_indices_by_name[] = {
   4,   /* field[4] = checkpoint */
   1,   /* field[1] = epoch */
-  0,   /* field[0] = id */
-  5,   /* field[5] = kind */
-  7,   /* field[7] = result_code */
-  6,   /* field[6] = spec */
+  3,   /* field[3] = result_code */
   2,   /* field[2] = state */
+  0,   /* field[0] = task */
 };
-static const ProtobufCIntRange gn__task__number_ranges[1 + 1] =
+static const ProtobufCIntRange gn__task_run__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 5 }
 };
-const ProtobufCMessageDescriptor gn__task__descriptor =
+const ProtobufCMessageDescriptor gn__task_run__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gn.Task",
-  "Task",
-  "Gn__Task",
+  "gn.TaskRun",
+  "TaskRun",
+  "Gn__TaskRun",
   "gn",
-  sizeof(Gn__Task),
-  8,
-  gn__task__field_descriptors,
-  gn__task__field_indices_by_name,
-  1,  gn__task__number_ranges,
-  (ProtobufCMessageInit) gn__task__init,
+  sizeof(Gn__TaskRun),
+  5,
+  gn__task_run__field_descriptors,
+  gn__task_run__field_indices_by_name,
+  1,  gn__task_run__number_ranges,
+  (ProtobufCMessageInit) gn__task_run__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gn__task_poll__field_descriptors[3] =
+static const ProtobufCFieldDescriptor gn__task_poll__field_descriptors[8] =
 {
   {
     "sent_us",
@@ -1972,13 +2023,13 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "tasks",
+    "runs",
     2,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Gn__TaskPoll, n_tasks),
-    offsetof(Gn__TaskPoll, tasks),
-    &gn__task__descriptor,
+    offsetof(Gn__TaskPoll, n_runs),
+    offsetof(Gn__TaskPoll, runs),
+    &gn__task_run__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
@@ -1995,16 +2046,81 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "free_cores",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gn__TaskPoll, free_cores),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "free_memory_mb",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gn__TaskPoll, free_memory_mb),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "free_accelerators",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gn__TaskPoll, free_accelerators),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "draining",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gn__TaskPoll, draining),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kinds",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Gn__TaskPoll, n_kinds),
+    offsetof(Gn__TaskPoll, kinds),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gn__task_poll__field_indices_by_name[] = {
+  6,   /* field[6] = draining */
+  5,   /* field[5] = free_accelerators */
+  3,   /* field[3] = free_cores */
+  4,   /* field[4] = free_memory_mb */
   2,   /* field[2] = free_tasks */
+  7,   /* field[7] = kinds */
+  1,   /* field[1] = runs */
   0,   /* field[0] = sent_us */
-  1,   /* field[1] = tasks */
 };
 static const ProtobufCIntRange gn__task_poll__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor gn__task_poll__descriptor =
 {
@@ -2014,59 +2130,165 @@
   "Gn__TaskPoll",
   "gn",
   sizeof(Gn__TaskPoll),
-  3,
+  8,
   gn__task_poll__field_descriptors,
   gn__task_poll__field_indices_by_name,
   1,  gn__task_poll__number_ranges,
   (ProtobufCMessageInit) gn__task_poll__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCEnumValue gn__task_order__kind__enum_values_by_number[6] =
+static const ProtobufCFieldDescriptor gn__task_spec__field_descriptors[9] =
 {
-  { "NONE", "GN__TASK_ORDER__KIND__NONE", 0 },
-  { "START", "GN__TASK_ORDER__KIND__START", 1 },
-  { "RENEW", "GN__TASK_ORDER__KIND__RENEW", 2 },
-  { "CHECKPOINT", "GN__TASK_ORDER__KIND__CHECKPOINT", 3 },
-  { "STOP", "GN__TASK_ORDER__KIND__STOP", 4 },
-  { "FORGET", "GN__TASK_ORDER__KIND__FORGET", 5 },
+  {
+    "work_class",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gn__TaskSpec, work_class),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "team",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gn__TaskSpec, team),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gn__TaskSpec, kind),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gn__TaskSpec, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cores",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gn__TaskSpec, cores),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "memory_mb",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gn__TaskSpec, memory_mb),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accelerators",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gn__TaskSpec, accelerators),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checkpoint",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gn__TaskSpec, checkpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "spec",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Gn__TaskSpec, spec),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
-static const ProtobufCIntRange gn__task_order__kind__value_ranges[] = {
-{0, 0},{0, 6}
+static const unsigned gn__task_spec__field_indices_by_name[] = {
+  6,   /* field[6] = accelerators */
+  7,   /* field[7] = checkpoint */
+  4,   /* field[4] = cores */
+  2,   /* field[2] = kind */
+  5,   /* field[5] = memory_mb */
+  3,   /* field[3] = service */
+  8,   /* field[8] = spec */
+  1,   /* field[1] = team */
+  0,   /* field[0] = work_class */
 };
-static const ProtobufCEnumValueIndex gn__task_order__kind__enum_values_by_name[6] =
+static const ProtobufCIntRange gn__task_spec__number_ranges[1 + 1] =
 {
-  { "CHECKPOINT", 3 },
-  { "FORGET", 5 },
-  { "NONE", 0 },
-  { "RENEW", 2 },
-  { "START", 1 },
-  { "STOP", 4 },
+  { 1, 0 },
+  { 0, 9 }
 };
-const ProtobufCEnumDescriptor gn__task_order__kind__descriptor =
+const ProtobufCMessageDescriptor gn__task_spec__descriptor =
 {
-  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
-  "gn.TaskOrder.Kind",
-  "Kind",
-  "Gn__TaskOrder__Kind",
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gn.TaskSpec",
+  "TaskSpec",
+  "Gn__TaskSpec",
   "gn",
-  6,
-  gn__task_order__kind__enum_values_by_number,
-  6,
-  gn__task_order__kind__enum_values_by_name,
-  1,
-  gn__task_order__kind__value_ranges,
-  NULL,NULL,NULL,NULL   /* reserved[1234] */
+  sizeof(Gn__TaskSpec),
+  9,
+  gn__task_spec__field_descriptors,
+  gn__task_spec__field_indices_by_name,
+  1,  gn__task_spec__number_ranges,
+  (ProtobufCMessageInit) gn__task_spec__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gn__task_order__field_descriptors[3] =
+static const ProtobufCFieldDescriptor gn__task_order__field_descriptors[5] =
 {
   {
     "kind",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
     offsetof(Gn__TaskOrder, kind),
-    &gn__task_order__kind__descriptor,
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
@@ -2075,18 +2297,30 @@
     "task",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
     offsetof(Gn__TaskOrder, task),
-    &gn__task__descriptor,
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "promise_ms",
+    "epoch",
     3,
     PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gn__TaskOrder, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "promise_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
     offsetof(Gn__TaskOrder, promise_ms),
@@ -2095,16 +2329,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "spec",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Gn__TaskOrder, spec),
+    &gn__task_spec__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gn__task_order__field_indices_by_name[] = {
+  2,   /* field[2] = epoch */
   0,   /* field[0] = kind */
-  2,   /* field[2] = promise_ms */
+  3,   /* field[3] = promise_ms */
+  4,   /* field[4] = spec */
   1,   /* field[1] = task */
 };
 static const ProtobufCIntRange gn__task_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor gn__task_order__descriptor =
 {
@@ -2114,13 +2362,77 @@
   "Gn__TaskOrder",
   "gn",
   sizeof(Gn__TaskOrder),
-  3,
+  5,
   gn__task_order__field_descriptors,
   gn__task_order__field_indices_by_name,
   1,  gn__task_order__number_ranges,
   (ProtobufCMessageInit) gn__task_order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor gn__bucket_orders__field_descriptors[3] =
+{
+  {
+    "bucket",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gn__BucketOrders, bucket),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "owner_epoch",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gn__BucketOrders, owner_epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "orders",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gn__BucketOrders, n_orders),
+    offsetof(Gn__BucketOrders, orders),
+    &gn__task_order__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gn__bucket_orders__field_indices_by_name[] = {
+  0,   /* field[0] = bucket */
+  2,   /* field[2] = orders */
+  1,   /* field[1] = owner_epoch */
+};
+static const ProtobufCIntRange gn__bucket_orders__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor gn__bucket_orders__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gn.BucketOrders",
+  "BucketOrders",
+  "Gn__BucketOrders",
+  "gn",
+  sizeof(Gn__BucketOrders),
+  3,
+  gn__bucket_orders__field_descriptors,
+  gn__bucket_orders__field_indices_by_name,
+  1,  gn__bucket_orders__number_ranges,
+  (ProtobufCMessageInit) gn__bucket_orders__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor gn__task_orders__field_descriptors[2] =
 {
   {
@@ -2136,20 +2448,20 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "orders",
+    "buckets",
     2,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Gn__TaskOrders, n_orders),
-    offsetof(Gn__TaskOrders, orders),
-    &gn__task_order__descriptor,
+    offsetof(Gn__TaskOrders, n_buckets),
+    offsetof(Gn__TaskOrders, buckets),
+    &gn__bucket_orders__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned gn__task_orders__field_indices_by_name[] = {
-  1,   /* field[1] = orders */
+  1,   /* field[1] = buckets */
   0,   /* field[0] = sent_us */
 };
 static const ProtobufCIntRange gn__task_orders__number_ranges[1 + 1] =
--- a/lib/wire/gypsumnotch.pb-c.h
+++ b/lib/wire/gypsumnotch.pb-c.h
@@ -25,9 +25,11 @@
 typedef struct Gn__Answer Gn__Answer;
 typedef struct Gn__Fence Gn__Fence;
 typedef struct Gn__FenceAck Gn__FenceAck;
-typedef struct Gn__Task Gn__Task;
+typedef struct Gn__TaskRun Gn__TaskRun;
 typedef struct Gn__TaskPoll Gn__TaskPoll;
+typedef struct Gn__TaskSpec Gn__TaskSpec;
 typedef struct Gn__TaskOrder Gn__TaskOrder;
+typedef struct Gn__BucketOrders Gn__BucketOrders;
 typedef struct Gn__TaskOrders Gn__TaskOrders;
 typedef struct Gn__Config Gn__Config;
 typedef struct Gn__WorkerLine Gn__WorkerLine;
@@ -38,15 +40,6 @@
 
 /* --- enums --- */
 
-typedef enum _Gn__TaskOrder__Kind {
-  GN__TASK_ORDER__KIND__NONE = 0,
-  GN__TASK_ORDER__KIND__START = 1,
-  GN__TASK_ORDER__KIND__RENEW = 2,
-  GN__TASK_ORDER__KIND__CHECKPOINT = 3,
-  GN__TASK_ORDER__KIND__STOP = 4,
-  GN__TASK_ORDER__KIND__FORGET = 5
-    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GN__TASK_ORDER__KIND)
-} Gn__TaskOrder__Kind;
 typedef enum _Gn__PeerQuery__Kind {
   GN__PEER_QUERY__KIND__NONE = 0,
   GN__PEER_QUERY__KIND__CONFIRM_DARK = 1,
@@ -281,26 +274,23 @@
 
 
 /*
- * One task on a worker.
+ * One run of a task on a worker, as its agent reports it.
  */
-struct  Gn__Task
+struct  Gn__TaskRun
 {
   ProtobufCMessage base;
-  char *id;
+  uint64_t task;
   uint64_t epoch;
   /*
-   * of batch/task.h
+   * gn_run_state_t
    */
   uint32_t state;
-  uint32_t bucket;
-  char *checkpoint;
-  char *kind;
-  ProtobufCBinaryData spec;
   uint32_t result_code;
+  char *checkpoint;
 };
-#define GN__TASK__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&gn__task__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0 }
+#define GN__TASK_RUN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gn__task_run__descriptor) \
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -313,28 +303,85 @@
    * on the agent's clock, echoed
    */
   uint64_t sent_us;
-  size_t n_tasks;
-  Gn__Task **tasks;
+  size_t n_runs;
+  Gn__TaskRun **runs;
   uint32_t free_tasks;
+  uint32_t free_cores;
+  uint32_t free_memory_mb;
+  uint32_t free_accelerators;
+  protobuf_c_boolean draining;
+  /*
+   * kinds that run there
+   */
+  size_t n_kinds;
+  char **kinds;
 };
 #define GN__TASK_POLL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gn__task_poll__descriptor) \
-    , 0, 0,NULL, 0 }
+    , 0, 0,NULL, 0, 0, 0, 0, 0, 0,NULL }
+
+
+/*
+ * What is needed to start a task.
+ */
+struct  Gn__TaskSpec
+{
+  ProtobufCMessage base;
+  /*
+   * gn_class_t
+   */
+  uint32_t work_class;
+  char *team;
+  char *kind;
+  char *service;
+  uint32_t cores;
+  uint32_t memory_mb;
+  uint32_t accelerators;
+  char *checkpoint;
+  ProtobufCBinaryData spec;
+};
+#define GN__TASK_SPEC__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gn__task_spec__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, {0,NULL} }
 
 
 struct  Gn__TaskOrder
 {
   ProtobufCMessage base;
-  Gn__TaskOrder__Kind kind;
-  Gn__Task *task;
+  /*
+   * gn_order_kind_t
+   */
+  uint32_t kind;
+  uint64_t task;
+  uint64_t epoch;
   /*
    * counted from sent_us
    */
   uint32_t promise_ms;
+  /*
+   * for a start only
+   */
+  Gn__TaskSpec *spec;
 };
 #define GN__TASK_ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gn__task_order__descriptor) \
-    , GN__TASK_ORDER__KIND__NONE, NULL, 0 }
+    , 0, 0, 0, 0, NULL }
+
+
+/*
+ * The orders of one bucket's owner.
+ */
+struct  Gn__BucketOrders
+{
+  ProtobufCMessage base;
+  uint32_t bucket;
+  uint32_t owner_epoch;
+  size_t n_orders;
+  Gn__TaskOrder **orders;
+};
+#define GN__BUCKET_ORDERS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gn__bucket_orders__descriptor) \
+    , 0, 0, 0,NULL }
 
 
 /*
@@ -344,8 +391,8 @@
 {
   ProtobufCMessage base;
   uint64_t sent_us;
-  size_t n_orders;
-  Gn__TaskOrder **orders;
+  size_t n_buckets;
+  Gn__BucketOrders **buckets;
 };
 #define GN__TASK_ORDERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gn__task_orders__descriptor) \
@@ -624,24 +671,24 @@
 void   gn__fence_ack__free_unpacked
                      (Gn__FenceAck *message,
                       ProtobufCAllocator *allocator);
-/* Gn__Task methods */
-void   gn__task__init
-                     (Gn__Task         *message);
-size_t gn__task__get_packed_size
-                     (const Gn__Task   *message);
-size_t gn__task__pack
-                     (const Gn__Task   *message,
+/* Gn__TaskRun methods */
+void   gn__task_run__init
+                     (Gn__TaskRun         *message);
+size_t gn__task_run__get_packed_size
+                     (const Gn__TaskRun   *message);
+size_t gn__task_run__pack
+                     (const Gn__TaskRun   *message,
                       uint8_t             *out);
-size_t gn__task__pack_to_buffer
-                     (const Gn__Task   *message,
+size_t gn__task_run__pack_to_buffer
+                     (const Gn__TaskRun   *message,
                       ProtobufCBuffer     *buffer);
-Gn__Task *
-       gn__task__unpack
+Gn__TaskRun *
+       gn__task_run__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   gn__task__free_unpacked
-                     (Gn__Task *message,
+void   gn__task_run__free_unpacked
+                     (Gn__TaskRun *message,
                       ProtobufCAllocator *allocator);
 /* Gn__TaskPoll methods */
 void   gn__task_poll__init
@@ -662,6 +709,25 @@
 void   gn__task_poll__free_unpacked
                      (Gn__TaskPoll *message,
                       ProtobufCAllocator *allocator);
+/* Gn__TaskSpec methods */
+void   gn__task_spec__init
+                     (Gn__TaskSpec         *message);
+size_t gn__task_spec__get_packed_size
+                     (const Gn__TaskSpec   *message);
+size_t gn__task_spec__pack
+                     (const Gn__TaskSpec   *message,
+                      uint8_t             *out);
+size_t gn__task_spec__pack_to_buffer
+                     (const Gn__TaskSpec   *message,
+                      ProtobufCBuffer     *buffer);
+Gn__TaskSpec *
+       gn__task_spec__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gn__task_spec__free_unpacked
+                     (Gn__TaskSpec *message,
+                      ProtobufCAllocator *allocator);
 /* Gn__TaskOrder methods */
 void   gn__task_order__init
                      (Gn__TaskOrder         *message);
@@ -681,6 +747,25 @@
 void   gn__task_order__free_unpacked
                      (Gn__TaskOrder *message,
                       ProtobufCAllocator *allocator);
+/* Gn__BucketOrders methods */
+void   gn__bucket_orders__init
+                     (Gn__BucketOrders         *message);
+size_t gn__bucket_orders__get_packed_size
+                     (const Gn__BucketOrders   *message);
+size_t gn__bucket_orders__pack
+                     (const Gn__BucketOrders   *message,
+                      uint8_t             *out);
+size_t gn__bucket_orders__pack_to_buffer
+                     (const Gn__BucketOrders   *message,
+                      ProtobufCBuffer     *buffer);
+Gn__BucketOrders *
+       gn__bucket_orders__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gn__bucket_orders__free_unpacked
+                     (Gn__BucketOrders *message,
+                      ProtobufCAllocator *allocator);
 /* Gn__TaskOrders methods */
 void   gn__task_orders__init
                      (Gn__TaskOrders         *message);
@@ -827,15 +912,21 @@
 typedef void (*Gn__FenceAck_Closure)
                  (const Gn__FenceAck *message,
                   void *closure_data);
-typedef void (*Gn__Task_Closure)
-                 (const Gn__Task *message,
+typedef void (*Gn__TaskRun_Closure)
+                 (const Gn__TaskRun *message,
                   void *closure_data);
 typedef void (*Gn__TaskPoll_Closure)
                  (const Gn__TaskPoll *message,
                   void *closure_data);
+typedef void (*Gn__TaskSpec_Closure)
+                 (const Gn__TaskSpec *message,
+                  void *closure_data);
 typedef void (*Gn__TaskOrder_Closure)
                  (const Gn__TaskOrder *message,
                   void *closure_data);
+typedef void (*Gn__BucketOrders_Closure)
+                 (const Gn__BucketOrders *message,
+                  void *closure_data);
 typedef void (*Gn__TaskOrders_Closure)
                  (const Gn__TaskOrders *message,
                   void *closure_data);
@@ -870,10 +961,11 @@
 extern const ProtobufCMessageDescriptor gn__answer__descriptor;
 extern const ProtobufCMessageDescriptor gn__fence__descriptor;
 extern const ProtobufCMessageDescriptor gn__fence_ack__descriptor;
-extern const ProtobufCMessageDescriptor gn__task__descriptor;
+extern const ProtobufCMessageDescriptor gn__task_run__descriptor;
 extern const ProtobufCMessageDescriptor gn__task_poll__descriptor;
+extern const ProtobufCMessageDescriptor gn__task_spec__descriptor;
 extern const ProtobufCMessageDescriptor gn__task_order__descriptor;
-extern const ProtobufCEnumDescriptor    gn__task_order__kind__descriptor;
+extern const ProtobufCMessageDescriptor gn__bucket_orders__descriptor;
 extern const ProtobufCMessageDescriptor gn__task_orders__descriptor;
 extern const ProtobufCMessageDescriptor gn__config__descriptor;
 extern const ProtobufCMessageDescriptor gn__worker_line__descriptor;
--- a/tests/bench/bench_wire.c
+++ b/tests/bench/bench_wire.c
@@ -12,6 +12,7 @@
 #include <string.h>
 #include <time.h>
 
+#include "batch/report.h"
 #include "wire/gypsumnotch.pb-c.h"
 #include "gypsumnotch.h"
 
@@ -57,13 +58,13 @@
 		return e->answer->outcome < GN_OUTCOME_COUNT &&
 		       e->answer->reason < GN_CODE_COUNT;
 	case GN__ENVELOPE__BODY_TASK_POLL:
-		for (size_t i = 0; i < e->task_poll->n_tasks; i++)
-			if (!is_name(e->task_poll->tasks[i]->id))
+		for (size_t i = 0; i < e->task_poll->n_runs; i++)
+			if (!e->task_poll->runs[i]->epoch)
 				return false;
 		return true;
 	case GN__ENVELOPE__BODY_TASK_ORDERS:
-		for (size_t i = 0; i < e->task_orders->n_orders; i++)
-			if (!e->task_orders->orders[i]->task)
+		for (size_t i = 0; i < e->task_orders->n_buckets; i++)
+			if (!e->task_orders->buckets[i]->owner_epoch)
 				return false;
 		return true;
 	case GN__ENVELOPE__BODY_CELL_SUMMARY:
@@ -168,63 +169,77 @@
 	measure("answer", size, &e);
 }
 
-static void task_init(Gn__Task *task)
-{
-	gn__task__init(task);
-	task->id = (char *)"0123456789abcdef-0042";
-	task->epoch = 7;
-	task->state = 2;
-	task->bucket = 100;
-	task->kind = (char *)"network-timing";
-}
+/* The runs of a worker belong to buckets of different owners. */
+#define SAMPLE_TASK 0x0064000000000042ULL
+#define SAMPLE_EPOCH 0x0000000700000003ULL
 
 static void measure_polls(size_t count)
 {
 	Gn__Envelope e;
-	Gn__Task tasks[MAX_TASKS];
-	Gn__Task *pointers[MAX_TASKS];
+	Gn__TaskRun runs[MAX_TASKS];
+	Gn__TaskRun *pointers[MAX_TASKS];
 	Gn__TaskPoll poll = GN__TASK_POLL__INIT;
 
 	for (size_t i = 0; i < count; i++) {
-		task_init(&tasks[i]);
-		pointers[i] = &tasks[i];
+		gn__task_run__init(&runs[i]);
+		runs[i].task = SAMPLE_TASK + i;
+		runs[i].epoch = SAMPLE_EPOCH;
+		pointers[i] = &runs[i];
 	}
 	poll.sent_us = SAMPLE_SEQUENCE;
 	poll.free_tasks = 3;
-	poll.n_tasks = count;
-	poll.tasks = pointers;
+	poll.free_cores = 20;
+	poll.free_memory_mb = 64000;
+	poll.n_runs = count;
+	poll.runs = pointers;
 	envelope_init(&e, GN__ENVELOPE__BODY_TASK_POLL);
 	e.task_poll = &poll;
 	measure("task-poll", count, &e);
 }
 
-static void measure_orders(size_t count, Gn__TaskOrder__Kind kind)
+static void spec_init(Gn__TaskSpec *spec)
+{
+	gn__task_spec__init(spec);
+	spec->work_class = GN_CLASS_BATCH;
+	spec->team = (char *)"network";
+	spec->kind = (char *)"network-timing";
+	spec->service = (char *)"timing-planner";
+	spec->cores = 4;
+	spec->memory_mb = 16000;
+	spec->spec.data = body;
+	spec->spec.len = 256;
+}
+
+static void measure_orders(size_t count, bool starts)
 {
 	Gn__Envelope e;
-	Gn__Task tasks[MAX_TASKS];
+	Gn__TaskSpec specs[MAX_TASKS];
 	Gn__TaskOrder orders[MAX_TASKS];
 	Gn__TaskOrder *pointers[MAX_TASKS];
+	Gn__BucketOrders bucket = GN__BUCKET_ORDERS__INIT;
+	Gn__BucketOrders *buckets[] = { &bucket };
 	Gn__TaskOrders message = GN__TASK_ORDERS__INIT;
 
 	for (size_t i = 0; i < count; i++) {
-		task_init(&tasks[i]);
+		spec_init(&specs[i]);
 		gn__task_order__init(&orders[i]);
-		orders[i].kind = kind;
-		orders[i].task = &tasks[i];
+		orders[i].kind = starts ? GN_ORDER_START : GN_ORDER_RENEW;
+		orders[i].task = SAMPLE_TASK + i;
+		orders[i].epoch = SAMPLE_EPOCH;
 		orders[i].promise_ms = 10000;
+		orders[i].spec = starts ? &specs[i] : NULL;
 		pointers[i] = &orders[i];
-		if (kind == GN__TASK_ORDER__KIND__START) {
-			tasks[i].spec.data = body;
-			tasks[i].spec.len = 256;
-		}
 	}
+	bucket.bucket = 100;
+	bucket.owner_epoch = 7;
+	bucket.n_orders = count;
+	bucket.orders = pointers;
 	message.sent_us = SAMPLE_SEQUENCE;
-	message.n_orders = count;
-	message.orders = pointers;
+	message.n_buckets = 1;
+	message.buckets = buckets;
 	envelope_init(&e, GN__ENVELOPE__BODY_TASK_ORDERS);
 	e.task_orders = &message;
-	measure(kind == GN__TASK_ORDER__KIND__START ? "start-256" : "renewals",
-		count, &e);
+	measure(starts ? "start-256" : "renewals", count, &e);
 }
 
 static void measure_summaries(size_t count)
@@ -281,9 +296,9 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(polls); i++)
 		measure_polls(polls[i]);
 	for (size_t i = 1; i <= MAX_TASKS; i += 7)
-		measure_orders(i, GN__TASK_ORDER__KIND__RENEW);
+		measure_orders(i, false);
 	for (size_t i = 1; i <= MAX_TASKS; i += 7)
-		measure_orders(i, GN__TASK_ORDER__KIND__START);
+		measure_orders(i, true);
 	for (size_t i = 0; i < G_N_ELEMENTS(lines); i++)
 		measure_summaries(lines[i]);
 	for (size_t i = 0; i < G_N_ELEMENTS(changes); i++)
--- a/tests/standin/backend.c
+++ b/tests/standin/backend.c
@@ -167,7 +167,7 @@
 {
 	unsigned status = MHD_HTTP_OK;
 	char *body = backend_tasks_handle(self.tasks, method, url, upload->data,
-					  upload->len, &status);
+					  upload->len, self.running, &status);
 	enum MHD_Result result = reply(connection, status, body, strlen(body));
 
 	free(body);
@@ -300,7 +300,8 @@
 		return 1;
 	}
 	/* After the signal it still says a few times that it drains. */
-	while (!self.stop || self.running || rounds_left-- > 0) {
+	while (!self.stop || self.running ||
+	       backend_tasks_running(self.tasks) || rounds_left-- > 0) {
 		if (!self.mute_ms)
 			announce(easy);
 		usleep(ANNOUNCE_MS * US_PER_MS);
--- a/tests/support/backend_tasks.c
+++ b/tests/support/backend_tasks.c
@@ -17,13 +17,14 @@
 
 typedef struct task_s {
 	char *id;
+	char *kind;
 	uint64_t epoch;
 	const char *state;
 	uint64_t lease_us; /**< when it lapses */
 	uint64_t end_us; /**< when it would be done */
 	uint64_t done_ms; /**< progress by its last checkpoint */
-	uint64_t run_ms;
 	uint64_t started_us;
+	json_t *order; /**< what it was started with */
 } task_t;
 
 struct backend_tasks_s {
@@ -37,7 +38,9 @@
 {
 	task_t *task = data;
 
+	json_decref(task->order);
 	g_free(task->id);
+	g_free(task->kind);
 	g_free(task);
 }
 
@@ -63,9 +66,10 @@
 static void note(backend_tasks_t *tasks, const char *what, const task_t *task,
 		 uint64_t at_us)
 {
-	g_string_append_printf(tasks->journal, "%s %s %llu %llu\n", what,
+	g_string_append_printf(tasks->journal, "%s %s %llu %llu %s\n", what,
 			       task->id, (unsigned long long)task->epoch,
-			       (unsigned long long)(at_us / GN_US_PER_MS));
+			       (unsigned long long)(at_us / GN_US_PER_MS),
+			       task->kind);
 }
 
 static void end_task(backend_tasks_t *tasks, task_t *task, const char *state,
@@ -100,106 +104,183 @@
 	return (uint64_t)json_integer_value(json_object_get(json, key));
 }
 
-static void start(backend_tasks_t *tasks, task_t *task, const json_t *json,
+static uint64_t run_ms_of(const json_t *json, bool *fails)
+{
+	const char *spec = json_string_value(json_object_get(json, "spec"));
+	gsize len = 0;
+	guchar *bytes = spec ? g_base64_decode(spec, &len) : NULL;
+	char *text = g_strndup((const char *)bytes, len);
+	uint64_t run_ms = strtoull(text, NULL, 10);
+
+	*fails = !strcmp(text, "fail");
+	g_free(text);
+	g_free(bytes);
+	return run_ms;
+}
+
+static void start(backend_tasks_t *tasks, task_t *task, json_t *json,
 		  uint64_t now_us)
 {
 	const char *checkpoint =
 		json_string_value(json_object_get(json, "checkpoint"));
+	bool fails;
+	uint64_t run_ms = run_ms_of(json, &fails);
 	uint64_t left_ms;
 
+	json_decref(task->order);
+	task->order = json_incref(json);
+	g_free(task->kind);
+	task->kind = g_strdup(json_string_value(json_object_get(json, "kind")));
 	task->epoch = number(json, "epoch");
-	task->run_ms = number(json, "run_ms");
 	task->done_ms = checkpoint ? strtoull(checkpoint, NULL, 10) : 0;
-	left_ms =
-		task->run_ms > task->done_ms ? task->run_ms - task->done_ms : 0;
+	left_ms = run_ms > task->done_ms ? run_ms - task->done_ms : 0;
 	task->state = "running";
 	task->started_us = now_us;
-	task->lease_us = now_us + number(json, "lease_ms") * GN_US_PER_MS;
-	task->end_us =
-		task->run_ms ? now_us + left_ms * GN_US_PER_MS : UINT64_MAX;
+	task->lease_us = number(json, "lease_until_us");
+	task->end_us = run_ms ? now_us + left_ms * GN_US_PER_MS : UINT64_MAX;
 	note(tasks, "start", task, now_us);
+	if (fails)
+		end_task(tasks, task, "failed", now_us);
+}
+
+static task_t *get_task(backend_tasks_t *tasks, const char *id)
+{
+	task_t *task = g_hash_table_lookup(tasks->by_id, id);
+
+	if (task)
+		return task;
+	task = g_new0(task_t, 1);
+	task->id = g_strdup(id);
+	task->kind = g_strdup("none");
+	task->state = "stopped";
+	g_hash_table_insert(tasks->by_id, task->id, task);
+	return task;
+}
+
+static unsigned apply_start(backend_tasks_t *tasks, const char *id,
+			    json_t *json, uint64_t now_us)
+{
+	task_t *task = g_hash_table_lookup(tasks->by_id, id);
+
+	if (task && (number(json, "epoch") <= task->epoch ||
+		     !strcmp(task->state, "running")))
+		return HTTP_CONFLICT;
+	if (number(json, "lease_until_us") <= now_us)
+		return HTTP_CONFLICT;
+	start(tasks, get_task(tasks, id), json, now_us);
+	return HTTP_OK;
 }
 
 static unsigned apply(backend_tasks_t *tasks, const char *id, const char *verb,
-		      const json_t *json, uint64_t now_us)
+		      json_t *json, uint64_t now_us)
 {
 	task_t *task = g_hash_table_lookup(tasks->by_id, id);
+	uint64_t epoch = number(json, "epoch");
 	bool running = task && !strcmp(task->state, "running");
 
-	if (task && number(json, "epoch") < task->epoch)
+	if (!strcmp(verb, "start"))
+		return apply_start(tasks, id, json, now_us);
+	if (task && epoch < task->epoch)
 		return HTTP_CONFLICT;
-	if (!strcmp(verb, "start")) {
+	if (!strcmp(verb, "stop")) {
+		task = get_task(tasks, id);
+		task->epoch = epoch;
 		if (running)
-			return HTTP_CONFLICT;
-		if (!task) {
-			task = g_new0(task_t, 1);
-			task->id = g_strdup(id);
-			g_hash_table_insert(tasks->by_id, task->id, task);
-		}
-		start(tasks, task, json, now_us);
+			end_task(tasks, task, "stopped", now_us);
 		return HTTP_OK;
 	}
 	if (!task)
 		return HTTP_NOT_FOUND;
 	if (!strcmp(verb, "lease") && running) {
-		task->epoch = number(json, "epoch");
-		task->lease_us =
-			now_us + number(json, "lease_ms") * GN_US_PER_MS;
+		task->epoch = epoch;
+		task->lease_us = number(json, "lease_until_us");
 	} else if (!strcmp(verb, "checkpoint") && running) {
 		end_task(tasks, task, "checkpointed", now_us);
-	} else if (!strcmp(verb, "stop") && running) {
-		end_task(tasks, task, "stopped", now_us);
 	} else if (!strcmp(verb, "forget") && !running) {
 		g_hash_table_remove(tasks->by_id, id);
-	} else {
-		return HTTP_CONFLICT;
 	}
 	return HTTP_OK;
 }
 
-static char *list(const backend_tasks_t *tasks)
+static json_t *describe(const task_t *task)
+{
+	json_t *json = task->order ? json_copy(task->order) : json_object();
+	char done[sizeof("18446744073709551615")];
+
+	snprintf(done, sizeof(done), "%llu", (unsigned long long)task->done_ms);
+	json_object_del(json, "spec");
+	json_object_set_new(json, "id", json_string(task->id));
+	json_object_set_new(json, "kind", json_string(task->kind));
+	json_object_set_new(json, "epoch",
+			    json_integer((json_int_t)task->epoch));
+	json_object_set_new(json, "state", json_string(task->state));
+	json_object_set_new(json, "checkpoint",
+			    json_string(task->done_ms ? done : ""));
+	json_object_set_new(json, "lease_until_us",
+			    json_integer((json_int_t)task->lease_us));
+	return json;
+}
+
+static char *list(const backend_tasks_t *tasks, int running_requests)
 {
 	json_t *rows = json_array();
-	json_t *json = json_pack("{s:o}", "tasks", rows);
+	json_t *json = json_pack("{s:o, s:i}", "tasks", rows,
+				 "running_requests", running_requests);
 	GHashTableIter iter;
 	gpointer value;
 	char *text;
 
 	g_hash_table_iter_init(&iter, tasks->by_id);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const task_t *task = value;
-		char *checkpoint = g_strdup_printf(
-			"%llu", (unsigned long long)task->done_ms);
-
-		json_array_append_new(
-			rows,
-			json_pack("{s:s, s:I, s:s, s:s}", "id", task->id,
-				  "epoch", (json_int_t)task->epoch, "state",
-				  task->state, "checkpoint", checkpoint));
-		g_free(checkpoint);
-	}
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		json_array_append_new(rows, describe(value));
 	text = json_dumps(json, JSON_COMPACT);
 	json_decref(json);
 	return text;
 }
 
+int backend_tasks_running(backend_tasks_t *tasks)
+{
+	GHashTableIter iter;
+	gpointer value;
+	int running = 0;
+
+	pthread_mutex_lock(&tasks->lock);
+	settle(tasks, gn_clock_now_us(&tasks->clock));
+	g_hash_table_iter_init(&iter, tasks->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		running += !strcmp(((task_t *)value)->state, "running");
+	pthread_mutex_unlock(&tasks->lock);
+	return running;
+}
+
 static char *post(backend_tasks_t *tasks, const char *url, const char *body,
 		  size_t len, unsigned *status, uint64_t now_us)
 {
 	gchar **parts = g_strsplit(url, "/", -1);
 	json_t *json = json_loadb(body ? body : "", len, 0, NULL);
 
+	const task_t *task = NULL;
+	char *text = NULL;
+
 	*status = HTTP_BAD_REQUEST;
-	if (json && g_strv_length(parts) == 5)
+	if (json && g_strv_length(parts) == 5) {
 		*status = apply(tasks, parts[3], parts[4], json, now_us);
+		task = g_hash_table_lookup(tasks->by_id, parts[3]);
+	}
+	if (task) {
+		json_t *answer = describe(task);
+
+		text = json_dumps(answer, JSON_COMPACT);
+		json_decref(answer);
+	}
 	json_decref(json);
 	g_strfreev(parts);
-	return strdup("{}");
+	return text ? text : strdup("{}");
 }
 
 char *backend_tasks_handle(backend_tasks_t *tasks, const char *method,
 			   const char *url, const char *body, size_t len,
-			   unsigned *status)
+			   int running_requests, unsigned *status)
 {
 	uint64_t now_us = gn_clock_now_us(&tasks->clock);
 	char *text;
@@ -209,7 +290,7 @@
 	if (!strcmp(url, "/v1/tasks/journal"))
 		text = strdup(tasks->journal->str);
 	else if (!strcmp(method, "GET"))
-		text = list(tasks);
+		text = list(tasks, running_requests);
 	else
 		text = post(tasks, url, body, len, status, now_us);
 	pthread_mutex_unlock(&tasks->lock);
--- a/tests/support/backend_tasks.h
+++ b/tests/support/backend_tasks.h
@@ -2,16 +2,20 @@
  * @file backend_tasks.h
  * @brief The tasks of the backend server's stand-in, each under a lease.
  *
- * GET  /v1/tasks                 {"tasks":[{id, epoch, state, checkpoint}]}
- * POST /v1/tasks/ID/start        {epoch, lease_ms, run_ms, checkpoint}
- * POST /v1/tasks/ID/lease        {epoch, lease_ms}
- * POST /v1/tasks/ID/checkpoint   {epoch}: stops it, keeps its progress
- * POST /v1/tasks/ID/stop         {epoch}
- * POST /v1/tasks/ID/forget       {epoch}
- * GET  /v1/tasks/journal         lines "start ID EPOCH MS", "stop ID ..."
+ * GET  /v1/tasks                {"tasks":[...], "running_requests"}
+ * POST /v1/tasks/ID/start       {epoch, lease_until_us, spec, kind, checkpoint,
+ *                               cores, memory_mb, accelerators}
+ * POST /v1/tasks/ID/lease       {epoch, lease_until_us}
+ * POST /v1/tasks/ID/checkpoint  {epoch}: stops it, keeps its progress
+ * POST /v1/tasks/ID/stop        {epoch}: also fences an epoch not started
+ * POST /v1/tasks/ID/forget      {epoch}
+ * GET  /v1/tasks/journal        lines "start ID EPOCH MS KIND", "done ID ..."
  *
- * States: running, done, checkpointed, stopped. A task whose lease lapses
- * stops by itself. An order of a lower epoch gets 409.
+ * States: running, done, failed, checkpointed, stopped. A task whose lease
+ * lapses stops by itself; times are those of CLOCK_BOOTTIME. An order of a
+ * lower epoch gets 409, a start of an epoch that was started or fenced too.
+ * The spec is the run time in milliseconds as decimal text in base64; 0 runs
+ * until it is stopped, "fail" fails at once.
  */
 #ifndef GN_TESTS_BACKEND_TASKS_H
 #define GN_TESTS_BACKEND_TASKS_H
@@ -23,9 +27,12 @@
 backend_tasks_t *backend_tasks_create(void);
 void backend_tasks_free(backend_tasks_t *tasks);
 
+/** Whether a task is running. */
+int backend_tasks_running(backend_tasks_t *tasks);
+
 /** Handles one call; returns the answer's text, from malloc(). */
 char *backend_tasks_handle(backend_tasks_t *tasks, const char *method,
 			   const char *url, const char *body, size_t len,
-			   unsigned *status);
+			   int running_requests, unsigned *status);
 
 #endif
