--- a/lib/agent/agent_internal.h
+++ b/lib/agent/agent_internal.h
@@ -41,6 +41,14 @@
 	bool list_spoiled; /**< an action ended since it was asked */
 } agent_backend_t;
 
+/** What the operators' rules say of this worker. */
+typedef struct agent_config_s {
+	uint64_t revision; /**< only ever grows */
+	bool draining;
+	int64_t drain_from_s; /**< a window's drain, seconds since 1970 UTC */
+	int64_t drain_until_s;
+} agent_config_t;
+
 /** Counters of the agent. */
 typedef struct agent_counters_s {
 	gn_counter_t *dispatched;
@@ -63,6 +71,7 @@
 	agent_link_t *links;
 	size_t link_count;
 	agent_backend_t backend;
+	agent_config_t config;
 	agent_counters_t counters;
 	gn_admit_t *admit; /**< the one authority on the host's capacity */
 	gn_worker_tasks_t *tasks;
--- a/lib/agent/http.c
+++ b/lib/agent/http.c
@@ -44,6 +44,10 @@
 	json_object_set_new(dump, "role", json_string("agent"));
 	json_object_set_new(dump, "backend", backend);
 	json_object_set_new(dump, "links", dump_links(agent));
+	json_object_set_new(dump, "config_revision",
+			    json_integer((json_int_t)agent->config.revision));
+	json_object_set_new(dump, "draining",
+			    json_boolean(agent_is_draining(agent)));
 	json_object_set_new(dump, "tasks", agent_tasks_dump(agent));
 	json_object_set_new(dump, "running_requests",
 			    json_integer(agent->running));
--- a/lib/agent/links.c
+++ b/lib/agent/links.c
@@ -2,6 +2,9 @@
  * @file links.c
  * @brief Links from the agent to the entries: sessions, beats, replacement.
  */
+#include <inttypes.h>
+#include <time.h>
+
 #include "agent/agent_internal.h"
 #include "common/log.h"
 
@@ -27,9 +30,33 @@
 	load->backend_up = agent_backend_is_ready(agent);
 }
 
+static bool is_drained_by_rules(const agent_config_t *config)
+{
+	int64_t now_s = (int64_t)time(NULL);
+
+	return config->draining ||
+	       (now_s >= config->drain_from_s && now_s < config->drain_until_s);
+}
+
 bool agent_is_draining(const agent_t *agent)
 {
-	return agent->runtime->stopping || agent->backend.draining;
+	return agent->runtime->stopping || agent->backend.draining ||
+	       is_drained_by_rules(&agent->config);
+}
+
+static void on_config(agent_t *agent, const Gn__Config *message)
+{
+	agent_config_t *config = &agent->config;
+
+	/* An entry that was cut off may still push an older revision. */
+	if (message->revision <= config->revision)
+		return;
+	config->revision = message->revision;
+	config->draining = message->draining;
+	config->drain_from_s = message->drain_from_s;
+	config->drain_until_s = message->drain_until_s;
+	gn_log(LOG_INFO, "config", NULL, "revision %" PRIu64 "%s",
+	       config->revision, config->draining ? ", draining" : "");
 }
 
 gn_code_t agent_link_send(agent_link_t *link, Gn__Envelope *envelope)
@@ -68,6 +95,7 @@
 	agent_load(link->agent, &load);
 	beat.sequence = ++link->sequence;
 	beat.load = &load;
+	beat.config_revision = link->agent->config.revision;
 	envelope.body_case = GN__ENVELOPE__BODY_BEAT;
 	envelope.beat = &beat;
 	agent_link_send(link, &envelope);
@@ -109,6 +137,9 @@
 	case GN__ENVELOPE__BODY_FENCE:
 		agent_on_fence(link, envelope->fence);
 		break;
+	case GN__ENVELOPE__BODY_CONFIG:
+		on_config(link->agent, envelope->config);
+		break;
 	case GN__ENVELOPE__BODY_TASK_ORDERS:
 		agent_on_task_orders(link, envelope->task_orders);
 		break;
--- a/lib/agent/requests.c
+++ b/lib/agent/requests.c
@@ -61,7 +61,7 @@
 static gn_outcome_t judge_outcome(const gn_http_call_t *call)
 {
 	if (call->code == GN_OK)
-		return call->not_run ? GN_OUTCOME_NOT_RUN : GN_OUTCOME_DONE;
+		return call->has_outcome ? call->outcome : GN_OUTCOME_DONE;
 	if (call->code == GN_ERR_UNAVAILABLE)
 		return GN_OUTCOME_NOT_RUN;
 	return GN_OUTCOME_UNKNOWN;
--- a/lib/agent/tasks.c
+++ b/lib/agent/tasks.c
@@ -14,7 +14,7 @@
 #include "wire/task_wire.h"
 
 /** Between polls when nothing happens, milliseconds. */
-#define POLL_INTERVAL_MS 500
+#define POLL_INTERVAL_MS 300
 /** The worker's lease is shorter than its agent's by this. */
 #define LEASE_MARGIN_MS 200
 /** Difference of clock rates over one promise. */
--- /dev/null
+++ b/lib/entry/config.c
@@ -0,0 +1,233 @@
+#include "entry/config.h"
+
+#include <inttypes.h>
+#include <time.h>
+
+#include "common/log.h"
+#include "entry/buckets.h"
+#include "entry/membership.h"
+
+/** Longest time of one change, milliseconds. */
+#define CHANGE_TIMEOUT_MS 5000
+
+static int64_t wall_now_s(void)
+{
+	return (int64_t)time(NULL);
+}
+
+/* ======   Acceptance   ====== */
+
+static gn_code_t parse_doc(TALLOC_CTX *parent, const gn_config_doc_t *doc,
+			   gn_inventory_t **inventory, gn_rules_t **rules,
+			   gn_error_t *error)
+{
+	gn_str_t text = doc->parts[GN_CONFIG_INVENTORY].text;
+	gn_code_t code = GN_OK;
+
+	*inventory = NULL;
+	if (text.len)
+		code = gn_inventory_parse(parent, "inventory", text, inventory,
+					  error);
+	if (code)
+		return code;
+	return gn_rules_parse(parent, "rules", doc->parts[GN_CONFIG_RULES].text,
+			      *inventory, rules, error);
+}
+
+static gn_code_t check_doc(void *context, const gn_config_doc_t *doc,
+			   gn_error_t *error)
+{
+	TALLOC_CTX *scratch = talloc_new(NULL);
+	gn_inventory_t *inventory;
+	gn_rules_t *rules;
+	gn_code_t code;
+
+	(void)context;
+	code = parse_doc(scratch, doc, &inventory, &rules, error);
+	talloc_free(scratch);
+	return code;
+}
+
+/* ======   Use   ====== */
+
+static void weigh_teams(const entry_config_t *config)
+{
+	for (size_t i = 0; i < config->rules->team_count; i++) {
+		const gn_team_t *team = &config->rules->teams[i];
+
+		gn_limit_set_team(config->entry->limit, gn_str_from(team->name),
+				  team->weight);
+	}
+}
+
+static void push_to_all(const entry_config_t *config)
+{
+	GHashTableIter iter;
+	gpointer worker;
+
+	g_hash_table_iter_init(&iter, config->entry->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &worker))
+		entry_config_push(config->entry, worker);
+}
+
+static void on_adopt(void *context, const gn_config_doc_t *doc)
+{
+	entry_config_t *config = context;
+	gn_inventory_t *inventory;
+	gn_rules_t *rules;
+	gn_error_t error = { 0 };
+
+	if (parse_doc(config, doc, &inventory, &rules, &error)) {
+		/* Another version accepted it; what is in use stays in use. */
+		gn_log_error(LOG_ERR, &error);
+		return;
+	}
+	TALLOC_FREE(config->rules);
+	TALLOC_FREE(config->inventory);
+	config->inventory = inventory;
+	config->rules = rules;
+	config->revision = doc->revision;
+	gn_counter_inc(config->adopted);
+	gn_log(LOG_INFO, "config", NULL, "revision %" PRIu64 " is in use",
+	       doc->revision);
+	weigh_teams(config);
+	entry_buckets_apply_config(config->entry);
+	push_to_all(config);
+}
+
+static void set_exclusions(const gn_rules_t *rules, gn_batch_order_t *order)
+{
+	for (size_t i = 0; i < rules->exclusion_count; i++) {
+		const gn_exclusion_t *exclusion = &rules->exclusions[i];
+
+		for (size_t a = 0; a < exclusion->work_count; a++)
+			for (size_t b = a + 1; b < exclusion->work_count; b++)
+				gn_batch_order_forbid(order, exclusion->work[a],
+						      exclusion->work[b]);
+	}
+}
+
+/* The largest host in each respect: what no host has, no worker has. */
+static void set_largest(const entry_config_t *config, gn_batch_order_t *order)
+{
+	const gn_inventory_t *inventory = config->inventory;
+	unsigned cores = 0;
+	unsigned memory_mb = 0;
+	unsigned accelerators = 0;
+
+	gn_batch_order_clear_largest(order);
+	if (!inventory)
+		return;
+	for (size_t i = 0; i < inventory->host_count; i++) {
+		const gn_host_t *host = &inventory->hosts[i];
+
+		cores = MAX(cores, host->cores);
+		memory_mb = MAX(memory_mb, host->memory_mb);
+		accelerators = MAX(accelerators, host->accelerators);
+	}
+	for (size_t i = 0; i < config->rules->service_count; i++)
+		gn_batch_order_set_largest(order,
+					   config->rules->services[i].name,
+					   cores, memory_mb, accelerators);
+}
+
+void entry_config_apply_to(const entry_t *entry, gn_batch_order_t *order)
+{
+	const entry_config_t *config = entry->config;
+
+	if (!config->rules)
+		return;
+	gn_batch_order_clear_rules(order);
+	for (size_t i = 0; i < config->rules->team_count; i++)
+		gn_batch_order_set_quota(order, config->rules->teams[i].name,
+					 config->rules->teams[i].quota_tasks);
+	set_exclusions(config->rules, order);
+	set_largest(config, order);
+}
+
+/* ======   Push   ====== */
+
+static const gn_window_t *find_window(const entry_t *entry,
+				      const entry_worker_t *worker)
+{
+	if (!entry->config->rules)
+		return NULL;
+	return gn_rules_next_window(entry->config->rules,
+				    worker->hello->data_centre, worker->rack,
+				    wall_now_s());
+}
+
+void entry_config_push(entry_t *entry, const entry_worker_t *worker)
+{
+	const entry_config_t *config = entry->config;
+	const gn_window_t *window = find_window(entry, worker);
+	Gn__Envelope envelope = GN__ENVELOPE__INIT;
+	Gn__Config message = GN__CONFIG__INIT;
+
+	if (!config->rules)
+		return;
+	gn_counter_inc(config->pushed);
+	message.revision = config->revision;
+	message.draining = gn_rules_is_drained(config->rules, worker->name);
+	if (window) {
+		message.drain_from_s = gn_window_drain_from_s(window);
+		message.drain_until_s = window->end_s;
+	}
+	envelope.body_case = GN__ENVELOPE__BODY_CONFIG;
+	envelope.config = &message;
+	entry_worker_send(entry, worker, &envelope);
+}
+
+bool entry_config_is_drained(const entry_t *entry, const entry_worker_t *worker)
+{
+	const gn_window_t *window = find_window(entry, worker);
+
+	if (!entry->config->rules)
+		return false;
+	return gn_rules_is_drained(entry->config->rules, worker->name) ||
+	       (window && gn_window_drain_from_s(window) <= wall_now_s());
+}
+
+uint64_t entry_config_window_us(const entry_t *entry,
+				const entry_worker_t *worker)
+{
+	const gn_window_t *window = find_window(entry, worker);
+	int64_t left_s = window ? window->begin_s - wall_now_s() : 0;
+
+	if (!window)
+		return 0;
+	return gn_runtime_now_us(entry->runtime) +
+	       (left_s > 0 ? (uint64_t)left_s * GN_US_PER_S : 0);
+}
+
+/* ======   Commands   ====== */
+
+gn_code_t entry_config_open(entry_t *entry)
+{
+	gn_counters_t *all = entry->runtime->counters;
+	entry_config_t *config = talloc_zero(entry, entry_config_t);
+	const gn_store_options_t options = {
+		.kv = entry->membership->kv,
+		.clock = &entry->runtime->clock,
+		.rand = entry->runtime->random,
+		.timeout_ms = CHANGE_TIMEOUT_MS,
+		.check = check_doc,
+		.on_adopt = on_adopt,
+		.context = config,
+	};
+
+	if (!config)
+		return GN_ERR_MEMORY;
+	entry->config = config;
+	config->entry = entry;
+	config->accepted = gn_counters_get(all, "config.accepted");
+	config->adopted = gn_counters_get(all, "config.adopted");
+	config->pushed = gn_counters_get(all, "config.pushed");
+	config->store = gn_store_create(config, &options);
+	return config->store ? GN_OK : GN_ERR_MEMORY;
+}
+
+void entry_config_tick(entry_t *entry)
+{
+	gn_store_tick(entry->config->store);
+}
--- /dev/null
+++ b/lib/entry/config_http.c
@@ -0,0 +1,225 @@
+/**
+ * @file config_http.c
+ * @brief The operators' HTTP interface to the configuration.
+ */
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "entry/config.h"
+
+#define HTTP_OK 200
+#define HTTP_BAD_REQUEST 400
+#define HTTP_NOT_FOUND 404
+#define HTTP_CONFLICT 409
+#define HTTP_UNAVAILABLE 503
+#define RETRY_AFTER_S 2
+#define CHANGE_ID_SIZE sizeof("0123456789abcdef")
+
+/* An operator's request that waits for the store. */
+typedef struct change_s {
+	entry_t *entry;
+	gn_http_request_t *request;
+} change_t;
+
+static change_t *create_change(entry_t *entry, gn_http_request_t *request)
+{
+	change_t *change = g_new0(change_t, 1);
+
+	change->entry = entry;
+	change->request = request;
+	return change;
+}
+
+/* How each result of the store is told. */
+typedef struct told_s {
+	unsigned status;
+	const char *outcome;
+} told_t;
+
+static told_t tell(gn_code_t code)
+{
+	switch (code) {
+	case GN_OK:
+		return (told_t){ HTTP_OK, "accepted" };
+	case GN_ERR_CONFLICT:
+		return (told_t){ HTTP_CONFLICT, "conflict" };
+	case GN_ERR_INVALID:
+	case GN_ERR_RANGE:
+		return (told_t){ HTTP_BAD_REQUEST, "rejected" };
+	case GN_ERR_UNKNOWN:
+		return (told_t){ HTTP_UNAVAILABLE, "unknown" };
+	default:
+		return (told_t){ HTTP_UNAVAILABLE, "not-run" };
+	}
+}
+
+static json_t *describe(const gn_store_result_t *result, const char *outcome)
+{
+	char *id = g_strndup(result->id.data, result->id.len);
+	json_t *json =
+		json_pack("{s:s, s:s}", "outcome", outcome, "change_id", id);
+
+	if (result->revision)
+		json_object_set_new(json, "revision",
+				    json_integer((json_int_t)result->revision));
+	if (result->code) {
+		json_object_set_new(json, "reason",
+				    json_string(gn_code_name(result->code)));
+		json_object_set_new(json, "error",
+				    json_string(result->error->detail));
+	}
+	g_free(id);
+	return json;
+}
+
+static void on_changed(void *context, const gn_store_result_t *result)
+{
+	change_t *change = context;
+	entry_t *entry = change->entry;
+	told_t told = tell(result->code);
+
+	if (result->code == GN_OK)
+		gn_counter_inc(entry->config->accepted);
+	if (told.status == HTTP_UNAVAILABLE)
+		change->request->answer.retry_after_s = RETRY_AFTER_S;
+	gn_http_reply_json(entry->server, change->request, told.status,
+			   describe(result, told.outcome));
+	g_free(change);
+}
+
+static void refuse(entry_t *entry, gn_http_request_t *request,
+		   const char *reason, const char *error)
+{
+	const gn_refusal_t refusal = { HTTP_BAD_REQUEST, GN_OUTCOME_NOT_RUN,
+				       reason, 0 };
+
+	gn_http_reply_refusal(entry->server, request, &refusal, error);
+}
+
+static void start_change(entry_t *entry, gn_http_request_t *request,
+			 gn_config_part_t part, gn_str_t text)
+{
+	char made[CHANGE_ID_SIZE];
+	gn_str_t id = gn_str_from(request->headers[GN_HEADER_CHANGE_ID]);
+	gn_str_t revision =
+		gn_str_from(request->headers[GN_HEADER_IF_REVISION]);
+	gn_store_change_t change = { .part = part, .text = text };
+
+	if (!id.len) {
+		snprintf(made, sizeof(made), "%016" PRIx64,
+			 gn_runtime_random_id());
+		id = gn_str_from(made);
+	}
+	change.id = id;
+	if (!gn_kv_is_key_text(id, GN_KV_CHANGE_MAX)) {
+		refuse(entry, request, "malformed",
+		       "Change-Id: 1 to 63 of [A-Za-z0-9/_.:-]");
+		return;
+	}
+	if (revision.len &&
+	    gn_str_parse_u64(revision, UINT64_MAX, &change.if_revision)) {
+		refuse(entry, request, "malformed", "If-Revision: a number");
+		return;
+	}
+	gn_store_change(entry->config->store, &change, on_changed,
+			create_change(entry, request));
+}
+
+void entry_on_config_put(void *arg, gn_http_request_t *request, gn_str_t name)
+{
+	entry_t *entry = arg;
+	gn_str_t text = { request->body ? request->body : "",
+			  request->body_len };
+
+	if (gn_str_equal(name, GN_STR("inventory")))
+		start_change(entry, request, GN_CONFIG_INVENTORY, text);
+	else if (gn_str_equal(name, GN_STR("rules")))
+		start_change(entry, request, GN_CONFIG_RULES, text);
+	else
+		refuse(entry, request, "no-such-part", "inventory or rules");
+}
+
+static json_t *to_text(gn_str_t text)
+{
+	return json_stringn(text.data ? text.data : "", text.len);
+}
+
+void entry_on_config_get(void *arg, gn_http_request_t *request, gn_str_t name)
+{
+	entry_t *entry = arg;
+	const gn_config_doc_t *doc = gn_store_current(entry->config->store);
+	gn_str_t inventory = GN_STR("");
+	gn_str_t rules = GN_STR("");
+
+	(void)name;
+	if (doc) {
+		inventory = doc->parts[GN_CONFIG_INVENTORY].text;
+		rules = doc->parts[GN_CONFIG_RULES].text;
+	}
+	gn_http_reply_json(entry->server, request, HTTP_OK,
+			   json_pack("{s:I, s:o, s:o}", "revision",
+				     (json_int_t)(doc ? doc->revision : 0),
+				     "inventory", to_text(inventory), "rules",
+				     to_text(rules)));
+}
+
+static void on_asked(void *context, const gn_store_result_t *result)
+{
+	change_t *change = context;
+	entry_t *entry = change->entry;
+	const char *outcome = result->code == GN_OK		 ? "accepted"
+			      : result->code == GN_ERR_NOT_FOUND ? "not-run"
+								 : "unknown";
+	bool answered =
+		result->code == GN_OK || result->code == GN_ERR_NOT_FOUND;
+
+	gn_http_reply_json(entry->server, change->request,
+			   answered ? HTTP_OK : HTTP_UNAVAILABLE,
+			   describe(result, outcome));
+	g_free(change);
+}
+
+void entry_on_change_get(void *arg, gn_http_request_t *request, gn_str_t name)
+{
+	entry_t *entry = arg;
+
+	gn_store_ask(entry->config->store, name, on_asked,
+		     create_change(entry, request));
+}
+
+/* ======   Draining a host   ====== */
+
+static void change_drain(entry_t *entry, gn_http_request_t *request,
+			 gn_str_t name, bool drained)
+{
+	const gn_refusal_t unknown_host = { HTTP_NOT_FOUND, GN_OUTCOME_NOT_RUN,
+					    "no-such-host", 0 };
+	const gn_config_doc_t *doc = gn_store_current(entry->config->store);
+	gn_str_t text = doc ? doc->parts[GN_CONFIG_RULES].text : GN_STR("");
+	TALLOC_CTX *scratch = talloc_new(NULL);
+	gn_error_t error = { 0 };
+	char host[GN_NAME_MAX + 1];
+	gn_str_t changed;
+
+	if (gn_str_copy(host, sizeof(host), name) ||
+	    !g_hash_table_contains(entry->workers, host))
+		gn_http_reply_refusal(entry->server, request, &unknown_host,
+				      NULL);
+	else if (gn_rules_set_drain(scratch, text, host, drained, &changed,
+				    &error))
+		refuse(entry, request, "rejected", error.detail);
+	else
+		start_change(entry, request, GN_CONFIG_RULES, changed);
+	talloc_free(scratch);
+}
+
+void entry_on_host_drain(void *arg, gn_http_request_t *request, gn_str_t name)
+{
+	change_drain(arg, request, name, true);
+}
+
+void entry_on_host_resume(void *arg, gn_http_request_t *request, gn_str_t name)
+{
+	change_drain(arg, request, name, false);
+}
--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -1,6 +1,9 @@
 #include "entry/entry.h"
 
-#include "entry/entry_internal.h"
+#include "entry/buckets.h"
+#include "entry/config.h"
+#include "entry/membership.h"
+#include "entry/peers.h"
 
 /** Deadlines are kept to this step, milliseconds. */
 #define TICK_MS 5
@@ -59,6 +62,11 @@
 
 static int entry_destructor(entry_t *entry)
 {
+	/* Buckets and requests answer through the server; it goes last. */
+	TALLOC_FREE(entry->buckets);
+	TALLOC_FREE(entry->config);
+	TALLOC_FREE(entry->client);
+	TALLOC_FREE(entry->membership);
 	entry_requests_close(entry);
 	entry_workers_close(entry);
 	return 0;
@@ -79,29 +87,47 @@
 	if (entry_workers_open(entry) || entry_requests_open(entry))
 		return gn_error_set(error, GN_ERR_MEMORY, "start", NULL,
 				    "tables");
-	if (start_link(entry, error))
+	if (start_server(entry, error) || entry_peers_open(entry, error) ||
+	    entry_membership_open(entry, error))
 		return error->code;
-	return start_server(entry, error);
+	if (entry_config_open(entry) || entry_buckets_open(entry))
+		return gn_error_set(error, GN_ERR_MEMORY, "start", NULL,
+				    "configuration");
+	return start_link(entry, error);
 }
 
-static void entry_tick(void *state)
+/* Hands the buckets over, then leaves the record, then stops serving. */
+static void tick_stop(entry_t *entry)
 {
-	entry_t *entry = state;
 	const gn_runtime_t *runtime = entry->runtime;
-	uint64_t now_us = gn_runtime_now_us(runtime);
+	uint64_t since_us = gn_runtime_now_us(runtime) - runtime->stop_us;
 
-	entry_workers_tick(entry);
-	entry_requests_tick(entry);
-	if (runtime->stopping && !entry->quiesced &&
-	    now_us - runtime->stop_us >= LAME_DUCK_MS * GN_US_PER_MS) {
+	if (entry_buckets_are_released(entry) && !entry->left) {
+		entry->left = true;
+		entry_membership_leave(entry);
+	}
+	if (!entry->quiesced && since_us >= LAME_DUCK_MS * GN_US_PER_MS) {
 		entry->quiesced = true;
 		gn_http_server_quiesce(entry->server);
 	}
 }
 
+static void entry_tick(void *state)
+{
+	entry_t *entry = state;
+
+	entry_workers_tick(entry);
+	entry_requests_tick(entry);
+	entry_membership_tick(entry);
+	entry_config_tick(entry);
+	entry_buckets_tick(entry);
+	if (entry->runtime->stopping)
+		tick_stop(entry);
+}
+
 static void entry_stop(void *state)
 {
-	/* The status page tells the balancer; see entry_tick(). */
+	/* The status page tells the balancer; see tick_stop(). */
 	(void)state;
 }
 
@@ -109,7 +135,9 @@
 {
 	const entry_t *entry = state;
 
-	return entry->quiesced && gn_http_server_idle(entry->server);
+	return entry->quiesced && entry->left &&
+	       entry_membership_has_left(entry) &&
+	       gn_http_server_idle(entry->server);
 }
 
 const gn_role_ops_t gn_entry_role = {
--- a/lib/entry/entry_internal.h
+++ b/lib/entry/entry_internal.h
@@ -7,6 +7,7 @@
 
 #include "common/str.h"
 #include "entry/entry.h"
+#include "http/client.h"
 #include "http/reply.h"
 #include "http/server.h"
 #include "limit/limit.h"
@@ -15,6 +16,9 @@
 #include "wire/link.h"
 
 typedef struct entry_s entry_t;
+typedef struct entry_membership_s entry_membership_t;
+typedef struct entry_buckets_s entry_buckets_t;
+typedef struct entry_config_s entry_config_t;
 
 /** The retries of one service. */
 typedef struct entry_service_s {
@@ -70,7 +74,11 @@
 struct entry_s {
 	gn_runtime_t *runtime;
 	gn_http_server_t *server;
+	gn_http_client_t *client; /**< to other entries */
 	gn_link_t *link;
+	entry_membership_t *membership;
+	entry_buckets_t *buckets;
+	entry_config_t *config;
 	gn_route_view_t *view;
 	gn_eject_t *eject;
 	gn_limit_t *limit;
@@ -80,6 +88,7 @@
 	GHashTable *requests; /**< by id */
 	GSequence *deadlines; /**< requests by deadline */
 	uint64_t next_request;
+	bool left; /**< is leaving the member record */
 	bool quiesced; /**< takes no new connections */
 	entry_counters_t counters;
 };
--- a/lib/entry/http.c
+++ b/lib/entry/http.c
@@ -5,7 +5,10 @@
 #include <inttypes.h>
 #include <stdio.h>
 
-#include "entry/entry_internal.h"
+#include "entry/buckets.h"
+#include "entry/config.h"
+#include "entry/jobs.h"
+#include "entry/membership.h"
 #include "http/router.h"
 
 #define HTTP_OK 200
@@ -73,6 +76,8 @@
 	(void)name;
 	json_object_del(json, "counters");
 	json_object_set_new(json, "draining", json_boolean(runtime->stopping));
+	json_object_set_new(json, "config_revision",
+			    json_integer((json_int_t)entry->config->revision));
 	json_object_set_new(json, "workers",
 			    json_integer(g_hash_table_size(entry->workers)));
 	gn_http_reply_json(entry->server, request,
@@ -88,6 +93,10 @@
 	(void)name;
 	json_object_set_new(dump, "role", json_string("entry"));
 	json_object_set_new(dump, "hosts", dump_workers(entry));
+	json_object_set_new(dump, "members", entry_membership_dump(entry));
+	json_object_set_new(dump, "buckets", entry_buckets_dump(entry));
+	json_object_set_new(dump, "config_revision",
+			    json_integer((json_int_t)entry->config->revision));
 	json_object_set_new(dump, "requests",
 			    json_integer(g_hash_table_size(entry->requests)));
 	gn_http_reply_json(entry->server, request, HTTP_OK, dump);
@@ -97,6 +106,17 @@
 	{ GN_HTTP_POST, "/v1/services/*/requests", entry_on_request },
 	{ GN_HTTP_GET, "/v1/status", on_status },
 	{ GN_HTTP_GET, "/v1/hosts", on_hosts },
+	{ GN_HTTP_GET, "/v1/jobs", entry_on_jobs_get },
+	{ GN_HTTP_GET, "/v1/jobs/*", entry_on_job_get },
+	{ GN_HTTP_POST, "/v1/jobs", entry_on_job_submit },
+	{ GN_HTTP_DELETE, "/v1/jobs", entry_on_jobs_cancel },
+	{ GN_HTTP_DELETE, "/v1/jobs/*", entry_on_job_cancel },
+	{ GN_HTTP_GET, "/v1/config", entry_on_config_get },
+	{ GN_HTTP_PUT, "/v1/config/*", entry_on_config_put },
+	{ GN_HTTP_GET, "/v1/changes/*", entry_on_change_get },
+	{ GN_HTTP_POST, "/v1/hosts/*/drain", entry_on_host_drain },
+	{ GN_HTTP_POST, "/v1/hosts/*/resume", entry_on_host_resume },
+	{ GN_HTTP_POST, "/v1/peers/query", entry_on_peer_query },
 	{ GN_HTTP_GET, "/dump", on_dump },
 	{ GN_HTTP_GET, NULL, NULL },
 };
--- /dev/null
+++ b/lib/entry/membership.c
@@ -0,0 +1,358 @@
+#include "entry/membership.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "common/log.h"
+#include "entry/buckets.h"
+#include "entry/peers.h"
+#include "platform/kv_http.h"
+
+/** Longest time of one call to the platform's service, milliseconds. */
+#define CALL_TIMEOUT_MS 1000
+/** A promise runs for this long; docs/OUTAGE.md says how these hang together. */
+#define PROMISE_MS 10000
+/** A confirmation holds for this long, milliseconds. */
+#define CONFIRM_MS 1000
+/** Margin for the difference of clock rates, milliseconds. */
+#define DRIFT_MS 200
+/** Largest difference of clock rates, parts in a million. */
+#define RATE_PPM 500
+/** Longest time without the platform's service, milliseconds. */
+#define DARK_MS (3600 * 1000)
+/** Between questions to the peers, milliseconds. */
+#define ASK_INTERVAL_MS 300
+#define HTTP_OK 200
+#define HTTP_BAD_REQUEST 400
+
+/* ======   Joining   ====== */
+
+static void on_adopt(void *context, const gn_record_doc_t *doc)
+{
+	entry_membership_t *membership = context;
+	gn_promise_member_t members[GN_RECORD_MEMBERS_MAX];
+
+	for (size_t i = 0; i < doc->member_count; i++) {
+		members[i].incarnation = doc->members[i].incarnation;
+		members[i].joined = doc->members[i].joined;
+	}
+	gn_promise_adopt(membership->promise, doc->revision, members,
+			 doc->member_count);
+	gn_log(LOG_INFO, "members", NULL, "revision %" PRIu64 ", %zu entries",
+	       doc->revision, doc->member_count);
+}
+
+static void on_renewed(void *context, uint64_t sent_us)
+{
+	entry_membership_t *membership = context;
+
+	gn_promise_on_renewed(membership->promise, sent_us);
+}
+
+static gn_promise_t *create_promise(entry_membership_t *membership)
+{
+	const gn_runtime_t *runtime = membership->entry->runtime;
+	uint64_t ttl_us =
+		(uint64_t)runtime->settings->lease_ttl_ms * GN_US_PER_MS;
+	const gn_promise_params_t params = {
+		/* Shorter than the lease, so that a taker finds it over. */
+		.renew_us = ttl_us - ttl_us / 4,
+		.confirm_us = (uint64_t)CONFIRM_MS * GN_US_PER_MS,
+		.promise_us = (uint64_t)PROMISE_MS * GN_US_PER_MS,
+		.drift_us = (uint64_t)DRIFT_MS * GN_US_PER_MS,
+		.dark_us = (uint64_t)DARK_MS * GN_US_PER_MS,
+		.rate_ppm = RATE_PPM,
+	};
+
+	return gn_promise_create(membership, &params, &runtime->clock,
+				 membership->incarnation);
+}
+
+static gn_code_t join(entry_membership_t *membership)
+{
+	const gn_runtime_t *runtime = membership->entry->runtime;
+	const gn_record_options_t options = {
+		.kv = membership->kv,
+		.clock = &runtime->clock,
+		.rand = runtime->random,
+		.name = runtime->settings->name,
+		.address = runtime->settings->http_listen,
+		.incarnation = gn_runtime_random_id(),
+		.lease_ttl_ms = runtime->settings->lease_ttl_ms,
+		.on_adopt = on_adopt,
+		.on_renewed = on_renewed,
+		.context = membership,
+	};
+
+	membership->incarnation = options.incarnation;
+	membership->promise = create_promise(membership);
+	membership->record = gn_record_create(membership, &options);
+	return membership->promise && membership->record ? GN_OK
+							 : GN_ERR_MEMORY;
+}
+
+/* An incarnation that left never returns: all it owned goes with it. */
+static void rejoin(entry_membership_t *membership)
+{
+	gn_log(LOG_WARNING, "members", NULL,
+	       "left the record, joining as a new member");
+	entry_buckets_drop(membership->entry);
+	gn_record_free(membership->record);
+	TALLOC_FREE(membership->promise);
+	if (join(membership))
+		gn_log(LOG_ERR, "members", NULL, "error=memory");
+}
+
+gn_code_t entry_membership_open(entry_t *entry, gn_error_t *error)
+{
+	const gn_runtime_t *runtime = entry->runtime;
+	const gn_kv_http_options_t options = {
+		.address = runtime->settings->platform_address,
+		.timeout_ms = CALL_TIMEOUT_MS,
+		.calls_per_s = runtime->settings->platform_calls_per_s,
+		.clock = &runtime->clock,
+		.counters = runtime->counters,
+		.loop = runtime->events,
+	};
+	entry_membership_t *membership = talloc_zero(entry, entry_membership_t);
+
+	if (!membership)
+		goto no_memory;
+	entry->membership = membership;
+	membership->entry = entry;
+	membership->http = gn_kv_http_create(membership, &options);
+	if (!membership->http)
+		goto no_memory;
+	membership->kv = gn_kv_http_client(membership->http);
+	if (join(membership))
+		goto no_memory;
+	return GN_OK;
+no_memory:
+	return gn_error_set(error, GN_ERR_MEMORY, "start", options.address,
+			    "membership");
+}
+
+/* ======   Questions between entries   ====== */
+
+typedef struct peer_question_s {
+	entry_t *entry;
+	gn_promise_query_t kind;
+	uint64_t asker; /**< the member incarnation that asked */
+	uint64_t peer;
+	uint64_t about;
+	uint64_t sent_us;
+} peer_question_t;
+
+static void on_peer_answer(void *arg, const gn_http_call_t *call)
+{
+	peer_question_t *question = arg;
+	entry_membership_t *membership = question->entry->membership;
+	json_t *json = json_loadb(call->answer ? call->answer : "",
+				  call->answer_len, 0, NULL);
+
+	if (call->code == GN_OK && call->status == HTTP_OK && json &&
+	    question->asker == membership->incarnation)
+		gn_promise_on_answer(
+			membership->promise, question->kind, question->peer,
+			question->about, question->sent_us,
+			json_is_true(json_object_get(json, "granted")));
+	json_decref(json);
+	g_free(question);
+}
+
+static void ask(entry_t *entry, gn_promise_query_t kind, uint64_t peer,
+		uint64_t about)
+{
+	entry_membership_t *membership = entry->membership;
+	const gn_record_doc_t *doc = gn_record_adopted(membership->record);
+	size_t index = doc ? gn_record_doc_find(doc, peer) : 0;
+	peer_question_t *question;
+	json_t *json;
+
+	if (!doc || index == doc->member_count)
+		return;
+	question = g_new0(peer_question_t, 1);
+	question->entry = entry;
+	question->kind = kind;
+	question->asker = membership->incarnation;
+	question->peer = peer;
+	question->about = about;
+	question->sent_us = gn_runtime_now_us(entry->runtime);
+	json = json_pack("{s:i, s:I, s:I, s:I}", "kind", (int)kind, "to",
+			 (json_int_t)peer, "from",
+			 (json_int_t)membership->incarnation, "about",
+			 (json_int_t)about);
+	if (entry_peer_call(entry, doc->members[index].address,
+			    "/v1/peers/query", json, on_peer_answer, question))
+		g_free(question);
+}
+
+static void ask_confirmers(entry_t *entry)
+{
+	entry_membership_t *membership = entry->membership;
+	uint64_t to[GN_PROMISE_MEMBERS_MAX];
+	size_t count = gn_promise_confirmers(membership->promise, to,
+					     GN_PROMISE_MEMBERS_MAX);
+
+	for (size_t i = 0; i < count; i++)
+		ask(entry, GN_PROMISE_CONFIRM, to[i], membership->incarnation);
+}
+
+static void ask_vouchers(entry_t *entry, const gn_batch_predecessor_t *owner)
+{
+	entry_membership_t *membership = entry->membership;
+	uint64_t to[GN_PROMISE_MEMBERS_MAX];
+	size_t count =
+		gn_promise_vouchers(membership->promise, owner->incarnation,
+				    owner->acked, to, GN_PROMISE_MEMBERS_MAX);
+
+	for (size_t i = 0; i < count; i++) {
+		uint64_t now_us = gn_runtime_now_us(entry->runtime);
+
+		if (to[i] != membership->incarnation) {
+			ask(entry, GN_PROMISE_VOUCH, to[i], owner->incarnation);
+			continue;
+		}
+		gn_promise_on_answer(membership->promise, GN_PROMISE_VOUCH,
+				     to[i], owner->incarnation, now_us,
+				     gn_promise_on_query(membership->promise,
+							 GN_PROMISE_VOUCH,
+							 to[i],
+							 owner->incarnation));
+	}
+}
+
+static void ask_peers(entry_t *entry)
+{
+	entry_membership_t *membership = entry->membership;
+	uint64_t now_us = gn_runtime_now_us(entry->runtime);
+	gn_batch_predecessor_t owners[GN_BATCH_PREDECESSORS_MAX];
+	size_t count;
+
+	if (now_us - membership->asked_us <
+	    (uint64_t)ASK_INTERVAL_MS * GN_US_PER_MS)
+		return;
+	membership->asked_us = now_us;
+	ask_confirmers(entry);
+	count = entry_buckets_unsettled(entry, owners,
+					GN_BATCH_PREDECESSORS_MAX);
+	for (size_t i = 0; i < count; i++)
+		ask_vouchers(entry, &owners[i]);
+}
+
+static bool parse_query(const json_t *json, gn_promise_query_t *kind,
+			uint64_t *to, uint64_t *from, uint64_t *about)
+{
+	json_int_t value;
+
+	if (!json)
+		return false;
+	value = json_integer_value(json_object_get(json, "kind"));
+	*to = (uint64_t)json_integer_value(json_object_get(json, "to"));
+	*from = (uint64_t)json_integer_value(json_object_get(json, "from"));
+	*about = (uint64_t)json_integer_value(json_object_get(json, "about"));
+	if (value != GN_PROMISE_CONFIRM && value != GN_PROMISE_VOUCH)
+		return false;
+	*kind = (gn_promise_query_t)value;
+	return *to && *from && *about;
+}
+
+void entry_on_peer_query(void *arg, gn_http_request_t *request, gn_str_t name)
+{
+	static const gn_refusal_t malformed = { HTTP_BAD_REQUEST,
+						GN_OUTCOME_NOT_RUN, "malformed",
+						0 };
+	entry_t *entry = arg;
+	entry_membership_t *membership = entry->membership;
+	json_t *json = json_loadb(request->body ? request->body : "",
+				  request->body_len, 0, NULL);
+	gn_promise_query_t kind;
+	uint64_t to, from, about;
+	bool granted;
+
+	(void)name;
+	if (!parse_query(json, &kind, &to, &from, &about)) {
+		gn_http_reply_refusal(entry->server, request, &malformed, NULL);
+	} else {
+		/* A question to an earlier incarnation is not for this one. */
+		granted = to == membership->incarnation &&
+			  gn_promise_on_query(membership->promise, kind, from,
+					      about);
+		gn_http_reply_json(entry->server, request, HTTP_OK,
+				   json_pack("{s:b}", "granted", granted));
+	}
+	json_decref(json);
+}
+
+/* ======   Commands and queries   ====== */
+
+void entry_membership_tick(entry_t *entry)
+{
+	entry_membership_t *membership = entry->membership;
+
+	gn_record_tick(membership->record);
+	ask_peers(entry);
+	if (entry->runtime->stopping)
+		return;
+	if (gn_record_standing(membership->record) == GN_RECORD_GONE ||
+	    gn_promise_is_removed(membership->promise))
+		rejoin(membership);
+}
+
+void entry_membership_leave(entry_t *entry)
+{
+	gn_record_leave(entry->membership->record);
+}
+
+bool entry_membership_has_left(const entry_t *entry)
+{
+	gn_record_standing_t standing =
+		gn_record_standing(entry->membership->record);
+
+	return standing == GN_RECORD_GONE || standing == GN_RECORD_JOINING;
+}
+
+const gn_record_member_t *entry_membership_owner(const entry_t *entry,
+						 unsigned index)
+{
+	const gn_record_doc_t *doc =
+		gn_record_adopted(entry->membership->record);
+	const gn_record_member_t *best = NULL;
+	uint64_t best_weight = 0;
+
+	for (size_t i = 0; doc && i < doc->member_count; i++) {
+		const gn_record_member_t *member = &doc->members[i];
+		gn_str_t bytes = { (const char *)&member->incarnation,
+				   sizeof(member->incarnation) };
+		uint64_t weight = gn_str_hash(bytes, index);
+
+		if (!best || weight > best_weight) {
+			best = member;
+			best_weight = weight;
+		}
+	}
+	return best;
+}
+
+bool entry_membership_is_self(const entry_t *entry,
+			      const gn_record_member_t *member)
+{
+	return member && member->incarnation == entry->membership->incarnation;
+}
+
+json_t *entry_membership_dump(const entry_t *entry)
+{
+	const entry_membership_t *membership = entry->membership;
+	const gn_record_doc_t *doc = gn_record_adopted(membership->record);
+	json_t *members = json_array();
+
+	for (size_t i = 0; doc && i < doc->member_count; i++)
+		json_array_append_new(members,
+				      json_string(doc->members[i].name));
+	return json_pack("{s:o, s:I, s:b, s:b}", "members", members, "revision",
+			 (json_int_t)(doc ? doc->revision : 0), "normal",
+			 (int)gn_promise_is_normal(membership->promise),
+			 "may_renew",
+			 (int)gn_promise_may_renew(membership->promise));
+}
--- /dev/null
+++ b/lib/entry/peers.c
@@ -0,0 +1,128 @@
+#include "entry/peers.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/** Longest time of a call to another entry, milliseconds. */
+#define CALL_TIMEOUT_MS 3000
+#define CONNECTIONS_PER_PEER 16
+#define ANSWER_MAX (4 * 1024 * 1024)
+/** The path's query that marks a forwarded request. */
+#define FORWARDED_QUERY "forwarded=1"
+#define HTTP_BAD_GATEWAY 502
+#define HTTP_UNAVAILABLE 503
+
+gn_code_t entry_peers_open(entry_t *entry, gn_error_t *error)
+{
+	const gn_http_client_config_t config = {
+		.events = entry->runtime->events,
+		.zmq = entry->runtime->zmq,
+		.host_connections = CONNECTIONS_PER_PEER,
+		.answer_max = ANSWER_MAX,
+		.counters = entry->runtime->counters,
+	};
+
+	return gn_http_client_start(entry, &config, &entry->client, error);
+}
+
+gn_code_t entry_peer_call(entry_t *entry, const char *address, const char *path,
+			  json_t *json, gn_http_done_t done, void *arg)
+{
+	gn_http_call_t *call = gn_http_call_create();
+
+	if (!call) {
+		json_decref(json);
+		return GN_ERR_MEMORY;
+	}
+	call->method = GN_HTTP_POST;
+	snprintf(call->url, sizeof(call->url), "http://%s%s", address, path);
+	call->body = json_dumps(json, JSON_COMPACT);
+	call->body_len = call->body ? strlen(call->body) : 0;
+	json_decref(json);
+	call->timeout_ms = CALL_TIMEOUT_MS;
+	call->done = done;
+	call->arg = arg;
+	gn_http_client_call(entry->client, call);
+	return GN_OK;
+}
+
+/* ======   Forwarding   ====== */
+
+typedef struct forward_s {
+	entry_t *entry;
+	gn_http_request_t *request;
+} forward_t;
+
+bool entry_peer_is_forwarded(const gn_http_request_t *request)
+{
+	return request->forwarded;
+}
+
+static void refuse_forward(entry_t *entry, gn_http_request_t *request,
+			   gn_code_t code)
+{
+	static const gn_refusal_t unreachable = { HTTP_UNAVAILABLE,
+						  GN_OUTCOME_NOT_RUN,
+						  "owner-unreachable", 1 };
+	static const gn_refusal_t lost = { HTTP_BAD_GATEWAY, GN_OUTCOME_UNKNOWN,
+					   "answer-lost", 1 };
+
+	gn_http_reply_refusal(entry->server, request,
+			      code == GN_ERR_UNAVAILABLE ? &unreachable : &lost,
+			      NULL);
+}
+
+static void copy_answer(gn_http_request_t *request, const gn_http_call_t *call)
+{
+	gn_http_answer_t *answer = &request->answer;
+
+	answer->status = call->status;
+	answer->json = true;
+	answer->has_outcome = call->has_outcome;
+	answer->outcome = call->outcome;
+	answer->retry_after_s = call->retry_after_s;
+	answer->body = g_memdup2(call->answer, call->answer_len);
+	answer->body_len = call->answer_len;
+}
+
+static void on_forwarded(void *arg, const gn_http_call_t *call)
+{
+	forward_t *forward = arg;
+
+	if (call->code) {
+		refuse_forward(forward->entry, forward->request, call->code);
+	} else {
+		copy_answer(forward->request, call);
+		gn_http_server_answer(forward->entry->server, forward->request);
+	}
+	g_free(forward);
+}
+
+void entry_peer_forward(entry_t *entry, const char *address,
+			gn_http_request_t *request)
+{
+	gn_http_call_t *call = gn_http_call_create();
+	forward_t *forward;
+
+	if (!call) {
+		refuse_forward(entry, request, GN_ERR_UNAVAILABLE);
+		return;
+	}
+	forward = g_new0(forward_t, 1);
+	forward->entry = entry;
+	forward->request = request;
+	call->method = request->method;
+	snprintf(call->url, sizeof(call->url),
+		 "http://%s%s?" FORWARDED_QUERY "%s%s", address, request->path,
+		 request->query_team ? "&team=" : "",
+		 request->query_team ? request->query_team : "");
+	for (int i = 0; i < GN_HEADER_COUNT; i++)
+		call->headers[i] = request->headers[i];
+	call->body = g_memdup2(request->body, request->body_len);
+	call->body_len = request->body_len;
+	call->timeout_ms = CALL_TIMEOUT_MS;
+	call->once = true;
+	call->done = on_forwarded;
+	call->arg = forward;
+	gn_http_client_call(entry->client, call);
+}
--- /dev/null
+++ b/lib/entry/polls.c
@@ -0,0 +1,132 @@
+/**
+ * @file polls.c
+ * @brief Answers the agents' polls with the orders of this entry's buckets.
+ */
+#include "entry/buckets_internal.h"
+#include "entry/config.h"
+#include "wire/task_wire.h"
+
+static void send_orders(entry_t *entry, const entry_worker_t *worker,
+			uint64_t sent_us, Gn__BucketOrders **buckets,
+			size_t count)
+{
+	Gn__Envelope envelope = GN__ENVELOPE__INIT;
+	Gn__TaskOrders message = GN__TASK_ORDERS__INIT;
+
+	message.sent_us = sent_us;
+	message.buckets = buckets;
+	message.n_buckets = count;
+	envelope.body_case = GN__ENVELOPE__BODY_TASK_ORDERS;
+	envelope.task_orders = &message;
+	entry_worker_send(entry, worker, &envelope);
+}
+
+/* Builds the message of one bucket; NULL if memory is short. */
+static Gn__BucketOrders *make_orders(TALLOC_CTX *parent, unsigned index,
+				     const gn_batch_bucket_t *bucket,
+				     const gn_batch_orders_t *orders)
+{
+	Gn__BucketOrders *message = talloc(parent, Gn__BucketOrders);
+
+	if (!message)
+		return NULL;
+	gn__bucket_orders__init(message);
+	message->bucket = index;
+	message->owner_epoch = gn_batch_bucket_epoch(bucket);
+	if (gn_task_wire_put_orders(parent, orders, message))
+		return NULL;
+	return message;
+}
+
+void bucket_send_starts(bucket_slot_t *slot)
+{
+	entry_t *entry = slot->entry;
+	const char *name;
+	uint64_t incarnation;
+	uint64_t sent_us;
+
+	for (;;) {
+		TALLOC_CTX *scratch = talloc_new(NULL);
+		gn_batch_orders_t orders = { 0 };
+		Gn__BucketOrders *message = NULL;
+		entry_worker_t *worker = NULL;
+
+		if (!gn_batch_bucket_next_starts(slot->bucket, scratch, &name,
+						 &incarnation, &sent_us,
+						 &orders)) {
+			talloc_free(scratch);
+			return;
+		}
+		worker = g_hash_table_lookup(entry->workers, name);
+		message = make_orders(scratch, slot->index, slot->bucket,
+				      &orders);
+		if (worker && message &&
+		    worker->agent_incarnation == incarnation)
+			send_orders(entry, worker, sent_us, &message, 1);
+		talloc_free(scratch);
+	}
+}
+
+static void describe(const entry_t *entry, const entry_worker_t *worker,
+		     const Gn__TaskPoll *poll, gn_batch_worker_t *described)
+{
+	described->name = worker->name;
+	described->service = worker->service->name;
+	described->free_tasks = poll->free_tasks;
+	described->free_cores = poll->free_cores;
+	described->free_memory_mb = poll->free_memory_mb;
+	described->free_accelerators = poll->free_accelerators;
+	described->draining =
+		poll->draining || entry_config_is_drained(entry, worker);
+	described->window_us = entry_config_window_us(entry, worker);
+	for (size_t i = 0; i < poll->n_kinds && i < GN_BATCH_KINDS_MAX; i++)
+		described->kinds[described->kind_count++] = poll->kinds[i];
+}
+
+static size_t answer_poll(entry_t *entry, TALLOC_CTX *scratch,
+			  const gn_batch_poll_t *poll,
+			  Gn__BucketOrders **messages)
+{
+	size_t count = 0;
+
+	for (unsigned i = 0; i < GN_BUCKETS; i++) {
+		gn_batch_bucket_t *bucket = entry_bucket_find(entry, i);
+		gn_batch_orders_t orders = { 0 };
+
+		if (!bucket ||
+		    gn_batch_bucket_on_poll(bucket, poll, scratch, &orders))
+			continue;
+		messages[count] = make_orders(scratch, i, bucket, &orders);
+		if (messages[count])
+			count++;
+	}
+	return count;
+}
+
+void entry_on_task_poll(entry_t *entry, entry_worker_t *worker,
+			const Gn__TaskPoll *message)
+{
+	TALLOC_CTX *scratch = talloc_new(NULL);
+	gn_batch_report_t *reports;
+	gn_batch_worker_t described = { 0 };
+	Gn__BucketOrders *messages[GN_BUCKETS];
+	gn_batch_poll_t poll;
+	size_t count;
+
+	gn_counter_inc(entry->buckets->polls);
+	if (gn_task_wire_get_runs(scratch, message, &reports))
+		goto out;
+	describe(entry, worker, message, &described);
+	poll = (gn_batch_poll_t){
+		.incarnation = worker->agent_incarnation,
+		.sent_us = message->sent_us,
+		.reports = reports,
+		.report_count = message->n_runs,
+		.worker = &described,
+	};
+	count = answer_poll(entry, scratch, &poll, messages);
+	if (count)
+		send_orders(entry, worker, message->sent_us, messages, count);
+out:
+	talloc_free(scratch);
+}
--- a/lib/entry/workers.c
+++ b/lib/entry/workers.c
@@ -5,7 +5,8 @@
 #include <string.h>
 
 #include "common/log.h"
-#include "entry/entry_internal.h"
+#include "entry/buckets.h"
+#include "entry/config.h"
 
 /** A worker silent for longer has been replaced, milliseconds. */
 #define FORGET_MS (10 * 60 * 1000)
@@ -224,6 +225,7 @@
 	worker->heard_us = gn_runtime_now_us(entry->runtime);
 	worker->silent = false;
 	send_welcome(entry, worker);
+	entry_config_push(entry, worker);
 }
 
 static void on_beat(entry_t *entry, entry_worker_t *worker,
@@ -232,6 +234,9 @@
 	if (beat->load)
 		entry_worker_take_load(entry, worker, beat->load);
 	worker->config_revision = beat->config_revision;
+	/* A push may have been lost with its connection. */
+	if (worker->config_revision < entry->config->revision)
+		entry_config_push(entry, worker);
 	send_beat_ack(entry, worker, beat->sequence);
 }
 
@@ -268,6 +273,8 @@
 		on_beat(entry, worker, envelope->beat);
 	else if (envelope->body_case == GN__ENVELOPE__BODY_ANSWER)
 		entry_on_answer(entry, worker, envelope->answer);
+	else if (envelope->body_case == GN__ENVELOPE__BODY_TASK_POLL)
+		entry_on_task_poll(entry, worker, envelope->task_poll);
 }
 
 static void mark_silent(entry_t *entry, entry_worker_t *worker)
--- a/lib/http/client.c
+++ b/lib/http/client.c
@@ -1,11 +1,14 @@
 #include "http/client.h"
 
 #include <curl/curl.h>
+#include <limits.h>
 #include <pthread.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 
+#include "common/str.h"
 #include "wire/pipe.h"
 
 /** Longest sleep of the traffic thread, milliseconds. */
@@ -14,7 +17,8 @@
 #define CONNECT_MS 1000
 /** Idle connections kept to all hosts. */
 #define CONNECTIONS_KEPT 128
-#define NOT_RUN_HEADER "Gypsumnotch-Outcome: not-run"
+/** Longest header line that is sent, bytes. */
+#define HEADER_LINE_MAX 512
 
 struct gn_http_client_s {
 	pthread_t thread;
@@ -77,14 +81,51 @@
 	return len;
 }
 
+/* The value of the header line if it is that of @p name, else empty. */
+static gn_str_t header_value(const char *line, size_t len, const char *name)
+{
+	size_t name_len = strlen(name);
+	gn_str_t value = { NULL, 0 };
+
+	if (len <= name_len || line[name_len] != ':' ||
+	    strncasecmp(line, name, name_len) != 0)
+		return value;
+	value.data = line + name_len + 1;
+	value.len = len - name_len - 1;
+	while (value.len && strchr(" \t", value.data[0])) {
+		value.data++;
+		value.len--;
+	}
+	while (value.len && strchr(" \t\r\n", value.data[value.len - 1]))
+		value.len--;
+	return value;
+}
+
+static void take_outcome(gn_http_call_t *call, gn_str_t value)
+{
+	for (int i = 0; i < GN_OUTCOME_COUNT; i++) {
+		const char *name = gn_outcome_name((gn_outcome_t)i);
+
+		if (!gn_str_equal(value, gn_str_from(name)))
+			continue;
+		call->has_outcome = true;
+		call->outcome = (gn_outcome_t)i;
+	}
+}
+
 static size_t on_header(char *data, size_t size, size_t count, void *arg)
 {
 	transfer_t *transfer = arg;
-	const size_t len = sizeof(NOT_RUN_HEADER) - 1;
-
-	if (size * count >= len && !strncasecmp(data, NOT_RUN_HEADER, len))
-		transfer->call->not_run = true;
-	return size * count;
+	size_t len = size * count;
+	gn_str_t outcome = header_value(data, len, GN_HEADER_OUTCOME);
+	gn_str_t after = header_value(data, len, GN_HEADER_RETRY_AFTER);
+	uint64_t seconds;
+
+	if (outcome.len)
+		take_outcome(transfer->call, outcome);
+	if (after.len && !gn_str_parse_u64(after, UINT_MAX, &seconds))
+		transfer->call->retry_after_s = (unsigned)seconds;
+	return len;
 }
 
 /* Hands libcurl the body as a stream that can't be read a second time. */
@@ -144,14 +185,24 @@
 	curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, len);
 }
 
+static void add_header(transfer_t *transfer, gn_header_t header)
+{
+	const char *value = transfer->call->headers[header];
+	char line[HEADER_LINE_MAX];
+
+	if (!value)
+		return;
+	snprintf(line, sizeof(line), "%s: %s", gn_header_name(header), value);
+	transfer->headers = curl_slist_append(transfer->headers, line);
+}
+
 static void set_headers(transfer_t *transfer)
 {
 	transfer->headers = curl_slist_append(NULL, "Expect:");
 	transfer->headers = curl_slist_append(
 		transfer->headers, "Content-Type: application/octet-stream");
-	if (transfer->call->header[0])
-		transfer->headers = curl_slist_append(transfer->headers,
-						      transfer->call->header);
+	for (int i = 0; i < GN_HEADER_COUNT; i++)
+		add_header(transfer, (gn_header_t)i);
 	curl_easy_setopt(transfer->easy, CURLOPT_HTTPHEADER, transfer->headers);
 }
 
--- a/lib/http/client.h
+++ b/lib/http/client.h
@@ -27,7 +27,8 @@
 struct gn_http_call_s {
 	gn_http_method_t method;
 	char url[256]; /**< "http://IP:PORT/path" */
-	char header[192]; /**< one request header, or empty */
+	/** Headers to send, NULL where absent; valid until the call ends. */
+	const char *headers[GN_HEADER_COUNT];
 	void *body; /**< from malloc(), owned; may be NULL */
 	size_t body_len; /**< bytes */
 	unsigned timeout_ms; /**< of the whole call, at least 1 */
@@ -42,7 +43,9 @@
 	 */
 	gn_code_t code;
 	unsigned status; /**< HTTP status */
-	bool not_run; /**< the answer said that nothing was run */
+	bool has_outcome; /**< the answer told an outcome */
+	gn_outcome_t outcome;
+	unsigned retry_after_s; /**< told by the answer, or 0 */
 	char *answer; /**< the answer's body, owned by the call */
 	size_t answer_len; /**< bytes */
 
--- a/lib/http/exchange.c
+++ b/lib/http/exchange.c
@@ -74,6 +74,9 @@
 	exchange->request.path = strdup(url);
 	exchange->request.query_team =
 		copy_value(connection, MHD_GET_ARGUMENT_KIND, "team");
+	exchange->request.forwarded =
+		MHD_lookup_connection_value(connection, MHD_GET_ARGUMENT_KIND,
+					    "forwarded") != NULL;
 	for (int i = 0; i < GN_HEADER_COUNT; i++)
 		exchange->request.headers[i] =
 			copy_value(connection, MHD_HEADER_KIND,
--- a/lib/http/header.h
+++ b/lib/http/header.h
@@ -14,6 +14,11 @@
 	GN_HEADER_REPEATABLE, /**< Gypsumnotch-Repeatable: yes or no */
 	GN_HEADER_KIND, /**< Gypsumnotch-Kind */
 	GN_HEADER_PRIORITY, /**< Gypsumnotch-Priority */
+	GN_HEADER_CORES, /**< Gypsumnotch-Cores */
+	GN_HEADER_MEMORY, /**< Gypsumnotch-Memory-Mb */
+	GN_HEADER_ACCELERATORS, /**< Gypsumnotch-Accelerators */
+	GN_HEADER_RUN, /**< Gypsumnotch-Run-Ms */
+	GN_HEADER_CHECKPOINT, /**< Gypsumnotch-Checkpoint-Ms */
 	GN_HEADER_IF_REVISION, /**< If-Revision */
 	GN_HEADER_CHANGE_ID, /**< Change-Id */
 	GN_HEADER_KEY, /**< Idempotency-Key */
--- a/lib/http/server.h
+++ b/lib/http/server.h
@@ -46,6 +46,7 @@
 	gn_http_method_t method;
 	char *path; /**< decoded, without query */
 	char *query_team; /**< "team" of the query, or NULL */
+	bool forwarded; /**< by another entry: "forwarded" of the query */
 	char *headers[GN_HEADER_COUNT]; /**< NULL where absent */
 	char *body;
 	size_t body_len; /**< bytes */
--- a/lib/wire/gypsumnotch.pb-c.c
+++ b/lib/wire/gypsumnotch.pb-c.c
@@ -2484,7 +2484,7 @@
   (ProtobufCMessageInit) gn__task_orders__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gn__config__field_descriptors[4] =
+static const ProtobufCFieldDescriptor gn__config__field_descriptors[6] =
 {
   {
     "revision",
@@ -2534,8 +2534,34 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "drain_from_s",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Gn__Config, drain_from_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "drain_until_s",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Gn__Config, drain_until_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gn__config__field_indices_by_name[] = {
+  4,   /* field[4] = drain_from_s */
+  5,   /* field[5] = drain_until_s */
   3,   /* field[3] = draining */
   1,   /* field[1] = inventory */
   0,   /* field[0] = revision */
@@ -2544,7 +2570,7 @@
 static const ProtobufCIntRange gn__config__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor gn__config__descriptor =
 {
@@ -2554,7 +2580,7 @@
   "Gn__Config",
   "gn",
   sizeof(Gn__Config),
-  4,
+  6,
   gn__config__field_descriptors,
   gn__config__field_indices_by_name,
   1,  gn__config__number_ranges,
--- a/lib/wire/gypsumnotch.pb-c.h
+++ b/lib/wire/gypsumnotch.pb-c.h
@@ -409,13 +409,18 @@
   ProtobufCBinaryData inventory;
   ProtobufCBinaryData rules;
   /*
-   * for the receiving worker, by the rules
+   * the receiving worker, by an operator
    */
   protobuf_c_boolean draining;
+  /*
+   * a window's drain, seconds since 1970 UTC
+   */
+  int64_t drain_from_s;
+  int64_t drain_until_s;
 };
 #define GN__CONFIG__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gn__config__descriptor) \
-    , 0, {0,NULL}, {0,NULL}, 0 }
+    , 0, {0,NULL}, {0,NULL}, 0, 0, 0 }
 
 
 struct  Gn__WorkerLine
