--- a/lib/entry/http.c
+++ b/lib/entry/http.c
@@ -5,29 +5,42 @@
 #include <inttypes.h>
 #include <stdio.h>
 
-#include "entry/entry_internal.h"
+#include "entry/buckets.h"
+#include "entry/config.h"
+#include "entry/jobs.h"
+#include "entry/membership.h"
 #include "http/router.h"
 
 #define HTTP_OK 200
 #define HTTP_UNAVAILABLE 503
 
-static const char *worker_state(const entry_worker_t *worker)
+static const char *worker_state(const entry_worker_t *worker,
+				const gn_route_info_t *info)
 {
 	if (worker->silent)
 		return "silent";
-	if (worker->draining)
+	if (info->draining)
 		return "draining";
-	return worker->backend_up ? "live" : "down";
+	if (!info->backend_up)
+		return "down";
+	return info->health == GN_ROUTE_PASSING
+		       ? "live"
+		       : gn_route_health_name(info->health);
 }
 
 static json_t *dump_worker(const entry_worker_t *worker)
 {
-	return json_pack("{s:s, s:s, s:s, s:s, s:s, s:i, s:i}", "name",
-			 worker->name, "data_centre", worker->data_centre,
-			 "rack", worker->rack, "service", worker->service,
-			 "state", worker_state(worker), "running_requests",
-			 (int)worker->reported_running, "in_flight",
-			 (int)worker->in_flight);
+	gn_route_info_t info;
+
+	gn_route_worker_info(worker->route, &info);
+	return json_pack(
+		"{s:s, s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:I}", "name",
+		worker->name, "data_centre", worker->hello->data_centre, "rack",
+		worker->rack, "service", worker->service->name, "state",
+		worker_state(worker, &info), "running_requests",
+		(int)info.reported, "running_tasks", (int)worker->running_tasks,
+		"in_flight", (int)info.in_flight, "config_revision",
+		(json_int_t)worker->config_revision);
 }
 
 static json_t *dump_workers(const entry_t *entry)
@@ -63,6 +76,8 @@
 	(void)name;
 	json_object_del(json, "counters");
 	json_object_set_new(json, "draining", json_boolean(runtime->stopping));
+	json_object_set_new(json, "config_revision",
+			    json_integer((json_int_t)entry->config->revision));
 	json_object_set_new(json, "workers",
 			    json_integer(g_hash_table_size(entry->workers)));
 	gn_http_reply_json(entry->server, request,
@@ -78,6 +93,10 @@
 	(void)name;
 	json_object_set_new(dump, "role", json_string("entry"));
 	json_object_set_new(dump, "hosts", dump_workers(entry));
+	json_object_set_new(dump, "members", entry_membership_dump(entry));
+	json_object_set_new(dump, "buckets", entry_buckets_dump(entry));
+	json_object_set_new(dump, "config_revision",
+			    json_integer((json_int_t)entry->config->revision));
 	json_object_set_new(dump, "requests",
 			    json_integer(g_hash_table_size(entry->requests)));
 	gn_http_reply_json(entry->server, request, HTTP_OK, dump);
@@ -87,6 +106,17 @@
 	{ GN_HTTP_POST, "/v1/services/*/requests", entry_on_request },
 	{ GN_HTTP_GET, "/v1/status", on_status },
 	{ GN_HTTP_GET, "/v1/hosts", on_hosts },
+	{ GN_HTTP_GET, "/v1/jobs", entry_on_jobs_get },
+	{ GN_HTTP_GET, "/v1/jobs/*", entry_on_job_get },
+	{ GN_HTTP_POST, "/v1/jobs", entry_on_job_submit },
+	{ GN_HTTP_DELETE, "/v1/jobs", entry_on_jobs_cancel },
+	{ GN_HTTP_DELETE, "/v1/jobs/*", entry_on_job_cancel },
+	{ GN_HTTP_GET, "/v1/config", entry_on_config_get },
+	{ GN_HTTP_PUT, "/v1/config/*", entry_on_config_put },
+	{ GN_HTTP_GET, "/v1/changes/*", entry_on_change_get },
+	{ GN_HTTP_POST, "/v1/hosts/*/drain", entry_on_host_drain },
+	{ GN_HTTP_POST, "/v1/hosts/*/resume", entry_on_host_resume },
+	{ GN_HTTP_POST, "/v1/peers/query", entry_on_peer_query },
 	{ GN_HTTP_GET, "/dump", on_dump },
 	{ GN_HTTP_GET, NULL, NULL },
 };
