Spread batch tasks over the workers; scenarios for jobs, loss, configuration

Cause: the scenario "evict" showed five of five tasks at the worker that happened to poll first: a poll took all that fitted. An eviction then hits every task, and the services of the other hosts none. Tried first: a poll takes its part of what waits (waiting / workers). The scenario failed still ("w3 has none"): a worker polls again as soon as a start ended, ahead of the others. Taken instead: workers are filled to one level, placed plus waiting over workers; what the less loaded have not taken within 0.5 s anyone may take.

--- a/lib/entry/buckets_internal.h
+++ b/lib/entry/buckets_internal.h
@@ -29,6 +29,7 @@
 struct entry_buckets_s {
 	bucket_slot_t slots[GN_BUCKETS];
 	uint64_t ticked_us;
+	uint64_t waiting_us; /**< since when tasks wait; 0: none do */
 	gn_counter_t *commits;
 	gn_counter_t *conflicts;
 	gn_counter_t *unknowns;
--- a/lib/entry/entry_internal.h
+++ b/lib/entry/entry_internal.h
@@ -38,6 +38,7 @@
 	gn_link_peer_t peer;
 	uint64_t heard_us;
 	bool silent; /**< no beat within the beat timeout */
+	unsigned placed_tasks; /**< by its last poll, and claimed since */
 	uint32_t running_tasks; /**< by its last report */
 	uint64_t config_revision; /**< by its last report */
 } entry_worker_t;
--- a/lib/entry/membership.h
+++ b/lib/entry/membership.h
@@ -12,6 +12,7 @@
 #include "batch/promise.h"
 #include "entry/entry_internal.h"
 #include "member/record.h"
+#include "platform/kv_http.h"
 
 /** State of the membership. */
 struct entry_membership_s {
--- a/tests/scenario.sh
+++ b/tests/scenario.sh
@@ -9,7 +9,7 @@
 work=$(mktemp -d)
 # Each run has a loopback address of its own, so that runs don't collide.
 host=127.$((1 + $$ / 62500 % 250)).$(($$ / 250 % 250)).$((1 + $$ % 250))
-declare -A pid http link
+declare -A pid http link job
 next=0
 last_status=0
 
@@ -191,6 +191,124 @@
 	done | sort | uniq -c | awk '$1 > 1 {print "ran " $1 " times: " $2; bad=1} END {print NR " ran, " (bad ? "some twice" : "none twice")}'
 }
 
+# wait_owned ENTRY...: until these entries own all buckets between them
+cmd_wait_owned() {
+	local e
+	for _ in $(seq 300); do
+		[ "$(for e in "$@"; do fetch "http://${http[$e]}/dump" | grep -o '"standing":1' ; done | wc -l)" = 16 ] && return
+		sleep 0.1
+	done
+	echo "not all buckets are owned by $*"
+}
+
+# submit LABEL ENTRY CLASS TEAM SERVICE KIND RUN_MS [HEADER...]
+cmd_submit() {
+	local label=$1 e=$2 h args=()
+	args=(-H "Gypsumnotch-Class: $3" -H "Gypsumnotch-Team: $4" -H "Gypsumnotch-Service: $5" -H "Gypsumnotch-Kind: $6")
+	for h in "${@:8}"; do args+=(-H "$h"); done
+	fetch "${args[@]}" --data-binary "$7" "http://${http[$e]}/v1/jobs" >"$work/answer"
+	job[$label]=$(sed -n 's/.*"job":"\([^"]*\)".*/\1/p' "$work/answer")
+	if [ "${job[$label]}" ]; then echo accepted; else cut -c1-120 "$work/answer"; fi
+}
+
+job_state() {
+	local e
+	for e in "${!link[@]}"; do
+		fetch "http://${http[$e]}/v1/jobs/${job[$1]}" | sed -n 's/.*"state":"\([^"]*\)".*/\1/p' | grep . && return
+	done
+}
+
+# wait_job LABEL STATE: prints the job's state once it is that, or the last
+cmd_wait_job() {
+	local state=
+	for _ in $(seq 400); do
+		state=$(job_state "$1")
+		[ "$state" = "$2" ] && break
+		sleep 0.1
+	done
+	echo "${state:-none}"
+}
+
+# wait_started LABEL...: until a worker was given each of these
+cmd_wait_started() {
+	local label state
+	for label in "$@"; do
+		for _ in $(seq 200); do
+			state=$(job_state "$label")
+			case $state in claimed | running | done) break ;; esac
+			sleep 0.1
+		done
+		case $state in claimed | running) ;; *) echo "$label is ${state:-none}" ;; esac
+	done
+}
+
+cmd_cancel() { # LABEL ENTRY
+	fetch -X DELETE "http://${http[$2]}/v1/jobs/${job[$1]}" | sed -n 's/.*"outcome":"\([^"]*\)".*/\1/p' | grep .
+}
+
+# runs WORKER...: how many runs the workers began, and whether two of one
+# task ever overlapped, by the workers' own journals on one clock
+cmd_runs() {
+	local w
+	for w in "$@"; do
+		fetch "http://${http[$w.backend]}/v1/tasks/journal"
+	done | sort -k4,4n -k1,1 | awk '
+		$1 == "start" { runs++; if (on[$2]++) bad = 1; next }
+		{ on[$2]-- }
+		END { print runs + 0 " runs, " (bad ? "some overlapping" : "none overlapping") }'
+}
+
+# runs_overlap WORKER...: like runs, without the number of runs
+cmd_runs_overlap() { cmd_runs "$@" | sed 's/.*runs, //'; }
+
+cmd_ctl_quiet() { # like ctl, without the output
+	cmd_ctl "$@" | tail -n 1
+}
+
+cmd_file() { printf "$2" >"$work/file.$1"; } # NAME TEXT
+
+# put ENTRY PART FILE [HEADER...]: status, outcome and revision of the answer
+cmd_put() {
+	local h args=() status
+	for h in "${@:4}"; do args+=(-H "$h"); done
+	status=$(fetch -o "$work/answer" -w '%{http_code}' -X PUT "${args[@]}" \
+		--data-binary "@$work/file.$3" "http://${http[$1]}/v1/config/$2")
+	echo "$status $(jq -r '"\(.outcome) \(if .outcome == "accepted" or .outcome == "conflict" then .revision else "" end)"' "$work/answer" | sed 's/ *$//')"
+}
+
+cmd_put_until() { # like put, again until it is accepted
+	local answer
+	for _ in $(seq 50); do
+		answer=$(cmd_put "$@")
+		[ "${answer%% *}" = 200 ] && break
+		sleep 0.2
+	done
+	echo "$answer"
+}
+
+# wait_revision N PROCESS...: until each uses this revision
+cmd_wait_revision() {
+	local want=$1 p seen
+	shift
+	for _ in $(seq 200); do
+		seen=
+		for p in "$@"; do
+			seen="$seen $(fetch "http://${http[$p]}/dump" | jq -r .config_revision)"
+		done
+		[ "$(tr ' ' '\n' <<<"$seen" | grep . | sort -u)" = "$want" ] && echo "revision $want everywhere" && return
+		sleep 0.1
+	done
+	echo "revisions:$seen"
+}
+
+# spread WORKER...: whether each worker runs tasks, by their agents
+cmd_spread() {
+	local w
+	for w in "$@"; do
+		[ "$(fetch "http://${http[$w]}/dump" | jq .tasks.running)" -gt 0 ] || echo "$w has none"
+	done | grep . || echo "every worker has tasks"
+}
+
 # counter NAME COUNTER: the value of a counter
 cmd_counter() { fetch "http://${http[$1]}/dump" | grep -o "\"$2\":[0-9]*" | cut -d: -f2; }
 
@@ -198,7 +316,7 @@
 cmd_ctl() {
 	local e=$1
 	shift
-	"$build/gypsumnotchctl" --entry "${http[$e]}" "$@"
+	GYPSUMNOTCH_ENTRY=${http[$e]} "$build/gypsumnotchctl" "$@"
 	echo "exit $?"
 }
 
