--- a/lib/config/toml.cc
+++ b/lib/config/toml.cc
@@ -1,5 +1,6 @@
 #include "config/toml.h"
 
+#include <algorithm>
 #include <cpptoml.h>
 #include <sstream>
 
@@ -66,7 +67,35 @@
 	return rest == std::string::npos || line[rest] == '#';
 }
 
-/** Keeps deeply nested input from exhausting the stack of the parser. */
+/** The first byte of @p line that is no blank, or 0. */
+static char first_byte(const std::string &line)
+{
+	size_t at = line.find_first_not_of(" \t\r");
+
+	return at == std::string::npos ? '\0' : line[at];
+}
+
+/**
+ * Counts the brackets that @p line opens. A comment opens none, and a header
+ * starts again from the outermost table.
+ */
+static size_t count_brackets(const std::string &line)
+{
+	if (first_byte(line) == '#' || is_header(line))
+		return 0;
+	return (size_t)std::count(line.begin(), line.end(), '[');
+}
+
+static bool has_inline_table(const std::string &line)
+{
+	return first_byte(line) != '#' && line.find('{') != std::string::npos;
+}
+
+/**
+ * Keeps deeply nested input from exhausting the stack: the parser recurses
+ * on brackets, the destructors of its tables on dotted keys, which inline
+ * tables could pile up without bound.
+ */
 static gn_code_t check_bounds(const std::string &text, char *message)
 {
 	std::istringstream in(text);
@@ -76,16 +105,20 @@
 
 	while (std::getline(in, line)) {
 		number++;
+		brackets += count_brackets(line);
 		if (line.size() > GN_TOML_LINE_MAX) {
 			snprintf(message, GN_TOML_MESSAGE_SIZE,
 				 "line %zu: over %d bytes", number,
 				 GN_TOML_LINE_MAX);
 			return GN_ERR_RANGE;
 		}
-		if (is_header(line))
-			continue;
-		for (char c : line)
-			brackets += c == '[' || c == '{';
+		if (has_inline_table(line)) {
+			snprintf(message, GN_TOML_MESSAGE_SIZE,
+				 "line %zu: has '{', but inline tables are "
+				 "not taken",
+				 number);
+			return GN_ERR_INVALID;
+		}
 		if (brackets > GN_TOML_BRACKETS_MAX) {
 			snprintf(message, GN_TOML_MESSAGE_SIZE,
 				 "line %zu: over %d opening brackets", number,
--- a/lib/config/toml.h
+++ b/lib/config/toml.h
@@ -2,6 +2,8 @@
  * @file toml.h
  * @brief TOML documents in C: parsing and typed access.
  *
+ * Inline tables are not taken, since nesting them has no bound.
+ *
  * A document owns its tables; tables, keys and strings live as long as it
  * does. No exception of the parsing library leaves this module.
  */
@@ -22,8 +24,8 @@
 /** Longest line of a document, bytes. */
 #define GN_TOML_LINE_MAX 4096
 /**
- * Most brackets that may open an array or an inline table in one document.
- * The parser recurses on them, so this bounds its stack.
+ * Most brackets that may open an array in one document; those of headers
+ * don't count. The parser recurses on them, so this bounds its stack.
  */
 #define GN_TOML_BRACKETS_MAX 4096
 /** Longest message of gn_toml_parse() with its terminator, bytes. */
