--- a/lib/platform/kv_http.c
+++ b/lib/platform/kv_http.c
@@ -6,188 +6,26 @@
 #include <string.h>
 
 #include "common/str.h"
-#include "platform/budget.h"
-#include "platform/curl_loop_internal.h"
 #include "platform/kv_http_internal.h"
-#include "platform/wake_internal.h"
 
-#define STEP "platform"
 #define URL_SIZE (GN_ADDRESS_MAX + 32)
 
-#define HTTP_OK 200
-#define HTTP_CLIENT_ERROR 400
-#define HTTP_TOO_MANY_REQUESTS 429
-#define HTTP_SERVER_ERROR 500
-#define HTTP_SERVICE_UNAVAILABLE 503
-
-typedef struct http_call_s {
-	gn_kv_http_t *http;
-	gn_kv_call_t id;
-	gn_kv_request_t request; /* its key is the call's, its value is not */
-	char *body; /* free() */
-	CURL *easy;
-	GByteArray *answer;
-	gn_kv_done_t done;
-	void *context;
-	uint64_t sent_us;
-	uint64_t deadline_us;
-	uint64_t floor; /* newest revision seen when it was sent */
-	gn_code_t refused; /* never sent, for this reason */
-} http_call_t;
-
-struct gn_kv_http_s {
-	gn_kv_t kv; /* must be first */
-	gn_kv_http_options_t options;
-	char *address;
-	gn_kv_http_counters_t counters;
-	gn_kv_budget_t budget;
-	gn_curl_loop_t *transfers;
-	gn_wake_t *wake;
-	struct curl_slist *headers;
-	GHashTable *calls; /* id to http_call_t */
-	gn_kv_call_t last_id;
-	uint64_t floor; /* newest revision seen */
-	bool is_suspect; /* the last call failed: trust no idle connection */
-};
-
 static uint64_t now_us(const gn_kv_http_t *http)
 {
 	return gn_clock_now_us(http->options.clock);
 }
 
-/* ======   End of a call   ====== */
-
-static int free_call(http_call_t *call)
-{
-	if (call->easy) {
-		gn_curl_loop_remove(call->http->transfers, call->easy);
-		curl_easy_cleanup(call->easy);
-	}
-	free(call->body);
-	if (call->answer)
-		g_byte_array_unref(call->answer);
-	return 0;
-}
-
-/* Takes @p call out of those in progress; its owner frees it. */
-static void unlink_call(http_call_t *call)
-{
-	gn_kv_http_t *http = call->http;
-
-	g_hash_table_remove(http->calls, &call->id);
-	if (call->request.kind == GN_KV_WATCH && call->easy)
-		gn_kv_http_count_watch(&http->counters, false);
-}
-
-static void finish(http_call_t *call, gn_kv_result_t *result, const char *why)
-{
-	gn_error_t error = { 0 };
-
-	gn_error_set(&error, result->code, STEP, call->http->address, "%s: %s",
-		     gn_kv_kind_name(call->request.kind), why);
-	result->error = &error;
-	result->sent_us = call->sent_us;
-	gn_kv_http_count_result(&call->http->counters, result->code);
-	unlink_call(call);
-	call->done(call->context, result);
-	talloc_free(call);
-}
-
-/* Ends a call that was sent and has no whole answer. */
-static void finish_lost(http_call_t *call, const char *why)
-{
-	bool is_read = gn_kv_kind_is_read(call->request.kind);
-	gn_kv_result_t result = { 0 };
-	curl_off_t connected_us = 0;
-
-	curl_easy_getinfo(call->easy, CURLINFO_CONNECT_TIME_T, &connected_us);
-	call->http->is_suspect = true;
-	result.code =
-		is_read || !connected_us ? GN_ERR_UNAVAILABLE : GN_ERR_UNKNOWN;
-	finish(call, &result, why);
-}
-
-static void finish_refused(http_call_t *call, gn_code_t code, const char *why)
-{
-	gn_kv_result_t result = { 0 };
-
-	result.code = code;
-	finish(call, &result, why);
-}
-
-static void finish_answered(http_call_t *call, gn_kv_result_t *result)
-{
-	gn_kv_http_t *http = call->http;
-
-	http->is_suspect = false;
-	if (gn_kv_kind_is_read(call->request.kind) &&
-	    result->revision < call->floor) {
-		finish_refused(call, GN_ERR_STALE, "older than what was seen");
-		return;
-	}
-	if (result->revision > http->floor)
-		http->floor = result->revision;
-	finish(call, result, gn_code_name(result->code));
-}
-
-static bool is_not_done(long status)
-{
-	return status == HTTP_TOO_MANY_REQUESTS ||
-	       status == HTTP_SERVICE_UNAVAILABLE;
-}
-
-static bool is_malformed(long status)
-{
-	return status >= HTTP_CLIENT_ERROR && status < HTTP_SERVER_ERROR;
-}
-
-static void take_answer(http_call_t *call, long status)
-{
-	gn_str_t text = { (const char *)call->answer->data, call->answer->len };
-	gn_kv_result_t result = { 0 };
-
-	if (is_not_done(status)) {
-		call->http->is_suspect = true;
-		finish_refused(call, GN_ERR_UNAVAILABLE, "refused");
-		return;
-	}
-	if (is_malformed(status)) {
-		finish_refused(call, GN_ERR_INVALID, "refused as malformed");
-		return;
-	}
-	if (status != HTTP_OK ||
-	    gn_kv_answer_decode(call, text, &call->request, &result) != GN_OK) {
-		finish_lost(call, "no whole answer");
-		return;
-	}
-	finish_answered(call, &result);
-}
-
-static void take_end(void *context, CURL *easy, CURLcode code)
-{
-	http_call_t *call = NULL;
-	long status = 0;
-
-	(void)context;
-	curl_easy_getinfo(easy, CURLINFO_PRIVATE, &call);
-	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
-	if (code != CURLE_OK)
-		finish_lost(call, curl_easy_strerror(code));
-	else
-		take_answer(call, status);
-}
-
 /* ======   Deadlines   ====== */
 
-static http_call_t *find_earliest(gn_kv_http_t *http)
+static gn_kv_http_call_t *find_earliest(gn_kv_http_t *http)
 {
-	http_call_t *earliest = NULL;
+	gn_kv_http_call_t *earliest = NULL;
 	GHashTableIter iter;
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, http->calls);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		http_call_t *call = value;
+		gn_kv_http_call_t *call = value;
 
 		if (!earliest || call->deadline_us < earliest->deadline_us)
 			earliest = call;
@@ -197,7 +35,7 @@
 
 static void set_wake(gn_kv_http_t *http)
 {
-	const http_call_t *call = find_earliest(http);
+	const gn_kv_http_call_t *call = find_earliest(http);
 	uint64_t time_us = now_us(http);
 
 	if (!call)
@@ -211,13 +49,13 @@
 void gn_kv_http_expire(gn_kv_http_t *http)
 {
 	uint64_t time_us = now_us(http);
-	http_call_t *call = find_earliest(http);
+	gn_kv_http_call_t *call = find_earliest(http);
 
 	while (call && call->deadline_us <= time_us) {
 		if (call->refused != GN_OK)
-			finish_refused(call, call->refused, "not sent");
+			gn_kv_http_end_refused(call, call->refused, "not sent");
 		else
-			finish_lost(call, "no answer in time");
+			gn_kv_http_end_lost(call, "no answer in time");
 		call = find_earliest(http);
 	}
 	set_wake(http);
@@ -232,7 +70,7 @@
 
 static size_t take_bytes(char *data, size_t size, size_t count, void *context)
 {
-	http_call_t *call = context;
+	gn_kv_http_call_t *call = context;
 
 	if (call->answer->len + size * count > GN_KV_HTTP_ANSWER_MAX)
 		return 0;
@@ -241,13 +79,13 @@
 	return size * count;
 }
 
-static bool needs_fresh(const http_call_t *call)
+static bool needs_fresh(const gn_kv_http_call_t *call)
 {
 	return call->http->is_suspect ||
 	       !gn_kv_kind_is_read(call->request.kind);
 }
 
-static void set_options(http_call_t *call)
+static void set_options(gn_kv_http_call_t *call)
 {
 	gn_kv_http_t *http = call->http;
 	CURL *easy = call->easy;
@@ -270,7 +108,8 @@
 			 needs_fresh(call) ? 1L : 0L);
 }
 
-static gn_code_t send_call(http_call_t *call, const gn_kv_request_t *request)
+static gn_code_t send_call(gn_kv_http_call_t *call,
+			   const gn_kv_request_t *request)
 {
 	gn_kv_http_t *http = call->http;
 
@@ -302,7 +141,7 @@
 	return GN_OK;
 }
 
-static void refuse_call(http_call_t *call, gn_code_t code)
+static void refuse_call(gn_kv_http_call_t *call, gn_code_t code)
 {
 	if (call->easy)
 		curl_easy_cleanup(call->easy);
@@ -311,17 +150,17 @@
 	call->deadline_us = call->sent_us;
 }
 
-static http_call_t *create_call(gn_kv_http_t *http,
-				const gn_kv_request_t *request,
-				gn_kv_done_t done, void *context)
+static gn_kv_http_call_t *create_call(gn_kv_http_t *http,
+				      const gn_kv_request_t *request,
+				      gn_kv_done_t done, void *context)
 {
-	http_call_t *call = talloc_zero(http, http_call_t);
+	gn_kv_http_call_t *call = talloc_zero(http, gn_kv_http_call_t);
 	gn_kv_request_t *copy;
 
 	/* as GLib does, which the rest of the call's memory comes from */
 	if (!call)
 		abort();
-	talloc_set_destructor(call, free_call);
+	talloc_set_destructor(call, gn_kv_http_free_call);
 	call->http = http;
 	call->id = ++http->last_id;
 	call->done = done;
@@ -344,7 +183,7 @@
 			      const gn_kv_request_t *request, gn_kv_done_t done,
 			      void *context)
 {
-	http_call_t *call = create_call(http, request, done, context);
+	gn_kv_http_call_t *call = create_call(http, request, done, context);
 	gn_code_t code;
 
 	g_hash_table_insert(http->calls, &call->id, call);
@@ -359,11 +198,11 @@
 
 void gn_kv_http_cancel(gn_kv_http_t *http, gn_kv_call_t id)
 {
-	http_call_t *call = g_hash_table_lookup(http->calls, &id);
+	gn_kv_http_call_t *call = g_hash_table_lookup(http->calls, &id);
 
 	if (!call)
 		return;
-	unlink_call(call);
+	gn_kv_http_unlink(call);
 	talloc_free(call);
 }
 
@@ -424,8 +263,8 @@
 	gn_kv_budget_init(&http->budget, options->calls_per_s, now_us(http));
 	http->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
 	http->headers = create_headers();
-	http->transfers =
-		gn_curl_loop_create(http, options->loop, take_end, http);
+	http->transfers = gn_curl_loop_create(http, options->loop,
+					      gn_kv_http_take_end, http);
 	http->wake = gn_wake_create(http, options->loop, take_wake, http);
 	if (!http->address || !http->headers || !http->transfers ||
 	    !http->wake ||
--- /dev/null
+++ b/lib/platform/kv_http_end.c
@@ -0,0 +1,139 @@
+/**
+ * @file kv_http_end.c
+ * @brief What the client makes of the end of a call.
+ */
+#include <stdlib.h>
+
+#include "common/str.h"
+#include "platform/kv_http_internal.h"
+
+#define STEP "platform"
+
+#define HTTP_OK 200
+#define HTTP_CLIENT_ERROR 400
+#define HTTP_TOO_MANY_REQUESTS 429
+#define HTTP_SERVER_ERROR 500
+#define HTTP_SERVICE_UNAVAILABLE 503
+
+int gn_kv_http_free_call(gn_kv_http_call_t *call)
+{
+	if (call->easy) {
+		gn_curl_loop_remove(call->http->transfers, call->easy);
+		curl_easy_cleanup(call->easy);
+	}
+	free(call->body);
+	if (call->answer)
+		g_byte_array_unref(call->answer);
+	return 0;
+}
+
+/* Takes @p call out of those in progress; its owner frees it. */
+void gn_kv_http_unlink(gn_kv_http_call_t *call)
+{
+	gn_kv_http_t *http = call->http;
+
+	g_hash_table_remove(http->calls, &call->id);
+	if (call->request.kind == GN_KV_WATCH && call->easy)
+		gn_kv_http_count_watch(&http->counters, false);
+}
+
+static void finish(gn_kv_http_call_t *call, gn_kv_result_t *result,
+		   const char *why)
+{
+	gn_error_t error = { 0 };
+
+	gn_error_set(&error, result->code, STEP, call->http->address, "%s: %s",
+		     gn_kv_kind_name(call->request.kind), why);
+	result->error = &error;
+	result->sent_us = call->sent_us;
+	gn_kv_http_count_result(&call->http->counters, result->code);
+	gn_kv_http_unlink(call);
+	call->done(call->context, result);
+	talloc_free(call);
+}
+
+void gn_kv_http_end_lost(gn_kv_http_call_t *call, const char *why)
+{
+	bool is_read = gn_kv_kind_is_read(call->request.kind);
+	gn_kv_result_t result = { 0 };
+	curl_off_t connected_us = 0;
+
+	curl_easy_getinfo(call->easy, CURLINFO_CONNECT_TIME_T, &connected_us);
+	call->http->is_suspect = true;
+	result.code =
+		is_read || !connected_us ? GN_ERR_UNAVAILABLE : GN_ERR_UNKNOWN;
+	finish(call, &result, why);
+}
+
+void gn_kv_http_end_refused(gn_kv_http_call_t *call, gn_code_t code,
+			    const char *why)
+{
+	gn_kv_result_t result = { 0 };
+
+	result.code = code;
+	finish(call, &result, why);
+}
+
+static void finish_answered(gn_kv_http_call_t *call, gn_kv_result_t *result)
+{
+	gn_kv_http_t *http = call->http;
+
+	http->is_suspect = false;
+	if (gn_kv_kind_is_read(call->request.kind) &&
+	    result->revision < call->floor) {
+		gn_kv_http_end_refused(call, GN_ERR_STALE,
+				       "older than what was seen");
+		return;
+	}
+	if (result->revision > http->floor)
+		http->floor = result->revision;
+	finish(call, result, gn_code_name(result->code));
+}
+
+static bool is_not_done(long status)
+{
+	return status == HTTP_TOO_MANY_REQUESTS ||
+	       status == HTTP_SERVICE_UNAVAILABLE;
+}
+
+static bool is_malformed(long status)
+{
+	return status >= HTTP_CLIENT_ERROR && status < HTTP_SERVER_ERROR;
+}
+
+static void take_answer(gn_kv_http_call_t *call, long status)
+{
+	gn_str_t text = { (const char *)call->answer->data, call->answer->len };
+	gn_kv_result_t result = { 0 };
+
+	if (is_not_done(status)) {
+		call->http->is_suspect = true;
+		gn_kv_http_end_refused(call, GN_ERR_UNAVAILABLE, "refused");
+		return;
+	}
+	if (is_malformed(status)) {
+		gn_kv_http_end_refused(call, GN_ERR_INVALID,
+				       "refused as malformed");
+		return;
+	}
+	if (status != HTTP_OK ||
+	    gn_kv_answer_decode(call, text, &call->request, &result) != GN_OK) {
+		gn_kv_http_end_lost(call, "no whole answer");
+		return;
+	}
+	finish_answered(call, &result);
+}
+
+void gn_kv_http_take_end(void *context, CURL *easy, CURLcode code)
+{
+	gn_kv_http_call_t *call = NULL;
+	long status = 0;
+
+	(void)context;
+	curl_easy_getinfo(easy, CURLINFO_PRIVATE, &call);
+	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+	if (code != CURLE_OK)
+		gn_kv_http_end_lost(call, curl_easy_strerror(code));
+	else
+		take_answer(call, status);
+}
--- a/tests/support/fake_kv.c
+++ b/tests/support/fake_kv.c
@@ -1,59 +1,14 @@
 #include "support/fake_kv.h"
 
 #include "common/str.h"
+#include "support/fake_kv_internal.h"
 
 /** How many timeouts a late request may travel. */
 #define LATE_TIMEOUTS 3
 
-typedef enum kind_e {
-	KIND_GET,
-	KIND_LIST,
-	KIND_WATCH,
-	KIND_PUT,
-	KIND_REMOVE,
-	KIND_GRANT,
-	KIND_RENEW,
-	KIND_REVOKE,
-} kind_t;
-
-/* A call from its start until request and answer are both done with. */
-typedef struct call_s {
-	gn_kv_call_t id;
-	kind_t kind;
-	char *key;
-	GBytes *value;
-	char *change;
-	uint64_t revision; /* expected, or watched from */
-	uint64_t lease;
-	uint32_t limit_ms; /* ttl or wait */
-	gn_kv_done_t done; /* NULL once called or cancelled */
-	void *context;
-	uint64_t sent_us;
-	uint64_t floor; /* newest revision seen when sent */
-	uint64_t arrive_us; /* UINT64_MAX: never */
-	uint64_t answer_us; /* UINT64_MAX: never */
-	uint64_t give_up_us;
-	uint64_t wait_until_us; /* a waiting watch */
-	bool applied;
-	bool refused;
-	kv_answer_t answer;
-} call_t;
-
-struct fake_kv_s {
-	gn_kv_t kv;
-	kv_state_t *state;
-	const gn_clock_t *clock;
-	GRand *rand;
-	GPtrArray *calls;
-	gn_kv_call_t last_id;
-	uint64_t floor;
-	fake_kv_faults_t faults;
-	fake_kv_counts_t counts;
-};
-
 static void free_call(gpointer data)
 {
-	call_t *call = data;
+	fake_call_t *call = data;
 
 	g_free(call->key);
 	g_bytes_unref(call->value);
@@ -62,7 +17,7 @@
 	g_free(call);
 }
 
-static bool is_read(const call_t *call)
+static bool is_read(const fake_call_t *call)
 {
 	return call->kind <= KIND_WATCH;
 }
@@ -84,7 +39,7 @@
 	       (uint64_t)((double)(max - min) * g_rand_double(fake->rand));
 }
 
-static void draw_arrival(fake_kv_t *fake, call_t *call)
+static void draw_arrival(fake_kv_t *fake, fake_call_t *call)
 {
 	const fake_kv_faults_t *faults = &fake->faults;
 
@@ -99,10 +54,10 @@
 	call->give_up_us = call->sent_us + faults->timeout_us;
 }
 
-static call_t *start_call(fake_kv_t *fake, kind_t kind, gn_str_t key,
-			  gn_kv_done_t done, void *context)
+fake_call_t *fake_kv_start(fake_kv_t *fake, fake_kind_t kind, gn_str_t key,
+			   gn_kv_done_t done, void *context)
 {
-	call_t *call = g_new0(call_t, 1);
+	fake_call_t *call = g_new0(fake_call_t, 1);
 
 	call->id = ++fake->last_id;
 	call->kind = kind;
@@ -118,117 +73,9 @@
 	return call;
 }
 
-/* ======   The table   ====== */
-
-static gn_kv_call_t fake_get(gn_kv_t *kv, gn_str_t key, gn_kv_done_t done,
-			     void *context)
-{
-	return start_call((fake_kv_t *)kv, KIND_GET, key, done, context)->id;
-}
-
-static gn_kv_call_t fake_list(gn_kv_t *kv, gn_str_t prefix, gn_kv_done_t done,
-			      void *context)
-{
-	return start_call((fake_kv_t *)kv, KIND_LIST, prefix, done, context)
-		->id;
-}
-
-static gn_kv_call_t fake_watch(gn_kv_t *kv, gn_str_t prefix, uint64_t from,
-			       uint32_t wait_ms, gn_kv_done_t done,
-			       void *context)
-{
-	call_t *call =
-		start_call((fake_kv_t *)kv, KIND_WATCH, prefix, done, context);
-
-	call->revision = from;
-	call->limit_ms = wait_ms;
-	call->give_up_us += (uint64_t)wait_ms * GN_US_PER_MS;
-	return call->id;
-}
-
-static gn_kv_call_t fake_put(gn_kv_t *kv, const gn_kv_put_t *put,
-			     gn_kv_done_t done, void *context)
-{
-	call_t *call =
-		start_call((fake_kv_t *)kv, KIND_PUT, put->key, done, context);
-
-	call->value = g_bytes_new(put->value.data, put->value.len);
-	call->change = g_strndup(put->change.data ? put->change.data : "",
-				 put->change.len);
-	call->revision = put->expected;
-	call->lease = put->lease;
-	return call->id;
-}
-
-static gn_kv_call_t fake_remove(gn_kv_t *kv, gn_str_t key, uint64_t expected,
-				gn_kv_done_t done, void *context)
-{
-	call_t *call =
-		start_call((fake_kv_t *)kv, KIND_REMOVE, key, done, context);
-
-	call->revision = expected;
-	return call->id;
-}
-
-static gn_kv_call_t fake_grant(gn_kv_t *kv, uint32_t ttl_ms, gn_kv_done_t done,
-			       void *context)
-{
-	call_t *call = start_call((fake_kv_t *)kv, KIND_GRANT, GN_STR(""), done,
-				  context);
-
-	call->limit_ms = ttl_ms;
-	return call->id;
-}
-
-static gn_kv_call_t start_lease_call(gn_kv_t *kv, kind_t kind, uint64_t lease,
-				     gn_kv_done_t done, void *context)
-{
-	call_t *call =
-		start_call((fake_kv_t *)kv, kind, GN_STR(""), done, context);
-
-	call->lease = lease;
-	return call->id;
-}
-
-static gn_kv_call_t fake_renew(gn_kv_t *kv, uint64_t lease, gn_kv_done_t done,
-			       void *context)
-{
-	return start_lease_call(kv, KIND_RENEW, lease, done, context);
-}
-
-static gn_kv_call_t fake_revoke(gn_kv_t *kv, uint64_t lease, gn_kv_done_t done,
-				void *context)
-{
-	return start_lease_call(kv, KIND_REVOKE, lease, done, context);
-}
-
-static void fake_cancel(gn_kv_t *kv, gn_kv_call_t id)
-{
-	fake_kv_t *fake = (fake_kv_t *)kv;
-
-	for (guint i = 0; i < fake->calls->len; i++) {
-		call_t *call = g_ptr_array_index(fake->calls, i);
-
-		if (call->id == id)
-			call->done = NULL;
-	}
-}
-
-static const gn_kv_ops_t fake_ops = {
-	.get = fake_get,
-	.list = fake_list,
-	.put = fake_put,
-	.remove = fake_remove,
-	.grant = fake_grant,
-	.renew = fake_renew,
-	.revoke = fake_revoke,
-	.watch = fake_watch,
-	.cancel = fake_cancel,
-};
-
 /* ======   The service's side   ====== */
 
-static void apply_put(fake_kv_t *fake, call_t *call, uint64_t now_us)
+static void apply_put(fake_kv_t *fake, fake_call_t *call, uint64_t now_us)
 {
 	gsize size;
 	const char *value = g_bytes_get_data(call->value, &size);
@@ -241,7 +88,7 @@
 	kv_state_put(fake->state, now_us, &put, &call->answer);
 }
 
-static void apply(fake_kv_t *fake, call_t *call, uint64_t now_us)
+static void apply(fake_kv_t *fake, fake_call_t *call, uint64_t now_us)
 {
 	kv_state_t *state = fake->state;
 	unsigned back = 0;
@@ -280,7 +127,7 @@
 	}
 }
 
-static void send_answer(fake_kv_t *fake, call_t *call, uint64_t now_us)
+static void send_answer(fake_kv_t *fake, fake_call_t *call, uint64_t now_us)
 {
 	call->applied = true;
 	if (fake->faults.cut) {
@@ -292,13 +139,13 @@
 	call->answer_us = now_us + draw_delay(fake);
 }
 
-static bool is_watch_done(const call_t *call, uint64_t now_us)
+static bool is_watch_done(const fake_call_t *call, uint64_t now_us)
 {
 	return call->answer.code != GN_OK || call->answer.items->len ||
 	       now_us >= call->wait_until_us;
 }
 
-static void arrive(fake_kv_t *fake, call_t *call, uint64_t now_us)
+static void arrive(fake_kv_t *fake, fake_call_t *call, uint64_t now_us)
 {
 	if (fake->faults.cut) {
 		fake->counts.cut++;
@@ -336,7 +183,7 @@
 	entry->deleted = item->deleted;
 }
 
-static void deliver(call_t *call, gn_code_t code)
+static void deliver(fake_call_t *call, gn_code_t code)
 {
 	guint count = call->answer.items->len;
 	gn_kv_entry_t *entries = g_new0(gn_kv_entry_t, count + 1);
@@ -363,7 +210,7 @@
 	g_free(entries);
 }
 
-static void take_answer(fake_kv_t *fake, call_t *call)
+static void take_answer(fake_kv_t *fake, fake_call_t *call)
 {
 	gn_code_t code = call->answer.code;
 
@@ -381,13 +228,13 @@
 	deliver(call, code);
 }
 
-static void give_up(call_t *call)
+static void give_up(fake_call_t *call)
 {
 	deliver(call, is_read(call) ? GN_ERR_UNAVAILABLE : GN_ERR_UNKNOWN);
 }
 
 /* Does the one thing that is due on @p call; false: nothing is. */
-static bool advance_call(fake_kv_t *fake, call_t *call, uint64_t now_us)
+static bool advance_call(fake_kv_t *fake, fake_call_t *call, uint64_t now_us)
 {
 	if (!call->applied && call->arrive_us <= now_us) {
 		uint64_t revision = kv_state_revision(fake->state);
@@ -409,7 +256,7 @@
 	return false;
 }
 
-static bool is_over(const call_t *call)
+static bool is_over(const fake_call_t *call)
 {
 	uint64_t next_us = call->applied ? call->answer_us : call->arrive_us;
 
@@ -437,7 +284,7 @@
 void fake_kv_crash(fake_kv_t *fake)
 {
 	for (guint i = 0; i < fake->calls->len; i++) {
-		call_t *call = g_ptr_array_index(fake->calls, i);
+		fake_call_t *call = g_ptr_array_index(fake->calls, i);
 
 		call->done = NULL;
 	}
@@ -451,7 +298,7 @@
 {
 	fake_kv_t *fake = g_new0(fake_kv_t, 1);
 
-	fake->kv.ops = &fake_ops;
+	fake->kv.ops = &fake_kv_ops;
 	fake->state = state;
 	fake->clock = clock;
 	fake->rand = g_rand_new_with_seed(seed);
@@ -489,7 +336,7 @@
 	size_t pending = 0;
 
 	for (guint i = 0; i < fake->calls->len; i++) {
-		call_t *call = g_ptr_array_index(fake->calls, i);
+		fake_call_t *call = g_ptr_array_index(fake->calls, i);
 
 		pending += call->done != NULL;
 	}
--- /dev/null
+++ b/tests/support/fake_kv_table.c
@@ -0,0 +1,113 @@
+/**
+ * @file fake_kv_table.c
+ * @brief The client's table of the fake: each function starts a call.
+ */
+#include "common/str.h"
+#include "support/fake_kv_internal.h"
+
+static gn_kv_call_t fake_get(gn_kv_t *kv, gn_str_t key, gn_kv_done_t done,
+			     void *context)
+{
+	return fake_kv_start((fake_kv_t *)kv, KIND_GET, key, done, context)->id;
+}
+
+static gn_kv_call_t fake_list(gn_kv_t *kv, gn_str_t prefix, gn_kv_done_t done,
+			      void *context)
+{
+	return fake_kv_start((fake_kv_t *)kv, KIND_LIST, prefix, done, context)
+		->id;
+}
+
+static gn_kv_call_t fake_watch(gn_kv_t *kv, gn_str_t prefix, uint64_t from,
+			       uint32_t wait_ms, gn_kv_done_t done,
+			       void *context)
+{
+	fake_call_t *call = fake_kv_start((fake_kv_t *)kv, KIND_WATCH, prefix,
+					  done, context);
+
+	call->revision = from;
+	call->limit_ms = wait_ms;
+	call->give_up_us += (uint64_t)wait_ms * GN_US_PER_MS;
+	return call->id;
+}
+
+static gn_kv_call_t fake_put(gn_kv_t *kv, const gn_kv_put_t *put,
+			     gn_kv_done_t done, void *context)
+{
+	fake_call_t *call = fake_kv_start((fake_kv_t *)kv, KIND_PUT, put->key,
+					  done, context);
+
+	call->value = g_bytes_new(put->value.data, put->value.len);
+	call->change = g_strndup(put->change.data ? put->change.data : "",
+				 put->change.len);
+	call->revision = put->expected;
+	call->lease = put->lease;
+	return call->id;
+}
+
+static gn_kv_call_t fake_remove(gn_kv_t *kv, gn_str_t key, uint64_t expected,
+				gn_kv_done_t done, void *context)
+{
+	fake_call_t *call =
+		fake_kv_start((fake_kv_t *)kv, KIND_REMOVE, key, done, context);
+
+	call->revision = expected;
+	return call->id;
+}
+
+static gn_kv_call_t fake_grant(gn_kv_t *kv, uint32_t ttl_ms, gn_kv_done_t done,
+			       void *context)
+{
+	fake_call_t *call = fake_kv_start((fake_kv_t *)kv, KIND_GRANT,
+					  GN_STR(""), done, context);
+
+	call->limit_ms = ttl_ms;
+	return call->id;
+}
+
+static gn_kv_call_t start_lease_call(gn_kv_t *kv, fake_kind_t kind,
+				     uint64_t lease, gn_kv_done_t done,
+				     void *context)
+{
+	fake_call_t *call =
+		fake_kv_start((fake_kv_t *)kv, kind, GN_STR(""), done, context);
+
+	call->lease = lease;
+	return call->id;
+}
+
+static gn_kv_call_t fake_renew(gn_kv_t *kv, uint64_t lease, gn_kv_done_t done,
+			       void *context)
+{
+	return start_lease_call(kv, KIND_RENEW, lease, done, context);
+}
+
+static gn_kv_call_t fake_revoke(gn_kv_t *kv, uint64_t lease, gn_kv_done_t done,
+				void *context)
+{
+	return start_lease_call(kv, KIND_REVOKE, lease, done, context);
+}
+
+static void fake_cancel(gn_kv_t *kv, gn_kv_call_t id)
+{
+	fake_kv_t *fake = (fake_kv_t *)kv;
+
+	for (guint i = 0; i < fake->calls->len; i++) {
+		fake_call_t *call = g_ptr_array_index(fake->calls, i);
+
+		if (call->id == id)
+			call->done = NULL;
+	}
+}
+
+const gn_kv_ops_t fake_kv_ops = {
+	.get = fake_get,
+	.list = fake_list,
+	.put = fake_put,
+	.remove = fake_remove,
+	.grant = fake_grant,
+	.renew = fake_renew,
+	.revoke = fake_revoke,
+	.watch = fake_watch,
+	.cancel = fake_cancel,
+};
