--- a/lib/route/view.c
+++ b/lib/route/view.c
@@ -6,8 +6,13 @@
 #define MAX_CONNECTIONS 4096
 #define MAX_ONE_WAY_US (10 * GN_US_PER_S)
 
-/** Weight of a new report in the smoothed values. */
-#define REPORT_WEIGHT 0.3
+/**
+ * Weight of a new report in the smoothed number of the others' requests. Small,
+ * since entries that follow each other's late reports swing together.
+ */
+#define OTHERS_WEIGHT 0.1
+/** Weight of a new report in the smoothed service time. */
+#define TIME_WEIGHT 0.3
 /** Age, in service times, at which half of a report's news is out of date. */
 #define REPORT_HALF_AGE 1.0
 
@@ -230,14 +235,14 @@
 	gn_route_worker_refresh(worker);
 }
 
-static double smooth(double old, double value)
+static double smooth(double old, double value, double weight)
 {
-	return old + (value - old) * REPORT_WEIGHT;
+	return old + (value - old) * weight;
 }
 
 static double smooth_time(double old_us, double time_us)
 {
-	return old_us > 0 ? smooth(old_us, time_us) : time_us;
+	return old_us > 0 ? smooth(old_us, time_us, TIME_WEIGHT) : time_us;
 }
 
 /**
@@ -274,7 +279,8 @@
 		worker->others_mean = worker->others_last;
 	else
 		worker->others_mean =
-			smooth(worker->others_mean, worker->others_last);
+			smooth(worker->others_mean, worker->others_last,
+			       OTHERS_WEIGHT);
 	if (report->service_time_us)
 		take_service_time(worker, report);
 	gn_route_worker_refresh(worker);
