Compare a worker's fails with the mean of the others, and count refusals

Cause: with 4 of 11 workers failing at once those drew most of the requests and hid each other: 44.7% of requests failed. A worker that refuses everything as not run was never ejected at all: 75% not run. Ruled out: the rate over all of the others' requests, for that reason; a margin alone, which ejected 4 of 10 workers that all refused half of their requests by chance: the fails must exceed the expected by 4 standard deviations too. The test that refusals never count is replaced by four: one or half of the workers that refuse alone are ejected, all of them or all in part are not.

--- a/lib/route/eject.c
+++ b/lib/route/eject.c
@@ -1,14 +1,15 @@
 #include "route/eject.h"
 
 #include <assert.h>
+#include <math.h>
 
 #include "route/tally.h"
 #include "route/view_internal.h"
 
 /** Dispatches in flight at which a recovering worker begins. */
 #define FIRST_LIMIT 2
-/** Least evidence about the others, in results. */
-#define REST_MIN_RESULTS 3.0
+/** Standard deviations by which an outlier's fails exceed the expected. */
+#define SIGMAS 4.0
 /** Longest shift left of the first ejection. */
 #define MAX_DOUBLINGS 16
 /** Ejections end within this share of their length, per cent. */
@@ -105,6 +106,19 @@
 	return length_ms + (uint64_t)((double)length_ms * jitter);
 }
 
+/** Counts the worker's fail rate in its service, or takes it out again. */
+static void rate_worker(gn_route_worker_t *worker, bool rated, double rate)
+{
+	gn_route_service_t *service = worker->service;
+
+	service->fail_rates += rate - worker->fail_rate;
+	service->rated += (unsigned)rated - (unsigned)worker->rated;
+	worker->fail_rate = rate;
+	worker->rated = rated;
+	if (!service->rated)
+		service->fail_rates = 0;
+}
+
 static void forget_results(gn_route_worker_t *worker)
 {
 	gn_route_tally_t *whole = &worker->service->tally;
@@ -112,6 +126,7 @@
 	/* What this worker did must not count against or for the others. */
 	*whole = gn_route_tally_rest(whole, &worker->tally);
 	worker->tally = (gn_route_tally_t){ .at_us = whole->at_us };
+	rate_worker(worker, false, 0);
 }
 
 static void start_ejection(gn_eject_t *eject, gn_route_worker_t *worker)
@@ -151,19 +166,29 @@
 
 /* ======   Outliers   ====== */
 
+/**
+ * Each of the others counts the same, however many requests it had: workers
+ * that fail at once draw more requests than the rest and would else hide each
+ * other.
+ */
 static bool fails_alone(const gn_eject_config_t *config,
-			const gn_route_tally_t *own,
-			const gn_route_tally_t *rest)
+			const gn_route_worker_t *worker)
 {
-	double margin = config->fail_margin_pct / 100.0;
+	const gn_route_service_t *service = worker->service;
+	const gn_route_tally_t *own = &worker->tally;
+	double count = own->passes + own->fails;
+	double rest;
+	double chance;
 
 	/* Fading takes a little off each count. */
-	if (own->fails < config->min_fails - 0.5)
+	if (own->fails < config->min_fails - 0.5 || service->rated < 2)
 		return false;
-	if (rest->passes + rest->fails < REST_MIN_RESULTS)
+	rest = (service->fail_rates - worker->fail_rate) / (service->rated - 1);
+	rest = CLAMP(rest, 0, 1);
+	if (worker->fail_rate < rest + config->fail_margin_pct / 100.0)
 		return false;
-	return gn_route_tally_fail_rate(own) >=
-	       gn_route_tally_fail_rate(rest) + margin;
+	chance = SIGMAS * sqrt(count * rest * (1 - rest));
+	return own->fails >= count * rest + chance;
 }
 
 static bool lags_alone(const gn_eject_config_t *config,
@@ -187,7 +212,7 @@
 	gn_route_tally_t rest =
 		gn_route_tally_rest(&worker->service->tally, own);
 
-	return fails_alone(&eject->config, own, &rest) ||
+	return fails_alone(&eject->config, worker) ||
 	       lags_alone(&eject->config, own, &rest);
 }
 
@@ -209,6 +234,7 @@
 		else
 			gn_route_tally_fail(tallies[i]);
 	}
+	rate_worker(worker, true, gn_route_tally_fail_rate(&worker->tally));
 }
 
 static void judge_passing(gn_eject_t *eject, gn_route_worker_t *worker)
@@ -235,11 +261,13 @@
 	gn_route_worker_refresh(worker);
 }
 
-static void judge_recovery(gn_eject_t *eject, gn_route_worker_t *worker)
+static void judge_recovery(gn_eject_t *eject, gn_route_worker_t *worker,
+			   gn_eject_result_t result)
 {
 	const gn_route_tally_t *own = &worker->tally;
 
-	if (own->fails >= RELAPSE_FAILS - 0.5 && own->fails > own->passes / 4)
+	if (result == GN_EJECT_FAIL && own->fails >= RELAPSE_FAILS - 0.5 &&
+	    own->fails > own->passes / 4)
 		start_ejection(eject, worker);
 	else
 		judge_passing(eject, worker);
@@ -250,8 +278,7 @@
 {
 	if (worker->removed)
 		return;
-	if (result != GN_EJECT_REFUSED)
-		count_result(eject, worker, result, time_us);
+	count_result(eject, worker, result, time_us);
 	switch (worker->health) {
 	case GN_ROUTE_PASSING:
 		judge_passing(eject, worker);
@@ -260,7 +287,7 @@
 		judge_probe(eject, worker, result);
 		break;
 	case GN_ROUTE_RECOVERING:
-		judge_recovery(eject, worker);
+		judge_recovery(eject, worker, result);
 		break;
 	default:
 		/* A late result of a dispatch from before the ejection. */
--- a/lib/route/eject.h
+++ b/lib/route/eject.h
@@ -40,7 +40,7 @@
 	GN_EJECT_PASS = 0, /**< a whole answer */
 	/** An error of the backend server, a cut, silence, an expired deadline. */
 	GN_EJECT_FAIL,
-	/** Refused for want of capacity or while draining: no fault. */
+	/** Refused as not run; counts against a worker that refuses alone. */
 	GN_EJECT_REFUSED,
 	GN_EJECT_RESULT_COUNT
 } gn_eject_result_t;
--- a/lib/route/view_internal.h
+++ b/lib/route/view_internal.h
@@ -35,6 +35,8 @@
 	size_t name_len;
 	gn_route_pool_t pools[GN_ROUTE_ZONE_COUNT];
 	gn_route_tally_t tally; /**< over all workers */
+	double fail_rates; /**< sum over the workers that have results */
+	unsigned rated; /**< workers that have results */
 	double service_time_us; /**< smoothed over all reports; 0 unknown */
 	unsigned live; /**< link and backend up, not draining */
 	unsigned full;
@@ -78,6 +80,8 @@
 	gn_route_health_t health;
 	unsigned dispatch_limit; /**< most dispatches in flight */
 	gn_route_tally_t tally;
+	double fail_rate; /**< as counted in the service */
+	bool rated; /**< as counted in the service */
 	unsigned ejections; /**< in a row */
 	unsigned good_probes;
 	uint64_t change_us; /**< when the present health ends or is reviewed */
