--- /dev/null
+++ b/tests/bench/bench_admit.c
@@ -0,0 +1,401 @@
+/**
+ * Measures the control of batch work beside a service, in a model of one host
+ * on a paused clock, against no control and a fixed reserve; and the processor
+ * time of an agent's decisions.
+ * usage: bench_admit [SEED]
+ */
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <time.h>
+
+#include "admit/admit.h"
+#include "admit/interfere.h"
+#include "admit/throttle.h"
+
+#define DEFAULT_SEED 7
+#define TASKS 8
+#define RESERVED_TASKS 4
+#define SECONDS (4 * 3600)
+#define TARGET_US 50000
+/** A measurement is known this long after its window began. */
+#define LATE_S 2
+#define WORK_S 600
+/** Work that a checkpoint costs, and how long it takes. */
+#define CHECKPOINT_COST_S 10
+#define CHECKPOINT_TIME_S 5
+/** A checkpoint now and then doesn't come. */
+#define CHECKPOINT_LOST_PCT 5
+
+static guint32 seed = DEFAULT_SEED;
+
+typedef enum control_e {
+	CONTROL_NONE = 0,
+	CONTROL_RESERVE,
+	CONTROL_THROTTLE,
+	CONTROL_COUNT
+} control_t;
+
+static const char *const control_names[CONTROL_COUNT] = { "none", "reserve",
+							  "throttle" };
+
+typedef enum kind_e { QUIET = 0, LOUD, KINDS } kind_t;
+
+static const char *const kind_names[KINDS] = { "quiet", "loud" };
+/** What a task adds to the tail, in shares of it, at no and at full load. */
+static const double adds[KINDS][2] = { { 0.005, 0.02 }, { 0.03, 0.35 } };
+
+typedef struct user_s {
+	const char *name;
+	gn_throttle_weights_t weights;
+} user_t;
+
+static const user_t users[] = {
+	{ "tail first (6:1:1)", { 6, 1, 1 } },
+	{ "evictions, throughput first (1:3:4)", { 1, 3, 4 } },
+};
+
+typedef struct task_s {
+	bool runs;
+	kind_t kind;
+	double left_s;
+	double speed;
+	unsigned checkpoint_s; /**< told to checkpoint so long ago; 0: not */
+	bool checkpoint_lost;
+} task_t;
+
+typedef struct host_s {
+	control_t control;
+	GRand *rand;
+	gn_clock_t clock;
+	gn_throttle_t *throttle;
+	gn_interfere_t *interfere;
+	task_t tasks[TASKS];
+	double tails[LATE_S + 1]; /**< the last windows, in shares of target */
+	unsigned loads[LATE_S + 1];
+	unsigned second;
+	unsigned over; /**< seconds above the target */
+	double done_s;
+	unsigned checkpoints;
+	unsigned stops;
+	GArray *all_tails;
+} host_t;
+
+/* ======   The host   ====== */
+
+/** The service's load shifts; loud tasks come in waves. */
+static unsigned load_pct(const host_t *host)
+{
+	static const unsigned loads[] = { 30, 60, 90, 60 };
+
+	return loads[host->second / 900 % G_N_ELEMENTS(loads)];
+}
+
+static kind_t draw_kind(host_t *host)
+{
+	bool wave = host->second / 600 % 3 == 1;
+
+	return g_rand_int_range(host->rand, 0, 100) < (wave ? 80 : 10) ? LOUD
+								       : QUIET;
+}
+
+static unsigned count_running(const host_t *host)
+{
+	unsigned count = 0;
+
+	for (int i = 0; i < TASKS; i++)
+		count += host->tasks[i].runs;
+	return count;
+}
+
+static double tail_of(host_t *host)
+{
+	double load = load_pct(host) / 100.0;
+	double tail = 0.35 + 0.35 * load * load;
+
+	for (int i = 0; i < TASKS; i++) {
+		const task_t *task = &host->tasks[i];
+		const double *add = adds[task->kind];
+
+		if (task->runs)
+			tail += task->speed *
+				(add[0] + (add[1] - add[0]) * load * load);
+	}
+	return tail * g_rand_double_range(host->rand, 0.9, 1.1);
+}
+
+static void start_tasks(host_t *host, unsigned limit)
+{
+	for (int i = 0; i < TASKS && count_running(host) < limit; i++) {
+		if (host->tasks[i].runs)
+			continue;
+		host->tasks[i] = (task_t){
+			.runs = true,
+			.kind = draw_kind(host),
+			.left_s = WORK_S *
+				  g_rand_double_range(host->rand, 0.2, 2),
+			.speed = 1,
+		};
+	}
+}
+
+static void run_tasks(host_t *host)
+{
+	for (int i = 0; i < TASKS; i++) {
+		task_t *task = &host->tasks[i];
+
+		if (!task->runs)
+			continue;
+		task->left_s -= task->speed;
+		host->done_s += task->speed;
+		if (task->left_s > 0)
+			continue;
+		task->runs = false;
+		if (task->checkpoint_s)
+			gn_throttle_end_checkpoint(host->throttle);
+	}
+}
+
+/* ======   The control   ====== */
+
+static task_t *choose_victim(host_t *host)
+{
+	task_t *chosen = NULL;
+	gn_str_t worst;
+	bool known =
+		gn_interfere_worst(host->interfere, load_pct(host), &worst);
+
+	for (int i = 0; i < TASKS; i++) {
+		task_t *task = &host->tasks[i];
+		gn_str_t kind = gn_str_from(kind_names[task->kind]);
+
+		if (!task->runs)
+			continue;
+		if (!chosen || (known && gn_str_equal(kind, worst)))
+			chosen = task;
+	}
+	return chosen;
+}
+
+static task_t *find_leaving(host_t *host)
+{
+	for (int i = 0; i < TASKS; i++)
+		if (host->tasks[i].runs && host->tasks[i].checkpoint_s)
+			return &host->tasks[i];
+	return NULL;
+}
+
+static void evict(host_t *host, task_t *task, double lost_s)
+{
+	task->runs = false;
+	host->done_s -= lost_s;
+	gn_throttle_end_checkpoint(host->throttle);
+}
+
+static void take_step(host_t *host, gn_throttle_step_t step)
+{
+	task_t *task = find_leaving(host);
+
+	if (step == GN_THROTTLE_CHECKPOINT) {
+		task = choose_victim(host);
+		task->checkpoint_s = 1;
+		task->checkpoint_lost = g_rand_int_range(host->rand, 0, 100) <
+					CHECKPOINT_LOST_PCT;
+		gn_throttle_begin_checkpoint(host->throttle);
+	} else if (step == GN_THROTTLE_STOP) {
+		evict(host, task, WORK_S / 2.0);
+		host->stops++;
+	} else if (task && !task->checkpoint_lost &&
+		   ++task->checkpoint_s > CHECKPOINT_TIME_S) {
+		evict(host, task, CHECKPOINT_COST_S);
+		host->checkpoints++;
+	}
+}
+
+static void note_running(host_t *host)
+{
+	for (int kind = 0; kind < KINDS; kind++) {
+		double tasks = 0;
+
+		for (int i = 0; i < TASKS; i++)
+			if (host->tasks[i].runs &&
+			    host->tasks[i].kind == (kind_t)kind)
+				tasks += host->tasks[i].speed;
+		gn_interfere_set_running(host->interfere,
+					 gn_str_from(kind_names[kind]), tasks);
+	}
+}
+
+static void measure(host_t *host)
+{
+	unsigned slot = host->second % (LATE_S + 1);
+	unsigned oldest = (host->second + 1) % (LATE_S + 1);
+	uint64_t now_us = gn_clock_now_us(&host->clock);
+	gn_throttle_sample_t sample = { .requests = 1000 };
+
+	host->tails[slot] = tail_of(host);
+	host->loads[slot] = load_pct(host);
+	host->over += host->tails[slot] > 1;
+	g_array_append_val(host->all_tails, host->tails[slot]);
+	if (host->second < LATE_S)
+		return;
+	sample.tail_us = (uint32_t)(host->tails[oldest] * TARGET_US);
+	sample.measured_us = now_us - (uint64_t)LATE_S * GN_US_PER_S;
+	gn_interfere_learn(host->interfere, sample.measured_us,
+			   host->loads[oldest], host->tails[oldest]);
+	gn_throttle_take_sample(host->throttle, &sample, count_running(host));
+}
+
+static void control(host_t *host)
+{
+	gn_throttle_advice_t advice;
+
+	if (host->control != CONTROL_THROTTLE) {
+		start_tasks(host, host->control == CONTROL_NONE
+					  ? TASKS
+					  : RESERVED_TASKS);
+		return;
+	}
+	gn_throttle_advise(host->throttle, count_running(host), &advice);
+	take_step(host, advice.step);
+	start_tasks(host, advice.task_limit);
+	gn_throttle_advise(host->throttle, count_running(host), &advice);
+	for (int i = 0; i < TASKS; i++)
+		host->tasks[i].speed = advice.speed_pct / 100.0;
+	note_running(host);
+}
+
+static gint compare_tails(gconstpointer a, gconstpointer b)
+{
+	double first = *(const double *)a;
+	double second = *(const double *)b;
+
+	return first < second ? -1 : first > second;
+}
+
+static void run_host(host_t *host, const user_t *user)
+{
+	gn_throttle_config_t throttle =
+		gn_throttle_defaults(TARGET_US, TASKS, &user->weights);
+	gn_interfere_config_t interfere = gn_interfere_defaults();
+
+	gn_clock_init_paused(&host->clock, GN_US_PER_S);
+	host->rand = g_rand_new_with_seed(seed);
+	host->throttle = gn_throttle_create(NULL, &host->clock, &throttle);
+	host->interfere = gn_interfere_create(NULL, &host->clock, &interfere);
+	host->all_tails = g_array_new(FALSE, FALSE, sizeof(double));
+	for (; host->second < SECONDS; host->second++) {
+		control(host);
+		measure(host);
+		run_tasks(host);
+		gn_clock_advance(&host->clock, GN_US_PER_S);
+	}
+	g_array_sort(host->all_tails, compare_tails);
+	talloc_free(host->throttle);
+	talloc_free(host->interfere);
+	g_rand_free(host->rand);
+}
+
+/* ======   Tables   ====== */
+
+/** Weighted loss, 0 best: time above target, work lost, evictions an hour. */
+static double loss_of(const host_t *host, const gn_throttle_weights_t *weights)
+{
+	double all = weights->tail + weights->throughput + weights->evictions;
+	double over = (double)host->over / SECONDS;
+	double lost = 1 - host->done_s / ((double)TASKS * SECONDS);
+	double evicted =
+		(host->checkpoints + host->stops) / (SECONDS / 3600.0) / TASKS;
+
+	return (weights->tail * over + weights->throughput * lost +
+		weights->evictions * evicted) /
+	       all;
+}
+
+static void bench_control(void)
+{
+	printf("\n### Batch work beside a service: 4 h, 8 tasks, measured "
+	       "2 s late\n\n");
+	printf("| weights | control | above target | p99 of target | batch "
+	       "work | checkpoints | stops | weighted loss |\n"
+	       "|---|---|---|---|---|---|---|---|\n");
+	for (size_t i = 0; i < G_N_ELEMENTS(users); i++) {
+		for (int j = 0; j < CONTROL_COUNT; j++) {
+			host_t host = { .control = (control_t)j };
+
+			run_host(&host, &users[i]);
+			printf("| %s | %s | %.1f%% | %.0f%% | %.1f%% | %u | %u "
+			       "| %.3f |\n",
+			       users[i].name, control_names[j],
+			       100.0 * host.over / SECONDS,
+			       100.0 * g_array_index(host.all_tails, double,
+						     SECONDS * 99 / 100),
+			       100.0 * host.done_s / ((double)TASKS * SECONDS),
+			       host.checkpoints, host.stops,
+			       loss_of(&host, &users[i].weights));
+			g_array_free(host.all_tails, TRUE);
+		}
+	}
+}
+
+static double now_ns(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &now);
+	return (double)now.tv_sec * 1e9 + (double)now.tv_nsec;
+}
+
+static double time_requests(unsigned entries)
+{
+	enum { ROUNDS = 500000 };
+	gn_admit_config_t config = {
+		.max_tasks = 8,
+		.max_connections = 64,
+		.incarnation = 1,
+		.fence = gn_fence_defaults(),
+	};
+	gn_admit_t *admit = gn_admit_create(NULL, &config);
+	uint64_t sessions[128];
+	double start;
+	double took;
+
+	for (unsigned i = 0; i < entries; i++)
+		gn_admit_open_session(admit, i + 1, &sessions[i]);
+	gn_admit_begin_list(admit);
+	gn_admit_take_list(admit, 0, NULL, 0);
+	start = now_ns();
+	for (unsigned i = 0; i < ROUNDS; i++) {
+		unsigned entry = i % entries;
+		gn_admit_request_t request = { entry + 1, sessions[entry], 1,
+					       i + 1 };
+
+		if (gn_admit_ask_request(admit, &request) != GN_ADMIT_ADMITTED)
+			abort();
+		gn_admit_end_request(admit, entry + 1, i + 1);
+	}
+	took = now_ns() - start;
+	talloc_free(admit);
+	return took / ROUNDS;
+}
+
+static void bench_cost(void)
+{
+	static const unsigned entries[] = { 2, 16, 75 };
+
+	printf("\n### Processor time of an admission (ask, end), ns\n\n");
+	printf("| entries | ns |\n|---|---|\n");
+	for (size_t i = 0; i < G_N_ELEMENTS(entries); i++)
+		printf("| %u | %.0f |\n", entries[i],
+		       time_requests(entries[i]));
+}
+
+int main(int argc, char **argv)
+{
+	if (argc > 1)
+		seed = (guint32)strtoul(argv[1], NULL, 10);
+	printf("seed %u\n", seed);
+	bench_control();
+	bench_cost();
+	return 0;
+}
--- a/tests/bench/bench_route.c
+++ b/tests/bench/bench_route.c
@@ -114,6 +114,7 @@
 			config.load_pct = 150;
 			config.deadline_us = deadlines_ms[i] * GN_US_PER_MS;
 			config.use_limit = use;
+			config.use_eject = true;
 			config.piggyback = true;
 			model_run(&config, &r);
 			capacity = (double)r.requests / 1.5;
