Slow and put off the kinds of batch work that disturb the service

Cause: slowing all tasks alike costs the quiet ones as much as the loud, and the task limit kept quiet tasks out while loud ones held it down. Change: speed.c shares a slowdown by the estimates, worst kind first; a task of a kind known to be quiet may start beyond the limit; the estimates come from recursive least squares, as the former step rule gave the base of the tail to whatever ran all the time.

--- a/lib/admit/interfere.c
+++ b/lib/admit/interfere.c
@@ -6,6 +6,16 @@
 
 #define PER_CENT 100
 #define MAX_TASKS 4096.0
+/** Variances before the first measurement, of shares of the target squared. */
+#define PRIOR_BASE 10.0
+#define PRIOR_KIND 0.01
+/** Part of the prior by which a variance grows back within a half-life. */
+#define DRIFT 0.1
+/** Longest tail taken for true, in targets; beyond it is an accident. */
+#define TAIL_MAX 5.0
+/** The base and each kind. */
+#define STATES (GN_INTERFERE_KINDS + 1)
+#define BASE GN_INTERFERE_KINDS
 /** Changes of what runs that are remembered for late measurements. */
 #define HISTORY 64
 
@@ -14,11 +24,17 @@
 typedef struct kind_s {
 	char name[GN_NAME_MAX + 1]; /**< empty: a free place */
 	size_t name_len;
-	double added[GN_INTERFERE_BANDS]; /**< for each task */
 	uint64_t learned_us[GN_INTERFERE_BANDS];
 	uint64_t seen_us;
 } kind_t;
 
+/** What was learned in one band of load. */
+typedef struct band_s {
+	double added[STATES]; /**< for each task; the base last */
+	double covariance[STATES][STATES];
+	uint64_t learned_us;
+} band_t;
+
 /** What ran from one moment on. */
 typedef struct snapshot_s {
 	uint64_t from_us;
@@ -29,7 +45,7 @@
 	const gn_clock_t *clock;
 	gn_interfere_config_t config;
 	kind_t kinds[GN_INTERFERE_KINDS];
-	double base[GN_INTERFERE_BANDS];
+	band_t bands[GN_INTERFERE_BANDS];
 	snapshot_t history[HISTORY];
 	unsigned newest;
 	unsigned count; /**< snapshots in the history, 1..HISTORY */
@@ -37,17 +53,37 @@
 
 gn_interfere_config_t gn_interfere_defaults(void)
 {
-	gn_interfere_config_t config = { .rate_pct = 20, .half_life_s = 600 };
+	gn_interfere_config_t config = { .noise_pct = 10, .half_life_s = 600 };
 
 	return config;
 }
 
+static double prior_of(int state)
+{
+	return state == BASE ? PRIOR_BASE : PRIOR_KIND;
+}
+
+/** Forgets all that was learned of one kind, or of the base. */
+static void reset_state(gn_interfere_t *interfere, int state)
+{
+	for (int i = 0; i < GN_INTERFERE_BANDS; i++) {
+		band_t *band = &interfere->bands[i];
+
+		band->added[state] = 0;
+		for (int j = 0; j < STATES; j++) {
+			band->covariance[state][j] = 0;
+			band->covariance[j][state] = 0;
+		}
+		band->covariance[state][state] = prior_of(state);
+	}
+}
+
 gn_interfere_t *gn_interfere_create(TALLOC_CTX *parent, const gn_clock_t *clock,
 				    const gn_interfere_config_t *config)
 {
 	gn_interfere_t *interfere;
 
-	if (!config->rate_pct || config->rate_pct > PER_CENT)
+	if (!config->noise_pct || config->noise_pct > PER_CENT)
 		return NULL;
 	if (!config->half_life_s || config->half_life_s > 86400)
 		return NULL;
@@ -56,6 +92,8 @@
 		return NULL;
 	interfere->clock = clock;
 	interfere->config = *config;
+	for (int state = 0; state < STATES; state++)
+		reset_state(interfere, state);
 	interfere->count = 1;
 	interfere->history[0].from_us = gn_clock_now_us(clock);
 	return interfere;
@@ -115,6 +153,7 @@
 	if (index < 0)
 		return -1;
 	memset(&interfere->kinds[index], 0, sizeof(kind_t));
+	reset_state(interfere, index);
 	gn_str_copy(interfere->kinds[index].name, GN_NAME_MAX + 1, name);
 	interfere->kinds[index].name_len = name.len;
 	return index;
@@ -178,52 +217,65 @@
 	return band;
 }
 
-static double faded(const gn_interfere_t *interfere, const kind_t *kind,
-		    int band)
+/** What a task of the kind at @p index adds, as much as is still believed. */
+static double faded(const gn_interfere_t *interfere, int index, int band)
 {
 	uint64_t now_us = gn_clock_now_us(interfere->clock);
-	double age_s = (double)(now_us - kind->learned_us[band]) / GN_US_PER_S;
+	uint64_t age_us = now_us - interfere->kinds[index].learned_us[band];
+	double age_s = (double)age_us / GN_US_PER_S;
 
-	return kind->added[band] * exp2(-age_s / interfere->config.half_life_s);
+	return interfere->bands[band].added[index] *
+	       exp2(-age_s / interfere->config.half_life_s);
 }
 
-static double predict(const gn_interfere_t *interfere,
-		      const snapshot_t *snapshot, int band)
+static void refresh_running(gn_interfere_t *interfere, const double *input,
+			    int band)
 {
-	double sum = interfere->base[band];
+	uint64_t now_us = gn_clock_now_us(interfere->clock);
 
-	for (int i = 0; i < GN_INTERFERE_KINDS; i++)
-		if (snapshot->tasks[i] > 0)
-			sum += snapshot->tasks[i] *
-			       faded(interfere, &interfere->kinds[i], band);
-	return sum;
+	for (int i = 0; i < GN_INTERFERE_KINDS; i++) {
+		if (input[i] <= 0)
+			continue;
+		interfere->bands[band].added[i] = faded(interfere, i, band);
+		interfere->kinds[i].learned_us[band] = now_us;
+	}
 }
 
-static double power_of(const snapshot_t *snapshot)
+/** Lets the variances grow back, so that later changes are followed. */
+static void drift(gn_interfere_t *interfere, band_t *band)
 {
-	double sum = 1;
+	uint64_t now_us = gn_clock_now_us(interfere->clock);
+	double passed_s = (double)(now_us - band->learned_us) / GN_US_PER_S;
+	double part = DRIFT * passed_s / interfere->config.half_life_s;
+
+	for (int i = 0; i < STATES; i++) {
+		double prior = prior_of(i);
+		double grown = band->covariance[i][i] + prior * MIN(part, 1.0);
 
-	for (int i = 0; i < GN_INTERFERE_KINDS; i++)
-		sum += snapshot->tasks[i] * snapshot->tasks[i];
-	return sum;
+		band->covariance[i][i] = MIN(grown, prior);
+	}
+	band->learned_us = now_us;
 }
 
-static void correct(gn_interfere_t *interfere, const snapshot_t *snapshot,
-		    int band, double step)
+/** One step of the filter: @p input ran while @p tail was measured. */
+static void correct(band_t *band, const double *input, double tail,
+		    double noise)
 {
-	uint64_t now_us = gn_clock_now_us(interfere->clock);
-
-	interfere->base[band] = MAX(interfere->base[band] + step, 0);
-	for (int i = 0; i < GN_INTERFERE_KINDS; i++) {
-		kind_t *kind = &interfere->kinds[i];
-		double added;
-
-		if (snapshot->tasks[i] <= 0)
-			continue;
-		added = faded(interfere, kind, band) +
-			step * snapshot->tasks[i];
-		kind->added[band] = MAX(added, 0);
-		kind->learned_us[band] = now_us;
+	double product[STATES] = { 0 };
+	double variance = noise * noise;
+	double error = tail;
+
+	for (int i = 0; i < STATES; i++) {
+		for (int j = 0; j < STATES; j++)
+			product[i] += band->covariance[i][j] * input[j];
+		variance += input[i] * product[i];
+		error -= band->added[i] * input[i];
+	}
+	for (int i = 0; i < STATES; i++) {
+		band->added[i] += product[i] / variance * error;
+		for (int j = 0; j < STATES; j++)
+			band->covariance[i][j] -=
+				product[i] * product[j] / variance;
 	}
 }
 
@@ -231,14 +283,18 @@
 			unsigned load_pct, double tail_share)
 {
 	const snapshot_t *snapshot = find_snapshot(interfere, measured_us);
+	double noise = (double)interfere->config.noise_pct / PER_CENT;
 	int band = band_of(load_pct);
-	double error;
-	double rate = (double)interfere->config.rate_pct / PER_CENT;
+	double input[STATES];
 
 	if (!snapshot || !isfinite(tail_share))
 		return;
-	error = tail_share - predict(interfere, snapshot, band);
-	correct(interfere, snapshot, band, rate * error / power_of(snapshot));
+	memcpy(input, snapshot->tasks, sizeof(snapshot->tasks));
+	input[BASE] = 1;
+	refresh_running(interfere, input, band);
+	drift(interfere, &interfere->bands[band]);
+	correct(&interfere->bands[band], input, MIN(tail_share, TAIL_MAX),
+		noise);
 }
 
 /* ======   Queries   ====== */
@@ -250,7 +306,22 @@
 
 	if (index < 0)
 		return 0;
-	return faded(interfere, &interfere->kinds[index], band_of(load_pct));
+	return MAX(faded(interfere, index, band_of(load_pct)), 0);
+}
+
+bool gn_interfere_is_known(const gn_interfere_t *interfere, gn_str_t name,
+			   unsigned load_pct)
+{
+	uint64_t half_life_us =
+		(uint64_t)interfere->config.half_life_s * GN_US_PER_S;
+	uint64_t now_us = gn_clock_now_us(interfere->clock);
+	int index = find_kind(interfere, name);
+	uint64_t learned_us;
+
+	if (index < 0)
+		return false;
+	learned_us = interfere->kinds[index].learned_us[band_of(load_pct)];
+	return learned_us && now_us - learned_us < half_life_us;
 }
 
 bool gn_interfere_worst(const gn_interfere_t *interfere, unsigned load_pct,
@@ -265,7 +336,7 @@
 
 		if (now->tasks[i] <= 0)
 			continue;
-		added = faded(interfere, kind, band_of(load_pct));
+		added = faded(interfere, i, band_of(load_pct));
 		if (added <= most)
 			continue;
 		most = added;
--- a/lib/admit/interfere.h
+++ b/lib/admit/interfere.h
@@ -5,8 +5,8 @@
  *
  * One per pair of host and service. The tail, as a share of its target, is
  * taken as a base plus so much for each running task of each kind; base and
- * amounts follow the measurements by normalised least mean squares. What isn't
- * observed any more fades. No I/O.
+ * amounts follow the measurements by recursive least squares with a drift
+ * (a Kalman filter). What isn't observed any more fades. No I/O.
  */
 #ifndef GN_ADMIT_INTERFERE_H
 #define GN_ADMIT_INTERFERE_H
@@ -27,7 +27,8 @@
 
 /** Settings; see gn_interfere_defaults(). */
 typedef struct gn_interfere_config_s {
-	unsigned rate_pct; /**< weight of a measurement, 1..100; 20 */
+	unsigned
+		noise_pct; /**< of the target, deviation of a tail, 1..100; 10 */
 	uint32_t half_life_s; /**< fading of what is learned, 1..86400; 600 */
 } gn_interfere_config_t;
 
@@ -65,6 +66,10 @@
 double gn_interfere_estimate(const gn_interfere_t *interfere, gn_str_t kind,
 			     unsigned load_pct);
 
+/** Whether @p kind was measured at this load within a half-life. */
+bool gn_interfere_is_known(const gn_interfere_t *interfere, gn_str_t kind,
+			   unsigned load_pct);
+
 /**
  * The running kind that adds most to the tail for each of its tasks.
  * @return false if none is known to add anything
--- a/lib/admit/throttle.c
+++ b/lib/admit/throttle.c
@@ -4,6 +4,8 @@
 #include <glib.h>
 
 #define PER_CENT 100
+/** What a quiet task adds to the tail at most, as a share of the target. */
+#define QUIET_ADDED 0.03
 
 struct gn_throttle_s {
 	const gn_clock_t *clock;
@@ -217,3 +219,13 @@
 	advice->task_limit = (unsigned)throttle->concurrency;
 	advice->step = next_step(throttle, running_tasks);
 }
+
+bool gn_throttle_may_start(const gn_throttle_t *throttle,
+			   unsigned running_tasks, double added, bool known)
+{
+	if (running_tasks >= throttle->config.max_tasks)
+		return false;
+	if (running_tasks < (unsigned)throttle->concurrency)
+		return true;
+	return known && added <= QUIET_ADDED && !throttle->floor_us;
+}
--- a/lib/admit/throttle.h
+++ b/lib/admit/throttle.h
@@ -93,6 +93,17 @@
 void gn_throttle_advise(const gn_throttle_t *throttle, unsigned running_tasks,
 			gn_throttle_advice_t *advice);
 
+/**
+ * Whether one more task may start. One that adds next to nothing may also
+ * start beyond the task limit, as long as there is a place and the rest isn't
+ * at its slowest.
+ * @param running_tasks before the start
+ * @param added of gn_interfere_estimate()
+ * @param known whether the kind has been measured here
+ */
+bool gn_throttle_may_start(const gn_throttle_t *throttle,
+			   unsigned running_tasks, double added, bool known);
+
 /** The stable name of @p step, such as "checkpoint". */
 const char *gn_throttle_step_name(gn_throttle_step_t step);
 
--- a/tests/bench/bench_admit.c
+++ b/tests/bench/bench_admit.c
@@ -10,7 +10,7 @@
 #include <time.h>
 
 #include "admit/admit.h"
-#include "admit/interfere.h"
+#include "admit/speed.h"
 #include "admit/throttle.h"
 
 #define DEFAULT_SEED 7
@@ -32,12 +32,14 @@
 typedef enum control_e {
 	CONTROL_NONE = 0,
 	CONTROL_RESERVE,
-	CONTROL_THROTTLE,
+	CONTROL_THROTTLE, /**< all tasks alike */
+	CONTROL_BY_KIND, /**< the kinds that disturb most first */
 	CONTROL_COUNT
 } control_t;
 
 static const char *const control_names[CONTROL_COUNT] = { "none", "reserve",
-							  "throttle" };
+							  "throttle",
+							  "by kind" };
 
 typedef enum kind_e { QUIET = 0, LOUD, KINDS } kind_t;
 
@@ -73,6 +75,9 @@
 	task_t tasks[TASKS];
 	double tails[LATE_S + 1]; /**< the last windows, in shares of target */
 	unsigned loads[LATE_S + 1];
+	unsigned floor_pct;
+	kind_t next; /**< at the head of the queue */
+	unsigned deferred; /**< loud tasks put off until it is calmer */
 	unsigned second;
 	unsigned over; /**< seconds above the target */
 	double done_s;
@@ -124,14 +129,53 @@
 	return tail * g_rand_double_range(host->rand, 0.9, 1.1);
 }
 
+static bool may_start(const host_t *host, kind_t kind, unsigned limit)
+{
+	gn_str_t name = gn_str_from(kind_names[kind]);
+	unsigned load = load_pct(host);
+
+	if (host->control != CONTROL_BY_KIND)
+		return count_running(host) < limit;
+	return gn_throttle_may_start(
+		host->throttle, count_running(host),
+		gn_interfere_estimate(host->interfere, name, load),
+		gn_interfere_is_known(host->interfere, name, load));
+}
+
+/**
+ * Takes a task from the queue if one may start. By kind, a loud one is put off
+ * in favour of a quiet one behind it, and comes first again when it may start.
+ */
+static bool take_next(host_t *host, unsigned limit, kind_t *kind)
+{
+	if (host->deferred && may_start(host, LOUD, limit)) {
+		host->deferred--;
+		*kind = LOUD;
+		return true;
+	}
+	if (may_start(host, host->next, limit)) {
+		*kind = host->next;
+	} else if (host->control == CONTROL_BY_KIND && host->next == LOUD &&
+		   may_start(host, QUIET, limit)) {
+		host->deferred++;
+		*kind = QUIET;
+	} else {
+		return false;
+	}
+	host->next = draw_kind(host);
+	return true;
+}
+
 static void start_tasks(host_t *host, unsigned limit)
 {
-	for (int i = 0; i < TASKS && count_running(host) < limit; i++) {
-		if (host->tasks[i].runs)
+	for (int i = 0; i < TASKS; i++) {
+		kind_t kind;
+
+		if (host->tasks[i].runs || !take_next(host, limit, &kind))
 			continue;
 		host->tasks[i] = (task_t){
 			.runs = true,
-			.kind = draw_kind(host),
+			.kind = kind,
 			.left_s = WORK_S *
 				  g_rand_double_range(host->rand, 0.2, 2),
 			.speed = 1,
@@ -246,11 +290,40 @@
 	gn_throttle_take_sample(host->throttle, &sample, count_running(host));
 }
 
+static void set_speeds(host_t *host, unsigned total_pct)
+{
+	gn_speed_t speeds[KINDS];
+	unsigned tasks[KINDS] = { 0 };
+	size_t count = 0;
+
+	for (int i = 0; i < TASKS; i++) {
+		tasks[host->tasks[i].kind] += host->tasks[i].runs;
+		host->tasks[i].speed = total_pct / 100.0;
+	}
+	for (int kind = 0; kind < KINDS; kind++)
+		if (tasks[kind])
+			speeds[count++] =
+				(gn_speed_t){ gn_str_from(kind_names[kind]),
+					      tasks[kind], total_pct };
+	if (host->control != CONTROL_BY_KIND)
+		return;
+	gn_speed_share(host->interfere, load_pct(host), total_pct,
+		       host->floor_pct, speeds, count);
+	for (int i = 0; i < TASKS; i++)
+		for (size_t j = 0; j < count; j++)
+			if (gn_str_equal(
+				    speeds[j].kind,
+				    gn_str_from(
+					    kind_names[host->tasks[i].kind])))
+				host->tasks[i].speed =
+					speeds[j].speed_pct / 100.0;
+}
+
 static void control(host_t *host)
 {
 	gn_throttle_advice_t advice;
 
-	if (host->control != CONTROL_THROTTLE) {
+	if (host->control < CONTROL_THROTTLE) {
 		start_tasks(host, host->control == CONTROL_NONE
 					  ? TASKS
 					  : RESERVED_TASKS);
@@ -260,8 +333,7 @@
 	take_step(host, advice.step);
 	start_tasks(host, advice.task_limit);
 	gn_throttle_advise(host->throttle, count_running(host), &advice);
-	for (int i = 0; i < TASKS; i++)
-		host->tasks[i].speed = advice.speed_pct / 100.0;
+	set_speeds(host, advice.speed_pct);
 	note_running(host);
 }
 
@@ -279,6 +351,7 @@
 		gn_throttle_defaults(TARGET_US, TASKS, &user->weights);
 	gn_interfere_config_t interfere = gn_interfere_defaults();
 
+	host->floor_pct = throttle.floor_pct;
 	gn_clock_init_paused(&host->clock, GN_US_PER_S);
 	host->rand = g_rand_new_with_seed(seed);
 	host->throttle = gn_throttle_create(NULL, &host->clock, &throttle);
@@ -317,21 +390,21 @@
 	printf("\n### Batch work beside a service: 4 h, 8 tasks, measured "
 	       "2 s late\n\n");
 	printf("| weights | control | above target | p99 of target | batch "
-	       "work | checkpoints | stops | weighted loss |\n"
-	       "|---|---|---|---|---|---|---|---|\n");
+	       "work | checkpoints | stops | put off | weighted loss |\n"
+	       "|---|---|---|---|---|---|---|---|---|\n");
 	for (size_t i = 0; i < G_N_ELEMENTS(users); i++) {
 		for (int j = 0; j < CONTROL_COUNT; j++) {
 			host_t host = { .control = (control_t)j };
 
 			run_host(&host, &users[i]);
 			printf("| %s | %s | %.1f%% | %.0f%% | %.1f%% | %u | %u "
-			       "| %.3f |\n",
+			       "| %u | %.3f |\n",
 			       users[i].name, control_names[j],
 			       100.0 * host.over / SECONDS,
 			       100.0 * g_array_index(host.all_tails, double,
 						     SECONDS * 99 / 100),
 			       100.0 * host.done_s / ((double)TASKS * SECONDS),
-			       host.checkpoints, host.stops,
+			       host.checkpoints, host.stops, host.deferred,
 			       loss_of(&host, &users[i].weights));
 			g_array_free(host.all_tails, TRUE);
 		}
--- a/tests/unit/test_throttle.c
+++ b/tests/unit/test_throttle.c
@@ -1,6 +1,6 @@
 #include <glib.h>
 
-#include "admit/interfere.h"
+#include "admit/speed.h"
 #include "admit/throttle.h"
 
 #define TARGET_US 10000
@@ -144,6 +144,29 @@
 	g_assert_cmpuint(a.patience_ms, <, b.patience_ms);
 }
 
+/** Quiet tasks may start beyond the limit, until all are at the floor. */
+static void test_may_start(void)
+{
+	bench_t bench;
+	gn_throttle_advice_t advice;
+
+	setup(&bench);
+	g_assert_true(gn_throttle_may_start(bench.throttle, TASKS - 1, 1, 0));
+	g_assert_false(gn_throttle_may_start(bench.throttle, TASKS, 0, 1));
+	do
+		advice = sample(&bench, 300, TASKS - 1);
+	while (advice.task_limit >= TASKS - 1);
+	g_assert_true(gn_throttle_may_start(bench.throttle, 0, 1, 0));
+	g_assert_true(gn_throttle_may_start(bench.throttle, TASKS - 1, 0, 1));
+	g_assert_false(gn_throttle_may_start(bench.throttle, TASKS - 1, 1, 1));
+	g_assert_false(gn_throttle_may_start(bench.throttle, TASKS - 1, 0, 0));
+	do
+		advice = sample(&bench, 300, TASKS - 1);
+	while (advice.speed_pct > bench.config.floor_pct);
+	g_assert_false(gn_throttle_may_start(bench.throttle, TASKS - 1, 0, 1));
+	talloc_free(bench.throttle);
+}
+
 /* ======   Interference   ====== */
 
 #define LOUD_ADDS 0.30
@@ -199,6 +222,56 @@
 	talloc_free(interfere);
 }
 
+/** The loud kind is slowed first, the quiet one only beyond its floor. */
+static void test_speed(void)
+{
+	static const struct {
+		unsigned total_pct;
+		unsigned loud_least, loud_most;
+		unsigned quiet_least, quiet_most;
+	} cases[] = {
+		{ 100, 100, 100, 100, 100 },
+		{ 60, 40, 65, 100, 100 },
+		{ 20, 10, 20, 90, 100 },
+		{ 10, 10, 10, 10, 12 },
+	};
+	gn_interfere_config_t config = gn_interfere_defaults();
+	GRand *rand = g_rand_new_with_seed(5);
+	gn_interfere_t *interfere;
+	gn_clock_t clock;
+
+	gn_clock_init_paused(&clock, GN_US_PER_S);
+	interfere = gn_interfere_create(NULL, &clock, &config);
+	g_assert_false(gn_interfere_is_known(interfere, GN_STR("loud"), 90));
+	for (size_t i = 0; i <= G_N_ELEMENTS(cases); i++) {
+		gn_speed_t kinds[] = { { GN_STR("quiet"), 4, 0 },
+				       { GN_STR("loud"), 4, 0 } };
+
+		if (i == 0) {
+			/* Nothing is known yet: all alike. */
+			gn_speed_share(interfere, 90, 35, 10, kinds, 2);
+			g_assert_cmpuint(kinds[0].speed_pct, ==, 35);
+			g_assert_cmpuint(kinds[1].speed_pct, ==, 35);
+			learn(&clock, interfere, rand, 90, LOUD_ADDS);
+			continue;
+		}
+		gn_speed_share(interfere, 90, cases[i - 1].total_pct, 10, kinds,
+			       2);
+		g_assert_cmpuint(kinds[0].speed_pct, >=,
+				 cases[i - 1].quiet_least);
+		g_assert_cmpuint(kinds[0].speed_pct, <=,
+				 cases[i - 1].quiet_most);
+		g_assert_cmpuint(kinds[1].speed_pct, >=,
+				 cases[i - 1].loud_least);
+		g_assert_cmpuint(kinds[1].speed_pct, <=,
+				 cases[i - 1].loud_most);
+	}
+	g_assert_true(gn_interfere_is_known(interfere, GN_STR("loud"), 90));
+	g_assert_false(gn_interfere_is_known(interfere, GN_STR("loud"), 20));
+	g_rand_free(rand);
+	talloc_free(interfere);
+}
+
 static void test_interfere_kinds(void)
 {
 	gn_interfere_config_t config = gn_interfere_defaults();
@@ -230,7 +303,9 @@
 	g_test_add_func("/throttle/late-sample", test_late_sample);
 	g_test_add_func("/throttle/few-requests", test_few_requests);
 	g_test_add_func("/throttle/weights", test_weights);
+	g_test_add_func("/throttle/may-start", test_may_start);
 	g_test_add_func("/interfere/learns", test_interfere);
+	g_test_add_func("/interfere/speed", test_speed);
 	g_test_add_func("/interfere/kinds", test_interfere_kinds);
 	return g_test_run();
 }
