--- a/lib/route/view.c
+++ b/lib/route/view.c
@@ -6,8 +6,13 @@
 #define MAX_CONNECTIONS 4096
 #define MAX_ONE_WAY_US (10 * GN_US_PER_S)
 
-/** Weight of a new report in the smoothed values. */
-#define REPORT_WEIGHT 0.3
+/**
+ * Weight of a new report in the smoothed number of the others' requests. Small,
+ * since entries that follow each other's late reports swing together.
+ */
+#define OTHERS_WEIGHT 0.1
+/** Weight of a new report in the smoothed service time. */
+#define TIME_WEIGHT 0.3
 /** Age, in service times, at which half of a report's news is out of date. */
 #define REPORT_HALF_AGE 1.0
 
@@ -230,21 +235,30 @@
 	gn_route_worker_refresh(worker);
 }
 
-static double smooth(double old, double value)
+static double smooth(double old, double value, double weight)
 {
-	return old + (value - old) * REPORT_WEIGHT;
+	return old + (value - old) * weight;
 }
 
-static void take_service_time(gn_route_worker_t *worker, double time_us)
+static double smooth_time(double old_us, double time_us)
+{
+	return old_us > 0 ? smooth(old_us, time_us, TIME_WEIGHT) : time_us;
+}
+
+/**
+ * The time that a request takes at the worker when none waits. What the wait
+ * adds follows from the load, which is known better than by a late report.
+ */
+static void take_service_time(gn_route_worker_t *worker,
+			      const gn_route_report_t *report)
 {
 	gn_route_service_t *service = worker->service;
+	double queue = (double)report->running_requests / worker->cores;
+	double time_us = report->service_time_us / MAX(queue, 1.0);
 
-	worker->service_time_us = time_us;
-	if (service->service_time_us > 0)
-		service->service_time_us =
-			smooth(service->service_time_us, time_us);
-	else
-		service->service_time_us = time_us;
+	worker->service_time_us = smooth_time(worker->service_time_us, time_us);
+	service->service_time_us =
+		smooth_time(service->service_time_us, time_us);
 }
 
 void gn_route_view_report(gn_route_view_t *view, gn_route_worker_t *worker,
@@ -265,9 +279,10 @@
 		worker->others_mean = worker->others_last;
 	else
 		worker->others_mean =
-			smooth(worker->others_mean, worker->others_last);
+			smooth(worker->others_mean, worker->others_last,
+			       OTHERS_WEIGHT);
 	if (report->service_time_us)
-		take_service_time(worker, report->service_time_us);
+		take_service_time(worker, report);
 	gn_route_worker_refresh(worker);
 }
 
