--- a/lib/batch/bucket.c
+++ b/lib/batch/bucket.c
@@ -9,12 +9,7 @@
 /** New tasks are refused above this; the rest is for growth of the others. */
 #define SUBMIT_SIZE_MAX (GN_BATCH_VALUE_MAX / 10 * 8)
 
-/* ======   State   ====== */
-
-void gn_bucket_touch(gn_batch_bucket_t *bucket, gn_task_t *task)
-{
-	task->changed_seq = ++bucket->seq;
-}
+/* ======   Creation   ====== */
 
 static void free_worker(gpointer data)
 {
@@ -24,95 +19,6 @@
 	g_free(worker);
 }
 
-gn_bucket_worker_t *gn_bucket_worker(gn_batch_bucket_t *bucket,
-				     const char *name)
-{
-	gn_bucket_worker_t *worker = g_hash_table_lookup(bucket->workers, name);
-
-	if (worker)
-		return worker;
-	worker = g_new0(gn_bucket_worker_t, 1);
-	worker->held = g_hash_table_new(NULL, NULL);
-	g_hash_table_insert(bucket->workers, g_strdup(name), worker);
-	return worker;
-}
-
-static void leave_state(gn_batch_bucket_t *bucket, gn_task_t *task)
-{
-	if (gn_task_state_is_waiting(task->state))
-		gn_batch_order_remove(bucket->order, task);
-	if (gn_task_state_is_held(task->state)) {
-		g_hash_table_remove(
-			gn_bucket_worker(bucket, task->worker)->held, task);
-		gn_batch_order_return_quota(bucket->order, task);
-		g_hash_table_remove(bucket->evictions, &task->id);
-	}
-}
-
-static void enter_state(gn_batch_bucket_t *bucket, gn_task_t *task)
-{
-	if (gn_task_state_is_waiting(task->state)) {
-		gn_code_t code = gn_batch_order_add(bucket->order, task);
-
-		g_assert(!code);
-	}
-	if (gn_task_state_is_held(task->state)) {
-		g_hash_table_add(gn_bucket_worker(bucket, task->worker)->held,
-				 task);
-		gn_batch_order_use_quota(bucket->order, task);
-	}
-	if (gn_task_state_is_final(task->state))
-		task->since_us = gn_clock_now_us(bucket->clock);
-}
-
-void gn_bucket_set_state(gn_batch_bucket_t *bucket, gn_task_t *task,
-			 gn_task_state_t state)
-{
-	leave_state(bucket, task);
-	task->state = state;
-	enter_state(bucket, task);
-	gn_task_assert(task);
-}
-
-void gn_bucket_requeue(gn_batch_bucket_t *bucket, gn_task_t *task,
-		       uint64_t not_before_us)
-{
-	task->not_before_us = not_before_us;
-	gn_bucket_set_state(bucket, task,
-			    task->checkpoint[0] ? GN_TASK_CHECKPOINTED
-						: GN_TASK_QUEUED);
-	gn_bucket_touch(bucket, task);
-}
-
-static void park(gn_batch_bucket_t *bucket, gn_task_t *task,
-		 gn_task_reason_t reason)
-{
-	task->reason = reason;
-	gn_bucket_set_state(bucket, task, GN_TASK_PARKED);
-	gn_bucket_touch(bucket, task);
-	bucket->stats.parked++;
-}
-
-void gn_bucket_fail(gn_batch_bucket_t *bucket, gn_task_t *task,
-		    const char *worker)
-{
-	gn_code_t code = gn_task_add_failed_worker(task, worker);
-
-	g_assert(!code);
-	task->attempts++;
-	bucket->stats.failures++;
-	if (task->failed_worker_count == GN_TASK_FAILED_WORKERS_MAX)
-		park(bucket, task, GN_TASK_REASON_FAILED_WORKERS);
-	else if (task->attempts >= GN_TASK_ATTEMPTS_MAX)
-		park(bucket, task, GN_TASK_REASON_ATTEMPTS);
-	else
-		gn_bucket_requeue(bucket, task,
-				  gn_batch_order_retry_at_us(bucket->order,
-							     task->attempts));
-}
-
-/* ======   Creation   ====== */
-
 static int destroy_bucket(gn_batch_bucket_t *bucket)
 {
 	g_hash_table_destroy(bucket->tasks);
@@ -123,28 +29,23 @@
 	return 0;
 }
 
-/** The team and its idempotency key; teams choose keys independently. */
-static char *make_key(gn_str_t team, gn_str_t key)
-{
-	return g_strdup_printf("%.*s\n%.*s", (int)team.len, team.data,
-			       (int)key.len, key.data);
-}
-
 static void index_task(gn_batch_bucket_t *bucket, gn_task_t *task)
 {
 	g_hash_table_insert(bucket->tasks, &task->id, task);
 	if (task->key[0])
 		g_hash_table_insert(bucket->keys,
-				    make_key(gn_str_from(task->team),
-					     gn_str_from(task->key)),
+				    gn_bucket_make_key(gn_str_from(task->team),
+						       gn_str_from(task->key)),
 				    task);
 }
 
-static gn_code_t note_predecessor(gn_batch_bucket_t *bucket, uint64_t owner,
-				  uint64_t acked)
+static gn_code_t note_predecessor(gn_batch_bucket_t *bucket, uint64_t owner)
 {
+	uint64_t acked;
+
 	if (!owner || owner == bucket->owner)
 		return GN_OK;
+	acked = bucket->gate.ops->acked(bucket->gate.context, owner);
 	if (GN_MUTANT(forget_predecessor))
 		bucket->predecessor_count = 0;
 	for (size_t i = 0; i < bucket->predecessor_count; i++) {
@@ -170,7 +71,7 @@
 }
 
 static gn_code_t adopt_value(gn_batch_bucket_t *bucket, gn_str_t bytes,
-			     uint64_t acked, gn_error_t *error)
+			     gn_error_t *error)
 {
 	gn_batch_value_t *value;
 	gn_code_t code = gn_batch_codec_decode(
@@ -195,12 +96,12 @@
 		gn_task_t *task = talloc_steal(bucket, value->tasks[i]);
 
 		index_task(bucket, task);
-		enter_state(bucket, task);
+		gn_bucket_enter_state(bucket, task);
 		if (gn_task_state_is_final(task->state))
 			task->since_us = value->tasks[i]->since_us;
 	}
 	bucket->value_size = bytes.len;
-	code = note_predecessor(bucket, value->owner, acked);
+	code = note_predecessor(bucket, value->owner);
 	talloc_free(value);
 	if (code)
 		gn_error_set(error, code, STEP, NULL,
@@ -241,7 +142,7 @@
 
 gn_code_t gn_batch_bucket_create(TALLOC_CTX *parent, unsigned index,
 				 uint64_t owner, gn_str_t value,
-				 uint64_t revision, uint64_t acked,
+				 uint64_t revision,
 				 const gn_batch_params_t *params,
 				 gn_batch_gate_t gate, const gn_clock_t *clock,
 				 GRand *rand, gn_batch_bucket_t **bucket,
@@ -261,7 +162,7 @@
 	made->standing = GN_BATCH_TAKING;
 	made->next_serial = 1;
 	if (value.len)
-		code = adopt_value(made, value, acked, error);
+		code = adopt_value(made, value, error);
 	if (code) {
 		talloc_free(made);
 		return code;
@@ -292,7 +193,7 @@
 
 	if (!request->key.len)
 		return NULL;
-	key = make_key(request->team, request->key);
+	key = gn_bucket_make_key(request->team, request->key);
 	task = g_hash_table_lookup(bucket->keys, key);
 	g_free(key);
 	return task;
@@ -332,7 +233,7 @@
 	bucket->value_size += size;
 	bucket->next_serial++;
 	index_task(bucket, task);
-	enter_state(bucket, task);
+	gn_bucket_enter_state(bucket, task);
 	gn_bucket_touch(bucket, task);
 	*id = task->id;
 	*seq = task->changed_seq;
@@ -447,40 +348,6 @@
 	bucket->seq++;
 }
 
-static void drop_task(gn_batch_bucket_t *bucket, gn_task_t *task)
-{
-	size_t size = gn_batch_codec_task_size(task);
-
-	if (task->key[0]) {
-		char *key = make_key(gn_str_from(task->team),
-				     gn_str_from(task->key));
-
-		g_hash_table_remove(bucket->keys, key);
-		g_free(key);
-	}
-	bucket->value_size -= MIN(size, bucket->value_size);
-	talloc_free(task);
-}
-
-void gn_bucket_prune(gn_batch_bucket_t *bucket, uint64_t age_us)
-{
-	uint64_t now_us = gn_clock_now_us(bucket->clock);
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, bucket->tasks);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		gn_task_t *task = value;
-
-		if (!gn_task_state_is_final(task->state) ||
-		    task->changed_seq > bucket->durable_seq ||
-		    now_us - task->since_us < age_us)
-			continue;
-		g_hash_table_iter_remove(&iter);
-		drop_task(bucket, task);
-	}
-}
-
 /* ======   Queries   ====== */
 
 gn_batch_standing_t gn_batch_bucket_standing(const gn_batch_bucket_t *bucket)
--- a/lib/batch/bucket.h
+++ b/lib/batch/bucket.h
@@ -49,6 +49,11 @@
 			 uint64_t revision);
 	/** The member record that the entry has adopted. */
 	uint64_t (*revision)(void *context);
+	/**
+	 * The highest record revision @p incarnation is known to have
+	 * acknowledged; 0 if not known, which is always safe.
+	 */
+	uint64_t (*acked)(void *context, uint64_t incarnation);
 } gn_batch_gate_ops_t;
 
 typedef struct gn_batch_gate_s {
@@ -106,8 +111,6 @@
  *
  * @param value the bytes read from the platform's service, empty if none
  * @param revision of that value, 0 if there is none
- * @param acked highest record revision the earlier owner acknowledged; 0 if
- *        not known, which is always safe
  * @param gate what the run promise rules allow; outlives the bucket
  * @param rand seeded; outlives the bucket
  * @return GN_OK, GN_ERR_UNAVAILABLE (another entry owns it), GN_ERR_INVALID or
@@ -116,7 +119,7 @@
  */
 gn_code_t gn_batch_bucket_create(TALLOC_CTX *parent, unsigned index,
 				 uint64_t owner, gn_str_t value,
-				 uint64_t revision, uint64_t acked,
+				 uint64_t revision,
 				 const gn_batch_params_t *params,
 				 gn_batch_gate_t gate, const gn_clock_t *clock,
 				 GRand *rand, gn_batch_bucket_t **bucket,
--- a/lib/batch/bucket_commit.c
+++ b/lib/batch/bucket_commit.c
@@ -120,7 +120,7 @@
 	while (g_hash_table_iter_next(&iter, &name, &worker)) {
 		g_hash_table_iter_init(&held,
 				       ((gn_bucket_worker_t *)worker)->held);
-		while (g_hash_table_iter_next(&held, &task, NULL)) {
+		while (g_hash_table_iter_next(&held, NULL, &task)) {
 			const gn_task_t *claimed = task;
 
 			if (claimed->ordered ||
--- a/lib/batch/bucket_internal.h
+++ b/lib/batch/bucket_internal.h
@@ -24,7 +24,7 @@
 typedef struct gn_bucket_worker_s {
 	uint64_t incarnation;
 	uint64_t sent_us; /**< of the newest poll of that incarnation */
-	GHashTable *held; /**< set of gn_task_t */
+	GHashTable *held; /**< id -> gn_task_t */
 } gn_bucket_worker_t;
 
 struct gn_batch_bucket_s {
@@ -67,6 +67,12 @@
 gn_bucket_worker_t *gn_bucket_worker(gn_batch_bucket_t *bucket,
 				     const char *name);
 
+/** The team and its idempotency key; teams choose keys independently. */
+char *gn_bucket_make_key(gn_str_t team, gn_str_t key);
+
+/** Puts a task where its state belongs: queue, held set, quota. */
+void gn_bucket_enter_state(gn_batch_bucket_t *bucket, gn_task_t *task);
+
 /** Moves @p task to @p state and keeps queue, quota and held sets in step. */
 void gn_bucket_set_state(gn_batch_bucket_t *bucket, gn_task_t *task,
 			 gn_task_state_t state);
@@ -80,6 +86,9 @@
 /** Whether the bucket may order anything at all. */
 bool gn_bucket_may_order(const gn_batch_bucket_t *bucket);
 
+/** Whether claims, starts and moves may be made. */
+bool gn_bucket_may_start(const gn_batch_bucket_t *bucket);
+
 /** Whether the last claim of @p task is stored. */
 bool gn_bucket_claim_is_durable(const gn_batch_bucket_t *bucket,
 				const gn_task_t *task);
--- a/lib/batch/bucket_poll.c
+++ b/lib/batch/bucket_poll.c
@@ -1,6 +1,6 @@
 /**
  * @file bucket_poll.c
- * @brief Polls of agents, the orders that answer them, lapsed run leases.
+ * @brief Polls of agents, and the orders that answer them.
  */
 #include "batch/bucket_internal.h"
 
@@ -11,8 +11,6 @@
 
 /** A start that stays unconfirmed is repeated for this many promises. */
 #define START_PROMISES_MAX 3
-/** Time between two searches for ended tasks to drop. */
-#define PRUNE_INTERVAL_US GN_US_PER_S
 
 bool gn_bucket_may_order(const gn_batch_bucket_t *bucket)
 {
@@ -31,7 +29,7 @@
 	return bucket->gate.ops->may_renew(bucket->gate.context);
 }
 
-static bool may_start(const gn_batch_bucket_t *bucket)
+bool gn_bucket_may_start(const gn_batch_bucket_t *bucket)
 {
 	return bucket->gate.ops->may_start(bucket->gate.context);
 }
@@ -183,11 +181,6 @@
 {
 	uint32_t claim = gn_task_epoch_claim(report->epoch);
 
-	if (task && GN_MUTANT(promise_while_moving) && task->lapsed &&
-	    claim == task->claim && report->state == GN_RUN_RUNNING) {
-		add_promise(bucket, orders, GN_ORDER_RENEW, task);
-		return;
-	}
 	if (task && !gn_batch_bucket_task_is_durable(bucket, task))
 		return;
 	add_order(bucket, orders,
@@ -244,13 +237,13 @@
 static void on_unlisted(gn_batch_bucket_t *bucket, gn_bucket_worker_t *worker,
 			gn_batch_worker_t *capacity, gn_batch_orders_t *orders)
 {
-	bool starting = may_start(bucket);
+	bool starting = gn_bucket_may_start(bucket);
 	GHashTableIter iter;
-	gpointer key;
+	gpointer value;
 
 	g_hash_table_iter_init(&iter, worker->held);
-	while (g_hash_table_iter_next(&iter, &key, NULL)) {
-		gn_task_t *task = key;
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		gn_task_t *task = value;
 
 		if (task->listed == bucket->poll_count)
 			continue;
@@ -293,7 +286,7 @@
 {
 	gn_task_t *task;
 
-	if (!may_start(bucket))
+	if (!gn_bucket_may_start(bucket))
 		return GN_OK;
 	while ((task = gn_batch_order_take(bucket->order, worker))) {
 		gn_code_t code = claim_task(bucket, task, worker->name);
@@ -342,15 +335,15 @@
 			     gn_batch_orders_t *orders)
 {
 	GHashTableIter iter;
-	gpointer key;
+	gpointer value;
 	gn_code_t code =
 		make_orders(parent, g_hash_table_size(worker->held), orders);
 
 	if (code)
 		return code;
 	g_hash_table_iter_init(&iter, worker->held);
-	while (g_hash_table_iter_next(&iter, &key, NULL)) {
-		gn_task_t *task = key;
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		gn_task_t *task = value;
 
 		if (!task->ordered &&
 		    is_start_due(bucket, task, worker->incarnation))
@@ -366,7 +359,7 @@
 	GHashTableIter iter;
 	gpointer name;
 
-	if (!gn_bucket_may_order(bucket) || !may_start(bucket))
+	if (!gn_bucket_may_order(bucket) || !gn_bucket_may_start(bucket))
 		return false;
 	g_hash_table_iter_init(&iter, bucket->ready);
 	while (g_hash_table_iter_next(&iter, &name, NULL)) {
@@ -387,75 +380,3 @@
 	}
 	return false;
 }
-
-/* ======   Lapses   ====== */
-
-bool gn_bucket_settle(gn_batch_bucket_t *bucket)
-{
-	size_t kept = 0;
-
-	for (size_t i = 0; i < bucket->predecessor_count; i++) {
-		gn_batch_predecessor_t *predecessor = &bucket->predecessors[i];
-
-		if (bucket->gate.ops->is_settled(
-			    bucket->gate.context, predecessor->incarnation,
-			    predecessor->acked, bucket->taken_us))
-			continue;
-		bucket->predecessors[kept++] = *predecessor;
-	}
-	bucket->predecessor_count = kept;
-	return !kept;
-}
-
-static bool is_lapsed(const gn_batch_bucket_t *bucket, const gn_task_t *task)
-{
-	uint64_t now_us = gn_clock_now_us(bucket->clock);
-	uint64_t since_us = MAX(task->promised_us, bucket->taken_us);
-
-	since_us = MAX(since_us, task->claimed_us);
-	if (GN_MUTANT(early_move))
-		return now_us > since_us + bucket->params.drift_us;
-	return now_us >
-	       since_us + bucket->params.promise_us + bucket->params.drift_us;
-}
-
-static void move_task(gn_batch_bucket_t *bucket, gn_task_t *task)
-{
-	bucket->stats.lapses++;
-	task->lapsed = true;
-	if (task->lost)
-		gn_bucket_fail(bucket, task, task->worker);
-	else
-		gn_bucket_requeue(bucket, task, 0);
-}
-
-static void move_lapsed(gn_batch_bucket_t *bucket)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, bucket->tasks);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		gn_task_t *task = value;
-
-		if (gn_task_state_is_held(task->state) &&
-		    task->claim_seq <= bucket->durable_seq &&
-		    is_lapsed(bucket, task))
-			move_task(bucket, task);
-	}
-}
-
-void gn_batch_bucket_tick(gn_batch_bucket_t *bucket)
-{
-	uint64_t now_us = gn_clock_now_us(bucket->clock);
-
-	if (!gn_bucket_may_order(bucket))
-		return;
-	if (may_start(bucket) &&
-	    (gn_bucket_settle(bucket) || GN_MUTANT(early_move)))
-		move_lapsed(bucket);
-	if (now_us - bucket->pruned_us < PRUNE_INTERVAL_US)
-		return;
-	bucket->pruned_us = now_us;
-	gn_bucket_prune(bucket, bucket->params.retention_us);
-}
--- a/lib/batch/order.c
+++ b/lib/batch/order.c
@@ -1,4 +1,4 @@
-#include "batch/order.h"
+#include "batch/order_internal.h"
 
 #include <assert.h>
 #include <string.h>
@@ -25,30 +25,6 @@
 	GSequenceIter *delayed;
 } place_t;
 
-typedef struct team_s {
-	unsigned running_max;
-	unsigned running;
-} team_t;
-
-typedef struct largest_s {
-	unsigned cores;
-	unsigned memory_mb;
-	unsigned accelerators;
-} largest_t;
-
-struct gn_batch_order_s {
-	gn_batch_order_params_t params;
-	const gn_clock_t *clock;
-	GRand *rand;
-	GHashTable *groups; /**< key -> group_t */
-	GHashTable *services; /**< name -> GPtrArray of group_t */
-	GHashTable *teams; /**< name -> team_t */
-	GHashTable *forbidden; /**< kind -> GHashTable of kinds */
-	GHashTable *largest; /**< service -> largest_t */
-	GSequence *delayed; /**< tasks in backoff, the earliest first */
-	size_t count;
-};
-
 /* ======   Groups   ====== */
 
 static void free_group(gpointer data)
@@ -215,102 +191,6 @@
 	return order;
 }
 
-/* ======   Rules   ====== */
-
-static team_t *find_team(gn_batch_order_t *order, const char *name)
-{
-	team_t *team = g_hash_table_lookup(order->teams, name);
-
-	if (!team) {
-		team = g_new0(team_t, 1);
-		team->running_max = UINT_MAX;
-		g_hash_table_insert(order->teams, g_strdup(name), team);
-	}
-	return team;
-}
-
-gn_code_t gn_batch_order_set_quota(gn_batch_order_t *order, const char *team,
-				   unsigned running_max)
-{
-	if (!team[0] || strlen(team) > GN_NAME_MAX)
-		return GN_ERR_RANGE;
-	find_team(order, team)->running_max = running_max;
-	return GN_OK;
-}
-
-static void add_forbidden(gn_batch_order_t *order, const char *kind,
-			  const char *other)
-{
-	GHashTable *others = g_hash_table_lookup(order->forbidden, kind);
-
-	if (!others) {
-		others = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					       NULL);
-		g_hash_table_insert(order->forbidden, g_strdup(kind), others);
-	}
-	g_hash_table_add(others, g_strdup(other));
-}
-
-gn_code_t gn_batch_order_forbid(gn_batch_order_t *order, const char *kind_a,
-				const char *kind_b)
-{
-	if (strlen(kind_a) > GN_NAME_MAX || strlen(kind_b) > GN_NAME_MAX)
-		return GN_ERR_RANGE;
-	add_forbidden(order, kind_a, kind_b);
-	add_forbidden(order, kind_b, kind_a);
-	return GN_OK;
-}
-
-void gn_batch_order_clear_rules(gn_batch_order_t *order)
-{
-	GHashTableIter iter;
-	gpointer team;
-
-	g_hash_table_remove_all(order->forbidden);
-	g_hash_table_iter_init(&iter, order->teams);
-	while (g_hash_table_iter_next(&iter, NULL, &team))
-		((team_t *)team)->running_max = UINT_MAX;
-}
-
-gn_code_t gn_batch_order_set_largest(gn_batch_order_t *order,
-				     const char *service, unsigned cores,
-				     unsigned memory_mb, unsigned accelerators)
-{
-	largest_t *largest;
-
-	if (!service[0] || strlen(service) > GN_NAME_MAX)
-		return GN_ERR_RANGE;
-	largest = g_new(largest_t, 1);
-	*largest = (largest_t){ cores, memory_mb, accelerators };
-	g_hash_table_insert(order->largest, g_strdup(service), largest);
-	return GN_OK;
-}
-
-void gn_batch_order_clear_largest(gn_batch_order_t *order)
-{
-	g_hash_table_remove_all(order->largest);
-}
-
-gn_task_reason_t gn_batch_order_check(const gn_batch_order_t *order,
-				      const char *service, unsigned cores,
-				      unsigned memory_mb, unsigned accelerators)
-{
-	const largest_t *largest;
-
-	if (!g_hash_table_size(order->largest))
-		return GN_TASK_REASON_NONE;
-	largest = g_hash_table_lookup(order->largest, service);
-	if (!largest)
-		return GN_TASK_REASON_NO_SERVICE;
-	if (cores > largest->cores)
-		return GN_TASK_REASON_CORES;
-	if (memory_mb > largest->memory_mb)
-		return GN_TASK_REASON_MEMORY;
-	if (accelerators > largest->accelerators)
-		return GN_TASK_REASON_ACCELERATORS;
-	return GN_TASK_REASON_NONE;
-}
-
 /* ======   Queue   ====== */
 
 gn_code_t gn_batch_order_add(gn_batch_order_t *order, gn_task_t *task)
@@ -350,47 +230,6 @@
 	talloc_free(place);
 }
 
-void gn_batch_order_use_quota(gn_batch_order_t *order, gn_task_t *task)
-{
-	if (task->quota_used)
-		return;
-	find_team(order, task->team)->running++;
-	task->quota_used = true;
-}
-
-void gn_batch_order_return_quota(gn_batch_order_t *order, gn_task_t *task)
-{
-	team_t *team;
-
-	if (!task->quota_used)
-		return;
-	team = find_team(order, task->team);
-	assert(team->running > 0);
-	team->running--;
-	task->quota_used = false;
-}
-
-static bool has_quota(gn_batch_order_t *order, const gn_task_t *task)
-{
-	const team_t *team = g_hash_table_lookup(order->teams, task->team);
-
-	return !team || team->running < team->running_max;
-}
-
-static bool may_share_host(const gn_batch_order_t *order, const char *kind,
-			   const gn_batch_worker_t *worker)
-{
-	GHashTable *others = g_hash_table_lookup(order->forbidden, kind);
-
-	if (!others)
-		return true;
-	for (size_t i = 0; i < worker->kind_count; i++) {
-		if (g_hash_table_contains(others, worker->kinds[i]))
-			return false;
-	}
-	return true;
-}
-
 /** How long a worker must stay for @p task to end or be checkpointed. */
 static uint64_t needed_us(const gn_task_t *task)
 {
@@ -431,8 +270,8 @@
 	gn_task_t *head = g_queue_peek_head((GQueue *)&group->tasks);
 	int scanned = 0;
 
-	if (!has_quota(order, head) ||
-	    !may_share_host(order, head->kind, worker))
+	if (!gn_order_has_quota(order, head) ||
+	    !gn_order_may_share_host(order, head->kind, worker))
 		return NULL;
 	for (GList *link = group->tasks.head; link && scanned < HEAD_SCAN_MAX;
 	     link = link->next, scanned++) {
--- /dev/null
+++ b/lib/batch/order_rules.c
@@ -0,0 +1,143 @@
+/**
+ * @file order_rules.c
+ * @brief Quotas of teams, kinds that may share a host, what can ever run.
+ */
+#include "batch/order_internal.h"
+
+#include <assert.h>
+#include <string.h>
+
+static gn_team_t *find_team(gn_batch_order_t *order, const char *name)
+{
+	gn_team_t *team = g_hash_table_lookup(order->teams, name);
+
+	if (!team) {
+		team = g_new0(gn_team_t, 1);
+		team->running_max = UINT_MAX;
+		g_hash_table_insert(order->teams, g_strdup(name), team);
+	}
+	return team;
+}
+
+gn_code_t gn_batch_order_set_quota(gn_batch_order_t *order, const char *team,
+				   unsigned running_max)
+{
+	if (!team[0] || strlen(team) > GN_NAME_MAX)
+		return GN_ERR_RANGE;
+	find_team(order, team)->running_max = running_max;
+	return GN_OK;
+}
+
+static void add_forbidden(gn_batch_order_t *order, const char *kind,
+			  const char *other)
+{
+	GHashTable *others = g_hash_table_lookup(order->forbidden, kind);
+
+	if (!others) {
+		others = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					       NULL);
+		g_hash_table_insert(order->forbidden, g_strdup(kind), others);
+	}
+	g_hash_table_add(others, g_strdup(other));
+}
+
+gn_code_t gn_batch_order_forbid(gn_batch_order_t *order, const char *kind_a,
+				const char *kind_b)
+{
+	if (strlen(kind_a) > GN_NAME_MAX || strlen(kind_b) > GN_NAME_MAX)
+		return GN_ERR_RANGE;
+	add_forbidden(order, kind_a, kind_b);
+	add_forbidden(order, kind_b, kind_a);
+	return GN_OK;
+}
+
+void gn_batch_order_clear_rules(gn_batch_order_t *order)
+{
+	GHashTableIter iter;
+	gpointer team;
+
+	g_hash_table_remove_all(order->forbidden);
+	g_hash_table_iter_init(&iter, order->teams);
+	while (g_hash_table_iter_next(&iter, NULL, &team))
+		((gn_team_t *)team)->running_max = UINT_MAX;
+}
+
+gn_code_t gn_batch_order_set_largest(gn_batch_order_t *order,
+				     const char *service, unsigned cores,
+				     unsigned memory_mb, unsigned accelerators)
+{
+	gn_largest_t *largest;
+
+	if (!service[0] || strlen(service) > GN_NAME_MAX)
+		return GN_ERR_RANGE;
+	largest = g_new(gn_largest_t, 1);
+	*largest = (gn_largest_t){ cores, memory_mb, accelerators };
+	g_hash_table_insert(order->largest, g_strdup(service), largest);
+	return GN_OK;
+}
+
+void gn_batch_order_clear_largest(gn_batch_order_t *order)
+{
+	g_hash_table_remove_all(order->largest);
+}
+
+gn_task_reason_t gn_batch_order_check(const gn_batch_order_t *order,
+				      const char *service, unsigned cores,
+				      unsigned memory_mb, unsigned accelerators)
+{
+	const gn_largest_t *largest;
+
+	if (!g_hash_table_size(order->largest))
+		return GN_TASK_REASON_NONE;
+	largest = g_hash_table_lookup(order->largest, service);
+	if (!largest)
+		return GN_TASK_REASON_NO_SERVICE;
+	if (cores > largest->cores)
+		return GN_TASK_REASON_CORES;
+	if (memory_mb > largest->memory_mb)
+		return GN_TASK_REASON_MEMORY;
+	if (accelerators > largest->accelerators)
+		return GN_TASK_REASON_ACCELERATORS;
+	return GN_TASK_REASON_NONE;
+}
+
+void gn_batch_order_use_quota(gn_batch_order_t *order, gn_task_t *task)
+{
+	if (task->quota_used)
+		return;
+	find_team(order, task->team)->running++;
+	task->quota_used = true;
+}
+
+void gn_batch_order_return_quota(gn_batch_order_t *order, gn_task_t *task)
+{
+	gn_team_t *team;
+
+	if (!task->quota_used)
+		return;
+	team = find_team(order, task->team);
+	assert(team->running > 0);
+	team->running--;
+	task->quota_used = false;
+}
+
+bool gn_order_has_quota(gn_batch_order_t *order, const gn_task_t *task)
+{
+	const gn_team_t *team = g_hash_table_lookup(order->teams, task->team);
+
+	return !team || team->running < team->running_max;
+}
+
+bool gn_order_may_share_host(const gn_batch_order_t *order, const char *kind,
+			     const gn_batch_worker_t *worker)
+{
+	GHashTable *others = g_hash_table_lookup(order->forbidden, kind);
+
+	if (!others)
+		return true;
+	for (size_t i = 0; i < worker->kind_count; i++) {
+		if (g_hash_table_contains(others, worker->kinds[i]))
+			return false;
+	}
+	return true;
+}
--- a/lib/batch/promise.h
+++ b/lib/batch/promise.h
@@ -37,6 +37,7 @@
 typedef struct gn_promise_member_s {
 	uint64_t incarnation;
 	uint64_t joined; /**< record revision at which it joined */
+	uint64_t acked; /**< highest record revision it acknowledged */
 } gn_promise_member_t;
 
 /** What entries ask each other. */
@@ -59,7 +60,8 @@
 void gn_promise_on_renewed(gn_promise_t *promise, uint64_t sent_us);
 
 /**
- * Adopts the member record. An entry adopts a revision before it writes it to
+ * Adopts the member record; of an older one, or of the same again, only what
+ * the members acknowledged is kept. An entry adopts a revision before it writes it to
  * the platform as its acknowledged one.
  * @return GN_OK, GN_ERR_STALE (not newer than the adopted one: ignored),
  *         GN_ERR_RANGE (too many members)
@@ -121,6 +123,12 @@
 bool gn_promise_has_left(const gn_promise_t *promise, uint64_t incarnation,
 			 uint64_t revision);
 
+/**
+ * The highest record revision that @p incarnation is known to have
+ * acknowledged; 0 if none. It may have acknowledged more.
+ */
+uint64_t gn_promise_acked(const gn_promise_t *promise, uint64_t incarnation);
+
 /** The gate that buckets of this entry use. */
 gn_batch_gate_t gn_promise_gate(gn_promise_t *promise);
 
--- a/lib/batch/worker_orders.c
+++ b/lib/batch/worker_orders.c
@@ -155,12 +155,10 @@
 	return GN_OK;
 }
 
-static void forget(gn_worker_tasks_t *tasks, gn_run_t *run)
+static void forget(const gn_worker_tasks_t *tasks, gn_run_t *run)
 {
-	if (gn_run_is_active(run) || run->forgotten_us)
-		return;
-	gn_run_act(tasks, GN_ACTION_FORGET, run);
-	run->forgotten_us = gn_clock_now_us(tasks->clock);
+	if (!gn_run_is_active(run) && !run->forgotten_us)
+		run->forgotten_us = gn_clock_now_us(tasks->clock);
 }
 
 static gn_code_t on_order(gn_worker_tasks_t *tasks, uint64_t sent_us,
--- a/lib/batch/worker_tasks.c
+++ b/lib/batch/worker_tasks.c
@@ -125,6 +125,7 @@
 	run->epoch = listed->epoch;
 	run->state = listed->state;
 	run->confirmed = true;
+	run->confirmed_us = gn_clock_now_us(tasks->clock);
 	run->lease_until_us =
 		listed->lease_until_us + tasks->params.lease_margin_us;
 	run->result_code = listed->result_code;
@@ -144,20 +145,24 @@
 	return GN_OK;
 }
 
-static bool is_listed(const gn_run_t *run, const gn_backend_run_t *runs,
-		      size_t count)
+static const gn_backend_run_t *
+find_listed(const gn_run_t *run, const gn_backend_run_t *runs, size_t count)
 {
 	for (size_t i = 0; i < count; i++) {
 		if (runs[i].id == run->id &&
 		    gn_task_epoch_claim(runs[i].epoch) ==
 			    gn_task_epoch_claim(run->epoch))
-			return true;
+			return &runs[i];
 	}
-	return false;
+	return NULL;
 }
 
-static void fail_lost(gn_worker_tasks_t *tasks, const gn_backend_run_t *runs,
-		      size_t count)
+/**
+ * A run that was confirmed before the list was asked for is on the list, or
+ * the backend server has lost it. One confirmed since may just be missing.
+ */
+static void fail_lost(gn_worker_tasks_t *tasks, uint64_t asked_us,
+		      const gn_backend_run_t *runs, size_t count)
 {
 	GHashTableIter iter;
 	gpointer value;
@@ -167,30 +172,12 @@
 		gn_run_t *run = value;
 
 		if (gn_run_is_active(run) && run->confirmed &&
-		    !is_listed(run, runs, count))
+		    run->confirmed_us < asked_us &&
+		    !find_listed(run, runs, count))
 			gn_run_set_ended(tasks, run, GN_RUN_FAILED);
 	}
 }
 
-gn_code_t gn_worker_tasks_on_list(gn_worker_tasks_t *tasks,
-				  const gn_backend_run_t *runs, size_t count)
-{
-	gn_code_t code = GN_OK;
-
-	if (tasks->ready) {
-		fail_lost(tasks, runs, count);
-		return GN_OK;
-	}
-	for (size_t i = 0; i < count && !code; i++)
-		code = add_listed(tasks, &runs[i]);
-	if (code)
-		return code;
-	tasks->ready = true;
-	if (tasks->draining)
-		gn_worker_tasks_set_draining(tasks, true);
-	return GN_OK;
-}
-
 static gn_code_t keep_checkpoint_of(gn_run_t *run, gn_str_t checkpoint)
 {
 	char *copy;
@@ -217,6 +204,8 @@
 	if (!run || !gn_run_is_active(run) ||
 	    gn_task_epoch_claim(run->epoch) != gn_task_epoch_claim(epoch))
 		return GN_ERR_STALE;
+	if (!run->confirmed)
+		run->confirmed_us = gn_clock_now_us(tasks->clock);
 	run->confirmed = true;
 	if (state == GN_RUN_RUNNING)
 		return GN_OK;
@@ -228,6 +217,39 @@
 	return GN_OK;
 }
 
+static gn_code_t reconcile(gn_worker_tasks_t *tasks,
+			   const gn_backend_run_t *listed)
+{
+	const gn_run_t *run = g_hash_table_lookup(tasks->runs, &listed->id);
+
+	if (!run)
+		return add_listed(tasks, listed);
+	if (gn_run_is_active(run))
+		gn_worker_tasks_on_event(tasks, listed->id, listed->epoch,
+					 listed->state, listed->result_code,
+					 gn_str_from(listed->checkpoint));
+	return GN_OK;
+}
+
+gn_code_t gn_worker_tasks_on_list(gn_worker_tasks_t *tasks, uint64_t asked_us,
+				  const gn_backend_run_t *runs, size_t count)
+{
+	gn_code_t code = GN_OK;
+
+	if (asked_us < tasks->created_us || asked_us < tasks->listed_us)
+		return GN_ERR_STALE;
+	tasks->listed_us = asked_us;
+	fail_lost(tasks, asked_us, runs, count);
+	for (size_t i = 0; i < count && !code; i++)
+		code = reconcile(tasks, &runs[i]);
+	if (code)
+		return code;
+	tasks->ready = true;
+	if (tasks->draining)
+		gn_worker_tasks_set_draining(tasks, true);
+	return GN_OK;
+}
+
 /* ======   Time   ====== */
 
 uint64_t gn_worker_tasks_begin_poll(gn_worker_tasks_t *tasks)
@@ -240,6 +262,19 @@
 	return tasks->polled_us;
 }
 
+/** Whether @p run is kept no longer; tells the backend server to forget. */
+static bool is_run_spent(gn_worker_tasks_t *tasks, gn_run_t *run,
+			 uint64_t now_us)
+{
+	if (!run->forgotten_us)
+		return false;
+	/* Until the lease is over, a start that was held up may yet arrive. */
+	if (!run->dropped && now_us >= run->lease_until_us)
+		run->dropped = gn_run_act(tasks, GN_ACTION_FORGET, run);
+	return run->dropped &&
+	       now_us - run->forgotten_us > tasks->params.forget_us;
+}
+
 void gn_worker_tasks_tick(gn_worker_tasks_t *tasks)
 {
 	uint64_t now_us = gn_clock_now_us(tasks->clock);
@@ -254,8 +289,7 @@
 			tasks->stats.lapses += !run->ending;
 			gn_run_end(tasks, run, GN_ACTION_STOP);
 		}
-		if (run->forgotten_us &&
-		    now_us - run->forgotten_us > tasks->params.forget_us)
+		if (is_run_spent(tasks, run, now_us))
 			g_hash_table_iter_remove(&iter);
 	}
 }
--- a/lib/batch/worker_tasks.h
+++ b/lib/batch/worker_tasks.h
@@ -41,7 +41,7 @@
 	GN_ACTION_LEASE, /**< the lease now runs until lease_until_us */
 	GN_ACTION_CHECKPOINT, /**< checkpoint, then stop */
 	GN_ACTION_STOP, /**< also fences an epoch that it has not started */
-	GN_ACTION_FORGET, /**< drop what is kept of an ended run */
+	GN_ACTION_FORGET, /**< drop an ended run; no start of it can come */
 	GN_ACTION_KIND_COUNT
 } gn_action_kind_t;
 
@@ -99,9 +99,13 @@
 
 /**
  * Takes over the backend server's list. Until the first, no poll is sent and
- * nothing is admitted. Later lists tell which confirmed runs were lost.
+ * nothing is admitted. Later lists tell which runs ended or were lost; ask for
+ * one now and then, and whenever the backend server has restarted.
+ * @param asked_us when this agent asked for the list, on its clock
+ * @return GN_OK, GN_ERR_STALE (asked before the newest list that came, or in
+ *         an earlier life), GN_ERR_MEMORY
  */
-gn_code_t gn_worker_tasks_on_list(gn_worker_tasks_t *tasks,
+gn_code_t gn_worker_tasks_on_list(gn_worker_tasks_t *tasks, uint64_t asked_us,
 				  const gn_backend_run_t *runs, size_t count);
 
 /**
--- a/lib/batch/worker_tasks_internal.h
+++ b/lib/batch/worker_tasks_internal.h
@@ -14,6 +14,7 @@
 	uint64_t epoch; /**< of the newest order */
 	gn_run_state_t state;
 	bool confirmed; /**< the backend server has said it runs */
+	uint64_t confirmed_us; /**< when it first said so */
 	bool ending; /**< told to stop or to checkpoint */
 	uint64_t stop_us; /**< when it was last told to stop, 0 if never */
 	uint64_t lease_until_us; /**< agent's clock */
@@ -24,6 +25,7 @@
 	unsigned memory_mb;
 	unsigned accelerators;
 	uint64_t forgotten_us; /**< when its end was stored, 0 if not yet */
+	bool dropped; /**< the backend server was told to forget it */
 } gn_run_t;
 
 /** What a bucket's owners have shown. */
@@ -41,6 +43,7 @@
 	bool draining;
 	uint64_t created_us;
 	uint64_t polled_us; /**< of the newest poll */
+	uint64_t listed_us; /**< when the newest list was asked for */
 	GHashTable *runs; /**< id -> gn_run_t, forgotten ones included */
 	GHashTable *fences; /**< bucket -> gn_run_fence_t */
 	GQueue actions; /**< of gn_action_t */
--- /dev/null
+++ b/tests/support/batch_model_callers.c
@@ -0,0 +1,125 @@
+/**
+ * @file batch_model_callers.c
+ * @brief The model's callers: what they ask for, and what they are told.
+ */
+#include "support/batch_model_internal.h"
+
+/** Tasks that callers submit in one walk. */
+#define TASKS_MAX 24
+
+/** The state of @p id in the platform's value; -1 if it isn't there. */
+static int stored_state(const gn_model_t *model, uint64_t id)
+{
+	gn_batch_value_t *value = NULL;
+	int state = -1;
+
+	if (gn_batch_codec_decode(NULL, model->platform.value, 0, &value, NULL))
+		return -1;
+	for (size_t i = 0; i < value->task_count; i++) {
+		if (value->tasks[i]->id == id)
+			state = (int)value->tasks[i]->state;
+	}
+	talloc_free(value);
+	return state;
+}
+
+static void submit(gn_model_t *model, entry_t *entry)
+{
+	bool standing = model_chance(model, .2);
+	gn_task_request_t request = {
+		.work_class = standing ? GN_CLASS_STANDING : GN_CLASS_BATCH,
+		.team = { "t", 1 },
+		.kind = { "k", 1 },
+		.service = { "s", 1 },
+		.priority = (unsigned)model_pick(model, GN_TASK_PRIORITIES),
+		.cores = 1,
+	};
+	pending_t pending = { .kind = PENDING_SUBMIT };
+	gn_task_reason_t reason;
+
+	if (gn_batch_bucket_submit(entry->bucket, &request, &pending.id,
+				   &pending.seq, &reason))
+		return;
+	g_array_append_val(entry->pending, pending);
+}
+
+static void cancel(gn_model_t *model, entry_t *entry)
+{
+	uint64_t id = gn_task_id_make(
+		BUCKET, 1 + (uint64_t)model_pick(model, TASKS_MAX));
+	pending_t pending = { .kind = PENDING_CANCEL, .id = id };
+
+	if (gn_batch_bucket_cancel(entry->bucket, id, &pending.outcome,
+				   &pending.seq))
+		return;
+	g_array_append_val(entry->pending, pending);
+}
+
+static void tell(gn_model_t *model, const pending_t *pending)
+{
+	truth_t *truth = model_truth(model, pending->id);
+
+	if (stored_state(model, pending->id) < 0)
+		model_violate(model, "an accepted task is not stored");
+	if (pending->kind == PENDING_SUBMIT) {
+		model->counts->submit_told++;
+		return;
+	}
+	if (pending->outcome != GN_OUTCOME_NOT_RUN) {
+		model->counts->unknown_told++;
+		return;
+	}
+	model->counts->not_run_told++;
+	truth->told_not_run = true;
+	if (truth->started)
+		model_violate(model, "a started task was told as not run");
+}
+
+static void tell_durable(gn_model_t *model, entry_t *entry)
+{
+	for (guint i = 0; i < entry->pending->len;) {
+		pending_t pending = g_array_index(entry->pending, pending_t, i);
+
+		if (!gn_batch_bucket_is_durable(entry->bucket, pending.seq)) {
+			i++;
+			continue;
+		}
+		tell(model, &pending);
+		g_array_remove_index_fast(entry->pending, i);
+	}
+}
+
+typedef struct visit_s {
+	gn_model_t *model;
+	const entry_t *entry;
+} visit_t;
+
+static void tell_done(const gn_task_t *task, void *data)
+{
+	const visit_t *visit = data;
+	truth_t *truth;
+
+	if (task->state != GN_TASK_DONE ||
+	    !gn_batch_bucket_task_is_durable(visit->entry->bucket, task))
+		return;
+	truth = model_truth(visit->model, task->id);
+	if (truth->told_done)
+		return;
+	truth->told_done = true;
+	visit->model->counts->finish_told++;
+	if (stored_state(visit->model, task->id) != GN_TASK_DONE)
+		model_violate(visit->model, "a told finish is not stored");
+}
+
+void model_serve_callers(gn_model_t *model, entry_t *entry)
+{
+	visit_t visit = { model, entry };
+
+	if (gn_batch_bucket_task_count(entry->bucket) < TASKS_MAX &&
+	    model_chance(model, .1))
+		submit(model, entry);
+	if (model_chance(model, .03))
+		cancel(model, entry);
+	tell_durable(model, entry);
+	gn_batch_bucket_foreach(entry->bucket, tell_done, &visit);
+}
--- /dev/null
+++ b/tests/support/batch_model_faults.c
@@ -0,0 +1,203 @@
+/**
+ * @file batch_model_faults.c
+ * @brief The faults that the batch model brings about, each counted.
+ */
+#include <string.h>
+
+#include "support/batch_model_internal.h"
+
+/** A lone newcomer stays alone for this long, longer than any dark time. */
+#define HOLD_US (60 * GN_US_PER_S)
+
+static bool strikes(gn_model_t *model, double probability)
+{
+	return model_chance(model, probability * model->fault_rate);
+}
+
+static uint64_t draw_freeze(gn_model_t *model)
+{
+	static const int seconds[] = { 1, 2, 10, 30 };
+
+	return model->now_us +
+	       (uint64_t)seconds[model_pick(model, G_N_ELEMENTS(seconds))] *
+		       GN_US_PER_S;
+}
+
+/* ======   Network   ====== */
+
+/** Cuts the nodes of @p side off from the others, in both directions. */
+static void cut_sides(gn_model_t *model, const bool side[NODE_COUNT])
+{
+	for (int i = 0; i < NODE_BACKEND; i++) {
+		for (int j = 0; j < NODE_BACKEND; j++)
+			model->cut[i][j] = side[i] != side[j];
+	}
+}
+
+static void cut_one_way(gn_model_t *model)
+{
+	for (int i = 0; i < NODE_BACKEND; i++) {
+		for (int j = 0; j < NODE_BACKEND; j++) {
+			if (model_chance(model, .5))
+				model->cut[i][j] = false;
+		}
+	}
+	model->counts->cut_one_way++;
+}
+
+static void spawn_newcomers(gn_model_t *model)
+{
+	for (int i = FIRST_NEWCOMER; i < ENTRIES; i++) {
+		if (!model->entries[i].present && model_chance(model, .7))
+			model_entry_spawn(model, i);
+	}
+}
+
+/**
+ * The case that vouching is for: the old entries and a worker on one side, new
+ * entries alone with the platform on the other.
+ */
+static void cut_lone_newcomer(gn_model_t *model)
+{
+	bool side[NODE_COUNT] = { false };
+
+	side[NODE_ENTRY] = true;
+	side[NODE_ENTRY + 1] = true;
+	side[NODE_AGENT + model_pick(model, HOSTS)] = true;
+	if (model_chance(model, .5))
+		side[NODE_AGENT + model_pick(model, HOSTS)] = true;
+	cut_sides(model, side);
+	model->platform.up = true;
+	model->lone_at_us = 0;
+	model->counts->lone_newcomer++;
+}
+
+static void change_cuts(gn_model_t *model)
+{
+	bool side[NODE_COUNT] = { false };
+
+	memset(model->cut, 0, sizeof(model->cut));
+	if (model_chance(model, .5))
+		return;
+	if (model_chance(model, model->lone_rate)) {
+		spawn_newcomers(model);
+		/* Either unknown to the others, or known for a moment. */
+		model->lone_at_us = model->now_us;
+		if (model_chance(model, .5))
+			model->lone_at_us +=
+				(uint64_t)model_pick(model, 8) * GN_US_PER_S;
+		model->hold_until_us = model->lone_at_us + HOLD_US;
+		return;
+	}
+	for (int i = 0; i < NODE_BACKEND; i++)
+		side[i] = model_chance(model, .5);
+	cut_sides(model, side);
+	if (model_chance(model, .3))
+		cut_one_way(model);
+	else
+		model->counts->cut_both++;
+}
+
+/* ======   Platform   ====== */
+
+static void change_platform(gn_model_t *model)
+{
+	platform_t *platform = &model->platform;
+
+	if (platform->up) {
+		model->counts->platform_down++;
+		if (platform->changed_us &&
+		    model->now_us - platform->changed_us < 10 * GN_US_PER_S)
+			model->counts->second_outage++;
+	}
+	platform->up = !platform->up;
+	platform->changed_us = model->now_us;
+}
+
+/* ======   Processes   ====== */
+
+static void restart_entry(gn_model_t *model)
+{
+	int index = model_pick(model, FIRST_NEWCOMER);
+
+	model->counts->entry_restart++;
+	model_entry_spawn(model, index);
+}
+
+static void change_newcomer(gn_model_t *model, int index)
+{
+	const entry_t *newcomer = &model->entries[index];
+
+	if (model->now_us < model->hold_until_us) {
+		if (newcomer->present && model_chance(model, .01)) {
+			model->counts->newcomer_replaced++;
+			model_entry_spawn(model, index);
+		}
+		return;
+	}
+	if (!strikes(model, .002))
+		return;
+	if (newcomer->present) {
+		model->counts->entry_gone++;
+		model_entry_remove(model, index);
+	} else {
+		model->counts->entry_new++;
+		model_entry_spawn(model, index);
+	}
+}
+
+static void freeze_entry(gn_model_t *model)
+{
+	entry_t *entry = &model->entries[model_pick(model, ENTRIES)];
+
+	model->counts->entry_freeze++;
+	entry->frozen_until_us = draw_freeze(model);
+}
+
+static void strike_host(gn_model_t *model, host_t *host)
+{
+	if (strikes(model, .0015)) {
+		model->counts->agent_freeze++;
+		host->frozen_until_us = draw_freeze(model);
+	}
+	if (strikes(model, .0015)) {
+		model->counts->agent_restart++;
+		model_agent_restart(model, host);
+	}
+	if (strikes(model, .0008)) {
+		model->counts->backend_crash++;
+		model_backend_crash(host);
+	}
+	if (strikes(model, .0004)) {
+		model->counts->host_replaced++;
+		model_host_replace(model, host);
+	}
+	if (strikes(model, .001)) {
+		model->counts->drain++;
+		host->draining_until_us = draw_freeze(model);
+	}
+}
+
+void model_faults_step(gn_model_t *model)
+{
+	if (model->lone_at_us && model->now_us >= model->lone_at_us)
+		cut_lone_newcomer(model);
+	if (model->now_us >= model->hold_until_us) {
+		if (strikes(model, .005))
+			change_platform(model);
+		if (model_chance(model, .01))
+			change_cuts(model);
+	}
+	if (strikes(model, .004)) {
+		model->platform.slow = !model->platform.slow;
+		model->counts->platform_slow += model->platform.slow;
+	}
+	if (strikes(model, .003))
+		restart_entry(model);
+	if (strikes(model, .005))
+		freeze_entry(model);
+	for (int i = FIRST_NEWCOMER; i < ENTRIES; i++)
+		change_newcomer(model, i);
+	for (int i = 0; i < HOSTS; i++)
+		strike_host(model, &model->hosts[i]);
+}
--- a/tests/unit/test_bucket.c
+++ b/tests/unit/test_bucket.c
@@ -67,8 +67,15 @@
 	return 1;
 }
 
+static uint64_t acked(void *context, uint64_t incarnation)
+{
+	(void)context;
+	(void)incarnation;
+	return 0;
+}
+
 static const gn_batch_gate_ops_t gate_ops = { may_renew, may_start, is_settled,
-					      has_left, revision };
+					      has_left,	 revision,  acked };
 
 /** Lets the platform take the next write; false if there is none. */
 static bool commit(fixture_t *f)
@@ -94,7 +101,7 @@
 	gn_error_t error;
 
 	g_assert_cmpint(gn_batch_bucket_create(f->frame, 3, owner, f->stored,
-					       f->revision, 0, &params, gate,
+					       f->revision, &params, gate,
 					       &f->clock, f->rand, &f->bucket,
 					       &error),
 			==, GN_OK);
@@ -547,7 +554,7 @@
 	(void)data;
 	f->owner_lives = true;
 	g_assert_cmpint(gn_batch_bucket_create(f->frame, 3, 12, f->stored,
-					       f->revision, 0, &params, gate,
+					       f->revision, &params, gate,
 					       &f->clock, f->rand, &bucket,
 					       NULL),
 			==, GN_ERR_UNAVAILABLE);
--- a/tests/unit/test_promise.c
+++ b/tests/unit/test_promise.c
@@ -16,7 +16,7 @@
 	.rate_ppm = 1000,
 };
 
-static const gn_promise_member_t record[] = { { ME, 1 }, { PEER, 2 } };
+static const gn_promise_member_t record[] = { { ME, 1, 1 }, { PEER, 2, 1 } };
 
 typedef struct fixture_s {
 	gn_clock_t clock;
@@ -149,7 +149,7 @@
 static void test_settle(fixture_t *f, gconstpointer data)
 {
 	const settle_case_t *c = data;
-	gn_promise_member_t after[] = { { ME, 1 }, { LATER, c->joined } };
+	gn_promise_member_t after[] = { { ME, 1, 1 }, { LATER, c->joined, 1 } };
 	uint64_t taken_us = now_us(f);
 
 	g_assert_cmpint(gn_promise_adopt(f->promise, 4, after, 2), ==, GN_OK);
@@ -164,12 +164,14 @@
 
 static void test_record(fixture_t *f, gconstpointer data)
 {
-	const gn_promise_member_t without[] = { { PEER, 2 } };
+	const gn_promise_member_t without[] = { { PEER, 2, 2 } };
 
 	(void)data;
 	g_assert_cmpint(gn_promise_adopt(f->promise, 2, without, 1), ==,
 			GN_ERR_STALE);
 	g_assert_false(gn_promise_is_removed(f->promise));
+	/* What a member acknowledged is kept, from whatever record. */
+	g_assert_cmpuint(gn_promise_acked(f->promise, PEER), ==, 2);
 	g_assert_cmpint(gn_promise_adopt(f->promise, 3, without, 1), ==, GN_OK);
 	g_assert_true(gn_promise_is_removed(f->promise));
 	g_assert_false(gn_promise_may_renew(f->promise));
--- a/tests/unit/test_worker_tasks.c
+++ b/tests/unit/test_worker_tasks.c
@@ -34,6 +34,14 @@
 	f->tasks = gn_worker_tasks_create(f->frame, &params, gate, &f->clock);
 }
 
+static void list(fixture_t *f, const gn_backend_run_t *runs, size_t count)
+{
+	g_assert_cmpint(gn_worker_tasks_on_list(f->tasks,
+						gn_clock_now_us(&f->clock),
+						runs, count),
+			==, GN_OK);
+}
+
 static void set_up(fixture_t *f, gconstpointer data)
 {
 	gn_task_request_t request = { .work_class = GN_CLASS_BATCH,
@@ -51,7 +59,7 @@
 				 0);
 	create(f);
 	g_assert_cmpuint(gn_worker_tasks_begin_poll(f->tasks), ==, 0);
-	gn_worker_tasks_on_list(f->tasks, NULL, 0);
+	list(f, NULL, 0);
 }
 
 static void tear_down(fixture_t *f, gconstpointer data)
@@ -131,10 +139,17 @@
 	g_assert_cmpuint(gn_worker_tasks_stats(f->tasks)->cores, ==, 0);
 	sent_us = gn_worker_tasks_begin_poll(f->tasks);
 	g_assert_cmpint(order(f, GN_ORDER_FORGET, 2, 1, sent_us), ==, GN_OK);
-	g_assert_cmpint(next_action(f, NULL), ==, GN_ACTION_FORGET);
 	g_assert_cmpint(reported(f), ==, GN_RUN_STATE_COUNT);
 	/* What was forgotten isn't started again by a duplicate. */
 	g_assert_cmpint(order(f, GN_ORDER_START, 2, 1, sent_us), ==, GN_OK);
+	gn_worker_tasks_tick(f->tasks);
+	g_assert_cmpint(next_action(f, NULL), ==, GN_ACTION_KIND_COUNT);
+	/* The backend server remembers until no start of it can come. */
+	gn_clock_advance(&f->clock, PROMISE_US);
+	gn_worker_tasks_tick(f->tasks);
+	g_assert_cmpint(next_action(f, NULL), ==, GN_ACTION_FORGET);
+	gn_clock_advance(&f->clock, params.forget_us);
+	gn_worker_tasks_tick(f->tasks);
 	g_assert_cmpint(next_action(f, NULL), ==, GN_ACTION_KIND_COUNT);
 }
 
@@ -210,6 +225,7 @@
 				 .kind = "k",
 				 .cores = 2 };
 	uint64_t sent_us = gn_worker_tasks_begin_poll(f->tasks);
+	uint64_t asked_us;
 
 	(void)data;
 	talloc_free(f->tasks);
@@ -218,7 +234,7 @@
 	create(f);
 	g_assert_cmpint(order(f, GN_ORDER_START, 2, 2, sent_us), ==,
 			GN_ERR_STALE);
-	gn_worker_tasks_on_list(f->tasks, &run, 1);
+	list(f, &run, 1);
 	g_assert_cmpuint(gn_worker_tasks_stats(f->tasks)->cores, ==, 2);
 	/* An answer to a poll of the earlier life. */
 	g_assert_cmpint(order(f, GN_ORDER_START, 2, 2, sent_us), ==,
@@ -227,8 +243,13 @@
 	g_assert_cmpint(order(f, GN_ORDER_RENEW, 3, 1, sent_us), ==, GN_OK);
 	g_assert_cmpint(next_action(f, NULL), ==, GN_ACTION_LEASE);
 	/* The backend server restarts, and has lost it. */
-	gn_worker_tasks_on_list(f->tasks, NULL, 0);
+	asked_us = gn_clock_now_us(&f->clock);
+	gn_clock_advance(&f->clock, SECOND);
+	list(f, NULL, 0);
 	g_assert_cmpint(reported(f), ==, GN_RUN_FAILED);
+	/* A list that was asked for earlier tells nothing. */
+	g_assert_cmpint(gn_worker_tasks_on_list(f->tasks, asked_us, &run, 1),
+			==, GN_ERR_STALE);
 }
 
 static void test_drain(fixture_t *f, gconstpointer data)
