Walk the batch decisions by chance, and plant the bugs they must catch

Ruled out: few tasks in all, which left nothing running when the rare cuts came; newcomers that stay members, which ended every dark time at once.

--- a/lib/batch/bucket_lapse.c
+++ b/lib/batch/bucket_lapse.c
@@ -44,10 +44,14 @@
 		gn_bucket_fail(bucket, task, task->worker);
 	else
 		gn_bucket_requeue(bucket, task, 0);
-	if (GN_MUTANT(promise_while_moving))
+	if (GN_MUTANT(promise_while_moving)) {
+		task->ordered = false;
+		task->seen = false;
+		task->claimed_us = gn_clock_now_us(bucket->clock);
 		g_hash_table_insert(
 			gn_bucket_worker(bucket, task->worker)->held, &task->id,
 			task);
+	}
 }
 
 static void move_lapsed(gn_batch_bucket_t *bucket)
--- a/tests/support/batch_model.c
+++ b/tests/support/batch_model.c
@@ -268,9 +268,12 @@
 	model->fault_rate =
 		fault_rates[model_pick(model, G_N_ELEMENTS(fault_rates))];
 	model->late_rate = seed % GN_MODEL_OUTAGE_SEEDS ? .01 : .06;
+	model->cut_rate = seed % GN_MODEL_OUTAGE_SEEDS ? .01 : .04;
 	model->lone_rate = seed % GN_MODEL_OUTAGE_SEEDS ? .35 : .9;
-	if (seed % GN_MODEL_OUTAGE_SEEDS == 0)
+	if (seed % GN_MODEL_OUTAGE_SEEDS == 0) {
 		model->fault_rate = .3;
+		model->hold_until_us = model->now_us + 15 * GN_US_PER_S;
+	}
 	model->platform.up = true;
 	model->network = g_ptr_array_new();
 	model->truths = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
--- a/tests/support/batch_model_callers.c
+++ b/tests/support/batch_model_callers.c
@@ -4,8 +4,8 @@
  */
 #include "support/batch_model_internal.h"
 
-/** Tasks that callers submit in one walk. */
-#define TASKS_MAX 24
+/** Callers hold back while so many tasks wait. */
+#define WAITING_MAX 3
 
 /** The state of @p id in the platform's value; -1 if it isn't there. */
 static int stored_state(const gn_model_t *model, uint64_t id)
@@ -46,7 +46,9 @@
 static void cancel(gn_model_t *model, entry_t *entry)
 {
 	uint64_t id = gn_task_id_make(
-		BUCKET, 1 + (uint64_t)model_pick(model, TASKS_MAX));
+		BUCKET,
+		1 + (uint64_t)model_pick(
+			    model, (int)g_hash_table_size(model->truths) + 1));
 	pending_t pending = { .kind = PENDING_CANCEL, .id = id };
 
 	if (gn_batch_bucket_cancel(entry->bucket, id, &pending.outcome,
@@ -115,10 +117,11 @@
 {
 	visit_t visit = { model, entry };
 
-	if (gn_batch_bucket_task_count(entry->bucket) < TASKS_MAX &&
-	    model_chance(model, .1))
+	if (gn_batch_order_count(gn_batch_bucket_order(entry->bucket)) <
+		    WAITING_MAX &&
+	    model_chance(model, .2))
 		submit(model, entry);
-	if (model_chance(model, .03))
+	if (model_chance(model, .02))
 		cancel(model, entry);
 	tell_durable(model, entry);
 	gn_batch_bucket_foreach(entry->bucket, tell_done, &visit);
--- a/tests/support/batch_model_faults.c
+++ b/tests/support/batch_model_faults.c
@@ -8,6 +8,8 @@
 
 /** A lone newcomer stays alone for this long, longer than any dark time. */
 #define HOLD_US (60 * GN_US_PER_S)
+/** No cuts for this long after it, so that the old entries own again. */
+#define CALM_US (15 * GN_US_PER_S)
 
 static bool strikes(gn_model_t *model, double probability)
 {
@@ -72,6 +74,18 @@
 	model->counts->lone_newcomer++;
 }
 
+/** All see each other again, and the newcomers mostly go. */
+static void end_lone(gn_model_t *model)
+{
+	memset(model->cut, 0, sizeof(model->cut));
+	for (int i = FIRST_NEWCOMER; i < ENTRIES; i++) {
+		if (model_chance(model, .8))
+			model_entry_remove(model, i);
+	}
+	model->lone = false;
+	model->hold_until_us = model->now_us + CALM_US;
+}
+
 static void change_cuts(gn_model_t *model)
 {
 	bool side[NODE_COUNT] = { false };
@@ -87,6 +101,7 @@
 			model->lone_at_us +=
 				(uint64_t)model_pick(model, 8) * GN_US_PER_S;
 		model->hold_until_us = model->lone_at_us + HOLD_US;
+		model->lone = true;
 		return;
 	}
 	for (int i = 0; i < NODE_BACKEND; i++)
@@ -129,7 +144,7 @@
 	const entry_t *newcomer = &model->entries[index];
 
 	if (model->now_us < model->hold_until_us) {
-		if (newcomer->present && model_chance(model, .01)) {
+		if (newcomer->present && model_chance(model, .005)) {
 			model->counts->newcomer_replaced++;
 			model_entry_spawn(model, index);
 		}
@@ -182,10 +197,12 @@
 {
 	if (model->lone_at_us && model->now_us >= model->lone_at_us)
 		cut_lone_newcomer(model);
+	if (model->lone && model->now_us >= model->hold_until_us)
+		end_lone(model);
 	if (model->now_us >= model->hold_until_us) {
 		if (strikes(model, .005))
 			change_platform(model);
-		if (model_chance(model, .01))
+		if (model_chance(model, model->cut_rate))
 			change_cuts(model);
 	}
 	if (strikes(model, .004)) {
--- a/tests/support/batch_model_internal.h
+++ b/tests/support/batch_model_internal.h
@@ -186,9 +186,11 @@
 	uint64_t next_incarnation;
 	double fault_rate; /**< of this walk */
 	double late_rate; /**< share of messages that are held up */
+	double cut_rate; /**< cuts a step */
 	double lone_rate; /**< share of cuts that leave newcomers alone */
 	uint64_t hold_until_us; /**< no other cut meanwhile */
 	uint64_t lone_at_us; /**< newcomers are left alone then, 0 if not */
+	bool lone; /**< newcomers come, or are alone */
 	bool cut[NODE_COUNT][NODE_COUNT];
 	platform_t platform;
 	entry_t entries[ENTRIES];
--- a/tests/support/batch_model_worker.c
+++ b/tests/support/batch_model_worker.c
@@ -93,8 +93,10 @@
 		return;
 	check_start(model, action);
 	run = make_run(host, action);
-	run->ends_us =
-		host_now(host) + (uint64_t)model_pick(model, 60) * GN_US_PER_S;
+	run->ends_us = host_now(host) +
+		       (uint64_t)model_pick(
+			       model, model_chance(model, .5) ? 20 : 200) *
+			       GN_US_PER_S;
 	run->fails = model_chance(model, .2);
 	send_event(model, host, run);
 }
--- a/tests/support/batch_mutant_list.h
+++ b/tests/support/batch_mutant_list.h
@@ -11,22 +11,23 @@
 typedef struct mutant_s {
 	const char *name;
 	bool *on; /**< its switch; NULL for the one in the model's entries */
+	uint32_t step; /**< walks the seeds step, 2 step, 3 step ... */
 	uint32_t walks; /**< walks within which it must be caught */
 } mutant_t;
 
 static const mutant_t mutants[] = {
-	{ "skip-epoch-check", &gn_mutants.skip_epoch_check, 200 },
-	{ "start-before-claim", &gn_mutants.start_before_claim, 200 },
-	{ "forget-predecessor", &gn_mutants.forget_predecessor, 200 },
-	{ "count-from-receipt", &gn_mutants.count_from_receipt, 200 },
-	{ "early-move", &gn_mutants.early_move, 200 },
-	{ "blind-write", &gn_mutants.blind_write, 200 },
-	{ "promise-while-moving", &gn_mutants.promise_while_moving, 200 },
-	{ "no-confirmation", &gn_mutants.no_confirmation, 200 },
-	{ "no-vouching", &gn_mutants.no_vouching, 200 },
-	{ "adopt-older", &gn_mutants.adopt_older, 200 },
-	{ "tell-before-durable", &gn_mutants.tell_before_durable, 200 },
-	{ "early-ack", NULL, 200 },
+	{ "skip-epoch-check", &gn_mutants.skip_epoch_check, 1, 50 },
+	{ "start-before-claim", &gn_mutants.start_before_claim, 1, 50 },
+	{ "forget-predecessor", &gn_mutants.forget_predecessor, 4, 600 },
+	{ "count-from-receipt", &gn_mutants.count_from_receipt, 1, 600 },
+	{ "early-move", &gn_mutants.early_move, 1, 50 },
+	{ "blind-write", &gn_mutants.blind_write, 1, 50 },
+	{ "promise-while-moving", &gn_mutants.promise_while_moving, 1, 600 },
+	{ "no-confirmation", &gn_mutants.no_confirmation, 1, 400 },
+	{ "no-vouching", &gn_mutants.no_vouching, 4, 200 },
+	{ "adopt-older", &gn_mutants.adopt_older, 4, 600 },
+	{ "tell-before-durable", &gn_mutants.tell_before_durable, 1, 50 },
+	{ "early-ack", NULL, 4, 200 },
 };
 
 static inline const mutant_t *find_mutant(const char *name)
