--- a/tests/bench/bench_idle.sh
+++ b/tests/bench/bench_idle.sh
@@ -2,10 +2,11 @@
 # Memory and processor time of idle processes: an entry as the number of its
 # agents grows, an agent as the number of its entries grows. Bytes are those of
 # the links, each segment with 66 bytes of headers; they need ss (iproute2).
-# usage: tests/bench/bench_idle.sh BUILD_FOLDER [SECONDS]
+# usage: tests/bench/bench_idle.sh BUILD_FOLDER [SECONDS] [BEAT_MS]
 set -u
 build=$1
 seconds=${2:-10}
+beat_ms=${3:-500}
 work=$(mktemp -d)
 host=127.$((1 + $$ / 62500 % 250)).$(($$ / 250 % 250)).$((1 + $$ % 250))
 pids=()
@@ -40,6 +41,8 @@
 	address = "$host:20000"
 	[link]
 	listen = "$host:$((20200 + $1))"
+	beat_interval_ms = $beat_ms
+	beat_timeout_ms = $((4 * beat_ms))
 	T
 	launch "$build/gypsumnotchd" -s "$work/e$1.toml"
 }
@@ -56,6 +59,8 @@
 	listen = "$host:$((21000 + $1))"
 	[link]
 	entries = [${entries%, }]
+	beat_interval_ms = $beat_ms
+	beat_timeout_ms = $((4 * beat_ms))
 	[worker]
 	service = "planner"
 	rack = "r$(($1 / 3))"
@@ -112,7 +117,7 @@
 	sleep 0.5
 	for i in $(seq "$agents"); do start_agent "$i" 1; done
 	[ "$agents" -eq 0 ] || await_workers 1 "$agents"
-	echo "idle entry agents=$agents $(measure "$entry")"
+	echo "idle entry beat_ms=$beat_ms agents=$agents $(measure "$entry")"
 	stop_all
 done
 for entries in 1 2 4 8; do
@@ -122,6 +127,6 @@
 	start_agent 1 "$entries"
 	agent=$launched
 	for i in $(seq "$entries"); do await_workers "$i" 1; done
-	echo "idle agent entries=$entries $(measure "$agent")"
+	echo "idle agent beat_ms=$beat_ms entries=$entries $(measure "$agent")"
 	stop_all
 done
