--- a/lib/entry/config_http.c
+++ b/lib/entry/config_http.c
@@ -98,13 +98,18 @@
 }
 
 static void start_change(entry_t *entry, gn_http_request_t *request,
-			 gn_config_part_t part, gn_str_t text)
+			 gn_config_part_t part, gn_str_t text,
+			 uint64_t if_revision)
 {
 	char made[CHANGE_ID_SIZE];
 	gn_str_t id = gn_str_from(request->headers[GN_HEADER_CHANGE_ID]);
 	gn_str_t revision =
 		gn_str_from(request->headers[GN_HEADER_IF_REVISION]);
-	gn_store_change_t change = { .part = part, .text = text };
+	gn_store_change_t change = {
+		.part = part,
+		.text = text,
+		.if_revision = if_revision,
+	};
 
 	if (!id.len) {
 		snprintf(made, sizeof(made), "%016" PRIx64,
@@ -133,9 +138,9 @@
 			  request->body_len };
 
 	if (gn_str_equal(name, GN_STR("inventory")))
-		start_change(entry, request, GN_CONFIG_INVENTORY, text);
+		start_change(entry, request, GN_CONFIG_INVENTORY, text, 0);
 	else if (gn_str_equal(name, GN_STR("rules")))
-		start_change(entry, request, GN_CONFIG_RULES, text);
+		start_change(entry, request, GN_CONFIG_RULES, text, 0);
 	else
 		refuse(entry, request, "no-such-part", "inventory or rules");
 }
@@ -164,19 +169,17 @@
 				     to_text(rules)));
 }
 
+/* A change that isn't found may still be on its way at another entry. */
 static void on_asked(void *context, const gn_store_result_t *result)
 {
 	change_t *change = context;
 	entry_t *entry = change->entry;
-	const char *outcome = result->code == GN_OK		 ? "accepted"
-			      : result->code == GN_ERR_NOT_FOUND ? "not-run"
-								 : "unknown";
-	bool answered =
-		result->code == GN_OK || result->code == GN_ERR_NOT_FOUND;
+	bool accepted = result->code == GN_OK;
+	bool answered = accepted || result->code == GN_ERR_NOT_FOUND;
 
 	gn_http_reply_json(entry->server, change->request,
 			   answered ? HTTP_OK : HTTP_UNAVAILABLE,
-			   describe(result, outcome));
+			   describe(result, accepted ? "accepted" : "unknown"));
 	g_free(change);
 }
 
@@ -190,27 +193,42 @@
 
 /* ======   Draining a host   ====== */
 
+static bool is_known_host(const entry_t *entry, const char *host)
+{
+	const gn_inventory_t *inventory = entry->config->inventory;
+
+	return g_hash_table_contains(entry->workers, host) ||
+	       (inventory && gn_inventory_find_host(inventory, host));
+}
+
 static void change_drain(entry_t *entry, gn_http_request_t *request,
 			 gn_str_t name, bool drained)
 {
 	const gn_refusal_t unknown_host = { HTTP_NOT_FOUND, GN_OUTCOME_NOT_RUN,
 					    "no-such-host", 0 };
+	const gn_refusal_t unconfigured = { HTTP_UNAVAILABLE,
+					    GN_OUTCOME_NOT_RUN,
+					    "no-configuration", RETRY_AFTER_S };
 	const gn_config_doc_t *doc = gn_store_current(entry->config->store);
-	gn_str_t text = doc ? doc->parts[GN_CONFIG_RULES].text : GN_STR("");
 	TALLOC_CTX *scratch = talloc_new(NULL);
 	gn_error_t error = { 0 };
 	char host[GN_NAME_MAX + 1];
 	gn_str_t changed;
 
 	if (gn_str_copy(host, sizeof(host), name) ||
-	    !g_hash_table_contains(entry->workers, host))
+	    !is_known_host(entry, host))
 		gn_http_reply_refusal(entry->server, request, &unknown_host,
 				      NULL);
-	else if (gn_rules_set_drain(scratch, text, host, drained, &changed,
-				    &error))
+	else if (!doc || !doc->revision)
+		gn_http_reply_refusal(entry->server, request, &unconfigured,
+				      NULL);
+	else if (gn_rules_set_drain(scratch, doc->parts[GN_CONFIG_RULES].text,
+				    host, drained, &changed, &error))
 		refuse(entry, request, "rejected", error.detail);
 	else
-		start_change(entry, request, GN_CONFIG_RULES, changed);
+		/* Made from this revision, it must not replace a later one. */
+		start_change(entry, request, GN_CONFIG_RULES, changed,
+			     doc->revision);
 	talloc_free(scratch);
 }
 
--- a/tests/scenario.sh
+++ b/tests/scenario.sh
@@ -309,6 +309,39 @@
 	done | grep . || echo "every worker has tasks"
 }
 
+operate() { # ENTRY VERB HOST: the outcome
+	fetch -X POST "http://${http[$1]}/v1/hosts/$3/$2" | jq -r .outcome
+}
+
+# operate_until ENTRY VERB HOST: again until it is accepted
+operate_until() {
+	local _
+	for _ in $(seq 50); do
+		[ "$(operate "$@")" = accepted ] && return
+		sleep 0.1
+	done
+}
+
+# drain_race ENTRY HOST ENTRY HOST ROUNDS: two operators at the same time;
+# what each was told was accepted must be in the rules afterwards
+cmd_drain_race() {
+	local i undone=0 one two rules
+	for i in $(seq "$5"); do
+		operate "$1" drain "$2" >"$work/one" &
+		two=$(operate "$3" drain "$4")
+		wait $!
+		one=$(cat "$work/one")
+		sleep 0.3
+		rules=$(fetch "http://${http[$1]}/v1/config" | jq -r .rules)
+		if [ "$one" = accepted ]; then grep -q "\"$2\"" <<<"$rules" || undone=$((undone + 1)); fi
+		if [ "$two" = accepted ]; then grep -q "\"$4\"" <<<"$rules" || undone=$((undone + 1)); fi
+		operate_until "$1" resume "$2"
+		sleep 0.2
+		operate_until "$1" resume "$4"
+	done
+	echo "$5 rounds, $([ $undone = 0 ] && echo no accepted change undone || echo $undone undone)"
+}
+
 # counter NAME COUNTER: the value of a counter
 cmd_counter() { fetch "http://${http[$1]}/dump" | grep -o "\"$2\":[0-9]*" | cut -d: -f2; }
 
--- a/tests/standin/backend.c
+++ b/tests/standin/backend.c
@@ -57,7 +57,9 @@
 	pthread_mutex_lock(&self.lock);
 	self.journal =
 		realloc(self.journal, self.journal_len + upload->len + 2);
-	memcpy(self.journal + self.journal_len, upload->data, upload->len);
+	if (upload->len)
+		memcpy(self.journal + self.journal_len, upload->data,
+		       upload->len);
 	self.journal_len += upload->len;
 	self.journal[self.journal_len++] = '\n';
 	self.journal[self.journal_len] = '\0';
@@ -123,7 +125,8 @@
 	} else {
 		body = malloc(upload->len + 3);
 		memcpy(body, "ok:", 3);
-		memcpy(body + 3, upload->data, upload->len);
+		if (upload->len)
+			memcpy(body + 3, upload->data, upload->len);
 		result = reply(connection, MHD_HTTP_OK, body, upload->len + 3);
 		free(body);
 	}
