Run a request with an idempotency key at most once, at any entry

Cause: a caller that got no answer and asks again, perhaps at another entry, had its request run a second time. Change: the key is created in the platform's service, if absent, before any worker is tried; a lost answer is settled by reading the change id back; a request that ends as surely not run gives its key back. Ruled out: a lease a request (two calls more each); keys without a lease (nobody to delete them). Proof: scenario "keys".

--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -2,6 +2,7 @@
 
 #include "entry/buckets.h"
 #include "entry/config.h"
+#include "entry/keys.h"
 #include "entry/membership.h"
 #include "entry/peers.h"
 
@@ -65,9 +66,9 @@
 	/* Buckets and requests answer through the server; it goes last. */
 	TALLOC_FREE(entry->buckets);
 	TALLOC_FREE(entry->config);
+	entry_requests_close(entry);
 	TALLOC_FREE(entry->client);
 	TALLOC_FREE(entry->membership);
-	entry_requests_close(entry);
 	entry_workers_close(entry);
 	return 0;
 }
@@ -90,7 +91,8 @@
 	if (start_server(entry, error) || entry_peers_open(entry, error) ||
 	    entry_membership_open(entry, error))
 		return error->code;
-	if (entry_config_open(entry) || entry_buckets_open(entry))
+	if (entry_config_open(entry) || entry_buckets_open(entry) ||
+	    entry_keys_open(entry))
 		return gn_error_set(error, GN_ERR_MEMORY, "start", NULL,
 				    "configuration");
 	return start_link(entry, error);
@@ -120,6 +122,7 @@
 	entry_requests_tick(entry);
 	entry_membership_tick(entry);
 	entry_config_tick(entry);
+	entry_keys_tick(entry);
 	entry_buckets_tick(entry);
 	if (entry->runtime->stopping)
 		tick_stop(entry);
--- a/lib/entry/entry_internal.h
+++ b/lib/entry/entry_internal.h
@@ -11,6 +11,7 @@
 #include "http/reply.h"
 #include "http/server.h"
 #include "limit/limit.h"
+#include "platform/kv.h"
 #include "route/eject.h"
 #include "route/retry.h"
 #include "wire/link.h"
@@ -19,6 +20,7 @@
 typedef struct entry_membership_s entry_membership_t;
 typedef struct entry_buckets_s entry_buckets_t;
 typedef struct entry_config_s entry_config_t;
+typedef struct entry_keys_s entry_keys_t;
 
 /** The retries of one service. */
 typedef struct entry_service_s {
@@ -56,6 +58,8 @@
 	gn_limit_ticket_t ticket;
 	gn_limit_end_t end; /**< what to tell the limit */
 	gn_retry_t retry;
+	gn_kv_call_t key_call; /**< the claim of its key, in progress, or 0 */
+	uint64_t key_revision; /**< of its claimed key, or 0 */
 	entry_worker_t *worker; /**< where the present try is, or NULL */
 	uint64_t try_us; /**< when the present try was sent */
 } entry_request_t;
@@ -80,6 +84,7 @@
 	entry_membership_t *membership;
 	entry_buckets_t *buckets;
 	entry_config_t *config;
+	entry_keys_t *keys;
 	gn_route_view_t *view;
 	gn_eject_t *eject;
 	gn_limit_t *limit;
@@ -122,6 +127,8 @@
 void entry_on_request(void *arg, gn_http_request_t *request, gn_str_t service);
 /** Answers the requests whose deadline has passed. */
 void entry_requests_tick(entry_t *entry);
+/** Sends an admitted request, whose key is claimed, to a worker. */
+void entry_request_begin(entry_request_t *request);
 /** Hands the whole answer of a backend server to the caller. */
 void entry_request_finish(entry_request_t *request, const Gn__Answer *answer);
 /** Ends a request without an answer of a backend server. */
--- a/lib/entry/http.c
+++ b/lib/entry/http.c
@@ -8,6 +8,7 @@
 #include "entry/buckets.h"
 #include "entry/config.h"
 #include "entry/jobs.h"
+#include "entry/keys.h"
 #include "entry/membership.h"
 #include "http/router.h"
 
@@ -95,6 +96,8 @@
 	json_object_set_new(dump, "hosts", dump_workers(entry));
 	json_object_set_new(dump, "members", entry_membership_dump(entry));
 	json_object_set_new(dump, "buckets", entry_buckets_dump(entry));
+	json_object_set_new(dump, "keys_ready",
+			    json_boolean(entry_keys_are_ready(entry)));
 	json_object_set_new(dump, "config_revision",
 			    json_integer((json_int_t)entry->config->revision));
 	json_object_set_new(dump, "requests",
--- a/lib/entry/requests.c
+++ b/lib/entry/requests.c
@@ -5,7 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "entry/entry_internal.h"
+#include "entry/keys.h"
+#include "entry/membership.h"
 
 #define HTTP_BAD_REQUEST 400
 #define HTTP_UNAVAILABLE 503
@@ -55,6 +56,7 @@
 	entry_t *entry = request->entry;
 
 	entry_try_abandon(request);
+	gn_kv_cancel(entry->membership->kv, request->key_call);
 	gn_limit_release(entry->limit, &request->ticket, request->end);
 	g_hash_table_remove(entry->requests, &request->id);
 	g_sequence_remove(request->by_deadline);
@@ -86,18 +88,30 @@
 	gn_refusal_t told = *refusal;
 
 	told.retry_after_s = to_seconds(gn_limit_draw_return_ms(entry->limit));
-	gn_counter_inc(told.outcome == GN_OUTCOME_NOT_RUN
-			       ? entry->counters.not_run
-			       : entry->counters.unknown);
+	if (told.outcome == GN_OUTCOME_NOT_RUN) {
+		gn_counter_inc(entry->counters.not_run);
+		entry_key_release(request);
+	} else {
+		gn_counter_inc(entry->counters.unknown);
+	}
 	gn_http_reply_refusal(entry->server, request->http, &told, NULL);
 	forget(request);
 }
 
+static void end_late(entry_request_t *request)
+{
+	gn_refusal_t late = { HTTP_GATEWAY_TIMEOUT, GN_OUTCOME_UNKNOWN,
+			      "deadline-passed", 0 };
+
+	/* It may still be waiting for its key, with no worker tried. */
+	if (!request->worker)
+		late.outcome = gn_retry_outcome(&request->retry);
+	request->end = GN_LIMIT_ANSWERED;
+	entry_request_give_up(request, &late);
+}
+
 void entry_requests_tick(entry_t *entry)
 {
-	static const gn_refusal_t late = { HTTP_GATEWAY_TIMEOUT,
-					   GN_OUTCOME_UNKNOWN,
-					   "deadline-passed", 0 };
 	uint64_t now_us = gn_runtime_now_us(entry->runtime);
 
 	for (;;) {
@@ -110,8 +124,7 @@
 		request = g_sequence_get(first);
 		if (request->deadline_us > now_us)
 			return;
-		request->end = GN_LIMIT_ANSWERED;
-		entry_request_give_up(request, &late);
+		end_late(request);
 	}
 }
 
@@ -135,6 +148,8 @@
 			      GN_DEADLINE_MAX_MS, &deadline_ms) ||
 	     !deadline_ms))
 		return "Gypsumnotch-Deadline-Ms: 1 to 60000";
+	if (gn_str_from(headers[GN_HEADER_KEY]).len > GN_KEY_MAX)
+		return "Idempotency-Key: at most 128 bytes";
 	request->repeatable = gn_str_equal(repeatable, GN_STR("yes"));
 	if (repeatable.len && !request->repeatable &&
 	    !gn_str_equal(repeatable, GN_STR("no")))
@@ -207,7 +222,32 @@
 		entry->deadlines, request, compare_deadlines, NULL);
 	g_hash_table_insert(entry->requests, &request->id, request);
 	gn_retry_init(&request->retry, request->repeatable);
-	entry_try_first(request, worker);
+	if (request->http->headers[GN_HEADER_KEY])
+		entry_key_claim(request);
+	else
+		entry_try_first(request, worker);
+}
+
+static gn_code_t pick(const entry_request_t *request, gn_route_choice_t *choice)
+{
+	const entry_t *entry = request->entry;
+
+	return gn_route_pick(&gn_route_policies[GN_ROUTE_TWO_CHOICES],
+			     entry->view, gn_str_from(request->service),
+			     entry->runtime->random, NULL, choice);
+}
+
+void entry_request_begin(entry_request_t *request)
+{
+	static const gn_refusal_t no_worker = { HTTP_UNAVAILABLE,
+						GN_OUTCOME_NOT_RUN, "no-worker",
+						0 };
+	gn_route_choice_t choice;
+
+	if (pick(request, &choice))
+		entry_request_give_up(request, &no_worker);
+	else
+		entry_try_first(request, choice.worker);
 }
 
 void entry_on_request(void *arg, gn_http_request_t *http, gn_str_t service)
@@ -231,9 +271,7 @@
 		refuse_malformed(request, error);
 		return;
 	}
-	code = gn_route_pick(&gn_route_policies[GN_ROUTE_TWO_CHOICES],
-			     entry->view, gn_str_from(request->service),
-			     entry->runtime->random, NULL, &choice);
+	code = pick(request, &choice);
 	if (code)
 		refuse_unpicked(request, code);
 	else if (!is_admitted(request, choice.wait_us, &refusal))
--- a/tests/scenario.sh
+++ b/tests/scenario.sh
@@ -191,6 +191,17 @@
 	done | sort | uniq -c | awk '$1 > 1 {print "ran " $1 " times: " $2; bad=1} END {print NR " ran, " (bad ? "some twice" : "none twice")}'
 }
 
+# wait_keys ENTRY...: until each takes requests with a key
+cmd_wait_keys() {
+	local e
+	for e in "$@"; do
+		for _ in $(seq 300); do
+			[ "$(fetch "http://${http[$e]}/dump" | jq .keys_ready)" = true ] && break
+			sleep 0.1
+		done
+	done
+}
+
 # wait_owned ENTRY...: until these entries own all buckets between them
 cmd_wait_owned() {
 	local e
