member: one write admits all that wait; acknowledgements apart

Measured with the platform's calls counted on the paused clock, all entries starting at once: the joins and acknowledgements of n entries contended for one key, so that 75 entries took 57 s, 14,748 writes and at the peak 656 writes a second, above what the service takes (several hundred).

A live key now asks to be in and carries what its entry acknowledged. By one consistent view a key without a member is admitted and a member without its key removed, in one write, and the live entries take turns to make it. An acknowledgement goes into the entry's own key and is folded into the record with the next change; one that was not seen in time counts as lower, which is safe. Leaving is ending the lease: nobody is removed whose key is there (the walk's check lost its exception for those that leave).

--- a/lib/member/lease.c
+++ b/lib/member/lease.c
@@ -5,12 +5,15 @@
 
 /** A lease is renewed so many times in its time to live. */
 #define RENEWALS_PER_TTL 3
+/** Renewals come earlier by up to this share, so that they don't coincide. */
+#define RENEWAL_JITTER 0.2
 /** A renewal that failed is tried again at least so often in it. */
 #define RETRIES_PER_TTL 8
 
 struct gn_lease_s {
 	gn_lease_options_t options;
 	char *key;
+	gn_str_t value;
 	gn_lease_state_t state;
 	uint64_t id;
 	uint64_t granted_sent_us;
@@ -40,8 +43,11 @@
 
 static void succeed(gn_lease_t *lease, uint64_t sent_us)
 {
+	double share = 1 - RENEWAL_JITTER * g_rand_double(lease->options.rand);
+
 	gn_backoff_reset(&lease->backoff);
-	lease->due_us = sent_us + ttl_us(lease) / RENEWALS_PER_TTL;
+	lease->due_us = sent_us + (uint64_t)(share * (double)ttl_us(lease)) /
+					  RENEWALS_PER_TTL;
 	if (lease->options.on_renewed)
 		lease->options.on_renewed(lease->options.context, sent_us);
 }
@@ -113,10 +119,21 @@
 		retry_later(lease);
 }
 
+static void take_revocation(void *context, const gn_kv_result_t *result)
+{
+	gn_lease_t *lease = context;
+
+	lease->call = 0;
+	if (result->code == GN_OK || result->code == GN_ERR_NOT_FOUND)
+		lease->state = GN_LEASE_LOST;
+	else
+		retry_later(lease);
+}
+
 static void create_key(gn_lease_t *lease)
 {
 	gn_str_t key = gn_str_from(lease->key);
-	gn_kv_put_t put = { key, GN_STR(""), key, GN_KV_ABSENT, lease->id };
+	gn_kv_put_t put = { key, lease->value, key, GN_KV_ABSENT, lease->id };
 
 	lease->call = gn_kv_put(lease->options.kv, &put, take_create, lease);
 }
@@ -138,24 +155,37 @@
 	case GN_LEASE_HELD:
 		lease->call = gn_kv_renew(kv, lease->id, take_renewal, lease);
 		break;
+	case GN_LEASE_ENDING:
+		lease->call =
+			gn_kv_revoke(kv, lease->id, take_revocation, lease);
+		break;
 	case GN_LEASE_LOST:
 		break;
 	}
 }
 
-static void take_revocation(void *context, const gn_kv_result_t *result)
+void gn_lease_end(gn_lease_t *lease)
+{
+	if (lease->state == GN_LEASE_LOST)
+		return;
+	gn_kv_cancel(lease->options.kv, lease->call);
+	lease->call = 0;
+	lease->due_us = now_us(lease);
+	lease->state = lease->id ? GN_LEASE_ENDING : GN_LEASE_LOST;
+}
+
+static void ignore_result(void *context, const gn_kv_result_t *result)
 {
 	(void)context;
 	(void)result;
 }
 
-void gn_lease_end(gn_lease_t *lease)
+void gn_lease_abandon(gn_lease_t *lease)
 {
 	gn_kv_cancel(lease->options.kv, lease->call);
 	lease->call = 0;
 	if (lease->id && lease->state != GN_LEASE_LOST)
-		gn_kv_revoke(lease->options.kv, lease->id, take_revocation,
-			     NULL);
+		gn_kv_revoke(lease->options.kv, lease->id, ignore_result, NULL);
 	lease->state = GN_LEASE_LOST;
 }
 
@@ -164,6 +194,11 @@
 	return lease->state;
 }
 
+uint64_t gn_lease_id(const gn_lease_t *lease)
+{
+	return lease->id;
+}
+
 static int free_lease(gn_lease_t *lease)
 {
 	gn_kv_cancel(lease->options.kv, lease->call);
@@ -186,7 +221,11 @@
 		return NULL;
 	lease->options = *options;
 	lease->key = talloc_strdup(lease, options->key);
-	if (!lease->key) {
+	lease->value.len = options->value.len;
+	lease->value.data = talloc_strndup(
+		lease, options->value.len ? options->value.data : "",
+		options->value.len);
+	if (!lease->key || !lease->value.data) {
 		talloc_free(lease);
 		return NULL;
 	}
--- a/lib/member/lease.h
+++ b/lib/member/lease.h
@@ -25,6 +25,7 @@
 	GN_LEASE_GRANTING = 0,
 	GN_LEASE_CREATING, /**< the lease is there, its key is not yet */
 	GN_LEASE_HELD,
+	GN_LEASE_ENDING, /**< being revoked */
 	GN_LEASE_LOST /**< for good; the key is gone or will be */
 } gn_lease_state_t;
 
@@ -37,6 +38,7 @@
 	const gn_clock_t *clock;
 	GRand *rand;
 	const char *key; /**< copied; nobody else ever writes it */
+	gn_str_t value; /**< of the key at first; copied */
 	uint32_t ttl_ms; /**< GN_LEASE_TTL_MIN_MS..GN_LEASE_TTL_MAX_MS */
 	gn_lease_renewed_t on_renewed; /**< may be NULL */
 	void *context;
@@ -54,9 +56,15 @@
 /** Starts the call that is due; to be called some times a second. */
 void gn_lease_tick(gn_lease_t *lease);
 
-/** Revokes the lease and counts it as lost; the answer is not waited for. */
+/** Revokes the lease, by the next ticks; lost when the service has done so. */
 void gn_lease_end(gn_lease_t *lease);
 
+/** Sends one revocation, waits for no answer, and counts as lost. */
+void gn_lease_abandon(gn_lease_t *lease);
+
 gn_lease_state_t gn_lease_state(const gn_lease_t *lease);
 
+/** The service's number of the lease; 0 before it is granted. */
+uint64_t gn_lease_id(const gn_lease_t *lease);
+
 #endif
--- a/lib/member/record.h
+++ b/lib/member/record.h
@@ -4,10 +4,12 @@
  *
  * The record and a key of each entry, bound to its lease, are watched as one
  * prefix, so that every view holds for one revision of the service. An entry
- * creates its key before it joins and never again: a member of the record
- * without its key has lapsed for good, and any other entry removes it by
- * compare-and-swap. All writes are derived anew from the latest view, so that
- * one whose answer was lost needs no memory of its own.
+ * creates its key once and never again. By a view, a key without a member asks
+ * to be in, and a member without its key has lapsed for good: one write by
+ * compare-and-swap follows all of them. The live entries take turns to make
+ * it, so that many that start at once don't contend. Acknowledgements go into
+ * the entry's own key. All writes are derived anew from the latest view, so
+ * that one whose answer was lost needs no memory of its own.
  *
  * An incarnation that left never returns: once its lease is lost or the record
  * no longer has it, this entry is gone; its owner drops all that it holds and
@@ -23,6 +25,7 @@
 #include "common/clock.h"
 #include "member/lease.h"
 #include "member/record_doc.h"
+#include "member/record_live.h"
 
 /** Prefix of all keys of the record. */
 #define GN_RECORD_PREFIX "members/"
@@ -73,7 +76,7 @@
 /** Starts what is due; to be called some times a second. */
 void gn_record_tick(gn_record_t *record);
 
-/** Leaves the record; when done, this entry is gone. */
+/** Ends the lease; when the service has done so, this entry is gone. */
 void gn_record_leave(gn_record_t *record);
 
 /* ======   Queries   ====== */
--- a/lib/member/record_view.c
+++ b/lib/member/record_view.c
@@ -2,45 +2,42 @@
  * @file record_view.c
  * @brief The watched keys of the member record, and what should follow.
  */
-#include <stdlib.h>
-#include <string.h>
-
 #include "common/log.h"
 #include "common/str.h"
 #include "member/record_internal.h"
 
 #define STEP "member-record"
-#define HEX_DIGITS 16
-#define HEX_BASE 16
 
-/* The incarnation of a live key; 0: it is none. */
-static uint64_t parse_live_key(gn_str_t key)
+/* ======   Updates   ====== */
+
+static void remove_live(gn_record_view_t *view, uint64_t incarnation)
 {
-	gn_str_t prefix = GN_STR(GN_RECORD_LIVE_PREFIX);
-	char digits[HEX_DIGITS + 1];
-	char *end;
-	uint64_t incarnation;
+	const gn_record_live_t *live = gn_record_view_live(view, incarnation);
 
-	if (key.len != prefix.len + HEX_DIGITS ||
-	    memcmp(key.data, prefix.data, prefix.len) != 0)
-		return 0;
-	memcpy(digits, key.data + prefix.len, HEX_DIGITS);
-	digits[HEX_DIGITS] = '\0';
-	incarnation = strtoull(digits, &end, HEX_BASE);
-	return *end ? 0 : incarnation;
+	if (!live)
+		return;
+	if (gn_record_doc_find(&view->doc, incarnation) <
+	    view->doc.member_count)
+		g_hash_table_insert(
+			view->last_acked,
+			g_memdup2(&incarnation, sizeof(incarnation)),
+			g_memdup2(&live->acked, sizeof(live->acked)));
+	g_hash_table_remove(view->live, &incarnation);
 }
 
-static void set_live(gn_record_view_t *view, uint64_t incarnation, bool is_live)
+static void set_live(gn_record_view_t *view, uint64_t incarnation,
+		     const gn_kv_entry_t *entry)
 {
-	uint64_t *key;
+	gn_record_live_t *live = g_new0(gn_record_live_t, 1);
 
-	if (!is_live) {
-		g_hash_table_remove(view->live, &incarnation);
+	live->incarnation = incarnation;
+	live->key_revision = entry->revision;
+	if (gn_record_live_decode(entry->value, live)) {
+		g_hash_table_replace(view->live, &live->incarnation, live);
 		return;
 	}
-	key = g_new(uint64_t, 1);
-	*key = incarnation;
-	g_hash_table_add(view->live, key);
+	gn_log(LOG_ERR, STEP, NULL, "a live key is malformed");
+	g_free(live);
 }
 
 static void set_doc(gn_record_view_t *view, const gn_kv_entry_t *entry)
@@ -60,98 +57,170 @@
 	g_free(doc);
 }
 
+static gboolean is_no_member(gpointer key, gpointer value, gpointer data)
+{
+	const gn_record_view_t *view = data;
+
+	(void)value;
+	return gn_record_doc_find(&view->doc, *(const uint64_t *)key) ==
+	       view->doc.member_count;
+}
+
+/* A whole list names all keys: those it lacks are gone. */
+static void remove_all_live(gn_record_view_t *view)
+{
+	GList *keys = g_hash_table_get_keys(view->live);
+
+	for (GList *key = keys; key; key = key->next)
+		remove_live(view, *(const uint64_t *)key->data);
+	g_list_free(keys);
+}
+
 void gn_record_view_update(gn_record_view_t *view, const gn_kv_news_t *news)
 {
 	if (news->whole)
-		g_hash_table_remove_all(view->live);
+		remove_all_live(view);
 	for (size_t i = 0; i < news->count; i++) {
 		const gn_kv_entry_t *entry = &news->entries[i];
-		uint64_t incarnation = parse_live_key(entry->key);
+		uint64_t incarnation = gn_record_live_parse_key(entry->key);
 
-		if (incarnation)
-			set_live(view, incarnation, !entry->deleted);
+		if (incarnation && entry->deleted)
+			remove_live(view, incarnation);
+		else if (incarnation)
+			set_live(view, incarnation, entry);
 		else if (gn_str_equal(entry->key, GN_STR(GN_RECORD_KEY)))
 			set_doc(view, entry);
 	}
+	g_hash_table_foreach_remove(view->last_acked, is_no_member, view);
 	view->is_known = true;
 }
 
-bool gn_record_view_has_lapsed(const gn_record_view_t *view,
-			       const gn_record_member_t *member)
+/* ======   Queries   ====== */
+
+const gn_record_live_t *gn_record_view_live(const gn_record_view_t *view,
+					    uint64_t incarnation)
 {
-	return !g_hash_table_contains(view->live, &member->incarnation);
+	return g_hash_table_lookup(view->live, &incarnation);
 }
 
-/* ======   Proposals   ====== */
+uint64_t gn_record_view_acked(const gn_record_view_t *view,
+			      uint64_t incarnation)
+{
+	uint64_t acked = gn_record_doc_acked(&view->doc, incarnation);
+	const gn_record_live_t *live = gn_record_view_live(view, incarnation);
+	const uint64_t *last =
+		g_hash_table_lookup(view->last_acked, &incarnation);
+
+	if (live)
+		acked = MAX(acked, live->acked);
+	if (last)
+		acked = MAX(acked, *last);
+	return acked;
+}
 
-static bool should_be_in(const gn_record_t *record)
+static bool is_member(const gn_record_view_t *view, uint64_t incarnation)
 {
-	return record->standing == GN_RECORD_MEMBER ||
-	       (record->standing == GN_RECORD_JOINING &&
-		gn_lease_state(record->lease) == GN_LEASE_HELD);
+	return gn_record_doc_find(&view->doc, incarnation) <
+	       view->doc.member_count;
 }
 
-static bool should_remove(const gn_record_t *record,
-			  const gn_record_member_t *member)
+/* Whether @p a has its turn before @p b: members first, then by number. */
+static bool is_before(const gn_record_view_t *view, uint64_t a, uint64_t b)
 {
-	if (member->incarnation == record->options.incarnation)
-		return record->standing == GN_RECORD_LEAVING;
-	return gn_record_view_has_lapsed(&record->view, member) ||
-	       record->mutant == GN_RECORD_MUTANT_REMOVE_LIVE;
+	bool a_is_member = is_member(view, a);
+
+	if (a_is_member != is_member(view, b))
+		return a_is_member;
+	return a < b;
 }
 
-static bool has_changed_membership(const gn_record_t *record)
+size_t gn_record_view_rank(const gn_record_view_t *view, uint64_t incarnation)
 {
-	const gn_record_doc_t *doc = &record->view.doc;
-	size_t self = gn_record_doc_find(doc, record->options.incarnation);
+	GHashTableIter iter;
+	gpointer key;
+	size_t rank = 0;
+
+	g_hash_table_iter_init(&iter, view->live);
+	while (g_hash_table_iter_next(&iter, &key, NULL))
+		rank += is_before(view, *(const uint64_t *)key, incarnation);
+	return rank;
+}
 
-	if (self == doc->member_count && should_be_in(record))
-		return true;
-	for (size_t i = 0; i < doc->member_count; i++)
-		if (should_remove(record, &doc->members[i]))
-			return true;
-	return false;
+/* ======   Proposals   ====== */
+
+static bool remove_lapsed(const gn_record_t *record, gn_record_doc_t *doc)
+{
+	bool has_changed = false;
+
+	for (size_t i = doc->member_count; i-- > 0;) {
+		uint64_t incarnation = doc->members[i].incarnation;
+		bool is_live =
+			gn_record_view_live(&record->view, incarnation) != NULL;
+
+		if (record->mutant == GN_RECORD_MUTANT_REMOVE_LIVE)
+			is_live = incarnation == record->options.incarnation;
+		if (is_live)
+			continue;
+		gn_record_doc_remove(doc, i);
+		has_changed = true;
+	}
+	return has_changed;
 }
 
-static void change_membership(const gn_record_t *record, gn_record_doc_t *doc)
+static bool add_live(gn_record_doc_t *doc, const gn_record_live_t *live)
 {
-	gn_record_member_t self = { 0 };
+	gn_record_member_t member = { 0 };
 
-	doc->revision++;
-	for (size_t i = doc->member_count; i-- > 0;)
-		if (should_remove(record, &doc->members[i]))
-			gn_record_doc_remove(doc, i);
-	if (!should_be_in(record))
-		return;
-	if (record->mutant == GN_RECORD_MUTANT_RETURN)
-		doc->left_count = 0;
-	self.incarnation = record->options.incarnation;
-	gn_str_copy(self.name, sizeof(self.name),
-		    gn_str_from(record->options.name));
-	gn_str_copy(self.address, sizeof(self.address),
-		    gn_str_from(record->options.address));
-	gn_record_doc_add(doc, &self);
+	member.incarnation = live->incarnation;
+	gn_str_copy(member.name, sizeof(member.name), gn_str_from(live->name));
+	gn_str_copy(member.address, sizeof(member.address),
+		    gn_str_from(live->address));
+	return gn_record_doc_add(doc, &member) == GN_OK;
 }
 
-static bool acknowledge(const gn_record_t *record, gn_record_doc_t *doc)
+static bool add_all_live(const gn_record_t *record, gn_record_doc_t *doc)
 {
-	size_t self = gn_record_doc_find(doc, record->options.incarnation);
-	uint64_t revision = record->adopted.revision;
+	GHashTableIter iter;
+	gpointer value;
+	bool has_changed = false;
+
+	g_hash_table_iter_init(&iter, record->view.live);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		has_changed |= add_live(doc, value);
+	return has_changed;
+}
 
-	if (record->mutant == GN_RECORD_MUTANT_ACK_EARLY)
-		revision = doc->revision;
-	if (self == doc->member_count || doc->members[self].acked >= revision)
+/* The mutant adds itself whether it lives or not. */
+static bool add_self_again(const gn_record_t *record, gn_record_doc_t *doc)
+{
+	gn_record_live_t self = { 0 };
+
+	if (record->mutant != GN_RECORD_MUTANT_RETURN || !record->was_member)
 		return false;
-	doc->members[self].acked = revision;
-	return true;
+	self.incarnation = record->options.incarnation;
+	gn_str_copy(self.name, sizeof(self.name), GN_STR("returned"));
+	gn_str_copy(self.address, sizeof(self.address), GN_STR("returned"));
+	doc->left_count = 0;
+	return add_live(doc, &self);
+}
+
+static void fold_acked(const gn_record_view_t *view, gn_record_doc_t *doc)
+{
+	for (size_t i = 0; i < doc->member_count; i++)
+		doc->members[i].acked =
+			gn_record_view_acked(view, doc->members[i].incarnation);
 }
 
 bool gn_record_propose(const gn_record_t *record, gn_record_doc_t *doc)
 {
-	bool has_changed = has_changed_membership(record);
+	bool has_changed;
 
 	*doc = record->view.doc;
-	if (has_changed)
-		change_membership(record, doc);
-	return acknowledge(record, doc) || has_changed;
+	doc->revision++;
+	/* before any is removed: what it acknowledged is kept with it */
+	fold_acked(&record->view, doc);
+	has_changed = remove_lapsed(record, doc);
+	has_changed |= add_all_live(record, doc);
+	has_changed |= add_self_again(record, doc);
+	return has_changed;
 }
--- a/tests/contract/test_record_walk.c
+++ b/tests/contract/test_record_walk.c
@@ -38,7 +38,6 @@
 	host_t hosts[ENTRIES];
 	uint64_t last_incarnation;
 	GHashTable *adopted; /* incarnation to its adopted revision */
-	GHashTable *leaving; /* incarnations that were asked to leave */
 	GHashTable *left; /* incarnations that have left */
 	gn_record_doc_t doc; /* as last observed */
 	uint64_t key_revision;
@@ -81,30 +80,54 @@
 		g_hash_table_add(walk->left, key);
 		if (doc->revision == walk->doc.revision)
 			violate(walk, "members changed within a revision");
-		if (!g_hash_table_contains(walk->leaving, key) &&
-		    has_live_key(walk, incarnation))
+		if (has_live_key(walk, incarnation))
 			violate(walk, "a live entry was removed");
 	}
 }
 
+static void check_acked(walk_t *walk, uint64_t incarnation, uint64_t acked)
+{
+	gpointer key = GSIZE_TO_POINTER(incarnation);
+
+	if (acked > GPOINTER_TO_SIZE(g_hash_table_lookup(walk->adopted, key)))
+		violate(walk, "acknowledged before adopted");
+}
+
 static void check_members(walk_t *walk, const gn_record_doc_t *doc)
 {
 	for (size_t i = 0; i < doc->member_count; i++) {
 		const gn_record_member_t *member = &doc->members[i];
 		gpointer key = GSIZE_TO_POINTER(member->incarnation);
-		uint64_t adopted = GPOINTER_TO_SIZE(
-			g_hash_table_lookup(walk->adopted, key));
 
 		if (g_hash_table_contains(walk->left, key))
 			violate(walk, "an incarnation that left returned");
-		if (member->acked > adopted)
-			violate(walk, "acknowledged before adopted");
+		check_acked(walk, member->incarnation, member->acked);
 		if (gn_record_doc_find(&walk->doc, member->incarnation) ==
 		    walk->doc.member_count)
 			walk->joins++;
 	}
 }
 
+static void check_live_keys(walk_t *walk)
+{
+	kv_answer_t answer;
+
+	kv_answer_init(&answer);
+	kv_state_list(walk->state, GN_RECORD_LIVE_PREFIX, 0, &answer);
+	for (guint i = 0; i < answer.items->len; i++) {
+		const kv_item_t *item = answer.items->pdata[i];
+		gn_record_live_t live = { 0 };
+		gn_str_t value;
+
+		live.incarnation =
+			gn_record_live_parse_key(gn_str_from(item->key));
+		value.data = g_bytes_get_data(item->value, &value.len);
+		g_assert_true(gn_record_live_decode(value, &live));
+		check_acked(walk, live.incarnation, live.acked);
+	}
+	kv_answer_clear(&answer);
+}
+
 /* Looks at what the service holds. */
 static void observe(walk_t *walk)
 {
@@ -114,6 +137,7 @@
 	kv_item_t *item;
 
 	kv_state_expire(walk->state, gn_clock_now_us(&walk->clock));
+	check_live_keys(walk);
 	kv_answer_init(&answer);
 	kv_state_get(walk->state, GN_RECORD_KEY, 0, &answer);
 	if (!answer.items->len)
@@ -202,8 +226,6 @@
 	}
 	if (g_rand_double(walk->rand) < 0.001) {
 		walk->leaves++;
-		g_hash_table_add(walk->leaving,
-				 GSIZE_TO_POINTER(host->incarnation));
 		gn_record_leave(host->record);
 	}
 }
@@ -227,7 +249,6 @@
 	walk->state = kv_state_create();
 	walk->mutant = mutant;
 	walk->adopted = g_hash_table_new(g_direct_hash, g_direct_equal);
-	walk->leaving = g_hash_table_new(g_direct_hash, g_direct_equal);
 	walk->left = g_hash_table_new(g_direct_hash, g_direct_equal);
 	for (int i = 0; i < ENTRIES; i++) {
 		host_t *host = &walk->hosts[i];
@@ -246,7 +267,6 @@
 		fake_kv_free(walk->hosts[i].fake);
 	}
 	g_hash_table_unref(walk->adopted);
-	g_hash_table_unref(walk->leaving);
 	g_hash_table_unref(walk->left);
 	kv_state_free(walk->state);
 	g_rand_free(walk->rand);
@@ -267,7 +287,8 @@
 		    index == doc->member_count)
 			violate(walk, "a live entry is no member");
 		else if (host->adopted != doc->revision ||
-			 doc->members[index].acked != doc->revision)
+			 gn_record_acked(walk->hosts[0].record,
+					 host->incarnation) != doc->revision)
 			violate(walk, "a revision was not acknowledged by all");
 	}
 }
--- a/tests/support/fake_kv.c
+++ b/tests/support/fake_kv.c
@@ -69,6 +69,7 @@
 	kv_answer_init(&call->answer);
 	g_ptr_array_add(fake->calls, call);
 	fake->counts.calls++;
+	fake->counts.writes += !is_read(call);
 	draw_arrival(fake, call);
 	return call;
 }
--- a/tests/support/fake_kv.h
+++ b/tests/support/fake_kv.h
@@ -28,7 +28,7 @@
 
 /** What really happened; for tests that must show their faults occurred. */
 typedef struct fake_kv_counts_s {
-	uint64_t calls, late, lost, dropped, older, refused, cut;
+	uint64_t calls, writes, late, lost, dropped, older, refused, cut;
 } fake_kv_counts_t;
 
 typedef struct fake_kv_s fake_kv_t;
