--- a/tests/contract/test_kv_http.c
+++ b/tests/contract/test_kv_http.c
@@ -4,6 +4,7 @@
 
 #include "common/str.h"
 #include "platform/kv_http.h"
+#include "platform/watch.h"
 #include "support/kv_cases.h"
 #include "support/platform_server.h"
 
@@ -302,6 +303,55 @@
 	g_free(value);
 }
 
+static void count_news(void *context, const gn_kv_news_t *news)
+{
+	uint64_t *revision = context;
+
+	g_assert_cmpuint(news->revision, >, *revision);
+	*revision = news->revision;
+}
+
+/* A watch whose connection goes silent goes on where it was. */
+static void test_watch_silent(void)
+{
+	gn_kv_watch_options_t options = { "a", 3000, 0, count_news, NULL };
+	GRand *rand = g_rand_new_with_seed(1);
+	kv_reply_t reply = { 0 };
+	uint64_t revision = 0;
+	gn_kv_watch_t *watch;
+	bench_t bench;
+
+	bench_open(&bench, RATE);
+	put(&bench, "1", 0, &reply);
+	bench_run(&bench);
+	kv_reply_clear(&reply);
+	options.context = &revision;
+	watch = gn_kv_watch_create(NULL, gn_kv_http_client(bench.http),
+				   &bench.clock, rand, &options);
+	gn_kv_watch_tick(watch);
+	bench_run(&bench);
+	g_assert_cmpuint(revision, ==, 1);
+	bench_fault(&bench, "{\"black_hole\": true}");
+	gn_kv_watch_tick(watch);
+	while (bench_stat(&bench, "calls", "watch") < 1)
+		tevent_loop_once(bench.loop);
+	/* its time is over by the wait and the timeout of a call */
+	gn_clock_advance(&bench.clock, (3000 + TIMEOUT_MS) * GN_US_PER_MS);
+	gn_kv_http_expire(bench.http);
+	g_assert_cmpuint(gn_kv_http_pending(bench.http), ==, 0);
+	bench_fault(&bench, "{\"black_hole\": false}");
+	put(&bench, "2", 1, &reply);
+	bench_run(&bench);
+	gn_clock_advance(&bench.clock, GN_US_PER_S);
+	gn_kv_watch_tick(watch);
+	bench_run(&bench);
+	g_assert_cmpuint(revision, ==, 2);
+	kv_reply_clear(&reply);
+	gn_kv_watch_free(watch);
+	g_rand_free(rand);
+	bench_close(&bench);
+}
+
 int main(int argc, char **argv)
 {
 	int status;
@@ -318,6 +368,7 @@
 	g_test_add_func("/kv/http/write-not-resent", test_write_not_resent);
 	g_test_add_func("/kv/http/rate", test_rate);
 	g_test_add_func("/kv/http/cancel", test_cancel);
+	g_test_add_func("/kv/http/watch-silent", test_watch_silent);
 	g_test_add_func("/kv/http/longest-value", test_longest_value);
 	status = g_test_run();
 	curl_global_cleanup();
