Leave a worker that refused as full until there is news of it

Cause: at 95% of capacity the entries went on sending to a worker whose late report did not show that it was full; 0.10% were refused while others had room. Ruled out: raising the estimate of the others' load, which lasts for seconds.

--- a/lib/route/pool.c
+++ b/lib/route/pool.c
@@ -40,7 +40,8 @@
 {
 	double others = MAX(worker->others_mean, 0.0);
 
-	return worker->in_flight + others >= worker->max_connections;
+	return worker->said_full ||
+	       worker->in_flight + others >= worker->max_connections;
 }
 
 static void count_state(gn_route_worker_t *worker)
--- a/lib/route/view.c
+++ b/lib/route/view.c
@@ -118,6 +118,7 @@
 	worker->others_mean = 0;
 	worker->backend_up = true;
 	worker->draining = false;
+	worker->said_full = false;
 }
 
 static void apply_spec(gn_route_worker_t *worker, const gn_route_spec_t *spec)
@@ -271,6 +272,7 @@
 		return;
 	worker->reported = report->running_requests;
 	worker->reported_us = MAX(report->received_us, 1);
+	worker->said_full = false;
 	worker->draining = report->draining;
 	worker->backend_up = report->backend_up;
 	worker->others_last =
@@ -307,6 +309,14 @@
 		return;
 	}
 	worker->service->in_flight--;
+	worker->said_full = false;
+	gn_route_worker_refresh(worker);
+}
+
+void gn_route_view_note_full(gn_route_view_t *view, gn_route_worker_t *worker)
+{
+	(void)view;
+	worker->said_full = true;
 	gn_route_worker_refresh(worker);
 }
 
--- a/lib/route/view.h
+++ b/lib/route/view.h
@@ -124,6 +124,14 @@
 /** Uncounts a dispatch; @p worker may be freed by it if it was removed. */
 void gn_route_view_end(gn_route_view_t *view, gn_route_worker_t *worker);
 
+/**
+ * Notes that @p worker refused for want of capacity. It isn't picked again
+ * until a report comes or another dispatch of this entry ends there. Call it
+ * after gn_route_view_end() of the refused dispatch, and only while the worker
+ * is known to be there.
+ */
+void gn_route_view_note_full(gn_route_view_t *view, gn_route_worker_t *worker);
+
 /* ======   Queries   ====== */
 
 /** The worker called @p name, or NULL. */
--- a/lib/route/view_internal.h
+++ b/lib/route/view_internal.h
@@ -67,6 +67,7 @@
 	bool removed;
 	bool live; /**< as counted in the service */
 	bool full; /**< as counted in the service */
+	bool said_full; /**< by its last refusal */
 
 	unsigned in_flight;
 	unsigned reported;
--- a/tests/support/queue_model.c
+++ b/tests/support/queue_model.c
@@ -344,6 +344,9 @@
 			entry->eject, worker, results[request->end],
 			gn_clock_now_us(&model->clock) - request->sent_us);
 	gn_route_view_end(entry->view, worker);
+	if (request->end == GN_TRY_NOT_RUN &&
+	    fault_of(model, request->worker) != MODEL_REFUSES)
+		gn_route_view_note_full(entry->view, worker);
 }
 
 static void on_answer(model_t *model, event_t *event)
--- a/tests/unit/test_pick.c
+++ b/tests/unit/test_pick.c
@@ -155,6 +155,27 @@
 	teardown(&f);
 }
 
+/** A refusal for want of capacity holds until there is news. */
+static void test_note_full(void)
+{
+	gn_route_choice_t choice;
+	gn_route_worker_t *worker;
+	fixture_t f;
+
+	setup(&f);
+	worker = put(f.view, "a", HERE, 1);
+	gn_route_view_begin(f.view, worker);
+	gn_route_view_note_full(f.view, worker);
+	g_assert_cmpint(pick(&f, NULL, &choice), ==, GN_ERR_CAPACITY);
+	gn_route_view_end(f.view, worker);
+	g_assert_cmpint(pick(&f, NULL, &choice), ==, GN_OK);
+	gn_route_view_note_full(f.view, worker);
+	g_assert_cmpint(pick(&f, NULL, &choice), ==, GN_ERR_CAPACITY);
+	report(f.view, &f.clock, worker, 0, false);
+	g_assert_cmpint(pick(&f, NULL, &choice), ==, GN_OK);
+	teardown(&f);
+}
+
 /** A move to another data centre keeps the counts. */
 static void test_move(void)
 {
@@ -355,6 +376,7 @@
 	g_test_add_func("/pick/codes", test_codes);
 	g_test_add_func("/pick/bounds", test_bounds);
 	g_test_add_func("/pick/spill", test_spill);
+	g_test_add_func("/pick/note-full", test_note_full);
 	g_test_add_func("/pick/move", test_move);
 	g_test_add_func("/pick/walks", test_walks);
 	for (int i = MUTANT_NONE + 1; i < MUTANT_COUNT; i++) {
