--- /dev/null
+++ b/tests/bench/bench_batch.c
@@ -0,0 +1,319 @@
+/**
+ * @file bench_batch.c
+ * @brief Slopes of the batch decisions, for the page on capacity.
+ *
+ * usage: bench_batch [REPEATS]
+ * Prints one table: bytes and time a task in a bucket's value, the time of a
+ * commit, a poll and a tick, and of one choice among the waiting tasks.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "batch/bucket.h"
+#include "common/str.h"
+
+#define TEAMS 73
+#define TASKS_PER_WORKER 8
+#define SPEC_LEN 64
+
+static const gn_batch_params_t params = {
+	.promise_us = 10 * GN_US_PER_S,
+	.drift_us = GN_US_PER_S,
+	.retention_us = 3600ULL * GN_US_PER_S,
+	.order = { .ageing_step_us = 60 * GN_US_PER_S,
+		   .backoff_least_us = GN_US_PER_S,
+		   .backoff_most_us = 60 * GN_US_PER_S },
+};
+
+/** A bucket with its surroundings. */
+typedef struct bench_s {
+	TALLOC_CTX *frame;
+	gn_clock_t clock;
+	GRand *rand;
+	gn_batch_bucket_t *bucket;
+	uint64_t revision;
+	gn_str_t stored;
+	unsigned repeats;
+} bench_t;
+
+static bool yes(void *context)
+{
+	(void)context;
+	return true;
+}
+
+static bool settled(void *context, uint64_t incarnation, uint64_t acked,
+		    uint64_t taken_us)
+{
+	(void)context;
+	(void)incarnation;
+	(void)acked;
+	(void)taken_us;
+	return true;
+}
+
+static bool has_left(void *context, uint64_t incarnation, uint64_t revision)
+{
+	(void)context;
+	(void)incarnation;
+	(void)revision;
+	return true;
+}
+
+static uint64_t one(void *context)
+{
+	(void)context;
+	return 1;
+}
+
+static uint64_t none(void *context, uint64_t incarnation)
+{
+	(void)context;
+	(void)incarnation;
+	return 0;
+}
+
+static const gn_batch_gate_ops_t gate_ops = { yes,	yes, settled,
+					      has_left, one, none };
+
+static double elapsed_ns(gint64 since, unsigned repeats)
+{
+	return (double)(g_get_monotonic_time() - since) * 1000 / repeats;
+}
+
+static void commit(bench_t *b)
+{
+	gn_batch_commit_t write;
+
+	if (!gn_batch_bucket_next_commit(b->bucket, &write))
+		return;
+	talloc_free((void *)b->stored.data);
+	b->stored.data =
+		talloc_memdup(b->frame, write.value.data, write.value.len);
+	b->stored.len = write.value.len;
+	gn_batch_bucket_on_commit(b->bucket, write.change_id, GN_OK,
+				  ++b->revision);
+}
+
+static gn_code_t submit(bench_t *b, unsigned i)
+{
+	static const char spec[SPEC_LEN];
+	char team[GN_NAME_MAX];
+	gn_task_request_t request = { .work_class = GN_CLASS_BATCH,
+				      .kind = GN_STR("optimise-network"),
+				      .service = GN_STR("timing-planner"),
+				      .cores = 1 + i % 4,
+				      .memory_mb = 1024,
+				      .run_ms = 600000,
+				      .checkpoint_ms = 2000,
+				      .spec = { spec, SPEC_LEN } };
+	gn_task_reason_t reason;
+	uint64_t id;
+	uint64_t seq;
+
+	g_snprintf(team, sizeof(team), "team-%02u", i % TEAMS);
+	request.team = gn_str_from(team);
+	request.priority = i / TEAMS % GN_TASK_PRIORITIES;
+	return gn_batch_bucket_submit(b->bucket, &request, &id, &seq, &reason);
+}
+
+static void poll_worker(bench_t *b, unsigned worker, uint64_t sent_us,
+			const gn_batch_report_t *reports, size_t count,
+			unsigned free_tasks)
+{
+	char name[GN_NAME_MAX];
+	gn_batch_orders_t orders;
+	gn_batch_worker_t capacity = { .name = name,
+				       .service = "timing-planner",
+				       .free_tasks = free_tasks,
+				       .free_cores = 32,
+				       .free_memory_mb = 128000 };
+	gn_batch_poll_t poll = { .incarnation = 1,
+				 .sent_us = sent_us,
+				 .reports = reports,
+				 .report_count = count,
+				 .worker = &capacity };
+	TALLOC_CTX *frame = talloc_new(NULL);
+
+	g_snprintf(name, sizeof(name), "worker-%05u", worker);
+	gn_batch_bucket_on_poll(b->bucket, &poll, frame, &orders);
+	talloc_free(frame);
+}
+
+static void set_up(bench_t *b)
+{
+	gn_batch_gate_t gate = { &gate_ops, NULL };
+
+	b->frame = talloc_new(NULL);
+	b->revision = 0;
+	b->stored = (gn_str_t){ NULL, 0 };
+	gn_clock_init_paused(&b->clock, 1000ULL * GN_US_PER_S);
+	gn_batch_bucket_create(b->frame, 0, 7, b->stored, 0, &params, gate,
+			       &b->clock, b->rand, &b->bucket, NULL);
+	commit(b);
+}
+
+static void collect(const gn_task_t *task, void *data)
+{
+	gn_batch_report_t *report = data;
+
+	if (!gn_task_state_is_held(task->state) ||
+	    strcmp(task->worker, "worker-00000"))
+		return;
+	while (report->task)
+		report++;
+	report->task = task->id;
+	report->epoch = gn_task_epoch(1, task->claim);
+}
+
+/** Time of one poll by a worker that runs its eight tasks. */
+static double time_polls(bench_t *b)
+{
+	gn_batch_report_t reports[TASKS_PER_WORKER + 1] = { 0 };
+	uint64_t sent_us = 10;
+	size_t count = 0;
+	gint64 since;
+
+	gn_batch_bucket_foreach(b->bucket, collect, reports);
+	while (count < TASKS_PER_WORKER && reports[count].task)
+		count++;
+	since = g_get_monotonic_time();
+	for (unsigned i = 0; i < b->repeats * 10; i++)
+		poll_worker(b, 0, ++sent_us, reports, count, 0);
+	return elapsed_ns(since, b->repeats * 10);
+}
+
+/** Time of a commit that one new task brings about. */
+static double time_commits(bench_t *b)
+{
+	gint64 since = g_get_monotonic_time();
+
+	for (unsigned i = 0; i < b->repeats; i++) {
+		gn_batch_commit_t write;
+		uint64_t id = gn_task_id_make(0, 1 + i);
+		gn_outcome_t outcome;
+		uint64_t seq;
+
+		gn_batch_bucket_cancel(b->bucket, id, &outcome, &seq);
+		if (!gn_batch_bucket_next_commit(b->bucket, &write))
+			return 0;
+		gn_batch_bucket_on_commit(b->bucket, write.change_id, GN_OK,
+					  ++b->revision);
+	}
+	return elapsed_ns(since, b->repeats);
+}
+
+static double time_decodes(bench_t *b)
+{
+	gint64 since = g_get_monotonic_time();
+
+	for (unsigned i = 0; i < b->repeats; i++) {
+		gn_batch_value_t *value;
+
+		gn_batch_codec_decode(b->frame, b->stored, 0, &value, NULL);
+		talloc_free(value);
+	}
+	return elapsed_ns(since, b->repeats);
+}
+
+static double time_ticks(bench_t *b)
+{
+	gint64 since = g_get_monotonic_time();
+
+	for (unsigned i = 0; i < b->repeats; i++)
+		gn_batch_bucket_tick(b->bucket);
+	return elapsed_ns(since, b->repeats);
+}
+
+static void bench_bucket(bench_t *b, unsigned wanted)
+{
+	unsigned count = 0;
+	double poll_ns;
+	double tick_ns;
+	double decode_ns;
+	double commit_ns;
+	size_t bytes;
+
+	set_up(b);
+	while (count < wanted && !submit(b, count))
+		count++;
+	for (unsigned i = 0; i < count / TASKS_PER_WORKER; i++)
+		poll_worker(b, i, 1, NULL, 0, TASKS_PER_WORKER);
+	commit(b);
+	bytes = b->stored.len;
+	poll_ns = time_polls(b);
+	tick_ns = time_ticks(b);
+	decode_ns = time_decodes(b);
+	commit_ns = time_commits(b);
+	printf("%8u %8u %10zu %9.1f %12.0f %9.1f %12.0f %9.0f %10.0f\n", wanted,
+	       count, bytes, (double)bytes / count, commit_ns,
+	       commit_ns / count, decode_ns, poll_ns, tick_ns);
+	talloc_free(b->frame);
+}
+
+/** Time of one choice with @p count waiting, over @p teams teams. */
+static void bench_order(bench_t *b, unsigned count, unsigned teams)
+{
+	gn_batch_order_t *order;
+	unsigned taken = 0;
+	size_t groups;
+	gint64 since;
+
+	b->frame = talloc_new(NULL);
+	gn_clock_init_paused(&b->clock, 1000ULL * GN_US_PER_S);
+	order = gn_batch_order_create(b->frame, &params.order, &b->clock,
+				      b->rand);
+	for (unsigned i = 0; i < count; i++) {
+		char team[GN_NAME_MAX];
+		gn_task_request_t request = {
+			.work_class = GN_CLASS_BATCH,
+			.kind = GN_STR("k"),
+			.service = GN_STR("s"),
+			.priority = i / teams % GN_TASK_PRIORITIES,
+			.cores = 1,
+		};
+
+		g_snprintf(team, sizeof(team), "team-%02u", i % teams);
+		request.team = gn_str_from(team);
+		gn_batch_order_add(order,
+				   gn_task_create(b->frame, i + 1, &request,
+						  gn_clock_now_us(&b->clock)));
+	}
+	groups = gn_batch_order_group_count(order);
+	since = g_get_monotonic_time();
+	for (; taken < count / 2; taken++) {
+		gn_batch_worker_t worker = { .name = "w",
+					     .service = "s",
+					     .free_tasks = 8,
+					     .free_cores = 32 };
+
+		if (!gn_batch_order_take(order, &worker))
+			break;
+	}
+	printf("%8u %8zu %12.0f\n", count, groups, elapsed_ns(since, taken));
+	talloc_free(b->frame);
+}
+
+int main(int argc, char **argv)
+{
+	static const unsigned sizes[] = { 100, 300, 1000, 3000, 10000 };
+	bench_t b = { .rand = g_rand_new_with_seed(1), .repeats = 50 };
+
+	if (argc > 1)
+		b.repeats = (unsigned)g_ascii_strtoull(argv[1], NULL, 10);
+	printf("bucket, %d bytes of specification a task, %d tasks a worker\n",
+	       SPEC_LEN, TASKS_PER_WORKER);
+	printf("%8s %8s %10s %9s %12s %9s %12s %9s %10s\n", "wanted", "tasks",
+	       "bytes", "bytes/tk", "commit ns", "ns/tk", "decode ns",
+	       "poll ns", "tick ns");
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++)
+		bench_bucket(&b, sizes[i]);
+	printf("\nchoice among waiting tasks\n%8s %8s %12s\n", "waiting",
+	       "groups", "ns a choice");
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++)
+		bench_order(&b, sizes[i], 1);
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++)
+		bench_order(&b, sizes[i], TEAMS);
+	g_rand_free(b.rand);
+	return 0;
+}
