Name the backend server's incarnation in each start

A start now names the incarnation that the agent knows, another refuses it; and a run told to an earlier incarnation is on the new one's list or lost, whether it was confirmed or not.

Ruled out: shorter leases (the second start lay well within one). An agent that doesn't call gn_worker_tasks_set_backend() works as before.

--- /dev/null
+++ b/lib/batch/worker_backend.c
@@ -0,0 +1,174 @@
+/**
+ * @file worker_backend.c
+ * @brief What the backend server lists and tells of the runs.
+ */
+#include "batch/worker_tasks_internal.h"
+
+#include <assert.h>
+
+#include "common/str.h"
+
+static gn_code_t add_listed(gn_worker_tasks_t *tasks,
+			    const gn_backend_run_t *listed)
+{
+	gn_run_t *run = talloc_zero(tasks, gn_run_t);
+
+	if (!run)
+		return GN_ERR_MEMORY;
+	run->id = listed->id;
+	run->epoch = listed->epoch;
+	run->state = listed->state;
+	run->confirmed = true;
+	run->confirmed_us = gn_clock_now_us(tasks->clock);
+	run->lease_until_us =
+		listed->lease_until_us + tasks->params.lease_margin_us;
+	run->result_code = listed->result_code;
+	run->checkpoint = talloc_strdup(
+		run, listed->checkpoint ? listed->checkpoint : "");
+	run->kind = talloc_strdup(run, listed->kind);
+	run->cores = listed->cores;
+	run->memory_mb = listed->memory_mb;
+	run->accelerators = listed->accelerators;
+	if (!run->checkpoint || !run->kind) {
+		talloc_free(run);
+		return GN_ERR_MEMORY;
+	}
+	if (gn_run_is_active(run))
+		gn_run_use(tasks, run);
+	g_hash_table_insert(tasks->runs, &run->id, run);
+	return GN_OK;
+}
+
+static const gn_backend_run_t *
+find_listed(const gn_run_t *run, const gn_backend_run_t *runs, size_t count)
+{
+	for (size_t i = 0; i < count; i++) {
+		if (runs[i].id == run->id &&
+		    gn_task_epoch_claim(runs[i].epoch) ==
+			    gn_task_epoch_claim(run->epoch))
+			return &runs[i];
+	}
+	return NULL;
+}
+
+/**
+ * A run that was confirmed before the list was asked for is on the list, or
+ * the backend server has lost it. One confirmed since may just be missing.
+ */
+static void fail_lost(gn_worker_tasks_t *tasks, uint64_t asked_us,
+		      const gn_backend_run_t *runs, size_t count)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, tasks->runs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		gn_run_t *run = value;
+
+		if (gn_run_is_active(run) && run->confirmed &&
+		    run->confirmed_us < asked_us &&
+		    !find_listed(run, runs, count))
+			gn_run_set_ended(tasks, run, GN_RUN_FAILED);
+	}
+}
+
+static gn_code_t keep_checkpoint_of(gn_run_t *run, gn_str_t checkpoint)
+{
+	char *copy;
+
+	if (!checkpoint.len)
+		return GN_OK;
+	if (checkpoint.len > GN_TASK_CHECKPOINT_MAX)
+		return GN_ERR_RANGE;
+	copy = talloc_strndup(run, checkpoint.data, checkpoint.len);
+	if (!copy)
+		return GN_ERR_MEMORY;
+	talloc_free((void *)run->checkpoint);
+	run->checkpoint = copy;
+	return GN_OK;
+}
+
+gn_code_t gn_worker_tasks_on_event(gn_worker_tasks_t *tasks, uint64_t id,
+				   uint64_t epoch, gn_run_state_t state,
+				   uint32_t result_code, gn_str_t checkpoint)
+{
+	gn_run_t *run = g_hash_table_lookup(tasks->runs, &id);
+	gn_code_t code;
+
+	if (!run || !gn_run_is_active(run) ||
+	    gn_task_epoch_claim(run->epoch) != gn_task_epoch_claim(epoch))
+		return GN_ERR_STALE;
+	if (!run->confirmed)
+		run->confirmed_us = gn_clock_now_us(tasks->clock);
+	run->confirmed = true;
+	if (state == GN_RUN_RUNNING)
+		return GN_OK;
+	code = keep_checkpoint_of(run, checkpoint);
+	if (code)
+		return code;
+	run->result_code = result_code;
+	gn_run_set_ended(tasks, run, state);
+	return GN_OK;
+}
+
+/** Whether the list was asked for in an earlier life, or before the newest. */
+static bool is_list_stale(const gn_worker_tasks_t *tasks, uint64_t asked_us)
+{
+	return asked_us < tasks->created_us || asked_us < tasks->listed_us;
+}
+
+gn_code_t gn_worker_tasks_set_backend(gn_worker_tasks_t *tasks,
+				      uint64_t incarnation, uint64_t asked_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	assert(incarnation);
+	if (is_list_stale(tasks, asked_us))
+		return GN_ERR_STALE;
+	if (tasks->backend == incarnation)
+		return GN_OK;
+	tasks->backend = incarnation;
+	g_hash_table_iter_init(&iter, tasks->runs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		gn_run_t *run = value;
+
+		/* Told to an earlier incarnation: listed by this one, or lost. */
+		run->confirmed = true;
+		run->confirmed_us = 0;
+	}
+	return GN_OK;
+}
+
+static gn_code_t reconcile(gn_worker_tasks_t *tasks,
+			   const gn_backend_run_t *listed)
+{
+	const gn_run_t *run = g_hash_table_lookup(tasks->runs, &listed->id);
+
+	if (!run)
+		return add_listed(tasks, listed);
+	if (gn_run_is_active(run))
+		gn_worker_tasks_on_event(tasks, listed->id, listed->epoch,
+					 listed->state, listed->result_code,
+					 gn_str_from(listed->checkpoint));
+	return GN_OK;
+}
+
+gn_code_t gn_worker_tasks_on_list(gn_worker_tasks_t *tasks, uint64_t asked_us,
+				  const gn_backend_run_t *runs, size_t count)
+{
+	gn_code_t code = GN_OK;
+
+	if (is_list_stale(tasks, asked_us))
+		return GN_ERR_STALE;
+	tasks->listed_us = asked_us;
+	fail_lost(tasks, asked_us, runs, count);
+	for (size_t i = 0; i < count && !code; i++)
+		code = reconcile(tasks, &runs[i]);
+	if (code)
+		return code;
+	tasks->ready = true;
+	if (tasks->draining)
+		gn_worker_tasks_set_draining(tasks, true);
+	return GN_OK;
+}
--- a/lib/batch/worker_tasks.h
+++ b/lib/batch/worker_tasks.h
@@ -51,6 +51,7 @@
 	uint64_t id;
 	uint64_t epoch;
 	uint64_t lease_until_us; /**< agent's clock; for START and LEASE */
+	uint64_t backend; /**< START: another incarnation refuses it; 0: any */
 	const char *task_kind; /**< START: owned by the action, as the rest */
 	const char
 		*checkpoint; /**< START: reference to resume from, or empty */
@@ -108,6 +109,18 @@
 gn_code_t gn_worker_tasks_on_list(gn_worker_tasks_t *tasks, uint64_t asked_us,
 				  const gn_backend_run_t *runs, size_t count);
 
+/**
+ * Tells the incarnation of the backend server, ahead of taking its list.
+ * Starts name it, so that one that was held up, or sent twice, is refused by
+ * a backend server that has restarted since; and the next list tells which
+ * runs an earlier incarnation has lost.
+ * @param incarnation not 0
+ * @param asked_us when this agent asked for that list, on its clock
+ * @return GN_OK, or GN_ERR_STALE as gn_worker_tasks_on_list()
+ */
+gn_code_t gn_worker_tasks_set_backend(gn_worker_tasks_t *tasks,
+				      uint64_t incarnation, uint64_t asked_us);
+
 /**
  * The backend server says how a run stands: GN_RUN_RUNNING confirms a start.
  * @return GN_OK, or GN_ERR_STALE if it is not of the run that is known
--- a/lib/batch/worker_tasks_internal.h
+++ b/lib/batch/worker_tasks_internal.h
@@ -40,6 +40,7 @@
 	gn_worker_tasks_gate_t gate;
 	const gn_clock_t *clock;
 	bool ready;
+	uint64_t backend; /**< incarnation of the backend server, 0: unknown */
 	bool draining;
 	uint64_t created_us;
 	uint64_t polled_us; /**< of the newest poll */
--- a/tests/bench/bench_batch.c
+++ b/tests/bench/bench_batch.c
@@ -158,7 +158,7 @@
 	gn_batch_report_t *report = data;
 
 	if (!gn_task_state_is_held(task->state) ||
-	    strcmp(task->worker, "worker-00000"))
+	    strcmp(task->worker, "worker-00000") != 0)
 		return;
 	while (report->task)
 		report++;
--- a/tests/support/batch_model_faults.c
+++ b/tests/support/batch_model_faults.c
@@ -181,7 +181,7 @@
 	}
 	if (strikes(model, .0008)) {
 		model->counts->backend_crash++;
-		model_backend_crash(host);
+		model_backend_crash(model, host);
 	}
 	if (strikes(model, .0004)) {
 		model->counts->host_replaced++;
--- a/tests/support/batch_model_internal.h
+++ b/tests/support/batch_model_internal.h
@@ -160,6 +160,7 @@
 	uint64_t frozen_until_us;
 	uint64_t draining_until_us;
 	gn_worker_tasks_t *tasks;
+	uint64_t backend; /**< incarnation of the backend server */
 	GQueue inbox; /**< of the agent */
 	GHashTable *runs; /**< the backend server's: id -> backend_run_t */
 	uint32_t seen_epoch; /**< highest owner's epoch the agent took */
@@ -223,7 +224,7 @@
 void model_serve_callers(gn_model_t *model, entry_t *entry);
 void model_host_replace(gn_model_t *model, host_t *host);
 void model_agent_restart(gn_model_t *model, host_t *host);
-void model_backend_crash(host_t *host);
+void model_backend_crash(gn_model_t *model, host_t *host);
 void model_agent_step(gn_model_t *model, host_t *host);
 void model_backend_handle(gn_model_t *model, host_t *host, message_t *message);
 void model_backend_step(gn_model_t *model, host_t *host);
--- a/tests/support/batch_model_worker.c
+++ b/tests/support/batch_model_worker.c
@@ -89,7 +89,8 @@
 {
 	backend_run_t *run;
 
-	if (host_now(host) >= action->lease_until_us)
+	if (host_now(host) >= action->lease_until_us ||
+	    action->backend != host->backend)
 		return;
 	check_start(model, action);
 	run = make_run(host, action);
@@ -162,6 +163,7 @@
 
 	answer->to_incarnation = asked->from_incarnation;
 	answer->sent_us = asked->sent_us;
+	answer->a = host->backend;
 	answer->runs = talloc_zero_array(answer, gn_backend_run_t,
 					 g_hash_table_size(host->runs) + 1);
 	g_hash_table_iter_init(&iter, host->runs);
@@ -209,8 +211,9 @@
 	}
 }
 
-void model_backend_crash(host_t *host)
+void model_backend_crash(gn_model_t *model, host_t *host)
 {
+	host->backend = ++model->next_incarnation;
 	g_hash_table_remove_all(host->runs);
 }
 
@@ -266,7 +269,7 @@
 void model_host_replace(gn_model_t *model, host_t *host)
 {
 	drop_local(model, host);
-	model_backend_crash(host);
+	model_backend_crash(model, host);
 	/* Another machine under the same name: its clock started elsewhere. */
 	gn_clock_init_paused(&host->clock,
 			     GN_US_PER_S *
@@ -309,6 +312,8 @@
 					 gn_str_from(message->checkpoint));
 		break;
 	case MSG_LIST_ANSWER:
+		gn_worker_tasks_set_backend(host->tasks, message->a,
+					    message->sent_us);
 		gn_worker_tasks_on_list(host->tasks, message->sent_us,
 					message->runs, message->count);
 		break;
--- a/tests/support/batch_mutants.h
+++ b/tests/support/batch_mutants.h
@@ -38,6 +38,7 @@
 #include "../../lib/batch/bucket_state.c"
 #include "../../lib/batch/promise.c"
 #include "../../lib/batch/promise_peers.c"
+#include "../../lib/batch/worker_backend.c"
 #include "../../lib/batch/worker_orders.c"
 #include "../../lib/batch/worker_tasks.c"
 /* NOLINTEND(bugprone-suspicious-include) */
--- a/tests/unit/test_worker_tasks.c
+++ b/tests/unit/test_worker_tasks.c
@@ -252,6 +252,27 @@
 			==, GN_ERR_STALE);
 }
 
+/** A start names the backend server, and one sent to an earlier is lost. */
+static void test_backend(fixture_t *f, gconstpointer data)
+{
+	gn_action_t *action;
+
+	(void)data;
+	gn_worker_tasks_set_backend(f->tasks, 71, gn_clock_now_us(&f->clock));
+	start(f);
+	action = gn_worker_tasks_next_action(f->tasks);
+	g_assert_cmpuint(action->backend, ==, 71);
+	talloc_free(action);
+	/* Not confirmed, so a list of the same one tells nothing of it. */
+	gn_clock_advance(&f->clock, SECOND);
+	list(f, NULL, 0);
+	g_assert_cmpint(reported(f), ==, GN_RUN_RUNNING);
+	gn_worker_tasks_set_backend(f->tasks, 72, gn_clock_now_us(&f->clock));
+	gn_clock_advance(&f->clock, SECOND);
+	list(f, NULL, 0);
+	g_assert_cmpint(reported(f), ==, GN_RUN_FAILED);
+}
+
 static void test_drain(fixture_t *f, gconstpointer data)
 {
 	(void)data;
@@ -289,6 +310,7 @@
 	ADD("run", test_run);
 	ADD("lapse", test_lapse);
 	ADD("restart", test_restart);
+	ADD("backend", test_backend);
 	ADD("drain", test_drain);
 	ADD("admission", test_admission);
 	for (size_t i = 0; i < G_N_ELEMENTS(refuse_cases); i++) {
