Checkpoint a task on demand also before its worker has reported it

An eviction asked for a claim was dropped when the claim turned to running, so no checkpoint was ordered.

--- a/lib/batch/bucket_state.c
+++ b/lib/batch/bucket_state.c
@@ -33,7 +33,6 @@
 			gn_bucket_worker(bucket, task->worker)->held,
 			&task->id);
 		gn_batch_order_return_quota(bucket->order, task);
-		g_hash_table_remove(bucket->evictions, &task->id);
 	}
 }
 
@@ -59,6 +58,8 @@
 {
 	leave_state(bucket, task);
 	task->state = state;
+	if (!gn_task_state_is_held(state))
+		g_hash_table_remove(bucket->evictions, &task->id);
 	gn_bucket_enter_state(bucket, task);
 	gn_task_assert(task);
 }
--- a/tests/support/batch_model.h
+++ b/tests/support/batch_model.h
@@ -23,23 +23,23 @@
 #define GN_MODEL_WALK_STEPS 700
 
 /** Faults that occurred and paths that were taken, by name. */
-#define GN_MODEL_COUNTS(count)                                                                  \
-	count(cut_both) count(cut_one_way) count(lone_newcomer) count(newcomer_replaced) count( \
-		entry_freeze) count(entry_restart) count(entry_new) count(entry_gone)           \
-		count(agent_freeze) count(agent_restart) count(backend_crash) count(            \
-			host_replaced) count(platform_down) count(platform_slow)                \
-			count(answer_lost) count(message_late) count(message_duplicated) count( \
-				write_sent_twice) count(clock_slow) count(clock_fast)           \
-				count(hand_over) count(drain) count(second_outage) count(       \
-					take) count(claim_start) count(finish_told)             \
-					count(not_run_told) count(unknown_told) count(          \
-						submit_told) count(dark_promise)                \
-						count(vouched) count(lapse_move) count(         \
-							older_view) count(read_back)            \
-							count(lost_bucket) count(               \
-								refused_epoch)                  \
-								count(refused_late) count(      \
-									resume)                 \
+#define GN_MODEL_COUNTS(count)                                                                    \
+	count(cut_both) count(cut_one_way) count(lone_newcomer) count(newcomer_replaced) count(   \
+		entry_freeze) count(entry_restart) count(entry_new) count(entry_gone)             \
+		count(agent_freeze) count(agent_restart) count(backend_crash) count(              \
+			host_replaced) count(platform_down) count(platform_slow)                  \
+			count(answer_lost) count(message_late) count(message_duplicated) count(   \
+				write_sent_twice) count(clock_slow) count(clock_fast)             \
+				count(hand_over) count(drain) count(evict) count(                 \
+					second_outage) count(take) count(claim_start)             \
+					count(finish_told) count(not_run_told) count(             \
+						unknown_told) count(submit_told)                  \
+						count(dark_promise) count(vouched) count(         \
+							lapse_move) count(older_view)             \
+							count(read_back) count(                   \
+								lost_bucket) count(refused_epoch) \
+								count(refused_late) count(        \
+									resume)                   \
 									count(rejoin)
 
 typedef struct gn_model_counts_s {
--- a/tests/support/batch_model_callers.c
+++ b/tests/support/batch_model_callers.c
@@ -43,12 +43,17 @@
 	g_array_append_val(entry->pending, pending);
 }
 
+static uint64_t pick_task(gn_model_t *model)
+{
+	int known = (int)g_hash_table_size(model->truths);
+
+	return gn_task_id_make(BUCKET,
+			       1 + (uint64_t)model_pick(model, known + 1));
+}
+
 static void cancel(gn_model_t *model, entry_t *entry)
 {
-	uint64_t id = gn_task_id_make(
-		BUCKET,
-		1 + (uint64_t)model_pick(
-			    model, (int)g_hash_table_size(model->truths) + 1));
+	uint64_t id = pick_task(model);
 	pending_t pending = { .kind = PENDING_CANCEL, .id = id };
 
 	if (gn_batch_bucket_cancel(entry->bucket, id, &pending.outcome,
@@ -123,6 +128,9 @@
 		submit(model, entry);
 	if (model_chance(model, .02))
 		cancel(model, entry);
+	if (model_chance(model, .02) &&
+	    !gn_batch_bucket_evict(entry->bucket, pick_task(model)))
+		model->counts->evict++;
 	tell_durable(model, entry);
 	gn_batch_bucket_foreach(entry->bucket, tell_done, &visit);
 }
--- a/tests/support/batch_model_internal.h
+++ b/tests/support/batch_model_internal.h
@@ -175,7 +175,6 @@
 	bool told_done;
 	bool started;
 	uint32_t started_claim; /**< the highest */
-	char checkpoint[32]; /**< the newest that a worker gave */
 } truth_t;
 
 struct gn_model_s {
--- a/tests/support/batch_model_worker.c
+++ b/tests/support/batch_model_worker.c
@@ -44,14 +44,9 @@
 		    gn_run_state_t state)
 {
 	run->state = state;
-	if (state == GN_RUN_RELEASED) {
-		truth_t *truth = model_truth(model, run->id);
-
+	if (state == GN_RUN_RELEASED)
 		g_snprintf(run->checkpoint, sizeof(run->checkpoint), "c%u",
 			   gn_task_epoch_claim(run->epoch));
-		g_strlcpy(truth->checkpoint, run->checkpoint,
-			  sizeof(truth->checkpoint));
-	}
 	send_event(model, host, run);
 }
 
--- a/tests/unit/test_bucket.c
+++ b/tests/unit/test_bucket.c
@@ -560,6 +560,75 @@
 			==, GN_ERR_UNAVAILABLE);
 }
 
+static gn_code_t submit_spec(fixture_t *f, gn_str_t spec, gn_str_t key,
+			     unsigned cores, gn_task_reason_t *reason)
+{
+	gn_task_request_t request = { .work_class = GN_CLASS_BATCH,
+				      .team = GN_STR("t"),
+				      .kind = GN_STR("k"),
+				      .service = GN_STR("s"),
+				      .key = key,
+				      .cores = cores,
+				      .spec = spec };
+	uint64_t id;
+	uint64_t seq;
+
+	return gn_batch_bucket_submit(f->bucket, &request, &id, &seq, reason);
+}
+
+static void test_refused(fixture_t *f, gconstpointer data)
+{
+	static const char spec[GN_TASK_SPEC_MAX];
+	gn_task_reason_t reason;
+	gn_code_t code = GN_OK;
+	unsigned count = 0;
+
+	(void)data;
+	gn_batch_order_set_largest(gn_batch_bucket_order(f->bucket), "s", 32,
+				   1000, 0);
+	g_assert_cmpint(submit_spec(f, GN_STR("a"), GN_STR("n"), 33, &reason),
+			==, GN_ERR_CAPACITY);
+	g_assert_cmpint(reason, ==, GN_TASK_REASON_CORES);
+	g_assert_cmpint(submit_spec(f, GN_STR("a"), GN_STR("n"), 1, &reason),
+			==, GN_OK);
+	g_assert_cmpint(submit_spec(f, GN_STR("b"), GN_STR("n"), 1, &reason),
+			==, GN_ERR_CONFLICT);
+	/* A full bucket refuses, and what it accepted still fits the value. */
+	for (; !code; count++)
+		code = submit_spec(f, (gn_str_t){ spec, sizeof(spec) },
+				   GN_STR(""), 1, &reason);
+	g_assert_cmpint(code, ==, GN_ERR_RATE);
+	g_assert_cmpuint(count, >, 40);
+	g_assert_true(commit(f));
+}
+
+static void test_evict(fixture_t *f, gconstpointer data)
+{
+	uint64_t id;
+	gn_batch_report_t report = start_task(f, &id);
+
+	(void)data;
+	g_assert_cmpint(gn_batch_bucket_evict(f->bucket, id), ==, GN_OK);
+	poll_worker(f, WORKER, &report, 1);
+	g_assert_cmpuint(f->orders.count, ==, 2);
+	g_assert_cmpint(f->orders.orders[0].kind, ==, GN_ORDER_CHECKPOINT);
+	g_assert_cmpint(f->orders.orders[1].kind, ==, GN_ORDER_RENEW);
+	f->draining = true;
+	report.state = GN_RUN_RELEASED;
+	report.checkpoint = "c1";
+	poll_worker(f, WORKER, &report, 1);
+	g_assert_cmpint(gn_batch_bucket_evict(f->bucket, id), ==,
+			GN_ERR_NOT_FOUND);
+	/* It resumes elsewhere, from there, under the next claim. */
+	f->draining = false;
+	poll_worker(f, "w2", NULL, 0);
+	g_assert_true(commit(f));
+	poll_worker(f, "w2", NULL, 0);
+	g_assert_cmpstr(only_order(f, GN_ORDER_START)->task->checkpoint, ==,
+			"c1");
+	g_assert_cmpuint(gn_task_epoch_claim(f->orders.orders[0].epoch), ==, 2);
+}
+
 /** A claim that another owner or another agent started lapses instead. */
 static void test_no_second_start(fixture_t *f, gconstpointer data)
 {
@@ -596,6 +665,8 @@
 	ADD("lost", NULL, test_lost);
 	ADD("release", NULL, test_release);
 	ADD("take", NULL, test_take);
+	ADD("refused", NULL, test_refused);
+	ADD("evict", NULL, test_evict);
 	ADD("no-second-start/owner", NULL, test_no_second_start);
 	ADD("no-second-start/agent", "agent", test_no_second_start);
 	for (size_t i = 0; i < G_N_ELEMENTS(end_cases); i++) {
