--- a/lib/agent/links.c
+++ b/lib/agent/links.c
@@ -2,6 +2,9 @@
  * @file links.c
  * @brief Links from the agent to the entries: sessions, beats, replacement.
  */
+#include <inttypes.h>
+#include <time.h>
+
 #include "agent/agent_internal.h"
 #include "common/log.h"
 
@@ -22,8 +25,38 @@
 	gn__load__init(load);
 	load->running_requests = agent->running;
 	load->service_time_us = agent->service_time_us;
-	load->draining = agent->runtime->stopping || agent->backend.draining;
-	load->backend_up = agent_backend_is_up(agent);
+	load->running_tasks = gn_worker_tasks_stats(agent->tasks)->running;
+	load->draining = agent_is_draining(agent);
+	load->backend_up = agent_backend_is_ready(agent);
+}
+
+static bool is_drained_by_rules(const agent_config_t *config)
+{
+	int64_t now_s = (int64_t)time(NULL);
+
+	return config->draining ||
+	       (now_s >= config->drain_from_s && now_s < config->drain_until_s);
+}
+
+bool agent_is_draining(const agent_t *agent)
+{
+	return agent->runtime->stopping || agent->backend.draining ||
+	       is_drained_by_rules(&agent->config);
+}
+
+static void on_config(agent_t *agent, const Gn__Config *message)
+{
+	agent_config_t *config = &agent->config;
+
+	/* An entry that was cut off may still push an older revision. */
+	if (message->revision <= config->revision)
+		return;
+	config->revision = message->revision;
+	config->draining = message->draining;
+	config->drain_from_s = message->drain_from_s;
+	config->drain_until_s = message->drain_until_s;
+	gn_log(LOG_INFO, "config", NULL, "revision %" PRIu64 "%s",
+	       config->revision, config->draining ? ", draining" : "");
 }
 
 gn_code_t agent_link_send(agent_link_t *link, Gn__Envelope *envelope)
@@ -62,6 +95,7 @@
 	agent_load(link->agent, &load);
 	beat.sequence = ++link->sequence;
 	beat.load = &load;
+	beat.config_revision = link->agent->config.revision;
 	envelope.body_case = GN__ENVELOPE__BODY_BEAT;
 	envelope.beat = &beat;
 	agent_link_send(link, &envelope);
@@ -69,8 +103,15 @@
 
 static void on_welcome(agent_link_t *link, const Gn__Envelope *envelope)
 {
+	agent_t *agent = link->agent;
+
 	if (link->entry_incarnation == envelope->incarnation)
 		return;
+	if (link->entry_incarnation)
+		gn_admit_close_session(agent->admit, link->entry_incarnation);
+	if (gn_admit_open_session(agent->admit, envelope->incarnation,
+				  &link->admit_session))
+		return;
 	link->entry_incarnation = envelope->incarnation;
 	gn_log(LOG_INFO, "welcome", link->address, "entry %s",
 	       envelope->welcome->entry);
@@ -93,6 +134,15 @@
 	case GN__ENVELOPE__BODY_DISPATCH:
 		agent_on_dispatch(link, envelope->dispatch);
 		break;
+	case GN__ENVELOPE__BODY_FENCE:
+		agent_on_fence(link, envelope->fence);
+		break;
+	case GN__ENVELOPE__BODY_CONFIG:
+		on_config(link->agent, envelope->config);
+		break;
+	case GN__ENVELOPE__BODY_TASK_ORDERS:
+		agent_on_task_orders(link, envelope->task_orders);
+		break;
 	default:
 		break;
 	}
@@ -111,7 +161,10 @@
 	};
 
 	link->session = gn_runtime_random_id();
+	if (link->entry_incarnation)
+		gn_admit_close_session(agent->admit, link->entry_incarnation);
 	link->entry_incarnation = 0;
+	link->admit_session = 0;
 	link->opened_us = gn_runtime_now_us(agent->runtime);
 	link->heard_us = link->opened_us;
 	link->beat_us = 0;
--- a/tests/standin/backend.c
+++ b/tests/standin/backend.c
@@ -57,7 +57,9 @@
 	pthread_mutex_lock(&self.lock);
 	self.journal =
 		realloc(self.journal, self.journal_len + upload->len + 2);
-	memcpy(self.journal + self.journal_len, upload->data, upload->len);
+	if (upload->len)
+		memcpy(self.journal + self.journal_len, upload->data,
+		       upload->len);
 	self.journal_len += upload->len;
 	self.journal[self.journal_len++] = '\n';
 	self.journal[self.journal_len] = '\0';
@@ -123,7 +125,8 @@
 	} else {
 		body = malloc(upload->len + 3);
 		memcpy(body, "ok:", 3);
-		memcpy(body + 3, upload->data, upload->len);
+		if (upload->len)
+			memcpy(body + 3, upload->data, upload->len);
 		result = reply(connection, MHD_HTTP_OK, body, upload->len + 3);
 		free(body);
 	}
@@ -167,7 +170,7 @@
 {
 	unsigned status = MHD_HTTP_OK;
 	char *body = backend_tasks_handle(self.tasks, method, url, upload->data,
-					  upload->len, &status);
+					  upload->len, self.running, &status);
 	enum MHD_Result result = reply(connection, status, body, strlen(body));
 
 	free(body);
@@ -300,7 +303,8 @@
 		return 1;
 	}
 	/* After the signal it still says a few times that it drains. */
-	while (!self.stop || self.running || rounds_left-- > 0) {
+	while (!self.stop || self.running ||
+	       backend_tasks_running(self.tasks) || rounds_left-- > 0) {
 		if (!self.mute_ms)
 			announce(easy);
 		usleep(ANNOUNCE_MS * US_PER_MS);
