--- a/lib/limit/limit.c
+++ b/lib/limit/limit.c
@@ -3,10 +3,9 @@
 #include <assert.h>
 
 #include "limit/returns.h"
+#include "limit/teams.h"
 
 #define PER_CENT 100
-/** Windows that a team counts as active after its last request. */
-#define ACTIVE_WINDOWS 10
 /** Windows without a further cut, so that the last one can take effect. */
 #define CUT_PAUSE_WINDOWS 2
 /** Use of the limit, per cent, from which it may grow. */
@@ -16,15 +15,6 @@
 /** Weight of a window in the smoothed rate of admissions. */
 #define RATE_WEIGHT 0.2
 
-typedef struct gn_limit_team_s {
-	char name[GN_NAME_MAX + 1];
-	unsigned weight;
-	unsigned in_flight;
-	unsigned idle_windows; /**< since the last request */
-	bool counted; /**< in the weight of the active teams */
-	bool dropped; /**< freed by its last release */
-} team_t;
-
 /** Counts of the present window. */
 typedef struct window_s {
 	uint64_t start_us;
@@ -41,9 +31,7 @@
 	const gn_clock_t *clock;
 	GRand *rand;
 	gn_limit_config_t config;
-	GHashTable *teams;
-	team_t other; /**< all teams without a weight of their own */
-	unsigned active_weight; /**< of the teams that asked lately */
+	gn_teams_t *teams;
 
 	double limit;
 	unsigned in_flight;
@@ -124,93 +112,9 @@
 	       is_within(config->return_max_ms, config->return_min_ms, 3600000);
 }
 
-/* ======   Teams   ====== */
-
-static team_t *find_team(const gn_limit_t *limit, gn_str_t name)
-{
-	char key[GN_NAME_MAX + 1];
-
-	if (gn_str_copy(key, sizeof(key), name) != GN_OK)
-		return NULL;
-	return g_hash_table_lookup(limit->teams, key);
-}
-
-static void count_team(gn_limit_t *limit, team_t *team, bool counted)
-{
-	if (counted && !team->counted)
-		limit->active_weight += team->weight;
-	if (!counted && team->counted)
-		limit->active_weight -= team->weight;
-	team->counted = counted;
-}
-
-static void review_team(gn_limit_t *limit, team_t *team)
-{
-	if (team->idle_windows < ACTIVE_WINDOWS)
-		team->idle_windows++;
-	count_team(limit, team,
-		   team->in_flight || team->idle_windows < ACTIVE_WINDOWS);
-}
-
-static void review_teams(gn_limit_t *limit)
-{
-	GHashTableIter iter;
-	gpointer team;
-
-	review_team(limit, &limit->other);
-	g_hash_table_iter_init(&iter, limit->teams);
-	while (g_hash_table_iter_next(&iter, NULL, &team))
-		review_team(limit, team);
-}
-
-static void note_asking(gn_limit_t *limit, team_t *team)
-{
-	team->idle_windows = 0;
-	count_team(limit, team, true);
-}
-
-static gn_code_t add_team(gn_limit_t *limit, gn_str_t name, unsigned weight)
-{
-	team_t *team;
-
-	if (g_hash_table_size(limit->teams) >= GN_LIMIT_TEAMS_MAX)
-		return GN_ERR_CAPACITY;
-	team = talloc_zero(limit, team_t);
-	if (!team)
-		return GN_ERR_MEMORY;
-	gn_str_copy(team->name, sizeof(team->name), name);
-	team->weight = weight;
-	team->idle_windows = ACTIVE_WINDOWS;
-	g_hash_table_insert(limit->teams, team->name, team);
-	return GN_OK;
-}
-
-static void drop_team(gn_limit_t *limit, team_t *team)
-{
-	g_hash_table_remove(limit->teams, team->name);
-	count_team(limit, team, false);
-	if (team->in_flight)
-		team->dropped = true;
-	else
-		talloc_free(team);
-}
-
 gn_code_t gn_limit_set_team(gn_limit_t *limit, gn_str_t name, unsigned weight)
 {
-	team_t *team = find_team(limit, name);
-
-	if (!name.len || name.len > GN_NAME_MAX || weight > GN_LIMIT_WEIGHT_MAX)
-		return GN_ERR_RANGE;
-	if (!team)
-		return weight ? add_team(limit, name, weight) : GN_OK;
-	if (!weight) {
-		drop_team(limit, team);
-		return GN_OK;
-	}
-	if (team->counted)
-		limit->active_weight += weight - team->weight;
-	team->weight = weight;
-	return GN_OK;
+	return gn_teams_set(limit->teams, name, weight);
 }
 
 /* ======   The limit in flight   ====== */
@@ -295,7 +199,7 @@
 	rate = limit->window.admitted * (double)GN_US_PER_S / (double)passed_us;
 	limit->admit_rate += (rate - limit->admit_rate) * RATE_WEIGHT;
 	review_limit(limit);
-	review_teams(limit);
+	gn_teams_review(limit->teams);
 	open_window(limit, now_us);
 }
 
@@ -323,21 +227,20 @@
 	return limit->class_in_flight[work_class] < MAX(most, 1.0);
 }
 
-static bool has_team_room(const gn_limit_t *limit, const team_t *team)
+static bool has_team_room(const gn_limit_t *limit, const gn_limit_team_t *team)
 {
 	double share;
 
 	if (limit->in_flight * PER_CENT <
 	    limit->limit * limit->config.contend_pct)
 		return true;
-	assert(limit->active_weight >= team->weight);
-	share = limit->limit * team->weight / limit->active_weight;
+	share = limit->limit * gn_teams_share(limit->teams, team);
 	return team->in_flight < MAX(share, 1.0);
 }
 
 static gn_limit_reason_t judge(const gn_limit_t *limit,
 			       const gn_limit_request_t *request,
-			       const team_t *team)
+			       const gn_limit_team_t *team)
 {
 	if (!has_time(limit, request))
 		return GN_LIMIT_DEADLINE;
@@ -351,7 +254,7 @@
 }
 
 static void count_in(gn_limit_t *limit, const gn_limit_request_t *request,
-		     team_t *team, gn_limit_ticket_t *ticket)
+		     gn_limit_team_t *team, gn_limit_ticket_t *ticket)
 {
 	limit->in_flight++;
 	limit->class_in_flight[request->work_class]++;
@@ -369,13 +272,10 @@
 void gn_limit_ask(gn_limit_t *limit, const gn_limit_request_t *request,
 		  gn_limit_verdict_t *verdict)
 {
-	team_t *team = find_team(limit, request->team);
+	gn_limit_team_t *team = gn_teams_ask(limit->teams, request->team);
 
 	assert((unsigned)request->work_class < GN_CLASS_COUNT);
 	review(limit);
-	if (!team)
-		team = &limit->other;
-	note_asking(limit, team);
 	*verdict =
 		(gn_limit_verdict_t){ .reason = judge(limit, request, team) };
 	if (verdict->reason == GN_LIMIT_ADMITTED) {
@@ -411,7 +311,7 @@
 void gn_limit_release(gn_limit_t *limit, const gn_limit_ticket_t *ticket,
 		      gn_limit_end_t end)
 {
-	team_t *team = ticket->team;
+	gn_limit_team_t *team = ticket->team;
 
 	review(limit);
 	assert(limit->in_flight && team->in_flight);
@@ -419,19 +319,12 @@
 	limit->in_flight--;
 	limit->class_in_flight[ticket->work_class]--;
 	team->in_flight--;
-	if (team->dropped && !team->in_flight)
-		talloc_free(team);
+	gn_teams_settle(team);
 	count_end(limit, ticket, end);
 }
 
 /* ======   Life and queries   ====== */
 
-static int destroy_limit(gn_limit_t *limit)
-{
-	g_hash_table_destroy(limit->teams);
-	return 0;
-}
-
 gn_limit_t *gn_limit_create(TALLOC_CTX *parent, const gn_clock_t *clock,
 			    GRand *rand, const gn_limit_config_t *config)
 {
@@ -449,10 +342,11 @@
 	limit->returns.min_ms = config->return_min_ms;
 	limit->returns.max_ms = config->return_max_ms;
 	limit->window.start_us = gn_clock_now_us(clock);
-	limit->other.weight = config->other_weight;
-	limit->other.idle_windows = ACTIVE_WINDOWS;
-	limit->teams = g_hash_table_new(g_str_hash, g_str_equal);
-	talloc_set_destructor(limit, destroy_limit);
+	limit->teams = gn_teams_create(limit, config->other_weight);
+	if (!limit->teams) {
+		talloc_free(limit);
+		return NULL;
+	}
 	return limit;
 }
 
@@ -461,7 +355,7 @@
 	*info = (gn_limit_info_t){
 		.limit = (unsigned)limit->limit,
 		.in_flight = limit->in_flight,
-		.teams = g_hash_table_size(limit->teams),
+		.teams = gn_teams_count(limit->teams),
 		.admitted = limit->admitted,
 	};
 	for (int i = 0; i < GN_CLASS_COUNT; i++)
@@ -472,7 +366,7 @@
 
 unsigned gn_limit_team_in_flight(const gn_limit_t *limit, gn_str_t name)
 {
-	const team_t *team = find_team(limit, name);
+	const gn_limit_team_t *team = gn_teams_find(limit->teams, name);
 
 	return team ? team->in_flight : 0;
 }
