Find all silent connections by the first one; a relay that makes them

A new stand-in relays TCP between two processes and can make the connections open at one moment silent while new ones work. Scenarios put it on the hops agent to entry, agent to backend server, and entry to platform.

Seen: with 16 connections kept to a backend server and all of them silent, 14 of 16 requests after the first timeout were lost (2 done, 14 unknown): libcurl drops only the connection that timed out, so each of the others cost a request of its own. Links to entries and calls to the platform recovered as they were: links are replaced whole, and the platform's client already distrusts its idle connections after a failed call.

Cause mended in the HTTP client: once a call on a kept connection times out, connections last used before that moment are closed instead of tried. A timeout on a connection of its own does not count, since the host may be merely slow. Looked at and left: a lifetime limit (closes proven ones too). After: 16 of 16 done, counted as client.silent.

The stand-in of a backend server can announce another address than it listens at, which is how the relay gets between. The hop between two entries has no scenario: an entry's address in the record is the one it listens at.

--- a/lib/http/client.c
+++ b/lib/http/client.c
@@ -8,6 +8,7 @@
 #include <string.h>
 #include <strings.h>
 
+#include "common/clock.h"
 #include "common/str.h"
 #include "wire/pipe.h"
 
@@ -17,6 +18,8 @@
 #define CONNECT_MS 1000
 /** Idle connections kept to all hosts. */
 #define CONNECTIONS_KEPT 128
+/** Longer idle connections libcurl closes by itself, seconds. */
+#define IDLE_MAX_S 118
 /** Longest header line that is sent, bytes. */
 #define HEADER_LINE_MAX 512
 
@@ -28,8 +31,11 @@
 	gn_pipe_t *far; /**< the traffic thread's end */
 	size_t answer_max;
 	size_t pending;
+	gn_clock_t clock;
+	uint64_t silent_us; /**< when a kept connection was last found silent */
 	gn_counter_t *calls;
 	gn_counter_t *failed;
+	gn_counter_t *silent;
 };
 
 /* A call on its way; the traffic thread's. */
@@ -162,6 +168,37 @@
 	curl_easy_setopt(easy, CURLOPT_READDATA, transfer);
 }
 
+/*
+ * What makes one kept connection silent mostly makes all of them so. Those
+ * that were last used before one was found silent are closed, not tried each
+ * at the cost of a request. libcurl compares whole seconds of idle time.
+ */
+static void distrust_idle(const gn_http_client_t *client, CURL *easy)
+{
+	uint64_t since_s;
+
+	if (!client->silent_us)
+		return;
+	since_s = (gn_clock_now_us(&client->clock) - client->silent_us) /
+		  GN_US_PER_S;
+	if (!since_s)
+		curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+	else if (since_s <= IDLE_MAX_S)
+		curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, (long)since_s - 1);
+}
+
+static void note_timeout(gn_http_client_t *client, CURL *easy)
+{
+	long made = 0;
+
+	/* On a connection of its own the host may be merely slow. */
+	curl_easy_getinfo(easy, CURLINFO_NUM_CONNECTS, &made);
+	if (made)
+		return;
+	client->silent_us = gn_clock_now_us(&client->clock);
+	gn_counter_inc(client->silent);
+}
+
 static void set_method(CURL *easy, const gn_http_call_t *call)
 {
 	curl_off_t len = (curl_off_t)call->body_len;
@@ -261,6 +298,7 @@
 		goto fail;
 	call->transfer = transfer;
 	set_options(transfer);
+	distrust_idle(client, transfer->easy);
 	if (curl_multi_add_handle(client->multi, transfer->easy))
 		goto fail;
 	return;
@@ -308,6 +346,8 @@
 	call = transfer->call;
 	call->status = (unsigned)status;
 	code = classify(transfer, result);
+	if (code == GN_ERR_TIMEOUT)
+		note_timeout(client, easy);
 	curl_multi_remove_handle(client->multi, easy);
 	call->transfer = NULL;
 	transfer_free(transfer);
@@ -389,6 +429,8 @@
 	client->answer_max = config->answer_max;
 	client->calls = gn_counters_get(config->counters, "client.calls");
 	client->failed = gn_counters_get(config->counters, "client.failed");
+	client->silent = gn_counters_get(config->counters, "client.silent");
+	gn_clock_init_boot(&client->clock);
 	client->multi = curl_multi_init();
 	if (!client->multi) {
 		gn_error_set(error, GN_ERR_MEMORY, step, NULL, "libcurl");
--- a/tests/scenario.sh
+++ b/tests/scenario.sh
@@ -7,9 +7,10 @@
 file=$2
 name=$(basename "$file" .scn)
 work=$(mktemp -d)
+scratch=$work
 # Each run has a loopback address of its own, so that runs don't collide.
 host=127.$((1 + $$ / 62500 % 250)).$(($$ / 250 % 250)).$((1 + $$ % 250))
-declare -A pid http link job
+declare -A pid http link job via
 next=0
 last_status=0
 
@@ -41,6 +42,32 @@
 	launch platform "$build/tests/standin/platform" --listen "${http[platform]}"
 }
 
+# relay NAME platform|ENTRY.link|WORKER.backend: from now on, processes that
+# start reach the target through the relay. Faults: tests/standin/relay.c.
+cmd_relay() {
+	local key=$1 target=$2 to=
+	port
+	via[$target]=$allotted
+	port
+	http[$key]=$allotted
+	case $target in
+	platform)
+		[ "${http[platform]:-}" ] || { port; http[platform]=$allotted; }
+		to=${http[platform]}
+		;;
+	*.link) to=${link[${target%.link}]} ;;
+	*.backend)
+		target=${target%.backend}
+		[ "${http[$target]:-}" ] || { port; http[$target]=$allotted; port; http[$target.backend]=$allotted; }
+		to=${http[$target.backend]}
+		;;
+	esac
+	launch "$key" "$build/tests/standin/relay" --listen "${via[$2]}" --to "$to" --control "${http[$key]}"
+}
+
+# silent RELAY: how many of its connections are silent and still open
+cmd_silent() { fetch "http://${http[$1]}/connections" | jq .silent; }
+
 # entry NAME DATA_CENTRE [KEY=VALUE...]
 cmd_entry() {
 	local key=$1 dc=$2
@@ -57,7 +84,7 @@
 	listen = "${http[$key]}"
 	timeout_ms = 3000
 	[platform]
-	address = "${http[platform]}"
+	address = "${via[platform]:-${http[platform]}}"
 	calls_per_s = 200
 	lease_ttl_ms = 3000
 	[link]
@@ -79,7 +106,7 @@
 	shift 3
 	[ "${http[$key]:-}" ] || { port; http[$key]=$allotted; port; http[$key.backend]=$allotted; }
 	for e in "$@"; do
-		list="$list${list:+, }\"${link[$e]}\""
+		list="$list${list:+, }\"${via[$e.link]:-${link[$e]}}\""
 	done
 	[ -s "$work/$key.toml" ] || cat >"$work/$key.toml" <<-T
 	role = "agent"
@@ -106,7 +133,8 @@
 }
 
 cmd_backend() {
-	launch "$1.backend" "$build/tests/standin/backend" --listen "${http[$1.backend]}" --agent "${http[$1]}"
+	launch "$1.backend" "$build/tests/standin/backend" --listen "${http[$1.backend]}" --agent "${http[$1]}" \
+		${via[$1.backend]:+--announce "${via[$1.backend]}"}
 }
 
 cmd_restart() { # an agent that was stopped or killed
@@ -134,7 +162,8 @@
 
 # request ENTRY SERVICE BODY [HEADER...]: prints status, outcome and body
 cmd_request() {
-	local e=$1 service=$2 body=$3 args=() h
+	local e=$1 service=$2 body=$3 args=() h work
+	work=$(mktemp -d -p "$scratch")
 	shift 3
 	for h in "$@"; do args+=(-H "$h"); done
 	fetch -D "$work/head" -o "$work/body" "${args[@]}" --data-binary "$body" \
@@ -150,7 +179,7 @@
 	else
 		echo "$status $outcome $reason$retry"
 	fi
-	rm -f "$work/head" "$work/body"
+	rm -rf "$work"
 }
 
 # requests ENTRY SERVICE COUNT PREFIX [HEADER...]: a count of each answer
@@ -162,6 +191,18 @@
 	done | sed "s/$prefix[0-9]*\$/$prefix*/" | sort | uniq -c | sed 's/^ *//'
 }
 
+# crowd ENTRY SERVICE COUNT PREFIX [HEADER...]: like requests, all at once
+cmd_crowd() {
+	local e=$1 service=$2 count=$3 prefix=$4 i
+	shift 4
+	{
+		for i in $(seq "$count"); do
+			cmd_request "$e" "$service" "$prefix$i" "$@" &
+		done
+		wait
+	} | sed "s/$prefix[0-9]*\$/$prefix*/" | sort | uniq -c | sed 's/^ *//'
+}
+
 # background COMMAND...: its output is printed by "join"
 cmd_background() {
 	("cmd_$1" "${@:2}" >"$work/background.out") &
@@ -211,6 +252,25 @@
 	if [ "${job[$label]}" ]; then echo accepted; else cut -c1-120 "$work/answer"; fi
 }
 
+# refused_job ENTRY CLASS TEAM SERVICE KIND RUN_MS: status, outcome, reason
+cmd_refused_job() {
+	fetch -D "$work/head" -o "$work/answer" -H "Gypsumnotch-Class: $2" -H "Gypsumnotch-Team: $3" \
+		-H "Gypsumnotch-Service: $4" -H "Gypsumnotch-Kind: $5" --data-binary "$6" "http://${http[$1]}/v1/jobs"
+	echo "$(awk 'NR==1 {print $2}' "$work/head")$(tr -d '\r' <"$work/head" |
+		awk -F': ' '/^Gypsumnotch-(Outcome|Reason): / {printf " " $2} /^Retry-After: [0-9]/ {after=" retry-after"} END {print after}')"
+}
+
+cmd_submit_until() { # like submit, again until it is accepted
+	local answer
+	for _ in $(seq 50); do
+		cmd_submit "$@" >"$work/until"
+		answer=$(cat "$work/until")
+		[ "$answer" = accepted ] && break
+		sleep 0.2
+	done
+	echo "$answer"
+}
+
 job_state() {
 	local e
 	for e in "${!link[@]}"; do
@@ -309,6 +369,17 @@
 	done | grep . || echo "every worker has tasks"
 }
 
+# at_least COMMAND... N: "yes" once the number that COMMAND prints is N or more
+cmd_at_least() {
+	local want=${!#} seen=
+	for _ in $(seq 100); do
+		seen=$("cmd_$1" "${@:2:$#-2}")
+		[ "${seen:-0}" -ge "$want" ] && echo yes && return
+		sleep 0.1
+	done
+	echo "no: ${seen:-none}"
+}
+
 # counter NAME COUNTER: the value of a counter
 cmd_counter() { fetch "http://${http[$1]}/dump" | grep -o "\"$2\":[0-9]*" | cut -d: -f2; }
 
--- a/tests/standin/backend.c
+++ b/tests/standin/backend.c
@@ -35,6 +35,7 @@
 
 static struct {
 	char listen[64];
+	const char *announced; /* the address it tells its agent */
 	const char *agent;
 	char incarnation[32];
 	atomic_bool draining;
@@ -243,7 +244,7 @@
 	snprintf(url, sizeof(url), "http://%s/v1/announce", self.agent);
 	snprintf(body, sizeof(body),
 		 "{\"address\":\"%s\",\"incarnation\":\"%s\",\"draining\":%s}",
-		 self.listen, self.incarnation,
+		 self.announced, self.incarnation,
 		 self.draining ? "true" : "false");
 	curl_easy_setopt(easy, CURLOPT_URL, url);
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
@@ -283,7 +284,7 @@
 		MHD_OPTION_END);
 }
 
-static int run(const char *listen, const char *agent)
+static int run(const char *listen, const char *announced, const char *agent)
 {
 	struct MHD_Daemon *daemon;
 	CURL *easy = curl_easy_init();
@@ -292,6 +293,7 @@
 	snprintf(self.listen, sizeof(self.listen), "%s", listen);
 	snprintf(self.incarnation, sizeof(self.incarnation), "b%d",
 		 (int)getpid());
+	self.announced = announced;
 	self.agent = agent;
 	self.tasks = backend_tasks_create();
 	daemon = start_server();
@@ -319,8 +321,10 @@
 		arg_str1("l", "listen", "IP:PORT", "address to serve");
 	struct arg_str *agent =
 		arg_str1("a", "agent", "IP:PORT", "the agent beside it");
+	struct arg_str *announced = arg_str0(NULL, "announce", "IP:PORT",
+					     "address to announce instead");
 	struct arg_end *end = arg_end(4);
-	void *table[] = { listen, agent, end };
+	void *table[] = { listen, agent, announced, end };
 	int status;
 
 	if (arg_parse(argc, argv, table)) {
@@ -329,7 +333,9 @@
 	}
 	signal(SIGTERM, on_signal);
 	signal(SIGPIPE, SIG_IGN);
-	status = run(listen->sval[0], agent->sval[0]);
+	status = run(listen->sval[0],
+		     announced->count ? announced->sval[0] : listen->sval[0],
+		     agent->sval[0]);
 	arg_freetable(table, sizeof(table) / sizeof(table[0]));
 	return status;
 }
