Refuse jobs at once while the platform is away; freezes, outages, restarts

Seen in the outage before: a job submitted meanwhile waited at its owner for a commit that could not come, until the entry that had passed it on gave up: "502 unknown" after 3 s. Now an owner whose renewal is not recent refuses at once: 503, not run, Retry-After; with an idempotency key "unknown", since the key may belong to a job that was accepted before.

Ruled out as a fault: a standing task shown as "claimed" long after its start; the query reads the durable record, which a start alone does not write again. So these scenarios count running tasks at the agents instead.

--- a/lib/entry/jobs.c
+++ b/lib/entry/jobs.c
@@ -32,6 +32,21 @@
 	gn_http_reply_refusal(entry->server, request, &refusal, error);
 }
 
+/*
+ * Without the platform's service nothing can be made durable: a caller hears
+ * so at once. A key may belong to a job that was accepted before.
+ */
+static void refuse_without_platform(entry_t *entry, gn_http_request_t *request,
+				    bool has_key)
+{
+	const gn_refusal_t away = { HTTP_UNAVAILABLE,
+				    has_key ? GN_OUTCOME_UNKNOWN
+					    : GN_OUTCOME_NOT_RUN,
+				    "platform-away", RETRY_AFTER_S };
+
+	gn_http_reply_refusal(entry->server, request, &away, NULL);
+}
+
 /* The bucket, or NULL once the request was passed on or refused. */
 static gn_batch_bucket_t *find_or_forward(entry_t *entry, unsigned index,
 					  gn_http_request_t *request)
@@ -170,6 +185,10 @@
 	bucket = find_or_forward(entry, index, http);
 	if (!bucket)
 		return;
+	if (!gn_promise_is_normal(entry->membership->promise)) {
+		refuse_without_platform(entry, http, request.key.len > 0);
+		return;
+	}
 	code = gn_batch_bucket_submit(bucket, &request, &id, &seq, &reason);
 	if (code) {
 		refuse_submit(entry, http, code, reason);
--- a/tests/scenario.sh
+++ b/tests/scenario.sh
@@ -265,10 +265,11 @@
 
 # refused_job ENTRY CLASS TEAM SERVICE KIND RUN_MS: status, outcome, reason
 cmd_refused_job() {
-	fetch -D "$work/head" -o "$work/answer" -H "Gypsumnotch-Class: $2" -H "Gypsumnotch-Team: $3" \
-		-H "Gypsumnotch-Service: $4" -H "Gypsumnotch-Kind: $5" --data-binary "$6" "http://${http[$1]}/v1/jobs"
-	echo "$(awk 'NR==1 {print $2}' "$work/head")$(tr -d '\r' <"$work/head" |
-		awk -F': ' '/^Gypsumnotch-(Outcome|Reason): / {printf " " $2} /^Retry-After: [0-9]/ {after=" retry-after"} END {print after}')"
+	local status
+	status=$(fetch -D "$work/head" -o "$work/answer" -w '%{http_code}' -H "Gypsumnotch-Class: $2" \
+		-H "Gypsumnotch-Team: $3" -H "Gypsumnotch-Service: $4" -H "Gypsumnotch-Kind: $5" \
+		--data-binary "$6" "http://${http[$1]}/v1/jobs")
+	echo "$status $(jq -r '"\(.outcome) \(.reason)"' "$work/answer")$(grep -qi '^Retry-After: [0-9]' "$work/head" && echo " retry-after")"
 }
 
 cmd_submit_until() { # like submit, again until it is accepted
@@ -372,6 +373,14 @@
 	echo "revisions:$seen"
 }
 
+# running WORKER...: how many tasks run now, by their agents
+cmd_running() {
+	local w
+	for w in "$@"; do
+		fetch "http://${http[$w]}/dump" | jq .tasks.running
+	done | jq -s add
+}
+
 # spread WORKER...: whether each worker runs tasks, by their agents
 cmd_spread() {
 	local w
