--- a/lib/agent/agent.c
+++ b/lib/agent/agent.c
@@ -111,6 +111,12 @@
 	agent_links_tick(agent);
 }
 
+static unsigned agent_next_tick_ms(const void *state)
+{
+	(void)state;
+	return TICK_MS;
+}
+
 static void agent_stop(void *state)
 {
 	agent_t *agent = state;
@@ -135,7 +141,7 @@
 
 const gn_role_ops_t gn_agent_role = {
 	.name = "agent",
-	.tick_ms = TICK_MS,
+	.next_tick_ms = agent_next_tick_ms,
 	.start = agent_start,
 	.tick = agent_tick,
 	.stop = agent_stop,
--- a/lib/agent/requests.c
+++ b/lib/agent/requests.c
@@ -211,8 +211,8 @@
 	gn_counter_inc(agent->counters.fences);
 	ack.request = fence->request;
 	ack.not_run = gn_admit_cancel_request(
-		agent->admit, link->entry_incarnation,
-		agent->runtime->incarnation, fence->request);
+		agent->admit, link->entry_incarnation, fence->agent_incarnation,
+		fence->request);
 	envelope.body_case = GN__ENVELOPE__BODY_FENCE_ACK;
 	envelope.fence_ack = &ack;
 	agent_link_send(link, &envelope);
--- a/lib/daemon/runtime.c
+++ b/lib/daemon/runtime.c
@@ -105,7 +105,8 @@
 /* The timer only wakes the loop; all deadlines are kept on the clock. */
 static bool schedule_tick(daemon_t *daemon)
 {
-	unsigned usecs = daemon->role->tick_ms * GN_US_PER_MS;
+	unsigned usecs =
+		daemon->role->next_tick_ms(daemon->state) * GN_US_PER_MS;
 	struct timeval next = tevent_timeval_current_ofs(0, usecs);
 
 	return tevent_add_timer(daemon->runtime.events, daemon, next, on_tick,
--- a/lib/daemon/runtime.h
+++ b/lib/daemon/runtime.h
@@ -34,7 +34,8 @@
 /** What a role does. */
 typedef struct gn_role_ops_s {
 	const char *name;
-	unsigned tick_ms; /**< between calls of @ref tick */
+	/** Milliseconds until the next call of @ref tick, at least 1. */
+	unsigned (*next_tick_ms)(const void *state);
 	/** Opens everything; *state is handed to the others. */
 	gn_code_t (*start)(gn_runtime_t *runtime, void **state,
 			   gn_error_t *error);
--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -7,7 +7,9 @@
 #include "entry/peers.h"
 
 /** Deadlines are kept to this step, milliseconds. */
-#define TICK_MS 5
+#define BUSY_TICK_MS 5
+/** Beats, commits and watches need no finer step, milliseconds. */
+#define IDLE_TICK_MS 25
 /** A stopping entry still takes new connections until the balancer has seen
  * it, milliseconds. */
 #define LAME_DUCK_MS 1000
@@ -128,6 +130,13 @@
 		tick_stop(entry);
 }
 
+static unsigned entry_next_tick_ms(const void *state)
+{
+	const entry_t *entry = state;
+
+	return g_hash_table_size(entry->requests) ? BUSY_TICK_MS : IDLE_TICK_MS;
+}
+
 static void entry_stop(void *state)
 {
 	/* The status page tells the balancer; see tick_stop(). */
@@ -145,7 +154,7 @@
 
 const gn_role_ops_t gn_entry_role = {
 	.name = "entry",
-	.tick_ms = TICK_MS,
+	.next_tick_ms = entry_next_tick_ms,
 	.start = entry_start,
 	.tick = entry_tick,
 	.stop = entry_stop,
--- a/lib/entry/requests.c
+++ b/lib/entry/requests.c
@@ -190,8 +190,8 @@
 	refuse(request, &refusal, NULL);
 }
 
-static bool is_admitted(entry_request_t *request, uint64_t wait_us,
-			gn_refusal_t *refusal)
+static bool is_admitted(entry_request_t *request,
+			const gn_route_choice_t *choice, gn_refusal_t *refusal)
 {
 	entry_t *entry = request->entry;
 	const gn_limit_request_t asked = {
@@ -199,7 +199,8 @@
 		.team = gn_str_from(request->team),
 		.time_left_us = request->deadline_us -
 				gn_runtime_now_us(entry->runtime),
-		.wait_us = wait_us,
+		.wait_us = choice->wait_us,
+		.idle_us = choice->idle_us,
 	};
 	gn_limit_verdict_t verdict;
 
@@ -274,7 +275,7 @@
 	code = pick(request, &choice);
 	if (code)
 		refuse_unpicked(request, code);
-	else if (!is_admitted(request, choice.wait_us, &refusal))
+	else if (!is_admitted(request, &choice, &refusal))
 		refuse(request, &refusal, NULL);
 	else
 		start(request, choice.worker);
--- a/lib/entry/tries.c
+++ b/lib/entry/tries.c
@@ -101,6 +101,7 @@
 	Gn__Fence fence = GN__FENCE__INIT;
 
 	fence.request = request->id;
+	fence.agent_incarnation = request->worker->agent_incarnation;
 	envelope.body_case = GN__ENVELOPE__BODY_FENCE;
 	envelope.fence = &fence;
 	entry_worker_send(request->entry, request->worker, &envelope);
@@ -178,6 +179,7 @@
 {
 	entry_t *entry = request->entry;
 	entry_service_t *service = request->worker->service;
+	gn_route_worker_t *route = request->worker->route;
 	uint64_t now_us = gn_runtime_now_us(entry->runtime);
 	uint64_t left_us = request->deadline_us > now_us
 				   ? request->deadline_us - now_us
@@ -185,9 +187,11 @@
 	gn_route_choice_t choice = { 0 };
 	bool found;
 
-	gn_eject_take_result(entry->eject, request->worker->route, end->eject,
+	gn_eject_take_result(entry->eject, route, end->eject,
 			     now_us - request->try_us);
 	leave_worker(request);
+	if (end == &ended_full)
+		gn_route_view_note_full(entry->view, route);
 	found = end != &ended_passed && find_next(request, &choice);
 	if (gn_retry_end_try(&request->retry, service->budget, end->retry,
 			     found ? left_us : 0,
--- a/lib/wire/gypsumnotch.pb-c.c
+++ b/lib/wire/gypsumnotch.pb-c.c
@@ -1829,7 +1829,7 @@
   (ProtobufCMessageInit) gn__answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gn__fence__field_descriptors[1] =
+static const ProtobufCFieldDescriptor gn__fence__field_descriptors[2] =
 {
   {
     "request",
@@ -1843,14 +1843,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "agent_incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gn__Fence, agent_incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gn__fence__field_indices_by_name[] = {
+  1,   /* field[1] = agent_incarnation */
   0,   /* field[0] = request */
 };
 static const ProtobufCIntRange gn__fence__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor gn__fence__descriptor =
 {
@@ -1860,7 +1873,7 @@
   "Gn__Fence",
   "gn",
   sizeof(Gn__Fence),
-  1,
+  2,
   gn__fence__field_descriptors,
   gn__fence__field_indices_by_name,
   1,  gn__fence__number_ranges,
--- a/lib/wire/gypsumnotch.pb-c.h
+++ b/lib/wire/gypsumnotch.pb-c.h
@@ -253,10 +253,14 @@
 {
   ProtobufCMessage base;
   uint64_t request;
+  /*
+   * that the request was dispatched to
+   */
+  uint64_t agent_incarnation;
 };
 #define GN__FENCE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gn__fence__descriptor) \
-    , 0 }
+    , 0, 0 }
 
 
 struct  Gn__FenceAck
--- a/lib/wire/link.c
+++ b/lib/wire/link.c
@@ -15,9 +15,14 @@
 /** First and longest pause between attempts to connect, milliseconds. */
 #define RECONNECT_MS 50
 #define RECONNECT_MAX_MS 2000
-/** ZMTP heartbeats find silent connections below the beats, milliseconds. */
-#define HEARTBEAT_MS 1000
-#define HEARTBEAT_TIMEOUT_MS 3000
+/*
+ * The beats find a silent connection, and the connecting side replaces it. The
+ * listening side only has to let go of what it was: the kernel's keepalive
+ * does that for fewer bytes than heartbeats of ZMTP.
+ */
+#define KEEPALIVE_IDLE_S 60
+#define KEEPALIVE_INTERVAL_S 20
+#define KEEPALIVE_COUNT 3
 
 struct gn_link_s {
 	void *socket;
@@ -53,8 +58,10 @@
 	set_option(socket, ZMQ_HANDSHAKE_IVL, HANDSHAKE_MS);
 	set_option(socket, ZMQ_RECONNECT_IVL, RECONNECT_MS);
 	set_option(socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
-	set_option(socket, ZMQ_HEARTBEAT_IVL, HEARTBEAT_MS);
-	set_option(socket, ZMQ_HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS);
+	set_option(socket, ZMQ_TCP_KEEPALIVE, 1);
+	set_option(socket, ZMQ_TCP_KEEPALIVE_IDLE, KEEPALIVE_IDLE_S);
+	set_option(socket, ZMQ_TCP_KEEPALIVE_INTVL, KEEPALIVE_INTERVAL_S);
+	set_option(socket, ZMQ_TCP_KEEPALIVE_CNT, KEEPALIVE_COUNT);
 	int64_t size_max = MESSAGE_MAX;
 
 	zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &size_max, sizeof(size_max));
