Don't let an answer wait a second for its traffic thread

Cause: the traffic thread takes answers from the control thread once more before it sleeps, and resumes their connections. How long it may sleep comes from MHD_get_timeout(), which in this version does not count connections that were resumed but not yet run, so the thread could sleep its whole second with an answer ready. Seen with two requests at once on an idle server, just when the answer to one came while the other was handed over; under load the next event hid it.

Ruled out: the pipe's edge (taken twice already), the listening backlog.

The test "no-stall" fails without this.

New contract test of the HTTP server with raw sockets: malformed, oversized, truncated and stalled callers get a clear 4xx (505 for an unknown version) or a closed connection, reach no handler, and a good request beside each of them succeeds.

--- a/lib/http/server.c
+++ b/lib/http/server.c
@@ -31,11 +31,13 @@
 char http_thread_stop;
 
 /* Handles the control thread's items; false once told to stop. */
-static bool take_items(http_thread_t *thread)
+static bool take_items(http_thread_t *thread, bool *taken)
 {
 	void *item;
 
+	*taken = false;
 	while ((item = gn_pipe_receive(thread->far))) {
+		*taken = true;
 		if (item == &http_thread_stop)
 			return false;
 		if (item != &http_thread_wake)
@@ -65,8 +67,9 @@
 		{ .fd = gn_pipe_fd(thread->far), .events = POLLIN },
 	};
 	bool quiesced = false;
+	bool taken;
 
-	while (take_items(thread)) {
+	while (take_items(thread, &taken)) {
 		if (!quiesced && atomic_load(&thread->quiesce)) {
 			int fd = (int)MHD_quiesce_daemon(thread->daemon);
 
@@ -76,9 +79,10 @@
 		}
 		MHD_run(thread->daemon);
 		/* Sending from a handler can use up the pipe's edge. */
-		if (!take_items(thread))
+		if (!take_items(thread, &taken))
 			break;
-		poll(fds, 2, poll_timeout_ms(thread->daemon));
+		/* MHD_get_timeout() does not count what was just resumed. */
+		poll(fds, 2, taken ? 0 : poll_timeout_ms(thread->daemon));
 	}
 	return NULL;
 }
@@ -185,8 +189,9 @@
 static void resume_leftovers(http_thread_t *thread)
 {
 	gn_http_request_t *request;
+	bool taken;
 
-	take_items(thread);
+	take_items(thread, &taken);
 	while ((request = gn_pipe_receive(thread->near))) {
 		request->answer.status = MHD_HTTP_SERVICE_UNAVAILABLE;
 		http_exchange_resume(request->connection);
--- /dev/null
+++ b/tests/contract/test_http_server.c
@@ -0,0 +1,341 @@
+/* Malformed, oversized, truncated and slow callers of the HTTP server. */
+#include <arpa/inet.h>
+#include <glib.h>
+#include <poll.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <zmq.h>
+
+#include "http/server.h"
+
+#define PORT 20777
+#define BODY_MAX 4096
+/** The server's limit for slow senders, milliseconds. */
+#define TIMEOUT_MS 1000
+/** A slow sender is cut off by then: twice the limit, and slack. */
+#define CUT_OFF_MS (2 * TIMEOUT_MS + 2000)
+/** Between the bytes of a slow sender: never idle for the limit. */
+#define SLOW_MS 50
+#define CLOSED 1
+/** Two requests at once, how often. */
+#define PAIRS 200
+/** A traffic thread that misses a wake-up sleeps for a second. */
+#define STALL_MS 900
+
+typedef struct case_s {
+	const char *name;
+	const char *text; /* what is sent */
+	size_t filler; /* then as many bytes 'x' */
+	const char *end; /* then this */
+	bool slow; /* the text in single bytes, then more without end */
+	bool hang_up; /* closes its half after sending */
+	unsigned statuses[3]; /* that are right; CLOSED: none */
+	unsigned handled; /* requests that reach the handler */
+} case_t;
+
+#define POST "POST /x HTTP/1.1\r\nHost: a\r\n"
+
+static const case_t cases[] = {
+	{ "good", POST "Content-Length: 2\r\n\r\nok", .statuses = { 200 },
+	  .handled = 1 },
+	{ "good-chunked",
+	  POST "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	  .statuses = { 200 }, .handled = 1 },
+	{ "no-request-line", "nonsense\r\n\r\n", .statuses = { 400, CLOSED } },
+	{ "binary", "\x16\x03\x01\x02\x7f\xff\xfe\r\n\r\n",
+	  .statuses = { 400, CLOSED } },
+	{ "unknown-version", "GET / HTTP/7.3\r\n\r\n",
+	  .statuses = { 400, 505, CLOSED } },
+	{ "unknown-method", "BREW / HTTP/1.1\r\nHost: a\r\n\r\n",
+	  .statuses = { 405 } },
+	{ "no-colon", "GET / HTTP/1.1\r\nHost a\r\n\r\n", .statuses = { 400 } },
+	{ "huge-line", "GET /", 65536, " HTTP/1.1\r\n\r\n",
+	  .statuses = { 414, 431, 413 } },
+	{ "huge-header", "GET / HTTP/1.1\r\nHost: a\r\nX: ", 65536, "\r\n\r\n",
+	  .statuses = { 431, 413 } },
+	{ "long-body", POST "Content-Length: 8192\r\n\r\n", 8192,
+	  .statuses = { 413 } },
+	{ "long-length", POST "Content-Length: 99999999999999999999999\r\n\r\n",
+	  .statuses = { 400, 413 } },
+	{ "long-chunk", POST "Transfer-Encoding: chunked\r\n\r\n2000\r\n", 8192,
+	  "\r\n0\r\n\r\n", .statuses = { 413 } },
+	{ "bad-length", POST "Content-Length: many\r\n\r\n",
+	  .statuses = { 400 } },
+	{ "negative-length", POST "Content-Length: -5\r\n\r\n",
+	  .statuses = { 400 } },
+	{ "bad-chunk", POST "Transfer-Encoding: chunked\r\n\r\nzz\r\nok\r\n",
+	  .statuses = { 400, CLOSED } },
+	{ "short-body", POST "Content-Length: 10\r\n\r\nabc", .hang_up = true,
+	  .statuses = { 400, CLOSED } },
+	{ "short-chunk", POST "Transfer-Encoding: chunked\r\n\r\na\r\nabc",
+	  .hang_up = true, .statuses = { 400, CLOSED } },
+	{ "half-header", "POST /x HTTP/1.1\r\nHo", .hang_up = true,
+	  .statuses = { 400, CLOSED } },
+	{ "stalled-header", "POST /x HTTP/1.1\r\nHo",
+	  .statuses = { 408, CLOSED } },
+	{ "stalled-body", POST "Content-Length: 10\r\n\r\nabc",
+	  .statuses = { 408, CLOSED } },
+};
+
+/* ======   The caller, in a thread of its own   ====== */
+
+typedef struct caller_s {
+	const case_t *test;
+	const char *host;
+	int done[2]; /* pipe that tells the loop */
+	unsigned status; /* of the answer to the case */
+	unsigned beside; /* of the answer to the good request beside it */
+	gint64 spent_us;
+	unsigned stalls;
+} caller_t;
+
+static int open_connection(const caller_t *caller)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET,
+				       .sin_port = htons(PORT) };
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	inet_pton(AF_INET, caller->host, &address.sin_addr);
+	g_assert_cmpint(
+		connect(fd, (struct sockaddr *)&address, sizeof(address)), ==,
+		0);
+	return fd;
+}
+
+static bool send_all(int fd, const char *text, size_t len)
+{
+	while (len) {
+		ssize_t sent = send(fd, text, len, MSG_NOSIGNAL);
+
+		if (sent <= 0)
+			return false;
+		text += sent;
+		len -= (size_t)sent;
+	}
+	return true;
+}
+
+static void send_filler(int fd, size_t len)
+{
+	char *filler = g_strnfill(len, 'x');
+
+	send_all(fd, filler, len);
+	g_free(filler);
+}
+
+static bool is_readable(int fd, int wait_ms)
+{
+	struct pollfd poll_fd = { fd, POLLIN, 0 };
+
+	return poll(&poll_fd, 1, wait_ms) > 0;
+}
+
+/* Goes on until the server answers or closes. */
+static void send_slowly(int fd, const char *text)
+{
+	gint64 limit_us = g_get_monotonic_time() + 2 * CUT_OFF_MS * 1000;
+
+	while (!is_readable(fd, SLOW_MS) && g_get_monotonic_time() < limit_us) {
+		send_all(fd, *text ? text : "x", 1);
+		text += *text != '\0';
+	}
+}
+
+/* The status of the answer, or CLOSED. */
+static unsigned read_status(int fd)
+{
+	char head[64] = "";
+	size_t len = 0;
+	unsigned status = CLOSED;
+
+	while (len < sizeof(head) - 1 && is_readable(fd, 2 * CUT_OFF_MS)) {
+		ssize_t got = recv(fd, head + len, sizeof(head) - 1 - len, 0);
+
+		if (got <= 0)
+			break;
+		len += (size_t)got;
+		head[len] = '\0';
+		if (strchr(head, '\n'))
+			break;
+	}
+	if (g_str_has_prefix(head, "HTTP/1.") && len > 12)
+		status = (unsigned)g_ascii_strtoull(head + 9, NULL, 10);
+	return status;
+}
+
+static unsigned call_beside(const caller_t *caller)
+{
+	int fd = open_connection(caller);
+	unsigned status;
+
+	send_all(fd, cases[0].text, strlen(cases[0].text));
+	status = read_status(fd);
+	close(fd);
+	return status;
+}
+
+/* Two callers at once, many times: whether one had to wait for a wake-up. */
+static gpointer run_pairs(gpointer data)
+{
+	caller_t *caller = data;
+
+	for (int i = 0; i < PAIRS; i++) {
+		gint64 start_us = g_get_monotonic_time();
+		int first = open_connection(caller);
+
+		send_all(first, cases[0].text, strlen(cases[0].text));
+		caller->beside = call_beside(caller);
+		caller->status = read_status(first);
+		close(first);
+		if (g_get_monotonic_time() - start_us > STALL_MS * 1000)
+			caller->stalls++;
+	}
+	send_all(caller->done[1], "x", 1);
+	return NULL;
+}
+
+static gpointer run_caller(gpointer data)
+{
+	caller_t *caller = data;
+	const case_t *test = caller->test;
+	gint64 start_us = g_get_monotonic_time();
+	int fd = open_connection(caller);
+
+	if (test->slow)
+		send_slowly(fd, test->text);
+	else
+		send_all(fd, test->text, strlen(test->text));
+	if (test->filler)
+		send_filler(fd, test->filler);
+	if (test->end)
+		send_all(fd, test->end, strlen(test->end));
+	if (test->hang_up)
+		shutdown(fd, SHUT_WR);
+	caller->beside = call_beside(caller);
+	caller->status = read_status(fd);
+	caller->spent_us = g_get_monotonic_time() - start_us;
+	close(fd);
+	send_all(caller->done[1], "x", 1);
+	return NULL;
+}
+
+/* ======   The server   ====== */
+
+typedef struct bench_s {
+	gn_http_server_t *server;
+	unsigned handled;
+	bool done;
+} bench_t;
+
+static void on_request(void *arg, gn_http_request_t *request)
+{
+	bench_t *bench = arg;
+
+	bench->handled++;
+	g_assert_cmpuint(request->body_len, ==, 2);
+	g_assert_cmpint(memcmp(request->body, "ok", 2), ==, 0);
+	request->answer.status = 200;
+	gn_http_server_answer(bench->server, request);
+}
+
+static void on_done(struct tevent_context *events, struct tevent_fd *event,
+		    uint16_t flags, void *arg)
+{
+	bench_t *bench = arg;
+
+	(void)events;
+	(void)event;
+	(void)flags;
+	bench->done = true;
+}
+
+static bool is_right(const case_t *test, unsigned status)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(test->statuses); i++)
+		if (test->statuses[i] && test->statuses[i] == status)
+			return true;
+	return false;
+}
+
+static void run_test(caller_t *caller, GThreadFunc run, unsigned handled)
+{
+	struct tevent_context *events = tevent_context_init(NULL);
+	void *zmq = zmq_ctx_new();
+	bench_t bench = { 0 };
+	gn_error_t error = { 0 };
+	char host[16];
+	char address[32];
+	gn_http_server_config_t config = {
+		.events = events,
+		.zmq = zmq,
+		.address = address,
+		.connections = 16,
+		.timeout_ms = TIMEOUT_MS,
+		.threads = 1,
+		.body_max = BODY_MAX,
+		.counters = gn_counters_create(events),
+		.handler = on_request,
+		.arg = &bench,
+	};
+	GThread *thread;
+
+	/* An address of its own, so that runs don't collide. */
+	g_snprintf(host, sizeof(host), "127.77.%u.%u",
+		   (unsigned)getpid() / 250 % 250,
+		   1 + (unsigned)getpid() % 250);
+	g_snprintf(address, sizeof(address), "%s:%u", host, PORT);
+	caller->host = host;
+	g_assert_cmpint(socketpair(AF_UNIX, SOCK_STREAM, 0, caller->done), ==,
+			0);
+	g_assert_cmpint(
+		gn_http_server_start(events, &config, &bench.server, &error),
+		==, GN_OK);
+	tevent_add_fd(events, events, caller->done[0], TEVENT_FD_READ, on_done,
+		      &bench);
+	thread = g_thread_new("caller", run, caller);
+	while (!bench.done)
+		g_assert_cmpint(tevent_loop_once(events), ==, 0);
+	g_thread_join(thread);
+	g_assert_cmpuint(caller->beside, ==, 200);
+	g_assert_cmpuint(bench.handled, ==, handled);
+	TALLOC_FREE(bench.server);
+	close(caller->done[0]);
+	close(caller->done[1]);
+	talloc_free(events);
+	zmq_ctx_term(zmq);
+}
+
+static void test_case(gconstpointer data)
+{
+	const case_t *test = data;
+	caller_t caller = { .test = test };
+
+	run_test(&caller, run_caller, test->handled + 1);
+	g_test_message("status %u after %d ms", caller.status,
+		       (int)(caller.spent_us / 1000));
+	g_assert_true(is_right(test, caller.status));
+	g_assert_cmpint(caller.spent_us, <, CUT_OFF_MS * 1000);
+}
+
+static void test_no_stall(void)
+{
+	caller_t caller = { 0 };
+
+	run_test(&caller, run_pairs, 2 * PAIRS);
+	g_assert_cmpuint(caller.stalls, ==, 0);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_set_nonfatal_assertions();
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char *path = g_strdup_printf("/http_server/%s", cases[i].name);
+
+		g_test_add_data_func(path, &cases[i], test_case);
+		g_free(path);
+	}
+	g_test_add_func("/http_server/no-stall", test_no_stall);
+	return g_test_run();
+}
