Cut off callers that send slowly without ever being idle

Seen: a caller that sent its header a byte at a time held its connection for as long as it liked (9.1 s with a limit of 1 s, until the test gave up), and so did one with a slow body (9.0 s): libmicrohttpd closes idle connections only, and a refused body was still read to its end.

Each traffic thread now knows since when a connection owes the rest of a header or of a body, and shuts it down after twice the limit, counted as http.slow. Twice, since idle time before the first byte counts too and idle connections are libmicrohttpd's. Connections whose request is being answered are left alone. The two new cases failed before and pass after.

--- a/lib/http/exchange.c
+++ b/lib/http/exchange.c
@@ -188,6 +188,7 @@
 static enum MHD_Result hand_over(http_exchange_t *exchange)
 {
 	exchange->handed_over = true;
+	http_connection_note(exchange->thread, exchange->connection, true);
 	gn_counter_inc(exchange->thread->requests);
 	MHD_suspend_connection(exchange->connection);
 	gn_pipe_send(exchange->thread->far, &exchange->request);
@@ -207,6 +208,7 @@
 		*context = exchange;
 		if (!exchange)
 			return MHD_NO;
+		http_connection_note(cls, connection, exchange->refused != 0);
 		if (!exchange->refused)
 			return MHD_YES;
 		refuse(exchange);
@@ -229,28 +231,13 @@
 void http_on_completed(void *cls, struct MHD_Connection *connection,
 		       void **context, enum MHD_RequestTerminationCode code)
 {
-	(void)cls;
-	(void)connection;
 	(void)code;
+	http_connection_note(cls, connection, false);
 	if (*context)
 		exchange_free(*context);
 	*context = NULL;
 }
 
-void http_on_connection(void *cls, struct MHD_Connection *connection,
-			void **context,
-			enum MHD_ConnectionNotificationCode code)
-{
-	http_thread_t *thread = cls;
-
-	(void)connection;
-	(void)context;
-	if (code == MHD_CONNECTION_NOTIFY_STARTED)
-		atomic_fetch_add(&thread->connections, 1);
-	else
-		atomic_fetch_sub(&thread->connections, 1);
-}
-
 void http_exchange_resume(http_exchange_t *exchange)
 {
 	MHD_resume_connection(exchange->connection);
--- a/lib/http/server.c
+++ b/lib/http/server.c
@@ -78,6 +78,7 @@
 			quiesced = true;
 		}
 		MHD_run(thread->daemon);
+		http_connections_sweep(thread);
 		/* Sending from a handler can use up the pipe's edge. */
 		if (!take_items(thread, &taken))
 			break;
@@ -133,10 +134,15 @@
 	thread->server->handler(thread->server->arg, item);
 }
 
+static unsigned get_idle_s(const gn_http_server_config_t *config)
+{
+	return (config->timeout_ms + 999) / 1000;
+}
+
 static struct MHD_Daemon *start_daemon(http_thread_t *thread, int fd,
 				       const gn_http_server_config_t *config)
 {
-	unsigned timeout_s = (config->timeout_ms + 999) / 1000;
+	unsigned timeout_s = get_idle_s(config);
 	unsigned connections =
 		(config->connections + config->threads - 1) / config->threads;
 
@@ -160,8 +166,11 @@
 	thread->server = server;
 	thread->body_max = config->body_max;
 	thread->timeout_us = (uint64_t)config->timeout_ms * GN_US_PER_MS;
+	thread->idle_us = get_idle_s(config) * GN_US_PER_S;
 	thread->requests = gn_counters_get(config->counters, "http.requests");
 	thread->refused = gn_counters_get(config->counters, "http.refused");
+	thread->slow = gn_counters_get(config->counters, "http.slow");
+	http_connections_open(thread);
 	gn_clock_init_boot(&thread->clock);
 	if (gn_pipe_open(server, config->zmq, &thread->near, &thread->far,
 			 error))
@@ -210,6 +219,7 @@
 		}
 		if (thread->daemon)
 			MHD_stop_daemon(thread->daemon);
+		http_connections_close(thread);
 	}
 	return 0;
 }
--- a/lib/http/server_internal.h
+++ b/lib/http/server_internal.h
@@ -5,6 +5,7 @@
 #ifndef GN_HTTP_SERVER_INTERNAL_H
 #define GN_HTTP_SERVER_INTERNAL_H
 
+#include <glib.h>
 #include <microhttpd.h>
 #include <pthread.h>
 #include <stdatomic.h>
@@ -37,10 +38,14 @@
 	gn_clock_t clock;
 	size_t body_max;
 	uint64_t timeout_us;
+	uint64_t idle_us; /**< libmicrohttpd's own limit, in whole seconds */
+	GHashTable *open; /**< a set of connections; the thread's own */
+	uint64_t swept_us; /**< when it was last looked through */
 	atomic_bool quiesce;
 	atomic_uint connections;
 	gn_counter_t *requests;
 	gn_counter_t *refused;
+	gn_counter_t *slow;
 };
 
 /** Messages from the control thread that are no requests. */
@@ -61,6 +66,16 @@
 			void **context,
 			enum MHD_ConnectionNotificationCode code);
 
+/** Opens the set of connections, before the daemon starts. */
+void http_connections_open(http_thread_t *thread);
+/** Closes it, once the daemon has stopped. */
+void http_connections_close(http_thread_t *thread);
+/** Shuts down the connections of slow senders. */
+void http_connections_sweep(http_thread_t *thread);
+/** Notes that the next part of a request begins, or its answer. */
+void http_connection_note(http_thread_t *thread,
+			  struct MHD_Connection *connection, bool answering);
+
 /** Resumes the connection of @p exchange, whose answer is filled in. */
 void http_exchange_resume(http_exchange_t *exchange);
 
--- a/tests/contract/test_http_server.c
+++ b/tests/contract/test_http_server.c
@@ -76,6 +76,10 @@
 	  .statuses = { 408, CLOSED } },
 	{ "stalled-body", POST "Content-Length: 10\r\n\r\nabc",
 	  .statuses = { 408, CLOSED } },
+	{ "slow-header", "POST /x HTTP/1.1\r\nX: ", .slow = true,
+	  .statuses = { 408, CLOSED } },
+	{ "slow-body", POST "Content-Length: 4000\r\n\r\n", .slow = true,
+	  .statuses = { 408, CLOSED } },
 };
 
 /* ======   The caller, in a thread of its own   ====== */
