--- a/lib/http/server.c
+++ b/lib/http/server.c
@@ -31,11 +31,13 @@
 char http_thread_stop;
 
 /* Handles the control thread's items; false once told to stop. */
-static bool take_items(http_thread_t *thread)
+static bool take_items(http_thread_t *thread, bool *taken)
 {
 	void *item;
 
+	*taken = false;
 	while ((item = gn_pipe_receive(thread->far))) {
+		*taken = true;
 		if (item == &http_thread_stop)
 			return false;
 		if (item != &http_thread_wake)
@@ -65,8 +67,9 @@
 		{ .fd = gn_pipe_fd(thread->far), .events = POLLIN },
 	};
 	bool quiesced = false;
+	bool taken;
 
-	while (take_items(thread)) {
+	while (take_items(thread, &taken)) {
 		if (!quiesced && atomic_load(&thread->quiesce)) {
 			int fd = (int)MHD_quiesce_daemon(thread->daemon);
 
@@ -75,10 +78,12 @@
 			quiesced = true;
 		}
 		MHD_run(thread->daemon);
+		http_connections_sweep(thread);
 		/* Sending from a handler can use up the pipe's edge. */
-		if (!take_items(thread))
+		if (!take_items(thread, &taken))
 			break;
-		poll(fds, 2, poll_timeout_ms(thread->daemon));
+		/* MHD_get_timeout() does not count what was just resumed. */
+		poll(fds, 2, taken ? 0 : poll_timeout_ms(thread->daemon));
 	}
 	return NULL;
 }
@@ -129,10 +134,15 @@
 	thread->server->handler(thread->server->arg, item);
 }
 
+static unsigned get_idle_s(const gn_http_server_config_t *config)
+{
+	return (config->timeout_ms + 999) / 1000;
+}
+
 static struct MHD_Daemon *start_daemon(http_thread_t *thread, int fd,
 				       const gn_http_server_config_t *config)
 {
-	unsigned timeout_s = (config->timeout_ms + 999) / 1000;
+	unsigned timeout_s = get_idle_s(config);
 	unsigned connections =
 		(config->connections + config->threads - 1) / config->threads;
 
@@ -156,8 +166,11 @@
 	thread->server = server;
 	thread->body_max = config->body_max;
 	thread->timeout_us = (uint64_t)config->timeout_ms * GN_US_PER_MS;
+	thread->idle_us = get_idle_s(config) * GN_US_PER_S;
 	thread->requests = gn_counters_get(config->counters, "http.requests");
 	thread->refused = gn_counters_get(config->counters, "http.refused");
+	thread->slow = gn_counters_get(config->counters, "http.slow");
+	http_connections_open(thread);
 	gn_clock_init_boot(&thread->clock);
 	if (gn_pipe_open(server, config->zmq, &thread->near, &thread->far,
 			 error))
@@ -185,8 +198,9 @@
 static void resume_leftovers(http_thread_t *thread)
 {
 	gn_http_request_t *request;
+	bool taken;
 
-	take_items(thread);
+	take_items(thread, &taken);
 	while ((request = gn_pipe_receive(thread->near))) {
 		request->answer.status = MHD_HTTP_SERVICE_UNAVAILABLE;
 		http_exchange_resume(request->connection);
@@ -205,6 +219,7 @@
 		}
 		if (thread->daemon)
 			MHD_stop_daemon(thread->daemon);
+		http_connections_close(thread);
 	}
 	return 0;
 }
