Name the backend server's incarnation in starts and lists

Cause: the walks over the batch decisions showed that a start which was held up can be taken by a backend server that restarted meanwhile and has forgotten the claim; the agent did not yet tell the decisions which incarnation a list came from. Change: the list names it, a start carries it, and a backend server refuses a start meant for another. The test runner prints the head of a failed test's errors, where the difference stands.

--- a/lib/agent/tasks.c
+++ b/lib/agent/tasks.c
@@ -158,6 +158,12 @@
 	       gn_task_id_parse(gn_str_from(id), &run->id) == GN_OK;
 }
 
+/* The decisions know a backend server's incarnation by number, never 0. */
+static uint64_t incarnation_of(const char *name)
+{
+	return gn_str_hash(gn_str_from(name), 0) | 1;
+}
+
 static gn_code_t take_runs(agent_t *agent, const json_t *list,
 			   const gn_backend_run_t *runs, size_t count)
 {
@@ -178,6 +184,11 @@
 			runs[i].memory_mb, runs[i].accelerators);
 	}
 	code = gn_admit_take_list(agent->admit, requests, asked, running);
+	if (!code)
+		code = gn_worker_tasks_set_backend(
+			agent->tasks,
+			incarnation_of(text_of(list, "incarnation")),
+			agent->backend.listed_us);
 	if (!code)
 		code = gn_worker_tasks_on_list(
 			agent->tasks, agent->backend.listed_us, runs, count);
@@ -192,7 +203,7 @@
 	gn_backend_run_t *runs;
 	gn_code_t code = GN_OK;
 
-	if (!json_is_array(rows) ||
+	if (!json_is_array(rows) || !text_of(list, "incarnation") ||
 	    !json_is_integer(json_object_get(list, "running_requests")))
 		return GN_ERR_INVALID;
 	runs = g_new0(gn_backend_run_t, count + 1);
@@ -213,7 +224,7 @@
 	[GN_ACTION_FORGET] = "forget",
 };
 
-static json_t *pack_action(const gn_action_t *action)
+static json_t *pack_action(const agent_t *agent, const gn_action_t *action)
 {
 	json_t *json = json_object();
 	char *spec;
@@ -228,6 +239,10 @@
 		return json;
 	spec = g_base64_encode((const guchar *)action->spec.data,
 			       action->spec.len);
+	/* A backend server that restarted meanwhile refuses the start. */
+	if (action->backend == incarnation_of(agent->backend.incarnation))
+		json_object_set_new(json, "backend",
+				    json_string(agent->backend.incarnation));
 	json_object_set_new(json, "spec", json_string(spec));
 	json_object_set_new(json, "kind", json_string(action->task_kind));
 	json_object_set_new(json, "checkpoint",
@@ -302,7 +317,7 @@
 	snprintf(path, sizeof(path), "/v1/tasks/%s/%s", id,
 		 action_names[agent->action->kind]);
 	agent->backend.list_spoiled = true;
-	if (agent_backend_call(agent, path, pack_action(agent->action),
+	if (agent_backend_call(agent, path, pack_action(agent, agent->action),
 			       on_action_done, agent))
 		TALLOC_FREE(agent->action);
 }
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -41,7 +41,7 @@
 		else
 			failed=$((failed + 1))
 			echo "FAILED: $id"
-			tail -n 25 "${tap%.tap}.err"
+			head -n 25 "${tap%.tap}.err"
 		fi
 	done < <(grep '^not ok' "$tap")
 done
--- a/tests/standin/backend.c
+++ b/tests/standin/backend.c
@@ -298,7 +298,7 @@
 		 (int)getpid());
 	self.announced = announced;
 	self.agent = agent;
-	self.tasks = backend_tasks_create();
+	self.tasks = backend_tasks_create(self.incarnation);
 	daemon = start_server();
 	if (!daemon) {
 		fprintf(stderr, "backend: can't listen at %s\n", listen);
--- a/tests/support/backend_tasks.c
+++ b/tests/support/backend_tasks.c
@@ -28,6 +28,7 @@
 } task_t;
 
 struct backend_tasks_s {
+	char *incarnation;
 	pthread_mutex_t lock;
 	GHashTable *by_id;
 	GString *journal;
@@ -44,10 +45,12 @@
 	g_free(task);
 }
 
-backend_tasks_t *backend_tasks_create(void)
+backend_tasks_t *backend_tasks_create(const char *incarnation)
 {
 	backend_tasks_t *tasks = g_new0(backend_tasks_t, 1);
 
+	tasks->incarnation = g_strdup(incarnation);
+
 	pthread_mutex_init(&tasks->lock, NULL);
 	tasks->by_id =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_task);
@@ -60,6 +63,7 @@
 {
 	g_hash_table_destroy(tasks->by_id);
 	g_string_free(tasks->journal, TRUE);
+	g_free(tasks->incarnation);
 	g_free(tasks);
 }
 
@@ -167,6 +171,9 @@
 		return HTTP_CONFLICT;
 	if (number(json, "lease_until_us") <= now_us)
 		return HTTP_CONFLICT;
+	if (g_strcmp0(json_string_value(json_object_get(json, "backend")),
+		      tasks->incarnation) != 0)
+		return HTTP_CONFLICT;
 	start(tasks, get_task(tasks, id), json, now_us);
 	return HTTP_OK;
 }
@@ -224,8 +231,9 @@
 static char *list(const backend_tasks_t *tasks, int running_requests)
 {
 	json_t *rows = json_array();
-	json_t *json = json_pack("{s:o, s:i}", "tasks", rows,
-				 "running_requests", running_requests);
+	json_t *json =
+		json_pack("{s:o, s:i, s:s}", "tasks", rows, "running_requests",
+			  running_requests, "incarnation", tasks->incarnation);
 	GHashTableIter iter;
 	gpointer value;
 	char *text;
--- a/tests/support/backend_tasks.h
+++ b/tests/support/backend_tasks.h
@@ -2,9 +2,10 @@
  * @file backend_tasks.h
  * @brief The tasks of the backend server's stand-in, each under a lease.
  *
- * GET  /v1/tasks                {"tasks":[...], "running_requests"}
- * POST /v1/tasks/ID/start       {epoch, lease_until_us, spec, kind, checkpoint,
- *                               cores, memory_mb, accelerators}
+ * GET  /v1/tasks                {"tasks":[...], "running_requests",
+ *                               "incarnation"}
+ * POST /v1/tasks/ID/start       {epoch, backend, lease_until_us, spec, kind,
+ *                               checkpoint, cores, memory_mb, accelerators}
  * POST /v1/tasks/ID/lease       {epoch, lease_until_us}
  * POST /v1/tasks/ID/checkpoint  {epoch}: stops it, keeps its progress
  * POST /v1/tasks/ID/stop        {epoch}: also fences an epoch not started
@@ -13,7 +14,8 @@
  *
  * States: running, done, failed, checkpointed, stopped. A task whose lease
  * lapses stops by itself; times are those of CLOCK_BOOTTIME. An order of a
- * lower epoch gets 409, a start of an epoch that was started or fenced too.
+ * lower epoch gets 409, a start of an epoch that was started or fenced too, and
+ * one whose "backend" is another incarnation.
  * The spec is the run time in milliseconds as decimal text in base64; 0 runs
  * until it is stopped, "fail" fails at once.
  */
@@ -24,7 +26,8 @@
 
 typedef struct backend_tasks_s backend_tasks_t;
 
-backend_tasks_t *backend_tasks_create(void);
+/** Creates the tasks of a backend server that calls itself @p incarnation. */
+backend_tasks_t *backend_tasks_create(const char *incarnation);
 void backend_tasks_free(backend_tasks_t *tasks);
 
 /** Whether a task is running. */
