Let an old service time lose its weight while nothing is served

Seen: after 8 requests of 3 s each the backend server was quick again, but for the 25 s that were watched every request with the default deadline (2 s) was refused as one that could not be met: 20 of 20. Entries refuse by the service time that the agent last measured, so nothing ran that could have corrected it; only a caller with a longer deadline ended that.

The agent now halves the service time each second in which nothing ran and nothing was measured, and the next measurement replaces it.

--- a/lib/agent/agent.c
+++ b/lib/agent/agent.c
@@ -107,6 +107,7 @@
 
 	agent_backend_tick(agent);
 	gn_admit_set_draining(agent->admit, agent_is_draining(agent));
+	agent_requests_tick(agent);
 	agent_tasks_tick(agent);
 	agent_links_tick(agent);
 }
--- a/lib/agent/agent_internal.h
+++ b/lib/agent/agent_internal.h
@@ -80,6 +80,8 @@
 	bool poll_soon; /**< something changed that owners wait for */
 	unsigned running; /**< requests at the backend server */
 	uint32_t service_time_us; /**< smoothed */
+	bool service_time_outdated; /**< the next one replaces it */
+	uint64_t served_us; /**< when it was last measured or halved */
 };
 
 /* ======   links.c   ====== */
@@ -100,6 +102,8 @@
 
 /** Admits and runs, or refuses, one request. */
 void agent_on_dispatch(agent_link_t *link, const Gn__Dispatch *dispatch);
+/** Lets the service time lose its weight while nothing is served. */
+void agent_requests_tick(agent_t *agent);
 /** Records that a request is not to start any more. */
 void agent_on_fence(agent_link_t *link, const Gn__Fence *fence);
 
--- a/lib/agent/requests.c
+++ b/lib/agent/requests.c
@@ -11,6 +11,10 @@
 
 /** Weight of the newest service time: one part in this many. */
 #define SMOOTHING 8
+/** Without a new one, the service time counts half after this, milliseconds. */
+#define HALF_LIFE_MS 1000
+/** Below this an old service time is left as it is, microseconds. */
+#define SERVICE_TIME_FLOOR_US 1000
 
 /* A request at the backend server. */
 typedef struct agent_request_s {
@@ -21,6 +25,23 @@
 	uint64_t started_us;
 } agent_request_t;
 
+/*
+ * Entries refuse what could not be answered in time, so after a slow spell
+ * nothing might run that would show that the spell is over: an old service
+ * time must lose its weight by itself.
+ */
+void agent_requests_tick(agent_t *agent)
+{
+	uint64_t now_us = gn_runtime_now_us(agent->runtime);
+
+	if (agent->running || agent->service_time_us < SERVICE_TIME_FLOOR_US ||
+	    now_us - agent->served_us < HALF_LIFE_MS * GN_US_PER_MS)
+		return;
+	agent->service_time_us /= 2;
+	agent->service_time_outdated = true;
+	agent->served_us = now_us;
+}
+
 static void send_answer(agent_link_t *link, Gn__Answer *answer)
 {
 	Gn__Envelope envelope = GN__ENVELOPE__INIT;
@@ -80,8 +101,11 @@
 static void smooth_service_time(agent_t *agent, uint64_t spent_us)
 {
 	uint32_t old_us = agent->service_time_us;
+	bool outdated = agent->service_time_outdated;
 
-	if (!old_us)
+	agent->service_time_outdated = false;
+	agent->served_us = gn_runtime_now_us(agent->runtime);
+	if (!old_us || outdated)
 		agent->service_time_us = (uint32_t)spent_us;
 	else
 		agent->service_time_us =
--- a/tests/scenario.sh
+++ b/tests/scenario.sh
@@ -381,6 +381,36 @@
 	done | jq -s add
 }
 
+# wait_running N WORKER...: until so many tasks run there; prints how many do
+cmd_wait_running() {
+	local seen=
+	for _ in $(seq 300); do
+		seen=$(cmd_running "${@:2}")
+		[ "$seen" = "$1" ] && break
+		sleep 0.1
+	done
+	echo "$seen"
+}
+
+# worked RUN_MS WORKER...: whether each task ran for so long over all its runs
+# (1 s more at most: nothing was begun anew), how often, and without overlap
+cmd_worked() {
+	local w
+	for w in "${@:2}"; do
+		fetch "http://${http[$w.backend]}/v1/tasks/journal"
+	done | sort -k4,4n -k1,1r | awk -v run="$1" '
+		$1 == "start" { runs[$2]++; if (on[$2]++) bad = 1; begun[$2] = $4; next }
+		{ on[$2]--; spent[$2] += $4 - begun[$2] }
+		END {
+			for (t in runs) {
+				n++
+				if (runs[t] > most) most = runs[t]
+				if (spent[t] < run || spent[t] > run + 1000) odd = odd " " spent[t] " ms"
+			}
+			print n + 0 " tasks, " (odd ? "some for" odd : "each for its time") ", at most " most + 0 " runs, " (bad ? "some overlapping" : "none overlapping")
+		}'
+}
+
 # spread WORKER...: whether each worker runs tasks, by their agents
 cmd_spread() {
 	local w
