Keep the run promises of an entry whose lease ends during an outage

A watch that still waited told it that its lease had ended; taken for removed, it joined anew, which nobody could answer, and its agents' promises ran out. Ruled out: the promise rule, which needs the record and the confirmations of the others, not the lease; the hand-over by rank, which a bucket now only makes while the entry is normal. Change: an entry whose lease ended keeps its place and its promises until the platform's service answers a probe, and joins as a new member then.

--- a/lib/entry/buckets.c
+++ b/lib/entry/buckets.c
@@ -82,6 +82,20 @@
 		       entry, entry_membership_owner(entry, slot->index));
 }
 
+/*
+ * Without the platform's service nobody could take the bucket, and its tasks
+ * would be left without promises: it is kept, whatever the record says.
+ */
+static bool is_to_release(const bucket_slot_t *slot)
+{
+	const entry_t *entry = slot->entry;
+
+	if (entry->runtime->stopping)
+		return true;
+	return gn_promise_is_normal(entry->membership->promise) &&
+	       !is_wanted(slot);
+}
+
 static gn_batch_params_t get_params(void)
 {
 	const gn_batch_params_t params = {
@@ -261,7 +275,7 @@
 		drop(slot);
 		break;
 	case GN_BATCH_OWNED:
-		if (!is_wanted(slot))
+		if (is_to_release(slot))
 			gn_batch_bucket_release(slot->bucket);
 		break;
 	default:
--- a/lib/entry/membership.c
+++ b/lib/entry/membership.c
@@ -23,6 +23,8 @@
 #define DARK_MS (3600 * 1000)
 /** Between questions to the peers, milliseconds. */
 #define ASK_INTERVAL_MS 300
+/** Between probes for the platform's return, milliseconds. */
+#define PROBE_INTERVAL_MS 500
 #define HTTP_OK 200
 #define HTTP_BAD_REQUEST 400
 
@@ -314,6 +316,34 @@
 
 /* ======   Commands and queries   ====== */
 
+static void on_probed(void *context, const gn_kv_result_t *result)
+{
+	entry_membership_t *membership = context;
+
+	membership->probing = false;
+	if (result->code == GN_OK || result->code == GN_ERR_NOT_FOUND)
+		rejoin(membership);
+}
+
+/*
+ * The lease ended while the platform's service is away: a watch that still
+ * waited has told so. The promise rule goes on as long as the other entries
+ * confirm, and nothing could be joined; so the place is kept until the service
+ * answers again. docs/OUTAGE.md does not need the lease, only the record.
+ */
+static void probe(entry_membership_t *membership)
+{
+	uint64_t now_us = gn_runtime_now_us(membership->entry->runtime);
+
+	if (membership->probing ||
+	    now_us - membership->probed_us <
+		    (uint64_t)PROBE_INTERVAL_MS * GN_US_PER_MS)
+		return;
+	membership->probing = true;
+	membership->probed_us = now_us;
+	gn_kv_get(membership->kv, GN_STR(GN_RECORD_KEY), on_probed, membership);
+}
+
 void entry_membership_tick(entry_t *entry)
 {
 	entry_membership_t *membership = entry->membership;
@@ -322,9 +352,10 @@
 	ask_peers(entry);
 	if (entry->runtime->stopping)
 		return;
-	if (gn_record_standing(membership->record) == GN_RECORD_GONE ||
-	    gn_promise_is_removed(membership->promise))
+	if (gn_promise_is_removed(membership->promise))
 		rejoin(membership);
+	else if (gn_record_standing(membership->record) == GN_RECORD_GONE)
+		probe(membership);
 }
 
 void entry_membership_leave(entry_t *entry)
--- a/lib/entry/membership.h
+++ b/lib/entry/membership.h
@@ -23,6 +23,8 @@
 	gn_promise_t *promise;
 	uint64_t incarnation; /**< as a member, not as a process */
 	uint64_t asked_us; /**< last time the peers were asked */
+	bool probing;
+	uint64_t probed_us; /**< last time the platform was probed */
 };
 
 /** Opens the client of the platform's service and begins to join. */
