Give a request to another worker at once if the first can't be reached

Cause: after a worker was lost whole, requests were told "no-worker" though another was live: a dispatch that could not be sent was ended like a try, and its successor took from the retry budget, which starts almost empty. Ruled out: the pick (it found the live worker) and the beats (2 s away).

--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -27,6 +27,7 @@
 	counters->workers_silent = gn_counters_get(all, "entry.workers_silent");
 	counters->workers_forgotten =
 		gn_counters_get(all, "entry.workers_forgotten");
+	counters->unsent = gn_counters_get(all, "entry.unsent");
 	counters->stale_sessions = gn_counters_get(all, "entry.stale_sessions");
 }
 
--- a/lib/entry/entry_internal.h
+++ b/lib/entry/entry_internal.h
@@ -40,6 +40,7 @@
 	gn_link_peer_t peer;
 	uint64_t heard_us;
 	bool silent; /**< no beat within the beat timeout */
+	bool unreachable; /**< its connection is gone; nothing heard since */
 	unsigned placed_tasks; /**< by its last poll, and claimed since */
 	uint32_t running_tasks; /**< by its last report */
 	uint64_t config_revision; /**< by its last report */
@@ -74,6 +75,7 @@
 	gn_counter_t *workers_silent;
 	gn_counter_t *workers_forgotten;
 	gn_counter_t *stale_sessions;
+	gn_counter_t *unsent;
 } entry_counters_t;
 
 struct entry_s {
@@ -113,6 +115,8 @@
 /** Takes over the load that came with a beat or an answer. */
 void entry_worker_take_load(entry_t *entry, entry_worker_t *worker,
 			    const Gn__Load *load);
+/** Notes that the connection of @p worker is gone, until it is heard again. */
+void entry_worker_note_unreachable(entry_t *entry, entry_worker_t *worker);
 /** Sends @p envelope to the agent of @p worker. */
 gn_code_t entry_worker_send(entry_t *entry, const entry_worker_t *worker,
 			    Gn__Envelope *envelope);
--- a/lib/entry/tries.c
+++ b/lib/entry/tries.c
@@ -124,8 +124,29 @@
 	leave_worker(request);
 }
 
-static void end_try(entry_request_t *request, const try_end_t *end,
-		    const Gn__Answer *answer);
+static bool find_next(entry_request_t *request, gn_route_choice_t *choice);
+static void begin_try(entry_request_t *request, gn_route_worker_t *route);
+static void finish(entry_request_t *request, const try_end_t *end,
+		   const Gn__Answer *answer);
+
+/*
+ * Takes another worker in place of one that can't be reached. Nothing was
+ * sent, so it is no retry and takes nothing from the budget.
+ */
+static void replace_worker(entry_request_t *request)
+{
+	entry_t *entry = request->entry;
+	gn_route_choice_t choice;
+
+	gn_counter_inc(entry->counters.unsent);
+	entry_worker_note_unreachable(entry, request->worker);
+	leave_worker(request);
+	if (request->retry.tried.count < GN_ROUTE_TRIES_MAX &&
+	    find_next(request, &choice))
+		begin_try(request, choice.worker);
+	else
+		finish(request, &ended_unreachable, NULL);
+}
 
 static void begin_try(entry_request_t *request, gn_route_worker_t *route)
 {
@@ -137,7 +158,7 @@
 	request->worker = worker;
 	request->try_us = gn_runtime_now_us(entry->runtime);
 	if (dispatch(request, worker))
-		end_try(request, &ended_unreachable, NULL);
+		replace_worker(request);
 }
 
 void entry_try_first(entry_request_t *request, gn_route_worker_t *worker)
--- a/lib/entry/workers.c
+++ b/lib/entry/workers.c
@@ -224,6 +224,7 @@
 	worker->peer = *peer;
 	worker->heard_us = gn_runtime_now_us(entry->runtime);
 	worker->silent = false;
+	worker->unreachable = false;
 	send_welcome(entry, worker);
 	entry_config_push(entry, worker);
 }
@@ -246,9 +247,10 @@
 	/* ZeroMQ may have reconnected below the session. */
 	worker->peer = *peer;
 	worker->heard_us = gn_runtime_now_us(entry->runtime);
-	if (!worker->silent)
+	if (!worker->silent && !worker->unreachable)
 		return;
 	worker->silent = false;
+	worker->unreachable = false;
 	gn_route_view_set_link(entry->view, worker->route, true);
 }
 
@@ -277,6 +279,13 @@
 		entry_on_task_poll(entry, worker, envelope->task_poll);
 }
 
+void entry_worker_note_unreachable(entry_t *entry, entry_worker_t *worker)
+{
+	/* What was sent before may still be answered over a new connection. */
+	worker->unreachable = true;
+	gn_route_view_set_link(entry->view, worker->route, false);
+}
+
 static void mark_silent(entry_t *entry, entry_worker_t *worker)
 {
 	worker->silent = true;
