Agree on priorities; let a forwarded refusal keep its reason

Cause: the command line took priorities 0..9 with 9 urgent, the entry 0..3 with 0 urgent, so that 4..9 were refused and the order was reversed; an answer of the bucket's owner lost its Gypsumnotch-Reason on the way through another entry. Change: 0..3, 0 the most urgent, in both; the reason is passed on (scenario "jobs", refusals through both entries).

--- a/lib/commands/command_jobs.c
+++ b/lib/commands/command_jobs.c
@@ -7,7 +7,7 @@
 #include "config/file.h"
 #include "ctl/ctl_outcome.h"
 
-#define PRIORITY_MAX 9
+#define PRIORITY_MAX 3
 #define JOBS "/v1/jobs"
 
 /** The options of submit. */
@@ -31,7 +31,8 @@
 	o->service = arg_str1(NULL, "service", "SERVICE",
 			      "the service that runs it");
 	o->kind = arg_str1(NULL, "kind", "KIND", "the kind of work");
-	o->priority = arg_int0(NULL, "priority", "N", "0..9, 9 is urgent");
+	o->priority =
+		arg_int0(NULL, "priority", "N", "0..3, 0 is the most urgent");
 	o->key = arg_str0(NULL, "key", "KEY",
 			  "idempotency key; random otherwise");
 	o->file = arg_str1(NULL, NULL, "FILE", "the task's bytes; - is input");
--- a/lib/entry/peers.c
+++ b/lib/entry/peers.c
@@ -81,6 +81,10 @@
 	answer->has_outcome = call->has_outcome;
 	answer->outcome = call->outcome;
 	answer->retry_after_s = call->retry_after_s;
+	gn_str_copy(answer->told_reason, sizeof(answer->told_reason),
+		    gn_str_from(call->reason));
+	if (answer->told_reason[0])
+		answer->reason = answer->told_reason;
 	answer->body = g_memdup2(call->answer, call->answer_len);
 	answer->body_len = call->answer_len;
 }
--- a/lib/http/client.c
+++ b/lib/http/client.c
@@ -125,12 +125,16 @@
 	size_t len = size * count;
 	gn_str_t outcome = header_value(data, len, GN_HEADER_OUTCOME);
 	gn_str_t after = header_value(data, len, GN_HEADER_RETRY_AFTER);
+	gn_str_t reason = header_value(data, len, GN_HEADER_REASON);
+	gn_http_call_t *call = transfer->call;
 	uint64_t seconds;
 
 	if (outcome.len)
-		take_outcome(transfer->call, outcome);
+		take_outcome(call, outcome);
+	if (reason.len)
+		gn_str_copy(call->reason, sizeof(call->reason), reason);
 	if (after.len && !gn_str_parse_u64(after, UINT_MAX, &seconds))
-		transfer->call->retry_after_s = (unsigned)seconds;
+		call->retry_after_s = (unsigned)seconds;
 	return len;
 }
 
--- a/lib/http/client.h
+++ b/lib/http/client.h
@@ -45,6 +45,7 @@
 	unsigned status; /**< HTTP status */
 	bool has_outcome; /**< the answer told an outcome */
 	gn_outcome_t outcome;
+	char reason[GN_NAME_MAX + 1]; /**< told by the answer, or empty */
 	unsigned retry_after_s; /**< told by the answer, or 0 */
 	char *answer; /**< the answer's body, owned by the call */
 	size_t answer_len; /**< bytes */
--- a/lib/http/server.h
+++ b/lib/http/server.h
@@ -35,6 +35,7 @@
 	bool has_outcome; /**< whether @ref outcome is told */
 	gn_outcome_t outcome;
 	const char *reason; /**< static text, or NULL */
+	char told_reason[GN_NAME_MAX + 1]; /**< of another entry, or empty */
 	unsigned retry_after_s; /**< 0: not told */
 	bool json; /**< the body is JSON, not opaque bytes */
 	void *body; /**< from malloc(), owned; may be NULL */
--- a/tests/scenario.sh
+++ b/tests/scenario.sh
@@ -318,6 +318,15 @@
 	fetch -X DELETE "http://${http[$2]}/v1/jobs/${job[$1]}" | sed -n 's/.*"outcome":"\([^"]*\)".*/\1/p' | grep .
 }
 
+# cancel_reason ID ENTRY...: the reason header of each entry's refusal
+cmd_cancel_reason() {
+	local id=$1 e
+	shift
+	for e in "$@"; do
+		fetch -o /dev/null -D - -X DELETE "http://${http[$e]}/v1/jobs/$id" | tr -d '\r' | sed -n 's/^Gypsumnotch-Reason: //p'
+	done
+}
+
 # runs WORKER...: how many runs the workers began, and whether two of one
 # task ever overlapped, by the workers' own journals on one clock
 cmd_runs() {
