Hold the entry's buckets by the proved holder

Cause: lib/entry/buckets.c wrote again what lib/member/bucket.c does: taking, writing, settling and handing over a bucket, and the rendezvous hash. Only the latter is walked with the real record, promises and buckets. Change: the entry says which buckets are wanted, opens them, and passes on what has become durable; commits are counted a bucket in the state dump.

--- a/lib/entry/buckets.c
+++ b/lib/entry/buckets.c
@@ -1,6 +1,5 @@
 #include "entry/buckets.h"
 
-#include <inttypes.h>
 #include <stdio.h>
 
 #include "common/log.h"
@@ -11,9 +10,8 @@
 #define COMMIT_INTERVAL_MS 200
 /** Before the next call after one that failed or found another owner. */
 #define RETRY_MS 500
-/** Between the moves of time in the buckets, milliseconds. */
-#define TICK_MS 100
-#define CHANGE_SIZE (sizeof("0123456789abcdef"))
+/** Between the ticks of the holders, milliseconds. */
+#define TICK_MS 20
 #define HTTP_OK 200
 #define HTTP_UNAVAILABLE 503
 
@@ -30,12 +28,12 @@
 	g_free(waiter);
 }
 
-static void answer_waiters(bucket_slot_t *slot)
+static void answer_waiters(bucket_slot_t *slot, const gn_batch_bucket_t *bucket)
 {
 	bucket_waiter_t *waiter;
 
 	while ((waiter = g_queue_peek_head(slot->waiters))) {
-		if (!gn_batch_bucket_is_durable(slot->bucket, waiter->seq))
+		if (!gn_batch_bucket_is_durable(bucket, waiter->seq))
 			return;
 		g_queue_pop_head(slot->waiters);
 		gn_http_reply_json(slot->entry->server, waiter->request,
@@ -55,45 +53,29 @@
 	waiter->request = request;
 	waiter->json = json;
 	g_queue_push_tail(slot->waiters, waiter);
-	answer_waiters(slot);
+	answer_waiters(slot, gn_member_bucket_held(slot->holder));
 }
 
-/* ======   Taking and dropping   ====== */
-
-static void drop(bucket_slot_t *slot)
-{
-	bucket_waiter_t *waiter;
-
-	gn_kv_cancel(slot->entry->membership->kv, slot->call);
-	slot->call = 0;
-	while ((waiter = g_queue_pop_head(slot->waiters)))
-		refuse_waiter(slot, waiter);
-	TALLOC_FREE(slot->bucket);
-}
-
-static bool is_wanted(const bucket_slot_t *slot)
-{
-	const entry_t *entry = slot->entry;
-	const entry_membership_t *membership = entry->membership;
-
-	return !entry->runtime->stopping &&
-	       gn_record_standing(membership->record) == GN_RECORD_MEMBER &&
-	       entry_membership_is_self(
-		       entry, entry_membership_owner(entry, slot->index));
-}
+/* ======   What the holders ask and tell   ====== */
 
 /*
- * Without the platform's service nobody could take the bucket, and its tasks
- * would be left without promises: it is kept, whatever the record says.
+ * Without the platform's service nobody could take a held bucket, and its
+ * tasks would be left without promises: it is kept, whatever the record says.
  */
-static bool is_to_release(const bucket_slot_t *slot)
+static bool is_wanted(void *context, unsigned index)
 {
-	const entry_t *entry = slot->entry;
+	const entry_t *entry = context;
+	const entry_membership_t *membership = entry->membership;
+	const gn_member_bucket_t *holder = entry->buckets->slots[index].holder;
 
 	if (entry->runtime->stopping)
+		return false;
+	if (gn_member_bucket_held(holder) &&
+	    !gn_promise_is_normal(membership->promise))
 		return true;
-	return gn_promise_is_normal(entry->membership->promise) &&
-	       !is_wanted(slot);
+	return gn_record_standing(membership->record) == GN_RECORD_MEMBER &&
+	       entry_membership_is_self(entry,
+					entry_membership_owner(entry, index));
 }
 
 static gn_batch_params_t get_params(void)
@@ -113,207 +95,93 @@
 	return params;
 }
 
-static void take(bucket_slot_t *slot, gn_str_t value, uint64_t revision)
+static gn_batch_bucket_t *open_bucket(void *context, TALLOC_CTX *parent,
+				      unsigned index, gn_str_t value,
+				      uint64_t revision)
 {
-	entry_t *entry = slot->entry;
+	entry_t *entry = context;
 	const gn_runtime_t *runtime = entry->runtime;
 	const gn_batch_params_t params = get_params();
+	gn_batch_bucket_t *bucket = NULL;
 	gn_error_t error = { 0 };
 
-	if (!is_wanted(slot))
-		return;
 	if (gn_batch_bucket_create(
-		    entry, slot->index, entry->membership->incarnation, value,
+		    parent, index, entry->membership->incarnation, value,
 		    revision, &params,
 		    gn_promise_gate(entry->membership->promise),
-		    &runtime->clock, runtime->random, &slot->bucket, &error)) {
+		    &runtime->clock, runtime->random, &bucket, &error)) {
 		if (error.code != GN_ERR_UNAVAILABLE)
 			gn_log_error(LOG_WARNING, &error);
-		return;
+		return NULL;
 	}
-	slot->next_us = 0;
 	gn_counter_inc(entry->buckets->taken);
-	entry_config_apply_to(entry, gn_batch_bucket_order(slot->bucket));
-}
-
-static uint64_t after_ms(const bucket_slot_t *slot, unsigned ms)
-{
-	return gn_runtime_now_us(slot->entry->runtime) +
-	       (uint64_t)ms * GN_US_PER_MS;
-}
-
-static void on_first_read(void *context, const gn_kv_result_t *result)
-{
-	bucket_slot_t *slot = context;
-
-	slot->call = 0;
-	slot->next_us = after_ms(slot, RETRY_MS);
-	if (result->code == GN_OK)
-		take(slot, result->entries[0].value,
-		     result->entries[0].revision);
-	else if (result->code == GN_ERR_NOT_FOUND)
-		take(slot, GN_STR(""), 0);
-}
-
-/* ======   Commits   ====== */
-
-static void on_settling_read(void *context, const gn_kv_result_t *result)
-{
-	bucket_slot_t *slot = context;
-
-	slot->call = 0;
-	if (result->code == GN_OK)
-		gn_batch_bucket_on_read(slot->bucket, result->entries[0].value,
-					result->entries[0].revision);
-	else if (result->code == GN_ERR_NOT_FOUND)
-		gn_batch_bucket_on_read(slot->bucket, GN_STR(""), 0);
-	else
-		slot->next_us = after_ms(slot, RETRY_MS);
-	answer_waiters(slot);
-	bucket_send_starts(slot);
-}
-
-/* A conflict with this very change: an earlier copy of it came through. */
-static bool is_own_copy(const bucket_slot_t *slot, const gn_kv_result_t *result)
-{
-	char change[CHANGE_SIZE];
-
-	snprintf(change, sizeof(change), "%016" PRIx64, slot->change_id);
-	return result->code == GN_ERR_CONFLICT && result->count &&
-	       gn_str_equal(result->entries[0].change, gn_str_from(change));
-}
-
-static void count_commit(entry_buckets_t *buckets, gn_code_t code)
-{
-	if (code == GN_OK)
-		gn_counter_inc(buckets->commits);
-	else if (code == GN_ERR_CONFLICT)
-		gn_counter_inc(buckets->conflicts);
-	else
-		gn_counter_inc(buckets->unknowns);
-}
-
-static void on_written(void *context, const gn_kv_result_t *result)
-{
-	bucket_slot_t *slot = context;
-	gn_code_t code = result->code;
-	uint64_t revision = result->revision;
-
-	slot->call = 0;
-	if (is_own_copy(slot, result)) {
-		code = GN_OK;
-		revision = result->entries[0].revision;
-	}
-	count_commit(slot->entry->buckets, code);
-	if (code && code != GN_ERR_CONFLICT)
-		slot->next_us = after_ms(slot, RETRY_MS);
-	gn_batch_bucket_on_commit(slot->bucket, slot->change_id, code,
-				  revision);
-	answer_waiters(slot);
-	bucket_send_starts(slot);
-}
-
-static void write_commit(bucket_slot_t *slot, const gn_batch_commit_t *commit)
-{
-	char key[GN_BUCKET_KEY_SIZE];
-	char change[CHANGE_SIZE];
-	gn_kv_put_t put;
-
-	entry_bucket_key(slot->index, key);
-	snprintf(change, sizeof(change), "%016" PRIx64, commit->change_id);
-	put = (gn_kv_put_t){
-		.key = gn_str_from(key),
-		.value = commit->value,
-		.change = gn_str_from(change),
-		.expected = commit->expected_revision,
-	};
-	slot->change_id = commit->change_id;
-	slot->next_us = after_ms(slot, COMMIT_INTERVAL_MS);
-	slot->call =
-		gn_kv_put(slot->entry->membership->kv, &put, on_written, slot);
+	entry_config_apply_to(entry, gn_batch_bucket_order(bucket));
+	return bucket;
 }
 
-static void start_read(bucket_slot_t *slot, gn_kv_done_t done)
+static void on_answer(void *context, unsigned index, gn_batch_bucket_t *bucket)
 {
-	char key[GN_BUCKET_KEY_SIZE];
+	entry_t *entry = context;
+	bucket_slot_t *slot = &entry->buckets->slots[index];
 
-	entry_bucket_key(slot->index, key);
-	slot->call = gn_kv_get(slot->entry->membership->kv, gn_str_from(key),
-			       done, slot);
+	answer_waiters(slot, bucket);
+	bucket_send_starts(slot, bucket);
 }
 
-/* ======   Ticks   ====== */
-
-static void call_platform(bucket_slot_t *slot, uint64_t now_us)
+static void on_drop(void *context, unsigned index, gn_batch_bucket_t *bucket)
 {
-	gn_batch_commit_t commit;
-
-	if (slot->call || now_us < slot->next_us)
-		return;
-	if (!slot->bucket) {
-		if (is_wanted(slot))
-			start_read(slot, on_first_read);
-	} else if (gn_batch_bucket_wants_read(slot->bucket)) {
-		start_read(slot, on_settling_read);
-	} else if (gn_batch_bucket_next_commit(slot->bucket, &commit)) {
-		write_commit(slot, &commit);
-	}
-}
+	entry_t *entry = context;
+	bucket_slot_t *slot = &entry->buckets->slots[index];
+	bucket_waiter_t *waiter;
 
-/* Lets go of a bucket that is lost, handed over, or another member's. */
-static void review(bucket_slot_t *slot)
-{
-	switch (gn_batch_bucket_standing(slot->bucket)) {
-	case GN_BATCH_LOST:
-		gn_counter_inc(slot->entry->buckets->lost);
-		gn_log(LOG_WARNING, "bucket", NULL, "lost bucket %u",
-		       slot->index);
-		drop(slot);
-		break;
-	case GN_BATCH_RELEASED:
-		gn_counter_inc(slot->entry->buckets->released);
-		drop(slot);
-		break;
-	case GN_BATCH_OWNED:
-		if (is_to_release(slot))
-			gn_batch_bucket_release(slot->bucket);
-		break;
-	default:
-		break;
+	if (gn_batch_bucket_standing(bucket) == GN_BATCH_RELEASED) {
+		gn_counter_inc(entry->buckets->released);
+	} else {
+		gn_counter_inc(entry->buckets->lost);
+		gn_log(LOG_WARNING, "bucket", NULL, "lost bucket %u", index);
 	}
+	while ((waiter = g_queue_pop_head(slot->waiters)))
+		refuse_waiter(slot, waiter);
 }
 
-void entry_buckets_tick(entry_t *entry)
-{
-	entry_buckets_t *buckets = entry->buckets;
-	uint64_t now_us = gn_runtime_now_us(entry->runtime);
-	bool moves =
-		now_us - buckets->ticked_us >= (uint64_t)TICK_MS * GN_US_PER_MS;
-
-	if (moves)
-		buckets->ticked_us = now_us;
-	for (unsigned i = 0; i < GN_BUCKETS; i++) {
-		bucket_slot_t *slot = &buckets->slots[i];
-
-		if (moves && slot->bucket)
-			gn_batch_bucket_tick(slot->bucket);
-		if (moves && slot->bucket)
-			review(slot);
-		call_platform(slot, now_us);
-	}
-}
+static const gn_member_bucket_ops_t holder_ops = {
+	.is_wanted = is_wanted,
+	.open = open_bucket,
+	.on_answer = on_answer,
+	.on_drop = on_drop,
+};
 
 /* ======   Commands   ====== */
 
 static int buckets_destructor(entry_buckets_t *buckets)
 {
 	for (unsigned i = 0; i < GN_BUCKETS; i++) {
-		drop(&buckets->slots[i]);
+		gn_member_bucket_free(buckets->slots[i].holder);
 		g_queue_free(buckets->slots[i].waiters);
 	}
 	return 0;
 }
 
+static gn_code_t open_slot(entry_t *entry, unsigned index)
+{
+	bucket_slot_t *slot = &entry->buckets->slots[index];
+	const gn_member_bucket_options_t options = {
+		.kv = entry->membership->kv,
+		.clock = &entry->runtime->clock,
+		.index = index,
+		.commit_interval_ms = COMMIT_INTERVAL_MS,
+		.retry_ms = RETRY_MS,
+		.ops = &holder_ops,
+		.context = entry,
+	};
+
+	slot->entry = entry;
+	slot->index = index;
+	slot->waiters = g_queue_new();
+	slot->holder = gn_member_bucket_create(entry->buckets, &options);
+	return slot->holder ? GN_OK : GN_ERR_MEMORY;
+}
+
 gn_code_t entry_buckets_open(entry_t *entry)
 {
 	entry_buckets_t *buckets = talloc_zero(entry, entry_buckets_t);
@@ -322,32 +190,44 @@
 	if (!buckets)
 		return GN_ERR_MEMORY;
 	entry->buckets = buckets;
-	for (unsigned i = 0; i < GN_BUCKETS; i++) {
-		buckets->slots[i].entry = entry;
-		buckets->slots[i].index = i;
-		buckets->slots[i].waiters = g_queue_new();
-	}
-	talloc_set_destructor(buckets, buckets_destructor);
-	buckets->commits = gn_counters_get(all, "buckets.commits");
-	buckets->conflicts = gn_counters_get(all, "buckets.conflicts");
-	buckets->unknowns = gn_counters_get(all, "buckets.unknowns");
 	buckets->taken = gn_counters_get(all, "buckets.taken");
 	buckets->released = gn_counters_get(all, "buckets.released");
 	buckets->lost = gn_counters_get(all, "buckets.lost");
 	buckets->polls = gn_counters_get(all, "buckets.polls");
+	for (unsigned i = 0; i < GN_BUCKETS; i++)
+		if (open_slot(entry, i))
+			return GN_ERR_MEMORY;
+	talloc_set_destructor(buckets, buckets_destructor);
 	return GN_OK;
 }
 
+void entry_buckets_tick(entry_t *entry)
+{
+	entry_buckets_t *buckets = entry->buckets;
+	uint64_t now_us = gn_runtime_now_us(entry->runtime);
+
+	if (now_us - buckets->ticked_us < (uint64_t)TICK_MS * GN_US_PER_MS)
+		return;
+	buckets->ticked_us = now_us;
+	for (unsigned i = 0; i < GN_BUCKETS; i++)
+		gn_member_bucket_tick(buckets->slots[i].holder);
+}
+
 void entry_buckets_drop(entry_t *entry)
 {
 	for (unsigned i = 0; i < GN_BUCKETS; i++)
-		drop(&entry->buckets->slots[i]);
+		gn_member_bucket_drop(entry->buckets->slots[i].holder);
+}
+
+static gn_batch_bucket_t *held(const entry_t *entry, unsigned index)
+{
+	return gn_member_bucket_held(entry->buckets->slots[index].holder);
 }
 
 void entry_buckets_apply_config(entry_t *entry)
 {
 	for (unsigned i = 0; i < GN_BUCKETS; i++) {
-		gn_batch_bucket_t *bucket = entry->buckets->slots[i].bucket;
+		gn_batch_bucket_t *bucket = held(entry, i);
 
 		if (bucket)
 			entry_config_apply_to(entry,
@@ -360,7 +240,7 @@
 bool entry_buckets_are_released(const entry_t *entry)
 {
 	for (unsigned i = 0; i < GN_BUCKETS; i++)
-		if (entry->buckets->slots[i].bucket)
+		if (held(entry, i))
 			return false;
 	return true;
 }
@@ -381,12 +261,12 @@
 	size_t total = 0;
 
 	for (unsigned i = 0; i < GN_BUCKETS; i++) {
-		const bucket_slot_t *slot = &entry->buckets->slots[i];
-		size_t count = slot->bucket ? gn_batch_bucket_unsettled(
-						      slot->bucket, owners,
-						      GN_BATCH_PREDECESSORS_MAX)
-					    : 0;
+		const gn_batch_bucket_t *bucket = held(entry, i);
+		size_t count = 0;
 
+		if (bucket)
+			count = gn_batch_bucket_unsettled(
+				bucket, owners, GN_BATCH_PREDECESSORS_MAX);
 		for (size_t j = 0; j < count && total < size; j++)
 			if (!has_owner(to, total, owners[j].incarnation))
 				to[total++] = owners[j];
@@ -401,16 +281,12 @@
 
 gn_batch_bucket_t *entry_bucket_find(const entry_t *entry, unsigned index)
 {
-	gn_batch_bucket_t *bucket = entry->buckets->slots[index].bucket;
-
-	if (!bucket || gn_batch_bucket_standing(bucket) != GN_BATCH_OWNED)
-		return NULL;
-	return bucket;
+	return gn_member_bucket_owned(entry->buckets->slots[index].holder);
 }
 
 void entry_bucket_key(unsigned index, char key[GN_BUCKET_KEY_SIZE])
 {
-	snprintf(key, GN_BUCKET_KEY_SIZE, GN_BUCKET_PREFIX "%03u",
+	snprintf(key, GN_BUCKET_KEY_SIZE, GN_MEMBER_BUCKET_PREFIX "%03u",
 		 index % 1000);
 }
 
@@ -419,20 +295,25 @@
 	json_t *rows = json_array();
 
 	for (unsigned i = 0; i < GN_BUCKETS; i++) {
-		const gn_batch_bucket_t *bucket =
-			entry->buckets->slots[i].bucket;
+		const gn_batch_bucket_t *bucket = held(entry, i);
+		const gn_batch_stats_t *stats;
 
 		if (!bucket)
 			continue;
+		stats = gn_batch_bucket_stats(bucket);
 		json_array_append_new(
 			rows,
-			json_pack("{s:i, s:i, s:I, s:i}", "bucket", (int)i,
-				  "standing",
-				  (int)gn_batch_bucket_standing(bucket),
-				  "epoch",
-				  (json_int_t)gn_batch_bucket_epoch(bucket),
-				  "tasks",
-				  (int)gn_batch_bucket_task_count(bucket)));
+			json_pack(
+				"{s:i, s:i, s:I, s:i, s:I, s:I, s:I}", "bucket",
+				(int)i, "standing",
+				(int)gn_batch_bucket_standing(bucket), "epoch",
+				(json_int_t)gn_batch_bucket_epoch(bucket),
+				"tasks",
+				(int)gn_batch_bucket_task_count(bucket),
+				"commits", (json_int_t)stats->commits,
+				"conflicts",
+				(json_int_t)stats->commit_conflicts, "unknowns",
+				(json_int_t)stats->commit_unknowns));
 	}
 	return rows;
 }
--- a/lib/entry/buckets.h
+++ b/lib/entry/buckets.h
@@ -2,14 +2,14 @@
  * @file buckets.h
  * @brief The buckets of batch and standing tasks that this entry owns.
  *
- * lib/batch/bucket.h decides; this module takes and hands over buckets as the
- * member record changes, carries their commits to the platform's service and
- * their orders to the agents, and holds back answers until they are durable.
+ * lib/batch/bucket.h decides, lib/member/bucket.h holds each bucket; this
+ * module says which are wanted, carries their orders to the agents, and holds
+ * back answers until they are durable.
  */
 #ifndef GN_ENTRY_BUCKETS_H
 #define GN_ENTRY_BUCKETS_H
 
-#include "batch/bucket.h"
+#include "member/bucket.h"
 #include "entry/entry_internal.h"
 
 /**
@@ -17,9 +17,7 @@
  * owner keeps its quota. All entries must agree on the number.
  */
 #define GN_BUCKETS 16
-/** Prefix of the keys of the buckets; then the number in three digits. */
-#define GN_BUCKET_PREFIX "buckets/"
-#define GN_BUCKET_KEY_SIZE (sizeof(GN_BUCKET_PREFIX) + 3)
+#define GN_BUCKET_KEY_SIZE (sizeof(GN_MEMBER_BUCKET_PREFIX) + 3)
 
 /** Opens the table. */
 gn_code_t entry_buckets_open(entry_t *entry);
--- a/lib/entry/buckets_internal.h
+++ b/lib/entry/buckets_internal.h
@@ -7,6 +7,7 @@
 
 #include "entry/buckets.h"
 #include "entry/membership.h"
+#include "member/bucket.h"
 
 /** An answer that waits for a commit. */
 typedef struct bucket_waiter_s {
@@ -19,10 +20,7 @@
 typedef struct bucket_slot_s {
 	entry_t *entry;
 	unsigned index;
-	gn_batch_bucket_t *bucket; /**< NULL if not held */
-	gn_kv_call_t call; /**< in progress, or 0 */
-	uint64_t change_id; /**< of the write in progress */
-	uint64_t next_us; /**< no call to the platform before */
+	gn_member_bucket_t *holder;
 	GQueue *waiters;
 } bucket_slot_t;
 
@@ -30,9 +28,6 @@
 	bucket_slot_t slots[GN_BUCKETS];
 	uint64_t ticked_us;
 	uint64_t waiting_us; /**< since when tasks wait; 0: none do */
-	gn_counter_t *commits;
-	gn_counter_t *conflicts;
-	gn_counter_t *unknowns;
 	gn_counter_t *taken;
 	gn_counter_t *released;
 	gn_counter_t *lost;
@@ -40,6 +35,6 @@
 };
 
 /** Sends the starts whose claims have just become durable. */
-void bucket_send_starts(bucket_slot_t *slot);
+void bucket_send_starts(bucket_slot_t *slot, gn_batch_bucket_t *bucket);
 
 #endif
--- a/lib/entry/job_queries.c
+++ b/lib/entry/job_queries.c
@@ -96,8 +96,8 @@
 	entry_t *entry = arg;
 
 	(void)name;
-	gn_kv_list(entry->membership->kv, GN_STR(GN_BUCKET_PREFIX), on_listed,
-		   create_query(entry, request, 0));
+	gn_kv_list(entry->membership->kv, GN_STR(GN_MEMBER_BUCKET_PREFIX),
+		   on_listed, create_query(entry, request, 0));
 }
 
 static json_t *find_job(const gn_batch_value_t *value, uint64_t id)
--- a/lib/entry/membership.c
+++ b/lib/entry/membership.c
@@ -376,21 +376,8 @@
 {
 	const gn_record_doc_t *doc =
 		gn_record_adopted(entry->membership->record);
-	const gn_record_member_t *best = NULL;
-	uint64_t best_weight = 0;
 
-	for (size_t i = 0; doc && i < doc->member_count; i++) {
-		const gn_record_member_t *member = &doc->members[i];
-		gn_str_t bytes = { (const char *)&member->incarnation,
-				   sizeof(member->incarnation) };
-		uint64_t weight = gn_str_hash(bytes, index);
-
-		if (!best || weight > best_weight) {
-			best = member;
-			best_weight = weight;
-		}
-	}
-	return best;
+	return doc ? gn_member_bucket_owner(doc, index) : NULL;
 }
 
 bool entry_membership_is_self(const entry_t *entry,
--- a/lib/entry/polls.c
+++ b/lib/entry/polls.c
@@ -41,7 +41,7 @@
 	return message;
 }
 
-void bucket_send_starts(bucket_slot_t *slot)
+void bucket_send_starts(bucket_slot_t *slot, gn_batch_bucket_t *bucket)
 {
 	entry_t *entry = slot->entry;
 	const char *name;
@@ -54,15 +54,14 @@
 		Gn__BucketOrders *message = NULL;
 		entry_worker_t *worker = NULL;
 
-		if (!gn_batch_bucket_next_starts(slot->bucket, scratch, &name,
+		if (!gn_batch_bucket_next_starts(bucket, scratch, &name,
 						 &incarnation, &sent_us,
 						 &orders)) {
 			talloc_free(scratch);
 			return;
 		}
 		worker = g_hash_table_lookup(entry->workers, name);
-		message = make_orders(scratch, slot->index, slot->bucket,
-				      &orders);
+		message = make_orders(scratch, slot->index, bucket, &orders);
 		if (worker && message &&
 		    worker->agent_incarnation == incarnation)
 			send_orders(entry, worker, sent_us, &message, 1);
