One place for HTTP statuses and refusals; check announced addresses

Cause: the statuses stood in fourteen files and the same refusal in five; an announcement's address was taken unchecked and would have been looked up as a name (scenario "announce": 200 before, 400 after).

--- a/lib/agent/backend.c
+++ b/lib/agent/backend.c
@@ -9,7 +9,9 @@
 #include "agent/agent_internal.h"
 #include "common/log.h"
 #include "common/str.h"
+#include "config/address.h"
 #include "http/reply.h"
+#include "http/status.h"
 
 /** A backend server that stays silent for longer is down, milliseconds. */
 #define ANNOUNCE_TIMEOUT_MS 3000
@@ -17,8 +19,6 @@
 #define LIST_INTERVAL_MS 500
 /** Longest time of one call other than a request, milliseconds. */
 #define CALL_TIMEOUT_MS 2000
-#define HTTP_OK 200
-#define HTTP_BAD_REQUEST 400
 
 bool agent_backend_is_up(const agent_t *agent)
 {
@@ -144,9 +144,10 @@
 	const char *incarnation =
 		json_string_value(json_object_get(json, "incarnation"));
 	bool draining = json_is_true(json_object_get(json, "draining"));
+	struct sockaddr_storage parsed;
 
-	if (!address || !incarnation || !*address ||
-	    strlen(address) > GN_ADDRESS_MAX ||
+	if (!address || !incarnation ||
+	    gn_address_parse(gn_str_from(address), &parsed) ||
 	    strlen(incarnation) > GN_NAME_MAX)
 		return GN_ERR_INVALID;
 	note_restart(agent, address, incarnation);
@@ -163,16 +164,14 @@
 
 void agent_on_announce(void *arg, gn_http_request_t *request, gn_str_t name)
 {
-	static const gn_refusal_t malformed = { HTTP_BAD_REQUEST,
-						GN_OUTCOME_NOT_RUN, "malformed",
-						0 };
 	agent_t *agent = arg;
 	json_t *json = json_loadb(request->body, request->body_len, 0, NULL);
 
 	(void)name;
 	gn_counter_inc(agent->counters.announcements);
 	if (!json || take_announcement(agent, json)) {
-		gn_http_reply_refusal(agent->server, request, &malformed,
+		gn_http_reply_not_run(agent->server, request, HTTP_BAD_REQUEST,
+				      "malformed", 0,
 				      "address and incarnation are needed");
 	} else {
 		const char *worker = agent->runtime->settings->name;
--- a/lib/agent/http.c
+++ b/lib/agent/http.c
@@ -8,8 +8,7 @@
 #include "agent/agent_internal.h"
 #include "http/reply.h"
 #include "http/router.h"
-
-#define HTTP_OK 200
+#include "http/status.h"
 
 static json_t *dump_links(const agent_t *agent)
 {
--- a/lib/agent/tasks.c
+++ b/lib/agent/tasks.c
@@ -11,6 +11,7 @@
 
 #include "agent/agent_internal.h"
 #include "common/log.h"
+#include "http/status.h"
 #include "wire/task_wire.h"
 
 /** Between polls when nothing happens, milliseconds. */
@@ -24,8 +25,6 @@
 /** Thousandths of a core. */
 #define MILLI 1000
 #define PATH_SIZE 64
-#define HTTP_OK 200
-#define HTTP_UNAVAILABLE 503
 
 /* ======   Admission   ====== */
 
--- a/lib/entry/buckets.c
+++ b/lib/entry/buckets.c
@@ -5,6 +5,7 @@
 #include "common/log.h"
 #include "entry/buckets_internal.h"
 #include "entry/config.h"
+#include "http/status.h"
 
 /** Least time between two writes of one bucket, milliseconds. */
 #define COMMIT_INTERVAL_MS 200
@@ -12,8 +13,6 @@
 #define RETRY_MS 500
 /** Between the ticks of the holders, milliseconds. */
 #define TICK_MS 20
-#define HTTP_OK 200
-#define HTTP_UNAVAILABLE 503
 
 /* ======   Waiters   ====== */
 
--- a/lib/entry/config_http.c
+++ b/lib/entry/config_http.c
@@ -7,12 +7,8 @@
 #include <string.h>
 
 #include "entry/config.h"
+#include "http/status.h"
 
-#define HTTP_OK 200
-#define HTTP_BAD_REQUEST 400
-#define HTTP_NOT_FOUND 404
-#define HTTP_CONFLICT 409
-#define HTTP_UNAVAILABLE 503
 #define RETRY_AFTER_S 2
 #define CHANGE_ID_SIZE sizeof("0123456789abcdef")
 
@@ -91,10 +87,8 @@
 static void refuse(entry_t *entry, gn_http_request_t *request,
 		   const char *reason, const char *error)
 {
-	const gn_refusal_t refusal = { HTTP_BAD_REQUEST, GN_OUTCOME_NOT_RUN,
-				       reason, 0 };
-
-	gn_http_reply_refusal(entry->server, request, &refusal, error);
+	gn_http_reply_not_run(entry->server, request, HTTP_BAD_REQUEST, reason,
+			      0, error);
 }
 
 static void start_change(entry_t *entry, gn_http_request_t *request,
@@ -204,11 +198,6 @@
 static void change_drain(entry_t *entry, gn_http_request_t *request,
 			 gn_str_t name, bool drained)
 {
-	const gn_refusal_t unknown_host = { HTTP_NOT_FOUND, GN_OUTCOME_NOT_RUN,
-					    "no-such-host", 0 };
-	const gn_refusal_t unconfigured = { HTTP_UNAVAILABLE,
-					    GN_OUTCOME_NOT_RUN,
-					    "no-configuration", RETRY_AFTER_S };
 	const gn_config_doc_t *doc = gn_store_current(entry->config->store);
 	TALLOC_CTX *scratch = talloc_new(NULL);
 	gn_error_t error = { 0 };
@@ -217,11 +206,11 @@
 
 	if (gn_str_copy(host, sizeof(host), name) ||
 	    !is_known_host(entry, host))
-		gn_http_reply_refusal(entry->server, request, &unknown_host,
-				      NULL);
+		gn_http_reply_not_run(entry->server, request, HTTP_NOT_FOUND,
+				      "no-such-host", 0, NULL);
 	else if (!doc || !doc->revision)
-		gn_http_reply_refusal(entry->server, request, &unconfigured,
-				      NULL);
+		gn_http_reply_not_run(entry->server, request, HTTP_UNAVAILABLE,
+				      "no-configuration", RETRY_AFTER_S, NULL);
 	else if (gn_rules_set_drain(scratch, doc->parts[GN_CONFIG_RULES].text,
 				    host, drained, &changed, &error))
 		refuse(entry, request, "rejected", error.detail);
--- a/lib/entry/http.c
+++ b/lib/entry/http.c
@@ -11,9 +11,7 @@
 #include "entry/keys.h"
 #include "entry/membership.h"
 #include "http/router.h"
-
-#define HTTP_OK 200
-#define HTTP_UNAVAILABLE 503
+#include "http/status.h"
 
 static const char *worker_state(const entry_worker_t *worker,
 				const gn_route_info_t *info)
--- a/lib/entry/job_queries.c
+++ b/lib/entry/job_queries.c
@@ -5,10 +5,8 @@
 #include "entry/buckets.h"
 #include "entry/jobs.h"
 #include "entry/membership.h"
+#include "http/status.h"
 
-#define HTTP_OK 200
-#define HTTP_NOT_FOUND 404
-#define HTTP_UNAVAILABLE 503
 #define RETRY_AFTER_S 1
 
 /* A query that waits for the platform's service. */
@@ -32,12 +30,9 @@
 static void refuse(entry_t *entry, gn_http_request_t *request, unsigned status,
 		   const char *reason)
 {
-	const gn_refusal_t refusal = { status, GN_OUTCOME_NOT_RUN, reason,
-				       status == HTTP_UNAVAILABLE
-					       ? RETRY_AFTER_S
-					       : 0 };
-
-	gn_http_reply_refusal(entry->server, request, &refusal, NULL);
+	gn_http_reply_not_run(entry->server, request, status, reason,
+			      status == HTTP_UNAVAILABLE ? RETRY_AFTER_S : 0,
+			      NULL);
 }
 
 static json_t *describe(const gn_task_t *task)
--- a/lib/entry/jobs.c
+++ b/lib/entry/jobs.c
@@ -9,12 +9,8 @@
 #include "entry/buckets.h"
 #include "entry/membership.h"
 #include "entry/peers.h"
+#include "http/status.h"
 
-#define HTTP_BAD_REQUEST 400
-#define HTTP_NOT_FOUND 404
-#define HTTP_CONFLICT 409
-#define HTTP_UNPROCESSABLE 422
-#define HTTP_UNAVAILABLE 503
 #define RETRY_AFTER_S 1
 /** Priority of a job that names none; 0 is the most urgent. */
 #define PRIORITY_DEFAULT 2
@@ -24,12 +20,9 @@
 static void refuse(entry_t *entry, gn_http_request_t *request, unsigned status,
 		   const char *reason, const char *error)
 {
-	const gn_refusal_t refusal = { status, GN_OUTCOME_NOT_RUN, reason,
-				       status == HTTP_UNAVAILABLE
-					       ? RETRY_AFTER_S
-					       : 0 };
-
-	gn_http_reply_refusal(entry->server, request, &refusal, error);
+	gn_http_reply_not_run(entry->server, request, status, reason,
+			      status == HTTP_UNAVAILABLE ? RETRY_AFTER_S : 0,
+			      error);
 }
 
 /*
--- a/lib/entry/keys.c
+++ b/lib/entry/keys.c
@@ -5,6 +5,7 @@
 
 #include "common/log.h"
 #include "entry/membership.h"
+#include "http/status.h"
 #include "platform/settle.h"
 
 /** Life of a lease that keys are bound to, milliseconds. */
@@ -15,8 +16,6 @@
 #define RETRY_MS 500
 #define KEY_PREFIX "keys/"
 #define CHANGE_SIZE sizeof("0123456789abcdef")
-#define HTTP_CONFLICT 409
-#define HTTP_UNAVAILABLE 503
 
 static const gn_refusal_t key_used = { HTTP_CONFLICT, GN_OUTCOME_UNKNOWN,
 				       "key-used", 0 };
--- a/lib/entry/membership.c
+++ b/lib/entry/membership.c
@@ -7,6 +7,7 @@
 #include "common/log.h"
 #include "entry/buckets.h"
 #include "entry/peers.h"
+#include "http/status.h"
 #include "platform/kv_http.h"
 
 /** Longest time of one call to the platform's service, milliseconds. */
@@ -25,8 +26,6 @@
 #define ASK_INTERVAL_MS 300
 /** Between probes for the platform's return, milliseconds. */
 #define PROBE_INTERVAL_MS 500
-#define HTTP_OK 200
-#define HTTP_BAD_REQUEST 400
 
 /* ======   Joining   ====== */
 
@@ -289,9 +288,6 @@
 
 void entry_on_peer_query(void *arg, gn_http_request_t *request, gn_str_t name)
 {
-	static const gn_refusal_t malformed = { HTTP_BAD_REQUEST,
-						GN_OUTCOME_NOT_RUN, "malformed",
-						0 };
 	entry_t *entry = arg;
 	entry_membership_t *membership = entry->membership;
 	json_t *json = json_loadb(request->body ? request->body : "",
@@ -302,7 +298,8 @@
 
 	(void)name;
 	if (!parse_query(json, &kind, &to, &from, &about)) {
-		gn_http_reply_refusal(entry->server, request, &malformed, NULL);
+		gn_http_reply_not_run(entry->server, request, HTTP_BAD_REQUEST,
+				      "malformed", 0, NULL);
 	} else {
 		/* A question to an earlier incarnation is not for this one. */
 		granted = to == membership->incarnation &&
--- a/lib/entry/peers.c
+++ b/lib/entry/peers.c
@@ -1,4 +1,5 @@
 #include "entry/peers.h"
+#include "http/status.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -9,8 +10,6 @@
 #define ANSWER_MAX (4 * 1024 * 1024)
 /** The path's query that marks a forwarded request. */
 #define FORWARDED_QUERY "forwarded=1"
-#define HTTP_BAD_GATEWAY 502
-#define HTTP_UNAVAILABLE 503
 
 gn_code_t entry_peers_open(entry_t *entry, gn_error_t *error)
 {
--- a/lib/entry/requests.c
+++ b/lib/entry/requests.c
@@ -7,10 +7,8 @@
 
 #include "entry/keys.h"
 #include "entry/membership.h"
+#include "http/status.h"
 
-#define HTTP_BAD_REQUEST 400
-#define HTTP_UNAVAILABLE 503
-#define HTTP_GATEWAY_TIMEOUT 504
 /** Spare bits above a random first request number, so that it can't wrap. */
 #define SPARE_BITS 2
 
--- a/lib/entry/tries.c
+++ b/lib/entry/tries.c
@@ -3,11 +3,7 @@
  * @brief The tries of a request: dispatch, answer, loss, another try.
  */
 #include "entry/entry_internal.h"
-
-#define HTTP_SERVER_ERROR 500
-#define HTTP_BAD_GATEWAY 502
-#define HTTP_UNAVAILABLE 503
-#define HTTP_GATEWAY_TIMEOUT 504
+#include "http/status.h"
 
 /* How a try ended, for each of the modules that learn from it. */
 typedef struct try_end_s {
--- a/lib/http/reply.c
+++ b/lib/http/reply.c
@@ -39,3 +39,13 @@
 	answer->retry_after_s = refusal->retry_after_s;
 	gn_http_server_answer(server, request);
 }
+
+void gn_http_reply_not_run(gn_http_server_t *server, gn_http_request_t *request,
+			   unsigned status, const char *reason,
+			   unsigned retry_after_s, const char *error)
+{
+	const gn_refusal_t refusal = { status, GN_OUTCOME_NOT_RUN, reason,
+				       retry_after_s };
+
+	gn_http_reply_refusal(server, request, &refusal, error);
+}
--- a/lib/http/reply.h
+++ b/lib/http/reply.h
@@ -25,4 +25,12 @@
 void gn_http_reply_refusal(gn_http_server_t *server, gn_http_request_t *request,
 			   const gn_refusal_t *refusal, const char *error);
 
+/**
+ * Answers that nothing was run.
+ * @param retry_after_s 0: never
+ */
+void gn_http_reply_not_run(gn_http_server_t *server, gn_http_request_t *request,
+			   unsigned status, const char *reason,
+			   unsigned retry_after_s, const char *error);
+
 #endif
--- a/lib/http/router.c
+++ b/lib/http/router.c
@@ -3,9 +3,7 @@
 #include <string.h>
 
 #include "http/reply.h"
-
-#define HTTP_NOT_FOUND 404
-#define HTTP_METHOD_NOT_ALLOWED 405
+#include "http/status.h"
 
 /* Whether @p path has the form of @p pattern; "*" is one whole part. */
 static bool match_path(const char *pattern, const char *path, gn_str_t *name)
--- a/tests/scenario.sh
+++ b/tests/scenario.sh
@@ -216,6 +216,11 @@
 cmd_fault() { # NAME JSON
 	fetch -o /dev/null --data-binary "$2" "http://${http[$1]}/fault"
 }
+cmd_announce() { # AGENT JSON: the status and the reason
+	local status
+	status=$(fetch -o "$work/answer" -w '%{http_code}' --data-binary "$2" "http://${http[$1]}/v1/announce")
+	echo "$status $(jq -r '.reason // "accepted"' "$work/answer")"
+}
 cmd_drain_backend() { fetch -o /dev/null -X POST "http://${http[$1.backend]}/drain"; }
 cmd_kill() { kill -KILL "${pid[$1]}"; wait "${pid[$1]}" 2>/dev/null; }
 cmd_freeze() { kill -STOP "${pid[$1]}"; }
