Let a process settle the owner that it was; poll less for renewed leases

Change: a process that was an owner says so once all promises it gave have lapsed on its clock; a renewed lease neither spoils a list nor asks for a poll.

--- a/lib/agent/backend.c
+++ b/lib/agent/backend.c
@@ -91,7 +91,8 @@
 	agent_backend_t *backend = &agent->backend;
 
 	backend->listed_us = now_us;
-	backend->list_spoiled = agent->action != NULL;
+	backend->list_spoiled =
+		agent->action && agent->action->kind != GN_ACTION_LEASE;
 	if (backend->list_spoiled)
 		return;
 	gn_admit_begin_list(agent->admit);
--- a/lib/agent/tasks.c
+++ b/lib/agent/tasks.c
@@ -287,8 +287,11 @@
 	char id[GN_TASK_ID_SIZE];
 
 	agent->action = NULL;
-	agent->backend.list_spoiled = true;
-	agent->poll_soon = true;
+	/* A renewed lease changes neither the list nor what owners wait for. */
+	if (action->kind != GN_ACTION_LEASE) {
+		agent->backend.list_spoiled = true;
+		agent->poll_soon = true;
+	}
 	gn_task_id_format(action->id, id);
 	if (call->code || call->status != HTTP_OK) {
 		gn_counter_inc(agent->counters.actions_failed);
@@ -315,7 +318,8 @@
 	gn_task_id_format(agent->action->id, id);
 	snprintf(path, sizeof(path), "/v1/tasks/%s/%s", id,
 		 action_names[agent->action->kind]);
-	agent->backend.list_spoiled = true;
+	if (agent->action->kind != GN_ACTION_LEASE)
+		agent->backend.list_spoiled = true;
 	if (agent_backend_call(agent, path, pack_action(agent, agent->action),
 			       on_action_done, agent))
 		TALLOC_FREE(agent->action);
--- a/lib/batch/promise.c
+++ b/lib/batch/promise.c
@@ -22,6 +22,7 @@
 {
 	g_hash_table_destroy(promise->members);
 	g_hash_table_destroy(promise->acked);
+	g_hash_table_destroy(promise->retired);
 	g_hash_table_destroy(promise->told);
 	g_hash_table_destroy(promise->vouched);
 	return 0;
@@ -43,6 +44,8 @@
 	promise->clock = clock;
 	promise->incarnation = incarnation;
 	promise->members = make_table(g_free);
+	promise->retired = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						 g_free, NULL);
 	promise->acked = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					       g_free, g_free);
 	promise->told = make_table(g_free);
--- a/lib/batch/promise.h
+++ b/lib/batch/promise.h
@@ -84,6 +84,13 @@
 			  uint64_t from, uint64_t about, uint64_t sent_us,
 			  bool granted);
 
+/**
+ * Notes what the process that was @p owner says of itself: that it has given
+ * no promise as @p owner for promise_us + confirm_us + drift_us, and never will
+ * again. It settles @p owner without a voucher.
+ */
+void gn_promise_note_retired(gn_promise_t *promise, uint64_t owner);
+
 /* ======   Queries   ====== */
 
 /** Whether the last renewal is recent enough to act on. */
--- a/lib/batch/promise_internal.h
+++ b/lib/batch/promise_internal.h
@@ -45,6 +45,7 @@
 		*acked; /**< incarnation -> highest revision, left ones too */
 	GHashTable *told; /**< owner -> gn_told_t */
 	GHashTable *vouched; /**< owner -> gn_vouched_t */
+	GHashTable *retired; /**< set of owners, by their own word */
 };
 
 /** The member @p incarnation of the adopted record, or NULL. */
--- a/lib/batch/promise_peers.c
+++ b/lib/batch/promise_peers.c
@@ -165,6 +165,17 @@
 	return false;
 }
 
+void gn_promise_note_retired(gn_promise_t *promise, uint64_t owner)
+{
+	g_hash_table_add(promise->retired, g_memdup2(&owner, sizeof(owner)));
+}
+
+static bool is_retired(const gn_promise_t *promise, uint64_t owner)
+{
+	return g_hash_table_contains(promise->retired, &owner) &&
+	       !gn_promise_find_member(promise, owner);
+}
+
 bool gn_promise_is_settled(const gn_promise_t *promise, uint64_t owner,
 			   uint64_t acked, uint64_t taken_us)
 {
@@ -175,5 +186,7 @@
 
 	if (gn_clock_now_us(promise->clock) - taken_us > longest_us)
 		return true;
+	if (is_retired(promise, owner))
+		return true;
 	return is_vouched(promise, owner, acked) || GN_MUTANT(no_vouching);
 }
--- a/lib/entry/membership.c
+++ b/lib/entry/membership.c
@@ -116,12 +116,40 @@
 							 : GN_ERR_MEMORY;
 }
 
+static void retire(entry_membership_t *membership)
+{
+	unsigned place = membership->retired_next++ % ENTRY_RETIRED_MAX;
+
+	membership->retired[place] = (entry_retired_t){
+		membership->incarnation,
+		gn_runtime_now_us(membership->entry->runtime),
+	};
+}
+
+/* Whether all promises that this process gave as @p incarnation have lapsed. */
+static bool is_retired(const entry_membership_t *membership,
+		       uint64_t incarnation)
+{
+	const uint64_t lapse_us =
+		(uint64_t)(PROMISE_MS + CONFIRM_MS + DRIFT_MS) * GN_US_PER_MS;
+	uint64_t now_us = gn_runtime_now_us(membership->entry->runtime);
+
+	for (int i = 0; i < ENTRY_RETIRED_MAX; i++) {
+		const entry_retired_t *retired = &membership->retired[i];
+
+		if (retired->incarnation == incarnation)
+			return now_us - retired->dropped_us > lapse_us;
+	}
+	return false;
+}
+
 /* An incarnation that left never returns: all it owned goes with it. */
 static void rejoin(entry_membership_t *membership)
 {
 	gn_log(LOG_WARNING, "members", NULL,
 	       "left the record, joining as a new member");
 	entry_buckets_drop(membership->entry);
+	retire(membership);
 	gn_record_free(membership->record);
 	TALLOC_FREE(membership->promise);
 	if (join(membership))
@@ -159,15 +187,31 @@
 
 /* ======   Questions between entries   ====== */
 
+/** Beside the kinds of the promise rule: were you this owner, long ago? */
+#define QUERY_RETIRED 3
+
 typedef struct peer_question_s {
 	entry_t *entry;
-	gn_promise_query_t kind;
+	int kind; /**< gn_promise_query_t or QUERY_RETIRED */
 	uint64_t asker; /**< the member incarnation that asked */
 	uint64_t peer;
 	uint64_t about;
 	uint64_t sent_us;
 } peer_question_t;
 
+static void take_answer(const peer_question_t *question, bool granted)
+{
+	gn_promise_t *promise = question->entry->membership->promise;
+
+	if (question->kind != QUERY_RETIRED)
+		gn_promise_on_answer(promise,
+				     (gn_promise_query_t)question->kind,
+				     question->peer, question->about,
+				     question->sent_us, granted);
+	else if (granted)
+		gn_promise_note_retired(promise, question->about);
+}
+
 static void on_peer_answer(void *arg, const gn_http_call_t *call)
 {
 	peer_question_t *question = arg;
@@ -177,16 +221,13 @@
 
 	if (call->code == GN_OK && call->status == HTTP_OK && json &&
 	    question->asker == membership->incarnation)
-		gn_promise_on_answer(
-			membership->promise, question->kind, question->peer,
-			question->about, question->sent_us,
-			json_is_true(json_object_get(json, "granted")));
+		take_answer(question,
+			    json_is_true(json_object_get(json, "granted")));
 	json_decref(json);
 	g_free(question);
 }
 
-static void ask(entry_t *entry, gn_promise_query_t kind, uint64_t peer,
-		uint64_t about)
+static void ask(entry_t *entry, int kind, uint64_t peer, uint64_t about)
 {
 	entry_membership_t *membership = entry->membership;
 	const gn_record_doc_t *doc = gn_record_adopted(membership->record);
@@ -203,7 +244,7 @@
 	question->peer = peer;
 	question->about = about;
 	question->sent_us = gn_runtime_now_us(entry->runtime);
-	json = json_pack("{s:i, s:I, s:I, s:I}", "kind", (int)kind, "to",
+	json = json_pack("{s:i, s:I, s:I, s:I}", "kind", kind, "to",
 			 (json_int_t)peer, "from",
 			 (json_int_t)membership->incarnation, "about",
 			 (json_int_t)about);
@@ -247,6 +288,22 @@
 	}
 }
 
+/* Any member may be the process that the owner was; this one, too. */
+static void ask_retired(entry_t *entry, const gn_record_doc_t *doc,
+			uint64_t owner)
+{
+	entry_membership_t *membership = entry->membership;
+
+	if (is_retired(membership, owner))
+		gn_promise_note_retired(membership->promise, owner);
+	for (size_t i = 0; doc && i < doc->member_count; i++) {
+		uint64_t peer = doc->members[i].incarnation;
+
+		if (peer != membership->incarnation)
+			ask(entry, QUERY_RETIRED, peer, owner);
+	}
+}
+
 static void ask_peers(entry_t *entry)
 {
 	entry_membership_t *membership = entry->membership;
@@ -265,25 +322,32 @@
 	ask_confirmers(entry);
 	count = entry_buckets_unsettled(entry, owners,
 					GN_BATCH_PREDECESSORS_MAX);
-	for (size_t i = 0; i < count; i++)
+	for (size_t i = 0; i < count; i++) {
 		ask_vouchers(entry, &owners[i]);
+		ask_retired(entry, doc, owners[i].incarnation);
+	}
 }
 
-static bool parse_query(const json_t *json, gn_promise_query_t *kind,
-			uint64_t *to, uint64_t *from, uint64_t *about)
+static bool parse_query(const json_t *json, int *kind, uint64_t *to,
+			uint64_t *from, uint64_t *about)
 {
-	json_int_t value;
-
 	if (!json)
 		return false;
-	value = json_integer_value(json_object_get(json, "kind"));
+	*kind = (int)json_integer_value(json_object_get(json, "kind"));
 	*to = (uint64_t)json_integer_value(json_object_get(json, "to"));
 	*from = (uint64_t)json_integer_value(json_object_get(json, "from"));
 	*about = (uint64_t)json_integer_value(json_object_get(json, "about"));
-	if (value != GN_PROMISE_CONFIRM && value != GN_PROMISE_VOUCH)
-		return false;
-	*kind = (gn_promise_query_t)value;
-	return *to && *from && *about;
+	return *kind >= GN_PROMISE_CONFIRM && *kind <= QUERY_RETIRED && *to &&
+	       *from && *about;
+}
+
+static bool answer_query(entry_membership_t *membership, int kind,
+			 uint64_t from, uint64_t about)
+{
+	if (kind == QUERY_RETIRED)
+		return is_retired(membership, about);
+	return gn_promise_on_query(membership->promise,
+				   (gn_promise_query_t)kind, from, about);
 }
 
 void entry_on_peer_query(void *arg, gn_http_request_t *request, gn_str_t name)
@@ -292,7 +356,7 @@
 	entry_membership_t *membership = entry->membership;
 	json_t *json = json_loadb(request->body ? request->body : "",
 				  request->body_len, 0, NULL);
-	gn_promise_query_t kind;
+	int kind;
 	uint64_t to, from, about;
 	bool granted;
 
@@ -303,8 +367,7 @@
 	} else {
 		/* A question to an earlier incarnation is not for this one. */
 		granted = to == membership->incarnation &&
-			  gn_promise_on_query(membership->promise, kind, from,
-					      about);
+			  answer_query(membership, kind, from, about);
 		gn_http_reply_json(entry->server, request, HTTP_OK,
 				   json_pack("{s:b}", "granted", granted));
 	}
--- a/lib/entry/membership.h
+++ b/lib/entry/membership.h
@@ -14,6 +14,15 @@
 #include "member/record.h"
 #include "platform/kv_http.h"
 
+/** Former incarnations of this process that are remembered. */
+#define ENTRY_RETIRED_MAX 16
+
+/** A member that this process was. */
+typedef struct entry_retired_s {
+	uint64_t incarnation; /**< 0: none */
+	uint64_t dropped_us; /**< it gave no promise since */
+} entry_retired_t;
+
 /** State of the membership. */
 struct entry_membership_s {
 	entry_t *entry;
@@ -23,6 +32,8 @@
 	gn_promise_t *promise;
 	uint64_t incarnation; /**< as a member, not as a process */
 	uint64_t asked_us; /**< last time the peers were asked */
+	entry_retired_t retired[ENTRY_RETIRED_MAX]; /**< a ring */
+	unsigned retired_next;
 	bool probing;
 	uint64_t probed_us; /**< last time the platform was probed */
 };
--- a/tests/unit/test_promise.c
+++ b/tests/unit/test_promise.c
@@ -182,6 +182,22 @@
 #define ADD(path, data, func) \
 	g_test_add("/promise/" path, fixture_t, data, set_up, func, tear_down)
 
+/** An owner's own word settles it, but not while the record still has it. */
+static void test_retired(fixture_t *f, gconstpointer data)
+{
+	const gn_promise_member_t without[] = { { ME, 1, 3 }, { LATER, 3, 3 } };
+	uint64_t taken_us;
+
+	(void)data;
+	gn_promise_note_retired(f->promise, PEER);
+	g_assert_false(gn_promise_is_settled(f->promise, PEER, 0, now_us(f)));
+	g_assert_cmpint(gn_promise_adopt(f->promise, 3, without, 2), ==, GN_OK);
+	taken_us = now_us(f);
+	g_assert_true(gn_promise_is_settled(f->promise, PEER, 0, taken_us));
+	/* Of another owner it says nothing. */
+	g_assert_false(gn_promise_is_settled(f->promise, 9, 0, taken_us));
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -190,6 +206,7 @@
 	ADD("outage", NULL, test_outage);
 	ADD("confirm", NULL, test_confirm);
 	ADD("record", NULL, test_record);
+	ADD("retired", NULL, test_retired);
 	for (size_t i = 0; i < G_N_ELEMENTS(settle_cases); i++) {
 		char *path = g_strdup_printf("/promise/settle/%s",
 					     settle_cases[i].name);
