Give the promise's length and drift one place

Cause: the promise rule and the buckets each had their own figures, equal by chance; the argument of docs/OUTAGE.md needs them equal. Behaviour is the same. Not run: the sanitizers.

--- a/lib/entry/buckets.c
+++ b/lib/entry/buckets.c
@@ -80,8 +80,8 @@
 static gn_batch_params_t get_params(void)
 {
 	const gn_batch_params_t params = {
-		.promise_us = 10ULL * GN_US_PER_S,
-		.drift_us = 200ULL * GN_US_PER_MS,
+		.promise_us = (uint64_t)ENTRY_PROMISE_MS * GN_US_PER_MS,
+		.drift_us = (uint64_t)ENTRY_DRIFT_MS * GN_US_PER_MS,
 		.retention_us = 24ULL * 3600 * GN_US_PER_S,
 		.order = {
 			.ageing_step_us = 60ULL * GN_US_PER_S,
--- a/lib/entry/membership.c
+++ b/lib/entry/membership.c
@@ -12,12 +12,8 @@
 
 /** Longest time of one call to the platform's service, milliseconds. */
 #define CALL_TIMEOUT_MS 1000
-/** A promise runs for this long; docs/OUTAGE.md says how these hang together. */
-#define PROMISE_MS 10000
 /** A confirmation holds for this long, milliseconds. */
 #define CONFIRM_MS 1000
-/** Margin for the difference of clock rates, milliseconds. */
-#define DRIFT_MS 200
 /** Largest difference of clock rates, parts in a million. */
 #define RATE_PPM 500
 /** Longest time without the platform's service, milliseconds. */
@@ -83,8 +79,8 @@
 		/* Shorter than the lease, so that a taker finds it over. */
 		.renew_us = ttl_us - ttl_us / 4,
 		.confirm_us = (uint64_t)CONFIRM_MS * GN_US_PER_MS,
-		.promise_us = (uint64_t)PROMISE_MS * GN_US_PER_MS,
-		.drift_us = (uint64_t)DRIFT_MS * GN_US_PER_MS,
+		.promise_us = (uint64_t)ENTRY_PROMISE_MS * GN_US_PER_MS,
+		.drift_us = (uint64_t)ENTRY_DRIFT_MS * GN_US_PER_MS,
 		.dark_us = (uint64_t)DARK_MS * GN_US_PER_MS,
 		.rate_ppm = RATE_PPM,
 	};
@@ -131,7 +127,8 @@
 		       uint64_t incarnation)
 {
 	const uint64_t lapse_us =
-		(uint64_t)(PROMISE_MS + CONFIRM_MS + DRIFT_MS) * GN_US_PER_MS;
+		(uint64_t)(ENTRY_PROMISE_MS + CONFIRM_MS + ENTRY_DRIFT_MS) *
+		GN_US_PER_MS;
 	uint64_t now_us = gn_runtime_now_us(membership->entry->runtime);
 
 	for (int i = 0; i < ENTRY_RETIRED_MAX; i++) {
--- a/lib/entry/membership.h
+++ b/lib/entry/membership.h
@@ -14,6 +14,15 @@
 #include "member/record.h"
 #include "platform/kv_http.h"
 
+/*
+ * The promise rule and the buckets must go by the same figures; docs/OUTAGE.md
+ * says how they hang together.
+ */
+/** Length of a run promise, milliseconds. */
+#define ENTRY_PROMISE_MS 10000
+/** Margin for the difference of clock rates, milliseconds. */
+#define ENTRY_DRIFT_MS 200
+
 /** Former incarnations of this process that are remembered. */
 #define ENTRY_RETIRED_MAX 16
 
