Count no ended run as a worker's load when tasks are spread

The scenario `window` failed now and then at its end: all four new tasks went to w1, none to w2.

A run that ended stays in the agent's polls until its end is stored and the order to forget it has come, some 600 ms. An entry took the number of runs in a poll for the worker's load, so the emptier worker looked the fuller one and w1 got all that its next poll could take.

Conclusion: load counts only runs that have not ended; the reports' unit cases check the count at each state.

--- a/lib/batch/report.c
+++ b/lib/batch/report.c
@@ -14,6 +14,17 @@
 	[GN_ORDER_FORGET] = "forget",
 };
 
+size_t gn_batch_reports_count_running(const gn_batch_report_t *reports,
+				      size_t count)
+{
+	size_t running = 0;
+
+	for (size_t i = 0; i < count; i++)
+		if (reports[i].state == GN_RUN_RUNNING)
+			running++;
+	return running;
+}
+
 const char *gn_run_state_name(gn_run_state_t state)
 {
 	assert((unsigned)state < GN_RUN_STATE_COUNT);
--- a/lib/batch/report.h
+++ b/lib/batch/report.h
@@ -67,6 +67,10 @@
 	size_t count;
 } gn_batch_orders_t;
 
+/** How many of the @p count runs in @p reports have not ended. */
+size_t gn_batch_reports_count_running(const gn_batch_report_t *reports,
+				      size_t count);
+
 /** The stable name of @p state, such as "running". */
 const char *gn_run_state_name(gn_run_state_t state);
 
--- a/lib/entry/polls.c
+++ b/lib/entry/polls.c
@@ -144,7 +144,6 @@
 {
 	unsigned share;
 
-	worker->placed_tasks = (unsigned)poll->n_runs;
 	share = get_share(entry, worker);
 	described->name = worker->name;
 	described->service = worker->service->name;
@@ -193,6 +192,9 @@
 	gn_counter_inc(entry->buckets->polls);
 	if (gn_task_wire_get_runs(scratch, message, &reports))
 		goto out;
+	/* A run that has ended stays in the polls until its end is stored. */
+	worker->placed_tasks = (unsigned)gn_batch_reports_count_running(
+		reports, message->n_runs);
 	describe(entry, worker, message, &described);
 	poll = (gn_batch_poll_t){
 		.incarnation = worker->agent_incarnation,
--- a/tests/unit/test_worker_tasks.c
+++ b/tests/unit/test_worker_tasks.c
@@ -102,6 +102,9 @@
 	size_t count;
 
 	gn_worker_tasks_reports(f->tasks, BUCKET, f->frame, &reports, &count);
+	/* An ended run is reported until its end is stored, but is no load. */
+	g_assert_cmpuint(gn_batch_reports_count_running(reports, count), ==,
+			 count && reports[0].state == GN_RUN_RUNNING);
 	return count ? reports[0].state : GN_RUN_STATE_COUNT;
 }
 
