Keep the sums of a poll's share as workers change

Cause: get_share() walked all workers at each poll to count the open ones and their tasks, so that an entry's work grew with the square of the fleet.

Ruled out: caching the walk for some milliseconds, which leaves the growth and adds staleness.

A worker is counted anew at its hello, its poll, when it falls silent or is heard again, and once for each new revision of the configuration; a drain that begins by time is noticed at the worker's next poll, 300 ms at most. The rule itself is unchanged and now a module without I/O, with unit cases.

--- a/lib/entry/buckets_internal.h
+++ b/lib/entry/buckets_internal.h
@@ -27,7 +27,6 @@
 struct entry_buckets_s {
 	bucket_slot_t slots[GN_BUCKETS];
 	uint64_t ticked_us;
-	uint64_t waiting_us; /**< since when tasks wait; 0: none do */
 	gn_counter_t *taken;
 	gn_counter_t *released;
 	gn_counter_t *lost;
--- a/lib/entry/entry_internal.h
+++ b/lib/entry/entry_internal.h
@@ -5,6 +5,7 @@
 #ifndef GN_ENTRY_INTERNAL_H
 #define GN_ENTRY_INTERNAL_H
 
+#include "batch/share.h"
 #include "common/str.h"
 #include "entry/entry.h"
 #include "http/client.h"
@@ -41,7 +42,7 @@
 	uint64_t heard_us;
 	bool silent; /**< no beat within the beat timeout */
 	bool unreachable; /**< its connection is gone; nothing heard since */
-	unsigned placed_tasks; /**< by its last poll, and claimed since */
+	gn_batch_member_t member; /**< by its last poll, and claimed since */
 	uint32_t running_tasks; /**< by its last report */
 	uint64_t config_revision; /**< by its last report */
 } entry_worker_t;
@@ -90,7 +91,9 @@
 	gn_route_view_t *view;
 	gn_eject_t *eject;
 	gn_limit_t *limit;
+	gn_batch_share_t share; /**< of the waiting tasks */
 	GHashTable *workers; /**< by name */
+	uint64_t workers_revision; /**< configuration applied to them */
 	GHashTable *sessions; /**< workers by session */
 	GHashTable *services; /**< by name */
 	GHashTable *requests; /**< by id */
--- a/lib/entry/polls.c
+++ b/lib/entry/polls.c
@@ -6,9 +6,6 @@
 #include "entry/config.h"
 #include "wire/task_wire.h"
 
-/** Tasks that wait for longer go to any worker, milliseconds. */
-#define LEVEL_WAIT_MS 500
-
 static void send_orders(entry_t *entry, const entry_worker_t *worker,
 			uint64_t sent_us, Gn__BucketOrders **buckets,
 			size_t count)
@@ -69,90 +66,39 @@
 	}
 }
 
-/* What there is to spread, and over how many workers. */
-typedef struct spread_s {
-	unsigned workers; /**< that may be given tasks */
-	size_t placed; /**< tasks at those workers */
-	size_t waiting; /**< tasks in this entry's buckets */
-} spread_t;
-
-static void count_workers(const entry_t *entry, spread_t *spread)
+static size_t count_waiting(const entry_t *entry)
 {
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, entry->workers);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const entry_worker_t *worker = value;
-
-		if (worker->silent || entry_config_is_drained(entry, worker))
-			continue;
-		spread->workers++;
-		spread->placed += worker->placed_tasks;
-	}
-}
+	size_t waiting = 0;
 
-static void count_waiting(const entry_t *entry, spread_t *spread)
-{
 	for (unsigned i = 0; i < GN_BUCKETS; i++) {
 		gn_batch_bucket_t *bucket = entry_bucket_find(entry, i);
 
 		if (bucket)
-			spread->waiting += gn_batch_order_count(
+			waiting += gn_batch_order_count(
 				gn_batch_bucket_order(bucket));
 	}
-}
-
-/* Notes since when tasks have been waiting without a break. */
-static bool has_waited_long(entry_t *entry, size_t waiting)
-{
-	entry_buckets_t *buckets = entry->buckets;
-	uint64_t now_us = gn_runtime_now_us(entry->runtime);
-
-	if (!waiting)
-		buckets->waiting_us = 0;
-	else if (!buckets->waiting_us)
-		buckets->waiting_us = now_us;
-	return waiting && now_us - buckets->waiting_us >
-				  (uint64_t)LEVEL_WAIT_MS * GN_US_PER_MS;
-}
-
-/*
- * The most tasks that a poll of @p worker takes. All workers are filled to one
- * level: else the first to ask would get everything. What the less loaded do
- * not take in time, anyone may, a part of it at a poll.
- */
-static unsigned get_share(entry_t *entry, const entry_worker_t *worker)
-{
-	spread_t spread = { 0 };
-	size_t level;
-
-	count_workers(entry, &spread);
-	count_waiting(entry, &spread);
-	spread.workers = MAX(spread.workers, 1);
-	if (has_waited_long(entry, spread.waiting))
-		return (unsigned)(spread.waiting / spread.workers) + 1;
-	level = (spread.placed + spread.waiting + spread.workers - 1) /
-		spread.workers;
-	return level > worker->placed_tasks
-		       ? (unsigned)(level - worker->placed_tasks)
-		       : 0;
+	return waiting;
 }
 
 static void describe(entry_t *entry, entry_worker_t *worker,
-		     const Gn__TaskPoll *poll, gn_batch_worker_t *described)
+		     const Gn__TaskPoll *poll, unsigned running,
+		     gn_batch_worker_t *described)
 {
+	bool drained = entry_config_is_drained(entry, worker);
 	unsigned share;
 
-	share = get_share(entry, worker);
+	gn_batch_share_set(&entry->share, &worker->member, !drained,
+			   running);
+	share = gn_batch_share_get(&entry->share, &worker->member,
+				   count_waiting(entry),
+				   gn_runtime_now_us(entry->runtime));
 	described->name = worker->name;
 	described->service = worker->service->name;
 	described->free_tasks = MIN(poll->free_tasks, share);
 	described->free_cores = poll->free_cores;
 	described->free_memory_mb = poll->free_memory_mb;
 	described->free_accelerators = poll->free_accelerators;
-	described->draining =
-		poll->draining || entry_config_is_drained(entry, worker);
+	described->draining = poll->draining || drained;
 	described->window_us = entry_config_window_us(entry, worker);
 	for (size_t i = 0; i < poll->n_kinds && i < GN_BATCH_KINDS_MAX; i++)
 		described->kinds[described->kind_count++] = poll->kinds[i];
@@ -187,15 +133,15 @@
 	Gn__BucketOrders *messages[GN_BUCKETS];
 	gn_batch_poll_t poll;
 	unsigned free_before;
+	size_t running;
 	size_t count;
 
 	gn_counter_inc(entry->buckets->polls);
 	if (gn_task_wire_get_runs(scratch, message, &reports))
 		goto out;
 	/* A run that has ended stays in the polls until its end is stored. */
-	worker->placed_tasks = (unsigned)gn_batch_reports_count_running(
-		reports, message->n_runs);
-	describe(entry, worker, message, &described);
+	running = gn_batch_reports_count_running(reports, message->n_runs);
+	describe(entry, worker, message, (unsigned)running, &described);
 	poll = (gn_batch_poll_t){
 		.incarnation = worker->agent_incarnation,
 		.sent_us = message->sent_us,
@@ -205,7 +151,9 @@
 	};
 	free_before = described.free_tasks;
 	count = answer_poll(entry, scratch, &poll, messages);
-	worker->placed_tasks += free_before - described.free_tasks;
+	gn_batch_share_set(&entry->share, &worker->member, worker->member.open,
+			   worker->member.placed + free_before -
+				   described.free_tasks);
 	if (count)
 		send_orders(entry, worker, message->sent_us, messages, count);
 out:
--- a/lib/entry/workers.c
+++ b/lib/entry/workers.c
@@ -170,6 +170,15 @@
 	return gn_route_view_put(entry->view, &spec, &worker->route);
 }
 
+/* Counts the worker among those that tasks are spread over, or not. */
+static void note_member(entry_t *entry, entry_worker_t *worker)
+{
+	bool open = !worker->silent && !entry_config_is_drained(entry, worker);
+
+	gn_batch_share_set(&entry->share, &worker->member, open,
+			   worker->member.placed);
+}
+
 /* What was known of the worker's earlier session holds no longer. */
 static void begin_session(entry_t *entry, entry_worker_t *worker,
 			  uint64_t session)
@@ -225,6 +234,7 @@
 	worker->heard_us = gn_runtime_now_us(entry->runtime);
 	worker->silent = false;
 	worker->unreachable = false;
+	note_member(entry, worker);
 	send_welcome(entry, worker);
 	entry_config_push(entry, worker);
 }
@@ -251,6 +261,7 @@
 		return;
 	worker->silent = false;
 	worker->unreachable = false;
+	note_member(entry, worker);
 	gn_route_view_set_link(entry->view, worker->route, true);
 }
 
@@ -289,6 +300,7 @@
 static void mark_silent(entry_t *entry, entry_worker_t *worker)
 {
 	worker->silent = true;
+	note_member(entry, worker);
 	gn_counter_inc(entry->counters.workers_silent);
 	gn_log(LOG_WARNING, "beat", worker->name, "silent");
 	gn_route_view_set_link(entry->view, worker->route, false);
@@ -303,6 +315,20 @@
 	g_hash_table_remove(entry->sessions, &worker->session);
 }
 
+/* Takes over what a new revision says of the workers, once. */
+static void apply_config(entry_t *entry)
+{
+	GHashTableIter iter;
+	gpointer worker;
+
+	if (entry->workers_revision == entry->config->revision)
+		return;
+	entry->workers_revision = entry->config->revision;
+	g_hash_table_iter_init(&iter, entry->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &worker))
+		note_member(entry, worker);
+}
+
 void entry_workers_tick(entry_t *entry)
 {
 	uint64_t now_us = gn_runtime_now_us(entry->runtime);
@@ -312,6 +338,7 @@
 	GHashTableIter iter;
 	gpointer value;
 
+	apply_config(entry);
 	g_hash_table_iter_init(&iter, entry->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		entry_worker_t *worker = value;
--- /dev/null
+++ b/tests/unit/test_share.c
@@ -0,0 +1,76 @@
+#include <glib.h>
+
+#include "batch/share.h"
+
+#define MS UINT64_C(1000)
+
+typedef struct share_case_s {
+	const char *name;
+	unsigned placed[3]; /**< at three workers; the first one asks */
+	bool open[3];
+	size_t waiting;
+	unsigned share; /**< wanted while nothing has waited for long */
+	unsigned late_share; /**< wanted once it has */
+} share_case_t;
+
+static const share_case_t cases[] = {
+	{ "nothing waits", { 0, 0, 0 }, { true, true, true }, 0, 0, 0 },
+	{ "even", { 0, 0, 0 }, { true, true, true }, 6, 2, 3 },
+	{ "rounded up", { 0, 0, 0 }, { true, true, true }, 4, 2, 2 },
+	{ "the fuller one waits", { 4, 0, 0 }, { true, true, true }, 4, 0, 2 },
+	{ "others closed", { 1, 9, 9 }, { true, false, false }, 5, 5, 6 },
+	{ "none open", { 0, 0, 0 }, { false, false, false }, 2, 2, 3 },
+};
+
+static void test_share(gconstpointer data)
+{
+	const share_case_t *row = data;
+	gn_batch_share_t share = { 0 };
+	gn_batch_member_t members[3] = { 0 };
+
+	for (int i = 0; i < 3; i++)
+		gn_batch_share_set(&share, &members[i], row->open[i],
+				   row->placed[i]);
+	g_assert_cmpuint(
+		gn_batch_share_get(&share, &members[0], row->waiting, MS), ==,
+		row->share);
+	g_assert_cmpuint(
+		gn_batch_share_get(&share, &members[0], row->waiting, 502 * MS),
+		==, row->late_share);
+}
+
+/** The kept sums are those of the members after any changes. */
+static void test_sums(void)
+{
+	gn_batch_share_t share = { 0 };
+	gn_batch_member_t members[16] = { 0 };
+	GRand *rand = g_rand_new_with_seed(5);
+	uint64_t placed = 0;
+	unsigned workers = 0;
+
+	for (int i = 0; i < 1000; i++)
+		gn_batch_share_set(&share,
+				   &members[g_rand_int_range(rand, 0, 16)],
+				   g_rand_boolean(rand),
+				   (unsigned)g_rand_int_range(rand, 0, 9));
+	for (int i = 0; i < 16; i++) {
+		workers += members[i].open;
+		placed += members[i].open ? members[i].placed : 0;
+	}
+	g_assert_cmpuint(share.workers, ==, workers);
+	g_assert_cmpuint(share.placed, ==, placed);
+	g_rand_free(rand);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char *path = g_strdup_printf("/share/%s", cases[i].name);
+
+		g_test_add_data_func(path, &cases[i], test_share);
+		g_free(path);
+	}
+	g_test_add_func("/share/sums", test_sums);
+	return g_test_run();
+}
