Give scenarios bounds on waiting, replaced hosts and larger fleets

Cause: a scenario could wait for a revision but not say by when; it could not start a fleet in one line, nor replace a host under its addresses.

drain_race waited 0.3 s before it looked whether an accepted drain was undone; with answers of the platform lost, an entry may only be late then. It now waits until both entries use the same revision, at most 20 s.

--- a/tests/scenario.sh
+++ b/tests/scenario.sh
@@ -137,6 +137,26 @@
 		${via[$1.backend]:+--announce "${via[$1.backend]}"}
 }
 
+# workers COUNT PREFIX SERVICE ENTRY...: in three data centres in turn
+cmd_workers() {
+	local i dcs=(dc-a dc-b dc-c)
+	for i in $(seq "$1"); do
+		cmd_worker "$2$i" "${dcs[$((i % 3))]}" "${@:3}"
+	done
+}
+
+# replace OLD NEW DATA_CENTRE SERVICE ENTRY...: OLD is killed whole, and NEW
+# is started under its addresses
+cmd_replace() {
+	local old=$1
+	shift
+	cmd_kill "$old"
+	cmd_kill "$old.backend"
+	http[$1]=${http[$old]}
+	http[$1.backend]=${http[$old.backend]}
+	cmd_worker "$@"
+}
+
 cmd_restart() { # an agent that was stopped or killed
 	launch "$1" "$build/gypsumnotchd" --settings "$work/$1.toml"
 }
@@ -152,6 +172,8 @@
 	echo "no $2 live workers at $1"
 }
 
+cmd_workers_live() { fetch "http://${http[$1]}/v1/hosts" | grep -o '"state":"live"' | wc -l; }
+
 cmd_wait_up() {
 	for _ in $(seq 300); do
 		fetch -o /dev/null "http://${http[$1]}/" && return
@@ -229,6 +251,27 @@
 cmd_wait_exit() { wait "${pid[$1]}"; echo "exit $?"; }
 cmd_sleep() { sleep "$1"; }
 
+# repeat COUNT SECONDS VERB...: runs VERB so often, with pauses
+cmd_repeat() {
+	local _
+	for _ in $(seq "$1"); do
+		"cmd_$3" "${@:4}"
+		sleep "$2"
+	done
+}
+
+now_ms() { date +%s%3N; }
+
+# within SECONDS VERB...: what VERB prints, or how late that came
+cmd_within() {
+	local begin spent
+	begin=$(now_ms)
+	"cmd_$2" "${@:3}" >"$work/within.out"
+	spent=$(($(now_ms) - begin))
+	echo "$2 took $spent ms of $1 s" >>"$work/within.log"
+	if [ "$spent" -le "$(($1 * 1000))" ]; then cat "$work/within.out"; else echo "late, $spent ms: $(cat "$work/within.out")"; fi
+}
+
 # journal WORKER...: what the backend servers ran, sorted, with counts over 1
 cmd_journal() {
 	local w
@@ -258,6 +301,18 @@
 	echo "not all buckets are owned by $*"
 }
 
+# wait_members ENTRY...: until each knows just these as members
+cmd_wait_members() {
+	local e want
+	want=$(tr ' ' '\n' <<<"$*" | sort | xargs)
+	for e in "$@"; do
+		for _ in $(seq 300); do
+			[ "$(fetch "http://${http[$e]}/dump" | jq -r '.members.members | sort | join(" ")')" = "$want" ] && break
+			sleep 0.1
+		done
+	done
+}
+
 # submit LABEL ENTRY CLASS TEAM SERVICE KIND RUN_MS [HEADER...]
 cmd_submit() {
 	local label=$1 e=$2 h args=()
@@ -374,17 +429,15 @@
 
 # wait_revision N PROCESS...: until each uses this revision
 cmd_wait_revision() {
-	local want=$1 p seen
+	local want=$1 p seen urls=()
 	shift
+	for p in "$@"; do urls+=("http://${http[$p]}/dump"); done
 	for _ in $(seq 200); do
-		seen=
-		for p in "$@"; do
-			seen="$seen $(fetch "http://${http[$p]}/dump" | jq -r .config_revision)"
-		done
-		[ "$(tr ' ' '\n' <<<"$seen" | grep . | sort -u)" = "$want" ] && echo "revision $want everywhere" && return
+		seen=$(fetch "${urls[@]}" | jq -r .config_revision)
+		[ "$(wc -l <<<"$seen")" = $# ] && [ "$(sort -u <<<"$seen")" = "$want" ] && echo "revision $want everywhere" && return
 		sleep 0.1
 	done
-	echo "revisions:$seen"
+	echo "revisions: "$seen
 }
 
 # running WORKER...: how many tasks run now, by their agents
@@ -457,6 +510,17 @@
 	done
 }
 
+# wait_same_revision PROCESS...: until all use the same one
+cmd_wait_same_revision() {
+	local p urls=()
+	for p in "$@"; do urls+=("http://${http[$p]}/dump"); done
+	for _ in $(seq 200); do
+		[ "$(fetch "${urls[@]}" | jq .config_revision | sort | uniq -c | awk '{print $1}')" = $# ] && return
+		sleep 0.1
+	done
+	echo "no common revision"
+}
+
 # drain_race ENTRY HOST ENTRY HOST ROUNDS: two operators at the same time;
 # what each was told was accepted must be in the rules afterwards
 cmd_drain_race() {
@@ -466,7 +530,7 @@
 		two=$(operate "$3" drain "$4")
 		wait $!
 		one=$(cat "$work/one")
-		sleep 0.3
+		cmd_wait_same_revision "$1" "$3"
 		rules=$(fetch "http://${http[$1]}/v1/config" | jq -r .rules)
 		if [ "$one" = accepted ]; then grep -q "\"$2\"" <<<"$rules" || undone=$((undone + 1)); fi
 		if [ "$two" = accepted ]; then grep -q "\"$4\"" <<<"$rules" || undone=$((undone + 1)); fi
