Let an entry without the platform take a newer configuration from a peer

Cause: gn_store_offer was there, but nothing called it: an entry heard of revisions from the platform's watch alone. Cut off from the platform it kept what it had, and so did agents that know only that entry. Ruled out: the agents' part, which pushes by beats already give them.

Now an entry whose watch is silent for 3.5 s (it answers each 3 s when nothing changes), or one of whose workers reports a newer revision, asks the other entries of its member record in turn, one each 250 ms, over the entries' present HTTP calls. A peer answers with its document if newer. gn_store_offer checks it whole, and adopts it only if it is newer; a refused one is logged once.

Left: an entry restarted while cut off knows no peers.

--- a/lib/config/store.c
+++ b/lib/config/store.c
@@ -17,12 +17,17 @@
 
 /* ======   Adopting   ====== */
 
+static bool is_newer(const gn_store_t *store, const gn_config_doc_t *doc)
+{
+	return !store->current || doc->revision > store->current->revision ||
+	       store->mutant == GN_STORE_MUTANT_ADOPT_OLDER;
+}
+
 void gn_store_adopt(gn_store_t *store, const gn_config_doc_t *doc)
 {
 	gn_config_doc_t *copy;
 
-	if (store->current && doc->revision <= store->current->revision &&
-	    store->mutant != GN_STORE_MUTANT_ADOPT_OLDER)
+	if (!is_newer(store, doc))
 		return;
 	copy = gn_config_doc_copy(store, doc);
 	if (!copy)
@@ -54,9 +59,20 @@
 		take_entry(context, &news->entries[i]);
 }
 
-void gn_store_offer(gn_store_t *store, const gn_config_doc_t *doc)
+gn_code_t gn_store_offer(gn_store_t *store, const gn_config_doc_t *doc,
+			 gn_error_t *error)
 {
+	const gn_store_options_t *options = &store->options;
+	gn_code_t code;
+
+	if (!is_newer(store, doc))
+		return gn_error_set(error, GN_ERR_STALE, STEP, NULL,
+				    "not newer than what is in use");
+	code = options->check(options->context, doc, error);
+	if (code)
+		return code;
 	gn_store_adopt(store, doc);
+	return GN_OK;
 }
 
 /* ======   Changes   ====== */
--- a/lib/config/store.h
+++ b/lib/config/store.h
@@ -91,8 +91,14 @@
 void gn_store_change(gn_store_t *store, const gn_store_change_t *change,
 		     gn_store_done_t done, void *context);
 
-/** Adopts a peer's document if it is newer than the present one. */
-void gn_store_offer(gn_store_t *store, const gn_config_doc_t *doc);
+/**
+ * Adopts a peer's document if it is newer than the present one and passes the
+ * whole check. It must have been accepted: a peer's proposal is no offer.
+ * @return GN_OK, adopted; GN_ERR_STALE, not newer; else the check's code with
+ * @p error filled
+ */
+gn_code_t gn_store_offer(gn_store_t *store, const gn_config_doc_t *doc,
+			 gn_error_t *error);
 
 /* ======   Queries   ====== */
 
--- a/lib/entry/config.c
+++ b/lib/entry/config.c
@@ -223,6 +223,7 @@
 	config->accepted = gn_counters_get(all, "config.accepted");
 	config->adopted = gn_counters_get(all, "config.adopted");
 	config->pushed = gn_counters_get(all, "config.pushed");
+	config->fetched = gn_counters_get(all, "config.fetched");
 	config->store = gn_store_create(config, &options);
 	return config->store ? GN_OK : GN_ERR_MEMORY;
 }
@@ -230,4 +231,5 @@
 void entry_config_tick(entry_t *entry)
 {
 	gn_store_tick(entry->config->store);
+	entry_config_ask_peers(entry);
 }
--- a/lib/entry/config.h
+++ b/lib/entry/config.h
@@ -19,6 +19,10 @@
 	gn_counter_t *accepted;
 	gn_counter_t *adopted;
 	gn_counter_t *pushed;
+	gn_counter_t *fetched;
+	uint64_t asked_us; /**< when a peer was last asked */
+	uint64_t peer_next; /**< the next one to ask, in the record's order */
+	uint64_t refused_revision; /**< the last offer that was told of */
 };
 
 /** Opens the store; the membership comes before. */
@@ -28,6 +32,12 @@
 /** Tells the agent of @p worker what holds for it. */
 void entry_config_push(entry_t *entry, const entry_worker_t *worker);
 
+/**
+ * Asks a peer for a newer revision while the platform's service is silent, or
+ * a worker has one.
+ */
+void entry_config_ask_peers(entry_t *entry);
+
 /* ======   Queries   ====== */
 
 /** Whether the rules drain the worker's host, by an operator or a window. */
@@ -51,5 +61,7 @@
 void entry_on_host_drain(void *arg, gn_http_request_t *request, gn_str_t name);
 /** POST /v1/hosts/NAME/resume. */
 void entry_on_host_resume(void *arg, gn_http_request_t *request, gn_str_t name);
+/** POST /v1/peers/config: another entry asks for a newer revision. */
+void entry_on_peer_config(void *arg, gn_http_request_t *request, gn_str_t name);
 
 #endif
--- /dev/null
+++ b/lib/entry/config_peers.c
@@ -0,0 +1,171 @@
+/**
+ * @file config_peers.c
+ * @brief The configuration from another entry, when the platform is silent.
+ *
+ * An entry that is cut off from the platform's service would keep what it has.
+ * It asks the other entries of its member record in turn: each answers with
+ * its document if that is newer. What a peer holds was accepted, so to adopt
+ * it is as good as to adopt it from the service; it is decoded and checked
+ * whole first, and an older or equal one is left alone.
+ */
+#include <inttypes.h>
+
+#include "common/log.h"
+#include "entry/config.h"
+#include "entry/membership.h"
+#include "entry/peers.h"
+#include "http/status.h"
+
+#define STEP "config"
+#define PEER_CONFIG_PATH "/v1/peers/config"
+/** Between questions, milliseconds. */
+#define ASK_INTERVAL_MS 250
+/** The watch answers each 3 s when nothing changes; then it is late. */
+#define SILENT_MS 3500
+
+static uint64_t present_revision(const entry_config_t *config)
+{
+	const gn_config_doc_t *doc = gn_store_current(config->store);
+
+	return doc ? doc->revision : 0;
+}
+
+/* ======   Asking   ====== */
+
+static bool has_newer_worker(const entry_t *entry)
+{
+	uint64_t revision = present_revision(entry->config);
+	GHashTableIter iter;
+	gpointer worker;
+
+	g_hash_table_iter_init(&iter, entry->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &worker))
+		if (((entry_worker_t *)worker)->config_revision > revision)
+			return true;
+	return false;
+}
+
+static bool may_be_behind(const entry_t *entry, uint64_t now_us)
+{
+	uint64_t heard_us = gn_store_heard_us(entry->config->store);
+
+	return now_us - heard_us > SILENT_MS * GN_US_PER_MS ||
+	       has_newer_worker(entry);
+}
+
+/* Tells of each refused revision once: it is offered again and again. */
+static void note_refused(entry_config_t *config, uint64_t revision,
+			 const gn_error_t *error)
+{
+	if (revision == config->refused_revision)
+		return;
+	config->refused_revision = revision;
+	gn_log_error(LOG_ERR, error);
+}
+
+static void take_document(entry_config_t *config, gn_str_t text)
+{
+	gn_config_doc_t *doc;
+	gn_error_t error = { 0 };
+	gn_code_t code = gn_config_doc_decode(config, text, &doc);
+
+	if (code) {
+		gn_log(LOG_ERR, STEP, NULL, "a peer's document is malformed");
+		return;
+	}
+	code = gn_store_offer(config->store, doc, &error);
+	if (!code)
+		gn_counter_inc(config->fetched);
+	else if (code != GN_ERR_STALE)
+		note_refused(config, doc->revision, &error);
+	talloc_free(doc);
+}
+
+static void on_peer_config(void *arg, const gn_http_call_t *call)
+{
+	entry_t *entry = arg;
+	json_t *json;
+	json_t *document;
+
+	/* The client, which ends its calls, outlives the configuration. */
+	if (!entry->config || call->code || call->status != HTTP_OK)
+		return;
+	json = json_loadb(call->answer ? call->answer : "", call->answer_len, 0,
+			  NULL);
+	document = json_object_get(json, "document");
+	if (json_is_string(document))
+		take_document(entry->config,
+			      (gn_str_t){ json_string_value(document),
+					  json_string_length(document) });
+	json_decref(json);
+}
+
+/* The next member of the record in turn that isn't this one; NULL: none. */
+static const gn_record_member_t *next_peer(entry_t *entry)
+{
+	const gn_record_doc_t *doc =
+		gn_record_adopted(entry->membership->record);
+
+	for (size_t i = 0; doc && i < doc->member_count; i++) {
+		uint64_t index = entry->config->peer_next++ % doc->member_count;
+
+		if (!entry_membership_is_self(entry, &doc->members[index]))
+			return &doc->members[index];
+	}
+	return NULL;
+}
+
+void entry_config_ask_peers(entry_t *entry)
+{
+	entry_config_t *config = entry->config;
+	uint64_t now_us = gn_runtime_now_us(entry->runtime);
+	const gn_record_member_t *peer;
+	json_t *json;
+
+	if (now_us - config->asked_us < ASK_INTERVAL_MS * GN_US_PER_MS)
+		return;
+	config->asked_us = now_us;
+	if (!may_be_behind(entry, now_us))
+		return;
+	peer = next_peer(entry);
+	if (!peer)
+		return;
+	json = json_pack("{s:I}", "revision",
+			 (json_int_t)present_revision(config));
+	if (entry_peer_call(entry, peer->address, PEER_CONFIG_PATH, json,
+			    on_peer_config, entry))
+		gn_log(LOG_ERR, STEP, peer->address, "error=memory");
+}
+
+/* ======   Answering   ====== */
+
+static json_t *describe_newer(const gn_config_doc_t *doc, uint64_t revision)
+{
+	char *text = NULL;
+	json_t *json;
+
+	if (doc && doc->revision > revision)
+		text = gn_config_doc_encode(doc);
+	json = json_pack("{s:s?}", "document", text);
+	free(text);
+	return json;
+}
+
+void entry_on_peer_config(void *arg, gn_http_request_t *request, gn_str_t name)
+{
+	entry_t *entry = arg;
+	json_t *json = json_loadb(request->body ? request->body : "",
+				  request->body_len, 0, NULL);
+	const json_t *revision = json_object_get(json, "revision");
+
+	(void)name;
+	if (!json_is_integer(revision) || json_integer_value(revision) < 0)
+		gn_http_reply_not_run(entry->server, request, HTTP_BAD_REQUEST,
+				      "malformed", 0, NULL);
+	else
+		gn_http_reply_json(
+			entry->server, request, HTTP_OK,
+			describe_newer(gn_store_current(entry->config->store),
+				       (uint64_t)json_integer_value(revision)));
+	json_decref(json);
+}
--- a/lib/entry/http.c
+++ b/lib/entry/http.c
@@ -118,6 +118,7 @@
 	{ GN_HTTP_POST, "/v1/hosts/*/drain", entry_on_host_drain },
 	{ GN_HTTP_POST, "/v1/hosts/*/resume", entry_on_host_resume },
 	{ GN_HTTP_POST, "/v1/peers/query", entry_on_peer_query },
+	{ GN_HTTP_POST, "/v1/peers/config", entry_on_peer_config },
 	{ GN_HTTP_GET, "/dump", on_dump },
 	{ GN_HTTP_GET, NULL, NULL },
 };
--- a/tests/contract/test_store.c
+++ b/tests/contract/test_store.c
@@ -89,6 +89,7 @@
 	gn_store_t *store;
 	rival_t rival;
 	unsigned rival_writes;
+	unsigned adopted; /* documents put in use */
 } bench_t;
 
 static void take_result(void *context, const gn_store_result_t *result)
@@ -162,6 +163,14 @@
 	return GN_OK;
 }
 
+static void count_adopted(void *context, const gn_config_doc_t *doc)
+{
+	bench_t *bench = context;
+
+	(void)doc;
+	bench->adopted++;
+}
+
 static void bench_open(bench_t *bench)
 {
 	gn_store_options_t options = { 0 };
@@ -177,6 +186,7 @@
 	options.rand = bench->rand;
 	options.timeout_ms = TIMEOUT_MS;
 	options.check = check_doc;
+	options.on_adopt = count_adopted;
 	options.context = bench;
 	bench->store = gn_store_create(NULL, &options);
 	g_assert_nonnull(bench->store);
@@ -296,6 +306,69 @@
 	bench_close(&bench);
 }
 
+typedef struct offer_case_s {
+	const char *name;
+	uint64_t revision; /* of the offer; the present one is 5 */
+	const char *inventory;
+	unsigned times; /* offered, one after the other */
+	gn_code_t code; /* of the last one */
+	uint64_t in_use; /* afterwards */
+	unsigned adopted; /* how often it was put in use */
+} offer_case_t;
+
+static const offer_case_t offer_cases[] = {
+	{ "newer", 7, "new", 1, GN_OK, 7, 1 },
+	{ "older", 4, "new", 1, GN_ERR_STALE, 5, 0 },
+	{ "equal", 5, "new", 1, GN_ERR_STALE, 5, 0 },
+	{ "none", 0, "", 1, GN_ERR_STALE, 5, 0 },
+	{ "invalid", 7, BAD_TEXT, 1, GN_ERR_INVALID, 5, 0 },
+	{ "duplicated", 7, "new", 2, GN_ERR_STALE, 7, 1 },
+	{ "invalid-twice", 7, BAD_TEXT, 2, GN_ERR_INVALID, 5, 0 },
+};
+
+static gn_config_doc_t *make_offer(uint64_t revision, const char *inventory)
+{
+	gn_config_doc_t *doc = gn_config_doc_create(NULL);
+
+	doc->revision = revision;
+	doc->parts[GN_CONFIG_INVENTORY].text = gn_str_from(inventory);
+	return doc;
+}
+
+static gn_code_t offer(bench_t *bench, uint64_t revision, const char *inventory)
+{
+	gn_config_doc_t *doc = make_offer(revision, inventory);
+	gn_error_t error = { 0 };
+	gn_code_t code = gn_store_offer(bench->store, doc, &error);
+
+	g_assert_cmpint(error.code, ==, code);
+	talloc_free(doc);
+	return code;
+}
+
+/* A process that is cut off from the service takes a peer's document. */
+static void test_offer(const void *data)
+{
+	const offer_case_t *c = data;
+	gn_code_t code = GN_OK;
+	bench_t bench;
+
+	bench_open(&bench);
+	fake_kv_faults(bench.fake)->down = true;
+	g_assert_cmpint(offer(&bench, 5, "old"), ==, GN_OK);
+	bench.adopted = 0;
+	for (unsigned i = 0; i < c->times; i++)
+		code = offer(&bench, c->revision, c->inventory);
+	g_assert_cmpint(code, ==, c->code);
+	/* What the service has, revision 1, doesn't take it back. */
+	fake_kv_faults(bench.fake)->down = false;
+	bench_run(&bench, TIMEOUT_MS);
+	g_assert_cmpuint(gn_store_current(bench.store)->revision, ==,
+			 c->in_use);
+	g_assert_cmpuint(bench.adopted, ==, c->adopted);
+	bench_close(&bench);
+}
+
 typedef struct decode_case_s {
 	const char *name;
 	const char *text;
@@ -344,6 +417,12 @@
 
 		g_test_add_data_func(path, &store_cases[i], test_change);
 	}
+	for (size_t i = 0; i < G_N_ELEMENTS(offer_cases); i++) {
+		g_autofree char *path =
+			g_strdup_printf("/store/offer/%s", offer_cases[i].name);
+
+		g_test_add_data_func(path, &offer_cases[i], test_offer);
+	}
 	for (size_t i = 0; i < G_N_ELEMENTS(decode_cases); i++) {
 		g_autofree char *path = g_strdup_printf("/store/decode/%s",
 							decode_cases[i].name);
--- a/tests/contract/test_store_walk.c
+++ b/tests/contract/test_store_walk.c
@@ -248,7 +248,7 @@
 		if (!writer->is_busy && gn_walk_draw(walk->kv.rand, 0.1))
 			ask_for_change(walk, writer);
 		if (walk->old && gn_walk_draw(walk->kv.rand, 0.01))
-			gn_store_offer(writer->store, walk->old);
+			gn_store_offer(writer->store, walk->old, NULL);
 	}
 	if (!fake_kv_faults(writer->fake)->frozen)
 		gn_store_tick(writer->store);
