Add a throttle order to the backend server's protocol

Cause: lib/admit decides how much batch work a host bears, but the agent had no way to slow a task down; its only means was to have it leave.

POST /v1/tasks/ID/throttle lets a run go on at part of its speed; the worker tasks module tells a speed once and has single runs leave. Starts name the class, lists may tell class and speed, so that a restarted agent knows both. Ruled out: a call outside the queue of actions, which could overtake the start of its run.

The stand-in's throttle slows the progress of a task and what it adds to requests ("noisy_kind", "noise_ms"); "unthrottled" answers 501.

--- a/lib/agent/backend.c
+++ b/lib/agent/backend.c
@@ -92,7 +92,7 @@
 
 	backend->listed_us = now_us;
 	backend->list_spoiled =
-		agent->action && agent->action->kind != GN_ACTION_LEASE;
+		agent->action && agent_action_changes_list(agent->action);
 	if (backend->list_spoiled)
 		return;
 	gn_admit_begin_list(agent->admit);
--- a/lib/agent/tasks.c
+++ b/lib/agent/tasks.c
@@ -127,6 +127,11 @@
 	return false;
 }
 
+static const char *class_name(gn_class_t work_class)
+{
+	return work_class == GN_CLASS_STANDING ? "standing" : "batch";
+}
+
 static const char *text_of(const json_t *json, const char *key)
 {
 	return json_string_value(json_object_get(json, key));
@@ -139,6 +144,14 @@
 	return value > 0 ? (uint64_t)value : 0;
 }
 
+/* A backend server that tells no class runs batch work. */
+static gn_class_t parse_class(const char *name)
+{
+	if (!g_strcmp0(name, class_name(GN_CLASS_STANDING)))
+		return GN_CLASS_STANDING;
+	return GN_CLASS_BATCH;
+}
+
 static bool parse_run(const json_t *json, gn_backend_run_t *run)
 {
 	const char *id = text_of(json, "id");
@@ -151,8 +164,11 @@
 	run->cores = (unsigned)number_of(json, "cores");
 	run->memory_mb = (unsigned)number_of(json, "memory_mb");
 	run->accelerators = (unsigned)number_of(json, "accelerators");
+	run->speed_pct = (unsigned)number_of(json, "speed_pct");
+	run->work_class = parse_class(text_of(json, "class"));
 	return id && run->kind && run->kind[0] &&
 	       strlen(run->kind) <= GN_NAME_MAX &&
+	       run->speed_pct <= GN_SPEED_FULL_PCT &&
 	       parse_state(text_of(json, "state"), &run->state) &&
 	       gn_task_id_parse(gn_str_from(id), &run->id) == GN_OK;
 }
@@ -218,11 +234,21 @@
 /* ======   Actions   ====== */
 
 static const char *const action_names[GN_ACTION_KIND_COUNT] = {
-	[GN_ACTION_START] = "start",	       [GN_ACTION_LEASE] = "lease",
-	[GN_ACTION_CHECKPOINT] = "checkpoint", [GN_ACTION_STOP] = "stop",
+	[GN_ACTION_START] = "start",
+	[GN_ACTION_LEASE] = "lease",
+	[GN_ACTION_CHECKPOINT] = "checkpoint",
+	[GN_ACTION_STOP] = "stop",
 	[GN_ACTION_FORGET] = "forget",
+	[GN_ACTION_THROTTLE] = "throttle",
 };
 
+/* Neither a renewed lease nor a speed changes what owners wait for. */
+bool agent_action_changes_list(const gn_action_t *action)
+{
+	return action->kind != GN_ACTION_LEASE &&
+	       action->kind != GN_ACTION_THROTTLE;
+}
+
 static json_t *pack_action(const agent_t *agent, const gn_action_t *action)
 {
 	json_t *json = json_object();
@@ -230,7 +256,10 @@
 
 	json_object_set_new(json, "epoch",
 			    json_integer((json_int_t)action->epoch));
-	if (action->lease_until_us)
+	if (action->kind == GN_ACTION_THROTTLE)
+		json_object_set_new(json, "speed_pct",
+				    json_integer(action->speed_pct));
+	else if (action->lease_until_us)
 		json_object_set_new(
 			json, "lease_until_us",
 			json_integer((json_int_t)action->lease_until_us));
@@ -244,6 +273,8 @@
 				    json_string(agent->backend.incarnation));
 	json_object_set_new(json, "spec", json_string(spec));
 	json_object_set_new(json, "kind", json_string(action->task_kind));
+	json_object_set_new(json, "class",
+			    json_string(class_name(action->work_class)));
 	json_object_set_new(json, "checkpoint",
 			    json_string(action->checkpoint));
 	json_object_set_new(json, "cores", json_integer(action->cores));
@@ -287,8 +318,7 @@
 	char id[GN_TASK_ID_SIZE];
 
 	agent->action = NULL;
-	/* A renewed lease changes neither the list nor what owners wait for. */
-	if (action->kind != GN_ACTION_LEASE) {
+	if (agent_action_changes_list(action)) {
 		agent->backend.list_spoiled = true;
 		agent->poll_soon = true;
 	}
@@ -318,7 +348,7 @@
 	gn_task_id_format(agent->action->id, id);
 	snprintf(path, sizeof(path), "/v1/tasks/%s/%s", id,
 		 action_names[agent->action->kind]);
-	if (agent->action->kind != GN_ACTION_LEASE)
+	if (agent_action_changes_list(agent->action))
 		agent->backend.list_spoiled = true;
 	if (agent_backend_call(agent, path, pack_action(agent, agent->action),
 			       on_action_done, agent))
--- a/lib/batch/worker_backend.c
+++ b/lib/batch/worker_backend.c
@@ -29,6 +29,8 @@
 	run->cores = listed->cores;
 	run->memory_mb = listed->memory_mb;
 	run->accelerators = listed->accelerators;
+	run->work_class = listed->work_class;
+	run->speed_pct = listed->speed_pct;
 	if (!run->checkpoint || !run->kind) {
 		talloc_free(run);
 		return GN_ERR_MEMORY;
--- a/lib/batch/worker_orders.c
+++ b/lib/batch/worker_orders.c
@@ -72,6 +72,8 @@
 	run->cores = task->cores;
 	run->memory_mb = task->memory_mb;
 	run->accelerators = task->accelerators;
+	run->work_class = task->work_class;
+	run->speed_pct = GN_SPEED_FULL_PCT;
 	if (!run->checkpoint || !run->kind) {
 		talloc_free(run);
 		return NULL;
@@ -94,6 +96,7 @@
 	action->cores = task->cores;
 	action->memory_mb = task->memory_mb;
 	action->accelerators = task->accelerators;
+	action->work_class = task->work_class;
 	return action->task_kind && action->checkpoint ? GN_OK : GN_ERR_MEMORY;
 }
 
--- a/lib/batch/worker_tasks.h
+++ b/lib/batch/worker_tasks.h
@@ -22,6 +22,9 @@
 
 #include "batch/report.h"
 
+/** Speed of a run that is not throttled, per cent. */
+#define GN_SPEED_FULL_PCT 100
+
 /** How runs are kept. */
 typedef struct gn_worker_tasks_params_s {
 	uint64_t lease_margin_us; /**< the worker's lease is shorter by this */
@@ -42,6 +45,7 @@
 	GN_ACTION_CHECKPOINT, /**< checkpoint, then stop */
 	GN_ACTION_STOP, /**< also fences an epoch that it has not started */
 	GN_ACTION_FORGET, /**< drop an ended run; no start of it can come */
+	GN_ACTION_THROTTLE, /**< run at speed_pct of its full speed */
 	GN_ACTION_KIND_COUNT
 } gn_action_kind_t;
 
@@ -59,6 +63,8 @@
 	unsigned cores;
 	unsigned memory_mb;
 	unsigned accelerators;
+	gn_class_t work_class; /**< START */
+	unsigned speed_pct; /**< THROTTLE: 1..100 */
 } gn_action_t;
 
 /** A run as the backend server lists it. */
@@ -73,8 +79,21 @@
 	unsigned cores;
 	unsigned memory_mb;
 	unsigned accelerators;
+	gn_class_t work_class;
+	unsigned speed_pct; /**< 1..100; 0: not told */
 } gn_backend_run_t;
 
+/** A run that takes up room on the worker. */
+typedef struct gn_active_run_s {
+	uint64_t id;
+	const char *kind; /**< valid until a command */
+	gn_class_t work_class;
+	bool confirmed; /**< the backend server has said that it runs */
+	uint64_t confirmed_us; /**< when it first said so */
+	bool ending; /**< told to stop or to checkpoint */
+	unsigned speed_pct; /**< last told, 1..100; 0: unknown */
+} gn_active_run_t;
+
 /** What running tasks use, and what was refused. */
 typedef struct gn_worker_tasks_stats_s {
 	unsigned running;
@@ -152,6 +171,28 @@
 /** Checkpoints and releases all runs and refuses starts, or ends that. */
 void gn_worker_tasks_set_draining(gn_worker_tasks_t *tasks, bool draining);
 
+/**
+ * Tells the backend server to slow a run down, or to let it go on at full
+ * speed; does nothing if that speed was told last.
+ * @param speed_pct of its full speed, 1..100
+ * @return GN_OK, GN_ERR_RANGE, GN_ERR_MEMORY, or GN_ERR_STALE if it does not
+ *         run, is not confirmed or ends
+ */
+gn_code_t gn_worker_tasks_set_speed(gn_worker_tasks_t *tasks, uint64_t id,
+				    unsigned speed_pct);
+
+/** Notes at which speed a run goes after a throttle failed; 0: unknown. */
+void gn_worker_tasks_note_speed(gn_worker_tasks_t *tasks, uint64_t id,
+				unsigned speed_pct);
+
+/**
+ * Has one run leave this worker; its owner resumes it once.
+ * @param kind GN_ACTION_CHECKPOINT, or GN_ACTION_STOP if that did not come
+ * @return GN_OK, or GN_ERR_STALE if it does not run
+ */
+gn_code_t gn_worker_tasks_evict(gn_worker_tasks_t *tasks, uint64_t id,
+				gn_action_kind_t kind);
+
 /** The next action in order, owned by the caller, or NULL. */
 gn_action_t *gn_worker_tasks_next_action(gn_worker_tasks_t *tasks);
 
@@ -178,6 +219,12 @@
 					   uint64_t lease_until_us, void *data),
 			     void *data);
 
+/** Lists the runs that take up room now. */
+void gn_worker_tasks_foreach_active(const gn_worker_tasks_t *tasks,
+				    void (*visit)(const gn_active_run_t *run,
+						  void *data),
+				    void *data);
+
 const gn_worker_tasks_stats_t *
 gn_worker_tasks_stats(const gn_worker_tasks_t *tasks);
 
--- a/lib/batch/worker_tasks_internal.h
+++ b/lib/batch/worker_tasks_internal.h
@@ -24,6 +24,8 @@
 	unsigned cores;
 	unsigned memory_mb;
 	unsigned accelerators;
+	gn_class_t work_class;
+	unsigned speed_pct; /**< last told, 0: unknown */
 	uint64_t forgotten_us; /**< when its end was stored, 0 if not yet */
 	bool dropped; /**< the backend server was told to forget it */
 } gn_run_t;
--- a/tests/standin/backend.c
+++ b/tests/standin/backend.c
@@ -4,7 +4,9 @@
  *
  * POST /v1/run       runs a request: answers "ok:" and the body
  * POST /fault        sets faults: {"slow_ms", "fail", "refuse", "truncate",
- *                    "close", "mute_ms"}, each until set again
+ *                    "close", "mute_ms", "noisy_kind", "noise_ms",
+ *                    "unthrottled"}, each until set again. Each task of the
+ *                    noisy kind slows requests by noise_ms times its speed.
  * POST /drain        begins a graceful shutdown
  * GET  /journal      the bodies that were run, one a line
  */
@@ -27,6 +29,7 @@
 #define ANNOUNCE_MS 300
 #define US_PER_MS 1000
 #define THREADS_MAX 256
+#define PER_CENT 100
 
 typedef struct upload_s {
 	char *data;
@@ -43,6 +46,8 @@
 	atomic_int running;
 	atomic_int slow_ms;
 	atomic_int mute_ms;
+	atomic_int noise_ms;
+	char noisy_kind[64]; /* under the lock */
 	atomic_bool fail;
 	atomic_bool refuse;
 	atomic_bool truncate;
@@ -104,6 +109,22 @@
 	return result;
 }
 
+/* Takes the time of a request beside what runs now. */
+static void serve(void)
+{
+	char kind[sizeof(self.noisy_kind)];
+	unsigned noise_us = 0;
+
+	pthread_mutex_lock(&self.lock);
+	memcpy(kind, self.noisy_kind, sizeof(kind));
+	pthread_mutex_unlock(&self.lock);
+	if (self.noise_ms)
+		noise_us = (unsigned)self.noise_ms * US_PER_MS / PER_CENT *
+			   backend_tasks_load_pct(self.tasks, kind);
+	if (self.slow_ms || noise_us)
+		usleep((useconds_t)self.slow_ms * US_PER_MS + noise_us);
+}
+
 static enum MHD_Result on_run(struct MHD_Connection *connection,
 			      const upload_t *upload)
 {
@@ -114,8 +135,7 @@
 		return reply(connection, MHD_HTTP_SERVICE_UNAVAILABLE, "", 0);
 	self.running++;
 	record(upload);
-	if (self.slow_ms)
-		usleep((useconds_t)self.slow_ms * US_PER_MS);
+	serve();
 	if (self.close) {
 		result = MHD_NO;
 	} else if (self.truncate) {
@@ -135,6 +155,21 @@
 	return result;
 }
 
+static void set_noise(const json_t *json)
+{
+	const char *kind =
+		json_string_value(json_object_get(json, "noisy_kind"));
+
+	pthread_mutex_lock(&self.lock);
+	snprintf(self.noisy_kind, sizeof(self.noisy_kind), "%s",
+		 kind ? kind : "");
+	pthread_mutex_unlock(&self.lock);
+	self.noise_ms =
+		(int)json_integer_value(json_object_get(json, "noise_ms"));
+	backend_tasks_set_unthrottled(
+		self.tasks, json_is_true(json_object_get(json, "unthrottled")));
+}
+
 static enum MHD_Result on_fault(struct MHD_Connection *connection,
 				const upload_t *upload)
 {
@@ -150,6 +185,7 @@
 	self.refuse = json_is_true(json_object_get(json, "refuse"));
 	self.truncate = json_is_true(json_object_get(json, "truncate"));
 	self.close = json_is_true(json_object_get(json, "close"));
+	set_noise(json);
 	json_decref(json);
 	return reply(connection, MHD_HTTP_OK, "", 0);
 }
--- a/tests/support/backend_tasks.c
+++ b/tests/support/backend_tasks.c
@@ -14,6 +14,8 @@
 #define HTTP_BAD_REQUEST 400
 #define HTTP_NOT_FOUND 404
 #define HTTP_CONFLICT 409
+#define HTTP_NOT_IMPLEMENTED 501
+#define PER_CENT 100
 
 typedef struct task_s {
 	char *id;
@@ -21,9 +23,11 @@
 	uint64_t epoch;
 	const char *state;
 	uint64_t lease_us; /**< when it lapses */
+	uint64_t run_ms; /**< at full speed, 0: until it is stopped */
 	uint64_t end_us; /**< when it would be done */
-	uint64_t done_ms; /**< progress by its last checkpoint */
-	uint64_t started_us;
+	uint64_t done_us; /**< progress until since_us, at full speed */
+	uint64_t since_us; /**< started, or last throttled */
+	unsigned speed_pct;
 	json_t *order; /**< what it was started with */
 } task_t;
 
@@ -33,6 +37,7 @@
 	GHashTable *by_id;
 	GString *journal;
 	gn_clock_t clock;
+	bool unthrottled; /**< throttling is not supported */
 };
 
 static void free_task(gpointer data)
@@ -76,11 +81,28 @@
 			       task->kind);
 }
 
+static void add_progress(task_t *task, uint64_t at_us)
+{
+	task->done_us += (at_us - task->since_us) * task->speed_pct / PER_CENT;
+	task->since_us = at_us;
+}
+
+/* When it is done, if it goes on at its speed. */
+static void set_end(task_t *task)
+{
+	uint64_t run_us = task->run_ms * GN_US_PER_MS;
+	uint64_t left_us = run_us > task->done_us ? run_us - task->done_us : 0;
+
+	task->end_us = task->run_ms ? task->since_us + left_us * PER_CENT /
+							       task->speed_pct
+				    : UINT64_MAX;
+}
+
 static void end_task(backend_tasks_t *tasks, task_t *task, const char *state,
 		     uint64_t at_us)
 {
 	task->state = state;
-	task->done_ms += (at_us - task->started_us) / GN_US_PER_MS;
+	add_progress(task, at_us);
 	note(tasks, state, task, at_us);
 }
 
@@ -128,20 +150,20 @@
 	const char *checkpoint =
 		json_string_value(json_object_get(json, "checkpoint"));
 	bool fails;
-	uint64_t run_ms = run_ms_of(json, &fails);
-	uint64_t left_ms;
 
+	task->run_ms = run_ms_of(json, &fails);
 	json_decref(task->order);
 	task->order = json_incref(json);
 	g_free(task->kind);
 	task->kind = g_strdup(json_string_value(json_object_get(json, "kind")));
 	task->epoch = number(json, "epoch");
-	task->done_ms = checkpoint ? strtoull(checkpoint, NULL, 10) : 0;
-	left_ms = run_ms > task->done_ms ? run_ms - task->done_ms : 0;
+	task->done_us =
+		checkpoint ? strtoull(checkpoint, NULL, 10) * GN_US_PER_MS : 0;
 	task->state = "running";
-	task->started_us = now_us;
+	task->since_us = now_us;
+	task->speed_pct = PER_CENT;
 	task->lease_us = number(json, "lease_until_us");
-	task->end_us = run_ms ? now_us + left_ms * GN_US_PER_MS : UINT64_MAX;
+	set_end(task);
 	note(tasks, "start", task, now_us);
 	if (fails)
 		end_task(tasks, task, "failed", now_us);
@@ -178,6 +200,21 @@
 	return HTTP_OK;
 }
 
+static unsigned throttle(const backend_tasks_t *tasks, task_t *task,
+			 json_t *json, uint64_t now_us)
+{
+	uint64_t speed_pct = number(json, "speed_pct");
+
+	if (tasks->unthrottled)
+		return HTTP_NOT_IMPLEMENTED;
+	if (!speed_pct || speed_pct > PER_CENT)
+		return HTTP_BAD_REQUEST;
+	add_progress(task, now_us);
+	task->speed_pct = (unsigned)speed_pct;
+	set_end(task);
+	return HTTP_OK;
+}
+
 static unsigned apply(backend_tasks_t *tasks, const char *id, const char *verb,
 		      json_t *json, uint64_t now_us)
 {
@@ -201,6 +238,8 @@
 	if (!strcmp(verb, "lease") && running) {
 		task->epoch = epoch;
 		task->lease_us = number(json, "lease_until_us");
+	} else if (!strcmp(verb, "throttle") && running) {
+		return throttle(tasks, task, json, now_us);
 	} else if (!strcmp(verb, "checkpoint") && running) {
 		end_task(tasks, task, "checkpointed", now_us);
 	} else if (!strcmp(verb, "forget") && !running) {
@@ -212,9 +251,10 @@
 static json_t *describe(const task_t *task)
 {
 	json_t *json = task->order ? json_copy(task->order) : json_object();
+	uint64_t done_ms = task->done_us / GN_US_PER_MS;
 	char done[sizeof("18446744073709551615")];
 
-	snprintf(done, sizeof(done), "%llu", (unsigned long long)task->done_ms);
+	snprintf(done, sizeof(done), "%llu", (unsigned long long)done_ms);
 	json_object_del(json, "spec");
 	json_object_set_new(json, "id", json_string(task->id));
 	json_object_set_new(json, "kind", json_string(task->kind));
@@ -222,9 +262,10 @@
 			    json_integer((json_int_t)task->epoch));
 	json_object_set_new(json, "state", json_string(task->state));
 	json_object_set_new(json, "checkpoint",
-			    json_string(task->done_ms ? done : ""));
+			    json_string(done_ms ? done : ""));
 	json_object_set_new(json, "lease_until_us",
 			    json_integer((json_int_t)task->lease_us));
+	json_object_set_new(json, "speed_pct", json_integer(task->speed_pct));
 	return json;
 }
 
@@ -246,6 +287,33 @@
 	return text;
 }
 
+void backend_tasks_set_unthrottled(backend_tasks_t *tasks, bool unthrottled)
+{
+	pthread_mutex_lock(&tasks->lock);
+	tasks->unthrottled = unthrottled;
+	pthread_mutex_unlock(&tasks->lock);
+}
+
+unsigned backend_tasks_load_pct(backend_tasks_t *tasks, const char *kind)
+{
+	GHashTableIter iter;
+	gpointer value;
+	unsigned load_pct = 0;
+
+	pthread_mutex_lock(&tasks->lock);
+	settle(tasks, gn_clock_now_us(&tasks->clock));
+	g_hash_table_iter_init(&iter, tasks->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const task_t *task = value;
+
+		if (!strcmp(task->state, "running") &&
+		    !strcmp(task->kind, kind))
+			load_pct += task->speed_pct;
+	}
+	pthread_mutex_unlock(&tasks->lock);
+	return load_pct;
+}
+
 int backend_tasks_running(backend_tasks_t *tasks)
 {
 	GHashTableIter iter;
--- a/tests/support/backend_tasks.h
+++ b/tests/support/backend_tasks.h
@@ -8,6 +8,7 @@
  *                               checkpoint, cores, memory_mb, accelerators}
  * POST /v1/tasks/ID/lease       {epoch, lease_until_us}
  * POST /v1/tasks/ID/checkpoint  {epoch}: stops it, keeps its progress
+ * POST /v1/tasks/ID/throttle    {epoch, speed_pct}
  * POST /v1/tasks/ID/stop        {epoch}: also fences an epoch not started
  * POST /v1/tasks/ID/forget      {epoch}
  * GET  /v1/tasks/journal        lines "start ID EPOCH MS KIND", "done ID ..."
@@ -22,6 +23,7 @@
 #ifndef GN_TESTS_BACKEND_TASKS_H
 #define GN_TESTS_BACKEND_TASKS_H
 
+#include <stdbool.h>
 #include <stddef.h>
 
 typedef struct backend_tasks_s backend_tasks_t;
@@ -33,6 +35,12 @@
 /** Whether a task is running. */
 int backend_tasks_running(backend_tasks_t *tasks);
 
+/** Whether it answers throttle orders by 501. */
+void backend_tasks_set_unthrottled(backend_tasks_t *tasks, bool unthrottled);
+
+/** The speeds of all running tasks of @p kind together, per cent. */
+unsigned backend_tasks_load_pct(backend_tasks_t *tasks, const char *kind);
+
 /** Handles one call; returns the answer's text, from malloc(). */
 char *backend_tasks_handle(backend_tasks_t *tasks, const char *method,
 			   const char *url, const char *body, size_t len,
--- a/tests/unit/test_worker_tasks.c
+++ b/tests/unit/test_worker_tasks.c
@@ -303,6 +303,53 @@
 	g_assert_cmpuint(gn_worker_tasks_stats(f->tasks)->running, ==, 0);
 }
 
+static void find_speed(const gn_active_run_t *run, void *data)
+{
+	*(unsigned *)data = run->speed_pct;
+}
+
+/** A speed is told once, to a run that is confirmed and does not end. */
+static void test_speed(fixture_t *f, gconstpointer data)
+{
+	uint64_t id = f->task->id;
+	gn_action_t *action;
+	unsigned speed_pct = 0;
+
+	(void)data;
+	start(f);
+	g_assert_cmpint(next_action(f, NULL), ==, GN_ACTION_START);
+	g_assert_cmpint(gn_worker_tasks_set_speed(f->tasks, id, 40), ==,
+			GN_ERR_STALE);
+	gn_worker_tasks_on_event(f->tasks, id, gn_task_epoch(2, 1),
+				 GN_RUN_RUNNING, 0, GN_STR(""));
+	g_assert_cmpint(gn_worker_tasks_set_speed(f->tasks, id, 0), ==,
+			GN_ERR_RANGE);
+	g_assert_cmpint(gn_worker_tasks_set_speed(f->tasks, id, 40), ==, GN_OK);
+	action = gn_worker_tasks_next_action(f->tasks);
+	g_assert_cmpint(action->kind, ==, GN_ACTION_THROTTLE);
+	g_assert_cmpuint(action->speed_pct, ==, 40);
+	talloc_free(action);
+	gn_worker_tasks_foreach_active(f->tasks, find_speed, &speed_pct);
+	g_assert_cmpuint(speed_pct, ==, 40);
+	g_assert_cmpint(gn_worker_tasks_set_speed(f->tasks, id, 40), ==, GN_OK);
+	g_assert_cmpint(next_action(f, NULL), ==, GN_ACTION_KIND_COUNT);
+	/* One that did not get through is told again. */
+	gn_worker_tasks_note_speed(f->tasks, id, 0);
+	gn_worker_tasks_set_speed(f->tasks, id, 40);
+	g_assert_cmpint(next_action(f, NULL), ==, GN_ACTION_THROTTLE);
+	g_assert_cmpint(
+		gn_worker_tasks_evict(f->tasks, id, GN_ACTION_CHECKPOINT), ==,
+		GN_OK);
+	g_assert_cmpint(next_action(f, NULL), ==, GN_ACTION_CHECKPOINT);
+	g_assert_cmpint(gn_worker_tasks_set_speed(f->tasks, id, 50), ==,
+			GN_ERR_STALE);
+	gn_worker_tasks_on_event(f->tasks, id, gn_task_epoch(2, 1),
+				 GN_RUN_RELEASED, 0, GN_STR("7"));
+	g_assert_cmpint(reported(f), ==, GN_RUN_RELEASED);
+	g_assert_cmpint(gn_worker_tasks_evict(f->tasks, id, GN_ACTION_STOP), ==,
+			GN_ERR_STALE);
+}
+
 #define ADD(path, func)                                                  \
 	g_test_add("/worker-tasks/" path, fixture_t, NULL, set_up, func, \
 		   tear_down)
@@ -316,6 +363,7 @@
 	ADD("backend", test_backend);
 	ADD("drain", test_drain);
 	ADD("admission", test_admission);
+	ADD("speed", test_speed);
 	for (size_t i = 0; i < G_N_ELEMENTS(refuse_cases); i++) {
 		char *path = g_strdup_printf("/worker-tasks/refuse/%s",
 					     refuse_cases[i].name);
