Keep an evicted task's place free; start loud tasks in waves

Cause: after a checkpoint the concurrency stayed that of the tasks before, so where tasks can't be slowed (floor at 100 %) the freed place was filled at once, and eight starts at a time were all admitted on a calm host although their kind was known to be loud.

Now the concurrency follows a checkpoint down, nothing starts while the rest is at its slowest, and a start of a kind that is known counts what it adds at its slowest, with the starts that the newest tail can't show. Ruled out: counting it at full speed, which would put off for good what runs well when slowed.

--- a/lib/admit/throttle.c
+++ b/lib/admit/throttle.c
@@ -14,6 +14,9 @@
 	uint64_t change_us; /**< of the last cut */
 	uint64_t floor_us; /**< high at the floor since then; 0: not */
 	uint64_t checkpoint_us; /**< a task was told to checkpoint; 0: none */
+	double share; /**< of the target, the newest tail */
+	double begun; /**< what starts add that the newest tail can't show */
+	uint64_t start_us; /**< of the last start */
 };
 
 static const char *const step_names[GN_THROTTLE_STEP_COUNT] = {
@@ -144,6 +147,18 @@
 	return sample->measured_us >= throttle->change_us + settle_us;
 }
 
+/** Keeps the tail for the decisions on starts. */
+static void note_share(gn_throttle_t *throttle,
+		       const gn_throttle_sample_t *sample)
+{
+	throttle->share = 0;
+	if (sample->requests >= throttle->config.min_samples)
+		throttle->share =
+			(double)sample->tail_us / throttle->config.target_us;
+	if (sample->measured_us >= throttle->start_us)
+		throttle->begun = 0;
+}
+
 void gn_throttle_take_sample(gn_throttle_t *throttle,
 			     const gn_throttle_sample_t *sample,
 			     unsigned running_tasks)
@@ -151,6 +166,7 @@
 	const gn_throttle_config_t *config = &throttle->config;
 	double share = (double)sample->tail_us * PER_CENT / config->target_us;
 
+	note_share(throttle, sample);
 	if (!is_settled(throttle, sample))
 		return;
 	if (sample->requests < config->min_samples) {
@@ -172,12 +188,27 @@
 	throttle->checkpoint_us = MAX(gn_clock_now_us(throttle->clock), 1);
 }
 
-void gn_throttle_end_checkpoint(gn_throttle_t *throttle)
+void gn_throttle_end_checkpoint(gn_throttle_t *throttle, unsigned running_tasks)
 {
 	throttle->checkpoint_us = 0;
+	if (!throttle->floor_us)
+		return;
 	/* What the rest does must show before the next one is told. */
-	if (throttle->floor_us)
-		throttle->floor_us = MAX(gn_clock_now_us(throttle->clock), 1);
+	throttle->floor_us = MAX(gn_clock_now_us(throttle->clock), 1);
+	throttle->concurrency =
+		MIN(throttle->concurrency, floor_of(throttle, running_tasks));
+}
+
+void gn_throttle_note_start(gn_throttle_t *throttle, double added)
+{
+	throttle->begun += added * throttle->config.floor_pct / PER_CENT;
+	throttle->start_us = gn_clock_now_us(throttle->clock);
+}
+
+void gn_throttle_set_floor(gn_throttle_t *throttle, unsigned floor_pct)
+{
+	assert(is_within(floor_pct, 1, PER_CENT));
+	throttle->config.floor_pct = floor_pct;
 }
 
 /* ======   Advice   ====== */
@@ -220,12 +251,25 @@
 	advice->step = next_step(throttle, running_tasks);
 }
 
+/** Whether the tail stays below the cut with a task that adds so much. */
+static bool fits(const gn_throttle_t *throttle, double added)
+{
+	double slowest = added * throttle->config.floor_pct / PER_CENT;
+	double share = throttle->share + throttle->begun + slowest;
+
+	return share * PER_CENT <= throttle->config.high_pct;
+}
+
 bool gn_throttle_may_start(const gn_throttle_t *throttle,
 			   unsigned running_tasks, double added, bool known)
 {
 	if (running_tasks >= throttle->config.max_tasks)
 		return false;
+	if (throttle->floor_us)
+		return false;
+	if (known && added > QUIET_ADDED && !fits(throttle, added))
+		return false;
 	if (running_tasks < (unsigned)throttle->concurrency)
 		return true;
-	return known && added <= QUIET_ADDED && !throttle->floor_us;
+	return known && added <= QUIET_ADDED;
 }
--- a/lib/admit/throttle.h
+++ b/lib/admit/throttle.h
@@ -84,8 +84,23 @@
 /** Notes that a task was told to checkpoint; one at a time. */
 void gn_throttle_begin_checkpoint(gn_throttle_t *throttle);
 
-/** Notes that this task is gone: checkpointed, ended or stopped. */
-void gn_throttle_end_checkpoint(gn_throttle_t *throttle);
+/**
+ * Notes that this task is gone: checkpointed, ended or stopped. Its place
+ * stays free until the tail lets the concurrency grow.
+ * @param running_tasks without it
+ */
+void gn_throttle_end_checkpoint(gn_throttle_t *throttle,
+				unsigned running_tasks);
+
+/** Notes a start; @p added as for gn_throttle_may_start(). */
+void gn_throttle_note_start(gn_throttle_t *throttle, double added);
+
+/**
+ * Changes the slowest speed of a task.
+ * @param floor_pct 1..100; at 100 tasks can't be slowed, so that what comes
+ *        after the patience is a checkpoint
+ */
+void gn_throttle_set_floor(gn_throttle_t *throttle, unsigned floor_pct);
 
 /* ======   Queries   ====== */
 
@@ -94,9 +109,10 @@
 			gn_throttle_advice_t *advice);
 
 /**
- * Whether one more task may start. One that adds next to nothing may also
- * start beyond the task limit, as long as there is a place and the rest isn't
- * at its slowest.
+ * Whether one more task may start: not while the rest is at its slowest, nor
+ * if it is known to bring the tail to a cut even at its own slowest, with what
+ * started since the tail was measured. One that adds next to nothing may also
+ * start beyond the task limit, as long as there is a place.
  * @param running_tasks before the start
  * @param added of gn_interfere_estimate()
  * @param known whether the kind has been measured here
--- a/tests/bench/bench_admit.c
+++ b/tests/bench/bench_admit.c
@@ -166,6 +166,15 @@
 	return true;
 }
 
+static void note_start(const host_t *host, kind_t kind)
+{
+	gn_str_t name = gn_str_from(kind_names[kind]);
+
+	gn_throttle_note_start(
+		host->throttle,
+		gn_interfere_estimate(host->interfere, name, load_pct(host)));
+}
+
 static void start_tasks(host_t *host, unsigned limit)
 {
 	for (int i = 0; i < TASKS; i++) {
@@ -173,6 +182,7 @@
 
 		if (host->tasks[i].runs || !take_next(host, limit, &kind))
 			continue;
+		note_start(host, kind);
 		host->tasks[i] = (task_t){
 			.runs = true,
 			.kind = kind,
@@ -196,7 +206,8 @@
 			continue;
 		task->runs = false;
 		if (task->checkpoint_s)
-			gn_throttle_end_checkpoint(host->throttle);
+			gn_throttle_end_checkpoint(host->throttle,
+						   count_running(host));
 	}
 }
 
@@ -233,7 +244,7 @@
 {
 	task->runs = false;
 	host->done_s -= lost_s;
-	gn_throttle_end_checkpoint(host->throttle);
+	gn_throttle_end_checkpoint(host->throttle, count_running(host));
 }
 
 static void take_step(host_t *host, gn_throttle_step_t step)
--- a/tests/unit/test_throttle.c
+++ b/tests/unit/test_throttle.c
@@ -69,7 +69,7 @@
 			 bench.config.checkpoint_ms * GN_US_PER_MS);
 	gn_throttle_advise(bench.throttle, TASKS, &advice);
 	g_assert_cmpint(advice.step, ==, GN_THROTTLE_STOP);
-	gn_throttle_end_checkpoint(bench.throttle);
+	gn_throttle_end_checkpoint(bench.throttle, TASKS - 1);
 	gn_throttle_advise(bench.throttle, TASKS - 1, &advice);
 	g_assert_cmpint(advice.step, ==, GN_THROTTLE_NONE);
 	talloc_free(bench.throttle);
@@ -167,6 +167,46 @@
 	talloc_free(bench.throttle);
 }
 
+/** Tasks that are known to be loud start in waves, each seen in a tail. */
+static void test_waves(void)
+{
+	bench_t bench;
+
+	setup(&bench);
+	gn_throttle_set_floor(bench.throttle, 50);
+	sample(&bench, 70, 0);
+	/* 0.7 of the target, and 0.25 for each at half its speed. */
+	g_assert_true(gn_throttle_may_start(bench.throttle, 0, 0.5, true));
+	gn_throttle_note_start(bench.throttle, 0.5);
+	g_assert_false(gn_throttle_may_start(bench.throttle, 1, 0.5, true));
+	g_assert_true(gn_throttle_may_start(bench.throttle, 1, 0.5, false));
+	gn_clock_advance(&bench.clock, SAMPLE_US);
+	sample(&bench, 75, 1);
+	g_assert_true(gn_throttle_may_start(bench.throttle, 1, 0.5, true));
+	talloc_free(bench.throttle);
+}
+
+/** Where tasks can't be slowed, the freed place of one stays free. */
+static void test_unthrottled(void)
+{
+	bench_t bench;
+	gn_throttle_advice_t advice;
+
+	setup(&bench);
+	gn_throttle_set_floor(bench.throttle, 100);
+	advice = sample(&bench, 300, TASKS);
+	g_assert_cmpuint(advice.speed_pct, ==, 100);
+	gn_clock_advance(&bench.clock, bench.config.patience_ms * GN_US_PER_MS);
+	gn_throttle_advise(bench.throttle, TASKS, &advice);
+	g_assert_cmpint(advice.step, ==, GN_THROTTLE_CHECKPOINT);
+	gn_throttle_begin_checkpoint(bench.throttle);
+	gn_throttle_end_checkpoint(bench.throttle, TASKS - 1);
+	advice = sample(&bench, bench.config.high_pct - 1, TASKS - 1);
+	g_assert_cmpuint(advice.task_limit, ==, TASKS - 1);
+	g_assert_false(gn_throttle_may_start(bench.throttle, TASKS - 1, 0, 0));
+	talloc_free(bench.throttle);
+}
+
 /* ======   Interference   ====== */
 
 #define LOUD_ADDS 0.30
@@ -304,6 +344,8 @@
 	g_test_add_func("/throttle/few-requests", test_few_requests);
 	g_test_add_func("/throttle/weights", test_weights);
 	g_test_add_func("/throttle/may-start", test_may_start);
+	g_test_add_func("/throttle/waves", test_waves);
+	g_test_add_func("/throttle/unthrottled", test_unthrottled);
 	g_test_add_func("/interfere/learns", test_interfere);
 	g_test_add_func("/interfere/speed", test_speed);
 	g_test_add_func("/interfere/kinds", test_interfere_kinds);
