--- a/lib/entry/polls.c
+++ b/lib/entry/polls.c
@@ -87,8 +87,7 @@
 	bool drained = entry_config_is_drained(entry, worker);
 	unsigned share;
 
-	gn_batch_share_set(&entry->share, &worker->member, !drained,
-			   running);
+	gn_batch_share_set(&entry->share, &worker->member, !drained, running);
 	share = gn_batch_share_get(&entry->share, &worker->member,
 				   count_waiting(entry),
 				   gn_runtime_now_us(entry->runtime));
