Let the agent hold back batch tasks that slow its service down

Cause: throttle, interference and speed control were modules with a bench that no daemon used, so a noisy kind of task slowed the service beside it for as long as it ran.

lib/agent/interference.c measures the requests that pass the agent, has the kinds that add to their tail learned, shares a slowdown among them, puts off starts that would bring the tail to a cut, and as the last means has one task checkpoint, which resumes elsewhere on the path that drains use. A backend server that can't throttle is found by its 404, 405 or 501 and loses tasks by checkpoint instead. The target and the users' weights are settings ([interference]); without a target nothing is held back.

Offering all free places while starts are put off: each costs its owner a claim; one is offered each 10 s.

--- a/lib/agent/agent.c
+++ b/lib/agent/agent.c
@@ -92,7 +92,8 @@
 	agent->runtime = runtime;
 	talloc_set_destructor(agent, agent_destructor);
 	open_counters(agent);
-	if (open_admission(agent) || agent_tasks_open(agent))
+	if (open_admission(agent) || agent_tasks_open(agent) ||
+	    agent_interference_open(agent))
 		return gn_error_set(error, GN_ERR_MEMORY, "start", NULL,
 				    "admission");
 	code = start_http(agent, error);
@@ -108,6 +109,7 @@
 	agent_backend_tick(agent);
 	gn_admit_set_draining(agent->admit, agent_is_draining(agent));
 	agent_requests_tick(agent);
+	agent_interference_tick(agent);
 	agent_tasks_tick(agent);
 	agent_links_tick(agent);
 }
--- a/lib/agent/agent_internal.h
+++ b/lib/agent/agent_internal.h
@@ -13,6 +13,8 @@
 #include "wire/link.h"
 
 typedef struct agent_s agent_t;
+/** The control of batch tasks that slow the service down. */
+typedef struct agent_interference_s agent_interference_t;
 
 /** The agent's link to one entry. */
 typedef struct agent_link_s {
@@ -77,6 +79,7 @@
 	gn_worker_tasks_t *tasks;
 	GHashTable *admitted; /**< task ids that the admission counts */
 	gn_action_t *action; /**< at the backend server now, or NULL */
+	agent_interference_t *interference;
 	bool poll_soon; /**< something changed that owners wait for */
 	unsigned running; /**< requests at the backend server */
 	uint32_t service_time_us; /**< smoothed */
@@ -145,6 +148,26 @@
 /** The part of the state dump; the caller owns it. */
 json_t *agent_tasks_dump(const agent_t *agent);
 
+/* ======   interference.c   ====== */
+
+/** Opens the control; it is off without a target in the settings. */
+gn_code_t agent_interference_open(agent_t *agent);
+/** Notes how long a request took at the backend server. */
+void agent_interference_note_request(agent_t *agent, uint64_t spent_us);
+/** Measures, and slows or evicts tasks if the service needs it. */
+void agent_interference_tick(agent_t *agent);
+/** Takes the answer to an order to throttle. */
+void agent_interference_on_throttled(agent_t *agent, const gn_action_t *action,
+				     const gn_http_call_t *call);
+/** Whether @p task may start beside the service now. */
+bool agent_interference_may_start(agent_t *agent, const gn_task_t *task);
+/** Notes that @p task was admitted. */
+void agent_interference_note_start(agent_t *agent, const gn_task_t *task);
+/** How many of the free task @p places to offer to the entries. */
+unsigned agent_interference_limit_places(const agent_t *agent, unsigned places);
+/** The part of the state dump; the caller owns it. */
+json_t *agent_interference_dump(const agent_t *agent);
+
 /* ======   http.c   ====== */
 
 /** Handles a request to the agent. */
--- a/lib/agent/http.c
+++ b/lib/agent/http.c
@@ -48,6 +48,8 @@
 	json_object_set_new(dump, "draining",
 			    json_boolean(agent_is_draining(agent)));
 	json_object_set_new(dump, "tasks", agent_tasks_dump(agent));
+	json_object_set_new(dump, "interference",
+			    agent_interference_dump(agent));
 	json_object_set_new(dump, "running_requests",
 			    json_integer(agent->running));
 	gn_http_reply_json(agent->server, request, HTTP_OK, dump);
--- a/lib/agent/requests.c
+++ b/lib/agent/requests.c
@@ -120,6 +120,8 @@
 	agent_t *agent = request->link->agent;
 	Gn__Answer answer = GN__ANSWER__INIT;
 	gn_outcome_t outcome = judge_outcome(call);
+	uint64_t spent_us =
+		gn_runtime_now_us(agent->runtime) - request->started_us;
 
 	agent->running--;
 	gn_admit_end_request(agent->admit, request->entry, request->id);
@@ -128,8 +130,10 @@
 		gn_log(LOG_WARNING, "backend call", agent->backend.address,
 		       "error=%s", gn_code_name(call->code));
 	else
-		smooth_service_time(agent, gn_runtime_now_us(agent->runtime) -
-						   request->started_us);
+		smooth_service_time(agent, spent_us);
+	/* One that was given up at its deadline took that long at least. */
+	if (outcome != GN_OUTCOME_NOT_RUN)
+		agent_interference_note_request(agent, spent_us);
 	answer.request = request->id;
 	answer.outcome = outcome;
 	answer.reason = call->code == GN_ERR_UNAVAILABLE ? GN_ERR_SYSTEM
--- a/lib/agent/tasks.c
+++ b/lib/agent/tasks.c
@@ -48,8 +48,10 @@
 	gn_task_id_format(task->id, id);
 	asked = to_admit_task(id, task->cores, task->memory_mb,
 			      task->accelerators);
-	if (gn_admit_ask_task(agent->admit, &asked) != GN_ADMIT_ADMITTED)
+	if (!agent_interference_may_start(agent, task) ||
+	    gn_admit_ask_task(agent->admit, &asked) != GN_ADMIT_ADMITTED)
 		return false;
+	agent_interference_note_start(agent, task);
 	g_hash_table_add(agent->admitted, g_strdup(id));
 	return true;
 }
@@ -329,7 +331,10 @@
 		       agent->backend.address, "task %s error=%s status=%u", id,
 		       gn_code_name(call->code), call->status);
 	}
-	take_action_answer(agent, action, call);
+	if (action->kind == GN_ACTION_THROTTLE)
+		agent_interference_on_throttled(agent, action, call);
+	else
+		take_action_answer(agent, action, call);
 	talloc_free(action);
 	run_actions(agent);
 }
@@ -362,10 +367,11 @@
 	const gn_settings_t *settings = agent->runtime->settings;
 	const gn_worker_tasks_stats_t *used =
 		gn_worker_tasks_stats(agent->tasks);
+	unsigned places = settings->max_tasks > used->running
+				  ? settings->max_tasks - used->running
+				  : 0;
 
-	poll->free_tasks = settings->max_tasks > used->running
-				   ? settings->max_tasks - used->running
-				   : 0;
+	poll->free_tasks = agent_interference_limit_places(agent, places);
 	poll->free_cores = settings->cores > used->cores
 				   ? settings->cores - used->cores
 				   : 0;
--- a/lib/config/settings.c
+++ b/lib/config/settings.c
@@ -104,6 +104,14 @@
 	LAST,
 };
 
+static const gn_schema_field_t interference_fields[] = {
+	NUMBER("target_ms", interference_target_ms, 0, 60000, 0),
+	NUMBER("tail", interference_tail, 0, 100, 1),
+	NUMBER("throughput", interference_throughput, 0, 100, 1),
+	NUMBER("evictions", interference_evictions, 0, 100, 1),
+	LAST,
+};
+
 static const gn_schema_field_t settings_fields[] = {
 	{ .key = "role",
 	  .read = gn_schema_enum,
@@ -143,6 +151,10 @@
 	  .fields = worker_fields,
 	  .required = AGENT,
 	  .forbidden = ENTRY },
+	{ .key = "interference",
+	  .read = gn_schema_table,
+	  .fields = interference_fields,
+	  .forbidden = ENTRY },
 	LAST,
 };
 
--- a/lib/config/settings.h
+++ b/lib/config/settings.h
@@ -59,6 +59,14 @@
 	unsigned memory_mb; /**< [worker] memory_mb, 1..16777216 */
 	unsigned accelerators; /**< [worker] accelerators, 0..256; 0 */
 
+	unsigned
+		interference_target_ms; /**< [interference] target_ms, 0..60000; 0: off */
+	unsigned interference_tail; /**< [interference] tail, 0..100; 1 */
+	unsigned
+		interference_throughput; /**< [interference] throughput, 0..100; 1 */
+	unsigned
+		interference_evictions; /**< [interference] evictions, 0..100; 1 */
+
 	unsigned stop_grace_ms; /**< stop_grace_ms, 0..600000; 30000 */
 } gn_settings_t;
 
--- a/tests/contract/test_docs.c
+++ b/tests/contract/test_docs.c
@@ -147,6 +147,7 @@
 	collect_keys(names, "platform", "platform.", code);
 	collect_keys(names, "link", "link.", code);
 	collect_keys(names, "worker", "worker.", code);
+	collect_keys(names, "interference", "interference.", code);
 	g_free(code);
 	assert_same(names, read_section("Settings of a daemon\n"));
 }
--- a/tests/scenario.sh
+++ b/tests/scenario.sh
@@ -10,7 +10,7 @@
 scratch=$work
 # Each run has a loopback address of its own, so that runs don't collide.
 host=127.$((1 + $$ / 62500 % 250)).$(($$ / 250 % 250)).$((1 + $$ % 250))
-declare -A pid http link job via
+declare -A pid http link job via extra
 next=0
 last_status=0
 
@@ -101,6 +101,9 @@
 	cmd_backend "$1"
 }
 
+# settings NAME TEXT: further settings of an agent that is started later
+cmd_settings() { extra[$1]=$2; }
+
 cmd_agent() {
 	local key=$1 dc=$2 service=$3 list= e
 	shift 3
@@ -128,6 +131,7 @@
 	max_connections = 64
 	cores = 32
 	memory_mb = 128000
+	$(printf '%b' "${extra[$key]:-}")
 	T
 	launch "$key" "$build/gypsumnotchd" --settings "$work/$key.toml"
 }
@@ -225,6 +229,25 @@
 	} | sed "s/$prefix[0-9]*\$/$prefix*/" | sort | uniq -c | sed 's/^ *//'
 }
 
+# load ENTRY SERVICE PER_S COUNT: how many were answered, at this rate or, if
+# the answers take longer, by 16 callers
+cmd_load() {
+	"$build/tests/bench/load" --name load -c 16 -r "$3" -n "$4" \
+		--url "http://${http[$1]}/v1/services/$2/requests" | awk '{ print $6 - $7 " of " $6 " answered" }'
+}
+
+# timely ENTRY SERVICE COUNT MS: whether 9 of 10 requests, one after the
+# other, were answered within MS; else how many were
+cmd_timely() {
+	local i spent in_time=0
+	for i in $(seq "$3"); do
+		spent=$(fetch -o /dev/null -w '%{http_code} %{time_total}' --data-binary "timely$i" \
+			"http://${http[$1]}/v1/services/$2/requests")
+		awk -v ms="$4" '{ exit !($1 == 200 && $2 * 1000 <= ms) }' <<<"$spent" && in_time=$((in_time + 1))
+	done
+	[ $((in_time * 10)) -ge $(($3 * 9)) ] && echo yes || echo "no: $in_time of $3"
+}
+
 # background COMMAND...: its output is printed by "join"
 cmd_background() {
 	("cmd_$1" "${@:2}" >"$work/background.out") &
--- a/tests/support/backend_tasks.c
+++ b/tests/support/backend_tasks.c
@@ -81,9 +81,15 @@
 			       task->kind);
 }
 
+static uint64_t progress_us(const task_t *task, uint64_t at_us)
+{
+	return task->done_us +
+	       (at_us - task->since_us) * task->speed_pct / PER_CENT;
+}
+
 static void add_progress(task_t *task, uint64_t at_us)
 {
-	task->done_us += (at_us - task->since_us) * task->speed_pct / PER_CENT;
+	task->done_us = progress_us(task, at_us);
 	task->since_us = at_us;
 }
 
@@ -269,7 +275,19 @@
 	return json;
 }
 
-static char *list(const backend_tasks_t *tasks, int running_requests)
+/* For benches: the work done so far; no checkpoint of it is kept. */
+static void add_live_progress(json_t *row, const task_t *task, uint64_t now_us)
+{
+	uint64_t done_us = task->done_us;
+
+	if (!strcmp(task->state, "running"))
+		done_us = progress_us(task, now_us);
+	json_object_set_new(row, "progress_ms",
+			    json_integer((json_int_t)(done_us / GN_US_PER_MS)));
+}
+
+static char *list(const backend_tasks_t *tasks, int running_requests,
+		  uint64_t now_us)
 {
 	json_t *rows = json_array();
 	json_t *json =
@@ -280,8 +298,12 @@
 	char *text;
 
 	g_hash_table_iter_init(&iter, tasks->by_id);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		json_array_append_new(rows, describe(value));
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		json_t *row = describe(value);
+
+		add_live_progress(row, value, now_us);
+		json_array_append_new(rows, row);
+	}
 	text = json_dumps(json, JSON_COMPACT);
 	json_decref(json);
 	return text;
@@ -366,7 +388,7 @@
 	if (!strcmp(url, "/v1/tasks/journal"))
 		text = strdup(tasks->journal->str);
 	else if (!strcmp(method, "GET"))
-		text = list(tasks, running_requests);
+		text = list(tasks, running_requests, now_us);
 	else
 		text = post(tasks, url, body, len, status, now_us);
 	pthread_mutex_unlock(&tasks->lock);
