Take a restarted backend server's 404 for a lost task, not for no throttle

Cause: found in reading: a throttle order queued before a restart of the backend server and sent after its announcement gets 404, since the task is gone, and would have marked the new server as one that can't throttle until its next restart. The order names the incarnation that it is meant for; only an answer of that one counts. Ruled out: going by the body of the answer, which the protocol leaves open.

No test: the order of the announcement and the queued order can't be set from outside.

--- a/lib/agent/agent_internal.h
+++ b/lib/agent/agent_internal.h
@@ -143,6 +143,8 @@
 void agent_on_task_orders(agent_link_t *link, const Gn__TaskOrders *message);
 /** Whether @p action makes a list that is under way outdated. */
 bool agent_action_changes_list(const gn_action_t *action);
+/** Whether @p action is meant for the backend server as it runs now. */
+bool agent_action_is_current(const agent_t *agent, const gn_action_t *action);
 /** Whether every run has ended and its owner knows. */
 bool agent_tasks_are_settled(const agent_t *agent);
 /** The part of the state dump; the caller owns it. */
--- a/lib/agent/interference.c
+++ b/lib/agent/interference.c
@@ -392,7 +392,8 @@
 		return;
 	}
 	gn_worker_tasks_note_speed(agent->tasks, action->id, GN_SPEED_FULL_PCT);
-	if (self->unthrottled)
+	/* A server that has restarted may just not have the task any more. */
+	if (self->unthrottled || !agent_action_is_current(agent, action))
 		return;
 	gn_log(LOG_NOTICE, "throttle", agent->backend.address,
 	       "not supported, checkpoints take its place");
--- a/lib/agent/tasks.c
+++ b/lib/agent/tasks.c
@@ -251,6 +251,11 @@
 	       action->kind != GN_ACTION_THROTTLE;
 }
 
+bool agent_action_is_current(const agent_t *agent, const gn_action_t *action)
+{
+	return action->backend == incarnation_of(agent->backend.incarnation);
+}
+
 static json_t *pack_action(const agent_t *agent, const gn_action_t *action)
 {
 	json_t *json = json_object();
@@ -270,7 +275,7 @@
 	spec = g_base64_encode((const guchar *)action->spec.data,
 			       action->spec.len);
 	/* A backend server that restarted meanwhile refuses the start. */
-	if (action->backend == incarnation_of(agent->backend.incarnation))
+	if (agent_action_is_current(agent, action))
 		json_object_set_new(json, "backend",
 				    json_string(agent->backend.incarnation));
 	json_object_set_new(json, "spec", json_string(spec));
