--- a/tests/bench/bench_admit.c
+++ b/tests/bench/bench_admit.c
@@ -14,6 +14,7 @@
 #include "admit/throttle.h"
 
 #define DEFAULT_SEED 7
+#define NS_PER_US 1000
 #define TASKS 8
 #define RESERVED_TASKS 4
 #define SECONDS (4 * 3600)
@@ -463,6 +464,33 @@
 	return took / ROUNDS;
 }
 
+/* The work of a window: what ran has changed, and a tail is learned. */
+static double time_learning(void)
+{
+	enum { ROUNDS = 20000 };
+	gn_interfere_config_t config = gn_interfere_defaults();
+	gn_interfere_t *interfere;
+	gn_clock_t clock;
+	double start;
+	double took;
+
+	gn_clock_init_paused(&clock, GN_US_PER_S);
+	interfere = gn_interfere_create(NULL, &clock, &config);
+	start = now_ns();
+	for (unsigned i = 0; i < ROUNDS; i++) {
+		gn_clock_advance(&clock, GN_US_PER_S);
+		for (int kind = 0; kind < KINDS; kind++)
+			gn_interfere_set_running(interfere,
+						 gn_str_from(kind_names[kind]),
+						 i % TASKS);
+		gn_interfere_learn(interfere, gn_clock_now_us(&clock), 50,
+				   0.5 + i % TASKS / 10.0);
+	}
+	took = now_ns() - start;
+	talloc_free(interfere);
+	return took / ROUNDS;
+}
+
 static void bench_cost(void)
 {
 	static const unsigned entries[] = { 2, 16, 75 };
@@ -472,6 +500,8 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(entries); i++)
 		printf("| %u | %.0f |\n", entries[i],
 		       time_requests(entries[i]));
+	printf("\nlearning from a window: %.1f us\n",
+	       time_learning() / NS_PER_US);
 }
 
 int main(int argc, char **argv)
