Give the agent's new links backoff; log a loss and its recovery once

Cause: the agent replaced a silent link after each beat timeout, logged every replacement, and with each new socket ZeroMQ's own backoff began again at 50 ms. So a dead entry was tried at the fast end of that backoff for ever.

Now lib/wire/reconnect.h decides when a link is given up: after one timeout of silence if it was answered, else after a wait that doubles from one to eight timeouts, with jitter. Meanwhile ZeroMQ goes on connecting by itself; its pauses and its attempts last half a timeout at most, so that an entry that returns is found within the timeout. Before, an attempt without any answer lasted as long as the kernel's. The first loss and the recovery are logged, the latter with the number of new links; agent.links_replaced counts all.

Ruled out: calls between entries keep no connection open of their own (libcurl, one attempt a call), so nothing repeats there.

--- a/lib/agent/agent_internal.h
+++ b/lib/agent/agent_internal.h
@@ -11,6 +11,7 @@
 #include "http/client.h"
 #include "http/server.h"
 #include "wire/link.h"
+#include "wire/reconnect.h"
 
 typedef struct agent_s agent_t;
 /** The control of batch tasks that slow the service down. */
@@ -23,8 +24,7 @@
 	gn_link_t *link; /**< replaced when it goes silent */
 	uint64_t session; /**< issued anew with each link */
 	uint64_t entry_incarnation; /**< 0 until welcomed */
-	uint64_t opened_us;
-	uint64_t heard_us; /**< last time the entry was heard */
+	gn_reconnect_t reconnect; /**< when the link is given up */
 	uint64_t beat_us; /**< last time a beat was sent */
 	uint64_t poll_us; /**< last time a task poll was sent */
 	uint64_t sequence;
--- a/lib/agent/links.c
+++ b/lib/agent/links.c
@@ -14,12 +14,6 @@
 	       GN_US_PER_MS;
 }
 
-static uint64_t timeout_us(const agent_t *agent)
-{
-	return (uint64_t)agent->runtime->settings->beat_timeout_ms *
-	       GN_US_PER_MS;
-}
-
 void agent_load(const agent_t *agent, Gn__Load *load)
 {
 	gn__load__init(load);
@@ -117,6 +111,19 @@
 	       envelope->welcome->entry);
 }
 
+/* One line tells of the recovery, however many links were tried. */
+static void note_heard(agent_link_t *link)
+{
+	uint64_t now_us = gn_runtime_now_us(link->agent->runtime);
+	uint64_t lost_us = link->reconnect.lost_us;
+	unsigned failures = gn_reconnect_hear(&link->reconnect, now_us);
+
+	if (failures)
+		gn_log(LOG_NOTICE, "beat", link->address,
+		       "heard again after %" PRIu64 " ms and %u new links",
+		       (now_us - lost_us) / GN_US_PER_MS, failures);
+}
+
 static void on_envelope(void *arg, const gn_link_peer_t *peer,
 			const Gn__Envelope *envelope)
 {
@@ -126,7 +133,7 @@
 	/* An earlier session's messages must neither run nor refresh. */
 	if (envelope->session != link->session)
 		return;
-	link->heard_us = gn_runtime_now_us(link->agent->runtime);
+	note_heard(link);
 	switch (envelope->body_case) {
 	case GN__ENVELOPE__BODY_WELCOME:
 		on_welcome(link, envelope);
@@ -155,6 +162,7 @@
 		.events = agent->runtime->events,
 		.zmq = agent->runtime->zmq,
 		.address = link->address,
+		.timeout_ms = agent->runtime->settings->beat_timeout_ms,
 		.counters = agent->runtime->counters,
 		.handler = on_envelope,
 		.arg = link,
@@ -165,9 +173,9 @@
 		gn_admit_close_session(agent->admit, link->entry_incarnation);
 	link->entry_incarnation = 0;
 	link->admit_session = 0;
-	link->opened_us = gn_runtime_now_us(agent->runtime);
-	link->heard_us = link->opened_us;
 	link->beat_us = 0;
+	gn_reconnect_open(&link->reconnect, agent->runtime->random,
+			  gn_runtime_now_us(agent->runtime));
 	return gn_link_connect(agent, &config, &link->link, error);
 }
 
@@ -175,8 +183,10 @@
 {
 	gn_error_t error = { 0 };
 
-	gn_log(LOG_WARNING, "beat", link->address,
-	       "silent, opening a new connection");
+	if (gn_reconnect_fail(&link->reconnect,
+			      gn_runtime_now_us(link->agent->runtime)))
+		gn_log(LOG_WARNING, "beat", link->address,
+		       "silent, opening new connections");
 	gn_counter_inc(link->agent->counters.links_replaced);
 	TALLOC_FREE(link->link);
 	if (open_link(link, &error))
@@ -187,7 +197,7 @@
 {
 	uint64_t now_us = gn_runtime_now_us(link->agent->runtime);
 
-	if (!link->link || now_us - link->heard_us > timeout_us(link->agent))
+	if (gn_reconnect_is_due(&link->reconnect, now_us))
 		replace_link(link);
 	if (!link->link || (link->beat_us &&
 			    now_us - link->beat_us < interval_us(link->agent)))
@@ -214,6 +224,8 @@
 
 		link->agent = agent;
 		link->address = settings->entries[i];
+		link->reconnect.timeout_us =
+			(uint64_t)settings->beat_timeout_ms * GN_US_PER_MS;
 		if (open_link(link, error))
 			return error->code;
 	}
--- a/lib/wire/link.c
+++ b/lib/wire/link.c
@@ -12,9 +12,14 @@
 #define MESSAGE_MAX (GN_BODY_MAX + 4096)
 /** A handshake that takes longer is given up, milliseconds. */
 #define HANDSHAKE_MS 2000
-/** First and longest pause between attempts to connect, milliseconds. */
-#define RECONNECT_MS 50
-#define RECONNECT_MAX_MS 2000
+/*
+ * Parts of the timeout: the first pause between attempts to connect (also the
+ * spread of all pauses), the longest one, and the longest attempt. A peer that
+ * returns is so reached within the timeout, with time left for a beat.
+ */
+#define RECONNECT_PART 40
+#define RECONNECT_MAX_PART 2
+#define CONNECT_PART 2
 /*
  * The beats find a silent connection, and the connecting side replaces it. The
  * listening side only has to let go of what it was: the kernel's keepalive
@@ -56,8 +61,6 @@
 	set_option(socket, ZMQ_SNDHWM, HIGH_WATER_MARK);
 	set_option(socket, ZMQ_RCVHWM, HIGH_WATER_MARK);
 	set_option(socket, ZMQ_HANDSHAKE_IVL, HANDSHAKE_MS);
-	set_option(socket, ZMQ_RECONNECT_IVL, RECONNECT_MS);
-	set_option(socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
 	set_option(socket, ZMQ_TCP_KEEPALIVE, 1);
 	set_option(socket, ZMQ_TCP_KEEPALIVE_IDLE, KEEPALIVE_IDLE_S);
 	set_option(socket, ZMQ_TCP_KEEPALIVE_INTVL, KEEPALIVE_INTERVAL_S);
@@ -67,6 +70,18 @@
 	zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &size_max, sizeof(size_max));
 }
 
+/* The pauses double from the first to the longest. */
+static void set_pauses(void *socket, unsigned timeout_ms)
+{
+	int first_ms = (int)(timeout_ms / RECONNECT_PART);
+
+	set_option(socket, ZMQ_RECONNECT_IVL, first_ms ? first_ms : 1);
+	set_option(socket, ZMQ_RECONNECT_IVL_MAX,
+		   (int)(timeout_ms / RECONNECT_MAX_PART));
+	set_option(socket, ZMQ_CONNECT_TIMEOUT,
+		   (int)(timeout_ms / CONNECT_PART));
+}
+
 /* Reads the routing id that a listening socket puts before each message. */
 static bool receive_peer(gn_link_t *link, gn_link_peer_t *peer)
 {
@@ -157,6 +172,8 @@
 	set_options(link->socket);
 	if (listens)
 		set_option(link->socket, ZMQ_ROUTER_MANDATORY, 1);
+	else
+		set_pauses(link->socket, config->timeout_ms);
 	return link;
 }
 
--- a/lib/wire/link.h
+++ b/lib/wire/link.h
@@ -37,6 +37,9 @@
 	struct tevent_context *events;
 	void *zmq;
 	const char *address; /**< "IP:PORT" */
+	/** A peer that returns is reached within this, milliseconds; 0 on the
+	 * listening side. */
+	unsigned timeout_ms;
 	gn_counters_t *counters;
 	gn_link_handler_t handler;
 	void *arg;
