Let an entry advertise another address than the one it binds

An entry wrote its bound address into the member record. Behind an address translation, or bound to all addresses, other entries could not reach it; and nothing could be put between two entries to cut them. Now http.advertise, by default http.listen, is what the record holds. It is checked like the other addresses, and refused where another key has it already.

--- a/lib/config/settings.c
+++ b/lib/config/settings.c
@@ -49,6 +49,10 @@
 	  .read = gn_schema_address,
 	  AT(http_listen),
 	  .required = BOTH },
+	{ .key = "advertise",
+	  .read = gn_schema_address,
+	  AT(http_advertise),
+	  .forbidden = AGENT },
 	NUMBER("connections", http_connections, 1, 65536, 1024),
 	NUMBER("timeout_ms", http_timeout_ms, 100, 600000, 10000),
 	NUMBER("threads", http_threads, 1, 16, 1),
@@ -197,6 +201,7 @@
 		const char *address;
 	} single[] = {
 		{ "http.listen", settings->http_listen },
+		{ "http.advertise", settings->http_advertise },
 		{ "platform.address", settings->platform_address },
 		{ "link.listen", settings->link_listen },
 	};
@@ -241,6 +246,8 @@
 		code = check_addresses(reader, settings);
 	if (!code)
 		code = check_beats(reader, settings);
+	if (!settings->http_advertise)
+		settings->http_advertise = settings->http_listen;
 	return code;
 }
 
--- a/lib/config/settings.h
+++ b/lib/config/settings.h
@@ -32,6 +32,8 @@
 	int log_level; /**< log_level = "err" .. "debug"; default "info" */
 
 	const char *http_listen; /**< [http] listen = "IP:PORT" */
+	/** [http] advertise = "IP:PORT", entry; http_listen */
+	const char *http_advertise;
 	unsigned http_connections; /**< [http] connections, 1..65536; 1024 */
 	unsigned http_timeout_ms; /**< [http] timeout_ms, 100..600000; 10000 */
 	unsigned http_threads; /**< [http] threads, 1..16; 1 */
--- a/lib/entry/membership.c
+++ b/lib/entry/membership.c
@@ -97,7 +97,7 @@
 		.clock = &runtime->clock,
 		.rand = runtime->random,
 		.name = runtime->settings->name,
-		.address = runtime->settings->http_listen,
+		.address = runtime->settings->http_advertise,
 		.incarnation = gn_runtime_random_id(),
 		.lease_ttl_ms = runtime->settings->lease_ttl_ms,
 		.on_adopt = on_adopt,
--- a/tests/contract/test_settings.c
+++ b/tests/contract/test_settings.c
@@ -130,6 +130,17 @@
 	{ "address-twice", entry_text, "listen = \"127.0.0.1:7000\"",
 	  "listen = \"127.0.0.1:8080\"", GN_ERR_INVALID,
 	  "link.listen: 127.0.0.1:8080 is the address of http.listen too" },
+	{ "advertise-kind", entry_text, "[http]", "[http]\nadvertise = 8080",
+	  GN_ERR_INVALID, "http.advertise: expected a string, got an integer" },
+	{ "advertise-name", entry_text, "[http]",
+	  "[http]\nadvertise = \"entry-1:8080\"", GN_ERR_INVALID,
+	  "http.advertise: not IP:PORT with port 1..65535" },
+	{ "advertise-is-links", entry_text, "[http]",
+	  "[http]\nadvertise = \"127.0.0.1:7000\"", GN_ERR_INVALID,
+	  "link.listen: 127.0.0.1:7000 is the address of http.advertise too" },
+	{ "advertise-of-agent", agent_text, "[http]",
+	  "[http]\nadvertise = \"127.0.0.1:8081\"", GN_ERR_INVALID,
+	  "http.advertise: not a key of this role" },
 	{ "platform-address-twice", entry_text, "address = \"127.0.0.1:2379\"",
 	  "address = \"127.0.0.1:8080\"", GN_ERR_INVALID,
 	  "platform.address: 127.0.0.1:8080 is the address of http.listen "
@@ -248,6 +259,7 @@
 	g_assert_cmpstr(s->data_centre, ==, "reykjavik-a");
 	g_assert_cmpint(s->log_level, ==, LOG_INFO);
 	g_assert_cmpstr(s->http_listen, ==, "127.0.0.1:8080");
+	g_assert_cmpstr(s->http_advertise, ==, "127.0.0.1:8080");
 	g_assert_cmpuint(s->http_connections, ==, 1024);
 	g_assert_cmpuint(s->http_timeout_ms, ==, 10000);
 	g_assert_cmpuint(s->http_threads, ==, 1);
@@ -291,6 +303,11 @@
 		.with = "name = \"" NAME_63 "\"\nstop_grace_ms = 0\n"
 			"log_level = \"debug\"\n",
 	};
+	const bad_case_t advertised = {
+		.text = entry_text,
+		.line = "[http]",
+		.with = "[http]\nadvertise = \"[::1]:80\"",
+	};
 	char *text = edit(&edge);
 
 	s = parse_good(text);
@@ -299,6 +316,11 @@
 	g_assert_cmpint(s->log_level, ==, LOG_DEBUG);
 	talloc_free(s);
 	g_free(text);
+	text = edit(&advertised);
+	s = parse_good(text);
+	g_assert_cmpstr(s->http_advertise, ==, "[::1]:80");
+	talloc_free(s);
+	g_free(text);
 }
 
 static void test_load(void)
