Keep room for urgent tasks on a third of the workers

Now a task that isn't of priority 0 leaves a worker's last room for an urgent one (one task, 13% of cores and memory) alone unless a third of the others have such room. Which workers keep it changes as tasks end; the sums are kept as in a share, at constant cost. A task that could never run beside the kept part may use it. Ageing is as before.

--- a/lib/batch/order.c
+++ b/lib/batch/order.c
@@ -253,11 +253,30 @@
 	       end_us + order->params.window_lead_us < worker->window_us;
 }
 
+static bool has_room(unsigned need, unsigned free, unsigned kept,
+		     unsigned whole)
+{
+	/* What can't run beside the part that is kept may use it. */
+	if (need + kept > whole)
+		kept = 0;
+	return need + kept <= free;
+}
+
+static bool has_room_for(const gn_batch_worker_t *worker, const gn_task_t *task)
+{
+	unsigned is_kept = task->priority != GN_BATCH_URGENT;
+
+	return worker->free_tasks > is_kept * worker->kept_tasks &&
+	       has_room(task->cores, worker->free_cores,
+			is_kept * worker->kept_cores, worker->cores) &&
+	       has_room(task->memory_mb, worker->free_memory_mb,
+			is_kept * worker->kept_memory_mb, worker->memory_mb);
+}
+
 static bool fits(const gn_batch_order_t *order, const gn_task_t *task,
 		 const gn_batch_worker_t *worker)
 {
-	return task->cores <= worker->free_cores &&
-	       task->memory_mb <= worker->free_memory_mb &&
+	return has_room_for(worker, task) &&
 	       task->accelerators <= worker->free_accelerators &&
 	       fits_window(order, task, worker) &&
 	       !gn_task_has_failed_on(task, worker->name);
--- a/lib/batch/order.h
+++ b/lib/batch/order.h
@@ -16,6 +16,8 @@
 #include "batch/task.h"
 #include "common/clock.h"
 
+/** Tasks of this priority are urgent. */
+#define GN_BATCH_URGENT 0
 /** Most kinds of work that one worker is described with. */
 #define GN_BATCH_KINDS_MAX 64
 
@@ -37,6 +39,11 @@
 	unsigned free_cores;
 	unsigned free_memory_mb;
 	unsigned free_accelerators;
+	unsigned cores; /**< all it has, 0 if not known */
+	unsigned memory_mb; /**< all it has, 0 if not known */
+	unsigned kept_tasks; /**< of what is free, for urgent tasks only */
+	unsigned kept_cores;
+	unsigned kept_memory_mb;
 	bool draining; /**< takes no new task */
 	uint64_t window_us; /**< when its rack goes away, 0 if not planned */
 	const char *kinds[GN_BATCH_KINDS_MAX]; /**< kinds that run on it */
--- a/lib/batch/share.c
+++ b/lib/batch/share.c
@@ -2,11 +2,18 @@
 
 #include <assert.h>
 
+#include <glib.h>
+
 #include "common/clock.h"
 
 /** Tasks that wait for longer go to any worker, milliseconds. */
 #define LEVEL_WAIT_MS 500
 
+/** Room for an urgent task: this part of a worker, percent. */
+#define URGENT_PCT 13
+/** One worker of this many keeps room for an urgent task. */
+#define WORKERS_A_ROOM 3
+
 static void subtract(gn_batch_share_t *share, const gn_batch_member_t *member)
 {
 	if (!member->open)
@@ -14,6 +21,16 @@
 	assert(share->workers > 0 && share->placed >= member->placed);
 	share->workers--;
 	share->placed -= member->placed;
+	share->roomy -= member->roomy;
+}
+
+static void add(gn_batch_share_t *share, const gn_batch_member_t *member)
+{
+	if (!member->open)
+		return;
+	share->workers++;
+	share->placed += member->placed;
+	share->roomy += member->roomy;
 }
 
 void gn_batch_share_set(gn_batch_share_t *share, gn_batch_member_t *member,
@@ -22,10 +39,7 @@
 	subtract(share, member);
 	member->open = open;
 	member->placed = placed;
-	if (!open)
-		return;
-	share->workers++;
-	share->placed += placed;
+	add(share, member);
 }
 
 /** Notes since when tasks have been waiting without a break. */
@@ -51,3 +65,36 @@
 		return (unsigned)(waiting / workers) + 1;
 	return level > member->placed ? (unsigned)(level - member->placed) : 0;
 }
+
+static unsigned urgent_part(unsigned whole)
+{
+	return (unsigned)((uint64_t)whole * URGENT_PCT / 100);
+}
+
+void gn_batch_share_limit(const gn_batch_share_t *share,
+			  const gn_batch_member_t *member, unsigned most,
+			  gn_batch_worker_t *worker)
+{
+	bool counted = member->open && member->roomy;
+	unsigned others = share->roomy - counted;
+	unsigned kept = others < share->workers / WORKERS_A_ROOM;
+	unsigned ordinary =
+		worker->free_tasks > kept ? worker->free_tasks - kept : 0;
+
+	ordinary = MIN(ordinary, most);
+	worker->kept_tasks = worker->free_tasks - ordinary;
+	worker->kept_cores = kept * urgent_part(worker->cores);
+	worker->kept_memory_mb = kept * urgent_part(worker->memory_mb);
+}
+
+void gn_batch_share_note_room(gn_batch_share_t *share,
+			      gn_batch_member_t *member,
+			      const gn_batch_worker_t *worker)
+{
+	subtract(share, member);
+	member->roomy =
+		worker->free_tasks > 0 &&
+		worker->free_cores >= urgent_part(worker->cores) &&
+		worker->free_memory_mb >= urgent_part(worker->memory_mb);
+	add(share, member);
+}
--- a/lib/entry/polls.c
+++ b/lib/entry/polls.c
@@ -93,10 +93,13 @@
 				   gn_runtime_now_us(entry->runtime));
 	described->name = worker->name;
 	described->service = worker->service->name;
-	described->free_tasks = MIN(poll->free_tasks, share);
+	described->free_tasks = poll->free_tasks;
 	described->free_cores = poll->free_cores;
 	described->free_memory_mb = poll->free_memory_mb;
 	described->free_accelerators = poll->free_accelerators;
+	described->cores = worker->hello->cores;
+	described->memory_mb = worker->hello->memory_mb;
+	gn_batch_share_limit(&entry->share, &worker->member, share, described);
 	described->draining = poll->draining || drained;
 	described->window_us = entry_config_window_us(entry, worker);
 	for (size_t i = 0; i < poll->n_kinds && i < GN_BATCH_KINDS_MAX; i++)
@@ -153,6 +156,7 @@
 	gn_batch_share_set(&entry->share, &worker->member, worker->member.open,
 			   worker->member.placed + free_before -
 				   described.free_tasks);
+	gn_batch_share_note_room(&entry->share, &worker->member, &described);
 	if (count)
 		send_orders(entry, worker, message->sent_us, messages, count);
 out:
--- a/tests/support/place_model.c
+++ b/tests/support/place_model.c
@@ -283,10 +283,11 @@
 	gn_task_t *task;
 
 	gn_batch_share_set(&m->share, &host->member, !host->draining, tasks);
-	worker.free_tasks = MIN(
-		worker.free_tasks,
-		gn_batch_share_get(&m->share, &host->member,
-				   gn_batch_order_count(m->order), now_us(m)));
+	gn_batch_share_limit(&m->share, &host->member,
+			     gn_batch_share_get(&m->share, &host->member,
+						gn_batch_order_count(m->order),
+						now_us(m)),
+			     &worker);
 	worker.draining = host->draining;
 	worker.window_us = host->drain_us ? host->drain_us + LEAD_US : 0;
 	worker.kind_count = 0;
@@ -294,6 +295,7 @@
 		if (host->kind_count[i])
 			worker.kinds[worker.kind_count++] = kinds[i].name;
 	while ((task = gn_batch_order_take(m->order, &worker))) {
+		task->claim++;
 		host->free.free_tasks--;
 		host->free.free_cores -= task->cores;
 		host->free.free_memory_mb -= task->memory_mb;
@@ -302,6 +304,7 @@
 	}
 	gn_batch_share_set(&m->share, &host->member, !host->draining,
 			   g_list_length(host->jobs));
+	gn_batch_share_note_room(&m->share, &host->member, &worker);
 }
 
 static void place_product(place_model_t *m)
@@ -405,6 +408,8 @@
 			.name = host->name,
 			.service = "s",
 			.free_tasks = SLOTS,
+			.cores = m->config->cores,
+			.memory_mb = m->config->memory_mb,
 			.free_cores = m->config->cores,
 			.free_memory_mb = m->config->memory_mb,
 			.free_accelerators = i % 4 ? 0 : ACCELERATORS,
--- a/tests/unit/test_order.c
+++ b/tests/unit/test_order.c
@@ -97,6 +97,45 @@
 	g_assert_true(take(f) == old);
 }
 
+/** What a worker keeps for urgent tasks goes to no other. */
+static void test_kept(fixture_t *f, gconstpointer data)
+{
+	static const struct {
+		unsigned priority;
+		unsigned cores;
+		unsigned free_tasks;
+		bool taken;
+	} rows[] = {
+		{ 0, 2, 1, true },
+		{ 1, 2, 1, false },
+		{ 0, 4, 8, true },
+		{ 1, 3, 8, false },
+		{ 3, 2, 8, true },
+		/* Could never run beside what is kept. */
+		{ 3, 15, 8, false },
+	};
+
+	(void)data;
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		gn_batch_worker_t worker = make_worker();
+		gn_task_t *task =
+			add(f, "a", "k", rows[i].priority, rows[i].cores);
+
+		worker.cores = 16;
+		worker.free_cores = 4;
+		worker.kept_cores = 2;
+		worker.free_tasks = rows[i].free_tasks;
+		worker.kept_tasks = 1;
+		g_assert_true((gn_batch_order_take(f->order, &worker) ==
+			       task) == rows[i].taken);
+		worker.free_cores = 16;
+		worker.free_tasks = 8;
+		if (!rows[i].taken)
+			g_assert_true(gn_batch_order_take(f->order, &worker) ==
+				      task);
+	}
+}
+
 static void test_quota(fixture_t *f, gconstpointer data)
 {
 	gn_task_t *first = add(f, "a", "k", 0, 1);
@@ -255,6 +294,7 @@
 	g_test_init(&argc, &argv, NULL);
 	ADD("urgent-first", test_urgent_first);
 	ADD("ageing", test_ageing);
+	ADD("kept", test_kept);
 	ADD("quota", test_quota);
 	ADD("kinds", test_kinds);
 	ADD("fill", test_fill);
--- a/tests/unit/test_share.c
+++ b/tests/unit/test_share.c
@@ -62,6 +62,37 @@
 	g_rand_free(rand);
 }
 
+/** One worker of three keeps room for an urgent task; which one may change. */
+static void test_rooms(void)
+{
+	gn_batch_share_t share = { 0 };
+	gn_batch_member_t members[3] = { 0 };
+	gn_batch_worker_t full = { .cores = 16 };
+	gn_batch_worker_t idle = { .cores = 16,
+				   .free_tasks = 8,
+				   .free_cores = 16 };
+
+	for (int i = 0; i < 3; i++)
+		gn_batch_share_set(&share, &members[i], true, 0);
+	gn_batch_share_limit(&share, &members[0], 100, &idle);
+	g_assert_cmpuint(idle.kept_tasks, ==, 1);
+	g_assert_cmpuint(idle.kept_cores, ==, 2);
+	gn_batch_share_note_room(&share, &members[0], &idle);
+	gn_batch_share_limit(&share, &members[0], 100, &idle);
+	g_assert_cmpuint(idle.kept_tasks, ==, 1);
+	gn_batch_share_limit(&share, &members[1], 100, &idle);
+	g_assert_cmpuint(idle.kept_tasks, ==, 0);
+	/* What is above the share is for urgent tasks. */
+	gn_batch_share_limit(&share, &members[1], 3, &idle);
+	g_assert_cmpuint(idle.kept_tasks, ==, 5);
+	gn_batch_share_note_room(&share, &members[0], &full);
+	gn_batch_share_limit(&share, &members[1], 100, &idle);
+	g_assert_cmpuint(idle.kept_tasks, ==, 1);
+	gn_batch_share_note_room(&share, &members[0], &idle);
+	gn_batch_share_set(&share, &members[0], false, 0);
+	g_assert_cmpuint(share.roomy, ==, 0);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -72,5 +103,6 @@
 		g_free(path);
 	}
 	g_test_add_func("/share/sums", test_sums);
+	g_test_add_func("/share/rooms", test_rooms);
 	return g_test_run();
 }
