Place no task on a rack that would drain before it can be released

Cause: the order compared a task's end with the begin of the landlord window, but a rack begins to drain, and its tasks are released, a lead (60 minutes) earlier. So until the drain a rack was given tasks that were evicted at once, those without a checkpoint to begin anew. The entry now states when the drain begins. Scenario window_ahead failed first (2 of 4 tasks on the other worker) and passed 3 of 3 after.

--- a/lib/batch/order.h
+++ b/lib/batch/order.h
@@ -26,7 +26,7 @@
 	uint64_t
 		ageing_step_us; /**< wait that gains one priority, 1 s..1 day */
 	uint64_t
-		window_lead_us; /**< a rack drains this long before its window */
+		window_lead_us; /**< tasks end so long before their rack drains */
 	uint64_t backoff_least_us; /**< before the first retry, 1 ms..1 h */
 	uint64_t backoff_most_us; /**< before any retry, up to 1 day */
 } gn_batch_order_params_t;
@@ -45,7 +45,8 @@
 	unsigned kept_cores;
 	unsigned kept_memory_mb;
 	bool draining; /**< takes no new task */
-	uint64_t window_us; /**< when its rack goes away, 0 if not planned */
+	uint64_t window_us; /**< when its rack begins to drain ahead of a
+			       landlord window, 0 if not planned */
 	const char *kinds[GN_BATCH_KINDS_MAX]; /**< kinds that run on it */
 	size_t kind_count;
 } gn_batch_worker_t;
--- a/lib/entry/config.c
+++ b/lib/entry/config.c
@@ -192,7 +192,8 @@
 				const entry_worker_t *worker)
 {
 	const gn_window_t *window = find_window(entry, worker);
-	int64_t left_s = window ? window->begin_s - wall_now_s() : 0;
+	int64_t left_s =
+		window ? gn_window_drain_from_s(window) - wall_now_s() : 0;
 
 	if (!window)
 		return 0;
--- a/lib/entry/config.h
+++ b/lib/entry/config.h
@@ -43,7 +43,8 @@
 /** Whether the rules drain the worker's host, by an operator or a window. */
 bool entry_config_is_drained(const entry_t *entry,
 			     const entry_worker_t *worker);
-/** When the worker's rack goes away, on the entry's clock; 0: not planned. */
+/** When the worker's rack begins to drain ahead of a window, on the entry's
+ * clock; 0: not planned. */
 uint64_t entry_config_window_us(const entry_t *entry,
 				const entry_worker_t *worker);
 /** Sets quotas, exclusions and the fleet's sizes in @p order. */
--- a/tests/support/place_model.c
+++ b/tests/support/place_model.c
@@ -14,7 +14,6 @@
 #define RACK_WORKERS 3
 #define URGENT_TARGET_US (1100 * GN_US_PER_MS)
 #define WAVE_US (HOUR_US / 2)
-#define LEAD_US HOUR_US
 #define WAVE_TASKS 40
 #define NOISE_QUOTA 20
 #define ACCELERATORS 2
@@ -289,7 +288,7 @@
 						now_us(m)),
 			     &worker);
 	worker.draining = host->draining;
-	worker.window_us = host->drain_us ? host->drain_us + LEAD_US : 0;
+	worker.window_us = host->drain_us;
 	worker.kind_count = 0;
 	for (size_t i = 0; i < KIND_COUNT; i++)
 		if (host->kind_count[i])
