--- a/tests/bench/bench_batch.c
+++ b/tests/bench/bench_batch.c
@@ -9,22 +9,13 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "batch/bucket.h"
 #include "common/str.h"
+#include "support/bucket_gate.h"
 
 #define TEAMS 73
 #define TASKS_PER_WORKER 8
 #define SPEC_LEN 64
 
-static const gn_batch_params_t params = {
-	.promise_us = 10 * GN_US_PER_S,
-	.drift_us = GN_US_PER_S,
-	.retention_us = 3600ULL * GN_US_PER_S,
-	.order = { .ageing_step_us = 60 * GN_US_PER_S,
-		   .backoff_least_us = GN_US_PER_S,
-		   .backoff_most_us = 60 * GN_US_PER_S },
-};
-
 /** A bucket with its surroundings. */
 typedef struct bench_s {
 	TALLOC_CTX *frame;
@@ -36,46 +27,6 @@
 	unsigned repeats;
 } bench_t;
 
-static bool yes(void *context)
-{
-	(void)context;
-	return true;
-}
-
-static bool settled(void *context, uint64_t incarnation, uint64_t acked,
-		    uint64_t taken_us)
-{
-	(void)context;
-	(void)incarnation;
-	(void)acked;
-	(void)taken_us;
-	return true;
-}
-
-static bool has_left(void *context, uint64_t incarnation, uint64_t revision)
-{
-	(void)context;
-	(void)incarnation;
-	(void)revision;
-	return true;
-}
-
-static uint64_t one(void *context)
-{
-	(void)context;
-	return 1;
-}
-
-static uint64_t none(void *context, uint64_t incarnation)
-{
-	(void)context;
-	(void)incarnation;
-	return 0;
-}
-
-static const gn_batch_gate_ops_t gate_ops = { yes,	yes, settled,
-					      has_left, one, none };
-
 static double elapsed_ns(gint64 since, unsigned repeats)
 {
 	return (double)(g_get_monotonic_time() - since) * 1000 / repeats;
@@ -142,14 +93,15 @@
 
 static void set_up(bench_t *b)
 {
-	gn_batch_gate_t gate = { &gate_ops, NULL };
+	static bucket_gate_t says = BUCKET_GATE_OPEN;
 
 	b->frame = talloc_new(NULL);
 	b->revision = 0;
 	b->stored = (gn_str_t){ NULL, 0 };
 	gn_clock_init_paused(&b->clock, 1000ULL * GN_US_PER_S);
-	gn_batch_bucket_create(b->frame, 0, 7, b->stored, 0, &params, gate,
-			       &b->clock, b->rand, &b->bucket, NULL);
+	gn_batch_bucket_create(b->frame, 0, 7, b->stored, 0, &bucket_params,
+			       bucket_gate(&says), &b->clock, b->rand,
+			       &b->bucket, NULL);
 	commit(b);
 }
 
@@ -261,7 +213,7 @@
 
 	b->frame = talloc_new(NULL);
 	gn_clock_init_paused(&b->clock, 1000ULL * GN_US_PER_S);
-	order = gn_batch_order_create(b->frame, &params.order, &b->clock,
+	order = gn_batch_order_create(b->frame, &bucket_params.order, &b->clock,
 				      b->rand);
 	for (unsigned i = 0; i < count; i++) {
 		char team[GN_NAME_MAX];
--- a/tests/bench/bench_wire_bucket.c
+++ b/tests/bench/bench_wire_bucket.c
@@ -10,8 +10,8 @@
 #include <string.h>
 #include <time.h>
 
-#include "batch/bucket.h"
 #include "common/str.h"
+#include "support/bucket_gate.h"
 
 #define SEED 1
 #define NS_PER_S 1000000000ULL
@@ -20,15 +20,6 @@
 #define TASKS_A_WORKER 8
 #define OWNER 11
 
-static const gn_batch_params_t params = {
-	.promise_us = 10 * GN_US_PER_S,
-	.drift_us = GN_US_PER_S,
-	.retention_us = 60 * GN_US_PER_S,
-	.order = { .ageing_step_us = 60 * GN_US_PER_S,
-		   .backoff_least_us = GN_US_PER_S,
-		   .backoff_most_us = 60 * GN_US_PER_S },
-};
-
 typedef struct rig_s {
 	TALLOC_CTX *frame;
 	gn_clock_t clock;
@@ -39,41 +30,6 @@
 	bool is_large; /**< tasks have a key and a specification */
 } rig_t;
 
-static bool allow(void *context)
-{
-	(void)context;
-	return true;
-}
-
-static bool has_left(void *context, uint64_t incarnation, uint64_t acked)
-{
-	(void)context;
-	(void)incarnation;
-	(void)acked;
-	return true;
-}
-
-static bool is_settled(void *context, uint64_t incarnation, uint64_t acked,
-		       uint64_t taken_us)
-{
-	(void)taken_us;
-	return has_left(context, incarnation, acked);
-}
-
-static uint64_t revision_one(void *context)
-{
-	(void)context;
-	return 1;
-}
-
-static const gn_batch_gate_ops_t gate_ops = {
-	.may_renew = allow,
-	.may_start = allow,
-	.has_left = has_left,
-	.is_settled = is_settled,
-	.revision = revision_one,
-};
-
 static double cpu_us(void)
 {
 	struct timespec now;
@@ -164,14 +120,14 @@
 	rig_t rig = { .frame = talloc_new(NULL),
 		      .rand = g_rand_new_with_seed(SEED),
 		      .is_large = is_large };
-	gn_batch_gate_t gate = { &gate_ops, NULL };
+	static bucket_gate_t says = BUCKET_GATE_OPEN;
 	gn_error_t error;
 
 	gn_clock_init_paused(&rig.clock, 1000 * GN_US_PER_S);
-	g_assert_cmpint(gn_batch_bucket_create(rig.frame, 3, OWNER,
-					       (gn_str_t){ NULL, 0 }, 0,
-					       &params, gate, &rig.clock,
-					       rig.rand, &rig.bucket, &error),
+	g_assert_cmpint(gn_batch_bucket_create(
+				rig.frame, 3, OWNER, (gn_str_t){ NULL, 0 }, 0,
+				&bucket_params, bucket_gate(&says), &rig.clock,
+				rig.rand, &rig.bucket, &error),
 			==, GN_OK);
 	store(&rig, "taken");
 	while (rig.tasks < tasks && submit(&rig) == GN_OK)
--- a/tests/unit/test_bucket.c
+++ b/tests/unit/test_bucket.c
@@ -1,32 +1,20 @@
 #include <glib.h>
 #include <string.h>
 
-#include "batch/bucket.h"
 #include "common/str.h"
+#include "support/bucket_gate.h"
 
 #define WORKER "w1"
 #define PROMISE_US (10 * GN_US_PER_S)
 #define DRIFT_US GN_US_PER_S
 
-static const gn_batch_params_t params = {
-	.promise_us = PROMISE_US,
-	.drift_us = DRIFT_US,
-	.retention_us = 60 * GN_US_PER_S,
-	.order = { .ageing_step_us = 60 * GN_US_PER_S,
-		   .backoff_least_us = GN_US_PER_S,
-		   .backoff_most_us = 60 * GN_US_PER_S },
-};
-
 /** One bucket with its surroundings, all in one thread. */
 typedef struct fixture_s {
 	TALLOC_CTX *frame;
 	gn_clock_t clock;
 	GRand *rand;
 	gn_batch_bucket_t *bucket;
-	bool may_renew;
-	bool may_start;
-	bool settled;
-	bool owner_lives; /**< the earlier owner is in the record */
+	bucket_gate_t gate;
 	bool draining; /**< what the worker says of itself */
 	uint64_t polled_us;
 	uint64_t agent; /**< incarnation */
@@ -35,48 +23,6 @@
 	gn_batch_orders_t orders; /**< of the last poll */
 } fixture_t;
 
-static bool may_renew(void *context)
-{
-	return ((fixture_t *)context)->may_renew;
-}
-
-static bool may_start(void *context)
-{
-	return ((fixture_t *)context)->may_start;
-}
-
-static bool is_settled(void *context, uint64_t incarnation, uint64_t acked,
-		       uint64_t taken_us)
-{
-	(void)incarnation;
-	(void)acked;
-	(void)taken_us;
-	return ((fixture_t *)context)->settled;
-}
-
-static bool has_left(void *context, uint64_t incarnation, uint64_t revision)
-{
-	(void)incarnation;
-	(void)revision;
-	return !((fixture_t *)context)->owner_lives;
-}
-
-static uint64_t revision(void *context)
-{
-	(void)context;
-	return 1;
-}
-
-static uint64_t acked(void *context, uint64_t incarnation)
-{
-	(void)context;
-	(void)incarnation;
-	return 0;
-}
-
-static const gn_batch_gate_ops_t gate_ops = { may_renew, may_start, is_settled,
-					      has_left,	 revision,  acked };
-
 /** Lets the platform take the next write; false if there is none. */
 static bool commit(fixture_t *f)
 {
@@ -97,28 +43,33 @@
 /** Makes @p owner take the bucket over from the stored value. */
 static void take_over(fixture_t *f, uint64_t owner)
 {
-	gn_batch_gate_t gate = { &gate_ops, f };
 	gn_error_t error;
 
 	g_assert_cmpint(gn_batch_bucket_create(f->frame, 3, owner, f->stored,
-					       f->revision, &params, gate,
-					       &f->clock, f->rand, &f->bucket,
-					       &error),
+					       f->revision, &bucket_params,
+					       bucket_gate(&f->gate), &f->clock,
+					       f->rand, &f->bucket, &error),
 			==, GN_OK);
 	g_assert_cmpint(gn_batch_bucket_standing(f->bucket), ==,
 			GN_BATCH_TAKING);
 }
 
+/** Makes @p owner take the bucket over, and has that stored. */
+static void change_owner(fixture_t *f, uint64_t owner)
+{
+	take_over(f, owner);
+	g_assert_true(commit(f));
+}
+
 static void set_up(fixture_t *f, gconstpointer data)
 {
 	(void)data;
 	f->frame = talloc_new(NULL);
 	gn_clock_init_paused(&f->clock, 1000 * GN_US_PER_S);
 	f->rand = g_rand_new_with_seed(1);
-	f->may_renew = f->may_start = f->settled = true;
+	f->gate = (bucket_gate_t)BUCKET_GATE_OPEN;
 	f->agent = 1;
-	take_over(f, 11);
-	g_assert_true(commit(f));
+	change_owner(f, 11);
 }
 
 static void tear_down(fixture_t *f, gconstpointer data)
@@ -128,21 +79,29 @@
 	g_rand_free(f->rand);
 }
 
-static uint64_t submit_keyed(fixture_t *f, gn_str_t key)
+static gn_code_t submit_request(fixture_t *f, gn_str_t spec, gn_str_t key,
+				unsigned cores, uint64_t *id,
+				gn_task_reason_t *reason)
 {
 	gn_task_request_t request = { .work_class = GN_CLASS_BATCH,
 				      .team = GN_STR("t"),
 				      .kind = GN_STR("k"),
 				      .service = GN_STR("s"),
 				      .key = key,
-				      .cores = 1 };
+				      .cores = cores,
+				      .spec = spec };
+	uint64_t seq;
+
+	return gn_batch_bucket_submit(f->bucket, &request, id, &seq, reason);
+}
+
+static uint64_t submit_keyed(fixture_t *f, gn_str_t key)
+{
 	gn_task_reason_t reason;
 	uint64_t id = 0;
-	uint64_t seq = 0;
 
-	g_assert_cmpint(
-		gn_batch_bucket_submit(f->bucket, &request, &id, &seq, &reason),
-		==, GN_OK);
+	g_assert_cmpint(submit_request(f, GN_STR(""), key, 1, &id, &reason), ==,
+			GN_OK);
 	return id;
 }
 
@@ -185,17 +144,30 @@
 	return &f->orders.orders[0];
 }
 
+/** Polls as WORKER; the answer holds no order. */
+static void poll_for_nothing(fixture_t *f, const gn_batch_report_t *report)
+{
+	poll_worker(f, WORKER, report, report != NULL);
+	g_assert_cmpuint(f->orders.count, ==, 0);
+}
+
+/** Polls as WORKER; the answer holds just this order. */
+static const gn_batch_order_msg_t *
+poll_for(fixture_t *f, const gn_batch_report_t *report, gn_order_kind_t kind)
+{
+	poll_worker(f, WORKER, report, report != NULL);
+	return only_order(f, kind);
+}
+
 /** Submits a task and has it started; returns what its worker reports. */
 static gn_batch_report_t start_task(fixture_t *f, uint64_t *id)
 {
 	*id = submit(f);
 	g_assert_true(commit(f));
-	poll_worker(f, WORKER, NULL, 0);
-	g_assert_cmpuint(f->orders.count, ==, 0);
+	poll_for_nothing(f, NULL);
 	g_assert_true(commit(f));
-	poll_worker(f, WORKER, NULL, 0);
 	return (gn_batch_report_t){
-		.task = *id, .epoch = only_order(f, GN_ORDER_START)->epoch
+		.task = *id, .epoch = poll_for(f, NULL, GN_ORDER_START)->epoch
 	};
 }
 
@@ -204,111 +176,113 @@
 	return gn_batch_bucket_find(f->bucket, id)->state;
 }
 
-static void test_run(fixture_t *f, gconstpointer data)
+/** Lets time go by; the task is then in that state. */
+static void expect_after(fixture_t *f, uint64_t us, uint64_t id,
+			 gn_task_state_t state)
+{
+	gn_clock_advance(&f->clock, us);
+	gn_batch_bucket_tick(f->bucket);
+	g_assert_cmpint(state_of(f, id), ==, state);
+}
+
+static bool is_task_durable(fixture_t *f, uint64_t id)
+{
+	return gn_batch_bucket_task_is_durable(
+		f->bucket, gn_batch_bucket_find(f->bucket, id));
+}
+
+static void test_run(fixture_t *f)
 {
 	uint64_t id;
 	gn_batch_report_t report = start_task(f, &id);
 
-	(void)data;
-	poll_worker(f, WORKER, &report, 1);
-	g_assert_cmpuint(only_order(f, GN_ORDER_RENEW)->promise_us, ==,
+	g_assert_cmpuint(poll_for(f, &report, GN_ORDER_RENEW)->promise_us, ==,
 			 PROMISE_US);
 	report.state = GN_RUN_DONE;
 	report.result_code = 200;
 	poll_worker(f, WORKER, &report, 1);
 	/* The end is stored before it is told or forgotten. */
 	g_assert_cmpuint(f->orders.count, ==, 0);
-	g_assert_false(gn_batch_bucket_task_is_durable(
-		f->bucket, gn_batch_bucket_find(f->bucket, id)));
+	g_assert_false(is_task_durable(f, id));
 	g_assert_true(commit(f));
-	g_assert_true(gn_batch_bucket_task_is_durable(
-		f->bucket, gn_batch_bucket_find(f->bucket, id)));
-	poll_worker(f, WORKER, &report, 1);
-	only_order(f, GN_ORDER_FORGET);
+	g_assert_true(is_task_durable(f, id));
+	poll_for(f, &report, GN_ORDER_FORGET);
 	g_assert_cmpint(state_of(f, id), ==, GN_TASK_DONE);
 	g_assert_cmpuint(gn_batch_bucket_stats(f->bucket)->finishes, ==, 1);
-	gn_clock_advance(&f->clock, params.retention_us);
+	gn_clock_advance(&f->clock, bucket_params.retention_us);
 	gn_batch_bucket_tick(f->bucket);
 	g_assert_null(gn_batch_bucket_find(f->bucket, id));
 }
 
-static void test_starts_after_commit(fixture_t *f, gconstpointer data)
+static bool has_starts(fixture_t *f, const char **worker, uint64_t *sent_us)
+{
+	uint64_t incarnation;
+
+	return gn_batch_bucket_next_starts(f->bucket, f->frame, worker,
+					   &incarnation, sent_us, &f->orders);
+}
+
+static void test_starts_after_commit(fixture_t *f)
 {
 	uint64_t id = submit(f);
 	const char *worker = NULL;
-	uint64_t incarnation = 0;
 	uint64_t sent_us = 0;
 
-	(void)data;
 	poll_worker(f, WORKER, NULL, 0);
-	g_assert_false(gn_batch_bucket_next_starts(f->bucket, f->frame, &worker,
-						   &incarnation, &sent_us,
-						   &f->orders));
+	g_assert_false(has_starts(f, &worker, &sent_us));
 	g_assert_true(commit(f));
-	g_assert_true(gn_batch_bucket_next_starts(f->bucket, f->frame, &worker,
-						  &incarnation, &sent_us,
-						  &f->orders));
+	g_assert_true(has_starts(f, &worker, &sent_us));
 	g_assert_cmpstr(worker, ==, WORKER);
 	g_assert_cmpuint(sent_us, ==, f->polled_us);
 	g_assert_cmpuint(only_order(f, GN_ORDER_START)->id, ==, id);
-	g_assert_false(gn_batch_bucket_next_starts(f->bucket, f->frame, &worker,
-						   &incarnation, &sent_us,
-						   &f->orders));
+	g_assert_false(has_starts(f, &worker, &sent_us));
 }
 
-static void test_idempotent_submit(fixture_t *f, gconstpointer data)
+static void test_idempotent_submit(fixture_t *f)
 {
 	uint64_t id = submit_keyed(f, GN_STR("night"));
 
-	(void)data;
 	g_assert_cmpuint(submit_keyed(f, GN_STR("night")), ==, id);
 	g_assert_cmpuint(submit_keyed(f, GN_STR("day")), !=, id);
 	g_assert_true(commit(f));
-	take_over(f, 12);
-	g_assert_true(commit(f));
+	change_owner(f, 12);
 	g_assert_cmpuint(submit_keyed(f, GN_STR("night")), ==, id);
 	g_assert_cmpuint(gn_batch_bucket_task_count(f->bucket), ==, 2);
 }
 
-static void test_cancel(fixture_t *f, gconstpointer data)
+static void test_cancel(fixture_t *f)
 {
 	uint64_t id = submit(f);
 	uint64_t seq = 0;
 	gn_outcome_t outcome;
 	gn_batch_report_t report;
 
-	(void)data;
 	/* Claimed, and even so never ordered to start. */
 	poll_worker(f, WORKER, NULL, 0);
 	g_assert_true(commit(f));
 	gn_batch_bucket_cancel(f->bucket, id, &outcome, &seq);
 	g_assert_cmpint(outcome, ==, GN_OUTCOME_NOT_RUN);
-	poll_worker(f, WORKER, NULL, 0);
-	g_assert_cmpuint(f->orders.count, ==, 0);
+	poll_for_nothing(f, NULL);
 	g_assert_true(commit(f));
 	g_assert_true(gn_batch_bucket_is_durable(f->bucket, seq));
 
 	report = start_task(f, &id);
 	gn_batch_bucket_cancel(f->bucket, id, &outcome, &seq);
 	g_assert_cmpint(outcome, ==, GN_OUTCOME_UNKNOWN);
-	poll_worker(f, WORKER, &report, 1);
-	g_assert_cmpuint(f->orders.count, ==, 0);
+	poll_for_nothing(f, &report);
 	g_assert_true(commit(f));
-	poll_worker(f, WORKER, &report, 1);
-	only_order(f, GN_ORDER_STOP);
+	poll_for(f, &report, GN_ORDER_STOP);
 	report.state = GN_RUN_STOPPED;
-	poll_worker(f, WORKER, &report, 1);
-	only_order(f, GN_ORDER_FORGET);
+	poll_for(f, &report, GN_ORDER_FORGET);
 	g_assert_cmpint(state_of(f, id), ==, GN_TASK_CANCELLED);
 }
 
-static void test_cancel_wave(fixture_t *f, gconstpointer data)
+static void test_cancel_wave(fixture_t *f)
 {
 	size_t count = 0;
 	uint64_t seq = 0;
 	uint64_t commits;
 
-	(void)data;
 	for (int i = 0; i < 3000; i++)
 		submit(f);
 	g_assert_true(commit(f));
@@ -361,12 +335,11 @@
 			 c->attempts);
 }
 
-static void test_parked(fixture_t *f, gconstpointer data)
+static void test_parked(fixture_t *f)
 {
 	static const char *const names[] = { "w1", "w2", "w3" };
 	uint64_t id = submit(f);
 
-	(void)data;
 	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
 		gn_batch_report_t report = { .task = id,
 					     .state = GN_RUN_FAILED };
@@ -387,48 +360,39 @@
 			GN_TASK_REASON_FAILED_WORKERS);
 }
 
-static void test_lapse(fixture_t *f, gconstpointer data)
+static void test_lapse(fixture_t *f)
 {
 	uint64_t id;
 	gn_batch_report_t report = start_task(f, &id);
 
-	(void)data;
-	gn_clock_advance(&f->clock, PROMISE_US + DRIFT_US);
-	gn_batch_bucket_tick(f->bucket);
-	g_assert_cmpint(state_of(f, id), ==, GN_TASK_CLAIMED);
-	gn_clock_advance(&f->clock, 1);
-	gn_batch_bucket_tick(f->bucket);
-	g_assert_cmpint(state_of(f, id), ==, GN_TASK_QUEUED);
+	expect_after(f, PROMISE_US + DRIFT_US, id, GN_TASK_CLAIMED);
+	expect_after(f, 1, id, GN_TASK_QUEUED);
 	/* Its result comes late, yet before another start: it counts. */
 	report.state = GN_RUN_DONE;
 	poll_worker(f, WORKER, &report, 1);
 	g_assert_cmpint(state_of(f, id), ==, GN_TASK_DONE);
 }
 
-static void test_unsettled(fixture_t *f, gconstpointer data)
+static void test_unsettled(fixture_t *f)
 {
 	gn_batch_predecessor_t predecessors[2];
 	uint64_t id;
 	gn_batch_report_t report = start_task(f, &id);
 
-	(void)data;
 	take_over(f, 12);
 	g_assert_cmpint(poll_at(f, WORKER, 100, &report, 1), ==,
 			GN_ERR_UNAVAILABLE);
 	g_assert_true(commit(f));
-	take_over(f, 13);
-	g_assert_true(commit(f));
+	change_owner(f, 13);
 	g_assert_cmpuint(gn_batch_bucket_unsettled(f->bucket, predecessors, 2),
 			 ==, 2);
-	f->settled = false;
-	gn_clock_advance(&f->clock, 10 * PROMISE_US);
-	gn_batch_bucket_tick(f->bucket);
-	g_assert_cmpint(state_of(f, id), ==, GN_TASK_CLAIMED);
+	f->gate.settled = false;
+	expect_after(f, 10 * PROMISE_US, id, GN_TASK_CLAIMED);
 	/* A worker that answers keeps its task, with a newer epoch. */
-	poll_worker(f, WORKER, &report, 1);
-	g_assert_cmpuint(only_order(f, GN_ORDER_RENEW)->epoch, >, report.epoch);
+	g_assert_cmpuint(poll_for(f, &report, GN_ORDER_RENEW)->epoch, >,
+			 report.epoch);
 	gn_clock_advance(&f->clock, 10 * PROMISE_US);
-	f->settled = true;
+	f->gate.settled = true;
 	gn_batch_bucket_tick(f->bucket);
 	g_assert_cmpint(state_of(f, id), ==, GN_TASK_QUEUED);
 }
@@ -465,10 +429,8 @@
 	/* What is older than already seen settles nothing. */
 	gn_batch_bucket_on_read(mine, f->stored, f->revision - 1);
 	g_assert_true(gn_batch_bucket_wants_read(mine));
-	if (c->stored == 2) {
-		take_over(f, 12);
-		g_assert_true(commit(f));
-	}
+	if (c->stored == 2)
+		change_owner(f, 12);
 	gn_batch_bucket_on_read(mine, c->stored == 1 ? write.value : f->stored,
 				f->revision + (c->stored == 1));
 	g_assert_cmpint(gn_batch_bucket_standing(mine), ==, c->standing);
@@ -479,59 +441,48 @@
 	g_assert_cmpuint(again.change_id, ==, write.change_id);
 }
 
-static void test_gate(fixture_t *f, gconstpointer data)
+static void test_gate(fixture_t *f)
 {
 	uint64_t id;
 	gn_batch_report_t report = start_task(f, &id);
 
-	(void)data;
-	f->may_start = false;
+	f->gate.may_start = false;
 	submit(f);
-	poll_worker(f, WORKER, &report, 1);
-	only_order(f, GN_ORDER_RENEW);
+	poll_for(f, &report, GN_ORDER_RENEW);
 	g_assert_cmpuint(gn_batch_order_count(gn_batch_bucket_order(f->bucket)),
 			 ==, 1);
-	f->may_renew = false;
-	poll_worker(f, WORKER, &report, 1);
-	g_assert_cmpuint(f->orders.count, ==, 0);
-	gn_clock_advance(&f->clock, 10 * PROMISE_US);
-	gn_batch_bucket_tick(f->bucket);
-	g_assert_cmpint(state_of(f, id), ==, GN_TASK_RUNNING);
+	f->gate.may_renew = false;
+	poll_for_nothing(f, &report);
+	expect_after(f, 10 * PROMISE_US, id, GN_TASK_RUNNING);
 }
 
-static void test_stale_poll(fixture_t *f, gconstpointer data)
+static void test_stale_poll(fixture_t *f)
 {
 	uint64_t id;
 	gn_batch_report_t report = start_task(f, &id);
 
-	(void)data;
 	poll_worker(f, WORKER, &report, 1);
 	g_assert_cmpint(poll_at(f, WORKER, f->polled_us, NULL, 0), ==,
 			GN_ERR_STALE);
 }
 
 /** A task that its worker lost moves after the lease, as a failure. */
-static void test_lost(fixture_t *f, gconstpointer data)
+static void test_lost(fixture_t *f)
 {
 	uint64_t id;
 	gn_batch_report_t report = start_task(f, &id);
 
-	(void)data;
 	poll_worker(f, WORKER, &report, 1);
-	poll_worker(f, WORKER, NULL, 0);
-	g_assert_cmpuint(f->orders.count, ==, 0);
-	gn_clock_advance(&f->clock, PROMISE_US + DRIFT_US + 1);
-	gn_batch_bucket_tick(f->bucket);
-	g_assert_cmpint(state_of(f, id), ==, GN_TASK_QUEUED);
+	poll_for_nothing(f, NULL);
+	expect_after(f, PROMISE_US + DRIFT_US + 1, id, GN_TASK_QUEUED);
 	g_assert_cmpuint(gn_batch_bucket_find(f->bucket, id)->attempts, ==, 1);
 }
 
-static void test_release(fixture_t *f, gconstpointer data)
+static void test_release(fixture_t *f)
 {
 	uint64_t id;
 	gn_batch_predecessor_t predecessors[1];
 
-	(void)data;
 	start_task(f, &id);
 	gn_batch_bucket_release(f->bucket);
 	g_assert_cmpint(poll_at(f, WORKER, 100, NULL, 0), ==,
@@ -539,75 +490,58 @@
 	g_assert_true(commit(f));
 	g_assert_cmpint(gn_batch_bucket_standing(f->bucket), ==,
 			GN_BATCH_RELEASED);
-	take_over(f, 12);
-	g_assert_true(commit(f));
+	change_owner(f, 12);
 	g_assert_cmpuint(gn_batch_bucket_unsettled(f->bucket, predecessors, 1),
 			 ==, 0);
 }
 
 /** A bucket isn't taken from an owner that is in the member record. */
-static void test_take(fixture_t *f, gconstpointer data)
+static void test_take(fixture_t *f)
 {
-	gn_batch_gate_t gate = { &gate_ops, f };
 	gn_batch_bucket_t *bucket = NULL;
 
-	(void)data;
-	f->owner_lives = true;
+	f->gate.owner_lives = true;
 	g_assert_cmpint(gn_batch_bucket_create(f->frame, 3, 12, f->stored,
-					       f->revision, &params, gate,
-					       &f->clock, f->rand, &bucket,
-					       NULL),
+					       f->revision, &bucket_params,
+					       bucket_gate(&f->gate), &f->clock,
+					       f->rand, &bucket, NULL),
 			==, GN_ERR_UNAVAILABLE);
 }
 
-static gn_code_t submit_spec(fixture_t *f, gn_str_t spec, gn_str_t key,
-			     unsigned cores, gn_task_reason_t *reason)
-{
-	gn_task_request_t request = { .work_class = GN_CLASS_BATCH,
-				      .team = GN_STR("t"),
-				      .kind = GN_STR("k"),
-				      .service = GN_STR("s"),
-				      .key = key,
-				      .cores = cores,
-				      .spec = spec };
-	uint64_t id;
-	uint64_t seq;
-
-	return gn_batch_bucket_submit(f->bucket, &request, &id, &seq, reason);
-}
-
-static void test_refused(fixture_t *f, gconstpointer data)
+static void test_refused(fixture_t *f)
 {
 	static const char spec[GN_TASK_SPEC_MAX];
 	gn_task_reason_t reason;
 	gn_code_t code = GN_OK;
 	unsigned count = 0;
+	uint64_t id;
 
-	(void)data;
 	gn_batch_order_set_largest(gn_batch_bucket_order(f->bucket), "s", 32,
 				   1000, 0);
-	g_assert_cmpint(submit_spec(f, GN_STR("a"), GN_STR("n"), 33, &reason),
-			==, GN_ERR_CAPACITY);
+	g_assert_cmpint(
+		submit_request(f, GN_STR("a"), GN_STR("n"), 33, &id, &reason),
+		==, GN_ERR_CAPACITY);
 	g_assert_cmpint(reason, ==, GN_TASK_REASON_CORES);
-	g_assert_cmpint(submit_spec(f, GN_STR("a"), GN_STR("n"), 1, &reason),
-			==, GN_OK);
-	g_assert_cmpint(submit_spec(f, GN_STR("b"), GN_STR("n"), 1, &reason),
-			==, GN_ERR_CONFLICT);
+	g_assert_cmpint(
+		submit_request(f, GN_STR("a"), GN_STR("n"), 1, &id, &reason),
+		==, GN_OK);
+	g_assert_cmpint(
+		submit_request(f, GN_STR("b"), GN_STR("n"), 1, &id, &reason),
+		==, GN_ERR_CONFLICT);
 	/* A full bucket refuses, and what it accepted still fits the value. */
 	for (; !code; count++)
-		code = submit_spec(f, (gn_str_t){ spec, sizeof(spec) },
-				   GN_STR(""), 1, &reason);
+		code = submit_request(f, (gn_str_t){ spec, sizeof(spec) },
+				      GN_STR(""), 1, &id, &reason);
 	g_assert_cmpint(code, ==, GN_ERR_RATE);
 	g_assert_cmpuint(count, >, 40);
 	g_assert_true(commit(f));
 }
 
-static void test_evict(fixture_t *f, gconstpointer data)
+static void test_evict(fixture_t *f)
 {
 	uint64_t id;
 	gn_batch_report_t report = start_task(f, &id);
 
-	(void)data;
 	g_assert_cmpint(gn_batch_bucket_evict(f->bucket, id), ==, GN_OK);
 	poll_worker(f, WORKER, &report, 1);
 	g_assert_cmpuint(f->orders.count, ==, 2);
@@ -635,55 +569,58 @@
 	uint64_t id;
 
 	start_task(f, &id);
-	poll_worker(f, WORKER, NULL, 0);
-	only_order(f, GN_ORDER_START);
+	poll_for(f, NULL, GN_ORDER_START);
 	f->agent = data ? 2 : 1;
-	if (!data) {
-		take_over(f, 12);
-		g_assert_true(commit(f));
-	}
-	poll_worker(f, WORKER, NULL, 0);
-	g_assert_cmpuint(f->orders.count, ==, 0);
+	if (!data)
+		change_owner(f, 12);
+	poll_for_nothing(f, NULL);
 }
 
-#define ADD(path, data, func) \
-	g_test_add("/bucket/" path, fixture_t, data, set_up, func, tear_down)
+static const struct {
+	const char *name;
+	void (*run)(fixture_t *f);
+} tests[] = {
+	{ "run", test_run },
+	{ "starts-after-commit", test_starts_after_commit },
+	{ "idempotent-submit", test_idempotent_submit },
+	{ "cancel", test_cancel },
+	{ "cancel-wave", test_cancel_wave },
+	{ "parked", test_parked },
+	{ "lapse", test_lapse },
+	{ "unsettled", test_unsettled },
+	{ "gate", test_gate },
+	{ "stale-poll", test_stale_poll },
+	{ "lost", test_lost },
+	{ "release", test_release },
+	{ "take", test_take },
+	{ "refused", test_refused },
+	{ "evict", test_evict },
+};
+
+static void test_plain(fixture_t *f, gconstpointer data)
+{
+	tests[GPOINTER_TO_SIZE(data)].run(f);
+}
+
+static void add(const char *group, const char *name, gconstpointer data,
+		void (*run)(fixture_t *f, gconstpointer data))
+{
+	g_autofree char *path = g_strdup_printf("/bucket%s/%s", group, name);
+
+	g_test_add(path, fixture_t, data, set_up, run, tear_down);
+}
 
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
-	ADD("run", NULL, test_run);
-	ADD("starts-after-commit", NULL, test_starts_after_commit);
-	ADD("idempotent-submit", NULL, test_idempotent_submit);
-	ADD("cancel", NULL, test_cancel);
-	ADD("cancel-wave", NULL, test_cancel_wave);
-	ADD("parked", NULL, test_parked);
-	ADD("lapse", NULL, test_lapse);
-	ADD("unsettled", NULL, test_unsettled);
-	ADD("gate", NULL, test_gate);
-	ADD("stale-poll", NULL, test_stale_poll);
-	ADD("lost", NULL, test_lost);
-	ADD("release", NULL, test_release);
-	ADD("take", NULL, test_take);
-	ADD("refused", NULL, test_refused);
-	ADD("evict", NULL, test_evict);
-	ADD("no-second-start/owner", NULL, test_no_second_start);
-	ADD("no-second-start/agent", "agent", test_no_second_start);
-	for (size_t i = 0; i < G_N_ELEMENTS(end_cases); i++) {
-		char *path =
-			g_strdup_printf("/bucket/end/%s", end_cases[i].name);
-
-		g_test_add(path, fixture_t, &end_cases[i], set_up, test_end,
-			   tear_down);
-		g_free(path);
-	}
-	for (size_t i = 0; i < G_N_ELEMENTS(answer_cases); i++) {
-		char *path = g_strdup_printf("/bucket/answer/%s",
-					     answer_cases[i].name);
-
-		g_test_add(path, fixture_t, &answer_cases[i], set_up,
-			   test_answer, tear_down);
-		g_free(path);
-	}
+	for (size_t i = 0; i < G_N_ELEMENTS(tests); i++)
+		add("", tests[i].name, GSIZE_TO_POINTER(i), test_plain);
+	add("/no-second-start", "owner", NULL, test_no_second_start);
+	add("/no-second-start", "agent", "agent", test_no_second_start);
+	for (size_t i = 0; i < G_N_ELEMENTS(end_cases); i++)
+		add("/end", end_cases[i].name, &end_cases[i], test_end);
+	for (size_t i = 0; i < G_N_ELEMENTS(answer_cases); i++)
+		add("/answer", answer_cases[i].name, &answer_cases[i],
+		    test_answer);
 	return g_test_run();
 }
