--- a/tests/contract/test_record_bucket.c
+++ b/tests/contract/test_record_bucket.c
@@ -333,11 +333,13 @@
 	g_ptr_array_add(host->waiting[index], task);
 }
 
-static void bring_faults(walk_t *walk, host_t *host)
+static void bring_faults(void *context, unsigned client)
 {
 	static const kv_walk_faults_t most = {
 		.lose_answer = .2, .drop_request = .1, .late = .2, .frozen = .2
 	};
+	walk_t *walk = context;
+	host_t *host = &walk->hosts[client];
 
 	if (gn_walk_draw(walk->kv.rand, 0.01))
 		kv_walk_draw_faults(&walk->kv, host->fake, &most);
@@ -350,8 +352,11 @@
 		       (unsigned)g_rand_int_range(walk->kv.rand, 0, BUCKETS));
 }
 
-static void step_host(walk_t *walk, host_t *host)
+static void step_host(void *context, unsigned client)
 {
+	walk_t *walk = context;
+	host_t *host = &walk->hosts[client];
+
 	if (!fake_kv_faults(host->fake)->frozen) {
 		gn_record_tick(host->record);
 		if (gn_record_standing(host->record) == GN_RECORD_GONE)
@@ -365,8 +370,10 @@
 }
 
 /* Counts the moments in which two entries believe they own a bucket. */
-static void count_doubles(walk_t *walk)
+static void count_doubles(void *context)
 {
+	walk_t *walk = context;
+
 	for (unsigned b = 0; b < BUCKETS; b++) {
 		unsigned owners = 0;
 
@@ -401,18 +408,20 @@
 	start_entry(walk, host);
 }
 
-static void walk_open(walk_t *walk, guint32 seed, int mutant, uint64_t *counts)
+static void walk_open(void *context, unsigned mutant)
 {
-	memset(walk, 0, sizeof(*walk));
-	kv_walk_open(&walk->kv, seed, counts);
-	walk->mutant = mutant;
+	walk_t *walk = context;
+
+	walk->mutant = (int)mutant;
 	walk->submissions = g_ptr_array_new_with_free_func(g_free);
 	for (int h = 0; h < ENTRIES; h++)
 		open_host(walk, &walk->hosts[h]);
 }
 
-static void walk_close(walk_t *walk)
+static void walk_close(void *context)
 {
+	walk_t *walk = context;
+
 	for (int h = 0; h < ENTRIES; h++) {
 		host_t *host = &walk->hosts[h];
 
@@ -421,15 +430,14 @@
 			gn_member_bucket_free(host->holders[b]);
 			g_ptr_array_unref(host->waiting[b]);
 		}
-		kv_walk_disconnect(&walk->kv, host->fake);
 	}
 	g_ptr_array_unref(walk->submissions);
-	kv_walk_close(&walk->kv);
 }
 
 /* After a time without faults each bucket has its rendezvous owner. */
-static void check_placement(walk_t *walk)
+static void check_placement(void *context)
 {
+	walk_t *walk = context;
 	for (unsigned b = 0; b < BUCKETS; b++) {
 		for (int h = 0; h < ENTRIES; h++) {
 			host_t *host = &walk->hosts[h];
@@ -444,33 +452,24 @@
 	}
 }
 
-static void walk_run(walk_t *walk)
-{
-	for (int i = 0; i < STEPS + QUIET_STEPS && !walk->kv.violation; i++) {
-		gn_clock_advance(&walk->kv.clock, KV_WALK_STEP_US);
-		for (int h = 0; h < ENTRIES; h++) {
-			if (i < STEPS)
-				bring_faults(walk, &walk->hosts[h]);
-			else if (i == STEPS)
-				kv_walk_end_faults(walk->hosts[h].fake);
-			step_host(walk, &walk->hosts[h]);
-		}
-		count_doubles(walk);
-	}
-	if (!walk->kv.violation)
-		check_placement(walk);
-}
-
 /* ======   Tests   ====== */
 
 static const char *run(guint32 seed, unsigned mutant, uint64_t *counts)
 {
-	walk_t walk;
+	static const kv_walk_shape_t shape = {
+		.size = sizeof(walk_t),
+		.clients = ENTRIES,
+		.steps = STEPS,
+		.quiet_steps = QUIET_STEPS,
+		.open = walk_open,
+		.bring_faults = bring_faults,
+		.step = step_host,
+		.check_round = count_doubles,
+		.check_end = check_placement,
+		.close = walk_close,
+	};
 
-	walk_open(&walk, seed, (int)mutant, counts);
-	walk_run(&walk);
-	walk_close(&walk);
-	return walk.kv.violation;
+	return kv_walk_run(&shape, seed, mutant, counts);
 }
 
 /* Rendezvous: even shares, and only the leaver's buckets move. */
@@ -524,8 +523,14 @@
 		[MUTANT_TAKE_LIVE] = { .name = "take-live" },
 	};
 	static const gn_walk_plan_t plan = {
-		"/record/bucket",     40, 200, counts, COUNTS, mutants,
-		MUTANT_TAKE_LIVE + 1, run
+		.path = "/record/bucket",
+		.walks = 40,
+		.mutant_walks = 200,
+		.counts = counts,
+		.count_count = COUNTS,
+		.mutants = mutants,
+		.mutant_count = MUTANT_TAKE_LIVE + 1,
+		.run = run,
 	};
 
 	g_test_init(&argc, &argv, NULL);
--- a/tests/contract/test_record_walk.c
+++ b/tests/contract/test_record_walk.c
@@ -3,8 +3,6 @@
  * back, while calls are lost, late and refused. After each step the promises
  * are checked against what the service really holds.
  */
-#include <string.h>
-
 #include "common/str.h"
 #include "member/record_internal.h"
 #include "support/kv_walk.h"
@@ -190,11 +188,13 @@
 	start_entry(walk, host);
 }
 
-static void bring_faults(walk_t *walk, host_t *host)
+static void bring_faults(void *context, unsigned client)
 {
 	static const kv_walk_faults_t most = {
 		.lose_answer = .2, .drop_request = .1, .late = .2, .frozen = .2
 	};
+	walk_t *walk = context;
+	host_t *host = &walk->hosts[client];
 
 	if (gn_walk_draw(walk->kv.rand, 0.01))
 		kv_walk_draw_faults(&walk->kv, host->fake, &most);
@@ -208,8 +208,11 @@
 	}
 }
 
-static void step_host(walk_t *walk, host_t *host)
+static void step_host(void *context, unsigned client)
 {
+	walk_t *walk = context;
+	host_t *host = &walk->hosts[client];
+
 	if (!fake_kv_faults(host->fake)->frozen) {
 		gn_record_tick(host->record);
 		if (gn_record_standing(host->record) == GN_RECORD_GONE)
@@ -219,12 +222,11 @@
 	observe(walk);
 }
 
-static void walk_open(walk_t *walk, guint32 seed, gn_record_mutant_t mutant,
-		      uint64_t *counts)
+static void walk_open(void *context, unsigned mutant)
 {
-	memset(walk, 0, sizeof(*walk));
-	kv_walk_open(&walk->kv, seed, counts);
-	walk->mutant = mutant;
+	walk_t *walk = context;
+
+	walk->mutant = (gn_record_mutant_t)mutant;
 	walk->adopted = g_hash_table_new(g_direct_hash, g_direct_equal);
 	walk->left = g_hash_table_new(g_direct_hash, g_direct_equal);
 	for (int i = 0; i < ENTRIES; i++) {
@@ -236,20 +238,20 @@
 	}
 }
 
-static void walk_close(walk_t *walk)
+static void walk_close(void *context)
 {
-	for (int i = 0; i < ENTRIES; i++) {
+	walk_t *walk = context;
+
+	for (int i = 0; i < ENTRIES; i++)
 		gn_record_free(walk->hosts[i].record);
-		kv_walk_disconnect(&walk->kv, walk->hosts[i].fake);
-	}
 	g_hash_table_unref(walk->adopted);
 	g_hash_table_unref(walk->left);
-	kv_walk_close(&walk->kv);
 }
 
 /* After a time without faults all entries agree. */
-static void check_agreement(walk_t *walk)
+static void check_agreement(void *context)
 {
+	walk_t *walk = context;
 	const gn_record_doc_t *doc = &walk->doc;
 
 	if (doc->member_count != ENTRIES)
@@ -272,34 +274,23 @@
 	}
 }
 
-static void walk_run(walk_t *walk)
-{
-	for (int i = 0; i < STEPS + QUIET_STEPS && !walk->kv.violation; i++) {
-		gn_clock_advance(&walk->kv.clock, KV_WALK_STEP_US);
-		for (int h = 0; h < ENTRIES; h++) {
-			host_t *host = &walk->hosts[h];
-
-			if (i < STEPS)
-				bring_faults(walk, host);
-			else if (i == STEPS)
-				kv_walk_end_faults(host->fake);
-			step_host(walk, host);
-		}
-	}
-	if (!walk->kv.violation)
-		check_agreement(walk);
-}
-
 /* ======   Tests   ====== */
 
 static const char *run(guint32 seed, unsigned mutant, uint64_t *counts)
 {
-	walk_t walk;
+	static const kv_walk_shape_t shape = {
+		.size = sizeof(walk_t),
+		.clients = ENTRIES,
+		.steps = STEPS,
+		.quiet_steps = QUIET_STEPS,
+		.open = walk_open,
+		.bring_faults = bring_faults,
+		.step = step_host,
+		.check_end = check_agreement,
+		.close = walk_close,
+	};
 
-	walk_open(&walk, seed, (gn_record_mutant_t)mutant, counts);
-	walk_run(&walk);
-	walk_close(&walk);
-	return walk.kv.violation;
+	return kv_walk_run(&shape, seed, mutant, counts);
 }
 
 int main(int argc, char **argv)
@@ -317,14 +308,16 @@
 		[GN_RECORD_MUTANT_REMOVE_LIVE] = { .name = "remove-live" },
 		[GN_RECORD_MUTANT_IGNORE_REVISION] = { .name = "ignore-revision" },
 	};
-	static const gn_walk_plan_t plan = { "/record",
-					     60,
-					     300,
-					     counts,
-					     COUNTS,
-					     mutants,
-					     GN_RECORD_MUTANT_COUNT,
-					     run };
+	static const gn_walk_plan_t plan = {
+		.path = "/record",
+		.walks = 60,
+		.mutant_walks = 300,
+		.counts = counts,
+		.count_count = COUNTS,
+		.mutants = mutants,
+		.mutant_count = GN_RECORD_MUTANT_COUNT,
+		.run = run,
+	};
 
 	g_test_init(&argc, &argv, NULL);
 	gn_walk_add(&plan);
--- a/tests/contract/test_store_walk.c
+++ b/tests/contract/test_store_walk.c
@@ -3,8 +3,6 @@
  * while calls are lost, late, refused, and processes are replaced. After each
  * step the promises are checked against what the service really holds.
  */
-#include <string.h>
-
 #include "common/str.h"
 #include "config/store_internal.h"
 #include "support/kv_walk.h"
@@ -234,34 +232,40 @@
 	gn_store_change(writer->store, &change, take_result, writer);
 }
 
-static void step_writer(walk_t *walk, writer_t *writer, bool with_faults)
+static void bring_faults(void *context, unsigned client)
 {
 	static const kv_walk_faults_t most = {
 		.lose_answer = .3, .drop_request = .2, .late = .3, .frozen = .1
 	};
+	walk_t *walk = context;
+	writer_t *writer = &walk->writers[client];
+
+	if (gn_walk_draw(walk->kv.rand, 0.02))
+		kv_walk_draw_faults(&walk->kv, writer->fake, &most);
+	if (gn_walk_draw(walk->kv.rand, 0.002))
+		restart(walk, writer);
+	if (!writer->is_busy && gn_walk_draw(walk->kv.rand, 0.1))
+		ask_for_change(walk, writer);
+	if (walk->old && gn_walk_draw(walk->kv.rand, 0.01))
+		gn_store_offer(writer->store, walk->old, NULL);
+}
+
+static void step_writer(void *context, unsigned client)
+{
+	walk_t *walk = context;
+	writer_t *writer = &walk->writers[client];
 
-	if (with_faults) {
-		if (gn_walk_draw(walk->kv.rand, 0.02))
-			kv_walk_draw_faults(&walk->kv, writer->fake, &most);
-		if (gn_walk_draw(walk->kv.rand, 0.002))
-			restart(walk, writer);
-		if (!writer->is_busy && gn_walk_draw(walk->kv.rand, 0.1))
-			ask_for_change(walk, writer);
-		if (walk->old && gn_walk_draw(walk->kv.rand, 0.01))
-			gn_store_offer(writer->store, walk->old, NULL);
-	}
 	if (!fake_kv_faults(writer->fake)->frozen)
 		gn_store_tick(writer->store);
 	fake_kv_run(writer->fake);
 	observe(walk);
 }
 
-static void walk_open(walk_t *walk, guint32 seed, gn_store_mutant_t mutant,
-		      uint64_t *counts)
+static void walk_open(void *context, unsigned mutant)
 {
-	memset(walk, 0, sizeof(*walk));
-	kv_walk_open(&walk->kv, seed, counts);
-	walk->mutant = mutant;
+	walk_t *walk = context;
+
+	walk->mutant = (gn_store_mutant_t)mutant;
 	walk->records =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	walk->log = g_ptr_array_new();
@@ -274,21 +278,21 @@
 	}
 }
 
-static void walk_close(walk_t *walk)
+static void walk_close(void *context)
 {
-	for (int i = 0; i < WRITERS; i++) {
+	walk_t *walk = context;
+
+	for (int i = 0; i < WRITERS; i++)
 		gn_store_free(walk->writers[i].store);
-		kv_walk_disconnect(&walk->kv, walk->writers[i].fake);
-	}
 	talloc_free(walk->old);
 	g_ptr_array_unref(walk->log);
 	g_hash_table_unref(walk->records);
-	kv_walk_close(&walk->kv);
 }
 
 /* Both have the newest document after a time without faults. */
-static void check_in_force(walk_t *walk)
+static void check_in_force(void *context)
 {
+	walk_t *walk = context;
 	for (int i = 0; i < WRITERS; i++) {
 		const gn_config_doc_t *doc =
 			gn_store_current(walk->writers[i].store);
@@ -299,32 +303,23 @@
 	}
 }
 
-static void walk_run(walk_t *walk)
-{
-	for (int i = 0; i < STEPS + QUIET_STEPS && !walk->kv.violation; i++) {
-		gn_clock_advance(&walk->kv.clock, KV_WALK_STEP_US);
-		for (int w = 0; w < WRITERS; w++) {
-			writer_t *writer = &walk->writers[w];
-
-			if (i == STEPS)
-				kv_walk_end_faults(writer->fake);
-			step_writer(walk, writer, i < STEPS);
-		}
-	}
-	if (!walk->kv.violation)
-		check_in_force(walk);
-}
-
 /* ======   Tests   ====== */
 
 static const char *run(guint32 seed, unsigned mutant, uint64_t *counts)
 {
-	walk_t walk;
+	static const kv_walk_shape_t shape = {
+		.size = sizeof(walk_t),
+		.clients = WRITERS,
+		.steps = STEPS,
+		.quiet_steps = QUIET_STEPS,
+		.open = walk_open,
+		.bring_faults = bring_faults,
+		.step = step_writer,
+		.check_end = check_in_force,
+		.close = walk_close,
+	};
 
-	walk_open(&walk, seed, (gn_store_mutant_t)mutant, counts);
-	walk_run(&walk);
-	walk_close(&walk);
-	return walk.kv.violation;
+	return kv_walk_run(&shape, seed, mutant, counts);
 }
 
 int main(int argc, char **argv)
@@ -343,14 +338,16 @@
 		[GN_STORE_MUTANT_DENY_EARLY] = { .name = "deny-early" },
 		[GN_STORE_MUTANT_REBASE_ALWAYS] = { .name = "rebase-always" },
 	};
-	static const gn_walk_plan_t plan = { "/store",
-					     60,
-					     300,
-					     counts,
-					     COUNTS,
-					     mutants,
-					     GN_STORE_MUTANT_COUNT,
-					     run };
+	static const gn_walk_plan_t plan = {
+		.path = "/store",
+		.walks = 60,
+		.mutant_walks = 300,
+		.counts = counts,
+		.count_count = COUNTS,
+		.mutants = mutants,
+		.mutant_count = GN_STORE_MUTANT_COUNT,
+		.run = run,
+	};
 
 	g_test_init(&argc, &argv, NULL);
 	gn_walk_add(&plan);
--- a/tests/support/kv_walk.c
+++ b/tests/support/kv_walk.c
@@ -2,21 +2,6 @@
 
 #include <string.h>
 
-void kv_walk_open(kv_walk_t *walk, guint32 seed, uint64_t *counts)
-{
-	gn_clock_init_paused(&walk->clock, GN_US_PER_S);
-	walk->rand = g_rand_new_with_seed(seed);
-	walk->state = kv_state_create();
-	walk->counts = counts;
-	walk->violation = NULL;
-}
-
-void kv_walk_close(kv_walk_t *walk)
-{
-	kv_state_free(walk->state);
-	g_rand_free(walk->rand);
-}
-
 void kv_walk_violate(kv_walk_t *walk, const char *what)
 {
 	if (!walk->violation)
@@ -25,21 +10,11 @@
 
 fake_kv_t *kv_walk_connect(kv_walk_t *walk)
 {
-	return fake_kv_create(walk->state, &walk->clock,
-			      g_rand_int(walk->rand));
-}
-
-void kv_walk_disconnect(kv_walk_t *walk, fake_kv_t *fake)
-{
-	const fake_kv_counts_t *met = fake_kv_counts(fake);
+	fake_kv_t *fake = fake_kv_create(walk->state, &walk->clock,
+					 g_rand_int(walk->rand));
 
-	walk->counts[KV_WALK_LATE] += met->late;
-	walk->counts[KV_WALK_LOST] += met->lost;
-	walk->counts[KV_WALK_DROPPED] += met->dropped;
-	walk->counts[KV_WALK_OLDER] += met->older;
-	walk->counts[KV_WALK_REFUSED] += met->refused;
-	walk->counts[KV_WALK_CUT] += met->cut;
-	fake_kv_free(fake);
+	g_ptr_array_add(walk->fakes, fake);
+	return fake;
 }
 
 void kv_walk_draw_faults(kv_walk_t *walk, fake_kv_t *fake,
@@ -60,10 +35,65 @@
 	walk->counts[KV_WALK_FREEZES] += faults->frozen && !was_frozen;
 }
 
-void kv_walk_end_faults(fake_kv_t *fake)
+/* From now on calls take no time and none fails. */
+static void end_faults(fake_kv_t *fake)
 {
 	fake_kv_faults_t *faults = fake_kv_faults(fake);
 
 	memset(faults, 0, sizeof(*faults));
 	faults->timeout_us = GN_US_PER_S;
 }
+
+static void add_counts(uint64_t *counts, const fake_kv_counts_t *met)
+{
+	counts[KV_WALK_LATE] += met->late;
+	counts[KV_WALK_LOST] += met->lost;
+	counts[KV_WALK_DROPPED] += met->dropped;
+	counts[KV_WALK_OLDER] += met->older;
+	counts[KV_WALK_REFUSED] += met->refused;
+	counts[KV_WALK_CUT] += met->cut;
+}
+
+static void step(const kv_walk_shape_t *shape, kv_walk_t *walk, unsigned at)
+{
+	gn_clock_advance(&walk->clock, KV_WALK_STEP_US);
+	for (unsigned i = 0; i < shape->clients; i++) {
+		if (at < shape->steps)
+			shape->bring_faults(walk, i);
+		else if (at == shape->steps)
+			end_faults(walk->fakes->pdata[i]);
+		shape->step(walk, i);
+	}
+	if (shape->check_round)
+		shape->check_round(walk);
+}
+
+const char *kv_walk_run(const kv_walk_shape_t *shape, guint32 seed,
+			unsigned mutant, uint64_t *counts)
+{
+	unsigned steps = shape->steps + shape->quiet_steps;
+	kv_walk_t *walk = g_malloc0(shape->size);
+	const char *violation;
+
+	gn_clock_init_paused(&walk->clock, GN_US_PER_S);
+	walk->rand = g_rand_new_with_seed(seed);
+	walk->state = kv_state_create();
+	walk->fakes = g_ptr_array_new();
+	walk->counts = counts;
+	shape->open(walk, mutant);
+	for (unsigned i = 0; i < steps && !walk->violation; i++)
+		step(shape, walk, i);
+	if (!walk->violation)
+		shape->check_end(walk);
+	violation = walk->violation;
+	shape->close(walk);
+	for (guint i = 0; i < walk->fakes->len; i++) {
+		add_counts(counts, fake_kv_counts(walk->fakes->pdata[i]));
+		fake_kv_free(walk->fakes->pdata[i]);
+	}
+	g_ptr_array_unref(walk->fakes);
+	kv_state_free(walk->state);
+	g_rand_free(walk->rand);
+	g_free(walk);
+	return violation;
+}
--- a/tests/support/kv_walk.h
+++ b/tests/support/kv_walk.h
@@ -45,25 +45,36 @@
 	gn_clock_t clock;
 	GRand *rand;
 	kv_state_t *state;
+	GPtrArray *fakes; /**< fake_kv_t */
 	uint64_t *counts;
 	const char *violation;
 } kv_walk_t;
 
-void kv_walk_open(kv_walk_t *walk, guint32 seed, uint64_t *counts);
-void kv_walk_close(kv_walk_t *walk);
+/** What a walk does; a kv_walk_t is the first member of what is passed. */
+typedef struct kv_walk_shape_s {
+	size_t size; /**< of the walk, all zero at first */
+	unsigned clients;
+	unsigned steps; /**< of KV_WALK_STEP_US, with faults */
+	unsigned quiet_steps; /**< without, for what is on its way */
+	/** Connects the clients, in their order. */
+	void (*open)(void *walk, unsigned mutant);
+	void (*bring_faults)(void *walk, unsigned client);
+	void (*step)(void *walk, unsigned client);
+	void (*check_round)(void *walk); /**< after each step; or NULL */
+	void (*check_end)(void *walk); /**< after the quiet steps */
+	void (*close)(void *walk);
+} kv_walk_shape_t;
+
+/** Runs one walk, as a plan's run does. */
+const char *kv_walk_run(const kv_walk_shape_t *shape, guint32 seed,
+			unsigned mutant, uint64_t *counts);
 
 /** Notes the first violation. */
 void kv_walk_violate(kv_walk_t *walk, const char *what);
 
-/** Another client of the walk's service. */
+/** Another client of the walk's service, which ends with the walk. */
 fake_kv_t *kv_walk_connect(kv_walk_t *walk);
-/** Ends a client; what it met is added to the counts. */
-void kv_walk_disconnect(kv_walk_t *walk, fake_kv_t *fake);
-
 /** Draws new faults for a client. */
 void kv_walk_draw_faults(kv_walk_t *walk, fake_kv_t *fake,
 			 const kv_walk_faults_t *most);
-/** From now on calls take no time and none fails. */
-void kv_walk_end_faults(fake_kv_t *fake);
-
 #endif
--- a/tests/unit/test_admit_walk.c
+++ b/tests/unit/test_admit_walk.c
@@ -374,9 +374,16 @@
 		[MUTANT_IGNORE_INCARNATION] = { .name = "ignore-incarnation" },
 		[MUTANT_IGNORE_DRAINING] = { .name = "ignore-draining" },
 	};
-	static const gn_walk_plan_t plan = { "/admit",	   100,	   200,
-					     counts,	   COUNTS, mutants,
-					     MUTANT_COUNT, run };
+	static const gn_walk_plan_t plan = {
+		.path = "/admit",
+		.walks = 100,
+		.mutant_walks = 200,
+		.counts = counts,
+		.count_count = COUNTS,
+		.mutants = mutants,
+		.mutant_count = MUTANT_COUNT,
+		.run = run,
+	};
 
 	g_test_init(&argc, &argv, NULL);
 	gn_walk_add(&plan);
--- a/tests/unit/test_cell_walk.c
+++ b/tests/unit/test_cell_walk.c
@@ -365,11 +365,13 @@
 		[FAULT_LOSS] = { "loss", GN_WALK_EACH },
 		[FAULT_DELAY] = { "delay", GN_WALK_EACH },
 	};
-	static const gn_walk_plan_t plan = { .path = "/cell",
-					     .walks = 150,
-					     .counts = counts,
-					     .count_count = FAULT_COUNT,
-					     .run = run };
+	static const gn_walk_plan_t plan = {
+		.path = "/cell",
+		.walks = 150,
+		.counts = counts,
+		.count_count = FAULT_COUNT,
+		.run = run,
+	};
 
 	g_test_init(&argc, &argv, NULL);
 	gn_walk_add(&plan);
