Prove on processes that a worker is given no more than it carries

Cause: a host's capacity was proved by tables and walks over lib/admit alone; nothing showed that the processes keep to it when two entries, which don't see each other's dispatches, send more than there is room for.

The backend server's own records tell the most that ran at once.

--- a/tests/scenario.sh
+++ b/tests/scenario.sh
@@ -501,6 +501,32 @@
 		}'
 }
 
+# flood SERVICE COUNT ENTRY...: whether each of so many requests at each entry,
+# all at once with 9 s of time, was answered or refused as not run
+cmd_flood() {
+	local e
+	for e in "${@:3}"; do
+		cmd_crowd "$e" "$1" "$2" "at-$e-" "Gypsumnotch-Deadline-Ms: 9000" &
+	done | awk '
+		{ count += $1 }
+		$2 != 200 && $3 != "not-run" { odd = odd "; " $0 }
+		END { print count " told" odd }'
+}
+
+# most_tasks WORKER LIMIT: whether more tasks than that ever ran at once there
+cmd_most_tasks() {
+	fetch "http://${http[$1.backend]}/v1/tasks/journal" | sort -k4,4n -k1,1 | awk -v limit="$2" '
+		$1 == "start" { if (++now > most) most = now; next }
+		{ now-- }
+		END { print (most > limit ? most " at once" : most ? "never over " limit : "none") }'
+}
+
+# most_requests WORKER LIMIT: the same of requests
+cmd_most_requests() {
+	fetch "http://${http[$1.backend]}/most" | awk -v limit="$2" '
+		{ print ($1 > limit ? $1 " at once" : $1 ? "never over " limit : "none") }'
+}
+
 # spread WORKER...: whether each worker runs tasks, by their agents
 cmd_spread() {
 	local w
--- a/tests/standin/backend.c
+++ b/tests/standin/backend.c
@@ -9,6 +9,7 @@
  *                    noisy kind slows requests by noise_ms times its speed.
  * POST /drain        begins a graceful shutdown
  * GET  /journal      the bodies that were run, one a line
+ * GET  /most         the most requests that ran at once
  */
 #include <argtable2.h>
 #include <arpa/inet.h>
@@ -44,6 +45,7 @@
 	atomic_bool draining;
 	atomic_bool stop;
 	atomic_int running;
+	int most_running; /* under the lock */
 	atomic_int slow_ms;
 	atomic_int mute_ms;
 	atomic_int noise_ms;
@@ -61,6 +63,8 @@
 static void record(const upload_t *upload)
 {
 	pthread_mutex_lock(&self.lock);
+	if (self.running > self.most_running)
+		self.most_running = self.running;
 	self.journal =
 		realloc(self.journal, self.journal_len + upload->len + 2);
 	if (upload->len)
@@ -190,6 +194,17 @@
 	return reply(connection, MHD_HTTP_OK, "", 0);
 }
 
+static enum MHD_Result on_most(struct MHD_Connection *connection)
+{
+	char text[16];
+	int len;
+
+	pthread_mutex_lock(&self.lock);
+	len = snprintf(text, sizeof(text), "%d\n", self.most_running);
+	pthread_mutex_unlock(&self.lock);
+	return reply(connection, MHD_HTTP_OK, text, (size_t)len);
+}
+
 static enum MHD_Result on_journal(struct MHD_Connection *connection)
 {
 	enum MHD_Result result;
@@ -223,6 +238,8 @@
 		return on_fault(connection, upload);
 	if (!strcmp(url, "/journal"))
 		return on_journal(connection);
+	if (!strcmp(url, "/most"))
+		return on_most(connection);
 	if (!strncmp(url, "/v1/tasks", 9))
 		return on_task(connection, method, url, upload);
 	if (!strcmp(url, "/drain")) {
