--- a/tests/bench/bench_route.c
+++ b/tests/bench/bench_route.c
@@ -1,7 +1,7 @@
 /**
  * Measures the decisions on a request's way in a queueing model on a paused
  * clock, each against its baselines in the same run.
- * usage: bench_route [SEED [pick|limit|retry|eject|cost]]
+ * usage: bench_route [SEED [pick|delay|limit|retry|eject|cost]]
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -95,6 +95,29 @@
 	print_policies("Pick: the same, one worker ten times slower", &config);
 }
 
+static void bench_delay(void)
+{
+	static const unsigned loads[] = { 50, 80, 95 };
+
+	printf("\n### Pick: one of three data centres 20 ms away, 32 cores\n\n");
+	printf("| load | delays | p50 ms | p99 ms | p99.9 ms |\n"
+	       "|---|---|---|---|---|\n");
+	for (size_t i = 0; i < G_N_ELEMENTS(loads); i++) {
+		for (int unaware = 1; unaware >= 0; unaware--) {
+			model_config_t config = base_config();
+			model_result_t r;
+
+			config.load_pct = loads[i];
+			config.last_one_way_us = 20000;
+			config.unaware = unaware;
+			model_run(&config, &r);
+			printf("| %u%% | %s | %.1f | %.1f | %.1f |\n", loads[i],
+			       unaware ? "1 ms assumed" : "by inventory",
+			       ms(r.p50_us), ms(r.p99_us), ms(r.p999_us));
+		}
+	}
+}
+
 /* ======   Limits   ====== */
 
 static void bench_limit(void)
@@ -286,9 +309,9 @@
 } table_t;
 
 static const table_t tables[] = {
-	{ "pick", bench_pick },	  { "limit", bench_limit },
-	{ "retry", bench_retry }, { "eject", bench_eject },
-	{ "cost", bench_cost },
+	{ "pick", bench_pick },	  { "delay", bench_delay },
+	{ "limit", bench_limit }, { "retry", bench_retry },
+	{ "eject", bench_eject }, { "cost", bench_cost },
 };
 
 int main(int argc, char **argv)
--- a/tests/support/queue_model.c
+++ b/tests/support/queue_model.c
@@ -99,12 +99,17 @@
 	return (uint64_t)(-log(1 - g_rand_double(model->rand)) * mean_us);
 }
 
+#define LAST_CENTRE(model) ((model)->config->data_centres - 1)
+
 static uint32_t one_way_us(const model_t *model, unsigned entry,
 			   unsigned worker)
 {
 	unsigned there = worker % model->config->data_centres;
 	uint32_t far_us = model->config->one_way_us;
 
+	if (entry != there && there == LAST_CENTRE(model) &&
+	    model->config->last_one_way_us)
+		return model->config->last_one_way_us;
 	return entry == there ? far_us / NEAR_PART : far_us;
 }
 
@@ -489,6 +494,9 @@
 
 		snprintf(name, sizeof(name), "worker-%u", i);
 		spec.name = gn_str_from(name);
+		if (model->config->unaware)
+			spec.one_way_us =
+				MIN(spec.one_way_us, model->config->one_way_us);
 		gn_route_view_put(entry->view, &spec, &entry->workers[i]);
 	}
 }
--- a/tests/support/queue_model.h
+++ b/tests/support/queue_model.h
@@ -39,6 +39,8 @@
 	unsigned cores; /**< of a worker */
 	unsigned connections; /**< of a worker */
 	uint32_t one_way_us; /**< between data centres; a twentieth within */
+	uint32_t last_one_way_us; /**< to the last data centre; 0: as others */
+	bool unaware; /**< entries take the last for one of the others */
 	uint32_t service_us; /**< mean of an exponential distribution */
 	unsigned load_pct; /**< offered, of the cores of all workers */
 	uint32_t report_interval_us;
