Take the delay to a worker from the inventory

A new revision states the delays anew, once, not at each pick. Without an inventory, or for a data centre that it lacks, the inventory's default of 1 ms holds. Measured round trips were not taken: the inventory always has a delay. The model and the view are tested; the look-up in the entry has no test on processes of its own.

--- a/lib/entry/workers.c
+++ b/lib/entry/workers.c
@@ -10,8 +10,6 @@
 
 /** A worker silent for longer has been replaced, milliseconds. */
 #define FORGET_MS (10 * 60 * 1000)
-/** Delay to a worker of another data centre until one is known. */
-#define OTHER_DATA_CENTRE_US 1000
 
 static void free_worker(gpointer data)
 {
@@ -149,20 +147,38 @@
 	       is_name(hello->rack) && is_name(hello->service);
 }
 
+/* The inventory's delay between the entry and a worker in @data_centre. */
+static unsigned get_one_way_us(const entry_t *entry, const char *data_centre)
+{
+	const char *own = entry->runtime->settings->data_centre;
+	const gn_inventory_t *inventory = entry->config->inventory;
+	const gn_data_centre_t *here = NULL;
+	const gn_data_centre_t *there = NULL;
+
+	if (!strcmp(own, data_centre))
+		return 0;
+	if (inventory) {
+		here = gn_inventory_find_data_centre(inventory, own);
+		there = gn_inventory_find_data_centre(inventory, data_centre);
+	}
+	if (!here || !there)
+		return GN_ONE_WAY_DEFAULT_US;
+	return gn_inventory_one_way_us(
+		inventory, (unsigned)(here - inventory->data_centres),
+		(unsigned)(there - inventory->data_centres));
+}
+
 static gn_code_t put_in_view(entry_t *entry, entry_worker_t *worker,
 			     const Gn__Envelope *envelope)
 {
 	const Gn__Hello *hello = envelope->hello;
-	const char *own = entry->runtime->settings->data_centre;
 	const gn_route_spec_t spec = {
 		.name = gn_str_from(hello->worker),
 		.service = gn_str_from(hello->service),
 		.data_centre = gn_str_from(hello->data_centre),
 		.max_connections = hello->max_connections,
 		.cores = hello->cores,
-		.one_way_us = strcmp(own, hello->data_centre)
-				      ? OTHER_DATA_CENTRE_US
-				      : 0,
+		.one_way_us = get_one_way_us(entry, hello->data_centre),
 		.handle = (uint64_t)(uintptr_t)worker,
 		.incarnation = envelope->incarnation,
 	};
@@ -319,14 +335,20 @@
 static void apply_config(entry_t *entry)
 {
 	GHashTableIter iter;
-	gpointer worker;
+	gpointer value;
 
 	if (entry->workers_revision == entry->config->revision)
 		return;
 	entry->workers_revision = entry->config->revision;
 	g_hash_table_iter_init(&iter, entry->workers);
-	while (g_hash_table_iter_next(&iter, NULL, &worker))
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		entry_worker_t *worker = value;
+
 		note_member(entry, worker);
+		gn_route_view_set_one_way(
+			worker->route,
+			get_one_way_us(entry, worker->hello->data_centre));
+	}
 }
 
 void entry_workers_tick(entry_t *entry)
--- a/lib/route/view.c
+++ b/lib/route/view.c
@@ -228,6 +228,11 @@
 	return GN_OK;
 }
 
+void gn_route_view_set_one_way(gn_route_worker_t *worker, uint32_t one_way_us)
+{
+	worker->one_way_us = MIN(one_way_us, MAX_ONE_WAY_US);
+}
+
 void gn_route_view_set_link(gn_route_view_t *view, gn_route_worker_t *worker,
 			    bool up)
 {
--- a/lib/route/view.h
+++ b/lib/route/view.h
@@ -114,6 +114,9 @@
 void gn_route_view_set_link(gn_route_view_t *view, gn_route_worker_t *worker,
 			    bool up);
 
+/** States the delay to @p worker anew, 0..10 s; a longer one counts as 10 s. */
+void gn_route_view_set_one_way(gn_route_worker_t *worker, uint32_t one_way_us);
+
 /** Takes a load report; one older than the last is ignored. */
 void gn_route_view_report(gn_route_view_t *view, gn_route_worker_t *worker,
 			  const gn_route_report_t *report);
--- a/tests/unit/test_pick.c
+++ b/tests/unit/test_pick.c
@@ -370,6 +370,27 @@
 	g_assert_nonnull(violation);
 }
 
+/** Of two workers elsewhere, the nearer one; what is stated anew counts. */
+static void test_one_way(void)
+{
+	gn_route_choice_t choice;
+	gn_route_worker_t *a;
+	gn_route_worker_t *b;
+	fixture_t f;
+
+	setup(&f);
+	a = put(f.view, "a", THERE, 1);
+	b = put(f.view, "b", THERE, 1);
+	gn_route_view_set_one_way(a, 40000);
+	g_assert_cmpint(pick(&f, NULL, &choice), ==, GN_OK);
+	g_assert_true(choice.worker == b);
+	gn_route_view_set_one_way(b, 80000);
+	g_assert_cmpint(pick(&f, NULL, &choice), ==, GN_OK);
+	g_assert_true(choice.worker == a);
+	g_assert_cmpuint(gn_route_worker_idle_us(b), >=, 160000);
+	teardown(&f);
+}
+
 /** A worker much slower than the others gets nothing before they queue. */
 static void test_slow(void)
 {
@@ -404,6 +425,7 @@
 	g_test_add_func("/pick/codes", test_codes);
 	g_test_add_func("/pick/bounds", test_bounds);
 	g_test_add_func("/pick/spill", test_spill);
+	g_test_add_func("/pick/one-way", test_one_way);
 	g_test_add_func("/pick/slow", test_slow);
 	g_test_add_func("/pick/note-full", test_note_full);
 	g_test_add_func("/pick/move", test_move);
