--- a/lib/entry/entry_internal.h
+++ b/lib/entry/entry_internal.h
@@ -39,6 +39,7 @@
 	uint64_t agent_incarnation;
 	uint64_t session;
 	gn_link_peer_t peer;
+	GQueue tries; /**< requests whose present try is here */
 	uint64_t heard_us;
 	bool silent; /**< no beat within the beat timeout */
 	bool unreachable; /**< its connection is gone; nothing heard since */
@@ -63,6 +64,7 @@
 	gn_kv_call_t key_call; /**< the claim of its key, in progress, or 0 */
 	uint64_t key_revision; /**< of its claimed key, or 0 */
 	entry_worker_t *worker; /**< where the present try is, or NULL */
+	GList at_worker; /**< in the worker's tries */
 	uint64_t try_us; /**< when the present try was sent */
 } entry_request_t;
 
@@ -152,7 +154,7 @@
 void entry_on_answer(entry_t *entry, entry_worker_t *worker,
 		     const Gn__Answer *answer);
 /** Ends the tries that are at @p worker, whose session is lost. */
-void entry_tries_lost(entry_t *entry, const entry_worker_t *worker);
+void entry_tries_lost(entry_worker_t *worker);
 
 /* ======   http.c   ====== */
 
--- a/lib/entry/tries.c
+++ b/lib/entry/tries.c
@@ -107,6 +107,7 @@
 {
 	gn_route_worker_t *route = request->worker->route;
 
+	g_queue_unlink(&request->worker->tries, &request->at_worker);
 	request->worker = NULL;
 	gn_route_view_end(request->entry->view, route);
 }
@@ -152,6 +153,8 @@
 	gn_retry_begin_try(&request->retry, route);
 	gn_route_view_begin(entry->view, route);
 	request->worker = worker;
+	request->at_worker.data = request;
+	g_queue_push_tail_link(&worker->tries, &request->at_worker);
 	request->try_us = gn_runtime_now_us(entry->runtime);
 	if (dispatch(request, worker))
 		replace_worker(request);
@@ -236,15 +239,11 @@
 	end_try(request, judge(answer), answer);
 }
 
-void entry_tries_lost(entry_t *entry, const entry_worker_t *worker)
+void entry_tries_lost(entry_worker_t *worker)
 {
-	GList *all = g_hash_table_get_values(entry->requests);
+	guint count = worker->tries.length;
 
-	for (GList *item = all; item; item = item->next) {
-		entry_request_t *request = item->data;
-
-		if (request->worker == worker)
-			end_try(request, &ended_lost, NULL);
-	}
-	g_list_free(all);
+	/* None comes back to the worker: it was tried there. */
+	for (; count && worker->tries.length; count--)
+		end_try(worker->tries.head->data, &ended_lost, NULL);
 }
--- a/lib/entry/workers.c
+++ b/lib/entry/workers.c
@@ -203,7 +203,7 @@
 
 	gn_log(LOG_INFO, "hello", worker->name, "new session");
 	if (worker->session) {
-		entry_tries_lost(entry, worker);
+		entry_tries_lost(worker);
 		g_hash_table_remove(entry->sessions, &worker->session);
 	}
 	worker->session = session;
@@ -320,7 +320,7 @@
 	gn_counter_inc(entry->counters.workers_silent);
 	gn_log(LOG_WARNING, "beat", worker->name, "silent");
 	gn_route_view_set_link(entry->view, worker->route, false);
-	entry_tries_lost(entry, worker);
+	entry_tries_lost(worker);
 }
 
 static void forget_worker(entry_t *entry, entry_worker_t *worker)
