Let the entry notice a silent link before the agent in its scenario

silent_link failed once in a run of the whole set: entry.workers_silent was 0 in place of 1. Cause: entry and agent had the same timeout of 1.5 s and tick each 25 and 50 ms. When the agent's tick came first, it had opened its new link before the entry looked, and the entry rightly never saw silence; or the entry saw it between two requests of the scenario, which had taken the worker for live, and refused a few as not run with "no-worker".

Reproduced with the scenario as it was, 10 to 16 at a time: 4 of 240 runs the first way, 1 the second.

--- a/tests/scenario.sh
+++ b/tests/scenario.sh
@@ -12,6 +12,7 @@
 host=127.$((1 + $$ / 62500 % 250)).$(($$ / 250 % 250)).$((1 + $$ % 250))
 declare -A pid http link job via extra
 next=0
+beat_timeout_ms=1500
 last_status=0
 
 cleanup() {
@@ -65,6 +66,9 @@
 	launch "$key" "$build/tests/standin/relay" --listen "${via[$2]}" --to "$to" --control "${http[$key]}"
 }
 
+# beat_timeout MS: of processes whose settings are written from now on
+cmd_beat_timeout() { beat_timeout_ms=$1; }
+
 # silent RELAY: how many of its connections are silent and still open
 cmd_silent() { fetch "http://${http[$1]}/connections" | jq .silent; }
 
@@ -90,7 +94,7 @@
 	[link]
 	listen = "${link[$key]}"
 	beat_interval_ms = 100
-	beat_timeout_ms = 1500
+	beat_timeout_ms = $beat_timeout_ms
 	T
 	launch "$key" "$build/gypsumnotchd" --settings "$work/$key.toml"
 }
@@ -123,7 +127,7 @@
 	[link]
 	entries = [$list]
 	beat_interval_ms = 100
-	beat_timeout_ms = 1500
+	beat_timeout_ms = $beat_timeout_ms
 	[worker]
 	service = "$service"
 	rack = "rack-$key"
