Count a mutant's violations over the seeds that are asked for

Cause: with GN_WALKS a mutant walked the multiples of its step, so that the column "seeds 1..800 with a violation" could not be had again for mutants with a step. Change: with GN_WALKS it walks GN_SEED and what follows; without, as before.

--- a/tests/support/walk.c
+++ b/tests/support/walk.c
@@ -20,15 +20,14 @@
 	return text ? (unsigned)g_ascii_strtoull(text, NULL, 10) : otherwise;
 }
 
-/* Adds one walk; @return whether it held. */
-static bool walk(const gn_walk_plan_t *plan, guint32 seed, unsigned mutant,
+/* Adds one walk. */
+static void walk(const gn_walk_plan_t *plan, guint32 seed, unsigned mutant,
 		 unsigned *violations, uint64_t *counts)
 {
 	const char *violation = plan->run(seed, mutant, counts);
 
 	if (violation && (*violations)++ < PRINTED_MAX)
 		g_test_message("seed %u: %s", seed, violation);
-	return !violation;
 }
 
 static void check_counts(const gn_walk_plan_t *plan, unsigned walks,
@@ -63,23 +62,46 @@
 	g_free(counts);
 }
 
+/* Walks the seeds as without a mutant, to count the violations in them. */
+static unsigned count_violations(const gn_walk_plan_t *plan, unsigned mutant,
+				 unsigned walks, uint64_t *counts)
+{
+	unsigned first = read_number("GN_SEED", 1);
+	unsigned violations = 0;
+
+	for (unsigned i = 0; i < walks; i++)
+		walk(plan, first + i, mutant, &violations, counts);
+	g_test_message("%s, seeds %u..%u: %u walks with a violation",
+		       plan->mutants[mutant].name, first, first + walks - 1,
+		       violations);
+	return violations;
+}
+
+/* Walks until a violation is found. */
+static unsigned find_violation(const gn_walk_plan_t *plan, unsigned mutant,
+			       uint64_t *counts)
+{
+	unsigned step = MAX(plan->mutants[mutant].step, 1);
+	unsigned walks = plan->mutants[mutant].walks;
+	unsigned violations = 0;
+
+	if (!walks)
+		walks = plan->mutant_walks;
+	for (unsigned i = 1; i <= walks && !violations; i++)
+		walk(plan, i * step, mutant, &violations, counts);
+	return violations;
+}
+
 static void test_mutant(const void *data)
 {
 	const mutant_test_t *test = data;
-	const gn_walk_mutant_t *mutant = &test->plan->mutants[test->mutant];
-	unsigned step = MAX(mutant->step, 1);
-	unsigned most =
-		mutant->walks ? mutant->walks : test->plan->mutant_walks;
-	unsigned walks = read_number("GN_WALKS", most);
-	bool counted = g_getenv("GN_WALKS") != NULL;
-	uint64_t *counts = g_new0(uint64_t, test->plan->count_count + 1);
-	unsigned violations = 0;
+	const gn_walk_plan_t *plan = test->plan;
+	unsigned walks = read_number("GN_WALKS", 0);
+	uint64_t *counts = g_new0(uint64_t, plan->count_count + 1);
+	unsigned violations =
+		walks ? count_violations(plan, test->mutant, walks, counts)
+		      : find_violation(plan, test->mutant, counts);
 
-	for (unsigned i = 1; i <= walks && (counted || !violations); i++)
-		walk(test->plan, i * step, test->mutant, &violations, counts);
-	if (counted)
-		g_test_message("%s: %u of %u walks with a violation",
-			       mutant->name, violations, walks);
 	g_assert_cmpuint(violations, >, 0);
 	g_free(counts);
 }
--- a/tests/support/walk.h
+++ b/tests/support/walk.h
@@ -4,9 +4,9 @@
  *
  * A plan adds the test PATH/walks, which walks its seeds and prints how often
  * everything named in the counts occurred, and a test PATH/mutant/NAME for each
- * planted bug, which must be caught. GN_WALKS sets another number of walks for
- * both and GN_SEED the first seed, 1 if unset. With GN_WALKS a mutant isn't left
- * at its first violation, so that all are counted.
+ * planted bug, which must be caught. GN_WALKS sets another number of walks and
+ * GN_SEED the first seed, 1 if unset; a mutant then walks these seeds to their
+ * end, and the walks with a violation are counted.
  */
 #ifndef GN_TESTS_WALK_H
 #define GN_TESTS_WALK_H
