--- a/tests/bench.sh
+++ b/tests/bench.sh
@@ -10,3 +10,5 @@
 done
 echo "== path"
 tests/bench/path.sh "$build"
+echo "== noisy"
+tests/bench/noisy.sh "$build"
