--- /dev/null
+++ b/lib/agent/interference_evict.c
@@ -0,0 +1,117 @@
+/**
+ * @file interference_evict.c
+ * @brief Has one batch task leave where throttling is not enough.
+ *
+ * The task is told to checkpoint, and stopped if that does not come in time.
+ * Its owner resumes it elsewhere.
+ */
+#include <inttypes.h>
+
+#include "agent/interference_internal.h"
+#include "common/log.h"
+
+/** Beyond this, in targets, a tail tells no more which kind adds to it. */
+#define TAIL_LEARNED 5
+
+/* What is looked for among the runs. */
+typedef struct search_s {
+	gn_str_t kind; /**< empty: any */
+	uint64_t id; /**< found, or 0 */
+	uint64_t confirmed_us;
+} search_t;
+
+/* Of the kind, the one that was started last. */
+static void find_newest(const gn_active_run_t *run, void *data)
+{
+	search_t *search = data;
+
+	if (run->work_class != GN_CLASS_BATCH || !run->confirmed || run->ending)
+		return;
+	if (search->kind.len &&
+	    !gn_str_equal(search->kind, gn_str_from(run->kind)))
+		return;
+	if (search->id && run->confirmed_us <= search->confirmed_us)
+		return;
+	search->id = run->id;
+	search->confirmed_us = run->confirmed_us;
+}
+
+/*
+ * Whether throttling has shown that no kind adds to the tail: then an
+ * eviction would be of no use.
+ */
+static bool is_eviction_useless(const agent_interference_t *self)
+{
+	uint64_t learned_us = (uint64_t)TAIL_LEARNED * self->config.target_us;
+
+	return !self->unthrottled && self->measured.tail_us < learned_us;
+}
+
+static uint64_t choose_evicted(const agent_t *agent)
+{
+	const agent_interference_t *self = agent->interference;
+	search_t search = { 0 };
+
+	if (!gn_interfere_worst(self->interfere, self->measured.load_pct,
+				&search.kind) &&
+	    is_eviction_useless(self))
+		return 0;
+	gn_worker_tasks_foreach_active(agent->tasks, find_newest, &search);
+	return search.id;
+}
+
+static void log_eviction(const agent_t *agent, const char *step, uint64_t id)
+{
+	const agent_interference_t *self = agent->interference;
+	char text[GN_TASK_ID_SIZE];
+
+	gn_task_id_format(id, text);
+	gn_log(LOG_NOTICE, "interference", agent->backend.address,
+	       "%s of task %s, tail %" PRIu32 " us, target %" PRIu32 " us",
+	       step, text, self->measured.tail_us, self->config.target_us);
+}
+
+static void begin_eviction(agent_t *agent)
+{
+	agent_interference_t *self = agent->interference;
+	uint64_t id = choose_evicted(agent);
+
+	if (!id ||
+	    gn_worker_tasks_evict(agent->tasks, id, GN_ACTION_CHECKPOINT))
+		return;
+	self->evicted = id;
+	self->evicted_runs = true;
+	self->evicted_stopped = false;
+	gn_throttle_begin_checkpoint(self->throttle);
+	gn_counter_inc(self->counters.checkpoints);
+	log_eviction(agent, "checkpoint", id);
+}
+
+/* The worker tasks repeat a stop each second until it is confirmed. */
+static void stop_evicted(agent_t *agent)
+{
+	agent_interference_t *self = agent->interference;
+
+	gn_worker_tasks_evict(agent->tasks, self->evicted, GN_ACTION_STOP);
+	if (self->evicted_stopped)
+		return;
+	self->evicted_stopped = true;
+	gn_counter_inc(self->counters.stops);
+	log_eviction(agent, "stop", self->evicted);
+}
+
+void interference_take_step(agent_t *agent, gn_throttle_step_t step)
+{
+	if (step == GN_THROTTLE_CHECKPOINT && !agent_is_draining(agent))
+		begin_eviction(agent);
+	if (step == GN_THROTTLE_STOP && agent->interference->evicted)
+		stop_evicted(agent);
+}
+
+void interference_end_eviction(agent_interference_t *self)
+{
+	if (!self->evicted || self->evicted_runs)
+		return;
+	self->evicted = 0;
+	gn_throttle_end_checkpoint(self->throttle, self->batch);
+}
--- /dev/null
+++ b/lib/agent/interference_speed.c
@@ -0,0 +1,201 @@
+/**
+ * @file interference_speed.c
+ * @brief Throttles the batch tasks that disturb the service, by their kind.
+ */
+#include <string.h>
+
+#include "agent/interference_internal.h"
+#include "common/log.h"
+#include "common/str.h"
+#include "http/status.h"
+
+/** A smaller change of a task's speed is not told, per cent of full speed. */
+#define SPEED_STEP_PCT 5
+
+/* ======   What runs   ====== */
+
+static interference_kind_t *find_kind(agent_interference_t *self,
+				      const char *name)
+{
+	for (size_t i = 0; i < self->kind_count; i++)
+		if (!strcmp(self->kinds[i].name, name))
+			return &self->kinds[i];
+	return NULL;
+}
+
+static interference_kind_t *need_kind(agent_interference_t *self,
+				      const char *name)
+{
+	interference_kind_t *kind = find_kind(self, name);
+
+	if (kind || self->kind_count == GN_INTERFERE_KINDS)
+		return kind;
+	kind = &self->kinds[self->kind_count++];
+	*kind = (interference_kind_t){ .speed_pct = GN_SPEED_FULL_PCT };
+	gn_str_copy(kind->name, sizeof(kind->name), gn_str_from(name));
+	return kind;
+}
+
+static void count_run(const gn_active_run_t *run, void *data)
+{
+	agent_interference_t *self = data;
+	bool batch = run->work_class == GN_CLASS_BATCH;
+	unsigned speed_pct =
+		run->speed_pct ? run->speed_pct : GN_SPEED_FULL_PCT;
+	interference_kind_t *kind = need_kind(self, run->kind);
+
+	self->batch += batch;
+	/* A run that doesn't end is a later one, resumed here. */
+	if (run->id == self->evicted && run->ending)
+		self->evicted_runs = true;
+	if (!kind)
+		return;
+	kind->batch += batch;
+	kind->running_pct += speed_pct;
+}
+
+/* Drops the kinds of which nothing runs, once that is noted. */
+static void drop_idle_kinds(agent_interference_t *self)
+{
+	size_t kept = 0;
+
+	for (size_t i = 0; i < self->kind_count; i++)
+		if (self->kinds[i].running_pct)
+			self->kinds[kept++] = self->kinds[i];
+	self->kind_count = kept;
+}
+
+void interference_count_runs(agent_t *agent)
+{
+	agent_interference_t *self = agent->interference;
+
+	self->batch = 0;
+	self->evicted_runs = false;
+	for (size_t i = 0; i < self->kind_count; i++) {
+		self->kinds[i].batch = 0;
+		self->kinds[i].running_pct = 0;
+	}
+	gn_worker_tasks_foreach_active(agent->tasks, count_run, self);
+}
+
+void interference_note_running(agent_interference_t *self)
+{
+	for (size_t i = 0; i < self->kind_count; i++) {
+		interference_kind_t *kind = &self->kinds[i];
+
+		if (kind->noted_pct == kind->running_pct)
+			continue;
+		gn_interfere_set_running(
+			self->interfere, gn_str_from(kind->name),
+			(double)kind->running_pct / INTERFERENCE_PER_CENT);
+		kind->noted_pct = kind->running_pct;
+	}
+	drop_idle_kinds(self);
+}
+
+/* ======   Throttling   ====== */
+
+void interference_share_speed(agent_interference_t *self, unsigned total_pct)
+{
+	gn_speed_t speeds[GN_INTERFERE_KINDS];
+	interference_kind_t *kinds[GN_INTERFERE_KINDS];
+	size_t count = 0;
+
+	for (size_t i = 0; i < self->kind_count; i++) {
+		interference_kind_t *kind = &self->kinds[i];
+
+		if (!kind->batch)
+			continue;
+		kinds[count] = kind;
+		speeds[count++] =
+			(gn_speed_t){ gn_str_from(kind->name), kind->batch, 0 };
+	}
+	gn_speed_share(self->interfere, self->measured.load_pct, total_pct,
+		       self->config.floor_pct, speeds, count);
+	for (size_t i = 0; i < count; i++)
+		kinds[i]->speed_pct = speeds[i].speed_pct;
+}
+
+static bool is_speed_told(unsigned told_pct, unsigned speed_pct)
+{
+	unsigned change_pct = told_pct > speed_pct ? told_pct - speed_pct
+						   : speed_pct - told_pct;
+
+	if (!told_pct || speed_pct == GN_SPEED_FULL_PCT)
+		return told_pct == speed_pct;
+	return change_pct < SPEED_STEP_PCT;
+}
+
+static void set_speed(const gn_active_run_t *run, void *data)
+{
+	agent_t *agent = data;
+	agent_interference_t *self = agent->interference;
+	const interference_kind_t *kind = find_kind(self, run->kind);
+	unsigned speed_pct = GN_SPEED_FULL_PCT;
+
+	/* With the control off, what was throttled before is let go. */
+	if (self->throttle && kind && run->work_class == GN_CLASS_BATCH)
+		speed_pct = kind->speed_pct;
+	if (!self->throttle && !run->speed_pct)
+		return;
+	if (!is_speed_told(run->speed_pct, speed_pct))
+		gn_worker_tasks_set_speed(agent->tasks, run->id, speed_pct);
+}
+
+void interference_set_speeds(agent_t *agent)
+{
+	if (!agent->interference->unthrottled)
+		gn_worker_tasks_foreach_active(agent->tasks, set_speed, agent);
+}
+
+static void set_unthrottled(agent_t *agent, bool unthrottled)
+{
+	agent_interference_t *self = agent->interference;
+
+	self->unthrottled = unthrottled;
+	gn_str_copy(self->incarnation, sizeof(self->incarnation),
+		    gn_str_from(agent->backend.incarnation));
+	if (self->throttle)
+		gn_throttle_set_floor(self->throttle,
+				      unthrottled ? GN_SPEED_FULL_PCT
+						  : self->config.floor_pct);
+}
+
+static bool is_unsupported(const gn_http_call_t *call)
+{
+	return call->code == GN_OK &&
+	       (call->status == HTTP_NOT_FOUND ||
+		call->status == HTTP_METHOD_NOT_ALLOWED ||
+		call->status == HTTP_NOT_IMPLEMENTED);
+}
+
+void agent_interference_on_throttled(agent_t *agent, const gn_action_t *action,
+				     const gn_http_call_t *call)
+{
+	agent_interference_t *self = agent->interference;
+
+	if (call->code == GN_OK && call->status == HTTP_OK) {
+		gn_counter_inc(self->counters.throttled);
+		return;
+	}
+	if (!is_unsupported(call)) {
+		gn_worker_tasks_note_speed(agent->tasks, action->id, 0);
+		return;
+	}
+	gn_worker_tasks_note_speed(agent->tasks, action->id, GN_SPEED_FULL_PCT);
+	/* A server that has restarted may just not have the task any more. */
+	if (self->unthrottled || !agent_action_is_current(agent, action))
+		return;
+	gn_log(LOG_NOTICE, "throttle", agent->backend.address,
+	       "not supported, checkpoints take its place");
+	set_unthrottled(agent, true);
+}
+
+/* A backend server that has restarted may throttle by now. */
+void interference_note_backend(agent_t *agent)
+{
+	agent_interference_t *self = agent->interference;
+
+	if (strcmp(self->incarnation, agent->backend.incarnation) != 0)
+		set_unthrottled(agent, false);
+}
