--- a/lib/route/pick.c
+++ b/lib/route/pick.c
@@ -6,8 +6,6 @@
 
 /** Service time assumed before the first report. */
 #define FIRST_SERVICE_TIME_US (10 * GN_US_PER_MS)
-/** A worker this much slower than is usual counts as slow. */
-#define SLOW_FACTOR 2.0
 
 /* ======   Workers already tried   ====== */
 
@@ -41,35 +39,18 @@
 	return FIRST_SERVICE_TIME_US;
 }
 
-static double usual_time_us(const gn_route_worker_t *worker)
-{
-	double usual_us = worker->service->service_time_us;
-
-	return usual_us > 0 ? usual_us : service_time_us(worker);
-}
-
-/** By how much a worker is slower than is usual in its service. */
-static double slowness_us(const gn_route_worker_t *worker)
-{
-	double limit_us = SLOW_FACTOR * usual_time_us(worker);
-
-	return MAX(service_time_us(worker) - limit_us, 0);
-}
-
 /**
- * The cost by which candidates are compared. The powers let a worker that is
+ * The cost by which candidates are compared. The square lets a worker that is
  * far from its cores' limit count as nearly free, so that the delay to another
- * data centre is only paid for a real queue. Near the limit the cost rises
- * faster than the wait does: a request there delays the others, too.
+ * data centre is only paid for a real queue.
  */
 static double cost_us(const gn_route_worker_t *worker, uint64_t now_us)
 {
 	double share =
 		(gn_route_worker_load(worker, now_us) + 1) / worker->cores;
-	double queue_us = service_time_us(worker) * share * share;
 
-	return 2.0 * worker->one_way_us + slowness_us(worker) +
-	       queue_us * queue_us / usual_time_us(worker);
+	return 2.0 * worker->one_way_us +
+	       service_time_us(worker) * share * share;
 }
 
 uint64_t gn_route_worker_idle_us(const gn_route_worker_t *worker)
