Find a silent connection between two entries by heartbeat

Cause: an entry keeps connections to the entries it forwards to, and nothing used them in between; gone silent, they were found by a forwarded request only, which then waited for 3 s and was told as unknown. Neither the questions of the promise rule nor those for a newer configuration fill in: they are asked only while the platform is away or a worker is ahead.

Now an entry that was called within two minutes (as long as an idle connection is kept) is asked for its status twice in each beat timeout; the HTTP client's own rule for silent connections does the rest. Peers that are not called cost nothing, so the traffic grows with use, not with the square of the entries. http.advertise may now equal http.listen.

--- a/lib/config/settings.c
+++ b/lib/config/settings.c
@@ -1,6 +1,7 @@
 #include "config/settings.h"
 
 #include <glib.h>
+#include <string.h>
 #include <syslog.h>
 
 #include "config/file.h"
@@ -179,6 +180,15 @@
 	return code;
 }
 
+/** The advertised address if it is another than the bound one, else NULL. */
+static const char *other_advertised(const gn_settings_t *settings)
+{
+	if (settings->http_advertise && settings->http_listen &&
+	    !strcmp(settings->http_advertise, settings->http_listen))
+		return NULL;
+	return settings->http_advertise;
+}
+
 /** Adds an address to those @p seen, unless it is there already. */
 static gn_code_t add_address(gn_schema_reader_t *reader, GHashTable *seen,
 			     const char *path, const char *address)
@@ -201,7 +211,7 @@
 		const char *address;
 	} single[] = {
 		{ "http.listen", settings->http_listen },
-		{ "http.advertise", settings->http_advertise },
+		{ "http.advertise", other_advertised(settings) },
 		{ "platform.address", settings->platform_address },
 		{ "link.listen", settings->link_listen },
 	};
--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -4,6 +4,7 @@
 #include "entry/config.h"
 #include "entry/keys.h"
 #include "entry/membership.h"
+#include "entry/peer_beats.h"
 #include "entry/peers.h"
 
 /** Deadlines are kept to this step, milliseconds. */
@@ -88,7 +89,8 @@
 	entry->runtime = runtime;
 	talloc_set_destructor(entry, entry_destructor);
 	open_counters(entry);
-	if (entry_workers_open(entry) || entry_requests_open(entry))
+	if (entry_workers_open(entry) || entry_requests_open(entry) ||
+	    entry_peer_beats_open(entry))
 		return gn_error_set(error, GN_ERR_MEMORY, "start", NULL,
 				    "tables");
 	if (start_server(entry, error) || entry_peers_open(entry, error) ||
@@ -124,6 +126,7 @@
 	entry_workers_tick(entry);
 	entry_requests_tick(entry);
 	entry_membership_tick(entry);
+	entry_peer_beats_tick(entry);
 	entry_config_tick(entry);
 	entry_keys_tick(entry);
 	entry_buckets_tick(entry);
--- a/lib/entry/entry_internal.h
+++ b/lib/entry/entry_internal.h
@@ -22,6 +22,7 @@
 typedef struct entry_buckets_s entry_buckets_t;
 typedef struct entry_config_s entry_config_t;
 typedef struct entry_keys_s entry_keys_t;
+typedef struct entry_peer_beats_s entry_peer_beats_t;
 
 /** The retries of one service. */
 typedef struct entry_service_s {
@@ -85,6 +86,7 @@
 	gn_runtime_t *runtime;
 	gn_http_server_t *server;
 	gn_http_client_t *client; /**< to other entries */
+	entry_peer_beats_t *peer_beats;
 	gn_link_t *link;
 	entry_membership_t *membership;
 	entry_buckets_t *buckets;
--- a/lib/entry/peers.c
+++ b/lib/entry/peers.c
@@ -1,4 +1,5 @@
 #include "entry/peers.h"
+#include "entry/peer_beats.h"
 #include "http/status.h"
 
 #include <stdio.h>
@@ -33,6 +34,7 @@
 		json_decref(json);
 		return GN_ERR_MEMORY;
 	}
+	entry_peer_beats_note(entry, address);
 	call->method = GN_HTTP_POST;
 	snprintf(call->url, sizeof(call->url), "http://%s%s", address, path);
 	call->body = json_dumps(json, JSON_COMPACT);
@@ -112,6 +114,7 @@
 		return;
 	}
 	forward = g_new0(forward_t, 1);
+	entry_peer_beats_note(entry, address);
 	forward->entry = entry;
 	forward->request = request;
 	call->method = request->method;
--- a/tests/scenario.sh
+++ b/tests/scenario.sh
@@ -43,7 +43,7 @@
 	launch platform "$build/tests/standin/platform" --listen "${http[platform]}"
 }
 
-# relay NAME platform|ENTRY.link|WORKER.backend: from now on, processes that
+# relay NAME platform|ENTRY.link|ENTRY.http|WORKER.backend: from now on, processes that
 # start reach the target through the relay. Faults: tests/standin/relay.c.
 cmd_relay() {
 	local key=$1 target=$2 to=
@@ -56,6 +56,11 @@
 		[ "${http[platform]:-}" ] || { port; http[platform]=$allotted; }
 		to=${http[platform]}
 		;;
+	*.http)
+		target=${target%.http}
+		[ "${http[$target]:-}" ] || { port; http[$target]=$allotted; port; link[$target]=$allotted; }
+		to=${http[$target]}
+		;;
 	*.link) to=${link[${target%.link}]} ;;
 	*.backend)
 		target=${target%.backend}
@@ -86,6 +91,7 @@
 	stop_grace_ms = 10000
 	[http]
 	listen = "${http[$key]}"
+	advertise = "${via[$key.http]:-${http[$key]}}"
 	timeout_ms = 3000
 	[platform]
 	address = "${via[platform]:-${http[platform]}}"
