Set admission, ejection and retries in an entry's settings

The parameters of these decisions stood in the code alone: a customer whose workers differ by design could not say so. Now an entry reads the tables [limit], [eject] and [retry], each key with its type, default and the bounds of its module, and refuses what the modules would refuse at start without a word: a ceiling below the floor, a start outside of both, a latest return before the soonest, a longest ejection below the first.

Defaults are unchanged: a case compares them with gn_*_defaults(). The lengths of promises, confirmations and drift are not among them: peers must go by the same figures (OUTAGE.md), which one process's settings can't check.

--- a/lib/config/settings.c
+++ b/lib/config/settings.c
@@ -117,6 +117,55 @@
 	LAST,
 };
 
+/*
+ * The decisions' parameters, within the bounds of their modules; the presets
+ * are those of the gn_*_defaults() functions.
+ */
+static const gn_schema_field_t limit_fields[] = {
+	NUMBER("floor", limit.floor, 1, 4096, 16),
+	NUMBER("ceiling", limit.ceiling, 1, 1000000, 8192),
+	NUMBER("start", limit.start, 1, 1000000, 256),
+	NUMBER("window_ms", limit.window_ms, 10, 10000, 100),
+	NUMBER("late_pct", limit.late_pct, 10, 100, 50),
+	NUMBER("late_share_pct", limit.late_share_pct, 1, 50, 5),
+	NUMBER("queue_pct", limit.queue_pct, 110, 1000, 125),
+	NUMBER("cut_pct", limit.cut_pct, 50, 99, 85),
+	NUMBER("growth_pct", limit.growth_pct, 1, 50, 5),
+	NUMBER("wait_margin_pct", limit.wait_margin_pct, 100, 1000, 200),
+	NUMBER("contend_pct", limit.contend_pct, 1, 100, 70),
+	NUMBER("quick_pct", limit.class_pct[GN_CLASS_QUICK], 1, 100, 100),
+	NUMBER("batch_pct", limit.class_pct[GN_CLASS_BATCH], 1, 100, 50),
+	NUMBER("standing_pct", limit.class_pct[GN_CLASS_STANDING], 1, 100, 25),
+	NUMBER("other_weight", limit.other_weight, 1, 1000, 1),
+	NUMBER("return_pct", limit.return_pct, 1, 100, 20),
+	NUMBER("return_min_ms", limit.return_min_ms, 1, 60000, 200),
+	NUMBER("return_max_ms", limit.return_max_ms, 1, 3600000, 30000),
+	LAST,
+};
+
+static const gn_schema_field_t eject_fields[] = {
+	NUMBER("half_life_ms", eject.half_life_ms, 100, 60000, 2000),
+	NUMBER("min_fails", eject.min_fails, 2, 100, 3),
+	NUMBER("fail_margin_pct", eject.fail_margin_pct, 5, 100, 30),
+	NUMBER("slow_factor", eject.slow_factor, 2, 100, 4),
+	NUMBER("slow_min_us", eject.slow_min_us, 1000, 10000000, 20000),
+	NUMBER("slow_min_passes", eject.slow_min_passes, 5, 1000, 20),
+	NUMBER("max_ejected_pct", eject.max_ejected_pct, 1, 90, 50),
+	NUMBER("first_ms", eject.first_ms, 100, 60000, 1000),
+	NUMBER("longest_ms", eject.longest_ms, 100, 3600000, 60000),
+	NUMBER("probe_interval_ms", eject.probe_interval_ms, 10, 60000, 250),
+	NUMBER("probes", eject.probes, 1, 100, 3),
+	NUMBER("growth_interval_ms", eject.growth_interval_ms, 10, 60000, 500),
+	LAST,
+};
+
+static const gn_schema_field_t retry_fields[] = {
+	NUMBER("share_pct", retry.share_pct, 0, 100, 10),
+	NUMBER("reserve", retry.reserve, 0, 1000, 10),
+	NUMBER("tries", retry.tries, 1, GN_ROUTE_TRIES_MAX, 3),
+	LAST,
+};
+
 static const gn_schema_field_t settings_fields[] = {
 	{ .key = "role",
 	  .read = gn_schema_enum,
@@ -151,6 +200,18 @@
 	  .read = gn_schema_table,
 	  .fields = link_fields,
 	  .required = BOTH },
+	{ .key = "limit",
+	  .read = gn_schema_table,
+	  .fields = limit_fields,
+	  .forbidden = AGENT },
+	{ .key = "eject",
+	  .read = gn_schema_table,
+	  .fields = eject_fields,
+	  .forbidden = AGENT },
+	{ .key = "retry",
+	  .read = gn_schema_table,
+	  .fields = retry_fields,
+	  .forbidden = AGENT },
 	{ .key = "worker",
 	  .read = gn_schema_table,
 	  .fields = worker_fields,
@@ -243,6 +304,37 @@
 			      BEATS_PER_TIMEOUT);
 }
 
+/* What must not be less than something else. */
+static gn_code_t check_orders(gn_schema_reader_t *reader,
+			      const gn_settings_t *settings)
+{
+	const struct {
+		const char *path;
+		unsigned value;
+		const char *least_path;
+		unsigned least;
+	} orders[] = {
+		{ "limit.ceiling", settings->limit.ceiling, "limit.floor",
+		  settings->limit.floor },
+		{ "limit.start", settings->limit.start, "limit.floor",
+		  settings->limit.floor },
+		{ "limit.ceiling", settings->limit.ceiling, "limit.start",
+		  settings->limit.start },
+		{ "limit.return_max_ms", settings->limit.return_max_ms,
+		  "limit.return_min_ms", settings->limit.return_min_ms },
+		{ "eject.longest_ms", settings->eject.longest_ms,
+		  "eject.first_ms", settings->eject.first_ms },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(orders); i++)
+		if (orders[i].value < orders[i].least)
+			return gn_schema_fail(
+				reader, GN_ERR_RANGE, orders[i].path,
+				"%u is less than %s, %u", orders[i].value,
+				orders[i].least_path, orders[i].least);
+	return GN_OK;
+}
+
 static gn_code_t read_settings(gn_schema_reader_t *reader,
 			       const gn_toml_t *document,
 			       gn_settings_t *settings)
@@ -256,6 +348,8 @@
 		code = check_addresses(reader, settings);
 	if (!code)
 		code = check_beats(reader, settings);
+	if (!code && settings->role == GN_ROLE_ENTRY)
+		code = check_orders(reader, settings);
 	if (!settings->http_advertise)
 		settings->http_advertise = settings->http_listen;
 	return code;
--- a/lib/config/settings.h
+++ b/lib/config/settings.h
@@ -12,6 +12,9 @@
 #include <talloc.h>
 
 #include "common/error.h"
+#include "limit/limit.h"
+#include "route/eject.h"
+#include "route/retry.h"
 
 /** What a daemon is. */
 typedef enum gn_role_e {
@@ -69,6 +72,10 @@
 	unsigned
 		interference_evictions; /**< [interference] evictions, 0..100; 1 */
 
+	gn_limit_config_t limit; /**< [limit], entry; see limit/limit.h */
+	gn_eject_config_t eject; /**< [eject], entry; see route/eject.h */
+	gn_retry_config_t retry; /**< [retry], entry; see route/retry.h */
+
 	unsigned stop_grace_ms; /**< stop_grace_ms, 0..600000; 30000 */
 } gn_settings_t;
 
--- a/lib/entry/requests.c
+++ b/lib/entry/requests.c
@@ -24,14 +24,13 @@
 
 gn_code_t entry_requests_open(entry_t *entry)
 {
-	const gn_limit_config_t config = gn_limit_defaults();
-
 	entry->requests = g_hash_table_new(g_int64_hash, g_int64_equal);
 	entry->deadlines = g_sequence_new(NULL);
 	/* A random start keeps the numbers of two incarnations apart. */
 	entry->next_request = gn_runtime_random_id() >> SPARE_BITS;
 	entry->limit = gn_limit_create(entry, &entry->runtime->clock,
-				       entry->runtime->random, &config);
+				       entry->runtime->random,
+				       &entry->runtime->settings->limit);
 	return entry->limit ? GN_OK : GN_ERR_MEMORY;
 }
 
--- a/lib/entry/workers.c
+++ b/lib/entry/workers.c
@@ -28,7 +28,6 @@
 gn_code_t entry_workers_open(entry_t *entry)
 {
 	const gn_runtime_t *runtime = entry->runtime;
-	const gn_eject_config_t eject = gn_eject_defaults();
 	gn_str_t data_centre = gn_str_from(runtime->settings->data_centre);
 
 	entry->workers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
@@ -39,8 +38,9 @@
 	entry->view = gn_route_view_create(entry, &runtime->clock, data_centre);
 	if (!entry->view)
 		return GN_ERR_MEMORY;
-	entry->eject = gn_eject_create(entry, entry->view, &runtime->clock,
-				       runtime->random, &eject);
+	entry->eject =
+		gn_eject_create(entry, entry->view, &runtime->clock,
+				runtime->random, &runtime->settings->eject);
 	return entry->eject ? GN_OK : GN_ERR_MEMORY;
 }
 
@@ -102,7 +102,7 @@
 
 static entry_service_t *get_service(entry_t *entry, const char *name)
 {
-	const gn_retry_config_t config = gn_retry_defaults();
+	const gn_retry_config_t *config = &entry->runtime->settings->retry;
 	entry_service_t *service = g_hash_table_lookup(entry->services, name);
 
 	if (service)
@@ -110,7 +110,7 @@
 	service = talloc_zero(NULL, entry_service_t);
 	if (!service)
 		return NULL;
-	service->budget = gn_retry_budget_create(service, &config);
+	service->budget = gn_retry_budget_create(service, config);
 	if (!service->budget) {
 		talloc_free(service);
 		return NULL;
--- a/tests/contract/test_docs.c
+++ b/tests/contract/test_docs.c
@@ -148,6 +148,9 @@
 	collect_keys(names, "link", "link.", code);
 	collect_keys(names, "worker", "worker.", code);
 	collect_keys(names, "interference", "interference.", code);
+	collect_keys(names, "limit", "limit.", code);
+	collect_keys(names, "eject", "eject.", code);
+	collect_keys(names, "retry", "retry.", code);
 	g_free(code);
 	assert_same(names, read_section("Settings of a daemon\n"));
 }
--- a/tests/contract/test_settings.c
+++ b/tests/contract/test_settings.c
@@ -165,6 +165,37 @@
 	  "[link]\nbeat_interval_ms = 700", GN_ERR_RANGE,
 	  "link.beat_timeout_ms: 2000 is less than 2100, 3 times "
 	  "link.beat_interval_ms" },
+	{ "limit-unknown", entry_text, "[http]", "[limit]\nflor = 1\n[http]",
+	  GN_ERR_INVALID, "limit.flor: unknown key" },
+	{ "limit-kind", entry_text, "[http]", "[limit]\nfloor = \"1\"\n[http]",
+	  GN_ERR_INVALID, "limit.floor: expected an integer, got a string" },
+	{ "limit-range", entry_text, "[http]",
+	  "[limit]\nbatch_pct = 101\n[http]", GN_ERR_RANGE,
+	  "limit.batch_pct: 101 is outside 1..100" },
+	{ "limit-ceiling", entry_text, "[http]",
+	  "[limit]\nceiling = 15\n[http]", GN_ERR_RANGE,
+	  "limit.ceiling: 15 is less than limit.floor, 16" },
+	{ "limit-start-low", entry_text, "[http]",
+	  "[limit]\nstart = 15\n[http]", GN_ERR_RANGE,
+	  "limit.start: 15 is less than limit.floor, 16" },
+	{ "limit-start-high", entry_text, "[http]",
+	  "[limit]\nstart = 8193\n[http]", GN_ERR_RANGE,
+	  "limit.ceiling: 8192 is less than limit.start, 8193" },
+	{ "limit-returns", entry_text, "[http]",
+	  "[limit]\nreturn_max_ms = 199\n[http]", GN_ERR_RANGE,
+	  "limit.return_max_ms: 199 is less than limit.return_min_ms, 200" },
+	{ "eject-unknown", entry_text, "[http]", "[eject]\nfast = 1\n[http]",
+	  GN_ERR_INVALID, "eject.fast: unknown key" },
+	{ "eject-range", entry_text, "[http]",
+	  "[eject]\nmax_ejected_pct = 91\n[http]", GN_ERR_RANGE,
+	  "eject.max_ejected_pct: 91 is outside 1..90" },
+	{ "eject-longest", entry_text, "[http]",
+	  "[eject]\nlongest_ms = 999\n[http]", GN_ERR_RANGE,
+	  "eject.longest_ms: 999 is less than eject.first_ms, 1000" },
+	{ "retry-range", entry_text, "[http]", "[retry]\ntries = 5\n[http]",
+	  GN_ERR_RANGE, "retry.tries: 5 is outside 1..4" },
+	{ "retry-of-agent", agent_text, "[link]", "[retry]\ntries = 2\n[link]",
+	  GN_ERR_INVALID, "retry: not a key of this role" },
 	{ "agent-with-platform", agent_text, "[link]",
 	  "[platform]\naddress = \"127.0.0.1:2379\"\n[link]", GN_ERR_INVALID,
 	  "platform: not a key of this role" },
@@ -275,6 +306,20 @@
 	talloc_free(s);
 }
 
+/* The keys that are left out give what the modules' defaults say. */
+static void test_defaults(void)
+{
+	gn_settings_t *s = parse_good(entry_text);
+	const gn_limit_config_t limit = gn_limit_defaults();
+	const gn_eject_config_t eject = gn_eject_defaults();
+	const gn_retry_config_t retry = gn_retry_defaults();
+
+	g_assert_cmpmem(&s->limit, sizeof(s->limit), &limit, sizeof(limit));
+	g_assert_cmpmem(&s->eject, sizeof(s->eject), &eject, sizeof(eject));
+	g_assert_cmpmem(&s->retry, sizeof(s->retry), &retry, sizeof(retry));
+	talloc_free(s);
+}
+
 static void test_agent(void)
 {
 	gn_settings_t *s = parse_good(agent_text);
@@ -427,6 +472,7 @@
 	}
 	g_test_add_func("/settings/entry", test_entry);
 	g_test_add_func("/settings/agent", test_agent);
+	g_test_add_func("/settings/defaults", test_defaults);
 	g_test_add_func("/settings/bounds", test_bounds_are_allowed);
 	g_test_add_func("/settings/load", test_load);
 	g_test_add_func("/settings/hostile", test_hostile);
