Store that a task runs once its worker tells

Cause: the first report of a run changed the task's state in the bucket's memory but gave it no sequence number, so nothing was written until the next other change of that bucket; callers, who are told what is stored, read "claimed" meanwhile, for as long as the task ran alone.

Now the first report is a change like the others and goes with the next group commit. It costs one write a bucket at most for the starts of one commit interval. Ruled out: telling the owner's memory instead; an entry that does not own the bucket would need its owner for each list.

--- a/lib/batch/bucket_poll.c
+++ b/lib/batch/bucket_poll.c
@@ -162,8 +162,11 @@
 	task->listed = bucket->poll_count;
 	task->seen = true;
 	task->lost = false;
-	if (task->state == GN_TASK_CLAIMED)
+	if (task->state == GN_TASK_CLAIMED) {
 		gn_bucket_set_state(bucket, task, GN_TASK_RUNNING);
+		/* Callers are told what is stored. */
+		gn_bucket_touch(bucket, task);
+	}
 	if (!may_renew(bucket))
 		return;
 	if (g_hash_table_contains(bucket->evictions, &task->id))
--- a/tests/unit/test_bucket.c
+++ b/tests/unit/test_bucket.c
@@ -191,6 +191,23 @@
 		f->bucket, gn_batch_bucket_find(f->bucket, id));
 }
 
+/* Callers read what is stored: it says that a task runs, by one write. */
+static void test_running_is_stored(fixture_t *f)
+{
+	gn_batch_value_t *value = NULL;
+	uint64_t id;
+	gn_batch_report_t report = start_task(f, &id);
+
+	poll_worker(f, WORKER, &report, 1);
+	g_assert_true(commit(f));
+	g_assert_cmpint(
+		gn_batch_codec_decode(f->frame, f->stored, 1, &value, NULL), ==,
+		GN_OK);
+	g_assert_cmpint(value->tasks[0]->state, ==, GN_TASK_RUNNING);
+	poll_worker(f, WORKER, &report, 1);
+	g_assert_false(commit(f));
+}
+
 static void test_run(fixture_t *f)
 {
 	uint64_t id;
@@ -581,6 +598,7 @@
 	void (*run)(fixture_t *f);
 } tests[] = {
 	{ "run", test_run },
+	{ "running-is-stored", test_running_is_stored },
 	{ "starts-after-commit", test_starts_after_commit },
 	{ "idempotent-submit", test_idempotent_submit },
 	{ "cancel", test_cancel },
