--- a/tests/demo.sh
+++ b/tests/demo.sh
@@ -142,7 +142,7 @@
 	fetch "http://${http[entry-haf-1]}/v1/jobs/${job[$1]}" | jq -r ".$2"
 }
 
-# By the agents: an entry stores that a task runs only with its next change.
+# By the agents, who know it before an entry has stored it.
 is_running() { # LABEL
 	local w
 	for w in $workers; do
@@ -174,12 +174,14 @@
 # One caller: requests one after the other until told to stop. A line each:
 # body, repeatable, status, seconds, outcome, reason, whether the answer is whole.
 call_until_stopped() { # NAME ENTRY REPEATABLE
-	local i=0 body told whole
+	local i=0 body told whole key
 	while [ ! -e "$work/stop-callers" ] && [ ! -e "$work/stop" ]; do
 		i=$((i + 1))
 		body=$1-$i
+		key=()
+		[ "$3" = no ] && key=(-H "Idempotency-Key: $body")
 		told=$(fetch -o "$work/$1.answer" -H 'Gypsumnotch-Team: corridors' \
-			-H "Gypsumnotch-Repeatable: $3" --data-binary "$body" \
+			-H "Gypsumnotch-Repeatable: $3" "${key[@]}" --data-binary "$body" \
 			-w '%{http_code} %{time_total} %header{gypsumnotch-outcome} reason=%header{gypsumnotch-reason}' \
 			"http://${http[$2]}/v1/services/$service/requests")
 		whole=no
