Evict no batch task for the service's sake while it could not go on elsewhere

Cause: the agent's interference control knew nothing of the platform. In an outage it had tasks checkpoint and leave as ever; their owner could not store the move, so that they waited until the platform was back.

Now an entry that owns buckets and may not move their tasks says so in its answers to beats, and the agent begins no eviction while one of them does. Throttling and starts in waves go on. An entry that has left the record owns nothing and holds nothing back.

Ruled out: telling it in the orders alone; they come only to workers with tasks of that entry, and its silence would have to be told from an outage.

--- a/lib/agent/agent_internal.h
+++ b/lib/agent/agent_internal.h
@@ -29,6 +29,7 @@
 	uint64_t poll_us; /**< last time a task poll was sent */
 	uint64_t sequence;
 	uint64_t admit_session; /**< the admission's, 0 until welcomed */
+	bool moves_held; /**< the entry can't move its tasks now */
 } agent_link_t;
 
 /** What the backend server beside the agent announced. */
@@ -101,6 +102,9 @@
 /** Whether the worker is to take no new work. */
 bool agent_is_draining(const agent_t *agent);
 
+/** Whether an entry that owns tasks could not have them go on elsewhere. */
+bool agent_moves_are_held(const agent_t *agent);
+
 /* ======   requests.c   ====== */
 
 /** Admits and runs, or refuses, one request. */
--- a/lib/agent/interference_evict.c
+++ b/lib/agent/interference_evict.c
@@ -100,9 +100,15 @@
 	log_eviction(agent, "stop", self->evicted);
 }
 
+/* A task that leaves while its owner can't move it would wait, not go on. */
+static bool may_evict(const agent_t *agent)
+{
+	return !agent_is_draining(agent) && !agent_moves_are_held(agent);
+}
+
 void interference_take_step(agent_t *agent, gn_throttle_step_t step)
 {
-	if (step == GN_THROTTLE_CHECKPOINT && !agent_is_draining(agent))
+	if (step == GN_THROTTLE_CHECKPOINT && may_evict(agent))
 		begin_eviction(agent);
 	if (step == GN_THROTTLE_STOP && agent->interference->evicted)
 		stop_evicted(agent);
--- a/lib/agent/links.c
+++ b/lib/agent/links.c
@@ -138,6 +138,9 @@
 	case GN__ENVELOPE__BODY_WELCOME:
 		on_welcome(link, envelope);
 		break;
+	case GN__ENVELOPE__BODY_BEAT_ACK:
+		link->moves_held = envelope->beat_ack->moves_held;
+		break;
 	case GN__ENVELOPE__BODY_DISPATCH:
 		agent_on_dispatch(link, envelope->dispatch);
 		break;
@@ -155,6 +158,14 @@
 	}
 }
 
+bool agent_moves_are_held(const agent_t *agent)
+{
+	for (size_t i = 0; i < agent->link_count; i++)
+		if (agent->links[i].moves_held)
+			return true;
+	return false;
+}
+
 static gn_code_t open_link(agent_link_t *link, gn_error_t *error)
 {
 	agent_t *agent = link->agent;
@@ -173,6 +184,7 @@
 		gn_admit_close_session(agent->admit, link->entry_incarnation);
 	link->entry_incarnation = 0;
 	link->admit_session = 0;
+	link->moves_held = false;
 	link->beat_us = 0;
 	gn_reconnect_open(&link->reconnect, agent->runtime->random,
 			  gn_runtime_now_us(agent->runtime));
--- a/lib/entry/buckets.c
+++ b/lib/entry/buckets.c
@@ -244,6 +244,12 @@
 	return true;
 }
 
+bool entry_buckets_are_stuck(const entry_t *entry)
+{
+	return !entry_buckets_are_released(entry) &&
+	       !gn_promise_may_start(entry->membership->promise);
+}
+
 static bool has_owner(const gn_batch_predecessor_t *owners, size_t count,
 		      uint64_t incarnation)
 {
--- a/lib/entry/buckets.h
+++ b/lib/entry/buckets.h
@@ -27,6 +27,11 @@
 void entry_buckets_drop(entry_t *entry);
 /** Whether none is held, so that the entry can leave. */
 bool entry_buckets_are_released(const entry_t *entry);
+/**
+ * Whether this entry owns buckets whose tasks it can't move now: it could not
+ * store that they go on elsewhere.
+ */
+bool entry_buckets_are_stuck(const entry_t *entry);
 /** Applies the present rules and inventory to the buckets. */
 void entry_buckets_apply_config(entry_t *entry);
 /** Earlier owners whose promises may still be open; returns how many. */
--- a/lib/entry/workers.c
+++ b/lib/entry/workers.c
@@ -95,6 +95,7 @@
 	Gn__BeatAck ack = GN__BEAT_ACK__INIT;
 
 	ack.sequence = sequence;
+	ack.moves_held = entry_buckets_are_stuck(entry);
 	envelope.body_case = GN__ENVELOPE__BODY_BEAT_ACK;
 	envelope.beat_ack = &ack;
 	entry_worker_send(entry, worker, &envelope);
--- a/lib/wire/gypsumnotch.pb-c.c
+++ b/lib/wire/gypsumnotch.pb-c.c
@@ -1559,7 +1559,7 @@
   (ProtobufCMessageInit) gn__beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gn__beat_ack__field_descriptors[2] =
+static const ProtobufCFieldDescriptor gn__beat_ack__field_descriptors[3] =
 {
   {
     "sequence",
@@ -1585,15 +1585,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "moves_held",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gn__BeatAck, moves_held),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gn__beat_ack__field_indices_by_name[] = {
   1,   /* field[1] = config_revision */
+  2,   /* field[2] = moves_held */
   0,   /* field[0] = sequence */
 };
 static const ProtobufCIntRange gn__beat_ack__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor gn__beat_ack__descriptor =
 {
@@ -1603,7 +1616,7 @@
   "Gn__BeatAck",
   "gn",
   sizeof(Gn__BeatAck),
-  2,
+  3,
   gn__beat_ack__field_descriptors,
   gn__beat_ack__field_indices_by_name,
   1,  gn__beat_ack__number_ranges,
--- a/lib/wire/gypsumnotch.pb-c.h
+++ b/lib/wire/gypsumnotch.pb-c.h
@@ -188,10 +188,14 @@
   ProtobufCMessage base;
   uint64_t sequence;
   uint64_t config_revision;
+  /*
+   * its tasks can't be moved now
+   */
+  protobuf_c_boolean moves_held;
 };
 #define GN__BEAT_ACK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gn__beat_ack__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 /*
