--- a/lib/batch/promise.h
+++ b/lib/batch/promise.h
@@ -61,8 +61,8 @@
 
 /**
  * Adopts the member record; of an older one, or of the same again, only what
- * the members acknowledged is kept. An entry adopts a revision before it writes it to
- * the platform as its acknowledged one.
+ * the members acknowledged is kept. An entry adopts a revision before it writes
+ * it to the platform as its acknowledged one.
  * @return GN_OK, GN_ERR_STALE (not newer than the adopted one: ignored),
  *         GN_ERR_RANGE (too many members)
  */
--- a/lib/batch/share.h
+++ b/lib/batch/share.h
@@ -45,8 +45,8 @@
 			    uint64_t now_us);
 
 /**
- * Limits what @p worker takes now to @p most tasks. If too few others have room for
- * an urgent task, it keeps such room; urgent tasks are not limited.
+ * Limits what @p worker takes now to @p most tasks. If too few others have room
+ * for an urgent task, it keeps such room; urgent tasks are not limited.
  * @param worker with what it has and has free
  */
 void gn_batch_share_limit(const gn_batch_share_t *share,
--- a/lib/config/store.c
+++ b/lib/config/store.c
@@ -7,11 +7,6 @@
 #include "config/store_internal.h"
 
 #define STEP "configuration"
-/**
- * How long one watch call waits, milliseconds. It bounds how long a watch
- * whose connection has gone silent goes unnoticed.
- */
-#define WATCH_WAIT_MS 3000
 /** Least time between two watch calls, milliseconds. */
 #define WATCH_INTERVAL_MS 200
 
@@ -214,7 +209,7 @@
 gn_store_t *gn_store_create(TALLOC_CTX *parent,
 			    const gn_store_options_t *options)
 {
-	gn_kv_watch_options_t watch = { GN_STORE_KEY, WATCH_WAIT_MS,
+	gn_kv_watch_options_t watch = { GN_STORE_KEY, GN_STORE_WATCH_WAIT_MS,
 					WATCH_INTERVAL_MS, take_news, NULL };
 	gn_store_t *store;
 
--- a/lib/config/store.h
+++ b/lib/config/store.h
@@ -22,6 +22,11 @@
 
 /** The key of the document. */
 #define GN_STORE_KEY "config/current"
+/**
+ * How long one watch call waits, milliseconds. It bounds how long a watch
+ * whose connection has gone silent goes unnoticed.
+ */
+#define GN_STORE_WATCH_WAIT_MS 3000
 /** Changes that wait in one process, the present one included. */
 #define GN_STORE_QUEUE_MAX 64
 /** Bounds of the time one change may take, milliseconds. */
--- a/lib/entry/config_peers.c
+++ b/lib/entry/config_peers.c
@@ -20,8 +20,8 @@
 #define PEER_CONFIG_PATH "/v1/peers/config"
 /** Between questions, milliseconds. */
 #define ASK_INTERVAL_MS 250
-/** The watch answers each 3 s when nothing changes; then it is late. */
-#define SILENT_MS 3500
+/** The watch answers each GN_STORE_WATCH_WAIT_MS at least; then it is late. */
+#define SILENT_MS (GN_STORE_WATCH_WAIT_MS + 500)
 
 static uint64_t present_revision(const entry_config_t *config)
 {
--- a/tests/unit/test_task.c
+++ b/tests/unit/test_task.c
@@ -136,7 +136,7 @@
 	talloc_free(frame);
 }
 
-/** Every shortened value and many damaged ones are refused or stay in bounds. */
+/** Shortened values and many damaged ones are refused or stay in bounds. */
 static void test_codec_damage(void)
 {
 	TALLOC_CTX *frame = talloc_new(NULL);
