--- a/lib/agent/agent_internal.h
+++ b/lib/agent/agent_internal.h
@@ -139,21 +139,52 @@
 gn_code_t agent_tasks_open(agent_t *agent);
 /** Closes it. */
 void agent_tasks_close(agent_t *agent);
-/** Takes the list that the backend server answered with. */
-gn_code_t agent_tasks_take_list(agent_t *agent, json_t *list);
 /** Moves leases, actions and polls on. */
 void agent_tasks_tick(agent_t *agent);
-/** Takes an owner's orders. */
-void agent_on_task_orders(agent_link_t *link, const Gn__TaskOrders *message);
-/** Whether @p action makes a list that is under way outdated. */
-bool agent_action_changes_list(const gn_action_t *action);
-/** Whether @p action is meant for the backend server as it runs now. */
-bool agent_action_is_current(const agent_t *agent, const gn_action_t *action);
 /** Whether every run has ended and its owner knows. */
 bool agent_tasks_are_settled(const agent_t *agent);
+/** What the admission counts of a task. */
+gn_admit_task_t agent_task_admission(const char *id, unsigned cores,
+				     unsigned memory_mb, unsigned accelerators);
 /** The part of the state dump; the caller owns it. */
 json_t *agent_tasks_dump(const agent_t *agent);
 
+/* ======   tasks_list.c   ====== */
+
+/** Takes the list that the backend server answered with. */
+gn_code_t agent_tasks_take_list(agent_t *agent, json_t *list);
+
+/* ======   tasks_json.c   ====== */
+
+/** The name of @p work_class in the backend server's protocol. */
+const char *agent_task_class_name(gn_class_t work_class);
+/** The text under @p key; NULL if there is none. */
+const char *agent_task_text(const json_t *json, const char *key);
+/** The number under @p key; 0 if there is none, or a negative one. */
+uint64_t agent_task_number(const json_t *json, const char *key);
+/** Reads the state of a run; false if @p name is none. */
+bool agent_task_parse_state(const char *name, gn_run_state_t *state);
+/** Reads one run of a list; its strings are those of @p json. */
+bool agent_task_parse_run(const json_t *json, gn_backend_run_t *run);
+/** The number that stands for the incarnation called @p name. */
+uint64_t agent_task_incarnation(const char *name);
+
+/* ======   tasks_actions.c   ====== */
+
+/** Whether @p action makes a list that is under way outdated. */
+bool agent_action_changes_list(const gn_action_t *action);
+/** Whether @p action is meant for the backend server as it runs now. */
+bool agent_action_is_current(const agent_t *agent, const gn_action_t *action);
+/** Sends the next action, unless one is under way. */
+void agent_tasks_act(agent_t *agent);
+
+/* ======   tasks_polls.c   ====== */
+
+/** Sends the polls that are due. */
+void agent_tasks_poll(agent_t *agent);
+/** Takes an owner's orders. */
+void agent_on_task_orders(agent_link_t *link, const Gn__TaskOrders *message);
+
 /* ======   interference.c   ====== */
 
 /** Opens the control; it is off without a target in the settings. */
