--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,8 @@
 
 LIB_C := $(sort $(wildcard lib/*/*.c))
 LIB_CXX := $(sort $(wildcard lib/*/*.cc))
-LIB_OBJ := $(LIB_C:%.c=$(BUILD)/%.o) $(LIB_CXX:%.cc=$(BUILD)/%.o)
+ADAPTER_C := $(sort $(wildcard platform/*.c))
+LIB_OBJ := $(ADAPTER_C:%.c=$(BUILD)/%.o) $(LIB_C:%.c=$(BUILD)/%.o) $(LIB_CXX:%.cc=$(BUILD)/%.o)
 LIB := $(BUILD)/libgypsumnotch.a
 SUPPORT_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(sort $(wildcard tests/support/*.c)))
 
@@ -35,7 +36,7 @@
 BENCHES := $(patsubst %.c,$(BUILD)/%,$(sort $(wildcard tests/bench/*.c)))
 
 SOURCES := $(filter-out %.pb-c.c %.pb-c.h,$(sort $(wildcard lib/*.h lib/*/*.[ch] \
-	programs/*/*.[ch] tests/*/*.[ch])))
+	platform/*.[ch] platform/*/*.[ch] programs/*/*.[ch] tests/*/*.[ch])))
 LINT_C := $(filter %.c,$(SOURCES))
 
 .PHONY: all check bench demo format lint proto clean install-deps
@@ -93,6 +94,7 @@
 
 proto:
 	cd lib/wire && protoc-c --c_out=. gypsumnotch.proto
+	cd lib/job && protoc-c --c_out=. job.proto
 
 clean:
 	rm -rf build
--- a/lib/common/clock.h
+++ b/lib/common/clock.h
@@ -3,7 +3,7 @@
  * @brief The clock: one that runs through suspension, one that tests advance.
  *
  * Every deadline and lease is kept on a gn_clock_t. The wall clock, which can
- * jump, appears in log lines only.
+ * jump, appears in log lines and in the due times of timed jobs only.
  */
 #ifndef GN_COMMON_CLOCK_H
 #define GN_COMMON_CLOCK_H
@@ -27,6 +27,9 @@
 /** Makes @p clock follow the machine's time since boot (CLOCK_BOOTTIME). */
 void gn_clock_init_boot(gn_clock_t *clock);
 
+/** Makes @p clock follow the time of day, which can jump (CLOCK_REALTIME). */
+void gn_clock_init_wall(gn_clock_t *clock);
+
 /** Makes @p clock stand still at @p now_us until gn_clock_advance(). */
 void gn_clock_init_paused(gn_clock_t *clock, uint64_t now_us);
 
--- a/lib/config/settings.c
+++ b/lib/config/settings.c
@@ -15,7 +15,9 @@
 
 #define ENTRY (1U << GN_ROLE_ENTRY)
 #define AGENT (1U << GN_ROLE_AGENT)
-#define BOTH (ENTRY | AGENT)
+#define SCHEDULER (1U << GN_ROLE_SCHEDULER)
+#define EXECUTOR (1U << GN_ROLE_EXECUTOR)
+#define JOBS (SCHEDULER | EXECUTOR)
 
 #define AT(member) .offset = offsetof(gn_settings_t, member)
 #define NUMBER(name, member, low, high, value)                         \
@@ -28,7 +30,8 @@
 		.key = NULL \
 	}
 
-static const char *const role_names[] = { "entry", "agent", NULL };
+static const char *const role_names[] = { "entry", "agent", "scheduler",
+					  "executor", NULL };
 
 /** The levels from LOG_ERR on. */
 static const char *const level_names[] = { "err",  "warning", "notice",
@@ -49,11 +52,16 @@
 	{ .key = "listen",
 	  .read = gn_schema_address,
 	  AT(http_listen),
-	  .required = BOTH },
+	  .required = GN_SCHEMA_ALL },
 	{ .key = "advertise",
 	  .read = gn_schema_address,
 	  AT(http_advertise),
-	  .forbidden = AGENT },
+	  .forbidden = AGENT | JOBS },
+	{ .key = "readiness",
+	  .read = gn_schema_address,
+	  AT(http_readiness),
+	  .required = SCHEDULER,
+	  .forbidden = ENTRY | AGENT | EXECUTOR },
 	NUMBER("connections", http_connections, 1, 65536, 1024),
 	NUMBER("timeout_ms", http_timeout_ms, 100, 600000, 10000),
 	NUMBER("threads", http_threads, 1, 16, 1),
@@ -64,7 +72,7 @@
 	{ .key = "address",
 	  .read = gn_schema_address,
 	  AT(platform_address),
-	  .required = ENTRY },
+	  .required = ENTRY | JOBS },
 	NUMBER("calls_per_s", platform_calls_per_s, 1, 2000, 40),
 	NUMBER("lease_ttl_ms", lease_ttl_ms, 1000, 60000, 6000),
 	LAST,
@@ -74,8 +82,8 @@
 	{ .key = "listen",
 	  .read = gn_schema_address,
 	  AT(link_listen),
-	  .required = ENTRY,
-	  .forbidden = AGENT },
+	  .required = ENTRY | SCHEDULER,
+	  .forbidden = AGENT | EXECUTOR },
 	{ .key = "entries",
 	  .read = gn_schema_addresses,
 	  AT(entries),
@@ -83,7 +91,7 @@
 	  .min = 1,
 	  .max = GN_ENTRIES_MAX,
 	  .required = AGENT,
-	  .forbidden = ENTRY },
+	  .forbidden = ENTRY | JOBS },
 	NUMBER("beat_interval_ms", beat_interval_ms, 50, 10000, 500),
 	NUMBER("beat_timeout_ms", beat_timeout_ms, 150, 600000, 2000),
 	LAST,
@@ -166,21 +174,46 @@
 	LAST,
 };
 
+static const gn_schema_field_t jobs_fields[] = {
+	{ .key = "worker",
+	  .read = gn_schema_address,
+	  AT(jobs.worker_address),
+	  .required = EXECUTOR,
+	  .forbidden = ENTRY | AGENT | SCHEDULER },
+	NUMBER("lease_ms", jobs.lease_ms, 1000, 60000, 4000),
+	NUMBER("lease_max_ms", jobs.lease_max_ms, 1000, 600000, 10000),
+	NUMBER("depose_ms", jobs.depose_ms, 0, 60000, 5000),
+	NUMBER("retain_s", jobs.retain_s, 1, 86400, 150),
+	NUMBER("stop_ms", jobs.stop_ms, 0, 60000, 1000),
+	NUMBER("early_ms", jobs.early_ms, 0, 60000, 0),
+	{ .key = "far_factor",
+	  .read = gn_schema_number,
+	  AT(jobs.far_factor),
+	  .min = 1,
+	  .max = 100,
+	  .preset = 2 },
+	NUMBER("restore_ms", jobs.restore_ms, 0, 60000, 500),
+	NUMBER("harm_ms", jobs.harm_ms, 1, 600000, 4000),
+	NUMBER("pace_ms", jobs.pace_ms, 0, 60000, 100),
+	NUMBER("notice_ms", jobs.notice_ms, 0, 600000, 5000),
+	LAST,
+};
+
 static const gn_schema_field_t settings_fields[] = {
 	{ .key = "role",
 	  .read = gn_schema_enum,
 	  AT(role),
 	  .names = role_names,
-	  .required = BOTH },
-	{ .key = "name", .read = gn_schema_name, AT(name), .required = BOTH },
+	  .required = GN_SCHEMA_ALL },
+	{ .key = "name", .read = gn_schema_name, AT(name), .required = GN_SCHEMA_ALL },
 	{ .key = "region",
 	  .read = gn_schema_name,
 	  AT(region),
-	  .required = BOTH },
+	  .required = GN_SCHEMA_ALL },
 	{ .key = "data_centre",
 	  .read = gn_schema_name,
 	  AT(data_centre),
-	  .required = BOTH },
+	  .required = GN_SCHEMA_ALL },
 	{ .key = "log_level",
 	  .read = read_level,
 	  AT(log_level),
@@ -190,37 +223,43 @@
 	{ .key = "http",
 	  .read = gn_schema_table,
 	  .fields = http_fields,
-	  .required = BOTH },
+	  .required = GN_SCHEMA_ALL },
 	{ .key = "platform",
 	  .read = gn_schema_table,
 	  .fields = platform_fields,
-	  .required = ENTRY,
+	  .required = ENTRY | JOBS,
 	  .forbidden = AGENT },
 	{ .key = "link",
 	  .read = gn_schema_table,
 	  .fields = link_fields,
-	  .required = BOTH },
+	  .required = ENTRY | AGENT | SCHEDULER,
+	  .forbidden = EXECUTOR },
 	{ .key = "limit",
 	  .read = gn_schema_table,
 	  .fields = limit_fields,
-	  .forbidden = AGENT },
+	  .forbidden = AGENT | JOBS },
 	{ .key = "eject",
 	  .read = gn_schema_table,
 	  .fields = eject_fields,
-	  .forbidden = AGENT },
+	  .forbidden = AGENT | JOBS },
 	{ .key = "retry",
 	  .read = gn_schema_table,
 	  .fields = retry_fields,
-	  .forbidden = AGENT },
+	  .forbidden = AGENT | JOBS },
 	{ .key = "worker",
 	  .read = gn_schema_table,
 	  .fields = worker_fields,
 	  .required = AGENT,
-	  .forbidden = ENTRY },
+	  .forbidden = ENTRY | JOBS },
 	{ .key = "interference",
 	  .read = gn_schema_table,
 	  .fields = interference_fields,
-	  .forbidden = ENTRY },
+	  .forbidden = ENTRY | JOBS },
+	{ .key = "jobs",
+	  .read = gn_schema_table,
+	  .fields = jobs_fields,
+	  .required = EXECUTOR,
+	  .forbidden = ENTRY | AGENT },
 	LAST,
 };
 
@@ -275,6 +314,8 @@
 		{ "http.advertise", other_advertised(settings) },
 		{ "platform.address", settings->platform_address },
 		{ "link.listen", settings->link_listen },
+		{ "http.readiness", settings->http_readiness },
+		{ "jobs.worker", settings->jobs.worker_address },
 	};
 	GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
 	gn_code_t code = GN_OK;
--- a/lib/config/settings.h
+++ b/lib/config/settings.h
@@ -20,12 +20,30 @@
 typedef enum gn_role_e {
 	GN_ROLE_ENTRY = 0, /**< on an entry host */
 	GN_ROLE_AGENT, /**< beside a backend server */
+	GN_ROLE_SCHEDULER, /**< on an entry host: jobs of steps and tasks */
+	GN_ROLE_EXECUTOR, /**< beside a backend server: its orders */
 	GN_ROLE_COUNT
 } gn_role_t;
 
 /** Most entries an agent may name. */
 #define GN_ENTRIES_MAX 256
 
+/** [jobs]: times and limits of the scheduler and the executors. */
+typedef struct gn_jobs_settings_s {
+	const char *worker_address; /**< "IP:PORT", executor */
+	unsigned lease_ms; /**< of a worker, 1000..60000; 4000 */
+	unsigned lease_max_ms; /**< that a worker grants, 1000..600000; 10000 */
+	unsigned depose_ms; /**< 0..60000; 5000; see sched/sched.h */
+	unsigned retain_s; /**< of a finished job, 1..86400; 150 */
+	unsigned stop_ms; /**< of a run, 0..60000; 1000 */
+	unsigned early_ms; /**< of a timed job, 0..60000; 0 */
+	double far_factor; /**< off the data's rack, 1..100; 2 */
+	unsigned restore_ms; /**< from a checkpoint, 0..60000; 500 */
+	unsigned harm_ms; /**< over a latency target, 1..600000; 4000 */
+	unsigned pace_ms; /**< until a pace works, 0..60000; 100 */
+	unsigned notice_ms; /**< absences count so long, 0..600000; 5000 */
+} gn_jobs_settings_t;
+
 /** The settings; all strings are terminated and owned by the struct. */
 typedef struct gn_settings_s {
 	gn_role_t role; /**< role = "entry" or "agent" */
@@ -41,6 +59,9 @@
 	unsigned http_timeout_ms; /**< [http] timeout_ms, 100..600000; 10000 */
 	unsigned http_threads; /**< [http] threads, 1..16; 1 */
 
+	/** [http] readiness = "IP:PORT", scheduler */
+	const char *http_readiness;
+
 	const char
 		*platform_address; /**< [platform] address = "IP:PORT", entry */
 	unsigned
@@ -76,6 +97,8 @@
 	gn_eject_config_t eject; /**< [eject], entry; see route/eject.h */
 	gn_retry_config_t retry; /**< [retry], entry; see route/retry.h */
 
+	gn_jobs_settings_t jobs; /**< [jobs], scheduler and executor */
+
 	unsigned stop_grace_ms; /**< stop_grace_ms, 0..600000; 30000 */
 } gn_settings_t;
 
--- a/lib/daemon/runtime.c
+++ b/lib/daemon/runtime.c
@@ -6,6 +6,7 @@
 #include <sys/random.h>
 #include <zmq.h>
 
+#include "common/event.h"
 #include "common/log.h"
 
 /** Traffic inside one process and to a few hundred peers needs one thread. */
@@ -52,6 +53,19 @@
 	return dump;
 }
 
+/* The settings hold for the life of a process; a new life reads them anew. */
+static void on_reload(struct tevent_context *events, struct tevent_signal *se,
+		      int signum, int count, void *siginfo, void *data)
+{
+	(void)events;
+	(void)se;
+	(void)signum;
+	(void)count;
+	(void)siginfo;
+	(void)data;
+	gn_event("reload", "{s:s}", "outcome", "settings hold until a restart");
+}
+
 static void on_signal(struct tevent_context *events, struct tevent_signal *se,
 		      int signum, int count, void *siginfo, void *data)
 {
@@ -65,6 +79,7 @@
 		return;
 	gn_log(LOG_NOTICE, "stop", NULL, "signal %d, stopping gracefully",
 	       signum);
+	gn_event("stopping", "{s:i}", "signal", signum);
 	daemon->runtime.stopping = true;
 	daemon->runtime.stop_us = gn_runtime_now_us(&daemon->runtime);
 	daemon->role->stop(daemon->state);
@@ -134,6 +149,8 @@
 	if (!tevent_add_signal(runtime->events, daemon, SIGTERM, 0, on_signal,
 			       daemon) ||
 	    !tevent_add_signal(runtime->events, daemon, SIGINT, 0, on_signal,
+			       daemon) ||
+	    !tevent_add_signal(runtime->events, daemon, SIGHUP, 0, on_reload,
 			       daemon))
 		return gn_error_set(error, GN_ERR_SYSTEM, "start", NULL,
 				    "no signal handler");
@@ -150,7 +167,8 @@
 }
 
 gn_code_t gn_runtime_run(const gn_settings_t *settings,
-			 const gn_role_ops_t *role, gn_error_t *error)
+			 const gn_role_ops_t *role,
+			 const struct gn_adapter_s *adapter, gn_error_t *error)
 {
 	daemon_t *daemon = talloc_zero(NULL, daemon_t);
 	gn_code_t code;
@@ -159,6 +177,8 @@
 		return gn_error_set(error, GN_ERR_MEMORY, "start", NULL,
 				    "no memory");
 	daemon->role = role;
+	daemon->runtime.adapter = adapter;
+	gn_event_init(settings->name);
 	code = open_runtime(daemon, settings, error);
 	if (code)
 		goto out;
@@ -172,11 +192,14 @@
 	}
 	gn_log(LOG_NOTICE, "start", NULL, "%s %s is up", role->name,
 	       settings->name);
+	gn_event("start", "{s:s, s:s, s:s}", "role", role->name, "version",
+		 GN_VERSION, "data_centre", settings->data_centre);
 	while (!daemon->done)
 		if (tevent_loop_once(daemon->runtime.events))
 			daemon->done = true;
 	gn_log(LOG_NOTICE, "stop", NULL, "%s %s has stopped", role->name,
 	       settings->name);
+	gn_event("stop", "{s:s}", "role", role->name);
 out:
 	TALLOC_FREE(daemon->state);
 	close_runtime(&daemon->runtime);
--- a/lib/daemon/runtime.h
+++ b/lib/daemon/runtime.h
@@ -20,6 +20,8 @@
 
 /** The shared parts of a daemon. */
 typedef struct gn_runtime_s {
+	/** Of the platform's names; only scheduler and executor use it. */
+	const struct gn_adapter_s *adapter;
 	const gn_settings_t *settings;
 	struct tevent_context *events;
 	void *zmq;
@@ -49,10 +51,12 @@
 
 /**
  * Runs a daemon until it has stopped.
+ * @param adapter of the platform; the scheduler and the executor need one
  * @return GN_OK after a graceful stop, else why it did not start
  */
 gn_code_t gn_runtime_run(const gn_settings_t *settings,
-			 const gn_role_ops_t *role, gn_error_t *error);
+			 const gn_role_ops_t *role,
+			 const struct gn_adapter_s *adapter, gn_error_t *error);
 
 /** The time now, microseconds. */
 uint64_t gn_runtime_now_us(const gn_runtime_t *runtime);
--- /dev/null
+++ b/lib/executor/executor.c
@@ -0,0 +1,166 @@
+#include "executor/executor.h"
+
+#include <curl/curl.h>
+
+#include "executor/executor_internal.h"
+
+/** Orders are repeated and reports sent to this step, milliseconds. */
+#define TICK_MS 10
+/** Calls to the store are given up after this long, milliseconds. */
+#define STORE_TIMEOUT_MS 1000
+/** Calls a second to the store, which only tells where schedulers are. */
+#define STORE_CALLS_PER_S 10
+/** Connections to the worker. */
+#define WORKER_CONNECTIONS 8
+/** Longest answer of the worker, bytes. */
+#define ANSWER_MAX (4 * 1024 * 1024)
+/** A lease ends this much before the longest that the worker grants. */
+#define LEASE_SPARE_MS 500
+
+uint64_t executor_now_us(const executor_t *executor)
+{
+	return gn_runtime_now_us(executor->runtime);
+}
+
+/* ======   Start   ====== */
+
+static gn_code_t start_store(executor_t *executor, gn_error_t *error)
+{
+	gn_runtime_t *runtime = executor->runtime;
+	const gn_kv_http_options_t options = {
+		.address = runtime->settings->platform_address,
+		.timeout_ms = STORE_TIMEOUT_MS,
+		.calls_per_s = STORE_CALLS_PER_S,
+		.codec = executor->adapter->store,
+		.clock = &runtime->clock,
+		.counters = runtime->counters,
+		.loop = runtime->events,
+	};
+
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	executor->kv_http = gn_kv_http_create(executor, &options);
+	if (!executor->kv_http)
+		return gn_error_set(error, GN_ERR_MEMORY, "start",
+				    options.address, "store client");
+	executor->kv = gn_kv_http_client(executor->kv_http);
+	return GN_OK;
+}
+
+static gn_code_t start_client(executor_t *executor, gn_error_t *error)
+{
+	const gn_http_client_config_t config = {
+		.events = executor->runtime->events,
+		.zmq = executor->runtime->zmq,
+		.host_connections = WORKER_CONNECTIONS,
+		.answer_max = ANSWER_MAX,
+		.counters = executor->runtime->counters,
+	};
+
+	return gn_http_client_start(executor, &config, &executor->client,
+				    error);
+}
+
+static gn_code_t start_server(executor_t *executor, gn_error_t *error)
+{
+	const gn_settings_t *settings = executor->runtime->settings;
+	const gn_http_server_config_t config = {
+		.events = executor->runtime->events,
+		.zmq = executor->runtime->zmq,
+		.address = settings->http_listen,
+		.connections = settings->http_connections,
+		.timeout_ms = settings->http_timeout_ms,
+		.threads = settings->http_threads,
+		.body_max = GN_BODY_MAX,
+		.counters = executor->runtime->counters,
+		.handler = executor_on_http,
+		.arg = executor,
+	};
+
+	return gn_http_server_start(executor, &config, &executor->server,
+				    error);
+}
+
+static int free_executor(executor_t *executor)
+{
+	/* the client's calls point to the orders */
+	TALLOC_FREE(executor->client);
+	TALLOC_FREE(executor->link);
+	TALLOC_FREE(executor->kv_http);
+	g_hash_table_destroy(executor->orders);
+	g_ptr_array_free(executor->results, TRUE);
+	g_ptr_array_free(executor->schedulers, TRUE);
+	return 0;
+}
+
+static uint64_t get_lease_us(const gn_jobs_settings_t *jobs)
+{
+	unsigned lease_ms = jobs->lease_ms;
+
+	if (lease_ms + LEASE_SPARE_MS > jobs->lease_max_ms)
+		lease_ms = jobs->lease_max_ms - LEASE_SPARE_MS;
+	return (uint64_t)lease_ms * GN_US_PER_MS;
+}
+
+static gn_code_t executor_start(gn_runtime_t *runtime, void **state,
+				gn_error_t *error)
+{
+	executor_t *executor = talloc_zero(NULL, executor_t);
+
+	if (!executor)
+		return gn_error_set(error, GN_ERR_MEMORY, "start", NULL,
+				    "executor");
+	*state = executor;
+	executor->runtime = runtime;
+	executor->adapter = runtime->adapter;
+	executor->old_links = talloc_new(executor);
+	executor->grant.lease_us = get_lease_us(&runtime->settings->jobs);
+	executor->orders = g_hash_table_new_full(g_str_hash, g_str_equal,
+						 g_free, executor_order_free);
+	executor->results =
+		g_ptr_array_new_with_free_func(executor_result_free);
+	executor->schedulers = g_ptr_array_new_with_free_func(g_free);
+	talloc_set_destructor(executor, free_executor);
+	if (start_store(executor, error) || start_client(executor, error) ||
+	    start_server(executor, error))
+		return error->code;
+	return GN_OK;
+}
+
+/* ======   Time   ====== */
+
+static void executor_tick(void *state)
+{
+	executor_t *executor = state;
+
+	executor_worker_tick(executor);
+	executor_orders_tick(executor);
+	executor_leader_tick(executor);
+}
+
+static unsigned executor_next_tick_ms(const void *state)
+{
+	(void)state;
+	return TICK_MS;
+}
+
+static void executor_stop(void *state)
+{
+	(void)state;
+}
+
+/* What runs goes on under its lease until the next life takes over. */
+static bool executor_is_stopped(const void *state)
+{
+	const executor_t *executor = state;
+
+	return !g_hash_table_size(executor->orders);
+}
+
+const gn_role_ops_t gn_executor_role = {
+	.name = "executor",
+	.next_tick_ms = executor_next_tick_ms,
+	.start = executor_start,
+	.tick = executor_tick,
+	.stop = executor_stop,
+	.is_stopped = executor_is_stopped,
+};
--- /dev/null
+++ b/lib/executor/grant.c
@@ -0,0 +1,43 @@
+#include "executor/grant.h"
+
+#include "gypsumnotch.h"
+
+void gn_grant_promise(gn_grant_t *grant, uint64_t sent_us)
+{
+	if (sent_us > grant->promised_us)
+		grant->promised_us = sent_us;
+}
+
+bool gn_grant_read(gn_grant_t *grant, uint64_t clock_ms, uint64_t sent_us)
+{
+	bool lapsed = grant->until_ms && clock_ms > grant->until_ms;
+
+	/* answers on different connections may overtake each other */
+	if (clock_ms >= grant->clock_ms) {
+		grant->clock_ms = clock_ms;
+		grant->read_us = sent_us;
+	}
+	return lapsed;
+}
+
+uint64_t gn_grant_until_ms(gn_grant_t *grant, uint64_t now_us)
+{
+	uint64_t end_us = grant->promised_us + grant->lease_us;
+	uint64_t until_ms;
+
+	if (!grant->promised_us || !grant->clock_ms || now_us >= end_us ||
+	    end_us <= grant->read_us)
+		return 0;
+	/* the reading is at least as old as its call */
+	until_ms = grant->clock_ms + (end_us - grant->read_us) / GN_US_PER_MS;
+	if (until_ms > grant->until_ms)
+		grant->until_ms = until_ms;
+	return until_ms;
+}
+
+void gn_grant_reset(gn_grant_t *grant)
+{
+	grant->clock_ms = 0;
+	grant->read_us = 0;
+	grant->until_ms = 0;
+}
--- /dev/null
+++ b/lib/executor/grant.h
@@ -0,0 +1,40 @@
+/**
+ * @file grant.h
+ * @brief How far a worker's lease may reach, on the worker's own clock.
+ *
+ * The leader promises not to move a worker's tasks for the length of a lease,
+ * counted from when the report that it answered was sent. The worker ends all
+ * that runs when its lease is over, by a clock of its own of which only old
+ * readings are known.
+ */
+#ifndef GN_EXECUTOR_GRANT_H
+#define GN_EXECUTOR_GRANT_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/** The state; a zeroed one knows nothing and grants nothing. */
+typedef struct gn_grant_s {
+	uint64_t lease_us; /**< length of a lease */
+	uint64_t promised_us; /**< when the newest answered report was sent */
+	uint64_t clock_ms; /**< newest reading of the worker's clock; 0: none */
+	uint64_t read_us; /**< when the call that read it was sent */
+	uint64_t until_ms; /**< furthest end of a lease given to the worker */
+} gn_grant_t;
+
+/** The leader has answered a report that was sent at @p sent_us. */
+void gn_grant_promise(gn_grant_t *grant, uint64_t sent_us);
+
+/**
+ * The worker's clock was read by a call sent at @p sent_us.
+ * @return whether its lease had run out by then
+ */
+bool gn_grant_read(gn_grant_t *grant, uint64_t clock_ms, uint64_t sent_us);
+
+/** The end of the lease to give now, on the worker's clock; 0: none. */
+uint64_t gn_grant_until_ms(gn_grant_t *grant, uint64_t now_us);
+
+/** The worker has begun a new life, with a new clock. */
+void gn_grant_reset(gn_grant_t *grant);
+
+#endif
--- /dev/null
+++ b/lib/executor/leader.c
@@ -0,0 +1,242 @@
+/**
+ * @file leader.c
+ * @brief The link to the leading scheduler: reports out, orders in.
+ */
+#include <string.h>
+
+#include "common/event.h"
+#include "common/str.h"
+#include "executor/executor_internal.h"
+#include "lead/lead.h"
+
+/** Between two reports while nothing happens. */
+#define REPORT_US (300 * GN_US_PER_MS)
+/** Results of orders wait this long for others. */
+#define RESULT_US (5 * GN_US_PER_MS)
+/** A scheduler that answers nothing for this long is left for the next. */
+#define SILENT_US (900 * GN_US_PER_MS)
+/** Between two looks for schedulers in the store. */
+#define LOOKUP_US (400 * GN_US_PER_MS)
+/** Reconnection of the link is spread over this, milliseconds. */
+#define RECONNECT_MS 400
+/** After its worker has left, its runs are over. */
+#define LEFT_US (500 * GN_US_PER_MS)
+
+/* ======   Orders   ====== */
+
+static void connect_to(executor_t *executor, const char *address,
+		       const char *why);
+
+static void take_promise(executor_t *executor, uint64_t sequence)
+{
+	if (!sequence || sequence > executor->sequence ||
+	    executor->sequence - sequence >= EXECUTOR_REPORTS_MAX)
+		return;
+	gn_grant_promise(&executor->grant,
+			 executor->sent_us[sequence % EXECUTOR_REPORTS_MAX]);
+}
+
+static void take_orders(executor_t *executor, const Gn__WorkerOrders *message)
+{
+	if (!message->epoch) {
+		if (*message->leader &&
+		    strcmp(message->leader, executor->leader) != 0)
+			connect_to(executor, message->leader, "redirected");
+		return;
+	}
+	/* of a leader that has been superseded */
+	if (message->epoch < executor->epoch)
+		return;
+	executor->heard_us = executor_now_us(executor);
+	if (message->epoch > executor->epoch) {
+		gn_event("leader", "{s:s, s:I}", "leader", executor->leader,
+			 "epoch", (json_int_t)message->epoch);
+		executor->epoch = message->epoch;
+	}
+	take_promise(executor, message->sequence);
+	if (!strcmp(message->life, executor->notice.life) &&
+	    message->ends_stored > executor->ends_stored) {
+		executor->ends_stored = message->ends_stored;
+		executor->list_due_us = 0;
+	}
+	for (size_t i = 0; i < message->n_orders; i++)
+		executor_take_order(executor, message->orders[i]);
+	executor_worker_tick(executor);
+}
+
+static void on_envelope(void *arg, const gn_link_peer_t *peer,
+			const Gn__Envelope *envelope)
+{
+	(void)peer;
+	if (envelope->body_case == GN__ENVELOPE__BODY_WORKER_ORDERS)
+		take_orders(arg, envelope->worker_orders);
+}
+
+/* ======   Reports   ====== */
+
+static void describe(executor_t *executor, Gn__WorkerReport *report)
+{
+	gn_worker_notice_t *notice = &executor->notice;
+
+	report->life = notice->life;
+	report->born_ms = notice->born_ms;
+	report->machine = notice->machine;
+	report->service = notice->service;
+	report->data_centre = notice->data_centre;
+	report->rack = notice->rack;
+	report->cpu_milli = notice->cpu_milli;
+	report->memory_mb = notice->memory_mb;
+	report->accelerators = notice->accelerators;
+	report->labels = notice->labels;
+	report->n_labels = g_strv_length(notice->labels);
+	report->draining = notice->draining || executor->left;
+	report->remaining_ms = notice->remaining_ms;
+}
+
+/* What ran on a worker that has left is over: an empty list says so. */
+static bool is_left(const executor_t *executor)
+{
+	return executor->left &&
+	       executor_now_us(executor) - executor->left_us >= LEFT_US;
+}
+
+static void add_list(executor_t *executor, Gn__WorkerReport *report)
+{
+	report->left = is_left(executor);
+	report->listed = executor->fresh && !executor->left;
+	report->ends = executor->ends;
+	report->n_ends = executor->end_count;
+	if (!report->listed)
+		return;
+	report->runs = executor->runs;
+	report->n_runs = executor->run_count;
+	report->lease_lapsed = executor->lapsed;
+}
+
+static gn_code_t send_report(executor_t *executor, Gn__WorkerReport *report)
+{
+	Gn__Envelope envelope = GN__ENVELOPE__INIT;
+
+	envelope.incarnation = executor->runtime->incarnation;
+	envelope.body_case = GN__ENVELOPE__BODY_WORKER_REPORT;
+	envelope.worker_report = report;
+	return gn_link_send(executor->link, NULL, &envelope);
+}
+
+void executor_report(executor_t *executor)
+{
+	Gn__WorkerReport report = GN__WORKER_REPORT__INIT;
+
+	executor->report_due = false;
+	executor->reported_us = executor_now_us(executor);
+	if (!executor->link)
+		return;
+	report.host = (char *)executor->runtime->settings->name;
+	report.sequence = ++executor->sequence;
+	if (executor->known) {
+		describe(executor, &report);
+		add_list(executor, &report);
+	}
+	report.results = (Gn__OrderResult **)executor->results->pdata;
+	report.n_results = executor->results->len;
+	executor->sent_us[report.sequence % EXECUTOR_REPORTS_MAX] =
+		executor->reported_us;
+	if (send_report(executor, &report))
+		return;
+	/* what gets lost is made good by orders that are sent again */
+	g_ptr_array_set_size(executor->results, 0);
+	executor->fresh = false;
+	executor->lapsed = false;
+}
+
+/* ======   Finding the leader   ====== */
+
+static void connect_to(executor_t *executor, const char *address,
+		       const char *why)
+{
+	const gn_link_config_t config = {
+		.events = executor->runtime->events,
+		.zmq = executor->runtime->zmq,
+		.address = executor->leader,
+		.timeout_ms = RECONNECT_MS,
+		.counters = executor->runtime->counters,
+		.handler = on_envelope,
+		.arg = executor,
+	};
+	gn_error_t error = { 0 };
+
+	/* a handler must not free the link that called it */
+	if (executor->link)
+		talloc_steal(executor->old_links, executor->link);
+	executor->link = NULL;
+	gn_str_copy(executor->leader, sizeof(executor->leader),
+		    gn_str_from(address));
+	executor->heard_us = executor_now_us(executor);
+	gn_event("connect", "{s:s, s:s}", "scheduler", address, "why", why);
+	if (gn_link_connect(executor, &config, &executor->link, &error))
+		gn_event("connect failed", "{s:s, s:s}", "scheduler", address,
+			 "why", error.detail);
+	executor->report_due = true;
+	executor->reported_us = 0;
+}
+
+static void take_lookup(void *context, const gn_kv_result_t *result)
+{
+	executor_t *executor = context;
+
+	executor->lookup = 0;
+	if (result->code != GN_OK || !result->count)
+		return;
+	g_ptr_array_set_size(executor->schedulers, 0);
+	for (size_t i = 0; i < result->count; i++) {
+		gn_str_t value = result->entries[i].value;
+		const char *at = memchr(value.data, '@', value.len);
+		gsize skip = at ? (gsize)(at + 1 - value.data) : 0;
+		char *address = g_strndup(value.data + skip, value.len - skip);
+
+		/* the leader's own key has its incarnation before an '@' */
+		if (at)
+			g_ptr_array_insert(executor->schedulers, 0, address);
+		else
+			g_ptr_array_add(executor->schedulers, address);
+	}
+	executor->next_scheduler = 0;
+}
+
+static void look_up(executor_t *executor)
+{
+	uint64_t now_us = executor_now_us(executor);
+
+	if (executor->lookup || now_us < executor->lookup_due_us)
+		return;
+	executor->lookup_due_us = now_us + LOOKUP_US;
+	executor->lookup = gn_kv_list(executor->kv, GN_STR(GN_LEAD_LIVE_PREFIX),
+				      take_lookup, executor);
+}
+
+static void try_next(executor_t *executor)
+{
+	GPtrArray *all = executor->schedulers;
+
+	if (!all->len)
+		return;
+	connect_to(executor,
+		   g_ptr_array_index(all, executor->next_scheduler % all->len),
+		   "no leader heard");
+	executor->next_scheduler++;
+}
+
+void executor_leader_tick(executor_t *executor)
+{
+	uint64_t now_us = executor_now_us(executor);
+	uint64_t since_us = now_us - executor->reported_us;
+
+	talloc_free_children(executor->old_links);
+	if (!executor->link || now_us - executor->heard_us > SILENT_US) {
+		look_up(executor);
+		try_next(executor);
+	}
+	if ((executor->report_due && since_us >= RESULT_US) ||
+	    since_us >= REPORT_US)
+		executor_report(executor);
+}
--- /dev/null
+++ b/lib/executor/orders.c
@@ -0,0 +1,433 @@
+/**
+ * @file orders.c
+ * @brief Carries the leader's orders out at the worker.
+ *
+ * A start is the same call however often it is sent, so it is repeated until
+ * it is answered. One that is refused after an earlier call went without an
+ * answer may still be carried out late: it is stopped first, which has the
+ * worker refuse it for good. A stopped run is gone once a list that was asked
+ * for after the stop does not show it.
+ */
+#include <string.h>
+
+#include "common/event.h"
+#include "common/str.h"
+#include "executor/executor_internal.h"
+
+/** Until a call is given up, milliseconds. */
+#define CALL_TIMEOUT_MS 700
+/** Pause before a call is repeated. */
+#define RETRY_US (80 * GN_US_PER_MS)
+/** Calls of a pace, which the next list makes good, and of refused starts. */
+#define TRIES_MAX 5
+/** "TASK ATTEMPT" */
+#define KEY_SIZE (GN_TASK_NAME_SIZE + 16)
+
+/* ======   Life   ====== */
+
+void executor_order_free(gpointer data)
+{
+	executor_order_t *order = data;
+
+	g_free(order->life);
+	g_free(order->payload);
+	g_free(order->checkpoint);
+	g_free(order->ticket);
+	g_free(order);
+}
+
+void executor_result_free(gpointer data)
+{
+	gn__order_result__free_unpacked(data, NULL);
+}
+
+static void write_key(char key[KEY_SIZE], gn_run_order_kind_t kind,
+		      const char *task, uint32_t attempt)
+{
+	/* a pace stands beside a stop or a start of its run */
+	g_snprintf(key, KEY_SIZE, "%s%s %u",
+		   kind == GN_RUN_ORDER_PACE ? "p" : "", task, attempt);
+}
+
+static executor_order_t *find_order(const executor_t *executor,
+				    gn_run_order_kind_t kind, const char *task,
+				    uint32_t attempt)
+{
+	char key[KEY_SIZE];
+
+	write_key(key, kind, task, attempt);
+	return g_hash_table_lookup(executor->orders, key);
+}
+
+static void remove_order(executor_order_t *order)
+{
+	char key[KEY_SIZE];
+
+	write_key(key, order->kind, order->task, order->attempt);
+	/* the answer to a call in progress still needs it */
+	if (order->in_call) {
+		order->cancelled = true;
+		return;
+	}
+	g_hash_table_remove(order->executor->orders, key);
+}
+
+static void add_result(executor_order_t *order, gn_run_order_verdict_t verdict)
+{
+	executor_t *executor = order->executor;
+	Gn__OrderResult *result = malloc(sizeof(*result));
+
+	if (!result)
+		abort(); /* as GLib does when memory is short */
+	gn__order_result__init(result);
+	result->task = strdup(order->task);
+	result->attempt = order->attempt;
+	result->verdict = verdict;
+	g_ptr_array_add(executor->results, result);
+	executor->report_due = true;
+	if (verdict != GN_VERDICT_STARTED)
+		gn_event("order", "{s:s, s:I, s:s, s:s, s:I}", "task",
+			 order->task, "attempt", (json_int_t)order->attempt,
+			 "kind", gn_run_order_kind_name(order->kind), "outcome",
+			 gn_run_order_verdict_name(verdict), "epoch",
+			 (json_int_t)executor->epoch);
+}
+
+static void conclude(executor_order_t *order, gn_run_order_verdict_t verdict)
+{
+	add_result(order, verdict);
+	remove_order(order);
+}
+
+static void retry(executor_order_t *order)
+{
+	order->due_us = executor_now_us(order->executor) + RETRY_US;
+}
+
+static void send_order(executor_order_t *order);
+
+/* Has a run stopped; @p verdict is told once it is gone. */
+static void turn_into_stop(executor_order_t *order,
+			   gn_run_order_verdict_t verdict)
+{
+	order->kind = GN_RUN_ORDER_STOP;
+	order->stop_verdict = verdict;
+	order->tries = 0;
+	order->stopped = false;
+	send_order(order);
+}
+
+/* A start that surely was not carried out, unless an earlier call is. */
+static void refuse_start(executor_order_t *order,
+			 gn_run_order_verdict_t verdict)
+{
+	if (order->unanswered)
+		turn_into_stop(order, verdict);
+	else
+		conclude(order, verdict);
+}
+
+/* ======   Answers   ====== */
+
+static void take_start_answer(executor_order_t *order,
+			      gn_worker_verdict_t verdict)
+{
+	switch (verdict) {
+	case GN_WORKER_OK:
+		conclude(order, GN_VERDICT_STARTED);
+		break;
+	case GN_WORKER_UNANSWERED:
+		order->unanswered = true;
+		retry(order);
+		break;
+	case GN_WORKER_UNSENT:
+	case GN_WORKER_LATE:
+	case GN_WORKER_FENCED:
+		if (order->tries >= TRIES_MAX)
+			refuse_start(order, GN_VERDICT_NOT_STARTED);
+		else
+			retry(order);
+		break;
+	case GN_WORKER_FULL:
+		refuse_start(order, GN_VERDICT_NO_ROOM);
+		break;
+	case GN_WORKER_OLD:
+		conclude(order, GN_VERDICT_ENDED);
+		break;
+	case GN_WORKER_NO_TICKET:
+		refuse_start(order, GN_VERDICT_NO_TICKET);
+		break;
+	case GN_WORKER_MALFORMED:
+		refuse_start(order, GN_VERDICT_MALFORMED);
+		break;
+	case GN_WORKER_OTHER_LIFE:
+		/* the life that earlier calls were meant for is over */
+		conclude(order, GN_VERDICT_NOT_STARTED);
+		break;
+	case GN_WORKER_UNHEALTHY:
+		refuse_start(order, GN_VERDICT_NOT_STARTED);
+		break;
+	}
+}
+
+static void take_stop_answer(executor_order_t *order,
+			     gn_worker_verdict_t verdict)
+{
+	switch (verdict) {
+	case GN_WORKER_OK:
+	case GN_WORKER_OLD:
+		order->stopped = true;
+		order->answered_us = executor_now_us(order->executor);
+		break;
+	case GN_WORKER_OTHER_LIFE:
+		conclude(order, GN_VERDICT_GONE);
+		break;
+	default:
+		retry(order);
+	}
+}
+
+static void take_pace_answer(executor_order_t *order,
+			     gn_worker_verdict_t verdict)
+{
+	bool again = verdict == GN_WORKER_UNANSWERED ||
+		     verdict == GN_WORKER_UNSENT ||
+		     verdict == GN_WORKER_UNHEALTHY;
+
+	if (again && order->tries < TRIES_MAX)
+		retry(order);
+	else
+		remove_order(order);
+}
+
+static const gn_worker_call_kind_t call_kinds[GN_RUN_ORDER_KIND_COUNT] = {
+	[GN_RUN_ORDER_START] = GN_WORKER_START,
+	[GN_RUN_ORDER_STOP] = GN_WORKER_STOP,
+	[GN_RUN_ORDER_PACE] = GN_WORKER_PACE,
+};
+
+typedef struct order_call_s {
+	executor_order_t *order;
+	gn_run_order_kind_t kind;
+	uint64_t sent_us;
+} order_call_t;
+
+static void take_answer(void *arg, const gn_http_call_t *http)
+{
+	order_call_t *sent = arg;
+	executor_order_t *order = sent->order;
+	executor_t *executor = order->executor;
+	TALLOC_CTX *scratch = talloc_new(executor);
+	gn_worker_answer_t answer;
+
+	executor->adapter->read_worker_answer(scratch, call_kinds[sent->kind],
+					      http, &answer);
+	order->in_call = false;
+	executor_take_clock(executor, &answer, sent->sent_us);
+	if (order->cancelled && order->kind != GN_RUN_ORDER_START)
+		remove_order(order);
+	else if (order->cancelled) {
+		order->cancelled = false;
+		turn_into_stop(order, GN_VERDICT_GONE);
+	} else if (order->kind == GN_RUN_ORDER_START)
+		take_start_answer(order, answer.verdict);
+	else if (order->kind == GN_RUN_ORDER_STOP)
+		take_stop_answer(order, answer.verdict);
+	else
+		take_pace_answer(order, answer.verdict);
+	talloc_free(scratch);
+	g_free(sent);
+}
+
+/* ======   Calls   ====== */
+
+static void send_order(executor_order_t *order)
+{
+	executor_t *executor = order->executor;
+	uint64_t now_us = executor_now_us(executor);
+	gn_worker_call_t call = {
+		.kind = call_kinds[order->kind],
+		.task = order->task,
+		.attempt = order->attempt,
+		.payload = { order->payload, order->payload_len },
+		.checkpoint = order->checkpoint,
+		.ticket = order->ticket,
+		.percent = order->percent,
+	};
+	order_call_t *sent;
+
+	if (order->kind == GN_RUN_ORDER_START) {
+		call.lease_until_ms =
+			gn_grant_until_ms(&executor->grant, now_us);
+		/* no start before the clock and a promise are known */
+		if (!call.lease_until_ms) {
+			retry(order);
+			return;
+		}
+	}
+	sent = g_new0(order_call_t, 1);
+	sent->order = order;
+	sent->kind = order->kind;
+	sent->sent_us = now_us;
+	order->tries++;
+	order->in_call = executor_call_worker(executor, &call, CALL_TIMEOUT_MS,
+					      take_answer, sent);
+	if (!order->in_call) {
+		g_free(sent);
+		retry(order);
+	}
+}
+
+/* ======   Orders   ====== */
+
+static executor_order_t *create_order(executor_t *executor,
+				      const Gn__WorkerOrder *message)
+{
+	executor_order_t *order = g_new0(executor_order_t, 1);
+	char key[KEY_SIZE];
+
+	order->executor = executor;
+	order->kind = (gn_run_order_kind_t)message->kind;
+	g_strlcpy(order->task, message->task, sizeof(order->task));
+	order->attempt = message->attempt;
+	order->life = g_strdup(message->life);
+	order->payload = g_memdup2(message->payload.data, message->payload.len);
+	order->payload_len = message->payload.len;
+	order->checkpoint = g_strdup(message->checkpoint);
+	order->ticket = g_strdup(message->ticket);
+	order->percent = message->percent;
+	order->stop_verdict = GN_VERDICT_GONE;
+	write_key(key, order->kind, order->task, order->attempt);
+	g_hash_table_insert(executor->orders, g_strdup(key), order);
+	return order;
+}
+
+static void take_start(executor_t *executor, const Gn__WorkerOrder *message)
+{
+	executor_order_t *order;
+
+	if (find_order(executor, GN_RUN_ORDER_START, message->task,
+		       message->attempt))
+		return;
+	order = create_order(executor, message);
+	if (strcmp(message->life, executor->notice.life) != 0 ||
+	    executor->draining_us || executor->left)
+		conclude(order, GN_VERDICT_NOT_STARTED);
+	else
+		send_order(order);
+}
+
+static void take_stop(executor_t *executor, const Gn__WorkerOrder *message)
+{
+	executor_order_t *order = find_order(executor, GN_RUN_ORDER_STOP,
+					     message->task, message->attempt);
+
+	if (!order) {
+		send_order(create_order(executor, message));
+	} else if (order->kind == GN_RUN_ORDER_START) {
+		if (order->in_call)
+			order->cancelled = true;
+		else
+			turn_into_stop(order, GN_VERDICT_GONE);
+	}
+}
+
+static void take_pace(executor_t *executor, const Gn__WorkerOrder *message)
+{
+	executor_order_t *order = find_order(executor, GN_RUN_ORDER_PACE,
+					     message->task, message->attempt);
+
+	if (!order) {
+		send_order(create_order(executor, message));
+	} else {
+		order->percent = message->percent;
+		order->tries = 0;
+		order->due_us = 0;
+	}
+}
+
+void executor_take_order(executor_t *executor, const Gn__WorkerOrder *message)
+{
+	if (!executor->known || strlen(message->task) >= GN_TASK_NAME_SIZE)
+		return;
+	switch ((gn_run_order_kind_t)message->kind) {
+	case GN_RUN_ORDER_START:
+		take_start(executor, message);
+		break;
+	case GN_RUN_ORDER_STOP:
+		take_stop(executor, message);
+		break;
+	case GN_RUN_ORDER_PACE:
+		take_pace(executor, message);
+		break;
+	default:
+		break;
+	}
+}
+
+void executor_orders_tick(executor_t *executor)
+{
+	uint64_t now_us = executor_now_us(executor);
+	GList *all = g_hash_table_get_values(executor->orders);
+
+	for (GList *item = all; item; item = item->next) {
+		executor_order_t *order = item->data;
+
+		if (!order->in_call && !order->stopped &&
+		    now_us >= order->due_us)
+			send_order(order);
+	}
+	g_list_free(all);
+}
+
+static bool is_listed(const executor_t *executor, const executor_order_t *order)
+{
+	for (size_t i = 0; i < executor->run_count; i++)
+		if (executor->runs[i]->attempt == order->attempt &&
+		    !strcmp(executor->runs[i]->task, order->task))
+			return true;
+	return false;
+}
+
+/* An end that is listed tells the leader more than a result. */
+static bool has_end(const executor_t *executor, const executor_order_t *order)
+{
+	for (size_t i = 0; i < executor->end_count; i++)
+		if (executor->ends[i]->attempt == order->attempt &&
+		    !strcmp(executor->ends[i]->task, order->task))
+			return true;
+	return false;
+}
+
+void executor_orders_listed(executor_t *executor, uint64_t sent_us)
+{
+	GList *all = g_hash_table_get_values(executor->orders);
+
+	for (GList *item = all; item; item = item->next) {
+		executor_order_t *order = item->data;
+
+		if (!order->stopped || sent_us < order->answered_us ||
+		    is_listed(executor, order))
+			continue;
+		if (has_end(executor, order))
+			remove_order(order);
+		else
+			conclude(order, order->stop_verdict);
+	}
+	g_list_free(all);
+}
+
+void executor_orders_drop(executor_t *executor)
+{
+	GList *all = g_hash_table_get_values(executor->orders);
+
+	for (GList *item = all; item; item = item->next) {
+		executor_order_t *order = item->data;
+
+		/* what is in a call ends with the answer to it */
+		if (order->in_call && order->kind == GN_RUN_ORDER_START)
+			order->kind = GN_RUN_ORDER_STOP;
+		remove_order(order);
+	}
+	g_list_free(all);
+}
--- a/lib/http/client.h
+++ b/lib/http/client.h
@@ -17,6 +17,9 @@
 #include "common/error.h"
 #include "http/server.h"
 
+/** Size of a header line of a call with its terminator. */
+#define GN_HTTP_HEADER_LINE_SIZE 160
+
 typedef struct gn_http_client_s gn_http_client_t;
 typedef struct gn_http_call_s gn_http_call_t;
 
@@ -29,6 +32,9 @@
 	char url[256]; /**< "http://IP:PORT/path" */
 	/** Headers to send, NULL where absent; valid until the call ends. */
 	const char *headers[GN_HEADER_COUNT];
+	/** One more header line, "Name: value"; empty: none. */
+	char header_line[GN_HTTP_HEADER_LINE_SIZE];
+	bool json; /**< the body is JSON, not opaque bytes */
 	void *body; /**< from malloc(), owned; may be NULL */
 	size_t body_len; /**< bytes */
 	unsigned timeout_ms; /**< of the whole call, at least 1 */
--- a/lib/http/header.c
+++ b/lib/http/header.c
@@ -18,6 +18,7 @@
 	[GN_HEADER_IF_REVISION] = "If-Revision",
 	[GN_HEADER_CHANGE_ID] = "Change-Id",
 	[GN_HEADER_KEY] = "Idempotency-Key",
+	[GN_HEADER_HOST] = "Host",
 };
 
 const char *gn_header_name(gn_header_t header)
--- a/lib/http/header.h
+++ b/lib/http/header.h
@@ -22,6 +22,7 @@
 	GN_HEADER_IF_REVISION, /**< If-Revision */
 	GN_HEADER_CHANGE_ID, /**< Change-Id */
 	GN_HEADER_KEY, /**< Idempotency-Key */
+	GN_HEADER_HOST, /**< Host; of requests that come in only */
 	GN_HEADER_COUNT
 } gn_header_t;
 
--- /dev/null
+++ b/lib/ledger/ledger.c
@@ -0,0 +1,245 @@
+#include "ledger/ledger.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/str.h"
+#include "lead/lead.h"
+#include "platform/backoff.h"
+
+/** Jobs of one batch: a new one takes two rows, the chain key takes two. */
+#define BATCH_JOBS_MAX ((GN_KV_TXN_ROWS_MAX - 2) / 2)
+#define BATCH_ROWS_MAX GN_KV_TXN_ROWS_MAX
+/** "INCARNATION-NUMBER" */
+#define MARK_SIZE 48
+
+struct gn_ledger_s {
+	gn_ledger_options_t options;
+	uint64_t revision; /**< of the chain key */
+	uint64_t number; /**< of the present batch */
+	char mark[MARK_SIZE];
+	gn_sched_write_t writes[BATCH_JOBS_MAX];
+	size_t count; /**< of the present batch; 0: none */
+	uint64_t began_us;
+	uint64_t due_us; /**< of the next attempt */
+	gn_kv_call_t call;
+	gn_backoff_t backoff;
+};
+
+/* ======   The rows of a batch   ====== */
+
+typedef struct rows_s {
+	gn_kv_put_t puts[BATCH_ROWS_MAX];
+	size_t put_count;
+	gn_str_t removes[BATCH_ROWS_MAX];
+	size_t remove_count;
+	Gn__JobRecord *records[BATCH_JOBS_MAX]; /* spec rows point into them */
+	size_t record_count;
+	uint8_t *packed[2 * BATCH_JOBS_MAX];
+	size_t packed_count;
+	TALLOC_CTX *keys;
+} rows_t;
+
+static gn_str_t get_key(rows_t *rows, const char *prefix, const char *job)
+{
+	char *key = talloc_asprintf(rows->keys, "%s%s", prefix, job);
+
+	if (!key)
+		abort(); /* as GLib does when memory is short */
+	return gn_str_from(key);
+}
+
+static void add_put(rows_t *rows, const char *prefix, const char *job,
+		    const uint8_t *value, size_t len)
+{
+	gn_kv_put_t *put = &rows->puts[rows->put_count++];
+
+	memset(put, 0, sizeof(*put));
+	put->key = get_key(rows, prefix, job);
+	put->value.data = (const char *)value;
+	put->value.len = len;
+}
+
+/* A new job's record is stored as two keys, since its spec never changes. */
+static void add_record(rows_t *rows, const gn_sched_write_t *write)
+{
+	Gn__JobRecord *record =
+		gn__job_record__unpack(NULL, write->len, write->value);
+	size_t spec_len = gn__job_spec__get_packed_size(record->spec);
+	size_t state_len = gn__job_state__get_packed_size(record->state);
+	uint8_t *spec = g_malloc(spec_len + 1);
+	uint8_t *state = g_malloc(state_len + 1);
+
+	gn__job_spec__pack(record->spec, spec);
+	gn__job_state__pack(record->state, state);
+	rows->records[rows->record_count++] = record;
+	rows->packed[rows->packed_count++] = spec;
+	rows->packed[rows->packed_count++] = state;
+	add_put(rows, GN_LEDGER_SPEC_PREFIX, write->job, spec, spec_len);
+	add_put(rows, GN_LEDGER_STATE_PREFIX, write->job, state, state_len);
+}
+
+static void add_write(rows_t *rows, const gn_sched_write_t *write)
+{
+	if (write->remove) {
+		rows->removes[rows->remove_count++] =
+			get_key(rows, GN_LEDGER_SPEC_PREFIX, write->job);
+		rows->removes[rows->remove_count++] =
+			get_key(rows, GN_LEDGER_STATE_PREFIX, write->job);
+	} else if (write->whole) {
+		add_record(rows, write);
+	} else {
+		add_put(rows, GN_LEDGER_STATE_PREFIX, write->job, write->value,
+			write->len);
+	}
+}
+
+static void fill_rows(gn_ledger_t *ledger, rows_t *rows)
+{
+	gn_kv_put_t *chain = &rows->puts[0];
+
+	memset(rows, 0, sizeof(*rows));
+	rows->keys = talloc_new(ledger);
+	chain->key = GN_STR(GN_LEAD_CHAIN_KEY);
+	chain->value = gn_str_from(ledger->mark);
+	rows->put_count = 1;
+	for (size_t i = 0; i < ledger->count; i++)
+		add_write(rows, &ledger->writes[i]);
+}
+
+static void free_rows(rows_t *rows)
+{
+	for (size_t i = 0; i < rows->record_count; i++)
+		gn__job_record__free_unpacked(rows->records[i], NULL);
+	for (size_t i = 0; i < rows->packed_count; i++)
+		g_free(rows->packed[i]);
+	talloc_free(rows->keys);
+}
+
+/* ======   Batches   ====== */
+
+static void free_batch(gn_ledger_t *ledger)
+{
+	for (size_t i = 0; i < ledger->count; i++)
+		free(ledger->writes[i].value);
+	ledger->count = 0;
+}
+
+static void finish_batch(gn_ledger_t *ledger, uint64_t revision,
+			 uint64_t sent_us)
+{
+	size_t writes = ledger->count;
+
+	ledger->revision = revision;
+	free_batch(ledger);
+	gn_backoff_reset(&ledger->backoff);
+	gn_sched_written(ledger->options.sched);
+	ledger->options.ops->stored(ledger->options.arg, sent_us, writes);
+}
+
+/* Whether the conflict was with an earlier copy of this very batch. */
+static bool find_own_mark(const gn_ledger_t *ledger,
+			  const gn_kv_result_t *result, uint64_t *revision)
+{
+	for (size_t i = 0; i < result->count; i++) {
+		const gn_kv_entry_t *entry = &result->entries[i];
+
+		if (!gn_str_equal(entry->key, GN_STR(GN_LEAD_CHAIN_KEY)) ||
+		    !gn_str_equal(entry->value, gn_str_from(ledger->mark)))
+			continue;
+		*revision = entry->revision;
+		return true;
+	}
+	return false;
+}
+
+static void on_result(void *context, const gn_kv_result_t *result)
+{
+	gn_ledger_t *ledger = context;
+	uint64_t revision = 0;
+
+	ledger->call = 0;
+	if (result->code == GN_OK) {
+		finish_batch(ledger, result->revision, result->sent_us);
+	} else if (result->code != GN_ERR_CONFLICT) {
+		ledger->due_us = gn_clock_now_us(ledger->options.clock) +
+				 gn_backoff_next_us(&ledger->backoff,
+						    ledger->options.rand);
+	} else if (find_own_mark(ledger, result, &revision)) {
+		finish_batch(ledger, revision, result->sent_us);
+	} else {
+		ledger->options.ops->superseded(ledger->options.arg);
+	}
+}
+
+static void send_batch(gn_ledger_t *ledger)
+{
+	const gn_kv_expect_t expect = { GN_STR(GN_LEAD_CHAIN_KEY),
+					ledger->revision };
+	gn_kv_txn_t txn = { .expects = &expect, .expect_count = 1 };
+	rows_t rows;
+
+	fill_rows(ledger, &rows);
+	txn.puts = rows.puts;
+	txn.put_count = rows.put_count;
+	txn.removes = rows.removes;
+	txn.remove_count = rows.remove_count;
+	ledger->call = gn_kv_txn(ledger->options.kv, &txn, on_result, ledger);
+	free_rows(&rows);
+}
+
+void gn_ledger_kick(gn_ledger_t *ledger)
+{
+	uint64_t now_us = gn_clock_now_us(ledger->options.clock);
+
+	if (ledger->call || now_us < ledger->due_us)
+		return;
+	if (!ledger->count) {
+		if (!gn_sched_is_dirty(ledger->options.sched))
+			return;
+		ledger->count = gn_sched_take_writes(
+			ledger->options.sched, ledger->writes, BATCH_JOBS_MAX);
+		ledger->began_us = now_us;
+		snprintf(ledger->mark, sizeof(ledger->mark),
+			 "%016" PRIx64 "-%" PRIu64, ledger->options.incarnation,
+			 ++ledger->number);
+	}
+	send_batch(ledger);
+}
+
+/* ======   Life   ====== */
+
+gn_ledger_t *gn_ledger_create(TALLOC_CTX *parent,
+			      const gn_ledger_options_t *options)
+{
+	gn_ledger_t *ledger = talloc_zero(parent, gn_ledger_t);
+
+	if (!ledger)
+		return NULL;
+	ledger->options = *options;
+	ledger->revision = options->epoch;
+	return ledger;
+}
+
+void gn_ledger_free(gn_ledger_t *ledger)
+{
+	if (!ledger)
+		return;
+	gn_kv_cancel(ledger->options.kv, ledger->call);
+	free_batch(ledger);
+	talloc_free(ledger);
+}
+
+bool gn_ledger_is_idle(const gn_ledger_t *ledger)
+{
+	return !ledger->count && !gn_sched_is_dirty(ledger->options.sched);
+}
+
+uint64_t gn_ledger_delay_us(const gn_ledger_t *ledger)
+{
+	if (!ledger->count)
+		return 0;
+	return gn_clock_now_us(ledger->options.clock) - ledger->began_us;
+}
--- a/lib/platform/kv.c
+++ b/lib/platform/kv.c
@@ -51,6 +51,18 @@
 	return kv->ops->revoke(kv, lease, done, context);
 }
 
+gn_kv_call_t gn_kv_txn(gn_kv_t *kv, const gn_kv_txn_t *txn, gn_kv_done_t done,
+		       void *context)
+{
+	return kv->ops->txn(kv, txn, done, context);
+}
+
+gn_kv_call_t gn_kv_list_after(gn_kv_t *kv, gn_str_t prefix, gn_str_t after,
+			      gn_kv_done_t done, void *context)
+{
+	return kv->ops->list_after(kv, prefix, after, done, context);
+}
+
 void gn_kv_cancel(gn_kv_t *kv, gn_kv_call_t call)
 {
 	if (call)
--- a/lib/platform/kv.h
+++ b/lib/platform/kv.h
@@ -75,6 +75,7 @@
 	const gn_kv_entry_t *entries; /**< sorted by key */
 	size_t count;
 	uint64_t lease; /**< grant: the new lease */
+	bool more; /**< list: keys after the last entry were left out */
 	uint64_t sent_us; /**< when the call was sent, on the client's clock */
 } gn_kv_result_t;
 
@@ -90,6 +91,25 @@
 	uint64_t lease; /**< deleted when this lease ends; 0: stays */
 } gn_kv_put_t;
 
+/** A key and the revision it must be at; GN_KV_ABSENT: must not exist. */
+typedef struct gn_kv_expect_s {
+	gn_str_t key;
+	uint64_t revision;
+} gn_kv_expect_t;
+
+/**
+ * Writes of several keys under several conditions, all or nothing. Strings
+ * are copied by the call.
+ */
+typedef struct gn_kv_txn_s {
+	const gn_kv_expect_t *expects;
+	size_t expect_count;
+	const gn_kv_put_t *puts; /**< change and expected are not used */
+	size_t put_count;
+	const gn_str_t *removes; /**< keys to delete */
+	size_t remove_count;
+} gn_kv_txn_t;
+
 /** What an implementation of the service's client can do. */
 typedef struct gn_kv_ops_s {
 	gn_kv_call_t (*get)(gn_kv_t *kv, gn_str_t key, gn_kv_done_t done,
@@ -109,6 +129,12 @@
 	gn_kv_call_t (*watch)(gn_kv_t *kv, gn_str_t prefix, uint64_t from,
 			      uint32_t wait_ms, gn_kv_done_t done,
 			      void *context);
+	/** NULL: the service has no transactions. */
+	gn_kv_call_t (*txn)(gn_kv_t *kv, const gn_kv_txn_t *txn,
+			    gn_kv_done_t done, void *context);
+	/** NULL: a list is always whole. */
+	gn_kv_call_t (*list_after)(gn_kv_t *kv, gn_str_t prefix, gn_str_t after,
+				   gn_kv_done_t done, void *context);
 	void (*cancel)(gn_kv_t *kv, gn_kv_call_t call);
 } gn_kv_ops_t;
 
@@ -127,6 +153,14 @@
 gn_kv_call_t gn_kv_list(gn_kv_t *kv, gn_str_t prefix, gn_kv_done_t done,
 			void *context);
 
+/**
+ * Reads keys that begin with @p prefix and sort after @p after (empty: from
+ * the first). The result's more tells whether some were left out; pages are
+ * not read at one revision.
+ */
+gn_kv_call_t gn_kv_list_after(gn_kv_t *kv, gn_str_t prefix, gn_str_t after,
+			      gn_kv_done_t done, void *context);
+
 /**
  * Waits until a key that begins with @p prefix has a revision above @p from
  * and returns all such keys in their latest state, deleted ones too.
@@ -145,6 +179,16 @@
 gn_kv_call_t gn_kv_remove(gn_kv_t *kv, gn_str_t key, uint64_t expected,
 			  gn_kv_done_t done, void *context);
 
+/** Most rows of a transaction: conditions, puts and deletes together. */
+#define GN_KV_TXN_ROWS_MAX 32
+
+/**
+ * Writes several keys under several conditions. GN_ERR_CONFLICT: the entries
+ * are what the keys of the conditions hold now, absent ones left out.
+ */
+gn_kv_call_t gn_kv_txn(gn_kv_t *kv, const gn_kv_txn_t *txn, gn_kv_done_t done,
+		       void *context);
+
 /** Asks for a lease of GN_KV_TTL_MIN_MS..GN_KV_TTL_MAX_MS. */
 gn_kv_call_t gn_kv_grant(gn_kv_t *kv, uint32_t ttl_ms, gn_kv_done_t done,
 			 void *context);
--- a/lib/platform/kv_http.c
+++ b/lib/platform/kv_http.c
@@ -8,8 +8,6 @@
 #include "common/str.h"
 #include "platform/kv_http_internal.h"
 
-#define URL_SIZE (GN_ADDRESS_MAX + 32)
-
 static uint64_t now_us(const gn_kv_http_t *http)
 {
 	return gn_clock_now_us(http->options.clock);
@@ -82,25 +80,29 @@
 static bool needs_fresh(const gn_kv_http_call_t *call)
 {
 	return call->http->is_suspect ||
-	       !gn_kv_kind_is_read(call->request.kind);
+	       (!gn_kv_kind_is_read(call->request.kind) &&
+		call->request.kind != GN_KV_TXN);
 }
 
 static void set_options(gn_kv_http_call_t *call)
 {
 	gn_kv_http_t *http = call->http;
 	CURL *easy = call->easy;
-	char url[URL_SIZE];
+	char *url =
+		g_strdup_printf("http://%s%s", http->address, call->wire.path);
 
-	g_snprintf(url, sizeof(url), "http://%s/v1/%s", http->address,
-		   gn_kv_kind_name(call->request.kind));
 	curl_easy_setopt(easy, CURLOPT_URL, url);
+	g_free(url);
+	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call->wire.method);
 	curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, http->headers);
-	curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call->body);
-	curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
-			 (curl_off_t)strlen(call->body));
+	if (call->wire.body) {
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call->wire.body);
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+				 (curl_off_t)strlen(call->wire.body));
+	}
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, take_bytes);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
 	curl_easy_setopt(easy, CURLOPT_PRIVATE, call);
@@ -113,10 +115,9 @@
 {
 	gn_kv_http_t *http = call->http;
 
-	call->body = gn_kv_request_encode(request);
 	call->answer = g_byte_array_new();
 	call->easy = curl_easy_init();
-	if (!call->body || !call->easy)
+	if (!http->codec->encode(request, &call->wire) || !call->easy)
 		return GN_ERR_UNAVAILABLE;
 	set_options(call);
 	if (gn_curl_loop_add(http->transfers, call->easy) != CURLM_OK)
@@ -259,6 +260,7 @@
 	talloc_set_destructor(http, free_http);
 	http->kv.ops = &gn_kv_http_ops;
 	http->options = *options;
+	http->codec = options->codec ? options->codec : &gn_kv_json_codec;
 	http->address = talloc_strdup(http, options->address);
 	gn_kv_budget_init(&http->budget, options->calls_per_s, now_us(http));
 	http->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
--- a/lib/platform/kv_http.h
+++ b/lib/platform/kv_http.h
@@ -11,9 +11,11 @@
  * about. Encoding a value of 1 MB blocks the loop for some milliseconds;
  * should values of that size become frequent, the thread is the better way.
  *
- * Every write and renewal goes out on a fresh connection, since libcurl sends
- * a request again by itself when a reused connection turns out to be dead. A
- * read may use an idle connection, unless the last call failed.
+ * A write of one key, a grant and a renewal go out on a fresh connection,
+ * since libcurl sends a request again by itself when a reused connection turns
+ * out to be dead. A read may use an idle connection, unless the last call
+ * failed; so may a transaction, whose writer finds its own mark in the keys of
+ * the conditions when a second copy of it conflicts.
  */
 #ifndef GN_PLATFORM_KV_HTTP_H
 #define GN_PLATFORM_KV_HTTP_H
@@ -24,6 +26,7 @@
 #include "common/clock.h"
 #include "common/counter.h"
 #include "platform/kv.h"
+#include "platform/kv_json.h"
 
 /** Bounds of the time one call may take, milliseconds. */
 #define GN_KV_TIMEOUT_MIN_MS 10
@@ -43,6 +46,7 @@
 	const gn_clock_t *clock;
 	gn_counters_t *counters;
 	struct tevent_context *loop;
+	const gn_kv_codec_t *codec; /**< NULL: gn_kv_json_codec */
 } gn_kv_http_options_t;
 
 /**
--- a/lib/platform/kv_http_counters.c
+++ b/lib/platform/kv_http_counters.c
@@ -9,6 +9,7 @@
 	[GN_KV_GRANT] = "platform.calls.grant",
 	[GN_KV_RENEW] = "platform.calls.renew",
 	[GN_KV_REVOKE] = "platform.calls.revoke",
+	[GN_KV_TXN] = "platform.calls.txn",
 };
 
 bool gn_kv_http_counters_get(gn_kv_http_counters_t *counters,
--- a/lib/platform/kv_http_end.c
+++ b/lib/platform/kv_http_end.c
@@ -9,10 +9,7 @@
 
 #define STEP "platform"
 
-#define HTTP_OK 200
-#define HTTP_CLIENT_ERROR 400
 #define HTTP_TOO_MANY_REQUESTS 429
-#define HTTP_SERVER_ERROR 500
 #define HTTP_SERVICE_UNAVAILABLE 503
 
 int gn_kv_http_free_call(gn_kv_http_call_t *call)
@@ -21,7 +18,8 @@
 		gn_curl_loop_remove(call->http->transfers, call->easy);
 		curl_easy_cleanup(call->easy);
 	}
-	free(call->body);
+	g_free(call->wire.path);
+	free(call->wire.body);
 	if (call->answer)
 		g_byte_array_unref(call->answer);
 	return 0;
@@ -79,7 +77,7 @@
 	gn_kv_http_t *http = call->http;
 
 	http->is_suspect = false;
-	if (gn_kv_kind_is_read(call->request.kind) &&
+	if (gn_kv_kind_is_read(call->request.kind) && result->revision &&
 	    result->revision < call->floor) {
 		gn_kv_http_end_refused(call, GN_ERR_STALE,
 				       "older than what was seen");
@@ -96,32 +94,26 @@
 	       status == HTTP_SERVICE_UNAVAILABLE;
 }
 
-static bool is_malformed(long status)
-{
-	return status >= HTTP_CLIENT_ERROR && status < HTTP_SERVER_ERROR;
-}
-
 static void take_answer(gn_kv_http_call_t *call, long status)
 {
 	gn_str_t text = { (const char *)call->answer->data, call->answer->len };
 	gn_kv_result_t result = { 0 };
+	gn_code_t code;
 
 	if (is_not_done(status)) {
 		call->http->is_suspect = true;
 		gn_kv_http_end_refused(call, GN_ERR_UNAVAILABLE, "refused");
 		return;
 	}
-	if (is_malformed(status)) {
+	code = call->http->codec->decode(call, status, text, &call->request,
+					 &result);
+	if (code == GN_ERR_RANGE)
 		gn_kv_http_end_refused(call, GN_ERR_INVALID,
 				       "refused as malformed");
-		return;
-	}
-	if (status != HTTP_OK ||
-	    gn_kv_answer_decode(call, text, &call->request, &result) != GN_OK) {
+	else if (code)
 		gn_kv_http_end_lost(call, "no whole answer");
-		return;
-	}
-	finish_answered(call, &result);
+	else
+		finish_answered(call, &result);
 }
 
 void gn_kv_http_take_end(void *context, CURL *easy, CURLcode code)
--- a/lib/platform/kv_http_internal.h
+++ b/lib/platform/kv_http_internal.h
@@ -49,7 +49,7 @@
 	gn_kv_http_t *http;
 	gn_kv_call_t id;
 	gn_kv_request_t request; /* its key is the call's, its value is not */
-	char *body; /* free() */
+	gn_kv_wire_t wire;
 	CURL *easy;
 	GByteArray *answer;
 	gn_kv_done_t done;
@@ -63,6 +63,7 @@
 struct gn_kv_http_s {
 	gn_kv_t kv; /* must be first */
 	gn_kv_http_options_t options;
+	const gn_kv_codec_t *codec;
 	char *address;
 	gn_kv_http_counters_t counters;
 	gn_kv_budget_t budget;
--- a/lib/platform/kv_http_table.c
+++ b/lib/platform/kv_http_table.c
@@ -78,6 +78,25 @@
 	return gn_kv_http_start((gn_kv_http_t *)kv, &request, done, context);
 }
 
+static gn_kv_call_t http_txn(gn_kv_t *kv, const gn_kv_txn_t *txn,
+			     gn_kv_done_t done, void *context)
+{
+	gn_kv_request_t request = { .kind = GN_KV_TXN, .txn = txn };
+
+	return gn_kv_http_start((gn_kv_http_t *)kv, &request, done, context);
+}
+
+static gn_kv_call_t http_list_after(gn_kv_t *kv, gn_str_t prefix,
+				    gn_str_t after, gn_kv_done_t done,
+				    void *context)
+{
+	gn_kv_request_t request = { .kind = GN_KV_LIST,
+				    .put = { .key = prefix },
+				    .after = after };
+
+	return gn_kv_http_start((gn_kv_http_t *)kv, &request, done, context);
+}
+
 static void http_cancel(gn_kv_t *kv, gn_kv_call_t call)
 {
 	gn_kv_http_cancel((gn_kv_http_t *)kv, call);
@@ -92,5 +111,7 @@
 	.renew = http_renew,
 	.revoke = http_revoke,
 	.watch = http_watch,
+	.txn = http_txn,
+	.list_after = http_list_after,
 	.cancel = http_cancel,
 };
--- a/lib/platform/kv_json.c
+++ b/lib/platform/kv_json.c
@@ -25,6 +25,7 @@
 	[GN_KV_GRANT] = { "grant", false, false, false },
 	[GN_KV_RENEW] = { "renew", false, false, false },
 	[GN_KV_REVOKE] = { "revoke", false, false, false },
+	[GN_KV_TXN] = { "txn", false, false, false },
 };
 
 const char *gn_kv_kind_name(gn_kv_kind_t kind)
@@ -247,3 +248,32 @@
 	json_decref(object);
 	return code;
 }
+
+/* ======   Codec   ====== */
+
+#define HTTP_OK 200
+#define HTTP_CLIENT_ERROR 400
+#define HTTP_SERVER_ERROR 500
+
+static bool json_encode(const gn_kv_request_t *request, gn_kv_wire_t *wire)
+{
+	if (request->kind == GN_KV_TXN)
+		return false;
+	wire->method = "POST";
+	wire->path = g_strdup_printf("/v1/%s", gn_kv_kind_name(request->kind));
+	wire->body = gn_kv_request_encode(request);
+	return wire->body != NULL;
+}
+
+static gn_code_t json_decode(TALLOC_CTX *parent, long status, gn_str_t text,
+			     const gn_kv_request_t *request,
+			     gn_kv_result_t *result)
+{
+	if (status >= HTTP_CLIENT_ERROR && status < HTTP_SERVER_ERROR)
+		return GN_ERR_RANGE;
+	if (status != HTTP_OK)
+		return GN_ERR_INVALID;
+	return gn_kv_answer_decode(parent, text, request, result);
+}
+
+const gn_kv_codec_t gn_kv_json_codec = { json_encode, json_decode };
--- /dev/null
+++ b/lib/sched/place.c
@@ -0,0 +1,142 @@
+#include "sched/place.h"
+
+#include "gypsumnotch.h"
+
+/** Failures in a row, of different runs, after which a worker is shunned. */
+#define FAILURES_MAX 4
+/** First time that it is shunned for; doubled each time up to the longest. */
+#define SHUN_US (1500 * GN_US_PER_MS)
+#define SHUN_DOUBLINGS_MAX 3
+/** Weight of the newest run in the smoothed slowness. */
+#define SLOWNESS_WEIGHT 0.15
+/** Bounds of one run's share in the slowness: declared times are far off. */
+#define SLOWNESS_MIN 0.5
+#define SLOWNESS_MAX 8.0
+/** What a serving task beside a filling one counts as, of a whole worker. */
+#define NEIGHBOUR_COST 0.5
+
+bool gn_room_fits(const gn_room_t *capacity, const gn_room_t *used,
+		  const gn_room_t *more)
+{
+	return (uint64_t)used->cpu_milli + more->cpu_milli <=
+		       capacity->cpu_milli &&
+	       (uint64_t)used->memory_mb + more->memory_mb <=
+		       capacity->memory_mb &&
+	       (uint64_t)used->accelerators + more->accelerators <=
+		       capacity->accelerators;
+}
+
+void gn_room_add(gn_room_t *room, const gn_room_t *more)
+{
+	room->cpu_milli += more->cpu_milli;
+	room->memory_mb += more->memory_mb;
+	room->accelerators += more->accelerators;
+}
+
+static uint32_t less_or_zero(uint32_t from, uint32_t less)
+{
+	return from > less ? from - less : 0;
+}
+
+void gn_room_subtract(gn_room_t *room, const gn_room_t *less)
+{
+	room->cpu_milli = less_or_zero(room->cpu_milli, less->cpu_milli);
+	room->memory_mb = less_or_zero(room->memory_mb, less->memory_mb);
+	room->accelerators =
+		less_or_zero(room->accelerators, less->accelerators);
+}
+
+/* Lower is better: the share of the processors in use, with what disturbs. */
+static double get_cost(const gn_place_task_t *task,
+		       const gn_place_worker_t *worker)
+{
+	double cost = worker->capacity.cpu_milli
+			      ? (double)worker->used.cpu_milli /
+					worker->capacity.cpu_milli
+			      : 1;
+
+	if (task->fills) {
+		cost += NEIGHBOUR_COST * worker->serving;
+		/* tasks that fill share what is left */
+		cost += 0.1 * worker->filling;
+	}
+	if (task->serves)
+		cost += NEIGHBOUR_COST * worker->filling;
+	if (!worker->near)
+		cost += task->far_factor - 1;
+	return cost + (worker->slowness > 1 ? worker->slowness - 1 : 0);
+}
+
+static bool is_allowed(const gn_place_task_t *task,
+		       const gn_place_worker_t *worker)
+{
+	if (!worker->eligible)
+		return false;
+	if (task->per_worker && worker->same_step >= task->per_worker)
+		return false;
+	return gn_room_fits(&worker->capacity, &worker->used, &task->room);
+}
+
+size_t gn_place(const gn_place_task_t *task, const gn_place_worker_t *workers,
+		size_t count)
+{
+	size_t best = GN_PLACE_NONE;
+	double best_cost = 0;
+
+	for (size_t i = 0; i < count; i++) {
+		double cost;
+
+		if (!is_allowed(task, &workers[i]))
+			continue;
+		cost = get_cost(task, &workers[i]);
+		if (best != GN_PLACE_NONE && cost >= best_cost)
+			continue;
+		best = i;
+		best_cost = cost;
+	}
+	return best;
+}
+
+/* ======   Health   ====== */
+
+void gn_health_fail(gn_health_t *health, uint64_t now_us)
+{
+	uint32_t doublings = health->shuns < SHUN_DOUBLINGS_MAX
+				     ? health->shuns
+				     : SHUN_DOUBLINGS_MAX;
+
+	if (++health->failures < FAILURES_MAX)
+		return;
+	/* one more failure is enough when it comes back */
+	health->failures = FAILURES_MAX - 1;
+	health->shuns++;
+	health->shunned_until_us = now_us + ((uint64_t)SHUN_US << doublings);
+}
+
+static double clamp(double value, double low, double high)
+{
+	if (value < low)
+		return low;
+	return value > high ? high : value;
+}
+
+void gn_health_succeed(gn_health_t *health, uint64_t took_us,
+		       uint64_t estimate_us)
+{
+	double ratio;
+
+	health->failures = 0;
+	health->shuns = 0;
+	if (!estimate_us)
+		return;
+	ratio = clamp((double)took_us / estimate_us, SLOWNESS_MIN,
+		      SLOWNESS_MAX);
+	if (health->slowness <= 0)
+		health->slowness = 1;
+	health->slowness += SLOWNESS_WEIGHT * (ratio - health->slowness);
+}
+
+bool gn_health_is_good(const gn_health_t *health, uint64_t now_us)
+{
+	return now_us >= health->shunned_until_us;
+}
--- /dev/null
+++ b/lib/sched/sched.c
@@ -0,0 +1,157 @@
+#include "sched/sched.h"
+
+#include "sched/sched_internal.h"
+
+uint64_t sched_now_us(const gn_sched_t *sched)
+{
+	return gn_clock_now_us(sched->clock);
+}
+
+uint64_t sched_wall_ms(const gn_sched_t *sched)
+{
+	return gn_clock_now_us(sched->wall) / GN_US_PER_MS;
+}
+
+void sched_note_task(const gn_sched_t *sched, const char *what,
+		     const sched_task_t *task, const char *why, int64_t value)
+{
+	char name[GN_TASK_NAME_SIZE];
+	const gn_sched_event_t event = { .what = what,
+					 .job = task->job->spec->id,
+					 .task = name,
+					 .attempt = task->attempt,
+					 .host = task->worker
+							 ? task->worker->host
+							 : NULL,
+					 .life = task->life,
+					 .why = why,
+					 .value = value };
+
+	gn_task_name(task->job->spec, task->number, name);
+	sched->ops->event(sched->arg, &event);
+}
+
+/* ======   Life   ====== */
+
+static void free_job(gpointer job)
+{
+	sched_job_free(job);
+}
+
+static int free_sched(gn_sched_t *sched)
+{
+	g_hash_table_destroy(sched->workers);
+	g_hash_table_destroy(sched->jobs);
+	g_ptr_array_free(sched->active, TRUE);
+	g_ptr_array_free(sched->writing, TRUE);
+	g_queue_clear(&sched->dirty);
+	return 0;
+}
+
+gn_sched_t *gn_sched_create(TALLOC_CTX *parent, const gn_sched_config_t *config,
+			    const gn_clock_t *clock, const gn_clock_t *wall,
+			    const gn_sched_ops_t *ops, void *arg)
+{
+	gn_sched_t *sched = talloc_zero(parent, gn_sched_t);
+
+	if (!sched)
+		return NULL;
+	sched->config = *config;
+	sched->clock = clock;
+	sched->wall = wall;
+	sched->ops = ops;
+	sched->arg = arg;
+	sched->jobs =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_job);
+	sched->workers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					       sched_worker_free);
+	sched->active = g_ptr_array_new();
+	sched->writing = g_ptr_array_new();
+	g_queue_init(&sched->dirty);
+	talloc_set_destructor(sched, free_sched);
+	return sched;
+}
+
+void gn_sched_configure(gn_sched_t *sched, const gn_queues_t *queues)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	sched->queues = queues;
+	g_hash_table_iter_init(&iter, sched->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		sched_job_configure(value);
+	sched->changed = true;
+}
+
+/* ======   Time   ====== */
+
+static bool is_job_active(const sched_job_t *job)
+{
+	return !sched_job_is_finished(job) || job->claimed;
+}
+
+static void drop_inactive(gn_sched_t *sched)
+{
+	for (guint i = sched->active->len; i > 0; i--)
+		if (!is_job_active(g_ptr_array_index(sched->active, i - 1)))
+			g_ptr_array_remove_index(sched->active, i - 1);
+}
+
+static void send_again(gn_sched_t *sched)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, sched->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		sched_worker_t *worker = value;
+
+		for (guint i = 0; i < worker->claims->len; i++)
+			sched_claim_order(g_ptr_array_index(worker->claims, i));
+	}
+}
+
+void gn_sched_tick(gn_sched_t *sched)
+{
+	sched_workers_lapse(sched);
+	for (guint i = 0; i < sched->active->len; i++) {
+		sched_job_t *job = g_ptr_array_index(sched->active, i);
+
+		if (job->spec->repeats && !sched_job_is_finished(job))
+			sched_job_update_units(job);
+	}
+	send_again(sched);
+	sched_jobs_expire(sched);
+	drop_inactive(sched);
+	/* a worker that was shunned or silent may be back */
+	sched->changed = true;
+	gn_sched_pass(sched);
+}
+
+/* ======   Figures   ====== */
+
+gn_sched_figures_t gn_sched_figures(const gn_sched_t *sched)
+{
+	gn_sched_figures_t figures = {
+		.jobs = g_hash_table_size(sched->jobs),
+		.claims = sched->claims,
+	};
+	GHashTableIter iter;
+	gpointer value;
+
+	for (guint i = 0; i < sched->active->len; i++) {
+		const sched_job_t *job = g_ptr_array_index(sched->active, i);
+
+		if (sched_job_is_finished(job))
+			continue;
+		figures.active_jobs++;
+		for (uint32_t k = 0; k < job->unit_count; k++)
+			if (job->units[k].ready)
+				figures.waiting_tasks += job->units[k].waiting;
+	}
+	g_hash_table_iter_init(&iter, sched->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		figures.workers += sched_worker_is_live(sched, value);
+	return figures;
+}
--- /dev/null
+++ b/lib/sched/sched_job.c
@@ -0,0 +1,328 @@
+/**
+ * @file sched_job.c
+ * @brief Jobs: callers' requests, steps whose turn comes, ends of jobs.
+ */
+#include <string.h>
+
+#include "common/str.h"
+#include "sched/sched_internal.h"
+
+/** Tasks that wait for room, beyond which no job is taken. */
+#define BACKLOG_TASKS_MAX 20000
+/** When a refused caller may come back, milliseconds. */
+#define BACKLOG_RETRY_MS 2000
+/** Attempts and target of a queue that the configuration does not name. */
+#define DEFAULT_ATTEMPTS 3
+#define DEFAULT_PRIORITY 9
+#define DEFAULT_STRETCH 2.0
+#define DEFAULT_TARGET_MS 1000
+
+/* ======   Life   ====== */
+
+static void set_units(sched_job_t *job)
+{
+	const Gn__JobSpec *spec = job->spec;
+	uint32_t first = 0;
+
+	job->unit_count = gn_job_occurrences(spec) * spec->n_steps;
+	job->units = g_new0(sched_unit_t, job->unit_count);
+	for (uint32_t i = 0; i < job->unit_count; i++) {
+		sched_unit_t *unit = &job->units[i];
+
+		unit->step_number = i % spec->n_steps;
+		unit->occurrence = i / spec->n_steps;
+		unit->step = spec->steps[unit->step_number];
+		unit->first = first;
+		unit->waiting = unit->step->count;
+		first += unit->step->count;
+	}
+	job->task_count = first;
+}
+
+static void set_tasks(sched_job_t *job)
+{
+	job->tasks = g_new0(sched_task_t, job->task_count);
+	for (uint32_t i = 0; i < job->unit_count; i++) {
+		const sched_unit_t *unit = &job->units[i];
+
+		for (uint32_t k = 0; k < unit->step->count; k++) {
+			sched_task_t *task = &job->tasks[unit->first + k];
+
+			task->job = job;
+			task->number = unit->first + k;
+			task->unit = i;
+			task->percent = 100;
+		}
+	}
+}
+
+/* The longest chain of estimated run times, milliseconds. */
+static uint64_t get_chain_ms(const Gn__JobSpec *spec)
+{
+	uint64_t ends[GN_JOB_STEPS_MAX];
+	uint64_t longest = 0;
+
+	for (size_t i = 0; i < spec->n_steps; i++) {
+		const Gn__JobStep *step = spec->steps[i];
+
+		ends[i] = 0;
+		for (size_t k = 0; k < step->n_after; k++)
+			if (ends[step->after[k]] > ends[i])
+				ends[i] = ends[step->after[k]];
+		ends[i] += step->estimate_ms;
+		if (ends[i] > longest)
+			longest = ends[i];
+	}
+	return longest;
+}
+
+void sched_job_configure(sched_job_t *job)
+{
+	const gn_queues_t *queues = job->sched->queues;
+	const gn_queue_t *queue =
+		queues ? gn_queues_find(queues, job->spec->queue) : NULL;
+	double stretch = queue ? queue->stretch : DEFAULT_STRETCH;
+	unsigned target_ms = queue ? queue->target_ms : DEFAULT_TARGET_MS;
+	uint64_t objective_ms =
+		(uint64_t)(stretch * get_chain_ms(job->spec)) + target_ms;
+
+	job->deadline_us = job->accepted_us + objective_ms * GN_US_PER_MS;
+	/* what runs keeps the limits that it had when its queue goes */
+	if (!queue)
+		return;
+	job->priority = queue->priority;
+	job->max_attempts = queue->max_attempts;
+	job->service = g_intern_string(queue->service);
+}
+
+sched_job_t *sched_job_create(gn_sched_t *sched, Gn__JobSpec *spec,
+			      uint64_t accepted_ms)
+{
+	sched_job_t *job = g_new0(sched_job_t, 1);
+	uint64_t wall_ms = sched_wall_ms(sched);
+	uint64_t age_us = wall_ms > accepted_ms
+				  ? (wall_ms - accepted_ms) * GN_US_PER_MS
+				  : 0;
+	uint64_t now_us = sched_now_us(sched);
+
+	job->sched = sched;
+	job->spec = spec;
+	job->accepted_ms = accepted_ms;
+	job->accepted_us = now_us > age_us ? now_us - age_us : 0;
+	job->priority = DEFAULT_PRIORITY;
+	job->max_attempts = DEFAULT_ATTEMPTS;
+	job->service = "";
+	job->starts = g_ptr_array_new();
+	set_units(job);
+	set_tasks(job);
+	sched_job_configure(job);
+	g_hash_table_insert(sched->jobs, spec->id, job);
+	g_ptr_array_add(sched->active, job);
+	return job;
+}
+
+void sched_job_free(sched_job_t *job)
+{
+	for (uint32_t i = 0; i < job->task_count; i++)
+		g_free(job->tasks[i].checkpoint);
+	g_free(job->tasks);
+	g_free(job->units);
+	g_ptr_array_free(job->starts, TRUE);
+	gn__job_spec__free_unpacked(job->spec, NULL);
+	g_free(job);
+}
+
+uint64_t sched_job_mark(sched_job_t *job)
+{
+	job->sched->changed = true;
+	job->version++;
+	if (!job->dirty) {
+		job->dirty = true;
+		g_queue_push_tail(&job->sched->dirty, job);
+	}
+	return job->version;
+}
+
+bool sched_job_is_finished(const sched_job_t *job)
+{
+	return job->phase >= GN_JOB_COMPLETED;
+}
+
+/* ======   Steps   ====== */
+
+static bool is_unit_done(const sched_unit_t *unit)
+{
+	return unit->done == unit->step->count;
+}
+
+/* When an occurrence may start, since 1970. */
+static uint64_t get_due_ms(const sched_job_t *job, uint32_t occurrence)
+{
+	return job->spec->first_due_ms + occurrence * job->spec->interval_ms;
+}
+
+static bool is_unit_ready(const sched_job_t *job, const sched_unit_t *unit)
+{
+	uint32_t base = unit->occurrence * job->spec->n_steps;
+
+	if (job->spec->repeats &&
+	    sched_wall_ms(job->sched) < get_due_ms(job, unit->occurrence))
+		return false;
+	for (size_t i = 0; i < unit->step->n_after; i++)
+		if (!is_unit_done(&job->units[base + unit->step->after[i]]))
+			return false;
+	return true;
+}
+
+void sched_job_update_units(sched_job_t *job)
+{
+	for (uint32_t i = 0; i < job->unit_count; i++) {
+		sched_unit_t *unit = &job->units[i];
+
+		if (unit->ready || !is_unit_ready(job, unit))
+			continue;
+		unit->ready = true;
+		unit->ready_us = sched_now_us(job->sched);
+		job->sched->changed = true;
+	}
+}
+
+void sched_job_task_done(sched_task_t *task)
+{
+	sched_job_t *job = task->job;
+
+	task->status = GN_TASK_DONE;
+	job->done++;
+	job->units[task->unit].done++;
+	sched_job_mark(job);
+	if (sched_job_is_finished(job))
+		return;
+	if (job->done == job->task_count)
+		sched_job_finish(job, GN_JOB_COMPLETED, "all tasks done");
+	else if (is_unit_done(&job->units[task->unit]))
+		sched_job_update_units(job);
+}
+
+void sched_job_finish(sched_job_t *job, gn_job_phase_t phase, const char *why)
+{
+	const gn_sched_event_t event = { .what = gn_job_phase_name(phase),
+					 .job = job->spec->id,
+					 .why = why,
+					 .value = (int64_t)job->done };
+
+	job->phase = phase;
+	job->finished_us = sched_now_us(job->sched);
+	job->sched->ops->event(job->sched->arg, &event);
+	for (uint32_t i = 0; i < job->task_count; i++)
+		if (job->tasks[i].status == GN_TASK_CLAIMED)
+			sched_stop(&job->tasks[i], why);
+	sched_job_mark(job);
+}
+
+/* Only once it is deleted in the store may a job be forgotten. */
+static void expire_job(sched_job_t *job, uint64_t now_us)
+{
+	uint64_t retain_us =
+		(uint64_t)job->sched->config.retain_ms * GN_US_PER_MS;
+
+	if (job->removing || job->claimed || job->refs ||
+	    !sched_job_is_finished(job) ||
+	    now_us - job->finished_us < retain_us)
+		return;
+	job->removing = true;
+	sched_job_mark(job);
+}
+
+void sched_jobs_expire(gn_sched_t *sched)
+{
+	uint64_t now_us = sched_now_us(sched);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, sched->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		expire_job(value, now_us);
+}
+
+/* ======   Callers   ====== */
+
+static sched_job_t *find_job(const gn_sched_t *sched, const char *id)
+{
+	return g_hash_table_lookup(sched->jobs, id);
+}
+
+static size_t count_backlog(const gn_sched_t *sched)
+{
+	return gn_sched_figures(sched).waiting_tasks;
+}
+
+gn_sched_reply_t gn_sched_submit(gn_sched_t *sched, Gn__JobSpec *spec)
+{
+	sched_job_t *job = find_job(sched, spec->id);
+	gn_sched_reply_t reply = { 0 };
+
+	if (job) {
+		gn__job_spec__free_unpacked(spec, NULL);
+		reply.phase = job->phase;
+		reply.version = job->stored ? 0 : job->version;
+		return reply;
+	}
+	if (count_backlog(sched) + gn_job_width(spec) > BACKLOG_TASKS_MAX) {
+		gn__job_spec__free_unpacked(spec, NULL);
+		reply.result = GN_RESULT_REFUSED;
+		reply.retry_after_ms = BACKLOG_RETRY_MS;
+		reply.reason = "backlog";
+		return reply;
+	}
+	job = sched_job_create(sched, spec, sched_wall_ms(sched));
+	sched_job_update_units(job);
+	reply.version = sched_job_mark(job);
+	return reply;
+}
+
+gn_sched_reply_t gn_sched_state(gn_sched_t *sched, const char *id)
+{
+	sched_job_t *job = find_job(sched, id);
+	gn_sched_reply_t reply = { 0 };
+
+	if (!job || !job->stored) {
+		reply.result = GN_RESULT_NOT_FOUND;
+		return reply;
+	}
+	reply.phase = job->phase;
+	/* an end that is told must not be taken back by a successor */
+	if (sched_job_is_finished(job) && job->durable < job->version)
+		reply.version = job->version;
+	return reply;
+}
+
+gn_sched_reply_t gn_sched_cancel(gn_sched_t *sched, const char *id)
+{
+	sched_job_t *job = find_job(sched, id);
+	gn_sched_reply_t reply = { 0 };
+
+	if (!job) {
+		reply.result = GN_RESULT_NOT_FOUND;
+		return reply;
+	}
+	if (!sched_job_is_finished(job))
+		sched_job_finish(job, GN_JOB_CANCELLED, "cancelled");
+	reply.phase = job->phase;
+	if (job->durable < job->version)
+		reply.version = job->version;
+	return reply;
+}
+
+gn_sched_reply_t gn_sched_count_waiting(gn_sched_t *sched, const char *queue)
+{
+	gn_sched_reply_t reply = { 0 };
+
+	for (guint i = 0; i < sched->active->len; i++) {
+		const sched_job_t *job = g_ptr_array_index(sched->active, i);
+
+		if (job->phase == GN_JOB_QUEUED &&
+		    !strcmp(job->spec->queue, queue))
+			reply.waiting++;
+	}
+	return reply;
+}
--- /dev/null
+++ b/lib/sched/sched_pass.c
@@ -0,0 +1,211 @@
+/**
+ * @file sched_pass.c
+ * @brief Decides which waiting tasks are given to which workers.
+ *
+ * Answers the load of quick jobs beside large ones at and above capacity.
+ * Jobs go by the priority of their queue, then by whether they can still be
+ * in time, then by their deadline: what is late already yields to what is
+ * not, so that an overload makes few jobs late instead of all.
+ */
+#include <string.h>
+
+#include "common/str.h"
+#include "sched/sched_internal.h"
+
+/* ======   Order of jobs   ====== */
+
+static bool is_late(const sched_job_t *job, uint64_t now_us)
+{
+	return now_us > job->deadline_us;
+}
+
+static gint compare_jobs(gconstpointer a, gconstpointer b, gpointer data)
+{
+	const sched_job_t *first = *(sched_job_t *const *)a;
+	const sched_job_t *second = *(sched_job_t *const *)b;
+	uint64_t now_us = *(const uint64_t *)data;
+	bool first_late = is_late(first, now_us);
+	bool second_late = is_late(second, now_us);
+
+	if (first->priority != second->priority)
+		return first->priority < second->priority ? -1 : 1;
+	if (first_late != second_late)
+		return first_late ? 1 : -1;
+	if (first->deadline_us != second->deadline_us)
+		return first->deadline_us < second->deadline_us ? -1 : 1;
+	return strcmp(first->spec->id, second->spec->id);
+}
+
+static bool has_waiting(const sched_job_t *job)
+{
+	if (sched_job_is_finished(job) ||
+	    job->done + job->claimed >= job->task_count)
+		return false;
+	for (uint32_t i = 0; i < job->unit_count; i++)
+		if (job->units[i].ready && job->units[i].waiting)
+			return true;
+	return false;
+}
+
+static GPtrArray *rank_jobs(gn_sched_t *sched)
+{
+	GPtrArray *ranked = g_ptr_array_new();
+	uint64_t now_us = sched_now_us(sched);
+
+	for (guint i = 0; i < sched->active->len; i++) {
+		sched_job_t *job = g_ptr_array_index(sched->active, i);
+
+		if (has_waiting(job))
+			g_ptr_array_add(ranked, job);
+	}
+	g_ptr_array_sort_with_data(ranked, compare_jobs, &now_us);
+	return ranked;
+}
+
+/* ======   Candidates   ====== */
+
+/* The workers, as placing sees them, for one step after the other. */
+typedef struct candidates_s {
+	sched_worker_t **workers;
+	gn_place_worker_t *views;
+	size_t count;
+} candidates_t;
+
+static void get_candidates(gn_sched_t *sched, candidates_t *all)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	all->count = 0;
+	all->workers =
+		g_new(sched_worker_t *, g_hash_table_size(sched->workers) + 1);
+	all->views =
+		g_new(gn_place_worker_t, g_hash_table_size(sched->workers) + 1);
+	g_hash_table_iter_init(&iter, sched->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		sched_worker_t *worker = value;
+
+		if (worker->draining || !*worker->life ||
+		    !sched_worker_is_live(sched, worker) ||
+		    !gn_health_is_good(&worker->health, sched_now_us(sched)))
+			continue;
+		all->workers[all->count++] = worker;
+	}
+}
+
+static bool has_label(const sched_worker_t *worker, const char *label)
+{
+	return !*label ||
+	       g_strv_contains((const gchar *const *)worker->labels, label);
+}
+
+static void set_view(gn_place_worker_t *view, const sched_worker_t *worker,
+		     const sched_job_t *job, const Gn__JobStep *step)
+{
+	view->capacity = worker->capacity;
+	view->used = worker->used;
+	gn_room_add(&view->used, &worker->strays);
+	view->same_step = 0;
+	view->serving = worker->serving;
+	view->filling = worker->filling;
+	view->slowness =
+		worker->health.slowness > 0 ? worker->health.slowness : 1;
+	view->eligible = !strcmp(worker->service, job->service) &&
+			 has_label(worker, step->label);
+	view->near = !*step->rack || !strcmp(step->rack, worker->rack);
+}
+
+static void count_same_step(candidates_t *all, const sched_job_t *job,
+			    const sched_unit_t *unit)
+{
+	for (uint32_t i = 0; i < unit->step->count; i++) {
+		const sched_task_t *task = &job->tasks[unit->first + i];
+
+		if (task->status != GN_TASK_CLAIMED)
+			continue;
+		for (size_t k = 0; k < all->count; k++)
+			if (all->workers[k] == task->worker)
+				all->views[k].same_step++;
+	}
+}
+
+/* ======   Placing   ====== */
+
+/* The next waiting task of @p unit, or NULL. */
+static sched_task_t *next_waiting(sched_job_t *job, sched_unit_t *unit)
+{
+	while (unit->next < unit->step->count) {
+		sched_task_t *task = &job->tasks[unit->first + unit->next];
+
+		if (task->status == GN_TASK_WAITING)
+			return task;
+		unit->next++;
+	}
+	return NULL;
+}
+
+static void claim_at(candidates_t *all, size_t at, sched_task_t *task,
+		     const gn_place_task_t *wanted)
+{
+	gn_place_worker_t *view = &all->views[at];
+
+	sched_claim(task, all->workers[at], task->attempt + 1);
+	gn_room_add(&view->used, &wanted->room);
+	view->same_step++;
+	view->serving += wanted->serves;
+	view->filling += wanted->fills;
+}
+
+static void place_unit(gn_sched_t *sched, candidates_t *all, sched_job_t *job,
+		       sched_unit_t *unit)
+{
+	const Gn__JobStep *step = unit->step;
+	const gn_place_task_t wanted = { .room = sched_step_room(step),
+					 .per_worker = step->per_worker,
+					 .fills = step->fills,
+					 .serves = step->target_ms != 0,
+					 .far_factor =
+						 sched->config.far_factor };
+	sched_task_t *task;
+	size_t at;
+
+	for (size_t i = 0; i < all->count; i++)
+		set_view(&all->views[i], all->workers[i], job, step);
+	if (step->per_worker)
+		count_same_step(all, job, unit);
+	while ((task = next_waiting(job, unit))) {
+		at = gn_place(&wanted, all->views, all->count);
+		if (at == GN_PLACE_NONE)
+			return;
+		claim_at(all, at, task, &wanted);
+	}
+}
+
+static void place_job(gn_sched_t *sched, candidates_t *all, sched_job_t *job)
+{
+	for (uint32_t i = 0; i < job->unit_count; i++) {
+		sched_unit_t *unit = &job->units[i];
+
+		if (!unit->ready || !unit->waiting)
+			continue;
+		unit->next = 0;
+		place_unit(sched, all, job, unit);
+	}
+}
+
+void gn_sched_pass(gn_sched_t *sched)
+{
+	candidates_t all;
+	GPtrArray *ranked;
+
+	if (!sched->changed || !sched->queues)
+		return;
+	ranked = rank_jobs(sched);
+	get_candidates(sched, &all);
+	for (guint i = 0; i < ranked->len && all.count; i++)
+		place_job(sched, &all, g_ptr_array_index(ranked, i));
+	g_free(all.workers);
+	g_free(all.views);
+	g_ptr_array_free(ranked, TRUE);
+	sched->changed = false;
+}
--- /dev/null
+++ b/lib/sched/sched_store.c
@@ -0,0 +1,245 @@
+/**
+ * @file sched_store.c
+ * @brief What is stored of jobs: batches of writes, and loading.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/str.h"
+#include "sched/sched_internal.h"
+
+/* ======   Encoding   ====== */
+
+static char empty_text[] = "";
+
+static bool is_worth_storing(const sched_task_t *task)
+{
+	return task->status != GN_TASK_WAITING || task->attempt;
+}
+
+static void fill_task(const sched_task_t *task, Gn__TaskState *state)
+{
+	gn__task_state__init(state);
+	state->number = task->number;
+	state->status = task->status;
+	state->attempt = task->attempt;
+	state->failed = task->failed;
+	state->host = empty_text;
+	state->life = empty_text;
+	state->checkpoint = empty_text;
+	if (task->status == GN_TASK_CLAIMED) {
+		state->host = task->worker->host;
+		state->life = (char *)task->life;
+	}
+	if (task->status != GN_TASK_DONE && task->checkpoint)
+		state->checkpoint = task->checkpoint;
+}
+
+static void pack(const sched_job_t *job, gn_sched_write_t *write)
+{
+	Gn__TaskState *states = g_new(Gn__TaskState, job->task_count);
+	Gn__TaskState **rows = g_new(Gn__TaskState *, job->task_count);
+	Gn__JobRecord record = GN__JOB_RECORD__INIT;
+	Gn__JobState state = GN__JOB_STATE__INIT;
+
+	state.phase = job->phase;
+	state.accepted_ms = job->accepted_ms;
+	state.tasks = rows;
+	for (uint32_t i = 0; i < job->task_count; i++) {
+		if (!is_worth_storing(&job->tasks[i]))
+			continue;
+		rows[state.n_tasks] = &states[state.n_tasks];
+		fill_task(&job->tasks[i], &states[state.n_tasks++]);
+	}
+	record.spec = job->spec;
+	record.state = &state;
+	write->len = write->whole ? gn__job_record__get_packed_size(&record)
+				  : gn__job_state__get_packed_size(&state);
+	write->value = malloc(write->len + 1);
+	if (!write->value)
+		abort();
+	if (write->whole)
+		gn__job_record__pack(&record, write->value);
+	else
+		gn__job_state__pack(&state, write->value);
+	g_free(states);
+	g_free(rows);
+}
+
+/* ======   Batches   ====== */
+
+bool gn_sched_is_dirty(const gn_sched_t *sched)
+{
+	return !g_queue_is_empty((GQueue *)&sched->dirty);
+}
+
+size_t gn_sched_take_writes(gn_sched_t *sched, gn_sched_write_t *writes,
+			    size_t max)
+{
+	size_t count = 0;
+	sched_job_t *job;
+
+	while (count < max && (job = g_queue_pop_head(&sched->dirty))) {
+		gn_sched_write_t *write = &writes[count++];
+
+		memset(write, 0, sizeof(*write));
+		job->dirty = false;
+		job->writing = job->version;
+		write->job = job->spec->id;
+		write->remove = job->removing;
+		write->whole = !job->stored;
+		if (!write->remove)
+			pack(job, write);
+		g_ptr_array_add(sched->writing, job);
+	}
+	return count;
+}
+
+static void forget_job(gn_sched_t *sched, sched_job_t *job)
+{
+	g_ptr_array_remove_fast(sched->active, job);
+	if (job->dirty)
+		g_queue_remove(&sched->dirty, job);
+	g_hash_table_remove(sched->jobs, job->spec->id);
+}
+
+static void settle_all_ends(gn_sched_t *sched)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, sched->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		sched_worker_settle_ends(value);
+}
+
+void gn_sched_written(gn_sched_t *sched)
+{
+	for (guint i = 0; i < sched->writing->len; i++) {
+		sched_job_t *job = g_ptr_array_index(sched->writing, i);
+
+		if (job->removing) {
+			forget_job(sched, job);
+			continue;
+		}
+		job->durable = job->writing;
+		job->stored = true;
+		sched_job_send_starts(job);
+		sched->ops->durable(sched->arg, job->spec->id, job->durable);
+	}
+	g_ptr_array_set_size(sched->writing, 0);
+	settle_all_ends(sched);
+}
+
+void gn_sched_not_written(gn_sched_t *sched)
+{
+	for (guint i = 0; i < sched->writing->len; i++) {
+		sched_job_t *job = g_ptr_array_index(sched->writing, i);
+
+		if (job->dirty)
+			continue;
+		job->dirty = true;
+		g_queue_push_head(&sched->dirty, job);
+	}
+	g_ptr_array_set_size(sched->writing, 0);
+}
+
+/* ======   Loading   ====== */
+
+static gn_code_t check_states(const sched_job_t *job, const Gn__JobState *state)
+{
+	if (state->phase >= GN_JOB_PHASE_COUNT)
+		return GN_ERR_INVALID;
+	for (size_t i = 0; i < state->n_tasks; i++) {
+		const Gn__TaskState *row = state->tasks[i];
+
+		if (row->number >= job->task_count ||
+		    row->status > GN_TASK_DONE)
+			return GN_ERR_INVALID;
+	}
+	return GN_OK;
+}
+
+static void load_task(sched_job_t *job, const Gn__TaskState *row)
+{
+	sched_task_t *task = &job->tasks[row->number];
+	sched_unit_t *unit = &job->units[task->unit];
+
+	if (task->status != GN_TASK_WAITING)
+		return;
+	task->attempt = row->attempt;
+	task->failed = row->failed;
+	if (*row->checkpoint)
+		task->checkpoint = g_strdup(row->checkpoint);
+	if (row->status == GN_TASK_DONE) {
+		task->status = GN_TASK_DONE;
+		unit->waiting--;
+		unit->done++;
+		job->done++;
+	} else if (row->status == GN_TASK_CLAIMED) {
+		sched_claim_restore(task,
+				    sched_worker_get(job->sched, row->host),
+				    row->life);
+	}
+}
+
+gn_code_t gn_sched_load(gn_sched_t *sched, Gn__JobSpec *spec,
+			const Gn__JobState *state)
+{
+	sched_job_t *job;
+
+	if (gn_job_check(spec, NULL) ||
+	    g_hash_table_contains(sched->jobs, spec->id))
+		return GN_ERR_INVALID;
+	job = sched_job_create(sched, spec, state->accepted_ms);
+	if (check_states(job, state)) {
+		/* the caller keeps what it can't hand over */
+		job->spec = NULL;
+		g_ptr_array_remove_fast(sched->active, job);
+		g_hash_table_steal(sched->jobs, spec->id);
+		sched_job_free(job);
+		return GN_ERR_INVALID;
+	}
+	job->phase = (gn_job_phase_t)state->phase;
+	job->stored = true;
+	for (size_t i = 0; i < state->n_tasks; i++)
+		load_task(job, state->tasks[i]);
+	return GN_OK;
+}
+
+/* No executor is extending a lease that was given by a predecessor. */
+static void set_lapse(const gn_sched_t *sched, sched_worker_t *worker)
+{
+	uint64_t ms = (uint64_t)sched->config.lease_ms +
+		      sched->config.lease_ms / SCHED_DRIFT_PART +
+		      sched->config.depose_ms;
+
+	worker->lapse_us =
+		sched_now_us(sched) + ms * GN_US_PER_MS + SCHED_LEASE_MARGIN_US;
+}
+
+static void resume_job(sched_job_t *job)
+{
+	if (!sched_job_is_finished(job)) {
+		sched_job_update_units(job);
+		return;
+	}
+	job->finished_us = sched_now_us(job->sched);
+	for (uint32_t i = 0; i < job->task_count; i++)
+		if (job->tasks[i].status == GN_TASK_CLAIMED)
+			job->tasks[i].stopping = true;
+}
+
+void gn_sched_loaded(gn_sched_t *sched)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, sched->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		set_lapse(sched, value);
+	g_hash_table_iter_init(&iter, sched->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		resume_job(value);
+	sched->changed = true;
+}
--- /dev/null
+++ b/lib/sched/sched_worker.c
@@ -0,0 +1,367 @@
+/**
+ * @file sched_worker.c
+ * @brief Workers: what their executors report, and the ends of their leases.
+ */
+#include <string.h>
+
+#include "common/str.h"
+#include "sched/sched_internal.h"
+
+/* ======   Life   ====== */
+
+sched_worker_t *sched_worker_get(gn_sched_t *sched, const char *host)
+{
+	sched_worker_t *worker = g_hash_table_lookup(sched->workers, host);
+
+	if (worker)
+		return worker;
+	worker = g_new0(sched_worker_t, 1);
+	worker->host = g_strdup(host);
+	worker->life = "";
+	worker->claims = g_ptr_array_new();
+	g_queue_init(&worker->ends);
+	g_hash_table_insert(sched->workers, worker->host, worker);
+	return worker;
+}
+
+static void forget_ends(sched_worker_t *worker)
+{
+	sched_end_t *end;
+
+	while ((end = g_queue_pop_head(&worker->ends))) {
+		if (end->job)
+			end->job->refs--;
+		g_free(end);
+	}
+}
+
+void sched_worker_free(gpointer data)
+{
+	sched_worker_t *worker = data;
+
+	forget_ends(worker);
+	g_ptr_array_free(worker->claims, TRUE);
+	g_strfreev(worker->labels);
+	g_free(worker->service);
+	g_free(worker->data_centre);
+	g_free(worker->rack);
+	g_free(worker->machine);
+	g_free(worker->host);
+	g_free(worker);
+}
+
+bool sched_worker_is_live(const gn_sched_t *sched, const sched_worker_t *worker)
+{
+	return worker->heard_us &&
+	       sched_now_us(sched) - worker->heard_us < SCHED_SILENT_US;
+}
+
+static void note_worker(const gn_sched_t *sched, const char *what,
+			const sched_worker_t *worker, const char *why,
+			int64_t value)
+{
+	const gn_sched_event_t event = { .what = what,
+					 .host = worker->host,
+					 .life = worker->life,
+					 .why = why,
+					 .value = value };
+
+	sched->ops->event(sched->arg, &event);
+}
+
+/* ======   Releases   ====== */
+
+/* Gives up the claims that belong to another life than @p life. */
+static void release_other_lives(sched_worker_t *worker, const char *life,
+				const char *why)
+{
+	for (guint i = worker->claims->len; i > 0; i--) {
+		sched_task_t *task = g_ptr_array_index(worker->claims, i - 1);
+
+		if (task->life != life)
+			sched_unclaim(task, why);
+	}
+}
+
+void sched_workers_lapse(gn_sched_t *sched)
+{
+	uint64_t now_us = sched_now_us(sched);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, sched->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		sched_worker_t *worker = value;
+
+		if (!worker->claims->len || now_us < worker->lapse_us)
+			continue;
+		note_worker(sched, "lapse", worker, "executor silent",
+			    (int64_t)(now_us - worker->heard_us));
+		release_other_lives(worker, NULL, "lapsed");
+	}
+}
+
+/* ======   What a worker says of itself   ====== */
+
+static void set_text(char **text, const char *value)
+{
+	if (*text && !strcmp(*text, value))
+		return;
+	g_free(*text);
+	*text = g_strdup(value);
+}
+
+static void set_labels(sched_worker_t *worker, const Gn__WorkerReport *report)
+{
+	g_strfreev(worker->labels);
+	worker->labels = g_new0(char *, report->n_labels + 1);
+	for (size_t i = 0; i < report->n_labels; i++)
+		worker->labels[i] = g_strdup(report->labels[i]);
+}
+
+/* A new life has none of the runs and ends of the one before. */
+static void begin_life(gn_sched_t *sched, sched_worker_t *worker,
+		       const char *life, uint64_t born_ms)
+{
+	if (worker->life == life)
+		return;
+	release_other_lives(worker, life, "new life of the worker");
+	forget_ends(worker);
+	worker->life = life;
+	worker->born_ms = born_ms;
+	worker->ends_seen = 0;
+	worker->ends_durable = 0;
+	memset(&worker->health, 0, sizeof(worker->health));
+	memset(&worker->strays, 0, sizeof(worker->strays));
+	note_worker(sched, "worker", worker, "new life", (int64_t)born_ms);
+}
+
+static void take_description(sched_worker_t *worker,
+			     const Gn__WorkerReport *report)
+{
+	set_text(&worker->service, report->service);
+	set_text(&worker->data_centre, report->data_centre);
+	set_text(&worker->rack, report->rack);
+	set_text(&worker->machine, report->machine);
+	set_labels(worker, report);
+	worker->draining = report->draining;
+	worker->capacity.cpu_milli = report->cpu_milli;
+	worker->capacity.memory_mb = report->memory_mb;
+	worker->capacity.accelerators = report->accelerators;
+}
+
+/* ======   Runs   ====== */
+
+/* The task called @p name, or NULL. */
+static sched_task_t *find_task(const gn_sched_t *sched, const char *name)
+{
+	char id[GN_JOB_ID_LEN + 1];
+	gn_task_place_t place;
+	sched_job_t *job;
+	uint32_t unit;
+
+	if (gn_task_parse(name, id, &place))
+		return NULL;
+	job = g_hash_table_lookup(sched->jobs, id);
+	if (!job || place.step >= job->spec->n_steps)
+		return NULL;
+	unit = place.occurrence * job->spec->n_steps + place.step;
+	if (unit >= job->unit_count ||
+	    place.index >= job->units[unit].step->count)
+		return NULL;
+	return &job->tasks[job->units[unit].first + place.index];
+}
+
+static bool is_claim(const sched_task_t *task, const sched_worker_t *worker,
+		     uint32_t attempt)
+{
+	return task && task->status == GN_TASK_CLAIMED &&
+	       task->worker == worker && task->life == worker->life &&
+	       task->attempt == attempt;
+}
+
+/* A run without a claim: it takes room until it has been stopped. */
+static void stop_stray(gn_sched_t *sched, sched_worker_t *worker,
+		       const Gn__WorkerRun *run, const sched_task_t *task)
+{
+	const gn_run_order_t order = { .kind = GN_RUN_ORDER_STOP,
+				       .task = run->task,
+				       .attempt = run->attempt,
+				       .life = worker->life,
+				       .checkpoint = "",
+				       .ticket = "" };
+	const Gn__JobStep *step =
+		task ? task->job->units[task->unit].step : NULL;
+	const gn_sched_event_t event = { .what = "stop",
+					 .task = run->task,
+					 .attempt = run->attempt,
+					 .host = worker->host,
+					 .life = worker->life,
+					 .why = "no claim" };
+
+	if (step) {
+		gn_room_t room = sched_step_room(step);
+
+		gn_room_add(&worker->strays, &room);
+	}
+	sched->ops->event(sched->arg, &event);
+	sched->ops->order(sched->arg, worker->host, &order);
+}
+
+static void take_run(gn_sched_t *sched, sched_worker_t *worker,
+		     const Gn__WorkerRun *run)
+{
+	sched_task_t *task = find_task(sched, run->task);
+
+	if (!is_claim(task, worker, run->attempt)) {
+		stop_stray(sched, worker, run, task);
+		return;
+	}
+	if (!task->listed) {
+		task->listed = true;
+		task->listed_us = sched_now_us(sched);
+	}
+	if (*run->checkpoint &&
+	    (!task->checkpoint || strcmp(task->checkpoint, run->checkpoint))) {
+		/* stored with the job's next change */
+		g_free(task->checkpoint);
+		task->checkpoint = g_strdup(run->checkpoint);
+	}
+	task->gauge = run->gauge;
+}
+
+static void take_runs(gn_sched_t *sched, sched_worker_t *worker,
+		      const Gn__WorkerReport *report)
+{
+	bool had_strays = worker->strays.cpu_milli || worker->strays.memory_mb;
+
+	memset(&worker->strays, 0, sizeof(worker->strays));
+	for (size_t i = 0; i < report->n_runs; i++)
+		take_run(sched, worker, report->runs[i]);
+	if (had_strays)
+		sched->changed = true;
+}
+
+/* ======   Ends   ====== */
+
+static void take_end(gn_sched_t *sched, sched_worker_t *worker,
+		     const Gn__WorkerEnd *listed, bool void_ends)
+{
+	sched_task_t *task = find_task(sched, listed->task);
+	gn_end_how_t how = (gn_end_how_t)listed->how;
+	sched_end_t *end;
+
+	if (listed->number <= worker->ends_seen)
+		return;
+	worker->ends_seen = listed->number;
+	end = g_new0(sched_end_t, 1);
+	end->number = listed->number;
+	if (is_claim(task, worker, listed->attempt)) {
+		if (void_ends && how == GN_END_DONE)
+			how = GN_END_LAPSED;
+		end->job = task->job;
+		end->job->refs++;
+		sched_take_end(task, how, listed->checkpoint);
+		end->version = end->job->version;
+	}
+	g_queue_push_tail(&worker->ends, end);
+}
+
+void sched_worker_settle_ends(sched_worker_t *worker)
+{
+	sched_end_t *end;
+
+	while ((end = g_queue_peek_head(&worker->ends))) {
+		if (end->job && end->job->durable < end->version)
+			return;
+		if (end->job)
+			end->job->refs--;
+		worker->ends_durable = end->number;
+		g_free(g_queue_pop_head(&worker->ends));
+	}
+}
+
+/* ======   Results of orders   ====== */
+
+static void take_result(gn_sched_t *sched, sched_worker_t *worker,
+			const Gn__OrderResult *result)
+{
+	sched_task_t *task = find_task(sched, result->task);
+	const char *verdict = gn_run_order_verdict_name(
+		(gn_run_order_verdict_t)result->verdict);
+
+	if (!is_claim(task, worker, result->attempt))
+		return;
+	sched_note_task(sched, "order", task, verdict, 0);
+	switch ((gn_run_order_verdict_t)result->verdict) {
+	case GN_VERDICT_STARTED:
+		break;
+	case GN_VERDICT_MALFORMED:
+		sched_take_end(task, GN_END_FAILED, "");
+		break;
+	case GN_VERDICT_ENDED:
+		/* the list tells how; one that is never listed is gone */
+		break;
+	default:
+		sched_unclaim(task, verdict);
+	}
+}
+
+/* ======   Reports   ====== */
+
+/* From the answer to this report its executor may extend the lease. */
+static void extend_lease(const gn_sched_t *sched, sched_worker_t *worker)
+{
+	uint64_t lease_us = (uint64_t)sched->config.lease_ms * GN_US_PER_MS;
+	uint64_t lapse_us = sched_now_us(sched) + lease_us +
+			    lease_us / SCHED_DRIFT_PART + SCHED_LEASE_MARGIN_US;
+
+	if (lapse_us > worker->lapse_us)
+		worker->lapse_us = lapse_us;
+}
+
+uint64_t gn_sched_report(gn_sched_t *sched, const Gn__WorkerReport *report)
+{
+	sched_worker_t *worker = sched_worker_get(sched, report->host);
+	bool was_live = sched_worker_is_live(sched, worker);
+	bool was_draining = worker->draining;
+
+	worker->heard_us = sched_now_us(sched);
+	if (*report->life && report->born_ms >= worker->born_ms) {
+		begin_life(sched, worker, g_intern_string(report->life),
+			   report->born_ms);
+		take_description(worker, report);
+	}
+	extend_lease(sched, worker);
+	if (strcmp(report->life, worker->life))
+		return 0;
+	if (!was_live)
+		note_worker(sched, "worker", worker, "heard", 0);
+	if (worker->draining != was_draining)
+		note_worker(sched, "worker", worker, "draining", 0);
+	if (report->listed) {
+		for (size_t i = 0; i < report->n_ends; i++)
+			take_end(sched, worker, report->ends[i],
+				 report->lease_lapsed);
+		take_runs(sched, worker, report);
+		sched_pace_worker(sched, worker);
+	}
+	if (report->left)
+		release_other_lives(worker, NULL, "worker left");
+	for (size_t i = 0; i < report->n_results; i++)
+		take_result(sched, worker, report->results[i]);
+	sched_worker_settle_ends(worker);
+	if (!was_live || worker->draining != was_draining)
+		sched->changed = true;
+	return worker->ends_durable;
+}
+
+uint64_t gn_sched_ends_stored(const gn_sched_t *sched, const char *host,
+			      const char **life)
+{
+	const sched_worker_t *worker =
+		g_hash_table_lookup(sched->workers, host);
+
+	*life = worker ? worker->life : "";
+	return worker ? worker->ends_durable : 0;
+}
--- /dev/null
+++ b/lib/scheduler/calls.c
@@ -0,0 +1,377 @@
+/**
+ * @file calls.c
+ * @brief Requests about jobs: decided here by the leader, else handed on.
+ */
+#include <string.h>
+
+#include "common/event.h"
+#include "common/str.h"
+#include "http/status.h"
+#include "scheduler/scheduler_internal.h"
+
+/** A request that was handed on is given up after this long. */
+#define HANDED_ON_US (1500 * GN_US_PER_MS)
+/** A change that the store has not taken after this long is unknown. */
+#define STORE_US (1800 * GN_US_PER_MS)
+/** When a caller may come back while no scheduler leads, seconds. */
+#define NO_LEADER_RETRY_S 1
+#define MS_PER_S 1000
+
+/* ======   Answers   ====== */
+
+void scheduler_call_free(gpointer data)
+{
+	scheduler_call_t *call = data;
+
+	g_free(call->queue);
+	g_free(call->spec);
+	g_free(call);
+}
+
+static unsigned get_retry_s(const gn_sched_reply_t *reply)
+{
+	if (reply->result == GN_RESULT_NOT_LEADER)
+		return NO_LEADER_RETRY_S;
+	return (reply->retry_after_ms + MS_PER_S - 1) / MS_PER_S;
+}
+
+static void answer_http(scheduler_t *scheduler, gn_http_request_t *request,
+			gn_job_call_kind_t kind, const gn_sched_reply_t *reply)
+{
+	const gn_job_answer_t answer = { .kind = kind,
+					 .result = reply->result,
+					 .phase = reply->phase,
+					 .waiting = reply->waiting,
+					 .retry_after_s = get_retry_s(reply),
+					 .reason = reply->reason };
+
+	scheduler->adapter->write_answer(&answer, &request->answer);
+	gn_http_server_answer(scheduler->server, request);
+}
+
+static void answer_peer(scheduler_t *scheduler, const scheduler_call_t *call,
+			const gn_sched_reply_t *reply)
+{
+	Gn__Envelope envelope = GN__ENVELOPE__INIT;
+	Gn__JobReply message = GN__JOB_REPLY__INIT;
+
+	message.number = call->peer_number;
+	message.result = reply->result;
+	message.phase = reply->phase;
+	message.waiting = reply->waiting;
+	message.retry_after_ms = reply->retry_after_ms;
+	if (reply->reason)
+		message.reason = (char *)reply->reason;
+	envelope.incarnation = scheduler->runtime->incarnation;
+	envelope.body_case = GN__ENVELOPE__BODY_JOB_REPLY;
+	envelope.job_reply = &message;
+	gn_link_send(scheduler->link, &call->peer, &envelope);
+}
+
+static uint64_t now_us(const scheduler_t *scheduler)
+{
+	return gn_runtime_now_us(scheduler->runtime);
+}
+
+static void log_call(const scheduler_t *scheduler, const scheduler_call_t *call,
+		     const gn_sched_reply_t *reply)
+{
+	const gn_queues_t *queues = scheduler->queues;
+
+	/* states are asked for all the time and change nothing */
+	if (call->kind == GN_CALL_STATE && reply->result == GN_RESULT_OK)
+		return;
+	gn_event("call", "{s:s, s:s, s:s*, s:s, s:s, s:s*, s:I, s:I, s:I}",
+		 "job", call->job, "kind", gn_job_call_name(call->kind),
+		 "queue", call->queue, "result",
+		 gn_job_result_name(reply->result), "phase",
+		 gn_job_phase_name(reply->phase), "why", reply->reason, "epoch",
+		 (json_int_t)scheduler->epoch, "configuration",
+		 (json_int_t)(queues ? queues->version : 0), "took_us",
+		 (json_int_t)(now_us(scheduler) - call->began_us));
+}
+
+/* Answers @p call and frees it. */
+static void answer(scheduler_t *scheduler, scheduler_call_t *call,
+		   const gn_sched_reply_t *reply)
+{
+	log_call(scheduler, call, reply);
+	gn_counter_inc(scheduler->counters.results[reply->result]);
+	if (call->request)
+		answer_http(scheduler, call->request, call->kind, reply);
+	else
+		answer_peer(scheduler, call, reply);
+	scheduler_call_free(call);
+}
+
+static void answer_result(scheduler_t *scheduler, scheduler_call_t *call,
+			  gn_job_result_t result, const char *reason)
+{
+	const gn_sched_reply_t reply = { .result = result, .reason = reason };
+
+	answer(scheduler, call, &reply);
+}
+
+/* ======   Decisions   ====== */
+
+/* A leader that the store has not confirmed lately may not know all jobs. */
+static bool is_confirmed(const scheduler_t *scheduler)
+{
+	uint64_t ttl_us = (uint64_t)scheduler->runtime->settings->lease_ttl_ms *
+			  GN_US_PER_MS;
+
+	return now_us(scheduler) - gn_lead_confirmed_us(scheduler->lead) <
+	       ttl_us;
+}
+
+static gn_sched_reply_t submit(scheduler_t *scheduler,
+			       const scheduler_call_t *call)
+{
+	gn_sched_reply_t reply = { .result = GN_RESULT_REFUSED,
+				   .retry_after_ms = MS_PER_S,
+				   .reason = "store away" };
+	Gn__JobSpec *spec;
+
+	if (!is_confirmed(scheduler) &&
+	    gn_sched_state(scheduler->sched, call->job).result ==
+		    GN_RESULT_NOT_FOUND) {
+		reply.result = GN_RESULT_NOT_LEADER;
+		return reply;
+	}
+	spec = gn__job_spec__unpack(NULL, call->spec_len, call->spec);
+	if (!spec || gn_job_check(spec, NULL)) {
+		if (spec)
+			gn__job_spec__free_unpacked(spec, NULL);
+		reply.result = GN_RESULT_INVALID;
+		return reply;
+	}
+	return gn_sched_submit(scheduler->sched, spec);
+}
+
+static gn_sched_reply_t decide(scheduler_t *scheduler,
+			       const scheduler_call_t *call)
+{
+	gn_sched_reply_t reply;
+
+	switch (call->kind) {
+	case GN_CALL_SUBMIT:
+		return submit(scheduler, call);
+	case GN_CALL_STATE:
+		reply = gn_sched_state(scheduler->sched, call->job);
+		break;
+	case GN_CALL_CANCEL:
+		reply = gn_sched_cancel(scheduler->sched, call->job);
+		break;
+	default:
+		return gn_sched_count_waiting(scheduler->sched, call->queue);
+	}
+	if (reply.result == GN_RESULT_NOT_FOUND && !is_confirmed(scheduler)) {
+		reply.result = GN_RESULT_NOT_LEADER;
+		reply.reason = "store away";
+	}
+	return reply;
+}
+
+static void serve(scheduler_t *scheduler, scheduler_call_t *call)
+{
+	call->reply = decide(scheduler, call);
+	if (call->reply.version) {
+		g_ptr_array_add(scheduler->waiting, call);
+	} else {
+		const gn_sched_reply_t reply = call->reply;
+
+		answer(scheduler, call, &reply);
+	}
+	scheduler_run(scheduler);
+}
+
+void scheduler_calls_durable(scheduler_t *scheduler, const char *job,
+			     uint64_t version)
+{
+	GPtrArray *waiting = scheduler->waiting;
+
+	for (guint i = waiting->len; i > 0; i--) {
+		scheduler_call_t *call = g_ptr_array_index(waiting, i - 1);
+		gn_sched_reply_t reply = call->reply;
+
+		if (strcmp(call->job, job) != 0 || reply.version > version)
+			continue;
+		g_ptr_array_remove_index_fast(waiting, i - 1);
+		answer(scheduler, call, &reply);
+	}
+}
+
+void scheduler_calls_deposed(scheduler_t *scheduler)
+{
+	GPtrArray *waiting = scheduler->waiting;
+
+	while (waiting->len)
+		answer_result(scheduler,
+			      g_ptr_array_remove_index_fast(waiting, 0),
+			      GN_RESULT_UNKNOWN, "leadership lost");
+}
+
+/* ======   Callers   ====== */
+
+static scheduler_call_t *create_call(scheduler_t *scheduler,
+				     gn_http_request_t *request,
+				     gn_job_call_t *read)
+{
+	scheduler_call_t *call = g_new0(scheduler_call_t, 1);
+
+	call->request = request;
+	call->kind = read->kind;
+	memcpy(call->job, read->job, sizeof(call->job));
+	call->queue = g_strdup(read->queue->name);
+	call->began_us = now_us(scheduler);
+	if (read->spec) {
+		call->spec_len = gn__job_spec__get_packed_size(read->spec);
+		call->spec = g_malloc(call->spec_len + 1);
+		gn__job_spec__pack(read->spec, call->spec);
+		gn__job_spec__free_unpacked(read->spec, NULL);
+	}
+	return call;
+}
+
+static void refuse(scheduler_t *scheduler, gn_http_request_t *request,
+		   gn_job_result_t result, const char *reason)
+{
+	const gn_sched_reply_t reply = { .result = result, .reason = reason };
+
+	gn_counter_inc(scheduler->counters.results[result]);
+	gn_event("call refused", "{s:s, s:s, s:s}", "path", request->path,
+		 "result", gn_job_result_name(result), "why", reason);
+	answer_http(scheduler, request, GN_CALL_STATE, &reply);
+}
+
+static void dispatch(scheduler_t *scheduler, scheduler_call_t *call)
+{
+	gn_counter_inc(scheduler->counters.calls[call->kind]);
+	if (scheduler_is_serving(scheduler))
+		serve(scheduler, call);
+	else if (!scheduler_forward(scheduler, call))
+		answer_result(scheduler, call, GN_RESULT_NOT_LEADER,
+			      "no leader");
+}
+
+void scheduler_on_http(void *arg, gn_http_request_t *request)
+{
+	scheduler_t *scheduler = arg;
+	gn_error_t error = { 0 };
+	gn_job_call_t call;
+	gn_code_t code;
+
+	if (!scheduler->queues) {
+		refuse(scheduler, request, GN_RESULT_NOT_LEADER,
+		       "no configuration yet");
+		return;
+	}
+	code = scheduler->adapter->read_call(request, scheduler->queues, &call,
+					     &error);
+	if (code == GN_ERR_NOT_FOUND)
+		refuse(scheduler, request, GN_RESULT_NO_QUEUE, error.detail);
+	else if (code)
+		refuse(scheduler, request, GN_RESULT_INVALID, error.detail);
+	else
+		dispatch(scheduler, create_call(scheduler, request, &call));
+}
+
+/* ======   Other schedulers   ====== */
+
+void scheduler_on_job_call(scheduler_t *scheduler, const gn_link_peer_t *peer,
+			   const Gn__JobCall *message)
+{
+	scheduler_call_t *call;
+
+	if (message->kind >= GN_CALL_KIND_COUNT ||
+	    (message->kind != GN_CALL_COUNT_WAITING &&
+	     !gn_job_is_id(gn_str_from(message->job))))
+		return;
+	call = g_new0(scheduler_call_t, 1);
+	call->peer = *peer;
+	call->peer_number = message->number;
+	call->kind = (gn_job_call_kind_t)message->kind;
+	gn_str_copy(call->job, sizeof(call->job), gn_str_from(message->job));
+	call->queue = g_strdup(message->queue);
+	call->spec_len = message->spec.len;
+	call->spec = g_memdup2(message->spec.data, message->spec.len);
+	call->began_us = now_us(scheduler);
+	if (scheduler_is_serving(scheduler))
+		serve(scheduler, call);
+	else
+		answer_result(scheduler, call, GN_RESULT_NOT_LEADER,
+			      "does not lead");
+}
+
+void scheduler_on_job_reply(scheduler_t *scheduler, const Gn__JobReply *message)
+{
+	scheduler_call_t *call =
+		g_hash_table_lookup(scheduler->handed_on, &message->number);
+	const gn_sched_reply_t reply = {
+		.result = (gn_job_result_t)message->result,
+		.phase = (gn_job_phase_t)message->phase,
+		.waiting = message->waiting,
+		.retry_after_ms = message->retry_after_ms,
+		.reason = *message->reason ? message->reason : NULL,
+	};
+
+	scheduler->leader_heard_us = now_us(scheduler);
+	if (!call || message->result >= GN_RESULT_COUNT ||
+	    message->phase >= GN_JOB_PHASE_COUNT)
+		return;
+	g_hash_table_steal(scheduler->handed_on, &message->number);
+	answer(scheduler, call, &reply);
+}
+
+/* ======   Time   ====== */
+
+static bool may_have_run(const scheduler_call_t *call)
+{
+	return call->kind == GN_CALL_SUBMIT || call->kind == GN_CALL_CANCEL;
+}
+
+static void give_up(scheduler_t *scheduler, scheduler_call_t *call)
+{
+	if (may_have_run(call))
+		answer_result(scheduler, call, GN_RESULT_UNKNOWN,
+			      "no answer from the leader");
+	else
+		answer_result(scheduler, call, GN_RESULT_NOT_LEADER,
+			      "no answer from the leader");
+}
+
+static void expire_waiting(scheduler_t *scheduler)
+{
+	GPtrArray *waiting = scheduler->waiting;
+
+	for (guint i = waiting->len; i > 0; i--) {
+		scheduler_call_t *call = g_ptr_array_index(waiting, i - 1);
+
+		if (now_us(scheduler) - call->began_us < STORE_US)
+			continue;
+		g_ptr_array_remove_index_fast(waiting, i - 1);
+		answer_result(scheduler, call, GN_RESULT_UNKNOWN,
+			      "store silent");
+	}
+}
+
+void scheduler_calls_tick(scheduler_t *scheduler)
+{
+	GPtrArray *over = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, scheduler->handed_on);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		scheduler_call_t *call = value;
+
+		if (now_us(scheduler) - call->began_us < HANDED_ON_US)
+			continue;
+		g_hash_table_iter_steal(&iter);
+		g_ptr_array_add(over, call);
+	}
+	for (guint i = 0; i < over->len; i++)
+		give_up(scheduler, g_ptr_array_index(over, i));
+	g_ptr_array_free(over, TRUE);
+	expire_waiting(scheduler);
+}
--- /dev/null
+++ b/lib/scheduler/config.c
@@ -0,0 +1,74 @@
+/**
+ * @file config.c
+ * @brief Follows the operators' configuration of queues and services.
+ */
+#include "common/event.h"
+#include "common/str.h"
+#include "scheduler/scheduler_internal.h"
+
+/** Of one watch call; short, for a connection may have gone silent. */
+#define WATCH_WAIT_MS 1000
+
+static void adopt(scheduler_t *scheduler, gn_queues_t *queues,
+		  uint64_t revision)
+{
+	gn_queues_t *old = scheduler->queues;
+
+	scheduler->queues = queues;
+	if (scheduler->sched)
+		gn_sched_configure(scheduler->sched, queues);
+	talloc_free(old);
+	gn_event("configuration", "{s:I, s:I, s:I}", "version",
+		 (json_int_t)queues->version, "revision", (json_int_t)revision,
+		 "queues", (json_int_t)queues->queue_count);
+	if (scheduler_is_serving(scheduler))
+		scheduler_run(scheduler);
+}
+
+static void take_entry(scheduler_t *scheduler, const gn_kv_entry_t *entry)
+{
+	gn_queues_t *queues = NULL;
+	gn_error_t error = { 0 };
+
+	if (entry->deleted ||
+	    !gn_str_equal(entry->key,
+			  gn_str_from(scheduler->adapter->config_key)))
+		return;
+	if (scheduler->adapter->read_config(scheduler, entry->value, &queues,
+					    &error)) {
+		gn_event("configuration refused", "{s:I, s:s}", "revision",
+			 (json_int_t)entry->revision, "why", error.detail);
+		return;
+	}
+	/* never back to an older one */
+	if (scheduler->queues &&
+	    queues->version <= scheduler->queues->version) {
+		talloc_free(queues);
+		return;
+	}
+	adopt(scheduler, queues, entry->revision);
+}
+
+static void on_news(void *context, const gn_kv_news_t *news)
+{
+	for (size_t i = 0; i < news->count; i++)
+		take_entry(context, &news->entries[i]);
+}
+
+gn_code_t scheduler_config_open(scheduler_t *scheduler, gn_error_t *error)
+{
+	const gn_kv_watch_options_t options = {
+		.prefix = scheduler->adapter->config_key,
+		.wait_ms = WATCH_WAIT_MS,
+		.on_news = on_news,
+		.context = scheduler,
+	};
+
+	scheduler->config_watch = gn_kv_watch_create(
+		scheduler, scheduler->kv, &scheduler->runtime->clock,
+		scheduler->runtime->random, &options);
+	if (!scheduler->config_watch)
+		return gn_error_set(error, GN_ERR_MEMORY, "start", NULL,
+				    "configuration watch");
+	return GN_OK;
+}
--- /dev/null
+++ b/lib/scheduler/executors.c
@@ -0,0 +1,159 @@
+/**
+ * @file executors.c
+ * @brief The executors' reports, and the orders sent to them.
+ */
+#include <string.h>
+
+#include "common/str.h"
+#include "scheduler/scheduler_internal.h"
+
+/* ======   Orders to be sent   ====== */
+
+static void free_order(gpointer data)
+{
+	gn__worker_order__free_unpacked(data, NULL);
+}
+
+void scheduler_executor_free(gpointer data)
+{
+	scheduler_executor_t *executor = data;
+
+	g_ptr_array_free(executor->orders, TRUE);
+	g_free(executor->host);
+	g_free(executor);
+}
+
+static scheduler_executor_t *get_executor(scheduler_t *scheduler,
+					  const char *host)
+{
+	scheduler_executor_t *executor =
+		g_hash_table_lookup(scheduler->executors, host);
+
+	if (executor)
+		return executor;
+	executor = g_new0(scheduler_executor_t, 1);
+	executor->host = g_strdup(host);
+	executor->orders = g_ptr_array_new_with_free_func(free_order);
+	g_hash_table_insert(scheduler->executors, executor->host, executor);
+	return executor;
+}
+
+static void copy_payload(ProtobufCBinaryData *to, gn_str_t from)
+{
+	to->data = malloc(from.len + 1);
+	if (!to->data)
+		abort(); /* as GLib does when memory is short */
+	memcpy(to->data, from.data, from.len);
+	to->len = from.len;
+}
+
+void scheduler_add_order(scheduler_t *scheduler, const char *host,
+			 const gn_run_order_t *order)
+{
+	scheduler_executor_t *executor = get_executor(scheduler, host);
+	Gn__WorkerOrder *message = malloc(sizeof(*message));
+
+	if (!message)
+		abort();
+	gn__worker_order__init(message);
+	message->kind = order->kind;
+	message->task = strdup(order->task);
+	message->attempt = order->attempt;
+	message->life = strdup(order->life);
+	message->checkpoint = strdup(order->checkpoint);
+	message->ticket = strdup(order->ticket);
+	message->percent = order->percent;
+	if (order->kind == GN_RUN_ORDER_START)
+		copy_payload(&message->payload, order->payload);
+	g_ptr_array_add(executor->orders, message);
+	gn_counter_inc(scheduler->counters.orders);
+}
+
+/* ======   Sending   ====== */
+
+static void send_orders(scheduler_t *scheduler, const gn_link_peer_t *peer,
+			Gn__WorkerOrders *message)
+{
+	Gn__Envelope envelope = GN__ENVELOPE__INIT;
+
+	envelope.incarnation = scheduler->runtime->incarnation;
+	envelope.body_case = GN__ENVELOPE__BODY_WORKER_ORDERS;
+	envelope.worker_orders = message;
+	gn_link_send(scheduler->link, peer, &envelope);
+}
+
+/* The leader's promise ends when the store has not confirmed it for long. */
+static bool may_extend(const scheduler_t *scheduler)
+{
+	const gn_settings_t *settings = scheduler->runtime->settings;
+	uint64_t depose_us = (uint64_t)settings->jobs.depose_ms * GN_US_PER_MS;
+
+	return gn_runtime_now_us(scheduler->runtime) -
+		       gn_lead_confirmed_us(scheduler->lead) <
+	       depose_us;
+}
+
+static void flush_executor(scheduler_t *scheduler,
+			   scheduler_executor_t *executor)
+{
+	Gn__WorkerOrders message = GN__WORKER_ORDERS__INIT;
+	const char *life;
+	uint64_t ends =
+		gn_sched_ends_stored(scheduler->sched, executor->host, &life);
+
+	if (!executor->answer && !executor->orders->len &&
+	    ends == executor->ends_told)
+		return;
+	message.epoch = scheduler->epoch;
+	message.ends_stored = ends;
+	message.life = (char *)life;
+	if (may_extend(scheduler))
+		message.sequence = executor->answer;
+	message.n_orders = executor->orders->len;
+	message.orders = (Gn__WorkerOrder **)executor->orders->pdata;
+	send_orders(scheduler, &executor->peer, &message);
+	executor->answer = 0;
+	executor->ends_told = ends;
+	g_ptr_array_set_size(executor->orders, 0);
+}
+
+void scheduler_executors_flush(scheduler_t *scheduler)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, scheduler->executors);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		flush_executor(scheduler, value);
+}
+
+/* ======   Reports   ====== */
+
+static void redirect(scheduler_t *scheduler, const gn_link_peer_t *peer)
+{
+	Gn__WorkerOrders message = GN__WORKER_ORDERS__INIT;
+	const char *leader = gn_lead_address(scheduler->lead);
+
+	if (leader)
+		message.leader = (char *)leader;
+	send_orders(scheduler, peer, &message);
+}
+
+void scheduler_on_report(scheduler_t *scheduler, const gn_link_peer_t *peer,
+			 const Gn__WorkerReport *report)
+{
+	scheduler_executor_t *executor;
+
+	/* an executor that reports while jobs are loaded waits for orders */
+	if (scheduler->loading)
+		return;
+	if (!scheduler_is_serving(scheduler)) {
+		redirect(scheduler, peer);
+		return;
+	}
+	executor = get_executor(scheduler, report->host);
+	executor->peer = *peer;
+	executor->answer = report->sequence;
+	gn_sched_report(scheduler->sched, report);
+	scheduler_run(scheduler);
+}
--- /dev/null
+++ b/lib/scheduler/forward.c
@@ -0,0 +1,128 @@
+/**
+ * @file forward.c
+ * @brief Hands requests on to the leading scheduler.
+ */
+#include <string.h>
+
+#include "common/event.h"
+#include "common/str.h"
+#include "scheduler/scheduler_internal.h"
+
+/** A leader that answers nothing for this long gets a new connection. */
+#define SILENT_US (700 * GN_US_PER_MS)
+/** Reconnection of the link is spread over this, milliseconds. */
+#define RECONNECT_MS 400
+
+static void on_envelope(void *arg, const gn_link_peer_t *peer,
+			const Gn__Envelope *envelope)
+{
+	(void)peer;
+	if (envelope->body_case == GN__ENVELOPE__BODY_JOB_REPLY)
+		scheduler_on_job_reply(arg, envelope->job_reply);
+}
+
+static void disconnect(scheduler_t *scheduler)
+{
+	TALLOC_FREE(scheduler->to_leader);
+	scheduler->leader[0] = '\0';
+}
+
+static void connect_to(scheduler_t *scheduler, const char *address)
+{
+	const gn_link_config_t config = {
+		.events = scheduler->runtime->events,
+		.zmq = scheduler->runtime->zmq,
+		.address = scheduler->leader,
+		.timeout_ms = RECONNECT_MS,
+		.counters = scheduler->runtime->counters,
+		.handler = on_envelope,
+		.arg = scheduler,
+	};
+	gn_error_t error = { 0 };
+
+	gn_str_copy(scheduler->leader, sizeof(scheduler->leader),
+		    gn_str_from(address));
+	scheduler->leader_heard_us = gn_runtime_now_us(scheduler->runtime);
+	if (gn_link_connect(scheduler, &config, &scheduler->to_leader, &error))
+		gn_event("leader unreachable", "{s:s, s:s}", "leader", address,
+			 "why", error.detail);
+	else
+		gn_event("leader", "{s:s}", "leader", address);
+}
+
+static void send_call(scheduler_t *scheduler, scheduler_call_t *call,
+		      gn_code_t *code)
+{
+	Gn__Envelope envelope = GN__ENVELOPE__INIT;
+	Gn__JobCall message = GN__JOB_CALL__INIT;
+
+	message.number = call->number;
+	message.kind = call->kind;
+	message.queue = call->queue;
+	message.job = call->job;
+	message.spec.data = call->spec;
+	message.spec.len = call->spec_len;
+	envelope.incarnation = scheduler->runtime->incarnation;
+	envelope.body_case = GN__ENVELOPE__BODY_JOB_CALL;
+	envelope.job_call = &message;
+	*code = gn_link_send(scheduler->to_leader, NULL, &envelope);
+}
+
+/* All calls are idempotent, so a new connection or leader gets them again. */
+static void send_again(scheduler_t *scheduler)
+{
+	GHashTableIter iter;
+	gpointer value;
+	gn_code_t code;
+
+	if (!scheduler->to_leader)
+		return;
+	g_hash_table_iter_init(&iter, scheduler->handed_on);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		send_call(scheduler, value, &code);
+}
+
+static bool is_silent(const scheduler_t *scheduler)
+{
+	return g_hash_table_size(scheduler->handed_on) &&
+	       gn_runtime_now_us(scheduler->runtime) -
+			       scheduler->leader_heard_us >
+		       SILENT_US;
+}
+
+void scheduler_forward_tick(scheduler_t *scheduler)
+{
+	const char *address = gn_lead_address(scheduler->lead);
+	bool is_own =
+		address &&
+		!strcmp(address, scheduler->runtime->settings->link_listen);
+
+	if (!address || is_own) {
+		disconnect(scheduler);
+		return;
+	}
+	if (scheduler->to_leader && !strcmp(address, scheduler->leader) &&
+	    !is_silent(scheduler))
+		return;
+	disconnect(scheduler);
+	connect_to(scheduler, address);
+	send_again(scheduler);
+}
+
+bool scheduler_forward(scheduler_t *scheduler, scheduler_call_t *call)
+{
+	gn_code_t code;
+
+	if (!scheduler->to_leader)
+		return false;
+	call->number = ++scheduler->last_number;
+	send_call(scheduler, call, &code);
+	if (code)
+		return false;
+	if (!g_hash_table_size(scheduler->handed_on))
+		scheduler->leader_heard_us =
+			gn_runtime_now_us(scheduler->runtime);
+	gn_counter_inc(scheduler->counters.handed_on);
+	g_hash_table_insert(scheduler->handed_on, &call->number, call);
+	return true;
+}
--- /dev/null
+++ b/lib/scheduler/leading.c
@@ -0,0 +1,331 @@
+/**
+ * @file leading.c
+ * @brief What the leader does: loads all jobs, then decides and stores.
+ */
+#include <string.h>
+
+#include "common/event.h"
+#include "common/str.h"
+#include "platform/backoff.h"
+#include "scheduler/scheduler_internal.h"
+
+/** Between two looks at leases, due times and lost orders. */
+#define TICK_US (100 * GN_US_PER_MS)
+#define MS_PER_S 1000
+
+/** What has been read of the store's jobs. */
+typedef struct scheduler_loading_s {
+	scheduler_t *scheduler;
+	uint64_t began_us;
+	GHashTable *states; /**< id to Gn__JobState */
+	GHashTable *specs; /**< id to Gn__JobSpec */
+	bool specs_listed; /**< the states are all there */
+	char *after; /**< last key of the page before */
+	gn_kv_call_t call;
+	uint64_t due_us; /**< of the next attempt */
+	gn_backoff_t backoff;
+} scheduler_loading_t;
+
+static uint64_t now_us(const scheduler_t *scheduler)
+{
+	return gn_runtime_now_us(scheduler->runtime);
+}
+
+bool scheduler_is_serving(const scheduler_t *scheduler)
+{
+	return scheduler->ledger != NULL;
+}
+
+/* ======   The decisions' surroundings   ====== */
+
+static void on_order(void *arg, const char *host, const gn_run_order_t *order)
+{
+	scheduler_add_order(arg, host, order);
+}
+
+static void on_durable(void *arg, const char *job, uint64_t version)
+{
+	scheduler_calls_durable(arg, job, version);
+}
+
+static void on_event(void *arg, const gn_sched_event_t *event)
+{
+	const scheduler_t *scheduler = arg;
+
+	gn_event(event->what, "{s:s*, s:s*, s:I, s:s*, s:s*, s:s*, s:I, s:I}",
+		 "job", event->job, "task", event->task, "attempt",
+		 (json_int_t)event->attempt, "host", event->host, "life",
+		 event->life, "why", event->why, "value",
+		 (json_int_t)event->value, "epoch",
+		 (json_int_t)scheduler->epoch);
+}
+
+static const gn_sched_ops_t sched_ops = { on_order, on_durable, on_event };
+
+static void on_stored(void *arg, uint64_t sent_us, size_t writes)
+{
+	scheduler_t *scheduler = arg;
+
+	gn_counter_inc(scheduler->counters.batches);
+	gn_counter_add(scheduler->counters.writes, writes);
+	gn_lead_confirm(scheduler->lead, sent_us);
+	scheduler_run(scheduler);
+}
+
+static void on_superseded(void *arg)
+{
+	scheduler_t *scheduler = arg;
+
+	gn_lead_depose(scheduler->lead, "another scheduler writes the chain");
+}
+
+static const gn_ledger_ops_t ledger_ops = { on_stored, on_superseded };
+
+/* ======   Loading   ====== */
+
+static void free_state(gpointer state)
+{
+	gn__job_state__free_unpacked(state, NULL);
+}
+
+static void free_spec(gpointer spec)
+{
+	gn__job_spec__free_unpacked(spec, NULL);
+}
+
+static int free_loading(scheduler_loading_t *loading)
+{
+	gn_kv_cancel(loading->scheduler->kv, loading->call);
+	g_hash_table_destroy(loading->states);
+	g_hash_table_destroy(loading->specs);
+	g_free(loading->after);
+	return 0;
+}
+
+static const char *get_prefix(const scheduler_loading_t *loading)
+{
+	return loading->specs_listed ? GN_LEDGER_STATE_PREFIX
+				     : GN_LEDGER_SPEC_PREFIX;
+}
+
+static void keep_entry(scheduler_loading_t *loading, const gn_kv_entry_t *entry)
+{
+	size_t skip = strlen(get_prefix(loading));
+	char *id = g_strndup(entry->key.data + skip, entry->key.len - skip);
+	const uint8_t *data = (const uint8_t *)entry->value.data;
+	gpointer value;
+
+	if (loading->specs_listed)
+		value = gn__job_state__unpack(NULL, entry->value.len, data);
+	else
+		value = gn__job_spec__unpack(NULL, entry->value.len, data);
+	if (!value) {
+		gn_event("job unreadable", "{s:s, s:s}", "job", id, "why",
+			 "its value in the store is malformed");
+		g_free(id);
+		return;
+	}
+	g_hash_table_insert(loading->specs_listed ? loading->states
+						  : loading->specs,
+			    id, value);
+}
+
+static void load_job(scheduler_loading_t *loading, const char *id,
+		     const Gn__JobState *state)
+{
+	Gn__JobSpec *spec = g_hash_table_lookup(loading->specs, id);
+
+	if (!spec || gn_sched_load(loading->scheduler->sched, spec, state)) {
+		gn_event("job unreadable", "{s:s, s:s}", "job", id, "why",
+			 spec ? "spec and state do not fit" : "no spec");
+		return;
+	}
+	g_hash_table_steal_extended(loading->specs, id, (gpointer *)&id, NULL);
+	g_free((char *)id);
+}
+
+static void begin_serving(scheduler_t *scheduler)
+{
+	const gn_ledger_options_t options = {
+		.kv = scheduler->kv,
+		.clock = &scheduler->runtime->clock,
+		.rand = scheduler->runtime->random,
+		.sched = scheduler->sched,
+		.epoch = scheduler->epoch,
+		.incarnation = scheduler->runtime->incarnation,
+		.ops = &ledger_ops,
+		.arg = scheduler,
+	};
+
+	gn_sched_loaded(scheduler->sched);
+	scheduler->ledger = gn_ledger_create(scheduler, &options);
+	if (!scheduler->ledger)
+		abort(); /* as GLib does when memory is short */
+	scheduler_run(scheduler);
+}
+
+static void finish_loading(scheduler_loading_t *loading)
+{
+	scheduler_t *scheduler = loading->scheduler;
+	GHashTableIter iter;
+	gpointer key;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, loading->states);
+	while (g_hash_table_iter_next(&iter, &key, &value))
+		load_job(loading, key, value);
+	gn_event("leading", "{s:I, s:I, s:I}", "epoch",
+		 (json_int_t)scheduler->epoch, "jobs",
+		 (json_int_t)g_hash_table_size(loading->states), "took_us",
+		 (json_int_t)(now_us(scheduler) - loading->began_us));
+	scheduler->loading = NULL;
+	talloc_free(loading);
+	begin_serving(scheduler);
+}
+
+static void request_page(scheduler_loading_t *loading);
+
+static void take_page(void *context, const gn_kv_result_t *result)
+{
+	scheduler_loading_t *loading = context;
+
+	loading->call = 0;
+	if (result->code != GN_OK) {
+		loading->due_us =
+			now_us(loading->scheduler) +
+			gn_backoff_next_us(&loading->backoff,
+					   loading->scheduler->runtime->random);
+		return;
+	}
+	gn_backoff_reset(&loading->backoff);
+	for (size_t i = 0; i < result->count; i++)
+		keep_entry(loading, &result->entries[i]);
+	g_free(loading->after);
+	loading->after = NULL;
+	if (result->more && result->count) {
+		gn_str_t last = result->entries[result->count - 1].key;
+
+		loading->after = g_strndup(last.data, last.len);
+		request_page(loading);
+	} else if (!loading->specs_listed) {
+		loading->specs_listed = true;
+		request_page(loading);
+	} else {
+		finish_loading(loading);
+	}
+}
+
+static void request_page(scheduler_loading_t *loading)
+{
+	loading->call = gn_kv_list_after(
+		loading->scheduler->kv, gn_str_from(get_prefix(loading)),
+		gn_str_from(loading->after), take_page, loading);
+}
+
+static void begin_loading(scheduler_t *scheduler)
+{
+	scheduler_loading_t *loading =
+		talloc_zero(scheduler, scheduler_loading_t);
+
+	if (!loading)
+		abort();
+	loading->scheduler = scheduler;
+	loading->began_us = now_us(scheduler);
+	loading->states = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+						free_state);
+	loading->specs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					       free_spec);
+	talloc_set_destructor(loading, free_loading);
+	scheduler->loading = loading;
+	request_page(loading);
+}
+
+/* ======   Leadership   ====== */
+
+static gn_sched_config_t get_config(const gn_settings_t *settings)
+{
+	const gn_jobs_settings_t *jobs = &settings->jobs;
+	gn_sched_config_t config = {
+		.lease_ms = jobs->lease_ms,
+		.depose_ms = jobs->depose_ms,
+		.retain_ms = jobs->retain_s * MS_PER_S,
+		.stop_ms = jobs->stop_ms,
+		.early_ms = jobs->early_ms,
+		.far_factor = jobs->far_factor,
+		.restore_ms = jobs->restore_ms,
+		.harm_ms = jobs->harm_ms,
+		.pace_ms = jobs->pace_ms,
+		.notice_ms = jobs->notice_ms,
+	};
+
+	return config;
+}
+
+static void on_elected(void *arg, uint64_t epoch)
+{
+	scheduler_t *scheduler = arg;
+	const gn_sched_config_t config =
+		get_config(scheduler->runtime->settings);
+
+	gn_event("elected", "{s:I}", "epoch", (json_int_t)epoch);
+	gn_counter_inc(scheduler->counters.elections);
+	scheduler_leading_close(scheduler);
+	scheduler->epoch = epoch;
+	scheduler->sched =
+		gn_sched_create(scheduler, &config, &scheduler->runtime->clock,
+				&scheduler->wall, &sched_ops, scheduler);
+	if (!scheduler->sched)
+		abort();
+	if (scheduler->queues)
+		gn_sched_configure(scheduler->sched, scheduler->queues);
+	begin_loading(scheduler);
+}
+
+void scheduler_leading_close(scheduler_t *scheduler)
+{
+	scheduler->epoch = 0;
+	TALLOC_FREE(scheduler->loading);
+	gn_ledger_free(scheduler->ledger);
+	scheduler->ledger = NULL;
+	scheduler_calls_deposed(scheduler);
+	TALLOC_FREE(scheduler->sched);
+	g_hash_table_remove_all(scheduler->executors);
+}
+
+static void on_deposed(void *arg, const char *why)
+{
+	scheduler_t *scheduler = arg;
+
+	gn_event("deposed", "{s:I, s:s}", "epoch", (json_int_t)scheduler->epoch,
+		 "why", why);
+	scheduler_leading_close(scheduler);
+}
+
+const gn_lead_ops_t scheduler_lead_ops = { on_elected, on_deposed };
+
+/* ======   Work   ====== */
+
+void scheduler_run(scheduler_t *scheduler)
+{
+	if (!scheduler->ledger)
+		return;
+	gn_sched_pass(scheduler->sched);
+	gn_ledger_kick(scheduler->ledger);
+	if (scheduler->ledger)
+		scheduler_executors_flush(scheduler);
+}
+
+void scheduler_leading_tick(scheduler_t *scheduler)
+{
+	scheduler_loading_t *loading = scheduler->loading;
+
+	if (loading && !loading->call && now_us(scheduler) >= loading->due_us)
+		request_page(loading);
+	if (!scheduler->ledger)
+		return;
+	if (now_us(scheduler) - scheduler->ticked_us >= TICK_US) {
+		scheduler->ticked_us = now_us(scheduler);
+		gn_sched_tick(scheduler->sched);
+	}
+	scheduler_run(scheduler);
+}
--- /dev/null
+++ b/lib/scheduler/scheduler.c
@@ -0,0 +1,259 @@
+#include "scheduler/scheduler.h"
+
+#include <curl/curl.h>
+
+#include "common/event.h"
+#include "scheduler/scheduler_internal.h"
+
+/** Deadlines and watches are kept to this step, milliseconds. */
+#define TICK_MS 10
+/** Calls to the store are given up after this long, milliseconds. */
+#define STORE_TIMEOUT_MS 1000
+/** Callers' connections that may be open; the rest are the links'. */
+#define STATUS_CONNECTIONS 64
+/** A stopping scheduler hands leadership over after this long at most. */
+#define HANDOVER_US (400 * GN_US_PER_MS)
+/** It takes new connections until the balancer has seen that it stops. */
+#define LAME_DUCK_US (2600 * GN_US_PER_MS)
+/** Then it answers what comes on open connections for this long. */
+#define LINGER_US (1200 * GN_US_PER_MS)
+
+/* ======   Start   ====== */
+
+static bool open_counters(scheduler_t *scheduler)
+{
+	static const char *const call_names[GN_CALL_KIND_COUNT] = {
+		"scheduler.calls.submit", "scheduler.calls.state",
+		"scheduler.calls.cancel", "scheduler.calls.count"
+	};
+	static const char *const result_names[GN_RESULT_COUNT] = {
+		"scheduler.results.ok",	      "scheduler.results.not_found",
+		"scheduler.results.refused",  "scheduler.results.not_leader",
+		"scheduler.results.unknown",  "scheduler.results.invalid",
+		"scheduler.results.no_queue",
+	};
+	gn_counters_t *all = scheduler->runtime->counters;
+	scheduler_counters_t *counters = &scheduler->counters;
+	bool complete = true;
+
+	for (int i = 0; i < GN_CALL_KIND_COUNT; i++) {
+		counters->calls[i] = gn_counters_get(all, call_names[i]);
+		complete &= counters->calls[i] != NULL;
+	}
+	for (int i = 0; i < GN_RESULT_COUNT; i++) {
+		counters->results[i] = gn_counters_get(all, result_names[i]);
+		complete &= counters->results[i] != NULL;
+	}
+	counters->handed_on = gn_counters_get(all, "scheduler.handed_on");
+	counters->batches = gn_counters_get(all, "scheduler.batches");
+	counters->writes = gn_counters_get(all, "scheduler.writes");
+	counters->orders = gn_counters_get(all, "scheduler.orders");
+	counters->elections = gn_counters_get(all, "scheduler.elections");
+	return complete && counters->handed_on && counters->batches &&
+	       counters->writes && counters->orders && counters->elections;
+}
+
+static gn_code_t start_server(scheduler_t *scheduler, const char *address,
+			      unsigned connections, gn_http_handler_t handler,
+			      gn_http_server_t **server, gn_error_t *error)
+{
+	const gn_settings_t *settings = scheduler->runtime->settings;
+	const gn_http_server_config_t config = {
+		.events = scheduler->runtime->events,
+		.zmq = scheduler->runtime->zmq,
+		.address = address,
+		.connections = connections,
+		.timeout_ms = settings->http_timeout_ms,
+		.threads = settings->http_threads,
+		.body_max = GN_BODY_MAX,
+		.counters = scheduler->runtime->counters,
+		.handler = handler,
+		.arg = scheduler,
+	};
+
+	return gn_http_server_start(scheduler, &config, server, error);
+}
+
+static void on_envelope(void *arg, const gn_link_peer_t *peer,
+			const Gn__Envelope *envelope)
+{
+	if (envelope->body_case == GN__ENVELOPE__BODY_WORKER_REPORT)
+		scheduler_on_report(arg, peer, envelope->worker_report);
+	else if (envelope->body_case == GN__ENVELOPE__BODY_JOB_CALL)
+		scheduler_on_job_call(arg, peer, envelope->job_call);
+}
+
+static gn_code_t start_link(scheduler_t *scheduler, gn_error_t *error)
+{
+	const gn_link_config_t config = {
+		.events = scheduler->runtime->events,
+		.zmq = scheduler->runtime->zmq,
+		.address = scheduler->runtime->settings->link_listen,
+		.counters = scheduler->runtime->counters,
+		.handler = on_envelope,
+		.arg = scheduler,
+	};
+
+	return gn_link_listen(scheduler, &config, &scheduler->link, error);
+}
+
+static gn_code_t start_store(scheduler_t *scheduler, gn_error_t *error)
+{
+	gn_runtime_t *runtime = scheduler->runtime;
+	const gn_kv_http_options_t options = {
+		.address = runtime->settings->platform_address,
+		.timeout_ms = STORE_TIMEOUT_MS,
+		.calls_per_s = runtime->settings->platform_calls_per_s,
+		.codec = scheduler->adapter->store,
+		.clock = &runtime->clock,
+		.counters = runtime->counters,
+		.loop = runtime->events,
+	};
+
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	scheduler->kv_http = gn_kv_http_create(scheduler, &options);
+	if (!scheduler->kv_http)
+		return gn_error_set(error, GN_ERR_MEMORY, "start",
+				    options.address, "store client");
+	scheduler->kv = gn_kv_http_client(scheduler->kv_http);
+	return GN_OK;
+}
+
+static gn_code_t start_lead(scheduler_t *scheduler, gn_error_t *error)
+{
+	gn_runtime_t *runtime = scheduler->runtime;
+	const gn_lead_options_t options = {
+		.kv = scheduler->kv,
+		.clock = &runtime->clock,
+		.rand = runtime->random,
+		.incarnation = runtime->incarnation,
+		.address = runtime->settings->link_listen,
+		.ttl_ms = runtime->settings->lease_ttl_ms,
+		.ops = &scheduler_lead_ops,
+		.arg = scheduler,
+	};
+
+	scheduler->lead = gn_lead_create(scheduler, &options);
+	if (!scheduler->lead)
+		return gn_error_set(error, GN_ERR_MEMORY, "start", NULL,
+				    "leadership");
+	return GN_OK;
+}
+
+static int free_scheduler(scheduler_t *scheduler)
+{
+	if (scheduler->sched || scheduler->waiting)
+		scheduler_leading_close(scheduler);
+	TALLOC_FREE(scheduler->to_leader);
+	TALLOC_FREE(scheduler->lead);
+	gn_kv_watch_free(scheduler->config_watch);
+	scheduler->config_watch = NULL;
+	TALLOC_FREE(scheduler->kv_http);
+	g_hash_table_destroy(scheduler->handed_on);
+	g_hash_table_destroy(scheduler->executors);
+	g_ptr_array_free(scheduler->waiting, TRUE);
+	return 0;
+}
+
+static gn_code_t scheduler_start(gn_runtime_t *runtime, void **state,
+				 gn_error_t *error)
+{
+	const gn_settings_t *settings = runtime->settings;
+	scheduler_t *scheduler = talloc_zero(NULL, scheduler_t);
+
+	if (!scheduler)
+		return gn_error_set(error, GN_ERR_MEMORY, "start", NULL,
+				    "scheduler");
+	*state = scheduler;
+	scheduler->runtime = runtime;
+	scheduler->adapter = runtime->adapter;
+	gn_clock_init_wall(&scheduler->wall);
+	scheduler->waiting = g_ptr_array_new();
+	scheduler->handed_on = g_hash_table_new_full(
+		g_int64_hash, g_int64_equal, NULL, scheduler_call_free);
+	scheduler->executors = g_hash_table_new_full(
+		g_str_hash, g_str_equal, NULL, scheduler_executor_free);
+	talloc_set_destructor(scheduler, free_scheduler);
+	if (!open_counters(scheduler))
+		return gn_error_set(error, GN_ERR_MEMORY, "start", NULL,
+				    "counters");
+	if (start_store(scheduler, error) ||
+	    scheduler_config_open(scheduler, error) ||
+	    start_lead(scheduler, error) || start_link(scheduler, error) ||
+	    start_server(scheduler, settings->http_listen,
+			 settings->http_connections, scheduler_on_http,
+			 &scheduler->server, error) ||
+	    start_server(scheduler, settings->http_readiness,
+			 STATUS_CONNECTIONS, scheduler_on_status,
+			 &scheduler->readiness, error))
+		return error->code;
+	return GN_OK;
+}
+
+/* ======   Time   ====== */
+
+/* Hands leadership over, then stops taking connections. */
+static void tick_stop(scheduler_t *scheduler)
+{
+	uint64_t since_us = gn_runtime_now_us(scheduler->runtime) -
+			    scheduler->runtime->stop_us;
+
+	if (!scheduler->resigned &&
+	    (!scheduler->ledger || gn_ledger_is_idle(scheduler->ledger) ||
+	     since_us > HANDOVER_US)) {
+		gn_event("resign", "{s:I, s:I}", "epoch",
+			 (json_int_t)scheduler->epoch, "since_us",
+			 (json_int_t)since_us);
+		scheduler->resigned = true;
+		scheduler_leading_close(scheduler);
+		gn_lead_resign(scheduler->lead);
+	}
+	if (!scheduler->quiesced && since_us > LAME_DUCK_US) {
+		scheduler->quiesced = true;
+		gn_http_server_quiesce(scheduler->server);
+	}
+}
+
+static void scheduler_tick(void *state)
+{
+	scheduler_t *scheduler = state;
+
+	gn_kv_watch_tick(scheduler->config_watch);
+	gn_lead_tick(scheduler->lead);
+	scheduler_forward_tick(scheduler);
+	scheduler_leading_tick(scheduler);
+	scheduler_calls_tick(scheduler);
+	if (scheduler->runtime->stopping)
+		tick_stop(scheduler);
+}
+
+static unsigned scheduler_next_tick_ms(const void *state)
+{
+	(void)state;
+	return TICK_MS;
+}
+
+static void scheduler_stop(void *state)
+{
+	/* Readiness tells the balancer; see tick_stop(). */
+	(void)state;
+}
+
+static bool scheduler_is_stopped(const void *state)
+{
+	const scheduler_t *scheduler = state;
+	uint64_t since_us = gn_runtime_now_us(scheduler->runtime) -
+			    scheduler->runtime->stop_us;
+
+	return scheduler->quiesced && since_us > LAME_DUCK_US + LINGER_US &&
+	       !gn_http_server_pending(scheduler->server);
+}
+
+const gn_role_ops_t gn_scheduler_role = {
+	.name = "scheduler",
+	.next_tick_ms = scheduler_next_tick_ms,
+	.start = scheduler_start,
+	.tick = scheduler_tick,
+	.stop = scheduler_stop,
+	.is_stopped = scheduler_is_stopped,
+};
--- /dev/null
+++ b/lib/scheduler/status.c
@@ -0,0 +1,67 @@
+/**
+ * @file status.c
+ * @brief Readiness for the balancer, the state dump, the metrics.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "http/reply.h"
+#include "http/status.h"
+#include "scheduler/scheduler_internal.h"
+
+/* Takes requests that it can serve, or hand on. */
+static bool is_ready(const scheduler_t *scheduler)
+{
+	if (scheduler->runtime->stopping || !scheduler->queues)
+		return false;
+	return scheduler_is_serving(scheduler) || scheduler->to_leader;
+}
+
+static json_t *dump_jobs(const scheduler_t *scheduler)
+{
+	gn_sched_figures_t figures = { 0 };
+
+	if (scheduler->sched)
+		figures = gn_sched_figures(scheduler->sched);
+	return json_pack("{s:I, s:I, s:I, s:I, s:I}", "jobs",
+			 (json_int_t)figures.jobs, "active_jobs",
+			 (json_int_t)figures.active_jobs, "workers",
+			 (json_int_t)figures.workers, "claims",
+			 (json_int_t)figures.claims, "waiting_tasks",
+			 (json_int_t)figures.waiting_tasks);
+}
+
+static json_t *dump(const scheduler_t *scheduler)
+{
+	json_t *json = gn_runtime_dump(scheduler->runtime);
+	const char *leader = gn_lead_address(scheduler->lead);
+	uint64_t version = scheduler->queues ? scheduler->queues->version : 0;
+
+	json_object_set_new(json, "role", json_string("scheduler"));
+	json_object_set_new(json, "ready", json_boolean(is_ready(scheduler)));
+	json_object_set_new(json, "leader", json_string(leader ? leader : ""));
+	json_object_set_new(json, "epoch",
+			    json_integer((json_int_t)scheduler->epoch));
+	json_object_set_new(json, "configuration",
+			    json_integer((json_int_t)version));
+	json_object_set_new(json, "scheduler", dump_jobs(scheduler));
+	return json;
+}
+
+void scheduler_on_status(void *arg, gn_http_request_t *request)
+{
+	scheduler_t *scheduler = arg;
+
+	if (scheduler->adapter->is_readiness(request)) {
+		request->answer.status =
+			is_ready(scheduler) ? HTTP_OK : HTTP_UNAVAILABLE;
+		gn_http_server_answer(scheduler->readiness, request);
+	} else if (request->method == GN_HTTP_GET &&
+		   !strcmp(request->path, "/dump")) {
+		gn_http_reply_json(scheduler->readiness, request, HTTP_OK,
+				   dump(scheduler));
+	} else {
+		request->answer.status = HTTP_NOT_FOUND;
+		gn_http_server_answer(scheduler->readiness, request);
+	}
+}
--- a/lib/wire/gypsumnotch.pb-c.c
+++ b/lib/wire/gypsumnotch.pb-c.c
@@ -952,7 +952,367 @@
   assert(message->base.descriptor == &gn__peer_answer__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor gn__envelope__field_descriptors[17] =
+void   gn__job_call__init
+                     (Gn__JobCall         *message)
+{
+  static const Gn__JobCall init_value = GN__JOB_CALL__INIT;
+  *message = init_value;
+}
+size_t gn__job_call__get_packed_size
+                     (const Gn__JobCall *message)
+{
+  assert(message->base.descriptor == &gn__job_call__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gn__job_call__pack
+                     (const Gn__JobCall *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gn__job_call__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gn__job_call__pack_to_buffer
+                     (const Gn__JobCall *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gn__job_call__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gn__JobCall *
+       gn__job_call__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gn__JobCall *)
+     protobuf_c_message_unpack (&gn__job_call__descriptor,
+                                allocator, len, data);
+}
+void   gn__job_call__free_unpacked
+                     (Gn__JobCall *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gn__job_call__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gn__job_reply__init
+                     (Gn__JobReply         *message)
+{
+  static const Gn__JobReply init_value = GN__JOB_REPLY__INIT;
+  *message = init_value;
+}
+size_t gn__job_reply__get_packed_size
+                     (const Gn__JobReply *message)
+{
+  assert(message->base.descriptor == &gn__job_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gn__job_reply__pack
+                     (const Gn__JobReply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gn__job_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gn__job_reply__pack_to_buffer
+                     (const Gn__JobReply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gn__job_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gn__JobReply *
+       gn__job_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gn__JobReply *)
+     protobuf_c_message_unpack (&gn__job_reply__descriptor,
+                                allocator, len, data);
+}
+void   gn__job_reply__free_unpacked
+                     (Gn__JobReply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gn__job_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gn__worker_run__init
+                     (Gn__WorkerRun         *message)
+{
+  static const Gn__WorkerRun init_value = GN__WORKER_RUN__INIT;
+  *message = init_value;
+}
+size_t gn__worker_run__get_packed_size
+                     (const Gn__WorkerRun *message)
+{
+  assert(message->base.descriptor == &gn__worker_run__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gn__worker_run__pack
+                     (const Gn__WorkerRun *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gn__worker_run__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gn__worker_run__pack_to_buffer
+                     (const Gn__WorkerRun *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gn__worker_run__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gn__WorkerRun *
+       gn__worker_run__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gn__WorkerRun *)
+     protobuf_c_message_unpack (&gn__worker_run__descriptor,
+                                allocator, len, data);
+}
+void   gn__worker_run__free_unpacked
+                     (Gn__WorkerRun *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gn__worker_run__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gn__worker_end__init
+                     (Gn__WorkerEnd         *message)
+{
+  static const Gn__WorkerEnd init_value = GN__WORKER_END__INIT;
+  *message = init_value;
+}
+size_t gn__worker_end__get_packed_size
+                     (const Gn__WorkerEnd *message)
+{
+  assert(message->base.descriptor == &gn__worker_end__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gn__worker_end__pack
+                     (const Gn__WorkerEnd *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gn__worker_end__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gn__worker_end__pack_to_buffer
+                     (const Gn__WorkerEnd *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gn__worker_end__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gn__WorkerEnd *
+       gn__worker_end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gn__WorkerEnd *)
+     protobuf_c_message_unpack (&gn__worker_end__descriptor,
+                                allocator, len, data);
+}
+void   gn__worker_end__free_unpacked
+                     (Gn__WorkerEnd *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gn__worker_end__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gn__order_result__init
+                     (Gn__OrderResult         *message)
+{
+  static const Gn__OrderResult init_value = GN__ORDER_RESULT__INIT;
+  *message = init_value;
+}
+size_t gn__order_result__get_packed_size
+                     (const Gn__OrderResult *message)
+{
+  assert(message->base.descriptor == &gn__order_result__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gn__order_result__pack
+                     (const Gn__OrderResult *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gn__order_result__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gn__order_result__pack_to_buffer
+                     (const Gn__OrderResult *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gn__order_result__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gn__OrderResult *
+       gn__order_result__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gn__OrderResult *)
+     protobuf_c_message_unpack (&gn__order_result__descriptor,
+                                allocator, len, data);
+}
+void   gn__order_result__free_unpacked
+                     (Gn__OrderResult *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gn__order_result__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gn__worker_report__init
+                     (Gn__WorkerReport         *message)
+{
+  static const Gn__WorkerReport init_value = GN__WORKER_REPORT__INIT;
+  *message = init_value;
+}
+size_t gn__worker_report__get_packed_size
+                     (const Gn__WorkerReport *message)
+{
+  assert(message->base.descriptor == &gn__worker_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gn__worker_report__pack
+                     (const Gn__WorkerReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gn__worker_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gn__worker_report__pack_to_buffer
+                     (const Gn__WorkerReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gn__worker_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gn__WorkerReport *
+       gn__worker_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gn__WorkerReport *)
+     protobuf_c_message_unpack (&gn__worker_report__descriptor,
+                                allocator, len, data);
+}
+void   gn__worker_report__free_unpacked
+                     (Gn__WorkerReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gn__worker_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gn__worker_order__init
+                     (Gn__WorkerOrder         *message)
+{
+  static const Gn__WorkerOrder init_value = GN__WORKER_ORDER__INIT;
+  *message = init_value;
+}
+size_t gn__worker_order__get_packed_size
+                     (const Gn__WorkerOrder *message)
+{
+  assert(message->base.descriptor == &gn__worker_order__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gn__worker_order__pack
+                     (const Gn__WorkerOrder *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gn__worker_order__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gn__worker_order__pack_to_buffer
+                     (const Gn__WorkerOrder *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gn__worker_order__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gn__WorkerOrder *
+       gn__worker_order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gn__WorkerOrder *)
+     protobuf_c_message_unpack (&gn__worker_order__descriptor,
+                                allocator, len, data);
+}
+void   gn__worker_order__free_unpacked
+                     (Gn__WorkerOrder *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gn__worker_order__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gn__worker_orders__init
+                     (Gn__WorkerOrders         *message)
+{
+  static const Gn__WorkerOrders init_value = GN__WORKER_ORDERS__INIT;
+  *message = init_value;
+}
+size_t gn__worker_orders__get_packed_size
+                     (const Gn__WorkerOrders *message)
+{
+  assert(message->base.descriptor == &gn__worker_orders__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gn__worker_orders__pack
+                     (const Gn__WorkerOrders *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gn__worker_orders__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gn__worker_orders__pack_to_buffer
+                     (const Gn__WorkerOrders *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gn__worker_orders__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gn__WorkerOrders *
+       gn__worker_orders__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gn__WorkerOrders *)
+     protobuf_c_message_unpack (&gn__worker_orders__descriptor,
+                                allocator, len, data);
+}
+void   gn__worker_orders__free_unpacked
+                     (Gn__WorkerOrders *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gn__worker_orders__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor gn__envelope__field_descriptors[21] =
 {
   {
     "version",
@@ -1158,6 +1518,54 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "job_call",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gn__Envelope, body_case),
+    offsetof(Gn__Envelope, job_call),
+    &gn__job_call__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "job_reply",
+    25,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gn__Envelope, body_case),
+    offsetof(Gn__Envelope, job_reply),
+    &gn__job_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "worker_report",
+    26,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gn__Envelope, body_case),
+    offsetof(Gn__Envelope, worker_report),
+    &gn__worker_report__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "worker_orders",
+    27,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gn__Envelope, body_case),
+    offsetof(Gn__Envelope, worker_orders),
+    &gn__worker_orders__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gn__envelope__field_indices_by_name[] = {
   8,   /* field[8] = answer */
@@ -1170,6 +1578,8 @@
   10,   /* field[10] = fence_ack */
   3,   /* field[3] = hello */
   1,   /* field[1] = incarnation */
+  17,   /* field[17] = job_call */
+  18,   /* field[18] = job_reply */
   16,   /* field[16] = peer_answer */
   15,   /* field[15] = peer_query */
   2,   /* field[2] = session */
@@ -1177,12 +1587,14 @@
   11,   /* field[11] = task_poll */
   0,   /* field[0] = version */
   4,   /* field[4] = welcome */
+  20,   /* field[20] = worker_orders */
+  19,   /* field[19] = worker_report */
 };
 static const ProtobufCIntRange gn__envelope__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 10, 3 },
-  { 0, 17 }
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor gn__envelope__descriptor =
 {
@@ -1192,7 +1604,7 @@
   "Gn__Envelope",
   "gn",
   sizeof(Gn__Envelope),
-  17,
+  21,
   gn__envelope__field_descriptors,
   gn__envelope__field_indices_by_name,
   2,  gn__envelope__number_ranges,
@@ -2925,3 +3337,957 @@
   (ProtobufCMessageInit) gn__peer_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor gn__job_call__field_descriptors[5] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gn__JobCall, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gn__JobCall, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "queue",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gn__JobCall, queue),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "job",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gn__JobCall, job),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "spec",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Gn__JobCall, spec),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gn__job_call__field_indices_by_name[] = {
+  3,   /* field[3] = job */
+  1,   /* field[1] = kind */
+  0,   /* field[0] = number */
+  2,   /* field[2] = queue */
+  4,   /* field[4] = spec */
+};
+static const ProtobufCIntRange gn__job_call__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor gn__job_call__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gn.JobCall",
+  "JobCall",
+  "Gn__JobCall",
+  "gn",
+  sizeof(Gn__JobCall),
+  5,
+  gn__job_call__field_descriptors,
+  gn__job_call__field_indices_by_name,
+  1,  gn__job_call__number_ranges,
+  (ProtobufCMessageInit) gn__job_call__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gn__job_reply__field_descriptors[6] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gn__JobReply, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "result",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gn__JobReply, result),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "phase",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gn__JobReply, phase),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "waiting",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gn__JobReply, waiting),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gn__JobReply, retry_after_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reason",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gn__JobReply, reason),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gn__job_reply__field_indices_by_name[] = {
+  0,   /* field[0] = number */
+  2,   /* field[2] = phase */
+  5,   /* field[5] = reason */
+  1,   /* field[1] = result */
+  4,   /* field[4] = retry_after_ms */
+  3,   /* field[3] = waiting */
+};
+static const ProtobufCIntRange gn__job_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor gn__job_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gn.JobReply",
+  "JobReply",
+  "Gn__JobReply",
+  "gn",
+  sizeof(Gn__JobReply),
+  6,
+  gn__job_reply__field_descriptors,
+  gn__job_reply__field_indices_by_name,
+  1,  gn__job_reply__number_ranges,
+  (ProtobufCMessageInit) gn__job_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gn__worker_run__field_descriptors[5] =
+{
+  {
+    "task",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerRun, task),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempt",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerRun, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checkpoint",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerRun, checkpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "percent",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerRun, percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gauge",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerRun, gauge),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gn__worker_run__field_indices_by_name[] = {
+  1,   /* field[1] = attempt */
+  2,   /* field[2] = checkpoint */
+  4,   /* field[4] = gauge */
+  3,   /* field[3] = percent */
+  0,   /* field[0] = task */
+};
+static const ProtobufCIntRange gn__worker_run__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor gn__worker_run__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gn.WorkerRun",
+  "WorkerRun",
+  "Gn__WorkerRun",
+  "gn",
+  sizeof(Gn__WorkerRun),
+  5,
+  gn__worker_run__field_descriptors,
+  gn__worker_run__field_indices_by_name,
+  1,  gn__worker_run__number_ranges,
+  (ProtobufCMessageInit) gn__worker_run__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gn__worker_end__field_descriptors[5] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerEnd, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "task",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerEnd, task),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempt",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerEnd, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "how",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerEnd, how),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checkpoint",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerEnd, checkpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gn__worker_end__field_indices_by_name[] = {
+  2,   /* field[2] = attempt */
+  4,   /* field[4] = checkpoint */
+  3,   /* field[3] = how */
+  0,   /* field[0] = number */
+  1,   /* field[1] = task */
+};
+static const ProtobufCIntRange gn__worker_end__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor gn__worker_end__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gn.WorkerEnd",
+  "WorkerEnd",
+  "Gn__WorkerEnd",
+  "gn",
+  sizeof(Gn__WorkerEnd),
+  5,
+  gn__worker_end__field_descriptors,
+  gn__worker_end__field_indices_by_name,
+  1,  gn__worker_end__number_ranges,
+  (ProtobufCMessageInit) gn__worker_end__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gn__order_result__field_descriptors[3] =
+{
+  {
+    "task",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gn__OrderResult, task),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempt",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gn__OrderResult, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "verdict",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gn__OrderResult, verdict),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gn__order_result__field_indices_by_name[] = {
+  1,   /* field[1] = attempt */
+  0,   /* field[0] = task */
+  2,   /* field[2] = verdict */
+};
+static const ProtobufCIntRange gn__order_result__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor gn__order_result__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gn.OrderResult",
+  "OrderResult",
+  "Gn__OrderResult",
+  "gn",
+  sizeof(Gn__OrderResult),
+  3,
+  gn__order_result__field_descriptors,
+  gn__order_result__field_indices_by_name,
+  1,  gn__order_result__number_ranges,
+  (ProtobufCMessageInit) gn__order_result__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gn__worker_report__field_descriptors[20] =
+{
+  {
+    "sequence",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerReport, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "host",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerReport, host),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "life",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerReport, life),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerReport, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "machine",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerReport, machine),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerReport, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data_centre",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerReport, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cpu_milli",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerReport, cpu_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "memory_mb",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerReport, memory_mb),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accelerators",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerReport, accelerators),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "labels",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Gn__WorkerReport, n_labels),
+    offsetof(Gn__WorkerReport, labels),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "draining",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerReport, draining),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "remaining_ms",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerReport, remaining_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "listed",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerReport, listed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "runs",
+    15,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gn__WorkerReport, n_runs),
+    offsetof(Gn__WorkerReport, runs),
+    &gn__worker_run__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ends",
+    16,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gn__WorkerReport, n_ends),
+    offsetof(Gn__WorkerReport, ends),
+    &gn__worker_end__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "results",
+    17,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gn__WorkerReport, n_results),
+    offsetof(Gn__WorkerReport, results),
+    &gn__order_result__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rack",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerReport, rack),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lease_lapsed",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerReport, lease_lapsed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerReport, left),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gn__worker_report__field_indices_by_name[] = {
+  9,   /* field[9] = accelerators */
+  3,   /* field[3] = born_ms */
+  7,   /* field[7] = cpu_milli */
+  6,   /* field[6] = data_centre */
+  11,   /* field[11] = draining */
+  15,   /* field[15] = ends */
+  1,   /* field[1] = host */
+  10,   /* field[10] = labels */
+  18,   /* field[18] = lease_lapsed */
+  19,   /* field[19] = left */
+  2,   /* field[2] = life */
+  13,   /* field[13] = listed */
+  4,   /* field[4] = machine */
+  8,   /* field[8] = memory_mb */
+  17,   /* field[17] = rack */
+  12,   /* field[12] = remaining_ms */
+  16,   /* field[16] = results */
+  14,   /* field[14] = runs */
+  0,   /* field[0] = sequence */
+  5,   /* field[5] = service */
+};
+static const ProtobufCIntRange gn__worker_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 20 }
+};
+const ProtobufCMessageDescriptor gn__worker_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gn.WorkerReport",
+  "WorkerReport",
+  "Gn__WorkerReport",
+  "gn",
+  sizeof(Gn__WorkerReport),
+  20,
+  gn__worker_report__field_descriptors,
+  gn__worker_report__field_indices_by_name,
+  1,  gn__worker_report__number_ranges,
+  (ProtobufCMessageInit) gn__worker_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gn__worker_order__field_descriptors[8] =
+{
+  {
+    "kind",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerOrder, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "task",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerOrder, task),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempt",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerOrder, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "life",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerOrder, life),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "payload",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerOrder, payload),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checkpoint",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerOrder, checkpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "percent",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerOrder, percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ticket",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerOrder, ticket),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gn__worker_order__field_indices_by_name[] = {
+  2,   /* field[2] = attempt */
+  5,   /* field[5] = checkpoint */
+  0,   /* field[0] = kind */
+  3,   /* field[3] = life */
+  4,   /* field[4] = payload */
+  6,   /* field[6] = percent */
+  1,   /* field[1] = task */
+  7,   /* field[7] = ticket */
+};
+static const ProtobufCIntRange gn__worker_order__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor gn__worker_order__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gn.WorkerOrder",
+  "WorkerOrder",
+  "Gn__WorkerOrder",
+  "gn",
+  sizeof(Gn__WorkerOrder),
+  8,
+  gn__worker_order__field_descriptors,
+  gn__worker_order__field_indices_by_name,
+  1,  gn__worker_order__number_ranges,
+  (ProtobufCMessageInit) gn__worker_order__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gn__worker_orders__field_descriptors[6] =
+{
+  {
+    "sequence",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerOrders, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerOrders, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leader",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerOrders, leader),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ends_stored",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerOrders, ends_stored),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "life",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerOrders, life),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "orders",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gn__WorkerOrders, n_orders),
+    offsetof(Gn__WorkerOrders, orders),
+    &gn__worker_order__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gn__worker_orders__field_indices_by_name[] = {
+  3,   /* field[3] = ends_stored */
+  1,   /* field[1] = epoch */
+  2,   /* field[2] = leader */
+  4,   /* field[4] = life */
+  5,   /* field[5] = orders */
+  0,   /* field[0] = sequence */
+};
+static const ProtobufCIntRange gn__worker_orders__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor gn__worker_orders__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gn.WorkerOrders",
+  "WorkerOrders",
+  "Gn__WorkerOrders",
+  "gn",
+  sizeof(Gn__WorkerOrders),
+  6,
+  gn__worker_orders__field_descriptors,
+  gn__worker_orders__field_indices_by_name,
+  1,  gn__worker_orders__number_ranges,
+  (ProtobufCMessageInit) gn__worker_orders__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
