--- a/lib/wire/gypsumnotch.pb-c.h
+++ b/lib/wire/gypsumnotch.pb-c.h
@@ -36,6 +36,14 @@
 typedef struct Gn__CellSummary Gn__CellSummary;
 typedef struct Gn__PeerQuery Gn__PeerQuery;
 typedef struct Gn__PeerAnswer Gn__PeerAnswer;
+typedef struct Gn__JobCall Gn__JobCall;
+typedef struct Gn__JobReply Gn__JobReply;
+typedef struct Gn__WorkerRun Gn__WorkerRun;
+typedef struct Gn__WorkerEnd Gn__WorkerEnd;
+typedef struct Gn__OrderResult Gn__OrderResult;
+typedef struct Gn__WorkerReport Gn__WorkerReport;
+typedef struct Gn__WorkerOrder Gn__WorkerOrder;
+typedef struct Gn__WorkerOrders Gn__WorkerOrders;
 
 
 /* --- enums --- */
@@ -64,7 +72,11 @@
   GN__ENVELOPE__BODY_CONFIG = 20,
   GN__ENVELOPE__BODY_CELL_SUMMARY = 21,
   GN__ENVELOPE__BODY_PEER_QUERY = 22,
-  GN__ENVELOPE__BODY_PEER_ANSWER = 23
+  GN__ENVELOPE__BODY_PEER_ANSWER = 23,
+  GN__ENVELOPE__BODY_JOB_CALL = 24,
+  GN__ENVELOPE__BODY_JOB_REPLY = 25,
+  GN__ENVELOPE__BODY_WORKER_REPORT = 26,
+  GN__ENVELOPE__BODY_WORKER_ORDERS = 27
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GN__ENVELOPE__BODY__CASE)
 } Gn__Envelope__BodyCase;
 
@@ -102,6 +114,10 @@
     Gn__CellSummary *cell_summary;
     Gn__PeerQuery *peer_query;
     Gn__PeerAnswer *peer_answer;
+    Gn__JobCall *job_call;
+    Gn__JobReply *job_reply;
+    Gn__WorkerReport *worker_report;
+    Gn__WorkerOrders *worker_orders;
   };
 };
 #define GN__ENVELOPE__INIT \
@@ -357,7 +373,7 @@
 {
   ProtobufCMessage base;
   /*
-   * gn_order_kind_t
+   * gn_run_order_kind_t
    */
   uint32_t kind;
   uint64_t task;
@@ -494,6 +510,252 @@
     , GN__PEER_QUERY__KIND__NONE, 0, 0, 0 }
 
 
+/*
+ * Scheduler to the leading scheduler: a caller's request about a job.
+ */
+struct  Gn__JobCall
+{
+  ProtobufCMessage base;
+  /*
+   * counter of the sender's incarnation
+   */
+  uint64_t number;
+  /*
+   * gn_job_call_kind_t
+   */
+  uint32_t kind;
+  char *queue;
+  char *job;
+  /*
+   * a JobSpec; submit only
+   */
+  ProtobufCBinaryData spec;
+};
+#define GN__JOB_CALL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gn__job_call__descriptor) \
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL} }
+
+
+/*
+ * Leading scheduler to scheduler.
+ */
+struct  Gn__JobReply
+{
+  ProtobufCMessage base;
+  uint64_t number;
+  /*
+   * gn_job_result_t
+   */
+  uint32_t result;
+  /*
+   * gn_job_phase_t
+   */
+  uint32_t phase;
+  /*
+   * jobs of the queue without a started task
+   */
+  uint64_t waiting;
+  uint32_t retry_after_ms;
+  /*
+   * of a refusal
+   */
+  char *reason;
+};
+#define GN__JOB_REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gn__job_reply__descriptor) \
+    , 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
+
+
+/*
+ * A run that a worker lists.
+ */
+struct  Gn__WorkerRun
+{
+  ProtobufCMessage base;
+  char *task;
+  uint32_t attempt;
+  char *checkpoint;
+  /*
+   * of its pace that it works at
+   */
+  uint32_t percent;
+  /*
+   * tail latency, ms, or processor in use
+   */
+  uint32_t gauge;
+};
+#define GN__WORKER_RUN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gn__worker_run__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0 }
+
+
+/*
+ * An end that a worker lists.
+ */
+struct  Gn__WorkerEnd
+{
+  ProtobufCMessage base;
+  /*
+   * of the end, in the worker's life
+   */
+  uint64_t number;
+  char *task;
+  uint32_t attempt;
+  /*
+   * gn_end_how_t
+   */
+  uint32_t how;
+  char *checkpoint;
+};
+#define GN__WORKER_END__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gn__worker_end__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string }
+
+
+/*
+ * What became of an order.
+ */
+struct  Gn__OrderResult
+{
+  ProtobufCMessage base;
+  char *task;
+  uint32_t attempt;
+  /*
+   * gn_run_order_verdict_t
+   */
+  uint32_t verdict;
+};
+#define GN__ORDER_RESULT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gn__order_result__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
+/*
+ * Executor to the leading scheduler.
+ */
+struct  Gn__WorkerReport
+{
+  ProtobufCMessage base;
+  uint64_t sequence;
+  /*
+   * the executor's name
+   */
+  char *host;
+  /*
+   * of the worker; empty: none known
+   */
+  char *life;
+  /*
+   * start of that life, since 1970
+   */
+  uint64_t born_ms;
+  char *machine;
+  char *service;
+  char *data_centre;
+  uint32_t cpu_milli;
+  uint32_t memory_mb;
+  uint32_t accelerators;
+  size_t n_labels;
+  char **labels;
+  protobuf_c_boolean draining;
+  /*
+   * at least this long, while it drains
+   */
+  uint32_t remaining_ms;
+  /*
+   * runs and ends hold a list
+   */
+  protobuf_c_boolean listed;
+  size_t n_runs;
+  Gn__WorkerRun **runs;
+  size_t n_ends;
+  Gn__WorkerEnd **ends;
+  size_t n_results;
+  Gn__OrderResult **results;
+  char *rack;
+  /*
+   * since the report before; ends are void
+   */
+  protobuf_c_boolean lease_lapsed;
+  /*
+   * this life is over, and its runs with it
+   */
+  protobuf_c_boolean left;
+};
+#define GN__WORKER_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gn__worker_report__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0 }
+
+
+/*
+ * One order to a worker.
+ */
+struct  Gn__WorkerOrder
+{
+  ProtobufCMessage base;
+  /*
+   * gn_run_order_kind_t
+   */
+  uint32_t kind;
+  char *task;
+  uint32_t attempt;
+  char *life;
+  /*
+   * start
+   */
+  ProtobufCBinaryData payload;
+  /*
+   * start
+   */
+  char *checkpoint;
+  /*
+   * pace
+   */
+  uint32_t percent;
+  /*
+   * start
+   */
+  char *ticket;
+};
+#define GN__WORKER_ORDER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gn__worker_order__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, {0,NULL}, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
+
+
+/*
+ * Leading scheduler to executor; from any other, only leader is set.
+ */
+struct  Gn__WorkerOrders
+{
+  ProtobufCMessage base;
+  /*
+   * of the report that is answered, or 0
+   */
+  uint64_t sequence;
+  /*
+   * 0: not the leader
+   */
+  uint64_t epoch;
+  /*
+   * address of the leader's link, if known
+   */
+  char *leader;
+  /*
+   * of the worker's life
+   */
+  uint64_t ends_stored;
+  /*
+   * the life that ends_stored is of
+   */
+  char *life;
+  size_t n_orders;
+  Gn__WorkerOrder **orders;
+};
+#define GN__WORKER_ORDERS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gn__worker_orders__descriptor) \
+    , 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL }
+
+
 /* Gn__Envelope methods */
 void   gn__envelope__init
                      (Gn__Envelope         *message);
@@ -893,6 +1155,158 @@
 void   gn__peer_answer__free_unpacked
                      (Gn__PeerAnswer *message,
                       ProtobufCAllocator *allocator);
+/* Gn__JobCall methods */
+void   gn__job_call__init
+                     (Gn__JobCall         *message);
+size_t gn__job_call__get_packed_size
+                     (const Gn__JobCall   *message);
+size_t gn__job_call__pack
+                     (const Gn__JobCall   *message,
+                      uint8_t             *out);
+size_t gn__job_call__pack_to_buffer
+                     (const Gn__JobCall   *message,
+                      ProtobufCBuffer     *buffer);
+Gn__JobCall *
+       gn__job_call__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gn__job_call__free_unpacked
+                     (Gn__JobCall *message,
+                      ProtobufCAllocator *allocator);
+/* Gn__JobReply methods */
+void   gn__job_reply__init
+                     (Gn__JobReply         *message);
+size_t gn__job_reply__get_packed_size
+                     (const Gn__JobReply   *message);
+size_t gn__job_reply__pack
+                     (const Gn__JobReply   *message,
+                      uint8_t             *out);
+size_t gn__job_reply__pack_to_buffer
+                     (const Gn__JobReply   *message,
+                      ProtobufCBuffer     *buffer);
+Gn__JobReply *
+       gn__job_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gn__job_reply__free_unpacked
+                     (Gn__JobReply *message,
+                      ProtobufCAllocator *allocator);
+/* Gn__WorkerRun methods */
+void   gn__worker_run__init
+                     (Gn__WorkerRun         *message);
+size_t gn__worker_run__get_packed_size
+                     (const Gn__WorkerRun   *message);
+size_t gn__worker_run__pack
+                     (const Gn__WorkerRun   *message,
+                      uint8_t             *out);
+size_t gn__worker_run__pack_to_buffer
+                     (const Gn__WorkerRun   *message,
+                      ProtobufCBuffer     *buffer);
+Gn__WorkerRun *
+       gn__worker_run__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gn__worker_run__free_unpacked
+                     (Gn__WorkerRun *message,
+                      ProtobufCAllocator *allocator);
+/* Gn__WorkerEnd methods */
+void   gn__worker_end__init
+                     (Gn__WorkerEnd         *message);
+size_t gn__worker_end__get_packed_size
+                     (const Gn__WorkerEnd   *message);
+size_t gn__worker_end__pack
+                     (const Gn__WorkerEnd   *message,
+                      uint8_t             *out);
+size_t gn__worker_end__pack_to_buffer
+                     (const Gn__WorkerEnd   *message,
+                      ProtobufCBuffer     *buffer);
+Gn__WorkerEnd *
+       gn__worker_end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gn__worker_end__free_unpacked
+                     (Gn__WorkerEnd *message,
+                      ProtobufCAllocator *allocator);
+/* Gn__OrderResult methods */
+void   gn__order_result__init
+                     (Gn__OrderResult         *message);
+size_t gn__order_result__get_packed_size
+                     (const Gn__OrderResult   *message);
+size_t gn__order_result__pack
+                     (const Gn__OrderResult   *message,
+                      uint8_t             *out);
+size_t gn__order_result__pack_to_buffer
+                     (const Gn__OrderResult   *message,
+                      ProtobufCBuffer     *buffer);
+Gn__OrderResult *
+       gn__order_result__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gn__order_result__free_unpacked
+                     (Gn__OrderResult *message,
+                      ProtobufCAllocator *allocator);
+/* Gn__WorkerReport methods */
+void   gn__worker_report__init
+                     (Gn__WorkerReport         *message);
+size_t gn__worker_report__get_packed_size
+                     (const Gn__WorkerReport   *message);
+size_t gn__worker_report__pack
+                     (const Gn__WorkerReport   *message,
+                      uint8_t             *out);
+size_t gn__worker_report__pack_to_buffer
+                     (const Gn__WorkerReport   *message,
+                      ProtobufCBuffer     *buffer);
+Gn__WorkerReport *
+       gn__worker_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gn__worker_report__free_unpacked
+                     (Gn__WorkerReport *message,
+                      ProtobufCAllocator *allocator);
+/* Gn__WorkerOrder methods */
+void   gn__worker_order__init
+                     (Gn__WorkerOrder         *message);
+size_t gn__worker_order__get_packed_size
+                     (const Gn__WorkerOrder   *message);
+size_t gn__worker_order__pack
+                     (const Gn__WorkerOrder   *message,
+                      uint8_t             *out);
+size_t gn__worker_order__pack_to_buffer
+                     (const Gn__WorkerOrder   *message,
+                      ProtobufCBuffer     *buffer);
+Gn__WorkerOrder *
+       gn__worker_order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gn__worker_order__free_unpacked
+                     (Gn__WorkerOrder *message,
+                      ProtobufCAllocator *allocator);
+/* Gn__WorkerOrders methods */
+void   gn__worker_orders__init
+                     (Gn__WorkerOrders         *message);
+size_t gn__worker_orders__get_packed_size
+                     (const Gn__WorkerOrders   *message);
+size_t gn__worker_orders__pack
+                     (const Gn__WorkerOrders   *message,
+                      uint8_t             *out);
+size_t gn__worker_orders__pack_to_buffer
+                     (const Gn__WorkerOrders   *message,
+                      ProtobufCBuffer     *buffer);
+Gn__WorkerOrders *
+       gn__worker_orders__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gn__worker_orders__free_unpacked
+                     (Gn__WorkerOrders *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Gn__Envelope_Closure)
@@ -958,6 +1372,30 @@
 typedef void (*Gn__PeerAnswer_Closure)
                  (const Gn__PeerAnswer *message,
                   void *closure_data);
+typedef void (*Gn__JobCall_Closure)
+                 (const Gn__JobCall *message,
+                  void *closure_data);
+typedef void (*Gn__JobReply_Closure)
+                 (const Gn__JobReply *message,
+                  void *closure_data);
+typedef void (*Gn__WorkerRun_Closure)
+                 (const Gn__WorkerRun *message,
+                  void *closure_data);
+typedef void (*Gn__WorkerEnd_Closure)
+                 (const Gn__WorkerEnd *message,
+                  void *closure_data);
+typedef void (*Gn__OrderResult_Closure)
+                 (const Gn__OrderResult *message,
+                  void *closure_data);
+typedef void (*Gn__WorkerReport_Closure)
+                 (const Gn__WorkerReport *message,
+                  void *closure_data);
+typedef void (*Gn__WorkerOrder_Closure)
+                 (const Gn__WorkerOrder *message,
+                  void *closure_data);
+typedef void (*Gn__WorkerOrders_Closure)
+                 (const Gn__WorkerOrders *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -986,6 +1424,14 @@
 extern const ProtobufCMessageDescriptor gn__peer_query__descriptor;
 extern const ProtobufCEnumDescriptor    gn__peer_query__kind__descriptor;
 extern const ProtobufCMessageDescriptor gn__peer_answer__descriptor;
+extern const ProtobufCMessageDescriptor gn__job_call__descriptor;
+extern const ProtobufCMessageDescriptor gn__job_reply__descriptor;
+extern const ProtobufCMessageDescriptor gn__worker_run__descriptor;
+extern const ProtobufCMessageDescriptor gn__worker_end__descriptor;
+extern const ProtobufCMessageDescriptor gn__order_result__descriptor;
+extern const ProtobufCMessageDescriptor gn__worker_report__descriptor;
+extern const ProtobufCMessageDescriptor gn__worker_order__descriptor;
+extern const ProtobufCMessageDescriptor gn__worker_orders__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/programs/gypsumnotchd/main.c
+++ b/programs/gypsumnotchd/main.c
@@ -9,6 +9,10 @@
 #include "common/log.h"
 #include "daemon/runtime.h"
 #include "entry/entry.h"
+#include "executor/executor.h"
+#include "scheduler/scheduler.h"
+
+#include "../../platform/adapter.h"
 
 #define EXIT_FAILED 1
 #define EXIT_USAGE 2
@@ -16,6 +20,8 @@
 static const gn_role_ops_t *const roles[GN_ROLE_COUNT] = {
 	[GN_ROLE_ENTRY] = &gn_entry_role,
 	[GN_ROLE_AGENT] = &gn_agent_role,
+	[GN_ROLE_SCHEDULER] = &gn_scheduler_role,
+	[GN_ROLE_EXECUTOR] = &gn_executor_role,
 };
 
 static int run(const char *path, bool check_only)
@@ -28,7 +34,8 @@
 		goto fail;
 	gn_log_init("gypsumnotchd", settings->log_level);
 	if (!check_only &&
-	    gn_runtime_run(settings, roles[settings->role], &error))
+	    gn_runtime_run(settings, roles[settings->role], &platform_adapter,
+			   &error))
 		goto fail;
 	goto out;
 fail:
