Learn by pairs of images what disturbs serving tasks

A log of tails and uses shows that each serving image suffers from one to three filling images and not from the rest.

Change: weights by pairs, learned from the lists; only what they blame is paced down; serving tasks are packed by image, filling ones go where they are expected to be fastest.

Ruled out: waiting for room or for starts (first starts after 16 to 27 ms).

--- /dev/null
+++ b/lib/sched/disturb.h
@@ -0,0 +1,51 @@
+/**
+ * @file disturb.h
+ * @brief Learns how much what fills disturbs what serves, by pairs of images.
+ *
+ * Answers the load of filling tasks of many images beside serving ones: most
+ * pairs do not disturb each other, a few do so heavily, and which ones is seen
+ * only in tail latencies that also move with the serving task's own load.
+ *
+ * The tail of a serving task is taken as a baseline of its own plus, for each
+ * image that fills beside it, the share of the worker's processors in use by
+ * that image times the pair's weight. Baseline and weights are corrected with
+ * each reading, in proportion to their part in it (normalised least mean
+ * squares), and weights never go below zero.
+ */
+#ifndef GN_SCHED_DISTURB_H
+#define GN_SCHED_DISTURB_H
+
+#include <stddef.h>
+#include <talloc.h>
+
+typedef struct gn_disturb_s gn_disturb_t;
+
+/** What fills on a worker, summed over tasks of one image. */
+typedef struct gn_fill_use_s {
+	const char *image; /**< interned */
+	double share; /**< of the worker's processors that it uses, 0..1 */
+} gn_fill_use_t;
+
+/** Creates an empty table; NULL: memory. */
+gn_disturb_t *gn_disturb_create(TALLOC_CTX *parent);
+
+/**
+ * The weight of a pair: milliseconds of tail that the whole worker's
+ * processors in use by @p fills would add. Images are interned.
+ */
+double gn_disturb_weight(const gn_disturb_t *disturb, const char *serves,
+			 const char *fills);
+
+/** Milliseconds that @p uses add to the tail of @p serves. */
+double gn_disturb_added_ms(const gn_disturb_t *disturb, const char *serves,
+			   const gn_fill_use_t *uses, size_t count);
+
+/**
+ * Takes a reading.
+ * @param baseline_ms of the serving task; below 0: not known yet
+ */
+void gn_disturb_learn(gn_disturb_t *disturb, const char *serves, double tail_ms,
+		      double *baseline_ms, const gn_fill_use_t *uses,
+		      size_t count);
+
+#endif
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -12,8 +12,14 @@
 /** Bounds of one run's share in the slowness: declared times are far off. */
 #define SLOWNESS_MIN 0.5
 #define SLOWNESS_MAX 8.0
-/** What a serving task beside a filling one counts as, of a whole worker. */
-#define NEIGHBOUR_COST 0.5
+/** Weight of a worker's load beside the time that a filling task takes. */
+#define FILL_LOAD_COST 0.2
+/** What a filling task counts as beside a new serving one. */
+#define SERVE_BESIDE_FILLING_COST 0.02
+/** How much fuller a worker may be to be taken for one more that serves. */
+#define PACK_GAIN 0.5
+/** The same, if it serves with the same image. */
+#define PACK_IMAGE_GAIN 1.5
 
 bool gn_room_fits(const gn_room_t *capacity, const gn_room_t *used,
 		  const gn_room_t *more)
@@ -46,22 +52,30 @@
 		less_or_zero(room->accelerators, less->accelerators);
 }
 
-/* Lower is better: the share of the processors in use, with what disturbs. */
+/* The share of its processors that all its tasks could use. */
+static double get_load(const gn_place_worker_t *worker)
+{
+	if (!worker->capacity.cpu_milli)
+		return 1;
+	return ((double)worker->used.cpu_milli + worker->fill_milli) /
+	       worker->capacity.cpu_milli;
+}
+
+/* Lower is better. */
 static double get_cost(const gn_place_task_t *task,
 		       const gn_place_worker_t *worker)
 {
-	double cost = worker->capacity.cpu_milli
-			      ? (double)worker->used.cpu_milli /
-					worker->capacity.cpu_milli
-			      : 1;
-
-	if (task->fills) {
-		cost += NEIGHBOUR_COST * worker->serving;
-		/* tasks that fill share what is left */
-		cost += 0.1 * worker->filling;
+	double cost = get_load(worker);
+
+	if (task->fills)
+		cost = FILL_LOAD_COST * cost + 1 / worker->fill_speed;
+	if (task->serves) {
+		cost += SERVE_BESIDE_FILLING_COST * worker->filling;
+		if (worker->same_image)
+			cost -= PACK_IMAGE_GAIN;
+		else if (worker->serving)
+			cost -= PACK_GAIN;
 	}
-	if (task->serves)
-		cost += NEIGHBOUR_COST * worker->filling;
 	if (!worker->near)
 		cost += task->far_factor - 1;
 	return cost + (worker->slowness > 1 ? worker->slowness - 1 : 0);
--- a/lib/sched/place.h
+++ b/lib/sched/place.h
@@ -4,9 +4,13 @@
  *
  * Answers the load of many small tasks and few large ones on workers of which
  * some are slow or fail what they start. Among the workers with room, the one
- * with the largest share of its processors free is taken, so that load and
- * the loss by one crash are spread; a worker that fails or is slow counts as
- * fuller than it is, in proportion.
+ * with the largest share of its processors free is taken, counting what fills
+ * as well, so that load and the loss by one crash are spread; a slow worker
+ * counts as fuller than it is, in proportion.
+ *
+ * Tasks that serve suffer from tasks that fill beside them, and these are then
+ * paced down, by pairs of images: so what serves is packed by image, and what
+ * fills goes where it is expected to be fastest.
  */
 #ifndef GN_SCHED_PLACE_H
 #define GN_SCHED_PLACE_H
@@ -36,8 +40,12 @@
 	gn_room_t used;
 	uint32_t same_step; /**< tasks of the step that are claimed there */
 	uint32_t serving; /**< tasks with a latency target there */
+	uint32_t same_image; /**< of these, with the image of the task */
 	uint32_t filling; /**< tasks that fill there */
+	uint32_t fill_milli; /**< processors that these could use */
 	double slowness; /**< 1: as usual */
+	/** Share of its speed that the task would have there, if it fills. */
+	double fill_speed;
 	bool eligible; /**< live, of the service, with the label */
 	bool near; /**< on the data's rack, or there is none */
 } gn_place_worker_t;
@@ -46,6 +54,7 @@
 typedef struct gn_place_task_s {
 	gn_room_t room;
 	uint32_t per_worker; /**< most tasks of the step there; 0: no limit */
+	uint32_t fill_milli; /**< processors that it could use, if it fills */
 	bool fills;
 	bool serves;
 	double far_factor; /**< times longer off the data's rack */
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -65,6 +65,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_job);
 	sched->workers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					       sched_worker_free);
+	sched->disturb = gn_disturb_create(sched);
 	sched->active = g_ptr_array_new();
 	sched->writing = g_ptr_array_new();
 	g_queue_init(&sched->dirty);
--- a/lib/sched/sched_claim.c
+++ b/lib/sched/sched_claim.c
@@ -38,11 +38,14 @@
 	task->order_us = 0;
 	task->percent = 100;
 	task->gauge = 0;
+	task->baseline_ms = -1;
 	task->claimed_us = sched_now_us(job->sched);
 	gn_room_add(&worker->used, &room);
 	g_ptr_array_add(worker->claims, task);
 	worker->serving += step->target_ms != 0;
+	worker->serve_milli += step->target_ms ? step->cpu_milli : 0;
 	worker->filling += step->fills;
+	worker->fill_milli += step->fills ? step->cpu_milli : 0;
 	job->units[task->unit].waiting--;
 	job->claimed++;
 	job->sched->claims++;
@@ -57,7 +60,9 @@
 	gn_room_subtract(&worker->used, &room);
 	g_ptr_array_remove_fast(worker->claims, task);
 	worker->serving -= step->target_ms != 0;
+	worker->serve_milli -= step->target_ms ? step->cpu_milli : 0;
 	worker->filling -= step->fills;
+	worker->fill_milli -= step->fills ? step->cpu_milli : 0;
 	g_ptr_array_remove_fast(task->job->starts, task);
 	task->worker = NULL;
 	task->job->claimed--;
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -7,6 +7,7 @@
 
 #include <glib.h>
 
+#include "sched/disturb.h"
 #include "sched/place.h"
 #include "sched/sched.h"
 
@@ -45,6 +46,9 @@
 	uint64_t claimed_us;
 	uint32_t percent; /**< pace that it was told, 0 to 100 */
 	uint32_t gauge; /**< of the last list */
+	const char *image; /**< interned */
+	double baseline_ms; /**< of its tail; below 0: not known yet */
+	uint64_t paced_us; /**< when its pace was last changed */
 } sched_task_t;
 
 /** A step of one occurrence: the unit in which tasks become ready. */
@@ -114,14 +118,17 @@
 	gn_room_t strays; /**< by listed runs without a claim */
 	GPtrArray *claims; /**< sched_task_t */
 	uint32_t serving; /**< claims with a latency target */
+	uint32_t serve_milli; /**< processors set aside for these */
 	uint32_t filling;
+	uint32_t fill_milli; /**< processors that these could use */
 	uint64_t heard_us; /**< last report; 0: never */
 	uint64_t lapse_us; /**< no lease of it can outlast this */
 	GQueue ends; /**< sched_end_t, in the order of their numbers */
 	uint64_t ends_seen;
 	uint64_t ends_durable;
 	gn_health_t health;
-	uint64_t paced_us; /**< last change of a pace on it */
+	uint64_t over_us; /**< since when a tail is over its target; 0: none */
+	uint64_t cleared_us; /**< and nothing fills; 0: something does */
 };
 
 /* ======   The scheduler   ====== */
@@ -136,6 +143,7 @@
 	GHashTable *jobs; /**< id to sched_job_t */
 	GHashTable *workers; /**< host to sched_worker_t */
 	GPtrArray *active; /**< jobs that are not finished, or have claims */
+	gn_disturb_t *disturb;
 	GQueue dirty; /**< jobs to be stored */
 	GPtrArray *writing; /**< jobs in the batch */
 	size_t claims;
@@ -210,5 +218,8 @@
 
 /** Paces what fills on a worker by the tails of what serves there. */
 void sched_pace_worker(gn_sched_t *sched, sched_worker_t *worker);
+/** Share of its full speed that one more filling task would have, above 0. */
+double sched_fill_speed(const gn_sched_t *sched, const sched_worker_t *worker,
+			const char *image, uint32_t cpu_milli);
 
 #endif
--- a/lib/sched/sched_job.c
+++ b/lib/sched/sched_job.c
@@ -52,6 +52,7 @@
 			task->number = unit->first + k;
 			task->unit = i;
 			task->percent = 100;
+			task->image = g_intern_string(unit->step->image);
 		}
 	}
 }
--- a/lib/sched/sched_pass.c
+++ b/lib/sched/sched_pass.c
@@ -99,8 +99,23 @@
 	       g_strv_contains((const gchar *const *)worker->labels, label);
 }
 
-static void set_view(gn_place_worker_t *view, const sched_worker_t *worker,
-		     const sched_job_t *job, const Gn__JobStep *step)
+static uint32_t count_same_image(const sched_worker_t *worker,
+				 const Gn__JobStep *step)
+{
+	uint32_t count = 0;
+
+	for (guint i = 0; step->target_ms && i < worker->claims->len; i++) {
+		const sched_task_t *task = g_ptr_array_index(worker->claims, i);
+
+		count += task->job->units[task->unit].step->target_ms &&
+			 !strcmp(task->image, step->image);
+	}
+	return count;
+}
+
+static void set_view(gn_place_worker_t *view, const gn_sched_t *sched,
+		     const sched_worker_t *worker, const sched_job_t *job,
+		     const Gn__JobStep *step)
 {
 	view->capacity = worker->capacity;
 	view->used = worker->used;
@@ -108,10 +123,17 @@
 	view->same_step = 0;
 	view->serving = worker->serving;
 	view->filling = worker->filling;
+	view->fill_milli = worker->fill_milli;
 	view->slowness =
 		worker->health.slowness > 0 ? worker->health.slowness : 1;
 	view->eligible = !strcmp(worker->service, job->service) &&
 			 has_label(worker, step->label);
+	view->same_image = count_same_image(worker, step);
+	view->fill_speed = 1;
+	if (step->fills && view->eligible)
+		view->fill_speed = sched_fill_speed(
+			sched, worker, g_intern_string(step->image),
+			step->cpu_milli);
 	view->near = !*step->rack || !strcmp(step->rack, worker->rack);
 }
 
@@ -153,24 +175,32 @@
 	gn_room_add(&view->used, &wanted->room);
 	view->same_step++;
 	view->serving += wanted->serves;
+	view->same_image += wanted->serves;
 	view->filling += wanted->fills;
+	view->fill_milli += wanted->fill_milli;
+	if (wanted->fills)
+		view->fill_speed =
+			sched_fill_speed(task->job->sched, all->workers[at],
+					 task->image, wanted->fill_milli);
 }
 
 static void place_unit(gn_sched_t *sched, candidates_t *all, sched_job_t *job,
 		       sched_unit_t *unit)
 {
 	const Gn__JobStep *step = unit->step;
-	const gn_place_task_t wanted = { .room = sched_step_room(step),
-					 .per_worker = step->per_worker,
-					 .fills = step->fills,
-					 .serves = step->target_ms != 0,
-					 .far_factor =
-						 sched->config.far_factor };
+	const gn_place_task_t wanted = {
+		.room = sched_step_room(step),
+		.per_worker = step->per_worker,
+		.fill_milli = step->fills ? step->cpu_milli : 0,
+		.fills = step->fills,
+		.serves = step->target_ms != 0,
+		.far_factor = sched->config.far_factor
+	};
 	sched_task_t *task;
 	size_t at;
 
 	for (size_t i = 0; i < all->count; i++)
-		set_view(&all->views[i], all->workers[i], job, step);
+		set_view(&all->views[i], sched, all->workers[i], job, step);
 	if (step->per_worker)
 		count_same_step(all, job, unit);
 	while ((task = next_waiting(job, unit))) {
--- a/lib/sched/sched_worker.c
+++ b/lib/sched/sched_worker.c
@@ -295,6 +295,10 @@
 	sched_note_task(sched, "order", task, verdict, 0);
 	switch ((gn_run_order_verdict_t)result->verdict) {
 	case GN_VERDICT_STARTED:
+		/* it starts at full pace */
+		task->listed = true;
+		if (task->job->units[task->unit].step->fills)
+			sched_pace_worker(sched, worker);
 		break;
 	case GN_VERDICT_MALFORMED:
 		sched_take_end(task, GN_END_FAILED, "");
