Learn disturbance as factors, move what stays slow

Cause: tails grow by factors (22 ms to 854 ms with a full worker), so sums of milliseconds learned weights that never let a task on again: some stood at pace zero for 20 s.

Change: weights of the tail's logarithm; a filling task with a checkpoint whose pace stays low is stopped and placed where it would be faster.

--- a/lib/sched/disturb.c
+++ b/lib/sched/disturb.c
@@ -1,13 +1,15 @@
 #include "sched/disturb.h"
 
 #include <glib.h>
+#include <math.h>
 
 /** Part of an error that one reading corrects. */
 #define LEARNING_RATE 0.5
 /** The baseline's part in a reading, as a squared share of the processors. */
-#define BASELINE_PART 0.01
-/** Largest weight, milliseconds. */
-#define WEIGHT_MAX 5000.0
+#define BASELINE_PART 0.04
+/** Weight of a pair that was not seen yet, and the largest. */
+#define WEIGHT_NEW 0.3
+#define WEIGHT_MAX 20.0
 
 struct gn_disturb_s {
 	GHashTable *weights; /**< "SERVES FILLS" (interned) to double */
@@ -45,18 +47,18 @@
 {
 	const double *weight = find(disturb, serves, fills);
 
-	return weight ? *weight : 0;
+	return weight ? *weight : WEIGHT_NEW;
 }
 
-double gn_disturb_added_ms(const gn_disturb_t *disturb, const char *serves,
-			   const gn_fill_use_t *uses, size_t count)
+double gn_disturb_sum(const gn_disturb_t *disturb, const char *serves,
+		      const gn_fill_use_t *uses, size_t count)
 {
-	double added_ms = 0;
+	double sum = 0;
 
 	for (size_t i = 0; i < count; i++)
-		added_ms += uses[i].share *
-			    gn_disturb_weight(disturb, serves, uses[i].image);
-	return added_ms;
+		sum += uses[i].share *
+		       gn_disturb_weight(disturb, serves, uses[i].image);
+	return sum;
 }
 
 static void correct(gn_disturb_t *disturb, const char *serves,
@@ -65,7 +67,8 @@
 	double *weight = find(disturb, serves, fills);
 
 	if (!weight) {
-		weight = g_new0(double, 1);
+		weight = g_new(double, 1);
+		*weight = WEIGHT_NEW;
 		g_hash_table_insert(disturb->weights,
 				    g_strdup_printf("%s %s", serves, fills),
 				    weight);
@@ -74,23 +77,21 @@
 }
 
 void gn_disturb_learn(gn_disturb_t *disturb, const char *serves, double tail_ms,
-		      double *baseline_ms, const gn_fill_use_t *uses,
-		      size_t count)
+		      double *baseline, const gn_fill_use_t *uses, size_t count)
 {
-	double added_ms = gn_disturb_added_ms(disturb, serves, uses, count);
+	double sum = gn_disturb_sum(disturb, serves, uses, count);
 	double norm = BASELINE_PART;
-	double error_ms;
+	double error;
 
-	if (*baseline_ms < 0)
-		*baseline_ms = MAX(0, tail_ms - added_ms);
-	error_ms = tail_ms - *baseline_ms - added_ms;
+	if (*baseline < 0)
+		*baseline = fmax(0, log(tail_ms) - sum);
+	error = log(tail_ms) - *baseline - sum;
 	for (size_t i = 0; i < count; i++)
 		norm += uses[i].share * uses[i].share;
-	*baseline_ms += LEARNING_RATE * error_ms * BASELINE_PART / norm;
-	*baseline_ms = MAX(0, *baseline_ms);
+	*baseline += LEARNING_RATE * error * BASELINE_PART / norm;
+	*baseline = fmax(0, *baseline);
 	for (size_t i = 0; i < count; i++)
 		if (uses[i].share > 0)
 			correct(disturb, serves, uses[i].image,
-				LEARNING_RATE * error_ms * uses[i].share /
-					norm);
+				LEARNING_RATE * error * uses[i].share / norm);
 }
--- a/lib/sched/disturb.h
+++ b/lib/sched/disturb.h
@@ -6,11 +6,12 @@
  * pairs do not disturb each other, a few do so heavily, and which ones is seen
  * only in tail latencies that also move with the serving task's own load.
  *
- * The tail of a serving task is taken as a baseline of its own plus, for each
- * image that fills beside it, the share of the worker's processors in use by
- * that image times the pair's weight. Baseline and weights are corrected with
- * each reading, in proportion to their part in it (normalised least mean
- * squares), and weights never go below zero.
+ * The logarithm of a serving task's tail is taken as a baseline of its own
+ * plus, for each image that fills beside it, the share of the worker's
+ * processors in use by that image times the pair's weight; tails grow by
+ * factors as a worker fills up. Baseline and weights are corrected with each
+ * reading, in proportion to their part in it (normalised least mean squares),
+ * and weights never go below zero.
  */
 #ifndef GN_SCHED_DISTURB_H
 #define GN_SCHED_DISTURB_H
@@ -30,19 +31,21 @@
 gn_disturb_t *gn_disturb_create(TALLOC_CTX *parent);
 
 /**
- * The weight of a pair: milliseconds of tail that the whole worker's
- * processors in use by @p fills would add. Images are interned.
+ * The weight of a pair: the logarithm of the factor by which the whole
+ * worker's processors in use by @p fills would lengthen the tail.
  */
 double gn_disturb_weight(const gn_disturb_t *disturb, const char *serves,
 			 const char *fills);
 
-/** Milliseconds that @p uses add to the tail of @p serves. */
-double gn_disturb_added_ms(const gn_disturb_t *disturb, const char *serves,
-			   const gn_fill_use_t *uses, size_t count);
+/** The logarithm of the factor by which @p uses lengthen the tail. */
+double gn_disturb_sum(const gn_disturb_t *disturb, const char *serves,
+		      const gn_fill_use_t *uses, size_t count);
 
 /**
  * Takes a reading.
- * @param baseline_ms of the serving task; below 0: not known yet
+ * @param tail_ms above 0
+ * @param baseline logarithm of the serving task's own tail in milliseconds;
+ *        below 0: not known yet
  */
 void gn_disturb_learn(gn_disturb_t *disturb, const char *serves, double tail_ms,
 		      double *baseline_ms, const gn_fill_use_t *uses,
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -47,8 +47,9 @@
 	uint32_t percent; /**< pace that it was told, 0 to 100 */
 	uint32_t gauge; /**< of the last list */
 	const char *image; /**< interned */
-	double baseline_ms; /**< of its tail; below 0: not known yet */
-	uint64_t paced_us; /**< when its pace was last changed */
+	double baseline; /**< of its tail's logarithm; below 0: not known */
+	uint64_t slow_us; /**< since when its pace is low; 0: it is not */
+	uint32_t moves; /**< to a worker where it would be faster */
 } sched_task_t;
 
 /** A step of one occurrence: the unit in which tasks become ready. */
@@ -210,9 +211,16 @@
 void sched_workers_lapse(gn_sched_t *sched);
 /** Passes the ends that have become durable. */
 void sched_worker_settle_ends(sched_worker_t *worker);
-/** Whether it may be given tasks. */
+/** Whether it was heard of lately. */
 bool sched_worker_is_live(const gn_sched_t *sched,
 			  const sched_worker_t *worker);
+/** Whether it may be given any tasks. */
+bool sched_worker_is_open(const gn_sched_t *sched,
+			  const sched_worker_t *worker);
+/** Whether it may be given tasks of @p step, as far as room goes not. */
+bool sched_worker_is_eligible(const gn_sched_t *sched,
+			      const sched_worker_t *worker,
+			      const sched_job_t *job, const Gn__JobStep *step);
 
 /* ======   sched_pace.c   ====== */
 
--- a/lib/sched/sched_pace.c
+++ b/lib/sched/sched_pace.c
@@ -21,10 +21,18 @@
 /** Smaller changes of a pace are not worth an order, percent. */
 #define PACE_STEP 10
 #define PACE_FULL 100
+/** A pace of at most so much, percent, for so long is worth a move. */
+#define SLOW_PERCENT 50
+#define SLOW_US (800 * GN_US_PER_MS)
+/** What a move has to add to a task's share of its full speed. */
+#define MOVE_GAIN 0.4
+#define MOVES_MAX 4
 /** Share of what is set aside for serving tasks that they use, as a guess. */
 #define SERVING_USE 0.5
-/** Pairs of less weight than this share of the target are no disturbance. */
-#define LIGHT_SHARE 0.2
+/** Share of the way from the baseline to the target that is let anyway. */
+#define LEAST_BUDGET 0.3
+/** Pairs of less weight are no disturbance. */
+#define LIGHT_WEIGHT 0.4
 /** Images that may fill on one worker. */
 #define IMAGES_MAX 32
 /** Slowest that a filling task is expected to be. */
@@ -102,40 +110,35 @@
 
 /* ======   Budgets   ====== */
 
-/* Milliseconds that what fills may add to the tail of @p task. */
-static double get_budget_ms(const sched_task_t *task)
+/* The logarithm of the factor by which the tail of @p task may grow. */
+static double get_budget(const sched_task_t *task)
 {
-	double baseline_ms = task->baseline_ms > 0 ? task->baseline_ms : 0;
-	double budget_ms = GOAL_SHARE * step_of(task)->target_ms - baseline_ms;
+	double target = log(step_of(task)->target_ms);
+	double baseline = fmax(0, task->baseline);
 
-	return budget_ms > 0 ? budget_ms : 0;
-}
-
-static double get_light_weight(const sched_task_t *task)
-{
-	return LIGHT_SHARE * step_of(task)->target_ms;
+	return fmax(0, fmax(target + log(GOAL_SHARE) - baseline,
+			    LEAST_BUDGET * (target - baseline)));
 }
 
 /* The pace that the serving @p task leaves to all that disturbs it. */
 static double get_allowed(const gn_sched_t *sched, const sched_worker_t *worker,
 			  const sched_task_t *task, double spare)
 {
-	double wished_ms = 0;
-	double budget_ms = get_budget_ms(task);
+	double wished = 0;
+	double budget = get_budget(task);
 
 	for (guint i = 0; i < worker->claims->len; i++) {
 		const sched_task_t *other =
 			g_ptr_array_index(worker->claims, i);
 
 		if (is_filling(other))
-			wished_ms +=
-				gn_disturb_weight(sched->disturb, task->image,
-						  other->image) *
-				get_full_share(worker,
-					       step_of(other)->cpu_milli,
-					       spare);
+			wished += gn_disturb_weight(sched->disturb, task->image,
+						    other->image) *
+				  get_full_share(worker,
+						 step_of(other)->cpu_milli,
+						 spare);
 	}
-	return wished_ms <= budget_ms ? 1 : budget_ms / wished_ms;
+	return wished <= budget ? 1 : budget / wished;
 }
 
 /* The pace for tasks of @p image beside all that serves. */
@@ -149,7 +152,7 @@
 
 		if (!is_serving(task) ||
 		    gn_disturb_weight(sched->disturb, task->image, image) <
-			    get_light_weight(task))
+			    LIGHT_WEIGHT)
 			continue;
 		pace = fmin(pace, get_allowed(sched, worker, task, spare));
 	}
@@ -169,15 +172,15 @@
 		const sched_task_t *task = g_ptr_array_index(worker->claims, i);
 		double weight =
 			gn_disturb_weight(sched->disturb, task->image, image);
-		double left_ms;
+		double left;
 
-		if (!step_of(task)->target_ms ||
-		    weight < get_light_weight(task) || share <= 0)
+		if (!step_of(task)->target_ms || weight < LIGHT_WEIGHT ||
+		    share <= 0)
 			continue;
-		left_ms = get_budget_ms(task) -
-			  gn_disturb_added_ms(sched->disturb, task->image,
-					      uses.rows, uses.count);
-		pace = fmin(pace, fmax(0, left_ms / (weight * share)));
+		left = get_budget(task) - gn_disturb_sum(sched->disturb,
+							 task->image, uses.rows,
+							 uses.count);
+		pace = fmin(pace, fmax(0, left / (weight * share)));
 	}
 	return pace;
 }
@@ -255,7 +258,6 @@
 
 	gn_task_name(task->job->spec, task->number, name);
 	task->percent = percent;
-	task->paced_us = sched_now_us(sched);
 	sched_note_task(sched, "pace", task, NULL, percent);
 	sched->ops->order(sched->arg, task->worker->host, &order);
 }
@@ -278,11 +280,68 @@
 
 		if (is_serving(task) && task->gauge)
 			gn_disturb_learn(sched->disturb, task->image,
-					 task->gauge, &task->baseline_ms,
+					 task->gauge, &task->baseline,
 					 uses.rows, uses.count);
 	}
 }
 
+/* ======   Moves   ====== */
+
+/* The highest speed that @p task would have on another worker. */
+static double get_best_speed(gn_sched_t *sched, const sched_task_t *task)
+{
+	const Gn__JobStep *step = step_of(task);
+	const gn_room_t room = sched_step_room(step);
+	GHashTableIter iter;
+	gpointer value;
+	double best = 0;
+
+	g_hash_table_iter_init(&iter, sched->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		sched_worker_t *worker = value;
+
+		if (worker == task->worker ||
+		    !sched_worker_is_eligible(sched, worker, task->job, step) ||
+		    !gn_room_fits(&worker->capacity, &worker->used, &room))
+			continue;
+		best = fmax(best, sched_fill_speed(sched, worker, task->image,
+						   step->cpu_milli));
+	}
+	return best;
+}
+
+static bool is_slow_for_long(const gn_sched_t *sched, sched_task_t *task)
+{
+	uint64_t now_us = sched_now_us(sched);
+
+	if (task->percent > SLOW_PERCENT) {
+		task->slow_us = 0;
+		return false;
+	}
+	if (!task->slow_us)
+		task->slow_us = now_us;
+	return now_us - task->slow_us >= SLOW_US;
+}
+
+/* Only what resumes from a checkpoint is moved, or its work would be lost. */
+static void move_slow(gn_sched_t *sched, sched_worker_t *worker, double spare)
+{
+	for (guint i = 0; i < worker->claims->len; i++) {
+		sched_task_t *task = g_ptr_array_index(worker->claims, i);
+		double speed = spare * task->percent / PACE_FULL;
+
+		if (!is_filling(task) || !step_of(task)->checkpoints ||
+		    task->moves >= MOVES_MAX || !is_slow_for_long(sched, task))
+			continue;
+		if (get_best_speed(sched, task) < MOVE_GAIN + speed)
+			continue;
+		task->moves++;
+		sched_stop(task, "faster elsewhere");
+		/* the next look sees what this one has changed */
+		return;
+	}
+}
+
 void sched_pace_worker(gn_sched_t *sched, sched_worker_t *worker)
 {
 	double spare = get_spare(worker, 0);
@@ -307,4 +366,5 @@
 		if (is_worth_an_order(task->percent, wanted))
 			set_pace(sched, task, wanted);
 	}
+	move_slow(sched, worker, spare);
 }
--- a/lib/sched/sched_pass.c
+++ b/lib/sched/sched_pass.c
@@ -85,20 +85,12 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		sched_worker_t *worker = value;
 
-		if (worker->draining || !*worker->life ||
-		    !sched_worker_is_live(sched, worker) ||
-		    !gn_health_is_good(&worker->health, sched_now_us(sched)))
+		if (!sched_worker_is_open(sched, worker))
 			continue;
 		all->workers[all->count++] = worker;
 	}
 }
 
-static bool has_label(const sched_worker_t *worker, const char *label)
-{
-	return !*label ||
-	       g_strv_contains((const gchar *const *)worker->labels, label);
-}
-
 static uint32_t count_same_image(const sched_worker_t *worker,
 				 const Gn__JobStep *step)
 {
@@ -126,8 +118,7 @@
 	view->fill_milli = worker->fill_milli;
 	view->slowness =
 		worker->health.slowness > 0 ? worker->health.slowness : 1;
-	view->eligible = !strcmp(worker->service, job->service) &&
-			 has_label(worker, step->label);
+	view->eligible = sched_worker_is_eligible(sched, worker, job, step);
 	view->same_image = count_same_image(worker, step);
 	view->fill_speed = 1;
 	if (step->fills && view->eligible)
--- a/lib/sched/sched_worker.c
+++ b/lib/sched/sched_worker.c
@@ -56,6 +56,24 @@
 	       sched_now_us(sched) - worker->heard_us < SCHED_SILENT_US;
 }
 
+bool sched_worker_is_open(const gn_sched_t *sched, const sched_worker_t *worker)
+{
+	return !worker->draining && *worker->life &&
+	       sched_worker_is_live(sched, worker) &&
+	       gn_health_is_good(&worker->health, sched_now_us(sched));
+}
+
+bool sched_worker_is_eligible(const gn_sched_t *sched,
+			      const sched_worker_t *worker,
+			      const sched_job_t *job, const Gn__JobStep *step)
+{
+	return sched_worker_is_open(sched, worker) &&
+	       !strcmp(worker->service, job->service) &&
+	       (!*step->label ||
+		g_strv_contains((const gchar *const *)worker->labels,
+				step->label));
+}
+
 static void note_worker(const gn_sched_t *sched, const char *what,
 			const sched_worker_t *worker, const char *why,
 			int64_t value)
