Learn from each reading once; lower goal, quicker emergency

Cause: tails change about twice a second, lists come more often; the same reading was learned from four times. A tail near its target moves over it with its own load within a second.

--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -128,6 +128,7 @@
 	uint64_t ends_seen;
 	uint64_t ends_durable;
 	gn_health_t health;
+	uint64_t reading; /**< mix of the tails that were last learned from */
 	uint64_t over_us; /**< since when a tail is over its target; 0: none */
 	uint64_t cleared_us; /**< and nothing fills; 0: something does */
 };
--- a/lib/sched/sched_pace.c
+++ b/lib/sched/sched_pace.c
@@ -13,9 +13,9 @@
 #include "sched/sched_internal.h"
 
 /** Share of its target up to which a tail is let. */
-#define GOAL_SHARE 0.8
+#define GOAL_SHARE 0.65
 /** A tail over its target for this long is an emergency. */
-#define EMERGENCY_US (1200 * GN_US_PER_MS)
+#define EMERGENCY_US (400 * GN_US_PER_MS)
 /** A tail that is over it for this long without what fills is so by itself. */
 #define ALONE_US (1000 * GN_US_PER_MS)
 /** Smaller changes of a pace are not worth an order, percent. */
@@ -270,10 +270,29 @@
 	       wanted >= old + PACE_STEP;
 }
 
+/* The worker's figures change about twice a second; lists come more often. */
+static bool is_new_reading(sched_worker_t *worker)
+{
+	uint64_t mix = 0;
+
+	for (guint i = 0; i < worker->claims->len; i++) {
+		const sched_task_t *task = g_ptr_array_index(worker->claims, i);
+
+		if (is_serving(task))
+			mix = mix * 31 + task->gauge;
+	}
+	if (mix == worker->reading)
+		return false;
+	worker->reading = mix;
+	return true;
+}
+
 static void learn(gn_sched_t *sched, sched_worker_t *worker)
 {
 	uses_t uses;
 
+	if (!is_new_reading(worker))
+		return;
 	measure_uses(worker, &uses);
 	for (guint i = 0; i < worker->claims->len; i++) {
 		sched_task_t *task = g_ptr_array_index(worker->claims, i);
