Bound what a pass of placing costs; short pauses towards the store

Change: sums by image for each worker, passes take a fifth of the time at most, what fills waits rather than run at under half its speed; backoff towards the store is bounded; a job runs once a run was seen.

--- a/lib/lead/lead.c
+++ b/lib/lead/lead.c
@@ -13,6 +13,8 @@
 #define MEMBER_PREFIX GN_LEAD_LIVE_PREFIX "members/"
 /** Of one watch call; short, for a connection may have gone silent. */
 #define WATCH_WAIT_MS 1000
+/** Longest pause after a failure: without a leader nothing is decided. */
+#define BACKOFF_MS 300
 
 /** "INCARNATION@ADDRESS" */
 #define VALUE_SIZE (GN_ADDRESS_MAX + 32)
@@ -237,6 +239,7 @@
 	if (!lead)
 		return NULL;
 	lead->options = *options;
+	lead->backoff.limit_us = BACKOFF_MS * GN_US_PER_MS;
 	watch_options.context = lead;
 	snprintf(lead->value, sizeof(lead->value), "%016" PRIx64 "@%s",
 		 options->incarnation, options->address);
@@ -246,6 +249,7 @@
 		talloc_free(lead);
 		return NULL;
 	}
+	gn_kv_watch_limit_backoff(lead->watch, BACKOFF_MS);
 	return lead;
 }
 
--- a/lib/ledger/ledger.c
+++ b/lib/ledger/ledger.c
@@ -12,6 +12,8 @@
 /** Jobs of one batch: a new one takes two rows, the chain key takes two. */
 #define BATCH_JOBS_MAX ((GN_KV_TXN_ROWS_MAX - 2) / 2)
 #define BATCH_ROWS_MAX GN_KV_TXN_ROWS_MAX
+/** Longest pause after a failure: callers wait for the batch. */
+#define BACKOFF_US (200 * GN_US_PER_MS)
 /** "INCARNATION-NUMBER" */
 #define MARK_SIZE 48
 
@@ -220,6 +222,7 @@
 		return NULL;
 	ledger->options = *options;
 	ledger->revision = options->epoch;
+	ledger->backoff.limit_us = BACKOFF_US;
 	return ledger;
 }
 
--- a/lib/platform/backoff.h
+++ b/lib/platform/backoff.h
@@ -19,6 +19,7 @@
 /** A zeroed one is at its start. */
 typedef struct gn_backoff_s {
 	uint64_t window_us;
+	uint64_t limit_us; /**< longest window; 0: GN_BACKOFF_MAX_US */
 } gn_backoff_t;
 
 /** The next wait, microseconds, at most GN_BACKOFF_MAX_US. */
--- a/lib/platform/watch.c
+++ b/lib/platform/watch.c
@@ -54,6 +54,11 @@
 	talloc_free(watch);
 }
 
+void gn_kv_watch_limit_backoff(gn_kv_watch_t *watch, uint32_t backoff_ms)
+{
+	watch->backoff.limit_us = (uint64_t)backoff_ms * GN_US_PER_MS;
+}
+
 static void deliver(gn_kv_watch_t *watch, const gn_kv_result_t *result,
 		    bool whole)
 {
--- a/lib/platform/watch.h
+++ b/lib/platform/watch.h
@@ -50,6 +50,12 @@
 /** Cancels the call in progress and frees. */
 void gn_kv_watch_free(gn_kv_watch_t *watch);
 
+/**
+ * Bounds the pause after a failure, which is GN_BACKOFF_MAX_US at first.
+ * @param backoff_ms at least 1
+ */
+void gn_kv_watch_limit_backoff(gn_kv_watch_t *watch, uint32_t backoff_ms);
+
 /** Starts the call that is due; to be called some times a second. */
 void gn_kv_watch_tick(gn_kv_watch_t *watch);
 
--- a/lib/sched/disturb.c
+++ b/lib/sched/disturb.c
@@ -12,12 +12,17 @@
 #define WEIGHT_MAX 20.0
 
 struct gn_disturb_s {
-	GHashTable *weights; /**< "SERVES FILLS" (interned) to double */
+	GHashTable *serves; /**< image to a table of image to double */
 };
 
+static void free_table(gpointer table)
+{
+	g_hash_table_destroy(table);
+}
+
 static int free_disturb(gn_disturb_t *disturb)
 {
-	g_hash_table_destroy(disturb->weights);
+	g_hash_table_destroy(disturb->serves);
 	return 0;
 }
 
@@ -27,8 +32,8 @@
 
 	if (!disturb)
 		return NULL;
-	disturb->weights =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	disturb->serves = g_hash_table_new_full(g_direct_hash, g_direct_equal,
+						NULL, free_table);
 	talloc_set_destructor(disturb, free_disturb);
 	return disturb;
 }
@@ -36,10 +41,25 @@
 static double *find(const gn_disturb_t *disturb, const char *serves,
 		    const char *fills)
 {
-	char key[256];
+	GHashTable *table = g_hash_table_lookup(disturb->serves, serves);
 
-	g_snprintf(key, sizeof(key), "%s %s", serves, fills);
-	return g_hash_table_lookup(disturb->weights, key);
+	return table ? g_hash_table_lookup(table, fills) : NULL;
+}
+
+static double *create(gn_disturb_t *disturb, const char *serves,
+		      const char *fills)
+{
+	GHashTable *table = g_hash_table_lookup(disturb->serves, serves);
+	double *weight = g_new(double, 1);
+
+	if (!table) {
+		table = g_hash_table_new_full(g_direct_hash, g_direct_equal,
+					      NULL, g_free);
+		g_hash_table_insert(disturb->serves, (gpointer)serves, table);
+	}
+	*weight = WEIGHT_NEW;
+	g_hash_table_insert(table, (gpointer)fills, weight);
+	return weight;
 }
 
 double gn_disturb_weight(const gn_disturb_t *disturb, const char *serves,
@@ -66,13 +86,8 @@
 {
 	double *weight = find(disturb, serves, fills);
 
-	if (!weight) {
-		weight = g_new(double, 1);
-		*weight = WEIGHT_NEW;
-		g_hash_table_insert(disturb->weights,
-				    g_strdup_printf("%s %s", serves, fills),
-				    weight);
-	}
+	if (!weight)
+		weight = create(disturb, serves, fills);
 	*weight = CLAMP(*weight + change, 0, WEIGHT_MAX);
 }
 
--- a/lib/sched/disturb.h
+++ b/lib/sched/disturb.h
@@ -32,7 +32,8 @@
 
 /**
  * The weight of a pair: the logarithm of the factor by which the whole
- * worker's processors in use by @p fills would lengthen the tail.
+ * worker's processors in use by @p fills would lengthen the tail. Images are
+ * interned strings everywhere here.
  */
 double gn_disturb_weight(const gn_disturb_t *disturb, const char *serves,
 			 const char *fills);
--- a/lib/sched/sched_claim.c
+++ b/lib/sched/sched_claim.c
@@ -76,8 +76,6 @@
 
 	bind_task(task, worker, worker->life);
 	task->attempt = attempt;
-	if (job->phase == GN_JOB_QUEUED)
-		job->phase = GN_JOB_RUNNING;
 	task->claim_version = sched_job_mark(job);
 	g_ptr_array_add(job->starts, task);
 	sched_note_task(job->sched, "claim", task, NULL,
@@ -203,6 +201,19 @@
 		sched_job_finish(job, GN_JOB_FAILED, "attempts used up");
 }
 
+void sched_note_started(sched_task_t *task)
+{
+	sched_job_t *job = task->job;
+
+	/* stored with the job's next change: a list tells it to a successor */
+	if (job->phase == GN_JOB_QUEUED)
+		job->phase = GN_JOB_RUNNING;
+	if (task->listed)
+		return;
+	task->listed = true;
+	task->listed_us = sched_now_us(job->sched);
+}
+
 /* What the run tells of its worker. */
 static void learn(const sched_task_t *task, gn_end_how_t how)
 {
@@ -223,6 +234,7 @@
 		    const char *checkpoint)
 {
 	sched_note_task(task->job->sched, "end", task, gn_end_how_name(how), 0);
+	sched_note_started(task);
 	learn(task, how);
 	keep_checkpoint(task, checkpoint);
 	if (how == GN_END_DONE)
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -150,7 +150,7 @@
 	GPtrArray *writing; /**< jobs in the batch */
 	size_t claims;
 	bool changed; /**< something that placing depends on */
-	uint64_t passed_us; /**< last pass */
+	uint64_t pass_due_us; /**< no pass before */
 };
 
 uint64_t sched_now_us(const gn_sched_t *sched);
@@ -199,6 +199,8 @@
 void sched_claim_order(sched_task_t *task);
 /** Sends the starts of a job whose claims have become durable. */
 void sched_job_send_starts(sched_job_t *job);
+/** The run of a claim has begun. */
+void sched_note_started(sched_task_t *task);
 /** A run of a claim has ended; @p checkpoint may be empty. */
 void sched_take_end(sched_task_t *task, gn_end_how_t how,
 		    const char *checkpoint);
@@ -227,8 +229,4 @@
 
 /** Paces what fills on a worker by the tails of what serves there. */
 void sched_pace_worker(gn_sched_t *sched, sched_worker_t *worker);
-/** Share of its full speed that one more filling task would have, above 0. */
-double sched_fill_speed(const gn_sched_t *sched, const sched_worker_t *worker,
-			const char *image, uint32_t cpu_milli);
-
 #endif
--- a/lib/sched/sched_pace.c
+++ b/lib/sched/sched_pace.c
@@ -6,14 +6,11 @@
  * worker, that is paced down which the learned weights blame, as far as it
  * takes to keep each serving task under its target. A tail that stays over its
  * target all the same has everything that fills there paced to zero, until it
- * is under it again or has shown that it is over it by itself.
+ * is under it again or has shown that it is over it by itself. What stays slow
+ * and can resume from a checkpoint is moved to where it would be faster.
  */
-#include <math.h>
+#include "sched/sched_mix.h"
 
-#include "sched/sched_internal.h"
-
-/** Share of its target up to which a tail is let. */
-#define GOAL_SHARE 0.65
 /** A tail over its target for this long is an emergency. */
 #define EMERGENCY_US (400 * GN_US_PER_MS)
 /** A tail that is over it for this long without what fills is so by itself. */
@@ -27,16 +24,6 @@
 /** What a move has to add to a task's share of its full speed. */
 #define MOVE_GAIN 0.4
 #define MOVES_MAX 4
-/** Share of what is set aside for serving tasks that they use, as a guess. */
-#define SERVING_USE 0.5
-/** Share of the way from the baseline to the target that is let anyway. */
-#define LEAST_BUDGET 0.3
-/** Pairs of less weight are no disturbance. */
-#define LIGHT_WEIGHT 0.4
-/** Images that may fill on one worker. */
-#define IMAGES_MAX 32
-/** Slowest that a filling task is expected to be. */
-#define SPEED_MIN 0.02
 
 static const Gn__JobStep *step_of(const sched_task_t *task)
 {
@@ -53,146 +40,38 @@
 	return step_of(task)->target_ms && task->listed && !task->stopping;
 }
 
-/* ======   Uses   ====== */
-
-typedef struct uses_s {
-	gn_fill_use_t rows[IMAGES_MAX];
-	size_t count;
-} uses_t;
-
-static void add_use(uses_t *uses, const char *image, double share)
-{
-	for (size_t i = 0; i < uses->count; i++) {
-		if (uses->rows[i].image != image)
-			continue;
-		uses->rows[i].share += share;
-		return;
-	}
-	if (uses->count == IMAGES_MAX)
-		return;
-	uses->rows[uses->count].image = image;
-	uses->rows[uses->count++].share = share;
-}
-
-/* What fills now, by the worker's own figures. */
-static void measure_uses(const sched_worker_t *worker, uses_t *uses)
-{
-	uses->count = 0;
-	for (guint i = 0; i < worker->claims->len; i++) {
-		const sched_task_t *task = g_ptr_array_index(worker->claims, i);
-
-		if (is_filling(task))
-			add_use(uses, task->image,
-				(double)task->gauge /
-					worker->capacity.cpu_milli);
-	}
-}
-
-/* The share of its wish that what fills gets, with @p more beside it. */
-static double get_spare(const sched_worker_t *worker, uint32_t more)
-{
-	double set_aside = worker->used.cpu_milli -
-			   (1 - SERVING_USE) * worker->serve_milli;
-	double left = worker->capacity.cpu_milli - set_aside;
-	double wished = (double)worker->fill_milli + more;
-
-	if (wished <= 0 || left >= wished)
-		return 1;
-	return left > 0 ? left / wished : 0;
-}
-
-/* The processors that one task would use at full pace. */
-static double get_full_share(const sched_worker_t *worker, uint32_t cpu_milli,
-			     double spare)
-{
-	return spare * cpu_milli / worker->capacity.cpu_milli;
-}
-
-/* ======   Budgets   ====== */
+/* ======   Learning   ====== */
 
-/* The logarithm of the factor by which the tail of @p task may grow. */
-static double get_budget(const sched_task_t *task)
-{
-	double target = log(step_of(task)->target_ms);
-	double baseline = fmax(0, task->baseline);
-
-	return fmax(0, fmax(target + log(GOAL_SHARE) - baseline,
-			    LEAST_BUDGET * (target - baseline)));
-}
-
-/* The pace that the serving @p task leaves to all that disturbs it. */
-static double get_allowed(const gn_sched_t *sched, const sched_worker_t *worker,
-			  const sched_task_t *task, double spare)
-{
-	double wished = 0;
-	double budget = get_budget(task);
-
-	for (guint i = 0; i < worker->claims->len; i++) {
-		const sched_task_t *other =
-			g_ptr_array_index(worker->claims, i);
-
-		if (is_filling(other))
-			wished += gn_disturb_weight(sched->disturb, task->image,
-						    other->image) *
-				  get_full_share(worker,
-						 step_of(other)->cpu_milli,
-						 spare);
-	}
-	return wished <= budget ? 1 : budget / wished;
-}
-
-/* The pace for tasks of @p image beside all that serves. */
-static double get_pace(const gn_sched_t *sched, const sched_worker_t *worker,
-		       const char *image, double spare)
+/* The worker's figures change about twice a second; lists come more often. */
+static bool is_new_reading(sched_worker_t *worker)
 {
-	double pace = 1;
+	uint64_t mix = 0;
 
 	for (guint i = 0; i < worker->claims->len; i++) {
 		const sched_task_t *task = g_ptr_array_index(worker->claims, i);
 
-		if (!is_serving(task) ||
-		    gn_disturb_weight(sched->disturb, task->image, image) <
-			    LIGHT_WEIGHT)
-			continue;
-		pace = fmin(pace, get_allowed(sched, worker, task, spare));
+		if (is_serving(task))
+			mix = mix * 31 + task->gauge;
 	}
-	return pace;
+	if (mix == worker->reading)
+		return false;
+	worker->reading = mix;
+	return true;
 }
 
-/* What one more task beside what serves would add, over its budget. */
-static double get_new_pace(const gn_sched_t *sched,
-			   const sched_worker_t *worker, const char *image,
-			   double share)
+static void learn(gn_sched_t *sched, sched_worker_t *worker,
+		  const sched_mix_t *mix)
 {
-	double pace = 1;
-	uses_t uses;
-
-	measure_uses(worker, &uses);
+	if (!is_new_reading(worker))
+		return;
 	for (guint i = 0; i < worker->claims->len; i++) {
-		const sched_task_t *task = g_ptr_array_index(worker->claims, i);
-		double weight =
-			gn_disturb_weight(sched->disturb, task->image, image);
-		double left;
+		sched_task_t *task = g_ptr_array_index(worker->claims, i);
 
-		if (!step_of(task)->target_ms || weight < LIGHT_WEIGHT ||
-		    share <= 0)
-			continue;
-		left = get_budget(task) - gn_disturb_sum(sched->disturb,
-							 task->image, uses.rows,
-							 uses.count);
-		pace = fmin(pace, fmax(0, left / (weight * share)));
+		if (is_serving(task) && task->gauge)
+			gn_disturb_learn(sched->disturb, task->image,
+					 task->gauge, &task->baseline,
+					 mix->uses, mix->use_count);
 	}
-	return pace;
-}
-
-double sched_fill_speed(const gn_sched_t *sched, const sched_worker_t *worker,
-			const char *image, uint32_t cpu_milli)
-{
-	double spare = get_spare(worker, cpu_milli);
-	double share = get_full_share(worker, cpu_milli, spare);
-	double speed = spare * get_new_pace(sched, worker, image, share);
-
-	return fmax(speed, SPEED_MIN);
 }
 
 /* ======   Emergencies   ====== */
@@ -243,7 +122,7 @@
 	return now_us - worker->over_us >= EMERGENCY_US;
 }
 
-/* ======   Orders   ====== */
+/* ======   Paces   ====== */
 
 static void set_pace(gn_sched_t *sched, sched_task_t *task, uint32_t percent)
 {
@@ -270,37 +149,23 @@
 	       wanted >= old + PACE_STEP;
 }
 
-/* The worker's figures change about twice a second; lists come more often. */
-static bool is_new_reading(sched_worker_t *worker)
+static void set_paces(gn_sched_t *sched, sched_worker_t *worker,
+		      const sched_mix_t *mix)
 {
-	uint64_t mix = 0;
+	bool emergency = is_emergency(sched, worker);
 
-	for (guint i = 0; i < worker->claims->len; i++) {
-		const sched_task_t *task = g_ptr_array_index(worker->claims, i);
-
-		if (is_serving(task))
-			mix = mix * 31 + task->gauge;
-	}
-	if (mix == worker->reading)
-		return false;
-	worker->reading = mix;
-	return true;
-}
-
-static void learn(gn_sched_t *sched, sched_worker_t *worker)
-{
-	uses_t uses;
-
-	if (!is_new_reading(worker))
-		return;
-	measure_uses(worker, &uses);
 	for (guint i = 0; i < worker->claims->len; i++) {
 		sched_task_t *task = g_ptr_array_index(worker->claims, i);
+		uint32_t wanted = 0;
 
-		if (is_serving(task) && task->gauge)
-			gn_disturb_learn(sched->disturb, task->image,
-					 task->gauge, &task->baseline,
-					 uses.rows, uses.count);
+		if (!is_filling(task))
+			continue;
+		if (!emergency)
+			wanted = (uint32_t)(PACE_FULL *
+					    sched_mix_pace(sched, mix,
+							   task->image));
+		if (is_worth_an_order(task->percent, wanted))
+			set_pace(sched, task, wanted);
 	}
 }
 
@@ -318,13 +183,18 @@
 	g_hash_table_iter_init(&iter, sched->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		sched_worker_t *worker = value;
+		sched_mix_t mix;
+		double speed;
 
 		if (worker == task->worker ||
 		    !sched_worker_is_eligible(sched, worker, task->job, step) ||
 		    !gn_room_fits(&worker->capacity, &worker->used, &room))
 			continue;
-		best = fmax(best, sched_fill_speed(sched, worker, task->image,
-						   step->cpu_milli));
+		sched_mix_get(sched, worker, &mix);
+		speed = sched_mix_speed(sched, worker, &mix, task->image,
+					step->cpu_milli);
+		if (speed > best)
+			best = speed;
 	}
 	return best;
 }
@@ -343,17 +213,21 @@
 }
 
 /* Only what resumes from a checkpoint is moved, or its work would be lost. */
-static void move_slow(gn_sched_t *sched, sched_worker_t *worker, double spare)
+static void move_slow(gn_sched_t *sched, sched_worker_t *worker,
+		      const sched_mix_t *mix)
 {
 	for (guint i = 0; i < worker->claims->len; i++) {
 		sched_task_t *task = g_ptr_array_index(worker->claims, i);
-		double speed = spare * task->percent / PACE_FULL;
+		double speed = mix->spare * task->percent / PACE_FULL;
 
 		if (!is_filling(task) || !step_of(task)->checkpoints ||
 		    task->moves >= MOVES_MAX || !is_slow_for_long(sched, task))
 			continue;
-		if (get_best_speed(sched, task) < MOVE_GAIN + speed)
+		if (get_best_speed(sched, task) < MOVE_GAIN + speed) {
+			/* the next look is worth no more before a while */
+			task->slow_us = sched_now_us(sched);
 			continue;
+		}
 		task->moves++;
 		sched_stop(task, "faster elsewhere");
 		/* the next look sees what this one has changed */
@@ -363,27 +237,14 @@
 
 void sched_pace_worker(gn_sched_t *sched, sched_worker_t *worker)
 {
-	double spare = get_spare(worker, 0);
-	bool emergency;
+	sched_mix_t mix;
 
 	if (!worker->serving || !worker->capacity.cpu_milli)
 		return;
-	learn(sched, worker);
+	sched_mix_get(sched, worker, &mix);
+	learn(sched, worker, &mix);
 	if (!worker->filling)
 		return;
-	emergency = is_emergency(sched, worker);
-	for (guint i = 0; i < worker->claims->len; i++) {
-		sched_task_t *task = g_ptr_array_index(worker->claims, i);
-		uint32_t wanted;
-
-		if (!is_filling(task))
-			continue;
-		wanted = emergency ? 0
-				   : (uint32_t)(PACE_FULL *
-						get_pace(sched, worker,
-							 task->image, spare));
-		if (is_worth_an_order(task->percent, wanted))
-			set_pace(sched, task, wanted);
-	}
-	move_slow(sched, worker, spare);
+	set_paces(sched, worker, &mix);
+	move_slow(sched, worker, &mix);
 }
--- a/lib/sched/sched_pass.c
+++ b/lib/sched/sched_pass.c
@@ -10,7 +10,14 @@
 #include <string.h>
 
 #include "common/str.h"
-#include "sched/sched_internal.h"
+#include "sched/sched_mix.h"
+
+/** Share of its full speed below which a filling task rather waits. */
+#define LEAST_SPEED 0.5
+/** A job that runs nothing takes any speed after this long. */
+#define IDLE_US (1500 * GN_US_PER_MS)
+/** Passes take this share of the time at most, as a divisor. */
+#define PASS_PART 4
 
 /* ======   Order of jobs   ====== */
 
@@ -67,6 +74,7 @@
 /* The workers, as placing sees them, for one step after the other. */
 typedef struct candidates_s {
 	sched_worker_t **workers;
+	sched_mix_t *mixes; /**< their sums, where they have processors */
 	gn_place_worker_t *views;
 	size_t count;
 } candidates_t;
@@ -75,18 +83,20 @@
 {
 	GHashTableIter iter;
 	gpointer value;
+	guint most = g_hash_table_size(sched->workers) + 1;
 
 	all->count = 0;
-	all->workers =
-		g_new(sched_worker_t *, g_hash_table_size(sched->workers) + 1);
-	all->views =
-		g_new(gn_place_worker_t, g_hash_table_size(sched->workers) + 1);
+	all->workers = g_new(sched_worker_t *, most);
+	all->mixes = g_new(sched_mix_t, most);
+	all->views = g_new(gn_place_worker_t, most);
 	g_hash_table_iter_init(&iter, sched->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		sched_worker_t *worker = value;
 
 		if (!sched_worker_is_open(sched, worker))
 			continue;
+		if (worker->capacity.cpu_milli)
+			sched_mix_get(sched, worker, &all->mixes[all->count]);
 		all->workers[all->count++] = worker;
 	}
 }
@@ -105,10 +115,26 @@
 	return count;
 }
 
-static void set_view(gn_place_worker_t *view, const gn_sched_t *sched,
-		     const sched_worker_t *worker, const sched_job_t *job,
-		     const Gn__JobStep *step)
+static bool has_room(const sched_worker_t *worker, const gn_room_t *room)
+{
+	gn_room_t used = worker->used;
+
+	gn_room_add(&used, &worker->strays);
+	return worker->capacity.cpu_milli &&
+	       gn_room_fits(&worker->capacity, &used, room);
+}
+
+static void set_view(candidates_t *all, size_t at, const gn_sched_t *sched,
+		     const sched_job_t *job, const Gn__JobStep *step)
 {
+	const gn_room_t room = sched_step_room(step);
+	const sched_worker_t *worker = all->workers[at];
+	gn_place_worker_t *view = &all->views[at];
+
+	view->eligible = has_room(worker, &room) &&
+			 sched_worker_is_eligible(sched, worker, job, step);
+	if (!view->eligible)
+		return;
 	view->capacity = worker->capacity;
 	view->used = worker->used;
 	gn_room_add(&view->used, &worker->strays);
@@ -118,14 +144,13 @@
 	view->fill_milli = worker->fill_milli;
 	view->slowness =
 		worker->health.slowness > 0 ? worker->health.slowness : 1;
-	view->eligible = sched_worker_is_eligible(sched, worker, job, step);
 	view->same_image = count_same_image(worker, step);
-	view->fill_speed = 1;
-	if (step->fills && view->eligible)
-		view->fill_speed = sched_fill_speed(
-			sched, worker, g_intern_string(step->image),
-			step->cpu_milli);
 	view->near = !*step->rack || !strcmp(step->rack, worker->rack);
+	view->fill_speed = 1;
+	if (step->fills)
+		view->fill_speed = sched_mix_speed(
+			sched, worker, &all->mixes[at],
+			g_intern_string(step->image), step->cpu_milli);
 }
 
 static void count_same_step(candidates_t *all, const sched_job_t *job,
@@ -169,10 +194,19 @@
 	view->same_image += wanted->serves;
 	view->filling += wanted->fills;
 	view->fill_milli += wanted->fill_milli;
-	if (wanted->fills)
-		view->fill_speed =
-			sched_fill_speed(task->job->sched, all->workers[at],
-					 task->image, wanted->fill_milli);
+	if (!wanted->fills)
+		return;
+	sched_mix_add(&all->mixes[at], all->workers[at], task->image,
+		      wanted->fill_milli);
+	view->fill_speed = sched_mix_speed(task->job->sched, all->workers[at],
+					   &all->mixes[at], task->image,
+					   wanted->fill_milli);
+}
+
+static bool is_idle(const sched_job_t *job, const sched_unit_t *unit)
+{
+	return !job->claimed &&
+	       sched_now_us(job->sched) - unit->ready_us >= IDLE_US;
 }
 
 static void place_unit(gn_sched_t *sched, candidates_t *all, sched_job_t *job,
@@ -184,6 +218,7 @@
 		.per_worker = step->per_worker,
 		.fill_milli = step->fills ? step->cpu_milli : 0,
 		.fills = step->fills,
+		.least_speed = is_idle(job, unit) ? 0 : LEAST_SPEED,
 		.serves = step->target_ms != 0,
 		.far_factor = sched->config.far_factor
 	};
@@ -191,7 +226,7 @@
 	size_t at;
 
 	for (size_t i = 0; i < all->count; i++)
-		set_view(&all->views[i], sched, all->workers[i], job, step);
+		set_view(all, i, sched, job, step);
 	if (step->per_worker)
 		count_same_step(all, job, unit);
 	while ((task = next_waiting(job, unit))) {
@@ -214,19 +249,28 @@
 	}
 }
 
-void gn_sched_pass(gn_sched_t *sched)
+static void pass(gn_sched_t *sched)
 {
 	candidates_t all;
-	GPtrArray *ranked;
+	GPtrArray *ranked = rank_jobs(sched);
 
-	if (!sched->changed || !sched->queues)
-		return;
-	ranked = rank_jobs(sched);
 	get_candidates(sched, &all);
 	for (guint i = 0; i < ranked->len && all.count; i++)
 		place_job(sched, &all, g_ptr_array_index(ranked, i));
 	g_free(all.workers);
+	g_free(all.mixes);
 	g_free(all.views);
 	g_ptr_array_free(ranked, TRUE);
+}
+
+void gn_sched_pass(gn_sched_t *sched)
+{
+	uint64_t now_us = sched_now_us(sched);
+
+	if (!sched->changed || !sched->queues || now_us < sched->pass_due_us)
+		return;
 	sched->changed = false;
+	pass(sched);
+	sched->pass_due_us = sched_now_us(sched) +
+			     PASS_PART * (sched_now_us(sched) - now_us);
 }
--- a/lib/sched/sched_worker.c
+++ b/lib/sched/sched_worker.c
@@ -235,10 +235,7 @@
 		stop_stray(sched, worker, run, task);
 		return;
 	}
-	if (!task->listed) {
-		task->listed = true;
-		task->listed_us = sched_now_us(sched);
-	}
+	sched_note_started(task);
 	if (*run->checkpoint &&
 	    (!task->checkpoint || strcmp(task->checkpoint, run->checkpoint))) {
 		/* stored with the job's next change */
@@ -314,7 +311,7 @@
 	switch ((gn_run_order_verdict_t)result->verdict) {
 	case GN_VERDICT_STARTED:
 		/* it starts at full pace */
-		task->listed = true;
+		sched_note_started(task);
 		if (task->job->units[task->unit].step->fills)
 			sched_pace_worker(sched, worker);
 		break;
--- a/lib/scheduler/config.c
+++ b/lib/scheduler/config.c
@@ -8,6 +8,8 @@
 
 /** Of one watch call; short, for a connection may have gone silent. */
 #define WATCH_WAIT_MS 1000
+/** Longest pause after a failure: a configuration is to be in force soon. */
+#define WATCH_BACKOFF_MS 300
 
 static void adopt(scheduler_t *scheduler, gn_queues_t *queues,
 		  uint64_t revision)
@@ -70,5 +72,6 @@
 	if (!scheduler->config_watch)
 		return gn_error_set(error, GN_ERR_MEMORY, "start", NULL,
 				    "configuration watch");
+	gn_kv_watch_limit_backoff(scheduler->config_watch, WATCH_BACKOFF_MS);
 	return GN_OK;
 }
--- a/lib/scheduler/leading.c
+++ b/lib/scheduler/leading.c
@@ -12,6 +12,8 @@
 /** Between two looks at leases, due times and lost orders. */
 #define TICK_US (100 * GN_US_PER_MS)
 #define MS_PER_S 1000
+/** Longest pause after a failed read of the jobs. */
+#define BACKOFF_US (200 * GN_US_PER_MS)
 
 /** What has been read of the store's jobs. */
 typedef struct scheduler_loading_s {
@@ -230,6 +232,7 @@
 	if (!loading)
 		abort();
 	loading->scheduler = scheduler;
+	loading->backoff.limit_us = BACKOFF_US;
 	loading->began_us = now_us(scheduler);
 	loading->states = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 						free_state);
