Executors ask the store when their leader is unsure; takes read the leader's key

Change: a leader that the store has not confirmed for a lease says so with its orders, and its executors look for the leader in the store; past its promises it is silent. The leader's key is read before it is taken. A new leader serves what it had handed on.

--- a/lib/executor/leader.c
+++ b/lib/executor/leader.c
@@ -27,6 +27,42 @@
 static void connect_to(executor_t *executor, const char *address,
 		       const char *why);
 
+static void take_lookup(void *context, const gn_kv_result_t *result)
+{
+	executor_t *executor = context;
+
+	executor->lookup = 0;
+	if (result->code != GN_OK || !result->count)
+		return;
+	g_ptr_array_set_size(executor->schedulers, 0);
+	for (size_t i = 0; i < result->count; i++) {
+		gn_str_t value = result->entries[i].value;
+		const char *at = memchr(value.data, '@', value.len);
+		gsize skip = at ? (gsize)(at + 1 - value.data) : 0;
+		char *address = g_strndup(value.data + skip, value.len - skip);
+
+		/* the leader's own key has its incarnation before an '@' */
+		if (at)
+			g_ptr_array_insert(executor->schedulers, 0, address);
+		else
+			g_ptr_array_add(executor->schedulers, address);
+		if (at && strcmp(address, executor->leader) != 0)
+			connect_to(executor, address, "the store names it");
+	}
+	executor->next_scheduler = 0;
+}
+
+static void look_up(executor_t *executor)
+{
+	uint64_t now_us = executor_now_us(executor);
+
+	if (executor->lookup || now_us < executor->lookup_due_us)
+		return;
+	executor->lookup_due_us = now_us + LOOKUP_US;
+	executor->lookup = gn_kv_list(executor->kv, GN_STR(GN_LEAD_LIVE_PREFIX),
+				      take_lookup, executor);
+}
+
 static void take_promise(executor_t *executor, uint64_t sequence)
 {
 	if (!sequence || sequence > executor->sequence ||
@@ -53,6 +89,8 @@
 			 "epoch", (json_int_t)message->epoch);
 		executor->epoch = message->epoch;
 	}
+	if (message->unsure)
+		look_up(executor);
 	take_promise(executor, message->sequence);
 	if (!strcmp(message->life, executor->notice.life) &&
 	    message->ends_stored > executor->ends_stored) {
@@ -180,40 +218,6 @@
 	executor->reported_us = 0;
 }
 
-static void take_lookup(void *context, const gn_kv_result_t *result)
-{
-	executor_t *executor = context;
-
-	executor->lookup = 0;
-	if (result->code != GN_OK || !result->count)
-		return;
-	g_ptr_array_set_size(executor->schedulers, 0);
-	for (size_t i = 0; i < result->count; i++) {
-		gn_str_t value = result->entries[i].value;
-		const char *at = memchr(value.data, '@', value.len);
-		gsize skip = at ? (gsize)(at + 1 - value.data) : 0;
-		char *address = g_strndup(value.data + skip, value.len - skip);
-
-		/* the leader's own key has its incarnation before an '@' */
-		if (at)
-			g_ptr_array_insert(executor->schedulers, 0, address);
-		else
-			g_ptr_array_add(executor->schedulers, address);
-	}
-	executor->next_scheduler = 0;
-}
-
-static void look_up(executor_t *executor)
-{
-	uint64_t now_us = executor_now_us(executor);
-
-	if (executor->lookup || now_us < executor->lookup_due_us)
-		return;
-	executor->lookup_due_us = now_us + LOOKUP_US;
-	executor->lookup = gn_kv_list(executor->kv, GN_STR(GN_LEAD_LIVE_PREFIX),
-				      take_lookup, executor);
-}
-
 static void try_next(executor_t *executor)
 {
 	GPtrArray *all = executor->schedulers;
--- a/lib/lead/lead.c
+++ b/lib/lead/lead.c
@@ -21,7 +21,7 @@
 
 typedef enum stage_e {
 	STAGE_FOLLOW = 0, /**< another leads, or nobody yet */
-	STAGE_READ, /**< the chain key is being read */
+	STAGE_READ, /**< the chain key and the leader's are being read */
 	STAGE_TAKE, /**< the leader's key is being taken */
 	STAGE_LEAD,
 	STAGE_RESIGNED
@@ -36,6 +36,7 @@
 	stage_t stage;
 	gn_kv_call_t call;
 	uint64_t chain; /**< revision that was read */
+	uint64_t own; /**< the same of the leader's key; GN_KV_ABSENT: none */
 	bool listed; /**< what the leader's key holds is known */
 	bool is_held; /**< somebody holds the leader's key */
 	char holder[VALUE_SIZE];
@@ -103,7 +104,8 @@
 	gn_str_t value = gn_str_from(lead->value);
 	const gn_kv_expect_t expects[] = {
 		{ GN_STR(GN_LEAD_CHAIN_KEY), lead->chain },
-		{ GN_STR(LEADER_KEY), GN_KV_ABSENT },
+		/* its own key, where the answer to an earlier take was lost */
+		{ GN_STR(LEADER_KEY), lead->own },
 	};
 	const gn_kv_put_t puts[] = {
 		{ .key = GN_STR(GN_LEAD_CHAIN_KEY), .value = value },
@@ -111,10 +113,8 @@
 		  .value = value,
 		  .lease = gn_lease_id(lead->lease) },
 	};
-	const bool is_own = lead->is_held;
-	/* chained to a revision that nobody has written after, it is enough */
 	const gn_kv_txn_t txn = { .expects = expects,
-				  .expect_count = is_own ? 1 : 2,
+				  .expect_count = 2,
 				  .puts = puts,
 				  .put_count = 2 };
 
@@ -122,6 +122,36 @@
 	lead->call = gn_kv_txn(lead->options.kv, &txn, take_taken, lead);
 }
 
+static void take_holder(gn_lead_t *lead, const gn_kv_entry_t *entry)
+{
+	lead->is_held = !entry->deleted;
+	lead->holder[0] = '\0';
+	if (lead->is_held)
+		gn_str_copy(lead->holder, sizeof(lead->holder), entry->value);
+}
+
+/* What the watch has shown may be old: the key itself decides. */
+static void take_leader(void *context, const gn_kv_result_t *result)
+{
+	gn_lead_t *lead = context;
+
+	lead->call = 0;
+	if (result->code == GN_ERR_NOT_FOUND) {
+		lead->own = GN_KV_ABSENT;
+		start_take(lead);
+		return;
+	}
+	if (result->code == GN_OK) {
+		take_holder(lead, &result->entries[0]);
+		if (!strcmp(lead->holder, lead->value)) {
+			lead->own = result->entries[0].revision;
+			start_take(lead);
+			return;
+		}
+	}
+	back_off(lead);
+}
+
 static void take_chain(void *context, const gn_kv_result_t *result)
 {
 	gn_lead_t *lead = context;
@@ -135,7 +165,8 @@
 		back_off(lead);
 		return;
 	}
-	start_take(lead);
+	lead->call = gn_kv_get(lead->options.kv, GN_STR(LEADER_KEY),
+			       take_leader, lead);
 }
 
 static bool may_take(const gn_lead_t *lead)
@@ -156,14 +187,6 @@
 
 /* ======   News   ====== */
 
-static void take_holder(gn_lead_t *lead, const gn_kv_entry_t *entry)
-{
-	lead->is_held = !entry->deleted;
-	lead->holder[0] = '\0';
-	if (lead->is_held)
-		gn_str_copy(lead->holder, sizeof(lead->holder), entry->value);
-}
-
 static void on_news(void *context, const gn_kv_news_t *news)
 {
 	gn_lead_t *lead = context;
--- a/lib/scheduler/calls.c
+++ b/lib/scheduler/calls.c
@@ -211,6 +211,16 @@
 			      GN_RESULT_UNKNOWN, "leadership lost");
 }
 
+void scheduler_calls_elected(scheduler_t *scheduler)
+{
+	GList *all = g_hash_table_get_values(scheduler->handed_on);
+
+	g_hash_table_steal_all(scheduler->handed_on);
+	for (GList *item = all; item; item = item->next)
+		serve(scheduler, item->data);
+	g_list_free(all);
+}
+
 /* ======   Callers   ====== */
 
 static scheduler_call_t *create_call(scheduler_t *scheduler,
--- a/lib/scheduler/executors.c
+++ b/lib/scheduler/executors.c
@@ -82,15 +82,28 @@
 	gn_link_send(scheduler->link, peer, &envelope);
 }
 
-/* The leader's promise ends when the store has not confirmed it for long. */
-static bool may_extend(const scheduler_t *scheduler)
+static uint64_t get_unconfirmed_us(const scheduler_t *scheduler)
+{
+	return gn_runtime_now_us(scheduler->runtime) -
+	       gn_lead_confirmed_us(scheduler->lead);
+}
+
+/* The leader's promises end when the store has not confirmed it for long. */
+static bool may_answer(const scheduler_t *scheduler)
 {
 	const gn_settings_t *settings = scheduler->runtime->settings;
-	uint64_t depose_us = (uint64_t)settings->jobs.depose_ms * GN_US_PER_MS;
 
-	return gn_runtime_now_us(scheduler->runtime) -
-		       gn_lead_confirmed_us(scheduler->lead) <
-	       depose_us;
+	return get_unconfirmed_us(scheduler) <
+	       (uint64_t)settings->jobs.depose_ms * GN_US_PER_MS;
+}
+
+/* Its lease may be over, and another may lead that it can't hear of. */
+static bool is_unsure(const scheduler_t *scheduler)
+{
+	const gn_settings_t *settings = scheduler->runtime->settings;
+
+	return get_unconfirmed_us(scheduler) >
+	       (uint64_t)settings->lease_ttl_ms * GN_US_PER_MS;
 }
 
 static void flush_executor(scheduler_t *scheduler,
@@ -107,8 +120,8 @@
 	message.epoch = scheduler->epoch;
 	message.ends_stored = ends;
 	message.life = (char *)life;
-	if (may_extend(scheduler))
-		message.sequence = executor->answer;
+	message.unsure = is_unsure(scheduler);
+	message.sequence = executor->answer;
 	message.n_orders = executor->orders->len;
 	message.orders = (Gn__WorkerOrder **)executor->orders->pdata;
 	send_orders(scheduler, &executor->peer, &message);
@@ -122,6 +135,8 @@
 	GHashTableIter iter;
 	gpointer value;
 
+	if (!may_answer(scheduler))
+		return;
 	g_hash_table_iter_init(&iter, scheduler->executors);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		flush_executor(scheduler, value);
--- a/lib/scheduler/leading.c
+++ b/lib/scheduler/leading.c
@@ -163,6 +163,7 @@
 	scheduler->ledger = gn_ledger_create(scheduler, &options);
 	if (!scheduler->ledger)
 		abort(); /* as GLib does when memory is short */
+	scheduler_calls_elected(scheduler);
 	scheduler_run(scheduler);
 }
 
--- a/lib/scheduler/scheduler_internal.h
+++ b/lib/scheduler/scheduler_internal.h
@@ -109,6 +109,8 @@
 			     uint64_t version);
 /** Answers what waits for a store that this process no longer writes. */
 void scheduler_calls_deposed(scheduler_t *scheduler);
+/** Serves what was handed on before this process led. */
+void scheduler_calls_elected(scheduler_t *scheduler);
 /** Gives up on what was handed on and not answered in time. */
 void scheduler_calls_tick(scheduler_t *scheduler);
 void scheduler_call_free(gpointer call);
--- a/lib/wire/gypsumnotch.pb-c.c
+++ b/lib/wire/gypsumnotch.pb-c.c
@@ -4188,7 +4188,7 @@
   (ProtobufCMessageInit) gn__worker_order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gn__worker_orders__field_descriptors[6] =
+static const ProtobufCFieldDescriptor gn__worker_orders__field_descriptors[7] =
 {
   {
     "sequence",
@@ -4262,6 +4262,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unsure",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerOrders, unsure),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gn__worker_orders__field_indices_by_name[] = {
   3,   /* field[3] = ends_stored */
@@ -4270,11 +4282,12 @@
   4,   /* field[4] = life */
   5,   /* field[5] = orders */
   0,   /* field[0] = sequence */
+  6,   /* field[6] = unsure */
 };
 static const ProtobufCIntRange gn__worker_orders__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor gn__worker_orders__descriptor =
 {
@@ -4284,7 +4297,7 @@
   "Gn__WorkerOrders",
   "gn",
   sizeof(Gn__WorkerOrders),
-  6,
+  7,
   gn__worker_orders__field_descriptors,
   gn__worker_orders__field_indices_by_name,
   1,  gn__worker_orders__number_ranges,
--- a/lib/wire/gypsumnotch.pb-c.h
+++ b/lib/wire/gypsumnotch.pb-c.h
@@ -750,10 +750,14 @@
   char *life;
   size_t n_orders;
   Gn__WorkerOrder **orders;
+  /*
+   * the store may know a later leader
+   */
+  protobuf_c_boolean unsure;
 };
 #define GN__WORKER_ORDERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gn__worker_orders__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, 0 }
 
 
 /* Gn__Envelope methods */
