Tell readiness by the leader's answers

Cause: a scheduler cut off from the leader stayed in rotation, held each request for 1.5 s and answered 504.

Change: the leader is probed four times a second; without its answers, or the store's to the leader, a scheduler is not ready and refuses at once.

--- a/lib/scheduler/calls.c
+++ b/lib/scheduler/calls.c
@@ -114,16 +114,6 @@
 
 /* ======   Decisions   ====== */
 
-/* A leader that the store has not confirmed lately may not know all jobs. */
-static bool is_confirmed(const scheduler_t *scheduler)
-{
-	uint64_t ttl_us = (uint64_t)scheduler->runtime->settings->lease_ttl_ms *
-			  GN_US_PER_MS;
-
-	return now_us(scheduler) - gn_lead_confirmed_us(scheduler->lead) <
-	       ttl_us;
-}
-
 static gn_sched_reply_t submit(scheduler_t *scheduler,
 			       const scheduler_call_t *call)
 {
@@ -132,7 +122,7 @@
 				   .reason = "store away" };
 	Gn__JobSpec *spec;
 
-	if (!is_confirmed(scheduler) &&
+	if (!scheduler_is_confirmed(scheduler) &&
 	    gn_sched_state(scheduler->sched, call->job).result ==
 		    GN_RESULT_NOT_FOUND) {
 		reply.result = GN_RESULT_NOT_LEADER;
@@ -165,7 +155,8 @@
 	default:
 		return gn_sched_count_waiting(scheduler->sched, call->queue);
 	}
-	if (reply.result == GN_RESULT_NOT_FOUND && !is_confirmed(scheduler)) {
+	if (reply.result == GN_RESULT_NOT_FOUND &&
+	    !scheduler_is_confirmed(scheduler)) {
 		reply.result = GN_RESULT_NOT_LEADER;
 		reply.reason = "store away";
 	}
@@ -325,7 +316,7 @@
 		.reason = *message->reason ? message->reason : NULL,
 	};
 
-	scheduler->leader_heard_us = now_us(scheduler);
+	scheduler_note_leader(scheduler, message);
 	if (!call || message->result >= GN_RESULT_COUNT ||
 	    message->phase >= GN_JOB_PHASE_COUNT)
 		return;
--- a/lib/scheduler/forward.c
+++ b/lib/scheduler/forward.c
@@ -9,7 +9,11 @@
 #include "scheduler/scheduler_internal.h"
 
 /** A leader that answers nothing for this long gets a new connection. */
-#define SILENT_US (700 * GN_US_PER_MS)
+#define SILENT_US (800 * GN_US_PER_MS)
+/** Between two probes of the leader. */
+#define PROBE_US (250 * GN_US_PER_MS)
+/** The number of a probe; calls count from 1. */
+#define PROBE_NUMBER 0
 /** Reconnection of the link is spread over this, milliseconds. */
 #define RECONNECT_MS 400
 
@@ -21,6 +25,13 @@
 		scheduler_on_job_reply(arg, envelope->job_reply);
 }
 
+/* Keeps when the leader was last heard, and whether it serves. */
+void scheduler_note_leader(scheduler_t *scheduler, const Gn__JobReply *message)
+{
+	scheduler->leader_heard_us = gn_runtime_now_us(scheduler->runtime);
+	scheduler->leader_serves = message->result != GN_RESULT_NOT_LEADER;
+}
+
 static void disconnect(scheduler_t *scheduler)
 {
 	TALLOC_FREE(scheduler->to_leader);
@@ -43,6 +54,8 @@
 	gn_str_copy(scheduler->leader, sizeof(scheduler->leader),
 		    gn_str_from(address));
 	scheduler->leader_heard_us = gn_runtime_now_us(scheduler->runtime);
+	scheduler->leader_serves = false;
+	scheduler->probed_us = 0;
 	if (gn_link_connect(scheduler, &config, &scheduler->to_leader, &error))
 		gn_event("leader unreachable", "{s:s, s:s}", "leader", address,
 			 "why", error.detail);
@@ -82,12 +95,33 @@
 		send_call(scheduler, value, &code);
 }
 
+/* Asks for a count of no queue, which the leader answers at once. */
+static void probe(scheduler_t *scheduler)
+{
+	uint64_t now_us = gn_runtime_now_us(scheduler->runtime);
+	char none[] = "";
+	scheduler_call_t call = { .number = PROBE_NUMBER,
+				  .kind = GN_CALL_COUNT_WAITING,
+				  .queue = none };
+	gn_code_t code;
+
+	if (now_us - scheduler->probed_us < PROBE_US)
+		return;
+	scheduler->probed_us = now_us;
+	send_call(scheduler, &call, &code);
+}
+
 static bool is_silent(const scheduler_t *scheduler)
 {
-	return g_hash_table_size(scheduler->handed_on) &&
-	       gn_runtime_now_us(scheduler->runtime) -
-			       scheduler->leader_heard_us >
-		       SILENT_US;
+	return gn_runtime_now_us(scheduler->runtime) -
+		       scheduler->leader_heard_us >
+	       SILENT_US;
+}
+
+bool scheduler_has_leader(const scheduler_t *scheduler)
+{
+	return scheduler->to_leader && scheduler->leader_serves &&
+	       !is_silent(scheduler);
 }
 
 void scheduler_forward_tick(scheduler_t *scheduler)
@@ -102,8 +136,10 @@
 		return;
 	}
 	if (scheduler->to_leader && !strcmp(address, scheduler->leader) &&
-	    !is_silent(scheduler))
+	    !is_silent(scheduler)) {
+		probe(scheduler);
 		return;
+	}
 	disconnect(scheduler);
 	connect_to(scheduler, address);
 	send_again(scheduler);
@@ -113,15 +149,12 @@
 {
 	gn_code_t code;
 
-	if (!scheduler->to_leader)
+	if (!scheduler_has_leader(scheduler))
 		return false;
 	call->number = ++scheduler->last_number;
 	send_call(scheduler, call, &code);
 	if (code)
 		return false;
-	if (!g_hash_table_size(scheduler->handed_on))
-		scheduler->leader_heard_us =
-			gn_runtime_now_us(scheduler->runtime);
 	gn_counter_inc(scheduler->counters.handed_on);
 	g_hash_table_insert(scheduler->handed_on, &call->number, call);
 	return true;
--- a/lib/scheduler/leading.c
+++ b/lib/scheduler/leading.c
@@ -38,6 +38,16 @@
 	return scheduler->ledger != NULL;
 }
 
+/* One that was not confirmed lately may not know all jobs. */
+bool scheduler_is_confirmed(const scheduler_t *scheduler)
+{
+	uint64_t ttl_us = (uint64_t)scheduler->runtime->settings->lease_ttl_ms *
+			  GN_US_PER_MS;
+
+	return now_us(scheduler) - gn_lead_confirmed_us(scheduler->lead) <
+	       ttl_us;
+}
+
 /* ======   The decisions' surroundings   ====== */
 
 static void on_order(void *arg, const char *host, const gn_run_order_t *order)
--- a/lib/scheduler/scheduler_internal.h
+++ b/lib/scheduler/scheduler_internal.h
@@ -85,6 +85,8 @@
 	GHashTable *handed_on; /**< number to scheduler_call_t */
 	uint64_t last_number;
 	uint64_t leader_heard_us;
+	bool leader_serves; /**< by its last answer */
+	uint64_t probed_us;
 
 	bool resigned;
 	bool quiesced;
@@ -119,6 +121,10 @@
 
 /** Keeps a link to the leader, where that is another process. */
 void scheduler_forward_tick(scheduler_t *scheduler);
+/** Takes what an answer tells of the leader. */
+void scheduler_note_leader(scheduler_t *scheduler, const Gn__JobReply *message);
+/** Whether the leader is another process, and answers. */
+bool scheduler_has_leader(const scheduler_t *scheduler);
 /** Hands a call on to the leader, which then owns it; false: can't. */
 bool scheduler_forward(scheduler_t *scheduler, scheduler_call_t *call);
 
@@ -127,6 +133,8 @@
 extern const gn_lead_ops_t scheduler_lead_ops;
 /** Whether this process decides now. */
 bool scheduler_is_serving(const scheduler_t *scheduler);
+/** Whether the store has confirmed its leadership lately. */
+bool scheduler_is_confirmed(const scheduler_t *scheduler);
 /** Places, stores and sends what has become due. */
 void scheduler_run(scheduler_t *scheduler);
 void scheduler_leading_tick(scheduler_t *scheduler);
--- a/lib/scheduler/status.c
+++ b/lib/scheduler/status.c
@@ -14,7 +14,9 @@
 {
 	if (scheduler->runtime->stopping || !scheduler->queues)
 		return false;
-	return scheduler_is_serving(scheduler) || scheduler->to_leader;
+	if (scheduler_is_serving(scheduler))
+		return scheduler_is_confirmed(scheduler);
+	return scheduler_has_leader(scheduler);
 }
 
 static json_t *dump_jobs(const scheduler_t *scheduler)
