A worker that gives no list gets no tasks, and its claims lapse

Change: a lease also counts from the last list, since no executor lengthens one for a worker that does not answer; a worker without a fresh list is not open; refused starts count against its health, a full one pauses.

--- a/lib/executor/grant.c
+++ b/lib/executor/grant.c
@@ -28,6 +28,8 @@
 	if (!grant->promised_us || !grant->clock_ms || now_us >= end_us ||
 	    end_us <= grant->read_us)
 		return 0;
+	if (now_us - grant->read_us > GN_GRANT_READING_MS * GN_US_PER_MS)
+		return 0;
 	/* the reading is at least as old as its call */
 	until_ms = grant->clock_ms + (end_us - grant->read_us) / GN_US_PER_MS;
 	if (until_ms > grant->until_ms)
--- a/lib/executor/grant.h
+++ b/lib/executor/grant.h
@@ -5,7 +5,8 @@
  * The leader promises not to move a worker's tasks for the length of a lease,
  * counted from when the report that it answered was sent. The worker ends all
  * that runs when its lease is over, by a clock of its own of which only old
- * readings are known.
+ * readings are known. A worker that has not answered for a while gets no
+ * longer lease, since calls to it may still take effect.
  */
 #ifndef GN_EXECUTOR_GRANT_H
 #define GN_EXECUTOR_GRANT_H
@@ -13,6 +14,9 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/** No lease is lengthened without a reading that is at most so old. */
+#define GN_GRANT_READING_MS 1000
+
 /** The state; a zeroed one knows nothing and grants nothing. */
 typedef struct gn_grant_s {
 	uint64_t lease_us; /**< length of a lease */
--- a/lib/executor/leader.c
+++ b/lib/executor/leader.c
@@ -138,8 +138,21 @@
 	       executor_now_us(executor) - executor->left_us >= LEFT_US;
 }
 
+/* UINT32_MAX: this process has had no list of this life. */
+static uint32_t get_list_age_ms(const executor_t *executor)
+{
+	uint64_t age_ms =
+		(executor_now_us(executor) - executor->grant.read_us) /
+		GN_US_PER_MS;
+
+	if (!executor->grant.clock_ms || age_ms > UINT32_MAX)
+		return UINT32_MAX;
+	return (uint32_t)age_ms;
+}
+
 static void add_list(executor_t *executor, Gn__WorkerReport *report)
 {
+	report->list_age_ms = get_list_age_ms(executor);
 	report->left = is_left(executor);
 	report->listed = executor->fresh && !executor->left;
 	report->ends = executor->ends;
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -15,6 +15,10 @@
 #define SCHED_RESEND_US (300 * GN_US_PER_MS)
 /** A worker whose executor was silent for longer gets no new tasks. */
 #define SCHED_SILENT_US (1200 * GN_US_PER_MS)
+/** One that has refused a task for want of room gets none for so long. */
+#define SCHED_FULL_US (200 * GN_US_PER_MS)
+/** Executors lengthen no lease on readings of the clock older than this. */
+#define SCHED_READING_US (1000 * GN_US_PER_MS)
 /** Share by which a worker's clock may be slow, as a divisor. */
 #define SCHED_DRIFT_PART 50
 /** Added to every lease before it counts as over, for delays in processing. */
@@ -123,7 +127,11 @@
 	uint32_t filling;
 	uint32_t fill_milli; /**< processors that these could use */
 	uint64_t heard_us; /**< last report; 0: never */
-	uint64_t lapse_us; /**< no lease of it can outlast this */
+	/** No lease can outlast either: by the last report, by the last list. */
+	uint64_t report_lapse_us;
+	uint64_t list_lapse_us;
+	uint64_t listed_us; /**< when its worker last gave a list; 0: never */
+	uint64_t pause_us; /**< gets no tasks before */
 	GQueue ends; /**< sched_end_t, in the order of their numbers */
 	uint64_t ends_seen;
 	uint64_t ends_durable;
--- a/lib/sched/sched_store.c
+++ b/lib/sched/sched_store.c
@@ -214,8 +214,9 @@
 		      sched->config.lease_ms / SCHED_DRIFT_PART +
 		      sched->config.depose_ms;
 
-	worker->lapse_us =
+	worker->report_lapse_us =
 		sched_now_us(sched) + ms * GN_US_PER_MS + SCHED_LEASE_MARGIN_US;
+	worker->list_lapse_us = worker->report_lapse_us + SCHED_READING_US;
 }
 
 static void resume_job(sched_job_t *job)
--- a/lib/sched/sched_worker.c
+++ b/lib/sched/sched_worker.c
@@ -58,9 +58,13 @@
 
 bool sched_worker_is_open(const gn_sched_t *sched, const sched_worker_t *worker)
 {
+	uint64_t now_us = sched_now_us(sched);
+
 	return !worker->draining && *worker->life &&
 	       sched_worker_is_live(sched, worker) &&
-	       gn_health_is_good(&worker->health, sched_now_us(sched));
+	       now_us - worker->listed_us < SCHED_SILENT_US &&
+	       now_us >= worker->pause_us &&
+	       gn_health_is_good(&worker->health, now_us);
 }
 
 bool sched_worker_is_eligible(const gn_sched_t *sched,
@@ -111,9 +115,13 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		sched_worker_t *worker = value;
 
-		if (!worker->claims->len || now_us < worker->lapse_us)
+		if (!worker->claims->len || (now_us < worker->report_lapse_us &&
+					     now_us < worker->list_lapse_us))
 			continue;
-		note_worker(sched, "lapse", worker, "executor silent",
+		note_worker(sched, "lapse", worker,
+			    now_us < worker->report_lapse_us
+				    ? "worker silent"
+				    : "executor silent",
 			    (int64_t)(now_us - worker->heard_us));
 		release_other_lives(worker, NULL, "lapsed");
 	}
@@ -151,6 +159,8 @@
 	worker->ends_durable = 0;
 	memset(&worker->health, 0, sizeof(worker->health));
 	memset(&worker->strays, 0, sizeof(worker->strays));
+	worker->pause_us = 0;
+	worker->listed_us = 0;
 	note_worker(sched, "worker", worker, "new life", (int64_t)born_ms);
 }
 
@@ -321,6 +331,15 @@
 	case GN_VERDICT_ENDED:
 		/* the list tells how; one that is never listed is gone */
 		break;
+	case GN_VERDICT_NOT_STARTED:
+		if (!worker->draining)
+			gn_health_fail(&worker->health, sched_now_us(sched));
+		sched_unclaim(task, verdict);
+		break;
+	case GN_VERDICT_NO_ROOM:
+		worker->pause_us = sched_now_us(sched) + SCHED_FULL_US;
+		sched_unclaim(task, verdict);
+		break;
 	default:
 		sched_unclaim(task, verdict);
 	}
@@ -328,15 +347,27 @@
 
 /* ======   Reports   ====== */
 
-/* From the answer to this report its executor may extend the lease. */
-static void extend_lease(const gn_sched_t *sched, sched_worker_t *worker)
+static uint64_t get_longest_lease_us(const gn_sched_t *sched)
 {
 	uint64_t lease_us = (uint64_t)sched->config.lease_ms * GN_US_PER_MS;
-	uint64_t lapse_us = sched_now_us(sched) + lease_us +
-			    lease_us / SCHED_DRIFT_PART + SCHED_LEASE_MARGIN_US;
 
-	if (lapse_us > worker->lapse_us)
-		worker->lapse_us = lapse_us;
+	return lease_us + lease_us / SCHED_DRIFT_PART + SCHED_LEASE_MARGIN_US;
+}
+
+/* From the answer to this report its executor may extend the lease. */
+static void extend_lease(const gn_sched_t *sched, sched_worker_t *worker,
+			 const Gn__WorkerReport *report)
+{
+	uint64_t now_us = sched_now_us(sched);
+	uint64_t age_us = (uint64_t)report->list_age_ms * GN_US_PER_MS;
+
+	worker->report_lapse_us = now_us + get_longest_lease_us(sched);
+	/* an executor that has had no list has not extended any lease */
+	if (report->list_age_ms == UINT32_MAX)
+		return;
+	worker->listed_us = age_us < now_us ? now_us - age_us : 0;
+	worker->list_lapse_us = worker->listed_us + SCHED_READING_US +
+				get_longest_lease_us(sched);
 }
 
 uint64_t gn_sched_report(gn_sched_t *sched, const Gn__WorkerReport *report)
@@ -351,9 +382,9 @@
 			   report->born_ms);
 		take_description(worker, report);
 	}
-	extend_lease(sched, worker);
 	if (strcmp(report->life, worker->life))
 		return 0;
+	extend_lease(sched, worker, report);
 	if (!was_live)
 		note_worker(sched, "worker", worker, "heard", 0);
 	if (worker->draining != was_draining)
--- a/lib/wire/gypsumnotch.pb-c.c
+++ b/lib/wire/gypsumnotch.pb-c.c
@@ -3774,7 +3774,7 @@
   (ProtobufCMessageInit) gn__order_result__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gn__worker_report__field_descriptors[20] =
+static const ProtobufCFieldDescriptor gn__worker_report__field_descriptors[21] =
 {
   {
     "sequence",
@@ -4016,6 +4016,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "list_age_ms",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerReport, list_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gn__worker_report__field_indices_by_name[] = {
   9,   /* field[9] = accelerators */
@@ -4029,6 +4041,7 @@
   18,   /* field[18] = lease_lapsed */
   19,   /* field[19] = left */
   2,   /* field[2] = life */
+  20,   /* field[20] = list_age_ms */
   13,   /* field[13] = listed */
   4,   /* field[4] = machine */
   8,   /* field[8] = memory_mb */
@@ -4042,7 +4055,7 @@
 static const ProtobufCIntRange gn__worker_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 20 }
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor gn__worker_report__descriptor =
 {
@@ -4052,7 +4065,7 @@
   "Gn__WorkerReport",
   "gn",
   sizeof(Gn__WorkerReport),
-  20,
+  21,
   gn__worker_report__field_descriptors,
   gn__worker_report__field_indices_by_name,
   1,  gn__worker_report__number_ranges,
--- a/lib/wire/gypsumnotch.pb-c.h
+++ b/lib/wire/gypsumnotch.pb-c.h
@@ -681,10 +681,14 @@
    * this life is over, and its runs with it
    */
   protobuf_c_boolean left;
+  /*
+   * since the worker last gave a list
+   */
+  uint32_t list_age_ms;
 };
 #define GN__WORKER_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gn__worker_report__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
