Test the scheduler's claims, the chain and leadership without a network

A scheduler on paused clocks, the fake store with transactions. Two faults found by them are mended: a worker whose list came back was placed on only at the next tick, and a standing task that failed often had no worker left; what has waited for a second takes one that is shunned, too.

--- a/lib/sched/sched_claim.c
+++ b/lib/sched/sched_claim.c
@@ -99,6 +99,7 @@
 	unbind_task(task);
 	task->status = GN_TASK_WAITING;
 	unit->waiting++;
+	unit->waiting_us = sched_now_us(job->sched);
 	if (task->number - unit->first < unit->next)
 		unit->next = task->number - unit->first;
 	sched_job_mark(job);
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -65,7 +65,7 @@
 	uint32_t waiting; /**< tasks that are GN_TASK_WAITING */
 	uint32_t done;
 	bool ready; /**< all steps before it are done, and it is due */
-	uint64_t ready_us;
+	uint64_t waiting_us; /**< when a task of it last began to wait */
 	uint32_t next; /**< where the search for a waiting task begins */
 } sched_unit_t;
 
--- a/lib/sched/sched_job.c
+++ b/lib/sched/sched_job.c
@@ -183,7 +183,7 @@
 		if (unit->ready || !is_unit_ready(job, unit))
 			continue;
 		unit->ready = true;
-		unit->ready_us = sched_now_us(job->sched);
+		unit->waiting_us = sched_now_us(job->sched);
 		job->sched->changed = true;
 	}
 }
--- a/lib/sched/sched_pace.c
+++ b/lib/sched/sched_pace.c
@@ -187,6 +187,7 @@
 		double speed;
 
 		if (worker == task->worker ||
+		    !gn_health_is_good(&worker->health, sched_now_us(sched)) ||
 		    !sched_worker_is_eligible(sched, worker, task->job, step) ||
 		    !gn_room_fits(&worker->capacity, &worker->used, &room))
 			continue;
--- a/lib/sched/sched_pass.c
+++ b/lib/sched/sched_pass.c
@@ -16,6 +16,8 @@
 #define LEAST_SPEED 0.5
 /** A job that runs nothing takes any speed after this long. */
 #define IDLE_US (1500 * GN_US_PER_MS)
+/** What has waited for this long takes a worker that fails, too. */
+#define DESPERATE_US (1000 * GN_US_PER_MS)
 /** Passes take this share of the time at most, as a divisor. */
 #define PASS_PART 4
 
@@ -124,15 +126,34 @@
 	       gn_room_fits(&worker->capacity, &used, room);
 }
 
+static bool has_waited(const sched_job_t *job, const sched_unit_t *unit,
+		       uint64_t long_us)
+{
+	return sched_now_us(job->sched) - unit->waiting_us >= long_us;
+}
+
+static bool is_idle(const sched_job_t *job, const sched_unit_t *unit)
+{
+	return !job->claimed && has_waited(job, unit, IDLE_US);
+}
+
+static bool is_healthy(const gn_sched_t *sched, const sched_worker_t *worker)
+{
+	return gn_health_is_good(&worker->health, sched_now_us(sched));
+}
+
 static void set_view(candidates_t *all, size_t at, const gn_sched_t *sched,
-		     const sched_job_t *job, const Gn__JobStep *step)
+		     const sched_job_t *job, const sched_unit_t *unit)
 {
+	const Gn__JobStep *step = unit->step;
 	const gn_room_t room = sched_step_room(step);
 	const sched_worker_t *worker = all->workers[at];
 	gn_place_worker_t *view = &all->views[at];
 
 	view->eligible = has_room(worker, &room) &&
-			 sched_worker_is_eligible(sched, worker, job, step);
+			 sched_worker_is_eligible(sched, worker, job, step) &&
+			 (is_healthy(sched, worker) ||
+			  has_waited(job, unit, DESPERATE_US));
 	if (!view->eligible)
 		return;
 	view->capacity = worker->capacity;
@@ -203,12 +224,6 @@
 					   wanted->fill_milli);
 }
 
-static bool is_idle(const sched_job_t *job, const sched_unit_t *unit)
-{
-	return !job->claimed &&
-	       sched_now_us(job->sched) - unit->ready_us >= IDLE_US;
-}
-
 static void place_unit(gn_sched_t *sched, candidates_t *all, sched_job_t *job,
 		       sched_unit_t *unit)
 {
@@ -226,7 +241,7 @@
 	size_t at;
 
 	for (size_t i = 0; i < all->count; i++)
-		set_view(all, i, sched, job, step);
+		set_view(all, i, sched, job, unit);
 	if (step->per_worker)
 		count_same_step(all, job, unit);
 	while ((task = next_waiting(job, unit))) {
--- a/lib/sched/sched_worker.c
+++ b/lib/sched/sched_worker.c
@@ -63,8 +63,7 @@
 	return !worker->draining && *worker->life &&
 	       sched_worker_is_live(sched, worker) &&
 	       now_us - worker->listed_us < SCHED_SILENT_US &&
-	       now_us >= worker->pause_us &&
-	       gn_health_is_good(&worker->health, now_us);
+	       now_us >= worker->pause_us;
 }
 
 bool sched_worker_is_eligible(const gn_sched_t *sched,
@@ -375,6 +374,7 @@
 	sched_worker_t *worker = sched_worker_get(sched, report->host);
 	bool was_live = sched_worker_is_live(sched, worker);
 	bool was_draining = worker->draining;
+	bool was_open = sched_worker_is_open(sched, worker);
 
 	worker->heard_us = sched_now_us(sched);
 	if (*report->life && report->born_ms >= worker->born_ms) {
@@ -401,7 +401,7 @@
 	for (size_t i = 0; i < report->n_results; i++)
 		take_result(sched, worker, report->results[i]);
 	sched_worker_settle_ends(worker);
-	if (!was_live || worker->draining != was_draining)
+	if (was_open != sched_worker_is_open(sched, worker))
 		sched->changed = true;
 	return worker->ends_durable;
 }
--- a/tests/support/fake_kv.c
+++ b/tests/support/fake_kv.c
@@ -14,6 +14,8 @@
 	g_bytes_unref(call->value);
 	g_free(call->change);
 	kv_answer_clear(&call->answer);
+	if (call->owned)
+		g_ptr_array_unref(call->owned);
 	g_free(call);
 }
 
@@ -125,6 +127,9 @@
 	case KIND_REVOKE:
 		kv_state_revoke(state, call->lease, &call->answer);
 		break;
+	case KIND_TXN:
+		kv_state_txn(state, now_us, &call->txn, &call->answer);
+		break;
 	}
 }
 
--- a/tests/support/fake_kv_internal.h
+++ b/tests/support/fake_kv_internal.h
@@ -16,6 +16,7 @@
 	KIND_GRANT,
 	KIND_RENEW,
 	KIND_REVOKE,
+	KIND_TXN,
 } fake_kind_t;
 
 /* A call from its start until request and answer are both done with. */
@@ -28,6 +29,8 @@
 	uint64_t revision; /* expected, or watched from */
 	uint64_t lease;
 	uint32_t limit_ms; /* ttl or wait */
+	gn_kv_txn_t txn;
+	GPtrArray *owned; /* the strings and rows of the transaction */
 	gn_kv_done_t done; /* NULL once called or cancelled */
 	void *context;
 	uint64_t sent_us;
--- a/tests/support/fake_kv_table.c
+++ b/tests/support/fake_kv_table.c
@@ -55,6 +55,60 @@
 	return call->id;
 }
 
+static gn_str_t keep_text(fake_call_t *call, gn_str_t text)
+{
+	gn_str_t copy = { g_memdup2(text.data, text.len), text.len };
+
+	g_ptr_array_add(call->owned, (gpointer)copy.data);
+	return copy;
+}
+
+static void copy_txn(fake_call_t *call, const gn_kv_txn_t *txn)
+{
+	gn_kv_expect_t *expects =
+		g_memdup2(txn->expects, txn->expect_count * sizeof(*expects));
+	gn_kv_put_t *puts =
+		g_memdup2(txn->puts, txn->put_count * sizeof(*puts));
+	gn_str_t *removes =
+		g_memdup2(txn->removes, txn->remove_count * sizeof(*removes));
+
+	call->owned = g_ptr_array_new_with_free_func(g_free);
+	g_ptr_array_add(call->owned, expects);
+	g_ptr_array_add(call->owned, puts);
+	g_ptr_array_add(call->owned, removes);
+	for (size_t i = 0; i < txn->expect_count; i++)
+		expects[i].key = keep_text(call, expects[i].key);
+	for (size_t i = 0; i < txn->put_count; i++) {
+		puts[i].key = keep_text(call, puts[i].key);
+		puts[i].value = keep_text(call, puts[i].value);
+	}
+	for (size_t i = 0; i < txn->remove_count; i++)
+		removes[i] = keep_text(call, removes[i]);
+	call->txn = *txn;
+	call->txn.expects = expects;
+	call->txn.puts = puts;
+	call->txn.removes = removes;
+}
+
+static gn_kv_call_t fake_txn(gn_kv_t *kv, const gn_kv_txn_t *txn,
+			     gn_kv_done_t done, void *context)
+{
+	fake_call_t *call = fake_kv_start((fake_kv_t *)kv, KIND_TXN, GN_STR(""),
+					  done, context);
+
+	copy_txn(call, txn);
+	return call->id;
+}
+
+/* A page is the whole list: the fake is never asked for a second one. */
+static gn_kv_call_t fake_list_after(gn_kv_t *kv, gn_str_t prefix,
+				    gn_str_t after, gn_kv_done_t done,
+				    void *context)
+{
+	g_assert_cmpuint(after.len, ==, 0);
+	return fake_list(kv, prefix, done, context);
+}
+
 static gn_kv_call_t fake_grant(gn_kv_t *kv, uint32_t ttl_ms, gn_kv_done_t done,
 			       void *context)
 {
@@ -101,6 +155,8 @@
 }
 
 const gn_kv_ops_t fake_kv_ops = {
+	.txn = fake_txn,
+	.list_after = fake_list_after,
 	.get = fake_get,
 	.list = fake_list,
 	.put = fake_put,
--- a/tests/support/kv_state.c
+++ b/tests/support/kv_state.c
@@ -258,6 +258,72 @@
 	finish(state, answer, GN_OK);
 }
 
+static kv_item_t *find_by(kv_state_t *state, gn_str_t key)
+{
+	g_autofree char *text = g_strndup(key.data, key.len);
+
+	return find_present(state, text);
+}
+
+static gn_code_t check_txn(kv_state_t *state, const gn_kv_txn_t *txn,
+			   kv_answer_t *answer)
+{
+	gn_code_t code = GN_OK;
+
+	for (size_t i = 0; i < txn->expect_count; i++) {
+		kv_item_t *item = find_by(state, txn->expects[i].key);
+
+		if (item)
+			add_item(answer, item);
+		if ((item ? item->revision : GN_KV_ABSENT) !=
+		    txn->expects[i].revision)
+			code = GN_ERR_CONFLICT;
+	}
+	if (code == GN_OK)
+		g_ptr_array_set_size(answer->items, 0);
+	for (size_t i = 0; code == GN_OK && i < txn->put_count; i++)
+		if (txn->puts[i].lease &&
+		    !g_hash_table_contains(state->leases, &txn->puts[i].lease))
+			code = GN_ERR_NOT_FOUND;
+	return code;
+}
+
+static void put_row(kv_state_t *state, const gn_kv_put_t *put,
+		    uint64_t revision)
+{
+	g_autofree char *key = g_strndup(put->key.data, put->key.len);
+	kv_item_t *item = write_item(state, key);
+
+	item->value = g_bytes_new(put->value.data, put->value.len);
+	item->change = g_strdup("");
+	item->lease = put->lease;
+	item->revision = revision;
+	state->revision = revision;
+}
+
+void kv_state_txn(kv_state_t *state, uint64_t now_us, const gn_kv_txn_t *txn,
+		  kv_answer_t *answer)
+{
+	uint64_t revision;
+	gn_code_t code;
+
+	kv_state_expire(state, now_us);
+	code = check_txn(state, txn, answer);
+	revision = state->revision + 1;
+	for (size_t i = 0; code == GN_OK && i < txn->put_count; i++)
+		put_row(state, &txn->puts[i], revision);
+	for (size_t i = 0; code == GN_OK && i < txn->remove_count; i++) {
+		g_autofree char *key =
+			g_strndup(txn->removes[i].data, txn->removes[i].len);
+
+		if (!find_present(state, key))
+			continue;
+		delete_item(state, key);
+		state->revision = revision;
+	}
+	finish(state, answer, code);
+}
+
 void kv_state_grant(kv_state_t *state, uint64_t now_us, uint32_t ttl_ms,
 		    kv_answer_t *answer)
 {
--- a/tests/support/kv_state.h
+++ b/tests/support/kv_state.h
@@ -69,6 +69,9 @@
 		  kv_answer_t *answer);
 void kv_state_remove(kv_state_t *state, const char *key, uint64_t expected,
 		     kv_answer_t *answer);
+/** Writes all rows at one revision, or none. */
+void kv_state_txn(kv_state_t *state, uint64_t now_us, const gn_kv_txn_t *txn,
+		  kv_answer_t *answer);
 void kv_state_grant(kv_state_t *state, uint64_t now_us, uint32_t ttl_ms,
 		    kv_answer_t *answer);
 void kv_state_renew(kv_state_t *state, uint64_t now_us, uint64_t lease,
--- /dev/null
+++ b/tests/support/sched_rig.c
@@ -0,0 +1,276 @@
+#include "support/sched_rig.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/str.h"
+
+#define START_US (1000 * GN_US_PER_S)
+#define CPU_MILLI 4000
+#define MEMORY_MB 64000
+#define BATCH_MAX 16
+
+static const gn_queue_t queues[] = {
+	{ .name = "quick",
+	  .host = "h",
+	  .prefix = "/quick/",
+	  .service = "s",
+	  .priority = 0,
+	  .max_attempts = 3,
+	  .stretch = 1.5,
+	  .target_ms = 250 },
+	{ .name = "batch",
+	  .host = "h",
+	  .prefix = "/batch/",
+	  .service = "s",
+	  .priority = 2,
+	  .max_attempts = 2,
+	  .stretch = 2,
+	  .target_ms = 1000 },
+};
+
+static const gn_queues_t configuration = {
+	.version = 1, .queues = queues, .queue_count = G_N_ELEMENTS(queues)
+};
+
+static char empty[] = "";
+
+/* ======   Surroundings   ====== */
+
+static void on_order(void *arg, const char *host, const gn_run_order_t *order)
+{
+	sched_rig_t *rig = arg;
+	rig_order_t kept = { .kind = order->kind,
+			     .attempt = order->attempt,
+			     .percent = order->percent };
+
+	g_strlcpy(kept.host, host, sizeof(kept.host));
+	g_strlcpy(kept.task, order->task, sizeof(kept.task));
+	g_strlcpy(kept.checkpoint, order->checkpoint, sizeof(kept.checkpoint));
+	g_array_append_val(rig->orders, kept);
+}
+
+static void on_durable(void *arg, const char *job, uint64_t version)
+{
+	(void)arg;
+	(void)job;
+	(void)version;
+}
+
+static void on_event(void *arg, const gn_sched_event_t *event)
+{
+	(void)arg;
+	(void)event;
+}
+
+static const gn_sched_ops_t ops = { on_order, on_durable, on_event };
+
+void rig_open(sched_rig_t *rig)
+{
+	static const gn_sched_config_t config = {
+		.lease_ms = RIG_LEASE_MS,
+		.depose_ms = RIG_DEPOSE_MS,
+		.retain_ms = 60000,
+		.stop_ms = 500,
+		.far_factor = 2,
+		.harm_ms = 4000,
+	};
+
+	memset(rig, 0, sizeof(*rig));
+	gn_clock_init_paused(&rig->clock, START_US);
+	gn_clock_init_paused(&rig->wall, 2 * START_US);
+	rig->orders = g_array_new(FALSE, TRUE, sizeof(rig_order_t));
+	rig->ends =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	rig->sched = gn_sched_create(NULL, &config, &rig->clock, &rig->wall,
+				     &ops, rig);
+	g_assert_nonnull(rig->sched);
+	gn_sched_configure(rig->sched, &configuration);
+}
+
+void rig_close(sched_rig_t *rig)
+{
+	talloc_free(rig->sched);
+	g_array_unref(rig->orders);
+	g_hash_table_destroy(rig->ends);
+}
+
+void rig_advance_ms(sched_rig_t *rig, unsigned ms)
+{
+	gn_clock_advance(&rig->clock, (uint64_t)ms * GN_US_PER_MS);
+	gn_clock_advance(&rig->wall, (uint64_t)ms * GN_US_PER_MS);
+	gn_sched_tick(rig->sched);
+}
+
+void rig_clear(sched_rig_t *rig)
+{
+	g_array_set_size(rig->orders, 0);
+}
+
+/* ======   Jobs   ====== */
+
+static Gn__JobStep *create_step(const rig_step_t *from, uint32_t number)
+{
+	Gn__JobStep *step = malloc(sizeof(*step));
+
+	gn__job_step__init(step);
+	step->count = from->count;
+	step->cpu_milli = from->cpu_milli;
+	step->memory_mb = 1;
+	step->estimate_ms = from->estimate_ms;
+	step->standing = (from->flags & RIG_STANDING) != 0;
+	step->checkpoints = (from->flags & RIG_CHECKPOINTS) != 0;
+	step->fills = (from->flags & RIG_FILLS) != 0;
+	step->gang = (from->flags & RIG_GANG) != 0;
+	step->per_worker = from->per_worker;
+	step->target_ms = from->target_ms;
+	step->image = strdup(from->image ? from->image : "");
+	if (number && !(from->flags & RIG_FIRST)) {
+		step->after = malloc(sizeof(*step->after));
+		step->after[0] = number - 1;
+		step->n_after = 1;
+	}
+	return step;
+}
+
+gn_sched_reply_t rig_submit(sched_rig_t *rig, const char *id, const char *queue,
+			    const rig_step_t *steps, size_t count)
+{
+	Gn__JobSpec *spec = malloc(sizeof(*spec));
+
+	gn__job_spec__init(spec);
+	spec->id = strdup(id);
+	spec->queue = strdup(queue);
+	spec->steps = calloc(count, sizeof(*spec->steps));
+	for (size_t i = 0; i < count; i++)
+		spec->steps[spec->n_steps++] =
+			create_step(&steps[i], (uint32_t)i);
+	g_assert_cmpint(gn_job_check(spec, NULL), ==, GN_OK);
+	return gn_sched_submit(rig->sched, spec);
+}
+
+void rig_store(sched_rig_t *rig)
+{
+	gn_sched_write_t writes[BATCH_MAX];
+
+	gn_sched_pass(rig->sched);
+	while (gn_sched_is_dirty(rig->sched)) {
+		size_t count =
+			gn_sched_take_writes(rig->sched, writes, BATCH_MAX);
+
+		for (size_t i = 0; i < count; i++)
+			free(writes[i].value);
+		gn_sched_written(rig->sched);
+		rig->stored++;
+	}
+}
+
+gn_job_phase_t rig_phase(sched_rig_t *rig, const char *id)
+{
+	gn_sched_reply_t reply = gn_sched_state(rig->sched, id);
+
+	g_assert_cmpint(reply.result, ==, GN_RESULT_OK);
+	return reply.phase;
+}
+
+/* ======   Reports   ====== */
+
+static void describe(Gn__WorkerReport *report, const char *host,
+		     const char *life)
+{
+	gn__worker_report__init(report);
+	report->host = (char *)host;
+	report->life = (char *)life;
+	/* lives sort by their names */
+	report->born_ms = (uint64_t)life[0];
+	report->service = (char *)"s";
+	report->machine = empty;
+	report->data_centre = empty;
+	report->rack = empty;
+	report->cpu_milli = CPU_MILLI;
+	report->memory_mb = MEMORY_MB;
+	report->listed = true;
+}
+
+uint64_t rig_report(sched_rig_t *rig, const char *host, const char *life)
+{
+	Gn__WorkerReport report;
+
+	describe(&report, host, life);
+	return gn_sched_report(rig->sched, &report);
+}
+
+void rig_report_old(sched_rig_t *rig, const char *host, const char *life,
+		    uint32_t list_age_ms)
+{
+	Gn__WorkerReport report;
+
+	describe(&report, host, life);
+	report.listed = false;
+	report.list_age_ms = list_age_ms;
+	gn_sched_report(rig->sched, &report);
+}
+
+void rig_report_run(sched_rig_t *rig, const char *host, const char *life,
+		    const char *task, uint32_t attempt)
+{
+	Gn__WorkerReport report;
+	Gn__WorkerRun run = GN__WORKER_RUN__INIT;
+	Gn__WorkerRun *runs[] = { &run };
+
+	describe(&report, host, life);
+	run.task = (char *)task;
+	run.attempt = attempt;
+	run.checkpoint = empty;
+	report.runs = runs;
+	report.n_runs = 1;
+	gn_sched_report(rig->sched, &report);
+}
+
+uint64_t rig_report_end(sched_rig_t *rig, const char *host, const char *life,
+			const char *task, uint32_t attempt, gn_end_how_t how)
+{
+	uint64_t *number = g_hash_table_lookup(rig->ends, host);
+	Gn__WorkerReport report;
+	Gn__WorkerEnd end = GN__WORKER_END__INIT;
+	Gn__WorkerEnd *ends[] = { &end };
+
+	if (!number) {
+		number = g_new0(uint64_t, 1);
+		g_hash_table_insert(rig->ends, g_strdup(host), number);
+	}
+	describe(&report, host, life);
+	end.number = ++*number;
+	end.task = (char *)task;
+	end.attempt = attempt;
+	end.how = how;
+	end.checkpoint = empty;
+	report.ends = ends;
+	report.n_ends = 1;
+	return gn_sched_report(rig->sched, &report);
+}
+
+/* ======   Orders   ====== */
+
+const rig_order_t *rig_find(const sched_rig_t *rig, gn_run_order_kind_t kind,
+			    const char *task)
+{
+	for (guint i = rig->orders->len; i > 0; i--) {
+		const rig_order_t *order =
+			&g_array_index(rig->orders, rig_order_t, i - 1);
+
+		if (order->kind == kind && !strcmp(order->task, task))
+			return order;
+	}
+	return NULL;
+}
+
+unsigned rig_count(const sched_rig_t *rig, gn_run_order_kind_t kind)
+{
+	unsigned count = 0;
+
+	for (guint i = 0; i < rig->orders->len; i++)
+		count +=
+			g_array_index(rig->orders, rig_order_t, i).kind == kind;
+	return count;
+}
