--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,8 @@
 
 PROGRAMS := $(BUILD)/gypsumnotchd $(BUILD)/gypsumnotchctl
 STANDINS := $(patsubst tests/standin/%.c,$(BUILD)/tests/standin/%,$(sort $(wildcard tests/standin/*.c)))
-TESTS := $(patsubst %.c,$(BUILD)/%,$(sort $(wildcard tests/unit/test_*.c tests/contract/test_*.c)))
+TESTS := $(patsubst %.c,$(BUILD)/%,$(sort $(wildcard tests/unit/test_*.c tests/contract/test_*.c \
+	platform/tests/test_*.c)))
 BENCHES := $(patsubst %.c,$(BUILD)/%,$(sort $(wildcard tests/bench/*.c)))
 
 SOURCES := $(filter-out %.pb-c.c %.pb-c.h,$(sort $(wildcard lib/*.h lib/*/*.[ch] \
@@ -71,6 +72,9 @@
 $(BUILD)/tests/%: $(BUILD)/tests/%.o $(SUPPORT_OBJ) $(LIB)
 	$(LINK) $@ $^ $(LDLIBS)
 
+$(BUILD)/platform/tests/%: $(BUILD)/platform/tests/%.o $(SUPPORT_OBJ) $(LIB)
+	$(LINK) $@ $^ $(LDLIBS)
+
 check: all
 	tests/run.sh $(BUILD)
 
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -25,7 +25,7 @@
 export build logs limit_s
 
 {
-	find "$build/tests/unit" "$build/tests/contract" -type f -name 'test_*' \
+	find "$build/tests/unit" "$build/tests/contract" "$build/platform/tests" -type f -name 'test_*' \
 		! -name '*.o' ! -name '*.d' 2>/dev/null | sort
 	ls tests/scenarios/*.scn 2>/dev/null
 } | xargs -P "$jobs" -I{} bash -c 'run_one {}'
