--- a/lib/http/client.c
+++ b/lib/http/client.c
@@ -242,9 +242,9 @@
 	transfer->headers = curl_slist_append(NULL, "Expect:");
 	transfer->headers = curl_slist_append(
 		transfer->headers,
-		transfer->call->json ?
-			"Content-Type: application/json" :
-			"Content-Type: application/octet-stream");
+		transfer->call->json
+			? "Content-Type: application/json"
+			: "Content-Type: application/octet-stream");
 	for (int i = 0; i < GN_HEADER_COUNT; i++)
 		add_header(transfer, (gn_header_t)i);
 	if (transfer->call->header_line[0])
--- a/programs/gypsumnotchd/main.c
+++ b/programs/gypsumnotchd/main.c
@@ -33,9 +33,8 @@
 	if (gn_settings_load(NULL, path, &settings, &error))
 		goto fail;
 	gn_log_init("gypsumnotchd", settings->log_level);
-	if (!check_only &&
-	    gn_runtime_run(settings, roles[settings->role], &platform_adapter,
-			   &error))
+	if (!check_only && gn_runtime_run(settings, roles[settings->role],
+					  &platform_adapter, &error))
 		goto fail;
 	goto out;
 fail:
--- a/tests/contract/test_kv_http.c
+++ b/tests/contract/test_kv_http.c
@@ -23,9 +23,10 @@
 static void bench_connect(bench_t *bench, uint32_t calls_per_s)
 {
 	char address[ADDRESS_SIZE];
-	gn_kv_http_options_t options = { address,	  TIMEOUT_MS,
-					 calls_per_s,	  &bench->clock,
-					 bench->counters, bench->loop, NULL };
+	gn_kv_http_options_t options = {
+		address,	 TIMEOUT_MS,  calls_per_s, &bench->clock,
+		bench->counters, bench->loop, NULL
+	};
 
 	g_snprintf(address, sizeof(address), "127.0.0.1:%u",
 		   platform_server_port(bench->server));
