Learn pairs by a filter with variances; harm counts in placing

Change: uncertain pairs learn fast, known ones slowly, surprises make them uncertain again; placing prefers workers where a task harms least.

--- a/lib/sched/disturb.c
+++ b/lib/sched/disturb.c
@@ -3,16 +3,29 @@
 #include <glib.h>
 #include <math.h>
 
-/** Part of an error that one reading corrects. */
-#define LEARNING_RATE 0.5
-/** The baseline's part in a reading, as a squared share of the processors. */
-#define BASELINE_PART 0.04
-/** Weight of a pair that was not seen yet, and the largest. */
+/** Variance of a reading's logarithm, and of the baseline between two. */
+#define READING_VARIANCE 0.03
+#define BASELINE_VARIANCE 0.05
+/** A pair that was not seen yet. */
 #define WEIGHT_NEW 0.3
+#define VARIANCE_NEW 4.0
+/** Growth of a weight's variance with each reading: pairs change slowly. */
+#define VARIANCE_GROWTH 0.002
+/** An error of more than this many standard deviations is a surprise. */
+#define SURPRISE 4.0
+/** A surprise makes its pairs this much less certain. */
+#define SURPRISE_FACTOR 2.0
+/** The largest weight. */
 #define WEIGHT_MAX 20.0
 
+/** What is known of a pair. */
+typedef struct pair_s {
+	double weight;
+	double variance;
+} pair_t;
+
 struct gn_disturb_s {
-	GHashTable *serves; /**< image to a table of image to double */
+	GHashTable *serves; /**< image to a table of image to pair_t */
 };
 
 static void free_table(gpointer table)
@@ -38,7 +51,7 @@
 	return disturb;
 }
 
-static double *find(const gn_disturb_t *disturb, const char *serves,
+static pair_t *find(const gn_disturb_t *disturb, const char *serves,
 		    const char *fills)
 {
 	GHashTable *table = g_hash_table_lookup(disturb->serves, serves);
@@ -46,28 +59,29 @@
 	return table ? g_hash_table_lookup(table, fills) : NULL;
 }
 
-static double *create(gn_disturb_t *disturb, const char *serves,
+static pair_t *create(gn_disturb_t *disturb, const char *serves,
 		      const char *fills)
 {
 	GHashTable *table = g_hash_table_lookup(disturb->serves, serves);
-	double *weight = g_new(double, 1);
+	pair_t *pair = g_new(pair_t, 1);
 
 	if (!table) {
 		table = g_hash_table_new_full(g_direct_hash, g_direct_equal,
 					      NULL, g_free);
 		g_hash_table_insert(disturb->serves, (gpointer)serves, table);
 	}
-	*weight = WEIGHT_NEW;
-	g_hash_table_insert(table, (gpointer)fills, weight);
-	return weight;
+	pair->weight = WEIGHT_NEW;
+	pair->variance = VARIANCE_NEW;
+	g_hash_table_insert(table, (gpointer)fills, pair);
+	return pair;
 }
 
 double gn_disturb_weight(const gn_disturb_t *disturb, const char *serves,
 			 const char *fills)
 {
-	const double *weight = find(disturb, serves, fills);
+	const pair_t *pair = find(disturb, serves, fills);
 
-	return weight ? *weight : WEIGHT_NEW;
+	return pair ? pair->weight : WEIGHT_NEW;
 }
 
 double gn_disturb_sum(const gn_disturb_t *disturb, const char *serves,
@@ -81,32 +95,56 @@
 	return sum;
 }
 
-static void correct(gn_disturb_t *disturb, const char *serves,
-		    const char *fills, double change)
+static pair_t *get(gn_disturb_t *disturb, const char *serves, const char *fills)
+{
+	pair_t *pair = find(disturb, serves, fills);
+
+	return pair ? pair : create(disturb, serves, fills);
+}
+
+/* The variance of a reading's error. */
+static double get_variance(gn_disturb_t *disturb, const char *serves,
+			   const gn_fill_use_t *uses, size_t count)
+{
+	double sum = READING_VARIANCE + BASELINE_VARIANCE;
+
+	for (size_t i = 0; i < count; i++)
+		sum += get(disturb, serves, uses[i].image)->variance *
+		       uses[i].share * uses[i].share;
+	return sum;
+}
+
+static void doubt(pair_t *pair)
+{
+	pair->variance = fmin(VARIANCE_NEW, pair->variance * SURPRISE_FACTOR);
+}
+
+static void correct(pair_t *pair, double share, double error, double variance)
 {
-	double *weight = find(disturb, serves, fills);
+	double gain = pair->variance * share / variance;
 
-	if (!weight)
-		weight = create(disturb, serves, fills);
-	*weight = CLAMP(*weight + change, 0, WEIGHT_MAX);
+	pair->weight = CLAMP(pair->weight + gain * error, 0, WEIGHT_MAX);
+	pair->variance = pair->variance * (1 - gain * share) + VARIANCE_GROWTH;
 }
 
 void gn_disturb_learn(gn_disturb_t *disturb, const char *serves, double tail_ms,
 		      double *baseline, const gn_fill_use_t *uses, size_t count)
 {
 	double sum = gn_disturb_sum(disturb, serves, uses, count);
-	double norm = BASELINE_PART;
+	double variance = get_variance(disturb, serves, uses, count);
 	double error;
 
 	if (*baseline < 0)
 		*baseline = fmax(0, log(tail_ms) - sum);
 	error = log(tail_ms) - *baseline - sum;
-	for (size_t i = 0; i < count; i++)
-		norm += uses[i].share * uses[i].share;
-	*baseline += LEARNING_RATE * error * BASELINE_PART / norm;
-	*baseline = fmax(0, *baseline);
+	if (error * error > SURPRISE * SURPRISE * variance) {
+		for (size_t i = 0; i < count; i++)
+			doubt(get(disturb, serves, uses[i].image));
+		variance = get_variance(disturb, serves, uses, count);
+	}
+	*baseline = fmax(0, *baseline + error * BASELINE_VARIANCE / variance);
 	for (size_t i = 0; i < count; i++)
 		if (uses[i].share > 0)
-			correct(disturb, serves, uses[i].image,
-				LEARNING_RATE * error * uses[i].share / norm);
+			correct(get(disturb, serves, uses[i].image),
+				uses[i].share, error, variance);
 }
--- a/lib/sched/disturb.h
+++ b/lib/sched/disturb.h
@@ -6,12 +6,13 @@
  * pairs do not disturb each other, a few do so heavily, and which ones is seen
  * only in tail latencies that also move with the serving task's own load.
  *
- * The logarithm of a serving task's tail is taken as a baseline of its own
- * plus, for each image that fills beside it, the share of the worker's
- * processors in use by that image times the pair's weight; tails grow by
- * factors as a worker fills up. Baseline and weights are corrected with each
- * reading, in proportion to their part in it (normalised least mean squares),
- * and weights never go below zero.
+ * The logarithm of a serving task's tail is taken as a baseline of its own,
+ * which moves with its load, plus, for each image that fills beside it, the
+ * share of the worker's processors in use by that image times the pair's
+ * weight; tails grow by factors as a worker fills up. Each reading corrects
+ * baseline and weights in proportion to how uncertain they are and to their
+ * part in it (a Kalman filter without covariances), so a pair is learned from
+ * its first readings and steady after them. Weights never go below zero.
  */
 #ifndef GN_SCHED_DISTURB_H
 #define GN_SCHED_DISTURB_H
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -14,6 +14,8 @@
 #define SLOWNESS_MAX 8.0
 /** Weight of a worker's load beside the time that a filling task takes. */
 #define FILL_LOAD_COST 0.2
+/** Weight of the harm to serving tasks beside that time. */
+#define HARM_COST 1.0
 /** What a filling task counts as beside a new serving one. */
 #define SERVE_BESIDE_FILLING_COST 0.02
 /** How much fuller a worker may be to be taken for one more that serves. */
@@ -68,7 +70,8 @@
 	double cost = get_load(worker);
 
 	if (task->fills)
-		cost = FILL_LOAD_COST * cost + 1 / worker->fill_speed;
+		cost = FILL_LOAD_COST * cost + 1 / worker->fill_speed +
+		       HARM_COST * worker->harm;
 	if (task->serves) {
 		cost += SERVE_BESIDE_FILLING_COST * worker->filling;
 		if (worker->same_image)
--- a/lib/sched/place.h
+++ b/lib/sched/place.h
@@ -46,6 +46,8 @@
 	double slowness; /**< 1: as usual */
 	/** Share of its speed that the task would have there, if it fills. */
 	double fill_speed;
+	/** Share of what serving tasks there can bear that it would use up. */
+	double harm;
 	bool eligible; /**< live, of the service, with the label */
 	bool near; /**< on the data's rack, or there is none */
 } gn_place_worker_t;
--- a/lib/sched/sched_mix.c
+++ b/lib/sched/sched_mix.c
@@ -7,9 +7,11 @@
 /** Share of the way from the baseline to the target that is let anyway. */
 #define LEAST_BUDGET 0.3
 /** Pairs of less weight are no disturbance. */
-#define LIGHT_WEIGHT 0.4
+#define LIGHT_WEIGHT 0.6
 /** Share of what is set aside for serving tasks that they use, as a guess. */
 #define SERVING_USE 0.5
+/** Budgets count as at least this, so that harm stays comparable. */
+#define BUDGET_MIN 0.05
 /** Slowest that a filling task is expected to be. */
 #define SPEED_MIN 0.02
 
@@ -108,6 +110,19 @@
 	}
 }
 
+/* The growth that all that fills would cause at full pace. */
+static double get_wished(const gn_sched_t *sched, const sched_mix_t *mix,
+			 const sched_mix_serving_t *serving)
+{
+	double wished = 0;
+
+	for (size_t i = 0; i < mix->filling_count; i++)
+		wished += mix->filling[i].full_share *
+			  gn_disturb_weight(sched->disturb, serving->image,
+					    mix->filling[i].image);
+	return wished;
+}
+
 void sched_mix_get(const gn_sched_t *sched, const sched_worker_t *worker,
 		   sched_mix_t *mix)
 {
@@ -117,18 +132,25 @@
 	mix->spare = get_spare(worker, 0);
 	for (guint i = 0; i < worker->claims->len; i++)
 		add_task(mix, worker, g_ptr_array_index(worker->claims, i));
-	for (size_t i = 0; i < mix->serving_count; i++)
-		mix->serving[i].added =
-			gn_disturb_sum(sched->disturb, mix->serving[i].image,
-				       mix->uses, mix->use_count);
+	for (size_t i = 0; i < mix->serving_count; i++) {
+		sched_mix_serving_t *serving = &mix->serving[i];
+
+		serving->added = gn_disturb_sum(sched->disturb, serving->image,
+						mix->uses, mix->use_count);
+		serving->planned = get_wished(sched, mix, serving);
+	}
 }
 
-void sched_mix_add(sched_mix_t *mix, const sched_worker_t *worker,
-		   const char *image, uint32_t cpu_milli)
+void sched_mix_add(const gn_sched_t *sched, sched_mix_t *mix,
+		   const sched_worker_t *worker, const char *image,
+		   uint32_t cpu_milli)
 {
 	add_filling(mix, image,
 		    mix->spare * cpu_milli / worker->capacity.cpu_milli);
 	mix->spare = get_spare(worker, 0);
+	for (size_t i = 0; i < mix->serving_count; i++)
+		mix->serving[i].planned =
+			get_wished(sched, mix, &mix->serving[i]);
 }
 
 /* ======   Paces   ====== */
@@ -137,12 +159,8 @@
 static double get_allowed(const gn_sched_t *sched, const sched_mix_t *mix,
 			  const sched_mix_serving_t *serving)
 {
-	double wished = 0;
+	double wished = get_wished(sched, mix, serving);
 
-	for (size_t i = 0; i < mix->filling_count; i++)
-		wished += mix->filling[i].full_share *
-			  gn_disturb_weight(sched->disturb, serving->image,
-					    mix->filling[i].image);
 	return wished <= serving->budget ? 1 : serving->budget / wished;
 }
 
@@ -180,3 +198,22 @@
 	}
 	return fmax(spare * pace, SPEED_MIN);
 }
+
+double sched_mix_harm(const gn_sched_t *sched, const sched_worker_t *worker,
+		      const sched_mix_t *mix, const char *image,
+		      uint32_t cpu_milli)
+{
+	double share = get_spare(worker, cpu_milli) * cpu_milli /
+		       worker->capacity.cpu_milli;
+	double worst = 0;
+
+	for (size_t i = 0; i < mix->serving_count; i++) {
+		const sched_mix_serving_t *serving = &mix->serving[i];
+		double weight = gn_disturb_weight(sched->disturb,
+						  serving->image, image);
+		double growth = serving->planned + weight * share;
+
+		worst = fmax(worst, growth / fmax(BUDGET_MIN, serving->budget));
+	}
+	return fmin(worst, SCHED_HARM_MAX);
+}
--- a/lib/sched/sched_mix.h
+++ b/lib/sched/sched_mix.h
@@ -13,12 +13,16 @@
 /** Images of a kind on one worker; more are left out. */
 #define SCHED_MIX_MAX 24
 
+/** The most that sched_mix_harm() tells. */
+#define SCHED_HARM_MAX 3.0
+
 /** What serves with one image. */
 typedef struct sched_mix_serving_s {
 	const char *image;
 	/** Logarithm of the factor by which every tail of it may grow. */
 	double budget;
 	double added; /**< by what fills now, the same unit */
+	double planned; /**< by all that is claimed, at full pace */
 } sched_mix_serving_t;
 
 /** What fills with one image. */
@@ -54,8 +58,17 @@
 		       const sched_mix_t *mix, const char *image,
 		       uint32_t cpu_milli);
 
+/**
+ * How much of the growth that what serves can bear one more task of @p image
+ * would use up, with what fills already; 1: all, more at most SCHED_HARM_MAX.
+ */
+double sched_mix_harm(const gn_sched_t *sched, const sched_worker_t *worker,
+		      const sched_mix_t *mix, const char *image,
+		      uint32_t cpu_milli);
+
 /** Counts one more task as filling. */
-void sched_mix_add(sched_mix_t *mix, const sched_worker_t *worker,
-		   const char *image, uint32_t cpu_milli);
+void sched_mix_add(const gn_sched_t *sched, sched_mix_t *mix,
+		   const sched_worker_t *worker, const char *image,
+		   uint32_t cpu_milli);
 
 #endif
--- a/lib/sched/sched_pass.c
+++ b/lib/sched/sched_pass.c
@@ -142,6 +142,17 @@
 	return gn_health_is_good(&worker->health, sched_now_us(sched));
 }
 
+static void set_fill_view(candidates_t *all, size_t at, const gn_sched_t *sched,
+			  const char *image, uint32_t cpu_milli)
+{
+	gn_place_worker_t *view = &all->views[at];
+
+	view->fill_speed = sched_mix_speed(sched, all->workers[at],
+					   &all->mixes[at], image, cpu_milli);
+	view->harm = sched_mix_harm(sched, all->workers[at], &all->mixes[at],
+				    image, cpu_milli);
+}
+
 static void set_view(candidates_t *all, size_t at, const gn_sched_t *sched,
 		     const sched_job_t *job, const sched_unit_t *unit)
 {
@@ -168,10 +179,10 @@
 	view->same_image = count_same_image(worker, step);
 	view->near = !*step->rack || !strcmp(step->rack, worker->rack);
 	view->fill_speed = 1;
+	view->harm = 0;
 	if (step->fills)
-		view->fill_speed = sched_mix_speed(
-			sched, worker, &all->mixes[at],
-			g_intern_string(step->image), step->cpu_milli);
+		set_fill_view(all, at, sched, g_intern_string(step->image),
+			      step->cpu_milli);
 }
 
 static void count_same_step(candidates_t *all, const sched_job_t *job,
@@ -206,6 +217,7 @@
 static void claim_at(candidates_t *all, size_t at, sched_task_t *task,
 		     const gn_place_task_t *wanted)
 {
+	const gn_sched_t *sched = task->job->sched;
 	gn_place_worker_t *view = &all->views[at];
 
 	sched_claim(task, all->workers[at], task->attempt + 1);
@@ -217,11 +229,9 @@
 	view->fill_milli += wanted->fill_milli;
 	if (!wanted->fills)
 		return;
-	sched_mix_add(&all->mixes[at], all->workers[at], task->image,
+	sched_mix_add(sched, &all->mixes[at], all->workers[at], task->image,
 		      wanted->fill_milli);
-	view->fill_speed = sched_mix_speed(task->job->sched, all->workers[at],
-					   &all->mixes[at], task->image,
-					   wanted->fill_milli);
+	set_fill_view(all, at, sched, task->image, wanted->fill_milli);
 }
 
 static void place_unit(gn_sched_t *sched, candidates_t *all, sched_job_t *job,
