Place gangs whole, under one attempt

Change: all members are claimed or none, on one rack where asked and possible; one member's end stops the others; a checkpoint of one is that of all; failed attempts count for the gang. A filling task is placed only where what is planned there leaves it half its speed; unknown pairs count one deviation worse in the choice of a worker. Weak hosts leave leadership to others.

--- a/lib/config/settings.c
+++ b/lib/config/settings.c
@@ -196,6 +196,18 @@
 	NUMBER("harm_ms", jobs.harm_ms, 1, 600000, 4000),
 	NUMBER("pace_ms", jobs.pace_ms, 0, 60000, 100),
 	NUMBER("notice_ms", jobs.notice_ms, 0, 600000, 5000),
+	{ .key = "cores",
+	  .read = gn_schema_number,
+	  AT(jobs.cores),
+	  .min = 0,
+	  .max = 4096,
+	  .preset = 1 },
+	{ .key = "link_mbps",
+	  .read = gn_schema_number,
+	  AT(jobs.link_mbps),
+	  .min = 0,
+	  .max = 1000000,
+	  .preset = 1000 },
 	LAST,
 };
 
--- a/lib/config/settings.h
+++ b/lib/config/settings.h
@@ -42,6 +42,8 @@
 	unsigned harm_ms; /**< over a latency target, 1..600000; 4000 */
 	unsigned pace_ms; /**< until a pace works, 0..60000; 100 */
 	unsigned notice_ms; /**< absences count so long, 0..600000; 5000 */
+	double cores; /**< of the host, for this process, 0..4096; 1 */
+	double link_mbps; /**< of the host's link, 0..1000000; 1000 */
 } gn_jobs_settings_t;
 
 /** The settings; all strings are terminated and owned by the struct. */
--- a/lib/lead/lead.c
+++ b/lib/lead/lead.c
@@ -37,6 +37,8 @@
 	gn_kv_call_t call;
 	uint64_t chain; /**< revision that was read */
 	uint64_t own; /**< the same of the leader's key; GN_KV_ABSENT: none */
+	uint64_t
+		free_us; /**< since when the leader's key is free; 0: it is not */
 	bool listed; /**< what the leader's key holds is known */
 	bool is_held; /**< somebody holds the leader's key */
 	char holder[VALUE_SIZE];
@@ -169,11 +171,24 @@
 			       take_leader, lead);
 }
 
-static bool may_take(const gn_lead_t *lead)
+static bool is_handicap_over(gn_lead_t *lead)
+{
+	if (lead->is_held) {
+		lead->free_us = 0;
+		return true;
+	}
+	if (!lead->free_us)
+		lead->free_us = now_us(lead);
+	return now_us(lead) - lead->free_us >=
+	       (uint64_t)lead->options.handicap_ms * GN_US_PER_MS;
+}
+
+static bool may_take(gn_lead_t *lead)
 {
 	bool is_free = !lead->is_held || !strcmp(lead->holder, lead->value);
 
-	return lead->stage == STAGE_FOLLOW && lead->listed && is_free &&
+	return is_handicap_over(lead) && lead->stage == STAGE_FOLLOW &&
+	       lead->listed && is_free &&
 	       gn_lease_state(lead->lease) == GN_LEASE_HELD &&
 	       now_us(lead) >= lead->due_us;
 }
--- a/lib/lead/lead.h
+++ b/lib/lead/lead.h
@@ -40,6 +40,8 @@
 	uint64_t incarnation;
 	const char *address; /**< of its link, for executors and schedulers */
 	unsigned ttl_ms; /**< of the lease */
+	/** Leaves a free key to others for so long: a weak host leads last. */
+	unsigned handicap_ms;
 	const gn_lead_ops_t *ops;
 	void *arg;
 } gn_lead_options_t;
--- a/lib/sched/disturb.c
+++ b/lib/sched/disturb.c
@@ -12,7 +12,7 @@
 /** Growth of a weight's variance with each reading: pairs change slowly. */
 #define VARIANCE_GROWTH 0.002
 /** An error of more than this many standard deviations is a surprise. */
-#define SURPRISE 4.0
+#define SURPRISE 3.0
 /** A surprise makes its pairs this much less certain. */
 #define SURPRISE_FACTOR 2.0
 /** The largest weight. */
@@ -84,6 +84,15 @@
 	return pair ? pair->weight : WEIGHT_NEW;
 }
 
+double gn_disturb_bound(const gn_disturb_t *disturb, const char *serves,
+			const char *fills)
+{
+	const pair_t *pair = find(disturb, serves, fills);
+
+	return pair ? pair->weight + sqrt(pair->variance)
+		    : WEIGHT_NEW + sqrt(VARIANCE_NEW);
+}
+
 double gn_disturb_sum(const gn_disturb_t *disturb, const char *serves,
 		      const gn_fill_use_t *uses, size_t count)
 {
--- a/lib/sched/disturb.h
+++ b/lib/sched/disturb.h
@@ -39,6 +39,10 @@
 double gn_disturb_weight(const gn_disturb_t *disturb, const char *serves,
 			 const char *fills);
 
+/** The same, higher by one standard deviation of what is known of it. */
+double gn_disturb_bound(const gn_disturb_t *disturb, const char *serves,
+			const char *fills);
+
 /** The logarithm of the factor by which @p uses lengthen the tail. */
 double gn_disturb_sum(const gn_disturb_t *disturb, const char *serves,
 		      const gn_fill_use_t *uses, size_t count);
--- a/lib/sched/sched_claim.c
+++ b/lib/sched/sched_claim.c
@@ -103,6 +103,8 @@
 	if (task->number - unit->first < unit->next)
 		unit->next = task->number - unit->first;
 	sched_job_mark(job);
+	if (sched_is_gang(task))
+		sched_gang_stop(task, "a member of the gang has ended");
 }
 
 void sched_unclaim_done(sched_task_t *task)
@@ -182,14 +184,23 @@
 
 /* ======   Ends   ====== */
 
-static void keep_checkpoint(sched_task_t *task, const char *checkpoint)
+void sched_keep_checkpoint(sched_task_t *task, const char *checkpoint)
 {
-	if (!checkpoint || !*checkpoint)
+	if (!*checkpoint || !g_strcmp0(task->checkpoint, checkpoint))
 		return;
+	if (sched_is_gang(task)) {
+		sched_gang_keep_checkpoint(task, checkpoint);
+		return;
+	}
 	g_free(task->checkpoint);
 	task->checkpoint = g_strdup(checkpoint);
 }
 
+static uint32_t get_failures(const sched_task_t *task)
+{
+	return sched_is_gang(task) ? sched_gang_failures(task) : task->failed;
+}
+
 static void take_failure(sched_task_t *task)
 {
 	sched_job_t *job = task->job;
@@ -198,7 +209,7 @@
 	sched_unclaim(task, "failed");
 	if (step_of(task)->standing || sched_job_is_finished(job))
 		return;
-	if (task->failed >= job->max_attempts)
+	if (get_failures(task) >= job->max_attempts)
 		sched_job_finish(job, GN_JOB_FAILED, "attempts used up");
 }
 
@@ -237,8 +248,10 @@
 	sched_note_task(task->job->sched, "end", task, gn_end_how_name(how), 0);
 	sched_note_started(task);
 	learn(task, how);
-	keep_checkpoint(task, checkpoint);
-	if (how == GN_END_DONE)
+	sched_keep_checkpoint(task, checkpoint);
+	if (how == GN_END_DONE && sched_is_gang(task))
+		sched_gang_done(task);
+	else if (how == GN_END_DONE)
 		sched_unclaim_done(task);
 	else if (how == GN_END_FAILED)
 		take_failure(task);
--- /dev/null
+++ b/lib/sched/sched_gang.c
@@ -0,0 +1,156 @@
+/**
+ * @file sched_gang.c
+ * @brief Gangs: tasks that work only all together.
+ *
+ * All members are claimed at once, under one attempt and with one checkpoint,
+ * or none is. What ends one member ends the attempt: the others are stopped,
+ * and the gang waits until none is claimed any more. So no two gangs hold each
+ * a half of what both need.
+ */
+#include <string.h>
+
+#include "sched/sched_mix.h"
+#include "sched/sched_pass.h"
+
+static sched_unit_t *unit_of(const sched_task_t *task)
+{
+	return &task->job->units[task->unit];
+}
+
+bool sched_is_gang(const sched_task_t *task)
+{
+	return unit_of(task)->step->gang;
+}
+
+static sched_task_t *get_member(const sched_job_t *job,
+				const sched_unit_t *unit, uint32_t index)
+{
+	return &job->tasks[unit->first + index];
+}
+
+/* ======   Ends   ====== */
+
+void sched_gang_stop(sched_task_t *task, const char *why)
+{
+	const sched_unit_t *unit = unit_of(task);
+
+	for (uint32_t i = 0; i < unit->step->count; i++) {
+		sched_task_t *member = get_member(task->job, unit, i);
+
+		if (member != task && member->status == GN_TASK_CLAIMED)
+			sched_stop(member, why);
+	}
+}
+
+void sched_gang_done(sched_task_t *task)
+{
+	const sched_unit_t *unit = unit_of(task);
+
+	for (uint32_t i = 0; i < unit->step->count; i++) {
+		sched_task_t *member = get_member(task->job, unit, i);
+
+		if (member->status == GN_TASK_CLAIMED)
+			sched_unclaim_done(member);
+	}
+}
+
+uint32_t sched_gang_failures(const sched_task_t *task)
+{
+	const sched_unit_t *unit = unit_of(task);
+	uint32_t failed = 0;
+
+	for (uint32_t i = 0; i < unit->step->count; i++)
+		failed += get_member(task->job, unit, i)->failed;
+	return failed;
+}
+
+void sched_gang_keep_checkpoint(sched_task_t *task, const char *checkpoint)
+{
+	const sched_unit_t *unit = unit_of(task);
+
+	for (uint32_t i = 0; i < unit->step->count; i++) {
+		sched_task_t *member = get_member(task->job, unit, i);
+
+		g_free(member->checkpoint);
+		member->checkpoint = g_strdup(checkpoint);
+	}
+}
+
+/* ======   Placing   ====== */
+
+/* Finds a worker for each member; the views are as before if there is none. */
+static bool choose(const gn_place_task_t *wanted, gn_place_worker_t *views,
+		   size_t count, size_t *chosen, uint32_t members)
+{
+	gn_place_worker_t *before = g_memdup2(views, count * sizeof(*views));
+	bool complete = true;
+
+	for (uint32_t i = 0; complete && i < members; i++) {
+		chosen[i] = gn_place(wanted, views, count);
+		complete = chosen[i] != GN_PLACE_NONE;
+		if (!complete)
+			break;
+		gn_room_add(&views[chosen[i]].used, &wanted->room);
+		views[chosen[i]].same_step++;
+	}
+	memcpy(views, before, count * sizeof(*views));
+	g_free(before);
+	return complete;
+}
+
+/* The same with the workers of one rack alone. */
+static bool choose_in_rack(const sched_candidates_t *all,
+			   const gn_place_task_t *wanted, const char *rack,
+			   size_t *chosen, uint32_t members)
+{
+	gn_place_worker_t *views =
+		g_memdup2(all->views, all->count * sizeof(*views));
+	bool complete;
+
+	for (size_t i = 0; i < all->count; i++)
+		if (strcmp(all->workers[i]->rack, rack) != 0)
+			views[i].eligible = false;
+	complete = choose(wanted, views, all->count, chosen, members);
+	g_free(views);
+	return complete;
+}
+
+static bool choose_any_rack(const sched_candidates_t *all,
+			    const gn_place_task_t *wanted, size_t *chosen,
+			    uint32_t members)
+{
+	for (size_t i = 0; i < all->count; i++)
+		if (all->views[i].eligible &&
+		    choose_in_rack(all, wanted, all->workers[i]->rack, chosen,
+				   members))
+			return true;
+	return false;
+}
+
+static uint32_t get_attempt(const sched_job_t *job, const sched_unit_t *unit)
+{
+	uint32_t attempt = 0;
+
+	for (uint32_t i = 0; i < unit->step->count; i++)
+		attempt = MAX(attempt, get_member(job, unit, i)->attempt);
+	return attempt + 1;
+}
+
+void sched_gang_place(sched_candidates_t *all, sched_job_t *job,
+		      sched_unit_t *unit, const gn_place_task_t *wanted)
+{
+	uint32_t members = unit->step->count;
+	uint32_t attempt = get_attempt(job, unit);
+	size_t *chosen;
+
+	if (unit->waiting < members)
+		return;
+	chosen = g_new(size_t, members);
+	if ((unit->step->same_rack &&
+	     choose_any_rack(all, wanted, chosen, members)) ||
+	    choose(wanted, all->views, all->count, chosen, members))
+		for (uint32_t i = 0; i < members; i++)
+			sched_claim_at(all, chosen[i], get_member(job, unit, i),
+				       wanted, attempt);
+	g_free(chosen);
+}
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -207,12 +207,26 @@
 void sched_claim_order(sched_task_t *task);
 /** Sends the starts of a job whose claims have become durable. */
 void sched_job_send_starts(sched_job_t *job);
+/** Keeps the newest checkpoint of a run; an empty one changes nothing. */
+void sched_keep_checkpoint(sched_task_t *task, const char *checkpoint);
 /** The run of a claim has begun. */
 void sched_note_started(sched_task_t *task);
 /** A run of a claim has ended; @p checkpoint may be empty. */
 void sched_take_end(sched_task_t *task, gn_end_how_t how,
 		    const char *checkpoint);
 
+/* ======   sched_gang.c   ====== */
+
+bool sched_is_gang(const sched_task_t *task);
+/** One member's run is over: stops the others. */
+void sched_gang_stop(sched_task_t *task, const char *why);
+/** One member has ended as done: so have all. */
+void sched_gang_done(sched_task_t *task);
+/** Failed attempts of the whole gang. */
+uint32_t sched_gang_failures(const sched_task_t *task);
+/** A member's checkpoint is that of all. */
+void sched_gang_keep_checkpoint(sched_task_t *task, const char *checkpoint);
+
 /* ======   sched_worker.c   ====== */
 
 /** The worker of @p host, created if there is none. */
--- a/lib/sched/sched_mix.c
+++ b/lib/sched/sched_mix.c
@@ -191,7 +191,8 @@
 		const sched_mix_serving_t *serving = &mix->serving[i];
 		double weight = gn_disturb_weight(sched->disturb,
 						  serving->image, image);
-		double left = serving->budget - serving->added;
+		double left = serving->budget -
+			      fmax(serving->added, serving->planned);
 
 		if (weight >= LIGHT_WEIGHT)
 			pace = fmin(pace, fmax(0, left / (weight * share)));
@@ -209,9 +210,9 @@
 
 	for (size_t i = 0; i < mix->serving_count; i++) {
 		const sched_mix_serving_t *serving = &mix->serving[i];
-		double weight = gn_disturb_weight(sched->disturb,
-						  serving->image, image);
-		double growth = serving->planned + weight * share;
+		double bound =
+			gn_disturb_bound(sched->disturb, serving->image, image);
+		double growth = serving->planned + bound * share;
 
 		worst = fmax(worst, growth / fmax(BUDGET_MIN, serving->budget));
 	}
--- a/lib/sched/sched_pass.c
+++ b/lib/sched/sched_pass.c
@@ -10,10 +10,12 @@
 #include <string.h>
 
 #include "common/str.h"
-#include "sched/sched_mix.h"
+#include "sched/sched_pass.h"
 
 /** Share of its full speed below which a filling task rather waits. */
 #define LEAST_SPEED 0.5
+/** Share of what serving tasks can bear beyond which it waits, too. */
+#define MOST_HARM SCHED_HARM_MAX
 /** A job that runs nothing takes any speed after this long. */
 #define IDLE_US (1500 * GN_US_PER_MS)
 /** What has waited for this long takes a worker that fails, too. */
@@ -73,15 +75,7 @@
 
 /* ======   Candidates   ====== */
 
-/* The workers, as placing sees them, for one step after the other. */
-typedef struct candidates_s {
-	sched_worker_t **workers;
-	sched_mix_t *mixes; /**< their sums, where they have processors */
-	gn_place_worker_t *views;
-	size_t count;
-} candidates_t;
-
-static void get_candidates(gn_sched_t *sched, candidates_t *all)
+static void get_candidates(gn_sched_t *sched, sched_candidates_t *all)
 {
 	GHashTableIter iter;
 	gpointer value;
@@ -142,8 +136,9 @@
 	return gn_health_is_good(&worker->health, sched_now_us(sched));
 }
 
-static void set_fill_view(candidates_t *all, size_t at, const gn_sched_t *sched,
-			  const char *image, uint32_t cpu_milli)
+static void set_fill_view(sched_candidates_t *all, size_t at,
+			  const gn_sched_t *sched, const char *image,
+			  uint32_t cpu_milli)
 {
 	gn_place_worker_t *view = &all->views[at];
 
@@ -153,8 +148,9 @@
 				    image, cpu_milli);
 }
 
-static void set_view(candidates_t *all, size_t at, const gn_sched_t *sched,
-		     const sched_job_t *job, const sched_unit_t *unit)
+static void set_view(sched_candidates_t *all, size_t at,
+		     const gn_sched_t *sched, const sched_job_t *job,
+		     const sched_unit_t *unit)
 {
 	const Gn__JobStep *step = unit->step;
 	const gn_room_t room = sched_step_room(step);
@@ -185,7 +181,7 @@
 			      step->cpu_milli);
 }
 
-static void count_same_step(candidates_t *all, const sched_job_t *job,
+static void count_same_step(sched_candidates_t *all, const sched_job_t *job,
 			    const sched_unit_t *unit)
 {
 	for (uint32_t i = 0; i < unit->step->count; i++) {
@@ -214,13 +210,13 @@
 	return NULL;
 }
 
-static void claim_at(candidates_t *all, size_t at, sched_task_t *task,
-		     const gn_place_task_t *wanted)
+void sched_claim_at(sched_candidates_t *all, size_t at, sched_task_t *task,
+		    const gn_place_task_t *wanted, uint32_t attempt)
 {
 	const gn_sched_t *sched = task->job->sched;
 	gn_place_worker_t *view = &all->views[at];
 
-	sched_claim(task, all->workers[at], task->attempt + 1);
+	sched_claim(task, all->workers[at], attempt);
 	gn_room_add(&view->used, &wanted->room);
 	view->same_step++;
 	view->serving += wanted->serves;
@@ -234,8 +230,8 @@
 	set_fill_view(all, at, sched, task->image, wanted->fill_milli);
 }
 
-static void place_unit(gn_sched_t *sched, candidates_t *all, sched_job_t *job,
-		       sched_unit_t *unit)
+static void place_unit(gn_sched_t *sched, sched_candidates_t *all,
+		       sched_job_t *job, sched_unit_t *unit)
 {
 	const Gn__JobStep *step = unit->step;
 	const gn_place_task_t wanted = {
@@ -244,6 +240,7 @@
 		.fill_milli = step->fills ? step->cpu_milli : 0,
 		.fills = step->fills,
 		.least_speed = is_idle(job, unit) ? 0 : LEAST_SPEED,
+		.most_harm = is_idle(job, unit) ? SCHED_HARM_MAX : MOST_HARM,
 		.serves = step->target_ms != 0,
 		.far_factor = sched->config.far_factor
 	};
@@ -254,15 +251,20 @@
 		set_view(all, i, sched, job, unit);
 	if (step->per_worker)
 		count_same_step(all, job, unit);
+	if (step->gang) {
+		sched_gang_place(all, job, unit, &wanted);
+		return;
+	}
 	while ((task = next_waiting(job, unit))) {
 		at = gn_place(&wanted, all->views, all->count);
 		if (at == GN_PLACE_NONE)
 			return;
-		claim_at(all, at, task, &wanted);
+		sched_claim_at(all, at, task, &wanted, task->attempt + 1);
 	}
 }
 
-static void place_job(gn_sched_t *sched, candidates_t *all, sched_job_t *job)
+static void place_job(gn_sched_t *sched, sched_candidates_t *all,
+		      sched_job_t *job)
 {
 	for (uint32_t i = 0; i < job->unit_count; i++) {
 		sched_unit_t *unit = &job->units[i];
@@ -276,7 +278,7 @@
 
 static void pass(gn_sched_t *sched)
 {
-	candidates_t all;
+	sched_candidates_t all;
 	GPtrArray *ranked = rank_jobs(sched);
 
 	get_candidates(sched, &all);
--- a/lib/sched/sched_worker.c
+++ b/lib/sched/sched_worker.c
@@ -96,11 +96,18 @@
 static void release_other_lives(sched_worker_t *worker, const char *life,
 				const char *why)
 {
-	for (guint i = worker->claims->len; i > 0; i--) {
-		sched_task_t *task = g_ptr_array_index(worker->claims, i - 1);
+	guint i = 0;
 
-		if (task->life != life)
-			sched_unclaim(task, why);
+	/* giving up one member of a gang can give up others, too */
+	while (i < worker->claims->len) {
+		sched_task_t *task = g_ptr_array_index(worker->claims, i);
+
+		if (task->life == life) {
+			i++;
+			continue;
+		}
+		sched_unclaim(task, why);
+		i = 0;
 	}
 }
 
@@ -245,12 +252,8 @@
 		return;
 	}
 	sched_note_started(task);
-	if (*run->checkpoint &&
-	    (!task->checkpoint || strcmp(task->checkpoint, run->checkpoint))) {
-		/* stored with the job's next change */
-		g_free(task->checkpoint);
-		task->checkpoint = g_strdup(run->checkpoint);
-	}
+	/* stored with the job's next change */
+	sched_keep_checkpoint(task, run->checkpoint);
 	task->gauge = run->gauge;
 }
 
--- a/lib/scheduler/scheduler.c
+++ b/lib/scheduler/scheduler.c
@@ -11,6 +11,11 @@
 #define STORE_TIMEOUT_MS 1000
 /** Callers' connections that may be open; the rest are the links'. */
 #define STATUS_CONNECTIONS 64
+/** A host with less leads only if no other takes the lead before it. */
+#define STRONG_CORES 0.2
+#define STRONG_LINK_MBPS 50
+/** For each lack, milliseconds; an election takes about 50. */
+#define HANDICAP_MS 150
 /** A stopping scheduler hands leadership over after this long at most. */
 #define HANDOVER_US (400 * GN_US_PER_MS)
 /** It takes new connections until the balancer has seen that it stops. */
@@ -119,6 +124,18 @@
 	return GN_OK;
 }
 
+/* The leader's work takes a fifth of a core and some megabits a second. */
+static unsigned get_handicap_ms(const gn_jobs_settings_t *jobs)
+{
+	unsigned handicap_ms = 0;
+
+	if (jobs->cores < STRONG_CORES)
+		handicap_ms += HANDICAP_MS;
+	if (jobs->link_mbps < STRONG_LINK_MBPS)
+		handicap_ms += HANDICAP_MS;
+	return handicap_ms;
+}
+
 static gn_code_t start_lead(scheduler_t *scheduler, gn_error_t *error)
 {
 	gn_runtime_t *runtime = scheduler->runtime;
@@ -129,6 +146,7 @@
 		.incarnation = runtime->incarnation,
 		.address = runtime->settings->link_listen,
 		.ttl_ms = runtime->settings->lease_ttl_ms,
+		.handicap_ms = get_handicap_ms(&runtime->settings->jobs),
 		.ops = &scheduler_lead_ops,
 		.arg = scheduler,
 	};
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -428,6 +428,117 @@
 	rig_close(&rig);
 }
 
+/* ======   Gangs   ====== */
+
+static const rig_step_t gang = {
+	.count = 3, .cpu_milli = 3000, .estimate_ms = 1000, .flags = RIG_GANG
+};
+
+static void open_gang(sched_rig_t *rig)
+{
+	rig_open(rig);
+	rig_report(rig, "a", "1");
+	rig_report(rig, "b", "1");
+	rig_submit(rig, JOB, "batch", &gang, 1);
+	rig_store(rig);
+	/* two of three would fit */
+	g_assert_cmpuint(rig_count(rig, GN_RUN_ORDER_START), ==, 0);
+	rig_report(rig, "c", "1");
+	rig_store(rig);
+	g_assert_cmpuint(rig_count(rig, GN_RUN_ORDER_START), ==, 3);
+	rig_clear(rig);
+}
+
+static const char *host_of(const sched_rig_t *rig, unsigned member)
+{
+	g_autofree char *task = g_strdup_printf("%s.0.0.%u", JOB, member);
+
+	return rig_find(rig, GN_RUN_ORDER_START, task)->host;
+}
+
+static void test_gang_ends_and_starts_as_one(void)
+{
+	sched_rig_t rig;
+	char hosts[3][8];
+
+	rig_open(&rig);
+	rig_report(&rig, "a", "1");
+	rig_report(&rig, "b", "1");
+	rig_report(&rig, "c", "1");
+	rig_submit(&rig, JOB, "batch", &gang, 1);
+	rig_store(&rig);
+	for (unsigned i = 0; i < 3; i++)
+		g_strlcpy(hosts[i], host_of(&rig, i), sizeof(hosts[i]));
+	rig_clear(&rig);
+	rig_report_end(&rig, hosts[1], "1", JOB ".0.0.1", 1, GN_END_FAILED);
+	g_assert_cmpuint(rig_count(&rig, GN_RUN_ORDER_STOP), ==, 2);
+	rig_store(&rig);
+	g_assert_cmpuint(rig_count(&rig, GN_RUN_ORDER_START), ==, 0);
+	rig_report_end(&rig, hosts[0], "1", JOB ".0.0.0", 1, GN_END_BROKEN);
+	rig_report_end(&rig, hosts[2], "1", JOB ".0.0.2", 1, GN_END_BROKEN);
+	rig_store(&rig);
+	g_assert_cmpuint(rig_count(&rig, GN_RUN_ORDER_START), ==, 3);
+	for (unsigned i = 0; i < 3; i++) {
+		g_autofree char *task = g_strdup_printf("%s.0.0.%u", JOB, i);
+
+		g_assert_cmpuint(
+			rig_find(&rig, GN_RUN_ORDER_START, task)->attempt, ==,
+			2);
+	}
+	rig_close(&rig);
+}
+
+static void test_gang_is_placed_whole_or_not(void)
+{
+	sched_rig_t rig;
+
+	open_gang(&rig);
+	rig_close(&rig);
+}
+
+static void test_one_end_as_done_is_all(void)
+{
+	sched_rig_t rig;
+
+	open_gang(&rig);
+	rig_report_end(&rig, "a", "1", JOB ".0.0.0", 1, GN_END_DONE);
+	rig_report_end(&rig, "a", "1", JOB ".0.0.1", 1, GN_END_DONE);
+	rig_report_end(&rig, "a", "1", JOB ".0.0.2", 1, GN_END_DONE);
+	g_assert_cmpint(rig_phase(&rig, JOB), ==, GN_JOB_COMPLETED);
+	g_assert_cmpuint(gn_sched_figures(rig.sched).claims, ==, 0);
+	rig_close(&rig);
+}
+
+static void test_gang_fails_by_its_attempts(void)
+{
+	sched_rig_t rig;
+
+	open_gang(&rig);
+	for (uint32_t attempt = 1; attempt <= 2; attempt++) {
+		/* another member fails each time; "batch" allows two */
+		g_autofree char *task =
+			g_strdup_printf("%s.0.0.%u", JOB, attempt);
+
+		for (unsigned i = 0; i < 3; i++) {
+			const char *hosts[] = { "a", "b", "c" };
+
+			rig_report_end(&rig, hosts[i], "1", task, attempt,
+				       GN_END_FAILED);
+		}
+		for (unsigned i = 0; i < 9; i++) {
+			const char *hosts[] = { "a", "b", "c" };
+			g_autofree char *other =
+				g_strdup_printf("%s.0.0.%u", JOB, i / 3);
+
+			rig_report_end(&rig, hosts[i % 3], "1", other, attempt,
+				       GN_END_BROKEN);
+		}
+		rig_store(&rig);
+	}
+	g_assert_cmpint(rig_phase(&rig, JOB), ==, GN_JOB_FAILED);
+	rig_close(&rig);
+}
+
 int main(int argc, char **argv)
 {
 	static const struct {
@@ -469,6 +580,13 @@
 		{ "no_worker_gets_more_than_it_has",
 		  test_no_worker_gets_more_than_it_has },
 		{ "spread", test_spread },
+		{ "gang_is_placed_whole_or_not",
+		  test_gang_is_placed_whole_or_not },
+		{ "gang_ends_and_starts_as_one",
+		  test_gang_ends_and_starts_as_one },
+		{ "one_end_as_done_is_all", test_one_end_as_done_is_all },
+		{ "gang_fails_by_its_attempts",
+		  test_gang_fails_by_its_attempts },
 	};
 
 	g_test_init(&argc, &argv, NULL);
