--- a/lib/adapter/adapter.h
+++ b/lib/adapter/adapter.h
@@ -111,6 +111,16 @@
 	size_t end_count;
 } gn_worker_answer_t;
 
+/* ======   The adviser   ====== */
+
+/** What the adviser said of a step. */
+typedef struct gn_advice_answer_s {
+	unsigned valid_ms; /**< of the tickets; 0: there was no answer */
+	const char **lives; /**< of the workers that may run it; talloc */
+	const char **tickets; /**< one for each */
+	size_t count;
+} gn_advice_answer_t;
+
 /* ======   The table   ====== */
 
 /** A platform's adapter. */
@@ -155,6 +165,15 @@
 				   gn_worker_call_kind_t kind,
 				   const gn_http_call_t *http,
 				   gn_worker_answer_t *answer);
+
+	/** Fills in a call to the adviser; false: memory is short. */
+	bool (*write_advice_call)(const char *address, const char *step,
+				  const char *const *lives, size_t count,
+				  gn_http_call_t *http);
+	/** Reads its answer. */
+	void (*read_advice_answer)(TALLOC_CTX *parent,
+				   const gn_http_call_t *http,
+				   gn_advice_answer_t *answer);
 } gn_adapter_t;
 
 #endif
--- a/lib/config/settings.c
+++ b/lib/config/settings.c
@@ -180,6 +180,10 @@
 	  AT(jobs.worker_address),
 	  .required = EXECUTOR,
 	  .forbidden = ENTRY | AGENT | SCHEDULER },
+	{ .key = "advice",
+	  .read = gn_schema_address,
+	  AT(jobs.advice_address),
+	  .forbidden = ENTRY | AGENT | EXECUTOR },
 	NUMBER("lease_ms", jobs.lease_ms, 1000, 60000, 4000),
 	NUMBER("lease_max_ms", jobs.lease_max_ms, 1000, 600000, 10000),
 	NUMBER("depose_ms", jobs.depose_ms, 0, 60000, 5000),
@@ -331,6 +335,7 @@
 		{ "link.listen", settings->link_listen },
 		{ "http.readiness", settings->http_readiness },
 		{ "jobs.worker", settings->jobs.worker_address },
+		{ "jobs.advice", settings->jobs.advice_address },
 	};
 	GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
 	gn_code_t code = GN_OK;
--- a/lib/config/settings.h
+++ b/lib/config/settings.h
@@ -31,6 +31,7 @@
 /** [jobs]: times and limits of the scheduler and the executors. */
 typedef struct gn_jobs_settings_s {
 	const char *worker_address; /**< "IP:PORT", executor */
+	const char *advice_address; /**< "IP:PORT", scheduler; NULL: none */
 	unsigned lease_ms; /**< of a worker, 1000..60000; 4000 */
 	unsigned lease_max_ms; /**< that a worker grants, 1000..600000; 10000 */
 	unsigned depose_ms; /**< 0..60000; 5000; see sched/sched.h */
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -57,6 +57,12 @@
 	void (*durable)(void *arg, const char *job, uint64_t version);
 	/** Writes one line; may drop it. */
 	void (*event)(void *arg, const gn_sched_event_t *event);
+	/**
+	 * Asks the adviser which of @p lives may run the tasks of @p step,
+	 * "JOB.OCCURRENCE.STEP"; gn_sched_advise() takes the answer.
+	 */
+	void (*ask)(void *arg, const char *step, const char *const *lives,
+		    size_t count);
 } gn_sched_ops_t;
 
 /** Times and limits, from the settings. */
@@ -132,6 +138,24 @@
 uint64_t gn_sched_ends_stored(const gn_sched_t *sched, const char *host,
 			      const char **life);
 
+/* ======   Advice   ====== */
+
+/** A worker that may run a step. */
+typedef struct gn_sched_ticket_s {
+	const char *life;
+	const char *ticket;
+} gn_sched_ticket_t;
+
+/**
+ * Takes the adviser's answer.
+ * @param tickets of the workers that may run it; the others that were asked
+ *        about may not
+ * @param valid_ms from when it was asked; 0: there was no answer, ask later
+ */
+void gn_sched_advise(gn_sched_t *sched, const char *step,
+		     const gn_sched_ticket_t *tickets, size_t count,
+		     unsigned valid_ms);
+
 /* ======   Time   ====== */
 
 /** Ends what is over, sends again what was lost; some times a second. */
--- a/lib/sched/sched_claim.c
+++ b/lib/sched/sched_claim.c
@@ -142,7 +142,8 @@
 		.payload = { (const char *)job->spec->payload.data,
 			     job->spec->payload.len },
 		.checkpoint = task->checkpoint ? task->checkpoint : "",
-		.ticket = "",
+		.ticket = sched_advice_ticket(job, &job->units[task->unit],
+					      task->life),
 		.percent = task->percent,
 	};
 
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -66,6 +66,7 @@
 	uint32_t done;
 	bool ready; /**< all steps before it are done, and it is due */
 	uint64_t waiting_us; /**< when a task of it last began to wait */
+	struct sched_advice_s *advice; /**< NULL: nothing was asked yet */
 	uint32_t next; /**< where the search for a waiting task begins */
 } sched_unit_t;
 
@@ -86,6 +87,7 @@
 	uint64_t deadline_us; /**< in time until then, on the clock */
 	unsigned priority;
 	unsigned max_attempts;
+	bool advised; /**< its starts need tickets */
 	const char *service; /**< interned */
 	GPtrArray *starts; /**< tasks whose start waits for its claim */
 
@@ -227,6 +229,20 @@
 /** A member's checkpoint is that of all. */
 void sched_gang_keep_checkpoint(sched_task_t *task, const char *checkpoint);
 
+/* ======   sched_advice.c   ====== */
+
+/** Whether a worker has a valid ticket for the unit, or needs none. */
+bool sched_advice_allows(const sched_job_t *job, const sched_unit_t *unit,
+			 const sched_worker_t *worker);
+/** The ticket for the worker's life; empty: none. */
+const char *sched_advice_ticket(const sched_job_t *job,
+				const sched_unit_t *unit, const char *life);
+/** Asks about workers without a ticket, if the unit has tasks that wait. */
+void sched_advice_ask(gn_sched_t *sched, sched_job_t *job, sched_unit_t *unit);
+/** The worker has refused the ticket. */
+void sched_advice_drop(const sched_task_t *task);
+void sched_advice_free(struct sched_advice_s *advice);
+
 /* ======   sched_worker.c   ====== */
 
 /** The worker of @p host, created if there is none. */
--- a/lib/sched/sched_job.c
+++ b/lib/sched/sched_job.c
@@ -93,6 +93,7 @@
 		return;
 	job->priority = queue->priority;
 	job->max_attempts = queue->max_attempts;
+	job->advised = queue->advised;
 	job->service = g_intern_string(queue->service);
 }
 
@@ -126,6 +127,8 @@
 {
 	for (uint32_t i = 0; i < job->task_count; i++)
 		g_free(job->tasks[i].checkpoint);
+	for (uint32_t i = 0; i < job->unit_count; i++)
+		sched_advice_free(job->units[i].advice);
 	g_free(job->tasks);
 	g_free(job->units);
 	g_ptr_array_free(job->starts, TRUE);
--- a/lib/sched/sched_pass.c
+++ b/lib/sched/sched_pass.c
@@ -159,6 +159,7 @@
 
 	view->eligible = has_room(worker, &room) &&
 			 sched_worker_is_eligible(sched, worker, job, step) &&
+			 sched_advice_allows(job, unit, worker) &&
 			 (is_healthy(sched, worker) ||
 			  has_waited(job, unit, DESPERATE_US));
 	if (!view->eligible)
@@ -273,6 +274,8 @@
 			continue;
 		unit->next = 0;
 		place_unit(sched, all, job, unit);
+		if (job->advised && unit->waiting)
+			sched_advice_ask(sched, job, unit);
 	}
 }
 
--- a/lib/sched/sched_worker.c
+++ b/lib/sched/sched_worker.c
@@ -338,6 +338,10 @@
 			gn_health_fail(&worker->health, sched_now_us(sched));
 		sched_unclaim(task, verdict);
 		break;
+	case GN_VERDICT_NO_TICKET:
+		sched_advice_drop(task);
+		sched_unclaim(task, verdict);
+		break;
 	case GN_VERDICT_NO_ROOM:
 		worker->pause_us = sched_now_us(sched) + SCHED_FULL_US;
 		sched_unclaim(task, verdict);
--- a/lib/scheduler/leading.c
+++ b/lib/scheduler/leading.c
@@ -72,7 +72,14 @@
 		 (json_int_t)scheduler->epoch);
 }
 
-static const gn_sched_ops_t sched_ops = { on_order, on_durable, on_event };
+static void on_ask(void *arg, const char *step, const char *const *lives,
+		   size_t count)
+{
+	scheduler_ask(arg, step, lives, count);
+}
+
+static const gn_sched_ops_t sched_ops = { on_order, on_durable, on_event,
+					  on_ask };
 
 static void on_stored(void *arg, uint64_t sent_us, size_t writes)
 {
--- a/lib/scheduler/scheduler.c
+++ b/lib/scheduler/scheduler.c
@@ -11,6 +11,10 @@
 #define STORE_TIMEOUT_MS 1000
 /** Callers' connections that may be open; the rest are the links'. */
 #define STATUS_CONNECTIONS 64
+/** Calls to the adviser at once, which serves one after the other. */
+#define ADVICE_CONNECTIONS 2
+/** Longest answer of it, bytes. */
+#define ADVICE_ANSWER_MAX (1024 * 1024)
 /** A host with less leads only if no other takes the lead before it. */
 #define STRONG_CORES 0.2
 #define STRONG_LINK_MBPS 50
@@ -102,6 +106,22 @@
 	return gn_link_listen(scheduler, &config, &scheduler->link, error);
 }
 
+static gn_code_t start_client(scheduler_t *scheduler, gn_error_t *error)
+{
+	const gn_http_client_config_t config = {
+		.events = scheduler->runtime->events,
+		.zmq = scheduler->runtime->zmq,
+		.host_connections = ADVICE_CONNECTIONS,
+		.answer_max = ADVICE_ANSWER_MAX,
+		.counters = scheduler->runtime->counters,
+	};
+
+	if (!scheduler->runtime->settings->jobs.advice_address)
+		return GN_OK;
+	return gn_http_client_start(scheduler, &config, &scheduler->client,
+				    error);
+}
+
 static gn_code_t start_store(scheduler_t *scheduler, gn_error_t *error)
 {
 	gn_runtime_t *runtime = scheduler->runtime;
@@ -162,6 +182,7 @@
 {
 	if (scheduler->sched || scheduler->waiting)
 		scheduler_leading_close(scheduler);
+	TALLOC_FREE(scheduler->client);
 	TALLOC_FREE(scheduler->to_leader);
 	TALLOC_FREE(scheduler->lead);
 	gn_kv_watch_free(scheduler->config_watch);
@@ -195,7 +216,7 @@
 	if (!open_counters(scheduler))
 		return gn_error_set(error, GN_ERR_MEMORY, "start", NULL,
 				    "counters");
-	if (start_store(scheduler, error) ||
+	if (start_store(scheduler, error) || start_client(scheduler, error) ||
 	    scheduler_config_open(scheduler, error) ||
 	    start_lead(scheduler, error) || start_link(scheduler, error) ||
 	    start_server(scheduler, settings->http_listen,
--- a/lib/scheduler/scheduler_internal.h
+++ b/lib/scheduler/scheduler_internal.h
@@ -65,6 +65,7 @@
 	gn_http_server_t *server; /**< callers */
 	gn_http_server_t *readiness; /**< balancer, dump, metrics */
 	gn_link_t *link; /**< executors and other schedulers */
+	gn_http_client_t *client; /**< to the adviser */
 	gn_kv_http_t *kv_http;
 	gn_kv_t *kv;
 
@@ -151,6 +152,12 @@
 void scheduler_executors_flush(scheduler_t *scheduler);
 void scheduler_executor_free(gpointer executor);
 
+/* ======   advice.c   ====== */
+
+/** Asks which of @p lives may run the step; the answer goes to sched. */
+void scheduler_ask(scheduler_t *scheduler, const char *step,
+		   const char *const *lives, size_t count);
+
 /* ======   status.c   ====== */
 
 /** Readiness, dump and metrics. */
--- a/tests/support/sched_rig.c
+++ b/tests/support/sched_rig.c
@@ -27,6 +27,14 @@
 	  .max_attempts = 2,
 	  .stretch = 2,
 	  .target_ms = 1000 },
+	{ .name = "advised",
+	  .host = "h",
+	  .prefix = "/advised/",
+	  .service = "s",
+	  .max_attempts = 2,
+	  .stretch = 2,
+	  .target_ms = 1000,
+	  .advised = true },
 };
 
 static const gn_queues_t configuration = {
@@ -46,6 +54,7 @@
 
 	g_strlcpy(kept.host, host, sizeof(kept.host));
 	g_strlcpy(kept.task, order->task, sizeof(kept.task));
+	g_strlcpy(kept.ticket, order->ticket, sizeof(kept.ticket));
 	g_strlcpy(kept.checkpoint, order->checkpoint, sizeof(kept.checkpoint));
 	g_array_append_val(rig->orders, kept);
 }
@@ -63,7 +72,19 @@
 	(void)event;
 }
 
-static const gn_sched_ops_t ops = { on_order, on_durable, on_event };
+static void on_ask(void *arg, const char *step, const char *const *lives,
+		   size_t count)
+{
+	sched_rig_t *rig = arg;
+
+	g_assert_cmpuint(count, >, 0);
+	g_assert_nonnull(lives[0]);
+	g_strlcpy(rig->asked, step, sizeof(rig->asked));
+	rig->asked_lives = count;
+	rig->asks++;
+}
+
+static const gn_sched_ops_t ops = { on_order, on_durable, on_event, on_ask };
 
 void rig_open(sched_rig_t *rig)
 {
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -21,6 +21,7 @@
 	char task[GN_TASK_NAME_SIZE];
 	uint32_t attempt;
 	char checkpoint[GN_NAME_MAX + 1];
+	char ticket[GN_NAME_MAX + 1];
 	uint32_t percent;
 } rig_order_t;
 
@@ -32,6 +33,9 @@
 	GArray *orders; /**< rig_order_t, since the last rig_clear() */
 	GHashTable *ends; /**< host to the number of its last end */
 	uint64_t stored; /**< batches */
+	unsigned asks; /**< calls to the adviser */
+	char asked[GN_TASK_NAME_SIZE]; /**< step of the last one */
+	size_t asked_lives;
 } sched_rig_t;
 
 /** One step of a job for rig_submit(). */
@@ -59,7 +63,8 @@
 void rig_advance_ms(sched_rig_t *rig, unsigned ms);
 void rig_clear(sched_rig_t *rig);
 
-/** Hands a job in whose steps follow one another; @p queue: "quick", "batch".
+/** Hands a job in whose steps follow one another; @p queue: "quick", "batch",
+ * "advised".
  */
 gn_sched_reply_t rig_submit(sched_rig_t *rig, const char *id, const char *queue,
 			    const rig_step_t *steps, size_t count);
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -539,6 +539,55 @@
 	rig_close(&rig);
 }
 
+/* ======   Advice   ====== */
+
+static void test_advised_step_starts_where_it_may(void)
+{
+	const gn_sched_ticket_t ticket = { "2", "t-2" };
+	sched_rig_t rig;
+
+	rig_open(&rig);
+	rig_report(&rig, "a", "1");
+	rig_report(&rig, "b", "2");
+	rig_submit(&rig, JOB, "advised", &one_task, 1);
+	rig_store(&rig);
+	g_assert_cmpuint(rig_count(&rig, GN_RUN_ORDER_START), ==, 0);
+	g_assert_cmpstr(rig.asked, ==, JOB ".0.0");
+	g_assert_cmpuint(rig.asked_lives, ==, 2);
+	gn_sched_advise(rig.sched, JOB ".0.0", &ticket, 1, 3000);
+	rig_store(&rig);
+	g_assert_cmpstr(rig_find(&rig, GN_RUN_ORDER_START, TASK)->host, ==,
+			"b");
+	g_assert_cmpstr(rig_find(&rig, GN_RUN_ORDER_START, TASK)->ticket, ==,
+			"t-2");
+	g_assert_cmpuint(rig.asks, ==, 1);
+	rig_close(&rig);
+}
+
+static void test_advice_is_asked_again(void)
+{
+	const gn_sched_ticket_t ticket = { "1", "t-1" };
+	sched_rig_t rig;
+
+	rig_open(&rig);
+	rig_report(&rig, "a", "1");
+	rig_submit(&rig, JOB, "advised", &one_task, 1);
+	rig_store(&rig);
+	/* refused by the adviser: not at once */
+	gn_sched_advise(rig.sched, JOB ".0.0", NULL, 0, 0);
+	rig_advance_ms(&rig, 100);
+	g_assert_cmpuint(rig.asks, ==, 1);
+	rig_advance_ms(&rig, 200);
+	rig_report(&rig, "a", "1");
+	g_assert_cmpuint(rig.asks, ==, 2);
+	/* a ticket that runs out before its use */
+	gn_sched_advise(rig.sched, JOB ".0.0", &ticket, 1, 100);
+	rig_store(&rig);
+	g_assert_cmpuint(rig_count(&rig, GN_RUN_ORDER_START), ==, 0);
+	g_assert_cmpuint(rig.asks, ==, 3);
+	rig_close(&rig);
+}
+
 int main(int argc, char **argv)
 {
 	static const struct {
@@ -585,6 +634,9 @@
 		{ "gang_ends_and_starts_as_one",
 		  test_gang_ends_and_starts_as_one },
 		{ "one_end_as_done_is_all", test_one_end_as_done_is_all },
+		{ "advised_step_starts_where_it_may",
+		  test_advised_step_starts_where_it_may },
+		{ "advice_is_asked_again", test_advice_is_asked_again },
 		{ "gang_fails_by_its_attempts",
 		  test_gang_fails_by_its_attempts },
 	};
