--- a/lib/common/counter.c
+++ b/lib/common/counter.c
@@ -1,5 +1,7 @@
 #include "common/counter.h"
 
+#include <inttypes.h>
+#include <stdio.h>
 #include <string.h>
 
 typedef struct named_counter_s {
@@ -54,6 +56,22 @@
 	return atomic_load_explicit(&counter->value, memory_order_relaxed);
 }
 
+char *gn_counters_text(const gn_counters_t *counters)
+{
+	char *text = NULL;
+	size_t size = 0;
+	FILE *stream = open_memstream(&text, &size);
+
+	if (!stream)
+		return NULL;
+	for (const named_counter_t *named = counters->first; named;
+	     named = named->next)
+		fprintf(stream, "%s %" PRIu64 "\n", named->name,
+			gn_counter_read(&named->counter));
+	fclose(stream);
+	return text;
+}
+
 json_t *gn_counters_dump(const gn_counters_t *counters)
 {
 	json_t *object = json_object();
--- a/lib/common/counter.h
+++ b/lib/common/counter.h
@@ -43,6 +43,9 @@
 /** The value; any thread. */
 uint64_t gn_counter_read(const gn_counter_t *counter);
 
+/** A line "NAME VALUE" for each counter; free(); NULL: memory is short. */
+char *gn_counters_text(const gn_counters_t *counters);
+
 /** A JSON object of all counters by name; the caller owns it. */
 json_t *gn_counters_dump(const gn_counters_t *counters);
 
--- a/lib/config/settings.c
+++ b/lib/config/settings.c
@@ -68,6 +68,14 @@
 	LAST,
 };
 
+static const gn_schema_field_t metrics_fields[] = {
+	{ .key = "listen",
+	  .read = gn_schema_address,
+	  AT(metrics_listen),
+	  .forbidden = ENTRY | AGENT },
+	LAST,
+};
+
 static const gn_schema_field_t platform_fields[] = {
 	{ .key = "address",
 	  .read = gn_schema_address,
@@ -243,6 +251,10 @@
 	  .read = gn_schema_table,
 	  .fields = http_fields,
 	  .required = GN_SCHEMA_ALL },
+	{ .key = "metrics",
+	  .read = gn_schema_table,
+	  .fields = metrics_fields,
+	  .forbidden = ENTRY | AGENT },
 	{ .key = "platform",
 	  .read = gn_schema_table,
 	  .fields = platform_fields,
@@ -334,6 +346,7 @@
 		{ "platform.address", settings->platform_address },
 		{ "link.listen", settings->link_listen },
 		{ "http.readiness", settings->http_readiness },
+		{ "metrics.listen", settings->metrics_listen },
 		{ "jobs.worker", settings->jobs.worker_address },
 		{ "jobs.advice", settings->jobs.advice_address },
 	};
--- a/lib/config/settings.h
+++ b/lib/config/settings.h
@@ -62,6 +62,8 @@
 	unsigned http_timeout_ms; /**< [http] timeout_ms, 100..600000; 10000 */
 	unsigned http_threads; /**< [http] threads, 1..16; 1 */
 
+	/** [metrics] listen = "IP:PORT"; NULL: none */
+	const char *metrics_listen;
 	/** [http] readiness = "IP:PORT", scheduler */
 	const char *http_readiness;
 
--- /dev/null
+++ b/lib/daemon/metrics.h
@@ -0,0 +1,19 @@
+/**
+ * @file metrics.h
+ * @brief Counters and histograms as text, on an address of their own.
+ */
+#ifndef GN_DAEMON_METRICS_H
+#define GN_DAEMON_METRICS_H
+
+#include "daemon/runtime.h"
+
+/**
+ * Serves GET /metrics on the settings' metrics address, if there is one: a
+ * line "NAME VALUE" for each counter.
+ * @param parent talloc parent of the server
+ * @return GN_OK, GN_ERR_MEMORY, GN_ERR_INVALID or GN_ERR_SYSTEM
+ */
+gn_code_t gn_metrics_start(TALLOC_CTX *parent, gn_runtime_t *runtime,
+			   gn_error_t *error);
+
+#endif
--- a/lib/executor/executor.c
+++ b/lib/executor/executor.c
@@ -2,6 +2,7 @@
 
 #include <curl/curl.h>
 
+#include "daemon/metrics.h"
 #include "executor/executor_internal.h"
 
 /** Orders are repeated and reports sent to this step, milliseconds. */
@@ -118,10 +119,16 @@
 						 g_free, executor_order_free);
 	executor->results =
 		g_ptr_array_new_with_free_func(executor_result_free);
+	executor->order_time = gn_histogram_create(executor, runtime->counters,
+						   "executor.order_time");
 	executor->schedulers = g_ptr_array_new_with_free_func(g_free);
 	talloc_set_destructor(executor, free_executor);
+	if (!executor->order_time)
+		return gn_error_set(error, GN_ERR_MEMORY, "start", NULL,
+				    "counters");
 	if (start_store(executor, error) || start_client(executor, error) ||
-	    start_server(executor, error))
+	    start_server(executor, error) ||
+	    gn_metrics_start(executor, runtime, error))
 		return error->code;
 	return GN_OK;
 }
--- a/lib/executor/executor_internal.h
+++ b/lib/executor/executor_internal.h
@@ -12,6 +12,7 @@
 #include <glib.h>
 
 #include "adapter/adapter.h"
+#include "common/histogram.h"
 #include "daemon/runtime.h"
 #include "executor/grant.h"
 #include "http/client.h"
@@ -53,6 +54,7 @@
 	gn_http_client_t *client; /**< to the worker */
 	gn_kv_http_t *kv_http;
 	gn_kv_t *kv;
+	gn_histogram_t *order_time; /**< from a call to its answer */
 
 	/* the worker */
 	gn_worker_notice_t notice; /**< its newest heartbeat */
--- a/lib/executor/orders.c
+++ b/lib/executor/orders.c
@@ -223,6 +223,8 @@
 	executor->adapter->read_worker_answer(scratch, call_kinds[sent->kind],
 					      http, &answer);
 	order->in_call = false;
+	gn_histogram_add(executor->order_time,
+			 executor_now_us(executor) - sent->sent_us);
 	executor_take_clock(executor, &answer, sent->sent_us);
 	if (order->cancelled && order->kind != GN_RUN_ORDER_START)
 		remove_order(order);
--- a/lib/scheduler/calls.c
+++ b/lib/scheduler/calls.c
@@ -96,6 +96,8 @@
 		   const gn_sched_reply_t *reply)
 {
 	log_call(scheduler, call, reply);
+	gn_histogram_add(scheduler->counters.call_time,
+			 now_us(scheduler) - call->began_us);
 	gn_counter_inc(scheduler->counters.results[reply->result]);
 	if (call->request)
 		answer_http(scheduler, call->request, call->kind, reply);
--- a/lib/scheduler/leading.c
+++ b/lib/scheduler/leading.c
@@ -87,6 +87,8 @@
 
 	gn_counter_inc(scheduler->counters.batches);
 	gn_counter_add(scheduler->counters.writes, writes);
+	gn_histogram_add(scheduler->counters.store_time,
+			 now_us(scheduler) - sent_us);
 	gn_lead_confirm(scheduler->lead, sent_us);
 	scheduler_run(scheduler);
 }
--- a/lib/scheduler/scheduler.c
+++ b/lib/scheduler/scheduler.c
@@ -3,6 +3,7 @@
 #include <curl/curl.h>
 
 #include "common/event.h"
+#include "daemon/metrics.h"
 #include "scheduler/scheduler_internal.h"
 
 /** Deadlines and watches are kept to this step, milliseconds. */
@@ -58,8 +59,13 @@
 	counters->writes = gn_counters_get(all, "scheduler.writes");
 	counters->orders = gn_counters_get(all, "scheduler.orders");
 	counters->elections = gn_counters_get(all, "scheduler.elections");
-	return complete && counters->handed_on && counters->batches &&
-	       counters->writes && counters->orders && counters->elections;
+	counters->call_time =
+		gn_histogram_create(scheduler, all, "scheduler.call_time");
+	counters->store_time =
+		gn_histogram_create(scheduler, all, "scheduler.store_time");
+	return complete && counters->call_time && counters->store_time &&
+	       counters->handed_on && counters->batches && counters->writes &&
+	       counters->orders && counters->elections;
 }
 
 static gn_code_t start_server(scheduler_t *scheduler, const char *address,
@@ -224,7 +230,8 @@
 			 &scheduler->server, error) ||
 	    start_server(scheduler, settings->http_readiness,
 			 STATUS_CONNECTIONS, scheduler_on_status,
-			 &scheduler->readiness, error))
+			 &scheduler->readiness, error) ||
+	    gn_metrics_start(scheduler, runtime, error))
 		return error->code;
 	return GN_OK;
 }
--- a/lib/scheduler/scheduler_internal.h
+++ b/lib/scheduler/scheduler_internal.h
@@ -11,6 +11,7 @@
 #include <glib.h>
 
 #include "adapter/adapter.h"
+#include "common/histogram.h"
 #include "daemon/runtime.h"
 #include "http/server.h"
 #include "lead/lead.h"
@@ -55,6 +56,8 @@
 	gn_counter_t *writes;
 	gn_counter_t *orders;
 	gn_counter_t *elections;
+	gn_histogram_t *call_time; /**< from a request to its answer */
+	gn_histogram_t *store_time; /**< from a batch to its answer */
 } scheduler_counters_t;
 
 struct scheduler_s {
--- a/tests/contract/test_docs.c
+++ b/tests/contract/test_docs.c
@@ -147,6 +147,8 @@
 	collect_keys(names, "platform", "platform.", code);
 	collect_keys(names, "link", "link.", code);
 	collect_keys(names, "worker", "worker.", code);
+	collect_keys(names, "jobs", "jobs.", code);
+	collect_keys(names, "metrics", "metrics.", code);
 	collect_keys(names, "interference", "interference.", code);
 	collect_keys(names, "limit", "limit.", code);
 	collect_keys(names, "eject", "eject.", code);
