Begin no start after its claim may have been given up

Change: orders tell which report the leader knew; a start is begun at most 3 s after that report, and the leader sends none to a worker without a fresh list. A start that the worker calls old is settled by the next list.

--- a/lib/executor/executor_internal.h
+++ b/lib/executor/executor_internal.h
@@ -41,6 +41,7 @@
 	gn_run_order_verdict_t stop_verdict; /**< to report once it is gone */
 	uint64_t answered_us; /**< when the stop was */
 	uint64_t due_us; /**< of the next call */
+	uint64_t basis_us; /**< of the report that a start was ordered on */
 	unsigned tries;
 } executor_order_t;
 
@@ -74,7 +75,6 @@
 	Gn__WorkerEnd **ends;
 	size_t end_count;
 	uint64_t ends_stored;
-	bool lapsed; /**< its lease ran out since the last report */
 
 	GHashTable *orders; /**< "TASK ATTEMPT" to executor_order_t */
 	GPtrArray *results; /**< Gn__OrderResult, to be reported */
@@ -113,7 +113,9 @@
 
 /* ======   orders.c   ====== */
 
-void executor_take_order(executor_t *executor, const Gn__WorkerOrder *order);
+/** @param basis_us when the newest report that the leader knew was sent */
+void executor_take_order(executor_t *executor, const Gn__WorkerOrder *order,
+			 uint64_t basis_us);
 void executor_orders_tick(executor_t *executor);
 /** A list that was asked for at @p sent_us has come. */
 void executor_orders_listed(executor_t *executor, uint64_t sent_us);
--- a/lib/executor/grant.c
+++ b/lib/executor/grant.c
@@ -43,3 +43,8 @@
 	grant->read_us = 0;
 	grant->until_ms = 0;
 }
+
+bool gn_grant_may_start(uint64_t basis_us, uint64_t now_us)
+{
+	return now_us < basis_us + GN_GRANT_START_MS * GN_US_PER_MS;
+}
--- a/lib/executor/grant.h
+++ b/lib/executor/grant.h
@@ -17,6 +17,13 @@
 /** No lease is lengthened without a reading that is at most so old. */
 #define GN_GRANT_READING_MS 1000
 
+/**
+ * A start is begun at most so long after the newest report that the leader
+ * knew when it ordered it. The leader gives up no claim for a lease after
+ * that, so the start's worker still has the only run.
+ */
+#define GN_GRANT_START_MS 3000
+
 /** The state; a zeroed one knows nothing and grants nothing. */
 typedef struct gn_grant_s {
 	uint64_t lease_us; /**< length of a lease */
@@ -38,6 +45,9 @@
 /** The end of the lease to give now, on the worker's clock; 0: none. */
 uint64_t gn_grant_until_ms(gn_grant_t *grant, uint64_t now_us);
 
+/** Whether a start may be begun that was ordered on a report so old. */
+bool gn_grant_may_start(uint64_t basis_us, uint64_t now_us);
+
 /** The worker has begun a new life, with a new clock. */
 void gn_grant_reset(gn_grant_t *grant);
 
--- a/lib/executor/leader.c
+++ b/lib/executor/leader.c
@@ -63,13 +63,13 @@
 				      take_lookup, executor);
 }
 
-static void take_promise(executor_t *executor, uint64_t sequence)
+/* When a report was sent; 0: too long ago, or never. */
+static uint64_t get_sent_us(const executor_t *executor, uint64_t sequence)
 {
 	if (!sequence || sequence > executor->sequence ||
 	    executor->sequence - sequence >= EXECUTOR_REPORTS_MAX)
-		return;
-	gn_grant_promise(&executor->grant,
-			 executor->sent_us[sequence % EXECUTOR_REPORTS_MAX]);
+		return 0;
+	return executor->sent_us[sequence % EXECUTOR_REPORTS_MAX];
 }
 
 static void take_orders(executor_t *executor, const Gn__WorkerOrders *message)
@@ -91,14 +91,16 @@
 	}
 	if (message->unsure)
 		look_up(executor);
-	take_promise(executor, message->sequence);
+	gn_grant_promise(&executor->grant,
+			 get_sent_us(executor, message->sequence));
 	if (!strcmp(message->life, executor->notice.life) &&
 	    message->ends_stored > executor->ends_stored) {
 		executor->ends_stored = message->ends_stored;
 		executor->list_due_us = 0;
 	}
 	for (size_t i = 0; i < message->n_orders; i++)
-		executor_take_order(executor, message->orders[i]);
+		executor_take_order(executor, message->orders[i],
+				    get_sent_us(executor, message->basis));
 	executor_worker_tick(executor);
 }
 
@@ -161,7 +163,6 @@
 		return;
 	report->runs = executor->runs;
 	report->n_runs = executor->run_count;
-	report->lease_lapsed = executor->lapsed;
 }
 
 static gn_code_t send_report(executor_t *executor, Gn__WorkerReport *report)
@@ -197,7 +198,6 @@
 	/* what gets lost is made good by orders that are sent again */
 	g_ptr_array_set_size(executor->results, 0);
 	executor->fresh = false;
-	executor->lapsed = false;
 }
 
 /* ======   Finding the leader   ====== */
--- a/lib/executor/orders.c
+++ b/lib/executor/orders.c
@@ -5,7 +5,8 @@
  * A start is the same call however often it is sent, so it is repeated until
  * it is answered. One that is refused after an earlier call went without an
  * answer may still be carried out late: it is stopped first, which has the
- * worker refuse it for good. A stopped run is gone once a list that was asked
+ * worker refuse it for good. No start is begun long after the leader ordered
+ * it, since the leader may have given up its claim by then. A stopped run is gone once a list that was asked
  * for after the stop does not show it.
  */
 #include <string.h>
@@ -152,7 +153,11 @@
 		refuse_start(order, GN_VERDICT_NO_ROOM);
 		break;
 	case GN_WORKER_OLD:
-		conclude(order, GN_VERDICT_ENDED);
+		/* the next list has its end, or it is gone */
+		order->kind = GN_RUN_ORDER_STOP;
+		order->stop_verdict = GN_VERDICT_GONE;
+		order->stopped = true;
+		order->answered_us = executor_now_us(order->executor);
 		break;
 	case GN_WORKER_NO_TICKET:
 		refuse_start(order, GN_VERDICT_NO_TICKET);
@@ -258,6 +263,11 @@
 	};
 	order_call_t *sent;
 
+	if (order->kind == GN_RUN_ORDER_START &&
+	    !gn_grant_may_start(order->basis_us, now_us)) {
+		refuse_start(order, GN_VERDICT_NOT_STARTED);
+		return;
+	}
 	if (order->kind == GN_RUN_ORDER_START) {
 		call.lease_until_ms =
 			gn_grant_until_ms(&executor->grant, now_us);
@@ -304,14 +314,18 @@
 	return order;
 }
 
-static void take_start(executor_t *executor, const Gn__WorkerOrder *message)
+static void take_start(executor_t *executor, const Gn__WorkerOrder *message,
+		       uint64_t basis_us)
 {
-	executor_order_t *order;
+	executor_order_t *order = find_order(executor, GN_RUN_ORDER_START,
+					     message->task, message->attempt);
 
-	if (find_order(executor, GN_RUN_ORDER_START, message->task,
-		       message->attempt))
+	if (order) {
+		order->basis_us = MAX(order->basis_us, basis_us);
 		return;
+	}
 	order = create_order(executor, message);
+	order->basis_us = basis_us;
 	if (strcmp(message->life, executor->notice.life) != 0 ||
 	    executor->draining_us || executor->left)
 		conclude(order, GN_VERDICT_NOT_STARTED);
@@ -348,13 +362,14 @@
 	}
 }
 
-void executor_take_order(executor_t *executor, const Gn__WorkerOrder *message)
+void executor_take_order(executor_t *executor, const Gn__WorkerOrder *message,
+			 uint64_t basis_us)
 {
 	if (!executor->known || strlen(message->task) >= GN_TASK_NAME_SIZE)
 		return;
 	switch ((gn_run_order_kind_t)message->kind) {
 	case GN_RUN_ORDER_START:
-		take_start(executor, message);
+		take_start(executor, message, basis_us);
 		break;
 	case GN_RUN_ORDER_STOP:
 		take_stop(executor, message);
--- a/lib/executor/worker.c
+++ b/lib/executor/worker.c
@@ -51,7 +51,6 @@
 		 executor->notice.life, "clock_ms",
 		 (json_int_t)answer->clock_ms, "until_ms",
 		 (json_int_t)executor->grant.until_ms);
-	executor->lapsed = true;
 	executor->grant.until_ms = 0;
 }
 
@@ -101,7 +100,7 @@
 	executor_take_clock(executor, &answer, executor->list_sent_us);
 	executor->list_due_us = 0;
 	keep_list(executor, list, &answer);
-	if (answer.end_count || executor->lapsed)
+	if (answer.end_count)
 		executor_report(executor);
 }
 
@@ -146,7 +145,6 @@
 	executor->end_count = 0;
 	executor->fresh = false;
 	executor->ends_stored = 0;
-	executor->lapsed = false;
 	executor->draining_us = 0;
 	executor->left = false;
 	executor->list_due_us = 0;
--- a/lib/sched/sched_claim.c
+++ b/lib/sched/sched_claim.c
@@ -162,7 +162,9 @@
 		return;
 	if (task->stopping)
 		send_order(task, GN_RUN_ORDER_STOP);
-	else if (!task->listed)
+	/* no start that its executor could begin after the claim has lapsed */
+	else if (!task->listed &&
+		 sched_worker_has_list(task->job->sched, task->worker))
 		send_order(task, GN_RUN_ORDER_START);
 }
 
@@ -259,3 +261,11 @@
 	else
 		sched_unclaim(task, gn_end_how_name(how));
 }
+
+void sched_take_late_done(sched_task_t *task)
+{
+	sched_note_task(task->job->sched, "end", task, "done, after a lapse",
+			0);
+	task->job->units[task->unit].waiting--;
+	sched_job_task_done(task);
+}
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -217,6 +217,9 @@
 void sched_take_end(sched_task_t *task, gn_end_how_t how,
 		    const char *checkpoint);
 
+/** The last run of a task that waits again has ended as done. */
+void sched_take_late_done(sched_task_t *task);
+
 /* ======   sched_gang.c   ====== */
 
 bool sched_is_gang(const sched_task_t *task);
@@ -255,6 +258,9 @@
 /** Whether it was heard of lately. */
 bool sched_worker_is_live(const gn_sched_t *sched,
 			  const sched_worker_t *worker);
+/** Whether its worker gave a list lately. */
+bool sched_worker_has_list(const gn_sched_t *sched,
+			   const sched_worker_t *worker);
 /** Whether it may be given any tasks. */
 bool sched_worker_is_open(const gn_sched_t *sched,
 			  const sched_worker_t *worker);
--- a/lib/sched/sched_worker.c
+++ b/lib/sched/sched_worker.c
@@ -56,13 +56,20 @@
 	       sched_now_us(sched) - worker->heard_us < SCHED_SILENT_US;
 }
 
+bool sched_worker_has_list(const gn_sched_t *sched,
+			   const sched_worker_t *worker)
+{
+	return worker->listed_us &&
+	       sched_now_us(sched) - worker->listed_us < SCHED_SILENT_US;
+}
+
 bool sched_worker_is_open(const gn_sched_t *sched, const sched_worker_t *worker)
 {
 	uint64_t now_us = sched_now_us(sched);
 
 	return !worker->draining && *worker->life &&
 	       sched_worker_is_live(sched, worker) &&
-	       now_us - worker->listed_us < SCHED_SILENT_US &&
+	       sched_worker_has_list(sched, worker) &&
 	       now_us >= worker->pause_us;
 }
 
@@ -271,11 +278,19 @@
 
 /* ======   Ends   ====== */
 
+/* A run that was given up as lapsed, and was done before: it need not repeat. */
+static bool is_done_after_all(const sched_task_t *task,
+			      const Gn__WorkerEnd *listed)
+{
+	return task && task->status == GN_TASK_WAITING &&
+	       task->attempt == listed->attempt && listed->how == GN_END_DONE &&
+	       !sched_is_gang(task);
+}
+
 static void take_end(gn_sched_t *sched, sched_worker_t *worker,
-		     const Gn__WorkerEnd *listed, bool void_ends)
+		     const Gn__WorkerEnd *listed)
 {
 	sched_task_t *task = find_task(sched, listed->task);
-	gn_end_how_t how = (gn_end_how_t)listed->how;
 	sched_end_t *end;
 
 	if (listed->number <= worker->ends_seen)
@@ -283,15 +298,17 @@
 	worker->ends_seen = listed->number;
 	end = g_new0(sched_end_t, 1);
 	end->number = listed->number;
-	if (is_claim(task, worker, listed->attempt)) {
-		if (void_ends && how == GN_END_DONE)
-			how = GN_END_LAPSED;
-		end->job = task->job;
-		end->job->refs++;
-		sched_take_end(task, how, listed->checkpoint);
-		end->version = end->job->version;
-	}
 	g_queue_push_tail(&worker->ends, end);
+	if (is_claim(task, worker, listed->attempt))
+		sched_take_end(task, (gn_end_how_t)listed->how,
+			       listed->checkpoint);
+	else if (is_done_after_all(task, listed))
+		sched_take_late_done(task);
+	else
+		return;
+	end->job = task->job;
+	end->job->refs++;
+	end->version = end->job->version;
 }
 
 void sched_worker_settle_ends(sched_worker_t *worker)
@@ -398,8 +415,7 @@
 		note_worker(sched, "worker", worker, "draining", 0);
 	if (report->listed) {
 		for (size_t i = 0; i < report->n_ends; i++)
-			take_end(sched, worker, report->ends[i],
-				 report->lease_lapsed);
+			take_end(sched, worker, report->ends[i]);
 		take_runs(sched, worker, report);
 		sched_pace_worker(sched, worker);
 	}
--- a/lib/scheduler/executors.c
+++ b/lib/scheduler/executors.c
@@ -122,6 +122,7 @@
 	message.life = (char *)life;
 	message.unsure = is_unsure(scheduler);
 	message.sequence = executor->answer;
+	message.basis = executor->basis;
 	message.n_orders = executor->orders->len;
 	message.orders = (Gn__WorkerOrder **)executor->orders->pdata;
 	send_orders(scheduler, &executor->peer, &message);
@@ -169,6 +170,7 @@
 	executor = get_executor(scheduler, report->host);
 	executor->peer = *peer;
 	executor->answer = report->sequence;
+	executor->basis = report->sequence;
 	gn_sched_report(scheduler->sched, report);
 	scheduler_run(scheduler);
 }
--- a/lib/scheduler/scheduler_internal.h
+++ b/lib/scheduler/scheduler_internal.h
@@ -43,6 +43,7 @@
 	char *host;
 	gn_link_peer_t peer;
 	uint64_t answer; /**< sequence of a report to answer, or 0 */
+	uint64_t basis; /**< sequence of its newest report */
 	uint64_t ends_told;
 	GPtrArray *orders; /**< Gn__WorkerOrder, to be sent */
 } scheduler_executor_t;
--- a/lib/wire/gypsumnotch.pb-c.c
+++ b/lib/wire/gypsumnotch.pb-c.c
@@ -3774,7 +3774,7 @@
   (ProtobufCMessageInit) gn__order_result__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gn__worker_report__field_descriptors[21] =
+static const ProtobufCFieldDescriptor gn__worker_report__field_descriptors[20] =
 {
   {
     "sequence",
@@ -3992,18 +3992,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "lease_lapsed",
-    19,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Gn__WorkerReport, lease_lapsed),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "left",
     20,
@@ -4038,10 +4026,9 @@
   15,   /* field[15] = ends */
   1,   /* field[1] = host */
   10,   /* field[10] = labels */
-  18,   /* field[18] = lease_lapsed */
-  19,   /* field[19] = left */
+  18,   /* field[18] = left */
   2,   /* field[2] = life */
-  20,   /* field[20] = list_age_ms */
+  19,   /* field[19] = list_age_ms */
   13,   /* field[13] = listed */
   4,   /* field[4] = machine */
   8,   /* field[8] = memory_mb */
@@ -4052,10 +4039,11 @@
   0,   /* field[0] = sequence */
   5,   /* field[5] = service */
 };
-static const ProtobufCIntRange gn__worker_report__number_ranges[1 + 1] =
+static const ProtobufCIntRange gn__worker_report__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 21 }
+  { 20, 18 },
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor gn__worker_report__descriptor =
 {
@@ -4065,10 +4053,10 @@
   "Gn__WorkerReport",
   "gn",
   sizeof(Gn__WorkerReport),
-  21,
+  20,
   gn__worker_report__field_descriptors,
   gn__worker_report__field_indices_by_name,
-  1,  gn__worker_report__number_ranges,
+  2,  gn__worker_report__number_ranges,
   (ProtobufCMessageInit) gn__worker_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -4201,7 +4189,7 @@
   (ProtobufCMessageInit) gn__worker_order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gn__worker_orders__field_descriptors[7] =
+static const ProtobufCFieldDescriptor gn__worker_orders__field_descriptors[8] =
 {
   {
     "sequence",
@@ -4287,8 +4275,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "basis",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerOrders, basis),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gn__worker_orders__field_indices_by_name[] = {
+  7,   /* field[7] = basis */
   3,   /* field[3] = ends_stored */
   1,   /* field[1] = epoch */
   2,   /* field[2] = leader */
@@ -4300,7 +4301,7 @@
 static const ProtobufCIntRange gn__worker_orders__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor gn__worker_orders__descriptor =
 {
@@ -4310,7 +4311,7 @@
   "Gn__WorkerOrders",
   "gn",
   sizeof(Gn__WorkerOrders),
-  7,
+  8,
   gn__worker_orders__field_descriptors,
   gn__worker_orders__field_indices_by_name,
   1,  gn__worker_orders__number_ranges,
--- a/lib/wire/gypsumnotch.pb-c.h
+++ b/lib/wire/gypsumnotch.pb-c.h
@@ -673,22 +673,18 @@
   size_t n_results;
   Gn__OrderResult **results;
   char *rack;
-  /*
-   * since the report before; ends are void
-   */
-  protobuf_c_boolean lease_lapsed;
   /*
    * this life is over, and its runs with it
    */
   protobuf_c_boolean left;
   /*
-   * since the worker last gave a list
+   * since the worker last gave a list;
    */
   uint32_t list_age_ms;
 };
 #define GN__WORKER_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gn__worker_report__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
@@ -758,10 +754,14 @@
    * the store may know a later leader
    */
   protobuf_c_boolean unsure;
+  /*
+   * sequence of the newest report known
+   */
+  uint64_t basis;
 };
 #define GN__WORKER_ORDERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gn__worker_orders__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0 }
 
 
 /* Gn__Envelope methods */
--- a/tests/unit/test_grant.c
+++ b/tests/unit/test_grant.c
@@ -63,6 +63,19 @@
 	g_assert_false(gn_grant_read(&grant, 9000, START_US + LEASE_US + 2));
 }
 
+/*
+ * Seen on grown ozav, mix seed 68331180477: starts that were tried for six
+ * seconds began after their claims had been given up.
+ */
+static void test_starts_run_out_before_claims_do(void)
+{
+	g_assert_true(gn_grant_may_start(START_US, START_US + 1));
+	g_assert_false(gn_grant_may_start(
+		START_US, START_US + GN_GRANT_START_MS * GN_US_PER_MS));
+	g_assert_false(gn_grant_may_start(0, START_US));
+	g_assert_cmpuint(GN_GRANT_START_MS * GN_US_PER_MS, <, LEASE_US);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -74,5 +87,7 @@
 			test_no_longer_lease_for_a_silent_worker);
 	g_test_add_func("/grant/tells_that_it_lapsed",
 			test_tells_that_it_lapsed);
+	g_test_add_func("/grant/starts_run_out_before_claims_do",
+			test_starts_run_out_before_claims_do);
 	return g_test_run();
 }
