--- /dev/null
+++ b/lib/sched/rank.c
@@ -0,0 +1,57 @@
+#include "sched/rank.h"
+
+/** Share of its work that a job without slack counts as. */
+#define URGENT_SHARE 0.25
+
+gn_rank_class_t gn_rank_classify(const gn_rank_job_t *job, uint64_t now_us)
+{
+	uint64_t end_us = now_us + job->chain_us;
+	uint64_t objective_us = job->deadline_us - job->accepted_us;
+
+	if (end_us <= job->deadline_us)
+		return GN_RANK_IN_TIME;
+	if (end_us <= job->accepted_us + GN_RANK_USEFUL * objective_us)
+		return GN_RANK_LATE;
+	return GN_RANK_USELESS;
+}
+
+/* The work left, less for a job whose slack has run down. */
+static double get_key(const gn_rank_job_t *job, uint64_t now_us)
+{
+	double objective = (double)(job->deadline_us - job->accepted_us);
+	double slack =
+		(double)(job->deadline_us - now_us) - (double)job->chain_us;
+	double share = objective > 0 ? slack / objective : 0;
+
+	if (share < 0)
+		share = 0;
+	return (double)job->work * (URGENT_SHARE + (1 - URGENT_SHARE) * share);
+}
+
+static int compare(uint64_t a, uint64_t b)
+{
+	if (a == b)
+		return 0;
+	return a < b ? -1 : 1;
+}
+
+int gn_rank_compare(const gn_rank_job_t *a, const gn_rank_job_t *b,
+		    uint64_t now_us)
+{
+	gn_rank_class_t class_a = gn_rank_classify(a, now_us);
+	gn_rank_class_t class_b = gn_rank_classify(b, now_us);
+	double key_a;
+	double key_b;
+
+	if (a->priority != b->priority)
+		return compare(a->priority, b->priority);
+	if (class_a != class_b)
+		return compare(class_a, class_b);
+	if (class_a != GN_RANK_IN_TIME)
+		return compare(a->work, b->work);
+	key_a = get_key(a, now_us);
+	key_b = get_key(b, now_us);
+	if (key_a < key_b)
+		return -1;
+	return key_a > key_b ? 1 : compare(a->accepted_us, b->accepted_us);
+}
--- a/lib/sched/sched_pass.c
+++ b/lib/sched/sched_pass.c
@@ -2,14 +2,13 @@
  * @file sched_pass.c
  * @brief Decides which waiting tasks are given to which workers.
  *
- * Answers the load of quick jobs beside large ones at and above capacity.
- * Jobs go by the priority of their queue, then by whether they can still be
- * in time, then by their deadline: what is late already yields to what is
- * not, so that an overload makes few jobs late instead of all.
+ * Jobs go in the order of sched/rank.h, their tasks to the workers that
+ * sched/place.h chooses.
  */
 #include <string.h>
 
 #include "common/str.h"
+#include "sched/rank.h"
 #include "sched/sched_pass.h"
 
 /** Share of its full speed below which a filling task rather waits. */
@@ -25,26 +24,66 @@
 
 /* ======   Order of jobs   ====== */
 
-static bool is_late(const sched_job_t *job, uint64_t now_us)
+/* A job's place among those that wait. */
+typedef struct ranked_s {
+	sched_job_t *job;
+	gn_rank_job_t rank;
+	uint64_t now_us;
+} ranked_t;
+
+/* The longest chain of estimates that is left of one occurrence, ms. */
+static uint64_t get_chain_ms(const sched_job_t *job, uint32_t occurrence)
+{
+	const Gn__JobSpec *spec = job->spec;
+	const sched_unit_t *units = &job->units[occurrence * spec->n_steps];
+	uint64_t ends_ms[GN_JOB_STEPS_MAX];
+	uint64_t longest_ms = 0;
+
+	for (size_t i = 0; i < spec->n_steps; i++) {
+		const Gn__JobStep *step = spec->steps[i];
+
+		ends_ms[i] = 0;
+		for (size_t k = 0; k < step->n_after; k++)
+			ends_ms[i] = MAX(ends_ms[i], ends_ms[step->after[k]]);
+		if (units[i].done < step->count)
+			ends_ms[i] += step->estimate_ms;
+		longest_ms = MAX(longest_ms, ends_ms[i]);
+	}
+	return longest_ms;
+}
+
+static uint64_t get_work(const sched_job_t *job)
+{
+	uint64_t work = 0;
+
+	for (uint32_t i = 0; i < job->unit_count; i++) {
+		const Gn__JobStep *step = job->units[i].step;
+
+		work += (uint64_t)(step->count - job->units[i].done) *
+			step->cpu_milli * step->estimate_ms;
+	}
+	return work;
+}
+
+static void set_rank(ranked_t *ranked, sched_job_t *job, uint64_t now_us)
 {
-	return now_us > job->deadline_us;
+	ranked->job = job;
+	ranked->now_us = now_us;
+	ranked->rank.priority = job->priority;
+	ranked->rank.accepted_us = job->accepted_us;
+	ranked->rank.deadline_us = job->deadline_us;
+	ranked->rank.chain_us = get_chain_ms(job, 0) * GN_US_PER_MS;
+	ranked->rank.work = get_work(job);
 }
 
-static gint compare_jobs(gconstpointer a, gconstpointer b, gpointer data)
+static gint compare_jobs(gconstpointer a, gconstpointer b)
 {
-	const sched_job_t *first = *(sched_job_t *const *)a;
-	const sched_job_t *second = *(sched_job_t *const *)b;
-	uint64_t now_us = *(const uint64_t *)data;
-	bool first_late = is_late(first, now_us);
-	bool second_late = is_late(second, now_us);
-
-	if (first->priority != second->priority)
-		return first->priority < second->priority ? -1 : 1;
-	if (first_late != second_late)
-		return first_late ? 1 : -1;
-	if (first->deadline_us != second->deadline_us)
-		return first->deadline_us < second->deadline_us ? -1 : 1;
-	return strcmp(first->spec->id, second->spec->id);
+	const ranked_t *first = a;
+	const ranked_t *second = b;
+	int order = gn_rank_compare(&first->rank, &second->rank, first->now_us);
+
+	return order ? order
+		     : strcmp(first->job->spec->id, second->job->spec->id);
 }
 
 static bool has_waiting(const sched_job_t *job)
@@ -58,19 +97,22 @@
 	return false;
 }
 
-static GPtrArray *rank_jobs(gn_sched_t *sched)
+static GArray *rank_jobs(gn_sched_t *sched)
 {
-	GPtrArray *ranked = g_ptr_array_new();
+	GArray *all = g_array_new(FALSE, FALSE, sizeof(ranked_t));
 	uint64_t now_us = sched_now_us(sched);
 
 	for (guint i = 0; i < sched->active->len; i++) {
 		sched_job_t *job = g_ptr_array_index(sched->active, i);
+		ranked_t ranked;
 
-		if (has_waiting(job))
-			g_ptr_array_add(ranked, job);
+		if (!has_waiting(job))
+			continue;
+		set_rank(&ranked, job, now_us);
+		g_array_append_val(all, ranked);
 	}
-	g_ptr_array_sort_with_data(ranked, compare_jobs, &now_us);
-	return ranked;
+	g_array_sort(all, compare_jobs);
+	return all;
 }
 
 /* ======   Candidates   ====== */
@@ -282,15 +324,15 @@
 static void pass(gn_sched_t *sched)
 {
 	sched_candidates_t all;
-	GPtrArray *ranked = rank_jobs(sched);
+	GArray *ranked = rank_jobs(sched);
 
 	get_candidates(sched, &all);
 	for (guint i = 0; i < ranked->len && all.count; i++)
-		place_job(sched, &all, g_ptr_array_index(ranked, i));
+		place_job(sched, &all, g_array_index(ranked, ranked_t, i).job);
 	g_free(all.workers);
 	g_free(all.mixes);
 	g_free(all.views);
-	g_ptr_array_free(ranked, TRUE);
+	g_array_unref(ranked);
 }
 
 void gn_sched_pass(gn_sched_t *sched)
