What crawls makes way; no crawling on full workers

Change: a task with a checkpoint that crawls for two seconds is stopped and waits; a job that runs nothing takes any speed only while the workers are not full.

--- a/lib/sched/sched_claim.c
+++ b/lib/sched/sched_claim.c
@@ -40,6 +40,7 @@
 	task->gauge = 0;
 	task->baseline = -1;
 	task->slow_us = 0;
+	task->crawl_us = 0;
 	task->claimed_us = sched_now_us(job->sched);
 	gn_room_add(&worker->used, &room);
 	g_ptr_array_add(worker->claims, task);
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -53,6 +53,7 @@
 	const char *image; /**< interned */
 	double baseline; /**< of its tail's logarithm; below 0: not known */
 	uint64_t slow_us; /**< since when its pace is low; 0: it is not */
+	uint64_t crawl_us; /**< since when it is very low; 0: it is not */
 	uint32_t moves; /**< to a worker where it would be faster */
 } sched_task_t;
 
--- a/lib/sched/sched_pace.c
+++ b/lib/sched/sched_pace.c
@@ -23,7 +23,10 @@
 #define SLOW_US (800 * GN_US_PER_MS)
 /** What a move has to add to a task's share of its full speed. */
 #define MOVE_GAIN 0.4
-#define MOVES_MAX 4
+#define MOVES_MAX 6
+/** A pace of at most so much, percent, for so long makes way for others. */
+#define CRAWL_PERCENT 20
+#define CRAWL_US (2000 * GN_US_PER_MS)
 
 static const Gn__JobStep *step_of(const sched_task_t *task)
 {
@@ -200,17 +203,43 @@
 	return best;
 }
 
-static bool is_slow_for_long(const gn_sched_t *sched, sched_task_t *task)
+static void note_pace(const gn_sched_t *sched, sched_task_t *task)
 {
 	uint64_t now_us = sched_now_us(sched);
 
-	if (task->percent > SLOW_PERCENT) {
+	if (task->percent > SLOW_PERCENT)
 		task->slow_us = 0;
-		return false;
-	}
-	if (!task->slow_us)
+	else if (!task->slow_us)
 		task->slow_us = now_us;
-	return now_us - task->slow_us >= SLOW_US;
+	if (task->percent > CRAWL_PERCENT)
+		task->crawl_us = 0;
+	else if (!task->crawl_us)
+		task->crawl_us = now_us;
+}
+
+static bool lasts(const gn_sched_t *sched, uint64_t since_us, uint64_t long_us)
+{
+	return since_us && sched_now_us(sched) - since_us >= long_us;
+}
+
+/* Why @p task should leave its worker, or NULL. */
+static const char *get_reason(gn_sched_t *sched, sched_task_t *task,
+			      double spare)
+{
+	double speed = spare * task->percent / PACE_FULL;
+
+	note_pace(sched, task);
+	if (task->moves >= MOVES_MAX)
+		return NULL;
+	if (lasts(sched, task->crawl_us, CRAWL_US))
+		return "crawls";
+	if (!lasts(sched, task->slow_us, SLOW_US))
+		return NULL;
+	/* the next look is worth no more before a while */
+	task->slow_us = sched_now_us(sched);
+	return get_best_speed(sched, task) >= MOVE_GAIN + speed
+		       ? "faster elsewhere"
+		       : NULL;
 }
 
 /* Only what resumes from a checkpoint is moved, or its work would be lost. */
@@ -219,18 +248,14 @@
 {
 	for (guint i = 0; i < worker->claims->len; i++) {
 		sched_task_t *task = g_ptr_array_index(worker->claims, i);
-		double speed = mix->spare * task->percent / PACE_FULL;
+		const char *reason = NULL;
 
-		if (!is_filling(task) || !step_of(task)->checkpoints ||
-		    task->moves >= MOVES_MAX || !is_slow_for_long(sched, task))
-			continue;
-		if (get_best_speed(sched, task) < MOVE_GAIN + speed) {
-			/* the next look is worth no more before a while */
-			task->slow_us = sched_now_us(sched);
+		if (is_filling(task) && step_of(task)->checkpoints)
+			reason = get_reason(sched, task, mix->spare);
+		if (!reason)
 			continue;
-		}
 		task->moves++;
-		sched_stop(task, "faster elsewhere");
+		sched_stop(task, reason);
 		/* the next look sees what this one has changed */
 		return;
 	}
--- a/lib/sched/sched_pass.c
+++ b/lib/sched/sched_pass.c
@@ -15,8 +15,12 @@
 #define LEAST_SPEED 0.5
 /** Share of what serving tasks can bear beyond which it waits, too. */
 #define MOST_HARM SCHED_HARM_MAX
-/** A job that runs nothing takes any speed after this long. */
+/**
+ * A job that runs nothing takes any speed after this long, while less than
+ * this share of the workers' processors is set aside for others.
+ */
 #define IDLE_US (1500 * GN_US_PER_MS)
+#define IDLE_SHARE 0.6
 /** What has waited for this long takes a worker that fails, too. */
 #define DESPERATE_US (1000 * GN_US_PER_MS)
 /** Passes take this share of the time at most, as a divisor. */
@@ -122,6 +126,8 @@
 	GHashTableIter iter;
 	gpointer value;
 	guint most = g_hash_table_size(sched->workers) + 1;
+	uint64_t capacity = 0;
+	uint64_t used = 0;
 
 	all->count = 0;
 	all->workers = g_new(sched_worker_t *, most);
@@ -136,7 +142,10 @@
 		if (worker->capacity.cpu_milli)
 			sched_mix_get(sched, worker, &all->mixes[all->count]);
 		all->workers[all->count++] = worker;
+		capacity += worker->capacity.cpu_milli;
+		used += worker->used.cpu_milli;
 	}
+	all->used_share = capacity ? (double)used / (double)capacity : 1;
 }
 
 static uint32_t count_same_image(const sched_worker_t *worker,
@@ -168,9 +177,11 @@
 	return sched_now_us(job->sched) - unit->waiting_us >= long_us;
 }
 
-static bool is_idle(const sched_job_t *job, const sched_unit_t *unit)
+static bool is_idle(const sched_candidates_t *all, const sched_job_t *job,
+		    const sched_unit_t *unit)
 {
-	return !job->claimed && has_waited(job, unit, IDLE_US);
+	return !job->claimed && has_waited(job, unit, IDLE_US) &&
+	       all->used_share < IDLE_SHARE;
 }
 
 static bool is_healthy(const gn_sched_t *sched, const sched_worker_t *worker)
@@ -282,8 +293,9 @@
 		.per_worker = step->per_worker,
 		.fill_milli = step->fills ? step->cpu_milli : 0,
 		.fills = step->fills,
-		.least_speed = is_idle(job, unit) ? 0 : LEAST_SPEED,
-		.most_harm = is_idle(job, unit) ? SCHED_HARM_MAX : MOST_HARM,
+		.least_speed = is_idle(all, job, unit) ? 0 : LEAST_SPEED,
+		.most_harm =
+			is_idle(all, job, unit) ? SCHED_HARM_MAX : MOST_HARM,
 		.serves = step->target_ms != 0,
 		.far_factor = sched->config.far_factor
 	};
--- a/lib/sched/sched_pass.h
+++ b/lib/sched/sched_pass.h
@@ -13,6 +13,7 @@
 	sched_mix_t *mixes; /**< their sums, where they have processors */
 	gn_place_worker_t *views; /**< for the step that is being placed */
 	size_t count;
+	double used_share; /**< of all their processors, set aside by claims */
 } sched_candidates_t;
 
 /** Claims @p task at a candidate, and keeps the view of it up to date. */
