--- a/lib/sched/sched_pace.c
+++ b/lib/sched/sched_pace.c
@@ -23,10 +23,10 @@
 #define SLOW_US (800 * GN_US_PER_MS)
 /** What a move has to add to a task's share of its full speed. */
 #define MOVE_GAIN 0.4
-#define MOVES_MAX 6
+#define MOVES_MAX 12
 /** A pace of at most so much, percent, for so long makes way for others. */
-#define CRAWL_PERCENT 20
-#define CRAWL_US (2000 * GN_US_PER_MS)
+#define CRAWL_PERCENT 35
+#define CRAWL_US (1200 * GN_US_PER_MS)
 
 static const Gn__JobStep *step_of(const sched_task_t *task)
 {
