--- a/lib/job/job.c
+++ b/lib/job/job.c
@@ -160,8 +160,11 @@
 gn_task_place_t gn_job_place(const Gn__JobSpec *spec, uint32_t number)
 {
 	uint32_t width = gn_job_width(spec);
-	gn_task_place_t place = { .occurrence = number / width };
+	gn_task_place_t place = { 0 };
 
+	if (!width)
+		return place;
+	place.occurrence = number / width;
 	place.index = number % width;
 	while (place.index >= spec->steps[place.step]->count)
 		place.index -= spec->steps[place.step++]->count;
--- a/lib/lead/lead.c
+++ b/lib/lead/lead.c
@@ -215,7 +215,7 @@
 		if (gn_str_equal(news->entries[i].key, GN_STR(LEADER_KEY)))
 			take_holder(lead, &news->entries[i]);
 	if (lead->stage == STAGE_LEAD &&
-	    (!lead->is_held || strcmp(lead->holder, lead->value)))
+	    (!lead->is_held || strcmp(lead->holder, lead->value) != 0))
 		depose(lead, "the leader's key is another's or gone");
 	if (may_take(lead))
 		start_read(lead);
--- a/lib/sched/place.c
+++ b/lib/sched/place.c
@@ -91,8 +91,7 @@
 		return false;
 	if (task->per_worker && worker->same_step >= task->per_worker)
 		return false;
-	if (task->fills && (worker->fill_speed < task->least_speed ||
-			    worker->harm > task->most_harm))
+	if (task->fills && worker->fill_speed < task->least_speed)
 		return false;
 	return gn_room_fits(&worker->capacity, &worker->used, &task->room);
 }
--- a/lib/sched/place.h
+++ b/lib/sched/place.h
@@ -59,7 +59,6 @@
 	uint32_t fill_milli; /**< processors that it could use, if it fills */
 	bool fills;
 	double least_speed; /**< if it fills: rather waits than be slower */
-	double most_harm; /**< if it fills: rather waits than do more */
 	bool serves;
 	double far_factor; /**< times longer off the data's rack */
 } gn_place_task_t;
--- a/lib/sched/sched_pass.c
+++ b/lib/sched/sched_pass.c
@@ -13,8 +13,6 @@
 
 /** Share of its full speed below which a filling task rather waits. */
 #define LEAST_SPEED 0.5
-/** Share of what serving tasks can bear beyond which it waits, too. */
-#define MOST_HARM SCHED_HARM_MAX
 /**
  * A job that runs nothing takes any speed after this long, while less than
  * this share of the workers' processors is set aside for others.
@@ -132,7 +130,7 @@
 	all->count = 0;
 	all->workers = g_new(sched_worker_t *, most);
 	all->mixes = g_new(sched_mix_t, most);
-	all->views = g_new(gn_place_worker_t, most);
+	all->views = g_new0(gn_place_worker_t, most);
 	g_hash_table_iter_init(&iter, sched->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		sched_worker_t *worker = value;
@@ -294,8 +292,6 @@
 		.fill_milli = step->fills ? step->cpu_milli : 0,
 		.fills = step->fills,
 		.least_speed = is_idle(all, job, unit) ? 0 : LEAST_SPEED,
-		.most_harm =
-			is_idle(all, job, unit) ? SCHED_HARM_MAX : MOST_HARM,
 		.serves = step->target_ms != 0,
 		.far_factor = sched->config.far_factor
 	};
--- a/lib/sched/sched_worker.c
+++ b/lib/sched/sched_worker.c
@@ -406,7 +406,7 @@
 			   report->born_ms);
 		take_description(worker, report);
 	}
-	if (strcmp(report->life, worker->life))
+	if (strcmp(report->life, worker->life) != 0)
 		return 0;
 	extend_lease(sched, worker, report);
 	if (!was_live)
--- a/tests/support/sched_rig.c
+++ b/tests/support/sched_rig.c
@@ -162,7 +162,7 @@
 	gn__job_spec__init(spec);
 	spec->id = strdup(id);
 	spec->queue = strdup(queue);
-	spec->steps = calloc(count, sizeof(*spec->steps));
+	spec->steps = calloc(count, sizeof(void *));
 	for (size_t i = 0; i < count; i++)
 		spec->steps[spec->n_steps++] =
 			create_step(&steps[i], (uint32_t)i);
--- /dev/null
+++ b/tests/unit/test_rank.c
@@ -0,0 +1,144 @@
+#include <glib.h>
+#include <stdbool.h>
+#include <string.h>
+
+#include "gypsumnotch.h"
+#include "sched/rank.h"
+
+#define NOW_US (1000 * GN_US_PER_S)
+
+/* A job accepted at @p accepted_ms, in time for @p objective_ms after it. */
+static gn_rank_job_t job(unsigned priority, uint64_t accepted_ms,
+			 uint64_t objective_ms, uint64_t chain_ms,
+			 uint64_t work)
+{
+	gn_rank_job_t made = { .priority = priority,
+			       .accepted_us = accepted_ms * GN_US_PER_MS,
+			       .chain_us = chain_ms * GN_US_PER_MS,
+			       .work = work };
+
+	made.deadline_us = made.accepted_us + objective_ms * GN_US_PER_MS;
+	return made;
+}
+
+static void test_classes(void)
+{
+	const uint64_t now_ms = NOW_US / GN_US_PER_MS;
+	gn_rank_job_t made = job(0, now_ms, 1000, 900, 1);
+
+	g_assert_cmpint(gn_rank_classify(&made, NOW_US), ==, GN_RANK_IN_TIME);
+	made = job(0, now_ms, 1000, 1100, 1);
+	g_assert_cmpint(gn_rank_classify(&made, NOW_US), ==, GN_RANK_LATE);
+	made = job(0, now_ms - 2500, 1000, 600, 1);
+	g_assert_cmpint(gn_rank_classify(&made, NOW_US), ==, GN_RANK_USELESS);
+}
+
+static void test_order(void)
+{
+	const uint64_t now_ms = NOW_US / GN_US_PER_MS;
+	const gn_rank_job_t quick_late = job(0, now_ms - 2000, 1000, 500, 9);
+	const gn_rank_job_t small = job(2, now_ms, 9000, 500, 10);
+	const gn_rank_job_t large = job(2, now_ms, 9000, 500, 100);
+	const gn_rank_job_t urgent = job(2, now_ms - 8400, 9000, 500, 30);
+	const gn_rank_job_t relaxed = job(2, now_ms, 9000, 500, 30);
+	const gn_rank_job_t late = job(2, now_ms - 9000, 9000, 500, 1);
+
+	/* priority before everything, then what can be in time */
+	g_assert_cmpint(gn_rank_compare(&quick_late, &small, NOW_US), <, 0);
+	g_assert_cmpint(gn_rank_compare(&large, &late, NOW_US), <, 0);
+	/* little work first, and what has little slack left */
+	g_assert_cmpint(gn_rank_compare(&small, &large, NOW_US), <, 0);
+	g_assert_cmpint(gn_rank_compare(&urgent, &relaxed, NOW_US), <, 0);
+	g_assert_cmpint(gn_rank_compare(&small, &small, NOW_US), ==, 0);
+}
+
+/* ======   An overload   ====== */
+
+#define JOBS 120
+/** Work that one server of the queue does in a millisecond. */
+#define SPEED 1
+
+typedef int (*compare_t)(const gn_rank_job_t *a, const gn_rank_job_t *b,
+			 uint64_t now_us);
+
+static int first_come(const gn_rank_job_t *a, const gn_rank_job_t *b,
+		      uint64_t now_us)
+{
+	(void)now_us;
+	return a->accepted_us < b->accepted_us ? -1 : 1;
+}
+
+static int earliest_deadline(const gn_rank_job_t *a, const gn_rank_job_t *b,
+			     uint64_t now_us)
+{
+	(void)now_us;
+	return a->deadline_us < b->deadline_us ? -1 : 1;
+}
+
+/*
+ * One server and half as much work again as it can do: which share of the
+ * callers has an answer in time, by the order of @p compare.
+ */
+static double play(compare_t compare, guint32 seed)
+{
+	GRand *rand = g_rand_new_with_seed(seed);
+	gn_rank_job_t jobs[JOBS];
+	bool over[JOBS] = { false };
+	uint64_t now_us = NOW_US;
+	unsigned in_time = 0;
+	uint64_t arrival_ms = NOW_US / GN_US_PER_MS;
+
+	for (unsigned i = 0; i < JOBS; i++) {
+		uint64_t work = (uint64_t)g_rand_int_range(rand, 200, 3000);
+
+		arrival_ms += (uint64_t)g_rand_int_range(rand, 0, 2133);
+		jobs[i] = job(2, arrival_ms, 2 * work + 1000, work, work);
+	}
+	for (unsigned left = JOBS; left > 0; left--) {
+		unsigned best = JOBS;
+
+		while (best == JOBS) {
+			for (unsigned i = 0; i < JOBS; i++) {
+				if (over[i] || jobs[i].accepted_us > now_us)
+					continue;
+				if (best == JOBS ||
+				    compare(&jobs[i], &jobs[best], now_us) < 0)
+					best = i;
+			}
+			if (best == JOBS)
+				now_us += GN_US_PER_MS;
+		}
+		over[best] = true;
+		now_us += jobs[best].work / SPEED * GN_US_PER_MS;
+		in_time += now_us <= jobs[best].deadline_us;
+	}
+	g_rand_free(rand);
+	return (double)in_time / JOBS;
+}
+
+static void test_overload_serves_more_callers_in_time(void)
+{
+	double ranked = 0;
+	double came = 0;
+	double deadline = 0;
+
+	for (guint32 seed = 1; seed <= 20; seed++) {
+		ranked += play(gn_rank_compare, seed) / 20;
+		came += play(first_come, seed) / 20;
+		deadline += play(earliest_deadline, seed) / 20;
+	}
+	g_test_message("in time: ranked %.2f, first come %.2f, deadline %.2f",
+		       ranked, came, deadline);
+	g_assert_cmpfloat(ranked, >, 2 * came);
+	g_assert_cmpfloat(ranked, >, 2 * deadline);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/rank/classes", test_classes);
+	g_test_add_func("/rank/order", test_order);
+	g_test_add_func("/rank/overload_serves_more_callers_in_time",
+			test_overload_serves_more_callers_in_time);
+	return g_test_run();
+}
