--- a/lib/sched/sched_claim.c
+++ b/lib/sched/sched_claim.c
@@ -2,8 +2,6 @@
  * @file sched_claim.c
  * @brief Claims: what binds a task to a worker, and the orders they call for.
  */
-#include <string.h>
-
 #include "sched/sched_internal.h"
 
 #include "common/str.h"
@@ -43,7 +41,6 @@
 	task->baseline = -1;
 	task->slow_us = 0;
 	task->crawl_us = 0;
-	memset(&task->progress, 0, sizeof(task->progress));
 	task->claimed_us = sched_now_us(job->sched);
 	gn_room_add(&worker->used, &room);
 	g_ptr_array_add(worker->claims, task);
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -10,7 +10,6 @@
 #include "sched/disturb.h"
 #include "sched/place.h"
 #include "sched/sched.h"
-#include "sched/straggler.h"
 
 /** An order without an answer is sent again after this long. */
 #define SCHED_RESEND_US (300 * GN_US_PER_MS)
@@ -55,7 +54,6 @@
 	double baseline; /**< of its tail's logarithm; below 0: not known */
 	uint64_t slow_us; /**< since when its pace is low; 0: it is not */
 	uint64_t crawl_us; /**< since when it is very low; 0: it is not */
-	gn_progress_t progress; /**< of the run */
 	uint32_t moves; /**< to a worker where it would be faster */
 } sched_task_t;
 
@@ -272,11 +270,6 @@
 			      const sched_worker_t *worker,
 			      const sched_job_t *job, const Gn__JobStep *step);
 
-/* ======   sched_straggler.c   ====== */
-
-/** Takes the progress of a run; may have it stopped. */
-void sched_watch_run(gn_sched_t *sched, sched_task_t *task, uint32_t percent);
-
 /* ======   sched_pace.c   ====== */
 
 /** Paces what fills on a worker by the tails of what serves there. */
--- a/lib/sched/sched_worker.c
+++ b/lib/sched/sched_worker.c
@@ -262,7 +262,6 @@
 	/* stored with the job's next change */
 	sched_keep_checkpoint(task, run->checkpoint);
 	task->gauge = run->gauge;
-	sched_watch_run(sched, task, run->percent);
 }
 
 static void take_runs(gn_sched_t *sched, sched_worker_t *worker,
