--- a/lib/executor/executor_internal.h
+++ b/lib/executor/executor_internal.h
@@ -108,8 +108,8 @@
 bool executor_call_worker(executor_t *executor, gn_worker_call_t *call,
 			  unsigned timeout_ms, gn_http_done_t done, void *arg);
 /** What every answer of the worker tells of its clock. */
-void executor_take_clock(executor_t *executor, const gn_worker_answer_t *answer,
-			 uint64_t sent_us);
+void executor_take_clock(executor_t *executor,
+			 const gn_worker_answer_t *answer);
 
 /* ======   orders.c   ====== */
 
--- a/lib/executor/grant.c
+++ b/lib/executor/grant.c
@@ -8,14 +8,14 @@
 		grant->promised_us = sent_us;
 }
 
-bool gn_grant_read(gn_grant_t *grant, uint64_t clock_ms, uint64_t sent_us)
+bool gn_grant_read(gn_grant_t *grant, uint64_t clock_ms, uint64_t now_us)
 {
 	bool lapsed = grant->until_ms && clock_ms > grant->until_ms;
 
 	/* answers on different connections may overtake each other */
 	if (clock_ms >= grant->clock_ms) {
 		grant->clock_ms = clock_ms;
-		grant->read_us = sent_us;
+		grant->read_us = now_us;
 	}
 	return lapsed;
 }
@@ -30,7 +30,6 @@
 		return 0;
 	if (now_us - grant->read_us > GN_GRANT_READING_MS * GN_US_PER_MS)
 		return 0;
-	/* the reading is at least as old as its call */
 	until_ms = grant->clock_ms + (end_us - grant->read_us) / GN_US_PER_MS;
 	if (until_ms > grant->until_ms)
 		grant->until_ms = until_ms;
--- a/lib/executor/grant.h
+++ b/lib/executor/grant.h
@@ -29,7 +29,7 @@
 	uint64_t lease_us; /**< length of a lease */
 	uint64_t promised_us; /**< when the newest answered report was sent */
 	uint64_t clock_ms; /**< newest reading of the worker's clock; 0: none */
-	uint64_t read_us; /**< when the call that read it was sent */
+	uint64_t read_us; /**< when the answer with it came */
 	uint64_t until_ms; /**< furthest end of a lease given to the worker */
 } gn_grant_t;
 
@@ -37,10 +37,12 @@
 void gn_grant_promise(gn_grant_t *grant, uint64_t sent_us);
 
 /**
- * The worker's clock was read by a call sent at @p sent_us.
+ * An answer with the worker's clock has come at @p now_us. The clock was read
+ * before that, by an unknown time; counting from the answer lets a lease end
+ * early rather than late.
  * @return whether its lease had run out by then
  */
-bool gn_grant_read(gn_grant_t *grant, uint64_t clock_ms, uint64_t sent_us);
+bool gn_grant_read(gn_grant_t *grant, uint64_t clock_ms, uint64_t now_us);
 
 /** The end of the lease to give now, on the worker's clock; 0: none. */
 uint64_t gn_grant_until_ms(gn_grant_t *grant, uint64_t now_us);
--- a/lib/executor/orders.c
+++ b/lib/executor/orders.c
@@ -230,7 +230,7 @@
 	order->in_call = false;
 	gn_histogram_add(executor->order_time,
 			 executor_now_us(executor) - sent->sent_us);
-	executor_take_clock(executor, &answer, sent->sent_us);
+	executor_take_clock(executor, &answer);
 	if (order->cancelled && order->kind != GN_RUN_ORDER_START)
 		remove_order(order);
 	else if (order->cancelled) {
--- a/lib/executor/worker.c
+++ b/lib/executor/worker.c
@@ -40,12 +40,12 @@
 	return true;
 }
 
-void executor_take_clock(executor_t *executor, const gn_worker_answer_t *answer,
-			 uint64_t sent_us)
+void executor_take_clock(executor_t *executor, const gn_worker_answer_t *answer)
 {
 	if (!answer->clock_ms || answer->verdict == GN_WORKER_OTHER_LIFE)
 		return;
-	if (!gn_grant_read(&executor->grant, answer->clock_ms, sent_us))
+	if (!gn_grant_read(&executor->grant, answer->clock_ms,
+			   executor_now_us(executor)))
 		return;
 	gn_event("lease lapsed", "{s:s, s:I, s:I}", "life",
 		 executor->notice.life, "clock_ms",
@@ -97,7 +97,7 @@
 		talloc_free(list);
 		return;
 	}
-	executor_take_clock(executor, &answer, executor->list_sent_us);
+	executor_take_clock(executor, &answer);
 	executor->list_due_us = 0;
 	keep_list(executor, list, &answer);
 	if (answer.end_count)
--- a/lib/scheduler/calls.c
+++ b/lib/scheduler/calls.c
@@ -78,8 +78,9 @@
 {
 	const gn_queues_t *queues = scheduler->queues;
 
-	/* states are asked for all the time and change nothing */
-	if (call->kind == GN_CALL_STATE && reply->result == GN_RESULT_OK)
+	/* states are asked for all the time and change nothing, nor do probes */
+	if ((call->kind == GN_CALL_STATE && reply->result == GN_RESULT_OK) ||
+	    !*call->queue)
 		return;
 	gn_event("call", "{s:s, s:s, s:s*, s:s, s:s, s:s*, s:I, s:I, s:I}",
 		 "job", call->job, "kind", gn_job_call_name(call->kind),
--- a/tests/unit/test_grant.c
+++ b/tests/unit/test_grant.c
@@ -38,6 +38,29 @@
 			 ==, 4500);
 }
 
+/*
+ * Seen on ozav, own day "frozen", seed 97516372058: a list that the worker
+ * held back for 400 ms let leases end that much too late.
+ */
+static void test_lease_ends_by_the_promise(void)
+{
+	const uint64_t origin_us = START_US - 500 * GN_US_PER_MS;
+
+	for (uint64_t held_ms = 0; held_ms <= 400; held_ms += 100) {
+		gn_grant_t grant = create();
+		uint64_t read_us = START_US;
+		uint64_t came_us = read_us + held_ms * GN_US_PER_MS;
+		uint64_t until_ms;
+
+		gn_grant_promise(&grant, START_US);
+		gn_grant_read(&grant, (read_us - origin_us) / GN_US_PER_MS,
+			      came_us);
+		until_ms = gn_grant_until_ms(&grant, came_us);
+		g_assert_cmpuint(origin_us + until_ms * GN_US_PER_MS, <=,
+				 START_US + LEASE_US);
+	}
+}
+
 static void test_no_longer_lease_for_a_silent_worker(void)
 {
 	gn_grant_t grant = create();
@@ -87,6 +110,8 @@
 			test_no_longer_lease_for_a_silent_worker);
 	g_test_add_func("/grant/tells_that_it_lapsed",
 			test_tells_that_it_lapsed);
+	g_test_add_func("/grant/lease_ends_by_the_promise",
+			test_lease_ends_by_the_promise);
 	g_test_add_func("/grant/starts_run_out_before_claims_do",
 			test_starts_run_out_before_claims_do);
 	return g_test_run();
