A successor looks before it orders; "not started" only after a look

A successor ordered the start of restored claims before it had seen a list. The worker was draining and refused; its executor told "not started" although the order of the earlier leader had begun the run, so the task was begun elsewhere too.

Ruled out: lapse of the claim (the lease ran on), a lost commit (the claim was in the store).

The test fails on the earlier code.

--- a/lib/executor/executor_internal.h
+++ b/lib/executor/executor_internal.h
@@ -37,6 +37,7 @@
 	bool in_call;
 	bool unanswered; /**< a start may still be carried out */
 	bool stopped; /**< a stop was answered; the list must show it */
+	bool only_checks; /**< no stop was sent: it may be running */
 	bool cancelled; /**< a stop came while its start was in a call */
 	gn_run_order_verdict_t stop_verdict; /**< to report once it is gone */
 	uint64_t answered_us; /**< when the stop was */
--- a/lib/executor/orders.c
+++ b/lib/executor/orders.c
@@ -118,12 +118,27 @@
 	send_order(order);
 }
 
+/*
+ * Tells @p verdict only once a list that is asked for from now on does not
+ * show the run: an earlier life of this process may have begun it.
+ */
+static void check_list(executor_order_t *order, gn_run_order_verdict_t verdict)
+{
+	order->kind = GN_RUN_ORDER_STOP;
+	order->stop_verdict = verdict;
+	order->stopped = true;
+	order->only_checks = true;
+	order->answered_us = executor_now_us(order->executor);
+}
+
 /* A start that surely was not carried out, unless an earlier call is. */
 static void refuse_start(executor_order_t *order,
 			 gn_run_order_verdict_t verdict)
 {
 	if (order->unanswered)
 		turn_into_stop(order, verdict);
+	else if (verdict == GN_VERDICT_NOT_STARTED)
+		check_list(order, verdict);
 	else
 		conclude(order, verdict);
 }
@@ -154,10 +169,7 @@
 		break;
 	case GN_WORKER_OLD:
 		/* the next list has its end, or it is gone */
-		order->kind = GN_RUN_ORDER_STOP;
-		order->stop_verdict = GN_VERDICT_GONE;
-		order->stopped = true;
-		order->answered_us = executor_now_us(order->executor);
+		check_list(order, GN_VERDICT_GONE);
 		break;
 	case GN_WORKER_NO_TICKET:
 		refuse_start(order, GN_VERDICT_NO_TICKET);
@@ -326,9 +338,10 @@
 	}
 	order = create_order(executor, message);
 	order->basis_us = basis_us;
-	if (strcmp(message->life, executor->notice.life) != 0 ||
-	    executor->draining_us || executor->left)
+	if (strcmp(message->life, executor->notice.life) != 0)
 		conclude(order, GN_VERDICT_NOT_STARTED);
+	else if (executor->draining_us || executor->left)
+		refuse_start(order, GN_VERDICT_NOT_STARTED);
 	else
 		send_order(order);
 }
@@ -340,6 +353,9 @@
 
 	if (!order) {
 		send_order(create_order(executor, message));
+	} else if (order->only_checks) {
+		order->only_checks = false;
+		turn_into_stop(order, GN_VERDICT_GONE);
 	} else if (order->kind == GN_RUN_ORDER_START) {
 		if (order->in_call)
 			order->cancelled = true;
@@ -423,9 +439,13 @@
 	for (GList *item = all; item; item = item->next) {
 		executor_order_t *order = item->data;
 
-		if (!order->stopped || sent_us < order->answered_us ||
-		    is_listed(executor, order))
+		if (!order->stopped || sent_us < order->answered_us)
+			continue;
+		if (is_listed(executor, order)) {
+			if (order->only_checks)
+				conclude(order, GN_VERDICT_STARTED);
 			continue;
+		}
 		if (has_end(executor, order))
 			remove_order(order);
 		else
--- a/lib/sched/sched_claim.c
+++ b/lib/sched/sched_claim.c
@@ -33,6 +33,7 @@
 	task->worker = worker;
 	task->life = g_intern_string(life);
 	task->ordered = false;
+	task->restored = false;
 	task->listed = false;
 	task->stopping = false;
 	task->order_us = 0;
@@ -89,6 +90,7 @@
 	bind_task(task, worker, life);
 	/* durable as it is; the start may never have been sent */
 	task->ordered = true;
+	task->restored = true;
 }
 
 void sched_unclaim(sched_task_t *task, const char *why)
@@ -163,8 +165,11 @@
 		return;
 	if (task->stopping)
 		send_order(task, GN_RUN_ORDER_STOP);
-	/* no start that its executor could begin after the claim has lapsed */
-	else if (!task->listed &&
+	/*
+	 * No start that its executor could begin after the claim has lapsed,
+	 * and none of a run that a predecessor may have begun.
+	 */
+	else if (!task->listed && (!task->restored || task->worker->looked) &&
 		 sched_worker_has_list(task->job->sched, task->worker))
 		send_order(task, GN_RUN_ORDER_START);
 }
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -43,6 +43,7 @@
 	const char *life; /**< claimed: interned; of the worker there */
 	uint64_t claim_version; /**< of the job, that the claim is part of */
 	bool ordered; /**< a start was sent */
+	bool restored; /**< by a predecessor: it may be running */
 	bool listed; /**< the worker's list shows the run */
 	bool stopping; /**< a stop is to be sent until the run has ended */
 	uint64_t order_us; /**< when the last order was sent */
@@ -134,6 +135,7 @@
 	uint64_t report_lapse_us;
 	uint64_t list_lapse_us;
 	uint64_t listed_us; /**< when its worker last gave a list; 0: never */
+	bool looked; /**< a list of its life has been taken */
 	uint64_t pause_us; /**< gets no tasks before */
 	GQueue ends; /**< sched_end_t, in the order of their numbers */
 	uint64_t ends_seen;
--- a/lib/sched/sched_worker.c
+++ b/lib/sched/sched_worker.c
@@ -174,6 +174,7 @@
 	memset(&worker->strays, 0, sizeof(worker->strays));
 	worker->pause_us = 0;
 	worker->listed_us = 0;
+	worker->looked = false;
 	note_worker(sched, "worker", worker, "new life", (int64_t)born_ms);
 }
 
@@ -417,6 +418,7 @@
 		for (size_t i = 0; i < report->n_ends; i++)
 			take_end(sched, worker, report->ends[i]);
 		take_runs(sched, worker, report);
+		worker->looked = true;
 		sched_pace_worker(sched, worker);
 	}
 	if (report->left)
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -250,6 +250,42 @@
 	rig_close(&rig);
 }
 
+/*
+ * Seen on ozav, mix seed 88164461423: a successor ordered starts of runs that
+ * it had not seen yet, a draining worker's executor refused them, and they were
+ * begun elsewhere as well.
+ */
+static void test_successor_looks_before_it_orders(void)
+{
+	sched_rig_t rig;
+	sched_rig_t old;
+	gn_sched_write_t write;
+	Gn__JobRecord *record;
+
+	rig_open(&old);
+	rig_report(&old, "a", "1");
+	rig_submit(&old, JOB, "batch", &one_task, 1);
+	gn_sched_pass(old.sched);
+	g_assert_cmpuint(gn_sched_take_writes(old.sched, &write, 1), ==, 1);
+	record = gn__job_record__unpack(NULL, write.len, write.value);
+	free(write.value);
+	rig_close(&old);
+
+	rig_open(&rig);
+	g_assert_cmpint(gn_sched_load(rig.sched, record->spec, record->state),
+			==, GN_OK);
+	record->spec = NULL;
+	gn__job_record__free_unpacked(record, NULL);
+	gn_sched_loaded(rig.sched);
+	rig_report_old(&rig, "a", "1", 100);
+	rig_advance_ms(&rig, 400);
+	g_assert_cmpuint(rig_count(&rig, GN_RUN_ORDER_START), ==, 0);
+	rig_report_run(&rig, "a", "1", TASK, 1);
+	rig_advance_ms(&rig, 400);
+	g_assert_cmpuint(rig_count(&rig, GN_RUN_ORDER_START), ==, 0);
+	rig_close(&rig);
+}
+
 /* ======   Attempts   ====== */
 
 static void test_attempts_are_used_up(void)
@@ -635,6 +671,8 @@
 		  test_done_of_an_earlier_attempt_is_void },
 		{ "run_without_a_claim_is_stopped_and_takes_room",
 		  test_run_without_a_claim_is_stopped_and_takes_room },
+		{ "successor_looks_before_it_orders",
+		  test_successor_looks_before_it_orders },
 		{ "attempts_are_used_up", test_attempts_are_used_up },
 		{ "standing_task_comes_back_however_it_ends",
 		  test_standing_task_comes_back_however_it_ends },
