--- a/lib/executor/orders.c
+++ b/lib/executor/orders.c
@@ -6,8 +6,8 @@
  * it is answered. One that is refused after an earlier call went without an
  * answer may still be carried out late: it is stopped first, which has the
  * worker refuse it for good. No start is begun long after the leader ordered
- * it, since the leader may have given up its claim by then. A stopped run is gone once a list that was asked
- * for after the stop does not show it.
+ * it, since the leader may have given up its claim by then. A stopped run is
+ * gone once a list that was asked for after the stop does not show it.
  */
 #include <string.h>
 
--- a/lib/sched/sched_claim.c
+++ b/lib/sched/sched_claim.c
@@ -163,14 +163,16 @@
 		return;
 	if (!sched_worker_is_live(task->job->sched, task->worker))
 		return;
-	if (task->stopping)
+	if (task->stopping) {
 		send_order(task, GN_RUN_ORDER_STOP);
+		return;
+	}
 	/*
 	 * No start that its executor could begin after the claim has lapsed,
 	 * and none of a run that a predecessor may have begun.
 	 */
-	else if (!task->listed && (!task->restored || task->worker->looked) &&
-		 sched_worker_has_list(task->job->sched, task->worker))
+	if (!task->listed && (!task->restored || task->worker->looked) &&
+	    sched_worker_has_list(task->job->sched, task->worker))
 		send_order(task, GN_RUN_ORDER_START);
 }
 
--- a/lib/scheduler/leading.c
+++ b/lib/scheduler/leading.c
@@ -21,7 +21,7 @@
 	uint64_t began_us;
 	GHashTable *states; /**< id to Gn__JobState */
 	GHashTable *specs; /**< id to Gn__JobSpec */
-	bool specs_listed; /**< the states are all there */
+	bool specs_listed; /**< the specs are all there, states come next */
 	char *after; /**< last key of the page before */
 	gn_kv_call_t call;
 	uint64_t due_us; /**< of the next attempt */
