--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,8 @@
 STANDINS := $(patsubst tests/standin/%.c,$(BUILD)/tests/standin/%,$(sort $(wildcard tests/standin/*.c)))
 TESTS := $(patsubst %.c,$(BUILD)/%,$(sort $(wildcard tests/unit/test_*.c tests/contract/test_*.c \
 	platform/tests/test_*.c)))
-SOAK := $(patsubst %.c,$(BUILD)/%,$(sort $(filter-out %/http.c,$(wildcard platform/soak/*.c))))
+SOAK_PARTS := platform/soak/http.c platform/soak/judge.c
+SOAK := $(patsubst %.c,$(BUILD)/%,$(sort $(filter-out $(SOAK_PARTS),$(wildcard platform/soak/*.c))))
 BENCHES := $(patsubst %.c,$(BUILD)/%,$(sort $(wildcard tests/bench/*.c)))
 
 SOURCES := $(filter-out %.pb-c.c %.pb-c.h,$(sort $(wildcard lib/*.h lib/*/*.[ch] \
@@ -73,7 +74,7 @@
 $(BUILD)/tests/%: $(BUILD)/tests/%.o $(SUPPORT_OBJ) $(LIB)
 	$(LINK) $@ $^ $(LDLIBS)
 
-$(BUILD)/platform/soak/%: $(BUILD)/platform/soak/%.o $(BUILD)/platform/soak/http.o \
+$(BUILD)/platform/soak/%: $(BUILD)/platform/soak/%.o $(SOAK_PARTS:%.c=$(BUILD)/%.o) \
 		$(SUPPORT_OBJ) $(LIB)
 	$(LINK) $@ $^ $(LDLIBS)
 
