Learn disturbance as lost headroom, told from the load of a step

What fills was paced to nothing or stood still while half of the workers' processors were idle. A reading was also learned from several times, as pacing and learning were one function.

Ruled out: room (memory for three times as many tasks), quick tasks beside them (weight below 0.1), processor time of the leader (0.14 of a core).

Now: headroom is target over tail; each pair of images takes a weight of it; the headroom alone is shared by a step's tasks and follows its load; what weighs most is paced down first; emergencies begin after 1.5 s.

--- a/lib/sched/disturb.c
+++ b/lib/sched/disturb.c
@@ -3,20 +3,27 @@
 #include <glib.h>
 #include <math.h>
 
-/** Variance of a reading's logarithm, and of the baseline between two. */
-#define READING_VARIANCE 0.03
-#define BASELINE_VARIANCE 0.05
-/** A pair that was not seen yet. */
-#define WEIGHT_NEW 0.3
-#define VARIANCE_NEW 4.0
+#include "common/clock.h"
+
+/** Variance of a reading of the headroom. */
+#define READING_VARIANCE 0.2
+/** Growth of the variance of a step's own headroom, a second: load moves. */
+#define ALONE_VARIANCE_PER_S 0.4
+/** The same before it is known well, and at most. */
+#define ALONE_VARIANCE_NEW 1.0
+/** A pair that was not seen yet: most are light. */
+#define WEIGHT_NEW 2.5
+#define VARIANCE_NEW 7.0
 /** Growth of a weight's variance with each reading: pairs change slowly. */
-#define VARIANCE_GROWTH 0.002
+#define VARIANCE_GROWTH 0.0005
 /** An error of more than this many standard deviations is a surprise. */
 #define SURPRISE 3.0
 /** A surprise makes its pairs this much less certain. */
 #define SURPRISE_FACTOR 2.0
 /** The largest weight. */
-#define WEIGHT_MAX 20.0
+#define WEIGHT_MAX 40.0
+/** Uses of a smaller share teach nothing. */
+#define SHARE_MIN 0.003
 
 /** What is known of a pair. */
 typedef struct pair_s {
@@ -113,9 +120,10 @@
 
 /* The variance of a reading's error. */
 static double get_variance(gn_disturb_t *disturb, const char *serves,
+			   const gn_headroom_t *alone,
 			   const gn_fill_use_t *uses, size_t count)
 {
-	double sum = READING_VARIANCE + BASELINE_VARIANCE;
+	double sum = READING_VARIANCE + alone->variance;
 
 	for (size_t i = 0; i < count; i++)
 		sum += get(disturb, serves, uses[i].image)->variance *
@@ -132,28 +140,47 @@
 {
 	double gain = pair->variance * share / variance;
 
-	pair->weight = CLAMP(pair->weight + gain * error, 0, WEIGHT_MAX);
+	pair->weight = CLAMP(pair->weight - gain * error, 0, WEIGHT_MAX);
 	pair->variance = pair->variance * (1 - gain * share) + VARIANCE_GROWTH;
 }
 
-void gn_disturb_learn(gn_disturb_t *disturb, const char *serves, double tail_ms,
-		      double *baseline, const gn_fill_use_t *uses, size_t count)
+/* The load may have moved since the last reading. */
+static void age(gn_headroom_t *alone, uint64_t now_us)
+{
+	double passed_s = (double)(now_us - alone->read_us) / GN_US_PER_S;
+
+	alone->variance =
+		fmin(ALONE_VARIANCE_NEW,
+		     alone->variance + passed_s * ALONE_VARIANCE_PER_S);
+	alone->read_us = now_us;
+}
+
+void gn_disturb_learn(gn_disturb_t *disturb, const char *serves,
+		      double headroom, gn_headroom_t *alone,
+		      const gn_fill_use_t *uses, size_t count, uint64_t now_us)
 {
 	double sum = gn_disturb_sum(disturb, serves, uses, count);
-	double variance = get_variance(disturb, serves, uses, count);
+	double variance;
 	double error;
 
-	if (*baseline < 0)
-		*baseline = fmax(0, log(tail_ms) - sum);
-	error = log(tail_ms) - *baseline - sum;
+	if (!alone->read_us) {
+		alone->value = headroom + sum;
+		alone->variance = ALONE_VARIANCE_NEW;
+		alone->read_us = now_us;
+		return;
+	}
+	age(alone, now_us);
+	error = headroom - (alone->value - sum);
+	variance = get_variance(disturb, serves, alone, uses, count);
 	if (error * error > SURPRISE * SURPRISE * variance) {
 		for (size_t i = 0; i < count; i++)
 			doubt(get(disturb, serves, uses[i].image));
-		variance = get_variance(disturb, serves, uses, count);
+		variance = get_variance(disturb, serves, alone, uses, count);
 	}
-	*baseline = fmax(0, *baseline + error * BASELINE_VARIANCE / variance);
+	alone->value += error * alone->variance / variance;
+	alone->variance *= 1 - alone->variance / variance;
 	for (size_t i = 0; i < count; i++)
-		if (uses[i].share > 0)
+		if (uses[i].share > SHARE_MIN)
 			correct(get(disturb, serves, uses[i].image),
 				uses[i].share, error, variance);
 }
--- a/lib/sched/disturb.h
+++ b/lib/sched/disturb.h
@@ -3,21 +3,25 @@
  * @brief Learns how much what fills disturbs what serves, by pairs of images.
  *
  * Answers the load of filling tasks of many images beside serving ones: most
- * pairs do not disturb each other, a few do so heavily, and which ones is seen
+ * pairs hardly disturb each other, a few do so heavily, and which ones is seen
  * only in tail latencies that also move with the serving task's own load.
  *
- * The logarithm of a serving task's tail is taken as a baseline of its own,
- * which moves with its load, plus, for each image that fills beside it, the
+ * A serving task is taken for a queue: its tail is its service time over the
+ * share of time that it is idle, so the reciprocal of the tail falls in
+ * proportion to its own load and to what disturbs it. The headroom of a task
+ * is its target over its tail; it is 1 at the target. It is the headroom that
+ * the task would have alone, less, for each image that fills beside it, the
  * share of the worker's processors in use by that image times the pair's
- * weight; tails grow by factors as a worker fills up. Each reading corrects
- * baseline and weights in proportion to how uncertain they are and to their
- * part in it (a Kalman filter without covariances), so a pair is learned from
- * its first readings and steady after them. Weights never go below zero.
+ * weight. Tasks of one step share their callers, so they share one headroom
+ * alone, which follows their load. Each reading corrects that headroom and the
+ * weights in proportion to how uncertain they are and to their part in it (a
+ * Kalman filter without covariances). Weights never go below zero.
  */
 #ifndef GN_SCHED_DISTURB_H
 #define GN_SCHED_DISTURB_H
 
 #include <stddef.h>
+#include <stdint.h>
 #include <talloc.h>
 
 typedef struct gn_disturb_s gn_disturb_t;
@@ -28,13 +32,20 @@
 	double share; /**< of the worker's processors that it uses, 0..1 */
 } gn_fill_use_t;
 
+/** What is known of the headroom of a step's tasks when nothing fills. */
+typedef struct gn_headroom_s {
+	double value;
+	double variance;
+	uint64_t read_us; /**< time of the last reading; 0: not known yet */
+} gn_headroom_t;
+
 /** Creates an empty table; NULL: memory. */
 gn_disturb_t *gn_disturb_create(TALLOC_CTX *parent);
 
 /**
- * The weight of a pair: the logarithm of the factor by which the whole
- * worker's processors in use by @p fills would lengthen the tail. Images are
- * interned strings everywhere here.
+ * The weight of a pair: the headroom that is lost when all of a worker's
+ * processors are in use by @p fills. Images are interned strings everywhere
+ * here.
  */
 double gn_disturb_weight(const gn_disturb_t *disturb, const char *serves,
 			 const char *fills);
@@ -43,18 +54,17 @@
 double gn_disturb_bound(const gn_disturb_t *disturb, const char *serves,
 			const char *fills);
 
-/** The logarithm of the factor by which @p uses lengthen the tail. */
+/** The headroom that is lost to @p uses. */
 double gn_disturb_sum(const gn_disturb_t *disturb, const char *serves,
 		      const gn_fill_use_t *uses, size_t count);
 
 /**
  * Takes a reading.
- * @param tail_ms above 0
- * @param baseline logarithm of the serving task's own tail in milliseconds;
- *        below 0: not known yet
+ * @param headroom target over tail
+ * @param alone of the step that the task is part of
  */
-void gn_disturb_learn(gn_disturb_t *disturb, const char *serves, double tail_ms,
-		      double *baseline_ms, const gn_fill_use_t *uses,
-		      size_t count);
+void gn_disturb_learn(gn_disturb_t *disturb, const char *serves,
+		      double headroom, gn_headroom_t *alone,
+		      const gn_fill_use_t *uses, size_t count, uint64_t now_us);
 
 #endif
--- a/lib/sched/sched_claim.c
+++ b/lib/sched/sched_claim.c
@@ -39,7 +39,7 @@
 	task->order_us = 0;
 	task->percent = 100;
 	task->gauge = 0;
-	task->baseline = -1;
+	task->gauge_before = 0;
 	task->slow_us = 0;
 	task->crawl_us = 0;
 	task->claimed_us = sched_now_us(job->sched);
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -51,8 +51,8 @@
 	uint64_t claimed_us;
 	uint32_t percent; /**< pace that it was told, 0 to 100 */
 	uint32_t gauge; /**< of the last list */
+	uint32_t gauge_before; /**< of the list before */
 	const char *image; /**< interned */
-	double baseline; /**< of its tail's logarithm; below 0: not known */
 	uint64_t slow_us; /**< since when its pace is low; 0: it is not */
 	uint64_t crawl_us; /**< since when it is very low; 0: it is not */
 	uint32_t moves; /**< to a worker where it would be faster */
@@ -70,6 +70,7 @@
 	uint64_t waiting_us; /**< when a task of it last began to wait */
 	struct sched_advice_s *advice; /**< NULL: nothing was asked yet */
 	uint32_t next; /**< where the search for a waiting task begins */
+	gn_headroom_t alone; /**< of its tasks, if these serve */
 } sched_unit_t;
 
 /** A job. */
@@ -141,7 +142,6 @@
 	uint64_t ends_seen;
 	uint64_t ends_durable;
 	gn_health_t health;
-	uint64_t reading; /**< mix of the tails that were last learned from */
 	uint64_t over_us; /**< since when a tail is over its target; 0: none */
 	uint64_t cleared_us; /**< and nothing fills; 0: something does */
 };
@@ -274,6 +274,8 @@
 
 /* ======   sched_pace.c   ====== */
 
+/** Learns from the tails of a new list what fills does to what serves. */
+void sched_learn_from_worker(gn_sched_t *sched, sched_worker_t *worker);
 /** Paces what fills on a worker by the tails of what serves there. */
 void sched_pace_worker(gn_sched_t *sched, sched_worker_t *worker);
 #endif
--- a/lib/sched/sched_mix.c
+++ b/lib/sched/sched_mix.c
@@ -2,16 +2,16 @@
 
 #include <math.h>
 
-/** Share of its target up to which a tail is let. */
-#define GOAL_SHARE 0.65
-/** Share of the way from the baseline to the target that is let anyway. */
-#define LEAST_BUDGET 0.3
-/** Pairs of less weight are no disturbance. */
-#define LIGHT_WEIGHT 0.6
+/** Headroom that is kept: the target is over the tail by this factor. */
+#define GOAL_HEADROOM 1.2
+/** Share of the headroom beyond 1 that may be used up anyway. */
+#define LEAST_BUDGET 0.25
 /** Share of what is set aside for serving tasks that they use, as a guess. */
 #define SERVING_USE 0.5
+/** Budget of what has not told its tail yet. */
+#define BUDGET_NEW 1.0
 /** Budgets count as at least this, so that harm stays comparable. */
-#define BUDGET_MIN 0.05
+#define BUDGET_MIN 0.2
 /** Slowest that a filling task is expected to be. */
 #define SPEED_MIN 0.02
 
@@ -22,14 +22,15 @@
 
 /* ======   Sums   ====== */
 
-/* The logarithm of the factor by which the tail of @p task may grow. */
+/* The headroom that what fills beside @p task may use up. */
 static double get_budget(const sched_task_t *task)
 {
-	double target = log(step_of(task)->target_ms);
-	double baseline = fmax(0, task->baseline);
+	const gn_headroom_t *alone = &task->job->units[task->unit].alone;
 
-	return fmax(0, fmax(target + log(GOAL_SHARE) - baseline,
-			    LEAST_BUDGET * (target - baseline)));
+	if (!alone->read_us)
+		return BUDGET_NEW;
+	return fmax(0, fmax(alone->value - GOAL_HEADROOM,
+			    LEAST_BUDGET * (alone->value - 1)));
 }
 
 static void add_serving(sched_mix_t *mix, const sched_task_t *task)
@@ -92,6 +93,12 @@
 	return left > 0 ? left / wished : 0;
 }
 
+/* A tail is that of the time between two lists. */
+static double get_use(const sched_task_t *task)
+{
+	return (task->gauge_before + task->gauge) / 2.0;
+}
+
 static void add_task(sched_mix_t *mix, const sched_worker_t *worker,
 		     const sched_task_t *task)
 {
@@ -106,25 +113,27 @@
 		add_filling(mix, task->image,
 			    mix->spare * step->cpu_milli / capacity);
 		if (task->listed)
-			add_use(mix, task->image, task->gauge / capacity);
+			add_use(mix, task->image, get_use(task) / capacity);
 	}
 }
 
-/* The growth that all that fills would cause at full pace. */
+/* The headroom that what weighs up to @p most would use up at full pace. */
 static double get_wished(const gn_sched_t *sched, const sched_mix_t *mix,
-			 const sched_mix_serving_t *serving)
+			 const sched_mix_serving_t *serving, double most)
 {
 	double wished = 0;
 
-	for (size_t i = 0; i < mix->filling_count; i++)
-		wished += mix->filling[i].full_share *
-			  gn_disturb_weight(sched->disturb, serving->image,
-					    mix->filling[i].image);
+	for (size_t i = 0; i < mix->filling_count; i++) {
+		double weight = gn_disturb_weight(
+			sched->disturb, serving->image, mix->filling[i].image);
+
+		if (weight <= most)
+			wished += mix->filling[i].full_share * weight;
+	}
 	return wished;
 }
 
-void sched_mix_get(const gn_sched_t *sched, const sched_worker_t *worker,
-		   sched_mix_t *mix)
+void sched_mix_get(const sched_worker_t *worker, sched_mix_t *mix)
 {
 	mix->serving_count = 0;
 	mix->filling_count = 0;
@@ -132,36 +141,36 @@
 	mix->spare = get_spare(worker, 0);
 	for (guint i = 0; i < worker->claims->len; i++)
 		add_task(mix, worker, g_ptr_array_index(worker->claims, i));
-	for (size_t i = 0; i < mix->serving_count; i++) {
-		sched_mix_serving_t *serving = &mix->serving[i];
-
-		serving->added = gn_disturb_sum(sched->disturb, serving->image,
-						mix->uses, mix->use_count);
-		serving->planned = get_wished(sched, mix, serving);
-	}
 }
 
-void sched_mix_add(const gn_sched_t *sched, sched_mix_t *mix,
-		   const sched_worker_t *worker, const char *image,
-		   uint32_t cpu_milli)
+void sched_mix_add(sched_mix_t *mix, const sched_worker_t *worker,
+		   const char *image, uint32_t cpu_milli)
 {
 	add_filling(mix, image,
 		    mix->spare * cpu_milli / worker->capacity.cpu_milli);
 	mix->spare = get_spare(worker, 0);
-	for (size_t i = 0; i < mix->serving_count; i++)
-		mix->serving[i].planned =
-			get_wished(sched, mix, &mix->serving[i]);
 }
 
 /* ======   Paces   ====== */
 
-/* The pace that one serving image leaves to all that disturbs it. */
-static double get_allowed(const gn_sched_t *sched, const sched_mix_t *mix,
-			  const sched_mix_serving_t *serving)
+/* The pace that is left to more of @p image, or to what there is of it. */
+static double get_pace(const gn_sched_t *sched, const sched_mix_t *mix,
+		       const sched_mix_serving_t *serving, const char *image,
+		       double more)
 {
-	double wished = get_wished(sched, mix, serving);
+	double weight =
+		gn_disturb_weight(sched->disturb, serving->image, image);
+	/* what weighs more gives way first */
+	double wished = get_wished(sched, mix, serving, weight) + more * weight;
+	double alike = more * weight;
 
-	return wished <= serving->budget ? 1 : serving->budget / wished;
+	if (wished <= serving->budget)
+		return 1;
+	for (size_t i = 0; i < mix->filling_count; i++)
+		if (mix->filling[i].image == image)
+			alike += mix->filling[i].full_share * weight;
+	return alike > 0 ? fmax(0, (serving->budget - wished + alike) / alike)
+			 : 1;
 }
 
 double sched_mix_pace(const gn_sched_t *sched, const sched_mix_t *mix,
@@ -169,13 +178,9 @@
 {
 	double pace = 1;
 
-	for (size_t i = 0; i < mix->serving_count; i++) {
-		const sched_mix_serving_t *serving = &mix->serving[i];
-
-		if (gn_disturb_weight(sched->disturb, serving->image, image) >=
-		    LIGHT_WEIGHT)
-			pace = fmin(pace, get_allowed(sched, mix, serving));
-	}
+	for (size_t i = 0; i < mix->serving_count; i++)
+		pace = fmin(pace,
+			    get_pace(sched, mix, &mix->serving[i], image, 0));
 	return pace;
 }
 
@@ -187,16 +192,9 @@
 	double share = spare * cpu_milli / worker->capacity.cpu_milli;
 	double pace = 1;
 
-	for (size_t i = 0; i < mix->serving_count && share > 0; i++) {
-		const sched_mix_serving_t *serving = &mix->serving[i];
-		double weight = gn_disturb_weight(sched->disturb,
-						  serving->image, image);
-		double left = serving->budget -
-			      fmax(serving->added, serving->planned);
-
-		if (weight >= LIGHT_WEIGHT)
-			pace = fmin(pace, fmax(0, left / (weight * share)));
-	}
+	for (size_t i = 0; i < mix->serving_count && share > 0; i++)
+		pace = fmin(pace, get_pace(sched, mix, &mix->serving[i], image,
+					   share));
 	return fmax(spare * pace, SPEED_MIN);
 }
 
@@ -212,9 +210,10 @@
 		const sched_mix_serving_t *serving = &mix->serving[i];
 		double bound =
 			gn_disturb_bound(sched->disturb, serving->image, image);
-		double growth = serving->planned + bound * share;
+		double lost = get_wished(sched, mix, serving, INFINITY) +
+			      bound * share;
 
-		worst = fmax(worst, growth / fmax(BUDGET_MIN, serving->budget));
+		worst = fmax(worst, lost / fmax(BUDGET_MIN, serving->budget));
 	}
 	return fmin(worst, SCHED_HARM_MAX);
 }
--- a/lib/sched/sched_mix.h
+++ b/lib/sched/sched_mix.h
@@ -19,10 +19,7 @@
 /** What serves with one image. */
 typedef struct sched_mix_serving_s {
 	const char *image;
-	/** Logarithm of the factor by which every tail of it may grow. */
-	double budget;
-	double added; /**< by what fills now, the same unit */
-	double planned; /**< by all that is claimed, at full pace */
+	double budget; /**< headroom that what fills may use up */
 } sched_mix_serving_t;
 
 /** What fills with one image. */
@@ -43,10 +40,12 @@
 } sched_mix_t;
 
 /** Sums up the claims of @p worker, whose capacity is above 0. */
-void sched_mix_get(const gn_sched_t *sched, const sched_worker_t *worker,
-		   sched_mix_t *mix);
+void sched_mix_get(const sched_worker_t *worker, sched_mix_t *mix);
 
-/** The pace, 0 to 1, that what serves leaves to @p image. */
+/**
+ * The pace, 0 to 1, that what serves leaves to @p image. Of what is over a
+ * budget, that gives way first which weighs most.
+ */
 double sched_mix_pace(const gn_sched_t *sched, const sched_mix_t *mix,
 		      const char *image);
 
@@ -59,16 +58,15 @@
 		       uint32_t cpu_milli);
 
 /**
- * How much of the growth that what serves can bear one more task of @p image
- * would use up, with what fills already; 1: all, more at most SCHED_HARM_MAX.
+ * How much of the headroom that what fills may use up one more task of @p image
+ * would take, with what fills already; 1: all, more at most SCHED_HARM_MAX.
  */
 double sched_mix_harm(const gn_sched_t *sched, const sched_worker_t *worker,
 		      const sched_mix_t *mix, const char *image,
 		      uint32_t cpu_milli);
 
 /** Counts one more task as filling. */
-void sched_mix_add(const gn_sched_t *sched, sched_mix_t *mix,
-		   const sched_worker_t *worker, const char *image,
-		   uint32_t cpu_milli);
+void sched_mix_add(sched_mix_t *mix, const sched_worker_t *worker,
+		   const char *image, uint32_t cpu_milli);
 
 #endif
--- a/lib/sched/sched_pace.c
+++ b/lib/sched/sched_pace.c
@@ -12,7 +12,7 @@
 #include "sched/sched_mix.h"
 
 /** A tail over its target for this long is an emergency. */
-#define EMERGENCY_US (400 * GN_US_PER_MS)
+#define EMERGENCY_US (1500 * GN_US_PER_MS)
 /** A tail that is over it for this long without what fills is so by itself. */
 #define ALONE_US (1000 * GN_US_PER_MS)
 /** Smaller changes of a pace are not worth an order, percent. */
@@ -45,35 +45,30 @@
 
 /* ======   Learning   ====== */
 
-/* The worker's figures change about twice a second; lists come more often. */
-static bool is_new_reading(sched_worker_t *worker)
+/* Lists come more often than the worker's figures change. */
+static bool is_new_reading(const sched_task_t *task)
 {
-	uint64_t mix = 0;
-
-	for (guint i = 0; i < worker->claims->len; i++) {
-		const sched_task_t *task = g_ptr_array_index(worker->claims, i);
-
-		if (is_serving(task))
-			mix = mix * 31 + task->gauge;
-	}
-	if (mix == worker->reading)
-		return false;
-	worker->reading = mix;
-	return true;
+	return is_serving(task) && task->gauge &&
+	       task->gauge != task->gauge_before;
 }
 
-static void learn(gn_sched_t *sched, sched_worker_t *worker,
-		  const sched_mix_t *mix)
+void sched_learn_from_worker(gn_sched_t *sched, sched_worker_t *worker)
 {
-	if (!is_new_reading(worker))
+	sched_mix_t mix;
+
+	if (!worker->serving || !worker->capacity.cpu_milli)
 		return;
+	sched_mix_get(worker, &mix);
 	for (guint i = 0; i < worker->claims->len; i++) {
 		sched_task_t *task = g_ptr_array_index(worker->claims, i);
+		double target_ms = step_of(task)->target_ms;
 
-		if (is_serving(task) && task->gauge)
+		if (is_new_reading(task))
 			gn_disturb_learn(sched->disturb, task->image,
-					 task->gauge, &task->baseline,
-					 mix->uses, mix->use_count);
+					 target_ms / task->gauge,
+					 &task->job->units[task->unit].alone,
+					 mix.uses, mix.use_count,
+					 sched_now_us(sched));
 	}
 }
 
@@ -194,7 +189,7 @@
 		    !sched_worker_is_eligible(sched, worker, task->job, step) ||
 		    !gn_room_fits(&worker->capacity, &worker->used, &room))
 			continue;
-		sched_mix_get(sched, worker, &mix);
+		sched_mix_get(worker, &mix);
 		speed = sched_mix_speed(sched, worker, &mix, task->image,
 					step->cpu_milli);
 		if (speed > best)
@@ -265,12 +260,9 @@
 {
 	sched_mix_t mix;
 
-	if (!worker->serving || !worker->capacity.cpu_milli)
-		return;
-	sched_mix_get(sched, worker, &mix);
-	learn(sched, worker, &mix);
-	if (!worker->filling)
+	if (!worker->serving || !worker->filling || !worker->capacity.cpu_milli)
 		return;
+	sched_mix_get(worker, &mix);
 	set_paces(sched, worker, &mix);
 	move_slow(sched, worker, &mix);
 }
--- a/lib/sched/sched_pass.c
+++ b/lib/sched/sched_pass.c
@@ -138,7 +138,7 @@
 		if (!sched_worker_is_open(sched, worker))
 			continue;
 		if (worker->capacity.cpu_milli)
-			sched_mix_get(sched, worker, &all->mixes[all->count]);
+			sched_mix_get(worker, &all->mixes[all->count]);
 		all->workers[all->count++] = worker;
 		capacity += worker->capacity.cpu_milli;
 		used += worker->used.cpu_milli;
@@ -277,7 +277,7 @@
 	view->fill_milli += wanted->fill_milli;
 	if (!wanted->fills)
 		return;
-	sched_mix_add(sched, &all->mixes[at], all->workers[at], task->image,
+	sched_mix_add(&all->mixes[at], all->workers[at], task->image,
 		      wanted->fill_milli);
 	set_fill_view(all, at, sched, task->image, wanted->fill_milli);
 }
--- a/lib/sched/sched_worker.c
+++ b/lib/sched/sched_worker.c
@@ -262,6 +262,7 @@
 	sched_note_started(task);
 	/* stored with the job's next change */
 	sched_keep_checkpoint(task, run->checkpoint);
+	task->gauge_before = task->gauge;
 	task->gauge = run->gauge;
 }
 
@@ -419,6 +420,7 @@
 			take_end(sched, worker, report->ends[i]);
 		take_runs(sched, worker, report);
 		worker->looked = true;
+		sched_learn_from_worker(sched, worker);
 		sched_pace_worker(sched, worker);
 	}
 	if (report->left)
