Hand what is learned of pairs of images on to the next leader

What is learned is now stored beside other writes, every 2 s at most, under one key, and read with the jobs. Callers choose the images, so the pairs kept are bounded.

--- a/lib/job/job.pb-c.c
+++ b/lib/job/job.pb-c.c
@@ -232,6 +232,96 @@
   assert(message->base.descriptor == &gn__job_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gn__disturbance__init
+                     (Gn__Disturbance         *message)
+{
+  static const Gn__Disturbance init_value = GN__DISTURBANCE__INIT;
+  *message = init_value;
+}
+size_t gn__disturbance__get_packed_size
+                     (const Gn__Disturbance *message)
+{
+  assert(message->base.descriptor == &gn__disturbance__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gn__disturbance__pack
+                     (const Gn__Disturbance *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gn__disturbance__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gn__disturbance__pack_to_buffer
+                     (const Gn__Disturbance *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gn__disturbance__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gn__Disturbance *
+       gn__disturbance__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gn__Disturbance *)
+     protobuf_c_message_unpack (&gn__disturbance__descriptor,
+                                allocator, len, data);
+}
+void   gn__disturbance__free_unpacked
+                     (Gn__Disturbance *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gn__disturbance__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gn__disturbances__init
+                     (Gn__Disturbances         *message)
+{
+  static const Gn__Disturbances init_value = GN__DISTURBANCES__INIT;
+  *message = init_value;
+}
+size_t gn__disturbances__get_packed_size
+                     (const Gn__Disturbances *message)
+{
+  assert(message->base.descriptor == &gn__disturbances__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gn__disturbances__pack
+                     (const Gn__Disturbances *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gn__disturbances__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gn__disturbances__pack_to_buffer
+                     (const Gn__Disturbances *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gn__disturbances__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gn__Disturbances *
+       gn__disturbances__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gn__Disturbances *)
+     protobuf_c_message_unpack (&gn__disturbances__descriptor,
+                                allocator, len, data);
+}
+void   gn__disturbances__free_unpacked
+                     (Gn__Disturbances *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gn__disturbances__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor gn__job_step__field_descriptors[18] =
 {
   {
@@ -838,3 +928,118 @@
   (ProtobufCMessageInit) gn__job_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor gn__disturbance__field_descriptors[4] =
+{
+  {
+    "serves",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gn__Disturbance, serves),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fills",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gn__Disturbance, fills),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "weight",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Gn__Disturbance, weight),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "variance",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Gn__Disturbance, variance),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gn__disturbance__field_indices_by_name[] = {
+  1,   /* field[1] = fills */
+  0,   /* field[0] = serves */
+  3,   /* field[3] = variance */
+  2,   /* field[2] = weight */
+};
+static const ProtobufCIntRange gn__disturbance__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor gn__disturbance__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gn.Disturbance",
+  "Disturbance",
+  "Gn__Disturbance",
+  "gn",
+  sizeof(Gn__Disturbance),
+  4,
+  gn__disturbance__field_descriptors,
+  gn__disturbance__field_indices_by_name,
+  1,  gn__disturbance__number_ranges,
+  (ProtobufCMessageInit) gn__disturbance__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gn__disturbances__field_descriptors[1] =
+{
+  {
+    "pairs",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gn__Disturbances, n_pairs),
+    offsetof(Gn__Disturbances, pairs),
+    &gn__disturbance__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gn__disturbances__field_indices_by_name[] = {
+  0,   /* field[0] = pairs */
+};
+static const ProtobufCIntRange gn__disturbances__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor gn__disturbances__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gn.Disturbances",
+  "Disturbances",
+  "Gn__Disturbances",
+  "gn",
+  sizeof(Gn__Disturbances),
+  1,
+  gn__disturbances__field_descriptors,
+  gn__disturbances__field_indices_by_name,
+  1,  gn__disturbances__number_ranges,
+  (ProtobufCMessageInit) gn__disturbances__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/lib/job/job.pb-c.h
+++ b/lib/job/job.pb-c.h
@@ -20,6 +20,8 @@
 typedef struct Gn__TaskState Gn__TaskState;
 typedef struct Gn__JobState Gn__JobState;
 typedef struct Gn__JobRecord Gn__JobRecord;
+typedef struct Gn__Disturbance Gn__Disturbance;
+typedef struct Gn__Disturbances Gn__Disturbances;
 
 
 /* --- enums --- */
@@ -214,6 +216,39 @@
     , NULL, NULL }
 
 
+/*
+ * What is known of how much one image that fills disturbs one that serves.
+ */
+struct  Gn__Disturbance
+{
+  ProtobufCMessage base;
+  char *serves;
+  char *fills;
+  /*
+   * headroom lost to a whole worker's processors
+   */
+  double weight;
+  /*
+   * of the weight
+   */
+  double variance;
+};
+#define GN__DISTURBANCE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gn__disturbance__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+
+
+struct  Gn__Disturbances
+{
+  ProtobufCMessage base;
+  size_t n_pairs;
+  Gn__Disturbance **pairs;
+};
+#define GN__DISTURBANCES__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gn__disturbances__descriptor) \
+    , 0,NULL }
+
+
 /* Gn__JobStep methods */
 void   gn__job_step__init
                      (Gn__JobStep         *message);
@@ -309,6 +344,44 @@
 void   gn__job_record__free_unpacked
                      (Gn__JobRecord *message,
                       ProtobufCAllocator *allocator);
+/* Gn__Disturbance methods */
+void   gn__disturbance__init
+                     (Gn__Disturbance         *message);
+size_t gn__disturbance__get_packed_size
+                     (const Gn__Disturbance   *message);
+size_t gn__disturbance__pack
+                     (const Gn__Disturbance   *message,
+                      uint8_t             *out);
+size_t gn__disturbance__pack_to_buffer
+                     (const Gn__Disturbance   *message,
+                      ProtobufCBuffer     *buffer);
+Gn__Disturbance *
+       gn__disturbance__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gn__disturbance__free_unpacked
+                     (Gn__Disturbance *message,
+                      ProtobufCAllocator *allocator);
+/* Gn__Disturbances methods */
+void   gn__disturbances__init
+                     (Gn__Disturbances         *message);
+size_t gn__disturbances__get_packed_size
+                     (const Gn__Disturbances   *message);
+size_t gn__disturbances__pack
+                     (const Gn__Disturbances   *message,
+                      uint8_t             *out);
+size_t gn__disturbances__pack_to_buffer
+                     (const Gn__Disturbances   *message,
+                      ProtobufCBuffer     *buffer);
+Gn__Disturbances *
+       gn__disturbances__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gn__disturbances__free_unpacked
+                     (Gn__Disturbances *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Gn__JobStep_Closure)
@@ -326,6 +399,12 @@
 typedef void (*Gn__JobRecord_Closure)
                  (const Gn__JobRecord *message,
                   void *closure_data);
+typedef void (*Gn__Disturbance_Closure)
+                 (const Gn__Disturbance *message,
+                  void *closure_data);
+typedef void (*Gn__Disturbances_Closure)
+                 (const Gn__Disturbances *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -337,6 +416,8 @@
 extern const ProtobufCMessageDescriptor gn__task_state__descriptor;
 extern const ProtobufCMessageDescriptor gn__job_state__descriptor;
 extern const ProtobufCMessageDescriptor gn__job_record__descriptor;
+extern const ProtobufCMessageDescriptor gn__disturbance__descriptor;
+extern const ProtobufCMessageDescriptor gn__disturbances__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/lib/ledger/ledger.c
+++ b/lib/ledger/ledger.c
@@ -85,7 +85,10 @@
 
 static void add_write(rows_t *rows, const gn_sched_write_t *write)
 {
-	if (write->remove) {
+	if (write->learned) {
+		add_put(rows, GN_LEDGER_LEARNED_KEY, write->job, write->value,
+			write->len);
+	} else if (write->remove) {
 		rows->removes[rows->remove_count++] =
 			get_key(rows, GN_LEDGER_SPEC_PREFIX, write->job);
 		rows->removes[rows->remove_count++] =
--- a/lib/ledger/ledger.h
+++ b/lib/ledger/ledger.h
@@ -22,6 +22,8 @@
 /** Keys of a job: what was handed in, and what has become of it. */
 #define GN_LEDGER_SPEC_PREFIX "gn/jobs/"
 #define GN_LEDGER_STATE_PREFIX "gn/states/"
+/** Key of what has been learned of pairs of images. */
+#define GN_LEDGER_LEARNED_KEY "gn/learned"
 
 typedef struct gn_ledger_s gn_ledger_t;
 
--- a/lib/sched/disturb.c
+++ b/lib/sched/disturb.c
@@ -2,8 +2,11 @@
 
 #include <glib.h>
 #include <math.h>
+#include <stdbool.h>
+#include <stdlib.h>
 
 #include "common/clock.h"
+#include "job/job.pb-c.h"
 
 /** Variance of a reading of the headroom. */
 #define READING_VARIANCE 0.05
@@ -20,6 +23,10 @@
 #define SURPRISE 3.0
 /** A surprise makes its pairs this much less certain. */
 #define SURPRISE_FACTOR 2.0
+/** Added to the variance of what a predecessor knew: time has passed. */
+#define VARIANCE_HANDED_ON 0.2
+/** Pairs that are kept; callers choose the images. */
+#define PAIRS_MAX 4096
 /** The largest weight. */
 #define WEIGHT_MAX 40.0
 /** Uses of a smaller share teach nothing. */
@@ -33,6 +40,7 @@
 
 struct gn_disturb_s {
 	GHashTable *serves; /**< image to a table of image to pair_t */
+	size_t count; /**< of all pairs */
 };
 
 static void free_table(gpointer table)
@@ -69,9 +77,15 @@
 static pair_t *create(gn_disturb_t *disturb, const char *serves,
 		      const char *fills)
 {
-	GHashTable *table = g_hash_table_lookup(disturb->serves, serves);
+	GHashTable *table;
 	pair_t *pair = g_new(pair_t, 1);
 
+	/* rather learns anew than grows without bound */
+	if (disturb->count == PAIRS_MAX) {
+		g_hash_table_remove_all(disturb->serves);
+		disturb->count = 0;
+	}
+	table = g_hash_table_lookup(disturb->serves, serves);
 	if (!table) {
 		table = g_hash_table_new_full(g_direct_hash, g_direct_equal,
 					      NULL, g_free);
@@ -80,6 +94,7 @@
 	pair->weight = WEIGHT_NEW;
 	pair->variance = VARIANCE_NEW;
 	g_hash_table_insert(table, (gpointer)fills, pair);
+	disturb->count++;
 	return pair;
 }
 
@@ -184,3 +199,81 @@
 			correct(get(disturb, serves, uses[i].image),
 				uses[i].share, error, variance);
 }
+
+/* ======   Handing on   ====== */
+
+static void add_rows(Gn__Disturbances *all, const char *serves,
+		     GHashTable *table)
+{
+	GHashTableIter iter;
+	gpointer fills;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, table);
+	while (g_hash_table_iter_next(&iter, &fills, &value)) {
+		const pair_t *pair = value;
+		Gn__Disturbance *row = g_new(Gn__Disturbance, 1);
+
+		gn__disturbance__init(row);
+		row->serves = (char *)serves;
+		row->fills = fills;
+		row->weight = pair->weight;
+		row->variance = pair->variance;
+		all->pairs[all->n_pairs++] = row;
+	}
+}
+
+uint8_t *gn_disturb_pack(const gn_disturb_t *disturb, size_t *len)
+{
+	Gn__Disturbances all = GN__DISTURBANCES__INIT;
+	GHashTableIter iter;
+	gpointer serves;
+	gpointer table;
+	uint8_t *data;
+
+	all.pairs = g_new(Gn__Disturbance *, disturb->count + 1);
+	g_hash_table_iter_init(&iter, disturb->serves);
+	while (g_hash_table_iter_next(&iter, &serves, &table))
+		add_rows(&all, serves, table);
+	*len = gn__disturbances__get_packed_size(&all);
+	data = malloc(*len + 1);
+	if (!data)
+		abort(); /* as GLib does when memory is short */
+	gn__disturbances__pack(&all, data);
+	for (size_t i = 0; i < all.n_pairs; i++)
+		g_free(all.pairs[i]);
+	g_free(all.pairs);
+	return data;
+}
+
+static bool is_sound(const Gn__Disturbance *row)
+{
+	return row->weight >= 0 && row->weight <= WEIGHT_MAX &&
+	       row->variance >= 0 && row->variance <= VARIANCE_NEW;
+}
+
+gn_code_t gn_disturb_unpack(gn_disturb_t *disturb, const uint8_t *data,
+			    size_t len)
+{
+	Gn__Disturbances *all = gn__disturbances__unpack(NULL, len, data);
+	gn_code_t code = GN_OK;
+
+	if (!all)
+		return GN_ERR_INVALID;
+	for (size_t i = 0; i < all->n_pairs && i < PAIRS_MAX; i++) {
+		const Gn__Disturbance *row = all->pairs[i];
+		pair_t *pair;
+
+		if (!is_sound(row)) {
+			code = GN_ERR_INVALID;
+			break;
+		}
+		pair = get(disturb, g_intern_string(row->serves),
+			   g_intern_string(row->fills));
+		pair->weight = row->weight;
+		pair->variance =
+			fmin(VARIANCE_NEW, row->variance + VARIANCE_HANDED_ON);
+	}
+	gn__disturbances__free_unpacked(all, NULL);
+	return code;
+}
--- a/lib/sched/disturb.h
+++ b/lib/sched/disturb.h
@@ -24,6 +24,8 @@
 #include <stdint.h>
 #include <talloc.h>
 
+#include "gypsumnotch.h"
+
 typedef struct gn_disturb_s gn_disturb_t;
 
 /** What fills on a worker, summed over tasks of one image. */
@@ -67,4 +69,14 @@
 		      double headroom, gn_headroom_t *alone,
 		      const gn_fill_use_t *uses, size_t count, uint64_t now_us);
 
+/** Packs what is known of all pairs, for a successor; free(). */
+uint8_t *gn_disturb_pack(const gn_disturb_t *disturb, size_t *len);
+
+/**
+ * Takes what a predecessor knew.
+ * @return GN_OK, or GN_ERR_INVALID: malformed; nothing or a part was taken
+ */
+gn_code_t gn_disturb_unpack(gn_disturb_t *disturb, const uint8_t *data,
+			    size_t len);
+
 #endif
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -171,7 +171,11 @@
 	const char *job; /**< its id; lives until the batch ends */
 	bool remove; /**< the job is to be forgotten */
 	bool whole; /**< with its spec: the first write of a job */
-	uint8_t *value; /**< packed JobState, or JobRecord if whole; free() */
+	/** Of no job: what has been learned of pairs of images. */
+	bool learned;
+	/** Packed JobState, JobRecord if whole, Disturbances if learned;
+	 * free(). */
+	uint8_t *value;
 	size_t len;
 } gn_sched_write_t;
 
@@ -200,6 +204,13 @@
 gn_code_t gn_sched_load(gn_sched_t *sched, Gn__JobSpec *spec,
 			const Gn__JobState *state);
 
+/**
+ * Takes what a predecessor has learned of pairs of images.
+ * @return GN_OK, or GN_ERR_INVALID
+ */
+gn_code_t gn_sched_load_learned(gn_sched_t *sched, const uint8_t *data,
+				size_t len);
+
 /** All jobs are loaded: claims are binding from now on. */
 void gn_sched_loaded(gn_sched_t *sched);
 
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -166,6 +166,8 @@
 	size_t claims;
 	bool changed; /**< something that placing depends on */
 	uint64_t pass_due_us; /**< no pass before */
+	bool learned; /**< from tails, since that was last stored */
+	uint64_t learned_due_us; /**< not stored before */
 };
 
 uint64_t sched_now_us(const gn_sched_t *sched);
--- a/lib/sched/sched_pace.c
+++ b/lib/sched/sched_pace.c
@@ -63,12 +63,13 @@
 		sched_task_t *task = g_ptr_array_index(worker->claims, i);
 		double target_ms = step_of(task)->target_ms;
 
-		if (is_new_reading(task))
-			gn_disturb_learn(sched->disturb, task->image,
-					 target_ms / task->gauge,
-					 &task->job->units[task->unit].alone,
-					 mix.uses, mix.use_count,
-					 sched_now_us(sched));
+		if (!is_new_reading(task))
+			continue;
+		sched->learned = true;
+		gn_disturb_learn(sched->disturb, task->image,
+				 target_ms / task->gauge,
+				 &task->job->units[task->unit].alone, mix.uses,
+				 mix.use_count, sched_now_us(sched));
 	}
 }
 
--- a/lib/sched/sched_store.c
+++ b/lib/sched/sched_store.c
@@ -8,6 +8,9 @@
 #include "common/str.h"
 #include "sched/sched_internal.h"
 
+/** What is learned is stored this often, beside other writes. */
+#define LEARNED_US (2000 * GN_US_PER_MS)
+
 /* ======   Encoding   ====== */
 
 static char empty_text[] = "";
@@ -73,6 +76,16 @@
 	return !g_queue_is_empty((GQueue *)&sched->dirty);
 }
 
+static void take_learned(gn_sched_t *sched, gn_sched_write_t *write)
+{
+	memset(write, 0, sizeof(*write));
+	write->job = empty_text;
+	write->learned = true;
+	write->value = gn_disturb_pack(sched->disturb, &write->len);
+	sched->learned = false;
+	sched->learned_due_us = sched_now_us(sched) + LEARNED_US;
+}
+
 size_t gn_sched_take_writes(gn_sched_t *sched, gn_sched_write_t *writes,
 			    size_t max)
 {
@@ -92,6 +105,10 @@
 			pack(job, write);
 		g_ptr_array_add(sched->writing, job);
 	}
+	/* nothing hangs on it, so it waits for a batch with room */
+	if (sched->learned && count < max &&
+	    sched_now_us(sched) >= sched->learned_due_us)
+		take_learned(sched, &writes[count++]);
 	return count;
 }
 
@@ -207,6 +224,12 @@
 	return GN_OK;
 }
 
+gn_code_t gn_sched_load_learned(gn_sched_t *sched, const uint8_t *data,
+				size_t len)
+{
+	return gn_disturb_unpack(sched->disturb, data, len);
+}
+
 /* No executor is extending a lease that was given by a predecessor. */
 static void set_lapse(const gn_sched_t *sched, sched_worker_t *worker)
 {
--- a/lib/scheduler/leading.c
+++ b/lib/scheduler/leading.c
@@ -15,13 +15,21 @@
 /** Longest pause after a failed read of the jobs. */
 #define BACKOFF_US (200 * GN_US_PER_MS)
 
+/** What is listed, in this order. */
+typedef enum load_stage_e {
+	LOAD_SPECS = 0,
+	LOAD_STATES,
+	LOAD_LEARNED,
+	LOAD_STAGES
+} load_stage_t;
+
 /** What has been read of the store's jobs. */
 typedef struct scheduler_loading_s {
 	scheduler_t *scheduler;
 	uint64_t began_us;
 	GHashTable *states; /**< id to Gn__JobState */
 	GHashTable *specs; /**< id to Gn__JobSpec */
-	bool specs_listed; /**< the specs are all there, states come next */
+	load_stage_t stage;
 	char *after; /**< last key of the page before */
 	gn_kv_call_t call;
 	uint64_t due_us; /**< of the next attempt */
@@ -123,32 +131,45 @@
 	return 0;
 }
 
-static const char *get_prefix(const scheduler_loading_t *loading)
-{
-	return loading->specs_listed ? GN_LEDGER_STATE_PREFIX
-				     : GN_LEDGER_SPEC_PREFIX;
-}
+static const char *const prefixes[LOAD_STAGES] = {
+	[LOAD_SPECS] = GN_LEDGER_SPEC_PREFIX,
+	[LOAD_STATES] = GN_LEDGER_STATE_PREFIX,
+	[LOAD_LEARNED] = GN_LEDGER_LEARNED_KEY,
+};
 
-static void keep_entry(scheduler_loading_t *loading, const gn_kv_entry_t *entry)
+static void keep_job(scheduler_loading_t *loading, const gn_kv_entry_t *entry)
 {
-	size_t skip = strlen(get_prefix(loading));
+	bool is_spec = loading->stage == LOAD_SPECS;
+	size_t skip = strlen(prefixes[loading->stage]);
 	char *id = g_strndup(entry->key.data + skip, entry->key.len - skip);
 	const uint8_t *data = (const uint8_t *)entry->value.data;
 	gpointer value;
 
-	if (loading->specs_listed)
-		value = gn__job_state__unpack(NULL, entry->value.len, data);
-	else
+	if (is_spec)
 		value = gn__job_spec__unpack(NULL, entry->value.len, data);
+	else
+		value = gn__job_state__unpack(NULL, entry->value.len, data);
 	if (!value) {
 		gn_event("job unreadable", "{s:s, s:s}", "job", id, "why",
 			 "its value in the store is malformed");
 		g_free(id);
 		return;
 	}
-	g_hash_table_insert(loading->specs_listed ? loading->states
-						  : loading->specs,
-			    id, value);
+	g_hash_table_insert(is_spec ? loading->specs : loading->states, id,
+			    value);
+}
+
+static void keep_entry(scheduler_loading_t *loading, const gn_kv_entry_t *entry)
+{
+	const uint8_t *data = (const uint8_t *)entry->value.data;
+
+	if (loading->stage != LOAD_LEARNED)
+		keep_job(loading, entry);
+	else if (gn_sched_load_learned(loading->scheduler->sched, data,
+				       entry->value.len))
+		gn_event("learned unreadable", "{s:s, s:s}", "key",
+			 GN_LEDGER_LEARNED_KEY, "why",
+			 "its value in the store is malformed");
 }
 
 static void load_job(scheduler_loading_t *loading, const char *id,
@@ -229,8 +250,7 @@
 
 		loading->after = g_strndup(last.data, last.len);
 		request_page(loading);
-	} else if (!loading->specs_listed) {
-		loading->specs_listed = true;
+	} else if (++loading->stage < LOAD_STAGES) {
 		request_page(loading);
 	} else {
 		finish_loading(loading);
@@ -240,7 +260,7 @@
 static void request_page(scheduler_loading_t *loading)
 {
 	loading->call = gn_kv_list_after(
-		loading->scheduler->kv, gn_str_from(get_prefix(loading)),
+		loading->scheduler->kv, gn_str_from(prefixes[loading->stage]),
 		gn_str_from(loading->after), take_page, loading);
 }
 
--- a/tests/support/sched_rig.c
+++ b/tests/support/sched_rig.c
@@ -232,8 +232,8 @@
 	gn_sched_report(rig->sched, &report);
 }
 
-void rig_report_run(sched_rig_t *rig, const char *host, const char *life,
-		    const char *task, uint32_t attempt)
+void rig_report_tail(sched_rig_t *rig, const char *host, const char *life,
+		     const char *task, uint32_t attempt, uint32_t tail_ms)
 {
 	Gn__WorkerReport report;
 	Gn__WorkerRun run = GN__WORKER_RUN__INIT;
@@ -243,11 +243,18 @@
 	run.task = (char *)task;
 	run.attempt = attempt;
 	run.checkpoint = empty;
+	run.gauge = tail_ms;
 	report.runs = runs;
 	report.n_runs = 1;
 	gn_sched_report(rig->sched, &report);
 }
 
+void rig_report_run(sched_rig_t *rig, const char *host, const char *life,
+		    const char *task, uint32_t attempt)
+{
+	rig_report_tail(rig, host, life, task, attempt, 0);
+}
+
 uint64_t rig_report_end(sched_rig_t *rig, const char *host, const char *life,
 			const char *task, uint32_t attempt, gn_end_how_t how)
 {
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -80,6 +80,9 @@
 /** A report whose list shows @p task as running. */
 void rig_report_run(sched_rig_t *rig, const char *host, const char *life,
 		    const char *task, uint32_t attempt);
+/** The same, of a task that serves with this tail. */
+void rig_report_tail(sched_rig_t *rig, const char *host, const char *life,
+		     const char *task, uint32_t attempt, uint32_t tail_ms);
 /** A report whose list shows one more end. */
 uint64_t rig_report_end(sched_rig_t *rig, const char *host, const char *life,
 			const char *task, uint32_t attempt, gn_end_how_t how);
--- a/tests/unit/test_disturb.c
+++ b/tests/unit/test_disturb.c
@@ -1,8 +1,10 @@
 #include <glib.h>
 #include <math.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "common/clock.h"
+#include "job/job.pb-c.h"
 #include "sched/disturb.h"
 
 /** A serving task's headroom without load, and readings of it. */
@@ -134,6 +136,78 @@
 	talloc_free(rig.disturb);
 }
 
+/* A successor goes on with what was learned. */
+static void test_handed_on(void)
+{
+	const gn_fill_use_t use = { g_intern_string("f"), 0.3 };
+	gn_disturb_t *successor = gn_disturb_create(NULL);
+	uint8_t *data;
+	size_t len;
+	rig_t rig;
+
+	open_rig(&rig);
+	for (int i = 0; i < READINGS; i++)
+		learn(&rig, i % 2 ? 1.0 : 3.0, &use, (size_t)i % 2);
+	data = gn_disturb_pack(rig.disturb, &len);
+	g_assert_cmpint(gn_disturb_unpack(successor, data, len), ==, GN_OK);
+	g_assert_cmpfloat(
+		gn_disturb_weight(successor, rig.serves, use.image), ==,
+		gn_disturb_weight(rig.disturb, rig.serves, use.image));
+	g_assert_cmpfloat(gn_disturb_weight(successor, rig.serves, use.image),
+			  >, 4.0);
+	free(data);
+	talloc_free(successor);
+	talloc_free(rig.disturb);
+}
+
+static void test_malformed_is_refused(void)
+{
+	gn_disturb_t *disturb = gn_disturb_create(NULL);
+	Gn__Disturbance row = GN__DISTURBANCE__INIT;
+	Gn__Disturbance *rows[] = { &row };
+	Gn__Disturbances all = GN__DISTURBANCES__INIT;
+	const double weights[] = { -1.0, 1e9, NAN };
+	uint8_t data[64];
+
+	g_assert_cmpint(gn_disturb_unpack(disturb, (const uint8_t *)"\xff", 1),
+			==, GN_ERR_INVALID);
+	row.serves = (char *)"s";
+	row.fills = (char *)"f";
+	all.pairs = rows;
+	all.n_pairs = 1;
+	for (size_t i = 0; i < G_N_ELEMENTS(weights); i++) {
+		row.weight = weights[i];
+		g_assert_cmpuint(gn__disturbances__get_packed_size(&all), <,
+				 sizeof(data));
+		g_assert_cmpint(
+			gn_disturb_unpack(disturb, data,
+					  gn__disturbances__pack(&all, data)),
+			==, GN_ERR_INVALID);
+	}
+	talloc_free(disturb);
+}
+
+/* Callers choose the images: what is kept of them is bounded. */
+static void test_is_bounded(void)
+{
+	gn_disturb_t *disturb = gn_disturb_create(NULL);
+	gn_headroom_t alone = { 0 };
+	size_t len;
+
+	for (unsigned i = 0; i < 10000; i++) {
+		char name[16];
+		gn_fill_use_t use = { NULL, 0.5 };
+
+		g_snprintf(name, sizeof(name), "image %u", i);
+		use.image = g_intern_string(name);
+		gn_disturb_learn(disturb, "s", 1.0 + i % 2, &alone, &use, 1,
+				 GN_US_PER_S * (i + 1));
+	}
+	free(gn_disturb_pack(disturb, &len));
+	g_assert_cmpuint(len, <, 1024 * 1024);
+	talloc_free(disturb);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -143,5 +217,9 @@
 			test_tasks_of_a_step_share_their_load);
 	g_test_add_func("/disturb/pairs_are_apart", test_pairs_are_apart);
 	g_test_add_func("/disturb/forgives", test_forgives);
+	g_test_add_func("/disturb/handed_on", test_handed_on);
+	g_test_add_func("/disturb/malformed_is_refused",
+			test_malformed_is_refused);
+	g_test_add_func("/disturb/is_bounded", test_is_bounded);
 	return g_test_run();
 }
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -643,6 +643,38 @@
 	rig_close(&rig);
 }
 
+/* What was learned is stored beside other writes, for a successor. */
+static void test_what_is_learned_is_stored(void)
+{
+	const rig_step_t serves = { .count = 1,
+				    .cpu_milli = 500,
+				    .flags = RIG_STANDING,
+				    .target_ms = 40,
+				    .image = "s" };
+	gn_sched_write_t writes[4];
+	sched_rig_t rig;
+	sched_rig_t successor;
+	size_t count;
+
+	open_running(&rig, &serves);
+	rig_report_tail(&rig, "a", "1", TASK, 1, 20);
+	rig_report_tail(&rig, "a", "1", TASK, 1, 30);
+	rig_submit(&rig, OTHER, "batch", &one_task, 1);
+	gn_sched_pass(rig.sched);
+	count = gn_sched_take_writes(rig.sched, writes, 4);
+	g_assert_cmpuint(count, ==, 2);
+	g_assert_true(writes[1].learned);
+	rig_open(&successor);
+	g_assert_cmpint(gn_sched_load_learned(successor.sched, writes[1].value,
+					      writes[1].len),
+			==, GN_OK);
+	for (size_t i = 0; i < count; i++)
+		free(writes[i].value);
+	gn_sched_written(rig.sched);
+	rig_close(&rig);
+	rig_close(&successor);
+}
+
 int main(int argc, char **argv)
 {
 	static const struct {
@@ -709,5 +741,7 @@
 
 		g_test_add_func(path, tests[i].run);
 	}
+	g_test_add_func("/sched/what_is_learned_is_stored",
+			test_what_is_learned_is_stored);
 	return g_test_run();
 }
