Refuse requests whose length is ambiguous; let long bodies see their 413

Cause: two Content-Length headers, or one beside Transfer-Encoding, were taken as a request, and what followed as a second (2 handled in place of 1), which lets a caller smuggle one past a proxy that reads them otherwise. A body over the limit was answered before it was read, so that its sender got a reset.

--- a/lib/http/exchange.c
+++ b/lib/http/exchange.c
@@ -6,11 +6,17 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 #include "http/server_internal.h"
 
 /** First allocation for a body of unknown length, bytes. */
 #define BODY_FIRST_SIZE 1024
+/**
+ * A body of up to this many times what is taken is read and dropped, so that
+ * its sender sees the answer; a longer one is cut off with a reset.
+ */
+#define DROP_FACTOR 64
 
 static const char *const method_names[GN_HTTP_METHOD_COUNT] = {
 	[GN_HTTP_GET] = MHD_HTTP_METHOD_GET,
@@ -49,14 +55,57 @@
 	return value ? strdup(value) : NULL;
 }
 
-static bool is_body_too_long(http_exchange_t *exchange)
+/* What a request says of the length of its body. */
+typedef struct framing_s {
+	unsigned lengths;
+	unsigned encodings;
+	bool unknown; /* a length or an encoding that can't be read */
+	unsigned long long length;
+} framing_t;
+
+static void take_length(framing_t *framing, const char *value)
 {
-	const char *length = MHD_lookup_connection_value(
-		exchange->connection, MHD_HEADER_KIND,
-		MHD_HTTP_HEADER_CONTENT_LENGTH);
+	char *end;
 
-	return length &&
-	       strtoull(length, NULL, 10) > exchange->thread->body_max;
+	framing->lengths++;
+	framing->length = strtoull(value, &end, 10);
+	framing->unknown |= *value < '0' || *value > '9' || *end;
+}
+
+static enum MHD_Result take_header(void *cls, enum MHD_ValueKind kind,
+				   const char *name, const char *value)
+{
+	framing_t *framing = cls;
+
+	(void)kind;
+	if (!value)
+		value = "";
+	if (!strcasecmp(name, MHD_HTTP_HEADER_CONTENT_LENGTH)) {
+		take_length(framing, value);
+	} else if (!strcasecmp(name, MHD_HTTP_HEADER_TRANSFER_ENCODING)) {
+		framing->encodings++;
+		framing->unknown |= strcasecmp(value, "chunked") != 0;
+	}
+	return MHD_YES;
+}
+
+/*
+ * Where a request ends must be beyond doubt, or a proxy before this server
+ * may take a part of it for another request.
+ */
+static unsigned check_framing(http_exchange_t *exchange)
+{
+	framing_t framing = { 0 };
+
+	MHD_get_connection_values(exchange->connection, MHD_HEADER_KIND,
+				  take_header, &framing);
+	if (framing.unknown || framing.lengths + framing.encodings > 1)
+		return MHD_HTTP_BAD_REQUEST;
+	if (framing.length <= exchange->thread->body_max)
+		return 0;
+	exchange->dropping =
+		framing.length / DROP_FACTOR <= exchange->thread->body_max;
+	return MHD_HTTP_CONTENT_TOO_LARGE;
 }
 
 static http_exchange_t *exchange_create(http_thread_t *thread,
@@ -83,8 +132,8 @@
 				   gn_header_name((gn_header_t)i));
 	if (!parse_method(method, &exchange->request.method))
 		exchange->refused = MHD_HTTP_METHOD_NOT_ALLOWED;
-	else if (is_body_too_long(exchange))
-		exchange->refused = MHD_HTTP_CONTENT_TOO_LARGE;
+	else
+		exchange->refused = check_framing(exchange);
 	return exchange;
 }
 
@@ -208,8 +257,9 @@
 		*context = exchange;
 		if (!exchange)
 			return MHD_NO;
-		http_connection_note(cls, connection, exchange->refused != 0);
-		if (!exchange->refused)
+		http_connection_note(cls, connection,
+				     exchange->refused && !exchange->dropping);
+		if (!exchange->refused || exchange->dropping)
 			return MHD_YES;
 		refuse(exchange);
 		return send_answer(exchange);
--- a/lib/http/server_internal.h
+++ b/lib/http/server_internal.h
@@ -24,6 +24,7 @@
 	size_t body_size; /**< allocated, bytes */
 	uint64_t started_us;
 	unsigned refused; /**< status to refuse with, or 0 */
+	bool dropping; /**< refused, once its body has been read */
 	bool handed_over; /**< to the control thread, once */
 } http_exchange_t;
 
