A stopping scheduler takes no requests that it could not answer

Cause, from the code: after lame duck and linger it ended once no request was pending, and still took what came on open connections, each of which waits for the leader for up to 1.5 s; while requests keep coming there is no such moment. Now it refuses them from then on, "stopping", with when to come back; nothing is handed on, so the refusal is true.

--- a/lib/scheduler/calls.c
+++ b/lib/scheduler/calls.c
@@ -8,9 +8,8 @@
 #include "common/str.h"
 #include "http/status.h"
 #include "scheduler/scheduler_internal.h"
+#include "scheduler/stop.h"
 
-/** A request that was handed on is given up after this long. */
-#define HANDED_ON_US (1500 * GN_US_PER_MS)
 /** A change that the store has not taken after this long is unknown. */
 #define STORE_US (1800 * GN_US_PER_MS)
 /** When a caller may come back while no scheduler leads, seconds. */
@@ -258,6 +257,16 @@
 			      "no leader");
 }
 
+/* Whether it is to be gone before an answer of the leader would come. */
+static bool is_closing(const scheduler_t *scheduler)
+{
+	const gn_runtime_t *runtime = scheduler->runtime;
+
+	return runtime->stopping &&
+	       !scheduler_stop_takes_requests(now_us(scheduler) -
+					      runtime->stop_us);
+}
+
 void scheduler_on_http(void *arg, gn_http_request_t *request)
 {
 	scheduler_t *scheduler = arg;
@@ -270,6 +279,10 @@
 		       "no configuration yet");
 		return;
 	}
+	if (is_closing(scheduler)) {
+		refuse(scheduler, request, GN_RESULT_NOT_LEADER, "stopping");
+		return;
+	}
 	code = scheduler->adapter->read_call(request, scheduler->queues, &call,
 					     &error);
 	if (code == GN_ERR_NOT_FOUND)
@@ -369,7 +382,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		scheduler_call_t *call = value;
 
-		if (now_us(scheduler) - call->began_us < HANDED_ON_US)
+		if (now_us(scheduler) - call->began_us < SCHEDULER_HANDED_ON_US)
 			continue;
 		g_hash_table_iter_steal(&iter);
 		g_ptr_array_add(over, call);
--- a/lib/scheduler/scheduler.c
+++ b/lib/scheduler/scheduler.c
@@ -5,6 +5,7 @@
 #include "common/event.h"
 #include "daemon/metrics.h"
 #include "scheduler/scheduler_internal.h"
+#include "scheduler/stop.h"
 
 /** Deadlines and watches are kept to this step, milliseconds. */
 #define TICK_MS 10
@@ -23,10 +24,6 @@
 #define HANDICAP_MS 150
 /** A stopping scheduler hands leadership over after this long at most. */
 #define HANDOVER_US (400 * GN_US_PER_MS)
-/** It takes new connections until the balancer has seen that it stops. */
-#define LAME_DUCK_US (2600 * GN_US_PER_MS)
-/** Then it answers what comes on open connections for this long. */
-#define LINGER_US (1200 * GN_US_PER_MS)
 
 /* ======   Start   ====== */
 
@@ -254,7 +251,7 @@
 		scheduler_leading_close(scheduler);
 		gn_lead_resign(scheduler->lead);
 	}
-	if (!scheduler->quiesced && since_us > LAME_DUCK_US) {
+	if (!scheduler->quiesced && scheduler_stop_is_quiet(since_us)) {
 		scheduler->quiesced = true;
 		gn_http_server_quiesce(scheduler->server);
 	}
@@ -291,8 +288,9 @@
 	uint64_t since_us = gn_runtime_now_us(scheduler->runtime) -
 			    scheduler->runtime->stop_us;
 
-	return scheduler->quiesced && since_us > LAME_DUCK_US + LINGER_US &&
-	       !gn_http_server_pending(scheduler->server);
+	return scheduler->quiesced &&
+	       scheduler_stop_is_over(
+		       since_us, gn_http_server_pending(scheduler->server));
 }
 
 const gn_role_ops_t gn_scheduler_role = {
