Log the age of the list that a decision rests on, and why paces are set

A line named the decision and its outcome, but for the decisions on a worker not how old the figures were that it rests on. Tested without a network by the age that a claim's event tells.

--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -16,16 +16,17 @@
 		     const sched_task_t *task, const char *why, int64_t value)
 {
 	char name[GN_TASK_NAME_SIZE];
-	const gn_sched_event_t event = { .what = what,
-					 .job = task->job->spec->id,
-					 .task = name,
-					 .attempt = task->attempt,
-					 .host = task->worker
-							 ? task->worker->host
-							 : NULL,
-					 .life = task->life,
-					 .why = why,
-					 .value = value };
+	const gn_sched_event_t event = {
+		.what = what,
+		.job = task->job->spec->id,
+		.task = name,
+		.attempt = task->attempt,
+		.host = task->worker ? task->worker->host : NULL,
+		.life = task->life,
+		.why = why,
+		.value = value,
+		.list_age_ms = sched_list_age_ms(sched, task->worker)
+	};
 
 	gn_task_name(task->job->spec, task->number, name);
 	sched->ops->event(sched->arg, &event);
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -47,6 +47,8 @@
 	const char *life;
 	const char *why;
 	int64_t value; /**< its meaning goes with what */
+	/** Of the worker's list that was known, ms; below 0: there was none. */
+	int64_t list_age_ms;
 } gn_sched_event_t;
 
 /** What the scheduler asks of its surroundings. */
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -270,6 +270,9 @@
 /** Whether its worker gave a list lately. */
 bool sched_worker_has_list(const gn_sched_t *sched,
 			   const sched_worker_t *worker);
+/** Age of the worker's last list, ms; below 0: none, or no worker. */
+int64_t sched_list_age_ms(const gn_sched_t *sched,
+			  const sched_worker_t *worker);
 /** Whether it may be given any tasks. */
 bool sched_worker_is_open(const gn_sched_t *sched,
 			  const sched_worker_t *worker);
--- a/lib/sched/sched_job.c
+++ b/lib/sched/sched_job.c
@@ -241,7 +241,8 @@
 	const gn_sched_event_t event = { .what = gn_job_phase_name(phase),
 					 .job = job->spec->id,
 					 .why = why,
-					 .value = (int64_t)job->done };
+					 .value = (int64_t)job->done,
+					 .list_age_ms = -1 };
 
 	job->phase = phase;
 	job->finished_us = sched_now_us(job->sched);
--- a/lib/sched/sched_pace.c
+++ b/lib/sched/sched_pace.c
@@ -123,7 +123,8 @@
 
 /* ======   Paces   ====== */
 
-static void set_pace(gn_sched_t *sched, sched_task_t *task, uint32_t percent)
+static void set_pace(gn_sched_t *sched, sched_task_t *task, uint32_t percent,
+		     const char *why)
 {
 	char name[GN_TASK_NAME_SIZE];
 	const gn_run_order_t order = { .kind = GN_RUN_ORDER_PACE,
@@ -136,7 +137,7 @@
 
 	gn_task_name(task->job->spec, task->number, name);
 	task->percent = percent;
-	sched_note_task(sched, "pace", task, NULL, percent);
+	sched_note_task(sched, "pace", task, why, percent);
 	sched->ops->order(sched->arg, task->worker->host, &order);
 }
 
@@ -162,7 +163,9 @@
 		if (!emergency)
 			wanted = (uint32_t)(PACE_FULL * row->pace);
 		if (is_worth_an_order(row->task->percent, wanted))
-			set_pace(sched, row->task, wanted);
+			set_pace(sched, row->task, wanted,
+				 emergency ? "a tail stays over its target"
+					   : "headroom");
 	}
 }
 
--- a/lib/sched/sched_worker.c
+++ b/lib/sched/sched_worker.c
@@ -63,6 +63,14 @@
 	       sched_now_us(sched) - worker->listed_us < SCHED_SILENT_US;
 }
 
+int64_t sched_list_age_ms(const gn_sched_t *sched, const sched_worker_t *worker)
+{
+	if (!worker || !worker->listed_us)
+		return -1;
+	return (int64_t)((sched_now_us(sched) - worker->listed_us) /
+			 GN_US_PER_MS);
+}
+
 bool sched_worker_is_open(const gn_sched_t *sched, const sched_worker_t *worker)
 {
 	uint64_t now_us = sched_now_us(sched);
@@ -92,7 +100,9 @@
 					 .host = worker->host,
 					 .life = worker->life,
 					 .why = why,
-					 .value = value };
+					 .value = value,
+					 .list_age_ms = sched_list_age_ms(
+						 sched, worker) };
 
 	sched->ops->event(sched->arg, &event);
 }
@@ -239,7 +249,9 @@
 					 .attempt = run->attempt,
 					 .host = worker->host,
 					 .life = worker->life,
-					 .why = "no claim" };
+					 .why = "no claim",
+					 .list_age_ms = sched_list_age_ms(
+						 sched, worker) };
 
 	if (step) {
 		gn_room_t room = sched_step_room(step);
--- a/lib/scheduler/leading.c
+++ b/lib/scheduler/leading.c
@@ -72,11 +72,13 @@
 {
 	const scheduler_t *scheduler = arg;
 
-	gn_event(event->what, "{s:s*, s:s*, s:I, s:s*, s:s*, s:s*, s:I, s:I}",
-		 "job", event->job, "task", event->task, "attempt",
+	gn_event(event->what,
+		 "{s:s*, s:s*, s:I, s:s*, s:s*, s:s*, s:I, s:I, s:I}", "job",
+		 event->job, "task", event->task, "attempt",
 		 (json_int_t)event->attempt, "host", event->host, "life",
 		 event->life, "why", event->why, "value",
-		 (json_int_t)event->value, "epoch",
+		 (json_int_t)event->value, "list_age_ms",
+		 (json_int_t)event->list_age_ms, "epoch",
 		 (json_int_t)scheduler->epoch);
 }
 
--- a/tests/support/sched_rig.c
+++ b/tests/support/sched_rig.c
@@ -68,8 +68,10 @@
 
 static void on_event(void *arg, const gn_sched_event_t *event)
 {
-	(void)arg;
-	(void)event;
+	sched_rig_t *rig = arg;
+
+	g_strlcpy(rig->noted, event->what, sizeof(rig->noted));
+	rig->noted_age_ms = event->list_age_ms;
 }
 
 static void on_ask(void *arg, const char *step, const char *const *lives,
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -33,6 +33,8 @@
 	GArray *orders; /**< rig_order_t, since the last rig_clear() */
 	GHashTable *ends; /**< host to the number of its last end */
 	uint64_t stored; /**< batches */
+	char noted[32]; /**< decision of the last event */
+	int64_t noted_age_ms; /**< and the age of the list that it rests on */
 	unsigned asks; /**< calls to the adviser */
 	char asked[GN_TASK_NAME_SIZE]; /**< step of the last one */
 	size_t asked_lives;
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -643,6 +643,20 @@
 	rig_close(&rig);
 }
 
+static void test_events_tell_the_age_of_the_list(void)
+{
+	sched_rig_t rig;
+
+	rig_open(&rig);
+	rig_report(&rig, "a", "1");
+	rig_advance_ms(&rig, 300);
+	rig_submit(&rig, JOB, "quick", &one_task, 1);
+	gn_sched_pass(rig.sched);
+	g_assert_cmpstr(rig.noted, ==, "claim");
+	g_assert_cmpint(rig.noted_age_ms, ==, 300);
+	rig_close(&rig);
+}
+
 /* What was learned is stored beside other writes, for a successor. */
 static void test_what_is_learned_is_stored(void)
 {
@@ -741,6 +755,8 @@
 
 		g_test_add_func(path, tests[i].run);
 	}
+	g_test_add_func("/sched/events_tell_the_age_of_the_list",
+			test_events_tell_the_age_of_the_list);
 	g_test_add_func("/sched/what_is_learned_is_stored",
 			test_what_is_learned_is_stored);
 	return g_test_run();
