Slow senders give way to new callers; a full server accepts again at once

Cause: with as many connections open as a traffic thread takes, all sending their headers slowly, a new caller waited until the limit for slow senders cut one off. Now the oldest connections without a whole request make room when an eighth is left. The test then still failed: at its limit the library stops listening, and listens again only in its next run, which nothing woke. The thread now runs it again after a connection has closed.

Test: 40 slow senders on a server of 16 connections with a limit of 8 s; before, no answer to the good request within 8 s, now it is answered.

--- a/lib/http/connection.c
+++ b/lib/http/connection.c
@@ -5,7 +5,8 @@
  * libmicrohttpd closes a connection that is idle for the time limit; a caller
  * that sends a byte now and then is never idle. So a connection that has not
  * brought a whole header, or then a whole body, within twice the limit (idle
- * time before the first byte included) is shut down.
+ * time before the first byte included) is shut down. Before that, the oldest
+ * of them make room for new callers when a thread has few connections left.
  */
 #include <glib.h>
 #include <sys/socket.h>
@@ -17,6 +18,9 @@
 /** Between two looks at all connections, microseconds. */
 #define SWEEP_INTERVAL_US (250 * GN_US_PER_MS)
 
+/** Share of a thread's connections that is kept for new ones, as a divisor. */
+#define SPARE_PART 8
+
 /** What a thread knows of one connection. */
 typedef struct http_connection_s {
 	int fd;
@@ -55,6 +59,46 @@
 	known->since_us = gn_clock_now_us(&thread->clock);
 }
 
+/* libmicrohttpd then sees its end and closes it. */
+static void cut_off(http_thread_t *thread, http_connection_t *known)
+{
+	known->answering = true;
+	shutdown(known->fd, SHUT_RDWR);
+	gn_counter_inc(thread->slow);
+}
+
+/* The connection that has been without a whole request for longest, or NULL. */
+static http_connection_t *find_oldest(const http_thread_t *thread)
+{
+	http_connection_t *oldest = NULL;
+	GHashTableIter iter;
+	gpointer key;
+
+	g_hash_table_iter_init(&iter, thread->open);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		http_connection_t *known = key;
+
+		if (!known->answering &&
+		    (!oldest || known->since_us < oldest->since_us))
+			oldest = known;
+	}
+	return oldest;
+}
+
+/* Callers that send nothing whole must not keep others out. */
+static void make_room(http_thread_t *thread)
+{
+	unsigned most =
+		thread->connections_max - thread->connections_max / SPARE_PART;
+	http_connection_t *oldest;
+
+	if (g_hash_table_size(thread->open) <= most)
+		return;
+	oldest = find_oldest(thread);
+	if (oldest)
+		cut_off(thread, oldest);
+}
+
 void http_on_connection(void *cls, struct MHD_Connection *connection,
 			void **context,
 			enum MHD_ConnectionNotificationCode code)
@@ -71,9 +115,11 @@
 		g_hash_table_add(thread->open, known);
 		*context = known;
 		atomic_fetch_add(&thread->connections, 1);
+		make_room(thread);
 	} else {
 		g_hash_table_remove(thread->open, *context);
 		*context = NULL;
+		thread->closed = true;
 		atomic_fetch_sub(&thread->connections, 1);
 	}
 }
@@ -94,9 +140,6 @@
 		if (known->answering ||
 		    now_us - known->since_us <= SLOW_LIMITS * thread->idle_us)
 			continue;
-		/* libmicrohttpd then sees its end and closes it. */
-		known->answering = true;
-		shutdown(known->fd, SHUT_RDWR);
-		gn_counter_inc(thread->slow);
+		cut_off(thread, known);
 	}
 }
--- a/lib/http/server.c
+++ b/lib/http/server.c
@@ -77,13 +77,19 @@
 				close(fd);
 			quiesced = true;
 		}
+		thread->closed = false;
 		MHD_run(thread->daemon);
 		http_connections_sweep(thread);
 		/* Sending from a handler can use up the pipe's edge. */
 		if (!take_items(thread, &taken))
 			break;
-		/* MHD_get_timeout() does not count what was just resumed. */
-		poll(fds, 2, taken ? 0 : poll_timeout_ms(thread->daemon));
+		/*
+		 * MHD_get_timeout() does not count what was just resumed, and
+		 * only the next run accepts again after its limit was reached.
+		 */
+		poll(fds, 2,
+		     taken || thread->closed ? 0
+					     : poll_timeout_ms(thread->daemon));
 	}
 	return NULL;
 }
@@ -143,13 +149,11 @@
 				       const gn_http_server_config_t *config)
 {
 	unsigned timeout_s = get_idle_s(config);
-	unsigned connections =
-		(config->connections + config->threads - 1) / config->threads;
 
 	return MHD_start_daemon(
 		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
 		http_on_request, thread, MHD_OPTION_LISTEN_SOCKET, fd,
-		MHD_OPTION_CONNECTION_LIMIT, connections,
+		MHD_OPTION_CONNECTION_LIMIT, thread->connections_max,
 		MHD_OPTION_CONNECTION_TIMEOUT, timeout_s,
 		MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
 		MHD_OPTION_NOTIFY_COMPLETED, http_on_completed, thread,
@@ -165,6 +169,8 @@
 
 	thread->server = server;
 	thread->body_max = config->body_max;
+	thread->connections_max =
+		(config->connections + config->threads - 1) / config->threads;
 	thread->timeout_us = (uint64_t)config->timeout_ms * GN_US_PER_MS;
 	thread->idle_us = get_idle_s(config) * GN_US_PER_S;
 	thread->requests = gn_counters_get(config->counters, "http.requests");
--- a/lib/http/server_internal.h
+++ b/lib/http/server_internal.h
@@ -38,9 +38,11 @@
 	gn_http_server_t *server;
 	gn_clock_t clock;
 	size_t body_max;
+	unsigned connections_max;
 	uint64_t timeout_us;
 	uint64_t idle_us; /**< libmicrohttpd's own limit, in whole seconds */
 	GHashTable *open; /**< a set of connections; the thread's own */
+	bool closed; /**< a connection, in the last run of the daemon */
 	uint64_t swept_us; /**< when it was last looked through */
 	atomic_bool quiesce;
 	atomic_uint connections;
--- a/tests/contract/test_http_server.c
+++ b/tests/contract/test_http_server.c
@@ -18,6 +18,10 @@
 /** Between the bytes of a slow sender: never idle for the limit. */
 #define SLOW_MS 50
 #define CLOSED 1
+/** Connections that a server takes, and slow senders that want them. */
+#define CONNECTIONS 16
+#define CROWD 40
+#define CROWD_TIMEOUT_MS 8000
 /** Two requests at once, how often. */
 #define PAIRS 200
 /** A traffic thread that misses a wake-up sleeps for a second. */
@@ -106,6 +110,7 @@
 	unsigned beside; /* of the answer to the good request beside it */
 	gint64 spent_us;
 	unsigned stalls;
+	unsigned timeout_ms; /* limit for slow senders; 0: TIMEOUT_MS */
 } caller_t;
 
 static int open_connection(const caller_t *caller)
@@ -238,6 +243,27 @@
 	return NULL;
 }
 
+/* More slow senders than the server has connections, then a good request. */
+static gpointer run_crowd(gpointer data)
+{
+	static const char start[] = "POST /x HTTP/1.1\r\nHo";
+	caller_t *caller = data;
+	gint64 start_us;
+	int fds[CROWD];
+
+	for (int i = 0; i < CROWD; i++) {
+		fds[i] = open_connection(caller);
+		send_all(fds[i], start, sizeof(start) - 1);
+	}
+	start_us = g_get_monotonic_time();
+	caller->beside = call_beside(caller);
+	caller->spent_us = g_get_monotonic_time() - start_us;
+	for (int i = 0; i < CROWD; i++)
+		close(fds[i]);
+	send_all(caller->done[1], "x", 1);
+	return NULL;
+}
+
 /* ======   The server   ====== */
 
 typedef struct bench_s {
@@ -288,8 +314,9 @@
 		.events = events,
 		.zmq = zmq,
 		.address = address,
-		.connections = 16,
-		.timeout_ms = TIMEOUT_MS,
+		.connections = CONNECTIONS,
+		.timeout_ms =
+			caller->timeout_ms ? caller->timeout_ms : TIMEOUT_MS,
 		.threads = 1,
 		.body_max = BODY_MAX,
 		.counters = gn_counters_create(events),
@@ -344,6 +371,15 @@
 	g_assert_cmpuint(caller.stalls, ==, 0);
 }
 
+/* They are cut off for the request, not by the limit. */
+static void test_slow_senders_give_way(void)
+{
+	caller_t caller = { .timeout_ms = CROWD_TIMEOUT_MS };
+
+	run_test(&caller, run_crowd, 1);
+	g_assert_cmpint(caller.spent_us, <, CROWD_TIMEOUT_MS * 1000);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -355,5 +391,7 @@
 		g_free(path);
 	}
 	g_test_add_func("/http_server/no-stall", test_no_stall);
+	g_test_add_func("/http_server/slow_senders_give_way",
+			test_slow_senders_give_way);
 	return g_test_run();
 }
