Batch work beside tasks that are over their target by themselves does not starve

Cause, from reading what the least speed does: a serving task that is over its target by itself leaves no headroom, so that what fills would wait for ever if all workers are like that. It is not to blame for such a tail, so it gets a little; and what has waited for 15 s takes a tenth of its speed.

Test: no start within 5 s, one within 20 s; without the change none.

--- a/lib/sched/sched_mix.c
+++ b/lib/sched/sched_mix.c
@@ -8,6 +8,8 @@
 #define LEAST_BUDGET 0.25
 /** Share of what is set aside for serving tasks that they use, as a guess. */
 #define SERVING_USE 0.5
+/** Budget of what is over its target by itself: nothing else is to blame. */
+#define BUDGET_OVER 0.1
 /** Budget of what has not told its tail yet. */
 #define BUDGET_NEW 1.0
 /** Budgets count as at least this, so that harm stays comparable. */
@@ -29,8 +31,10 @@
 
 	if (!alone->read_us)
 		return BUDGET_NEW;
-	return fmax(0, fmax(alone->value - GOAL_HEADROOM,
-			    LEAST_BUDGET * (alone->value - 1)));
+	if (alone->value < 1)
+		return BUDGET_OVER;
+	return fmax(alone->value - GOAL_HEADROOM,
+		    LEAST_BUDGET * (alone->value - 1));
 }
 
 static void add_serving(sched_mix_t *mix, const sched_task_t *task)
--- a/lib/sched/sched_pass.c
+++ b/lib/sched/sched_pass.c
@@ -12,6 +12,9 @@
 
 /** Share of its full speed below which a filling task rather waits. */
 #define LEAST_SPEED 0.95
+/** What has waited for this long takes this share. */
+#define STARVED_US (15000 * GN_US_PER_MS)
+#define STARVED_SPEED 0.1
 /**
  * A job that runs nothing takes any speed after this long, while less than
  * this share of the workers' processors is set aside for others.
@@ -127,6 +130,14 @@
 	       all->used_share < IDLE_SHARE;
 }
 
+static double get_least_speed(const sched_candidates_t *all,
+			      const sched_job_t *job, const sched_unit_t *unit)
+{
+	if (is_idle(all, job, unit))
+		return 0;
+	return has_waited(job, unit, STARVED_US) ? STARVED_SPEED : LEAST_SPEED;
+}
+
 static bool is_healthy(const gn_sched_t *sched, const sched_worker_t *worker)
 {
 	return gn_health_is_good(&worker->health, sched_now_us(sched));
@@ -236,7 +247,7 @@
 		.per_worker = step->per_worker,
 		.fill_milli = step->fills ? step->cpu_milli : 0,
 		.fills = step->fills,
-		.least_speed = is_idle(all, job, unit) ? 0 : LEAST_SPEED,
+		.least_speed = get_least_speed(all, job, unit),
 		.serves = step->target_ms != 0,
 		.far_factor = sched->config.far_factor
 	};
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -643,6 +643,39 @@
 	rig_close(&rig);
 }
 
+/*
+ * Beside a task that is over its target by itself, batch work waits, but not
+ * for ever.
+ */
+static void test_what_fills_does_not_starve(void)
+{
+	const rig_step_t serves = { .count = 1,
+				    .cpu_milli = 3000,
+				    .flags = RIG_STANDING,
+				    .target_ms = 40,
+				    .image = "s" };
+	const rig_step_t fills = { .count = 1,
+				   .cpu_milli = 1000,
+				   .estimate_ms = 600,
+				   .flags = RIG_FILLS,
+				   .image = "f" };
+	sched_rig_t rig;
+
+	open_running(&rig, &serves);
+	rig_report_tail(&rig, "a", "1", TASK, 1, 60);
+	rig_submit(&rig, OTHER, "batch", &fills, 1);
+	for (unsigned ms = 0; ms < 20000; ms += 200) {
+		rig_advance_ms(&rig, 200);
+		rig_report_tail(&rig, "a", "1", TASK, 1, 60 + ms / 200 % 2);
+		rig_store(&rig);
+		if (ms < 5000)
+			g_assert_cmpuint(rig_count(&rig, GN_RUN_ORDER_START),
+					 ==, 0);
+	}
+	g_assert_cmpuint(rig_count(&rig, GN_RUN_ORDER_START), >, 0);
+	rig_close(&rig);
+}
+
 static void test_events_tell_the_age_of_the_list(void)
 {
 	sched_rig_t rig;
@@ -755,6 +788,8 @@
 
 		g_test_add_func(path, tests[i].run);
 	}
+	g_test_add_func("/sched/what_fills_does_not_starve",
+			test_what_fills_does_not_starve);
 	g_test_add_func("/sched/events_tell_the_age_of_the_list",
 			test_events_tell_the_age_of_the_list);
 	g_test_add_func("/sched/what_is_learned_is_stored",
