Pace everything that fills when a tail stays over its target

Found on reading the change: the control looks at 48 filling tasks of a worker, and one with more would have had the rest at their former pace, in an emergency too. Emergencies now stop all, and a worker with 48 gets no more. Test: of 100 small tasks one worker was given 100, now at most 48.

--- a/lib/sched/sched_mix.c
+++ b/lib/sched/sched_mix.c
@@ -83,10 +83,7 @@
 	return left > 0 ? left / wished : 0;
 }
 
-/*
- * A tail is that of the time between two lists, most of all of when it was
- * disturbed most.
- */
+/* A tail is that of the time between two lists. */
 static double get_use(const sched_task_t *task)
 {
 	return (task->gauge_before + task->gauge) / 2.0;
@@ -233,6 +230,9 @@
 	double left[SCHED_MIX_SERVING_MAX];
 	double cost = get_weights(sched, mix, more->image, weights);
 
+	/* what is left out would not be paced */
+	if (mix->filling_count == SCHED_MIX_FILLING_MAX)
+		return SPEED_MIN;
 	get_left(mix, cost, left);
 	return fmax(
 		get_spare(worker, more->cpu_milli) *
--- a/lib/sched/sched_pace.c
+++ b/lib/sched/sched_pace.c
@@ -149,23 +149,31 @@
 	       wanted >= old + PACE_STEP;
 }
 
+static void stop_filling(gn_sched_t *sched, const sched_worker_t *worker)
+{
+	for (guint i = 0; i < worker->claims->len; i++) {
+		sched_task_t *task = g_ptr_array_index(worker->claims, i);
+
+		if (is_filling(task) && task->percent)
+			set_pace(sched, task, 0,
+				 "a tail stays over its target");
+	}
+}
+
 static void set_paces(gn_sched_t *sched, sched_worker_t *worker,
 		      const sched_mix_t *mix)
 {
-	bool emergency = is_emergency(sched, worker);
-
+	if (is_emergency(sched, worker)) {
+		stop_filling(sched, worker);
+		return;
+	}
 	for (size_t i = 0; i < mix->filling_count; i++) {
 		const sched_mix_filling_t *row = &mix->filling[i];
-		uint32_t wanted = 0;
+		uint32_t wanted = (uint32_t)(PACE_FULL * row->pace);
 
-		if (!is_filling(row->task))
-			continue;
-		if (!emergency)
-			wanted = (uint32_t)(PACE_FULL * row->pace);
-		if (is_worth_an_order(row->task->percent, wanted))
-			set_pace(sched, row->task, wanted,
-				 emergency ? "a tail stays over its target"
-					   : "headroom");
+		if (is_filling(row->task) &&
+		    is_worth_an_order(row->task->percent, wanted))
+			set_pace(sched, row->task, wanted, "headroom");
 	}
 }
 
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -676,6 +676,29 @@
 	rig_close(&rig);
 }
 
+/* A worker is given no more filling tasks than the control of tails sees. */
+static void test_what_fills_is_all_paced(void)
+{
+	const rig_step_t serves = { .count = 1,
+				    .cpu_milli = 1000,
+				    .flags = RIG_STANDING,
+				    .target_ms = 40,
+				    .image = "s" };
+	const rig_step_t fills = { .count = 100,
+				   .cpu_milli = 1,
+				   .estimate_ms = 600,
+				   .flags = RIG_FILLS,
+				   .image = "f" };
+	sched_rig_t rig;
+
+	open_running(&rig, &serves);
+	rig_submit(&rig, OTHER, "batch", &fills, 1);
+	rig_store(&rig);
+	g_assert_cmpuint(rig_count(&rig, GN_RUN_ORDER_START), >, 0);
+	g_assert_cmpuint(rig_count(&rig, GN_RUN_ORDER_START), <=, 48);
+	rig_close(&rig);
+}
+
 static void test_events_tell_the_age_of_the_list(void)
 {
 	sched_rig_t rig;
@@ -790,6 +813,8 @@
 	}
 	g_test_add_func("/sched/what_fills_does_not_starve",
 			test_what_fills_does_not_starve);
+	g_test_add_func("/sched/what_fills_is_all_paced",
+			test_what_fills_is_all_paced);
 	g_test_add_func("/sched/events_tell_the_age_of_the_list",
 			test_events_tell_the_age_of_the_list);
 	g_test_add_func("/sched/what_is_learned_is_stored",
