Test that pairs are bounded without interning their names

The test now keeps the names itself; what it checks is the same. That image names which callers choose are interned, and so kept for the life of a scheduler, is older than this change and stays open.

--- a/tests/unit/test_disturb.c
+++ b/tests/unit/test_disturb.c
@@ -14,6 +14,8 @@
 /** Its load goes up and down by this within this many readings. */
 #define SWING 0.25
 #define SWING_READINGS 45
+/** More images than are kept. */
+#define MANY_IMAGES 10000
 /** True weights. */
 #define HEAVY 6.0
 #define LIGHT 1.0
@@ -187,19 +189,21 @@
 	talloc_free(disturb);
 }
 
-/* Callers choose the images: what is kept of them is bounded. */
+/*
+ * Callers choose the images: what is kept of them is bounded. The names are
+ * not interned here, since GLib keeps those for ever.
+ */
 static void test_is_bounded(void)
 {
+	static char names[MANY_IMAGES][16];
 	gn_disturb_t *disturb = gn_disturb_create(NULL);
 	gn_headroom_t alone = { 0 };
 	size_t len;
 
-	for (unsigned i = 0; i < 10000; i++) {
-		char name[16];
-		gn_fill_use_t use = { NULL, 0.5 };
+	for (unsigned i = 0; i < MANY_IMAGES; i++) {
+		const gn_fill_use_t use = { names[i], 0.5 };
 
-		g_snprintf(name, sizeof(name), "image %u", i);
-		use.image = g_intern_string(name);
+		g_snprintf(names[i], sizeof(names[i]), "image %u", i);
 		gn_disturb_learn(disturb, "s", 1.0 + i % 2, &alone, &use, 1,
 				 GN_US_PER_S * (i + 1));
 	}
