tests: wait_owned waits until each bucket has the owner that keeps it

Cause: wait_owned counted owned buckets over all entries and returned while a first entry still owned all of them and a second one was about to receive its share. Requests in that moment are told "no-owner", which is a true answer, so jobs and silent_peer failed beside load.

Change: the dump of an entry tells of each bucket whether this entry is the one to keep it. wait_owned waits until each entry knows just these members and 16 buckets are owned by the entry that is to keep them.

--- a/lib/entry/buckets.c
+++ b/lib/entry/buckets.c
@@ -64,9 +64,8 @@
  * whatever the record says: no other entry could acquire it, and its tasks
  * would lose their run promises.
  */
-static bool is_wanted(void *context, unsigned index)
+static bool should_own(const entry_t *entry, unsigned index)
 {
-	const entry_t *entry = context;
 	const entry_membership_t *membership = entry->membership;
 	const gn_member_bucket_t *holder = entry->buckets->slots[index].holder;
 
@@ -80,6 +79,11 @@
 		       entry, entry_membership_find_owner(entry, index));
 }
 
+static bool is_wanted(void *context, unsigned index)
+{
+	return should_own(context, index);
+}
+
 static gn_batch_params_t get_params(void)
 {
 	const gn_batch_params_t params = {
@@ -313,9 +317,10 @@
 		stats = gn_batch_bucket_stats(bucket);
 		json_array_append_new(
 			rows,
-			json_pack("{s:i, s:i, s:I, s:i, s:I, s:I, s:I}",
+			json_pack("{s:i, s:i, s:b, s:I, s:i, s:I, s:I, s:I}",
 				  "bucket", (int)i, "standing",
 				  (int)gn_batch_bucket_get_ownership(bucket),
+				  "wanted", (int)should_own(entry, i),
 				  "epoch",
 				  (json_int_t)gn_batch_bucket_epoch(bucket),
 				  "tasks",
--- a/tests/scenario.sh
+++ b/tests/scenario.sh
@@ -330,11 +330,17 @@
 	done
 }
 
-# wait_owned ENTRY...: waits until these entries together own all buckets
+# wait_owned ENTRY...: waits until these entries are the only members that each of
+# them knows, and each bucket is owned by the one of them that is to keep it
 cmd_wait_owned() {
-	local e
+	local want e urls=()
+	want=$(tr ' ' '\n' <<<"$*" | sort | xargs)
+	for e in "$@"; do urls+=("http://${http[$e]}/dump"); done
 	for _ in $(seq 300); do
-		[ "$(for e in "$@"; do fetch "http://${http[$e]}/dump" | grep -o '"standing":1' ; done | wc -l)" = 16 ] && return
+		fetch "${urls[@]}" | jq -es --arg want "$want" --argjson entries $# '
+			length == $entries
+			and all(.[]; .members.normal and (.members.members | sort | join(" ")) == $want)
+			and ([.[].buckets[] | select(.standing == 1 and .wanted)] | length) == 16' >/dev/null && return
 		sleep 0.1
 	done
 	echo "not all buckets are owned by $*"
