settings: what the platform offers beyond our use is not an error

Cause: platform.calls_per_s was bounded by the rate that a process uses itself, 2,000. A deployment whose store takes 3,200 writes a second ended every scheduler at start, in a loop ("platform.calls_per_s: 3200 is outside 1..2000").

Change: calls_per_s takes what the store states; the rate limit of a process stays at 2,000. lease_ttl_ms takes 1..600000 and counts as 1000 at least. Figures of [platform] and [jobs] may be fractions and are rounded. stop_grace_s takes the grace in seconds.

--- a/lib/config/schema.h
+++ b/lib/config/schema.h
@@ -59,6 +59,14 @@
 			     const gn_schema_field_t *field,
 			     const gn_toml_table_t *table, void *target);
 
+/**
+ * Reads a number in min..max, which may be a fraction, into an unsigned. It is
+ * rounded to the nearest integer.
+ */
+gn_code_t gn_schema_rounded(gn_schema_reader_t *reader, const char *path,
+			    const gn_schema_field_t *field,
+			    const gn_toml_table_t *table, void *target);
+
 /** Reads a number in min..max into a double. */
 gn_code_t gn_schema_number(gn_schema_reader_t *reader, const char *path,
 			   const gn_schema_field_t *field,
--- a/lib/config/schema_values.c
+++ b/lib/config/schema_values.c
@@ -31,25 +31,45 @@
 	return GN_OK;
 }
 
-gn_code_t gn_schema_number(gn_schema_reader_t *reader, const char *path,
-			   const gn_schema_field_t *field,
-			   const gn_toml_table_t *table, void *target)
+static gn_code_t read_number(gn_schema_reader_t *reader, const char *path,
+			     const gn_schema_field_t *field,
+			     const gn_toml_table_t *table, double *value)
 {
 	gn_toml_kind_t kind = gn_toml_get_kind(table, field->key);
-	double value = (double)field->default_value;
 
+	*value = (double)field->default_value;
 	if (kind != GN_TOML_NONE &&
-	    !gn_toml_get_number(table, field->key, &value))
+	    !gn_toml_get_number(table, field->key, value))
 		return gn_schema_fail_kind(reader, path, "a number", kind);
 	/* This form of the condition also rejects NaN. */
-	if (!(value >= (double)field->min && value <= (double)field->max))
+	if (!(*value >= (double)field->min && *value <= (double)field->max))
 		return gn_schema_fail(
 			reader, GN_ERR_RANGE, path, "%g is outside %lld..%lld",
-			value, (long long)field->min, (long long)field->max);
-	*(double *)gn_schema_member(target, field->offset) = value;
+			*value, (long long)field->min, (long long)field->max);
 	return GN_OK;
 }
 
+gn_code_t gn_schema_number(gn_schema_reader_t *reader, const char *path,
+			   const gn_schema_field_t *field,
+			   const gn_toml_table_t *table, void *target)
+{
+	return read_number(reader, path, field, table,
+			   gn_schema_member(target, field->offset));
+}
+
+gn_code_t gn_schema_rounded(gn_schema_reader_t *reader, const char *path,
+			    const gn_schema_field_t *field,
+			    const gn_toml_table_t *table, void *target)
+{
+	double value;
+	gn_code_t code = read_number(reader, path, field, table, &value);
+
+	if (!code)
+		*(unsigned *)gn_schema_member(target, field->offset) =
+			(unsigned)(value + 0.5);
+	return code;
+}
+
 /** Copies a valid text to the reader's owner. */
 static gn_code_t copy_text(gn_schema_reader_t *reader, const char *path,
 			   gn_str_t text, const char **copied)
--- a/lib/config/settings.c
+++ b/lib/config/settings.c
@@ -25,6 +25,12 @@
 		.key = (name), .read = gn_schema_unsigned, MEMBER(member), \
 		.min = (low), .max = (high), .default_value = (value)      \
 	}
+/** A number that the platform may state as a fraction. */
+#define ROUNDED(name, member, low, high, value)                           \
+	{                                                                 \
+		.key = (name), .read = gn_schema_rounded, MEMBER(member), \
+		.min = (low), .max = (high), .default_value = (value)     \
+	}
 #define LAST                \
 	{                   \
 		.key = NULL \
@@ -48,6 +54,11 @@
 	return code;
 }
 
+/** Lower bound of the TTL in use, in milliseconds: a process that was not
+ * scheduled for a moment must not lose its lease. */
+#define LEASE_TTL_MIN_MS 1000
+#define MS_PER_S 1000
+
 static const gn_schema_field_t http_fields[] = {
 	{ .key = "listen",
 	  .read = gn_schema_address,
@@ -81,8 +92,8 @@
 	  .read = gn_schema_address,
 	  MEMBER(platform_address),
 	  .required = ENTRY | JOBS },
-	NUMBER("calls_per_s", platform_calls_per_s, 1, 2000, 40),
-	NUMBER("lease_ttl_ms", lease_ttl_ms, 1000, 60000, 6000),
+	ROUNDED("calls_per_s", platform_calls_per_s, 1, 1000000000, 40),
+	ROUNDED("lease_ttl_ms", lease_ttl_ms, 1, 600000, 6000),
 	LAST,
 };
 
@@ -195,22 +206,22 @@
 	  .read = gn_schema_address,
 	  MEMBER(jobs.advice_address),
 	  .forbidden = ENTRY | AGENT | EXECUTOR },
-	NUMBER("lease_ms", jobs.lease_ms, 1000, 60000, 4000),
-	NUMBER("lease_max_ms", jobs.lease_max_ms, 1000, 600000, 10000),
-	NUMBER("depose_ms", jobs.depose_ms, 0, 60000, 5000),
-	NUMBER("retain_s", jobs.retain_s, 1, 86400, 150),
-	NUMBER("stop_ms", jobs.stop_ms, 0, 60000, 1000),
-	NUMBER("early_ms", jobs.early_ms, 0, 60000, 0),
+	ROUNDED("lease_ms", jobs.lease_ms, 1000, 60000, 4000),
+	ROUNDED("lease_max_ms", jobs.lease_max_ms, 1000, 600000, 10000),
+	ROUNDED("depose_ms", jobs.depose_ms, 0, 60000, 5000),
+	ROUNDED("retain_s", jobs.retain_s, 1, 86400, 150),
+	ROUNDED("stop_ms", jobs.stop_ms, 0, 60000, 1000),
+	ROUNDED("early_ms", jobs.early_ms, 0, 60000, 0),
 	{ .key = "far_factor",
 	  .read = gn_schema_number,
 	  MEMBER(jobs.far_factor),
 	  .min = 1,
 	  .max = 100,
 	  .default_value = 2 },
-	NUMBER("restore_ms", jobs.restore_ms, 0, 60000, 500),
-	NUMBER("harm_ms", jobs.harm_ms, 1, 600000, 4000),
-	NUMBER("pace_ms", jobs.pace_ms, 0, 60000, 100),
-	NUMBER("notice_ms", jobs.notice_ms, 0, 600000, 5000),
+	ROUNDED("restore_ms", jobs.restore_ms, 0, 60000, 500),
+	ROUNDED("harm_ms", jobs.harm_ms, 1, 600000, 4000),
+	ROUNDED("pace_ms", jobs.pace_ms, 0, 60000, 100),
+	ROUNDED("notice_ms", jobs.notice_ms, 0, 600000, 5000),
 	{ .key = "cores",
 	  .read = gn_schema_number,
 	  MEMBER(jobs.cores),
@@ -250,6 +261,11 @@
 	  .names = level_names,
 	  .default_value = LOG_INFO - LOG_ERR },
 	NUMBER("stop_grace_ms", stop_grace_ms, 0, 600000, 30000),
+	{ .key = "stop_grace_s",
+	  .read = gn_schema_number,
+	  MEMBER(stop_grace_s),
+	  .min = 0,
+	  .max = 600 },
 	{ .key = "http",
 	  .read = gn_schema_table,
 	  .fields = http_fields,
@@ -429,6 +445,11 @@
 		code = check_minimums(reader, settings);
 	if (!settings->http_advertise)
 		settings->http_advertise = settings->http_listen;
+	if (settings->lease_ttl_ms < LEASE_TTL_MIN_MS)
+		settings->lease_ttl_ms = LEASE_TTL_MIN_MS;
+	if (settings->stop_grace_s > 0)
+		settings->stop_grace_ms =
+			(unsigned)(settings->stop_grace_s * MS_PER_S);
 	return code;
 }
 
--- a/lib/config/settings.h
+++ b/lib/config/settings.h
@@ -91,9 +91,15 @@
 
 	/** [platform] address = "IP:PORT"; all roles but agent. */
 	const char *platform_address;
-	/** [platform] calls_per_s, 1..2000, default 40. */
+	/**
+	 * [platform] calls_per_s that the service takes from this process,
+	 * 1..1000000000, default 40. A process makes at most GN_KV_RATE_MAX.
+	 */
 	unsigned platform_calls_per_s;
-	/** [platform] lease_ttl_ms, 1000..60000, default 6000. */
+	/**
+	 * [platform] lease_ttl_ms, 1..600000, default 6000. Less than 1000
+	 * counts as 1000.
+	 */
 	unsigned lease_ttl_ms;
 
 	/** [link] listen = "IP:PORT"; entry and scheduler. */
@@ -135,6 +141,8 @@
 	gn_jobs_settings_t jobs; /**< [jobs]; scheduler and executor. */
 
 	unsigned stop_grace_ms; /**< stop_grace_ms, 0..600000, default 30000. */
+	/** stop_grace_s, 0..600; above 0 it replaces stop_grace_ms. */
+	double stop_grace_s;
 } gn_settings_t;
 
 /**
--- a/lib/platform/budget.h
+++ b/lib/platform/budget.h
@@ -14,8 +14,9 @@
 
 #include "gypsumnotch.h"
 
-/** Bounds of the rate, calls per second. */
+/** Lowest rate, calls per second. */
 #define GN_KV_RATE_MIN 1
+/** Rate that a process uses at most, however many calls the service takes. */
 #define GN_KV_RATE_MAX 2000
 
 /** A token bucket; initialize it with gn_kv_budget_init(). */
@@ -28,7 +29,8 @@
 
 /**
  * Initializes a full bucket.
- * @param calls_per_s GN_KV_RATE_MIN..GN_KV_RATE_MAX
+ * @param calls_per_s at least GN_KV_RATE_MIN; more than GN_KV_RATE_MAX counts
+ *        as GN_KV_RATE_MAX
  */
 void gn_kv_budget_init(gn_kv_budget_t *budget, uint32_t calls_per_s,
 		       uint64_t now_us);
--- a/lib/platform/kv_http.c
+++ b/lib/platform/kv_http.c
@@ -247,7 +247,6 @@
 	return options->timeout_ms >= GN_KV_TIMEOUT_MIN_MS &&
 	       options->timeout_ms <= GN_KV_TIMEOUT_MAX_MS &&
 	       options->calls_per_s >= GN_KV_RATE_MIN &&
-	       options->calls_per_s <= GN_KV_RATE_MAX &&
 	       strlen(options->address) <= GN_ADDRESS_MAX;
 }
 
--- a/lib/platform/kv_http.h
+++ b/lib/platform/kv_http.h
@@ -42,7 +42,7 @@
 	const char *address; /**< "IP:PORT" of the key-value service, copied. */
 	/** Limit of one call, GN_KV_TIMEOUT_MIN_MS..GN_KV_TIMEOUT_MAX_MS. */
 	uint32_t timeout_ms;
-	uint32_t calls_per_s; /**< GN_KV_RATE_MIN..GN_KV_RATE_MAX. */
+	uint32_t calls_per_s; /**< See gn_kv_budget_init(). */
 	const gn_clock_t *clock;
 	gn_counters_t *counters;
 	struct tevent_context *loop;
--- a/tests/contract/test_kv_settle.c
+++ b/tests/contract/test_kv_settle.c
@@ -86,6 +86,17 @@
 	g_rand_free(rand);
 }
 
+/* A service that takes any number of calls does not raise a process's rate. */
+static void test_budget_maximum(void)
+{
+	gn_kv_budget_t budget;
+
+	gn_kv_budget_init(&budget, UINT32_MAX, 0);
+	g_assert_cmpuint(consume_all(&budget, 0, true), ==, GN_KV_RATE_MAX);
+	g_assert_cmpuint(consume_all(&budget, 10 * GN_US_PER_S, true), ==,
+			 GN_KV_RATE_MAX);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -96,6 +107,7 @@
 		g_test_add_data_func(path, &settle_cases[i], test_settle);
 	}
 	g_test_add_func("/kv/budget", test_budget);
+	g_test_add_func("/kv/budget-maximum", test_budget_maximum);
 	g_test_add_func("/kv/backoff", test_backoff);
 	return g_test_run();
 }
--- a/tests/contract/test_settings.c
+++ b/tests/contract/test_settings.c
@@ -35,6 +35,28 @@
 				 "cores = 32\n"
 				 "memory_mb = 125000\n";
 
+/* Settings of a scheduler as a platform with hundreds of hosts states them. */
+static const char scheduler_text[] = "role = \"scheduler\"\n"
+				     "name = \"front-reykjavik-a-1\"\n"
+				     "region = \"is-sudvestur\"\n"
+				     "data_centre = \"reykjavik-a\"\n"
+				     "stop_grace_s = 6\n"
+				     "[http]\n"
+				     "listen = \"10.1.0.13:8161\"\n"
+				     "readiness = \"10.1.0.13:8167\"\n"
+				     "timeout_ms = 15000\n"
+				     "connections = 2000\n"
+				     "[link]\n"
+				     "listen = \"10.1.0.13:7720\"\n"
+				     "[platform]\n"
+				     "address = \"10.200.1.7:8169\"\n"
+				     "calls_per_s = 3200\n"
+				     "lease_ttl_ms = 1000\n"
+				     "[jobs]\n"
+				     "lease_max_ms = 10000\n"
+				     "cores = 0.12\n"
+				     "link_mbps = 20.0\n";
+
 #define NAME_63 \
 	"abcdefghijklmnopqrstuvwxyzabcdefghijklmnopqrstuvwxyzabcdefghijk"
 
@@ -371,6 +393,43 @@
 	g_free(text);
 }
 
+/** What a platform states of itself, and what a scheduler makes of it. */
+typedef struct platform_case_s {
+	const char *line; /**< Text to replace. */
+	const char *replacement;
+	unsigned lease_ttl_ms;
+	unsigned stop_grace_ms;
+	unsigned lease_max_ms;
+} platform_case_t;
+
+static const platform_case_t platform_cases[] = {
+	{ "calls_per_s = 3200", "calls_per_s = 3200", 1000, 6000, 10000 },
+	{ "calls_per_s = 3200", "calls_per_s = 50000.5", 1000, 6000, 10000 },
+	{ "calls_per_s = 3200", "calls_per_s = 1000000000", 1000, 6000, 10000 },
+	{ "lease_ttl_ms = 1000", "lease_ttl_ms = 250", 1000, 6000, 10000 },
+	{ "lease_ttl_ms = 1000", "lease_ttl_ms = 600000", 600000, 6000, 10000 },
+	{ "stop_grace_s = 6", "stop_grace_s = 2.5", 1000, 2500, 10000 },
+	{ "lease_max_ms = 10000", "lease_max_ms = 4499.6", 1000, 6000, 4500 },
+};
+
+static void test_platform(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(platform_cases); i++) {
+		const platform_case_t *c = &platform_cases[i];
+		const invalid_case_t change = { .text = scheduler_text,
+						.line = c->line,
+						.replacement = c->replacement };
+		char *text = replace_text(&change);
+		gn_settings_t *s = parse_valid(text);
+
+		g_assert_cmpuint(s->lease_ttl_ms, ==, c->lease_ttl_ms);
+		g_assert_cmpuint(s->stop_grace_ms, ==, c->stop_grace_ms);
+		g_assert_cmpuint(s->jobs.lease_max_ms, ==, c->lease_max_ms);
+		talloc_free(s);
+		g_free(text);
+	}
+}
+
 static void test_load(void)
 {
 	char *path =
@@ -477,6 +536,7 @@
 	g_test_add_func("/settings/agent", test_agent);
 	g_test_add_func("/settings/defaults", test_defaults);
 	g_test_add_func("/settings/bounds", test_bounds_are_allowed);
+	g_test_add_func("/settings/platform", test_platform);
 	g_test_add_func("/settings/load", test_load);
 	g_test_add_func("/settings/hostile", test_excessive_nesting);
 	g_test_add_func("/settings/deepest", test_deepest_nesting);
