batch: a handover that was not written is taken back in an outage

An owner that hands a bucket over renews no run promise, and kept to the handover for the whole outage, so the bucket's tasks lapsed 10 s after their last promise.

Change: an owner takes a handover back while it is not normal, if no write of it can take effect: none was sent, or it was refused and no answer was lost.

--- a/lib/batch/bucket.c
+++ b/lib/batch/bucket.c
@@ -351,6 +351,16 @@
 	bucket->seq++;
 }
 
+void gn_batch_bucket_keep(gn_batch_bucket_t *bucket)
+{
+	const gn_bucket_write_t *write = &bucket->write;
+
+	if (bucket->ownership != GN_BATCH_RELEASING ||
+	    (write->active && write->ownership == GN_BATCH_RELEASING))
+		return;
+	bucket->ownership = bucket->taken_us ? GN_BATCH_OWNED : GN_BATCH_TAKING;
+}
+
 /* ======   Queries   ====== */
 
 gn_batch_ownership_t
--- a/lib/batch/bucket.h
+++ b/lib/batch/bucket.h
@@ -172,6 +172,12 @@
 /** Begins a handover: the next commit leaves the bucket without an owner. */
 void gn_batch_bucket_release(gn_batch_bucket_t *bucket);
 
+/**
+ * Takes a handover back, so that run promises are renewed again. It has no
+ * effect once the handover may have been written.
+ */
+void gn_batch_bucket_keep(gn_batch_bucket_t *bucket);
+
 /**
  * Requests that the worker of task @p id checkpoint and release it. The next
  * answers to that worker's polls carry the order until the task is released.
--- a/lib/batch/bucket_commit.c
+++ b/lib/batch/bucket_commit.c
@@ -155,6 +155,13 @@
 		collect_ready_workers(bucket);
 }
 
+/* Such a handover can be taken back by gn_batch_bucket_keep(). */
+static bool is_refused_release(const gn_bucket_write_t *write, gn_code_t code)
+{
+	return write->ownership == GN_BATCH_RELEASING && !write->doubtful &&
+	       (code == GN_ERR_UNAVAILABLE || code == GN_ERR_RATE);
+}
+
 void gn_batch_bucket_on_commit(gn_batch_bucket_t *bucket, uint64_t change_id,
 			       gn_code_t code, uint64_t revision)
 {
@@ -172,6 +179,10 @@
 		return;
 	}
 	write->sent = false;
+	if (is_refused_release(write, code)) {
+		clear_write(bucket);
+		return;
+	}
 	if (code == GN_ERR_CONFLICT) {
 		/*
 		 * The transport may have sent the write twice, and the second
@@ -182,6 +193,7 @@
 		bucket->stats.commit_conflicts++;
 	} else {
 		write->unknown = true;
+		write->doubtful |= code == GN_ERR_UNKNOWN;
 		bucket->stats.commit_unknowns++;
 	}
 }
--- a/lib/batch/bucket_internal.h
+++ b/lib/batch/bucket_internal.h
@@ -13,6 +13,8 @@
 	bool active; /**< There is such a write. */
 	bool sent; /**< Its answer is awaited. */
 	bool unknown; /**< Its answer was lost; a read shows its effect. */
+	/** An answer was lost, so that a copy may still take effect. */
+	bool doubtful;
 	bool conflicted; /**< Lost a compare-and-swap, maybe to its own copy. */
 	uint64_t change_id;
 	uint64_t seq; /**< Number of the last change that it contains. */
--- a/lib/member/bucket.c
+++ b/lib/member/bucket.c
@@ -210,6 +210,10 @@
 		    holder->mutant != GN_MEMBER_BUCKET_MUTANT_KEEP)
 			gn_batch_bucket_release(holder->bucket);
 		break;
+	case GN_BATCH_RELEASING:
+		if (is_wanted(holder))
+			gn_batch_bucket_keep(holder->bucket);
+		break;
 	default:
 		break;
 	}
--- a/tests/support/batch_model_entry.c
+++ b/tests/support/batch_model_entry.c
@@ -500,6 +500,8 @@
 			gn_batch_bucket_release(entry->bucket);
 		}
 	}
+	if (standing == GN_BATCH_RELEASING && model_chance(model, .1))
+		gn_batch_bucket_keep(entry->bucket);
 	write_bucket(model, entry);
 	if (!model_is_send_step(model))
 		return;
--- a/tests/unit/test_bucket.c
+++ b/tests/unit/test_bucket.c
@@ -522,6 +522,53 @@
 		0);
 }
 
+typedef struct keep_case_s {
+	const char *name;
+	bool sent; /**< The handover is written before it is taken back. */
+	gn_code_t answers[2]; /**< Answers to the writes of the handover. */
+	size_t answer_count;
+	bool kept;
+} keep_case_t;
+
+static const keep_case_t keep_cases[] = {
+	{ "not-sent", false, { GN_OK }, 0, true },
+	{ "no-answer", true, { GN_OK }, 0, false },
+	{ "refused", true, { GN_ERR_UNAVAILABLE }, 1, true },
+	{ "over-rate", true, { GN_ERR_RATE }, 1, true },
+	{ "lost", true, { GN_ERR_UNKNOWN }, 1, false },
+	{ "lost-then-refused",
+	  true,
+	  { GN_ERR_UNKNOWN, GN_ERR_UNAVAILABLE },
+	  2,
+	  false },
+};
+
+/* A bucket whose handover was certainly not written renews run promises. */
+static void test_keep(fixture_t *f, gconstpointer data)
+{
+	const keep_case_t *c = data;
+	gn_batch_commit_t commit = { 0 };
+	uint64_t id;
+
+	start_task(f, &id);
+	gn_batch_bucket_release(f->bucket);
+	if (c->sent)
+		g_assert_true(gn_batch_bucket_next_commit(f->bucket, &commit));
+	for (size_t i = 0; i < c->answer_count; i++) {
+		if (i) {
+			gn_batch_bucket_on_read(f->bucket, f->stored,
+						f->revision);
+			g_assert_true(gn_batch_bucket_next_commit(f->bucket,
+								  &commit));
+		}
+		gn_batch_bucket_on_commit(f->bucket, commit.change_id,
+					  c->answers[i], 0);
+	}
+	gn_batch_bucket_keep(f->bucket);
+	g_assert_cmpint(poll_at(f, WORKER, 100, NULL, 0), ==,
+			c->kept ? GN_OK : GN_ERR_UNAVAILABLE);
+}
+
 /** A takeover from an owner that is in the member record is refused. */
 static void test_take(fixture_t *f)
 {
@@ -653,5 +700,7 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(answer_cases); i++)
 		add("/answer", answer_cases[i].name, &answer_cases[i],
 		    test_answer);
+	for (size_t i = 0; i < G_N_ELEMENTS(keep_cases); i++)
+		add("/keep", keep_cases[i].name, &keep_cases[i], test_keep);
 	return g_test_run();
 }
