entry: buckets acquired after an outage are kept for a lease

When all entries join again after an outage, the first one acquires all buckets and hands half of them over at once. Between its release and the acquisition by the other entry nobody renews the run promises; a second outage in that moment lasts longer than they do.

Change: an entry hands a bucket over only once it has owned it for the time of a lease. The dump says to whom the record assigns a bucket.

--- a/lib/batch/bucket.c
+++ b/lib/batch/bucket.c
@@ -369,6 +369,11 @@
 	return bucket->ownership;
 }
 
+uint64_t gn_batch_bucket_taken_us(const gn_batch_bucket_t *bucket)
+{
+	return bucket->taken_us;
+}
+
 uint32_t gn_batch_bucket_epoch(const gn_batch_bucket_t *bucket)
 {
 	return bucket->owner_epoch;
--- a/lib/batch/bucket.h
+++ b/lib/batch/bucket.h
@@ -247,6 +247,11 @@
 gn_batch_bucket_get_ownership(const gn_batch_bucket_t *bucket);
 
 /** Returns the owner's epoch, including a raise that is not durable yet. */
+/**
+ * Returns the time when the takeover was known to be durable; 0 before that.
+ */
+uint64_t gn_batch_bucket_taken_us(const gn_batch_bucket_t *bucket);
+
 uint32_t gn_batch_bucket_epoch(const gn_batch_bucket_t *bucket);
 
 /** Whether the change @p seq and all earlier ones are stored. */
--- a/lib/entry/buckets.c
+++ b/lib/entry/buckets.c
@@ -59,6 +59,31 @@
 
 /* ======   Callbacks of the holders   ====== */
 
+/* Whether the member record assigns the bucket to this entry. */
+static bool is_assigned(const entry_t *entry, unsigned index)
+{
+	return gn_record_state(entry->membership->record) == GN_RECORD_MEMBER &&
+	       entry_membership_is_self(
+		       entry, entry_membership_find_owner(entry, index));
+}
+
+/*
+ * Between a release and the acquisition by another entry, nobody renews the run
+ * promises of a bucket's tasks. When all entries join again after an outage,
+ * the first one acquires all buckets; it hands them over only once the
+ * key-value service has been back for a lease, since it may fail again.
+ */
+static bool was_acquired_recently(const entry_t *entry,
+				  const gn_batch_bucket_t *bucket)
+{
+	uint64_t ttl_us =
+		(uint64_t)entry->runtime->settings->lease_ttl_ms * GN_US_PER_MS;
+
+	return gn_runtime_now_us(entry->runtime) -
+		       gn_batch_bucket_taken_us(bucket) <
+	       ttl_us;
+}
+
 /*
  * While the platform's key-value service is unavailable, a held bucket is kept
  * whatever the record says: no other entry could acquire it, and its tasks
@@ -67,16 +92,15 @@
 static bool should_own(const entry_t *entry, unsigned index)
 {
 	const entry_membership_t *membership = entry->membership;
-	const gn_member_bucket_t *holder = entry->buckets->slots[index].holder;
+	const gn_batch_bucket_t *held =
+		gn_member_bucket_held(entry->buckets->slots[index].holder);
 
 	if (entry->runtime->stopping)
 		return false;
-	if (gn_member_bucket_held(holder) &&
-	    !gn_promise_is_normal(membership->promise))
+	if (held && (!gn_promise_is_normal(membership->promise) ||
+		     was_acquired_recently(entry, held)))
 		return true;
-	return gn_record_state(membership->record) == GN_RECORD_MEMBER &&
-	       entry_membership_is_self(
-		       entry, entry_membership_find_owner(entry, index));
+	return is_assigned(entry, index);
 }
 
 static bool is_wanted(void *context, unsigned index)
@@ -317,18 +341,18 @@
 		stats = gn_batch_bucket_stats(bucket);
 		json_array_append_new(
 			rows,
-			json_pack("{s:i, s:i, s:b, s:I, s:i, s:I, s:I, s:I}",
-				  "bucket", (int)i, "standing",
-				  (int)gn_batch_bucket_get_ownership(bucket),
-				  "wanted", (int)should_own(entry, i), "epoch",
-				  (json_int_t)gn_batch_bucket_epoch(bucket),
-				  "tasks",
-				  (int)gn_batch_bucket_task_count(bucket),
-				  "commits", (json_int_t)stats->commits,
-				  "conflicts",
-				  (json_int_t)stats->commit_conflicts,
-				  "unknowns",
-				  (json_int_t)stats->commit_unknowns));
+			json_pack(
+				"{s:i, s:i, s:b, s:I, s:i, s:I, s:I, s:I}",
+				"bucket", (int)i, "standing",
+				(int)gn_batch_bucket_get_ownership(bucket),
+				"assigned", (int)is_assigned(entry, i), "epoch",
+				(json_int_t)gn_batch_bucket_epoch(bucket),
+				"tasks",
+				(int)gn_batch_bucket_task_count(bucket),
+				"commits", (json_int_t)stats->commits,
+				"conflicts",
+				(json_int_t)stats->commit_conflicts, "unknowns",
+				(json_int_t)stats->commit_unknowns));
 	}
 	return rows;
 }
