scheduler: requests wait for the next leader during an election

Cause: from the moment a leader is silent until the next one serves, every scheduler refused its callers (503, back after 1 s) and said it was not ready, so that the balancer took all of them out of service at once and needed two of its checks to bring them back. A request that was sent again to a leader which still loaded its jobs was refused as not run, although an earlier leader might have carried it out.

Then requests are held, at most as long as a forwarded one waits for its answer, and sent once a leader serves; the scheduler stays ready. A refusal as not run is given only if no leader can have carried the request out. With the store away requests are refused at once, as before.

--- a/lib/scheduler/calls.c
+++ b/lib/scheduler/calls.c
@@ -257,7 +257,11 @@
 	gn_counter_inc(scheduler->counters.calls[call->kind]);
 	if (scheduler_is_serving(scheduler))
 		serve_call(scheduler, call);
-	else if (!scheduler_forward(scheduler, call))
+	else if (scheduler_forward(scheduler, call))
+		return;
+	else if (scheduler_may_hold(scheduler))
+		scheduler_hold(scheduler, call);
+	else
 		answer_result(scheduler, call, GN_RESULT_NOT_LEADER,
 			      "no leader");
 }
@@ -329,6 +333,12 @@
 			      "does not lead");
 }
 
+/* Whether the leader has certainly not carried out the call. */
+static bool is_certainly_undone(const scheduler_call_t *call)
+{
+	return !call->sent && !call->uncertain;
+}
+
 void scheduler_on_job_reply(scheduler_t *scheduler, const Gn__JobReply *message)
 {
 	scheduler_call_t *call =
@@ -345,6 +355,11 @@
 	if (!call || message->result >= GN_RESULT_COUNT ||
 	    message->phase >= GN_JOB_PHASE_COUNT)
 		return;
+	/* Sent again once a leader serves; see scheduler_expire_calls(). */
+	if (reply.result == GN_RESULT_NOT_LEADER) {
+		call->sent = false;
+		return;
+	}
 	g_hash_table_steal(scheduler->forwarded, &message->number);
 	answer_call(scheduler, call, &reply);
 }
@@ -353,7 +368,17 @@
 
 static bool may_have_taken_effect(const scheduler_call_t *call)
 {
-	return call->kind == GN_CALL_SUBMIT || call->kind == GN_CALL_CANCEL;
+	return !is_certainly_undone(call) &&
+	       (call->kind == GN_CALL_SUBMIT || call->kind == GN_CALL_CANCEL);
+}
+
+/* Whether to give up a call: it took too long, or no leader is in sight. */
+static bool is_forward_over(const scheduler_t *scheduler,
+			    const scheduler_call_t *call)
+{
+	return now_us(scheduler) - call->received_us >=
+		       SCHEDULER_FORWARD_TIMEOUT_US ||
+	       (is_certainly_undone(call) && !scheduler_may_hold(scheduler));
 }
 
 static void answer_timeout(scheduler_t *scheduler, scheduler_call_t *call)
@@ -391,8 +416,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		scheduler_call_t *call = value;
 
-		if (now_us(scheduler) - call->received_us <
-		    SCHEDULER_FORWARD_TIMEOUT_US)
+		if (!is_forward_over(scheduler, call))
 			continue;
 		g_hash_table_iter_steal(&iter);
 		g_ptr_array_add(expired, call);
--- a/lib/scheduler/leading.c
+++ b/lib/scheduler/leading.c
@@ -377,6 +377,8 @@
 		request_page(loading);
 	if (!scheduler->ledger)
 		return;
+	if (scheduler_is_confirmed(scheduler))
+		scheduler->served_us = now_us(scheduler);
 	if (now_us(scheduler) - scheduler->last_tick_us >= TICK_INTERVAL_US) {
 		scheduler->last_tick_us = now_us(scheduler);
 		gn_sched_tick(scheduler->sched);
--- a/lib/scheduler/scheduler_internal.h
+++ b/lib/scheduler/scheduler_internal.h
@@ -38,8 +38,12 @@
 	/** Packed JobSpec of a submission, owned; otherwise NULL. */
 	uint8_t *spec;
 	size_t spec_len;
-	/** Number under which the request was forwarded to the leader. */
+	/** Number under which the request is forwarded to the leader. */
 	uint64_t number;
+	/** Sent to the present leader; otherwise held until there is one. */
+	bool sent;
+	/** An earlier leader may have carried it out without an answer. */
+	bool uncertain;
 	uint64_t received_us;
 	/** Answer to send once the decision is durable. */
 	gn_sched_reply_t reply;
@@ -100,13 +104,17 @@
 	gn_link_t *leader_link; /**< NULL if no other leader is known. */
 	/** Address that leader_link connects to. */
 	char leader_address[GN_ADDRESS_MAX + 1];
-	GHashTable *forwarded; /**< Maps a number to scheduler_call_t. */
-	uint64_t last_number; /**< Number of the last forwarded call. */
+	/** Calls that the leader has to answer, and those held until there is
+	 * one: maps a number to scheduler_call_t. */
+	GHashTable *forwarded;
+	uint64_t last_number; /**< Number of the last call in it. */
 	/** Time of the leader's last answer, or of the connection attempt if
 	 * that is later. */
 	uint64_t leader_contact_us;
 	/** Whether the last answer showed that the leader serves requests. */
 	bool leader_serves;
+	/** When a leader, also this process, last served; 0 if never. */
+	uint64_t served_us;
 	uint64_t last_probe_us;
 
 	bool resigned;
@@ -139,7 +147,7 @@
  * this process no longer leads.
  */
 void scheduler_fail_waiting_calls(scheduler_t *scheduler);
-/** Serves the calls that were forwarded before this process led. */
+/** Serves the calls that were forwarded or held before this process led. */
 void scheduler_serve_forwarded_calls(scheduler_t *scheduler);
 /** Answers calls that the leader or the store did not answer in time. */
 void scheduler_expire_calls(scheduler_t *scheduler);
@@ -159,6 +167,10 @@
  * @return true if it was sent; @p call is then owned by scheduler_s.forwarded
  */
 bool scheduler_forward(scheduler_t *scheduler, scheduler_call_t *call);
+/** Whether a call may wait for the next leader; see scheduler/hold.h. */
+bool scheduler_may_hold(const scheduler_t *scheduler);
+/** Keeps a call in scheduler_s.forwarded until a leader serves. */
+void scheduler_hold(scheduler_t *scheduler, scheduler_call_t *call);
 
 /* ======   leading.c   ====== */
 
--- a/lib/scheduler/status.c
+++ b/lib/scheduler/status.c
@@ -9,14 +9,18 @@
 #include "http/status.h"
 #include "scheduler/scheduler_internal.h"
 
-/* Whether requests can be served here or forwarded to the leader. */
+/*
+ * Whether requests can be served here, forwarded to the leader, or held until
+ * the next one is elected.
+ */
 static bool is_ready(const scheduler_t *scheduler)
 {
 	if (scheduler->runtime->stopping || !scheduler->queues)
 		return false;
 	if (scheduler_is_serving(scheduler))
 		return scheduler_is_confirmed(scheduler);
-	return scheduler_can_forward(scheduler);
+	return scheduler_can_forward(scheduler) ||
+	       scheduler_may_hold(scheduler);
 }
 
 static json_t *dump_jobs(const scheduler_t *scheduler)
