scheduler: a job that was not sent to the store is withdrawn and refused

Change: gn_sched_withdraw() removes a job that is not stored and in no write batch whose fate is open. After 1 s its callers are refused, with when to come back; when leadership ends they are held for the next leader. Only jobs that may be stored are still answered "unknown". The reason of a refusal says whether a leader was asked.

--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -141,6 +141,13 @@
  */
 gn_sched_reply_t gn_sched_submit(gn_sched_t *sched, Gn__JobSpec *spec);
 
+/**
+ * Removes a job that is certainly not stored, so that its caller can be told
+ * that it does not run.
+ * @return false if the job is stored or may be, or does not exist
+ */
+bool gn_sched_withdraw(gn_sched_t *sched, const char *job);
+
 /** Returns the state of a job. */
 gn_sched_reply_t gn_sched_get_state(gn_sched_t *sched, const char *job);
 
--- a/lib/sched/sched_store.c
+++ b/lib/sched/sched_store.c
@@ -121,6 +121,25 @@
 	g_hash_table_remove(sched->jobs, job->spec->id);
 }
 
+/* No start was sent, since the claims are not durable. */
+static void release_unstored_claims(sched_job_t *job)
+{
+	for (uint32_t i = 0; i < job->task_count && job->claimed; i++)
+		if (job->tasks[i].state == GN_JOB_TASK_CLAIMED)
+			sched_release_claim(&job->tasks[i], "withdrawn");
+}
+
+bool gn_sched_withdraw(gn_sched_t *sched, const char *id)
+{
+	sched_job_t *job = g_hash_table_lookup(sched->jobs, id);
+
+	if (!job || job->stored || g_ptr_array_find(sched->writing, job, NULL))
+		return false;
+	release_unstored_claims(job);
+	remove_job(sched, job);
+	return true;
+}
+
 static void retire_all_ends(gn_sched_t *sched)
 {
 	GHashTableIter iter;
--- a/lib/scheduler/calls.c
+++ b/lib/scheduler/calls.c
@@ -15,6 +15,12 @@
  * an unknown result.
  */
 #define STORE_TIMEOUT_US (1800 * GN_US_PER_MS)
+/**
+ * Time after which a job that was not even sent to the store is withdrawn and
+ * refused. The store then has not answered an earlier write for about this
+ * long.
+ */
+#define UNSENT_TIMEOUT_US (1000 * GN_US_PER_MS)
 /** Delay before a caller may retry while no scheduler leads, seconds. */
 #define NO_LEADER_RETRY_S 1
 #define MS_PER_S 1000
@@ -32,7 +38,8 @@
 
 static unsigned get_retry_after_s(const gn_sched_reply_t *reply)
 {
-	if (reply->result == GN_RESULT_NOT_LEADER)
+	if (reply->result == GN_RESULT_NOT_LEADER ||
+	    (reply->result == GN_RESULT_REFUSED && !reply->retry_after_ms))
 		return NO_LEADER_RETRY_S;
 	return (reply->retry_after_ms + MS_PER_S - 1) / MS_PER_S;
 }
@@ -199,14 +206,58 @@
 	}
 }
 
+/*
+ * Withdraws the job that @p call submitted, if it is certainly not stored, and
+ * returns all calls that wait for it. Otherwise returns NULL.
+ */
+static GPtrArray *withdraw_job(scheduler_t *scheduler,
+			       const scheduler_call_t *call)
+{
+	GPtrArray *waiting = scheduler->awaiting_store;
+	GPtrArray *calls;
+
+	if (call->kind != GN_CALL_SUBMIT ||
+	    !gn_sched_withdraw(scheduler->sched, call->job))
+		return NULL;
+	calls = g_ptr_array_new();
+	for (guint i = waiting->len; i > 0; i--) {
+		scheduler_call_t *other = g_ptr_array_index(waiting, i - 1);
+
+		if (strcmp(other->job, call->job) != 0)
+			continue;
+		g_ptr_array_remove_index_fast(waiting, i - 1);
+		g_ptr_array_add(calls, other);
+	}
+	return calls;
+}
+
+/* Holds a withdrawn call for the next leader, or refuses it. */
+static void return_call(scheduler_t *scheduler, scheduler_call_t *call)
+{
+	if (call->request && scheduler_may_hold(scheduler))
+		scheduler_hold(scheduler, call);
+	else
+		answer_result(scheduler, call, GN_RESULT_NOT_LEADER,
+			      "leadership lost");
+}
+
 void scheduler_fail_waiting_calls(scheduler_t *scheduler)
 {
 	GPtrArray *waiting = scheduler->awaiting_store;
 
-	while (waiting->len)
-		answer_result(scheduler,
-			      g_ptr_array_remove_index_fast(waiting, 0),
-			      GN_RESULT_UNKNOWN, "leadership lost");
+	while (waiting->len) {
+		GPtrArray *calls =
+			withdraw_job(scheduler, g_ptr_array_index(waiting, 0));
+
+		for (guint i = 0; calls && i < calls->len; i++)
+			return_call(scheduler, g_ptr_array_index(calls, i));
+		if (calls)
+			g_ptr_array_free(calls, TRUE);
+		else
+			answer_result(scheduler,
+				      g_ptr_array_remove_index_fast(waiting, 0),
+				      GN_RESULT_UNKNOWN, "leadership lost");
+	}
 }
 
 void scheduler_serve_forwarded_calls(scheduler_t *scheduler)
@@ -383,18 +434,48 @@
 
 static void answer_timeout(scheduler_t *scheduler, scheduler_call_t *call)
 {
-	if (may_have_taken_effect(call))
-		answer_result(scheduler, call, GN_RESULT_UNKNOWN,
-			      "no answer from the leader");
-	else
-		answer_result(scheduler, call, GN_RESULT_NOT_LEADER,
-			      "no answer from the leader");
+	answer_result(scheduler, call,
+		      may_have_taken_effect(call) ? GN_RESULT_UNKNOWN
+						  : GN_RESULT_NOT_LEADER,
+		      is_certainly_undone(call) ? "no leader"
+						: "no answer from the leader");
+}
+
+/* Returns the calls of a job that was withdrawn because it waited too long, or
+ * NULL. */
+static GPtrArray *withdraw_unsent_job(scheduler_t *scheduler)
+{
+	GPtrArray *waiting = scheduler->awaiting_store;
+
+	for (guint i = 0; i < waiting->len; i++) {
+		scheduler_call_t *call = g_ptr_array_index(waiting, i);
+		GPtrArray *calls = NULL;
+
+		if (now_us(scheduler) - call->received_us >= UNSENT_TIMEOUT_US)
+			calls = withdraw_job(scheduler, call);
+		if (calls)
+			return calls;
+	}
+	return NULL;
+}
+
+static void refuse_unsent_jobs(scheduler_t *scheduler)
+{
+	GPtrArray *calls;
+
+	while ((calls = withdraw_unsent_job(scheduler))) {
+		for (guint i = 0; i < calls->len; i++)
+			answer_result(scheduler, g_ptr_array_index(calls, i),
+				      GN_RESULT_REFUSED, "store away");
+		g_ptr_array_free(calls, TRUE);
+	}
 }
 
 static void expire_awaiting_store(scheduler_t *scheduler)
 {
 	GPtrArray *waiting = scheduler->awaiting_store;
 
+	refuse_unsent_jobs(scheduler);
 	for (guint i = waiting->len; i > 0; i--) {
 		scheduler_call_t *call = g_ptr_array_index(waiting, i - 1);
 
