--- a/lib/scheduler/calls.c
+++ b/lib/scheduler/calls.c
@@ -38,8 +38,7 @@
 
 static unsigned get_retry_after_s(const gn_sched_reply_t *reply)
 {
-	if (reply->result == GN_RESULT_NOT_LEADER ||
-	    (reply->result == GN_RESULT_REFUSED && !reply->retry_after_ms))
+	if (reply->result == GN_RESULT_NOT_LEADER)
 		return NO_LEADER_RETRY_S;
 	return (reply->retry_after_ms + MS_PER_S - 1) / MS_PER_S;
 }
@@ -466,7 +465,7 @@
 	while ((calls = withdraw_unsent_job(scheduler))) {
 		for (guint i = 0; i < calls->len; i++)
 			answer_result(scheduler, g_ptr_array_index(calls, i),
-				      GN_RESULT_REFUSED, "store away");
+				      GN_RESULT_NOT_LEADER, "store away");
 		g_ptr_array_free(calls, TRUE);
 	}
 }
