sched: the limit on waiting tasks grows with the fleet

Cause: jobs were refused beyond 20,000 waiting tasks whatever the number of workers, about one task a worker at the target of the large site (18,346 machines), and each refused caller was told to come back after 2 s, all at once.

Change: sched/backlog.h: 125 waiting tasks a worker, at least 20,000, at most 400,000 (about 70 MB of a leader's memory). The time to come back follows from the rate at which tasks are taken; callers get the room in the order in which they were refused.

Measured in test_backlog, 120 jobs of 500 tasks at once on a fleet that takes 2,000 a second: all accepted after 219 attempts, with the fixed 2 s after 750.

--- a/lib/sched/sched_claim.c
+++ b/lib/sched/sched_claim.c
@@ -80,6 +80,7 @@
 	sched_job_t *job = task->job;
 
 	attach_claim(task, worker, worker->life);
+	gn_backlog_count_taken(&job->sched->backlog, sched_now_us(job->sched));
 	task->attempt = attempt;
 	task->claim_version = sched_job_mark_dirty(job);
 	g_ptr_array_add(job->pending_starts, task);
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -7,6 +7,7 @@
 
 #include <glib.h>
 
+#include "sched/backlog.h"
 #include "sched/interference.h"
 #include "sched/place.h"
 #include "sched/rank.h"
@@ -184,6 +185,7 @@
 	GQueue dirty; /**< Jobs to be stored. */
 	GPtrArray *writing; /**< Jobs in the current write batch. */
 	size_t claims;
+	gn_backlog_t backlog;
 	bool changed; /**< Placement may have a new result. */
 	uint64_t pass_due_us; /**< Time before which no pass runs. */
 	bool learned; /**< Weights have changed since they were last stored. */
--- a/lib/sched/sched_job.c
+++ b/lib/sched/sched_job.c
@@ -7,10 +7,6 @@
 #include "common/str.h"
 #include "sched/sched_internal.h"
 
-/** Limit on waiting tasks; a job that would exceed it is refused. */
-#define BACKLOG_TASKS_MAX 20000
-/** Time after which a refused caller may retry. */
-#define BACKLOG_RETRY_MS 2000
 /** Limits for a queue that the configuration does not contain. */
 #define DEFAULT_ATTEMPTS 3
 #define DEFAULT_PRIORITY 9
@@ -289,15 +285,21 @@
 	return g_hash_table_lookup(sched->jobs, id);
 }
 
-static size_t count_waiting_tasks(const gn_sched_t *sched)
+/* Returns 0 if there is room for the job, else when to come back, in ms. */
+static unsigned get_backlog_retry_ms(gn_sched_t *sched, const Gn__JobSpec *spec)
 {
-	return gn_sched_stats(sched).waiting_tasks;
+	const gn_sched_stats_t stats = gn_sched_stats(sched);
+
+	return gn_backlog_admit(&sched->backlog, stats.waiting_tasks,
+				gn_job_tasks_per_occurrence(spec),
+				stats.workers, sched_now_us(sched));
 }
 
 gn_sched_reply_t gn_sched_submit(gn_sched_t *sched, Gn__JobSpec *spec)
 {
 	sched_job_t *job = find_job(sched, spec->id);
 	gn_sched_reply_t reply = { 0 };
+	unsigned retry_ms;
 
 	if (job) {
 		gn__job_spec__free_unpacked(spec, NULL);
@@ -305,11 +307,11 @@
 		reply.version = job->stored ? 0 : job->version;
 		return reply;
 	}
-	if (count_waiting_tasks(sched) + gn_job_tasks_per_occurrence(spec) >
-	    BACKLOG_TASKS_MAX) {
+	retry_ms = get_backlog_retry_ms(sched, spec);
+	if (retry_ms) {
 		gn__job_spec__free_unpacked(spec, NULL);
 		reply.result = GN_RESULT_REFUSED;
-		reply.retry_after_ms = BACKLOG_RETRY_MS;
+		reply.retry_after_ms = retry_ms;
 		reply.reason = "backlog";
 		return reply;
 	}
