sched: jobs that do not fit into the capacity go behind those that do

Cause: a job counted as in time while its longest chain fitted its deadline, whatever work was ranked ahead of it.

Change: sched/room.h estimates the capacity by the rate at which best-effort work ends while more of it waits, and tells whether a job fits behind the work ahead of it; sched_order.c moves the others back.

A first estimate by the CPU of running tasks changed nothing, since tasks that are throttled or moved finish about half of what they claim.

--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -11,6 +11,7 @@
 #include "sched/interference.h"
 #include "sched/place.h"
 #include "sched/rank.h"
+#include "sched/room.h"
 #include "sched/sched.h"
 
 /** Time after which an unanswered order is sent again. */
@@ -56,6 +57,9 @@
 	 * the used CPU of a best-effort task in thousandths of a core. */
 	uint32_t last_reading;
 	uint32_t previous_reading; /**< Reading of the list before that. */
+	/** Headroom of a serving task that the model of its image does not
+	 * explain, smoothed over its last readings. */
+	double headroom_offset;
 	const char *image; /**< Interned. */
 	uint64_t slow_since_us; /**< Start of a low pace; 0 if not low. */
 	uint64_t very_slow_since_us; /**< Start of a very low pace; 0 if not. */
@@ -186,6 +190,7 @@
 	GPtrArray *writing; /**< Jobs in the current write batch. */
 	size_t claims;
 	gn_backlog_t backlog;
+	gn_room_t room;
 	bool changed; /**< Placement may have a new result. */
 	uint64_t pass_due_us; /**< Time before which no pass runs. */
 	bool learned; /**< Weights have changed since they were last stored. */
--- a/lib/sched/sched_job.c
+++ b/lib/sched/sched_job.c
@@ -223,9 +223,13 @@
 void sched_job_task_done(sched_task_t *task)
 {
 	sched_job_t *job = task->job;
+	const Gn__JobStep *step = job->units[task->unit].step;
 
 	task->state = GN_JOB_TASK_DONE;
 	job->done++;
+	if (step->fills)
+		gn_room_count_done(&job->sched->room,
+				   (double)step->cpu_milli * step->estimate_ms);
 	job->units[task->unit].done++;
 	sched_job_mark_dirty(job);
 	if (sched_job_is_finished(job))
--- a/lib/sched/sched_pass.c
+++ b/lib/sched/sched_pass.c
@@ -30,45 +30,6 @@
  * processor time spent on passes. */
 #define PASS_INTERVAL_FACTOR 4
 
-/* ======   Order of jobs   ====== */
-
-static gint compare_jobs(gconstpointer a, gconstpointer b)
-{
-	const sched_job_t *first = *(sched_job_t *const *)a;
-	const sched_job_t *second = *(sched_job_t *const *)b;
-	int order = gn_rank_compare(&first->rank, &second->rank);
-
-	return order ? order : strcmp(first->spec->id, second->spec->id);
-}
-
-static bool has_waiting_tasks(const sched_job_t *job)
-{
-	if (sched_job_is_finished(job) ||
-	    job->done + job->claimed >= job->task_count)
-		return false;
-	for (uint32_t i = 0; i < job->unit_count; i++)
-		if (job->units[i].ready && job->units[i].waiting)
-			return true;
-	return false;
-}
-
-static GPtrArray *rank_jobs(gn_sched_t *sched)
-{
-	GPtrArray *all = g_ptr_array_new();
-	uint64_t now_us = sched_now_us(sched);
-
-	for (guint i = 0; i < sched->active->len; i++) {
-		sched_job_t *job = g_ptr_array_index(sched->active, i);
-
-		if (!has_waiting_tasks(job))
-			continue;
-		sched_job_update_rank(job, now_us);
-		g_ptr_array_add(all, job);
-	}
-	g_ptr_array_sort(all, compare_jobs);
-	return all;
-}
-
 /* ======   Candidates   ====== */
 
 static void get_candidates(gn_sched_t *sched, sched_candidates_t *all)
@@ -302,11 +263,12 @@
 static void run_pass(gn_sched_t *sched)
 {
 	sched_candidates_t all;
-	GPtrArray *ranked = rank_jobs(sched);
+	GPtrArray *ranked = sched_rank_jobs(sched);
 
 	get_candidates(sched, &all);
 	for (guint i = 0; i < ranked->len && all.count; i++)
 		place_job(sched, &all, g_ptr_array_index(ranked, i));
+	sched_update_room(sched, &all, ranked);
 	g_free(all.workers);
 	g_free(all.mixes);
 	g_free(all.views);
--- a/lib/sched/sched_pass.h
+++ b/lib/sched/sched_pass.h
@@ -17,6 +17,14 @@
 	double used_fraction; /**< Share of their CPU reserved by claims. */
 } sched_candidates_t;
 
+/** Returns the jobs with waiting tasks in the order in which to place them; free
+ * it with g_ptr_array_unref(). */
+GPtrArray *sched_rank_jobs(gn_sched_t *sched);
+
+/** Updates the capacity for best-effort work after a pass over @p ranked. */
+void sched_update_room(gn_sched_t *sched, const sched_candidates_t *all,
+		       const GPtrArray *ranked);
+
 /** Claims @p task for candidate @p at and updates its mix and view. */
 void sched_claim_on_candidate(sched_candidates_t *all, size_t at,
 			      sched_task_t *task, const gn_place_task_t *wanted,
