--- a/tests/support/colocation_model.c
+++ b/tests/support/colocation_model.c
@@ -31,6 +31,8 @@
 /** Headroom lost to best-effort tasks that use all processors of a worker. */
 #define HEAVY_WEIGHT 6.5
 #define LIGHT_WEIGHT 1.2
+/** Time constant of the changes of a single task's headroom. */
+#define UNEVENNESS_MS 2000.0
 /** Least headroom, which bounds the tail latency. */
 #define HEADROOM_MIN 0.1
 /** Time constant of the average that lists show as tail latency. */
@@ -50,6 +52,7 @@
 	double done_ms; /* Work done so far. */
 	double pace;
 	double tail_ms; /* Tail latency in the next list. */
+	double offset; /* Of the headroom of this task alone. */
 	unsigned over_target_ms; /* Current time over target. */
 	unsigned stopping; /* Ticks until stopped; 0 if not stopping. */
 } model_run_t;
@@ -264,13 +267,32 @@
 
 /* ======   Time   ====== */
 
+/* Returns a random number of mean 0 and variance 1. */
+static double draw_deviation(model_t *m)
+{
+	return sqrt(3) * (2 * g_rand_double(m->rand) - 1);
+}
+
+/* The offset wanders around 0, correlated over UNEVENNESS_MS. */
+static void update_offset(model_t *m, model_run_t *run)
+{
+	const double share = TICK_MS / UNEVENNESS_MS;
+
+	if (m->config->unevenness <= 0)
+		return;
+	run->offset += -share * run->offset + sqrt(2 * share) *
+						      m->config->unevenness *
+						      draw_deviation(m);
+}
+
 static void update_tail(model_t *m, model_run_t *run, double headroom_loss)
 {
-	double headroom =
-		fmax(HEADROOM_MIN,
-		     UNLOADED_HEADROOM * (1 - get_load(m, run->image)) -
-			     headroom_loss);
+	double headroom;
 
+	update_offset(m, run);
+	headroom = fmax(HEADROOM_MIN,
+			UNLOADED_HEADROOM * (1 - get_load(m, run->image)) -
+				headroom_loss + run->offset);
 	run->tail_ms += (TARGET_MS / headroom - run->tail_ms) *
 			(1 - exp(-TICK_MS / TAIL_SMOOTHING_MS));
 	m->serving_ms += TICK_MS;
--- a/tests/support/colocation_model.h
+++ b/tests/support/colocation_model.h
@@ -20,6 +20,9 @@
 	uint32_t seed;
 	double jobs_per_s;
 	bool ignore_paces; /**< Baseline: workers ignore pace orders. */
+	/** Standard deviation of what else changes the headroom of each serving
+	 * task for some seconds, such as callers of its own. */
+	double unevenness;
 } colocation_config_t;
 
 /** Results of a simulation. */
