executor: the first repetition of an unanswered order comes early

Cause: a call to a worker without an answer was repeated after 0.78 s.

Change: executor/attempt.h: the first call times out after 175 ms, each further one after twice as long, up to the 700 ms of before. The worker is on the same host.

--- a/lib/executor/orders.c
+++ b/lib/executor/orders.c
@@ -13,10 +13,9 @@
 
 #include "common/event.h"
 #include "common/str.h"
+#include "executor/attempt.h"
 #include "executor/executor_internal.h"
 
-/** Timeout of a call, milliseconds. */
-#define CALL_TIMEOUT_MS 700
 /** Delay before a call is repeated. */
 #define RETRY_DELAY_US (80 * GN_US_PER_MS)
 /**
@@ -299,7 +298,8 @@
 	sent->sent_us = now_us;
 	order->tries++;
 	order->call_pending = executor_call_worker(
-		executor, &call, CALL_TIMEOUT_MS, on_answer, sent);
+		executor, &call, gn_attempt_timeout_ms(order->tries), on_answer,
+		sent);
 	if (!order->call_pending) {
 		g_free(sent);
 		schedule_retry(order);
