executor: a lost list of runs is requested again early

Cause: a list that got no answer was missed after 1.1 s (wait of 0.4 s and 0.7 s on top), and until then the ends of all runs on that worker went unnoticed. With 5.5 % of the calls lost that is a sixth of the time, for every worker.

Change: the timeout on top of the wait is that of executor/attempt.h, 175 ms for the first request.

--- a/lib/executor/attempt.h
+++ b/lib/executor/attempt.h
@@ -8,6 +8,8 @@
  * ends with its last task and one lost start delays all of it. Later ones come
  * more slowly, so that a worker that answers nothing is not flooded.
  *
+ * The same holds for the list of runs, without which ends go unnoticed.
+ *
  * Load: a share of the calls gets no answer, and wide jobs of short tasks have
  * little time to lose.
  */
--- a/lib/executor/executor_internal.h
+++ b/lib/executor/executor_internal.h
@@ -84,6 +84,7 @@
 	bool list_pending; /**< A request for the list is in progress. */
 	uint64_t list_sent_us; /**< Time of the last request for the list. */
 	uint64_t list_due_us; /**< Earliest time of the next request. */
+	unsigned list_attempts; /**< Requests since the last list. */
 	bool list_unreported; /**< The leader hasn't been sent this list yet. */
 	TALLOC_CTX *list; /**< Owner of the runs and ends. */
 	Gn__WorkerRun **runs;
--- a/lib/executor/worker.c
+++ b/lib/executor/worker.c
@@ -6,14 +6,13 @@
 
 #include "common/event.h"
 #include "common/str.h"
+#include "executor/attempt.h"
 #include "executor/executor_internal.h"
 #include "http/reply.h"
 #include "http/status.h"
 
 /** Maximum time that the worker waits for an end before it lists, ms. */
 #define LIST_WAIT_MS 400
-/** Timeout of the call on top of that wait, milliseconds. */
-#define LIST_TIMEOUT_MARGIN_MS 700
 /** Delay after a failed request for the list. */
 #define LIST_RETRY_DELAY_US (100 * GN_US_PER_MS)
 /** Delay while ends are not stored yet, since the worker lists them at once. */
@@ -99,6 +98,7 @@
 		return;
 	}
 	executor_record_clock(executor, &answer);
+	executor->list_attempts = 0;
 	executor->list_due_us = 0;
 	store_list(executor, list, &answer);
 	if (answer.end_count)
@@ -126,9 +126,11 @@
 	call.lease_until_ms =
 		gn_grant_extend_until_ms(&executor->grant, now_us);
 	executor->list_sent_us = now_us;
+	executor->list_attempts++;
 	executor->list_pending = executor_call_worker(
-		executor, &call, call.wait_ms + LIST_TIMEOUT_MARGIN_MS, on_list,
-		executor);
+		executor, &call,
+		call.wait_ms + gn_attempt_timeout_ms(executor->list_attempts),
+		on_list, executor);
 }
 
 /* ======   Heartbeats   ====== */
@@ -151,6 +153,7 @@
 	executor->worker_draining_us = 0;
 	executor->worker_left = false;
 	executor->list_due_us = 0;
+	executor->list_attempts = 0;
 }
 
 static void on_heartbeat(executor_t *executor, const gn_worker_notice_t *notice)
