sched: a new leader learns before it judges single tasks and capacity

Change: jobs count as fitting for the first 3 s, the first turn of a late job comes 2 s after the start, and offsets are learned only while the variance of the baseline is low.

--- a/lib/sched/room.c
+++ b/lib/sched/room.c
@@ -20,10 +20,12 @@
 	uint64_t passed_us = now_us - room->updated_us;
 	double rate;
 
-	if (room->updated_us && passed_us < UPDATE_US)
+	if (room->started_us && passed_us < UPDATE_US)
 		return;
-	if (!room->updated_us) {
+	if (!room->started_us) {
 		room->cpu_milli = usable_milli;
+		room->started_us = now_us;
+		room->turn_us = now_us;
 	} else {
 		rate = room->done * GN_US_PER_MS / (double)passed_us;
 		/* Without a shortage, less work is finished than could be. */
@@ -42,7 +44,8 @@
 {
 	double left_ms;
 
-	if (room->cpu_milli <= 0)
+	if (!room->started_us || room->cpu_milli <= 0 ||
+	    now_us - room->started_us < SMOOTHING_US)
 		return true;
 	if (deadline_us <= now_us)
 		return false;
--- a/lib/sched/room.h
+++ b/lib/sched/room.h
@@ -32,10 +32,11 @@
 
 /** Rate of finished work; zero-initialized. Work is in cores times time. */
 typedef struct gn_room_s {
-	/** Smoothed rate, thousandths of a core; 0 before the first update. */
+	/** Smoothed rate, thousandths of a core. */
 	double cpu_milli;
 	/** Work finished since updated_us, thousandths of a core times ms. */
 	double done;
+	uint64_t started_us; /**< First update; 0 before it. */
 	uint64_t updated_us;
 	uint64_t turn_us; /**< Last time at which a late job went ahead. */
 } gn_room_t;
@@ -54,7 +55,8 @@
 
 /**
  * Whether a job with @p work left ends by its deadline if @p ahead is done
- * before it, both in thousandths of a core times ms.
+ * before it, both in thousandths of a core times ms. A new leader takes each
+ * job to fit until it knows the rate.
  */
 bool gn_room_fits(const gn_room_t *room, double ahead, double work,
 		  uint64_t deadline_us, uint64_t now_us);
--- a/lib/sched/sched_pace.c
+++ b/lib/sched/sched_pace.c
@@ -23,6 +23,8 @@
 /** Weight of the newest reading in a task's offset, and its bound. */
 #define OFFSET_WEIGHT 0.5
 #define OFFSET_MAX 1.0
+/** Variance of a baseline above which it says nothing about single tasks. */
+#define OFFSET_VARIANCE_MAX 0.2
 /** A task at or below this pace, in percent, for this long may be moved. */
 #define LOW_PACE 50
 #define LOW_PACE_US (800 * GN_US_PER_MS)
@@ -66,11 +68,15 @@
 static void update_offset(const gn_sched_t *sched, sched_task_t *task,
 			  double headroom, const sched_mix_t *mix)
 {
-	double expected = task->job->units[task->unit].baseline.value -
-			  gn_interference_loss(sched->interference, task->image,
-					       mix->uses, mix->use_count);
-	double deviation = CLAMP(headroom - expected, -OFFSET_MAX, OFFSET_MAX);
-
+	const gn_headroom_t *baseline = &task->job->units[task->unit].baseline;
+	double loss = gn_interference_loss(sched->interference, task->image,
+					   mix->uses, mix->use_count);
+	double deviation = CLAMP(headroom - (baseline->value - loss),
+				 -OFFSET_MAX, OFFSET_MAX);
+
+	/* A new leader has to learn the baseline first. */
+	if (baseline->variance > OFFSET_VARIANCE_MAX)
+		return;
 	task->headroom_offset +=
 		OFFSET_WEIGHT * (deviation - task->headroom_offset);
 }
--- a/lib/sched/sched_pass.c
+++ b/lib/sched/sched_pass.c
@@ -268,7 +268,8 @@
 	get_candidates(sched, &all);
 	for (guint i = 0; i < ranked->len && all.count; i++)
 		place_job(sched, &all, g_ptr_array_index(ranked, i));
-	sched_update_room(sched, &all, ranked);
+	if (all.count)
+		sched_update_room(sched, &all, ranked);
 	g_free(all.workers);
 	g_free(all.mixes);
 	g_free(all.views);
