--- a/lib/executor/attempt.h
+++ b/lib/executor/attempt.h
@@ -6,7 +6,7 @@
  * A worker on the same host answers within milliseconds, so a call without an
  * answer for much longer is lost. The first repetition comes early, since a job
  * ends with its last task and one lost start delays all of it. Later ones come
- * more slowly, so that a worker that answers nothing is not flooded.
+ * more slowly, so that a worker that answers nothing is not overloaded.
  *
  * The same holds for the list of runs, without which ends go unnoticed.
  *
--- a/lib/sched/backlog.h
+++ b/lib/sched/backlog.h
@@ -4,7 +4,7 @@
  *
  * The limit grows with the number of workers, since a large fleet drains a
  * longer backlog in the same time, up to what a leader can hold in memory. A
- * refused caller is told when the backlog will have room for it: the callers
+ * refused caller is told when the backlog will be short enough: the callers
  * share the rate at which tasks are taken, in the order in which they were
  * refused, so that they do not all return at once.
  *
@@ -29,7 +29,7 @@
 	double tasks_per_s; /**< Smoothed rate at which tasks are taken. */
 	uint64_t counted; /**< Tasks taken since updated_us. */
 	uint64_t updated_us;
-	/** Time by which there is room for all that was refused so far. */
+	/** Time by which all that was refused so far can be accepted. */
 	uint64_t promised_us;
 } gn_backlog_t;
 
--- a/lib/sched/room.h
+++ b/lib/sched/feasibility.h
@@ -1,5 +1,5 @@
 /**
- * @file room.h
+ * @file feasibility.h
  * @brief Tells which jobs can still end in time with the capacity there is.
  *
  * A job whose longest chain of steps fits its deadline can be late
@@ -19,30 +19,31 @@
  * Load: for minutes, more best-effort work is submitted than the fleet can do
  * in time.
  */
-#ifndef GN_SCHED_ROOM_H
-#define GN_SCHED_ROOM_H
+#ifndef GN_SCHED_FEASIBILITY_H
+#define GN_SCHED_FEASIBILITY_H
 
 #include <stdbool.h>
 #include <stdint.h>
 
 /** Age from which a job that is not in time may go ahead of others. */
-#define GN_ROOM_PATIENCE_MS 10000
+#define GN_FEASIBILITY_LATE_AGE_MS 10000
 /** Minimum time between two such jobs. */
-#define GN_ROOM_TURN_MS 2000
+#define GN_FEASIBILITY_LATE_INTERVAL_MS 2000
 
 /** Rate of finished work; zero-initialized. Work is in cores times time. */
-typedef struct gn_room_s {
+typedef struct gn_feasibility_s {
 	/** Smoothed rate, thousandths of a core. */
 	double cpu_milli;
 	/** Work finished since updated_us, thousandths of a core times ms. */
 	double done;
 	uint64_t started_us; /**< First update; 0 before it. */
 	uint64_t updated_us;
-	uint64_t turn_us; /**< Last time at which a late job went ahead. */
-} gn_room_t;
+	/** Last time at which a late job went ahead. */
+	uint64_t late_promoted_us;
+} gn_feasibility_t;
 
 /** Counts a finished task of this work, thousandths of a core times ms. */
-void gn_room_count_done(gn_room_t *room, double work);
+void gn_feasibility_count_done(gn_feasibility_t *state, double work);
 
 /**
  * Updates the rate; call it several times a second.
@@ -50,19 +51,19 @@
  * @param usable_milli CPU that best-effort tasks could use if none were
  *        throttled; the rate recovers to it while none wait
  */
-void gn_room_update(gn_room_t *room, bool is_short, double usable_milli,
-		    uint64_t now_us);
+void gn_feasibility_update(gn_feasibility_t *state, bool is_short,
+			   double usable_milli, uint64_t now_us);
 
 /**
  * Whether a job with @p work left ends by its deadline if @p ahead is done
  * before it, both in thousandths of a core times ms. A new leader takes each
  * job to fit until it knows the rate.
  */
-bool gn_room_fits(const gn_room_t *room, double ahead, double work,
-		  uint64_t deadline_us, uint64_t now_us);
+bool gn_feasibility_check(const gn_feasibility_t *state, double ahead,
+			  double work, uint64_t deadline_us, uint64_t now_us);
 
-/** Whether a job that is not in time may go ahead now; see turn_us. */
-bool gn_room_has_turn(const gn_room_t *room, uint64_t accepted_us,
-		      uint64_t now_us);
+/** Whether a job that is not in time may go ahead now; see late_promoted_us. */
+bool gn_feasibility_allows_late(const gn_feasibility_t *state,
+				uint64_t accepted_us, uint64_t now_us);
 
 #endif
--- a/lib/sched/rank.h
+++ b/lib/sched/rank.h
@@ -31,7 +31,7 @@
 typedef enum gn_rank_class_e {
 	GN_RANK_IN_TIME = 0,
 	/** It could meet its deadline, but for the work ahead of it. */
-	GN_RANK_NO_ROOM,
+	GN_RANK_INFEASIBLE,
 	GN_RANK_LATE,
 	GN_RANK_USELESS
 } gn_rank_class_t;
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -11,7 +11,7 @@
 #include "sched/interference.h"
 #include "sched/place.h"
 #include "sched/rank.h"
-#include "sched/room.h"
+#include "sched/feasibility.h"
 #include "sched/sched.h"
 
 /** Time after which an unanswered order is sent again. */
@@ -190,7 +190,7 @@
 	GPtrArray *writing; /**< Jobs in the current write batch. */
 	size_t claims;
 	gn_backlog_t backlog;
-	gn_room_t room;
+	gn_feasibility_t feasibility;
 	bool changed; /**< Placement may have a new result. */
 	uint64_t pass_due_us; /**< Time before which no pass runs. */
 	bool learned; /**< Weights have changed since they were last stored. */
--- a/lib/sched/sched_job.c
+++ b/lib/sched/sched_job.c
@@ -228,8 +228,9 @@
 	task->state = GN_JOB_TASK_DONE;
 	job->done++;
 	if (step->fills)
-		gn_room_count_done(&job->sched->room,
-				   (double)step->cpu_milli * step->estimate_ms);
+		gn_feasibility_count_done(&job->sched->feasibility,
+					  (double)step->cpu_milli *
+						  step->estimate_ms);
 	job->units[task->unit].done++;
 	sched_job_mark_dirty(job);
 	if (sched_job_is_finished(job))
--- a/lib/sched/sched_order.c
+++ b/lib/sched/sched_order.c
@@ -3,7 +3,7 @@
  * @brief Order in which jobs with waiting tasks are placed.
  *
  * sched/rank.h orders the jobs by what they can still reach on their own, and
- * sched/room.h moves those back that do not fit into the capacity.
+ * sched/feasibility.h moves those back that do not fit into the capacity.
  */
 #include <string.h>
 
@@ -69,7 +69,7 @@
 }
 
 /* Moves jobs back that would end late behind those ranked ahead of them. */
-static void fit_jobs(gn_sched_t *sched, GPtrArray *ranked)
+static void move_infeasible_back(gn_sched_t *sched, GPtrArray *ranked)
 {
 	uint64_t now_us = sched_now_us(sched);
 	double ahead = get_running_work(sched);
@@ -81,12 +81,12 @@
 
 		if (work <= 0 || job->rank.class != GN_RANK_IN_TIME)
 			continue;
-		if (gn_room_fits(&sched->room, ahead, work, job->deadline_us,
-				 now_us)) {
+		if (gn_feasibility_check(&sched->feasibility, ahead, work,
+					 job->deadline_us, now_us)) {
 			ahead += work;
 			continue;
 		}
-		job->rank.class = GN_RANK_NO_ROOM;
+		job->rank.class = GN_RANK_INFEASIBLE;
 		changed = true;
 	}
 	if (changed)
@@ -115,14 +115,15 @@
 }
 
 /* Lets a late job go ahead of all others of its priority for this pass. */
-static void give_turn(gn_sched_t *sched, GPtrArray *ranked)
+static void promote_late_job(gn_sched_t *sched, GPtrArray *ranked)
 {
 	sched_job_t *job = find_oldest_late_job(ranked);
 
-	if (!job || !gn_room_has_turn(&sched->room, job->accepted_us,
-				      sched_now_us(sched)))
+	if (!job ||
+	    !gn_feasibility_allows_late(&sched->feasibility, job->accepted_us,
+					sched_now_us(sched)))
 		return;
-	sched->room.turn_us = sched_now_us(sched);
+	sched->feasibility.late_promoted_us = sched_now_us(sched);
 	job->rank.class = GN_RANK_IN_TIME;
 	job->rank.effective_work = 0;
 	g_ptr_array_sort(ranked, compare_jobs);
@@ -142,8 +143,8 @@
 		g_ptr_array_add(ranked, job);
 	}
 	g_ptr_array_sort(ranked, compare_jobs);
-	fit_jobs(sched, ranked);
-	give_turn(sched, ranked);
+	move_infeasible_back(sched, ranked);
+	promote_late_job(sched, ranked);
 	return ranked;
 }
 
@@ -163,8 +164,8 @@
 	return usable;
 }
 
-void sched_update_room(gn_sched_t *sched, const sched_candidates_t *all,
-		       const GPtrArray *ranked)
+void sched_update_feasibility(gn_sched_t *sched, const sched_candidates_t *all,
+			      const GPtrArray *ranked)
 {
 	bool is_short = false;
 
@@ -173,6 +174,6 @@
 
 		is_short = has_waiting_tasks(job) && has_best_effort_tasks(job);
 	}
-	gn_room_update(&sched->room, is_short, get_usable_milli(all),
-		       sched_now_us(sched));
+	gn_feasibility_update(&sched->feasibility, is_short,
+			      get_usable_milli(all), sched_now_us(sched));
 }
--- a/lib/sched/sched_pass.c
+++ b/lib/sched/sched_pass.c
@@ -269,7 +269,7 @@
 	for (guint i = 0; i < ranked->len && all.count; i++)
 		place_job(sched, &all, g_ptr_array_index(ranked, i));
 	if (all.count)
-		sched_update_room(sched, &all, ranked);
+		sched_update_feasibility(sched, &all, ranked);
 	g_free(all.workers);
 	g_free(all.mixes);
 	g_free(all.views);
--- a/lib/sched/sched_pass.h
+++ b/lib/sched/sched_pass.h
@@ -22,8 +22,8 @@
 GPtrArray *sched_rank_jobs(gn_sched_t *sched);
 
 /** Updates the capacity for best-effort work after a pass over @p ranked. */
-void sched_update_room(gn_sched_t *sched, const sched_candidates_t *all,
-		       const GPtrArray *ranked);
+void sched_update_feasibility(gn_sched_t *sched, const sched_candidates_t *all,
+			      const GPtrArray *ranked);
 
 /** Claims @p task for candidate @p at and updates its mix and view. */
 void sched_claim_on_candidate(sched_candidates_t *all, size_t at,
--- a/tests/unit/test_room.c
+++ b/tests/unit/test_feasibility.c
@@ -8,7 +8,7 @@
 
 #include "gypsumnotch.h"
 #include "sched/rank.h"
-#include "sched/room.h"
+#include "sched/feasibility.h"
 
 #define POOL_MILLI 200000
 #define TASK_MILLI 3500
@@ -33,8 +33,8 @@
 typedef struct pool_s {
 	GRand *rand;
 	GPtrArray *jobs; /* Of job_t, owned. */
-	gn_room_t room;
-	bool fits; /* Whether gn_room_fits() is asked. */
+	gn_feasibility_t feasibility;
+	bool fits; /* Whether gn_feasibility_check() is asked. */
 	uint64_t now_us;
 } pool_t;
 
@@ -75,7 +75,7 @@
 	job->rank = gn_rank_compute(&input, pool->now_us);
 }
 
-static void fit_jobs(const pool_t *pool, GPtrArray *ranked)
+static void move_infeasible_back(const pool_t *pool, GPtrArray *ranked)
 {
 	double ahead = 0;
 
@@ -84,16 +84,16 @@
 
 		if (job->rank.class != GN_RANK_IN_TIME)
 			continue;
-		if (gn_room_fits(&pool->room, ahead, job->work,
-				 job->deadline_us, pool->now_us))
+		if (gn_feasibility_check(&pool->feasibility, ahead, job->work,
+					 job->deadline_us, pool->now_us))
 			ahead += job->work;
 		else
-			job->rank.class = GN_RANK_NO_ROOM;
+			job->rank.class = GN_RANK_INFEASIBLE;
 	}
 	g_ptr_array_sort(ranked, compare_jobs);
 }
 
-static void give_turn(pool_t *pool, GPtrArray *ranked)
+static void promote_late_job(pool_t *pool, GPtrArray *ranked)
 {
 	job_t *oldest = NULL;
 
@@ -105,11 +105,12 @@
 			oldest = job;
 	}
 	if (!oldest ||
-	    !gn_room_has_turn(&pool->room, oldest->accepted_us, pool->now_us))
+	    !gn_feasibility_allows_late(&pool->feasibility, oldest->accepted_us,
+					pool->now_us))
 		return;
-	pool->room.turn_us = pool->now_us;
+	pool->feasibility.late_promoted_us = pool->now_us;
 	/* Its tasks run to their end once they are placed. */
-	gn_room_count_done(&pool->room, oldest->work);
+	gn_feasibility_count_done(&pool->feasibility, oldest->work);
 	oldest->work = 0;
 	oldest->ended_us = pool->now_us + TASK_MS * GN_US_PER_MS;
 }
@@ -128,8 +129,8 @@
 	}
 	g_ptr_array_sort(ranked, compare_jobs);
 	if (pool->fits) {
-		fit_jobs(pool, ranked);
-		give_turn(pool, ranked);
+		move_infeasible_back(pool, ranked);
+		promote_late_job(pool, ranked);
 	}
 	return ranked;
 }
@@ -146,12 +147,12 @@
 
 		left -= milli;
 		job->work -= work;
-		gn_room_count_done(&pool->room, work);
+		gn_feasibility_count_done(&pool->feasibility, work);
 		if (job->work <= 0 && !job->ended_us)
 			job->ended_us = pool->now_us + STEP_MS * GN_US_PER_MS;
 	}
-	gn_room_update(&pool->room, ranked->len && left <= 0, POOL_MILLI,
-		       pool->now_us);
+	gn_feasibility_update(&pool->feasibility, ranked->len && left <= 0,
+			      POOL_MILLI, pool->now_us);
 	g_ptr_array_unref(ranked);
 }
 
@@ -198,7 +199,7 @@
 	for (guint32 seed = 1; seed <= SEEDS; seed++)
 		play(load, seed, fits, &result);
 	g_test_message("load %.1f, %s: %u of %u in time, at most %.1f s", load,
-		       fits ? "room" : "rank alone", result.in_time,
+		       fits ? "feasibility" : "rank alone", result.in_time,
 		       result.jobs, result.longest_s);
 	return result;
 }
@@ -206,48 +207,52 @@
 static void test_overload_makes_few_jobs_late(void)
 {
 	const result_t alone = play_seeds(1.3, false);
-	const result_t room = play_seeds(1.3, true);
+	const result_t ranked = play_seeds(1.3, true);
 
-	g_assert_cmpuint(room.in_time, >, alone.in_time);
+	g_assert_cmpuint(ranked.in_time, >, alone.in_time);
 	/* At 1.3 times the capacity, 1 / 1.3 of the work can be in time, and
 	 * more jobs than that if the large ones are late. */
-	g_assert_cmpuint(4 * room.in_time, >=, 3 * room.jobs);
+	g_assert_cmpuint(4 * ranked.in_time, >=, 3 * ranked.jobs);
 	/* Late jobs do not wait until the load is over. */
-	g_assert_cmpfloat(2 * room.longest_s, <, alone.longest_s);
+	g_assert_cmpfloat(2 * ranked.longest_s, <, alone.longest_s);
 }
 
-static void test_nothing_changes_while_there_is_room(void)
+static void test_nothing_changes_without_overload(void)
 {
 	const result_t alone = play_seeds(0.6, false);
-	const result_t room = play_seeds(0.6, true);
+	const result_t ranked = play_seeds(0.6, true);
 
-	g_assert_cmpuint(100 * room.in_time, >=, 99 * alone.in_time);
+	g_assert_cmpuint(100 * ranked.in_time, >=, 99 * alone.in_time);
 }
 
 /* While late jobs of this age wait, one of them goes ahead in each interval. */
-static void test_late_jobs_have_their_turn(void)
+static void test_late_jobs_are_promoted(void)
 {
 	const uint64_t now_us = 100 * GN_US_PER_S;
-	const uint64_t patience_us = GN_ROOM_PATIENCE_MS * GN_US_PER_MS;
-	const uint64_t interval_us = GN_ROOM_TURN_MS * GN_US_PER_MS;
-	gn_room_t room = { 0 };
-
-	g_assert_true(gn_room_has_turn(&room, now_us - patience_us, now_us));
-	g_assert_false(
-		gn_room_has_turn(&room, now_us - patience_us + 1, now_us));
-	room.turn_us = now_us;
-	g_assert_false(gn_room_has_turn(&room, 0, now_us + interval_us - 1));
-	g_assert_true(gn_room_has_turn(&room, 0, now_us + interval_us));
+	const uint64_t late_age_us = GN_FEASIBILITY_LATE_AGE_MS * GN_US_PER_MS;
+	const uint64_t interval_us =
+		GN_FEASIBILITY_LATE_INTERVAL_MS * GN_US_PER_MS;
+	gn_feasibility_t state = { 0 };
+
+	g_assert_true(gn_feasibility_allows_late(&state, now_us - late_age_us,
+						 now_us));
+	g_assert_false(gn_feasibility_allows_late(
+		&state, now_us - late_age_us + 1, now_us));
+	state.late_promoted_us = now_us;
+	g_assert_false(gn_feasibility_allows_late(&state, 0,
+						  now_us + interval_us - 1));
+	g_assert_true(
+		gn_feasibility_allows_late(&state, 0, now_us + interval_us));
 }
 
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
-	g_test_add_func("/room/overload-makes-few-jobs-late",
+	g_test_add_func("/feasibility/overload-makes-few-jobs-late",
 			test_overload_makes_few_jobs_late);
-	g_test_add_func("/room/nothing-changes-while-there-is-room",
-			test_nothing_changes_while_there_is_room);
-	g_test_add_func("/room/late-jobs-have-their-turn",
-			test_late_jobs_have_their_turn);
+	g_test_add_func("/feasibility/nothing-changes-without-overload",
+			test_nothing_changes_without_overload);
+	g_test_add_func("/feasibility/late-jobs-are-promoted",
+			test_late_jobs_are_promoted);
 	return g_test_run();
 }
