--- a/lib/sched/sched_claim.c
+++ b/lib/sched/sched_claim.c
@@ -42,7 +42,6 @@
 	task->pace_percent = 100;
 	task->last_reading = 0;
 	task->previous_reading = 0;
-	task->headroom_offset = 0;
 	task->slow_since_us = 0;
 	task->very_slow_since_us = 0;
 	task->claimed_us = sched_now_us(job->sched);
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -57,9 +57,6 @@
 	 * the used CPU of a best-effort task in thousandths of a core. */
 	uint32_t last_reading;
 	uint32_t previous_reading; /**< Reading of the list before that. */
-	/** Headroom of a serving task that the model of its image does not
-	 * explain, smoothed over its last readings. */
-	double headroom_offset;
 	const char *image; /**< Interned. */
 	uint64_t slow_since_us; /**< Start of a low pace; 0 if not low. */
 	uint64_t very_slow_since_us; /**< Start of a very low pace; 0 if not. */
--- a/lib/sched/sched_mix.c
+++ b/lib/sched/sched_mix.c
@@ -30,15 +30,14 @@
 /* Returns the headroom of @p task that best-effort tasks may use. */
 static double get_budget(const sched_task_t *task)
 {
-	const gn_headroom_t *baseline = &task->job->units[task->unit].baseline;
-	/* More headroom than expected may be gone with the next reading. */
-	double alone = baseline->value + fmin(0, task->headroom_offset);
+	const gn_headroom_t *alone = &task->job->units[task->unit].baseline;
 
-	if (!baseline->updated_us)
+	if (!alone->updated_us)
 		return BUDGET_UNKNOWN;
-	if (alone < 1)
+	if (alone->value < 1)
 		return BUDGET_OVER_TARGET;
-	return fmax(alone - HEADROOM_GOAL, BUDGET_SHARE_MIN * (alone - 1));
+	return fmax(alone->value - HEADROOM_GOAL,
+		    BUDGET_SHARE_MIN * (alone->value - 1));
 }
 
 static void count_serving(sched_mix_t *mix, const sched_task_t *task)
--- a/lib/sched/sched_pace.c
+++ b/lib/sched/sched_pace.c
@@ -20,11 +20,6 @@
 /** Smaller pace changes, in percent of full speed, are not ordered. */
 #define PACE_CHANGE_MIN 10
 #define PACE_FULL 100
-/** Weight of the newest reading in a task's offset, and its bound. */
-#define OFFSET_WEIGHT 0.5
-#define OFFSET_MAX 1.0
-/** Variance of a baseline above which it says nothing about single tasks. */
-#define OFFSET_VARIANCE_MAX 0.2
 /** A task at or below this pace, in percent, for this long may be moved. */
 #define LOW_PACE 50
 #define LOW_PACE_US (800 * GN_US_PER_MS)
@@ -60,27 +55,6 @@
 	       task->last_reading != task->previous_reading;
 }
 
-/*
- * Readings of one task deviate from the model for some seconds, since its load
- * is not quite that of its step. A change of the weights would be wrong for the
- * other tasks, and late for this one.
- */
-static void update_offset(const gn_sched_t *sched, sched_task_t *task,
-			  double headroom, const sched_mix_t *mix)
-{
-	const gn_headroom_t *baseline = &task->job->units[task->unit].baseline;
-	double loss = gn_interference_loss(sched->interference, task->image,
-					   mix->uses, mix->use_count);
-	double deviation = CLAMP(headroom - (baseline->value - loss),
-				 -OFFSET_MAX, OFFSET_MAX);
-
-	/* A new leader has to learn the baseline first. */
-	if (baseline->variance > OFFSET_VARIANCE_MAX)
-		return;
-	task->headroom_offset +=
-		OFFSET_WEIGHT * (deviation - task->headroom_offset);
-}
-
 void sched_learn_from_worker(gn_sched_t *sched, sched_worker_t *worker)
 {
 	sched_mix_t mix;
@@ -90,18 +64,16 @@
 	sched_mix_get(sched, worker, &mix);
 	for (guint i = 0; i < worker->claims->len; i++) {
 		sched_task_t *task = g_ptr_array_index(worker->claims, i);
-		double headroom;
+		double target_ms = get_step(task)->target_ms;
 
 		if (!is_new_reading(task))
 			continue;
-		headroom =
-			(double)get_step(task)->target_ms / task->last_reading;
 		sched->learned = true;
-		gn_interference_update(
-			sched->interference, task->image, headroom,
-			&task->job->units[task->unit].baseline, mix.uses,
-			mix.use_count, sched_now_us(sched));
-		update_offset(sched, task, headroom, &mix);
+		gn_interference_update(sched->interference, task->image,
+				       target_ms / task->last_reading,
+				       &task->job->units[task->unit].baseline,
+				       mix.uses, mix.use_count,
+				       sched_now_us(sched));
 	}
 }
 
