--- a/lib/sched/rank.h
+++ b/lib/sched/rank.h
@@ -6,9 +6,11 @@
  * served by priority. Within a priority, jobs that can still meet their
  * deadline go before jobs that can only be late, and those before jobs whose
  * result is no longer useful. So an overload makes few jobs late instead of
- * all. Among the jobs that can meet their deadline, those with the least
- * remaining work go first, since they free resources soonest per caller
- * served; a job with little slack left counts as smaller.
+ * all. Between the first two come jobs that could meet their deadline alone,
+ * but not with the work ahead of them; sched/feasibility.h finds them. Among
+ * the jobs that can meet their deadline, those with the least remaining work go
+ * first, since they free resources soonest per caller served; a job with little
+ * slack left counts as smaller.
  */
 #ifndef GN_SCHED_RANK_H
 #define GN_SCHED_RANK_H
--- a/lib/sched/sched_mix.c
+++ b/lib/sched/sched_mix.c
@@ -8,8 +8,6 @@
 #define HEADROOM_GOAL 1.1
 /** Share of the headroom above 1 that may be used in any case. */
 #define BUDGET_SHARE_MIN 0.25
-/** Assumed share of their reserved CPU that serving tasks use. */
-#define SERVING_CPU_SHARE 0.5
 /** Budget of a task over its target even without best-effort tasks, where
  * throttling can't help. */
 #define BUDGET_OVER_TARGET 0.1
@@ -78,7 +76,7 @@
 static double get_cpu_share(const sched_worker_t *worker, uint32_t added)
 {
 	double reserved = worker->used.cpu_milli -
-			  (1 - SERVING_CPU_SHARE) * worker->serving_milli;
+			  (1 - SCHED_SERVING_CPU_SHARE) * worker->serving_milli;
 	double remaining = worker->capacity.cpu_milli - reserved;
 	double demand = (double)worker->best_effort_milli + added;
 
--- a/lib/sched/sched_mix.h
+++ b/lib/sched/sched_mix.h
@@ -18,6 +18,8 @@
 
 /** Upper limit of the result of sched_mix_budget_use(). */
 #define SCHED_BUDGET_USE_MAX 3.0
+/** Assumed share of their reserved CPU that serving tasks use. */
+#define SCHED_SERVING_CPU_SHARE 0.5
 
 /** Serving tasks of one image. */
 typedef struct sched_mix_serving_s {
--- a/lib/sched/sched_order.c
+++ b/lib/sched/sched_order.c
@@ -10,9 +10,6 @@
 #include "common/str.h"
 #include "sched/sched_pass.h"
 
-/** Share of their reserved CPU that serving tasks are assumed to use. */
-#define SERVING_CPU_SHARE 0.5
-
 static gint compare_jobs(gconstpointer a, gconstpointer b)
 {
 	const sched_job_t *first = *(sched_job_t *const *)a;
@@ -155,8 +152,9 @@
 
 	for (size_t i = 0; i < all->count; i++) {
 		const sched_worker_t *worker = all->workers[i];
-		double used = worker->used.cpu_milli -
-			      (1 - SERVING_CPU_SHARE) * worker->serving_milli;
+		double used =
+			worker->used.cpu_milli -
+			(1 - SCHED_SERVING_CPU_SHARE) * worker->serving_milli;
 
 		if (worker->capacity.cpu_milli > used)
 			usable += worker->capacity.cpu_milli - used;
