sched, executor: log repeated starts, orders taken up and all outcomes

The leader now logs each start that it orders again, the executor each order that it takes up and every outcome with the number of calls.

--- a/lib/executor/executor_internal.h
+++ b/lib/executor/executor_internal.h
@@ -52,9 +52,10 @@
 	/** Only a list requested at this time or later decides the outcome. */
 	uint64_t awaits_list_since_us;
 	uint64_t next_call_us; /**< Earliest time of the next call. */
-	/** Start: when the newest report that the leader knew was sent. */
+	/** When the newest report was sent that the leader knew. */
 	uint64_t basis_us;
-	unsigned tries; /**< Number of calls sent. */
+	unsigned tries; /**< Number of calls sent for this kind of order. */
+	unsigned calls; /**< Number of all calls sent. */
 } executor_order_t;
 
 /** Number of recent reports whose answers are still accepted. */
--- a/lib/executor/orders.c
+++ b/lib/executor/orders.c
@@ -88,12 +88,12 @@
 	result->verdict = outcome;
 	g_ptr_array_add(executor->results, result);
 	executor->report_due = true;
-	if (outcome != GN_ORDER_OUTCOME_STARTED)
-		gn_event("order", "{s:s, s:I, s:s, s:s, s:I}", "task",
-			 order->task, "attempt", (json_int_t)order->attempt,
-			 "kind", gn_run_order_kind_name(order->kind), "outcome",
-			 gn_run_order_outcome_name(outcome), "epoch",
-			 (json_int_t)executor->epoch);
+	gn_event("order", "{s:s, s:I, s:s, s:s, s:I, s:I}", "task", order->task,
+		 "attempt", (json_int_t)order->attempt, "kind",
+		 gn_run_order_kind_name(order->kind), "outcome",
+		 gn_run_order_outcome_name(outcome), "calls",
+		 (json_int_t)order->calls, "epoch",
+		 (json_int_t)executor->epoch);
 }
 
 static void finish_order(executor_order_t *order,
@@ -297,6 +297,7 @@
 	sent->kind = order->kind;
 	sent->sent_us = now_us;
 	order->tries++;
+	order->calls++;
 	order->call_pending = executor_call_worker(
 		executor, &call, gn_attempt_timeout_ms(order->tries), on_answer,
 		sent);
@@ -308,8 +309,21 @@
 
 /* ======   Orders   ====== */
 
+static void log_taken(const executor_order_t *order, uint64_t basis_us)
+{
+	const executor_t *executor = order->executor;
+	uint64_t age_us = executor_now_us(executor) - basis_us;
+
+	gn_event("take", "{s:s, s:I, s:s, s:I, s:I}", "task", order->task,
+		 "attempt", (json_int_t)order->attempt, "kind",
+		 gn_run_order_kind_name(order->kind), "basis_age_ms",
+		 (json_int_t)(age_us / GN_US_PER_MS), "epoch",
+		 (json_int_t)executor->epoch);
+}
+
 static executor_order_t *create_order(executor_t *executor,
-				      const Gn__WorkerOrder *message)
+				      const Gn__WorkerOrder *message,
+				      uint64_t basis_us)
 {
 	executor_order_t *order = g_new0(executor_order_t, 1);
 	char key[KEY_SIZE];
@@ -324,9 +338,12 @@
 	order->checkpoint = g_strdup(message->checkpoint);
 	order->ticket = g_strdup(message->ticket);
 	order->percent = message->percent;
+	order->basis_us = basis_us;
 	order->stop_outcome = GN_ORDER_OUTCOME_GONE;
 	write_key(key, order->kind, order->task, order->attempt);
 	g_hash_table_insert(executor->orders, g_strdup(key), order);
+	if (order->kind != GN_RUN_ORDER_PACE)
+		log_taken(order, basis_us);
 	return order;
 }
 
@@ -340,8 +357,7 @@
 		order->basis_us = MAX(order->basis_us, basis_us);
 		return;
 	}
-	order = create_order(executor, message);
-	order->basis_us = basis_us;
+	order = create_order(executor, message, basis_us);
 	if (strcmp(message->life, executor->notice.life) != 0)
 		finish_order(order, GN_ORDER_OUTCOME_NOT_STARTED);
 	else if (executor->worker_draining_us || executor->worker_left)
@@ -350,13 +366,14 @@
 		send_order(order);
 }
 
-static void on_stop_order(executor_t *executor, const Gn__WorkerOrder *message)
+static void on_stop_order(executor_t *executor, const Gn__WorkerOrder *message,
+			  uint64_t basis_us)
 {
 	executor_order_t *order = find_order(executor, GN_RUN_ORDER_STOP,
 					     message->task, message->attempt);
 
 	if (!order) {
-		send_order(create_order(executor, message));
+		send_order(create_order(executor, message, basis_us));
 	} else if (order->check_only) {
 		order->check_only = false;
 		convert_to_stop(order, GN_ORDER_OUTCOME_GONE);
@@ -368,13 +385,14 @@
 	}
 }
 
-static void on_pace_order(executor_t *executor, const Gn__WorkerOrder *message)
+static void on_pace_order(executor_t *executor, const Gn__WorkerOrder *message,
+			  uint64_t basis_us)
 {
 	executor_order_t *order = find_order(executor, GN_RUN_ORDER_PACE,
 					     message->task, message->attempt);
 
 	if (!order) {
-		send_order(create_order(executor, message));
+		send_order(create_order(executor, message, basis_us));
 	} else {
 		order->percent = message->percent;
 		order->tries = 0;
@@ -393,10 +411,10 @@
 		on_start_order(executor, message, basis_us);
 		break;
 	case GN_RUN_ORDER_STOP:
-		on_stop_order(executor, message);
+		on_stop_order(executor, message, basis_us);
 		break;
 	case GN_RUN_ORDER_PACE:
-		on_pace_order(executor, message);
+		on_pace_order(executor, message, basis_us);
 		break;
 	default:
 		break;
--- a/lib/sched/sched_claim.c
+++ b/lib/sched/sched_claim.c
@@ -178,9 +178,13 @@
 	 * expired. A restored claim needs a list first, since an earlier leader
 	 * may have started the run.
 	 */
-	if (!task->listed && (!task->restored || task->worker->has_listed) &&
-	    sched_worker_has_fresh_list(task->job->sched, task->worker))
-		send_order(task, GN_RUN_ORDER_START);
+	if (task->listed || (task->restored && !task->worker->has_listed) ||
+	    !sched_worker_has_fresh_list(task->job->sched, task->worker))
+		return;
+	sched_emit_task_event(
+		task->job->sched, "repeat", task, NULL,
+		(int64_t)((now_us - task->claimed_us) / GN_US_PER_MS));
+	send_order(task, GN_RUN_ORDER_START);
 }
 
 void sched_job_send_starts(sched_job_t *job)
