executor: orders in progress are a module without I/O

It is now lib/executor/orders.h with callbacks for calls and outcomes, in the manner of lib/sched; calls.c keeps the I/O. No change of behaviour is intended.

--- a/lib/executor/executor.c
+++ b/lib/executor/executor.c
@@ -87,7 +87,7 @@
 	TALLOC_FREE(executor->client);
 	TALLOC_FREE(executor->link);
 	TALLOC_FREE(executor->kv_http);
-	g_hash_table_destroy(executor->orders);
+	TALLOC_FREE(executor->orders);
 	g_ptr_array_free(executor->results, TRUE);
 	g_ptr_array_free(executor->schedulers, TRUE);
 	return 0;
@@ -115,15 +115,16 @@
 	executor->adapter = runtime->adapter;
 	executor->old_links = talloc_new(executor);
 	executor->grant.lease_us = get_lease_us(&runtime->settings->jobs);
-	executor->orders = g_hash_table_new_full(g_str_hash, g_str_equal,
-						 g_free, executor_order_free);
+	executor->orders =
+		gn_orders_create(executor, &runtime->clock, &executor->grant,
+				 &executor_orders_ops, executor);
 	executor->results =
 		g_ptr_array_new_with_free_func(executor_result_free);
 	executor->order_time = gn_histogram_create(executor, runtime->counters,
 						   "executor.order_time");
 	executor->schedulers = g_ptr_array_new_with_free_func(g_free);
 	talloc_set_destructor(executor, executor_destructor);
-	if (!executor->order_time)
+	if (!executor->orders || !executor->order_time)
 		return gn_error_set(error, GN_ERR_MEMORY, "start", NULL,
 				    "counters");
 	if (start_store(executor, error) || start_client(executor, error) ||
@@ -140,7 +141,7 @@
 	executor_t *executor = state;
 
 	executor_worker_tick(executor);
-	executor_orders_tick(executor);
+	gn_orders_tick(executor->orders);
 	executor_leader_tick(executor);
 }
 
@@ -163,7 +164,7 @@
 {
 	const executor_t *executor = state;
 
-	return !g_hash_table_size(executor->orders);
+	return !gn_orders_count(executor->orders);
 }
 
 const gn_role_ops_t gn_executor_role = {
--- a/lib/executor/executor_internal.h
+++ b/lib/executor/executor_internal.h
@@ -19,6 +19,7 @@
 #include "common/histogram.h"
 #include "daemon/runtime.h"
 #include "executor/grant.h"
+#include "executor/orders.h"
 #include "http/client.h"
 #include "http/server.h"
 #include "platform/kv_http.h"
@@ -26,38 +27,6 @@
 
 typedef struct executor_s executor_t;
 
-/** An order in progress. */
-typedef struct executor_order_s {
-	executor_t *executor;
-	gn_run_order_kind_t kind;
-	char task[GN_TASK_NAME_SIZE];
-	uint32_t attempt;
-	char *life; /**< Life of the worker; free with g_free(). */
-	char *payload; /**< Free with g_free(). */
-	size_t payload_len; /**< Length of the payload, bytes. */
-	char *checkpoint; /**< Free with g_free(). */
-	char *ticket; /**< Free with g_free(). */
-	uint32_t percent; /**< Only for a pace: percent of full speed. */
-	bool call_pending; /**< A call for this order is in progress. */
-	/** An unanswered start may still take effect. */
-	bool start_unanswered;
-	/** No more calls are sent; a list decides the outcome. */
-	bool awaits_list;
-	/** No stop was sent, so the next list may show that the run started. */
-	bool check_only;
-	/** Stop the run, or drop the order, once the call has ended. */
-	bool cancelled;
-	/** Outcome to report once the list doesn't show the run. */
-	gn_run_order_outcome_t stop_outcome;
-	/** Only a list requested at this time or later decides the outcome. */
-	uint64_t awaits_list_since_us;
-	uint64_t next_call_us; /**< Earliest time of the next call. */
-	/** When the newest report was sent that the leader knew. */
-	uint64_t basis_us;
-	unsigned tries; /**< Number of calls sent for this kind of order. */
-	unsigned calls; /**< Number of all calls sent. */
-} executor_order_t;
-
 /** Number of recent reports whose answers are still accepted. */
 #define EXECUTOR_REPORT_HISTORY 64
 
@@ -94,11 +63,7 @@
 	size_t end_count;
 	uint64_t ends_stored; /**< The leader has stored ends up to this one. */
 
-	/**
-	 * Orders in progress: executor_order_t by "TASK ATTEMPT", or by "pTASK
-	 * ATTEMPT" for a pace.
-	 */
-	GHashTable *orders;
+	gn_orders_t *orders; /**< Orders in progress. */
 	GPtrArray *results; /**< Gn__OrderResult elements not reported yet. */
 
 	/* ======   Leader   ====== */
@@ -143,22 +108,11 @@
 void executor_record_clock(executor_t *executor,
 			   const gn_worker_answer_t *answer);
 
-/* ======   orders.c   ====== */
+/* ======   calls.c   ====== */
 
-/**
- * Handles an order of the leader.
- * @param basis_us when the newest report that the leader knew was sent
- */
-void executor_on_order(executor_t *executor, const Gn__WorkerOrder *message,
-		       uint64_t basis_us);
-/** Sends the calls that are due. */
-void executor_orders_tick(executor_t *executor);
-/** Decides the orders that await a list, by one requested at @p sent_us. */
-void executor_orders_on_list(executor_t *executor, uint64_t sent_us);
-/** Drops all orders, since the life that they were meant for is over. */
-void executor_orders_drop(executor_t *executor);
-/** Frees an executor_order_t. */
-void executor_order_free(gpointer order);
+/** Carries out the orders by calls to the worker; the argument is the
+ * executor_t. */
+extern const gn_orders_ops_t executor_orders_ops;
 /** Frees a Gn__OrderResult. */
 void executor_result_free(gpointer result);
 
--- a/lib/executor/leader.c
+++ b/lib/executor/leader.c
@@ -104,8 +104,8 @@
 		executor->list_due_us = 0;
 	}
 	for (size_t i = 0; i < message->n_orders; i++)
-		executor_on_order(executor, message->orders[i],
-				  get_sent_us(executor, message->basis));
+		gn_orders_handle(executor->orders, message->orders[i],
+				 get_sent_us(executor, message->basis));
 	executor_worker_tick(executor);
 }
 
--- a/lib/executor/orders.c
+++ b/lib/executor/orders.c
@@ -1,20 +1,10 @@
-/**
- * @file orders.c
- * @brief Carries out the leader's orders on the worker.
- *
- * Starts are idempotent, so a start is repeated until a response arrives. If
- * one is refused after an earlier call went unanswered, that call may still
- * take effect late. Then the run is stopped first, which makes the worker
- * refuse the start from then on. No start is sent long after the leader ordered
- * it, since the leader may have given up the claim by then. A stopped run is
- * gone once a list requested after the stop doesn't show it.
- */
+#include "executor/orders.h"
+
+#include <glib.h>
 #include <string.h>
 
-#include "common/event.h"
 #include "common/str.h"
 #include "executor/attempt.h"
-#include "executor/executor_internal.h"
 
 /** Delay before a call is repeated. */
 #define RETRY_DELAY_US (80 * GN_US_PER_MS)
@@ -26,22 +16,63 @@
 /** Size of the key of an order with its terminator, bytes. */
 #define KEY_SIZE (GN_TASK_NAME_SIZE + 16)
 
-/* ======   Creation and results   ====== */
+struct gn_orders_s {
+	const gn_clock_t *clock;
+	gn_grant_t *grant;
+	const gn_orders_ops_t *ops;
+	void *arg;
+	char *life; /**< Life of the worker; free with g_free(). */
+	bool refuses_starts; /**< The worker is leaving. */
+	/** gn_order_t by "TASK ATTEMPT", or by "pTASK ATTEMPT" for a pace. */
+	GHashTable *table;
+};
 
-void executor_order_free(gpointer data)
+static uint64_t get_now_us(const gn_orders_t *orders)
 {
-	executor_order_t *order = data;
+	return gn_clock_now_us(orders->clock);
+}
+
+/* ======   Creation and removal   ====== */
+
+static void free_order(gpointer data)
+{
+	gn_order_t *order = data;
 
-	g_free(order->life);
 	g_free(order->payload);
 	g_free(order->checkpoint);
 	g_free(order->ticket);
 	g_free(order);
 }
 
-void executor_result_free(gpointer data)
+static int free_orders(gn_orders_t *orders)
+{
+	g_hash_table_destroy(orders->table);
+	g_free(orders->life);
+	return 0;
+}
+
+gn_orders_t *gn_orders_create(TALLOC_CTX *parent, const gn_clock_t *clock,
+			      gn_grant_t *grant, const gn_orders_ops_t *ops,
+			      void *arg)
+{
+	gn_orders_t *orders = talloc_zero(parent, gn_orders_t);
+
+	if (!orders)
+		return NULL;
+	orders->clock = clock;
+	orders->grant = grant;
+	orders->ops = ops;
+	orders->arg = arg;
+	orders->life = g_strdup("");
+	orders->table = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					      free_order);
+	talloc_set_destructor(orders, free_orders);
+	return orders;
+}
+
+size_t gn_orders_count(const gn_orders_t *orders)
 {
-	gn__order_result__free_unpacked(data, NULL);
+	return g_hash_table_size(orders->table);
 }
 
 static void write_key(char key[KEY_SIZE], gn_run_order_kind_t kind,
@@ -52,17 +83,17 @@
 		   kind == GN_RUN_ORDER_PACE ? "p" : "", task, attempt);
 }
 
-static executor_order_t *find_order(const executor_t *executor,
-				    gn_run_order_kind_t kind, const char *task,
-				    uint32_t attempt)
+static gn_order_t *find_order(const gn_orders_t *orders,
+			      gn_run_order_kind_t kind, const char *task,
+			      uint32_t attempt)
 {
 	char key[KEY_SIZE];
 
 	write_key(key, kind, task, attempt);
-	return g_hash_table_lookup(executor->orders, key);
+	return g_hash_table_lookup(orders->table, key);
 }
 
-static void remove_order(executor_order_t *order)
+static void remove_order(gn_order_t *order)
 {
 	char key[KEY_SIZE];
 
@@ -72,47 +103,24 @@
 		order->cancelled = true;
 		return;
 	}
-	g_hash_table_remove(order->executor->orders, key);
+	g_hash_table_remove(order->orders->table, key);
 }
 
-static void add_result(executor_order_t *order, gn_run_order_outcome_t outcome)
+static void finish_order(gn_order_t *order, gn_run_order_outcome_t outcome)
 {
-	executor_t *executor = order->executor;
-	Gn__OrderResult *result = malloc(sizeof(*result));
-
-	if (!result)
-		abort(); /* GLib aborts too when out of memory. */
-	gn__order_result__init(result);
-	result->task = strdup(order->task);
-	result->attempt = order->attempt;
-	result->verdict = outcome;
-	g_ptr_array_add(executor->results, result);
-	executor->report_due = true;
-	gn_event("order", "{s:s, s:I, s:s, s:s, s:I, s:I}", "task", order->task,
-		 "attempt", (json_int_t)order->attempt, "kind",
-		 gn_run_order_kind_name(order->kind), "outcome",
-		 gn_run_order_outcome_name(outcome), "calls",
-		 (json_int_t)order->calls, "epoch",
-		 (json_int_t)executor->epoch);
-}
-
-static void finish_order(executor_order_t *order,
-			 gn_run_order_outcome_t outcome)
-{
-	add_result(order, outcome);
+	order->orders->ops->report(order->orders->arg, order, outcome);
 	remove_order(order);
 }
 
-static void schedule_retry(executor_order_t *order)
+static void schedule_retry(gn_order_t *order)
 {
-	order->next_call_us = executor_now_us(order->executor) + RETRY_DELAY_US;
+	order->next_call_us = get_now_us(order->orders) + RETRY_DELAY_US;
 }
 
-static void send_order(executor_order_t *order);
+static void send_order(gn_order_t *order);
 
 /* Stops the run; reports @p outcome once the run is gone. */
-static void convert_to_stop(executor_order_t *order,
-			    gn_run_order_outcome_t outcome)
+static void convert_to_stop(gn_order_t *order, gn_run_order_outcome_t outcome)
 {
 	order->kind = GN_RUN_ORDER_STOP;
 	order->stop_outcome = outcome;
@@ -125,17 +133,17 @@
  * Reports @p outcome only once a list requested from now on doesn't show the
  * run, since an earlier executor process may have started it.
  */
-static void await_list(executor_order_t *order, gn_run_order_outcome_t outcome)
+static void await_list(gn_order_t *order, gn_run_order_outcome_t outcome)
 {
 	order->kind = GN_RUN_ORDER_STOP;
 	order->stop_outcome = outcome;
 	order->awaits_list = true;
 	order->check_only = true;
-	order->awaits_list_since_us = executor_now_us(order->executor);
+	order->awaits_list_since_us = get_now_us(order->orders);
 }
 
 /* The last call certainly had no effect; an unanswered one may still. */
-static void fail_start(executor_order_t *order, gn_run_order_outcome_t outcome)
+static void fail_start(gn_order_t *order, gn_run_order_outcome_t outcome)
 {
 	if (order->start_unanswered)
 		convert_to_stop(order, outcome);
@@ -147,8 +155,7 @@
 
 /* ======   Responses   ====== */
 
-static void on_start_answer(executor_order_t *order,
-			    gn_worker_call_outcome_t outcome)
+static void on_start_answer(gn_order_t *order, gn_worker_call_outcome_t outcome)
 {
 	switch (outcome) {
 	case GN_WORKER_OK:
@@ -189,14 +196,13 @@
 	}
 }
 
-static void on_stop_answer(executor_order_t *order,
-			   gn_worker_call_outcome_t outcome)
+static void on_stop_answer(gn_order_t *order, gn_worker_call_outcome_t outcome)
 {
 	switch (outcome) {
 	case GN_WORKER_OK:
 	case GN_WORKER_RUN_OVER:
 		order->awaits_list = true;
-		order->awaits_list_since_us = executor_now_us(order->executor);
+		order->awaits_list_since_us = get_now_us(order->orders);
 		break;
 	case GN_WORKER_LIFE_ENDED:
 		finish_order(order, GN_ORDER_OUTCOME_GONE);
@@ -206,8 +212,7 @@
 	}
 }
 
-static void on_pace_answer(executor_order_t *order,
-			   gn_worker_call_outcome_t outcome)
+static void on_pace_answer(gn_order_t *order, gn_worker_call_outcome_t outcome)
 {
 	bool retryable = outcome == GN_WORKER_UNANSWERED ||
 			 outcome == GN_WORKER_UNSENT ||
@@ -225,48 +230,33 @@
 	[GN_RUN_ORDER_PACE] = GN_WORKER_PACE,
 };
 
-/** A call in progress; its order isn't freed before. */
-typedef struct order_call_s {
-	executor_order_t *order;
-	gn_run_order_kind_t kind; /**< Kind of the order when it was sent. */
-	uint64_t sent_us;
-} order_call_t;
-
-static void on_answer(void *arg, const gn_http_call_t *http)
+void gn_orders_handle_answer(gn_order_call_t *sent,
+			     gn_worker_call_outcome_t outcome)
 {
-	order_call_t *sent = arg;
-	executor_order_t *order = sent->order;
-	executor_t *executor = order->executor;
-	TALLOC_CTX *scratch = talloc_new(executor);
-	gn_worker_answer_t answer;
-
-	executor->adapter->read_worker_answer(scratch, call_kinds[sent->kind],
-					      http, &answer);
+	gn_order_t *order = sent->order;
+
+	g_free(sent);
 	order->call_pending = false;
-	gn_histogram_add(executor->order_time,
-			 executor_now_us(executor) - sent->sent_us);
-	executor_record_clock(executor, &answer);
-	if (order->cancelled && order->kind != GN_RUN_ORDER_START)
+	if (order->cancelled && order->kind != GN_RUN_ORDER_START) {
 		remove_order(order);
-	else if (order->cancelled) {
+	} else if (order->cancelled) {
 		order->cancelled = false;
 		convert_to_stop(order, GN_ORDER_OUTCOME_GONE);
-	} else if (order->kind == GN_RUN_ORDER_START)
-		on_start_answer(order, answer.outcome);
-	else if (order->kind == GN_RUN_ORDER_STOP)
-		on_stop_answer(order, answer.outcome);
-	else
-		on_pace_answer(order, answer.outcome);
-	talloc_free(scratch);
-	g_free(sent);
+	} else if (order->kind == GN_RUN_ORDER_START) {
+		on_start_answer(order, outcome);
+	} else if (order->kind == GN_RUN_ORDER_STOP) {
+		on_stop_answer(order, outcome);
+	} else {
+		on_pace_answer(order, outcome);
+	}
 }
 
 /* ======   Calls   ====== */
 
-static void send_order(executor_order_t *order)
+static void send_order(gn_order_t *order)
 {
-	executor_t *executor = order->executor;
-	uint64_t now_us = executor_now_us(executor);
+	gn_orders_t *orders = order->orders;
+	uint64_t now_us = get_now_us(orders);
 	gn_worker_call_t call = {
 		.kind = call_kinds[order->kind],
 		.task = order->task,
@@ -276,7 +266,7 @@
 		.ticket = order->ticket,
 		.percent = order->percent,
 	};
-	order_call_t *sent;
+	gn_order_call_t *sent;
 
 	if (order->kind == GN_RUN_ORDER_START &&
 	    !gn_grant_may_start(order->basis_us, now_us)) {
@@ -285,22 +275,22 @@
 	}
 	if (order->kind == GN_RUN_ORDER_START) {
 		call.lease_until_ms =
-			gn_grant_extend_until_ms(&executor->grant, now_us);
+			gn_grant_extend_until_ms(orders->grant, now_us);
 		/* Needs a recent clock reading and an answer of the leader. */
 		if (!call.lease_until_ms) {
 			schedule_retry(order);
 			return;
 		}
 	}
-	sent = g_new0(order_call_t, 1);
+	sent = g_new0(gn_order_call_t, 1);
 	sent->order = order;
-	sent->kind = order->kind;
+	sent->arg = orders->arg;
+	sent->kind = call.kind;
 	sent->sent_us = now_us;
 	order->tries++;
 	order->calls++;
-	order->call_pending = executor_call_worker(
-		executor, &call, gn_attempt_timeout_ms(order->tries), on_answer,
-		sent);
+	order->call_pending = orders->ops->send_call(
+		orders->arg, &call, gn_attempt_timeout_ms(order->tries), sent);
 	if (!order->call_pending) {
 		g_free(sent);
 		schedule_retry(order);
@@ -309,30 +299,17 @@
 
 /* ======   Orders   ====== */
 
-static void log_taken(const executor_order_t *order, uint64_t basis_us)
+static gn_order_t *create_order(gn_orders_t *orders,
+				const Gn__WorkerOrder *message,
+				uint64_t basis_us)
 {
-	const executor_t *executor = order->executor;
-	uint64_t age_us = executor_now_us(executor) - basis_us;
-
-	gn_event("take", "{s:s, s:I, s:s, s:I, s:I}", "task", order->task,
-		 "attempt", (json_int_t)order->attempt, "kind",
-		 gn_run_order_kind_name(order->kind), "basis_age_ms",
-		 (json_int_t)(age_us / GN_US_PER_MS), "epoch",
-		 (json_int_t)executor->epoch);
-}
-
-static executor_order_t *create_order(executor_t *executor,
-				      const Gn__WorkerOrder *message,
-				      uint64_t basis_us)
-{
-	executor_order_t *order = g_new0(executor_order_t, 1);
+	gn_order_t *order = g_new0(gn_order_t, 1);
 	char key[KEY_SIZE];
 
-	order->executor = executor;
+	order->orders = orders;
 	order->kind = (gn_run_order_kind_t)message->kind;
 	g_strlcpy(order->task, message->task, sizeof(order->task));
 	order->attempt = message->attempt;
-	order->life = g_strdup(message->life);
 	order->payload = g_memdup2(message->payload.data, message->payload.len);
 	order->payload_len = message->payload.len;
 	order->checkpoint = g_strdup(message->checkpoint);
@@ -341,39 +318,39 @@
 	order->basis_us = basis_us;
 	order->stop_outcome = GN_ORDER_OUTCOME_GONE;
 	write_key(key, order->kind, order->task, order->attempt);
-	g_hash_table_insert(executor->orders, g_strdup(key), order);
+	g_hash_table_insert(orders->table, g_strdup(key), order);
 	if (order->kind != GN_RUN_ORDER_PACE)
-		log_taken(order, basis_us);
+		orders->ops->log_taken(orders->arg, order);
 	return order;
 }
 
-static void on_start_order(executor_t *executor, const Gn__WorkerOrder *message,
+static void on_start_order(gn_orders_t *orders, const Gn__WorkerOrder *message,
 			   uint64_t basis_us)
 {
-	executor_order_t *order = find_order(executor, GN_RUN_ORDER_START,
-					     message->task, message->attempt);
+	gn_order_t *order = find_order(orders, GN_RUN_ORDER_START,
+				       message->task, message->attempt);
 
 	if (order) {
 		order->basis_us = MAX(order->basis_us, basis_us);
 		return;
 	}
-	order = create_order(executor, message, basis_us);
-	if (strcmp(message->life, executor->notice.life) != 0)
+	order = create_order(orders, message, basis_us);
+	if (strcmp(message->life, orders->life) != 0)
 		finish_order(order, GN_ORDER_OUTCOME_NOT_STARTED);
-	else if (executor->worker_draining_us || executor->worker_left)
+	else if (orders->refuses_starts)
 		fail_start(order, GN_ORDER_OUTCOME_NOT_STARTED);
 	else
 		send_order(order);
 }
 
-static void on_stop_order(executor_t *executor, const Gn__WorkerOrder *message,
+static void on_stop_order(gn_orders_t *orders, const Gn__WorkerOrder *message,
 			  uint64_t basis_us)
 {
-	executor_order_t *order = find_order(executor, GN_RUN_ORDER_STOP,
-					     message->task, message->attempt);
+	gn_order_t *order = find_order(orders, GN_RUN_ORDER_STOP, message->task,
+				       message->attempt);
 
 	if (!order) {
-		send_order(create_order(executor, message, basis_us));
+		send_order(create_order(orders, message, basis_us));
 	} else if (order->check_only) {
 		order->check_only = false;
 		convert_to_stop(order, GN_ORDER_OUTCOME_GONE);
@@ -385,14 +362,14 @@
 	}
 }
 
-static void on_pace_order(executor_t *executor, const Gn__WorkerOrder *message,
+static void on_pace_order(gn_orders_t *orders, const Gn__WorkerOrder *message,
 			  uint64_t basis_us)
 {
-	executor_order_t *order = find_order(executor, GN_RUN_ORDER_PACE,
-					     message->task, message->attempt);
+	gn_order_t *order = find_order(orders, GN_RUN_ORDER_PACE, message->task,
+				       message->attempt);
 
 	if (!order) {
-		send_order(create_order(executor, message, basis_us));
+		send_order(create_order(orders, message, basis_us));
 	} else {
 		order->percent = message->percent;
 		order->tries = 0;
@@ -400,34 +377,34 @@
 	}
 }
 
-void executor_on_order(executor_t *executor, const Gn__WorkerOrder *message,
-		       uint64_t basis_us)
+void gn_orders_handle(gn_orders_t *orders, const Gn__WorkerOrder *message,
+		      uint64_t basis_us)
 {
-	if (!executor->worker_known ||
-	    strlen(message->task) >= GN_TASK_NAME_SIZE)
+	/* Without a life, there is no worker yet. */
+	if (!*orders->life || strlen(message->task) >= GN_TASK_NAME_SIZE)
 		return;
 	switch ((gn_run_order_kind_t)message->kind) {
 	case GN_RUN_ORDER_START:
-		on_start_order(executor, message, basis_us);
+		on_start_order(orders, message, basis_us);
 		break;
 	case GN_RUN_ORDER_STOP:
-		on_stop_order(executor, message, basis_us);
+		on_stop_order(orders, message, basis_us);
 		break;
 	case GN_RUN_ORDER_PACE:
-		on_pace_order(executor, message, basis_us);
+		on_pace_order(orders, message, basis_us);
 		break;
 	default:
 		break;
 	}
 }
 
-void executor_orders_tick(executor_t *executor)
+void gn_orders_tick(gn_orders_t *orders)
 {
-	uint64_t now_us = executor_now_us(executor);
-	GList *all = g_hash_table_get_values(executor->orders);
+	uint64_t now_us = get_now_us(orders);
+	GList *all = g_hash_table_get_values(orders->table);
 
 	for (GList *item = all; item; item = item->next) {
-		executor_order_t *order = item->data;
+		gn_order_t *order = item->data;
 
 		if (!order->call_pending && !order->awaits_list &&
 		    now_us >= order->next_call_us)
@@ -436,42 +413,43 @@
 	g_list_free(all);
 }
 
-static bool is_listed(const executor_t *executor, const executor_order_t *order)
+static bool is_listed(const gn_worker_answer_t *list, const gn_order_t *order)
 {
-	for (size_t i = 0; i < executor->run_count; i++)
-		if (executor->runs[i]->attempt == order->attempt &&
-		    !strcmp(executor->runs[i]->task, order->task))
+	for (size_t i = 0; i < list->run_count; i++)
+		if (list->runs[i]->attempt == order->attempt &&
+		    !strcmp(list->runs[i]->task, order->task))
 			return true;
 	return false;
 }
 
 /* A listed end tells the leader more than a result does. */
-static bool is_end_listed(const executor_t *executor,
-			  const executor_order_t *order)
+static bool is_end_listed(const gn_worker_answer_t *list,
+			  const gn_order_t *order)
 {
-	for (size_t i = 0; i < executor->end_count; i++)
-		if (executor->ends[i]->attempt == order->attempt &&
-		    !strcmp(executor->ends[i]->task, order->task))
+	for (size_t i = 0; i < list->end_count; i++)
+		if (list->ends[i]->attempt == order->attempt &&
+		    !strcmp(list->ends[i]->task, order->task))
 			return true;
 	return false;
 }
 
-void executor_orders_on_list(executor_t *executor, uint64_t sent_us)
+void gn_orders_handle_list(gn_orders_t *orders, const gn_worker_answer_t *list,
+			   uint64_t sent_us)
 {
-	GList *all = g_hash_table_get_values(executor->orders);
+	GList *all = g_hash_table_get_values(orders->table);
 
 	for (GList *item = all; item; item = item->next) {
-		executor_order_t *order = item->data;
+		gn_order_t *order = item->data;
 
 		if (!order->awaits_list ||
 		    sent_us < order->awaits_list_since_us)
 			continue;
-		if (is_listed(executor, order)) {
+		if (is_listed(list, order)) {
 			if (order->check_only)
 				finish_order(order, GN_ORDER_OUTCOME_STARTED);
 			continue;
 		}
-		if (is_end_listed(executor, order))
+		if (is_end_listed(list, order))
 			remove_order(order);
 		else
 			finish_order(order, order->stop_outcome);
@@ -479,12 +457,14 @@
 	g_list_free(all);
 }
 
-void executor_orders_drop(executor_t *executor)
+/* ======   Lives   ====== */
+
+static void drop_all(gn_orders_t *orders)
 {
-	GList *all = g_hash_table_get_values(executor->orders);
+	GList *all = g_hash_table_get_values(orders->table);
 
 	for (GList *item = all; item; item = item->next) {
-		executor_order_t *order = item->data;
+		gn_order_t *order = item->data;
 
 		/*
 		 * With a call in progress, the order is removed when the
@@ -497,3 +477,16 @@
 	}
 	g_list_free(all);
 }
+
+void gn_orders_begin_life(gn_orders_t *orders, const char *life)
+{
+	drop_all(orders);
+	g_free(orders->life);
+	orders->life = g_strdup(life);
+	orders->refuses_starts = false;
+}
+
+void gn_orders_refuse_starts(gn_orders_t *orders)
+{
+	orders->refuses_starts = true;
+}
--- /dev/null
+++ b/lib/executor/orders.h
@@ -0,0 +1,123 @@
+/**
+ * @file orders.h
+ * @brief The leader's orders in progress at one worker.
+ *
+ * This module does no I/O. Orders of the leader, answers of the worker and its
+ * lists arrive as function calls; calls to the worker and outcomes for the
+ * leader leave through callbacks. Time is read from a clock that tests can
+ * pause.
+ *
+ * Starts are idempotent, so a start is repeated until a response arrives. If
+ * one is refused after an earlier call went unanswered, that call may still
+ * take effect late. Then the run is stopped first, which makes the worker
+ * refuse the start from then on. No start is sent long after the leader ordered
+ * it, since the leader may have given up the claim by then. A stopped run is
+ * gone once a list requested after the stop doesn't show it.
+ */
+#ifndef GN_EXECUTOR_ORDERS_H
+#define GN_EXECUTOR_ORDERS_H
+
+#include <talloc.h>
+
+#include "adapter/adapter.h"
+#include "common/clock.h"
+#include "executor/grant.h"
+
+typedef struct gn_orders_s gn_orders_t;
+
+/** An order in progress. */
+typedef struct gn_order_s {
+	gn_orders_t *orders;
+	gn_run_order_kind_t kind;
+	char task[GN_TASK_NAME_SIZE];
+	uint32_t attempt;
+	char *payload; /**< Free with g_free(). */
+	size_t payload_len; /**< Length of the payload, bytes. */
+	char *checkpoint; /**< Free with g_free(). */
+	char *ticket; /**< Free with g_free(). */
+	uint32_t percent; /**< Only for a pace: percent of full speed. */
+	bool call_pending; /**< A call for this order is in progress. */
+	/** An unanswered start may still take effect. */
+	bool start_unanswered;
+	/** No more calls are sent; a list decides the outcome. */
+	bool awaits_list;
+	/** No stop was sent, so the next list may show that the run started. */
+	bool check_only;
+	/** Stop the run, or drop the order, once the call has ended. */
+	bool cancelled;
+	/** Outcome to report once the list doesn't show the run. */
+	gn_run_order_outcome_t stop_outcome;
+	/** Only a list requested at this time or later decides the outcome. */
+	uint64_t awaits_list_since_us;
+	uint64_t next_call_us; /**< Earliest time of the next call. */
+	/** When the newest report was sent that the leader knew. */
+	uint64_t basis_us;
+	unsigned tries; /**< Number of calls sent for this kind of order. */
+	unsigned calls; /**< Number of all calls sent. */
+} gn_order_t;
+
+/** A call in progress; its order isn't freed before. */
+typedef struct gn_order_call_s {
+	gn_order_t *order;
+	void *arg; /**< The argument of the callbacks. */
+	gn_worker_call_kind_t kind;
+	uint64_t sent_us;
+} gn_order_call_t;
+
+/** Callbacks of the orders. */
+typedef struct gn_orders_ops_s {
+	/**
+	 * Sends a call to the worker. Pass its outcome and @p sent to
+	 * gn_orders_handle_answer().
+	 * @return false if it cannot be sent; @p sent is then freed
+	 */
+	bool (*send_call)(void *arg, gn_worker_call_t *call,
+			  unsigned timeout_ms, gn_order_call_t *sent);
+	/** Reports the outcome of an order to the leader. */
+	void (*report)(void *arg, const gn_order_t *order,
+		       gn_run_order_outcome_t outcome);
+	/** Logs that an order is taken up, or drops the line. */
+	void (*log_taken)(void *arg, const gn_order_t *order);
+} gn_orders_ops_t;
+
+/**
+ * Creates the orders of a worker; NULL if out of memory.
+ * @param clock must outlive the orders
+ * @param grant lease of the worker; must outlive the orders
+ * @param arg passed to each callback of @p ops
+ */
+gn_orders_t *gn_orders_create(TALLOC_CTX *parent, const gn_clock_t *clock,
+			      gn_grant_t *grant, const gn_orders_ops_t *ops,
+			      void *arg);
+
+/**
+ * Begins a life of the worker. Orders for the previous one are dropped without
+ * an outcome, since its runs are over.
+ */
+void gn_orders_begin_life(gn_orders_t *orders, const char *life);
+
+/** Refuses new starts until the next life, because the worker is leaving. */
+void gn_orders_refuse_starts(gn_orders_t *orders);
+
+/**
+ * Handles an order of the leader.
+ * @param basis_us when the newest report that the leader knew was sent
+ */
+void gn_orders_handle(gn_orders_t *orders, const Gn__WorkerOrder *message,
+		      uint64_t basis_us);
+
+/** Handles the outcome of a call and frees @p sent. */
+void gn_orders_handle_answer(gn_order_call_t *sent,
+			     gn_worker_call_outcome_t outcome);
+
+/** Decides the orders that await a list, by one requested at @p sent_us. */
+void gn_orders_handle_list(gn_orders_t *orders, const gn_worker_answer_t *list,
+			   uint64_t sent_us);
+
+/** Sends the calls that are due. */
+void gn_orders_tick(gn_orders_t *orders);
+
+/** Returns the number of orders in progress. */
+size_t gn_orders_count(const gn_orders_t *orders);
+
+#endif
--- a/lib/executor/worker.c
+++ b/lib/executor/worker.c
@@ -75,7 +75,7 @@
 	executor->ends = answer->ends;
 	executor->end_count = answer->end_count;
 	executor->list_unreported = true;
-	executor_orders_on_list(executor, executor->list_sent_us);
+	gn_orders_handle_list(executor->orders, answer, executor->list_sent_us);
 	if (has_ends)
 		executor->list_due_us =
 			executor_now_us(executor) + LIST_ENDS_DELAY_US;
@@ -142,7 +142,7 @@
 		 notice->life, "born_ms", (json_int_t)notice->life_started_ms,
 		 "service", notice->service, "rack", notice->rack, "cpu_milli",
 		 (int)notice->cpu_milli, "memory_mb", (int)notice->memory_mb);
-	executor_orders_drop(executor);
+	gn_orders_begin_life(executor->orders, notice->life);
 	gn_grant_reset(&executor->grant);
 	talloc_free(executor->list);
 	executor->list = NULL;
@@ -174,6 +174,7 @@
 		reset_for_life(executor, notice);
 	if (notice->draining && !executor->worker_draining_us) {
 		executor->worker_draining_us = executor_now_us(executor);
+		gn_orders_refuse_starts(executor->orders);
 		gn_event("worker draining", "{s:s, s:i}", "life", notice->life,
 			 "remaining_ms", (int)notice->remaining_ms);
 	}
@@ -191,6 +192,7 @@
 		return;
 	gn_event("worker left", "{s:s}", "life", notice->life);
 	executor->worker_left = true;
+	gn_orders_refuse_starts(executor->orders);
 	executor->worker_left_us = executor_now_us(executor);
 	executor_report(executor);
 }
@@ -207,8 +209,9 @@
 			    json_integer((json_int_t)executor->epoch));
 	json_object_set_new(json, "runs",
 			    json_integer((json_int_t)executor->run_count));
-	json_object_set_new(json, "orders",
-			    json_integer(g_hash_table_size(executor->orders)));
+	json_object_set_new(
+		json, "orders",
+		json_integer((json_int_t)gn_orders_count(executor->orders)));
 	return json;
 }
 
