executor: a refused start is closed at the worker before it is reported

Callers saw a task run on two workers at the same time (TWICE) while workers refused starts with 503. Cause: an outcome such as "not started" lets the leader release the claim, yet the attempt could still be started. The leader repeats an unconfirmed start every 300 ms; a repetition that was on its way while the executor reported the refusal was a new order to it, and the worker, healthy again, started the run that the leader had moved elsewhere.

The authority on an attempt is its worker. Unless a list shows the run, the executor now stops the attempt before it reports the refusal, as it did only after unanswered calls, and waits for a list that was requested after the stop. From then on the worker refuses the attempt, whoever orders it.

--- a/lib/executor/orders.c
+++ b/lib/executor/orders.c
@@ -126,31 +126,26 @@
 	order->stop_outcome = outcome;
 	order->tries = 0;
 	order->awaits_list = false;
+	order->check_only = false;
 	send_order(order);
 }
 
-/*
- * Reports @p outcome only once a list requested from now on doesn't show the
- * run, since an earlier executor process may have started it.
- */
-static void await_list(gn_order_t *order, gn_run_order_outcome_t outcome)
+static void await_list(gn_order_t *order)
 {
-	order->kind = GN_RUN_ORDER_STOP;
-	order->stop_outcome = outcome;
 	order->awaits_list = true;
-	order->check_only = true;
 	order->awaits_list_since_us = get_now_us(order->orders);
 }
 
-/* The last call certainly had no effect; an unanswered one may still. */
-static void fail_start(gn_order_t *order, gn_run_order_outcome_t outcome)
+/*
+ * Waits for a list that shows whether the run is there, since an earlier order
+ * or executor process may have started it.
+ */
+static void check_run(gn_order_t *order, gn_run_order_outcome_t outcome)
 {
-	if (order->start_unanswered)
-		convert_to_stop(order, outcome);
-	else if (outcome == GN_ORDER_OUTCOME_NOT_STARTED)
-		await_list(order, outcome);
-	else
-		finish_order(order, outcome);
+	order->kind = GN_RUN_ORDER_STOP;
+	order->stop_outcome = outcome;
+	order->check_only = true;
+	await_list(order);
 }
 
 /* ======   Responses   ====== */
@@ -162,36 +157,35 @@
 		finish_order(order, GN_ORDER_OUTCOME_STARTED);
 		break;
 	case GN_WORKER_UNANSWERED:
-		order->start_unanswered = true;
 		schedule_retry(order);
 		break;
 	case GN_WORKER_UNSENT:
 	case GN_WORKER_LEASE_EXPIRED:
 	case GN_WORKER_FENCED:
 		if (order->tries >= TRIES_MAX)
-			fail_start(order, GN_ORDER_OUTCOME_NOT_STARTED);
+			check_run(order, GN_ORDER_OUTCOME_NOT_STARTED);
 		else
 			schedule_retry(order);
 		break;
 	case GN_WORKER_FULL:
-		fail_start(order, GN_ORDER_OUTCOME_NO_ROOM);
+		convert_to_stop(order, GN_ORDER_OUTCOME_NO_ROOM);
 		break;
 	case GN_WORKER_RUN_OVER:
 		/* The next list shows the run's end, unless it is gone. */
-		await_list(order, GN_ORDER_OUTCOME_GONE);
+		check_run(order, GN_ORDER_OUTCOME_GONE);
 		break;
 	case GN_WORKER_NO_TICKET:
-		fail_start(order, GN_ORDER_OUTCOME_NO_TICKET);
+		convert_to_stop(order, GN_ORDER_OUTCOME_NO_TICKET);
 		break;
 	case GN_WORKER_MALFORMED:
-		fail_start(order, GN_ORDER_OUTCOME_MALFORMED);
+		convert_to_stop(order, GN_ORDER_OUTCOME_MALFORMED);
 		break;
 	case GN_WORKER_LIFE_ENDED:
 		/* No earlier call can take effect, as that life is over. */
 		finish_order(order, GN_ORDER_OUTCOME_NOT_STARTED);
 		break;
 	case GN_WORKER_UNHEALTHY:
-		fail_start(order, GN_ORDER_OUTCOME_NOT_STARTED);
+		check_run(order, GN_ORDER_OUTCOME_NOT_STARTED);
 		break;
 	}
 }
@@ -201,8 +195,7 @@
 	switch (outcome) {
 	case GN_WORKER_OK:
 	case GN_WORKER_RUN_OVER:
-		order->awaits_list = true;
-		order->awaits_list_since_us = get_now_us(order->orders);
+		await_list(order);
 		break;
 	case GN_WORKER_LIFE_ENDED:
 		finish_order(order, GN_ORDER_OUTCOME_GONE);
@@ -270,7 +263,7 @@
 
 	if (order->kind == GN_RUN_ORDER_START &&
 	    !gn_grant_may_start(order->basis_us, now_us)) {
-		fail_start(order, GN_ORDER_OUTCOME_NOT_STARTED);
+		check_run(order, GN_ORDER_OUTCOME_NOT_STARTED);
 		return;
 	}
 	if (order->kind == GN_RUN_ORDER_START) {
@@ -338,7 +331,7 @@
 	if (strcmp(message->life, orders->life) != 0)
 		finish_order(order, GN_ORDER_OUTCOME_NOT_STARTED);
 	else if (orders->refuses_starts)
-		fail_start(order, GN_ORDER_OUTCOME_NOT_STARTED);
+		check_run(order, GN_ORDER_OUTCOME_NOT_STARTED);
 	else
 		send_order(order);
 }
@@ -352,7 +345,6 @@
 	if (!order) {
 		send_order(create_order(orders, message, basis_us));
 	} else if (order->check_only) {
-		order->check_only = false;
 		convert_to_stop(order, GN_ORDER_OUTCOME_GONE);
 	} else if (order->kind == GN_RUN_ORDER_START) {
 		if (order->call_pending)
@@ -433,6 +425,24 @@
 	return false;
 }
 
+/* Decides an order by a list that was requested after its last call. */
+static void decide_by_list(gn_order_t *order, const gn_worker_answer_t *list)
+{
+	if (is_listed(list, order)) {
+		if (order->check_only)
+			finish_order(order, GN_ORDER_OUTCOME_STARTED);
+	} else if (is_end_listed(list, order)) {
+		remove_order(order);
+	} else if (order->check_only &&
+		   order->stop_outcome != GN_ORDER_OUTCOME_GONE) {
+		/* Closes the attempt at the worker: a repeated order or a late
+		 * call could still start it after the claim's release. */
+		convert_to_stop(order, order->stop_outcome);
+	} else {
+		finish_order(order, order->stop_outcome);
+	}
+}
+
 void gn_orders_handle_list(gn_orders_t *orders, const gn_worker_answer_t *list,
 			   uint64_t sent_us)
 {
@@ -441,22 +451,25 @@
 	for (GList *item = all; item; item = item->next) {
 		gn_order_t *order = item->data;
 
-		if (!order->awaits_list ||
-		    sent_us < order->awaits_list_since_us)
-			continue;
-		if (is_listed(list, order)) {
-			if (order->check_only)
-				finish_order(order, GN_ORDER_OUTCOME_STARTED);
-			continue;
-		}
-		if (is_end_listed(list, order))
-			remove_order(order);
-		else
-			finish_order(order, order->stop_outcome);
+		if (order->awaits_list &&
+		    sent_us >= order->awaits_list_since_us)
+			decide_by_list(order, list);
 	}
 	g_list_free(all);
 }
 
+bool gn_orders_await_list(const gn_orders_t *orders)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, orders->table);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (((const gn_order_t *)value)->awaits_list)
+			return true;
+	return false;
+}
+
 /* ======   Lives   ====== */
 
 static void drop_all(gn_orders_t *orders)
--- a/lib/executor/orders.h
+++ b/lib/executor/orders.h
@@ -7,11 +7,14 @@
  * leader leave through callbacks. Time is read from a clock that tests can
  * pause.
  *
- * Starts are idempotent, so a start is repeated until a response arrives. If
- * one is refused after an earlier call went unanswered, that call may still
- * take effect late. Then the run is stopped first, which makes the worker
- * refuse the start from then on. No start is sent long after the leader ordered
- * it, since the leader may have given up the claim by then. A stopped run is
+ * Starts are idempotent, so a start is repeated until a response arrives. No
+ * start is sent long after the leader ordered it, since the leader may have
+ * given up the claim by then.
+ *
+ * The leader releases the claim of a start that is reported as refused, and may
+ * have repeated the order before it learns of the refusal. So the attempt is
+ * closed at the worker first: a stop makes the worker refuse this attempt from
+ * then on, whoever orders it, also after a restart of the executor. A run is
  * gone once a list requested after the stop doesn't show it.
  */
 #ifndef GN_EXECUTOR_ORDERS_H
@@ -37,11 +40,9 @@
 	char *ticket; /**< Free with g_free(). */
 	uint32_t percent; /**< Only for a pace: percent of full speed. */
 	bool call_pending; /**< A call for this order is in progress. */
-	/** An unanswered start may still take effect. */
-	bool start_unanswered;
 	/** No more calls are sent; a list decides the outcome. */
 	bool awaits_list;
-	/** No stop was sent, so the next list may show that the run started. */
+	/** Whether the run is there is unknown; it is kept if it is. */
 	bool check_only;
 	/** Stop the run, or drop the order, once the call has ended. */
 	bool cancelled;
@@ -114,6 +115,9 @@
 void gn_orders_handle_list(gn_orders_t *orders, const gn_worker_answer_t *list,
 			   uint64_t sent_us);
 
+/** Whether an order awaits a list. */
+bool gn_orders_await_list(const gn_orders_t *orders);
+
 /** Sends the calls that are due. */
 void gn_orders_tick(gn_orders_t *orders);
 
--- a/lib/job/job.h
+++ b/lib/job/job.h
@@ -88,7 +88,8 @@
 	GN_RUN_ORDER_KIND_COUNT
 } gn_run_order_kind_t;
 
-/** Outcome of an order. */
+/** Outcome of an order. A start with any outcome but the first cannot take
+ * effect any more, also if it is ordered again. */
 typedef enum gn_run_order_outcome_e {
 	/** The run is active or has been. */
 	GN_ORDER_OUTCOME_STARTED = 0,
