executor: a list is requested at once for orders that await one

A second request without a wait now runs beside the waiting one when an order needs a list that has not been requested yet.

--- a/lib/executor/executor.c
+++ b/lib/executor/executor.c
@@ -114,6 +114,8 @@
 	executor->runtime = runtime;
 	executor->adapter = runtime->adapter;
 	executor->old_links = talloc_new(executor);
+	executor->waiting_list.executor = executor;
+	executor->prompt_list.executor = executor;
 	executor->grant.lease_us = get_lease_us(&runtime->settings->jobs);
 	executor->orders =
 		gn_orders_create(executor, &runtime->clock, &executor->grant,
--- a/lib/executor/executor_internal.h
+++ b/lib/executor/executor_internal.h
@@ -27,6 +27,14 @@
 
 typedef struct executor_s executor_t;
 
+/** A request for the worker's list, repeated when it has ended. */
+typedef struct executor_list_s {
+	executor_t *executor;
+	bool pending; /**< The request is in progress. */
+	uint64_t sent_us; /**< Time of the last request. */
+	unsigned attempts; /**< Requests since the last list. */
+} executor_list_t;
+
 /** Number of recent reports whose answers are still accepted. */
 #define EXECUTOR_REPORT_HISTORY 64
 
@@ -51,10 +59,11 @@
 
 	/* ======   List of the worker   ====== */
 
-	bool list_pending; /**< A request for the list is in progress. */
-	uint64_t list_sent_us; /**< Time of the last request for the list. */
-	uint64_t list_due_us; /**< Earliest time of the next request. */
-	unsigned list_attempts; /**< Requests since the last list. */
+	/** Request that the worker answers as soon as a run ends. */
+	executor_list_t waiting_list;
+	/** Request answered at once, for orders that await a list. */
+	executor_list_t prompt_list;
+	uint64_t list_due_us; /**< Earliest time of the next waiting list. */
 	bool list_unreported; /**< The leader hasn't been sent this list yet. */
 	TALLOC_CTX *list; /**< Owner of the runs and ends. */
 	Gn__WorkerRun **runs;
--- a/lib/executor/orders.c
+++ b/lib/executor/orders.c
@@ -458,16 +458,20 @@
 	g_list_free(all);
 }
 
-bool gn_orders_await_list(const gn_orders_t *orders)
+uint64_t gn_orders_list_needed_since_us(const gn_orders_t *orders)
 {
+	uint64_t since_us = 0;
 	GHashTableIter iter;
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, orders->table);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		if (((const gn_order_t *)value)->awaits_list)
-			return true;
-	return false;
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const gn_order_t *order = value;
+
+		if (order->awaits_list)
+			since_us = MAX(since_us, order->awaits_list_since_us);
+	}
+	return since_us;
 }
 
 /* ======   Lives   ====== */
--- a/lib/executor/orders.h
+++ b/lib/executor/orders.h
@@ -115,8 +115,9 @@
 void gn_orders_handle_list(gn_orders_t *orders, const gn_worker_answer_t *list,
 			   uint64_t sent_us);
 
-/** Whether an order awaits a list. */
-bool gn_orders_await_list(const gn_orders_t *orders);
+/** Returns the time since which a list must be requested to decide all orders
+ * that await one; 0 if none does. */
+uint64_t gn_orders_list_needed_since_us(const gn_orders_t *orders);
 
 /** Sends the calls that are due. */
 void gn_orders_tick(gn_orders_t *orders);
--- a/lib/executor/worker.c
+++ b/lib/executor/worker.c
@@ -64,7 +64,7 @@
 }
 
 static void store_list(executor_t *executor, TALLOC_CTX *list,
-		       const gn_worker_answer_t *answer)
+		       const gn_worker_answer_t *answer, uint64_t sent_us)
 {
 	bool has_ends = answer->end_count > 0;
 
@@ -75,7 +75,7 @@
 	executor->ends = answer->ends;
 	executor->end_count = answer->end_count;
 	executor->list_unreported = true;
-	gn_orders_handle_list(executor->orders, answer, executor->list_sent_us);
+	gn_orders_handle_list(executor->orders, answer, sent_us);
 	if (has_ends)
 		executor->list_due_us =
 			executor_now_us(executor) + LIST_ENDS_DELAY_US;
@@ -83,11 +83,12 @@
 
 static void on_list(void *arg, const gn_http_call_t *http)
 {
-	executor_t *executor = arg;
+	executor_list_t *request = arg;
+	executor_t *executor = request->executor;
 	TALLOC_CTX *list = talloc_new(executor);
 	gn_worker_answer_t answer;
 
-	executor->list_pending = false;
+	request->pending = false;
 	executor->adapter->read_worker_answer(list, GN_WORKER_LIST, http,
 					      &answer);
 	if (answer.outcome != GN_WORKER_OK || !executor->worker_known ||
@@ -98,9 +99,9 @@
 		return;
 	}
 	executor_record_clock(executor, &answer);
-	executor->list_attempts = 0;
+	request->attempts = 0;
 	executor->list_due_us = 0;
-	store_list(executor, list, &answer);
+	store_list(executor, list, &answer, request->sent_us);
 	if (answer.end_count)
 		executor_report(executor);
 }
@@ -112,25 +113,43 @@
 		       executor->ends_stored;
 }
 
-void executor_worker_tick(executor_t *executor)
+static void request_list(executor_list_t *request, unsigned wait_ms)
 {
+	executor_t *executor = request->executor;
 	uint64_t now_us = executor_now_us(executor);
-	gn_worker_call_t call = { .kind = GN_WORKER_LIST };
+	gn_worker_call_t call = { .kind = GN_WORKER_LIST,
+				  .wait_ms = wait_ms,
+				  .ends_stored = executor->ends_stored };
 
-	if (!executor->worker_known || executor->worker_left ||
-	    executor->list_pending || now_us < executor->list_due_us)
-		return;
-	if (!has_unstored_ends(executor))
-		call.wait_ms = LIST_WAIT_MS;
-	call.ends_stored = executor->ends_stored;
 	call.lease_until_ms =
 		gn_grant_extend_until_ms(&executor->grant, now_us);
-	executor->list_sent_us = now_us;
-	executor->list_attempts++;
-	executor->list_pending = executor_call_worker(
+	request->sent_us = now_us;
+	request->attempts++;
+	request->pending = executor_call_worker(
 		executor, &call,
-		call.wait_ms + gn_attempt_timeout_ms(executor->list_attempts),
-		on_list, executor);
+		wait_ms + gn_attempt_timeout_ms(request->attempts), on_list,
+		request);
+}
+
+/* Whether no list was requested yet that could decide all orders. */
+static bool is_list_needed(const executor_t *executor)
+{
+	uint64_t since_us = gn_orders_list_needed_since_us(executor->orders);
+
+	return executor->waiting_list.sent_us < since_us &&
+	       executor->prompt_list.sent_us < since_us;
+}
+
+void executor_worker_tick(executor_t *executor)
+{
+	if (!executor->worker_known || executor->worker_left)
+		return;
+	if (!executor->waiting_list.pending &&
+	    executor_now_us(executor) >= executor->list_due_us)
+		request_list(&executor->waiting_list,
+			     has_unstored_ends(executor) ? 0 : LIST_WAIT_MS);
+	if (!executor->prompt_list.pending && is_list_needed(executor))
+		request_list(&executor->prompt_list, 0);
 }
 
 /* ======   Heartbeats   ====== */
@@ -153,7 +172,8 @@
 	executor->worker_draining_us = 0;
 	executor->worker_left = false;
 	executor->list_due_us = 0;
-	executor->list_attempts = 0;
+	executor->waiting_list.attempts = 0;
+	executor->prompt_list.attempts = 0;
 }
 
 static void on_heartbeat(executor_t *executor, const gn_worker_notice_t *notice)
