sched: A life is the pair of ID and start time

A worker may start again under the ID that it had. It then knows nothing of before and numbers its ends from 1. The leader compared the IDs alone: it kept the numbers of ends of the life that was over, so that it ignored the first ends of the new one and told its executor to let the worker discard ends that nobody had stored; and it took reports of the earlier life for present ones.

gn_life_t holds the ID and the start. Claims, stored states, orders and `ends_stored` carry both, under new field numbers. 0, as in the states and orders of an older build, matches any start of that ID. Such a claim takes over the start of the life that first reports, so that a later restart ends it.

A claim of an earlier life with the same ID is released at once here, as one of another ID is.

The new tests before the change:

test_ends_of_a_worker_restarted_under_its_id_are_not_lost: assertion failed (rig_phase(&rig, OTHER) == GN_JOB_COMPLETED): (0 == 2) test_worker_restarted_under_its_id_keeps_its_ends: assertion failed (rig_report(&rig, "a", "1") == 0): (1 == 0) test_report_of_an_earlier_life_with_the_same_id_is_ignored: assertion failed (rig_phase(&rig, JOB) == GN_JOB_RUNNING): (2 == 1)

The two tests of an older build's claim cannot be built before the change, since the field is new. With the match of 0 taken out, claim_of_an_older_build_is_kept fails (rig.orders->len == 0: 3 == 0); without taking over the start, claim_of_an_older_build_ends_with_its_life crashes, as no start is ordered.

--- a/lib/adapter/adapter.h
+++ b/lib/adapter/adapter.h
@@ -7,8 +7,10 @@
  * adapter translates them to and from the types of this software and makes no
  * scheduling decisions.
  *
- * A life identifies one run of a backend server's process, from its start to
- * its end, by the instance ID that the platform gave it.
+ * A life is one run of a backend server's process, from its start to its end.
+ * It is identified by the instance ID that the platform gave it together with
+ * the time of its start, since a server may start again under the ID that it
+ * had. A call names the ID only, so it may reach a later life with this ID.
  */
 #ifndef GN_ADAPTER_ADAPTER_H
 #define GN_ADAPTER_ADAPTER_H
@@ -48,7 +50,7 @@
 /** A heartbeat or the deregistration of a backend server. */
 typedef struct gn_worker_notice_s {
 	bool deregisters; /**< The server deregisters; only life is set. */
-	char life[GN_NAME_MAX + 1];
+	char life[GN_NAME_MAX + 1]; /**< ID of the life. */
 	uint64_t life_started_ms; /**< Start of the life, in ms since 1970. */
 	uint64_t sequence; /**< Increases within a life. */
 	char service[GN_NAME_MAX + 1];
@@ -78,7 +80,8 @@
 typedef struct gn_worker_call_s {
 	gn_worker_call_kind_t kind;
 	const char *address;
-	const char *life; /**< Any other life refuses the call; empty: any. */
+	/** ID of the life; servers with others refuse; empty: any. */
+	const char *life;
 	uint64_t epoch; /**< The leader's epoch, sent as fencing token. */
 	const char *task;
 	uint32_t attempt;
--- a/lib/executor/executor_internal.h
+++ b/lib/executor/executor_internal.h
@@ -7,8 +7,8 @@
  * the leader's answers to its reports allow. Each extension counts from the
  * time when the answered report was sent.
  *
- * The worker is the backend server that the executor serves. A life identifies
- * one lifetime of the worker, from a start to its end.
+ * The worker is the backend server that the executor serves. A life is one
+ * lifetime of the worker, from a start to its end (job/life.h).
  */
 #ifndef GN_EXECUTOR_INTERNAL_H
 #define GN_EXECUTOR_INTERNAL_H
@@ -21,6 +21,7 @@
 #include "executor/grant.h"
 #include "http/client.h"
 #include "http/server.h"
+#include "job/life.h"
 #include "platform/kv_http.h"
 #include "wire/link.h"
 
@@ -130,6 +131,8 @@
 
 /** Handles the worker's heartbeats and requests for the state dump. */
 void executor_on_http(void *arg, gn_http_request_t *request);
+/** Returns the worker's life; its ID is empty before the first heartbeat. */
+gn_life_t executor_get_life(const executor_t *executor);
 /** Requests the worker's list when it is due. */
 void executor_worker_tick(executor_t *executor);
 /**
--- a/lib/executor/leader.c
+++ b/lib/executor/leader.c
@@ -98,7 +98,8 @@
 		request_schedulers(executor);
 	gn_grant_record_answer(&executor->grant,
 			       get_sent_us(executor, message->sequence));
-	if (!strcmp(message->life, executor->notice.life) &&
+	if (gn_life_matches((gn_life_t){ message->life, message->born_ms },
+			    executor_get_life(executor)) &&
 	    message->ends_stored > executor->ends_stored) {
 		executor->ends_stored = message->ends_stored;
 		executor->list_due_us = 0;
--- a/lib/executor/orders.c
+++ b/lib/executor/orders.c
@@ -358,7 +358,8 @@
 		return;
 	}
 	order = create_order(executor, message, basis_us);
-	if (strcmp(message->life, executor->notice.life) != 0)
+	if (!gn_life_matches((gn_life_t){ message->life, message->born_ms },
+			     executor_get_life(executor)))
 		finish_order(order, GN_ORDER_OUTCOME_NOT_STARTED);
 	else if (executor->worker_draining_us || executor->worker_left)
 		fail_start(order, GN_ORDER_OUTCOME_NOT_STARTED);
--- a/lib/executor/worker.c
+++ b/lib/executor/worker.c
@@ -18,6 +18,12 @@
 /** Delay while ends are not stored yet, since the worker lists them at once. */
 #define LIST_ENDS_DELAY_US (60 * GN_US_PER_MS)
 
+gn_life_t executor_get_life(const executor_t *executor)
+{
+	return (gn_life_t){ executor->notice.life,
+			    executor->notice.life_started_ms };
+}
+
 /* ======   Calls   ====== */
 
 bool executor_call_worker(executor_t *executor, gn_worker_call_t *call,
--- a/lib/job/job.pb-c.c
+++ b/lib/job/job.pb-c.c
@@ -697,7 +697,7 @@
   (ProtobufCMessageInit) gn__job_spec__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gn__task_state__field_descriptors[7] =
+static const ProtobufCFieldDescriptor gn__task_state__field_descriptors[8] =
 {
   {
     "number",
@@ -783,9 +783,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "born_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gn__TaskState, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gn__task_state__field_indices_by_name[] = {
   2,   /* field[2] = attempt */
+  7,   /* field[7] = born_ms */
   6,   /* field[6] = checkpoint */
   3,   /* field[3] = failed */
   4,   /* field[4] = host */
@@ -796,7 +809,7 @@
 static const ProtobufCIntRange gn__task_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor gn__task_state__descriptor =
 {
@@ -806,7 +819,7 @@
   "Gn__TaskState",
   "gn",
   sizeof(Gn__TaskState),
-  7,
+  8,
   gn__task_state__field_descriptors,
   gn__task_state__field_indices_by_name,
   1,  gn__task_state__number_ranges,
--- a/lib/job/job.pb-c.h
+++ b/lib/job/job.pb-c.h
@@ -174,10 +174,14 @@
    */
   char *life;
   char *checkpoint;
+  /*
+   * Start of that life, since 1970; 0 if unknown.
+   */
+  uint64_t born_ms;
 };
 #define GN__TASK_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gn__task_state__descriptor) \
-    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -23,7 +23,7 @@
 		.task = name,
 		.attempt = task->attempt,
 		.host = task->worker ? task->worker->host : NULL,
-		.life = task->life,
+		.life = task->life.id,
 		.reason = why,
 		.value = value,
 		.list_age_ms = sched_list_age_ms(sched, task->worker)
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -16,8 +16,8 @@
  *
  * A worker is a backend server that runs tasks; the scheduler knows it by the
  * name of its executor. An executor is the process beside a worker that reports
- * its runs and ends and passes orders to it. A life identifies one lifetime of
- * a worker, from its start to its exit. A serving task is latency-critical: it
+ * its runs and ends and passes orders to it. A life is one lifetime of a worker
+ * (job/life.h); its ID alone does not identify it. A serving task is latency-critical: it
  * has a target for its tail latency. A best-effort task uses only processor
  * time that other tasks leave.
  */
@@ -28,6 +28,7 @@
 
 #include "common/clock.h"
 #include "job/job.h"
+#include "job/life.h"
 #include "queue/queue.h"
 #include "wire/gypsumnotch.pb-c.h"
 
@@ -39,7 +40,7 @@
 	const char *task;
 	uint32_t attempt;
 	/** Life of the worker; a worker of another life must refuse. */
-	const char *life;
+	gn_life_t life;
 	gn_str_t payload; /**< Only for a start. */
 	const char *checkpoint; /**< Only for a start; may be empty. */
 	const char *ticket; /**< Only for a start; may be empty. */
@@ -169,10 +170,10 @@
 /**
  * Returns the highest n such that the ends 1 to n of @p host in its present
  * life are durable.
- * @param life receives that life; empty if the worker is unknown
+ * @param life receives that life; its ID is empty if the worker is unknown
  */
 uint64_t gn_sched_get_durable_ends(const gn_sched_t *sched, const char *host,
-				   const char **life);
+				   gn_life_t *life);
 
 /* ======   Advice   ====== */
 
--- a/lib/sched/sched_advice.c
+++ b/lib/sched/sched_advice.c
@@ -83,15 +83,15 @@
 bool sched_advice_allows(const sched_job_t *job, const sched_unit_t *unit,
 			 const sched_worker_t *worker)
 {
-	const ticket_t *ticket = find_ticket(unit, worker->life);
+	const ticket_t *ticket = find_ticket(unit, worker->life.id);
 
 	return !job->advised || (ticket && is_valid(job->sched, ticket));
 }
 
 const char *sched_advice_ticket(const sched_job_t *job,
-				const sched_unit_t *unit, const char *life)
+				const sched_unit_t *unit, gn_life_t life)
 {
-	const ticket_t *ticket = find_ticket(unit, life);
+	const ticket_t *ticket = find_ticket(unit, life.id);
 
 	return job->advised && ticket && ticket->text ? ticket->text : "";
 }
@@ -101,7 +101,7 @@
 	const sched_unit_t *unit = &task->job->units[task->unit];
 
 	if (unit->advice)
-		g_hash_table_remove(unit->advice->tickets, task->life);
+		g_hash_table_remove(unit->advice->tickets, task->life.id);
 }
 
 /* ======   Requests   ====== */
@@ -132,7 +132,7 @@
 	g_hash_table_iter_init(&iter, sched->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const sched_worker_t *worker = value;
-		const ticket_t *ticket = find_ticket(unit, worker->life);
+		const ticket_t *ticket = find_ticket(unit, worker->life.id);
 
 		if (!sched_worker_is_eligible(sched, worker, job, unit->step) ||
 		    (ticket && (!ticket->text || is_valid(sched, ticket))))
@@ -168,7 +168,7 @@
 		const sched_worker_t *worker = g_ptr_array_index(workers, i);
 
 		g_ptr_array_add(advice->requested_lives,
-				(gpointer)worker->life);
+				(gpointer)worker->life.id);
 	}
 	g_ptr_array_free(workers, TRUE);
 	if (!advice->requested_lives->len)
--- a/lib/sched/sched_claim.c
+++ b/lib/sched/sched_claim.c
@@ -25,7 +25,7 @@
 /* ======   Claim and release   ====== */
 
 static void attach_claim(sched_task_t *task, sched_worker_t *worker,
-			 const char *life)
+			 gn_life_t life)
 {
 	const Gn__JobStep *step = get_step(task);
 	gn_resource_vector_t resources = sched_step_resources(step);
@@ -33,7 +33,8 @@
 
 	task->state = GN_JOB_TASK_CLAIMED;
 	task->worker = worker;
-	task->life = g_intern_string(life);
+	task->life.id = g_intern_string(life.id);
+	task->life.started_ms = life.started_ms;
 	task->start_sent = false;
 	task->restored = false;
 	task->listed = false;
@@ -89,7 +90,7 @@
 }
 
 void sched_restore_claim(sched_task_t *task, sched_worker_t *worker,
-			 const char *life)
+			 gn_life_t life)
 {
 	attach_claim(task, worker, life);
 	/* The claim is durable. Whether a start was sent is unknown, so it
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -42,7 +42,7 @@
 	char *checkpoint; /**< Owned; free with g_free(). NULL if none. */
 
 	sched_worker_t *worker; /**< Worker of the claim, or NULL. */
-	const char *life; /**< Life of the claim's worker, interned. */
+	gn_life_t life; /**< Life of the claim's worker; interned ID. */
 	uint64_t claim_version; /**< Version of the job with the claim. */
 	bool start_sent; /**< A start order was sent. */
 	bool restored; /**< Claimed by an earlier leader; may be running. */
@@ -123,10 +123,9 @@
 /** A worker that has reported, or has loaded claims but no report yet. */
 struct sched_worker_s {
 	char *host; /**< Name of the executor. */
-	const char *life; /**< Interned; empty before the first report. */
-	/** Start of this life, ms since 1970; a life that starts later
-	 * replaces it. */
-	uint64_t life_started_ms;
+	/** Present life, which one that starts later replaces. Its ID is
+	 * interned, and empty before the first report. */
+	gn_life_t life;
 	char *service;
 	char *data_centre;
 	char *rack;
@@ -237,7 +236,7 @@
 			uint32_t attempt);
 /** Restores a stored claim. */
 void sched_restore_claim(sched_task_t *task, sched_worker_t *worker,
-			 const char *life);
+			 gn_life_t life);
 /** Releases the claim of a run that is certain to have ended; the task waits
  * again. */
 void sched_release_claim(sched_task_t *task, const char *why);
@@ -280,7 +279,7 @@
 			 const sched_worker_t *worker);
 /** Returns the ticket for the worker's life, or an empty string. */
 const char *sched_advice_ticket(const sched_job_t *job,
-				const sched_unit_t *unit, const char *life);
+				const sched_unit_t *unit, gn_life_t life);
 /** Requests tickets for workers that have none, if a request is due. */
 void sched_advice_request_tickets(gn_sched_t *sched, sched_job_t *job,
 				  sched_unit_t *unit);
--- a/lib/sched/sched_store.c
+++ b/lib/sched/sched_store.c
@@ -33,7 +33,8 @@
 	state->checkpoint = empty_text;
 	if (task->state == GN_JOB_TASK_CLAIMED) {
 		state->host = task->worker->host;
-		state->life = (char *)task->life;
+		state->life = (char *)task->life.id;
+		state->born_ms = task->life.started_ms;
 	}
 	if (task->state != GN_JOB_TASK_DONE && task->checkpoint)
 		state->checkpoint = task->checkpoint;
@@ -217,7 +218,7 @@
 	} else if (row->status == GN_JOB_TASK_CLAIMED) {
 		sched_restore_claim(task,
 				    sched_worker_get(job->sched, row->host),
-				    row->life);
+				    (gn_life_t){ row->life, row->born_ms });
 	}
 }
 
--- a/lib/sched/sched_worker.c
+++ b/lib/sched/sched_worker.c
@@ -17,7 +17,7 @@
 		return worker;
 	worker = g_new0(sched_worker_t, 1);
 	worker->host = g_strdup(host);
-	worker->life = "";
+	worker->life.id = "";
 	worker->claims = g_ptr_array_new();
 	g_queue_init(&worker->ends);
 	g_hash_table_insert(sched->workers, worker->host, worker);
@@ -78,7 +78,7 @@
 {
 	uint64_t now_us = sched_now_us(sched);
 
-	return !worker->draining && *worker->life &&
+	return !worker->draining && *worker->life.id &&
 	       sched_worker_is_live(sched, worker) &&
 	       sched_worker_has_fresh_list(sched, worker) &&
 	       now_us >= worker->full_until_us;
@@ -101,7 +101,7 @@
 {
 	const gn_sched_event_t event = { .name = what,
 					 .host = worker->host,
-					 .life = worker->life,
+					 .life = worker->life.id,
 					 .reason = why,
 					 .value = value,
 					 .list_age_ms = sched_list_age_ms(
@@ -112,9 +112,14 @@
 
 /* ======   Release of claims   ====== */
 
+static void release_claims(sched_worker_t *worker, const char *why)
+{
+	while (worker->claims->len)
+		sched_release_claim(g_ptr_array_index(worker->claims, 0), why);
+}
+
 /* Releases the claims that belong to another life than @p life. */
-static void release_other_lives(sched_worker_t *worker, const char *life,
-				const char *why)
+static void release_other_lives(sched_worker_t *worker, gn_life_t life)
 {
 	guint i = 0;
 
@@ -122,11 +127,14 @@
 	while (i < worker->claims->len) {
 		sched_task_t *task = g_ptr_array_index(worker->claims, i);
 
-		if (task->life == life) {
+		if (gn_life_matches(task->life, life)) {
+			/* An older build has stored no start time. */
+			if (!task->life.started_ms)
+				task->life.started_ms = life.started_ms;
 			i++;
 			continue;
 		}
-		sched_release_claim(task, why);
+		sched_release_claim(task, "new life of the worker");
 		i = 0;
 	}
 }
@@ -150,7 +158,7 @@
 					  ? "no list from the worker"
 					  : "no report from the executor",
 				  (int64_t)(now_us - worker->last_report_us));
-		release_other_lives(worker, NULL, "lapsed");
+		release_claims(worker, "lapsed");
 	}
 }
 
@@ -176,14 +184,18 @@
 /* Resets the state of the worker, since a new life has no earlier runs or
  * ends. */
 static void begin_life(gn_sched_t *sched, sched_worker_t *worker,
-		       const char *life, uint64_t life_started_ms)
+		       gn_life_t life)
 {
-	if (worker->life == life)
+	bool is_present = gn_life_matches(worker->life, life);
+
+	if (is_present && worker->life.started_ms == life.started_ms)
 		return;
-	release_other_lives(worker, life, "new life of the worker");
-	drop_ends(worker);
+	release_other_lives(worker, life);
 	worker->life = life;
-	worker->life_started_ms = life_started_ms;
+	/* Only its start time was unknown. */
+	if (is_present)
+		return;
+	drop_ends(worker);
 	worker->ends_seen = 0;
 	worker->ends_durable = 0;
 	memset(&worker->health, 0, sizeof(worker->health));
@@ -192,7 +204,7 @@
 	worker->last_list_us = 0;
 	worker->has_listed = false;
 	emit_worker_event(sched, "worker", worker, "new life",
-			  (int64_t)life_started_ms);
+			  (int64_t)life.started_ms);
 }
 
 static void update_description(sched_worker_t *worker,
@@ -235,7 +247,8 @@
 			   const sched_worker_t *worker, uint32_t attempt)
 {
 	return task && task->state == GN_JOB_TASK_CLAIMED &&
-	       task->worker == worker && task->life == worker->life &&
+	       task->worker == worker &&
+	       gn_life_matches(task->life, worker->life) &&
 	       task->attempt == attempt;
 }
 
@@ -256,7 +269,7 @@
 					 .task = run->task,
 					 .attempt = run->attempt,
 					 .host = worker->host,
-					 .life = worker->life,
+					 .life = worker->life.id,
 					 .reason = "no claim",
 					 .list_age_ms = sched_list_age_ms(
 						 sched, worker) };
@@ -424,17 +437,18 @@
 				const Gn__WorkerReport *report)
 {
 	sched_worker_t *worker = sched_worker_get(sched, report->host);
+	const gn_life_t life = { g_intern_string(report->life),
+				 report->born_ms };
 	bool was_live = sched_worker_is_live(sched, worker);
 	bool was_draining = worker->draining;
 	bool was_open = sched_worker_accepts_tasks(sched, worker);
 
 	worker->last_report_us = sched_now_us(sched);
-	if (*report->life && report->born_ms >= worker->life_started_ms) {
-		begin_life(sched, worker, g_intern_string(report->life),
-			   report->born_ms);
+	if (*report->life && life.started_ms >= worker->life.started_ms) {
+		begin_life(sched, worker, life);
 		update_description(worker, report);
 	}
-	if (strcmp(report->life, worker->life) != 0)
+	if (!gn_life_matches(life, worker->life))
 		return 0;
 	extend_lease(sched, worker, report);
 	if (!was_live)
@@ -450,7 +464,7 @@
 		sched_pace_worker(sched, worker);
 	}
 	if (report->left)
-		release_other_lives(worker, NULL, "worker left");
+		release_claims(worker, "worker left");
 	for (size_t i = 0; i < report->n_results; i++)
 		handle_result(sched, worker, report->results[i]);
 	sched_worker_retire_ends(worker);
@@ -460,11 +474,11 @@
 }
 
 uint64_t gn_sched_get_durable_ends(const gn_sched_t *sched, const char *host,
-				   const char **life)
+				   gn_life_t *life)
 {
 	const sched_worker_t *worker =
 		g_hash_table_lookup(sched->workers, host);
 
-	*life = worker ? worker->life : "";
+	*life = worker ? worker->life : (gn_life_t){ .id = "" };
 	return worker ? worker->ends_durable : 0;
 }
--- a/lib/scheduler/executors.c
+++ b/lib/scheduler/executors.c
@@ -60,7 +60,8 @@
 	message->kind = order->kind;
 	message->task = strdup(order->task);
 	message->attempt = order->attempt;
-	message->life = strdup(order->life);
+	message->life = strdup(order->life.id);
+	message->born_ms = order->life.started_ms;
 	message->checkpoint = strdup(order->checkpoint);
 	message->ticket = strdup(order->ticket);
 	message->percent = order->percent;
@@ -118,7 +119,7 @@
 			   scheduler_executor_t *executor)
 {
 	Gn__WorkerOrders message = GN__WORKER_ORDERS__INIT;
-	const char *life;
+	gn_life_t life;
 	uint64_t ends = gn_sched_get_durable_ends(scheduler->sched,
 						  executor->host, &life);
 
@@ -127,7 +128,8 @@
 		return;
 	message.epoch = scheduler->epoch;
 	message.ends_stored = ends;
-	message.life = (char *)life;
+	message.life = (char *)life.id;
+	message.born_ms = life.started_ms;
 	message.unsure = may_be_superseded(scheduler);
 	message.sequence = executor->unanswered_sequence;
 	message.basis = executor->last_sequence;
--- a/lib/wire/gypsumnotch.pb-c.c
+++ b/lib/wire/gypsumnotch.pb-c.c
@@ -4060,7 +4060,7 @@
   (ProtobufCMessageInit) gn__worker_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gn__worker_order__field_descriptors[8] =
+static const ProtobufCFieldDescriptor gn__worker_order__field_descriptors[9] =
 {
   {
     "kind",
@@ -4158,9 +4158,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "born_ms",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerOrder, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gn__worker_order__field_indices_by_name[] = {
   2,   /* field[2] = attempt */
+  8,   /* field[8] = born_ms */
   5,   /* field[5] = checkpoint */
   0,   /* field[0] = kind */
   3,   /* field[3] = life */
@@ -4172,7 +4185,7 @@
 static const ProtobufCIntRange gn__worker_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor gn__worker_order__descriptor =
 {
@@ -4182,14 +4195,14 @@
   "Gn__WorkerOrder",
   "gn",
   sizeof(Gn__WorkerOrder),
-  8,
+  9,
   gn__worker_order__field_descriptors,
   gn__worker_order__field_indices_by_name,
   1,  gn__worker_order__number_ranges,
   (ProtobufCMessageInit) gn__worker_order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gn__worker_orders__field_descriptors[8] =
+static const ProtobufCFieldDescriptor gn__worker_orders__field_descriptors[9] =
 {
   {
     "sequence",
@@ -4287,9 +4300,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "born_ms",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerOrders, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gn__worker_orders__field_indices_by_name[] = {
   7,   /* field[7] = basis */
+  8,   /* field[8] = born_ms */
   3,   /* field[3] = ends_stored */
   1,   /* field[1] = epoch */
   2,   /* field[2] = leader */
@@ -4301,7 +4327,7 @@
 static const ProtobufCIntRange gn__worker_orders__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor gn__worker_orders__descriptor =
 {
@@ -4311,7 +4337,7 @@
   "Gn__WorkerOrders",
   "gn",
   sizeof(Gn__WorkerOrders),
-  8,
+  9,
   gn__worker_orders__field_descriptors,
   gn__worker_orders__field_indices_by_name,
   1,  gn__worker_orders__number_ranges,
--- a/lib/wire/gypsumnotch.pb-c.h
+++ b/lib/wire/gypsumnotch.pb-c.h
@@ -747,10 +747,14 @@
    * Set in a start only.
    */
   char *ticket;
+  /*
+   * Start of the life, since 1970; 0 if
+   */
+  uint64_t born_ms;
 };
 #define GN__WORKER_ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gn__worker_order__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, {0,NULL}, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
+    , 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, {0,NULL}, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
@@ -796,10 +800,14 @@
    * Sequence of the newest report received.
    */
   uint64_t basis;
+  /*
+   * Start of the life, since 1970; 0 if
+   */
+  uint64_t born_ms;
 };
 #define GN__WORKER_ORDERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gn__worker_orders__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0 }
 
 
 /* Gn__Envelope methods */
--- a/tests/support/sched_rig.c
+++ b/tests/support/sched_rig.c
@@ -43,6 +43,12 @@
 
 static char empty_text[] = "";
 
+/** State of a host's worker. */
+typedef struct rig_host_s {
+	uint64_t restarts; /**< Restarts under the same ID. */
+	uint64_t ends; /**< Number of the last end of its life. */
+} rig_host_t;
+
 /* ======   Callbacks and fixture   ====== */
 
 static void send_order(void *arg, const char *host, const gn_run_order_t *order)
@@ -50,7 +56,8 @@
 	sched_rig_t *rig = arg;
 	rig_order_t recorded = { .kind = order->kind,
 				 .attempt = order->attempt,
-				 .percent = order->percent };
+				 .percent = order->percent,
+				 .life_started_ms = order->life.started_ms };
 
 	g_strlcpy(recorded.host, host, sizeof(recorded.host));
 	g_strlcpy(recorded.task, order->task, sizeof(recorded.task));
@@ -105,7 +112,7 @@
 	gn_clock_init_paused(&rig->clock, START_US);
 	gn_clock_init_paused(&rig->wall, 2 * START_US);
 	rig->orders = g_array_new(FALSE, TRUE, sizeof(rig_order_t));
-	rig->ends =
+	rig->hosts =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	rig->sched = gn_sched_create(NULL, &config, &rig->clock, &rig->wall,
 				     &ops, rig);
@@ -117,7 +124,7 @@
 {
 	talloc_free(rig->sched);
 	g_array_unref(rig->orders);
-	g_hash_table_destroy(rig->ends);
+	g_hash_table_destroy(rig->hosts);
 }
 
 void rig_advance_ms(sched_rig_t *rig, unsigned ms)
@@ -200,14 +207,34 @@
 
 /* ======   Reports   ====== */
 
-static void init_report(Gn__WorkerReport *report, const char *host,
-			const char *life)
+static rig_host_t *get_host(sched_rig_t *rig, const char *name)
+{
+	rig_host_t *host = g_hash_table_lookup(rig->hosts, name);
+
+	if (!host) {
+		host = g_new0(rig_host_t, 1);
+		g_hash_table_insert(rig->hosts, g_strdup(name), host);
+	}
+	return host;
+}
+
+void rig_restart_worker(sched_rig_t *rig, const char *host)
+{
+	rig_host_t *state = get_host(rig, host);
+
+	state->restarts++;
+	state->ends = 0;
+}
+
+static void init_report(sched_rig_t *rig, Gn__WorkerReport *report,
+			const char *host, const char *life)
 {
 	gn__worker_report__init(report);
 	report->host = (char *)host;
 	report->life = (char *)life;
-	/* Lives are ordered by their names. */
-	report->born_ms = (uint64_t)life[0];
+	/* Lives are ordered by their names, and then by their restarts. */
+	report->born_ms =
+		(uint64_t)life[0] * 1000 + get_host(rig, host)->restarts;
 	report->service = (char *)"s";
 	report->machine = empty_text;
 	report->data_centre = empty_text;
@@ -221,7 +248,7 @@
 {
 	Gn__WorkerReport report;
 
-	init_report(&report, host, life);
+	init_report(rig, &report, host, life);
 	return gn_sched_handle_report(rig->sched, &report);
 }
 
@@ -230,7 +257,7 @@
 {
 	Gn__WorkerReport report;
 
-	init_report(&report, host, life);
+	init_report(rig, &report, host, life);
 	report.listed = false;
 	report.list_age_ms = list_age_ms;
 	gn_sched_handle_report(rig->sched, &report);
@@ -243,7 +270,7 @@
 	Gn__WorkerRun run = GN__WORKER_RUN__INIT;
 	Gn__WorkerRun *runs[] = { &run };
 
-	init_report(&report, host, life);
+	init_report(rig, &report, host, life);
 	run.task = (char *)task;
 	run.attempt = attempt;
 	run.checkpoint = empty_text;
@@ -262,17 +289,12 @@
 uint64_t rig_report_end(sched_rig_t *rig, const char *host, const char *life,
 			const char *task, uint32_t attempt, gn_end_kind_t how)
 {
-	uint64_t *number = g_hash_table_lookup(rig->ends, host);
 	Gn__WorkerReport report;
 	Gn__WorkerEnd end = GN__WORKER_END__INIT;
 	Gn__WorkerEnd *ends[] = { &end };
 
-	if (!number) {
-		number = g_new0(uint64_t, 1);
-		g_hash_table_insert(rig->ends, g_strdup(host), number);
-	}
-	init_report(&report, host, life);
-	end.number = ++*number;
+	init_report(rig, &report, host, life);
+	end.number = ++get_host(rig, host)->ends;
 	end.task = (char *)task;
 	end.attempt = attempt;
 	end.how = how;
@@ -282,6 +304,24 @@
 	return gn_sched_handle_report(rig->sched, &report);
 }
 
+void rig_report_result(sched_rig_t *rig, const char *host, const char *life,
+		       const char *task, uint32_t attempt,
+		       gn_run_order_outcome_t outcome)
+{
+	Gn__WorkerReport report;
+	Gn__OrderResult result = GN__ORDER_RESULT__INIT;
+	Gn__OrderResult *results[] = { &result };
+
+	init_report(rig, &report, host, life);
+	report.listed = false;
+	result.task = (char *)task;
+	result.attempt = attempt;
+	result.verdict = outcome;
+	report.results = results;
+	report.n_results = 1;
+	gn_sched_handle_report(rig->sched, &report);
+}
+
 /* ======   Orders   ====== */
 
 const rig_order_t *rig_find_order(const sched_rig_t *rig,
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -27,6 +27,7 @@
 	char checkpoint[GN_NAME_MAX + 1];
 	char ticket[GN_NAME_MAX + 1];
 	uint32_t percent;
+	uint64_t life_started_ms; /**< Start of the life that it names. */
 } rig_order_t;
 
 /** The fixture. */
@@ -35,7 +36,7 @@
 	gn_clock_t clock;
 	gn_clock_t wall;
 	GArray *orders; /**< Of rig_order_t, since the last rig_clear(). */
-	GHashTable *ends; /**< Host to the number of its last end. */
+	GHashTable *hosts; /**< Name of a host to its state, owned. */
 	uint64_t stored; /**< Number of stored batches. */
 	char last_event[32]; /**< Name of the last event. */
 	int64_t last_event_list_age_ms; /**< List age in that event. */
@@ -84,6 +85,12 @@
 /** Runs a placement pass, then stores all changes as durable. */
 void rig_store(sched_rig_t *rig);
 
+/**
+ * Restarts the worker of @p host under its ID: in the reports from now on, its
+ * life has a later start and numbers its ends from 1.
+ */
+void rig_restart_worker(sched_rig_t *rig, const char *host);
+
 /** Sends a report with an empty list. The worker has 4 cores. */
 uint64_t rig_report(sched_rig_t *rig, const char *host, const char *life);
 /** Sends a report without a new list; the last one has this age. */
@@ -99,6 +106,11 @@
 uint64_t rig_report_end(sched_rig_t *rig, const char *host, const char *life,
 			const char *task, uint32_t attempt, gn_end_kind_t how);
 
+/** Sends a report without a new list, but with the outcome of an order. */
+void rig_report_result(sched_rig_t *rig, const char *host, const char *life,
+		       const char *task, uint32_t attempt,
+		       gn_run_order_outcome_t outcome);
+
 /** Returns the last order of @p kind for @p task, or NULL. */
 const rig_order_t *rig_find_order(const sched_rig_t *rig,
 				  gn_run_order_kind_t kind, const char *task);
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -69,7 +69,7 @@
 static void test_end_is_stored_before_it_is_acknowledged(void)
 {
 	sched_rig_t rig;
-	const char *life;
+	gn_life_t life;
 
 	rig_open_with_running_task(&rig, &one_task);
 	g_assert_cmpuint(rig_report_end(&rig, "a", "1", TASK, 1, GN_END_DONE),
@@ -186,6 +186,56 @@
 	rig_close(&rig);
 }
 
+static void test_ends_of_a_worker_restarted_under_its_id_are_not_lost(void)
+{
+	sched_rig_t rig;
+
+	rig_open_with_running_task(&rig, &one_task);
+	rig_report_end(&rig, "a", "1", TASK, 1, GN_END_DONE);
+	rig_store(&rig);
+	rig_restart_worker(&rig, "a");
+	rig_report(&rig, "a", "1");
+	rig_submit(&rig, OTHER, "batch", &one_task, 1);
+	rig_store(&rig);
+	rig_report_end(&rig, "a", "1", OTHER ".0.0.0", 1, GN_END_DONE);
+	g_assert_cmpint(rig_phase(&rig, OTHER), ==, GN_JOB_COMPLETED);
+	rig_close(&rig);
+}
+
+/* The worker would discard an end that has not been stored. */
+static void test_worker_restarted_under_its_id_keeps_its_ends(void)
+{
+	sched_rig_t rig;
+
+	rig_open_with_running_task(&rig, &one_task);
+	rig_report_end(&rig, "a", "1", TASK, 1, GN_END_DONE);
+	rig_store(&rig);
+	g_assert_cmpuint(rig_report(&rig, "a", "1"), ==, 1);
+	rig_restart_worker(&rig, "a");
+	g_assert_cmpuint(rig_report(&rig, "a", "1"), ==, 0);
+	rig_close(&rig);
+}
+
+static void test_report_of_an_earlier_life_with_the_same_id_is_ignored(void)
+{
+	sched_rig_t rig;
+	sched_rig_t earlier;
+
+	rig_open_with_running_task(&rig, &one_task);
+	earlier = rig;
+	earlier.hosts =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	rig_restart_worker(&rig, "a");
+	rig_report(&rig, "a", "1");
+	rig_clear(&rig);
+	rig_report_run(&earlier, "a", "1", TASK, 1);
+	g_assert_cmpuint(rig_count_orders(&rig, GN_RUN_ORDER_STOP), ==, 0);
+	rig_report_end(&earlier, "a", "1", TASK, 1, GN_END_DONE);
+	g_assert_cmpint(rig_phase(&rig, JOB), ==, GN_JOB_RUNNING);
+	g_hash_table_destroy(earlier.hosts);
+	rig_close(&rig);
+}
+
 /*
  * An executor is paused for 5 s, longer than the lease, so the claim expires
  * before the executor reports that the run has succeeded. Found by the soak with
@@ -247,22 +297,17 @@
 	rig_close(&rig);
 }
 
-/*
- * A new leader ordered starts before it had a list, although the runs were
- * active. The executor of a draining worker refused them, so the tasks were
- * started on other workers as well. Found on ozav, mix, with seed
- * 88164461423.
- */
-static void test_new_leader_waits_for_a_list_before_orders(void)
+/* Opens the fixture as a new leader's, with a claim for host "a", life "1". */
+static void open_with_stored_claim(sched_rig_t *rig, const rig_step_t *step,
+				   bool with_start_of_life)
 {
-	sched_rig_t rig;
 	sched_rig_t first_leader;
 	gn_sched_write_t write;
 	Gn__JobRecord *record;
 
 	rig_open(&first_leader);
 	rig_report(&first_leader, "a", "1");
-	rig_submit(&first_leader, JOB, "batch", &one_task, 1);
+	rig_submit(&first_leader, JOB, "batch", step, 1);
 	gn_sched_run_pass(first_leader.sched);
 	g_assert_cmpuint(gn_sched_begin_batch(first_leader.sched, &write, 1),
 			 ==, 1);
@@ -270,13 +315,29 @@
 	free(write.value);
 	rig_close(&first_leader);
 
-	rig_open(&rig);
+	g_assert_cmpuint(record->state->tasks[0]->born_ms, >, 0);
+	if (!with_start_of_life)
+		record->state->tasks[0]->born_ms = 0;
+	rig_open(rig);
 	g_assert_cmpint(
-		gn_sched_load_job(rig.sched, record->spec, record->state), ==,
+		gn_sched_load_job(rig->sched, record->spec, record->state), ==,
 		GN_OK);
 	record->spec = NULL;
 	gn__job_record__free_unpacked(record, NULL);
-	gn_sched_finish_loading(rig.sched);
+	gn_sched_finish_loading(rig->sched);
+}
+
+/*
+ * A new leader ordered starts before it had a list, although the runs were
+ * active. The executor of a draining worker refused them, so the tasks were
+ * started on other workers as well. Found on ozav, mix, with seed
+ * 88164461423.
+ */
+static void test_new_leader_waits_for_a_list_before_orders(void)
+{
+	sched_rig_t rig;
+
+	open_with_stored_claim(&rig, &one_task, true);
 	rig_report_stale_list(&rig, "a", "1", 100);
 	rig_advance_ms(&rig, 400);
 	g_assert_cmpuint(rig_count_orders(&rig, GN_RUN_ORDER_START), ==, 0);
@@ -286,6 +347,34 @@
 	rig_close(&rig);
 }
 
+static void test_claim_of_an_older_build_is_kept(void)
+{
+	sched_rig_t rig;
+
+	open_with_stored_claim(&rig, &one_task, false);
+	rig_report_run(&rig, "a", "1", TASK, 1);
+	rig_store(&rig);
+	rig_advance_ms(&rig, 400);
+	g_assert_cmpuint(rig.orders->len, ==, 0);
+	rig_report_end(&rig, "a", "1", TASK, 1, GN_END_DONE);
+	g_assert_cmpint(rig_phase(&rig, JOB), ==, GN_JOB_COMPLETED);
+	rig_close(&rig);
+}
+
+static void test_claim_of_an_older_build_ends_with_its_life(void)
+{
+	sched_rig_t rig;
+
+	open_with_stored_claim(&rig, &one_task, false);
+	rig_report_run(&rig, "a", "1", TASK, 1);
+	rig_restart_worker(&rig, "a");
+	rig_report(&rig, "a", "1");
+	rig_store(&rig);
+	g_assert_cmpuint(
+		rig_find_order(&rig, GN_RUN_ORDER_START, TASK)->attempt, ==, 2);
+	rig_close(&rig);
+}
+
 /* ======   Attempts   ====== */
 
 static void test_job_fails_at_its_attempt_limit(void)
@@ -687,6 +776,12 @@
 		  test_worker_without_a_list_gets_no_tasks },
 		{ "new_life_releases_claims_at_once",
 		  test_new_life_releases_claims_at_once },
+		{ "ends_of_a_worker_restarted_under_its_id_are_not_lost",
+		  test_ends_of_a_worker_restarted_under_its_id_are_not_lost },
+		{ "worker_restarted_under_its_id_keeps_its_ends",
+		  test_worker_restarted_under_its_id_keeps_its_ends },
+		{ "report_of_an_earlier_life_with_the_same_id_is_ignored",
+		  test_report_of_an_earlier_life_with_the_same_id_is_ignored },
 		{ "success_before_expiry_is_not_repeated",
 		  test_success_before_expiry_is_not_repeated },
 		{ "success_of_an_earlier_attempt_is_ignored",
@@ -695,6 +790,10 @@
 		  test_run_without_a_claim_is_stopped_and_uses_capacity },
 		{ "new_leader_waits_for_a_list_before_orders",
 		  test_new_leader_waits_for_a_list_before_orders },
+		{ "claim_of_an_older_build_is_kept",
+		  test_claim_of_an_older_build_is_kept },
+		{ "claim_of_an_older_build_ends_with_its_life",
+		  test_claim_of_an_older_build_ends_with_its_life },
 		{ "job_fails_at_its_attempt_limit",
 		  test_job_fails_at_its_attempt_limit },
 		{ "standing_task_is_always_restarted",
