sched: Stop runs in the new life of a worker that kept its ID

Calls to a worker name its ID only. After a restart under the same ID, a start call that was under way can reach the new life, so the claim of the earlier one must not be released at once: the task would run twice. The claim now passes to the new life, which is ordered to stop the run. The executor confirms the stop there and reports the run as gone, and only that, an end or the expired lease releases the claim. A claim without a start that was sent is released at once, and so are claims of a life with another ID. A stop closes an attempt for one life only, so one that was ordered before is ordered again.

--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -10,8 +10,10 @@
  * A claim binds a task to a worker, so that no task runs twice at a time. A
  * start is ordered only once its claim is durable. A claim is released only
  * when its run is certain to have ended: the worker lists the end, the worker
- * has restarted with a new life, the worker has confirmed a stop, or the
- * longest lease that the worker can hold has expired. A worker may discard an
+ * has restarted with a new ID, the worker has confirmed a stop, or the longest
+ * lease that the worker can hold has expired. After a restart under the same
+ * ID, the run is stopped first: calls name the ID only, so a start call that
+ * was under way may reach the new life. A worker may discard an
  * end only once the resulting state is durable.
  *
  * A worker is a backend server that runs tasks; the scheduler knows it by the
--- a/lib/sched/sched_claim.c
+++ b/lib/sched/sched_claim.c
@@ -137,6 +137,24 @@
 	sched_send_due_order(task);
 }
 
+void sched_stop_in_new_life(sched_task_t *task, gn_life_t life)
+{
+	const char *why = "new life of the worker";
+
+	task->life = life;
+	task->listed = false;
+	if (task->stopping) {
+		/* The earlier life may have taken the last order. */
+		task->last_order_us = 0;
+		sched_send_due_order(task);
+	} else {
+		sched_stop_run(task, why);
+	}
+	/* The run in the earlier life is over, so the gang is broken. */
+	if (sched_is_gang(task))
+		sched_gang_stop(task, why);
+}
+
 /* ======   Orders   ====== */
 
 static void send_order(sched_task_t *task, gn_run_order_kind_t kind)
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -244,6 +244,12 @@
 void sched_complete_claim(sched_task_t *task);
 /** Stops the run of a claim, or releases the claim if no start was sent. */
 void sched_stop_run(sched_task_t *task, const char *why);
+/**
+ * Moves a claim to a new life of its worker with the same ID and stops its run
+ * there. Calls name the ID only, so a start call for the earlier life may reach
+ * the new one. Releases the claim if no start was sent.
+ */
+void sched_stop_in_new_life(sched_task_t *task, gn_life_t life);
 /** Sends a start or stop order again if it is due. */
 void sched_send_due_order(sched_task_t *task);
 /** Sends the pending starts of a job whose claims are now durable. */
--- a/lib/sched/sched_worker.c
+++ b/lib/sched/sched_worker.c
@@ -118,12 +118,12 @@
 		sched_release_claim(g_ptr_array_index(worker->claims, 0), why);
 }
 
-/* Releases the claims that belong to another life than @p life. */
-static void release_other_lives(sched_worker_t *worker, gn_life_t life)
+/* Ends the claims of other lives, whose runs are over. */
+static void end_other_lives(sched_worker_t *worker, gn_life_t life)
 {
 	guint i = 0;
 
-	/* Releasing one gang member can release others, so start over. */
+	/* Ending one gang member can release others, so start over. */
 	while (i < worker->claims->len) {
 		sched_task_t *task = g_ptr_array_index(worker->claims, i);
 
@@ -134,7 +134,10 @@
 			i++;
 			continue;
 		}
-		sched_release_claim(task, "new life of the worker");
+		if (gn_life_same_id(task->life, life))
+			sched_stop_in_new_life(task, life);
+		else
+			sched_release_claim(task, "new life of the worker");
 		i = 0;
 	}
 }
@@ -190,7 +193,7 @@
 
 	if (is_present && worker->life.started_ms == life.started_ms)
 		return;
-	release_other_lives(worker, life);
+	end_other_lives(worker, life);
 	worker->life = life;
 	/* Only its start time was unknown. */
 	if (is_present)
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -91,6 +91,10 @@
  */
 void rig_restart_worker(sched_rig_t *rig, const char *host);
 
+/** Returns the start of the present life of @p host. */
+uint64_t rig_get_life_start_ms(sched_rig_t *rig, const char *host,
+			       const char *life);
+
 /** Sends a report with an empty list. The worker has 4 cores. */
 uint64_t rig_report(sched_rig_t *rig, const char *host, const char *life);
 /** Sends a report without a new list; the last one has this age. */
