executor: Don't take an answer of another life for one of its own

Calls name the worker's ID only, so that after a restart under the same ID the new life may answer a call that was meant for the earlier one, before its first heartbeat; or an answer of the earlier life comes late. Answers carry the start of the life. One with another start now counts as unanswered, and its clock is not recorded: the order stays until the heartbeat of the new life drops it. Lists were checked before; executor_read_answer() does it for all calls.

The new test plays an executor against an adapter with scripted answers. Before the change:

test_start_answered_by_another_life_is_unanswered: assertion failed (rig->executor->results->len == 0): (1 == 0) test_stop_answered_by_another_life_is_repeated: 'is_call_pending()' should be TRUE test_clock_of_another_life_is_not_recorded: assertion failed (rig->executor->grant.clock_ms == 1): (500 == 1)

--- a/lib/executor/executor_internal.h
+++ b/lib/executor/executor_internal.h
@@ -142,6 +142,16 @@
  */
 bool executor_call_worker(executor_t *executor, gn_worker_call_t *call,
 			  unsigned timeout_ms, gn_http_done_t done, void *arg);
+/**
+ * Parses the response to a call of @p kind. One of another life than the known
+ * one counts as unanswered and has no clock: a call names the ID only, so a
+ * later life with this ID may have answered it, or an earlier one.
+ * @param parent talloc parent of the runs and ends
+ */
+void executor_read_answer(const executor_t *executor, TALLOC_CTX *parent,
+			  gn_worker_call_kind_t kind,
+			  const gn_http_call_t *http,
+			  gn_worker_answer_t *answer);
 /** Records the worker's clock from a response to any call. */
 void executor_record_clock(executor_t *executor,
 			   const gn_worker_answer_t *answer);
--- a/lib/executor/orders.c
+++ b/lib/executor/orders.c
@@ -240,8 +240,8 @@
 	TALLOC_CTX *scratch = talloc_new(executor);
 	gn_worker_answer_t answer;
 
-	executor->adapter->read_worker_answer(scratch, call_kinds[sent->kind],
-					      http, &answer);
+	executor_read_answer(executor, scratch, call_kinds[sent->kind], http,
+			     &answer);
 	order->call_pending = false;
 	gn_histogram_add(executor->order_time,
 			 executor_now_us(executor) - sent->sent_us);
--- a/lib/executor/worker.c
+++ b/lib/executor/worker.c
@@ -60,8 +60,6 @@
 	executor->grant.granted_until_ms = 0;
 }
 
-/* ======   The list   ====== */
-
 static bool is_current_life(const executor_t *executor,
 			    const gn_worker_answer_t *answer)
 {
@@ -69,6 +67,21 @@
 	       answer->life_started_ms == executor->notice.life_started_ms;
 }
 
+void executor_read_answer(const executor_t *executor, TALLOC_CTX *parent,
+			  gn_worker_call_kind_t kind,
+			  const gn_http_call_t *http,
+			  gn_worker_answer_t *answer)
+{
+	executor->adapter->read_worker_answer(parent, kind, http, answer);
+	if (is_current_life(executor, answer))
+		return;
+	/* Each life has its own runs and its own clock. */
+	answer->outcome = GN_WORKER_UNANSWERED;
+	answer->clock_ms = 0;
+}
+
+/* ======   The list   ====== */
+
 static void store_list(executor_t *executor, TALLOC_CTX *list,
 		       const gn_worker_answer_t *answer)
 {
@@ -94,10 +107,8 @@
 	gn_worker_answer_t answer;
 
 	executor->list_pending = false;
-	executor->adapter->read_worker_answer(list, GN_WORKER_LIST, http,
-					      &answer);
-	if (answer.outcome != GN_WORKER_OK || !executor->worker_known ||
-	    !is_current_life(executor, &answer)) {
+	executor_read_answer(executor, list, GN_WORKER_LIST, http, &answer);
+	if (answer.outcome != GN_WORKER_OK || !executor->worker_known) {
 		executor->list_due_us =
 			executor_now_us(executor) + LIST_RETRY_DELAY_US;
 		talloc_free(list);
--- /dev/null
+++ b/tests/contract/test_executor.c
@@ -0,0 +1,317 @@
+/* Orders and answers around a restart of the worker under its ID. */
+#include <unistd.h>
+#include <zmq.h>
+
+#include "executor/executor_internal.h"
+
+#define HOST "side-1"
+#define ID "i-1"
+#define PORT 20778
+#define TIMEOUT_MS 5000
+#define TASK "00000000000000aa.0.0.0"
+#define START_US (1000 * GN_US_PER_S)
+#define LEASE_US (4 * GN_US_PER_S)
+/** Starts of two lives with the same ID. */
+#define EARLIER_MS 1000
+#define LATER_MS 2000
+/** Reading of the worker's clock in its answers. */
+#define CLOCK_MS 500
+
+/** The executor, and the stand-ins for its peers. */
+typedef struct rig_s {
+	executor_t *executor;
+	gn_runtime_t runtime;
+	gn_settings_t settings;
+	gn_link_handler_t leader_handler;
+	char address[GN_ADDRESS_MAX + 1]; /**< Of the executor. */
+	gn_worker_notice_t notice; /**< Next heartbeat. */
+	gn_worker_answer_t answer; /**< Next answer of the worker. */
+	bool answered; /**< The worker has answered. */
+	unsigned reported_results; /**< Results in the reports sent. */
+} rig_t;
+
+static rig_t *rig;
+
+/* ======   Stand-ins for the link and the adapter   ====== */
+
+gn_code_t gn_link_connect(TALLOC_CTX *parent, const gn_link_config_t *config,
+			  gn_link_t **link, gn_error_t *error)
+{
+	(void)error;
+	rig->leader_handler = config->handler;
+	*link = talloc_new(parent);
+	return GN_OK;
+}
+
+gn_code_t gn_link_send(gn_link_t *link, const gn_link_peer_t *peer,
+		       Gn__Envelope *envelope)
+{
+	(void)link;
+	(void)peer;
+	rig->reported_results += envelope->worker_report->n_results;
+	return GN_OK;
+}
+
+static gn_code_t read_notice(TALLOC_CTX *parent,
+			     const gn_http_request_t *request,
+			     gn_worker_notice_t *notice, gn_error_t *error)
+{
+	(void)request;
+	(void)error;
+	*notice = rig->notice;
+	notice->labels = talloc_zero_array(parent, char *, 1);
+	return GN_OK;
+}
+
+/* Nothing listens there, so each call ends soon with the scripted answer. */
+static bool write_worker_call(const gn_worker_call_t *call,
+			      gn_http_call_t *http)
+{
+	http->method = GN_HTTP_POST;
+	g_snprintf(http->url, sizeof(http->url), "http://%s/x", call->address);
+	return true;
+}
+
+static void read_worker_answer(TALLOC_CTX *parent, gn_worker_call_kind_t kind,
+			       const gn_http_call_t *http,
+			       gn_worker_answer_t *answer)
+{
+	(void)parent;
+	(void)kind;
+	(void)http;
+	*answer = rig->answer;
+	rig->answered = true;
+}
+
+/* ======   Fixture   ====== */
+
+static const gn_adapter_t adapter = { .read_notice = read_notice,
+				      .write_worker_call = write_worker_call,
+				      .read_worker_answer =
+					      read_worker_answer };
+
+static void on_heartbeat_answered(void *arg, const gn_http_call_t *call)
+{
+	bool *done = arg;
+
+	g_assert_cmpuint(call->status, ==, 200);
+	*done = true;
+}
+
+static void send_heartbeat(uint64_t started_ms)
+{
+	gn_http_call_t *call = gn_http_call_create();
+	bool done = false;
+
+	g_strlcpy(rig->notice.life, ID, sizeof(rig->notice.life));
+	rig->notice.life_started_ms = started_ms;
+	rig->notice.sequence++;
+	call->method = GN_HTTP_POST;
+	g_snprintf(call->url, sizeof(call->url), "http://%s/x", rig->address);
+	call->timeout_ms = TIMEOUT_MS;
+	call->done = on_heartbeat_answered;
+	call->arg = &done;
+	gn_http_client_call(rig->executor->client, call);
+	while (!done)
+		g_assert_cmpint(tevent_loop_once(rig->runtime.events), ==, 0);
+}
+
+/* The leader has answered a report, and the worker's clock was read. */
+static void allow_leases(void)
+{
+	gn_grant_t *grant = &rig->executor->grant;
+	uint64_t now_us = executor_now_us(rig->executor);
+
+	gn_grant_record_answer(grant, now_us);
+	gn_grant_record_clock(grant, 1, now_us);
+}
+
+static void start_http(executor_t *executor)
+{
+	gn_runtime_t *runtime = &rig->runtime;
+	const gn_http_client_config_t client = { .events = runtime->events,
+						 .zmq = runtime->zmq,
+						 .host_connections = 1,
+						 .answer_max = 4096,
+						 .counters =
+							 runtime->counters };
+	const gn_http_server_config_t server = { .events = runtime->events,
+						 .zmq = runtime->zmq,
+						 .address = rig->address,
+						 .connections = 4,
+						 .timeout_ms = TIMEOUT_MS,
+						 .threads = 1,
+						 .body_max = 4096,
+						 .counters = runtime->counters,
+						 .handler = executor_on_http,
+						 .arg = executor };
+	gn_error_t error = { 0 };
+
+	g_assert_cmpint(
+		gn_http_client_start(NULL, &client, &executor->client, &error),
+		==, GN_OK);
+	g_assert_cmpint(
+		gn_http_server_start(NULL, &server, &executor->server, &error),
+		==, GN_OK);
+}
+
+static void open_rig(void)
+{
+	executor_t *executor;
+
+	rig = g_new0(rig_t, 1);
+	executor = talloc_zero(NULL, executor_t);
+	rig->executor = executor;
+	rig->settings.name = HOST;
+	rig->settings.jobs.worker_address = "127.0.0.1:1";
+	/* The address depends on the process id, so that runs don't collide. */
+	g_snprintf(rig->address, sizeof(rig->address), "127.78.%u.%u:%u",
+		   (unsigned)getpid() / 250 % 250, 1 + (unsigned)getpid() % 250,
+		   PORT);
+	rig->runtime.events = tevent_context_init(NULL);
+	rig->runtime.zmq = zmq_ctx_new();
+	rig->runtime.counters = gn_counters_create(NULL);
+	rig->runtime.settings = &rig->settings;
+	rig->runtime.adapter = &adapter;
+	gn_clock_init_paused(&rig->runtime.clock, START_US);
+	executor->runtime = &rig->runtime;
+	executor->adapter = &adapter;
+	executor->grant.lease_us = LEASE_US;
+	executor->old_links = talloc_new(executor);
+	executor->orders = g_hash_table_new_full(g_str_hash, g_str_equal,
+						 g_free, executor_order_free);
+	executor->results =
+		g_ptr_array_new_with_free_func(executor_result_free);
+	executor->schedulers = g_ptr_array_new_with_free_func(g_free);
+	executor->order_time = gn_histogram_create(
+		executor, rig->runtime.counters, "executor.order_time");
+	start_http(executor);
+	/* A lookup of the schedulers is in progress and lists this one. */
+	executor->lookup = 1;
+	g_ptr_array_add(executor->schedulers, g_strdup("127.0.0.1:2"));
+	executor_leader_tick(executor);
+	g_assert_nonnull(rig->leader_handler);
+	send_heartbeat(EARLIER_MS);
+	allow_leases();
+}
+
+static void close_rig(void)
+{
+	executor_t *executor = rig->executor;
+
+	/* Freeing the client would lose what its calls point to. */
+	while (gn_http_client_pending(executor->client))
+		g_assert_cmpint(tevent_loop_once(rig->runtime.events), ==, 0);
+	talloc_free(executor->client);
+	talloc_free(executor->server);
+	g_hash_table_destroy(executor->orders);
+	g_ptr_array_free(executor->results, TRUE);
+	g_ptr_array_free(executor->schedulers, TRUE);
+	talloc_free(executor);
+	talloc_free(rig->runtime.counters);
+	talloc_free(rig->runtime.events);
+	zmq_ctx_term(rig->runtime.zmq);
+	g_free(rig);
+}
+
+static void advance_ms(unsigned ms)
+{
+	gn_clock_advance(&rig->runtime.clock, ms * GN_US_PER_MS);
+	executor_orders_tick(rig->executor);
+}
+
+/* The leader's order for the life with this ID and start. */
+static void send_order(gn_run_order_kind_t kind, uint64_t born_ms)
+{
+	Gn__WorkerOrder order = GN__WORKER_ORDER__INIT;
+
+	order.kind = kind;
+	order.task = (char *)TASK;
+	order.attempt = 1;
+	order.life = (char *)ID;
+	order.born_ms = born_ms;
+	executor_on_order(rig->executor, &order,
+			  executor_now_us(rig->executor));
+}
+
+static bool is_call_pending(void)
+{
+	return gn_http_client_pending(rig->executor->client) > 0;
+}
+
+/* The life that started at @p started_ms answers the call in progress. */
+static void answer_call(gn_worker_call_outcome_t outcome, uint64_t started_ms)
+{
+	g_assert_true(is_call_pending());
+	rig->answer.outcome = outcome;
+	rig->answer.clock_ms = CLOCK_MS;
+	rig->answer.life_started_ms = started_ms;
+	rig->answered = false;
+	while (!rig->answered)
+		g_assert_cmpint(tevent_loop_once(rig->runtime.events), ==, 0);
+}
+
+/* ======   Tests   ====== */
+
+static void test_start_answered_by_its_life_counts(void)
+{
+	open_rig();
+	send_order(GN_RUN_ORDER_START, EARLIER_MS);
+	answer_call(GN_WORKER_OK, EARLIER_MS);
+	g_assert_cmpuint(rig->executor->results->len, ==, 1);
+	g_assert_cmpuint(rig->executor->grant.clock_ms, ==, CLOCK_MS);
+	close_rig();
+}
+
+static void test_start_answered_by_another_life_is_unanswered(void)
+{
+	const gn_worker_call_outcome_t outcomes[] = { GN_WORKER_OK,
+						      GN_WORKER_FULL,
+						      GN_WORKER_MALFORMED,
+						      GN_WORKER_NO_TICKET };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(outcomes); i++) {
+		open_rig();
+		send_order(GN_RUN_ORDER_START, EARLIER_MS);
+		answer_call(outcomes[i], LATER_MS);
+		g_assert_cmpuint(rig->executor->results->len, ==, 0);
+		advance_ms(100);
+		g_assert_true(is_call_pending());
+		close_rig();
+	}
+}
+
+static void test_stop_answered_by_another_life_is_repeated(void)
+{
+	open_rig();
+	send_order(GN_RUN_ORDER_STOP, EARLIER_MS);
+	answer_call(GN_WORKER_OK, LATER_MS);
+	advance_ms(100);
+	g_assert_true(is_call_pending());
+	close_rig();
+}
+
+/* A lease counted on the clock of another life would end at a wrong time. */
+static void test_clock_of_another_life_is_not_recorded(void)
+{
+	open_rig();
+	send_order(GN_RUN_ORDER_STOP, EARLIER_MS);
+	answer_call(GN_WORKER_OK, LATER_MS);
+	g_assert_cmpuint(rig->executor->grant.clock_ms, ==, 1);
+	close_rig();
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/executor/start_answered_by_its_life_counts",
+			test_start_answered_by_its_life_counts);
+	g_test_add_func(
+		"/executor/start_answered_by_another_life_is_unanswered",
+		test_start_answered_by_another_life_is_unanswered);
+	g_test_add_func("/executor/stop_answered_by_another_life_is_repeated",
+			test_stop_answered_by_another_life_is_repeated);
+	g_test_add_func("/executor/clock_of_another_life_is_not_recorded",
+			test_clock_of_another_life_is_not_recorded);
+	return g_test_run();
+}
