executor: Report no outcome of an earlier life with the same ID

The leader moves the claims of an earlier life with the same ID to the new one and stops them there. It would take "not started" or "no room" from the earlier life, reported together with the new one, as the outcome of the moved claim and release it before the stop, while a call of the earlier life may still start the run. Results that have not been reported are now dropped with their life, and a start order for an earlier life with this ID is ignored instead of refused; the leader repeats what it still wants. Another ID is refused as before.

Before the change:

test_start_for_an_earlier_life_is_not_reported_as_not_started: assertion failed (rig->executor->results->len == 0): (1 == 0) test_results_of_an_earlier_life_are_not_reported: assertion failed (rig->reported_results == 0): (1 == 0)

start_of_an_unknown_start_time_is_sent guards orders of an older leader. stored_ends_of_an_earlier_life_are_ignored guards the comparison that came with gn_life_t; with the IDs alone compared, it fails (7 == 0).

--- a/lib/executor/orders.c
+++ b/lib/executor/orders.c
@@ -352,14 +352,19 @@
 {
 	executor_order_t *order = find_order(executor, GN_RUN_ORDER_START,
 					     message->task, message->attempt);
+	const gn_life_t life = { message->life, message->born_ms };
+	const gn_life_t present = executor_get_life(executor);
 
+	/* A call for the earlier life may yet start the run in this one. The
+	 * leader stops it first when it learns of this life. */
+	if (gn_life_same_id(life, present) && !gn_life_matches(life, present))
+		return;
 	if (order) {
 		order->basis_us = MAX(order->basis_us, basis_us);
 		return;
 	}
 	order = create_order(executor, message, basis_us);
-	if (!gn_life_matches((gn_life_t){ message->life, message->born_ms },
-			     executor_get_life(executor)))
+	if (!gn_life_same_id(life, present))
 		finish_order(order, GN_ORDER_OUTCOME_NOT_STARTED);
 	else if (executor->worker_draining_us || executor->worker_left)
 		fail_start(order, GN_ORDER_OUTCOME_NOT_STARTED);
--- a/lib/executor/worker.c
+++ b/lib/executor/worker.c
@@ -160,6 +160,8 @@
 		 "service", notice->service, "rack", notice->rack, "cpu_milli",
 		 (int)notice->cpu_milli, "memory_mb", (int)notice->memory_mb);
 	executor_orders_drop(executor);
+	/* The leader would take them for results of this life. */
+	g_ptr_array_set_size(executor->results, 0);
 	gn_grant_reset(&executor->grant);
 	talloc_free(executor->list);
 	executor->list = NULL;
--- a/tests/contract/test_executor.c
+++ b/tests/contract/test_executor.c
@@ -291,6 +291,59 @@
 	close_rig();
 }
 
+/* The leader would release the claim, but an earlier call may take effect. */
+static void test_start_for_an_earlier_life_is_not_reported_as_not_started(void)
+{
+	open_rig();
+	send_heartbeat(LATER_MS);
+	send_order(GN_RUN_ORDER_START, EARLIER_MS);
+	g_assert_cmpuint(rig->executor->results->len, ==, 0);
+	g_assert_cmpuint(g_hash_table_size(rig->executor->orders), ==, 0);
+	g_assert_false(is_call_pending());
+	close_rig();
+}
+
+static void test_start_of_an_unknown_start_time_is_sent(void)
+{
+	open_rig();
+	send_order(GN_RUN_ORDER_START, 0);
+	g_assert_true(is_call_pending());
+	close_rig();
+}
+
+static void test_results_of_an_earlier_life_are_not_reported(void)
+{
+	open_rig();
+	send_order(GN_RUN_ORDER_START, EARLIER_MS);
+	answer_call(GN_WORKER_FULL, EARLIER_MS);
+	g_assert_cmpuint(rig->executor->results->len, ==, 1);
+	send_heartbeat(LATER_MS);
+	g_assert_cmpuint(rig->reported_results, ==, 0);
+	close_rig();
+}
+
+/* The worker would discard ends that nobody has stored. */
+static void test_stored_ends_of_an_earlier_life_are_ignored(void)
+{
+	Gn__WorkerOrders orders = GN__WORKER_ORDERS__INIT;
+	Gn__Envelope envelope = GN__ENVELOPE__INIT;
+
+	open_rig();
+	send_heartbeat(LATER_MS);
+	envelope.body_case = GN__ENVELOPE__BODY_WORKER_ORDERS;
+	envelope.worker_orders = &orders;
+	orders.epoch = 1;
+	orders.life = (char *)ID;
+	orders.ends_stored = 7;
+	orders.born_ms = EARLIER_MS;
+	rig->leader_handler(rig->executor, NULL, &envelope);
+	g_assert_cmpuint(rig->executor->ends_stored, ==, 0);
+	orders.born_ms = LATER_MS;
+	rig->leader_handler(rig->executor, NULL, &envelope);
+	g_assert_cmpuint(rig->executor->ends_stored, ==, 7);
+	close_rig();
+}
+
 /* A lease counted on the clock of another life would end at a wrong time. */
 static void test_clock_of_another_life_is_not_recorded(void)
 {
@@ -313,5 +366,15 @@
 			test_stop_answered_by_another_life_is_repeated);
 	g_test_add_func("/executor/clock_of_another_life_is_not_recorded",
 			test_clock_of_another_life_is_not_recorded);
+	g_test_add_func(
+		"/executor/"
+		"start_for_an_earlier_life_is_not_reported_as_not_started",
+		test_start_for_an_earlier_life_is_not_reported_as_not_started);
+	g_test_add_func("/executor/start_of_an_unknown_start_time_is_sent",
+			test_start_of_an_unknown_start_time_is_sent);
+	g_test_add_func("/executor/results_of_an_earlier_life_are_not_reported",
+			test_results_of_an_earlier_life_are_not_reported);
+	g_test_add_func("/executor/stored_ends_of_an_earlier_life_are_ignored",
+			test_stored_ends_of_an_earlier_life_are_ignored);
 	return g_test_run();
 }
