sched: A ticket is for one life, not for all with its ID

Tickets are valid during one life of the worker, and were kept by its ID. After a restart under the same ID, starts carried the ticket of the earlier life until the worker refused it, and a refusal of the adviser for the earlier life held for the new one. A ticket now has the start of the life that was in the request.

Before the change:

test_ticket_of_an_earlier_life_is_not_used: assertion failed (rig_count_orders(&rig, GN_RUN_ORDER_START) == 0): (1 == 0) test_advice_asked_for_an_earlier_life_is_not_used: assertion failed (rig_count_orders(&rig, GN_RUN_ORDER_START) == 0): (1 == 0)

--- a/lib/sched/sched_advice.c
+++ b/lib/sched/sched_advice.c
@@ -26,14 +26,15 @@
 
 /** The adviser's response for one life of a worker. */
 typedef struct ticket_s {
+	uint64_t life_started_ms; /**< The life that it was asked for. */
 	char *text; /**< NULL if the worker may not run the step. */
 	uint64_t valid_until_us;
 } ticket_t;
 
 /** Cached responses and the current request of a unit. */
 typedef struct sched_advice_s {
-	GHashTable *tickets; /**< Life (interned) to ticket_t. */
-	GPtrArray *requested_lives; /**< Lives in the current request. */
+	GHashTable *tickets; /**< ID of a life (interned) to ticket_t. */
+	GArray *requested_lives; /**< gn_life_t in the current request. */
 	uint64_t requested_us; /**< Time of the current request; 0 if none. */
 	uint64_t retry_us; /**< Time before which no request is sent. */
 } sched_advice_t;
@@ -51,7 +52,7 @@
 	if (!advice)
 		return;
 	g_hash_table_destroy(advice->tickets);
-	g_ptr_array_free(advice->requested_lives, TRUE);
+	g_array_unref(advice->requested_lives);
 	g_free(advice);
 }
 
@@ -62,14 +63,24 @@
 	unit->advice = g_new0(sched_advice_t, 1);
 	unit->advice->tickets = g_hash_table_new_full(
 		g_direct_hash, g_direct_equal, NULL, free_ticket);
-	unit->advice->requested_lives = g_ptr_array_new();
+	unit->advice->requested_lives =
+		g_array_new(FALSE, FALSE, sizeof(gn_life_t));
 	return unit->advice;
 }
 
-static ticket_t *find_ticket(const sched_unit_t *unit, const char *life)
+/* Returns NULL, too, if the ticket is that of another life with this ID. */
+static ticket_t *find_ticket(const sched_unit_t *unit, gn_life_t life)
 {
-	return unit->advice ? g_hash_table_lookup(unit->advice->tickets, life)
-			    : NULL;
+	ticket_t *ticket =
+		unit->advice
+			? g_hash_table_lookup(unit->advice->tickets, life.id)
+			: NULL;
+
+	if (!ticket ||
+	    !gn_life_matches(life,
+			     (gn_life_t){ life.id, ticket->life_started_ms }))
+		return NULL;
+	return ticket;
 }
 
 /* ======   Use   ====== */
@@ -83,7 +94,7 @@
 bool sched_advice_allows(const sched_job_t *job, const sched_unit_t *unit,
 			 const sched_worker_t *worker)
 {
-	const ticket_t *ticket = find_ticket(unit, worker->life.id);
+	const ticket_t *ticket = find_ticket(unit, worker->life);
 
 	return !job->advised || (ticket && is_valid(job->sched, ticket));
 }
@@ -91,7 +102,7 @@
 const char *sched_advice_ticket(const sched_job_t *job,
 				const sched_unit_t *unit, gn_life_t life)
 {
-	const ticket_t *ticket = find_ticket(unit, life.id);
+	const ticket_t *ticket = find_ticket(unit, life);
 
 	return job->advised && ticket && ticket->text ? ticket->text : "";
 }
@@ -132,7 +143,7 @@
 	g_hash_table_iter_init(&iter, sched->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const sched_worker_t *worker = value;
-		const ticket_t *ticket = find_ticket(unit, worker->life.id);
+		const ticket_t *ticket = find_ticket(unit, worker->life);
 
 		if (!sched_worker_is_eligible(sched, worker, job, unit->step) ||
 		    (ticket && (!ticket->text || is_valid(sched, ticket))))
@@ -159,16 +170,17 @@
 	sched_advice_t *advice = get_or_create_advice(unit);
 	char step[GN_TASK_NAME_SIZE];
 	GPtrArray *workers;
+	const char *ids[LIVES_PER_REQUEST_MAX];
 
 	if (!is_request_due(sched, advice))
 		return;
 	workers = find_workers_without_ticket(sched, job, unit);
-	g_ptr_array_set_size(advice->requested_lives, 0);
+	g_array_set_size(advice->requested_lives, 0);
 	for (guint i = 0; i < workers->len && i < LIVES_PER_REQUEST_MAX; i++) {
 		const sched_worker_t *worker = g_ptr_array_index(workers, i);
 
-		g_ptr_array_add(advice->requested_lives,
-				(gpointer)worker->life.id);
+		g_array_append_val(advice->requested_lives, worker->life);
+		ids[i] = worker->life.id;
 	}
 	g_ptr_array_free(workers, TRUE);
 	if (!advice->requested_lives->len)
@@ -176,10 +188,8 @@
 	advice->requested_us = sched_now_us(sched);
 	snprintf(step, sizeof(step), "%s.%u.%u", job->spec->id,
 		 unit->occurrence, unit->step_number);
-	sched->ops->request_advice(
-		sched->arg, step,
-		(const char *const *)advice->requested_lives->pdata,
-		advice->requested_lives->len);
+	sched->ops->request_advice(sched->arg, step, ids,
+				   advice->requested_lives->len);
 }
 
 /* ======   Responses   ====== */
@@ -202,17 +212,32 @@
 	return number < job->unit_count ? &job->units[number] : NULL;
 }
 
-static void store_ticket(sched_advice_t *advice, const char *life,
+static void store_ticket(sched_advice_t *advice, gn_life_t life,
 			 const char *text, uint64_t valid_until_us)
 {
 	ticket_t *ticket = g_new0(ticket_t, 1);
 
+	ticket->life_started_ms = life.started_ms;
 	ticket->text = g_strdup(text);
 	ticket->valid_until_us = valid_until_us;
-	g_hash_table_insert(advice->tickets, (gpointer)g_intern_string(life),
+	g_hash_table_insert(advice->tickets, (gpointer)g_intern_string(life.id),
 			    ticket);
 }
 
+/* Completes the ID in a response by the start that the request was for. */
+static gn_life_t get_requested_life(const sched_advice_t *advice,
+				    const char *id)
+{
+	for (guint i = 0; i < advice->requested_lives->len; i++) {
+		gn_life_t life =
+			g_array_index(advice->requested_lives, gn_life_t, i);
+
+		if (!strcmp(life.id, id))
+			return life;
+	}
+	return (gn_life_t){ .id = id };
+}
+
 void gn_sched_handle_advice(gn_sched_t *sched, const char *step,
 			    const gn_sched_ticket_t *tickets, size_t count,
 			    unsigned valid_ms)
@@ -231,11 +256,13 @@
 		return;
 	}
 	for (guint i = 0; i < advice->requested_lives->len; i++)
-		store_ticket(advice,
-			     g_ptr_array_index(advice->requested_lives, i),
-			     NULL, 0);
+		store_ticket(
+			advice,
+			g_array_index(advice->requested_lives, gn_life_t, i),
+			NULL, 0);
 	for (size_t i = 0; i < count; i++)
-		store_ticket(advice, tickets[i].life, tickets[i].ticket,
-			     valid_until_us);
+		store_ticket(advice,
+			     get_requested_life(advice, tickets[i].life),
+			     tickets[i].ticket, valid_until_us);
 	sched->changed = true;
 }
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -839,6 +839,45 @@
 	rig_close(&rig);
 }
 
+static void test_ticket_of_an_earlier_life_is_not_used(void)
+{
+	const gn_sched_ticket_t ticket = { "1", "t-1" };
+	sched_rig_t rig;
+
+	rig_open(&rig);
+	rig_report(&rig, "a", "1");
+	rig_submit(&rig, JOB, "advised", &one_task, 1);
+	rig_store(&rig);
+	gn_sched_handle_advice(rig.sched, JOB ".0.0", &ticket, 1, 3000);
+	rig_restart_worker(&rig, "a");
+	rig_report(&rig, "a", "1");
+	rig_store(&rig);
+	g_assert_cmpuint(rig_count_orders(&rig, GN_RUN_ORDER_START), ==, 0);
+	g_assert_cmpuint(rig.advice_requests, ==, 2);
+	gn_sched_handle_advice(rig.sched, JOB ".0.0", &ticket, 1, 3000);
+	rig_store(&rig);
+	g_assert_cmpuint(rig_count_orders(&rig, GN_RUN_ORDER_START), ==, 1);
+	rig_close(&rig);
+}
+
+static void test_advice_asked_for_an_earlier_life_is_not_used(void)
+{
+	const gn_sched_ticket_t ticket = { "1", "t-1" };
+	sched_rig_t rig;
+
+	rig_open(&rig);
+	rig_report(&rig, "a", "1");
+	rig_submit(&rig, JOB, "advised", &one_task, 1);
+	rig_store(&rig);
+	rig_restart_worker(&rig, "a");
+	rig_report(&rig, "a", "1");
+	gn_sched_handle_advice(rig.sched, JOB ".0.0", &ticket, 1, 3000);
+	rig_store(&rig);
+	g_assert_cmpuint(rig_count_orders(&rig, GN_RUN_ORDER_START), ==, 0);
+	g_assert_cmpuint(rig.advice_requests, ==, 2);
+	rig_close(&rig);
+}
+
 static void test_events_include_the_list_age(void)
 {
 	sched_rig_t rig;
@@ -932,6 +971,10 @@
 		{ "advised_step_starts_only_with_a_ticket",
 		  test_advised_step_starts_only_with_a_ticket },
 		{ "advice_is_requested_again", test_advice_is_requested_again },
+		{ "ticket_of_an_earlier_life_is_not_used",
+		  test_ticket_of_an_earlier_life_is_not_used },
+		{ "advice_asked_for_an_earlier_life_is_not_used",
+		  test_advice_asked_for_an_earlier_life_is_not_used },
 		{ "gang_fails_at_its_attempt_limit",
 		  test_gang_fails_at_its_attempt_limit },
 	};
