executor: A deregistration is for one life of an ID

A deregistration names its life in the path, by the ID only. One that arrives late, after the worker has started again under this ID, marked the new life as left: the leader released the claims of runs that went on, and the worker got nothing more. Without a start that can be read, it counts as before.

--- a/lib/adapter/adapter.h
+++ b/lib/adapter/adapter.h
@@ -49,9 +49,11 @@
 
 /** A heartbeat or the deregistration of a backend server. */
 typedef struct gn_worker_notice_s {
-	bool deregisters; /**< The server deregisters; only life is set. */
+	/** The server deregisters; only its life is set. */
+	bool deregisters;
 	char life[GN_NAME_MAX + 1]; /**< ID of the life. */
-	uint64_t life_started_ms; /**< Start of the life, in ms since 1970. */
+	/** Start of the life, in ms since 1970; 0: unknown. */
+	uint64_t life_started_ms;
 	uint64_t sequence; /**< Increases within a life. */
 	char service[GN_NAME_MAX + 1];
 	char data_centre[GN_NAME_MAX + 1];
--- a/lib/executor/worker.c
+++ b/lib/executor/worker.c
@@ -205,8 +205,10 @@
 
 static void on_leave(executor_t *executor, const gn_worker_notice_t *notice)
 {
+	const gn_life_t life = { notice->life, notice->life_started_ms };
+
 	if (!executor->worker_known ||
-	    strcmp(executor->notice.life, notice->life) != 0)
+	    !gn_life_matches(life, executor_get_life(executor)))
 		return;
 	gn_event("worker left", "{s:s}", "life", notice->life);
 	executor->worker_left = true;
--- a/tests/contract/test_executor.c
+++ b/tests/contract/test_executor.c
@@ -24,7 +24,7 @@
 	gn_settings_t settings;
 	gn_link_handler_t leader_handler;
 	char address[GN_ADDRESS_MAX + 1]; /**< Of the executor. */
-	gn_worker_notice_t notice; /**< Next heartbeat. */
+	gn_worker_notice_t notice; /**< Next notice of the worker. */
 	gn_worker_answer_t answer; /**< Next answer of the worker. */
 	bool answered; /**< The worker has answered. */
 	unsigned reported_results; /**< Results in the reports sent. */
@@ -90,7 +90,7 @@
 				      .read_worker_answer =
 					      read_worker_answer };
 
-static void on_heartbeat_answered(void *arg, const gn_http_call_t *call)
+static void on_notice_answered(void *arg, const gn_http_call_t *call)
 {
 	bool *done = arg;
 
@@ -98,24 +98,36 @@
 	*done = true;
 }
 
-static void send_heartbeat(uint64_t started_ms)
+static void send_notice(uint64_t started_ms)
 {
 	gn_http_call_t *call = gn_http_call_create();
 	bool done = false;
 
 	g_strlcpy(rig->notice.life, ID, sizeof(rig->notice.life));
 	rig->notice.life_started_ms = started_ms;
-	rig->notice.sequence++;
 	call->method = GN_HTTP_POST;
 	g_snprintf(call->url, sizeof(call->url), "http://%s/x", rig->address);
 	call->timeout_ms = TIMEOUT_MS;
-	call->done = on_heartbeat_answered;
+	call->done = on_notice_answered;
 	call->arg = &done;
 	gn_http_client_call(rig->executor->client, call);
 	while (!done)
 		g_assert_cmpint(tevent_loop_once(rig->runtime.events), ==, 0);
 }
 
+static void send_heartbeat(uint64_t started_ms)
+{
+	rig->notice.sequence++;
+	send_notice(started_ms);
+}
+
+static void send_deregistration(uint64_t started_ms)
+{
+	rig->notice.deregisters = true;
+	send_notice(started_ms);
+	rig->notice.deregisters = false;
+}
+
 /* The leader has answered a report, and the worker's clock was read. */
 static void allow_leases(void)
 {
@@ -322,6 +334,26 @@
 	close_rig();
 }
 
+/* The leader would release the claims of the later life while they run. */
+static void test_late_deregistration_of_an_earlier_life_is_ignored(void)
+{
+	open_rig();
+	send_heartbeat(LATER_MS);
+	send_deregistration(EARLIER_MS);
+	g_assert_false(rig->executor->worker_left);
+	send_deregistration(LATER_MS);
+	g_assert_true(rig->executor->worker_left);
+	close_rig();
+}
+
+static void test_deregistration_of_an_unknown_start_time_counts(void)
+{
+	open_rig();
+	send_deregistration(0);
+	g_assert_true(rig->executor->worker_left);
+	close_rig();
+}
+
 /* The worker would discard ends that nobody has stored. */
 static void test_stored_ends_of_an_earlier_life_are_ignored(void)
 {
@@ -376,5 +408,11 @@
 			test_results_of_an_earlier_life_are_not_reported);
 	g_test_add_func("/executor/stored_ends_of_an_earlier_life_are_ignored",
 			test_stored_ends_of_an_earlier_life_are_ignored);
+	g_test_add_func("/executor/"
+			"late_deregistration_of_an_earlier_life_is_ignored",
+			test_late_deregistration_of_an_earlier_life_is_ignored);
+	g_test_add_func(
+		"/executor/deregistration_of_an_unknown_start_time_counts",
+		test_deregistration_of_an_unknown_start_time_counts);
 	return g_test_run();
 }
