--- a/lib/executor/executor_internal.h
+++ b/lib/executor/executor_internal.h
@@ -7,8 +7,8 @@
  * the leader's answers to its reports allow. Each extension counts from the
  * time when the answered report was sent.
  *
- * The worker is the backend server that the executor serves. A life identifies
- * one lifetime of the worker, from a start to its end.
+ * The worker is the backend server that the executor serves. A life is one
+ * lifetime of the worker, from a start to its end (job/life.h).
  */
 #ifndef GN_EXECUTOR_INTERNAL_H
 #define GN_EXECUTOR_INTERNAL_H
@@ -22,6 +22,7 @@
 #include "executor/orders.h"
 #include "http/client.h"
 #include "http/server.h"
+#include "job/life.h"
 #include "platform/kv_http.h"
 #include "wire/link.h"
 
@@ -104,6 +105,8 @@
 
 /** Handles the worker's heartbeats and requests for the state dump. */
 void executor_on_http(void *arg, gn_http_request_t *request);
+/** Returns the worker's life; its ID is empty before the first heartbeat. */
+gn_life_t executor_get_life(const executor_t *executor);
 /** Requests the worker's list when it is due. */
 void executor_worker_tick(executor_t *executor);
 /**
@@ -113,6 +116,16 @@
  */
 bool executor_call_worker(executor_t *executor, gn_worker_call_t *call,
 			  unsigned timeout_ms, gn_http_done_t done, void *arg);
+/**
+ * Parses the response to a call of @p kind. One of another life than the known
+ * one counts as unanswered and has no clock: a call names the ID only, so a
+ * later life with this ID may have answered it, or an earlier one.
+ * @param parent talloc parent of the runs and ends
+ */
+void executor_read_answer(const executor_t *executor, TALLOC_CTX *parent,
+			  gn_worker_call_kind_t kind,
+			  const gn_http_call_t *http,
+			  gn_worker_answer_t *answer);
 /** Records the worker's clock from a response to any call. */
 void executor_record_clock(executor_t *executor,
 			   const gn_worker_answer_t *answer);
--- a/lib/executor/orders.c
+++ b/lib/executor/orders.c
@@ -21,7 +21,7 @@
 	gn_grant_t *grant;
 	const gn_orders_ops_t *ops;
 	void *arg;
-	char *life; /**< Life of the worker; free with g_free(). */
+	gn_life_t life; /**< Life of the worker; interned ID. */
 	bool refuses_starts; /**< The worker is leaving. */
 	/** gn_order_t by "TASK ATTEMPT", or by "pTASK ATTEMPT" for a pace. */
 	GHashTable *table;
@@ -47,7 +47,6 @@
 static int free_orders(gn_orders_t *orders)
 {
 	g_hash_table_destroy(orders->table);
-	g_free(orders->life);
 	return 0;
 }
 
@@ -63,7 +62,7 @@
 	orders->grant = grant;
 	orders->ops = ops;
 	orders->arg = arg;
-	orders->life = g_strdup("");
+	orders->life.id = "";
 	orders->table = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					      free_order);
 	talloc_set_destructor(orders, free_orders);
@@ -328,7 +327,7 @@
 		return;
 	}
 	order = create_order(orders, message, basis_us);
-	if (strcmp(message->life, orders->life) != 0)
+	if (strcmp(message->life, orders->life.id) != 0)
 		finish_order(order, GN_ORDER_OUTCOME_NOT_STARTED);
 	else if (orders->refuses_starts)
 		check_run(order, GN_ORDER_OUTCOME_NOT_STARTED);
@@ -372,8 +371,15 @@
 void gn_orders_handle(gn_orders_t *orders, const Gn__WorkerOrder *message,
 		      uint64_t basis_us)
 {
+	const gn_life_t life = { message->life, message->born_ms };
+
 	/* Without a life, there is no worker yet. */
-	if (!*orders->life || strlen(message->task) >= GN_TASK_NAME_SIZE)
+	if (!*orders->life.id || strlen(message->task) >= GN_TASK_NAME_SIZE)
+		return;
+	/* A call for the earlier life may yet start the run in this one. The
+	 * leader stops it first when it learns of this life. */
+	if (gn_life_same_id(life, orders->life) &&
+	    !gn_life_matches(life, orders->life))
 		return;
 	switch ((gn_run_order_kind_t)message->kind) {
 	case GN_RUN_ORDER_START:
@@ -495,11 +501,11 @@
 	g_list_free(all);
 }
 
-void gn_orders_begin_life(gn_orders_t *orders, const char *life)
+void gn_orders_begin_life(gn_orders_t *orders, gn_life_t life)
 {
 	drop_all(orders);
-	g_free(orders->life);
-	orders->life = g_strdup(life);
+	orders->life.id = g_intern_string(life.id);
+	orders->life.started_ms = life.started_ms;
 	orders->refuses_starts = false;
 }
 
--- a/lib/executor/orders.h
+++ b/lib/executor/orders.h
@@ -25,6 +25,7 @@
 #include "adapter/adapter.h"
 #include "common/clock.h"
 #include "executor/grant.h"
+#include "job/life.h"
 
 typedef struct gn_orders_s gn_orders_t;
 
@@ -95,7 +96,7 @@
  * Begins a life of the worker. Orders for the previous one are dropped without
  * an outcome, since its runs are over.
  */
-void gn_orders_begin_life(gn_orders_t *orders, const char *life);
+void gn_orders_begin_life(gn_orders_t *orders, gn_life_t life);
 
 /** Refuses new starts until the next life, because the worker is leaving. */
 void gn_orders_refuse_starts(gn_orders_t *orders);
--- a/lib/executor/worker.c
+++ b/lib/executor/worker.c
@@ -18,6 +18,12 @@
 /** Delay while ends are not stored yet, since the worker lists them at once. */
 #define LIST_ENDS_DELAY_US (60 * GN_US_PER_MS)
 
+gn_life_t executor_get_life(const executor_t *executor)
+{
+	return (gn_life_t){ executor->notice.life,
+			    executor->notice.life_started_ms };
+}
+
 /* ======   Calls   ====== */
 
 bool executor_call_worker(executor_t *executor, gn_worker_call_t *call,
@@ -54,8 +60,6 @@
 	executor->grant.granted_until_ms = 0;
 }
 
-/* ======   The list   ====== */
-
 static bool is_current_life(const executor_t *executor,
 			    const gn_worker_answer_t *answer)
 {
@@ -63,6 +67,21 @@
 	       answer->life_started_ms == executor->notice.life_started_ms;
 }
 
+void executor_read_answer(const executor_t *executor, TALLOC_CTX *parent,
+			  gn_worker_call_kind_t kind,
+			  const gn_http_call_t *http,
+			  gn_worker_answer_t *answer)
+{
+	executor->adapter->read_worker_answer(parent, kind, http, answer);
+	if (is_current_life(executor, answer))
+		return;
+	/* Each life has its own runs and its own clock. */
+	answer->outcome = GN_WORKER_UNANSWERED;
+	answer->clock_ms = 0;
+}
+
+/* ======   The list   ====== */
+
 static void store_list(executor_t *executor, TALLOC_CTX *list,
 		       const gn_worker_answer_t *answer, uint64_t sent_us)
 {
@@ -89,10 +108,8 @@
 	gn_worker_answer_t answer;
 
 	request->pending = false;
-	executor->adapter->read_worker_answer(list, GN_WORKER_LIST, http,
-					      &answer);
-	if (answer.outcome != GN_WORKER_OK || !executor->worker_known ||
-	    !is_current_life(executor, &answer)) {
+	executor_read_answer(executor, list, GN_WORKER_LIST, http, &answer);
+	if (answer.outcome != GN_WORKER_OK || !executor->worker_known) {
 		executor->list_due_us =
 			executor_now_us(executor) + LIST_RETRY_DELAY_US;
 		talloc_free(list);
@@ -161,7 +178,11 @@
 		 notice->life, "born_ms", (json_int_t)notice->life_started_ms,
 		 "service", notice->service, "rack", notice->rack, "cpu_milli",
 		 (int)notice->cpu_milli, "memory_mb", (int)notice->memory_mb);
-	gn_orders_begin_life(executor->orders, notice->life);
+	gn_orders_begin_life(
+		executor->orders,
+		(gn_life_t){ notice->life, notice->life_started_ms });
+	/* The leader would take them for results of this life. */
+	g_ptr_array_set_size(executor->results, 0);
 	gn_grant_reset(&executor->grant);
 	talloc_free(executor->list);
 	executor->list = NULL;
@@ -207,8 +228,10 @@
 
 static void on_leave(executor_t *executor, const gn_worker_notice_t *notice)
 {
+	const gn_life_t life = { notice->life, notice->life_started_ms };
+
 	if (!executor->worker_known ||
-	    strcmp(executor->notice.life, notice->life) != 0)
+	    !gn_life_matches(life, executor_get_life(executor)))
 		return;
 	gn_event("worker left", "{s:s}", "life", notice->life);
 	executor->worker_left = true;
--- a/tests/unit/test_orders.c
+++ b/tests/unit/test_orders.c
@@ -4,7 +4,8 @@
 #include "executor/orders.h"
 
 #define TASK "00000000000000aa.0.0.0"
-#define LIFE "life"
+static const gn_life_t life = { "i-1", 1 };
+
 #define STEP_MS 50
 #define LEASE_US (4000 * GN_US_PER_MS)
 
@@ -69,7 +70,7 @@
 	talloc_free(rig->orders);
 	rig->orders =
 		gn_orders_create(NULL, &rig->clock, &rig->grant, &ops, rig);
-	gn_orders_begin_life(rig->orders, LIFE);
+	gn_orders_begin_life(rig->orders, life);
 }
 
 static void rig_open(rig_t *rig, gn_worker_call_outcome_t refusal)
@@ -98,7 +99,8 @@
 	message.kind = kind;
 	message.task = (char *)TASK;
 	message.attempt = attempt;
-	message.life = (char *)LIFE;
+	message.life = (char *)life.id;
+	message.born_ms = life.started_ms;
 	gn_orders_handle(rig->orders, &message, gn_clock_now_us(&rig->clock));
 }
 
