--- a/tests/unit/test_orders.c
+++ b/tests/unit/test_orders.c
@@ -22,6 +22,8 @@
 	bool runs;
 	uint32_t
 		closed_attempt; /**< This attempt and lower ones can't start. */
+	bool ignores_stops; /**< Stops get no answer and have no effect. */
+	uint32_t percent; /**< Pace of the last call for a pace. */
 	GQueue calls; /**< Calls (gn_order_call_t) without an answer yet. */
 	GString *trace; /**< One line for each call and each outcome. */
 	int outcome; /**< Last outcome, or -1. */
@@ -39,6 +41,8 @@
 	g_assert_cmpuint(timeout_ms, >, 0);
 	g_string_append_printf(rig->trace, "call %s %u\n", names[call->kind],
 			       call->attempt);
+	if (call->kind == GN_WORKER_PACE)
+		rig->percent = call->percent;
 	g_queue_push_tail(&rig->calls, sent);
 	return true;
 }
@@ -92,23 +96,39 @@
 	g_string_free(rig->trace, TRUE);
 }
 
-static void order(rig_t *rig, gn_run_order_kind_t kind, uint32_t attempt)
+static void order_for(rig_t *rig, gn_life_t to, gn_run_order_kind_t kind,
+		      uint32_t attempt, uint32_t percent)
 {
 	Gn__WorkerOrder message = GN__WORKER_ORDER__INIT;
 
 	message.kind = kind;
 	message.task = (char *)TASK;
 	message.attempt = attempt;
-	message.life = (char *)life.id;
-	message.born_ms = life.started_ms;
+	message.life = (char *)to.id;
+	message.born_ms = to.started_ms;
+	message.percent = percent;
 	gn_orders_handle(rig->orders, &message, gn_clock_now_us(&rig->clock));
 }
 
+static void order(rig_t *rig, gn_run_order_kind_t kind, uint32_t attempt)
+{
+	order_for(rig, life, kind, attempt, 0);
+}
+
+static void order_pace(rig_t *rig, uint32_t percent)
+{
+	order_for(rig, life, GN_RUN_ORDER_PACE, 1, percent);
+}
+
 static gn_worker_call_outcome_t carry_out(rig_t *rig,
 					  const gn_order_call_t *call)
 {
 	uint32_t attempt = call->order->attempt;
 
+	if (call->kind == GN_WORKER_PACE)
+		return GN_WORKER_OK;
+	if (call->kind == GN_WORKER_STOP && rig->ignores_stops)
+		return GN_WORKER_UNANSWERED;
 	if (call->kind == GN_WORKER_STOP) {
 		rig->runs = false;
 		rig->closed_attempt = MAX(rig->closed_attempt, attempt);
@@ -130,17 +150,38 @@
 		gn_orders_handle_answer(call, carry_out(rig, call));
 }
 
-/* The worker lists what it runs. */
-static void list(rig_t *rig)
+/* Answers the only call in progress. */
+static void answer_call(rig_t *rig, gn_worker_call_outcome_t outcome)
+{
+	g_assert_cmpuint(g_queue_get_length(&rig->calls), ==, 1);
+	gn_orders_handle_answer(g_queue_pop_head(&rig->calls), outcome);
+}
+
+/* Handles a list requested at @p sent_us; attempt 0 stands for none. */
+static void list_at(rig_t *rig, uint64_t sent_us, uint32_t running,
+		    uint32_t ended)
 {
 	Gn__WorkerRun run = GN__WORKER_RUN__INIT;
 	Gn__WorkerRun *runs[] = { &run };
-	gn_worker_answer_t answer = { .runs = runs, .run_count = rig->runs };
+	Gn__WorkerEnd end = GN__WORKER_END__INIT;
+	Gn__WorkerEnd *ends[] = { &end };
+	const gn_worker_answer_t answer = { .runs = runs,
+					    .run_count = running != 0,
+					    .ends = ends,
+					    .end_count = ended != 0 };
 
 	run.task = (char *)TASK;
-	run.attempt = rig->closed_attempt + 1;
-	gn_orders_handle_list(rig->orders, &answer,
-			      gn_clock_now_us(&rig->clock));
+	run.attempt = running;
+	end.task = (char *)TASK;
+	end.attempt = ended;
+	gn_orders_handle_list(rig->orders, &answer, sent_us);
+}
+
+/* The worker lists what it runs. */
+static void list(rig_t *rig)
+{
+	list_at(rig, gn_clock_now_us(&rig->clock),
+		rig->runs ? rig->closed_attempt + 1 : 0, 0);
 }
 
 /* Passes time; the leader answers reports and the worker its calls. */
@@ -305,6 +346,304 @@
 	rig_close(&rig);
 }
 
+static void test_unanswered_start_is_given_up_after_one_call(void)
+{
+	rig_t rig;
+
+	rig_open(&rig, GN_WORKER_UNANSWERED);
+	play(&rig, STEP_MS);
+	order(&rig, GN_RUN_ORDER_START, 1);
+	play(&rig, 200);
+	rig.is_healthy = true;
+	play(&rig, 500);
+	g_assert_true(rig.runs);
+	g_assert_cmpint(rig.outcome, ==, GN_ORDER_OUTCOME_STARTED);
+	rig_close(&rig);
+}
+
+static void test_repeated_order_does_not_renew_a_start(void)
+{
+	rig_t rig;
+
+	rig_open(&rig, GN_WORKER_OK);
+	rig.is_healthy = true;
+	/* Without a lease, the start waits. */
+	order(&rig, GN_RUN_ORDER_START, 1);
+	gn_clock_advance(&rig.clock, GN_GRANT_START_MAX_AGE_MS * GN_US_PER_MS);
+	order(&rig, GN_RUN_ORDER_START, 1);
+	play(&rig, 500);
+	g_assert_true(rig.runs);
+	rig_close(&rig);
+}
+
+static void test_stop_between_start_calls_is_ignored(void)
+{
+	rig_t rig;
+
+	rig_open(&rig, GN_WORKER_UNANSWERED);
+	play(&rig, STEP_MS);
+	order(&rig, GN_RUN_ORDER_START, 1);
+	answer_call(&rig, GN_WORKER_UNANSWERED);
+	order(&rig, GN_RUN_ORDER_STOP, 1);
+	rig.is_healthy = true;
+	play(&rig, 500);
+	g_assert_false(rig.runs);
+	g_assert_cmpint(rig.outcome, ==, GN_ORDER_OUTCOME_GONE);
+	rig_close(&rig);
+}
+
+static void test_refusal_of_leaving_worker_leaves_attempt_open(void)
+{
+	rig_t rig;
+
+	rig_open(&rig, GN_WORKER_OK);
+	play(&rig, STEP_MS);
+	gn_orders_refuse_starts(rig.orders);
+	order(&rig, GN_RUN_ORDER_START, 1);
+	play(&rig, 500);
+	g_assert_cmpstr(rig.trace->str, ==,
+			"take start 1\n"
+			"call stop 1\n"
+			"report not-started 1\n");
+	rig_close(&rig);
+}
+
+static void test_start_for_a_dead_worker_has_no_outcome(void)
+{
+	rig_t rig;
+
+	rig_open(&rig, GN_WORKER_LIFE_ENDED);
+	play(&rig, STEP_MS);
+	order(&rig, GN_RUN_ORDER_START, 1);
+	play(&rig, 500);
+	g_assert_cmpint(rig.outcome, ==, GN_ORDER_OUTCOME_NOT_STARTED);
+	rig_close(&rig);
+}
+
+/* ======   Lists   ====== */
+
+/* Plays a refused start up to the first list, requested since then. */
+static void play_until_check(rig_t *rig)
+{
+	rig_open(rig, GN_WORKER_UNHEALTHY);
+	play(rig, STEP_MS);
+	order(rig, GN_RUN_ORDER_START, 1);
+	answer_call(rig, GN_WORKER_UNHEALTHY);
+	g_string_truncate(rig->trace, 0);
+}
+
+static void test_run_that_is_there_is_stopped_after_a_refusal(void)
+{
+	rig_t rig;
+
+	play_until_check(&rig);
+	list_at(&rig, gn_clock_now_us(&rig.clock), 1, 0);
+	g_assert_cmpstr(rig.trace->str, ==, "report started 1\n");
+	g_assert_cmpuint(gn_orders_count(rig.orders), ==, 0);
+	rig_close(&rig);
+}
+
+static void test_run_of_another_attempt_counts(void)
+{
+	rig_t rig;
+
+	play_until_check(&rig);
+	list_at(&rig, gn_clock_now_us(&rig.clock), 2, 0);
+	g_assert_cmpstr(rig.trace->str, ==, "call stop 1\n");
+	rig_close(&rig);
+}
+
+static void test_listed_end_is_reported_as_refusal(void)
+{
+	rig_t rig;
+
+	play_until_check(&rig);
+	list_at(&rig, gn_clock_now_us(&rig.clock), 0, 1);
+	g_assert_cmpstr(rig.trace->str, ==, "");
+	g_assert_cmpuint(gn_orders_count(rig.orders), ==, 0);
+	rig_close(&rig);
+}
+
+static void test_run_that_is_over_hides_its_end(void)
+{
+	rig_t rig;
+
+	rig_open(&rig, GN_WORKER_RUN_OVER);
+	play(&rig, STEP_MS);
+	order(&rig, GN_RUN_ORDER_START, 1);
+	answer_call(&rig, GN_WORKER_RUN_OVER);
+	list_at(&rig, gn_clock_now_us(&rig.clock), 0, 1);
+	g_assert_cmpint(rig.outcome, ==, -1);
+	g_assert_cmpuint(gn_orders_count(rig.orders), ==, 0);
+	rig_close(&rig);
+}
+
+static void test_stop_during_check_is_ignored(void)
+{
+	rig_t rig;
+
+	play_until_check(&rig);
+	order(&rig, GN_RUN_ORDER_STOP, 1);
+	g_assert_cmpstr(rig.trace->str, ==, "call stop 1\n");
+	rig_close(&rig);
+}
+
+static void test_list_from_before_the_refusal_decides(void)
+{
+	rig_t rig;
+
+	play_until_check(&rig);
+	list_at(&rig, gn_clock_now_us(&rig.clock) - 1, 0, 0);
+	g_assert_cmpstr(rig.trace->str, ==, "");
+	rig_close(&rig);
+}
+
+/* A run may have begun between the first list and the stop. */
+static void test_list_from_before_the_stop_decides(void)
+{
+	uint64_t before_us;
+	rig_t rig;
+
+	play_until_check(&rig);
+	before_us = gn_clock_now_us(&rig.clock);
+	list_at(&rig, before_us, 0, 0);
+	list_at(&rig, before_us, 0, 0);
+	gn_clock_advance(&rig.clock, 1);
+	g_assert_cmpuint(gn_orders_list_needed_since_us(rig.orders), ==, 0);
+	answer_call(&rig, GN_WORKER_OK);
+	g_assert_cmpuint(gn_orders_list_needed_since_us(rig.orders), ==,
+			 before_us + 1);
+	list_at(&rig, before_us, 0, 0);
+	g_assert_cmpstr(rig.trace->str, ==, "call stop 1\n");
+	list_at(&rig, before_us + 1, 1, 0);
+	g_assert_cmpstr(rig.trace->str, ==, "call stop 1\n");
+	list_at(&rig, before_us + 1, 0, 0);
+	g_assert_cmpstr(rig.trace->str, ==,
+			"call stop 1\nreport not-started 1\n");
+	rig_close(&rig);
+}
+
+static void test_refusal_is_reported_without_an_answer_to_the_stop(void)
+{
+	rig_t rig;
+
+	rig_open(&rig, GN_WORKER_FULL);
+	rig.ignores_stops = true;
+	play(&rig, STEP_MS);
+	order(&rig, GN_RUN_ORDER_START, 1);
+	play(&rig, 5000);
+	g_assert_cmpint(rig.outcome, ==, -1);
+	rig.ignores_stops = false;
+	play(&rig, 500);
+	g_assert_cmpint(rig.outcome, ==, GN_ORDER_OUTCOME_NO_ROOM);
+	rig_close(&rig);
+}
+
+static void test_list_needed_ignores_newer_orders(void)
+{
+	Gn__WorkerOrder other = GN__WORKER_ORDER__INIT;
+	uint64_t now_us;
+	rig_t rig;
+
+	play_until_check(&rig);
+	gn_clock_advance(&rig.clock, 1);
+	now_us = gn_clock_now_us(&rig.clock);
+	for (unsigned i = 0; i < 8; i++) {
+		g_autofree char *task = g_strdup_printf("%s%u", TASK, i);
+
+		other.task = task;
+		other.attempt = 1;
+		other.life = (char *)life.id;
+		gn_orders_handle(rig.orders, &other, now_us);
+		answer_call(&rig, GN_WORKER_UNHEALTHY);
+		g_assert_cmpuint(gn_orders_list_needed_since_us(rig.orders), ==,
+				 now_us);
+	}
+	rig_close(&rig);
+}
+
+/* ======   Lives   ====== */
+
+static void test_start_for_another_worker_is_sent(void)
+{
+	const gn_life_t other = { "i-2", 1 };
+	rig_t rig;
+
+	rig_open(&rig, GN_WORKER_OK);
+	play(&rig, STEP_MS);
+	order_for(&rig, other, GN_RUN_ORDER_START, 1, 0);
+	g_assert_cmpstr(rig.trace->str, ==,
+			"take start 1\nreport not-started 1\n");
+	rig_close(&rig);
+}
+
+/* The leader stops the run in this life when it learns of it. */
+static void test_order_for_another_life_has_an_outcome(void)
+{
+	const gn_life_t other = { life.id, life.started_ms + 1 };
+	rig_t rig;
+
+	rig_open(&rig, GN_WORKER_OK);
+	play(&rig, STEP_MS);
+	order_for(&rig, other, GN_RUN_ORDER_START, 1, 0);
+	order_for(&rig, other, GN_RUN_ORDER_STOP, 1, 0);
+	g_assert_cmpstr(rig.trace->str, ==, "");
+	rig_close(&rig);
+}
+
+static void test_order_of_an_earlier_life_is_kept(void)
+{
+	const gn_life_t later = { "i-2", 2 };
+	rig_t rig;
+
+	rig_open(&rig, GN_WORKER_UNANSWERED);
+	play(&rig, STEP_MS);
+	gn_orders_refuse_starts(rig.orders);
+	order(&rig, GN_RUN_ORDER_STOP, 2);
+	answer_call(&rig, GN_WORKER_UNSENT);
+	gn_orders_begin_life(rig.orders, later);
+	g_assert_cmpuint(gn_orders_count(rig.orders), ==, 0);
+	order_for(&rig, later, GN_RUN_ORDER_START, 1, 0);
+	rig.is_healthy = true;
+	play(&rig, 500);
+	g_assert_true(rig.runs);
+	rig_close(&rig);
+}
+
+/* The answer comes after the orders of its life were dropped. */
+static void test_answer_of_an_earlier_life_has_an_outcome(void)
+{
+	const gn_life_t later = { "i-2", 2 };
+	rig_t rig;
+
+	rig_open(&rig, GN_WORKER_UNANSWERED);
+	play(&rig, STEP_MS);
+	order(&rig, GN_RUN_ORDER_START, 1);
+	gn_orders_begin_life(rig.orders, later);
+	g_string_truncate(rig.trace, 0);
+	answer_call(&rig, GN_WORKER_OK);
+	g_assert_cmpstr(rig.trace->str, ==, "");
+	g_assert_cmpuint(gn_orders_count(rig.orders), ==, 0);
+	rig_close(&rig);
+}
+
+/* ======   Paces   ====== */
+
+static void test_unanswered_pace_is_not_repeated(void)
+{
+	rig_t rig;
+
+	rig_open(&rig, GN_WORKER_OK);
+	play(&rig, STEP_MS);
+	order_pace(&rig, 30);
+	answer_call(&rig, GN_WORKER_UNANSWERED);
+	rig.percent = 0;
+	play(&rig, 500);
+	g_assert_cmpuint(rig.percent, ==, 30);
+	g_assert_cmpuint(gn_orders_count(rig.orders), ==, 0);
+	rig_close(&rig);
+}
+
 /* ======   Main   ====== */
 
 static void add_refusals(const char *prefix, GTestDataFunc test)
@@ -319,20 +658,65 @@
 
 int main(int argc, char **argv)
 {
+	static const struct {
+		const char *path;
+		GTestFunc run;
+	} tests[] = {
+		{ "/orders/refusal_is_reported_before_attempt_is_closed",
+		  test_refusal_is_reported_before_attempt_is_closed },
+		{ "/orders/repeated_start_in_progress_makes_one_call",
+		  test_repeated_start_in_progress_makes_one_call },
+		{ "/orders/stop_during_start_call_stops_the_run",
+		  test_stop_during_start_call_stops_the_run },
+		{ "/orders/old_start_is_not_sent", test_old_start_is_not_sent },
+		{ "/orders/leaving_worker_gets_no_start",
+		  test_leaving_worker_gets_no_start },
+		{ "/orders/start_for_a_dead_worker_has_no_outcome",
+		  test_start_for_a_dead_worker_has_no_outcome },
+		{ "/orders/refusal_of_leaving_worker_leaves_attempt_open",
+		  test_refusal_of_leaving_worker_leaves_attempt_open },
+		{ "/orders/unanswered_start_is_given_up_after_one_call",
+		  test_unanswered_start_is_given_up_after_one_call },
+		{ "/orders/repeated_order_does_not_renew_a_start",
+		  test_repeated_order_does_not_renew_a_start },
+		{ "/orders/stop_between_start_calls_is_ignored",
+		  test_stop_between_start_calls_is_ignored },
+		{ "/orders/run_that_is_there_is_stopped_after_a_refusal",
+		  test_run_that_is_there_is_stopped_after_a_refusal },
+		{ "/orders/run_of_another_attempt_counts",
+		  test_run_of_another_attempt_counts },
+		{ "/orders/listed_end_is_reported_as_refusal",
+		  test_listed_end_is_reported_as_refusal },
+		{ "/orders/run_that_is_over_hides_its_end",
+		  test_run_that_is_over_hides_its_end },
+		{ "/orders/stop_during_check_is_ignored",
+		  test_stop_during_check_is_ignored },
+		{ "/orders/list_from_before_the_refusal_decides",
+		  test_list_from_before_the_refusal_decides },
+		{ "/orders/list_from_before_the_stop_decides",
+		  test_list_from_before_the_stop_decides },
+		{ "/orders/refusal_is_reported_without_an_answer_to_the_stop",
+		  test_refusal_is_reported_without_an_answer_to_the_stop },
+		{ "/orders/list_needed_ignores_newer_orders",
+		  test_list_needed_ignores_newer_orders },
+		{ "/orders/start_for_another_worker_is_sent",
+		  test_start_for_another_worker_is_sent },
+		{ "/orders/order_for_another_life_has_an_outcome",
+		  test_order_for_another_life_has_an_outcome },
+		{ "/orders/order_of_an_earlier_life_is_kept",
+		  test_order_of_an_earlier_life_is_kept },
+		{ "/orders/answer_of_an_earlier_life_has_an_outcome",
+		  test_answer_of_an_earlier_life_has_an_outcome },
+		{ "/orders/unanswered_pace_is_not_repeated",
+		  test_unanswered_pace_is_not_repeated },
+	};
+
 	g_test_init(&argc, &argv, NULL);
 	add_refusals("/orders/repeated_start_runs_after_refusal",
 		     test_repeated_start_runs_after_refusal);
 	add_refusals("/orders/repeated_start_runs_after_executor_restart",
 		     test_repeated_start_runs_after_executor_restart);
-	g_test_add_func("/orders/refusal_is_reported_before_attempt_is_closed",
-			test_refusal_is_reported_before_attempt_is_closed);
-	g_test_add_func("/orders/repeated_start_in_progress_makes_one_call",
-			test_repeated_start_in_progress_makes_one_call);
-	g_test_add_func("/orders/stop_during_start_call_stops_the_run",
-			test_stop_during_start_call_stops_the_run);
-	g_test_add_func("/orders/old_start_is_not_sent",
-			test_old_start_is_not_sent);
-	g_test_add_func("/orders/leaving_worker_gets_no_start",
-			test_leaving_worker_gets_no_start);
+	for (size_t i = 0; i < G_N_ELEMENTS(tests); i++)
+		g_test_add_func(tests[i].path, tests[i].run);
 	return g_test_run();
 }
