executor: a leaving worker gets no start that was ordered before

A worker that had announced its end could still begin a task: only orders that came after the announcement were refused, while a start that was being repeated went on, and the leader's repetitions renewed its age. Each call for a start now looks whether the worker leaves.

Test before the change: start_in_progress_runs_on_leaving_worker, 'rig.runs' should be FALSE. It passes now, with all of test_orders.

--- a/lib/executor/orders.c
+++ b/lib/executor/orders.c
@@ -261,7 +261,8 @@
 	gn_order_call_t *sent;
 
 	if (order->kind == GN_RUN_ORDER_START &&
-	    !gn_grant_may_start(order->basis_us, now_us)) {
+	    (orders->refuses_starts ||
+	     !gn_grant_may_start(order->basis_us, now_us))) {
 		check_run(order, GN_ORDER_OUTCOME_NOT_STARTED);
 		return;
 	}
@@ -329,8 +330,6 @@
 	order = create_order(orders, message, basis_us);
 	if (strcmp(message->life, orders->life.id) != 0)
 		finish_order(order, GN_ORDER_OUTCOME_NOT_STARTED);
-	else if (orders->refuses_starts)
-		check_run(order, GN_ORDER_OUTCOME_NOT_STARTED);
 	else
 		send_order(order);
 }
--- a/tests/unit/test_orders.c
+++ b/tests/unit/test_orders.c
@@ -346,6 +346,22 @@
 	rig_close(&rig);
 }
 
+static void test_start_in_progress_runs_on_leaving_worker(void)
+{
+	rig_t rig;
+
+	rig_open(&rig, GN_WORKER_UNANSWERED);
+	play(&rig, STEP_MS);
+	order(&rig, GN_RUN_ORDER_START, 1);
+	play(&rig, 300);
+	gn_orders_refuse_starts(rig.orders);
+	rig.is_healthy = true;
+	play(&rig, 1000);
+	g_assert_false(rig.runs);
+	g_assert_cmpint(rig.outcome, ==, GN_ORDER_OUTCOME_NOT_STARTED);
+	rig_close(&rig);
+}
+
 static void test_unanswered_start_is_given_up_after_one_call(void)
 {
 	rig_t rig;
@@ -675,6 +691,8 @@
 		  test_start_for_a_dead_worker_has_no_outcome },
 		{ "/orders/refusal_of_leaving_worker_leaves_attempt_open",
 		  test_refusal_of_leaving_worker_leaves_attempt_open },
+		{ "/orders/start_in_progress_runs_on_leaving_worker",
+		  test_start_in_progress_runs_on_leaving_worker },
 		{ "/orders/unanswered_start_is_given_up_after_one_call",
 		  test_unanswered_start_is_given_up_after_one_call },
 		{ "/orders/repeated_order_does_not_renew_a_start",
