executor: a pace ordered during a call for the same run is sent

A best-effort run could stay paused: a new pace that came while the call for the previous one was in progress was dropped with that call's answer, and the leader took it as sent. The call's percentage is kept with the order, and another one is sent after the answer.

Test before the change: pace_ordered_during_a_pace_call_is_lost, (rig.percent == 100): (0 == 100). It passes now, with all of test_orders.

--- a/lib/executor/orders.c
+++ b/lib/executor/orders.c
@@ -210,7 +210,10 @@
 			 outcome == GN_WORKER_UNSENT ||
 			 outcome == GN_WORKER_UNHEALTHY;
 
-	if (retryable && order->tries < TRIES_MAX)
+	/* A pace ordered during the call replaces the one that was sent. */
+	if (order->percent != order->sent_percent)
+		send_order(order);
+	else if (retryable && order->tries < TRIES_MAX)
 		schedule_retry(order);
 	else
 		remove_order(order);
@@ -282,6 +285,7 @@
 	sent->sent_us = now_us;
 	order->tries++;
 	order->calls++;
+	order->sent_percent = order->percent;
 	order->call_pending = orders->ops->send_call(
 		orders->arg, &call, gn_attempt_timeout_ms(order->tries), sent);
 	if (!order->call_pending) {
--- a/lib/executor/orders.h
+++ b/lib/executor/orders.h
@@ -40,6 +40,7 @@
 	char *checkpoint; /**< Free with g_free(). */
 	char *ticket; /**< Free with g_free(). */
 	uint32_t percent; /**< Only for a pace: percent of full speed. */
+	uint32_t sent_percent; /**< The percent of the last call. */
 	bool call_pending; /**< A call for this order is in progress. */
 	/** No more calls are sent; a list decides the outcome. */
 	bool awaits_list;
--- a/tests/unit/test_orders.c
+++ b/tests/unit/test_orders.c
@@ -645,6 +645,20 @@
 
 /* ======   Paces   ====== */
 
+static void test_pace_ordered_during_a_pace_call_is_lost(void)
+{
+	rig_t rig;
+
+	rig_open(&rig, GN_WORKER_OK);
+	play(&rig, STEP_MS);
+	order_pace(&rig, 0);
+	order_pace(&rig, 100);
+	play(&rig, 1000);
+	g_assert_cmpuint(rig.percent, ==, 100);
+	g_assert_cmpuint(gn_orders_count(rig.orders), ==, 0);
+	rig_close(&rig);
+}
+
 static void test_unanswered_pace_is_not_repeated(void)
 {
 	rig_t rig;
@@ -725,6 +739,8 @@
 		  test_order_of_an_earlier_life_is_kept },
 		{ "/orders/answer_of_an_earlier_life_has_an_outcome",
 		  test_answer_of_an_earlier_life_has_an_outcome },
+		{ "/orders/pace_ordered_during_a_pace_call_is_lost",
+		  test_pace_ordered_during_a_pace_call_is_lost },
 		{ "/orders/unanswered_pace_is_not_repeated",
 		  test_unanswered_pace_is_not_repeated },
 	};
