executor: a start without an answer is given up after five calls

An accepted task could stay claimed without running, with room for it on other workers: a start that got no answer was repeated without limit, and since the leader repeats the order, its age never reached the limit of 3 s; the worker's lists kept the claim from lapsing.

After five calls, as for a refused start, a list decides, and an attempt that it does not show is closed at the worker before the outcome is reported. A worker that also leaves stops unanswered keeps the claim until it answers or its lists end, since the run may be under way.

Test before the change: unanswered_start_holds_its_claim_forever, (rig.outcome == GN_ORDER_OUTCOME_NOT_STARTED): (-1 == 3). It passes now, with all of test_orders.

--- a/lib/executor/orders.c
+++ b/lib/executor/orders.c
@@ -8,10 +8,8 @@
 
 /** Delay before a call is repeated. */
 #define RETRY_DELAY_US (80 * GN_US_PER_MS)
-/**
- * Maximum number of calls for a pace, which the leader orders again if the next
- * list shows another speed, and for a start that the worker doesn't carry out.
- */
+/** Maximum number of calls for a pace, and for a start that the worker doesn't
+ * carry out. */
 #define TRIES_MAX 5
 /** Size of the key of an order with its terminator, bytes. */
 #define KEY_SIZE (GN_TASK_NAME_SIZE + 16)
@@ -156,8 +154,6 @@
 		finish_order(order, GN_ORDER_OUTCOME_STARTED);
 		break;
 	case GN_WORKER_UNANSWERED:
-		schedule_retry(order);
-		break;
 	case GN_WORKER_UNSENT:
 	case GN_WORKER_LEASE_EXPIRED:
 	case GN_WORKER_FENCED:
--- a/tests/unit/test_orders.c
+++ b/tests/unit/test_orders.c
@@ -362,6 +362,21 @@
 	rig_close(&rig);
 }
 
+/* The leader repeats the start, which renews its age. */
+static void test_unanswered_start_holds_its_claim_forever(void)
+{
+	rig_t rig;
+
+	rig_open(&rig, GN_WORKER_UNANSWERED);
+	play(&rig, STEP_MS);
+	for (unsigned ms = 0; ms < 30000 && rig.outcome < 0; ms += 300) {
+		order(&rig, GN_RUN_ORDER_START, 1);
+		play(&rig, 300);
+	}
+	g_assert_cmpint(rig.outcome, ==, GN_ORDER_OUTCOME_NOT_STARTED);
+	rig_close(&rig);
+}
+
 static void test_unanswered_start_is_given_up_after_one_call(void)
 {
 	rig_t rig;
@@ -707,6 +722,8 @@
 		  test_refusal_of_leaving_worker_leaves_attempt_open },
 		{ "/orders/start_in_progress_runs_on_leaving_worker",
 		  test_start_in_progress_runs_on_leaving_worker },
+		{ "/orders/unanswered_start_holds_its_claim_forever",
+		  test_unanswered_start_holds_its_claim_forever },
 		{ "/orders/unanswered_start_is_given_up_after_one_call",
 		  test_unanswered_start_is_given_up_after_one_call },
 		{ "/orders/repeated_order_does_not_renew_a_start",
