executor: runs of a worker that left are over only once its process has ended

500 ms after a worker's deregistration, the leader released its claims. A worker whose deregistration was not acknowledged in time, for example by an executor that was frozen, ends some seconds later, and its runs with it, so their tasks could run twice.

Without such a proof the claims lapse.

--- a/lib/executor/executor_internal.h
+++ b/lib/executor/executor_internal.h
@@ -53,7 +53,9 @@
 
 	gn_worker_notice_t notice; /**< Newest heartbeat of the worker. */
 	bool worker_known; /**< A heartbeat was received. */
-	bool worker_left; /**< The worker announced the end of its life. */
+	/** The worker announced the end of its life; it may work on a while. */
+	bool worker_left;
+	bool worker_ended; /**< The process of a worker that left has ended. */
 	/** Time of the first heartbeat that says draining; 0 if none does. */
 	uint64_t worker_draining_us;
 	gn_grant_t grant; /**< Clock and lease of the worker. */
@@ -95,7 +97,6 @@
 	uint64_t sent_us[EXECUTOR_REPORT_HISTORY];
 	uint64_t reported_us; /**< Time of the last report; 0 sends one soon. */
 	bool report_due; /**< Something changed; don't wait for the interval. */
-	uint64_t worker_left_us; /**< Time when worker_left was set. */
 };
 
 /** Returns the time on the executor's clock. */
--- a/lib/executor/leader.c
+++ b/lib/executor/leader.c
@@ -19,8 +19,6 @@
 #define LOOKUP_INTERVAL_US (400 * GN_US_PER_MS)
 /** A returning scheduler is reconnected to within this, milliseconds. */
 #define RECONNECT_MS 400
-/** The runs of a worker that left are over after this. */
-#define WORKER_LEFT_DELAY_US (500 * GN_US_PER_MS)
 
 /* ======   Orders   ====== */
 
@@ -139,14 +137,6 @@
 	report->remaining_ms = notice->remaining_ms;
 }
 
-/* Whether the worker left so long ago that its runs are over. */
-static bool is_worker_gone(const executor_t *executor)
-{
-	return executor->worker_left &&
-	       executor_now_us(executor) - executor->worker_left_us >=
-		       WORKER_LEFT_DELAY_US;
-}
-
 /* Returns UINT32_MAX if this process has no list of the worker's life. */
 static uint32_t get_list_age_ms(const executor_t *executor)
 {
@@ -162,7 +152,7 @@
 static void add_list(executor_t *executor, Gn__WorkerReport *report)
 {
 	report->list_age_ms = get_list_age_ms(executor);
-	report->left = is_worker_gone(executor);
+	report->left = executor->worker_ended;
 	report->listed = executor->list_unreported && !executor->worker_left;
 	report->ends = executor->ends;
 	report->n_ends = executor->end_count;
--- a/lib/executor/worker.c
+++ b/lib/executor/worker.c
@@ -100,6 +100,21 @@
 			executor_now_us(executor) + LIST_ENDS_DELAY_US;
 }
 
+/* Whether the answer to a call shows that a worker that left has ended. */
+static bool is_proof_of_end(gn_worker_call_outcome_t outcome)
+{
+	return outcome == GN_WORKER_UNSENT || outcome == GN_WORKER_LIFE_ENDED;
+}
+
+static void on_end(executor_t *executor)
+{
+	if (executor->worker_ended)
+		return;
+	gn_event("worker ended", "{s:s}", "life", executor->notice.life);
+	executor->worker_ended = true;
+	executor_report(executor);
+}
+
 static void on_list(void *arg, const gn_http_call_t *http)
 {
 	executor_list_t *request = arg;
@@ -109,6 +124,8 @@
 
 	request->pending = false;
 	executor_read_answer(executor, list, GN_WORKER_LIST, http, &answer);
+	if (executor->worker_left && is_proof_of_end(answer.outcome))
+		on_end(executor);
 	if (answer.outcome != GN_WORKER_OK || !executor->worker_known) {
 		executor->list_due_us =
 			executor_now_us(executor) + LIST_RETRY_DELAY_US;
@@ -117,7 +134,10 @@
 	}
 	executor_record_clock(executor, &answer);
 	request->attempts = 0;
-	executor->list_due_us = 0;
+	executor->list_due_us =
+		executor->worker_left
+			? executor_now_us(executor) + LIST_RETRY_DELAY_US
+			: 0;
 	store_list(executor, list, &answer, request->sent_us);
 	if (answer.end_count)
 		executor_report(executor);
@@ -138,8 +158,10 @@
 				  .wait_ms = wait_ms,
 				  .ends_stored = executor->ends_stored };
 
-	call.lease_until_ms =
-		gn_grant_extend_until_ms(&executor->grant, now_us);
+	/* A worker that left is only asked whether it has ended. */
+	if (!executor->worker_left)
+		call.lease_until_ms =
+			gn_grant_extend_until_ms(&executor->grant, now_us);
 	request->sent_us = now_us;
 	request->attempts++;
 	request->pending = executor_call_worker(
@@ -159,12 +181,13 @@
 
 void executor_worker_tick(executor_t *executor)
 {
-	if (!executor->worker_known || executor->worker_left)
+	bool waits = !executor->worker_left && !has_unstored_ends(executor);
+
+	if (!executor->worker_known || executor->worker_ended)
 		return;
 	if (!executor->waiting_list.pending &&
 	    executor_now_us(executor) >= executor->list_due_us)
-		request_list(&executor->waiting_list,
-			     has_unstored_ends(executor) ? 0 : LIST_WAIT_MS);
+		request_list(&executor->waiting_list, waits ? LIST_WAIT_MS : 0);
 	if (!executor->prompt_list.pending && is_list_needed(executor))
 		request_list(&executor->prompt_list, 0);
 }
@@ -192,6 +215,7 @@
 	executor->ends_stored = 0;
 	executor->worker_draining_us = 0;
 	executor->worker_left = false;
+	executor->worker_ended = false;
 	executor->list_due_us = 0;
 	executor->waiting_list.attempts = 0;
 	executor->prompt_list.attempts = 0;
@@ -236,7 +260,7 @@
 	gn_event("worker left", "{s:s}", "life", notice->life);
 	executor->worker_left = true;
 	gn_orders_refuse_starts(executor->orders);
-	executor->worker_left_us = executor_now_us(executor);
+	executor->list_due_us = 0;
 	executor_report(executor);
 }
 
--- a/tests/contract/test_executor.c
+++ b/tests/contract/test_executor.c
@@ -27,7 +27,9 @@
 	gn_worker_notice_t notice; /**< Next notice of the worker. */
 	gn_worker_answer_t answer; /**< Next answer of the worker. */
 	bool answered; /**< The worker has answered. */
+	uint64_t lease_until_ms; /**< Lease of the last call with one. */
 	unsigned reported_results; /**< Results in the reports sent. */
+	bool reported_left; /**< The last report said that the worker left. */
 } rig_t;
 
 static rig_t *rig;
@@ -49,6 +51,7 @@
 	(void)link;
 	(void)peer;
 	rig->reported_results += envelope->worker_report->n_results;
+	rig->reported_left = envelope->worker_report->left;
 	return GN_OK;
 }
 
@@ -69,6 +72,8 @@
 {
 	http->method = GN_HTTP_POST;
 	g_snprintf(http->url, sizeof(http->url), "http://%s/x", call->address);
+	if (call->lease_until_ms)
+		rig->lease_until_ms = call->lease_until_ms;
 	return true;
 }
 
@@ -356,6 +361,41 @@
 	close_rig();
 }
 
+/* Asks a worker that left for its list, and passes the time of a report. */
+static void list_after_leaving(gn_worker_call_outcome_t outcome)
+{
+	gn_clock_advance(&rig->runtime.clock, GN_US_PER_S);
+	executor_worker_tick(rig->executor);
+	answer_call(outcome, EARLIER_MS);
+	executor_report(rig->executor);
+}
+
+/* It ends some seconds later if the answer to its deregistration is lost. */
+static void test_runs_of_a_worker_that_left_are_over_before_it_ends(void)
+{
+	open_rig();
+	send_deregistration(EARLIER_MS);
+	list_after_leaving(GN_WORKER_OK);
+	g_assert_false(rig->reported_left);
+	list_after_leaving(GN_WORKER_UNANSWERED);
+	g_assert_false(rig->reported_left);
+	list_after_leaving(GN_WORKER_UNSENT);
+	g_assert_true(rig->reported_left);
+	close_rig();
+}
+
+static void test_lease_of_a_worker_that_left_is_extended(void)
+{
+	open_rig();
+	send_deregistration(EARLIER_MS);
+	allow_leases();
+	rig->lease_until_ms = 0;
+	executor_worker_tick(rig->executor);
+	g_assert_true(is_call_pending());
+	g_assert_cmpuint(rig->lease_until_ms, ==, 0);
+	close_rig();
+}
+
 /* The worker would discard ends that nobody has stored. */
 static void test_stored_ends_of_an_earlier_life_are_ignored(void)
 {
@@ -416,5 +456,10 @@
 	g_test_add_func(
 		"/executor/deregistration_of_an_unknown_start_time_counts",
 		test_deregistration_of_an_unknown_start_time_counts);
+	g_test_add_func(
+		"/executor/runs_of_a_worker_that_left_are_over_before_it_ends",
+		test_runs_of_a_worker_that_left_are_over_before_it_ends);
+	g_test_add_func("/executor/lease_of_a_worker_that_left_is_extended",
+			test_lease_of_a_worker_that_left_is_extended);
 	return g_test_run();
 }
