executor: an older list does not replace a newer one

Since two lists are requested at a time, the answer that a worker held back could come after that of the later request and hide its runs from the leader for one report. The worker's clock in the answers now decides which list is kept; orders are decided by the time of the request, as before.

Test before the change: older_list_replaces_a_newer_one, (run_count == 1): (0 == 1). It passes now, with all of test_executor and test_orders.

--- a/lib/executor/executor_internal.h
+++ b/lib/executor/executor_internal.h
@@ -69,6 +69,8 @@
 	uint64_t list_due_us; /**< Earliest time of the next waiting list. */
 	bool list_unreported; /**< The leader hasn't been sent this list yet. */
 	TALLOC_CTX *list; /**< Owner of the runs and ends. */
+	/** Reading of the worker's clock in this list; 0 without a list. */
+	uint64_t list_clock_ms;
 	Gn__WorkerRun **runs;
 	size_t run_count;
 	Gn__WorkerEnd **ends; /**< In the order of their numbers. */
--- a/lib/executor/worker.c
+++ b/lib/executor/worker.c
@@ -82,20 +82,23 @@
 
 /* ======   The list   ====== */
 
+/* Keeps a list unless a newer one came before, on another connection. */
 static void store_list(executor_t *executor, TALLOC_CTX *list,
-		       const gn_worker_answer_t *answer, uint64_t sent_us)
+		       const gn_worker_answer_t *answer)
 {
-	bool has_ends = answer->end_count > 0;
-
+	if (answer->clock_ms < executor->list_clock_ms) {
+		talloc_free(list);
+		return;
+	}
 	talloc_free(executor->list);
 	executor->list = list;
+	executor->list_clock_ms = answer->clock_ms;
 	executor->runs = answer->runs;
 	executor->run_count = answer->run_count;
 	executor->ends = answer->ends;
 	executor->end_count = answer->end_count;
 	executor->list_unreported = true;
-	gn_orders_handle_list(executor->orders, answer, sent_us);
-	if (has_ends)
+	if (answer->end_count)
 		executor->list_due_us =
 			executor_now_us(executor) + LIST_ENDS_DELAY_US;
 }
@@ -138,8 +141,9 @@
 		executor->worker_left
 			? executor_now_us(executor) + LIST_RETRY_DELAY_US
 			: 0;
-	store_list(executor, list, &answer, request->sent_us);
-	if (answer.end_count)
+	gn_orders_handle_list(executor->orders, &answer, request->sent_us);
+	store_list(executor, list, &answer);
+	if (executor->end_count)
 		executor_report(executor);
 }
 
@@ -209,6 +213,7 @@
 	gn_grant_reset(&executor->grant);
 	talloc_free(executor->list);
 	executor->list = NULL;
+	executor->list_clock_ms = 0;
 	executor->run_count = 0;
 	executor->end_count = 0;
 	executor->list_unreported = false;
--- a/tests/contract/test_executor.c
+++ b/tests/contract/test_executor.c
@@ -270,6 +270,16 @@
 		g_assert_cmpint(tevent_loop_once(rig->runtime.events), ==, 0);
 }
 
+/* The worker answers the call in progress at this time on its clock. */
+static void answer_list(uint64_t clock_ms)
+{
+	g_assert_true(is_call_pending());
+	rig->answer.clock_ms = clock_ms;
+	rig->answered = false;
+	while (!rig->answered)
+		g_assert_cmpint(tevent_loop_once(rig->runtime.events), ==, 0);
+}
+
 /* ======   Tests   ====== */
 
 static void test_start_answered_by_its_life_counts(void)
@@ -361,6 +371,30 @@
 	close_rig();
 }
 
+/* Two lists are requested at a time, and their answers may overtake. */
+static void test_older_list_replaces_a_newer_one(void)
+{
+	open_rig();
+	executor_worker_tick(rig->executor);
+	rig->answer.run_count = 1;
+	answer_list(CLOCK_MS);
+	g_assert_cmpuint(rig->executor->run_count, ==, 1);
+	executor_worker_tick(rig->executor);
+	rig->answer.run_count = 0;
+	answer_list(CLOCK_MS - 1);
+	g_assert_cmpuint(rig->executor->run_count, ==, 1);
+	executor_worker_tick(rig->executor);
+	answer_list(CLOCK_MS);
+	g_assert_cmpuint(rig->executor->run_count, ==, 0);
+	send_heartbeat(LATER_MS);
+	executor_worker_tick(rig->executor);
+	rig->answer.run_count = 1;
+	rig->answer.life_started_ms = LATER_MS;
+	answer_list(1);
+	g_assert_cmpuint(rig->executor->run_count, ==, 1);
+	close_rig();
+}
+
 /* Asks a worker that left for its list, and passes the time of a report. */
 static void list_after_leaving(gn_worker_call_outcome_t outcome)
 {
@@ -461,5 +495,7 @@
 		test_runs_of_a_worker_that_left_are_over_before_it_ends);
 	g_test_add_func("/executor/lease_of_a_worker_that_left_is_extended",
 			test_lease_of_a_worker_that_left_is_extended);
+	g_test_add_func("/executor/older_list_replaces_a_newer_one",
+			test_older_list_replaces_a_newer_one);
 	return g_test_run();
 }
