http: answers given just before the server ends are sent

A caller of a scheduler that stopped could find its connection closed without an answer, although the request had been read and answered (LOST). The traffic thread took the answer and the order to stop out of the pipe together and ended without running libmicrohttpd again, which then closed the connection.

The destructor now runs the daemon until all answers have been sent, for at most 100 ms, since a caller that does not read must not hold up the end.

--- a/lib/http/exchange.c
+++ b/lib/http/exchange.c
@@ -285,14 +285,20 @@
 void http_on_completed(void *cls, struct MHD_Connection *connection,
 		       void **context, enum MHD_RequestTerminationCode code)
 {
+	http_exchange_t *exchange = *context;
+
 	(void)code;
 	http_connection_begin_phase(cls, connection, false);
-	if (*context)
-		exchange_free(*context);
 	*context = NULL;
+	if (!exchange)
+		return;
+	exchange->thread->unsent -= exchange->resumed;
+	exchange_free(exchange);
 }
 
 void http_exchange_resume(http_exchange_t *exchange)
 {
+	exchange->resumed = true;
+	exchange->thread->unsent++;
 	MHD_resume_connection(exchange->connection);
 }
--- a/lib/http/server.c
+++ b/lib/http/server.c
@@ -15,6 +15,8 @@
 /** Memory for the headers of one connection, bytes. */
 #define CONNECTION_MEMORY 16384
 #define LISTEN_BACKLOG 1024
+/** Time for callers to take the last answers when the server ends. */
+#define LAST_ANSWERS_US (100 * GN_US_PER_MS)
 /** Maximum sleep of a traffic thread, milliseconds. */
 #define POLL_MAX_MS 1000
 
@@ -219,6 +221,24 @@
 	}
 }
 
+/*
+ * Sends the answers given shortly before the end, after the traffic thread has
+ * stopped. A caller that does not read in time loses its answer.
+ */
+static void send_last_answers(http_thread_t *thread)
+{
+	const union MHD_DaemonInfo *info =
+		MHD_get_daemon_info(thread->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+	uint64_t end_us = gn_clock_now_us(&thread->clock) + LAST_ANSWERS_US;
+	struct pollfd fd = { .fd = info->epoll_fd, .events = POLLIN };
+
+	MHD_run(thread->daemon);
+	while (thread->unsent && gn_clock_now_us(&thread->clock) < end_us) {
+		poll(&fd, 1, 1);
+		MHD_run(thread->daemon);
+	}
+}
+
 static int server_destructor(gn_http_server_t *server)
 {
 	for (unsigned i = 0; i < server->thread_count; i++) {
@@ -228,6 +248,7 @@
 			gn_pipe_send(thread->control_end, &http_thread_stop);
 			pthread_join(thread->thread, NULL);
 			resume_unanswered(thread);
+			send_last_answers(thread);
 		}
 		if (thread->daemon)
 			MHD_stop_daemon(thread->daemon);
--- a/lib/http/server_internal.h
+++ b/lib/http/server_internal.h
@@ -26,6 +26,7 @@
 	unsigned refusal_status; /**< HTTP status of the refusal, or 0. */
 	bool discards_body; /**< The body is read before the refusal. */
 	bool handed_over; /**< It was passed to the control thread. */
+	bool resumed; /**< Its answer is being sent. */
 } http_exchange_t;
 
 /** A traffic thread. */
@@ -43,6 +44,7 @@
 	uint64_t idle_us; /**< Limit of libmicrohttpd, in whole seconds. */
 	GHashTable *open; /**< Set of http_connection_t; this thread only. */
 	bool has_closed_connection; /**< In the daemon's last run. */
+	unsigned unsent; /**< Number of answers that are being sent. */
 	uint64_t swept_us; /**< Time of the last sweep. */
 	atomic_bool quiesce;
 	atomic_uint connections;
--- a/tests/contract/test_http_server.c
+++ b/tests/contract/test_http_server.c
@@ -28,6 +28,8 @@
 #define PAIRS 200
 /** A traffic thread that misses a wake-up sleeps longer, for a second. */
 #define STALL_MS 900
+/** Number of servers that end right after an answer. */
+#define LAST_ANSWERS 50
 
 typedef struct case_s {
 	const char *name;
@@ -305,6 +307,16 @@
 	return false;
 }
 
+/* The address depends on the process id, so that runs don't collide. */
+static void write_address(char *host, size_t host_size, char *address,
+			  size_t address_size)
+{
+	g_snprintf(host, host_size, "127.77.%u.%u",
+		   (unsigned)getpid() / 250 % 250,
+		   1 + (unsigned)getpid() % 250);
+	g_snprintf(address, address_size, "%s:%u", host, PORT);
+}
+
 static void run_test(caller_t *caller, GThreadFunc run, unsigned handled)
 {
 	struct tevent_context *events = tevent_context_init(NULL);
@@ -328,11 +340,7 @@
 	};
 	GThread *thread;
 
-	/* The address depends on the process id, so that runs don't collide. */
-	g_snprintf(host, sizeof(host), "127.77.%u.%u",
-		   (unsigned)getpid() / 250 % 250,
-		   1 + (unsigned)getpid() % 250);
-	g_snprintf(address, sizeof(address), "%s:%u", host, PORT);
+	write_address(host, sizeof(host), address, sizeof(address));
 	caller->host = host;
 	g_assert_cmpint(socketpair(AF_UNIX, SOCK_STREAM, 0, caller->done), ==,
 			0);
@@ -383,6 +391,69 @@
 	g_assert_cmpint(caller.elapsed_us, <, SLOW_SENDERS_TIMEOUT_MS * 1000);
 }
 
+static void keep_request(void *arg, gn_http_request_t *request)
+{
+	*(gn_http_request_t **)arg = request;
+}
+
+static gpointer run_good_request(gpointer data)
+{
+	caller_t *caller = data;
+
+	caller->status = send_good_request(caller);
+	return NULL;
+}
+
+/* Frees the server right after its answer and returns the caller's status. */
+static unsigned get_status_of_last_answer(void)
+{
+	struct tevent_context *events = tevent_context_init(NULL);
+	void *zmq = zmq_ctx_new();
+	gn_http_request_t *request = NULL;
+	gn_http_server_t *server;
+	gn_error_t error = { 0 };
+	caller_t caller = { 0 };
+	char host[16];
+	char address[32];
+	gn_http_server_config_t config = {
+		.events = events,
+		.zmq = zmq,
+		.address = address,
+		.connections = CONNECTIONS,
+		.timeout_ms = TIMEOUT_MS,
+		.threads = 1,
+		.body_max = BODY_MAX,
+		.counters = gn_counters_create(events),
+		.handler = keep_request,
+		.arg = &request,
+	};
+	GThread *thread;
+
+	write_address(host, sizeof(host), address, sizeof(address));
+	caller.host = host;
+	g_assert_cmpint(gn_http_server_start(events, &config, &server, &error),
+			==, GN_OK);
+	thread = g_thread_new("caller", run_good_request, &caller);
+	while (!request)
+		g_assert_cmpint(tevent_loop_once(events), ==, 0);
+	request->answer.status = 200;
+	gn_http_server_answer(server, request);
+	TALLOC_FREE(server);
+	g_thread_join(thread);
+	talloc_free(events);
+	zmq_ctx_term(zmq);
+	return caller.status;
+}
+
+static void test_answer_before_the_end_is_sent(void)
+{
+	unsigned lost = 0;
+
+	for (int i = 0; i < LAST_ANSWERS; i++)
+		lost += get_status_of_last_answer() != 200;
+	g_assert_cmpuint(lost, ==, 0);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -396,5 +467,7 @@
 	g_test_add_func("/http_server/no-stall", test_no_stall);
 	g_test_add_func("/http_server/slow_senders_give_way",
 			test_slow_senders_give_way);
+	g_test_add_func("/http_server/answer_before_the_end_is_sent",
+			test_answer_before_the_end_is_sent);
 	return g_test_run();
 }
