scheduler: the refusal of a request's second copy is not passed on

A caller could be told with 429 that its job never runs, and the job ran (REFUSED): a scheduler sends a submission again when the connection to the leader was silent, and while the leader refuses the copy because of its backlog, the first one may still arrive and be accepted. The same class of fault: a message on its way is taken up after it was given up.

Such a refusal is now reported as unknown, after which callers submit the job again under its ID.

Test: without the decision, refusal_of_a_copy_hides_an_accepted_job fails, (2 == 4): the refusal is passed on; it passes with it.

--- a/lib/scheduler/calls.c
+++ b/lib/scheduler/calls.c
@@ -7,6 +7,7 @@
 #include "common/event.h"
 #include "common/str.h"
 #include "http/status.h"
+#include "scheduler/outcome.h"
 #include "scheduler/scheduler_internal.h"
 #include "scheduler/stop.h"
 
@@ -393,7 +394,7 @@
 {
 	scheduler_call_t *call =
 		g_hash_table_lookup(scheduler->forwarded, &message->number);
-	const gn_sched_reply_t reply = {
+	gn_sched_reply_t reply = {
 		.result = (gn_job_result_t)message->result,
 		.phase = (gn_job_phase_t)message->phase,
 		.waiting = message->waiting,
@@ -410,6 +411,8 @@
 		call->sent = false;
 		return;
 	}
+	reply.result = scheduler_get_outcome(call->kind, reply.result,
+					     call->uncertain);
 	g_hash_table_steal(scheduler->forwarded, &message->number);
 	answer_call(scheduler, call, &reply);
 }
