sched: no first start is ordered to a worker without a fresh list

A task ran twice after an outage of the store beside workers that answer nothing (TWICE): the start of a claim that took seconds to store was ordered without the check that repeated starts have. The executor may send a start for 3 s after it is ordered, and the claim lapses by the age of the worker's list, here 3 s old, before that.

The first start now has the same condition as a repeated one, and follows with the worker's next list.

Test before the change: slowly_stored_start_needs_a_fresh_list, (START orders == 0): (1 == 0).

--- a/lib/sched/sched_claim.c
+++ b/lib/sched/sched_claim.c
@@ -180,6 +180,20 @@
 				    &order);
 }
 
+/*
+ * Whether a start may be ordered now. Without a fresh list, it could take
+ * effect after the claim has expired. A restored claim needs a list first,
+ * since an earlier leader may have started the run.
+ */
+static bool may_order_start(const sched_task_t *task)
+{
+	const gn_sched_t *sched = task->job->sched;
+
+	return !task->listed && (!task->restored || task->worker->has_listed) &&
+	       sched_worker_is_live(sched, task->worker) &&
+	       sched_worker_has_fresh_list(sched, task->worker);
+}
+
 void sched_send_due_order(sched_task_t *task)
 {
 	uint64_t now_us = sched_now_us(task->job->sched);
@@ -192,13 +206,7 @@
 		send_order(task, GN_RUN_ORDER_STOP);
 		return;
 	}
-	/*
-	 * Without a fresh list, the start could take effect after the claim has
-	 * expired. A restored claim needs a list first, since an earlier leader
-	 * may have started the run.
-	 */
-	if (task->listed || (task->restored && !task->worker->has_listed) ||
-	    !sched_worker_has_fresh_list(task->job->sched, task->worker))
+	if (!may_order_start(task))
 		return;
 	sched_emit_task_event(
 		task->job->sched, "repeat", task, NULL,
@@ -219,7 +227,10 @@
 			continue;
 		}
 		task->start_sent = true;
-		send_order(task, GN_RUN_ORDER_START);
+		/* The worker may have fallen silent while the claim was being
+		 * stored; then the start follows with its next list. */
+		if (may_order_start(task))
+			send_order(task, GN_RUN_ORDER_START);
 	}
 	g_ptr_array_set_size(job->pending_starts, (gint)remaining);
 }
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -65,6 +65,27 @@
 	rig_close(&rig);
 }
 
+static void test_slowly_stored_start_needs_a_fresh_list(void)
+{
+	sched_rig_t rig;
+	gn_sched_write_t write;
+
+	rig_open(&rig);
+	rig_report(&rig, "a", "1");
+	rig_submit(&rig, JOB, "quick", &one_task, 1);
+	gn_sched_run_pass(rig.sched);
+	g_assert_cmpuint(gn_sched_begin_batch(rig.sched, &write, 1), ==, 1);
+	free(write.value);
+	rig_advance_ms(&rig, 3000);
+	rig_report_stale_list(&rig, "a", "1", 3000);
+	gn_sched_confirm_batch(rig.sched);
+	g_assert_cmpuint(rig_count_orders(&rig, GN_RUN_ORDER_START), ==, 0);
+	rig_report(&rig, "a", "1");
+	rig_advance_ms(&rig, 400);
+	g_assert_cmpuint(rig_count_orders(&rig, GN_RUN_ORDER_START), ==, 1);
+	rig_close(&rig);
+}
+
 /* A worker may discard an end only once the resulting state is stored. */
 static void test_end_is_stored_before_it_is_acknowledged(void)
 {
@@ -905,6 +926,8 @@
 		  test_no_start_to_a_worker_without_a_list },
 		{ "end_is_stored_before_it_is_acknowledged",
 		  test_end_is_stored_before_it_is_acknowledged },
+		{ "slowly_stored_start_needs_a_fresh_list",
+		  test_slowly_stored_start_needs_a_fresh_list },
 		{ "steps_follow_each_other", test_steps_follow_each_other },
 		{ "silent_executor_keeps_its_claim_for_a_lease",
 		  test_silent_executor_keeps_its_claim_for_a_lease },
