executor: a lease is extended only by a report with a fresh list

A task could run twice after an executor was cut off: the leader lets claims lapse by the age of the worker's last list, the executor extended the lease by any answered report. With a worker that had answered nothing for seconds and an executor cut off right after its report, a new reading of the worker's clock let the runs go on for up to 2 s after the leader had moved their tasks. Likewise, a restarted executor counted an answer to a report that named no life yet.

Tests before the change: report_with_an_old_list_extends_the_lease, (report_sent_us == START_US) fails; no_lease_from_a_report_before_the_life fails. Both pass now.

--- a/lib/executor/executor_internal.h
+++ b/lib/executor/executor_internal.h
@@ -39,6 +39,13 @@
 /** Number of recent reports whose answers are still accepted. */
 #define EXECUTOR_REPORT_HISTORY 64
 
+/** What must be known of a report when its answer comes. */
+typedef struct executor_sent_report_s {
+	uint64_t sent_us;
+	/** It showed that the worker had answered shortly before. */
+	bool has_fresh_list;
+} executor_sent_report_t;
+
 /** State of an executor process. */
 struct executor_s {
 	gn_runtime_t *runtime;
@@ -95,8 +102,8 @@
 	uint64_t leader_answered_us;
 	uint64_t epoch; /**< Epoch of the leader that answered last. */
 	uint64_t sequence; /**< Sequence number of the last report. */
-	/** Times when reports were sent, by sequence modulo the history. */
-	uint64_t sent_us[EXECUTOR_REPORT_HISTORY];
+	/** The last reports, by sequence modulo the history. */
+	executor_sent_report_t sent[EXECUTOR_REPORT_HISTORY];
 	uint64_t reported_us; /**< Time of the last report; 0 sends one soon. */
 	bool report_due; /**< Something changed; don't wait for the interval. */
 };
--- a/lib/executor/grant.c
+++ b/lib/executor/grant.c
@@ -42,6 +42,7 @@
 
 void gn_grant_reset(gn_grant_t *grant)
 {
+	grant->report_sent_us = 0;
 	grant->clock_ms = 0;
 	grant->clock_received_us = 0;
 	grant->granted_until_ms = 0;
--- a/lib/executor/grant.h
+++ b/lib/executor/grant.h
@@ -65,7 +65,8 @@
  */
 bool gn_grant_may_start(uint64_t basis_us, uint64_t now_us);
 
-/** Forgets the clock and the lease, since the worker has a new life. */
+/** Forgets the answers, the clock and the lease, since the worker has a new
+ * life, which no earlier report named. */
 void gn_grant_reset(gn_grant_t *grant);
 
 #endif
--- a/lib/executor/leader.c
+++ b/lib/executor/leader.c
@@ -65,13 +65,34 @@
 				      on_schedulers_listed, executor);
 }
 
-/* Returns the time when a report was sent; 0 if too old or never sent. */
-static uint64_t get_sent_us(const executor_t *executor, uint64_t sequence)
+/* Returns the report with this number; NULL if too old or never sent. */
+static const executor_sent_report_t *find_report(const executor_t *executor,
+						 uint64_t sequence)
 {
 	if (!sequence || sequence > executor->sequence ||
 	    executor->sequence - sequence >= EXECUTOR_REPORT_HISTORY)
-		return 0;
-	return executor->sent_us[sequence % EXECUTOR_REPORT_HISTORY];
+		return NULL;
+	return &executor->sent[sequence % EXECUTOR_REPORT_HISTORY];
+}
+
+static uint64_t get_sent_us(const executor_t *executor, uint64_t sequence)
+{
+	const executor_sent_report_t *report = find_report(executor, sequence);
+
+	return report ? report->sent_us : 0;
+}
+
+/*
+ * Records an answer as a permission to extend the lease. The leader counts the
+ * lease also from the worker's last list, so a report without a fresh list
+ * permits nothing.
+ */
+static void record_answer(executor_t *executor, uint64_t sequence)
+{
+	const executor_sent_report_t *report = find_report(executor, sequence);
+
+	if (report && report->has_fresh_list)
+		gn_grant_record_answer(&executor->grant, report->sent_us);
 }
 
 static void on_orders(executor_t *executor, const Gn__WorkerOrders *message)
@@ -94,8 +115,7 @@
 	}
 	if (message->unsure)
 		request_schedulers(executor);
-	gn_grant_record_answer(&executor->grant,
-			       get_sent_us(executor, message->sequence));
+	record_answer(executor, message->sequence);
 	if (gn_life_matches((gn_life_t){ message->life, message->born_ms },
 			    executor_get_life(executor)) &&
 	    message->ends_stored > executor->ends_stored) {
@@ -172,6 +192,16 @@
 	return gn_link_send(executor->link, NULL, &envelope);
 }
 
+static void record_report(executor_t *executor, const Gn__WorkerReport *report)
+{
+	executor_sent_report_t *sent =
+		&executor->sent[report->sequence % EXECUTOR_REPORT_HISTORY];
+
+	sent->sent_us = executor->reported_us;
+	sent->has_fresh_list = executor->worker_known &&
+			       report->list_age_ms <= GN_GRANT_CLOCK_MAX_AGE_MS;
+}
+
 void executor_report(executor_t *executor)
 {
 	Gn__WorkerReport report = GN__WORKER_REPORT__INIT;
@@ -188,8 +218,7 @@
 	}
 	report.results = (Gn__OrderResult **)executor->results->pdata;
 	report.n_results = executor->results->len;
-	executor->sent_us[report.sequence % EXECUTOR_REPORT_HISTORY] =
-		executor->reported_us;
+	record_report(executor, &report);
 	if (send_report(executor, &report))
 		return;
 	/* The leader repeats an order whose result was lost with the report. */
--- a/tests/contract/test_executor.c
+++ b/tests/contract/test_executor.c
@@ -395,6 +395,37 @@
 	close_rig();
 }
 
+/* The leader has answered the last report. */
+static void answer_report(void)
+{
+	Gn__WorkerOrders orders = GN__WORKER_ORDERS__INIT;
+	Gn__Envelope envelope = GN__ENVELOPE__INIT;
+
+	envelope.body_case = GN__ENVELOPE__BODY_WORKER_ORDERS;
+	envelope.worker_orders = &orders;
+	orders.epoch = 1;
+	orders.sequence = rig->executor->sequence;
+	rig->leader_handler(rig->executor, NULL, &envelope);
+}
+
+/* The leader lets the claims lapse by the age of the worker's list. */
+static void test_report_with_an_old_list_extends_the_lease(void)
+{
+	const gn_grant_t *grant;
+
+	open_rig();
+	grant = &rig->executor->grant;
+	executor_report(rig->executor);
+	answer_report();
+	g_assert_cmpuint(grant->report_sent_us, ==, START_US);
+	gn_clock_advance(&rig->runtime.clock,
+			 (GN_GRANT_CLOCK_MAX_AGE_MS + 1) * GN_US_PER_MS);
+	executor_report(rig->executor);
+	answer_report();
+	g_assert_cmpuint(grant->report_sent_us, ==, START_US);
+	close_rig();
+}
+
 /* Asks a worker that left for its list, and passes the time of a report. */
 static void list_after_leaving(gn_worker_call_outcome_t outcome)
 {
@@ -497,5 +528,7 @@
 			test_lease_of_a_worker_that_left_is_extended);
 	g_test_add_func("/executor/older_list_replaces_a_newer_one",
 			test_older_list_replaces_a_newer_one);
+	g_test_add_func("/executor/report_with_an_old_list_extends_the_lease",
+			test_report_with_an_old_list_extends_the_lease);
 	return g_test_run();
 }
--- a/tests/unit/test_grant.c
+++ b/tests/unit/test_grant.c
@@ -111,6 +111,19 @@
 	g_assert_cmpuint(GN_GRANT_START_MAX_AGE_MS * GN_US_PER_MS, <, LEASE_US);
 }
 
+/* The leader counts no report that does not name the worker's life. */
+static void test_no_lease_from_a_report_before_the_life(void)
+{
+	gn_grant_t grant = create_grant();
+
+	gn_grant_record_answer(&grant, START_US);
+	gn_grant_reset(&grant);
+	gn_grant_record_clock(&grant, 500, START_US + 700 * GN_US_PER_MS);
+	g_assert_cmpuint(
+		gn_grant_extend_until_ms(&grant, START_US + 700 * GN_US_PER_MS),
+		==, 0);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -125,5 +138,7 @@
 	g_test_add_func("/grant/lease_ends_in_time", test_lease_ends_in_time);
 	g_test_add_func("/grant/starts_expire_before_claims",
 			test_starts_expire_before_claims);
+	g_test_add_func("/grant/no_lease_from_a_report_before_the_life",
+			test_no_lease_from_a_report_before_the_life);
 	return g_test_run();
 }
