sched: A done gang also completes its members that wait

A gang's success was taken from claimed members only. If a member's claim had been released first, as its worker had restarted, that member waited for ever: the others were done, so the gang was never whole and never placed again, and its job never ended. A success that was listed after the claims of all members had been released was ignored, so the gang ran again.

One end as done represents all members (PROTOCOL), so it now completes those that wait, too, and also counts after all claims were released, until the next attempt is claimed. An end of an earlier attempt counts for nothing.

--- a/lib/sched/sched_claim.c
+++ b/lib/sched/sched_claim.c
@@ -122,6 +122,12 @@
 	sched_job_task_done(task);
 }
 
+void sched_complete_waiting(sched_task_t *task)
+{
+	task->job->units[task->unit].waiting--;
+	sched_job_task_done(task);
+}
+
 void sched_stop_run(sched_task_t *task, const char *why)
 {
 	if (task->stopping)
@@ -308,6 +314,8 @@
 {
 	sched_emit_task_event(task->job->sched, "end", task,
 			      "done, after the lease had expired", 0);
-	task->job->units[task->unit].waiting--;
-	sched_job_task_done(task);
+	if (sched_is_gang(task))
+		sched_gang_complete(task);
+	else
+		sched_complete_waiting(task);
 }
--- a/lib/sched/sched_gang.c
+++ b/lib/sched/sched_gang.c
@@ -51,6 +51,8 @@
 
 		if (member->state == GN_JOB_TASK_CLAIMED)
 			sched_complete_claim(member);
+		else if (member->state == GN_JOB_TASK_WAITING)
+			sched_complete_waiting(member);
 	}
 }
 
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -242,6 +242,8 @@
 void sched_release_claim(sched_task_t *task, const char *why);
 /** Releases the claim of a run that has succeeded and marks the task done. */
 void sched_complete_claim(sched_task_t *task);
+/** Marks a task done whose claim was released before its success was known. */
+void sched_complete_waiting(sched_task_t *task);
 /** Stops the run of a claim, or releases the claim if no start was sent. */
 void sched_stop_run(sched_task_t *task, const char *why);
 /**
@@ -271,7 +273,11 @@
 bool sched_is_gang(const sched_task_t *task);
 /** Stops all other members after the run of @p task has ended. */
 void sched_gang_stop(sched_task_t *task, const char *why);
-/** Marks all members as done after one of them has succeeded. */
+/**
+ * Marks all members as done after one of them has succeeded in the present
+ * attempt. This includes members that wait because their claims were released
+ * first: they would wait for ever, since a gang starts only as a whole.
+ */
 void sched_gang_complete(sched_task_t *task);
 /** Counts the failed attempts of all members. */
 uint32_t sched_gang_failures(const sched_task_t *task);
--- a/lib/sched/sched_worker.c
+++ b/lib/sched/sched_worker.c
@@ -322,8 +322,7 @@
 static bool is_late_done(const sched_task_t *task, const Gn__WorkerEnd *listed)
 {
 	return task && task->state == GN_JOB_TASK_WAITING &&
-	       task->attempt == listed->attempt && listed->how == GN_END_DONE &&
-	       !sched_is_gang(task);
+	       task->attempt == listed->attempt && listed->how == GN_END_DONE;
 }
 
 static void handle_listed_end(gn_sched_t *sched, sched_worker_t *worker,
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -759,6 +759,75 @@
 	rig_close(&rig);
 }
 
+/* A member's worker restarts before its end is listed. */
+static void test_gang_hangs_when_a_claim_is_released_before_done(void)
+{
+	sched_rig_t rig;
+	char hosts[3][8];
+
+	rig_open(&rig);
+	rig_report(&rig, "a", "1");
+	rig_report(&rig, "b", "1");
+	rig_report(&rig, "c", "1");
+	rig_submit(&rig, JOB, "batch", &gang, 1);
+	rig_store(&rig);
+	for (unsigned i = 0; i < 3; i++)
+		g_strlcpy(hosts[i], get_host(&rig, i), sizeof(hosts[i]));
+	rig_report(&rig, hosts[1], "2");
+	rig_report_end(&rig, hosts[0], "1", JOB ".0.0.0", 1, GN_END_DONE);
+	rig_report_end(&rig, hosts[2], "1", JOB ".0.0.2", 1, GN_END_DONE);
+	rig_clear(&rig);
+	for (unsigned ms = 0; ms < 30000; ms += 300) {
+		rig_report(&rig, hosts[0], "1");
+		rig_report(&rig, hosts[1], "2");
+		rig_report(&rig, hosts[2], "1");
+		rig_advance_ms(&rig, 300);
+		rig_store(&rig);
+	}
+	g_assert_cmpuint(rig_count_orders(&rig, GN_RUN_ORDER_START), ==, 0);
+	g_assert_cmpint(rig_phase(&rig, JOB), ==, GN_JOB_COMPLETED);
+	rig_close(&rig);
+}
+
+/* Ends the running attempt of the gang by the expiry of its leases. */
+static void expire_gang(sched_rig_t *rig)
+{
+	rig_advance_ms(rig, 2 * RIG_LEASE_MS);
+	g_assert_cmpuint(gn_sched_stats(rig->sched).claims, ==, 0);
+}
+
+static void test_gang_runs_again_although_listed_as_done_late(void)
+{
+	sched_rig_t rig;
+
+	open_with_running_gang(&rig);
+	expire_gang(&rig);
+	rig_report_end(&rig, "a", "1", JOB ".0.0.1", 1, GN_END_DONE);
+	g_assert_cmpint(rig_phase(&rig, JOB), ==, GN_JOB_COMPLETED);
+	rig_store(&rig);
+	g_assert_cmpuint(rig_count_orders(&rig, GN_RUN_ORDER_START), ==, 0);
+	rig_close(&rig);
+}
+
+static void test_end_of_an_earlier_attempt_completes_a_gang(void)
+{
+	sched_rig_t rig;
+
+	open_with_running_gang(&rig);
+	expire_gang(&rig);
+	rig_report(&rig, "a", "1");
+	rig_report(&rig, "b", "1");
+	rig_report(&rig, "c", "1");
+	rig_store(&rig);
+	g_assert_cmpuint(rig_count_orders(&rig, GN_RUN_ORDER_START), ==, 3);
+	rig_report_end(&rig, "a", "1", JOB ".0.0.0", 1, GN_END_DONE);
+	g_assert_cmpuint(gn_sched_stats(rig.sched).claims, ==, 3);
+	expire_gang(&rig);
+	rig_report_end(&rig, "b", "1", JOB ".0.0.1", 1, GN_END_DONE);
+	g_assert_cmpint(rig_phase(&rig, JOB), !=, GN_JOB_COMPLETED);
+	rig_close(&rig);
+}
+
 static void test_gang_fails_at_its_attempt_limit(void)
 {
 	sched_rig_t rig;
@@ -968,6 +1037,12 @@
 		  test_gang_stops_when_a_worker_restarts_under_its_id },
 		{ "gang_is_done_when_one_member_is",
 		  test_gang_is_done_when_one_member_is },
+		{ "gang_hangs_when_a_claim_is_released_before_done",
+		  test_gang_hangs_when_a_claim_is_released_before_done },
+		{ "gang_runs_again_although_listed_as_done_late",
+		  test_gang_runs_again_although_listed_as_done_late },
+		{ "end_of_an_earlier_attempt_completes_a_gang",
+		  test_end_of_an_earlier_attempt_completes_a_gang },
 		{ "advised_step_starts_only_with_a_ticket",
 		  test_advised_step_starts_only_with_a_ticket },
 		{ "advice_is_requested_again", test_advice_is_requested_again },
