sched: Best-effort runs speed up when no serving task is left

A worker without serving tasks was left out when paces are decided, so that a best-effort run which had been paused or throttled beside a serving task kept that pace when the last serving task had left. A paused run then never ended, and it was not moved either.

Paces are now decided on each worker with best-effort tasks. Without serving tasks, all of these run at full speed.

Before the fix: test_best_effort_stays_paused_without_serving_tasks: assertion failed (get_last_pace(&rig) == 100): (-1 == 100)

--- a/lib/sched/sched_pace.c
+++ b/lib/sched/sched_pace.c
@@ -280,8 +280,9 @@
 {
 	sched_mix_t mix;
 
-	if (!worker->serving || !worker->best_effort ||
-	    !worker->capacity.cpu_milli)
+	/* Runs that were throttled beside serving tasks have to return to full
+	 * speed when the last of these has left. */
+	if (!worker->best_effort || !worker->capacity.cpu_milli)
 		return;
 	sched_mix_get(sched, worker, &mix);
 	update_paces(sched, worker, &mix);
--- a/tests/support/sched_rig.c
+++ b/tests/support/sched_rig.c
@@ -9,6 +9,7 @@
 #define CPU_MILLI 4000
 #define MEMORY_MB 64000
 #define BATCH_MAX 16
+#define RUNS_MAX 8
 
 static const gn_queue_t queues[] = {
 	{ .name = "quick",
@@ -285,6 +286,28 @@
 	gn_sched_handle_report(rig->sched, &report);
 }
 
+void rig_report_runs(sched_rig_t *rig, const char *host, const char *life,
+		     const rig_run_t *runs, size_t count)
+{
+	Gn__WorkerRun rows[RUNS_MAX];
+	Gn__WorkerRun *pointers[RUNS_MAX];
+	Gn__WorkerReport report;
+
+	g_assert_cmpuint(count, <=, RUNS_MAX);
+	init_report(rig, &report, host, life);
+	for (size_t i = 0; i < count; i++) {
+		gn__worker_run__init(&rows[i]);
+		rows[i].task = (char *)runs[i].task;
+		rows[i].attempt = 1;
+		rows[i].checkpoint = empty_text;
+		rows[i].gauge = runs[i].reading;
+		pointers[i] = &rows[i];
+	}
+	report.runs = pointers;
+	report.n_runs = count;
+	gn_sched_handle_report(rig->sched, &report);
+}
+
 void rig_report_run(sched_rig_t *rig, const char *host, const char *life,
 		    const char *task, uint32_t attempt)
 {
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -57,6 +57,13 @@
 	const char *image;
 } rig_step_t;
 
+/** Run in a list for rig_report_runs(). */
+typedef struct rig_run_s {
+	const char *task;
+	/** Tail latency in ms, or used CPU in thousandths of a core. */
+	uint32_t reading;
+} rig_run_t;
+
 /** Flags of a step. */
 #define RIG_STANDING 1U
 #define RIG_CHECKPOINTS 2U
@@ -103,6 +110,9 @@
 /** Sends a report whose list shows @p task as running. */
 void rig_report_run(sched_rig_t *rig, const char *host, const char *life,
 		    const char *task, uint32_t attempt);
+/** Sends a report whose list shows these runs, all of attempt 1. */
+void rig_report_runs(sched_rig_t *rig, const char *host, const char *life,
+		     const rig_run_t *runs, size_t count);
 /** Sends a report that lists a serving task with this tail latency. */
 void rig_report_tail(sched_rig_t *rig, const char *host, const char *life,
 		     const char *task, uint32_t attempt, uint32_t tail_ms);
--- a/tests/unit/test_sched_fill.c
+++ b/tests/unit/test_sched_fill.c
@@ -66,6 +66,77 @@
 	rig_close(&rig);
 }
 
+/* ======   Paces   ====== */
+
+#define BEST_EFFORT_TASK OTHER ".0.0.0"
+
+/* Lists a best-effort run and, unless @p tail_ms is 0, a serving run. */
+static void report_both(sched_rig_t *rig, uint32_t tail_ms)
+{
+	const rig_run_t runs[] = { { BEST_EFFORT_TASK, 1000 },
+				   { RIG_TASK, tail_ms } };
+
+	rig_report_runs(rig, "a", "1", runs, tail_ms ? 2 : 1);
+}
+
+/* Lists both runs for this time, every 300 ms. */
+static void report_both_for_ms(sched_rig_t *rig, uint32_t tail_ms, unsigned ms)
+{
+	for (unsigned passed = 0; passed < ms; passed += 300) {
+		rig_advance_ms(rig, 300);
+		report_both(rig, tail_ms);
+	}
+}
+
+/* Returns the percentage of the last pace order, or -1 without one. */
+static int get_last_pace(const sched_rig_t *rig)
+{
+	const rig_order_t *order =
+		rig_find_order(rig, GN_RUN_ORDER_PACE, BEST_EFFORT_TASK);
+
+	return order ? (int)order->percent : -1;
+}
+
+static void open_with_best_effort_beside_serving(sched_rig_t *rig)
+{
+	const rig_step_t serving = {
+		.count = 1, .cpu_milli = 1000, .target_ms = 40, .image = "s"
+	};
+	const rig_step_t best_effort = { .count = 1,
+					 .cpu_milli = 1000,
+					 .estimate_ms = 600,
+					 .flags = RIG_BEST_EFFORT,
+					 .image = "f" };
+
+	rig_open_with_running_task(rig, &serving);
+	rig_submit(rig, OTHER, "batch", &best_effort, 1);
+	rig_store(rig);
+	g_assert_nonnull(
+		rig_find_order(rig, GN_RUN_ORDER_START, BEST_EFFORT_TASK));
+	rig_clear(rig);
+}
+
+static void open_with_paused_best_effort(sched_rig_t *rig)
+{
+	open_with_best_effort_beside_serving(rig);
+	report_both_for_ms(rig, 60, 2100);
+	g_assert_cmpint(get_last_pace(rig), ==, 0);
+	rig_clear(rig);
+}
+
+static void test_best_effort_stays_paused_without_serving_tasks(void)
+{
+	sched_rig_t rig;
+
+	open_with_paused_best_effort(&rig);
+	rig_report_end(&rig, "a", "1", RIG_TASK, 1, GN_END_DONE);
+	report_both(&rig, 0);
+	g_assert_cmpint(get_last_pace(&rig), ==, 100);
+	rig_close(&rig);
+}
+
+/* ======   Weights   ====== */
+
 /* Interference weights are stored with other writes for the next leader. */
 static void test_weights_are_stored(void)
 {
@@ -106,6 +177,9 @@
 			test_best_effort_does_not_starve);
 	g_test_add_func("/sched_fill/best_effort_is_limited_to_throttled",
 			test_best_effort_is_limited_to_throttled);
+	g_test_add_func(
+		"/sched_fill/best_effort_stays_paused_without_serving_tasks",
+		test_best_effort_stays_paused_without_serving_tasks);
 	g_test_add_func("/sched_fill/weights_are_stored",
 			test_weights_are_stored);
 	return g_test_run();
