sched: A new leader orders the pace of runs that it takes over

Paces are not stored. A new leader took each run with a restored claim for one at full speed, although the earlier leader might have paused it, and ordered no pace as long as full speed was right for it: the run stayed paused and never ended.

The pace of a restored claim now counts as unknown until it is ordered, which happens with the first list that shows the run.

Before the fix: test_new_leader_leaves_best_effort_paused: assertion failed (rig_count_orders(&rig, GN_RUN_ORDER_PACE) == 1): (0 == 1)

--- a/lib/sched/sched_claim.c
+++ b/lib/sched/sched_claim.c
@@ -41,6 +41,7 @@
 	task->stopping = false;
 	task->last_order_us = 0;
 	task->pace_percent = 100;
+	task->pace_ordered_us = 0;
 	task->last_reading = 0;
 	task->previous_reading = 0;
 	task->slow_since_us = 0;
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -53,6 +53,8 @@
 	uint64_t first_listed_us;
 	uint64_t claimed_us;
 	uint32_t pace_percent; /**< Ordered pace, percent of full speed. */
+	/** Time of the last pace order for this claim; 0 if none. */
+	uint64_t pace_ordered_us;
 	/** Reading of the last list: the tail latency of a serving task in ms,
 	 * the used CPU of a best-effort task in thousandths of a core. */
 	uint32_t last_reading;
--- a/lib/sched/sched_pace.c
+++ b/lib/sched/sched_pace.c
@@ -144,6 +144,7 @@
 
 	gn_task_format_name(task->job->spec, task->number, name);
 	task->pace_percent = percent;
+	task->pace_ordered_us = sched_now_us(sched);
 	sched_emit_task_event(sched, "pace", task, why, percent);
 	sched->ops->send_order(sched->arg, task->worker->host, &order);
 }
@@ -157,14 +158,28 @@
 	       wanted >= current + PACE_CHANGE_MIN;
 }
 
+/* Whether a pace order of an earlier leader may still be in force. */
+static bool is_pace_unknown(const sched_task_t *task)
+{
+	return task->restored && !task->pace_ordered_us;
+}
+
+static void set_pace(gn_sched_t *sched, sched_task_t *task, uint32_t wanted,
+		     const char *why)
+{
+	if (is_best_effort(task) &&
+	    (is_pace_unknown(task) ||
+	     is_significant_change(task->pace_percent, wanted)))
+		order_pace(sched, task, wanted, why);
+}
+
 static void pause_best_effort(gn_sched_t *sched, const sched_worker_t *worker)
 {
 	for (guint i = 0; i < worker->claims->len; i++) {
 		sched_task_t *task = g_ptr_array_index(worker->claims, i);
 
-		if (is_best_effort(task) && task->pace_percent)
-			order_pace(sched, task, 0,
-				   "a tail latency stays over its target");
+		set_pace(sched, task, 0,
+			 "a tail latency stays over its target");
 	}
 }
 
@@ -177,11 +192,9 @@
 	}
 	for (size_t i = 0; i < mix->best_effort_count; i++) {
 		const sched_mix_best_effort_t *row = &mix->best_effort[i];
-		uint32_t wanted = (uint32_t)(PACE_FULL * row->pace);
 
-		if (is_best_effort(row->task) &&
-		    is_significant_change(row->task->pace_percent, wanted))
-			order_pace(sched, row->task, wanted, "headroom");
+		set_pace(sched, row->task, (uint32_t)(PACE_FULL * row->pace),
+			 "headroom");
 	}
 }
 
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -89,6 +89,14 @@
 /** Opens the fixture with a job that runs on host "a", life "1". */
 void rig_open_with_running_task(sched_rig_t *rig, const rig_step_t *step);
 
+/**
+ * Opens the fixture as a new leader's, with RIG_JOB, whose only task an earlier
+ * leader claimed for host "a", life "1". An older build stored no start of
+ * life.
+ */
+void rig_open_with_stored_claim(sched_rig_t *rig, const rig_step_t *step,
+				bool with_start_of_life);
+
 /** Runs a placement pass, then stores all changes as durable. */
 void rig_store(sched_rig_t *rig);
 
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -376,36 +376,6 @@
 	rig_close(&rig);
 }
 
-/* Opens the fixture as a new leader's, with a claim for host "a", life "1". */
-static void open_with_stored_claim(sched_rig_t *rig, const rig_step_t *step,
-				   bool with_start_of_life)
-{
-	sched_rig_t first_leader;
-	gn_sched_write_t write;
-	Gn__JobRecord *record;
-
-	rig_open(&first_leader);
-	rig_report(&first_leader, "a", "1");
-	rig_submit(&first_leader, JOB, "batch", step, 1);
-	gn_sched_run_pass(first_leader.sched);
-	g_assert_cmpuint(gn_sched_begin_batch(first_leader.sched, &write, 1),
-			 ==, 1);
-	record = gn__job_record__unpack(NULL, write.len, write.value);
-	free(write.value);
-	rig_close(&first_leader);
-
-	g_assert_cmpuint(record->state->tasks[0]->born_ms, >, 0);
-	if (!with_start_of_life)
-		record->state->tasks[0]->born_ms = 0;
-	rig_open(rig);
-	g_assert_cmpint(
-		gn_sched_load_job(rig->sched, record->spec, record->state), ==,
-		GN_OK);
-	record->spec = NULL;
-	gn__job_record__free_unpacked(record, NULL);
-	gn_sched_finish_loading(rig->sched);
-}
-
 /*
  * A new leader ordered starts before it had a list, although the runs were
  * active. The executor of a draining worker refused them, so the tasks were
@@ -416,7 +386,7 @@
 {
 	sched_rig_t rig;
 
-	open_with_stored_claim(&rig, &one_task, true);
+	rig_open_with_stored_claim(&rig, &one_task, true);
 	rig_report_stale_list(&rig, "a", "1", 100);
 	rig_advance_ms(&rig, 400);
 	g_assert_cmpuint(rig_count_orders(&rig, GN_RUN_ORDER_START), ==, 0);
@@ -430,7 +400,7 @@
 {
 	sched_rig_t rig;
 
-	open_with_stored_claim(&rig, &one_task, false);
+	rig_open_with_stored_claim(&rig, &one_task, false);
 	rig_report_run(&rig, "a", "1", TASK, 1);
 	rig_store(&rig);
 	rig_advance_ms(&rig, 400);
@@ -444,7 +414,7 @@
 {
 	sched_rig_t rig;
 
-	open_with_stored_claim(&rig, &one_task, false);
+	rig_open_with_stored_claim(&rig, &one_task, false);
 	rig_report_run(&rig, "a", "1", TASK, 1);
 	rig_restart_worker(&rig, "a");
 	rig_report(&rig, "a", "1");
@@ -456,7 +426,7 @@
 {
 	sched_rig_t rig;
 
-	open_with_stored_claim(&rig, &one_task, true);
+	rig_open_with_stored_claim(&rig, &one_task, true);
 	rig_restart_worker(&rig, "a");
 	rig_report(&rig, "a", "1");
 	check_that_stop_comes_first(&rig);
--- a/tests/unit/test_sched_fill.c
+++ b/tests/unit/test_sched_fill.c
@@ -135,6 +135,26 @@
 	rig_close(&rig);
 }
 
+/* The earlier leader may have paused it. */
+static void test_new_leader_leaves_best_effort_paused(void)
+{
+	const rig_step_t best_effort = { .count = 1,
+					 .cpu_milli = 1000,
+					 .estimate_ms = 600,
+					 .flags = RIG_BEST_EFFORT,
+					 .image = "f" };
+	sched_rig_t rig;
+
+	rig_open_with_stored_claim(&rig, &best_effort, true);
+	rig_report_run(&rig, "a", "1", RIG_TASK, 1);
+	rig_report_run(&rig, "a", "1", RIG_TASK, 1);
+	g_assert_cmpuint(rig_count_orders(&rig, GN_RUN_ORDER_PACE), ==, 1);
+	g_assert_cmpuint(
+		rig_find_order(&rig, GN_RUN_ORDER_PACE, RIG_TASK)->percent, ==,
+		100);
+	rig_close(&rig);
+}
+
 /* ======   Weights   ====== */
 
 /* Interference weights are stored with other writes for the next leader. */
@@ -180,6 +200,8 @@
 	g_test_add_func(
 		"/sched_fill/best_effort_stays_paused_without_serving_tasks",
 		test_best_effort_stays_paused_without_serving_tasks);
+	g_test_add_func("/sched_fill/new_leader_leaves_best_effort_paused",
+			test_new_leader_leaves_best_effort_paused);
 	g_test_add_func("/sched_fill/weights_are_stored",
 			test_weights_are_stored);
 	return g_test_run();
