sched: A pace is ordered again every 2 s

The leader ordered a pace once and took it for granted. An order can be lost, for instance when its executor restarts, and the worker may carry one out seconds later, after newer ones (PROTOCOL): a run that should go at full speed then stayed throttled or paused, and one that should be throttled harmed the serving tasks beside it.

A pace that was ever ordered for a run is now ordered again every 2 s, as long as it runs: no list shows the pace itself, and no time is known after which an older order can't come any more. Runs never ordered a pace get none. An event is logged only if the pace changes.

Before the fix: test_lost_throttling_is_not_ordered_again: assertion failed (count_paces_in_10_s(&rig, 36) >= 4): (0 >= 4) test_throttling_carried_out_late_lasts: assertion failed (count_paces_in_10_s(&rig, 20) >= 4): (0 >= 4) test_paces_are_ordered_too_often (34 <= 5 with a time of 300 ms) and test_pace_is_ordered_for_a_run_at_full_speed (5 == 0 if such runs are included) pass before as well; they bound the orders.

--- a/lib/sched/sched_pace.c
+++ b/lib/sched/sched_pace.c
@@ -20,6 +20,10 @@
 /** Smaller pace changes, in percent of full speed, are not ordered. */
 #define PACE_CHANGE_MIN 10
 #define PACE_FULL 100
+/** A pace is ordered again after this time, since an order may be lost or be
+ * carried out after a newer one. Runs last some seconds, so that a wrong pace
+ * costs them little; several lists pass, so that the orders add little load. */
+#define PACE_REPEAT_US (2000 * GN_US_PER_MS)
 /** A task at or below this pace, in percent, for this long may be moved. */
 #define LOW_PACE 50
 #define LOW_PACE_US (800 * GN_US_PER_MS)
@@ -143,9 +147,10 @@
 				       .percent = percent };
 
 	gn_task_format_name(task->job->spec, task->number, name);
+	if (percent != task->pace_percent || !task->pace_ordered_us)
+		sched_emit_task_event(sched, "pace", task, why, percent);
 	task->pace_percent = percent;
 	task->pace_ordered_us = sched_now_us(sched);
-	sched_emit_task_event(sched, "pace", task, why, percent);
 	sched->ops->send_order(sched->arg, task->worker->host, &order);
 }
 
@@ -164,13 +169,24 @@
 	return task->restored && !task->pace_ordered_us;
 }
 
+/* Whether the last pace order may have got lost or been undone by an older one.
+ * A run that was never ordered a pace has full speed. */
+static bool is_repeat_due(const gn_sched_t *sched, const sched_task_t *task)
+{
+	return task->pace_ordered_us &&
+	       sched_now_us(sched) - task->pace_ordered_us >= PACE_REPEAT_US;
+}
+
 static void set_pace(gn_sched_t *sched, sched_task_t *task, uint32_t wanted,
 		     const char *why)
 {
-	if (is_best_effort(task) &&
-	    (is_pace_unknown(task) ||
-	     is_significant_change(task->pace_percent, wanted)))
+	if (!is_best_effort(task))
+		return;
+	if (is_pace_unknown(task) ||
+	    is_significant_change(task->pace_percent, wanted))
 		order_pace(sched, task, wanted, why);
+	else if (is_repeat_due(sched, task))
+		order_pace(sched, task, task->pace_percent, why);
 }
 
 static void pause_best_effort(gn_sched_t *sched, const sched_worker_t *worker)
--- a/tests/unit/test_sched_fill.c
+++ b/tests/unit/test_sched_fill.c
@@ -155,6 +155,65 @@
 	rig_close(&rig);
 }
 
+/* Lists both runs for 10 s and returns the number of pace orders. */
+static unsigned count_paces_in_10_s(sched_rig_t *rig, uint32_t tail_ms)
+{
+	rig_clear(rig);
+	report_both_for_ms(rig, tail_ms, 10000);
+	return rig_count_orders(rig, GN_RUN_ORDER_PACE);
+}
+
+static void test_lost_throttling_is_not_ordered_again(void)
+{
+	sched_rig_t rig;
+	int throttled;
+
+	open_with_best_effort_beside_serving(&rig);
+	report_both(&rig, 36);
+	throttled = get_last_pace(&rig);
+	g_assert_cmpint(throttled, >, 0);
+	g_assert_cmpint(throttled, <, 100);
+	g_assert_cmpuint(count_paces_in_10_s(&rig, 36), >=, 4);
+	g_assert_cmpint(get_last_pace(&rig), ==, throttled);
+	rig_close(&rig);
+}
+
+/* The worker carries out the earlier order last. */
+static void test_throttling_carried_out_late_lasts(void)
+{
+	sched_rig_t rig;
+
+	open_with_best_effort_beside_serving(&rig);
+	report_both(&rig, 36);
+	report_both(&rig, 20);
+	g_assert_cmpint(get_last_pace(&rig), ==, 100);
+	g_assert_cmpuint(count_paces_in_10_s(&rig, 20), >=, 4);
+	g_assert_cmpint(get_last_pace(&rig), ==, 100);
+	rig_close(&rig);
+}
+
+static void test_paces_are_ordered_too_often(void)
+{
+	sched_rig_t rig;
+
+	open_with_best_effort_beside_serving(&rig);
+	report_both(&rig, 36);
+	g_assert_cmpuint(count_paces_in_10_s(&rig, 36), <=, 5);
+	report_both(&rig, 20);
+	g_assert_cmpint(get_last_pace(&rig), ==, 100);
+	g_assert_cmpuint(count_paces_in_10_s(&rig, 20), <=, 5);
+	rig_close(&rig);
+}
+
+static void test_pace_is_ordered_for_a_run_at_full_speed(void)
+{
+	sched_rig_t rig;
+
+	open_with_best_effort_beside_serving(&rig);
+	g_assert_cmpuint(count_paces_in_10_s(&rig, 20), ==, 0);
+	rig_close(&rig);
+}
+
 /* ======   Weights   ====== */
 
 /* Interference weights are stored with other writes for the next leader. */
@@ -202,6 +261,14 @@
 		test_best_effort_stays_paused_without_serving_tasks);
 	g_test_add_func("/sched_fill/new_leader_leaves_best_effort_paused",
 			test_new_leader_leaves_best_effort_paused);
+	g_test_add_func("/sched_fill/lost_throttling_is_not_ordered_again",
+			test_lost_throttling_is_not_ordered_again);
+	g_test_add_func("/sched_fill/throttling_carried_out_late_lasts",
+			test_throttling_carried_out_late_lasts);
+	g_test_add_func("/sched_fill/paces_are_ordered_too_often",
+			test_paces_are_ordered_too_often);
+	g_test_add_func("/sched_fill/pace_is_ordered_for_a_run_at_full_speed",
+			test_pace_is_ordered_for_a_run_at_full_speed);
 	g_test_add_func("/sched_fill/weights_are_stored",
 			test_weights_are_stored);
 	return g_test_run();
