sched: A pause ends although only a low pace is possible

Changes of a pace by less than 10 percent are not ordered. A run paused in an emergency therefore stayed paused after it as long as its wanted pace was below 10 percent, and did not get on at all if it can't be moved, since only runs with checkpoints are.

The repetition of a pace, every 2 s, now orders the pace that is wanted by then. Ordering each change from 0 at once was not chosen, since a pace that varies between 0 and a few percent would be ordered with each list.

Before the fix: test_best_effort_stays_paused_at_a_low_pace: assertion failed (get_highest_pace(&rig) > 0): (0 > 0)

--- a/lib/sched/sched_pace.c
+++ b/lib/sched/sched_pace.c
@@ -182,11 +182,11 @@
 {
 	if (!is_best_effort(task))
 		return;
-	if (is_pace_unknown(task) ||
+	/* A repetition also makes small changes, without which a run that was
+	 * paused would stay so while only a low pace is possible. */
+	if (is_pace_unknown(task) || is_repeat_due(sched, task) ||
 	    is_significant_change(task->pace_percent, wanted))
 		order_pace(sched, task, wanted, why);
-	else if (is_repeat_due(sched, task))
-		order_pace(sched, task, task->pace_percent, why);
 }
 
 static void pause_best_effort(gn_sched_t *sched, const sched_worker_t *worker)
--- a/tests/unit/test_sched_fill.c
+++ b/tests/unit/test_sched_fill.c
@@ -214,6 +214,33 @@
 	rig_close(&rig);
 }
 
+static uint32_t get_highest_pace(const sched_rig_t *rig)
+{
+	uint32_t highest = 0;
+
+	for (guint i = 0; i < rig->orders->len; i++) {
+		const rig_order_t *order =
+			&g_array_index(rig->orders, rig_order_t, i);
+
+		if (order->kind == GN_RUN_ORDER_PACE)
+			highest = MAX(highest, order->percent);
+	}
+	return highest;
+}
+
+/* The pause has ended, and the headroom allows a few percent of full speed. */
+static void test_best_effort_stays_paused_at_a_low_pace(void)
+{
+	sched_rig_t rig;
+
+	open_with_best_effort_beside_serving(&rig);
+	report_both_for_ms(&rig, 48, 1800);
+	g_assert_cmpint(get_last_pace(&rig), ==, 0);
+	count_paces_in_10_s(&rig, 48);
+	g_assert_cmpuint(get_highest_pace(&rig), >, 0);
+	rig_close(&rig);
+}
+
 /* ======   Weights   ====== */
 
 /* Interference weights are stored with other writes for the next leader. */
@@ -269,6 +296,8 @@
 			test_paces_are_ordered_too_often);
 	g_test_add_func("/sched_fill/pace_is_ordered_for_a_run_at_full_speed",
 			test_pace_is_ordered_for_a_run_at_full_speed);
+	g_test_add_func("/sched_fill/best_effort_stays_paused_at_a_low_pace",
+			test_best_effort_stays_paused_at_a_low_pace);
 	g_test_add_func("/sched_fill/weights_are_stored",
 			test_weights_are_stored);
 	return g_test_run();
