--- a/lib/sched/sched_pace.c
+++ b/lib/sched/sched_pace.c
@@ -20,6 +20,10 @@
 /** Smaller pace changes, in percent of full speed, are not ordered. */
 #define PACE_CHANGE_MIN 10
 #define PACE_FULL 100
+/** A pace is ordered again after this time, since an order may be lost or be
+ * carried out after a newer one. Runs last some seconds, so that a wrong pace
+ * costs them little; several lists pass, so that the orders add little load. */
+#define PACE_REPEAT_US (2000 * GN_US_PER_MS)
 /** A task at or below this pace, in percent, for this long may be moved. */
 #define LOW_PACE 50
 #define LOW_PACE_US (800 * GN_US_PER_MS)
@@ -143,8 +147,10 @@
 				       .percent = percent };
 
 	gn_task_format_name(task->job->spec, task->number, name);
+	if (percent != task->pace_percent || !task->pace_ordered_us)
+		sched_emit_task_event(sched, "pace", task, why, percent);
 	task->pace_percent = percent;
-	sched_emit_task_event(sched, "pace", task, why, percent);
+	task->pace_ordered_us = sched_now_us(sched);
 	sched->ops->send_order(sched->arg, task->worker->host, &order);
 }
 
@@ -157,14 +163,39 @@
 	       wanted >= current + PACE_CHANGE_MIN;
 }
 
+/* Whether a pace order of an earlier leader may still be in force. */
+static bool is_pace_unknown(const sched_task_t *task)
+{
+	return task->restored && !task->pace_ordered_us;
+}
+
+/* Whether the last pace order may have got lost or been undone by an older one.
+ * A run that was never ordered a pace has full speed. */
+static bool is_repeat_due(const gn_sched_t *sched, const sched_task_t *task)
+{
+	return task->pace_ordered_us &&
+	       sched_now_us(sched) - task->pace_ordered_us >= PACE_REPEAT_US;
+}
+
+static void set_pace(gn_sched_t *sched, sched_task_t *task, uint32_t wanted,
+		     const char *why)
+{
+	if (!is_best_effort(task))
+		return;
+	/* A repetition also makes small changes, without which a run that was
+	 * paused would stay so while only a low pace is possible. */
+	if (is_pace_unknown(task) || is_repeat_due(sched, task) ||
+	    is_significant_change(task->pace_percent, wanted))
+		order_pace(sched, task, wanted, why);
+}
+
 static void pause_best_effort(gn_sched_t *sched, const sched_worker_t *worker)
 {
 	for (guint i = 0; i < worker->claims->len; i++) {
 		sched_task_t *task = g_ptr_array_index(worker->claims, i);
 
-		if (is_best_effort(task) && task->pace_percent)
-			order_pace(sched, task, 0,
-				   "a tail latency stays over its target");
+		set_pace(sched, task, 0,
+			 "a tail latency stays over its target");
 	}
 }
 
@@ -177,11 +208,9 @@
 	}
 	for (size_t i = 0; i < mix->best_effort_count; i++) {
 		const sched_mix_best_effort_t *row = &mix->best_effort[i];
-		uint32_t wanted = (uint32_t)(PACE_FULL * row->pace);
 
-		if (is_best_effort(row->task) &&
-		    is_significant_change(row->task->pace_percent, wanted))
-			order_pace(sched, row->task, wanted, "headroom");
+		set_pace(sched, row->task, (uint32_t)(PACE_FULL * row->pace),
+			 "headroom");
 	}
 }
 
@@ -280,8 +309,9 @@
 {
 	sched_mix_t mix;
 
-	if (!worker->serving || !worker->best_effort ||
-	    !worker->capacity.cpu_milli)
+	/* Runs that were throttled beside serving tasks have to return to full
+	 * speed when the last of these has left. */
+	if (!worker->best_effort || !worker->capacity.cpu_milli)
 		return;
 	sched_mix_get(sched, worker, &mix);
 	update_paces(sched, worker, &mix);
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -397,36 +397,6 @@
 	rig_close(&rig);
 }
 
-/* Opens the fixture as a new leader's, with a claim for host "a", life "1". */
-static void open_with_stored_claim(sched_rig_t *rig, const rig_step_t *step,
-				   bool with_start_of_life)
-{
-	sched_rig_t first_leader;
-	gn_sched_write_t write;
-	Gn__JobRecord *record;
-
-	rig_open(&first_leader);
-	rig_report(&first_leader, "a", "1");
-	rig_submit(&first_leader, JOB, "batch", step, 1);
-	gn_sched_run_pass(first_leader.sched);
-	g_assert_cmpuint(gn_sched_begin_batch(first_leader.sched, &write, 1),
-			 ==, 1);
-	record = gn__job_record__unpack(NULL, write.len, write.value);
-	free(write.value);
-	rig_close(&first_leader);
-
-	g_assert_cmpuint(record->state->tasks[0]->born_ms, >, 0);
-	if (!with_start_of_life)
-		record->state->tasks[0]->born_ms = 0;
-	rig_open(rig);
-	g_assert_cmpint(
-		gn_sched_load_job(rig->sched, record->spec, record->state), ==,
-		GN_OK);
-	record->spec = NULL;
-	gn__job_record__free_unpacked(record, NULL);
-	gn_sched_finish_loading(rig->sched);
-}
-
 /*
  * A new leader ordered starts before it had a list, although the runs were
  * active. The executor of a draining worker refused them, so the tasks were
@@ -437,7 +407,7 @@
 {
 	sched_rig_t rig;
 
-	open_with_stored_claim(&rig, &one_task, true);
+	rig_open_with_stored_claim(&rig, &one_task, true);
 	rig_report_stale_list(&rig, "a", "1", 100);
 	rig_advance_ms(&rig, 400);
 	g_assert_cmpuint(rig_count_orders(&rig, GN_RUN_ORDER_START), ==, 0);
@@ -451,7 +421,7 @@
 {
 	sched_rig_t rig;
 
-	open_with_stored_claim(&rig, &one_task, false);
+	rig_open_with_stored_claim(&rig, &one_task, false);
 	rig_report_run(&rig, "a", "1", TASK, 1);
 	rig_store(&rig);
 	rig_advance_ms(&rig, 400);
@@ -465,7 +435,7 @@
 {
 	sched_rig_t rig;
 
-	open_with_stored_claim(&rig, &one_task, false);
+	rig_open_with_stored_claim(&rig, &one_task, false);
 	rig_report_run(&rig, "a", "1", TASK, 1);
 	rig_restart_worker(&rig, "a");
 	rig_report(&rig, "a", "1");
@@ -477,7 +447,7 @@
 {
 	sched_rig_t rig;
 
-	open_with_stored_claim(&rig, &one_task, true);
+	rig_open_with_stored_claim(&rig, &one_task, true);
 	rig_restart_worker(&rig, "a");
 	rig_report(&rig, "a", "1");
 	check_that_stop_comes_first(&rig);
@@ -780,6 +750,75 @@
 	rig_close(&rig);
 }
 
+/* A member's worker restarts before its end is listed. */
+static void test_gang_hangs_when_a_claim_is_released_before_done(void)
+{
+	sched_rig_t rig;
+	char hosts[3][8];
+
+	rig_open(&rig);
+	rig_report(&rig, "a", "1");
+	rig_report(&rig, "b", "1");
+	rig_report(&rig, "c", "1");
+	rig_submit(&rig, JOB, "batch", &gang, 1);
+	rig_store(&rig);
+	for (unsigned i = 0; i < 3; i++)
+		g_strlcpy(hosts[i], get_host(&rig, i), sizeof(hosts[i]));
+	rig_report(&rig, hosts[1], "2");
+	rig_report_end(&rig, hosts[0], "1", JOB ".0.0.0", 1, GN_END_DONE);
+	rig_report_end(&rig, hosts[2], "1", JOB ".0.0.2", 1, GN_END_DONE);
+	rig_clear(&rig);
+	for (unsigned ms = 0; ms < 30000; ms += 300) {
+		rig_report(&rig, hosts[0], "1");
+		rig_report(&rig, hosts[1], "2");
+		rig_report(&rig, hosts[2], "1");
+		rig_advance_ms(&rig, 300);
+		rig_store(&rig);
+	}
+	g_assert_cmpuint(rig_count_orders(&rig, GN_RUN_ORDER_START), ==, 0);
+	g_assert_cmpint(rig_phase(&rig, JOB), ==, GN_JOB_COMPLETED);
+	rig_close(&rig);
+}
+
+/* Ends the running attempt of the gang by the expiry of its leases. */
+static void expire_gang(sched_rig_t *rig)
+{
+	rig_advance_ms(rig, 2 * RIG_LEASE_MS);
+	g_assert_cmpuint(gn_sched_stats(rig->sched).claims, ==, 0);
+}
+
+static void test_gang_runs_again_although_listed_as_done_late(void)
+{
+	sched_rig_t rig;
+
+	open_with_running_gang(&rig);
+	expire_gang(&rig);
+	rig_report_end(&rig, "a", "1", JOB ".0.0.1", 1, GN_END_DONE);
+	g_assert_cmpint(rig_phase(&rig, JOB), ==, GN_JOB_COMPLETED);
+	rig_store(&rig);
+	g_assert_cmpuint(rig_count_orders(&rig, GN_RUN_ORDER_START), ==, 0);
+	rig_close(&rig);
+}
+
+static void test_end_of_an_earlier_attempt_completes_a_gang(void)
+{
+	sched_rig_t rig;
+
+	open_with_running_gang(&rig);
+	expire_gang(&rig);
+	rig_report(&rig, "a", "1");
+	rig_report(&rig, "b", "1");
+	rig_report(&rig, "c", "1");
+	rig_store(&rig);
+	g_assert_cmpuint(rig_count_orders(&rig, GN_RUN_ORDER_START), ==, 3);
+	rig_report_end(&rig, "a", "1", JOB ".0.0.0", 1, GN_END_DONE);
+	g_assert_cmpuint(gn_sched_stats(rig.sched).claims, ==, 3);
+	expire_gang(&rig);
+	rig_report_end(&rig, "b", "1", JOB ".0.0.1", 1, GN_END_DONE);
+	g_assert_cmpint(rig_phase(&rig, JOB), !=, GN_JOB_COMPLETED);
+	rig_close(&rig);
+}
+
 static void test_gang_fails_at_its_attempt_limit(void)
 {
 	sched_rig_t rig;
@@ -991,6 +1030,12 @@
 		  test_gang_stops_when_a_worker_restarts_under_its_id },
 		{ "gang_is_done_when_one_member_is",
 		  test_gang_is_done_when_one_member_is },
+		{ "gang_hangs_when_a_claim_is_released_before_done",
+		  test_gang_hangs_when_a_claim_is_released_before_done },
+		{ "gang_runs_again_although_listed_as_done_late",
+		  test_gang_runs_again_although_listed_as_done_late },
+		{ "end_of_an_earlier_attempt_completes_a_gang",
+		  test_end_of_an_earlier_attempt_completes_a_gang },
 		{ "advised_step_starts_only_with_a_ticket",
 		  test_advised_step_starts_only_with_a_ticket },
 		{ "advice_is_requested_again", test_advice_is_requested_again },
