sched: bounds of leases never decrease, and runs that vanish are stopped

Two faults that the random walk of leader, executors and workers found, with a test each.

A new leader waits for the leases of the earlier one, L + D, but the first report of an executor replaced that bound by L. The bounds now only grow.

Tests before the change: first_report_shortens_the_leases_of_an_earlier_leader (START should be NULL), run_that_vanished_from_the_lists_keeps_its_claim (STOP should not be NULL).

--- a/lib/sched/sched_claim.c
+++ b/lib/sched/sched_claim.c
@@ -286,6 +286,7 @@
 		return;
 	task->listed = true;
 	task->first_listed_us = sched_now_us(job->sched);
+	task->last_listed_us = task->first_listed_us;
 }
 
 /* Updates the health of the worker from the outcome of a run. */
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -20,6 +20,9 @@
 #define SCHED_REPORT_TIMEOUT_US (1200 * GN_US_PER_MS)
 /** Pause in placement on a worker that refused a task for lack of resources. */
 #define SCHED_FULL_BACKOFF_US (200 * GN_US_PER_MS)
+/** A confirmed run that no list has shown for this long may be gone. Lists are
+ * requested again within about a second. */
+#define SCHED_MISSING_US (1500 * GN_US_PER_MS)
 /** Executors extend no lease by a clock reading older than this. */
 #define SCHED_CLOCK_READING_MAX_US (1000 * GN_US_PER_MS)
 /** A worker's clock may be slow by one part in this many. */
@@ -51,6 +54,7 @@
 	uint64_t last_order_us; /**< Time of the last order. */
 	/** Time at which the run was first listed. */
 	uint64_t first_listed_us;
+	uint64_t last_listed_us; /**< Time at which it was last listed. */
 	uint64_t claimed_us;
 	uint32_t pace_percent; /**< Ordered pace, percent of full speed. */
 	/** Time of the last pace order for this claim; 0 if none. */
--- a/lib/sched/sched_worker.c
+++ b/lib/sched/sched_worker.c
@@ -296,6 +296,7 @@
 		return;
 	}
 	sched_mark_started(task);
+	task->last_listed_us = sched_now_us(sched);
 	/* Stored only with the job's next change. */
 	sched_set_checkpoint(task, run->checkpoint);
 	task->previous_reading = task->last_reading;
@@ -315,6 +316,29 @@
 		sched->changed = true;
 }
 
+/*
+ * Stops the runs that were confirmed and that the worker no longer lists, nor
+ * their ends: the worker was told to discard an end that nobody has seen. The
+ * stop shows whether they are gone, and without it their claims would last for
+ * ever.
+ */
+static void stop_missing_runs(gn_sched_t *sched, sched_worker_t *worker,
+			      const Gn__WorkerReport *report)
+{
+	uint64_t now_us = sched_now_us(sched);
+
+	/* A long list of ends may have been cut. */
+	if (report->n_ends)
+		return;
+	for (guint i = 0; i < worker->claims->len; i++) {
+		sched_task_t *task = g_ptr_array_index(worker->claims, i);
+
+		if (task->listed &&
+		    now_us - task->last_listed_us >= SCHED_MISSING_US)
+			sched_stop_run(task, "no longer listed");
+	}
+}
+
 /* ======   Ends   ====== */
 
 /* Whether a run had succeeded before its claim was released, so that the task
@@ -425,14 +449,18 @@
 	uint64_t now_us = sched_now_us(sched);
 	uint64_t age_us = (uint64_t)report->list_age_ms * GN_US_PER_MS;
 
-	worker->report_expiry_us = now_us + get_longest_lease_us(sched);
+	/* An earlier leader may still have leases extended after a new one has
+	 * received a report, so the bounds never decrease. */
+	worker->report_expiry_us = MAX(worker->report_expiry_us,
+				       now_us + get_longest_lease_us(sched));
 	/* Without a list, the executor has not extended any lease. */
 	if (report->list_age_ms == UINT32_MAX)
 		return;
 	worker->last_list_us = age_us < now_us ? now_us - age_us : 0;
-	worker->list_expiry_us = worker->last_list_us +
-				 SCHED_CLOCK_READING_MAX_US +
-				 get_longest_lease_us(sched);
+	worker->list_expiry_us =
+		MAX(worker->list_expiry_us,
+		    worker->last_list_us + SCHED_CLOCK_READING_MAX_US +
+			    get_longest_lease_us(sched));
 }
 
 uint64_t gn_sched_handle_report(gn_sched_t *sched,
@@ -461,6 +489,7 @@
 		for (size_t i = 0; i < report->n_ends; i++)
 			handle_listed_end(sched, worker, report->ends[i]);
 		handle_runs(sched, worker, report);
+		stop_missing_runs(sched, worker, report);
 		worker->has_listed = true;
 		sched_learn_from_worker(sched, worker);
 		sched_pace_worker(sched, worker);
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -417,6 +417,44 @@
 	rig_close(&rig);
 }
 
+/* The earlier leader may answer the executor until it knows of this one. */
+static void test_first_report_shortens_the_leases_of_an_earlier_leader(void)
+{
+	sched_rig_t rig;
+
+	rig_open_with_stored_claim(&rig, &one_task, true);
+	rig_report_run(&rig, "a", "1", TASK, 1);
+	for (unsigned ms = 0; ms < RIG_LEASE_MS + RIG_DEPOSE_MS; ms += 200) {
+		rig_report(&rig, "b", "1");
+		rig_store(&rig);
+		rig_advance_ms(&rig, 200);
+	}
+	g_assert_null(rig_find_order(&rig, GN_RUN_ORDER_START, TASK));
+	rig_advance_ms(&rig, 600);
+	rig_report(&rig, "b", "1");
+	rig_store(&rig);
+	g_assert_nonnull(rig_find_order(&rig, GN_RUN_ORDER_START, TASK));
+	rig_close(&rig);
+}
+
+static void test_run_that_vanished_from_the_lists_keeps_its_claim(void)
+{
+	sched_rig_t rig;
+
+	rig_open_with_running_task(&rig, &one_task);
+	for (unsigned ms = 0; ms < 1000; ms += 200) {
+		rig_advance_ms(&rig, 200);
+		rig_report(&rig, "a", "1");
+	}
+	g_assert_null(rig_find_order(&rig, GN_RUN_ORDER_STOP, TASK));
+	for (unsigned ms = 0; ms < 1000; ms += 200) {
+		rig_advance_ms(&rig, 200);
+		rig_report(&rig, "a", "1");
+	}
+	g_assert_nonnull(rig_find_order(&rig, GN_RUN_ORDER_STOP, TASK));
+	rig_close(&rig);
+}
+
 static void test_claim_of_an_older_build_is_kept(void)
 {
 	sched_rig_t rig;
@@ -996,6 +1034,10 @@
 		  test_success_of_an_earlier_attempt_is_ignored },
 		{ "run_without_a_claim_is_stopped_and_uses_capacity",
 		  test_run_without_a_claim_is_stopped_and_uses_capacity },
+		{ "first_report_shortens_the_leases_of_an_earlier_leader",
+		  test_first_report_shortens_the_leases_of_an_earlier_leader },
+		{ "run_that_vanished_from_the_lists_keeps_its_claim",
+		  test_run_that_vanished_from_the_lists_keeps_its_claim },
 		{ "new_leader_waits_for_a_list_before_orders",
 		  test_new_leader_waits_for_a_list_before_orders },
 		{ "claim_of_an_older_build_is_kept",
