scheduler: a leader denies a job only while its lease is renewed

An accepted job could be answered with 410 (LOST): a leader whose lease had expired answered "no such job" for jobs that its successor had accepted. Cause: the answer to a stored batch counted as if it had extended the lease of leadership, so the denial was allowed for a whole time to live after it.

Denials now ask when the lease was last renewed. Everything else goes on by what the store has confirmed, since a change takes effect only while the chain key is the leader's.

Test: stored_batch_extends_the_lease (the time of the renewal could not be read before).

--- a/lib/lead/lead.c
+++ b/lib/lead/lead.c
@@ -50,6 +50,8 @@
 	uint64_t due_us; /**< Earliest time of the next attempt to lead. */
 	gn_backoff_t backoff;
 	uint64_t confirmed_us;
+	uint64_t
+		renewed_us; /**< When the last renewal of the lease was sent. */
 };
 
 static uint64_t now_us(const gn_lead_t *lead)
@@ -235,6 +237,7 @@
 {
 	gn_lead_t *lead = context;
 
+	lead->renewed_us = sent_us;
 	if (lead->stage == STAGE_LEAD)
 		lead->confirmed_us = sent_us;
 }
@@ -332,6 +335,11 @@
 	return lead->confirmed_us;
 }
 
+uint64_t gn_lead_renewed_us(const gn_lead_t *lead)
+{
+	return lead->renewed_us;
+}
+
 uint64_t gn_lead_last_contact_us(const gn_lead_t *lead)
 {
 	return gn_kv_watch_last_answer_us(lead->watch);
--- a/lib/lead/lead.h
+++ b/lib/lead/lead.h
@@ -77,9 +77,14 @@
  */
 void gn_lead_confirm(gn_lead_t *lead, uint64_t sent_us);
 
-/** Returns when the last call that confirmed leadership was sent. */
+/** Returns when the last call that confirmed leadership was sent. There was no
+ * other leader then, but there may be one at any time since. */
 uint64_t gn_lead_confirmed_us(const gn_lead_t *lead);
 
+/** Returns when the last successful renewal of the lease was sent. There can be
+ * no other leader before its time to live has passed since then. */
+uint64_t gn_lead_renewed_us(const gn_lead_t *lead);
+
 /** Returns the time when the store last responded to a watch call; 0 if
  * never. */
 uint64_t gn_lead_last_contact_us(const gn_lead_t *lead);
--- a/lib/scheduler/calls.c
+++ b/lib/scheduler/calls.c
@@ -170,7 +170,7 @@
 		return gn_sched_count_waiting(scheduler->sched, call->queue);
 	}
 	if (reply.result == GN_RESULT_NOT_FOUND &&
-	    !scheduler_is_confirmed(scheduler)) {
+	    !scheduler_knows_all_jobs(scheduler)) {
 		reply.result = GN_RESULT_NOT_LEADER;
 		reply.reason = "store away";
 	}
--- a/lib/scheduler/leading.c
+++ b/lib/scheduler/leading.c
@@ -59,6 +59,16 @@
 	       ttl_us;
 }
 
+bool scheduler_knows_all_jobs(const scheduler_t *scheduler)
+{
+	uint64_t ttl_us = (uint64_t)scheduler->runtime->settings->lease_ttl_ms *
+			  GN_US_PER_MS;
+
+	/* A stored batch shows that there was no other leader when it was sent,
+	 * but does not extend the lease. */
+	return now_us(scheduler) - gn_lead_renewed_us(scheduler->lead) < ttl_us;
+}
+
 /* ======   Callbacks   ====== */
 
 static void send_order(void *arg, const char *host, const gn_run_order_t *order)
--- a/lib/scheduler/scheduler_internal.h
+++ b/lib/scheduler/scheduler_internal.h
@@ -182,6 +182,12 @@
  * live of its lease.
  */
 bool scheduler_is_confirmed(const scheduler_t *scheduler);
+/**
+ * Whether no other scheduler can lead, since the lease was renewed within its
+ * time to live. Otherwise a job that is unknown here may have been accepted by
+ * another leader.
+ */
+bool scheduler_knows_all_jobs(const scheduler_t *scheduler);
 /**
  * Places waiting tasks, sends the next write batch to the store and pending
  * orders to the executors. Does nothing unless this process serves.
--- a/tests/contract/test_lead.c
+++ b/tests/contract/test_lead.c
@@ -176,6 +176,29 @@
 }
 
 /* An outage of the store that suspends leases must not depose the leader. */
+/* A leader must not deny a job that its successor has accepted. */
+static void test_stored_batch_extends_the_lease(void)
+{
+	rig_t rig = { 0 };
+	scheduler_t *deposed;
+	uint64_t now_us;
+
+	rig_open_all(&rig);
+	run_ms(&rig, 500);
+	deposed = find_leader(&rig);
+	fake_kv_faults(deposed->fake)->cut = true;
+	run_ms(&rig, TTL_MS / 2);
+	/* The answer to a batch that was stored came before the cut. */
+	gn_lead_confirm(deposed->lead, gn_clock_now_us(&rig.clock));
+	run_ms(&rig, TTL_MS);
+	now_us = gn_clock_now_us(&rig.clock);
+	g_assert_cmpuint(now_us - gn_lead_confirmed_us(deposed->lead), <=,
+			 TTL_MS * GN_US_PER_MS);
+	g_assert_cmpuint(now_us - gn_lead_renewed_us(deposed->lead), >,
+			 TTL_MS * GN_US_PER_MS);
+	rig_close_all(&rig);
+}
+
 static void test_outage_deposes_nobody(void)
 {
 	rig_t rig = { 0 };
@@ -405,6 +428,8 @@
 			test_dead_leader_is_replaced);
 	g_test_add_func("/lead/returning_leader_follows",
 			test_returning_leader_follows);
+	g_test_add_func("/lead/stored_batch_extends_the_lease",
+			test_stored_batch_extends_the_lease);
 	g_test_add_func("/lead/outage_deposes_nobody",
 			test_outage_deposes_nobody);
 	g_test_add_func("/lead/resigned_leader_is_replaced_at_once",
