--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 STANDINS := $(patsubst tests/standin/%.c,$(BUILD)/tests/standin/%,$(sort $(wildcard tests/standin/*.c)))
 TESTS := $(patsubst %.c,$(BUILD)/%,$(sort $(wildcard tests/unit/test_*.c tests/contract/test_*.c \
 	platform/tests/test_*.c)))
-SOAK_PARTS := platform/soak/http.c platform/soak/judge.c
+SOAK_PARTS := platform/soak/http.c platform/soak/judge.c platform/soak/runs.c
 SOAK := $(patsubst %.c,$(BUILD)/%,$(sort $(filter-out $(SOAK_PARTS),$(wildcard platform/soak/*.c))))
 BENCHES := $(patsubst %.c,$(BUILD)/%,$(sort $(wildcard tests/bench/*.c)))
 
