soak: faults in series, jobs that stand or are cancelled, open connections

Cause: the faults came one at a time, a stop held up the whole soak until the process had ended, and each call opened a connection. No caller thus met a scheduler that stops, no job had to last, none was cancelled, and no worker came back under its ID.

Change: the faults come in series that overlap; SIGHUP, restarts and new configurations are among them. A stop runs beside the other faults, with its whole grace time; a daemon that outlasts it, or that ends by itself, is a failure. Callers are threads with open connections, and a request that a scheduler read and left without an answer is one, too, unless the process was killed: the kernel resets a connection with unread data, so a plain close shows that the request was read.

--- a/Makefile
+++ b/Makefile
@@ -34,8 +34,9 @@
 STANDINS := $(patsubst tests/standin/%.c,$(BUILD)/tests/standin/%,$(sort $(wildcard tests/standin/*.c)))
 TESTS := $(patsubst %.c,$(BUILD)/%,$(sort $(wildcard tests/unit/test_*.c tests/contract/test_*.c \
 	platform/tests/test_*.c)))
-SOAK_PARTS := platform/soak/http.c platform/soak/judge.c platform/soak/runs.c
-SOAK := $(patsubst %.c,$(BUILD)/%,$(sort $(filter-out $(SOAK_PARTS),$(wildcard platform/soak/*.c))))
+SOAK_MAINS := platform/soak/soak.c platform/soak/store.c platform/soak/worker.c
+SOAK_PARTS := $(filter-out $(SOAK_MAINS),$(sort $(wildcard platform/soak/*.c)))
+SOAK := $(SOAK_MAINS:%.c=$(BUILD)/%)
 BENCHES := $(patsubst %.c,$(BUILD)/%,$(sort $(wildcard tests/bench/*.c)))
 
 SOURCES := $(filter-out %.pb-c.c %.pb-c.h,$(sort $(wildcard lib/*.h lib/*/*.[ch] \
