--- a/lib/executor/executor_internal.h
+++ b/lib/executor/executor_internal.h
@@ -7,8 +7,8 @@
  * the leader's answers to its reports allow. Each extension counts from the
  * time when the answered report was sent.
  *
- * The worker is the backend server that the executor serves. A life identifies
- * one lifetime of the worker, from a start to its end.
+ * The worker is the backend server that the executor serves. A life is one
+ * lifetime of the worker, from a start to its end (job/life.h).
  */
 #ifndef GN_EXECUTOR_INTERNAL_H
 #define GN_EXECUTOR_INTERNAL_H
@@ -22,11 +22,20 @@
 #include "executor/orders.h"
 #include "http/client.h"
 #include "http/server.h"
+#include "job/life.h"
 #include "platform/kv_http.h"
 #include "wire/link.h"
 
 typedef struct executor_s executor_t;
 
+/** A request for the worker's list, repeated when it has ended. */
+typedef struct executor_list_s {
+	executor_t *executor;
+	bool pending; /**< The request is in progress. */
+	uint64_t sent_us; /**< Time of the last request. */
+	unsigned attempts; /**< Requests since the last list. */
+} executor_list_t;
+
 /** Number of recent reports whose answers are still accepted. */
 #define EXECUTOR_REPORT_HISTORY 64
 
@@ -44,19 +53,24 @@
 
 	gn_worker_notice_t notice; /**< Newest heartbeat of the worker. */
 	bool worker_known; /**< A heartbeat was received. */
-	bool worker_left; /**< The worker announced the end of its life. */
+	/** The worker announced the end of its life; it may work on a while. */
+	bool worker_left;
+	bool worker_ended; /**< The process of a worker that left has ended. */
 	/** Time of the first heartbeat that says draining; 0 if none does. */
 	uint64_t worker_draining_us;
 	gn_grant_t grant; /**< Clock and lease of the worker. */
 
 	/* ======   List of the worker   ====== */
 
-	bool list_pending; /**< A request for the list is in progress. */
-	uint64_t list_sent_us; /**< Time of the last request for the list. */
-	uint64_t list_due_us; /**< Earliest time of the next request. */
-	unsigned list_attempts; /**< Requests since the last list. */
+	/** Request that the worker answers as soon as a run ends. */
+	executor_list_t waiting_list;
+	/** Request answered at once, for orders that await a list. */
+	executor_list_t prompt_list;
+	uint64_t list_due_us; /**< Earliest time of the next waiting list. */
 	bool list_unreported; /**< The leader hasn't been sent this list yet. */
 	TALLOC_CTX *list; /**< Owner of the runs and ends. */
+	/** Reading of the worker's clock in this list; 0 without a list. */
+	uint64_t list_clock_ms;
 	Gn__WorkerRun **runs;
 	size_t run_count;
 	Gn__WorkerEnd **ends; /**< In the order of their numbers. */
@@ -85,7 +99,6 @@
 	uint64_t sent_us[EXECUTOR_REPORT_HISTORY];
 	uint64_t reported_us; /**< Time of the last report; 0 sends one soon. */
 	bool report_due; /**< Something changed; don't wait for the interval. */
-	uint64_t worker_left_us; /**< Time when worker_left was set. */
 };
 
 /** Returns the time on the executor's clock. */
@@ -95,6 +108,8 @@
 
 /** Handles the worker's heartbeats and requests for the state dump. */
 void executor_on_http(void *arg, gn_http_request_t *request);
+/** Returns the worker's life; its ID is empty before the first heartbeat. */
+gn_life_t executor_get_life(const executor_t *executor);
 /** Requests the worker's list when it is due. */
 void executor_worker_tick(executor_t *executor);
 /**
@@ -104,6 +119,16 @@
  */
 bool executor_call_worker(executor_t *executor, gn_worker_call_t *call,
 			  unsigned timeout_ms, gn_http_done_t done, void *arg);
+/**
+ * Parses the response to a call of @p kind. One of another life than the known
+ * one counts as unanswered and has no clock: a call names the ID only, so a
+ * later life with this ID may have answered it, or an earlier one.
+ * @param parent talloc parent of the runs and ends
+ */
+void executor_read_answer(const executor_t *executor, TALLOC_CTX *parent,
+			  gn_worker_call_kind_t kind,
+			  const gn_http_call_t *http,
+			  gn_worker_answer_t *answer);
 /** Records the worker's clock from a response to any call. */
 void executor_record_clock(executor_t *executor,
 			   const gn_worker_answer_t *answer);
--- a/lib/executor/leader.c
+++ b/lib/executor/leader.c
@@ -19,8 +19,6 @@
 #define LOOKUP_INTERVAL_US (400 * GN_US_PER_MS)
 /** A returning scheduler is reconnected to within this, milliseconds. */
 #define RECONNECT_MS 400
-/** The runs of a worker that left are over after this. */
-#define WORKER_LEFT_DELAY_US (500 * GN_US_PER_MS)
 
 /* ======   Orders   ====== */
 
@@ -98,7 +96,8 @@
 		request_schedulers(executor);
 	gn_grant_record_answer(&executor->grant,
 			       get_sent_us(executor, message->sequence));
-	if (!strcmp(message->life, executor->notice.life) &&
+	if (gn_life_matches((gn_life_t){ message->life, message->born_ms },
+			    executor_get_life(executor)) &&
 	    message->ends_stored > executor->ends_stored) {
 		executor->ends_stored = message->ends_stored;
 		executor->list_due_us = 0;
@@ -138,14 +137,6 @@
 	report->remaining_ms = notice->remaining_ms;
 }
 
-/* Whether the worker left so long ago that its runs are over. */
-static bool is_worker_gone(const executor_t *executor)
-{
-	return executor->worker_left &&
-	       executor_now_us(executor) - executor->worker_left_us >=
-		       WORKER_LEFT_DELAY_US;
-}
-
 /* Returns UINT32_MAX if this process has no list of the worker's life. */
 static uint32_t get_list_age_ms(const executor_t *executor)
 {
@@ -161,7 +152,7 @@
 static void add_list(executor_t *executor, Gn__WorkerReport *report)
 {
 	report->list_age_ms = get_list_age_ms(executor);
-	report->left = is_worker_gone(executor);
+	report->left = executor->worker_ended;
 	report->listed = executor->list_unreported && !executor->worker_left;
 	report->ends = executor->ends;
 	report->n_ends = executor->end_count;
--- a/lib/executor/orders.c
+++ b/lib/executor/orders.c
@@ -8,10 +8,8 @@
 
 /** Delay before a call is repeated. */
 #define RETRY_DELAY_US (80 * GN_US_PER_MS)
-/**
- * Maximum number of calls for a pace, which the leader orders again if the next
- * list shows another speed, and for a start that the worker doesn't carry out.
- */
+/** Maximum number of calls for a pace, and for a start that the worker doesn't
+ * carry out. */
 #define TRIES_MAX 5
 /** Size of the key of an order with its terminator, bytes. */
 #define KEY_SIZE (GN_TASK_NAME_SIZE + 16)
@@ -21,7 +19,7 @@
 	gn_grant_t *grant;
 	const gn_orders_ops_t *ops;
 	void *arg;
-	char *life; /**< Life of the worker; free with g_free(). */
+	gn_life_t life; /**< Life of the worker; interned ID. */
 	bool refuses_starts; /**< The worker is leaving. */
 	/** gn_order_t by "TASK ATTEMPT", or by "pTASK ATTEMPT" for a pace. */
 	GHashTable *table;
@@ -47,7 +45,6 @@
 static int free_orders(gn_orders_t *orders)
 {
 	g_hash_table_destroy(orders->table);
-	g_free(orders->life);
 	return 0;
 }
 
@@ -63,7 +60,7 @@
 	orders->grant = grant;
 	orders->ops = ops;
 	orders->arg = arg;
-	orders->life = g_strdup("");
+	orders->life.id = "";
 	orders->table = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					      free_order);
 	talloc_set_destructor(orders, free_orders);
@@ -126,31 +123,26 @@
 	order->stop_outcome = outcome;
 	order->tries = 0;
 	order->awaits_list = false;
+	order->check_only = false;
 	send_order(order);
 }
 
-/*
- * Reports @p outcome only once a list requested from now on doesn't show the
- * run, since an earlier executor process may have started it.
- */
-static void await_list(gn_order_t *order, gn_run_order_outcome_t outcome)
+static void await_list(gn_order_t *order)
 {
-	order->kind = GN_RUN_ORDER_STOP;
-	order->stop_outcome = outcome;
 	order->awaits_list = true;
-	order->check_only = true;
 	order->awaits_list_since_us = get_now_us(order->orders);
 }
 
-/* The last call certainly had no effect; an unanswered one may still. */
-static void fail_start(gn_order_t *order, gn_run_order_outcome_t outcome)
+/*
+ * Waits for a list that shows whether the run is there, since an earlier order
+ * or executor process may have started it.
+ */
+static void check_run(gn_order_t *order, gn_run_order_outcome_t outcome)
 {
-	if (order->start_unanswered)
-		convert_to_stop(order, outcome);
-	else if (outcome == GN_ORDER_OUTCOME_NOT_STARTED)
-		await_list(order, outcome);
-	else
-		finish_order(order, outcome);
+	order->kind = GN_RUN_ORDER_STOP;
+	order->stop_outcome = outcome;
+	order->check_only = true;
+	await_list(order);
 }
 
 /* ======   Responses   ====== */
@@ -162,36 +154,33 @@
 		finish_order(order, GN_ORDER_OUTCOME_STARTED);
 		break;
 	case GN_WORKER_UNANSWERED:
-		order->start_unanswered = true;
-		schedule_retry(order);
-		break;
 	case GN_WORKER_UNSENT:
 	case GN_WORKER_LEASE_EXPIRED:
 	case GN_WORKER_FENCED:
 		if (order->tries >= TRIES_MAX)
-			fail_start(order, GN_ORDER_OUTCOME_NOT_STARTED);
+			check_run(order, GN_ORDER_OUTCOME_NOT_STARTED);
 		else
 			schedule_retry(order);
 		break;
 	case GN_WORKER_FULL:
-		fail_start(order, GN_ORDER_OUTCOME_NO_ROOM);
+		convert_to_stop(order, GN_ORDER_OUTCOME_NO_ROOM);
 		break;
 	case GN_WORKER_RUN_OVER:
 		/* The next list shows the run's end, unless it is gone. */
-		await_list(order, GN_ORDER_OUTCOME_GONE);
+		check_run(order, GN_ORDER_OUTCOME_GONE);
 		break;
 	case GN_WORKER_NO_TICKET:
-		fail_start(order, GN_ORDER_OUTCOME_NO_TICKET);
+		convert_to_stop(order, GN_ORDER_OUTCOME_NO_TICKET);
 		break;
 	case GN_WORKER_MALFORMED:
-		fail_start(order, GN_ORDER_OUTCOME_MALFORMED);
+		convert_to_stop(order, GN_ORDER_OUTCOME_MALFORMED);
 		break;
 	case GN_WORKER_LIFE_ENDED:
 		/* No earlier call can take effect, as that life is over. */
 		finish_order(order, GN_ORDER_OUTCOME_NOT_STARTED);
 		break;
 	case GN_WORKER_UNHEALTHY:
-		fail_start(order, GN_ORDER_OUTCOME_NOT_STARTED);
+		check_run(order, GN_ORDER_OUTCOME_NOT_STARTED);
 		break;
 	}
 }
@@ -201,8 +190,7 @@
 	switch (outcome) {
 	case GN_WORKER_OK:
 	case GN_WORKER_RUN_OVER:
-		order->awaits_list = true;
-		order->awaits_list_since_us = get_now_us(order->orders);
+		await_list(order);
 		break;
 	case GN_WORKER_LIFE_ENDED:
 		finish_order(order, GN_ORDER_OUTCOME_GONE);
@@ -218,7 +206,10 @@
 			 outcome == GN_WORKER_UNSENT ||
 			 outcome == GN_WORKER_UNHEALTHY;
 
-	if (retryable && order->tries < TRIES_MAX)
+	/* A pace ordered during the call replaces the one that was sent. */
+	if (order->percent != order->sent_percent)
+		send_order(order);
+	else if (retryable && order->tries < TRIES_MAX)
 		schedule_retry(order);
 	else
 		remove_order(order);
@@ -269,8 +260,9 @@
 	gn_order_call_t *sent;
 
 	if (order->kind == GN_RUN_ORDER_START &&
-	    !gn_grant_may_start(order->basis_us, now_us)) {
-		fail_start(order, GN_ORDER_OUTCOME_NOT_STARTED);
+	    (orders->refuses_starts ||
+	     !gn_grant_may_start(order->basis_us, now_us))) {
+		check_run(order, GN_ORDER_OUTCOME_NOT_STARTED);
 		return;
 	}
 	if (order->kind == GN_RUN_ORDER_START) {
@@ -289,6 +281,7 @@
 	sent->sent_us = now_us;
 	order->tries++;
 	order->calls++;
+	order->sent_percent = order->percent;
 	order->call_pending = orders->ops->send_call(
 		orders->arg, &call, gn_attempt_timeout_ms(order->tries), sent);
 	if (!order->call_pending) {
@@ -335,10 +328,8 @@
 		return;
 	}
 	order = create_order(orders, message, basis_us);
-	if (strcmp(message->life, orders->life) != 0)
+	if (strcmp(message->life, orders->life.id) != 0)
 		finish_order(order, GN_ORDER_OUTCOME_NOT_STARTED);
-	else if (orders->refuses_starts)
-		fail_start(order, GN_ORDER_OUTCOME_NOT_STARTED);
 	else
 		send_order(order);
 }
@@ -352,7 +343,6 @@
 	if (!order) {
 		send_order(create_order(orders, message, basis_us));
 	} else if (order->check_only) {
-		order->check_only = false;
 		convert_to_stop(order, GN_ORDER_OUTCOME_GONE);
 	} else if (order->kind == GN_RUN_ORDER_START) {
 		if (order->call_pending)
@@ -380,8 +370,15 @@
 void gn_orders_handle(gn_orders_t *orders, const Gn__WorkerOrder *message,
 		      uint64_t basis_us)
 {
+	const gn_life_t life = { message->life, message->born_ms };
+
 	/* Without a life, there is no worker yet. */
-	if (!*orders->life || strlen(message->task) >= GN_TASK_NAME_SIZE)
+	if (!*orders->life.id || strlen(message->task) >= GN_TASK_NAME_SIZE)
+		return;
+	/* A call for the earlier life may yet start the run in this one. The
+	 * leader stops it first when it learns of this life. */
+	if (gn_life_same_id(life, orders->life) &&
+	    !gn_life_matches(life, orders->life))
 		return;
 	switch ((gn_run_order_kind_t)message->kind) {
 	case GN_RUN_ORDER_START:
@@ -433,6 +430,24 @@
 	return false;
 }
 
+/* Decides an order by a list that was requested after its last call. */
+static void decide_by_list(gn_order_t *order, const gn_worker_answer_t *list)
+{
+	if (is_listed(list, order)) {
+		if (order->check_only)
+			finish_order(order, GN_ORDER_OUTCOME_STARTED);
+	} else if (is_end_listed(list, order)) {
+		remove_order(order);
+	} else if (order->check_only &&
+		   order->stop_outcome != GN_ORDER_OUTCOME_GONE) {
+		/* Closes the attempt at the worker: a repeated order or a late
+		 * call could still start it after the claim's release. */
+		convert_to_stop(order, order->stop_outcome);
+	} else {
+		finish_order(order, order->stop_outcome);
+	}
+}
+
 void gn_orders_handle_list(gn_orders_t *orders, const gn_worker_answer_t *list,
 			   uint64_t sent_us)
 {
@@ -441,22 +456,29 @@
 	for (GList *item = all; item; item = item->next) {
 		gn_order_t *order = item->data;
 
-		if (!order->awaits_list ||
-		    sent_us < order->awaits_list_since_us)
-			continue;
-		if (is_listed(list, order)) {
-			if (order->check_only)
-				finish_order(order, GN_ORDER_OUTCOME_STARTED);
-			continue;
-		}
-		if (is_end_listed(list, order))
-			remove_order(order);
-		else
-			finish_order(order, order->stop_outcome);
+		if (order->awaits_list &&
+		    sent_us >= order->awaits_list_since_us)
+			decide_by_list(order, list);
 	}
 	g_list_free(all);
 }
 
+uint64_t gn_orders_list_needed_since_us(const gn_orders_t *orders)
+{
+	uint64_t since_us = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, orders->table);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const gn_order_t *order = value;
+
+		if (order->awaits_list)
+			since_us = MAX(since_us, order->awaits_list_since_us);
+	}
+	return since_us;
+}
+
 /* ======   Lives   ====== */
 
 static void drop_all(gn_orders_t *orders)
@@ -478,11 +500,11 @@
 	g_list_free(all);
 }
 
-void gn_orders_begin_life(gn_orders_t *orders, const char *life)
+void gn_orders_begin_life(gn_orders_t *orders, gn_life_t life)
 {
 	drop_all(orders);
-	g_free(orders->life);
-	orders->life = g_strdup(life);
+	orders->life.id = g_intern_string(life.id);
+	orders->life.started_ms = life.started_ms;
 	orders->refuses_starts = false;
 }
 
--- a/lib/executor/orders.h
+++ b/lib/executor/orders.h
@@ -7,11 +7,14 @@
  * leader leave through callbacks. Time is read from a clock that tests can
  * pause.
  *
- * Starts are idempotent, so a start is repeated until a response arrives. If
- * one is refused after an earlier call went unanswered, that call may still
- * take effect late. Then the run is stopped first, which makes the worker
- * refuse the start from then on. No start is sent long after the leader ordered
- * it, since the leader may have given up the claim by then. A stopped run is
+ * Starts are idempotent, so a start is repeated until a response arrives. No
+ * start is sent long after the leader ordered it, since the leader may have
+ * given up the claim by then.
+ *
+ * The leader releases the claim of a start that is reported as refused, and may
+ * have repeated the order before it learns of the refusal. So the attempt is
+ * closed at the worker first: a stop makes the worker refuse this attempt from
+ * then on, whoever orders it, also after a restart of the executor. A run is
  * gone once a list requested after the stop doesn't show it.
  */
 #ifndef GN_EXECUTOR_ORDERS_H
@@ -22,6 +25,7 @@
 #include "adapter/adapter.h"
 #include "common/clock.h"
 #include "executor/grant.h"
+#include "job/life.h"
 
 typedef struct gn_orders_s gn_orders_t;
 
@@ -36,12 +40,11 @@
 	char *checkpoint; /**< Free with g_free(). */
 	char *ticket; /**< Free with g_free(). */
 	uint32_t percent; /**< Only for a pace: percent of full speed. */
+	uint32_t sent_percent; /**< The percent of the last call. */
 	bool call_pending; /**< A call for this order is in progress. */
-	/** An unanswered start may still take effect. */
-	bool start_unanswered;
 	/** No more calls are sent; a list decides the outcome. */
 	bool awaits_list;
-	/** No stop was sent, so the next list may show that the run started. */
+	/** Whether the run is there is unknown; it is kept if it is. */
 	bool check_only;
 	/** Stop the run, or drop the order, once the call has ended. */
 	bool cancelled;
@@ -94,7 +97,7 @@
  * Begins a life of the worker. Orders for the previous one are dropped without
  * an outcome, since its runs are over.
  */
-void gn_orders_begin_life(gn_orders_t *orders, const char *life);
+void gn_orders_begin_life(gn_orders_t *orders, gn_life_t life);
 
 /** Refuses new starts until the next life, because the worker is leaving. */
 void gn_orders_refuse_starts(gn_orders_t *orders);
@@ -114,6 +117,10 @@
 void gn_orders_handle_list(gn_orders_t *orders, const gn_worker_answer_t *list,
 			   uint64_t sent_us);
 
+/** Returns the time since which a list must be requested to decide all orders
+ * that await one; 0 if none does. */
+uint64_t gn_orders_list_needed_since_us(const gn_orders_t *orders);
+
 /** Sends the calls that are due. */
 void gn_orders_tick(gn_orders_t *orders);
 
--- a/lib/executor/worker.c
+++ b/lib/executor/worker.c
@@ -18,6 +18,12 @@
 /** Delay while ends are not stored yet, since the worker lists them at once. */
 #define LIST_ENDS_DELAY_US (60 * GN_US_PER_MS)
 
+gn_life_t executor_get_life(const executor_t *executor)
+{
+	return (gn_life_t){ executor->notice.life,
+			    executor->notice.life_started_ms };
+}
+
 /* ======   Calls   ====== */
 
 bool executor_call_worker(executor_t *executor, gn_worker_call_t *call,
@@ -54,8 +60,6 @@
 	executor->grant.granted_until_ms = 0;
 }
 
-/* ======   The list   ====== */
-
 static bool is_current_life(const executor_t *executor,
 			    const gn_worker_answer_t *answer)
 {
@@ -63,45 +67,83 @@
 	       answer->life_started_ms == executor->notice.life_started_ms;
 }
 
+void executor_read_answer(const executor_t *executor, TALLOC_CTX *parent,
+			  gn_worker_call_kind_t kind,
+			  const gn_http_call_t *http,
+			  gn_worker_answer_t *answer)
+{
+	executor->adapter->read_worker_answer(parent, kind, http, answer);
+	if (is_current_life(executor, answer))
+		return;
+	/* Each life has its own runs and its own clock. */
+	answer->outcome = GN_WORKER_UNANSWERED;
+	answer->clock_ms = 0;
+}
+
+/* ======   The list   ====== */
+
+/* Keeps a list unless a newer one came before, on another connection. */
 static void store_list(executor_t *executor, TALLOC_CTX *list,
 		       const gn_worker_answer_t *answer)
 {
-	bool has_ends = answer->end_count > 0;
-
+	if (answer->clock_ms < executor->list_clock_ms) {
+		talloc_free(list);
+		return;
+	}
 	talloc_free(executor->list);
 	executor->list = list;
+	executor->list_clock_ms = answer->clock_ms;
 	executor->runs = answer->runs;
 	executor->run_count = answer->run_count;
 	executor->ends = answer->ends;
 	executor->end_count = answer->end_count;
 	executor->list_unreported = true;
-	gn_orders_handle_list(executor->orders, answer, executor->list_sent_us);
-	if (has_ends)
+	if (answer->end_count)
 		executor->list_due_us =
 			executor_now_us(executor) + LIST_ENDS_DELAY_US;
 }
 
+/* Whether the answer to a call shows that a worker that left has ended. */
+static bool is_proof_of_end(gn_worker_call_outcome_t outcome)
+{
+	return outcome == GN_WORKER_UNSENT || outcome == GN_WORKER_LIFE_ENDED;
+}
+
+static void on_end(executor_t *executor)
+{
+	if (executor->worker_ended)
+		return;
+	gn_event("worker ended", "{s:s}", "life", executor->notice.life);
+	executor->worker_ended = true;
+	executor_report(executor);
+}
+
 static void on_list(void *arg, const gn_http_call_t *http)
 {
-	executor_t *executor = arg;
+	executor_list_t *request = arg;
+	executor_t *executor = request->executor;
 	TALLOC_CTX *list = talloc_new(executor);
 	gn_worker_answer_t answer;
 
-	executor->list_pending = false;
-	executor->adapter->read_worker_answer(list, GN_WORKER_LIST, http,
-					      &answer);
-	if (answer.outcome != GN_WORKER_OK || !executor->worker_known ||
-	    !is_current_life(executor, &answer)) {
+	request->pending = false;
+	executor_read_answer(executor, list, GN_WORKER_LIST, http, &answer);
+	if (executor->worker_left && is_proof_of_end(answer.outcome))
+		on_end(executor);
+	if (answer.outcome != GN_WORKER_OK || !executor->worker_known) {
 		executor->list_due_us =
 			executor_now_us(executor) + LIST_RETRY_DELAY_US;
 		talloc_free(list);
 		return;
 	}
 	executor_record_clock(executor, &answer);
-	executor->list_attempts = 0;
-	executor->list_due_us = 0;
+	request->attempts = 0;
+	executor->list_due_us =
+		executor->worker_left
+			? executor_now_us(executor) + LIST_RETRY_DELAY_US
+			: 0;
+	gn_orders_handle_list(executor->orders, &answer, request->sent_us);
 	store_list(executor, list, &answer);
-	if (answer.end_count)
+	if (executor->end_count)
 		executor_report(executor);
 }
 
@@ -112,25 +154,46 @@
 		       executor->ends_stored;
 }
 
-void executor_worker_tick(executor_t *executor)
+static void request_list(executor_list_t *request, unsigned wait_ms)
 {
+	executor_t *executor = request->executor;
 	uint64_t now_us = executor_now_us(executor);
-	gn_worker_call_t call = { .kind = GN_WORKER_LIST };
+	gn_worker_call_t call = { .kind = GN_WORKER_LIST,
+				  .wait_ms = wait_ms,
+				  .ends_stored = executor->ends_stored };
 
-	if (!executor->worker_known || executor->worker_left ||
-	    executor->list_pending || now_us < executor->list_due_us)
-		return;
-	if (!has_unstored_ends(executor))
-		call.wait_ms = LIST_WAIT_MS;
-	call.ends_stored = executor->ends_stored;
-	call.lease_until_ms =
-		gn_grant_extend_until_ms(&executor->grant, now_us);
-	executor->list_sent_us = now_us;
-	executor->list_attempts++;
-	executor->list_pending = executor_call_worker(
+	/* A worker that left is only asked whether it has ended. */
+	if (!executor->worker_left)
+		call.lease_until_ms =
+			gn_grant_extend_until_ms(&executor->grant, now_us);
+	request->sent_us = now_us;
+	request->attempts++;
+	request->pending = executor_call_worker(
 		executor, &call,
-		call.wait_ms + gn_attempt_timeout_ms(executor->list_attempts),
-		on_list, executor);
+		wait_ms + gn_attempt_timeout_ms(request->attempts), on_list,
+		request);
+}
+
+/* Whether no list was requested yet that could decide all orders. */
+static bool is_list_needed(const executor_t *executor)
+{
+	uint64_t since_us = gn_orders_list_needed_since_us(executor->orders);
+
+	return executor->waiting_list.sent_us < since_us &&
+	       executor->prompt_list.sent_us < since_us;
+}
+
+void executor_worker_tick(executor_t *executor)
+{
+	bool waits = !executor->worker_left && !has_unstored_ends(executor);
+
+	if (!executor->worker_known || executor->worker_ended)
+		return;
+	if (!executor->waiting_list.pending &&
+	    executor_now_us(executor) >= executor->list_due_us)
+		request_list(&executor->waiting_list, waits ? LIST_WAIT_MS : 0);
+	if (!executor->prompt_list.pending && is_list_needed(executor))
+		request_list(&executor->prompt_list, 0);
 }
 
 /* ======   Heartbeats   ====== */
@@ -142,18 +205,25 @@
 		 notice->life, "born_ms", (json_int_t)notice->life_started_ms,
 		 "service", notice->service, "rack", notice->rack, "cpu_milli",
 		 (int)notice->cpu_milli, "memory_mb", (int)notice->memory_mb);
-	gn_orders_begin_life(executor->orders, notice->life);
+	gn_orders_begin_life(
+		executor->orders,
+		(gn_life_t){ notice->life, notice->life_started_ms });
+	/* The leader would take them for results of this life. */
+	g_ptr_array_set_size(executor->results, 0);
 	gn_grant_reset(&executor->grant);
 	talloc_free(executor->list);
 	executor->list = NULL;
+	executor->list_clock_ms = 0;
 	executor->run_count = 0;
 	executor->end_count = 0;
 	executor->list_unreported = false;
 	executor->ends_stored = 0;
 	executor->worker_draining_us = 0;
 	executor->worker_left = false;
+	executor->worker_ended = false;
 	executor->list_due_us = 0;
-	executor->list_attempts = 0;
+	executor->waiting_list.attempts = 0;
+	executor->prompt_list.attempts = 0;
 }
 
 static void on_heartbeat(executor_t *executor, const gn_worker_notice_t *notice)
@@ -187,13 +257,15 @@
 
 static void on_leave(executor_t *executor, const gn_worker_notice_t *notice)
 {
+	const gn_life_t life = { notice->life, notice->life_started_ms };
+
 	if (!executor->worker_known ||
-	    strcmp(executor->notice.life, notice->life) != 0)
+	    !gn_life_matches(life, executor_get_life(executor)))
 		return;
 	gn_event("worker left", "{s:s}", "life", notice->life);
 	executor->worker_left = true;
 	gn_orders_refuse_starts(executor->orders);
-	executor->worker_left_us = executor_now_us(executor);
+	executor->list_due_us = 0;
 	executor_report(executor);
 }
 
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -10,14 +10,16 @@
  * A claim binds a task to a worker, so that no task runs twice at a time. A
  * start is ordered only once its claim is durable. A claim is released only
  * when its run is certain to have ended: the worker lists the end, the worker
- * has restarted with a new life, the worker has confirmed a stop, or the
- * longest lease that the worker can hold has expired. A worker may discard an
+ * has restarted with a new ID, the worker has confirmed a stop, or the longest
+ * lease that the worker can hold has expired. After a restart under the same
+ * ID, the run is stopped first: calls name the ID only, so a start call that
+ * was under way may reach the new life. A worker may discard an
  * end only once the resulting state is durable.
  *
  * A worker is a backend server that runs tasks; the scheduler knows it by the
  * name of its executor. An executor is the process beside a worker that reports
- * its runs and ends and passes orders to it. A life identifies one lifetime of
- * a worker, from its start to its exit. A serving task is latency-critical: it
+ * its runs and ends and passes orders to it. A life is one lifetime of a worker
+ * (job/life.h); its ID alone does not identify it. A serving task is latency-critical: it
  * has a target for its tail latency. A best-effort task uses only processor
  * time that other tasks leave.
  */
@@ -28,6 +30,7 @@
 
 #include "common/clock.h"
 #include "job/job.h"
+#include "job/life.h"
 #include "queue/queue.h"
 #include "wire/gypsumnotch.pb-c.h"
 
@@ -39,7 +42,7 @@
 	const char *task;
 	uint32_t attempt;
 	/** Life of the worker; a worker of another life must refuse. */
-	const char *life;
+	gn_life_t life;
 	gn_str_t payload; /**< Only for a start. */
 	const char *checkpoint; /**< Only for a start; may be empty. */
 	const char *ticket; /**< Only for a start; may be empty. */
@@ -169,10 +172,10 @@
 /**
  * Returns the highest n such that the ends 1 to n of @p host in its present
  * life are durable.
- * @param life receives that life; empty if the worker is unknown
+ * @param life receives that life; its ID is empty if the worker is unknown
  */
 uint64_t gn_sched_get_durable_ends(const gn_sched_t *sched, const char *host,
-				   const char **life);
+				   gn_life_t *life);
 
 /* ======   Advice   ====== */
 
--- a/tests/support/run_model_calls.c
+++ b/tests/support/run_model_calls.c
@@ -31,6 +31,7 @@
 	    executor->serial != call->executor_serial)
 		return;
 	call->answered = true;
+	rm_executor_read_answer(executor, &call->answer);
 	if (!call->order) {
 		rm_executor_on_list(executor, call);
 		return;
@@ -87,9 +88,10 @@
 	rm_call_t *call = data;
 	rm_worker_t *worker = &model->workers[call->at];
 
-	if (worker->up && worker->serial == call->worker_serial) {
+	if (worker->up &&
+	    (!call->delayed || worker->serial == call->worker_serial)) {
 		rm_worker_handle(model, worker, call);
-	} else if (!worker->up && !call->silent) {
+	} else if (!call->silent) {
 		call->answer.outcome = GN_WORKER_UNSENT;
 		rm_call_answer(model, call);
 	}
@@ -142,7 +144,7 @@
 }
 
 void rm_call_send(rm_executor_t *executor, const gn_worker_call_t *message,
-		  unsigned timeout_ms, gn_order_call_t *order)
+		  unsigned timeout_ms, gn_order_call_t *order, unsigned list)
 {
 	run_model_t *model = executor->model;
 	rm_call_t *call = g_new0(rm_call_t, 1);
@@ -158,6 +160,7 @@
 		  sizeof(call->task));
 	g_strlcpy(call->life, executor->life, sizeof(call->life));
 	call->order = order;
+	call->list = list;
 	arrival_us = draw_fate(model, call);
 	log_call(executor, call, arrival_us);
 	rm_at(model, rm_now_us(model) + timeout_ms * RM_MS, on_timeout, call,
--- a/tests/support/run_model_executor.c
+++ b/tests/support/run_model_executor.c
@@ -26,7 +26,7 @@
 static bool send_call(void *arg, gn_worker_call_t *call, unsigned timeout_ms,
 		      gn_order_call_t *sent)
 {
-	rm_call_send(arg, call, timeout_ms, sent);
+	rm_call_send(arg, call, timeout_ms, sent, 0);
 	return true;
 }
 
@@ -119,15 +119,26 @@
 	       answer->life_started_ms == executor->born_ms;
 }
 
+void rm_executor_read_answer(const rm_executor_t *executor,
+			     gn_worker_answer_t *answer)
+{
+	if (is_current_life(executor, answer))
+		return;
+	answer->outcome = GN_WORKER_UNANSWERED;
+	answer->clock_ms = 0;
+}
+
+/* Keeps a list unless a newer one came before. */
 static void store_list(rm_executor_t *executor, rm_call_t *call)
 {
+	if (call->answer.clock_ms < executor->list_clock_ms)
+		return;
 	talloc_free(executor->list);
 	executor->list = talloc_steal(executor->ctx, call->lists);
 	call->lists = NULL;
 	executor->listed = call->answer;
+	executor->list_clock_ms = call->answer.clock_ms;
 	executor->list_unreported = true;
-	gn_orders_handle_list(executor->orders, &call->answer,
-			      executor->list_sent_us);
 	if (call->answer.end_count)
 		executor->list_due_us =
 			rm_now_us(executor->model) + LIST_ENDS_DELAY_US;
@@ -135,16 +146,19 @@
 
 void rm_executor_on_list(rm_executor_t *executor, rm_call_t *call)
 {
-	executor->list_pending = false;
-	if (call->answer.outcome != GN_WORKER_OK || !executor->worker_known ||
-	    !is_current_life(executor, &call->answer)) {
+	rm_list_t *request = &executor->lists[call->list];
+
+	request->pending = false;
+	if (call->answer.outcome != GN_WORKER_OK || !executor->worker_known) {
 		executor->list_due_us =
 			rm_now_us(executor->model) + LIST_RETRY_DELAY_US;
 		return;
 	}
 	rm_executor_record_clock(executor, &call->answer);
-	executor->list_attempts = 0;
+	request->attempts = 0;
 	executor->list_due_us = 0;
+	gn_orders_handle_list(executor->orders, &call->answer,
+			      request->sent_us);
 	store_list(executor, call);
 	if (executor->listed.end_count)
 		rm_executor_report(executor);
@@ -159,43 +173,67 @@
 		       executor->ends_stored;
 }
 
-void rm_executor_tick_list(rm_executor_t *executor)
+static void request_list(rm_executor_t *executor, rm_list_kind_t kind,
+			 unsigned wait_ms)
 {
+	rm_list_t *request = &executor->lists[kind];
 	uint64_t now_us = rm_now_us(executor->model);
-	gn_worker_call_t call = { .kind = GN_WORKER_LIST };
+	const gn_worker_call_t call = {
+		.kind = GN_WORKER_LIST,
+		.wait_ms = wait_ms,
+		.ends_stored = executor->ends_stored,
+		.lease_until_ms =
+			gn_grant_extend_until_ms(&executor->grant, now_us),
+	};
 
-	if (!executor->worker_known || executor->list_pending ||
-	    now_us < executor->list_due_us)
-		return;
-	if (!has_unstored_ends(executor))
-		call.wait_ms = LIST_WAIT_MS;
-	call.ends_stored = executor->ends_stored;
-	call.lease_until_ms =
-		gn_grant_extend_until_ms(&executor->grant, now_us);
-	executor->list_sent_us = now_us;
-	executor->list_attempts++;
-	executor->list_pending = true;
+	request->sent_us = now_us;
+	request->attempts++;
+	request->pending = true;
 	rm_call_send(executor, &call,
-		     call.wait_ms +
-			     gn_attempt_timeout_ms(executor->list_attempts),
-		     NULL);
+		     wait_ms + gn_attempt_timeout_ms(request->attempts), NULL,
+		     kind);
+}
+
+static bool is_list_needed(const rm_executor_t *executor)
+{
+	uint64_t since_us = gn_orders_list_needed_since_us(executor->orders);
+
+	return executor->lists[RM_LIST_WAITING].sent_us < since_us &&
+	       executor->lists[RM_LIST_PROMPT].sent_us < since_us;
+}
+
+void rm_executor_tick_list(rm_executor_t *executor)
+{
+	if (!executor->worker_known)
+		return;
+	if (!executor->lists[RM_LIST_WAITING].pending &&
+	    rm_now_us(executor->model) >= executor->list_due_us)
+		request_list(executor, RM_LIST_WAITING,
+			     has_unstored_ends(executor) ? 0 : LIST_WAIT_MS);
+	if (!executor->lists[RM_LIST_PROMPT].pending &&
+	    is_list_needed(executor))
+		request_list(executor, RM_LIST_PROMPT, 0);
 }
 
 /* ======   Heartbeats   ====== */
 
-static void reset_for_life(rm_executor_t *executor, const char *life)
+static void reset_for_life(rm_executor_t *executor, const char *life,
+			   uint64_t born_ms)
 {
 	rm_log(executor->model, "executor", executor->at, "knows life", NULL, 0,
 	       g_intern_string(life));
-	gn_orders_begin_life(executor->orders, life);
+	gn_orders_begin_life(executor->orders, (gn_life_t){ life, born_ms });
+	g_ptr_array_set_size(executor->results, 0);
 	gn_grant_reset(&executor->grant);
 	talloc_free(executor->list);
 	executor->list = NULL;
 	memset(&executor->listed, 0, sizeof(executor->listed));
 	executor->list_unreported = false;
+	executor->list_clock_ms = 0;
 	executor->ends_stored = 0;
 	executor->list_due_us = 0;
-	executor->list_attempts = 0;
+	for (unsigned i = 0; i < RM_LIST_KINDS; i++)
+		executor->lists[i].attempts = 0;
 }
 
 void rm_executor_on_heartbeat(rm_executor_t *executor, const char *life,
@@ -212,7 +250,7 @@
 	     (is_same && heartbeat <= executor->heartbeat)))
 		return;
 	if (!is_same)
-		reset_for_life(executor, life);
+		reset_for_life(executor, life, born_ms);
 	g_strlcpy(executor->life, life, sizeof(executor->life));
 	executor->born_ms = born_ms;
 	executor->heartbeat = heartbeat;
--- a/tests/support/run_model_internal.h
+++ b/tests/support/run_model_internal.h
@@ -54,7 +54,7 @@
 
 /** Sends a call; frees @p order if the executor doesn't live to its answer. */
 void rm_call_send(rm_executor_t *executor, const gn_worker_call_t *call,
-		  unsigned timeout_ms, gn_order_call_t *order);
+		  unsigned timeout_ms, gn_order_call_t *order, unsigned list);
 /** Sends the answer of a call that was carried out. */
 void rm_call_answer(run_model_t *model, rm_call_t *call);
 void rm_call_unref(gpointer call);
@@ -67,11 +67,14 @@
 void rm_executor_on_heartbeat(rm_executor_t *executor, const char *life,
 			      uint64_t born_ms, uint64_t heartbeat);
 void rm_executor_on_list(rm_executor_t *executor, rm_call_t *call);
+/** Voids an answer of another life than the known one. */
+void rm_executor_read_answer(const rm_executor_t *executor,
+			     gn_worker_answer_t *answer);
 void rm_executor_record_clock(rm_executor_t *executor,
 			      const gn_worker_answer_t *answer);
 /** Whether the process is up but doesn't act now. */
 bool rm_executor_is_frozen(const rm_executor_t *executor);
-/** Requests the list if it is due. */
+/** Requests the lists that are due. */
 void rm_executor_tick_list(rm_executor_t *executor);
 
 /* ======   run_model_reports.c   ====== */
--- a/tests/support/run_model_leader.c
+++ b/tests/support/run_model_leader.c
@@ -50,7 +50,8 @@
 	message->kind = order->kind;
 	message->task = strdup(order->task);
 	message->attempt = order->attempt;
-	message->life = strdup(order->life);
+	message->life = strdup(order->life.id);
+	message->born_ms = order->life.started_ms;
 	message->checkpoint = strdup(order->checkpoint);
 	message->ticket = strdup(order->ticket);
 	message->percent = order->percent;
@@ -168,7 +169,7 @@
 {
 	rm_peer_t *peer = &leader->peers[at];
 	Gn__WorkerOrders message = GN__WORKER_ORDERS__INIT;
-	const char *life;
+	gn_life_t life;
 	char host[8];
 	uint64_t ends;
 
@@ -181,7 +182,8 @@
 		return;
 	message.epoch = leader->epoch;
 	message.ends_stored = ends;
-	message.life = (char *)life;
+	message.life = (char *)life.id;
+	message.born_ms = life.started_ms;
 	message.unsure = rm_now_us(leader->model) - leader->confirmed_us >
 			 RM_LEADER_TTL_MS * RM_MS;
 	message.sequence = peer->unanswered_sequence;
--- a/tests/support/run_model_reports.c
+++ b/tests/support/run_model_reports.c
@@ -50,7 +50,9 @@
 {
 	gn_grant_record_answer(&executor->grant,
 			       get_sent_us(executor, message->sequence));
-	if (strcmp(message->life, executor->life) != 0 ||
+	if (!gn_life_matches(
+		    (gn_life_t){ message->life, message->born_ms },
+		    (gn_life_t){ executor->life, executor->born_ms }) ||
 	    message->ends_stored <= executor->ends_stored)
 		return;
 	executor->ends_stored = message->ends_stored;
--- a/tests/support/run_model_types.h
+++ b/tests/support/run_model_types.h
@@ -110,11 +110,13 @@
 	unsigned refs;
 	unsigned at; /**< Index of the executor and its worker. */
 	uint64_t executor_serial;
-	uint64_t worker_serial; /**< Process that a delayed call reaches. */
+	/** Process that it is for; late calls end with it. */
+	uint64_t worker_serial;
 	gn_worker_call_t call;
 	char task[GN_TASK_NAME_SIZE];
 	char life[GN_NAME_MAX + 1];
 	gn_order_call_t *order; /**< NULL for a list. */
+	unsigned list; /**< Kind of the list. */
 	bool silent; /**< Gets no answer. */
 	bool delayed; /**< Takes effect after newer calls. */
 	bool answered;
@@ -156,6 +158,19 @@
 
 /* ======   Executors   ====== */
 
+/** The requests for lists, as in executor_internal.h. */
+typedef enum rm_list_kind_e {
+	RM_LIST_WAITING, /**< Answered when a run ends. */
+	RM_LIST_PROMPT, /**< Answered at once. */
+	RM_LIST_KINDS
+} rm_list_kind_t;
+
+typedef struct rm_list_s {
+	bool pending;
+	uint64_t sent_us;
+	unsigned attempts;
+} rm_list_t;
+
 /** State of an executor process, as in executor_internal.h. */
 typedef struct rm_executor_s {
 	run_model_t *model;
@@ -173,11 +188,10 @@
 	uint64_t heartbeat;
 	bool worker_known;
 
-	bool list_pending;
-	uint64_t list_sent_us;
+	rm_list_t lists[RM_LIST_KINDS];
 	uint64_t list_due_us;
-	unsigned list_attempts;
 	bool list_unreported;
+	uint64_t list_clock_ms; /**< Clock of the worker in this list. */
 	TALLOC_CTX *list;
 	gn_worker_answer_t listed;
 	uint64_t ends_stored;
--- a/tests/support/run_model_worker.c
+++ b/tests/support/run_model_worker.c
@@ -123,7 +123,9 @@
 	call->answer.outcome = outcome;
 	if (outcome != GN_WORKER_UNHEALTHY && outcome != GN_WORKER_LIFE_ENDED) {
 		call->answer.clock_ms = rm_worker_clock_ms(model, worker);
-		call->answer.life_started_ms = worker->born_ms;
+		/* Only lists say it, and heartbeats. */
+		if (call->call.kind == GN_WORKER_LIST)
+			call->answer.life_started_ms = worker->born_ms;
 	}
 	if (outcome == GN_WORKER_OK && call->call.kind == GN_WORKER_LIST)
 		write_lists(worker, call);
