agent: A start that no list shows is stopped after 5 s

A start whose call was lost, or refused by 409 because it was held up until its lease had expired, was reported as running for ever: only confirmed runs were taken for lost, and the owner renewed the lease. The task never ran.

The agent now stops such a run if a list requested 5 s after the start was sent does not show it. The stop forbids the epoch to the backend server, so that a late start has no effect, and its answer ends the run. If the stop is not answered either, the run ends with the first list requested after its lease has expired, since the backend server refuses the start from then on (docs/BACKEND.md, promise 2). The time counts from sending, since actions are sent one at a time and a start may wait for others.

Before the fix: test_lost_start_is_renewed_forever: code should not be reached. test_start_not_sent_yet_counts_as_lost passes before as well; it fails (3 == 6) if the time counts from the order.

--- a/lib/batch/worker_backend.c
+++ b/lib/batch/worker_backend.c
@@ -8,6 +8,10 @@
 
 #include "common/str.h"
 
+/** A start that no answer or list has confirmed for this long is lost. Calls
+ * end after 2 s, and a list is requested every 500 ms. */
+#define CONFIRM_MAX_US (5 * GN_US_PER_S)
+
 static gn_code_t add_listed(gn_worker_tasks_t *tasks,
 			    const gn_backend_run_t *listed)
 {
@@ -53,6 +57,21 @@
 	return NULL;
 }
 
+/**
+ * Ends a run that is not on a list although its start was sent long before.
+ * A stop forbids its start to the backend server, which also refuses it once
+ * the lease has expired. Until one of these is certain, it may yet start.
+ */
+static void end_lost_start(gn_worker_tasks_t *tasks, gn_run_t *run,
+			   uint64_t asked_us)
+{
+	if (asked_us >= run->lease_until_us)
+		gn_run_set_ended(tasks, run, GN_RUN_REFUSED);
+	else if (run->start_sent_us &&
+		 asked_us >= run->start_sent_us + CONFIRM_MAX_US)
+		gn_run_request_end(tasks, run, GN_ACTION_STOP);
+}
+
 /**
  * Fails the runs that the backend server has lost: those that were confirmed
  * before the list was requested and are not on it. A run confirmed since then
@@ -68,9 +87,11 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		gn_run_t *run = value;
 
-		if (gn_run_is_active(run) && run->confirmed &&
-		    run->confirmed_us < asked_us &&
-		    !find_listed(run, runs, count))
+		if (!gn_run_is_active(run) || find_listed(run, runs, count))
+			continue;
+		if (!run->confirmed)
+			end_lost_start(tasks, run, asked_us);
+		else if (run->confirmed_us < asked_us)
 			gn_run_set_ended(tasks, run, GN_RUN_FAILED);
 	}
 }
--- a/lib/batch/worker_tasks.c
+++ b/lib/batch/worker_tasks.c
@@ -177,7 +177,16 @@
 
 gn_action_t *gn_worker_tasks_next_action(gn_worker_tasks_t *tasks)
 {
-	return g_queue_pop_head(&tasks->actions);
+	gn_action_t *action = g_queue_pop_head(&tasks->actions);
+	gn_run_t *run;
+
+	if (!action || action->kind != GN_ACTION_START)
+		return action;
+	run = g_hash_table_lookup(tasks->runs, &action->id);
+	if (run && gn_task_epoch_claim(run->epoch) ==
+			   gn_task_epoch_claim(action->epoch))
+		run->start_sent_us = gn_clock_now_us(tasks->clock);
+	return action;
 }
 
 /* ======   Queries   ====== */
--- a/lib/batch/worker_tasks_internal.h
+++ b/lib/batch/worker_tasks_internal.h
@@ -13,6 +13,7 @@
 	uint64_t id;
 	uint64_t epoch; /**< Epoch of the newest order. */
 	gn_run_state_t state;
+	uint64_t start_sent_us; /**< When its start was sent, 0 if queued. */
 	bool confirmed; /**< The backend server reported that it runs. */
 	uint64_t confirmed_us; /**< Time of the first such report. */
 	bool ending; /**< A stop or checkpoint was requested. */
--- a/tests/unit/test_worker_tasks.c
+++ b/tests/unit/test_worker_tasks.c
@@ -290,6 +290,43 @@
 	g_assert_cmpint(reported_state(f), ==, GN_RUN_FAILED);
 }
 
+/* The backend server answers neither the start nor knows the run. */
+static void test_lost_start_is_renewed_forever(fixture_t *f, gconstpointer data)
+{
+	(void)data;
+	start_run(f);
+	g_assert_cmpint(next_action(f, NULL), ==, GN_ACTION_START);
+	for (unsigned s = 0; s < 60; s++) {
+		uint64_t sent_us;
+
+		gn_clock_advance(&f->clock, SECOND);
+		gn_worker_tasks_tick(f->tasks);
+		process_list(f, NULL, 0);
+		if (reported_state(f) != GN_RUN_RUNNING)
+			return;
+		sent_us = gn_worker_tasks_begin_poll(f->tasks);
+		send_order(f, GN_ORDER_RENEW, 2, 1, sent_us);
+		if (next_action(f, NULL) == GN_ACTION_START)
+			return;
+	}
+	g_assert_not_reached();
+}
+
+/* Actions are sent one at a time, so that a start may be held up. */
+static void test_start_not_sent_yet_counts_as_lost(fixture_t *f,
+						   gconstpointer data)
+{
+	(void)data;
+	start_run(f);
+	gn_clock_advance(&f->clock, 8 * SECOND);
+	process_list(f, NULL, 0);
+	g_assert_cmpint(next_action(f, NULL), ==, GN_ACTION_START);
+	gn_clock_advance(&f->clock, SECOND);
+	process_list(f, NULL, 0);
+	g_assert_cmpint(next_action(f, NULL), ==, GN_ACTION_KIND_COUNT);
+	g_assert_cmpint(reported_state(f), ==, GN_RUN_RUNNING);
+}
+
 static void test_drain(fixture_t *f, gconstpointer data)
 {
 	(void)data;
@@ -375,6 +412,10 @@
 	ADD("lapse", test_lapse);
 	ADD("restart", test_restart);
 	ADD("backend", test_backend);
+	ADD("lost_start_is_renewed_forever",
+	    test_lost_start_is_renewed_forever);
+	ADD("start_not_sent_yet_counts_as_lost",
+	    test_start_not_sent_yet_counts_as_lost);
 	ADD("drain", test_drain);
 	ADD("admission", test_admission);
 	ADD("speed", test_speed);
