--- a/lib/executor/orders.c
+++ b/lib/executor/orders.c
@@ -244,10 +244,27 @@
 
 /* ======   Calls   ====== */
 
-static void send_order(gn_order_t *order)
+/* Whether a start may be sent now; otherwise decides what becomes of it. */
+static bool prepare_start(gn_order_t *order, gn_worker_call_t *call)
 {
 	gn_orders_t *orders = order->orders;
 	uint64_t now_us = get_now_us(orders);
+
+	if (orders->refuses_starts ||
+	    !gn_grant_may_start(order->basis_us, now_us)) {
+		check_run(order, GN_ORDER_OUTCOME_NOT_STARTED);
+		return false;
+	}
+	call->lease_until_ms = gn_grant_extend_until_ms(orders->grant, now_us);
+	/* Needs a recent clock reading and an answer of the leader. */
+	if (!call->lease_until_ms)
+		schedule_retry(order);
+	return call->lease_until_ms != 0;
+}
+
+static void send_order(gn_order_t *order)
+{
+	gn_orders_t *orders = order->orders;
 	gn_worker_call_t call = {
 		.kind = call_kinds[order->kind],
 		.task = order->task,
@@ -259,26 +276,13 @@
 	};
 	gn_order_call_t *sent;
 
-	if (order->kind == GN_RUN_ORDER_START &&
-	    (orders->refuses_starts ||
-	     !gn_grant_may_start(order->basis_us, now_us))) {
-		check_run(order, GN_ORDER_OUTCOME_NOT_STARTED);
+	if (order->kind == GN_RUN_ORDER_START && !prepare_start(order, &call))
 		return;
-	}
-	if (order->kind == GN_RUN_ORDER_START) {
-		call.lease_until_ms =
-			gn_grant_extend_until_ms(orders->grant, now_us);
-		/* Needs a recent clock reading and an answer of the leader. */
-		if (!call.lease_until_ms) {
-			schedule_retry(order);
-			return;
-		}
-	}
 	sent = g_new0(gn_order_call_t, 1);
 	sent->order = order;
 	sent->arg = orders->arg;
 	sent->kind = call.kind;
-	sent->sent_us = now_us;
+	sent->sent_us = get_now_us(orders);
 	order->tries++;
 	order->calls++;
 	order->sent_percent = order->percent;
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -310,8 +310,23 @@
 /** Returns the worker of @p host and creates it if necessary. */
 sched_worker_t *sched_worker_get(gn_sched_t *sched, const char *host);
 void sched_worker_free(gpointer worker);
+/** Emits an event about a worker. */
+void sched_emit_worker_event(const gn_sched_t *sched, const char *what,
+			     const sched_worker_t *worker, const char *why,
+			     int64_t value);
+/** Releases all claims of a worker. */
+void sched_worker_release_claims(sched_worker_t *worker, const char *why);
 /** Releases the claims of workers whose leases have expired. */
 void sched_expire_leases(gn_sched_t *sched);
+/**
+ * Begins a life, unless it is the present one: resets the state of the worker,
+ * since a new life has no earlier runs or ends, and ends the claims of others.
+ */
+void sched_worker_begin_life(gn_sched_t *sched, sched_worker_t *worker,
+			     gn_life_t life);
+/** Updates what the worker announces about itself. */
+void sched_worker_describe(sched_worker_t *worker,
+			   const Gn__WorkerReport *report);
 /** Drops the leading ends that are durable and advances ends_durable. */
 void sched_worker_retire_ends(sched_worker_t *worker);
 /** Whether the executor has reported recently. */
--- /dev/null
+++ b/lib/sched/sched_report.c
@@ -0,0 +1,274 @@
+/**
+ * @file sched_report.c
+ * @brief Reports of executors: the runs and ends that workers list, and the
+ *        outcomes of orders.
+ */
+#include <string.h>
+
+#include "sched/sched_internal.h"
+
+/* ======   Runs   ====== */
+
+/* Returns the task with this name, or NULL. */
+static sched_task_t *find_task(const gn_sched_t *sched, const char *name)
+{
+	char id[GN_JOB_ID_LEN + 1];
+	gn_task_position_t place;
+	sched_job_t *job;
+	uint32_t unit;
+
+	if (gn_task_parse_name(name, id, &place))
+		return NULL;
+	job = g_hash_table_lookup(sched->jobs, id);
+	if (!job || place.step >= job->spec->n_steps)
+		return NULL;
+	unit = place.occurrence * job->spec->n_steps + place.step;
+	if (unit >= job->unit_count ||
+	    place.index >= job->units[unit].step->count)
+		return NULL;
+	return &job->tasks[job->units[unit].first + place.index];
+}
+
+static bool is_claimed_run(const sched_task_t *task,
+			   const sched_worker_t *worker, uint32_t attempt)
+{
+	return task && task->state == GN_JOB_TASK_CLAIMED &&
+	       task->worker == worker &&
+	       gn_life_matches(task->life, worker->life) &&
+	       task->attempt == attempt;
+}
+
+/* Stops a run without a claim and counts its resources as used meanwhile. */
+static void stop_unclaimed_run(gn_sched_t *sched, sched_worker_t *worker,
+			       const Gn__WorkerRun *run,
+			       const sched_task_t *task)
+{
+	const gn_run_order_t order = { .kind = GN_RUN_ORDER_STOP,
+				       .task = run->task,
+				       .attempt = run->attempt,
+				       .life = worker->life,
+				       .checkpoint = "",
+				       .ticket = "" };
+	const Gn__JobStep *step =
+		task ? task->job->units[task->unit].step : NULL;
+	const gn_sched_event_t event = { .name = "stop",
+					 .task = run->task,
+					 .attempt = run->attempt,
+					 .host = worker->host,
+					 .life = worker->life.id,
+					 .reason = "no claim",
+					 .list_age_ms = sched_list_age_ms(
+						 sched, worker) };
+
+	if (step) {
+		gn_resource_vector_t resources = sched_step_resources(step);
+
+		gn_resource_vector_add(&worker->unclaimed_use, &resources);
+	}
+	sched->ops->log_event(sched->arg, &event);
+	sched->ops->send_order(sched->arg, worker->host, &order);
+}
+
+static void handle_run(gn_sched_t *sched, sched_worker_t *worker,
+		       const Gn__WorkerRun *run)
+{
+	sched_task_t *task = find_task(sched, run->task);
+
+	if (!is_claimed_run(task, worker, run->attempt)) {
+		stop_unclaimed_run(sched, worker, run, task);
+		return;
+	}
+	sched_mark_started(task);
+	task->last_listed_us = sched_now_us(sched);
+	/* Stored only with the job's next change. */
+	sched_set_checkpoint(task, run->checkpoint);
+	task->previous_reading = task->last_reading;
+	task->last_reading = run->gauge;
+}
+
+static void handle_runs(gn_sched_t *sched, sched_worker_t *worker,
+			const Gn__WorkerReport *report)
+{
+	bool had_unclaimed_use = worker->unclaimed_use.cpu_milli ||
+				 worker->unclaimed_use.memory_mb;
+
+	memset(&worker->unclaimed_use, 0, sizeof(worker->unclaimed_use));
+	for (size_t i = 0; i < report->n_runs; i++)
+		handle_run(sched, worker, report->runs[i]);
+	if (had_unclaimed_use)
+		sched->changed = true;
+}
+
+/*
+ * Stops the runs that were confirmed and that the worker no longer lists, nor
+ * their ends: the worker was told to discard an end that nobody has seen. The
+ * stop shows whether they are gone, and without it their claims would last for
+ * ever.
+ */
+static void stop_missing_runs(gn_sched_t *sched, sched_worker_t *worker,
+			      const Gn__WorkerReport *report)
+{
+	uint64_t now_us = sched_now_us(sched);
+
+	/* A long list of ends may have been cut. */
+	if (report->n_ends)
+		return;
+	for (guint i = 0; i < worker->claims->len; i++) {
+		sched_task_t *task = g_ptr_array_index(worker->claims, i);
+
+		if (task->listed &&
+		    now_us - task->last_listed_us >= SCHED_MISSING_US)
+			sched_stop_run(task, "no longer listed");
+	}
+}
+
+/* ======   Ends   ====== */
+
+/* Whether a run had succeeded before its claim was released, so that the task
+ * need not run again. */
+static bool is_late_done(const sched_task_t *task, const Gn__WorkerEnd *listed)
+{
+	return task && task->state == GN_JOB_TASK_WAITING &&
+	       task->attempt == listed->attempt && listed->how == GN_END_DONE;
+}
+
+static void handle_listed_end(gn_sched_t *sched, sched_worker_t *worker,
+			      const Gn__WorkerEnd *listed)
+{
+	sched_task_t *task = find_task(sched, listed->task);
+	sched_end_t *end;
+
+	if (listed->number <= worker->ends_seen)
+		return;
+	worker->ends_seen = listed->number;
+	end = g_new0(sched_end_t, 1);
+	end->number = listed->number;
+	g_queue_push_tail(&worker->ends, end);
+	if (is_claimed_run(task, worker, listed->attempt))
+		sched_handle_end(task, (gn_end_kind_t)listed->how,
+				 listed->checkpoint);
+	else if (is_late_done(task, listed))
+		sched_handle_late_done(task);
+	else
+		return;
+	end->job = task->job;
+	end->job->pending_ends++;
+	end->version = end->job->version;
+}
+
+/* ======   Results of orders   ====== */
+
+static void handle_result(gn_sched_t *sched, sched_worker_t *worker,
+			  const Gn__OrderResult *result)
+{
+	sched_task_t *task = find_task(sched, result->task);
+	const char *outcome = gn_run_order_outcome_name(
+		(gn_run_order_outcome_t)result->verdict);
+
+	if (!is_claimed_run(task, worker, result->attempt))
+		return;
+	sched_emit_task_event(sched, "order", task, outcome, 0);
+	switch ((gn_run_order_outcome_t)result->verdict) {
+	case GN_ORDER_OUTCOME_STARTED:
+		/* The run starts at full pace and may have to be throttled. */
+		sched_mark_started(task);
+		if (task->job->units[task->unit].step->fills)
+			sched_pace_worker(sched, worker);
+		break;
+	case GN_ORDER_OUTCOME_MALFORMED:
+		sched_handle_end(task, GN_END_FAILED, "");
+		break;
+	case GN_ORDER_OUTCOME_ENDED:
+		/* The list will show how the run ended. */
+		break;
+	case GN_ORDER_OUTCOME_NOT_STARTED:
+		if (!worker->draining)
+			gn_health_fail(&worker->health, sched_now_us(sched));
+		sched_release_claim(task, outcome);
+		break;
+	case GN_ORDER_OUTCOME_NO_TICKET:
+		sched_advice_drop_ticket(task);
+		sched_release_claim(task, outcome);
+		break;
+	case GN_ORDER_OUTCOME_NO_ROOM:
+		worker->full_until_us =
+			sched_now_us(sched) + SCHED_FULL_BACKOFF_US;
+		sched_release_claim(task, outcome);
+		break;
+	default:
+		sched_release_claim(task, outcome);
+	}
+}
+
+/* ======   Reports   ====== */
+
+static uint64_t get_longest_lease_us(const gn_sched_t *sched)
+{
+	uint64_t lease_us = (uint64_t)sched->config.lease_ms * GN_US_PER_MS;
+
+	return lease_us + lease_us / SCHED_CLOCK_DRIFT_DIVISOR +
+	       SCHED_LEASE_MARGIN_US;
+}
+
+/* Computes when the lease expires that the executor may extend after the answer
+ * to this report. */
+static void extend_lease(const gn_sched_t *sched, sched_worker_t *worker,
+			 const Gn__WorkerReport *report)
+{
+	uint64_t now_us = sched_now_us(sched);
+	uint64_t age_us = (uint64_t)report->list_age_ms * GN_US_PER_MS;
+
+	/* An earlier leader may still have leases extended after a new one has
+	 * received a report, so the bounds never decrease. */
+	worker->report_expiry_us = MAX(worker->report_expiry_us,
+				       now_us + get_longest_lease_us(sched));
+	/* Without a list, the executor has not extended any lease. */
+	if (report->list_age_ms == UINT32_MAX)
+		return;
+	worker->last_list_us = age_us < now_us ? now_us - age_us : 0;
+	worker->list_expiry_us =
+		MAX(worker->list_expiry_us,
+		    worker->last_list_us + SCHED_CLOCK_READING_MAX_US +
+			    get_longest_lease_us(sched));
+}
+
+uint64_t gn_sched_handle_report(gn_sched_t *sched,
+				const Gn__WorkerReport *report)
+{
+	sched_worker_t *worker = sched_worker_get(sched, report->host);
+	const gn_life_t life = { g_intern_string(report->life),
+				 report->born_ms };
+	bool was_live = sched_worker_is_live(sched, worker);
+	bool was_draining = worker->draining;
+	bool was_open = sched_worker_accepts_tasks(sched, worker);
+
+	worker->last_report_us = sched_now_us(sched);
+	if (*report->life && life.started_ms >= worker->life.started_ms) {
+		sched_worker_begin_life(sched, worker, life);
+		sched_worker_describe(worker, report);
+	}
+	if (!gn_life_matches(life, worker->life))
+		return 0;
+	extend_lease(sched, worker, report);
+	if (!was_live)
+		sched_emit_worker_event(sched, "worker", worker, "heard", 0);
+	if (worker->draining != was_draining)
+		sched_emit_worker_event(sched, "worker", worker, "draining", 0);
+	if (report->listed) {
+		for (size_t i = 0; i < report->n_ends; i++)
+			handle_listed_end(sched, worker, report->ends[i]);
+		handle_runs(sched, worker, report);
+		stop_missing_runs(sched, worker, report);
+		worker->has_listed = true;
+		sched_learn_from_worker(sched, worker);
+		sched_pace_worker(sched, worker);
+	}
+	if (report->left)
+		sched_worker_release_claims(worker, "worker left");
+	for (size_t i = 0; i < report->n_results; i++)
+		handle_result(sched, worker, report->results[i]);
+	sched_worker_retire_ends(worker);
+	if (was_open != sched_worker_accepts_tasks(sched, worker))
+		sched->changed = true;
+	return worker->ends_durable;
+}
