--- a/lib/executor/worker.c
+++ b/lib/executor/worker.c
@@ -103,10 +103,19 @@
 			executor_now_us(executor) + LIST_ENDS_DELAY_US;
 }
 
-/* Whether the answer to a call shows that a worker that left has ended. */
-static bool is_proof_of_end(gn_worker_call_outcome_t outcome)
+/*
+ * Whether the answer shows that a worker that left has ended. A connection is
+ * refused at once where no process listens; a busy one lets it time out.
+ */
+static bool is_proof_of_end(const executor_list_t *request,
+			    gn_worker_call_outcome_t outcome)
 {
-	return outcome == GN_WORKER_UNSENT || outcome == GN_WORKER_LIFE_ENDED;
+	uint64_t took_us =
+		executor_now_us(request->executor) - request->sent_us;
+
+	return outcome == GN_WORKER_LIFE_ENDED ||
+	       (outcome == GN_WORKER_UNSENT &&
+		took_us < gn_attempt_timeout_ms(1) * GN_US_PER_MS);
 }
 
 static void on_end(executor_t *executor)
@@ -127,7 +136,7 @@
 
 	request->pending = false;
 	executor_read_answer(executor, list, GN_WORKER_LIST, http, &answer);
-	if (executor->worker_left && is_proof_of_end(answer.outcome))
+	if (executor->worker_left && is_proof_of_end(request, answer.outcome))
 		on_end(executor);
 	if (answer.outcome != GN_WORKER_OK || !executor->worker_known) {
 		executor->list_due_us =
--- a/tests/contract/test_executor.c
+++ b/tests/contract/test_executor.c
@@ -427,10 +427,12 @@
 }
 
 /* Asks a worker that left for its list, and passes the time of a report. */
-static void list_after_leaving(gn_worker_call_outcome_t outcome)
+static void list_after_leaving(gn_worker_call_outcome_t outcome,
+			       unsigned took_ms)
 {
 	gn_clock_advance(&rig->runtime.clock, GN_US_PER_S);
 	executor_worker_tick(rig->executor);
+	gn_clock_advance(&rig->runtime.clock, took_ms * GN_US_PER_MS);
 	answer_call(outcome, EARLIER_MS);
 	executor_report(rig->executor);
 }
@@ -440,11 +442,14 @@
 {
 	open_rig();
 	send_deregistration(EARLIER_MS);
-	list_after_leaving(GN_WORKER_OK);
+	list_after_leaving(GN_WORKER_OK, 1);
 	g_assert_false(rig->reported_left);
-	list_after_leaving(GN_WORKER_UNANSWERED);
+	list_after_leaving(GN_WORKER_UNANSWERED, 1);
 	g_assert_false(rig->reported_left);
-	list_after_leaving(GN_WORKER_UNSENT);
+	/* The connection timed out. */
+	list_after_leaving(GN_WORKER_UNSENT, 1000);
+	g_assert_false(rig->reported_left);
+	list_after_leaving(GN_WORKER_UNSENT, 1);
 	g_assert_true(rig->reported_left);
 	close_rig();
 }
