--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -13,15 +13,15 @@
  * has restarted with a new ID, the worker has confirmed a stop, or the longest
  * lease that the worker can hold has expired. After a restart under the same
  * ID, the run is stopped first: calls name the ID only, so a start call that
- * was under way may reach the new life. A worker may discard an
- * end only once the resulting state is durable.
+ * was under way may reach the new life. A worker may discard an end only once
+ * the resulting state is durable.
  *
  * A worker is a backend server that runs tasks; the scheduler knows it by the
  * name of its executor. An executor is the process beside a worker that reports
  * its runs and ends and passes orders to it. A life is one lifetime of a worker
- * (job/life.h); its ID alone does not identify it. A serving task is latency-critical: it
- * has a target for its tail latency. A best-effort task uses only processor
- * time that other tasks leave.
+ * (job/life.h); its ID alone does not identify it. A serving task is
+ * latency-critical: it has a target for its tail latency. A best-effort task
+ * uses only processor time that other tasks leave.
  */
 #ifndef GN_SCHED_SCHED_H
 #define GN_SCHED_SCHED_H
--- a/lib/scheduler/outcome.h
+++ b/lib/scheduler/outcome.h
@@ -3,8 +3,9 @@
  * @brief Decides what a caller is told of a request that was forwarded.
  *
  * A request is sent again after the connection to the leader was lost, so a
- * leader may receive it twice. A refusal promises that the job never runs, which
- * the answer to the second copy does not show while the first may be on its way.
+ * leader may receive it twice. A refusal promises that the job never runs. The
+ * answer to the second copy does not show that while the first may be on its
+ * way.
  *
  * Load: connections between schedulers that are cut or slow while the leader
  * refuses jobs because of its backlog.
