sched, scheduler: log ends without a claim and the leader's configuration

The logs could not tell whether an end that counts towards the attempt limit was discarded unseen: an end whose claim had been released before left no line.

No decision changes. Measured: test_sched passes.

--- a/lib/sched/sched_report.c
+++ b/lib/sched/sched_report.c
@@ -132,6 +132,25 @@
 	       task->attempt == listed->attempt && listed->how == GN_END_DONE;
 }
 
+/* Logs an end that changes nothing, since its claim was released before. */
+static void log_unclaimed_end(const gn_sched_t *sched,
+			      const sched_worker_t *worker,
+			      const Gn__WorkerEnd *listed)
+{
+	const gn_sched_event_t event = {
+		.name = "unclaimed end",
+		.task = listed->task,
+		.attempt = listed->attempt,
+		.host = worker->host,
+		.life = worker->life.id,
+		.reason = gn_end_kind_name((gn_end_kind_t)listed->how),
+		.value = (int64_t)listed->number,
+		.list_age_ms = sched_list_age_ms(sched, worker)
+	};
+
+	sched->ops->log_event(sched->arg, &event);
+}
+
 static void handle_listed_end(gn_sched_t *sched, sched_worker_t *worker,
 			      const Gn__WorkerEnd *listed)
 {
@@ -144,13 +163,15 @@
 	end = g_new0(sched_end_t, 1);
 	end->number = listed->number;
 	g_queue_push_tail(&worker->ends, end);
-	if (is_claimed_run(task, worker, listed->attempt))
+	if (is_claimed_run(task, worker, listed->attempt)) {
 		sched_handle_end(task, (gn_end_kind_t)listed->how,
 				 listed->checkpoint);
-	else if (is_late_done(task, listed))
+	} else if (is_late_done(task, listed)) {
 		sched_handle_late_done(task);
-	else
+	} else {
+		log_unclaimed_end(sched, worker, listed);
 		return;
+	}
 	end->job = task->job;
 	end->job->pending_ends++;
 	end->version = end->job->version;
--- a/lib/scheduler/leading.c
+++ b/lib/scheduler/leading.c
@@ -236,10 +236,13 @@
 	g_hash_table_iter_init(&iter, loading->states);
 	while (g_hash_table_iter_next(&iter, &key, &value))
 		load_job(loading, key, value);
-	gn_event("leading", "{s:I, s:I, s:I}", "epoch",
+	gn_event("leading", "{s:I, s:I, s:I, s:I}", "epoch",
 		 (json_int_t)scheduler->epoch, "jobs",
 		 (json_int_t)g_hash_table_size(loading->states), "took_us",
-		 (json_int_t)(now_us(scheduler) - loading->start_us));
+		 (json_int_t)(now_us(scheduler) - loading->start_us),
+		 "configuration",
+		 scheduler->queues ? (json_int_t)scheduler->queues->version
+				   : 0);
 	scheduler->loading = NULL;
 	talloc_free(loading);
 	begin_serving(scheduler);
