tests: an executor ends before the leave of its worker is stored (known red)

The claims of a worker that left are released by the leader that its executor tells, which may lose its office before it has stored this. Then only the executor can tell the next leader, but it ends when it has no orders in progress.

--- a/tests/contract/test_executor.c
+++ b/tests/contract/test_executor.c
@@ -2,6 +2,7 @@
 #include <unistd.h>
 #include <zmq.h>
 
+#include "executor/executor.h"
 #include "executor/executor_internal.h"
 
 #define HOST "side-1"
@@ -454,6 +455,19 @@
 	close_rig();
 }
 
+/* The leader that knows may lose its office before it has stored this. */
+static void test_executor_ends_before_the_leave_of_its_worker_is_stored(void)
+{
+	open_rig();
+	g_assert_true(gn_executor_role.is_stopped(rig->executor));
+	send_deregistration(EARLIER_MS);
+	g_assert_false(gn_executor_role.is_stopped(rig->executor));
+	list_after_leaving(GN_WORKER_UNSENT, 1);
+	g_assert_true(rig->reported_left);
+	g_assert_false(gn_executor_role.is_stopped(rig->executor));
+	close_rig();
+}
+
 static void test_lease_of_a_worker_that_left_is_extended(void)
 {
 	open_rig();
@@ -529,6 +543,10 @@
 	g_test_add_func(
 		"/executor/runs_of_a_worker_that_left_are_over_before_it_ends",
 		test_runs_of_a_worker_that_left_are_over_before_it_ends);
+	g_test_add_func(
+		"/executor/"
+		"executor_ends_before_the_leave_of_its_worker_is_stored",
+		test_executor_ends_before_the_leave_of_its_worker_is_stored);
 	g_test_add_func("/executor/lease_of_a_worker_that_left_is_extended",
 			test_lease_of_a_worker_that_left_is_extended);
 	g_test_add_func("/executor/older_list_replaces_a_newer_one",
