executor: the leave of a worker is reported until a leader has stored it

Cause: the leader releases the claims of a worker that left at once, but stores this later. If another scheduler leads by then, only the executor can tell it, and the executor ended with the SIGTERM of its machine as soon as it had no orders in progress. The next leader held the claims until the longest lease of its predecessors was over, 9.3 s after its election. For ends of runs there is such a confirmation: the worker lists them until they are stored.

Change: the leader's answer says whether it has stored the end of the life and all releases until then.

--- a/lib/executor/executor.c
+++ b/lib/executor/executor.c
@@ -15,6 +15,8 @@
 #define WORKER_CONNECTIONS 8
 /** Maximum length of a response of the worker, bytes. */
 #define ANSWER_MAX (4 * 1024 * 1024)
+/** Maximum time for which orders in progress delay a stop. */
+#define STOP_ORDERS_MAX_US (500 * GN_US_PER_MS)
 /** A lease is shorter by this than the maximum that the worker grants, ms. */
 #define WORKER_LEASE_MARGIN_MS 500
 
@@ -160,13 +162,20 @@
 
 /*
  * Runs continue under their lease until the executor is started again, so only
- * the orders in progress delay the stop.
+ * the orders in progress delay the stop. The executor of a worker that left may
+ * not be started again, and without it the next leader would have to wait until
+ * the worker's lease is over.
  */
 static bool executor_is_stopped(const void *state)
 {
 	const executor_t *executor = state;
+	uint64_t since_us = executor_now_us(executor) -
+			    executor->runtime->stop_requested_us;
 
-	return !gn_orders_count(executor->orders);
+	if (executor->worker_left && !executor->leave_stored)
+		return false;
+	return !gn_orders_count(executor->orders) ||
+	       since_us >= STOP_ORDERS_MAX_US;
 }
 
 const gn_role_ops_t gn_executor_role = {
--- a/lib/executor/executor_internal.h
+++ b/lib/executor/executor_internal.h
@@ -63,6 +63,8 @@
 	/** The worker announced the end of its life; it may work on a while. */
 	bool worker_left;
 	bool worker_ended; /**< The process of a worker that left has ended. */
+	/** The leader has stored that the worker's life has ended. */
+	bool leave_stored;
 	/** Time of the first heartbeat that says draining; 0 if none does. */
 	uint64_t worker_draining_us;
 	gn_grant_t grant; /**< Clock and lease of the worker. */
--- a/lib/executor/leader.c
+++ b/lib/executor/leader.c
@@ -95,6 +95,16 @@
 		gn_grant_record_answer(&executor->grant, report->sent_us);
 }
 
+/* Records what the leader has stored of the worker's present life. */
+static void record_stored(executor_t *executor, const Gn__WorkerOrders *message)
+{
+	if (message->ends_stored > executor->ends_stored) {
+		executor->ends_stored = message->ends_stored;
+		executor->list_due_us = 0;
+	}
+	executor->leave_stored |= message->leave_stored;
+}
+
 static void on_orders(executor_t *executor, const Gn__WorkerOrders *message)
 {
 	if (!message->epoch) {
@@ -117,11 +127,8 @@
 		request_schedulers(executor);
 	record_answer(executor, message->sequence);
 	if (gn_life_matches((gn_life_t){ message->life, message->born_ms },
-			    executor_get_life(executor)) &&
-	    message->ends_stored > executor->ends_stored) {
-		executor->ends_stored = message->ends_stored;
-		executor->list_due_us = 0;
-	}
+			    executor_get_life(executor)))
+		record_stored(executor, message);
 	for (size_t i = 0; i < message->n_orders; i++)
 		gn_orders_handle(executor->orders, message->orders[i],
 				 get_sent_us(executor, message->basis));
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -177,6 +177,13 @@
 uint64_t gn_sched_get_durable_ends(const gn_sched_t *sched, const char *host,
 				   gn_life_t *life);
 
+/**
+ * Whether the present life of @p host is known to have ended and all claims that
+ * were released until then are stored as released. Before that, only the
+ * executor can tell the next leader that the life has ended.
+ */
+bool gn_sched_is_leave_durable(const gn_sched_t *sched, const char *host);
+
 /* ======   Advice   ====== */
 
 /** Permission of a worker to run a step. */
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -119,8 +119,9 @@
 
 /* ======   Workers   ====== */
 
-/** End of a run that the worker still lists. */
+/** End of a run that the worker still lists, or of the life of the worker. */
 typedef struct sched_end_s {
+	/** For the end of the life, the number of the last end received. */
 	uint64_t number;
 	sched_job_t *job; /**< NULL if nothing has to be stored. */
 	uint64_t version; /**< Job version that must be durable. */
@@ -157,6 +158,7 @@
 	/** Time of the last list of runs; 0 if never. */
 	uint64_t last_list_us;
 	bool has_listed; /**< This life has sent a list. */
+	bool left; /**< This life has ended. */
 	/** Time until which a worker that lacked resources gets no tasks. */
 	uint64_t full_until_us;
 	GQueue ends; /**< The elements are sched_end_t, ordered by number. */
@@ -316,6 +318,8 @@
 			     int64_t value);
 /** Releases all claims of a worker. */
 void sched_worker_release_claims(sched_worker_t *worker, const char *why);
+/** Ends the present life of a worker, and releases its claims. */
+void sched_worker_leave(gn_sched_t *sched, sched_worker_t *worker);
 /** Releases the claims of workers whose leases have expired. */
 void sched_expire_leases(gn_sched_t *sched);
 /**
--- a/lib/sched/sched_report.c
+++ b/lib/sched/sched_report.c
@@ -285,7 +285,7 @@
 		sched_pace_worker(sched, worker);
 	}
 	if (report->left)
-		sched_worker_release_claims(worker, "worker left");
+		sched_worker_leave(sched, worker);
 	for (size_t i = 0; i < report->n_results; i++)
 		handle_result(sched, worker, report->results[i]);
 	sched_worker_retire_ends(worker);
--- a/lib/sched/sched_worker.c
+++ b/lib/sched/sched_worker.c
@@ -118,6 +118,43 @@
 		sched_release_claim(g_ptr_array_index(worker->claims, 0), why);
 }
 
+/* Makes gn_sched_is_leave_durable() wait for the present state of all jobs. */
+static void await_stored_jobs(const gn_sched_t *sched, sched_worker_t *worker)
+{
+	for (guint i = 0; i < sched->active->len; i++) {
+		sched_job_t *job = g_ptr_array_index(sched->active, i);
+		sched_end_t *end;
+
+		/* A job that isn't stored yet has no stored claims. */
+		if (!job->stored || job->durable_version == job->version)
+			continue;
+		end = g_new0(sched_end_t, 1);
+		end->number = worker->ends_seen;
+		end->job = job;
+		end->version = job->version;
+		job->pending_ends++;
+		g_queue_push_tail(&worker->ends, end);
+	}
+}
+
+void sched_worker_leave(gn_sched_t *sched, sched_worker_t *worker)
+{
+	sched_worker_release_claims(worker, "worker left");
+	if (worker->left)
+		return;
+	worker->left = true;
+	await_stored_jobs(sched, worker);
+}
+
+bool gn_sched_is_leave_durable(const gn_sched_t *sched, const char *host)
+{
+	const sched_worker_t *worker =
+		g_hash_table_lookup(sched->workers, host);
+
+	return worker && worker->left &&
+	       g_queue_is_empty((GQueue *)&worker->ends);
+}
+
 /* Ends the claims of other lives, whose runs are over. */
 static void end_other_lives(sched_worker_t *worker, gn_life_t life)
 {
@@ -205,6 +242,7 @@
 	worker->full_until_us = 0;
 	worker->last_list_us = 0;
 	worker->has_listed = false;
+	worker->left = false;
 	sched_emit_worker_event(sched, "worker", worker, "new life",
 				(int64_t)life.started_ms);
 }
--- a/lib/scheduler/executors.c
+++ b/lib/scheduler/executors.c
@@ -130,6 +130,8 @@
 	message.ends_stored = ends;
 	message.life = (char *)life.id;
 	message.born_ms = life.started_ms;
+	message.leave_stored =
+		gn_sched_is_leave_durable(scheduler->sched, executor->host);
 	message.unsure = may_be_superseded(scheduler);
 	message.sequence = executor->unanswered_sequence;
 	message.basis = executor->last_sequence;
--- a/lib/wire/gypsumnotch.pb-c.c
+++ b/lib/wire/gypsumnotch.pb-c.c
@@ -4202,7 +4202,7 @@
   (ProtobufCMessageInit) gn__worker_order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gn__worker_orders__field_descriptors[9] =
+static const ProtobufCFieldDescriptor gn__worker_orders__field_descriptors[10] =
 {
   {
     "sequence",
@@ -4312,6 +4312,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leave_stored",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerOrders, leave_stored),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gn__worker_orders__field_indices_by_name[] = {
   7,   /* field[7] = basis */
@@ -4319,6 +4331,7 @@
   3,   /* field[3] = ends_stored */
   1,   /* field[1] = epoch */
   2,   /* field[2] = leader */
+  9,   /* field[9] = leave_stored */
   4,   /* field[4] = life */
   5,   /* field[5] = orders */
   0,   /* field[0] = sequence */
@@ -4327,7 +4340,7 @@
 static const ProtobufCIntRange gn__worker_orders__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor gn__worker_orders__descriptor =
 {
@@ -4337,7 +4350,7 @@
   "Gn__WorkerOrders",
   "gn",
   sizeof(Gn__WorkerOrders),
-  9,
+  10,
   gn__worker_orders__field_descriptors,
   gn__worker_orders__field_indices_by_name,
   1,  gn__worker_orders__number_ranges,
--- a/lib/wire/gypsumnotch.pb-c.h
+++ b/lib/wire/gypsumnotch.pb-c.h
@@ -804,10 +804,17 @@
    * Start of the life, since 1970; 0 if
    */
   uint64_t born_ms;
+  /*
+   * unknown.
+   */
+  /*
+   * The worker has reported that this life
+   */
+  protobuf_c_boolean leave_stored;
 };
 #define GN__WORKER_ORDERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gn__worker_orders__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0 }
 
 
 /* Gn__Envelope methods */
--- a/tests/contract/test_executor.c
+++ b/tests/contract/test_executor.c
@@ -455,7 +455,22 @@
 	close_rig();
 }
 
-/* The leader that knows may lose its office before it has stored this. */
+/* The leader has stored that the life with this start has ended. */
+static void confirm_leave(uint64_t started_ms)
+{
+	Gn__WorkerOrders orders = GN__WORKER_ORDERS__INIT;
+	Gn__Envelope envelope = GN__ENVELOPE__INIT;
+
+	envelope.body_case = GN__ENVELOPE__BODY_WORKER_ORDERS;
+	envelope.worker_orders = &orders;
+	orders.epoch = 1;
+	orders.life = (char *)ID;
+	orders.born_ms = started_ms;
+	orders.leave_stored = true;
+	rig->leader_handler(rig->executor, NULL, &envelope);
+}
+
+/* The leader that knows may be replaced before it has stored this. */
 static void test_executor_ends_before_the_leave_of_its_worker_is_stored(void)
 {
 	open_rig();
@@ -465,6 +480,21 @@
 	list_after_leaving(GN_WORKER_UNSENT, 1);
 	g_assert_true(rig->reported_left);
 	g_assert_false(gn_executor_role.is_stopped(rig->executor));
+	confirm_leave(LATER_MS);
+	g_assert_false(gn_executor_role.is_stopped(rig->executor));
+	confirm_leave(EARLIER_MS);
+	g_assert_true(gn_executor_role.is_stopped(rig->executor));
+	close_rig();
+}
+
+static void test_orders_in_progress_delay_the_stop_only_briefly(void)
+{
+	open_rig();
+	send_order(GN_RUN_ORDER_START, EARLIER_MS);
+	rig->runtime.stop_requested_us = executor_now_us(rig->executor);
+	g_assert_false(gn_executor_role.is_stopped(rig->executor));
+	gn_clock_advance(&rig->runtime.clock, 500 * GN_US_PER_MS);
+	g_assert_true(gn_executor_role.is_stopped(rig->executor));
 	close_rig();
 }
 
@@ -547,6 +577,9 @@
 		"/executor/"
 		"executor_ends_before_the_leave_of_its_worker_is_stored",
 		test_executor_ends_before_the_leave_of_its_worker_is_stored);
+	g_test_add_func(
+		"/executor/orders_in_progress_delay_the_stop_only_briefly",
+		test_orders_in_progress_delay_the_stop_only_briefly);
 	g_test_add_func("/executor/lease_of_a_worker_that_left_is_extended",
 			test_lease_of_a_worker_that_left_is_extended);
 	g_test_add_func("/executor/older_list_replaces_a_newer_one",
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -132,6 +132,8 @@
 void rig_report_result(sched_rig_t *rig, const char *host, const char *life,
 		       const char *task, uint32_t attempt,
 		       gn_run_order_outcome_t outcome);
+/** Sends a report without a new list: the worker's present life has ended. */
+void rig_report_leave(sched_rig_t *rig, const char *host, const char *life);
 
 /** Returns the last order of @p kind for @p task, or NULL. */
 const rig_order_t *rig_find_order(const sched_rig_t *rig,
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -207,6 +207,55 @@
 	rig_close(&rig);
 }
 
+/* The executor may be gone when the next leader needs to know. */
+static void test_leave_is_confirmed_before_its_releases_are_stored(void)
+{
+	sched_rig_t rig;
+
+	rig_open_with_running_task(&rig, &one_task);
+	g_assert_false(gn_sched_is_leave_durable(rig.sched, "a"));
+	rig_report_leave(&rig, "a", "1");
+	g_assert_cmpuint(gn_sched_stats(rig.sched).claims, ==, 0);
+	g_assert_false(gn_sched_is_leave_durable(rig.sched, "a"));
+	rig_store(&rig);
+	g_assert_true(gn_sched_is_leave_durable(rig.sched, "a"));
+	rig_report_leave(&rig, "a", "1");
+	g_assert_true(gn_sched_is_leave_durable(rig.sched, "a"));
+	rig_report(&rig, "a", "2");
+	g_assert_false(gn_sched_is_leave_durable(rig.sched, "a"));
+	rig_close(&rig);
+}
+
+/* The claim is released by the lapse, and the leave finds none. */
+static void test_leave_is_confirmed_before_an_earlier_release_is_stored(void)
+{
+	sched_rig_t rig;
+
+	rig_open_with_running_task(&rig, &one_task);
+	rig_advance_ms(&rig, 2 * RIG_LEASE_MS);
+	g_assert_cmpuint(gn_sched_stats(rig.sched).claims, ==, 0);
+	rig_report_leave(&rig, "a", "1");
+	g_assert_false(gn_sched_is_leave_durable(rig.sched, "a"));
+	rig_store(&rig);
+	g_assert_true(gn_sched_is_leave_durable(rig.sched, "a"));
+	rig_close(&rig);
+}
+
+/* A job that isn't stored can still be withdrawn. */
+static void test_leave_does_not_wait_for_a_job_that_is_withdrawn(void)
+{
+	sched_rig_t rig;
+
+	rig_open(&rig);
+	rig_report(&rig, "a", "1");
+	rig_submit(&rig, JOB, "batch", &one_task, 1);
+	gn_sched_run_pass(rig.sched);
+	rig_report_leave(&rig, "a", "1");
+	g_assert_true(gn_sched_withdraw(rig.sched, JOB));
+	g_assert_true(gn_sched_is_leave_durable(rig.sched, "a"));
+	rig_close(&rig);
+}
+
 static void test_ends_of_a_worker_restarted_under_its_id_are_not_lost(void)
 {
 	sched_rig_t rig;
@@ -1014,6 +1063,12 @@
 		  test_worker_without_a_list_gets_no_tasks },
 		{ "new_life_releases_claims_at_once",
 		  test_new_life_releases_claims_at_once },
+		{ "leave_is_confirmed_before_its_releases_are_stored",
+		  test_leave_is_confirmed_before_its_releases_are_stored },
+		{ "leave_is_confirmed_before_an_earlier_release_is_stored",
+		  test_leave_is_confirmed_before_an_earlier_release_is_stored },
+		{ "leave_does_not_wait_for_a_job_that_is_withdrawn",
+		  test_leave_does_not_wait_for_a_job_that_is_withdrawn },
 		{ "ends_of_a_worker_restarted_under_its_id_are_not_lost",
 		  test_ends_of_a_worker_restarted_under_its_id_are_not_lost },
 		{ "worker_restarted_under_its_id_keeps_its_ends",
