--- a/tests/support/sched_rig.c
+++ b/tests/support/sched_rig.c
@@ -28,6 +28,13 @@
 	  .max_attempts = 2,
 	  .stretch = 2,
 	  .target_ms = 1000 },
+	{ .name = "patient",
+	  .host = "h",
+	  .prefix = "/patient/",
+	  .service = "s",
+	  .max_attempts = 4,
+	  .stretch = 2,
+	  .target_ms = 1000 },
 	{ .name = "advised",
 	  .host = "h",
 	  .prefix = "/advised/",
@@ -98,7 +105,7 @@
 static const gn_sched_ops_t ops = { send_order, on_durable, log_event,
 				    request_advice };
 
-void rig_open(sched_rig_t *rig)
+static void create_scheduler(sched_rig_t *rig)
 {
 	static const gn_sched_config_t config = {
 		.lease_ms = RIG_LEASE_MS,
@@ -109,16 +116,33 @@
 		.harm_ms = 4000,
 	};
 
+	rig->sched = gn_sched_create(NULL, &config, &rig->clock, &rig->wall,
+				     &ops, rig);
+	g_assert_nonnull(rig->sched);
+}
+
+void rig_configure(sched_rig_t *rig)
+{
+	gn_sched_configure(rig->sched, &configuration);
+}
+
+static void free_record(gpointer record)
+{
+	gn__job_record__free_unpacked(record, NULL);
+}
+
+void rig_open(sched_rig_t *rig)
+{
 	memset(rig, 0, sizeof(*rig));
 	gn_clock_init_paused(&rig->clock, START_US);
 	gn_clock_init_paused(&rig->wall, 2 * START_US);
 	rig->orders = g_array_new(FALSE, TRUE, sizeof(rig_order_t));
 	rig->hosts =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	rig->sched = gn_sched_create(NULL, &config, &rig->clock, &rig->wall,
-				     &ops, rig);
-	g_assert_nonnull(rig->sched);
-	gn_sched_configure(rig->sched, &configuration);
+	rig->records = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					     free_record);
+	create_scheduler(rig);
+	rig_configure(rig);
 }
 
 void rig_close(sched_rig_t *rig)
@@ -126,6 +150,7 @@
 	talloc_free(rig->sched);
 	g_array_unref(rig->orders);
 	g_hash_table_destroy(rig->hosts);
+	g_hash_table_destroy(rig->records);
 }
 
 void rig_advance_ms(sched_rig_t *rig, unsigned ms)
@@ -182,6 +207,25 @@
 	return gn_sched_submit(rig->sched, spec);
 }
 
+static void apply_write(sched_rig_t *rig, const gn_sched_write_t *write)
+{
+	Gn__JobRecord *record;
+
+	if (write->interference)
+		return;
+	if (write->remove) {
+		g_hash_table_remove(rig->records, write->job);
+	} else if (write->with_spec) {
+		record = gn__job_record__unpack(NULL, write->len, write->value);
+		g_hash_table_insert(rig->records, g_strdup(write->job), record);
+	} else {
+		record = g_hash_table_lookup(rig->records, write->job);
+		gn__job_state__free_unpacked(record->state, NULL);
+		record->state =
+			gn__job_state__unpack(NULL, write->len, write->value);
+	}
+}
+
 void rig_store(sched_rig_t *rig)
 {
 	gn_sched_write_t writes[BATCH_MAX];
@@ -191,13 +235,45 @@
 		size_t count =
 			gn_sched_begin_batch(rig->sched, writes, BATCH_MAX);
 
-		for (size_t i = 0; i < count; i++)
+		for (size_t i = 0; i < count; i++) {
+			apply_write(rig, &writes[i]);
 			free(writes[i].value);
+		}
 		gn_sched_confirm_batch(rig->sched);
 		rig->stored++;
 	}
 }
 
+/* The scheduler that loads the job takes over its spec. */
+static Gn__JobSpec *copy_spec(const Gn__JobSpec *spec)
+{
+	size_t len = gn__job_spec__get_packed_size(spec);
+	g_autofree uint8_t *data = g_malloc(len + 1);
+
+	gn__job_spec__pack(spec, data);
+	return gn__job_spec__unpack(NULL, len, data);
+}
+
+void rig_change_leader(sched_rig_t *rig)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	talloc_free(rig->sched);
+	create_scheduler(rig);
+	g_hash_table_iter_init(&iter, rig->records);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const Gn__JobRecord *record = value;
+
+		g_assert_cmpint(gn_sched_load_job(rig->sched,
+						  copy_spec(record->spec),
+						  record->state),
+				==, GN_OK);
+	}
+	gn_sched_finish_loading(rig->sched);
+	rig_clear(rig);
+}
+
 gn_job_phase_t rig_phase(sched_rig_t *rig, const char *id)
 {
 	gn_sched_reply_t reply = gn_sched_get_state(rig->sched, id);
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -38,6 +38,7 @@
 	GArray *orders; /**< Of rig_order_t, since the last rig_clear(). */
 	GHashTable *hosts; /**< Name of a host to its state, owned. */
 	uint64_t stored; /**< Number of stored batches. */
+	GHashTable *records; /**< Job ID to its stored Gn__JobRecord, owned. */
 	char last_event[32]; /**< Name of the last event. */
 	int64_t last_event_list_age_ms; /**< List age in that event. */
 	unsigned advice_requests; /**< Requests to the adviser. */
@@ -74,6 +75,14 @@
 void rig_open(sched_rig_t *rig);
 void rig_close(sched_rig_t *rig);
 
+/**
+ * Lets a new leader load what rig_store() has stored. Its scheduler has no
+ * configuration before rig_configure().
+ */
+void rig_change_leader(sched_rig_t *rig);
+/** Gives the scheduler its configuration. */
+void rig_configure(sched_rig_t *rig);
+
 /** Advances both clocks and calls gn_sched_tick(). */
 void rig_advance_ms(sched_rig_t *rig, unsigned ms);
 /** Discards the recorded orders. */
@@ -81,7 +90,8 @@
 
 /**
  * Submits a job. Each step depends on the previous one.
- * @param queue "quick", "batch" or "advised"
+ * @param queue "quick", "batch", "patient" or "advised", whose jobs fail
+ *        after 3, 2, 4 and 2 failed attempts of a task
  */
 gn_sched_reply_t rig_submit(sched_rig_t *rig, const char *id, const char *queue,
 			    const rig_step_t *steps, size_t count);
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -559,6 +559,74 @@
 	rig_close(&rig);
 }
 
+/*
+ * Opens the fixture with a leader that does not know its configuration yet and
+ * learns that the task has failed @p failures times.
+ */
+static void open_with_failures_before_the_configuration(sched_rig_t *rig,
+							const char *queue,
+							uint32_t failures)
+{
+	rig_open(rig);
+	rig_report(rig, "a", "1");
+	rig_submit(rig, JOB, queue, &one_task, 1);
+	rig_store(rig);
+	for (uint32_t attempt = 1; attempt < failures; attempt++) {
+		rig_report_end(rig, "a", "1", TASK, attempt, GN_END_FAILED);
+		rig_advance_ms(rig, 3000);
+		rig_report(rig, "a", "1");
+		rig_store(rig);
+	}
+	rig_change_leader(rig);
+	rig_report_end(rig, "a", "1", TASK, failures, GN_END_FAILED);
+	rig_store(rig);
+}
+
+static void test_job_fails_below_its_limit_without_a_configuration(void)
+{
+	sched_rig_t rig;
+
+	open_with_failures_before_the_configuration(&rig, "patient", 3);
+	g_assert_cmpint(rig_phase(&rig, JOB), <, GN_JOB_COMPLETED);
+	rig_configure(&rig);
+	g_assert_cmpint(rig_phase(&rig, JOB), <, GN_JOB_COMPLETED);
+	rig_advance_ms(&rig, 3000);
+	rig_report(&rig, "a", "1");
+	rig_store(&rig);
+	rig_report_end(&rig, "a", "1", TASK, 4, GN_END_FAILED);
+	g_assert_cmpint(rig_phase(&rig, JOB), ==, GN_JOB_FAILED);
+	rig_close(&rig);
+}
+
+static void test_task_starts_beyond_its_limit_without_a_configuration(void)
+{
+	sched_rig_t rig;
+
+	open_with_failures_before_the_configuration(&rig, "batch", 2);
+	rig_configure(&rig);
+	g_assert_cmpint(rig_phase(&rig, JOB), ==, GN_JOB_FAILED);
+	rig_advance_ms(&rig, 3000);
+	rig_report(&rig, "a", "1");
+	rig_store(&rig);
+	g_assert_cmpuint(rig_count_orders(&rig, GN_RUN_ORDER_START), ==, 0);
+	rig_close(&rig);
+}
+
+/* An earlier leader has stored the failures and had no configuration. */
+static void test_task_starts_beyond_its_limit_after_a_change_of_leader(void)
+{
+	sched_rig_t rig;
+
+	open_with_failures_before_the_configuration(&rig, "batch", 2);
+	rig_change_leader(&rig);
+	rig_configure(&rig);
+	rig_report(&rig, "a", "1");
+	rig_store(&rig);
+	g_assert_cmpint(rig_phase(&rig, JOB), ==, GN_JOB_FAILED);
+	g_assert_cmpuint(rig_count_orders(&rig, GN_RUN_ORDER_START), ==, 0);
+	rig_close(&rig);
+}
+
 static void test_standing_task_is_always_restarted(void)
 {
 	const rig_step_t standing = { .count = 1,
@@ -1103,6 +1171,12 @@
 		  test_new_leader_stops_the_claim_of_an_earlier_life_first },
 		{ "job_fails_at_its_attempt_limit",
 		  test_job_fails_at_its_attempt_limit },
+		{ "job_fails_below_its_limit_without_a_configuration",
+		  test_job_fails_below_its_limit_without_a_configuration },
+		{ "task_starts_beyond_its_limit_without_a_configuration",
+		  test_task_starts_beyond_its_limit_without_a_configuration },
+		{ "task_starts_beyond_its_limit_after_a_change_of_leader",
+		  test_task_starts_beyond_its_limit_after_a_change_of_leader },
 		{ "standing_task_is_always_restarted",
 		  test_standing_task_is_always_restarted },
 		{ "same_id_is_one_job", test_same_id_is_one_job },
