--- a/tests/support/sched_rig.c
+++ b/tests/support/sched_rig.c
@@ -475,28 +475,16 @@
 void rig_open_with_stored_claim(sched_rig_t *rig, const rig_step_t *step,
 				bool with_start_of_life)
 {
-	sched_rig_t first_leader;
-	gn_sched_write_t write;
-	Gn__JobRecord *record;
-
-	rig_open(&first_leader);
-	rig_report(&first_leader, "a", "1");
-	rig_submit(&first_leader, RIG_JOB, "batch", step, 1);
-	gn_sched_run_pass(first_leader.sched);
-	g_assert_cmpuint(gn_sched_begin_batch(first_leader.sched, &write, 1),
-			 ==, 1);
-	record = gn__job_record__unpack(NULL, write.len, write.value);
-	free(write.value);
-	rig_close(&first_leader);
+	const Gn__JobRecord *record;
 
+	rig_open(rig);
+	rig_report(rig, "a", "1");
+	rig_submit(rig, RIG_JOB, "batch", step, 1);
+	rig_store(rig);
+	record = g_hash_table_lookup(rig->records, RIG_JOB);
 	g_assert_cmpuint(record->state->tasks[0]->born_ms, >, 0);
 	if (!with_start_of_life)
 		record->state->tasks[0]->born_ms = 0;
-	rig_open(rig);
-	g_assert_cmpint(
-		gn_sched_load_job(rig->sched, record->spec, record->state), ==,
-		GN_OK);
-	record->spec = NULL;
-	gn__job_record__free_unpacked(record, NULL);
-	gn_sched_finish_loading(rig->sched);
+	rig_change_leader(rig);
+	rig_configure(rig);
 }
