sched: no job fails by a limit that the leader does not know

Cause: a leader that had not read the configuration counted failed attempts to a default limit of 3. When the configuration arrived, limits that had been reached were not checked; nor were they when jobs were loaded.

Change: without a known limit the decision waits.

Ruled out: a failed attempt that is counted twice; an attempt is counted only with its claim, and the state that is stored holds either.

--- a/lib/sched/sched_claim.c
+++ b/lib/sched/sched_claim.c
@@ -256,22 +256,20 @@
 	task->checkpoint = g_strdup(checkpoint);
 }
 
-static uint32_t count_failures(const sched_task_t *task)
+bool sched_is_at_attempt_limit(const sched_task_t *task)
 {
-	return sched_is_gang(task) ? sched_gang_failures(task) : task->failed;
+	uint32_t failed =
+		sched_is_gang(task) ? sched_gang_failures(task) : task->failed;
+
+	return !get_step(task)->standing && task->job->max_attempts &&
+	       failed >= task->job->max_attempts;
 }
 
 static void handle_failure(sched_task_t *task)
 {
-	sched_job_t *job = task->job;
-
 	task->failed++;
 	sched_release_claim(task, "failed");
-	if (get_step(task)->standing || sched_job_is_finished(job))
-		return;
-	if (count_failures(task) >= job->max_attempts)
-		sched_job_finish(job, GN_JOB_FAILED,
-				 "a task has reached its attempt limit");
+	sched_job_check_attempts(task->job);
 }
 
 void sched_mark_started(sched_task_t *task)
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -102,6 +102,8 @@
 	uint64_t deadline_us;
 	unsigned priority;
 	gn_rank_t rank; /**< Rank in the last pass, if tasks were waiting. */
+	/** Failed attempts of a task that make the job fail; 0 while its queue
+	 * is unknown, which only delays the decision. */
 	unsigned max_attempts;
 	bool advised; /**< Starts need tickets. */
 	const char *service; /**< Interned. */
@@ -230,6 +232,8 @@
 void sched_job_update_units(sched_job_t *job);
 /** Sets the final phase of a job and stops its runs. */
 void sched_job_finish(sched_job_t *job, gn_job_phase_t phase, const char *why);
+/** Lets the job fail if a task has reached its attempt limit. */
+void sched_job_check_attempts(sched_job_t *job);
 /** Marks a task as done, and its job as completed after the last task. */
 void sched_job_task_done(sched_task_t *task);
 /** Starts the removal of jobs whose retention time has passed. */
@@ -268,6 +272,8 @@
 void sched_set_checkpoint(sched_task_t *task, const char *checkpoint);
 /** Records that the run of a claim has started. */
 void sched_mark_started(sched_task_t *task);
+/** Whether the task, or its gang, may not be started again. */
+bool sched_is_at_attempt_limit(const sched_task_t *task);
 /** Handles the end of a claim's run. @p checkpoint may be empty. */
 void sched_handle_end(sched_task_t *task, gn_end_kind_t how,
 		      const char *checkpoint);
--- a/lib/sched/sched_job.c
+++ b/lib/sched/sched_job.c
@@ -8,7 +8,6 @@
 #include "sched/sched_internal.h"
 
 /** Limits for a queue that the configuration does not contain. */
-#define DEFAULT_ATTEMPTS 3
 #define DEFAULT_PRIORITY 9
 #define DEFAULT_STRETCH 2.0
 #define DEFAULT_TARGET_MS 1000
@@ -141,7 +140,6 @@
 	job->accepted_ms = accepted_ms;
 	job->accepted_us = now_us > age_us ? now_us - age_us : 0;
 	job->priority = DEFAULT_PRIORITY;
-	job->max_attempts = DEFAULT_ATTEMPTS;
 	job->service = "";
 	job->pending_starts = g_ptr_array_new();
 	create_units(job);
@@ -258,6 +256,21 @@
 	sched_job_mark_dirty(job);
 }
 
+void sched_job_check_attempts(sched_job_t *job)
+{
+	if (sched_job_is_finished(job))
+		return;
+	for (uint32_t i = 0; i < job->task_count; i++) {
+		const sched_task_t *task = &job->tasks[i];
+
+		if (!task->failed || !sched_is_at_attempt_limit(task))
+			continue;
+		sched_job_finish(job, GN_JOB_FAILED,
+				 "a task has reached its attempt limit");
+		return;
+	}
+}
+
 /* The job stays in memory until it is deleted from the store. */
 static void expire_job(sched_job_t *job, uint64_t now_us)
 {
--- a/lib/sched/sched_store.c
+++ b/lib/sched/sched_store.c
@@ -268,6 +268,8 @@
 
 static void resume_job(sched_job_t *job)
 {
+	/* An earlier leader may not have known the limit. */
+	sched_job_check_attempts(job);
 	if (!sched_job_is_finished(job)) {
 		sched_job_update_units(job);
 		return;
