tests: tasks of the run walk may fail up to their attempt limit

In the walk of leader, executors and workers a task failed once at most, so that no seed reached an attempt limit. Now one task in ten fails often, its job may fail, and two more promises are checked as the workers see them: no task starts after as many failed ends as it may have were noted, and no job fails with fewer failed runs.

--- a/tests/support/run_model.h
+++ b/tests/support/run_model.h
@@ -46,6 +46,7 @@
 	X(batches_lost)           \
 	X(batches_applied_unseen) \
 	X(cancels)                \
+	X(jobs_failed)            \
 	Y(unclaimed_runs)
 
 /** How often each event occurred. */
@@ -66,6 +67,8 @@
 	RUN_MODEL_BUG_LONG_LEASE,
 	/** Starts are carried out however old the leader's knowledge is. */
 	RUN_MODEL_BUG_FRESH_BASIS,
+	/** The leader knows the life of a worker by its ID alone. */
+	RUN_MODEL_BUG_LIFE_BY_ID,
 	RUN_MODEL_BUG_COUNT
 } run_model_bug_t;
 
--- a/tests/support/run_model_check.c
+++ b/tests/support/run_model_check.c
@@ -42,25 +42,54 @@
 	else if (task->done_noted)
 		rm_violate(model, task,
 			   "a task starts after its end as done was noted");
+	else if (task->failed_noted == RM_MAX_ATTEMPTS)
+		rm_violate(model, task,
+			   "a task starts again at its attempt limit");
 	else if (!worker->guards &&
 		 rm_worker_used_milli(worker) + task->cpu_milli >
 			 worker->cpu_milli)
 		rm_violate(model, NULL, "a worker is over its capacity");
 }
 
+static void note_done(run_model_t *model, const rm_end_t *end)
+{
+	end->task->done_noted = true;
+	if (end->task->last_start_us > end->ended_us)
+		rm_violate(model, end->task,
+			   "an end as done is noted after the next start");
+}
+
+static void note_failed(run_model_t *model, const rm_end_t *end)
+{
+	rm_task_t *task = end->task;
+	uint64_t last_us = 0;
+
+	/* Standing tasks have no limit. */
+	if (task->standing || task->failed_noted == RM_MAX_ATTEMPTS)
+		return;
+	task->failed_noted_us[task->failed_noted++] = end->ended_us;
+	if (task->failed_noted < RM_MAX_ATTEMPTS)
+		return;
+	for (unsigned i = 0; i < RM_MAX_ATTEMPTS; i++)
+		last_us = MAX(last_us, task->failed_noted_us[i]);
+	if (task->last_start_us > last_us)
+		rm_violate(model, task,
+			   "the attempt limit is noted after the next start");
+}
+
 void rm_check_noted(run_model_t *model, const rm_worker_t *worker,
 		    const rm_end_t *end)
 {
 	/* RULES.md, TWICE: "unless the worker's lease lapsed between the two;
 	 * that stands for good". */
-	if (end->how != GN_END_DONE || worker->lapses != end->lapses)
+	if (worker->lapses != end->lapses)
 		return;
-	rm_log(model, "worker", worker->at, "forgets done", end->task,
-	       end->attempt, NULL);
-	end->task->done_noted = true;
-	if (end->task->last_start_us > end->ended_us)
-		rm_violate(model, end->task,
-			   "an end as done is noted after the next start");
+	rm_log(model, "worker", worker->at, "forgets", end->task, end->attempt,
+	       gn_end_kind_name(end->how));
+	if (end->how == GN_END_DONE)
+		note_done(model, end);
+	else if (end->how == GN_END_FAILED)
+		note_failed(model, end);
 }
 
 /* ======   Claims   ====== */
@@ -115,13 +144,22 @@
 		rm_violate(model, task, "a task of a cancelled job runs");
 	else if (!job->cancelled && job->standing && !running)
 		rm_violate(model, task, "a standing task doesn't run");
-	else if (!job->cancelled && !job->standing &&
+	else if (!job->cancelled && job->phase == GN_JOB_COMPLETED &&
 		 task->state != GN_JOB_TASK_DONE)
 		rm_violate(model, task, "a task isn't done");
 	else if (!job->standing && running)
 		rm_violate(model, task, "a task of a finished job runs");
 }
 
+static bool has_reason_to_fail(const rm_job_t *job)
+{
+	for (size_t i = 0; i < job->task_count; i++)
+		if (!job->tasks[i].standing &&
+		    job->tasks[i].failed_runs >= RM_MAX_ATTEMPTS)
+			return true;
+	return false;
+}
+
 void rm_check_end(run_model_t *model)
 {
 	rm_workers_settle(model);
@@ -133,8 +171,13 @@
 				   "a job isn't accepted");
 		for (size_t k = 0; k < job->task_count; k++)
 			check_task(model, job, &job->tasks[k]);
+		model->counts->jobs_failed += job->phase == GN_JOB_FAILED;
+		if (job->phase == GN_JOB_FAILED && !has_reason_to_fail(job))
+			rm_violate(model, &job->tasks[0],
+				   "a job fails below its attempt limit");
 		if (!job->cancelled && !job->standing &&
-		    job->phase != GN_JOB_COMPLETED)
+		    job->phase != GN_JOB_COMPLETED &&
+		    job->phase != GN_JOB_FAILED)
 			rm_violate(model, &job->tasks[0],
 				   "a job isn't completed");
 	}
--- a/tests/support/run_model_jobs.c
+++ b/tests/support/run_model_jobs.c
@@ -15,6 +15,10 @@
 /** Every so many jobs, one lasts until it is cancelled. */
 #define STANDING_INTERVAL 9
 #define CANCEL_CHANCE 0.15
+/** Chance that a run fails, and the same for a task that often fails. */
+#define FAIL_CHANCE 0.04
+#define OFTEN_FAIL_CHANCE 0.6
+#define OFTEN_FAILS_CHANCE 0.1
 
 /* ======   Creation   ====== */
 
@@ -69,6 +73,9 @@
 	task->cpu_milli = step->cpu_milli;
 	task->duration_ms = step->estimate_ms;
 	task->standing = step->standing;
+	task->fail_chance = rm_draw(model, OFTEN_FAILS_CHANCE)
+				    ? OFTEN_FAIL_CHANCE
+				    : FAIL_CHANCE;
 	g_hash_table_insert(model->tasks, task->name, task);
 }
 
--- a/tests/support/run_model_leader.c
+++ b/tests/support/run_model_leader.c
@@ -17,7 +17,7 @@
 				  .host = "h",
 				  .prefix = "/q/",
 				  .service = "s",
-				  .max_attempts = 3,
+				  .max_attempts = RM_MAX_ATTEMPTS,
 				  .stretch = 2,
 				  .target_ms = 1000 };
 
--- a/tests/support/run_model_reports.c
+++ b/tests/support/run_model_reports.c
@@ -97,7 +97,8 @@
 	const rm_worker_t *worker = &executor->model->workers[executor->at];
 
 	report->life = executor->life;
-	report->born_ms = executor->born_ms;
+	if (executor->model->options.bug != RUN_MODEL_BUG_LIFE_BY_ID)
+		report->born_ms = executor->born_ms;
 	report->service = (char *)"s";
 	report->cpu_milli = worker->cpu_milli;
 	report->memory_mb = 64000;
--- a/tests/support/run_model_runs.c
+++ b/tests/support/run_model_runs.c
@@ -4,9 +4,6 @@
  */
 #include "support/run_model_internal.h"
 
-/** Chance that a run fails once by its own fault. */
-#define FAIL_CHANCE 0.04
-
 /* ======   Clock   ====== */
 
 uint64_t rm_worker_clock_ms(const run_model_t *model, const rm_worker_t *worker)
@@ -74,8 +71,7 @@
 			       .ended_us = rm_now_us(model),
 			       .lapses = worker->lapses };
 
-	if (how == GN_END_FAILED)
-		run->task->has_failed = true;
+	run->task->failed_runs += how == GN_END_FAILED;
 	close_attempt(worker, run->task, run->attempt);
 	g_array_append_val(worker->listed_ends, end);
 	count_end(model, how);
@@ -141,8 +137,7 @@
 		    uint32_t attempt)
 {
 	rm_run_t *run = g_new0(rm_run_t, 1);
-	bool fails = rm_in_faults(model) && !task->has_failed &&
-		     rm_draw(model, FAIL_CHANCE);
+	bool fails = rm_in_faults(model) && rm_draw(model, task->fail_chance);
 	uint64_t ms = task->standing ? 3000 : task->duration_ms;
 
 	run->task = task;
--- a/tests/support/run_model_types.h
+++ b/tests/support/run_model_types.h
@@ -15,6 +15,8 @@
 #define RM_JOBS 18
 #define RM_JOB_TASKS 8
 #define RM_BATCH_MAX 15
+/** Failed attempts of a task that make its job fail. */
+#define RM_MAX_ATTEMPTS 3
 #define RM_REPORT_HISTORY 64
 #define RM_MS GN_US_PER_MS
 #define RM_START_US (1000 * GN_US_PER_S)
@@ -63,7 +65,11 @@
 	uint32_t cpu_milli;
 	uint32_t duration_ms;
 	bool standing;
-	bool has_failed; /**< A run has ended as failed by chance. */
+	double fail_chance; /**< Chance that a run fails, during faults. */
+	unsigned failed_runs; /**< Runs that have ended as failed. */
+	/** Times of the ends as failed that were noted under their leases. */
+	uint64_t failed_noted_us[RM_MAX_ATTEMPTS];
+	unsigned failed_noted;
 	uint64_t last_start_us; /**< Time of the last start; 0 if none. */
 	bool done_noted; /**< An end as done was noted under its lease. */
 	gn_job_task_state_t state; /**< As stored. */
--- a/tests/unit/test_run_walk.c
+++ b/tests/unit/test_run_walk.c
@@ -16,6 +16,7 @@
 	[RUN_MODEL_BUG_EARLY_NOTE] = { "early-note", 1, 100 },
 	[RUN_MODEL_BUG_LONG_LEASE] = { "long-lease", 1, 400 },
 	[RUN_MODEL_BUG_FRESH_BASIS] = { "fresh-basis", 1, 400 },
+	[RUN_MODEL_BUG_LIFE_BY_ID] = { "life-by-id", 1, 400 },
 };
 
 static const char *run_walk(guint32 seed, run_model_options_t *options,
@@ -33,7 +34,11 @@
 
 static const char *run(guint32 seed, unsigned mutant, uint64_t *counts)
 {
-	run_model_options_t options = { .bug = (run_model_bug_t)mutant };
+	run_model_options_t options = {
+		.bug = (run_model_bug_t)mutant,
+		/* Only a restart under the same ID shows this bug. */
+		.same_id = mutant == RUN_MODEL_BUG_LIFE_BY_ID,
+	};
 
 	return run_walk(seed, &options, counts);
 }
