tests: the run walk plays workers that leave and late configurations

The walk had neither of the two causes that were found: no worker left, and each leader had its configuration at once. Now a worker may leave, after which its machine is stopped and another one comes, and three leaders in ten read their configuration up to 1.5 s late. A new check: an executor that ends by itself leaves no stored claim of a life that has left. The limit of the queue differs from what was the default, 4 for 3.

--- a/tests/support/run_model.h
+++ b/tests/support/run_model.h
@@ -41,6 +41,9 @@
 	X(executor_restarts)      \
 	X(executor_freezes)       \
 	X(worker_restarts)        \
+	X(worker_leaves)          \
+	X(leaves_stored)          \
+	X(late_configurations)    \
 	X(failovers)              \
 	X(rival_leaders)          \
 	X(batches_lost)           \
@@ -69,6 +72,8 @@
 	RUN_MODEL_BUG_FRESH_BASIS,
 	/** The leader knows the life of a worker by its ID alone. */
 	RUN_MODEL_BUG_LIFE_BY_ID,
+	/** Executors end before a leader has stored that their worker left. */
+	RUN_MODEL_BUG_EARLY_END,
 	RUN_MODEL_BUG_COUNT
 } run_model_bug_t;
 
--- a/tests/support/run_model_check.c
+++ b/tests/support/run_model_check.c
@@ -101,6 +101,24 @@
 	       run->task->host == worker->at;
 }
 
+void rm_check_leave(run_model_t *model, const rm_executor_t *executor)
+{
+	const gn_life_t life = { executor->life, executor->born_ms };
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, model->tasks);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const rm_task_t *task = value;
+
+		if (task->state == GN_JOB_TASK_CLAIMED &&
+		    task->host == executor->at &&
+		    gn_life_matches(task->life, life))
+			rm_violate(model, task,
+				   "a leave is forgotten with its executor");
+	}
+}
+
 static void check_run(run_model_t *model, const rm_worker_t *worker,
 		      rm_run_t *run)
 {
--- a/tests/support/run_model_internal.h
+++ b/tests/support/run_model_internal.h
@@ -63,7 +63,12 @@
 
 void rm_executor_start(run_model_t *model, rm_executor_t *executor);
 void rm_executor_stop(run_model_t *model, rm_executor_t *executor);
+/** Ends the process, and starts it again at @p start_us. */
+void rm_executor_restart(run_model_t *model, rm_executor_t *executor,
+			 uint64_t start_us);
 void rm_executor_tick(run_model_t *model, rm_executor_t *executor);
+/** The worker deregisters. */
+void rm_executor_on_leave(rm_executor_t *executor);
 void rm_executor_on_heartbeat(rm_executor_t *executor, const char *life,
 			      uint64_t born_ms, uint64_t heartbeat);
 void rm_executor_on_list(rm_executor_t *executor, rm_call_t *call);
@@ -138,6 +143,8 @@
 /** Checks an end that the worker is told to forget. */
 void rm_check_noted(run_model_t *model, const rm_worker_t *worker,
 		    const rm_end_t *end);
+/** Checks that no claim of the life that left is stored. */
+void rm_check_leave(run_model_t *model, const rm_executor_t *executor);
 /** Checks runs without a claim. */
 void rm_check_tick(run_model_t *model, void *data);
 /** Checks that all is done that has to be. */
--- a/tests/support/run_model_leader.c
+++ b/tests/support/run_model_leader.c
@@ -12,6 +12,9 @@
 
 #define TICK_INTERVAL_US (100 * RM_MS)
 #define CONFIRM_INTERVAL_US (300 * RM_MS)
+/** A leader may read its configuration only after this time. */
+#define LATE_CONFIGURATION_MS 1500
+#define LATE_CONFIGURATION_CHANCE 0.3
 
 static const gn_queue_t queue = { .name = "q",
 				  .host = "h",
@@ -144,16 +147,25 @@
 	return leader;
 }
 
+static void configure(run_model_t *model, void *data)
+{
+	const rm_leader_t *leader = rm_leader_find(model, *(uint64_t *)data);
+
+	g_free(data);
+	if (leader)
+		gn_sched_configure(leader->sched, &configuration);
+}
+
 void rm_leader_elect(run_model_t *model, uint64_t load_us)
 {
 	rm_leader_t *leader = find_free_leader(model);
+	uint64_t config_us = 0;
 
 	leader->model = model;
 	leader->epoch = ++model->epoch;
 	leader->confirmed_us = rm_now_us(model);
 	leader->sched = gn_sched_create(NULL, &config, &model->clock,
 					&model->wall, &sched_ops, leader);
-	gn_sched_configure(leader->sched, &configuration);
 	for (unsigned i = 0; i < RM_WORKERS; i++)
 		leader->peers[i].orders =
 			g_ptr_array_new_with_free_func(free_order);
@@ -161,6 +173,12 @@
 	rm_log(model, "leader", (unsigned)leader->epoch, "is elected", NULL, 0,
 	       NULL);
 	rm_at(model, rm_now_us(model) + load_us, serve, NULL, NULL);
+	if (rm_draw(model, LATE_CONFIGURATION_CHANCE)) {
+		model->counts->late_configurations++;
+		config_us = rm_draw_us(model, 0, LATE_CONFIGURATION_MS);
+	}
+	rm_at(model, rm_now_us(model) + config_us, configure,
+	      g_memdup2(&leader->epoch, sizeof(leader->epoch)), g_free);
 }
 
 /* ======   Executors   ====== */
@@ -184,6 +202,7 @@
 	message.ends_stored = ends;
 	message.life = (char *)life.id;
 	message.born_ms = life.started_ms;
+	message.leave_stored = gn_sched_is_leave_durable(leader->sched, host);
 	message.unsure = rm_now_us(leader->model) - leader->confirmed_us >
 			 RM_LEADER_TTL_MS * RM_MS;
 	message.sequence = peer->unanswered_sequence;
--- a/tests/support/run_model_types.h
+++ b/tests/support/run_model_types.h
@@ -16,7 +16,7 @@
 #define RM_JOB_TASKS 8
 #define RM_BATCH_MAX 15
 /** Failed attempts of a task that make its job fail. */
-#define RM_MAX_ATTEMPTS 3
+#define RM_MAX_ATTEMPTS 4
 #define RM_REPORT_HISTORY 64
 #define RM_MS GN_US_PER_MS
 #define RM_START_US (1000 * GN_US_PER_S)
@@ -29,6 +29,10 @@
 #define RM_HOLD_MAX_MS 6000
 /** Longest time in which a worker stops a run. */
 #define RM_STOP_MS 500
+/** Time that an executor has to end by itself, and how long its orders in
+ * progress may delay that. */
+#define RM_GRACE_MS 6000
+#define RM_STOP_ORDERS_MS 500
 /** Longest time after which an unanswered call takes effect. */
 #define RM_LATE_MIN_MS 2000
 #define RM_LATE_MAX_MS 12000
@@ -75,6 +79,7 @@
 	gn_job_task_state_t state; /**< As stored. */
 	uint32_t attempt; /**< As stored. */
 	unsigned host; /**< Worker of the claim, as stored. */
+	gn_life_t life; /**< Its life, as stored; interned ID. */
 } rm_task_t;
 
 typedef struct rm_job_s {
@@ -193,6 +198,10 @@
 	uint64_t born_ms;
 	uint64_t heartbeat;
 	bool worker_known;
+	bool worker_left;
+	bool worker_ended;
+	bool leave_stored;
+	uint64_t stopping_us; /**< Since when it is to end; 0 if it isn't. */
 
 	rm_list_t lists[RM_LIST_KINDS];
 	uint64_t list_due_us;
--- a/tests/unit/test_run_walk.c
+++ b/tests/unit/test_run_walk.c
@@ -17,6 +17,7 @@
 	[RUN_MODEL_BUG_LONG_LEASE] = { "long-lease", 1, 400 },
 	[RUN_MODEL_BUG_FRESH_BASIS] = { "fresh-basis", 1, 400 },
 	[RUN_MODEL_BUG_LIFE_BY_ID] = { "life-by-id", 1, 400 },
+	[RUN_MODEL_BUG_EARLY_END] = { "early-end", 1, 100 },
 };
 
 static const char *run_walk(guint32 seed, run_model_options_t *options,
