executor, scheduler: a leave that no leader has stored is recorded in the store

Cause: an executor that is stopped reports its worker's leave for its grace time at most. The class is that of the executor that ended at once: evidence for a release that is kept only in memory.

Change: an executor that is stopped, and whose worker has ended, writes a key gn/left/HOST/PROCESS if no leader has stored the leave yet, bound to a lease of 60 s. A new leader loads these keys and releases the claims of exactly this life. The executor still reports to the leader until that has stored the leave, as a leader may have loaded before the key was written.

Measured: two new tests, of the record and of loading it, which need the new calls.

--- a/lib/executor/executor.c
+++ b/lib/executor/executor.c
@@ -88,6 +88,7 @@
 	/* Freed before the orders, since its calls point to them. */
 	TALLOC_FREE(executor->client);
 	TALLOC_FREE(executor->link);
+	TALLOC_FREE(executor->leave);
 	TALLOC_FREE(executor->kv_http);
 	TALLOC_FREE(executor->orders);
 	g_ptr_array_free(executor->results, TRUE);
@@ -147,6 +148,7 @@
 	executor_worker_tick(executor);
 	gn_orders_tick(executor->orders);
 	executor_leader_tick(executor);
+	executor_leave_tick(executor);
 }
 
 static unsigned executor_next_tick_ms(const void *state)
--- a/lib/executor/executor_internal.h
+++ b/lib/executor/executor_internal.h
@@ -23,6 +23,7 @@
 #include "http/client.h"
 #include "http/server.h"
 #include "job/life.h"
+#include "member/lease.h"
 #include "platform/kv_http.h"
 #include "wire/link.h"
 
@@ -65,6 +66,8 @@
 	bool worker_ended; /**< The process of a worker that left has ended. */
 	/** The leader has stored that the worker's life has ended. */
 	bool leave_stored;
+	/** Record of the leave in the store; NULL unless it is needed. */
+	gn_lease_t *leave;
 	/** Time of the first heartbeat that says draining; 0 if none does. */
 	uint64_t worker_draining_us;
 	gn_grant_t grant; /**< Clock and lease of the worker. */
@@ -150,6 +153,16 @@
 /** Frees a Gn__OrderResult. */
 void executor_result_free(gpointer result);
 
+/* ======   leave.c   ====== */
+
+/**
+ * Records in the store that the worker has left, if this process is stopped
+ * before a leader has stored it.
+ */
+void executor_leave_tick(executor_t *executor);
+/** Forgets the record, which belongs to an earlier life. */
+void executor_leave_reset(executor_t *executor);
+
 /* ======   leader.c   ====== */
 
 /** Finds the leader if it doesn't answer, and sends reports that are due. */
--- /dev/null
+++ b/lib/executor/leave.c
@@ -0,0 +1,61 @@
+/**
+ * @file leave.c
+ * @brief Record of a worker that has left, for a leader that is elected after
+ *        this process has ended.
+ */
+#include <inttypes.h>
+
+#include "common/event.h"
+#include "executor/executor_internal.h"
+#include "job/job.h"
+
+/** Time for which a record outlasts this process. Leaders hold the claims of a
+ * worker of which they know nothing for less than that. */
+#define RECORD_TTL_MS 60000
+
+static gn_lease_t *create_record(executor_t *executor)
+{
+	const gn_runtime_t *runtime = executor->runtime;
+	const char *host = runtime->settings->name;
+	g_autofree char *key = g_strdup_printf(
+		GN_LEAVE_PREFIX "%s/%016" PRIx64 "-%" PRIu64, host,
+		runtime->incarnation, executor->notice.life_started_ms);
+	Gn__Leave leave = GN__LEAVE__INIT;
+	g_autofree char *value = NULL;
+	gn_lease_options_t options = {
+		.kv = executor->kv,
+		.clock = &runtime->clock,
+		.rand = runtime->rand,
+		.key = key,
+		.ttl_ms = RECORD_TTL_MS,
+	};
+
+	leave.host = (char *)host;
+	leave.life = executor->notice.life;
+	leave.born_ms = executor->notice.life_started_ms;
+	options.value.len = gn__leave__get_packed_size(&leave);
+	value = g_malloc(options.value.len);
+	gn__leave__pack(&leave, (uint8_t *)value);
+	options.value.data = value;
+	return gn_lease_create(executor, &options);
+}
+
+void executor_leave_tick(executor_t *executor)
+{
+	if (!executor->runtime->stopping || !executor->worker_ended ||
+	    executor->leave_stored)
+		return;
+	if (!executor->leave) {
+		gn_event("recording leave", "{s:s}", "life",
+			 executor->notice.life);
+		executor->leave = create_record(executor);
+	}
+	if (executor->leave)
+		gn_lease_tick(executor->leave);
+}
+
+void executor_leave_reset(executor_t *executor)
+{
+	gn_lease_free(executor->leave);
+	executor->leave = NULL;
+}
--- a/lib/executor/worker.c
+++ b/lib/executor/worker.c
@@ -231,6 +231,7 @@
 	executor->worker_left = false;
 	executor->worker_ended = false;
 	executor->leave_stored = false;
+	executor_leave_reset(executor);
 	executor->list_due_us = 0;
 	executor->waiting_list.attempts = 0;
 	executor->prompt_list.attempts = 0;
--- a/lib/job/job.pb-c.c
+++ b/lib/job/job.pb-c.c
@@ -232,6 +232,51 @@
   assert(message->base.descriptor == &gn__job_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gn__leave__init
+                     (Gn__Leave         *message)
+{
+  static const Gn__Leave init_value = GN__LEAVE__INIT;
+  *message = init_value;
+}
+size_t gn__leave__get_packed_size
+                     (const Gn__Leave *message)
+{
+  assert(message->base.descriptor == &gn__leave__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gn__leave__pack
+                     (const Gn__Leave *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gn__leave__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gn__leave__pack_to_buffer
+                     (const Gn__Leave *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gn__leave__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gn__Leave *
+       gn__leave__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gn__Leave *)
+     protobuf_c_message_unpack (&gn__leave__descriptor,
+                                allocator, len, data);
+}
+void   gn__leave__free_unpacked
+                     (Gn__Leave *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gn__leave__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gn__disturbance__init
                      (Gn__Disturbance         *message)
 {
@@ -941,6 +986,70 @@
   (ProtobufCMessageInit) gn__job_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor gn__leave__field_descriptors[3] =
+{
+  {
+    "host",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gn__Leave, host),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "life",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gn__Leave, life),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gn__Leave, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gn__leave__field_indices_by_name[] = {
+  2,   /* field[2] = born_ms */
+  0,   /* field[0] = host */
+  1,   /* field[1] = life */
+};
+static const ProtobufCIntRange gn__leave__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor gn__leave__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gn.Leave",
+  "Leave",
+  "Gn__Leave",
+  "gn",
+  sizeof(Gn__Leave),
+  3,
+  gn__leave__field_descriptors,
+  gn__leave__field_indices_by_name,
+  1,  gn__leave__number_ranges,
+  (ProtobufCMessageInit) gn__leave__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor gn__disturbance__field_descriptors[4] =
 {
   {
--- a/lib/job/job.pb-c.h
+++ b/lib/job/job.pb-c.h
@@ -20,6 +20,7 @@
 typedef struct Gn__TaskState Gn__TaskState;
 typedef struct Gn__JobState Gn__JobState;
 typedef struct Gn__JobRecord Gn__JobRecord;
+typedef struct Gn__Leave Gn__Leave;
 typedef struct Gn__Disturbance Gn__Disturbance;
 typedef struct Gn__Disturbances Gn__Disturbances;
 
@@ -220,6 +221,24 @@
     , NULL, NULL }
 
 
+/*
+ * The end of a worker's life, as its executor records it.
+ */
+struct  Gn__Leave
+{
+  ProtobufCMessage base;
+  char *host;
+  char *life;
+  /*
+   * Start of the life, since 1970.
+   */
+  uint64_t born_ms;
+};
+#define GN__LEAVE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gn__leave__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+
+
 /*
  * Learned interference of a best-effort image with a serving image.
  */
@@ -354,6 +373,25 @@
 void   gn__job_record__free_unpacked
                      (Gn__JobRecord *message,
                       ProtobufCAllocator *allocator);
+/* Gn__Leave methods */
+void   gn__leave__init
+                     (Gn__Leave         *message);
+size_t gn__leave__get_packed_size
+                     (const Gn__Leave   *message);
+size_t gn__leave__pack
+                     (const Gn__Leave   *message,
+                      uint8_t             *out);
+size_t gn__leave__pack_to_buffer
+                     (const Gn__Leave   *message,
+                      ProtobufCBuffer     *buffer);
+Gn__Leave *
+       gn__leave__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gn__leave__free_unpacked
+                     (Gn__Leave *message,
+                      ProtobufCAllocator *allocator);
 /* Gn__Disturbance methods */
 void   gn__disturbance__init
                      (Gn__Disturbance         *message);
@@ -409,6 +447,9 @@
 typedef void (*Gn__JobRecord_Closure)
                  (const Gn__JobRecord *message,
                   void *closure_data);
+typedef void (*Gn__Leave_Closure)
+                 (const Gn__Leave *message,
+                  void *closure_data);
 typedef void (*Gn__Disturbance_Closure)
                  (const Gn__Disturbance *message,
                   void *closure_data);
@@ -426,6 +467,7 @@
 extern const ProtobufCMessageDescriptor gn__task_state__descriptor;
 extern const ProtobufCMessageDescriptor gn__job_state__descriptor;
 extern const ProtobufCMessageDescriptor gn__job_record__descriptor;
+extern const ProtobufCMessageDescriptor gn__leave__descriptor;
 extern const ProtobufCMessageDescriptor gn__disturbance__descriptor;
 extern const ProtobufCMessageDescriptor gn__disturbances__descriptor;
 
--- a/lib/job/life.h
+++ b/lib/job/life.h
@@ -12,6 +12,9 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/** Prefix of the keys in the store that record lives that have ended. */
+#define GN_LEAVE_PREFIX "gn/left/"
+
 /** A life of a worker. */
 typedef struct gn_life_s {
 	const char *id; /**< Not owned; empty if no life is known. */
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -262,6 +262,12 @@
 gn_code_t gn_sched_load_interference(gn_sched_t *sched, const uint8_t *data,
 				     size_t len);
 
+/**
+ * Releases the loaded claims of a life that has ended. Only allowed after the
+ * jobs have been loaded and before gn_sched_finish_loading().
+ */
+void gn_sched_load_leave(gn_sched_t *sched, const Gn__Leave *leave);
+
 /** Ends loading: leases of loaded claims run from now on. */
 void gn_sched_finish_loading(gn_sched_t *sched);
 
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -324,6 +324,9 @@
 			     int64_t value);
 /** Releases all claims of a worker. */
 void sched_worker_release_claims(sched_worker_t *worker, const char *why);
+/** Releases the claims of one life of a worker. */
+void sched_worker_release_life(sched_worker_t *worker, gn_life_t life,
+			       const char *why);
 /** Ends the present life of a worker, and releases its claims. */
 void sched_worker_leave(gn_sched_t *sched, sched_worker_t *worker);
 /** Releases the claims of workers whose leases have expired. */
--- a/lib/sched/sched_store.c
+++ b/lib/sched/sched_store.c
@@ -252,6 +252,18 @@
 	return gn_interference_unpack(sched->interference, data, len);
 }
 
+void gn_sched_load_leave(gn_sched_t *sched, const Gn__Leave *leave)
+{
+	sched_worker_t *worker =
+		g_hash_table_lookup(sched->workers, leave->host);
+	const gn_life_t life = { leave->life, leave->born_ms };
+
+	/* Without its start, a life cannot be told from one under the same
+	 * ID. */
+	if (worker && leave->born_ms)
+		sched_worker_release_life(worker, life, "worker left");
+}
+
 /* Computes when all leases of an earlier leader have expired. It may answer
  * reports, and so have leases extended, for up to depose_ms. */
 static void set_lease_expiry(const gn_sched_t *sched, sched_worker_t *worker)
--- a/lib/sched/sched_worker.c
+++ b/lib/sched/sched_worker.c
@@ -118,6 +118,24 @@
 		sched_release_claim(g_ptr_array_index(worker->claims, 0), why);
 }
 
+void sched_worker_release_life(sched_worker_t *worker, gn_life_t life,
+			       const char *why)
+{
+	guint i = 0;
+
+	/* Releasing one gang member can release others, so start over. */
+	while (i < worker->claims->len) {
+		sched_task_t *task = g_ptr_array_index(worker->claims, i);
+
+		if (gn_life_matches(task->life, life)) {
+			sched_release_claim(task, why);
+			i = 0;
+		} else {
+			i++;
+		}
+	}
+}
+
 /* Makes gn_sched_is_leave_durable() wait for the present state of all jobs. */
 static void await_stored_jobs(const gn_sched_t *sched, sched_worker_t *worker)
 {
--- a/lib/scheduler/leading.c
+++ b/lib/scheduler/leading.c
@@ -20,6 +20,7 @@
 	LOAD_SPECS = 0,
 	LOAD_STATES,
 	LOAD_INTERFERENCE,
+	LOAD_LEAVES,
 	LOAD_STAGE_COUNT
 } load_stage_t;
 
@@ -29,6 +30,7 @@
 	uint64_t start_us;
 	GHashTable *states; /**< Maps a job ID to Gn__JobState. */
 	GHashTable *specs; /**< Maps a job ID to Gn__JobSpec. */
+	GPtrArray *leaves; /**< Of Gn__Leave. */
 	load_stage_t stage;
 	char *last_key; /**< Last key of the previous page, or NULL. */
 	gn_kv_call_t call; /**< 0 if none is in flight. */
@@ -138,11 +140,17 @@
 	gn__job_spec__free_unpacked(spec, NULL);
 }
 
+static void free_leave(gpointer leave)
+{
+	gn__leave__free_unpacked(leave, NULL);
+}
+
 static int free_loading(scheduler_loading_t *loading)
 {
 	gn_kv_cancel(loading->scheduler->kv, loading->call);
 	g_hash_table_destroy(loading->states);
 	g_hash_table_destroy(loading->specs);
+	g_ptr_array_unref(loading->leaves);
 	g_free(loading->last_key);
 	return 0;
 }
@@ -151,6 +159,7 @@
 	[LOAD_SPECS] = GN_LEDGER_SPEC_PREFIX,
 	[LOAD_STATES] = GN_LEDGER_STATE_PREFIX,
 	[LOAD_INTERFERENCE] = GN_LEDGER_LEARNED_KEY,
+	[LOAD_LEAVES] = GN_LEAVE_PREFIX,
 };
 
 static void parse_job(scheduler_loading_t *loading, const gn_kv_entry_t *entry)
@@ -175,20 +184,42 @@
 			    value);
 }
 
-static void parse_entry(scheduler_loading_t *loading,
-			const gn_kv_entry_t *entry)
+static void parse_interference(scheduler_loading_t *loading,
+			       const gn_kv_entry_t *entry)
 {
-	const uint8_t *data = (const uint8_t *)entry->value.data;
-
-	if (loading->stage != LOAD_INTERFERENCE)
-		parse_job(loading, entry);
-	else if (gn_sched_load_interference(loading->scheduler->sched, data,
-					    entry->value.len))
+	if (gn_sched_load_interference(loading->scheduler->sched,
+				       (const uint8_t *)entry->value.data,
+				       entry->value.len))
 		gn_event("learned unreadable", "{s:s, s:s}", "key",
 			 GN_LEDGER_LEARNED_KEY, "why",
 			 "its value in the store is malformed");
 }
 
+static void parse_leave(scheduler_loading_t *loading,
+			const gn_kv_entry_t *entry)
+{
+	Gn__Leave *leave = gn__leave__unpack(
+		NULL, entry->value.len, (const uint8_t *)entry->value.data);
+
+	if (leave)
+		g_ptr_array_add(loading->leaves, leave);
+	else
+		gn_event("leave unreadable", "{s:s%, s:s}", "key",
+			 entry->key.data, entry->key.len, "why",
+			 "its value in the store is malformed");
+}
+
+static void parse_entry(scheduler_loading_t *loading,
+			const gn_kv_entry_t *entry)
+{
+	if (loading->stage == LOAD_INTERFERENCE)
+		parse_interference(loading, entry);
+	else if (loading->stage == LOAD_LEAVES)
+		parse_leave(loading, entry);
+	else
+		parse_job(loading, entry);
+}
+
 static void load_job(scheduler_loading_t *loading, const char *id,
 		     const Gn__JobState *state)
 {
@@ -236,6 +267,9 @@
 	g_hash_table_iter_init(&iter, loading->states);
 	while (g_hash_table_iter_next(&iter, &key, &value))
 		load_job(loading, key, value);
+	for (guint i = 0; i < loading->leaves->len; i++)
+		gn_sched_load_leave(scheduler->sched,
+				    g_ptr_array_index(loading->leaves, i));
 	gn_event("leading", "{s:I, s:I, s:I, s:I}", "epoch",
 		 (json_int_t)scheduler->epoch, "jobs",
 		 (json_int_t)g_hash_table_size(loading->states), "took_us",
@@ -301,6 +335,7 @@
 						free_state);
 	loading->specs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					       free_spec);
+	loading->leaves = g_ptr_array_new_with_free_func(free_leave);
 	talloc_set_destructor(loading, free_loading);
 	scheduler->loading = loading;
 	request_page(loading);
--- a/tests/contract/test_executor.c
+++ b/tests/contract/test_executor.c
@@ -4,6 +4,8 @@
 
 #include "executor/executor.h"
 #include "executor/executor_internal.h"
+#include "job/job.h"
+#include "support/fake_kv.h"
 
 #define HOST "side-1"
 #define ID "i-1"
@@ -487,6 +489,47 @@
 	close_rig();
 }
 
+/* Returns the number of records of leaves in the store. */
+static size_t record_leaves(kv_state_t *state, fake_kv_t *fake)
+{
+	kv_answer_t answer;
+	size_t count;
+
+	for (unsigned i = 0; i < 100; i++) {
+		gn_clock_advance(&rig->runtime.clock, 10 * GN_US_PER_MS);
+		executor_leave_tick(rig->executor);
+		fake_kv_run(fake);
+	}
+	kv_answer_init(&answer);
+	kv_state_list(state, GN_LEAVE_PREFIX, 0, &answer);
+	count = answer.items->len;
+	kv_answer_clear(&answer);
+	return count;
+}
+
+/* No leader is there until the grace time is over. */
+static void test_leave_is_forgotten_when_no_leader_comes_in_time(void)
+{
+	kv_state_t *state = kv_state_create();
+	fake_kv_t *fake;
+
+	open_rig();
+	fake = fake_kv_create(state, &rig->runtime.clock, 1);
+	rig->executor->kv = fake_kv_client(fake);
+	rig->runtime.rand = g_rand_new_with_seed(1);
+	send_deregistration(EARLIER_MS);
+	list_after_leaving(GN_WORKER_UNSENT, 1);
+	g_assert_cmpuint(record_leaves(state, fake), ==, 0);
+	rig->runtime.stopping = true;
+	g_assert_cmpuint(record_leaves(state, fake), ==, 1);
+	g_assert_false(gn_executor_role.is_stopped(rig->executor));
+	executor_leave_reset(rig->executor);
+	g_rand_free(rig->runtime.rand);
+	close_rig();
+	fake_kv_free(fake);
+	kv_state_free(state);
+}
+
 static void test_orders_in_progress_delay_the_stop_only_briefly(void)
 {
 	open_rig();
@@ -577,6 +620,9 @@
 		"/executor/"
 		"executor_ends_before_the_leave_of_its_worker_is_stored",
 		test_executor_ends_before_the_leave_of_its_worker_is_stored);
+	g_test_add_func(
+		"/executor/leave_is_forgotten_when_no_leader_comes_in_time",
+		test_leave_is_forgotten_when_no_leader_comes_in_time);
 	g_test_add_func(
 		"/executor/orders_in_progress_delay_the_stop_only_briefly",
 		test_orders_in_progress_delay_the_stop_only_briefly);
--- a/tests/support/sched_rig.c
+++ b/tests/support/sched_rig.c
@@ -270,6 +270,8 @@
 						  record->state),
 				==, GN_OK);
 	}
+	if (rig->leave)
+		gn_sched_load_leave(rig->sched, rig->leave);
 	gn_sched_finish_loading(rig->sched);
 	rig_clear(rig);
 }
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -39,6 +39,7 @@
 	GHashTable *hosts; /**< Name of a host to its state, owned. */
 	uint64_t stored; /**< Number of stored batches. */
 	GHashTable *records; /**< Job ID to its stored Gn__JobRecord, owned. */
+	const Gn__Leave *leave; /**< Record that new leaders load, or NULL. */
 	char last_event[32]; /**< Name of the last event. */
 	int64_t last_event_list_age_ms; /**< List age in that event. */
 	unsigned advice_requests; /**< Requests to the adviser. */
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -256,6 +256,43 @@
 	rig_close(&rig);
 }
 
+/* Returns the number of claims that a new leader has for a life that left. */
+static size_t count_claims_after_leave(const char *host, uint64_t born_ms)
+{
+	Gn__Leave leave = GN__LEAVE__INIT;
+	sched_rig_t rig;
+	size_t claims;
+
+	leave.host = (char *)host;
+	leave.life = (char *)"1";
+	leave.born_ms = born_ms;
+	rig_open_with_running_task(&rig, &one_task);
+	rig.leave = &leave;
+	rig_change_leader(&rig);
+	claims = gn_sched_stats(rig.sched).claims;
+	rig_configure(&rig);
+	rig_report(&rig, "b", "1");
+	rig_store(&rig);
+	g_assert_cmpuint(rig_count_orders(&rig, GN_RUN_ORDER_START), ==,
+			 1 - claims);
+	rig_close(&rig);
+	return claims;
+}
+
+static void test_new_leader_holds_claims_of_a_recorded_leave(void)
+{
+	sched_rig_t rig;
+	uint64_t born_ms;
+
+	rig_open(&rig);
+	born_ms = rig_get_life_start_ms(&rig, "a", "1");
+	rig_close(&rig);
+	g_assert_cmpuint(count_claims_after_leave("a", born_ms), ==, 0);
+	g_assert_cmpuint(count_claims_after_leave("a", born_ms - 1), ==, 1);
+	g_assert_cmpuint(count_claims_after_leave("a", 0), ==, 1);
+	g_assert_cmpuint(count_claims_after_leave("b", born_ms), ==, 1);
+}
+
 static void test_ends_of_a_worker_restarted_under_its_id_are_not_lost(void)
 {
 	sched_rig_t rig;
@@ -1137,6 +1174,8 @@
 		  test_leave_is_confirmed_before_an_earlier_release_is_stored },
 		{ "leave_does_not_wait_for_a_job_that_is_withdrawn",
 		  test_leave_does_not_wait_for_a_job_that_is_withdrawn },
+		{ "new_leader_holds_claims_of_a_recorded_leave",
+		  test_new_leader_holds_claims_of_a_recorded_leave },
 		{ "ends_of_a_worker_restarted_under_its_id_are_not_lost",
 		  test_ends_of_a_worker_restarted_under_its_id_are_not_lost },
 		{ "worker_restarted_under_its_id_keeps_its_ends",
