tests: an attempt whose claim has lapsed stays open (known red)

Besides the cause that removed, the walk of leader, executors and workers shows one that is left: a start that a worker carries out late begins after its claim has lapsed, if its executor was restarted meanwhile and forgot it.

--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -427,6 +427,71 @@
  * before the executor reports that the run has succeeded. Found by the soak with
  * seed 8.
  */
+/* A call that the worker carries out late could begin the run again. */
+static void open_with_lapsed_attempt(sched_rig_t *rig)
+{
+	rig_open_with_running_task(rig, &one_task);
+	rig_advance_ms(rig, 2 * RIG_LEASE_MS);
+	g_assert_cmpuint(gn_sched_stats(rig->sched).claims, ==, 0);
+	rig_clear(rig);
+}
+
+/* Returns the number of stops of the attempt that are ordered within 1 s. */
+static unsigned count_stops(sched_rig_t *rig)
+{
+	rig_clear(rig);
+	for (unsigned i = 0; i < 10; i++) {
+		rig_report_stale_list(rig, "a", "1", 2000);
+		rig_advance_ms(rig, 100);
+	}
+	return rig_count_orders(rig, GN_RUN_ORDER_STOP);
+}
+
+static void test_lapsed_attempt_stays_open(void)
+{
+	sched_rig_t rig;
+
+	open_with_lapsed_attempt(&rig);
+	rig_report(&rig, "a", "1");
+	g_assert_cmpuint(count_stops(&rig), >, 1);
+	g_assert_cmpuint(rig_find_order(&rig, GN_RUN_ORDER_STOP, TASK)->attempt,
+			 ==, 1);
+	rig_report_result(&rig, "a", "1", TASK, 1, GN_ORDER_OUTCOME_STARTED);
+	g_assert_cmpuint(count_stops(&rig), >, 1);
+	rig_report_result(&rig, "a", "1", TASK, 1, GN_ORDER_OUTCOME_GONE);
+	g_assert_cmpuint(count_stops(&rig), ==, 0);
+	rig_close(&rig);
+}
+
+static void test_lapsed_attempt_is_closed_by_its_listed_end(void)
+{
+	sched_rig_t rig;
+
+	open_with_lapsed_attempt(&rig);
+	rig_report_end(&rig, "a", "1", TASK, 1, GN_END_LEASE_EXPIRED);
+	g_assert_cmpuint(count_stops(&rig), ==, 0);
+	rig_close(&rig);
+}
+
+/* Calls name the ID only, so those for the earlier life may reach the new. */
+static void test_lapsed_attempt_stays_open_under_the_same_id(void)
+{
+	sched_rig_t rig;
+
+	open_with_lapsed_attempt(&rig);
+	rig_restart_worker(&rig, "a");
+	rig_report(&rig, "a", "1");
+	g_assert_cmpuint(count_stops(&rig), >, 0);
+	g_assert_cmpuint(
+		rig_find_order(&rig, GN_RUN_ORDER_STOP, TASK)->life_started_ms,
+		==, rig_get_life_start_ms(&rig, "a", "1"));
+	rig_report(&rig, "a", "2");
+	rig_clear(&rig);
+	rig_advance_ms(&rig, 400);
+	g_assert_cmpuint(rig_count_orders(&rig, GN_RUN_ORDER_STOP), ==, 0);
+	rig_close(&rig);
+}
+
 static void test_success_before_expiry_is_not_repeated(void)
 {
 	sched_rig_t rig;
@@ -1190,6 +1255,11 @@
 		  test_claim_without_a_start_is_released_by_a_restart },
 		{ "report_of_an_earlier_life_with_the_same_id_is_ignored",
 		  test_report_of_an_earlier_life_with_the_same_id_is_ignored },
+		{ "lapsed_attempt_stays_open", test_lapsed_attempt_stays_open },
+		{ "lapsed_attempt_is_closed_by_its_listed_end",
+		  test_lapsed_attempt_is_closed_by_its_listed_end },
+		{ "lapsed_attempt_stays_open_under_the_same_id",
+		  test_lapsed_attempt_stays_open_under_the_same_id },
 		{ "success_before_expiry_is_not_repeated",
 		  test_success_before_expiry_is_not_repeated },
 		{ "success_of_an_earlier_attempt_is_ignored",
