tests: a worker of the run walk that runs is not booted again

A worker that had crashed could be booted twice, once after its restart and once after a leave, so that its ends were numbered from 1 again within a life; found by tracing seed 2381.

--- a/tests/support/run_model_faults.c
+++ b/tests/support/run_model_faults.c
@@ -66,8 +66,11 @@
 static void boot_worker(run_model_t *model, void *data)
 {
 	bool same_id = model->options.same_id && rm_draw(model, 0.5);
+	rm_worker_t *worker = data;
 
-	rm_worker_boot(model, data, same_id);
+	/* It may have been replaced after a leave. */
+	if (!worker->up)
+		rm_worker_boot(model, worker, same_id);
 }
 
 static void restart_worker(run_model_t *model, unsigned at)
