sched: a leave is confirmed only once finished jobs are stored, too

The confirmation waited for the jobs that are active. A cancelled job whose claim had lapsed is not active any more, though its release may not be stored; the executor could end, and the next leader hold the claim until the longest lease is over.

The confirmation now waits for all jobs with changes to be stored, which are exactly those of the queue and of the batch.

Measured: the new test fails before and passes after.

--- a/lib/sched/sched_worker.c
+++ b/lib/sched/sched_worker.c
@@ -136,23 +136,29 @@
 	}
 }
 
-/* Makes gn_sched_is_leave_durable() wait for the present state of all jobs. */
-static void await_stored_jobs(const gn_sched_t *sched, sched_worker_t *worker)
+/* Makes gn_sched_is_leave_durable() wait for the present state of a job. */
+static void await_job(sched_worker_t *worker, sched_job_t *job)
 {
-	for (guint i = 0; i < sched->active->len; i++) {
-		sched_job_t *job = g_ptr_array_index(sched->active, i);
-		sched_end_t *end;
+	sched_end_t *end;
 
-		/* A job that isn't stored yet has no stored claims. */
-		if (!job->stored || job->durable_version == job->version)
-			continue;
-		end = g_new0(sched_end_t, 1);
-		end->number = worker->ends_seen;
-		end->job = job;
-		end->version = job->version;
-		job->pending_ends++;
-		g_queue_push_tail(&worker->ends, end);
-	}
+	/* One that isn't stored yet, or is being deleted, has no claims in the
+	 * store or soon has none. */
+	if (!job->stored || job->removing)
+		return;
+	end = g_new0(sched_end_t, 1);
+	end->number = worker->ends_seen;
+	end->job = job;
+	end->version = job->version;
+	job->pending_ends++;
+	g_queue_push_tail(&worker->ends, end);
+}
+
+static void await_stored_jobs(const gn_sched_t *sched, sched_worker_t *worker)
+{
+	for (GList *item = sched->dirty.head; item; item = item->next)
+		await_job(worker, item->data);
+	for (guint i = 0; i < sched->writing->len; i++)
+		await_job(worker, g_ptr_array_index(sched->writing, i));
 }
 
 void sched_worker_leave(gn_sched_t *sched, sched_worker_t *worker)
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -241,6 +241,23 @@
 	rig_close(&rig);
 }
 
+/* A finished job without claims is not active any more. */
+static void test_leave_is_confirmed_before_a_finished_job_is_stored(void)
+{
+	sched_rig_t rig;
+
+	rig_open_with_running_task(&rig, &one_task);
+	rig_store(&rig);
+	gn_sched_cancel(rig.sched, JOB);
+	rig_advance_ms(&rig, 2 * RIG_LEASE_MS);
+	g_assert_cmpuint(gn_sched_stats(rig.sched).claims, ==, 0);
+	rig_report_leave(&rig, "a", "1");
+	g_assert_false(gn_sched_is_leave_durable(rig.sched, "a"));
+	rig_store(&rig);
+	g_assert_true(gn_sched_is_leave_durable(rig.sched, "a"));
+	rig_close(&rig);
+}
+
 /* A job that isn't stored can still be withdrawn. */
 static void test_leave_does_not_wait_for_a_job_that_is_withdrawn(void)
 {
@@ -1237,6 +1254,8 @@
 		  test_leave_is_confirmed_before_its_releases_are_stored },
 		{ "leave_is_confirmed_before_an_earlier_release_is_stored",
 		  test_leave_is_confirmed_before_an_earlier_release_is_stored },
+		{ "leave_is_confirmed_before_a_finished_job_is_stored",
+		  test_leave_is_confirmed_before_a_finished_job_is_stored },
 		{ "leave_does_not_wait_for_a_job_that_is_withdrawn",
 		  test_leave_does_not_wait_for_a_job_that_is_withdrawn },
 		{ "new_leader_holds_claims_of_a_recorded_leave",
