sched: attempts whose claims have lapsed are closed by stops

Cause: a claim is released when the worker's lease has certainly expired. The executor closes an attempt that it gives up, but one that is restarted has forgotten it.

Change: the leader keeps the attempts of claims that lapsed, and orders stops for them once the worker is heard again, until their ends are listed or the executor reports them gone. They are dropped with the life, but not if the worker restarts under its ID, since calls name the ID only. A leader that is elected meanwhile does not know them.

--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -115,6 +115,7 @@
 		for (guint i = 0; i < worker->claims->len; i++)
 			sched_send_due_order(
 				g_ptr_array_index(worker->claims, i));
+		sched_lapse_send_stops(sched, worker);
 	}
 }
 
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -161,6 +161,9 @@
 	uint64_t last_list_us;
 	bool has_listed; /**< This life has sent a list. */
 	bool left; /**< This life has ended. */
+	/** Attempts that this life may begin although their claims have
+	 * lapsed; see sched_lapse.c. */
+	GArray *open_attempts;
 	/** Time until which a worker that lacked resources gets no tasks. */
 	uint64_t full_until_us;
 	GQueue ends; /**< The elements are sched_end_t, ordered by number. */
@@ -359,6 +362,21 @@
 			      const sched_worker_t *worker,
 			      const sched_job_t *job, const Gn__JobStep *step);
 
+/** Orders to stop an attempt that has no claim. */
+void sched_stop_attempt(const gn_sched_t *sched, const sched_worker_t *worker,
+			const char *task, uint32_t attempt, const char *why);
+
+/* ======   sched_lapse.c   ====== */
+
+GArray *sched_lapse_create(void);
+/** Records the attempt of a claim that is about to lapse. */
+void sched_lapse_record(sched_worker_t *worker, const sched_task_t *task);
+/** Removes an attempt that the worker can no longer begin. */
+void sched_lapse_close(sched_worker_t *worker, const char *task,
+		       uint32_t attempt);
+/** Orders the stops that are due. */
+void sched_lapse_send_stops(gn_sched_t *sched, sched_worker_t *worker);
+
 /* ======   sched_pace.c   ====== */
 
 /** Updates the interference weights from the tail latencies of a new list. */
--- /dev/null
+++ b/lib/sched/sched_lapse.c
@@ -0,0 +1,68 @@
+/**
+ * @file sched_lapse.c
+ * @brief Attempts whose claims have lapsed.
+ *
+ * A lapse shows that a run is over, but not that it cannot begin again: the
+ * worker may carry out a start call late, and the executor that sent it may have
+ * been restarted. So the attempts are closed by stops once the worker is heard
+ * again.
+ */
+#include <string.h>
+
+#include "common/str.h"
+#include "sched/sched_internal.h"
+
+/** An attempt that the worker may still begin. */
+typedef struct open_attempt_s {
+	char task[GN_TASK_NAME_SIZE];
+	uint32_t attempt;
+	uint64_t last_order_us; /**< Time of the last stop order; 0 if none. */
+} open_attempt_t;
+
+void sched_lapse_record(sched_worker_t *worker, const sched_task_t *task)
+{
+	open_attempt_t open = { .attempt = task->attempt };
+
+	/* No call can be under way without a start order. */
+	if (!task->start_sent)
+		return;
+	gn_task_format_name(task->job->spec, task->number, open.task);
+	g_array_append_val(worker->open_attempts, open);
+}
+
+void sched_lapse_close(sched_worker_t *worker, const char *task,
+		       uint32_t attempt)
+{
+	GArray *all = worker->open_attempts;
+
+	for (guint i = all->len; i > 0; i--) {
+		const open_attempt_t *open =
+			&g_array_index(all, open_attempt_t, i - 1);
+
+		if (open->attempt == attempt && !strcmp(open->task, task))
+			g_array_remove_index_fast(all, i - 1);
+	}
+}
+
+void sched_lapse_send_stops(gn_sched_t *sched, sched_worker_t *worker)
+{
+	uint64_t now_us = sched_now_us(sched);
+
+	if (!sched_worker_is_live(sched, worker))
+		return;
+	for (guint i = 0; i < worker->open_attempts->len; i++) {
+		open_attempt_t *open = &g_array_index(worker->open_attempts,
+						      open_attempt_t, i);
+
+		if (now_us - open->last_order_us < SCHED_RESEND_US)
+			continue;
+		open->last_order_us = now_us;
+		sched_stop_attempt(sched, worker, open->task, open->attempt,
+				   "its claim has lapsed");
+	}
+}
+
+GArray *sched_lapse_create(void)
+{
+	return g_array_new(FALSE, FALSE, sizeof(open_attempt_t));
+}
--- a/lib/sched/sched_report.c
+++ b/lib/sched/sched_report.c
@@ -43,30 +43,15 @@
 			       const Gn__WorkerRun *run,
 			       const sched_task_t *task)
 {
-	const gn_run_order_t order = { .kind = GN_RUN_ORDER_STOP,
-				       .task = run->task,
-				       .attempt = run->attempt,
-				       .life = worker->life,
-				       .checkpoint = "",
-				       .ticket = "" };
 	const Gn__JobStep *step =
 		task ? task->job->units[task->unit].step : NULL;
-	const gn_sched_event_t event = { .name = "stop",
-					 .task = run->task,
-					 .attempt = run->attempt,
-					 .host = worker->host,
-					 .life = worker->life.id,
-					 .reason = "no claim",
-					 .list_age_ms = sched_list_age_ms(
-						 sched, worker) };
 
 	if (step) {
 		gn_resource_vector_t resources = sched_step_resources(step);
 
 		gn_resource_vector_add(&worker->unclaimed_use, &resources);
 	}
-	sched->ops->log_event(sched->arg, &event);
-	sched->ops->send_order(sched->arg, worker->host, &order);
+	sched_stop_attempt(sched, worker, run->task, run->attempt, "no claim");
 }
 
 static void handle_run(gn_sched_t *sched, sched_worker_t *worker,
@@ -160,6 +145,7 @@
 	if (listed->number <= worker->ends_seen)
 		return;
 	worker->ends_seen = listed->number;
+	sched_lapse_close(worker, listed->task, listed->attempt);
 	end = g_new0(sched_end_t, 1);
 	end->number = listed->number;
 	g_queue_push_tail(&worker->ends, end);
@@ -186,8 +172,12 @@
 	const char *outcome = gn_run_order_outcome_name(
 		(gn_run_order_outcome_t)result->verdict);
 
-	if (!is_claimed_run(task, worker, result->attempt))
+	if (!is_claimed_run(task, worker, result->attempt)) {
+		if (result->verdict == GN_ORDER_OUTCOME_GONE)
+			sched_lapse_close(worker, result->task,
+					  result->attempt);
 		return;
+	}
 	sched_emit_task_event(sched, "order", task, outcome, 0);
 	switch ((gn_run_order_outcome_t)result->verdict) {
 	case GN_ORDER_OUTCOME_STARTED:
--- a/lib/sched/sched_worker.c
+++ b/lib/sched/sched_worker.c
@@ -19,6 +19,7 @@
 	worker->host = g_strdup(host);
 	worker->life.id = "";
 	worker->claims = g_ptr_array_new();
+	worker->open_attempts = sched_lapse_create();
 	g_queue_init(&worker->ends);
 	g_hash_table_insert(sched->workers, worker->host, worker);
 	return worker;
@@ -41,6 +42,7 @@
 
 	drop_ends(worker);
 	g_ptr_array_free(worker->claims, TRUE);
+	g_array_unref(worker->open_attempts);
 	g_strfreev(worker->labels);
 	g_free(worker->service);
 	g_free(worker->data_centre);
@@ -110,6 +112,28 @@
 	sched->ops->log_event(sched->arg, &event);
 }
 
+void sched_stop_attempt(const gn_sched_t *sched, const sched_worker_t *worker,
+			const char *task, uint32_t attempt, const char *why)
+{
+	const gn_run_order_t order = { .kind = GN_RUN_ORDER_STOP,
+				       .task = task,
+				       .attempt = attempt,
+				       .life = worker->life,
+				       .checkpoint = "",
+				       .ticket = "" };
+	const gn_sched_event_t event = { .name = "stop",
+					 .task = task,
+					 .attempt = attempt,
+					 .host = worker->host,
+					 .life = worker->life.id,
+					 .reason = why,
+					 .list_age_ms = sched_list_age_ms(
+						 sched, worker) };
+
+	sched->ops->log_event(sched->arg, &event);
+	sched->ops->send_order(sched->arg, worker->host, &order);
+}
+
 /* ======   Release of claims   ====== */
 
 void sched_worker_release_claims(sched_worker_t *worker, const char *why)
@@ -164,6 +188,8 @@
 void sched_worker_leave(gn_sched_t *sched, sched_worker_t *worker)
 {
 	sched_worker_release_claims(worker, "worker left");
+	/* No call can reach it any more. */
+	g_array_set_size(worker->open_attempts, 0);
 	if (worker->left)
 		return;
 	worker->left = true;
@@ -223,6 +249,9 @@
 				? "no list from the worker"
 				: "no report from the executor",
 			(int64_t)(now_us - worker->last_report_us));
+		for (guint i = 0; i < worker->claims->len; i++)
+			sched_lapse_record(
+				worker, g_ptr_array_index(worker->claims, i));
 		sched_worker_release_claims(worker, "lapsed");
 	}
 }
@@ -254,6 +283,9 @@
 	if (is_present && worker->life.started_ms == life.started_ms)
 		return;
 	end_other_lives(worker, life);
+	/* Calls for an earlier life with the same ID may reach this one. */
+	if (!gn_life_same_id(worker->life, life))
+		g_array_set_size(worker->open_attempts, 0);
 	worker->life = life;
 	/* Only its start time was unknown. */
 	if (is_present)
