executor: a start is not repeated once its run or attempt is over

Cause: the executor repeats a start call until it is answered, even if the worker's list shows meanwhile that the run has ended, or if the leader has ordered a later attempt. The worker refuses such calls, since it knows these attempts; one that has restarted under its ID knows nothing, and calls name the ID only. Until its first heartbeat the executor takes it for the earlier life.

Change: a listed end drops the start of its run, and a start for a later attempt gives up those of earlier ones, as a stop would. An order for an earlier attempt than one in progress is ignored.

--- a/lib/executor/orders.c
+++ b/lib/executor/orders.c
@@ -321,6 +321,39 @@
 	return order;
 }
 
+/* Stops what a start in progress may begin. */
+static void give_up_start(gn_order_t *order)
+{
+	if (order->call_pending)
+		order->cancelled = true;
+	else
+		convert_to_stop(order, GN_ORDER_OUTCOME_GONE);
+}
+
+/*
+ * Gives up starts of earlier attempts of the task, which the leader has given
+ * up, too. Returns false if a later attempt is being started.
+ */
+static bool is_newest_start(gn_orders_t *orders, const Gn__WorkerOrder *message)
+{
+	GList *all = g_hash_table_get_values(orders->table);
+	bool is_newest = true;
+
+	for (GList *item = all; item; item = item->next) {
+		gn_order_t *order = item->data;
+
+		if (order->kind != GN_RUN_ORDER_START ||
+		    strcmp(order->task, message->task) != 0)
+			continue;
+		if (order->attempt < message->attempt)
+			give_up_start(order);
+		else if (order->attempt > message->attempt)
+			is_newest = false;
+	}
+	g_list_free(all);
+	return is_newest;
+}
+
 static void on_start_order(gn_orders_t *orders, const Gn__WorkerOrder *message,
 			   uint64_t basis_us)
 {
@@ -331,6 +364,8 @@
 		order->basis_us = MAX(order->basis_us, basis_us);
 		return;
 	}
+	if (!is_newest_start(orders, message))
+		return;
 	order = create_order(orders, message, basis_us);
 	if (strcmp(message->life, orders->life.id) != 0)
 		finish_order(order, GN_ORDER_OUTCOME_NOT_STARTED);
@@ -349,10 +384,7 @@
 	} else if (order->check_only) {
 		convert_to_stop(order, GN_ORDER_OUTCOME_GONE);
 	} else if (order->kind == GN_RUN_ORDER_START) {
-		if (order->call_pending)
-			order->cancelled = true;
-		else
-			convert_to_stop(order, GN_ORDER_OUTCOME_GONE);
+		give_up_start(order);
 	}
 }
 
@@ -463,6 +495,9 @@
 		if (order->awaits_list &&
 		    sent_us >= order->awaits_list_since_us)
 			decide_by_list(order, list);
+		else if (order->kind == GN_RUN_ORDER_START &&
+			 is_end_listed(list, order))
+			remove_order(order);
 	}
 	g_list_free(all);
 }
--- a/tests/unit/test_orders.c
+++ b/tests/unit/test_orders.c
@@ -495,6 +495,57 @@
 	rig_close(&rig);
 }
 
+/* Opens the fixture with a start whose call got no answer. */
+static void open_with_unanswered_start(rig_t *rig)
+{
+	rig_open(rig, GN_WORKER_UNANSWERED);
+	play(rig, STEP_MS);
+	order(rig, GN_RUN_ORDER_START, 1);
+	answer_call(rig, GN_WORKER_UNANSWERED);
+	g_string_truncate(rig->trace, 0);
+}
+
+/* A restarted worker would begin it again, without knowing that it is over. */
+static void test_start_is_repeated_after_the_end_of_its_run(void)
+{
+	rig_t rig;
+
+	open_with_unanswered_start(&rig);
+	list_at(&rig, gn_clock_now_us(&rig.clock), 0, 1);
+	play(&rig, 1000);
+	g_assert_cmpstr(rig.trace->str, ==, "");
+	g_assert_cmpuint(gn_orders_count(rig.orders), ==, 0);
+	rig_close(&rig);
+}
+
+static void test_end_during_a_start_call_leaves_the_attempt_open(void)
+{
+	rig_t rig;
+
+	rig_open(&rig, GN_WORKER_UNANSWERED);
+	play(&rig, STEP_MS);
+	order(&rig, GN_RUN_ORDER_START, 1);
+	list_at(&rig, gn_clock_now_us(&rig.clock), 0, 1);
+	answer_call(&rig, GN_WORKER_UNANSWERED);
+	g_assert_nonnull(strstr(rig.trace->str, "call stop 1"));
+	rig_close(&rig);
+}
+
+/* The leader has given up the earlier attempt. */
+static void test_earlier_attempt_is_started_beside_a_newer_one(void)
+{
+	rig_t rig;
+
+	open_with_unanswered_start(&rig);
+	order(&rig, GN_RUN_ORDER_START, 2);
+	order(&rig, GN_RUN_ORDER_START, 1);
+	play(&rig, 1000);
+	g_assert_nonnull(strstr(rig.trace->str, "call stop 1"));
+	g_assert_null(strstr(rig.trace->str, "call start 1"));
+	g_assert_nonnull(strstr(rig.trace->str, "call start 2"));
+	rig_close(&rig);
+}
+
 static void test_run_that_is_over_hides_its_end(void)
 {
 	rig_t rig;
@@ -736,6 +787,12 @@
 		  test_run_of_another_attempt_counts },
 		{ "/orders/listed_end_is_reported_as_refusal",
 		  test_listed_end_is_reported_as_refusal },
+		{ "/orders/start_is_repeated_after_the_end_of_its_run",
+		  test_start_is_repeated_after_the_end_of_its_run },
+		{ "/orders/end_during_a_start_call_leaves_the_attempt_open",
+		  test_end_during_a_start_call_leaves_the_attempt_open },
+		{ "/orders/earlier_attempt_is_started_beside_a_newer_one",
+		  test_earlier_attempt_is_started_beside_a_newer_one },
 		{ "/orders/run_that_is_over_hides_its_end",
 		  test_run_that_is_over_hides_its_end },
 		{ "/orders/stop_during_check_is_ignored",
