executor: a worker discards ends only if it has listed them as stored

Cause: each list request carried the number of the last stored end. A worker that has restarted under its ID numbers its ends from 1; requests that reached it before the executor knew of the new life had it discard ends that nobody had seen, among them ends as done.

Change: the number is sent only while the last list shows ends that are stored, and not after a request has found no process, since what that life listed is gone. A restart between two requests while ends are still listed remains.

Measured: two new tests, of which the one of the numbers fails before.

--- a/lib/executor/executor_internal.h
+++ b/lib/executor/executor_internal.h
@@ -88,6 +88,8 @@
 	Gn__WorkerEnd **ends; /**< In the order of their numbers. */
 	size_t end_count;
 	uint64_t ends_stored; /**< The leader has stored ends up to this one. */
+	/** A request since the last list found no process of the worker. */
+	bool is_process_gone;
 
 	gn_orders_t *orders; /**< Orders in progress. */
 	GPtrArray *results; /**< Gn__OrderResult elements not reported yet. */
--- a/lib/executor/worker.c
+++ b/lib/executor/worker.c
@@ -7,6 +7,7 @@
 #include "common/event.h"
 #include "common/str.h"
 #include "executor/attempt.h"
+#include "executor/ends.h"
 #include "executor/executor_internal.h"
 #include "http/reply.h"
 #include "http/status.h"
@@ -104,7 +105,7 @@
 }
 
 /*
- * Whether the answer shows that a worker that left has ended. A connection is
+ * Whether the answer shows that the worker's process has ended. A connection is
  * refused at once where no process listens; a busy one lets it time out.
  */
 static bool is_proof_of_end(const executor_list_t *request,
@@ -136,8 +137,11 @@
 
 	request->pending = false;
 	executor_read_answer(executor, list, GN_WORKER_LIST, http, &answer);
-	if (executor->worker_left && is_proof_of_end(request, answer.outcome))
-		on_end(executor);
+	if (is_proof_of_end(request, answer.outcome)) {
+		executor->is_process_gone = true;
+		if (executor->worker_left)
+			on_end(executor);
+	}
 	if (answer.outcome != GN_WORKER_OK || !executor->worker_known) {
 		executor->list_due_us =
 			executor_now_us(executor) + LIST_RETRY_DELAY_US;
@@ -145,6 +149,7 @@
 		return;
 	}
 	executor_record_clock(executor, &answer);
+	executor->is_process_gone = false;
 	request->attempts = 0;
 	executor->list_due_us =
 		executor->worker_left
@@ -167,10 +172,12 @@
 {
 	executor_t *executor = request->executor;
 	uint64_t now_us = executor_now_us(executor);
-	gn_worker_call_t call = { .kind = GN_WORKER_LIST,
-				  .wait_ms = wait_ms,
-				  .ends_stored = executor->ends_stored };
+	gn_worker_call_t call = { .kind = GN_WORKER_LIST, .wait_ms = wait_ms };
 
+	if (!executor->is_process_gone)
+		call.ends_stored =
+			gn_ends_to_discard(executor->ends, executor->end_count,
+					   executor->ends_stored);
 	/* A worker that left is only asked whether it has ended. */
 	if (!executor->worker_left)
 		call.lease_until_ms =
@@ -227,6 +234,7 @@
 	executor->end_count = 0;
 	executor->list_unreported = false;
 	executor->ends_stored = 0;
+	executor->is_process_gone = false;
 	executor->worker_draining_us = 0;
 	executor->worker_left = false;
 	executor->worker_ended = false;
--- a/tests/contract/test_executor.c
+++ b/tests/contract/test_executor.c
@@ -31,6 +31,7 @@
 	gn_worker_answer_t answer; /**< Next answer of the worker. */
 	bool answered; /**< The worker has answered. */
 	uint64_t lease_until_ms; /**< Lease of the last call with one. */
+	uint64_t discarded_ends; /**< Ends to discard by the last list call. */
 	unsigned reported_results; /**< Results in the reports sent. */
 	bool reported_left; /**< The last report said that the worker left. */
 } rig_t;
@@ -75,6 +76,8 @@
 {
 	http->method = GN_HTTP_POST;
 	g_snprintf(http->url, sizeof(http->url), "http://%s/x", call->address);
+	if (call->kind == GN_WORKER_LIST)
+		rig->discarded_ends = call->ends_stored;
 	if (call->lease_until_ms)
 		rig->lease_until_ms = call->lease_until_ms;
 	return true;
@@ -575,6 +578,56 @@
 	close_rig();
 }
 
+/* Has a list requested; the worker lists end 7 or none. */
+static void request_ends(size_t count)
+{
+	static Gn__WorkerEnd end = GN__WORKER_END__INIT;
+	static Gn__WorkerEnd *ends[] = { &end };
+
+	end.number = 7;
+	gn_clock_advance(&rig->runtime.clock, GN_US_PER_S);
+	executor_worker_tick(rig->executor);
+	rig->answer.outcome = GN_WORKER_OK;
+	rig->answer.life_started_ms = EARLIER_MS;
+	rig->answer.ends = ends;
+	rig->answer.end_count = count;
+	answer_list(CLOCK_MS);
+}
+
+/* A worker restarted under its ID would discard its own ends, unseen. */
+static void test_ends_are_discarded_again_without_need(void)
+{
+	open_rig();
+	request_ends(1);
+	rig->executor->ends_stored = 6;
+	request_ends(1);
+	g_assert_cmpuint(rig->discarded_ends, ==, 0);
+	rig->executor->ends_stored = 7;
+	request_ends(0);
+	g_assert_cmpuint(rig->discarded_ends, ==, 7);
+	request_ends(0);
+	g_assert_cmpuint(rig->discarded_ends, ==, 0);
+	close_rig();
+}
+
+/* The worker has ended before it could discard them. */
+static void test_ends_are_discarded_after_the_process_has_ended(void)
+{
+	open_rig();
+	request_ends(1);
+	rig->executor->ends_stored = 7;
+	request_ends(1);
+	g_assert_cmpuint(rig->discarded_ends, ==, 7);
+	gn_clock_advance(&rig->runtime.clock, GN_US_PER_S);
+	executor_worker_tick(rig->executor);
+	answer_call(GN_WORKER_UNSENT, EARLIER_MS);
+	request_ends(1);
+	g_assert_cmpuint(rig->discarded_ends, ==, 0);
+	request_ends(1);
+	g_assert_cmpuint(rig->discarded_ends, ==, 7);
+	close_rig();
+}
+
 /* A lease counted on the clock of another life would end at a wrong time. */
 static void test_clock_of_another_life_is_not_recorded(void)
 {
@@ -605,6 +658,11 @@
 			test_start_of_an_unknown_start_time_is_sent);
 	g_test_add_func("/executor/results_of_an_earlier_life_are_not_reported",
 			test_results_of_an_earlier_life_are_not_reported);
+	g_test_add_func("/executor/ends_are_discarded_again_without_need",
+			test_ends_are_discarded_again_without_need);
+	g_test_add_func(
+		"/executor/ends_are_discarded_after_the_process_has_ended",
+		test_ends_are_discarded_after_the_process_has_ended);
 	g_test_add_func("/executor/stored_ends_of_an_earlier_life_are_ignored",
 			test_stored_ends_of_an_earlier_life_are_ignored);
 	g_test_add_func("/executor/"
--- a/tests/support/run_model_executor.c
+++ b/tests/support/run_model_executor.c
@@ -10,6 +10,7 @@
 
 #include "common/str.h"
 #include "executor/attempt.h"
+#include "executor/ends.h"
 
 /* The same values as in lib/executor. */
 #define LIST_WAIT_MS 400
@@ -188,15 +189,18 @@
 	rm_list_t *request = &executor->lists[call->list];
 
 	request->pending = false;
-	if (executor->worker_left &&
-	    is_proof_of_end(executor, request, call->answer.outcome))
-		on_end(executor);
+	if (is_proof_of_end(executor, request, call->answer.outcome)) {
+		executor->is_process_gone = true;
+		if (executor->worker_left)
+			on_end(executor);
+	}
 	if (call->answer.outcome != GN_WORKER_OK || !executor->worker_known) {
 		executor->list_due_us =
 			rm_now_us(executor->model) + LIST_RETRY_DELAY_US;
 		return;
 	}
 	rm_executor_record_clock(executor, &call->answer);
+	executor->is_process_gone = false;
 	request->attempts = 0;
 	executor->list_due_us =
 		executor->worker_left
@@ -226,9 +230,12 @@
 	gn_worker_call_t call = {
 		.kind = GN_WORKER_LIST,
 		.wait_ms = wait_ms,
-		.ends_stored = executor->ends_stored,
 	};
 
+	if (!executor->is_process_gone)
+		call.ends_stored = gn_ends_to_discard(
+			executor->listed.ends, executor->listed.end_count,
+			executor->ends_stored);
 	if (!executor->worker_left)
 		call.lease_until_ms =
 			gn_grant_extend_until_ms(&executor->grant, now_us);
@@ -279,6 +286,7 @@
 	executor->list_unreported = false;
 	executor->list_clock_ms = 0;
 	executor->ends_stored = 0;
+	executor->is_process_gone = false;
 	executor->worker_left = false;
 	executor->worker_ended = false;
 	executor->leave_stored = false;
--- a/tests/support/run_model_types.h
+++ b/tests/support/run_model_types.h
@@ -210,6 +210,7 @@
 	TALLOC_CTX *list;
 	gn_worker_answer_t listed;
 	uint64_t ends_stored;
+	bool is_process_gone;
 
 	uint64_t connection; /**< Number of the connection; 0 if none. */
 	uint64_t target; /**< Epoch of the leader that it connects to. */
