sched: a worker that restarts under its ID may hold the longest lease

Cause: a lease is extended to a time on the worker's clock, which begins anew with each life. The leader expected 4 s, let the claims lapse and started the tasks elsewhere, while ends of this life could still be taken note of.

Change: with the restart, the bounds of the lease move to the longest lease from then on. Ends of claims that are listed are handled as before.

Measured: the new test fails before and passes after.

--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -86,6 +86,8 @@
 	/** Lease that an executor may grant its worker, in ms from the
 	 * report that the leader has answered. */
 	unsigned lease_ms;
+	/** Longest lease that a worker grants, in ms from the call. */
+	unsigned lease_max_ms;
 	/** Maximum time for which a deposed leader still answers reports. */
 	unsigned depose_ms;
 	/** Minimum time for which a finished job can be queried. */
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -332,6 +332,8 @@
 			       const char *why);
 /** Ends the present life of a worker, and releases its claims. */
 void sched_worker_leave(gn_sched_t *sched, sched_worker_t *worker);
+/** Maximum duration of a lease of @p lease_ms, with the drift of clocks. */
+uint64_t sched_lease_us(unsigned lease_ms);
 /** Releases the claims of workers whose leases have expired. */
 void sched_expire_leases(gn_sched_t *sched);
 /**
--- a/lib/sched/sched_report.c
+++ b/lib/sched/sched_report.c
@@ -213,34 +213,26 @@
 
 /* ======   Reports   ====== */
 
-static uint64_t get_longest_lease_us(const gn_sched_t *sched)
-{
-	uint64_t lease_us = (uint64_t)sched->config.lease_ms * GN_US_PER_MS;
-
-	return lease_us + lease_us / SCHED_CLOCK_DRIFT_DIVISOR +
-	       SCHED_LEASE_MARGIN_US;
-}
-
 /* Computes when the lease expires that the executor may extend after the answer
  * to this report. */
 static void extend_lease(const gn_sched_t *sched, sched_worker_t *worker,
 			 const Gn__WorkerReport *report)
 {
 	uint64_t now_us = sched_now_us(sched);
+	uint64_t lease_us = sched_lease_us(sched->config.lease_ms);
 	uint64_t age_us = (uint64_t)report->list_age_ms * GN_US_PER_MS;
 
 	/* An earlier leader may still have leases extended after a new one has
 	 * received a report, so the bounds never decrease. */
-	worker->report_expiry_us = MAX(worker->report_expiry_us,
-				       now_us + get_longest_lease_us(sched));
+	worker->report_expiry_us =
+		MAX(worker->report_expiry_us, now_us + lease_us);
 	/* Without a list, the executor has not extended any lease. */
 	if (report->list_age_ms == UINT32_MAX)
 		return;
 	worker->last_list_us = age_us < now_us ? now_us - age_us : 0;
-	worker->list_expiry_us =
-		MAX(worker->list_expiry_us,
-		    worker->last_list_us + SCHED_CLOCK_READING_MAX_US +
-			    get_longest_lease_us(sched));
+	worker->list_expiry_us = MAX(
+		worker->list_expiry_us,
+		worker->last_list_us + SCHED_CLOCK_READING_MAX_US + lease_us);
 }
 
 uint64_t gn_sched_handle_report(gn_sched_t *sched,
--- a/lib/sched/sched_store.c
+++ b/lib/sched/sched_store.c
@@ -268,12 +268,9 @@
  * reports, and so have leases extended, for up to depose_ms. */
 static void set_lease_expiry(const gn_sched_t *sched, sched_worker_t *worker)
 {
-	uint64_t ms = (uint64_t)sched->config.lease_ms +
-		      sched->config.lease_ms / SCHED_CLOCK_DRIFT_DIVISOR +
-		      sched->config.depose_ms;
-
 	worker->report_expiry_us =
-		sched_now_us(sched) + ms * GN_US_PER_MS + SCHED_LEASE_MARGIN_US;
+		sched_now_us(sched) + sched_lease_us(sched->config.lease_ms) +
+		(uint64_t)sched->config.depose_ms * GN_US_PER_MS;
 	worker->list_expiry_us =
 		worker->report_expiry_us + SCHED_CLOCK_READING_MAX_US;
 }
--- a/lib/sched/sched_worker.c
+++ b/lib/sched/sched_worker.c
@@ -205,8 +205,31 @@
 	       g_queue_is_empty((GQueue *)&worker->ends);
 }
 
+uint64_t sched_lease_us(unsigned lease_ms)
+{
+	uint64_t lease_us = (uint64_t)lease_ms * GN_US_PER_MS;
+
+	return lease_us + lease_us / SCHED_CLOCK_DRIFT_DIVISOR +
+	       SCHED_LEASE_MARGIN_US;
+}
+
+/*
+ * The clock of a life begins anew. A call with a time on the clock of an earlier
+ * life with the same ID may have extended the lease to its maximum.
+ */
+static void expect_longest_lease(const gn_sched_t *sched,
+				 sched_worker_t *worker)
+{
+	uint64_t expiry_us = sched_now_us(sched) +
+			     sched_lease_us(sched->config.lease_max_ms);
+
+	worker->report_expiry_us = MAX(worker->report_expiry_us, expiry_us);
+	worker->list_expiry_us = MAX(worker->list_expiry_us, expiry_us);
+}
+
 /* Ends the claims of other lives, whose runs are over. */
-static void end_other_lives(sched_worker_t *worker, gn_life_t life)
+static void end_other_lives(const gn_sched_t *sched, sched_worker_t *worker,
+			    gn_life_t life)
 {
 	guint i = 0;
 
@@ -221,10 +244,12 @@
 			i++;
 			continue;
 		}
-		if (gn_life_same_id(task->life, life))
+		if (gn_life_same_id(task->life, life)) {
+			expect_longest_lease(sched, worker);
 			sched_stop_in_new_life(task, life);
-		else
+		} else {
 			sched_release_claim(task, "new life of the worker");
+		}
 		i = 0;
 	}
 }
@@ -282,9 +307,11 @@
 
 	if (is_present && worker->life.started_ms == life.started_ms)
 		return;
-	end_other_lives(worker, life);
+	end_other_lives(sched, worker, life);
 	/* Calls for an earlier life with the same ID may reach this one. */
-	if (!gn_life_same_id(worker->life, life))
+	if (gn_life_same_id(worker->life, life))
+		expect_longest_lease(sched, worker);
+	else
 		g_array_set_size(worker->open_attempts, 0);
 	worker->life = life;
 	/* Only its start time was unknown. */
--- a/lib/scheduler/leading.c
+++ b/lib/scheduler/leading.c
@@ -348,6 +348,7 @@
 	const gn_jobs_settings_t *jobs = &settings->jobs;
 	gn_sched_config_t config = {
 		.lease_ms = jobs->lease_ms,
+		.lease_max_ms = jobs->lease_max_ms,
 		.depose_ms = jobs->depose_ms,
 		.retain_ms = jobs->retain_s * MS_PER_S,
 		.stop_ms = jobs->stop_ms,
--- a/tests/support/run_model_leader.c
+++ b/tests/support/run_model_leader.c
@@ -30,6 +30,7 @@
 
 static const gn_sched_config_t config = {
 	.lease_ms = RM_LEASE_MS,
+	.lease_max_ms = RM_HOLD_MAX_MS,
 	.depose_ms = RM_DEPOSE_MS,
 	.retain_ms = 600000,
 	.stop_ms = RM_STOP_MS,
--- a/tests/support/sched_rig.c
+++ b/tests/support/sched_rig.c
@@ -109,6 +109,7 @@
 {
 	static const gn_sched_config_t config = {
 		.lease_ms = RIG_LEASE_MS,
+		.lease_max_ms = RIG_LEASE_MAX_MS,
 		.depose_ms = RIG_DEPOSE_MS,
 		.retain_ms = 60000,
 		.stop_ms = 500,
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -11,6 +11,8 @@
 
 /** Worker lease in the configuration of the fixture. */
 #define RIG_LEASE_MS 4000
+/** Longest lease of a worker there. */
+#define RIG_LEASE_MAX_MS 10000
 /** Maximum time for which a deposed leader still answers reports. */
 #define RIG_DEPOSE_MS 5000
 
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -419,6 +419,25 @@
 	rig_close(&rig);
 }
 
+/* Calls with a time on the clock of the earlier life may have extended it. */
+static void test_claim_lapses_before_the_lease_of_a_restarted_worker(void)
+{
+	sched_rig_t rig;
+
+	rig_open_with_running_task(&rig, &one_task);
+	rig_report_end(&rig, "a", "1", TASK, 1, GN_END_DONE);
+	rig_restart_worker(&rig, "a");
+	rig_report(&rig, "a", "1");
+	rig_submit(&rig, OTHER, "batch", &one_task, 1);
+	rig_store(&rig);
+	g_assert_cmpuint(gn_sched_stats(rig.sched).claims, ==, 1);
+	rig_advance_ms(&rig, RIG_LEASE_MAX_MS);
+	g_assert_cmpuint(gn_sched_stats(rig.sched).claims, ==, 1);
+	rig_advance_ms(&rig, 500);
+	g_assert_cmpuint(gn_sched_stats(rig.sched).claims, ==, 0);
+	rig_close(&rig);
+}
+
 static void test_report_of_an_earlier_life_with_the_same_id_is_ignored(void)
 {
 	sched_rig_t rig;
@@ -1272,6 +1291,8 @@
 		  test_run_that_began_in_the_new_life_may_succeed },
 		{ "claim_without_a_start_is_released_by_a_restart",
 		  test_claim_without_a_start_is_released_by_a_restart },
+		{ "claim_lapses_before_the_lease_of_a_restarted_worker",
+		  test_claim_lapses_before_the_lease_of_a_restarted_worker },
 		{ "report_of_an_earlier_life_with_the_same_id_is_ignored",
 		  test_report_of_an_earlier_life_with_the_same_id_is_ignored },
 		{ "lapsed_attempt_stays_open", test_lapsed_attempt_stays_open },
