--- a/tests/unit/test_run_walk.c
+++ b/tests/unit/test_run_walk.c
@@ -93,8 +93,6 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/run-walk/replay", test_replay);
 	gn_walk_add(&plan);
-	/* Off, since late lists of an earlier life lose ends (KNOWN-RED). */
-	if (g_getenv("GN_SAME_ID"))
-		gn_walk_add(&same_id);
+	gn_walk_add(&same_id);
 	return g_test_run();
 }
