executor: the key of a leave's record does not depend on the host's name

The key held the name of the host, and a key that is created once may have 63 characters, so that no record was written for names of more than 24. The value names the host.

Measured: the test of the record, now with a name of 63 characters, fails before and passes after.

--- a/lib/executor/leave.c
+++ b/lib/executor/leave.c
@@ -4,6 +4,7 @@
  *        this process has ended.
  */
 #include <inttypes.h>
+#include <stdlib.h>
 
 #include "common/event.h"
 #include "executor/executor_internal.h"
@@ -16,10 +17,9 @@
 static gn_lease_t *create_record(executor_t *executor)
 {
 	const gn_runtime_t *runtime = executor->runtime;
-	const char *host = runtime->settings->name;
 	g_autofree char *key = g_strdup_printf(
-		GN_LEAVE_PREFIX "%s/%016" PRIx64 "-%" PRIu64, host,
-		runtime->incarnation, executor->notice.life_started_ms);
+		GN_LEAVE_PREFIX "%016" PRIx64 "-%" PRIu64, runtime->incarnation,
+		executor->notice.life_started_ms);
 	Gn__Leave leave = GN__LEAVE__INIT;
 	g_autofree char *value = NULL;
 	gn_lease_options_t options = {
@@ -30,7 +30,7 @@
 		.ttl_ms = RECORD_TTL_MS,
 	};
 
-	leave.host = (char *)host;
+	leave.host = (char *)runtime->settings->name;
 	leave.life = executor->notice.life;
 	leave.born_ms = executor->notice.life_started_ms;
 	options.value.len = gn__leave__get_packed_size(&leave);
@@ -49,9 +49,10 @@
 		gn_event("recording leave", "{s:s}", "life",
 			 executor->notice.life);
 		executor->leave = create_record(executor);
+		if (!executor->leave)
+			abort(); /* GLib also aborts when out of memory. */
 	}
-	if (executor->leave)
-		gn_lease_tick(executor->leave);
+	gn_lease_tick(executor->leave);
 }
 
 void executor_leave_reset(executor_t *executor)
--- a/tests/contract/test_executor.c
+++ b/tests/contract/test_executor.c
@@ -8,6 +8,9 @@
 #include "support/fake_kv.h"
 
 #define HOST "side-1"
+/** A name of the maximum length. */
+#define LONG_HOST \
+	"side-123456789-123456789-123456789-123456789-123456789-12345678"
 #define ID "i-1"
 #define PORT 20778
 #define TIMEOUT_MS 5000
@@ -517,6 +520,7 @@
 	fake_kv_t *fake;
 
 	open_rig();
+	rig->settings.name = LONG_HOST;
 	fake = fake_kv_create(state, &rig->runtime.clock, 1);
 	rig->executor->kv = fake_kv_client(fake);
 	rig->runtime.rand = g_rand_new_with_seed(1);
