sched: the restart of a host is no crash of its tasks

After a loss of power of all machines, the new leader counted the end of each worker's life as a crash under all of its tasks.

An executor now reports whether it has known an earlier life of its worker. If it has not, it has restarted as well, and the tasks of the earlier life are released without a crash. A task that crashes its worker leaves the executor running, so that evidence is kept; if the executor restarts by chance at the same time, one crash goes uncounted.

--- a/lib/executor/executor_internal.h
+++ b/lib/executor/executor_internal.h
@@ -63,6 +63,8 @@
 
 	gn_worker_notice_t notice; /**< Newest heartbeat of the worker. */
 	bool worker_known; /**< A heartbeat was received. */
+	/** This process has known no earlier life of the worker. */
+	bool first_life;
 	uint64_t described_us; /**< Time of the newest heartbeat. */
 	/** The worker announced the end of its life; it may work on a while. */
 	bool worker_left;
--- a/lib/executor/leader.c
+++ b/lib/executor/leader.c
@@ -181,6 +181,7 @@
 	report->list_age_ms = get_list_age_ms(executor);
 	report->left = executor->worker_ended;
 	report->crashed = executor->gone.gone && !executor->worker_left;
+	report->first_life = executor->first_life;
 	report->listed = executor->list_unreported && !executor->worker_left;
 	report->ends = executor->ends;
 	report->n_ends = executor->end_count;
--- a/lib/executor/worker.c
+++ b/lib/executor/worker.c
@@ -295,8 +295,10 @@
 		talloc_free(notice->labels);
 		return;
 	}
-	if (!is_same)
+	if (!is_same) {
+		executor->first_life = !executor->worker_known;
 		reset_for_life(executor, notice);
+	}
 	if (notice->draining && !executor->worker_draining_us) {
 		executor->worker_draining_us = executor_now_us(executor);
 		gn_orders_refuse_starts(executor->orders);
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -171,6 +171,9 @@
 	bool has_listed; /**< This life has sent a list. */
 	bool left; /**< This life has ended. */
 	bool crashed; /**< Its process is gone, as the executor has found. */
+	/** The executor has restarted since the life before this one, as after a
+	 * loss of the host's power: no task is the cause of that. */
+	bool host_restarted;
 	/** Reserved for starts in isolation; see sched_isolate.c. */
 	bool isolates;
 	/** Attempts that this life may begin although their claims have
--- a/lib/sched/sched_report.c
+++ b/lib/sched/sched_report.c
@@ -243,6 +243,7 @@
 
 	worker->last_report_us = sched_now_us(sched);
 	if (*report->life && life.started_ms >= worker->life.started_ms) {
+		worker->host_restarted = report->first_life;
 		sched_worker_begin_life(sched, worker, life);
 		sched_worker_describe(worker, report);
 	}
--- a/lib/sched/sched_worker.c
+++ b/lib/sched/sched_worker.c
@@ -300,7 +300,8 @@
 			i++;
 			continue;
 		}
-		if (sched_crash_ended_life(worker, task->life) &&
+		if (!worker->host_restarted &&
+		    sched_crash_ended_life(worker, task->life) &&
 		    (!task->stopping || task->listed))
 			crashed += sched_crash_count_claim(task, false);
 		if (gn_life_same_id(task->life, life)) {
@@ -372,7 +373,7 @@
 
 	if (is_present && worker->life.started_ms == life.started_ms)
 		return;
-	if (!is_present)
+	if (!is_present && !worker->host_restarted)
 		sched_lapse_count_crashes(sched, worker, life.started_ms);
 	end_other_lives(sched, worker, life);
 	/* Calls for an earlier life with the same ID may reach this one. */
@@ -394,7 +395,10 @@
 	worker->has_listed = false;
 	worker->left = false;
 	worker->crashed = false;
-	sched_emit_worker_event(sched, "worker", worker, "new life",
+	sched_emit_worker_event(sched, "worker", worker,
+				worker->host_restarted
+					? "new life after a restart of the host"
+					: "new life",
 				(int64_t)life.started_ms);
 }
 
--- a/lib/wire/gypsumnotch.pb-c.c
+++ b/lib/wire/gypsumnotch.pb-c.c
@@ -3774,7 +3774,7 @@
   (ProtobufCMessageInit) gn__order_result__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gn__worker_report__field_descriptors[21] =
+static const ProtobufCFieldDescriptor gn__worker_report__field_descriptors[22] =
 {
   {
     "sequence",
@@ -4028,6 +4028,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "first_life",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerReport, first_life),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gn__worker_report__field_indices_by_name[] = {
   9,   /* field[9] = accelerators */
@@ -4037,6 +4049,7 @@
   6,   /* field[6] = data_centre */
   11,   /* field[11] = draining */
   15,   /* field[15] = ends */
+  21,   /* field[21] = first_life */
   1,   /* field[1] = host */
   10,   /* field[10] = labels */
   18,   /* field[18] = left */
@@ -4052,11 +4065,12 @@
   0,   /* field[0] = sequence */
   5,   /* field[5] = service */
 };
-static const ProtobufCIntRange gn__worker_report__number_ranges[2 + 1] =
+static const ProtobufCIntRange gn__worker_report__number_ranges[3 + 1] =
 {
   { 1, 0 },
   { 20, 18 },
-  { 0, 21 }
+  { 24, 21 },
+  { 0, 22 }
 };
 const ProtobufCMessageDescriptor gn__worker_report__descriptor =
 {
@@ -4066,10 +4080,10 @@
   "Gn__WorkerReport",
   "gn",
   sizeof(Gn__WorkerReport),
-  21,
+  22,
   gn__worker_report__field_descriptors,
   gn__worker_report__field_indices_by_name,
-  2,  gn__worker_report__number_ranges,
+  3,  gn__worker_report__number_ranges,
   (ProtobufCMessageInit) gn__worker_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/lib/wire/gypsumnotch.pb-c.h
+++ b/lib/wire/gypsumnotch.pb-c.h
@@ -585,7 +585,7 @@
   uint64_t waiting;
   uint32_t retry_after_ms;
   /*
-   * Reason of a refusal.
+   * Reason of a refusal or a failed job.
    */
   char *reason;
 };
@@ -716,10 +716,17 @@
    * The worker's process is gone, without
    */
   protobuf_c_boolean crashed;
+  /*
+   * having left.
+   */
+  /*
+   * The sender knows no earlier life of the
+   */
+  protobuf_c_boolean first_life;
 };
 #define GN__WORKER_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gn__worker_report__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 /*
--- a/tests/support/sched_rig.c
+++ b/tests/support/sched_rig.c
@@ -327,6 +327,7 @@
 	report->rack = empty_text;
 	report->cpu_milli = rig->cpu_milli;
 	report->memory_mb = MEMORY_MB;
+	report->first_life = rig->first_life;
 	report->listed = true;
 }
 
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -43,6 +43,8 @@
 	GHashTable *records; /**< Job ID to its stored Gn__JobRecord, owned. */
 	const Gn__Leave *leave; /**< Record that new leaders load, or NULL. */
 	uint32_t cpu_milli; /**< Capacity in the reports from now on. */
+	/** Reports from now on are of executors that know no earlier life. */
+	bool first_life;
 	char last_event[32]; /**< Name of the last event. */
 	int64_t last_event_list_age_ms; /**< List age in that event. */
 	unsigned advice_requests; /**< Requests to the adviser. */
