--- a/lib/adapter/adapter.h
+++ b/lib/adapter/adapter.h
@@ -30,6 +30,8 @@
 typedef struct gn_job_call_s {
 	gn_job_call_kind_t kind;
 	const gn_queue_t *queue;
+	/** When the caller gives up, in ms since 1970; 0: unknown. */
+	uint64_t deadline_ms;
 	char job[GN_JOB_ID_LEN + 1];
 	/** Set by a submit only; free with gn__job_spec__free_unpacked(). */
 	Gn__JobSpec *spec;
@@ -148,6 +150,8 @@
 	const gn_kv_codec_t *store;
 	/** Key of the configuration in the key-value service. */
 	const char *config_key;
+	/** Name of the header with the deadline of a caller's request. */
+	const char *deadline_header;
 
 	/**
 	 * Parses the operators' configuration.
--- a/lib/http/exchange.c
+++ b/lib/http/exchange.c
@@ -40,6 +40,7 @@
 {
 	for (int i = 0; i < GN_HEADER_COUNT; i++)
 		free(exchange->request.headers[i]);
+	free(exchange->request.deadline);
 	free(exchange->request.path);
 	free(exchange->request.query_team);
 	free(exchange->request.body);
@@ -132,6 +133,9 @@
 		exchange->request.headers[i] =
 			copy_value(connection, MHD_HEADER_KIND,
 				   gn_header_name((gn_header_t)i));
+	if (thread->deadline_header)
+		exchange->request.deadline = copy_value(
+			connection, MHD_HEADER_KIND, thread->deadline_header);
 	if (!parse_method(method, &exchange->request.method))
 		exchange->refusal_status = MHD_HTTP_METHOD_NOT_ALLOWED;
 	else
--- a/lib/http/server.c
+++ b/lib/http/server.c
@@ -173,6 +173,7 @@
 
 	thread->server = server;
 	thread->body_max = config->body_max;
+	thread->deadline_header = config->deadline_header;
 	thread->connections_max =
 		(config->connections + config->threads - 1) / config->threads;
 	thread->timeout_us = (uint64_t)config->timeout_ms * GN_US_PER_MS;
--- a/lib/http/server.h
+++ b/lib/http/server.h
@@ -51,6 +51,8 @@
 	/** Another entry forwarded it, with "forwarded" in the query. */
 	bool forwarded;
 	char *headers[GN_HEADER_COUNT]; /**< NULL for absent headers. */
+	/** Value of gn_http_server_config_t.deadline_header, or NULL. */
+	char *deadline;
 	char *body;
 	size_t body_len; /**< Bytes. */
 	gn_http_answer_t answer; /**< Filled in by the handler. */
@@ -74,6 +76,8 @@
 	unsigned timeout_ms;
 	unsigned threads; /**< Number of traffic threads, 1..16. */
 	size_t body_max; /**< Maximum size of a body, bytes. */
+	/** Name of the header with a request's deadline; NULL: none. */
+	const char *deadline_header;
 	gn_counters_t *counters;
 	gn_http_handler_t handler;
 	void *arg;
--- a/lib/http/server_internal.h
+++ b/lib/http/server_internal.h
@@ -39,6 +39,7 @@
 	gn_http_server_t *server;
 	gn_clock_t clock;
 	size_t body_max;
+	const char *deadline_header;
 	unsigned connections_max;
 	uint64_t timeout_us;
 	uint64_t idle_us; /**< Limit of libmicrohttpd, in whole seconds. */
--- a/tests/contract/test_http_server.c
+++ b/tests/contract/test_http_server.c
@@ -40,6 +40,7 @@
 	bool hang_up; /* Shuts down its side after sending. */
 	unsigned statuses[3]; /* Accepted statuses. */
 	unsigned handled; /* Requests that must reach the handler. */
+	unsigned deadlines; /* Of these, those with the deadline "17". */
 } case_t;
 
 #define POST "POST /x HTTP/1.1\r\nHost: a\r\n"
@@ -47,6 +48,9 @@
 static const case_t cases[] = {
 	{ "good", POST "Content-Length: 2\r\n\r\nok", .statuses = { 200 },
 	  .handled = 1 },
+	{ "good-deadline",
+	  POST "x-limit: 17\r\nX-Other: 18\r\nContent-Length: 2\r\n\r\nok",
+	  .statuses = { 200 }, .handled = 1, .deadlines = 1 },
 	{ "good-chunked",
 	  POST "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
 	  .statuses = { 200 }, .handled = 1 },
@@ -274,6 +278,7 @@
 typedef struct fixture_s {
 	gn_http_server_t *server;
 	unsigned handled;
+	unsigned deadlines;
 	bool done;
 } fixture_t;
 
@@ -282,6 +287,7 @@
 	fixture_t *fixture = arg;
 
 	fixture->handled++;
+	fixture->deadlines += !g_strcmp0(request->deadline, "17");
 	g_assert_cmpuint(request->body_len, ==, 2);
 	g_assert_cmpint(memcmp(request->body, "ok", 2), ==, 0);
 	request->answer.status = 200;
@@ -334,6 +340,7 @@
 			caller->timeout_ms ? caller->timeout_ms : TIMEOUT_MS,
 		.threads = 1,
 		.body_max = BODY_MAX,
+		.deadline_header = "X-Limit",
 		.counters = gn_counters_create(events),
 		.handler = on_request,
 		.arg = &fixture,
@@ -355,6 +362,8 @@
 	g_thread_join(thread);
 	g_assert_cmpuint(caller->parallel_status, ==, 200);
 	g_assert_cmpuint(fixture.handled, ==, handled);
+	g_assert_cmpuint(fixture.deadlines, ==,
+			 caller->test ? caller->test->deadlines : 0);
 	TALLOC_FREE(fixture.server);
 	close(caller->done[0]);
 	close(caller->done[1]);
