platform: record the service's last answer and how a call failed

The time of the last answer to a watch call, which takes up to a second when nothing changes, does not show the start of an outage. The client now records the last answer to any call and the kind of the last failure: no answer, refused with 429 or 503, or a broken connection.

--- a/lib/platform/kv_http.c
+++ b/lib/platform/kv_http.c
@@ -53,7 +53,7 @@
 		if (call->refusal != GN_OK)
 			gn_kv_http_end_refused(call, call->refusal, "not sent");
 		else
-			gn_kv_http_end_lost(call,
+			gn_kv_http_end_lost(call, GN_KV_NO_ANSWER,
 					    "no answer within the timeout");
 		call = find_earliest_deadline(http);
 	}
@@ -290,6 +290,11 @@
 	return &http->kv;
 }
 
+gn_kv_health_t gn_kv_http_health(const gn_kv_http_t *http)
+{
+	return http->health;
+}
+
 size_t gn_kv_http_pending(const gn_kv_http_t *http)
 {
 	return g_hash_table_size(http->calls);
--- a/lib/platform/kv_http.h
+++ b/lib/platform/kv_http.h
@@ -69,6 +69,23 @@
  */
 void gn_kv_http_expire(gn_kv_http_t *http);
 
+/** How a call to the key-value service failed. */
+typedef enum gn_kv_failure_e {
+	GN_KV_NO_FAILURE = 0,
+	GN_KV_NO_ANSWER, /**< None within the timeout. */
+	GN_KV_REFUSED, /**< Status 429 or 503. */
+	GN_KV_RESET /**< The connection was refused or broken. */
+} gn_kv_failure_t;
+
+/** When the key-value service last answered, and what failed. */
+typedef struct gn_kv_health_s {
+	uint64_t answered_us; /**< 0: never. */
+	uint64_t failed_us; /**< End of the last failed call; 0: none. */
+	gn_kv_failure_t failure; /**< How that call failed. */
+} gn_kv_health_t;
+
+gn_kv_health_t gn_kv_http_health(const gn_kv_http_t *http);
+
 /** Returns the number of calls in progress. */
 size_t gn_kv_http_pending(const gn_kv_http_t *http);
 
--- a/lib/platform/kv_http_end.c
+++ b/lib/platform/kv_http_end.c
@@ -49,14 +49,22 @@
 	talloc_free(call);
 }
 
-void gn_kv_http_end_lost(gn_kv_http_call_t *call, const char *detail)
+static void record_failure(gn_kv_http_t *http, gn_kv_failure_t failure)
+{
+	http->last_call_failed = true;
+	http->health.failed_us = gn_clock_now_us(http->options.clock);
+	http->health.failure = failure;
+}
+
+void gn_kv_http_end_lost(gn_kv_http_call_t *call, gn_kv_failure_t failure,
+			 const char *detail)
 {
 	bool is_read = gn_kv_kind_is_read(call->request.kind);
 	gn_kv_result_t result = { 0 };
 	curl_off_t connected_us = 0;
 
 	curl_easy_getinfo(call->easy, CURLINFO_CONNECT_TIME_T, &connected_us);
-	call->http->last_call_failed = true;
+	record_failure(call->http, failure);
 	result.code =
 		is_read || !connected_us ? GN_ERR_UNAVAILABLE : GN_ERR_UNKNOWN;
 	finish(call, &result, detail);
@@ -76,6 +84,7 @@
 	gn_kv_http_t *http = call->http;
 
 	http->last_call_failed = false;
+	http->health.answered_us = gn_clock_now_us(http->options.clock);
 	if (gn_kv_kind_is_read(call->request.kind) && result->revision &&
 	    result->revision < call->min_revision) {
 		gn_kv_http_end_refused(call, GN_ERR_STALE,
@@ -100,7 +109,7 @@
 	gn_code_t code;
 
 	if (is_refusal(status)) {
-		call->http->last_call_failed = true;
+		record_failure(call->http, GN_KV_REFUSED);
 		gn_kv_http_end_refused(call, GN_ERR_UNAVAILABLE, "refused");
 		return;
 	}
@@ -111,7 +120,8 @@
 			call, GN_ERR_INVALID,
 			"service rejected the request as malformed");
 	else if (code)
-		gn_kv_http_end_lost(call, "answer is incomplete or malformed");
+		gn_kv_http_end_lost(call, GN_KV_RESET,
+				    "answer is incomplete or malformed");
 	else
 		finish_answered(call, &result);
 }
@@ -125,7 +135,11 @@
 	curl_easy_getinfo(easy, CURLINFO_PRIVATE, &call);
 	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
 	if (code != CURLE_OK)
-		gn_kv_http_end_lost(call, curl_easy_strerror(code));
+		gn_kv_http_end_lost(call,
+				    code == CURLE_OPERATION_TIMEDOUT
+					    ? GN_KV_NO_ANSWER
+					    : GN_KV_RESET,
+				    curl_easy_strerror(code));
 	else
 		handle_answer(call, status);
 }
--- a/lib/platform/kv_http_internal.h
+++ b/lib/platform/kv_http_internal.h
@@ -77,6 +77,7 @@
 	GHashTable *calls; /* Maps an ID to its gn_kv_http_call_t. */
 	gn_kv_call_t last_id;
 	uint64_t newest_revision; /* Newest revision seen in any answer. */
+	gn_kv_health_t health;
 	bool last_call_failed; /* If set, idle connections may be dead. */
 };
 
@@ -105,7 +106,8 @@
 void gn_kv_http_unlink(gn_kv_http_call_t *call);
 
 /** Ends a call that was sent and has no complete answer. */
-void gn_kv_http_end_lost(gn_kv_http_call_t *call, const char *detail);
+void gn_kv_http_end_lost(gn_kv_http_call_t *call, gn_kv_failure_t failure,
+			 const char *detail);
 
 /** Ends a call with @p code; a write was not applied. */
 void gn_kv_http_end_refused(gn_kv_http_call_t *call, gn_code_t code,
--- a/tests/contract/test_kv_http.c
+++ b/tests/contract/test_kv_http.c
@@ -117,29 +117,31 @@
 	json_int_t revision; /* Final revision; 2 if the write was applied. */
 	bool times_out;
 	bool stops; /* The service stops listening. */
+	gn_kv_failure_t failure; /* Of the last call that failed. */
 } fault_case_t;
 
 static const fault_case_t fault_cases[] = {
-	{ "none", "{}", GN_OK, GN_OK, 2, false, false },
+	{ "none", "{}", GN_OK, GN_OK, 2, false, false, GN_KV_NO_FAILURE },
 	{ "refused", "{}", GN_ERR_UNAVAILABLE, GN_ERR_UNAVAILABLE, 0, false,
-	  true },
+	  true, GN_KV_RESET },
 	{ "down", "{\"down\": true}", GN_ERR_UNAVAILABLE, GN_ERR_UNAVAILABLE, 1,
-	  false, false },
-	{ "slow", "{\"slow_ms\": 50}", GN_OK, GN_OK, 2, false, false },
+	  false, false, GN_KV_REFUSED },
+	{ "slow", "{\"slow_ms\": 50}", GN_OK, GN_OK, 2, false, false,
+	  GN_KV_NO_FAILURE },
 	{ "slow-beyond-timeout", "{\"slow_ms\": 60000}", GN_ERR_UNKNOWN,
-	  GN_ERR_UNAVAILABLE, 2, true, false },
+	  GN_ERR_UNAVAILABLE, 2, true, false, GN_KV_NO_ANSWER },
 	{ "black-hole", "{\"black_hole\": true}", GN_ERR_UNKNOWN,
-	  GN_ERR_UNAVAILABLE, 1, true, false },
+	  GN_ERR_UNAVAILABLE, 1, true, false, GN_KV_NO_ANSWER },
 	{ "request-dropped", "{\"drop_requests\": 2}", GN_ERR_UNKNOWN,
-	  GN_ERR_UNAVAILABLE, 1, false, false },
+	  GN_ERR_UNAVAILABLE, 1, false, false, GN_KV_RESET },
 	{ "answer-lost", "{\"lose_answers\": 2}", GN_ERR_UNKNOWN,
-	  GN_ERR_UNAVAILABLE, 2, false, false },
+	  GN_ERR_UNAVAILABLE, 2, false, false, GN_KV_RESET },
 	{ "answer-truncated", "{\"truncate_answers\": 2}", GN_ERR_UNKNOWN,
-	  GN_ERR_UNAVAILABLE, 2, false, false },
+	  GN_ERR_UNAVAILABLE, 2, false, false, GN_KV_RESET },
 	{ "answer-garbage", "{\"garbage_answers\": 2}", GN_ERR_UNKNOWN,
-	  GN_ERR_UNAVAILABLE, 2, false, false },
+	  GN_ERR_UNAVAILABLE, 2, false, false, GN_KV_RESET },
 	{ "older-revision", "{\"older_reads\": 1}", GN_OK, GN_ERR_STALE, 2,
-	  false, false },
+	  false, false, GN_KV_NO_FAILURE },
 };
 
 static void put(fixture_t *fixture, const char *value, uint64_t expected,
@@ -167,9 +169,26 @@
 	gn_kv_http_expire(fixture->http);
 }
 
+/* Guards against a failure that is taken for an answer, or one kind for
+ * another. */
+static void check_health(const fixture_t *fixture, const fault_case_t *c,
+			 uint64_t first_answer_us)
+{
+	gn_kv_health_t health = gn_kv_http_health(fixture->http);
+
+	g_assert_cmpint(health.failure, ==, c->failure);
+	g_assert_true((health.failed_us != 0) == (c->failure != 0));
+	if (c->times_out) {
+		g_assert_cmpuint(health.answered_us, ==, first_answer_us);
+		g_assert_cmpuint(health.failed_us, ==,
+				 gn_clock_now_us(&fixture->clock));
+	}
+}
+
 static void test_fault(const void *data)
 {
 	const fault_case_t *c = data;
+	uint64_t first_answer_us;
 	kv_reply_t write = { 0 };
 	kv_reply_t read = { 0 };
 	fixture_t fixture;
@@ -178,6 +197,8 @@
 	put(&fixture, "1", 0, &write);
 	fixture_run(&fixture);
 	kv_reply_clear(&write);
+	first_answer_us = gn_kv_http_health(fixture.http).answered_us;
+	g_assert_cmpuint(first_answer_us, ==, gn_clock_now_us(&fixture.clock));
 	fixture_set_faults(&fixture, c->faults);
 	if (c->stops) {
 		platform_server_stop(fixture.server);
@@ -191,6 +212,7 @@
 	if (c->times_out)
 		time_out(&fixture, "get", 1);
 	fixture_run(&fixture);
+	check_health(&fixture, c, first_answer_us);
 	g_assert_cmpint(write.code, ==, c->write_code);
 	g_assert_cmpint(read.code, ==, c->read_code);
 	if (c->read_code == GN_OK)
