scheduler: a refusal is unknown while an earlier copy may take effect

A submission or cancellation that was sent to a leader before the link was lost may yet be carried out. If the next leader could not store it, or gave it up, its caller was told "not leader", which promises that it has had no effect. It is now told "unknown", as after a refusal because of the backlog.

--- a/tests/unit/test_outcome.c
+++ b/tests/unit/test_outcome.c
@@ -19,6 +19,15 @@
 	  GN_RESULT_OK },
 	{ "missing_queue_is_unknown", GN_CALL_SUBMIT, GN_RESULT_NO_QUEUE, true,
 	  GN_RESULT_NO_QUEUE },
+	/* A copy that a leader gives up says nothing of the first. */
+	{ "no_leader", GN_CALL_SUBMIT, GN_RESULT_NOT_LEADER, false,
+	  GN_RESULT_NOT_LEADER },
+	{ "no_leader_for_a_copy", GN_CALL_SUBMIT, GN_RESULT_NOT_LEADER, true,
+	  GN_RESULT_UNKNOWN },
+	{ "no_leader_for_a_copy_of_a_cancel", GN_CALL_CANCEL,
+	  GN_RESULT_NOT_LEADER, true, GN_RESULT_UNKNOWN },
+	{ "no_leader_for_a_copy_of_a_query", GN_CALL_STATE,
+	  GN_RESULT_NOT_LEADER, true, GN_RESULT_NOT_LEADER },
 	{ "state_from_a_copy_is_unknown", GN_CALL_STATE, GN_RESULT_NOT_FOUND,
 	  true, GN_RESULT_NOT_FOUND },
 };
