scheduler: callers wait or return as lib/outage decides

Replaces lib/scheduler/hold.h, NO_LEADER_RETRY_S and the constant 1 s of "store away". Each refusal gets its Retry-After from the age of the outage; a request is held while an election is expected or the outage is young. A leader withdraws what it has not sent to the store after a quarter of its caller's time, and takes no submission that it is likely to give up. Held requests are served in the order of their arrival, before new ones; before, the order was that of a hash table.

A leader that cannot store jobs says so in its answers to probes. It was taken as serving, and one answer "not leader" made a scheduler refuse the states of jobs, too.

The decision is extended by what the leader knows, by the start of a process, and by a scheduler that sees the leader lose the service later.

--- a/lib/outage/outage.c
+++ b/lib/outage/outage.c
@@ -15,6 +15,8 @@
  * others retry a failed watch call within 0.3 s.
  */
 #define FAILING_US (400 * GN_US_PER_MS)
+/** Time for the first answer after the start of a process; 0.14 s was seen. */
+#define FIRST_ANSWER_US (250 * GN_US_PER_MS)
 /** A held request is answered this long before its caller's deadline. */
 #define ANSWER_MARGIN_US (200 * GN_US_PER_MS)
 /** Share of a caller's remaining time for which it may wait in vain. */
@@ -35,9 +37,10 @@
 /** Earlier outages longer than the present one that make an estimate. */
 #define LENGTHS_MIN 2
 /**
- * Share of the expected rest after which a refused caller returns. Callers
- * have four retries, so they may return early. It is the lowest share, rounded
- * up, with which the retries of any caller cover an outage of 10 s and the
+ * Share of the expected rest after which a refused caller returns, and that may
+ * not exceed a wait. Callers
+ * have four retries, so they may return early: with this share, rounded up to
+ * seconds, the retries of any caller still cover an outage of 10 s and the
  * election after it.
  */
 #define RETURN_SHARE 0.65
@@ -75,7 +78,11 @@
 {
 	uint64_t silent_us = get_since_us(view->now_us, view->answered_us);
 
-	if (!view->answered_us || silent_us >= SILENT_US)
+	if (!view->answered_us)
+		return view->failed_us ||
+		       get_since_us(view->now_us, view->started_us) >=
+			       FIRST_ANSWER_US;
+	if (silent_us >= SILENT_US)
 		return true;
 	return view->failed_us > view->answered_us && silent_us >= FAILING_US;
 }
@@ -138,6 +145,13 @@
 {
 	uint64_t end_us = view->served_us + view->lease_us + ELECTION_US;
 
+	/* The next renewal of its lease confirms a leader or deposes it. */
+	if (view->leads) {
+		if (is_away(view) ||
+		    get_since_us(view->now_us, view->answered_us) >= FAILING_US)
+			return 0;
+		return view->answered_us + view->lease_us + ELECTION_US;
+	}
 	if (!view->served_us || is_away(view) || view->now_us >= end_us)
 		return 0;
 	return end_us;
@@ -169,16 +183,18 @@
 }
 
 /* Whether only this scheduler is without the service: a leader that could store
- * jobs was heard well after the service, or neither of the two answers. */
+ * jobs was heard just now and well after the service, or neither answers. */
 static bool is_alone(const gn_outage_view_t *view)
 {
 	uint64_t age_us = get_since_us(view->now_us, view->answered_us);
+	uint64_t margin_us = view->lease_us + ALONE_MARGIN_US;
 
 	if (!view->answered_us || !is_away(view) || age_us >= ALONE_AGE_US)
 		return false;
-	return view->leader_silent || view->served_us > view->answered_us +
-								view->lease_us +
-								ALONE_MARGIN_US;
+	if (view->leader_silent)
+		return true;
+	return view->served_us > view->answered_us + margin_us &&
+	       view->now_us < view->served_us + margin_us;
 }
 
 static uint64_t get_age_us(const gn_outage_t *outage,
@@ -186,7 +202,7 @@
 {
 	if (outage->began_us)
 		return get_since_us(view->now_us, outage->began_us);
-	if (is_away(view) && view->answered_us)
+	if ((is_away(view) || view->leads) && view->answered_us)
 		return get_since_us(view->now_us, view->answered_us);
 	/* The service answers, so only the absence of a leader counts. */
 	if (view->served_us)
@@ -238,8 +254,11 @@
 	 * their retries. */
 	if (usual_us)
 		rest_us = clamp(usual_us, age_us / 2, 2 * age_us + GN_US_PER_S);
-	if (!view->answered_us && rest_us < UNSEEN_REST_US)
+	if (!view->answered_us && is_away(view) && rest_us < UNSEEN_REST_US)
 		rest_us = UNSEEN_REST_US;
+	/* The leader's lease ends meanwhile, and an election follows. */
+	if (view->leads && age_us + rest_us >= view->lease_us)
+		rest_us += ELECTION_US;
 	return rest_us;
 }
 
@@ -291,6 +310,17 @@
 
 /* ======   Decisions   ====== */
 
+/* Returns what the estimate of an outage without a known end rests on. */
+static const char *get_basis(const gn_outage_t *outage,
+			     const gn_outage_view_t *view, uint64_t age_us)
+{
+	if (!is_away(view) && !view->leads)
+		return "no leader";
+	if (!view->answered_us)
+		return "never answered";
+	return get_usual_rest_us(outage, age_us) ? "earlier outages" : "age";
+}
+
 gn_outage_decision_t gn_outage_refuse(gn_outage_t *outage,
 				      const gn_outage_view_t *view)
 {
@@ -310,11 +340,7 @@
 	} else {
 		decision.estimate_us =
 			estimate_rest_us(outage, view, decision.age_us);
-		decision.basis = !is_away(view)	      ? "no leader"
-				 : !view->answered_us ? "never answered"
-				 : get_usual_rest_us(outage, decision.age_us)
-					 ? "earlier outages"
-					 : "age";
+		decision.basis = get_basis(outage, view, decision.age_us);
 	}
 	decision.retry_after_s = assign_return(
 		outage, view->now_us,
@@ -344,33 +370,52 @@
 	return remaining_us / WAIT_DIVISOR;
 }
 
-gn_outage_decision_t gn_outage_decide(gn_outage_t *outage,
-				      const gn_outage_view_t *view,
-				      uint64_t remaining_us)
+gn_outage_decision_t gn_outage_check(const gn_outage_t *outage,
+				     const gn_outage_view_t *view,
+				     uint64_t remaining_us)
 {
+	const gn_outage_decision_t refusal = { 0 };
 	uint64_t end_us = get_end_us(outage, view);
 	uint64_t limit_us = gn_outage_get_limit_us(remaining_us);
 	uint64_t rest_us;
 
 	if (view->held >= GN_OUTAGE_HELD_MAX ||
 	    view->held_bytes >= GN_OUTAGE_HELD_BYTES_MAX || is_alone(view))
-		return gn_outage_refuse(outage, view);
+		return refusal;
 	if (end_us && !is_flapping(outage, view->now_us)) {
-		if (end_us + ANSWER_MARGIN_US <= view->now_us + remaining_us)
-			return hold_until(outage, view, end_us,
-					  end_us - view->now_us, "election");
-		return gn_outage_refuse(outage, view);
+		if (end_us + ANSWER_MARGIN_US > view->now_us + remaining_us)
+			return refusal;
+		return hold_until(outage, view, end_us, end_us - view->now_us,
+				  "election");
 	}
 	/* No leader was ever known, or the election has taken too long. */
-	if (!end_us && !is_away(view))
-		return gn_outage_refuse(outage, view);
+	if (!end_us && !is_away(view) && !view->leads)
+		return refusal;
 	rest_us = end_us ? end_us - view->now_us
 			 : estimate_rest_us(outage, view,
 					    get_age_us(outage, view));
-	if (rest_us <= limit_us)
-		return hold_until(outage, view, view->now_us + limit_us,
-				  rest_us, end_us ? "flapping" : "age");
-	return gn_outage_refuse(outage, view);
+	if (RETURN_SHARE * (double)rest_us > (double)limit_us)
+		return refusal;
+	return hold_until(outage, view, view->now_us + limit_us, rest_us,
+			  end_us ? "flapping" : "age");
+}
+
+gn_outage_decision_t gn_outage_decide(gn_outage_t *outage,
+				      const gn_outage_view_t *view,
+				      uint64_t remaining_us)
+{
+	gn_outage_decision_t decision =
+		gn_outage_check(outage, view, remaining_us);
+
+	return decision.hold ? decision : gn_outage_refuse(outage, view);
+}
+
+bool gn_outage_waits_for_store(const gn_outage_t *outage,
+			       const gn_outage_view_t *view,
+			       uint64_t remaining_us)
+{
+	return !outage->began_us ||
+	       gn_outage_check(outage, view, remaining_us).hold;
 }
 
 bool gn_outage_keeps_holding(const gn_outage_t *outage,
--- a/lib/outage/outage.h
+++ b/lib/outage/outage.h
@@ -58,6 +58,8 @@
 	/** When a leader last served and could store jobs; 0 if this process
 	 * never knew of one. */
 	uint64_t served_us;
+	/** This process leads, so that only the service may be missing. */
+	bool leads;
 	/** The link to the leader is open, but the leader does not answer. */
 	bool leader_silent;
 	uint64_t lease_us; /**< Time to live of the leader's lease. */
@@ -112,20 +114,34 @@
 void gn_outage_count_served(gn_outage_t *outage, uint64_t now_us);
 
 /**
- * Decides on a request that cannot be served now.
+ * Decides whether a request waits that cannot be served now. Changes nothing,
+ * so the decision to refuse it has no time to return; gn_outage_refuse() has.
  * @param remaining_us time until the caller's deadline
  */
+gn_outage_decision_t gn_outage_check(const gn_outage_t *outage,
+				     const gn_outage_view_t *view,
+				     uint64_t remaining_us);
+
+/** As gn_outage_check(), and refuses a request that does not wait. */
 gn_outage_decision_t gn_outage_decide(gn_outage_t *outage,
 				      const gn_outage_view_t *view,
 				      uint64_t remaining_us);
 
+/**
+ * Whether a leader takes a submission that it may not be able to store. While
+ * the service is away, it does so only if a wait is likely to end in time.
+ */
+bool gn_outage_waits_for_store(const gn_outage_t *outage,
+			       const gn_outage_view_t *view,
+			       uint64_t remaining_us);
+
 /** Refuses a request whose wait is over, or that must not wait. */
 gn_outage_decision_t gn_outage_refuse(gn_outage_t *outage,
 				      const gn_outage_view_t *view);
 
 /**
- * Whether a held request waits on. After its time it does so only while the
- * end is in sight, and not beyond the caller's deadline.
+ * Whether a held request waits on: until @p until_us, or while the end is in
+ * sight, but not beyond the caller's deadline.
  */
 bool gn_outage_keeps_holding(const gn_outage_t *outage,
 			     const gn_outage_view_t *view, uint64_t until_us,
@@ -138,9 +154,9 @@
 uint64_t gn_outage_get_limit_us(uint64_t remaining_us);
 
 /**
- * Returns when the next leader is expected to serve; 0 if no such time is
- * known, since the key-value service is away, the election takes too long or no
- * leader was ever known.
+ * Returns when the next leader is expected to serve, or this one to be
+ * confirmed; 0 if no such time is known, since the key-value service is away,
+ * the election takes too long or no leader was ever known.
  */
 uint64_t gn_outage_get_end_us(const gn_outage_view_t *view);
 
--- a/lib/scheduler/calls.c
+++ b/lib/scheduler/calls.c
@@ -18,12 +18,17 @@
 #define STORE_TIMEOUT_US (1800 * GN_US_PER_MS)
 /**
  * Time after which a job that was not even sent to the store is withdrawn and
- * refused. The store then has not answered an earlier write for about this
- * long.
+ * refused although the store answers other calls. Without any answer, it waits
+ * as outage/outage.h allows.
  */
 #define UNSENT_TIMEOUT_US (1000 * GN_US_PER_MS)
-/** Delay before a caller may retry while no scheduler leads, seconds. */
-#define NO_LEADER_RETRY_S 1
+/** The store answers if it did so within this time; a leader calls it at least
+ * three times within its lease. */
+#define STORE_ANSWERS_US (400 * GN_US_PER_MS)
+/** A call is answered this long before its caller gives up. */
+#define ANSWER_MARGIN_US (200 * GN_US_PER_MS)
+/** Delay before the caller of a stopping scheduler may retry elsewhere. */
+#define STOPPING_RETRY_S 1
 #define MS_PER_S 1000
 
 /* ======   Answers   ====== */
@@ -39,8 +44,6 @@
 
 static unsigned get_retry_after_s(const gn_sched_reply_t *reply)
 {
-	if (reply->result == GN_RESULT_NOT_LEADER)
-		return NO_LEADER_RETRY_S;
 	return (reply->retry_after_ms + MS_PER_S - 1) / MS_PER_S;
 }
 
@@ -111,6 +114,9 @@
 	gn_histogram_add(scheduler->counters.call_time,
 			 now_us(scheduler) - call->received_us);
 	gn_counter_inc(scheduler->counters.results[reply->result]);
+	if (call->request && call->kind == GN_CALL_SUBMIT &&
+	    reply->result == GN_RESULT_OK)
+		gn_outage_count_served(&scheduler->outage, now_us(scheduler));
 	if (call->request)
 		answer_http(scheduler, call->request, call->kind, reply);
 	else
@@ -126,27 +132,52 @@
 	answer_call(scheduler, call, &reply);
 }
 
+/* Refuses a call that has no effect here. A scheduler that forwarded it decides
+ * itself what its caller is told. */
+static void refuse_call(scheduler_t *scheduler, scheduler_call_t *call,
+			const char *reason)
+{
+	gn_sched_reply_t reply = {
+		.result = scheduler_get_outcome(
+			call->kind, GN_RESULT_NOT_LEADER, call->uncertain),
+		.reason = reason,
+	};
+
+	if (call->request && reply.result == GN_RESULT_NOT_LEADER)
+		reply.retry_after_ms =
+			scheduler_refuse_caller(scheduler, call, reason) *
+			MS_PER_S;
+	answer_call(scheduler, call, &reply);
+}
+
+/* Holds a call that has no effect here, or refuses it. */
+static void hold_or_refuse(scheduler_t *scheduler, scheduler_call_t *call,
+			   const char *reason)
+{
+	if (!call->request || !scheduler_try_hold(scheduler, call))
+		refuse_call(scheduler, call, reason);
+}
+
 /* ======   Decisions   ====== */
 
 static gn_sched_reply_t submit_job(scheduler_t *scheduler,
 				   const scheduler_call_t *call)
 {
-	gn_sched_reply_t reply = { .result = GN_RESULT_REFUSED,
-				   .retry_after_ms = MS_PER_S,
-				   .reason = "store away" };
+	gn_sched_reply_t reply = { .result = GN_RESULT_NOT_LEADER,
+				   .reason = SCHEDULER_STORE_AWAY };
 	Gn__JobSpec *spec;
 
-	if (!scheduler_is_confirmed(scheduler) &&
+	if ((!scheduler_is_confirmed(scheduler) ||
+	     !scheduler_waits_for_store(scheduler, call)) &&
 	    gn_sched_get_state(scheduler->sched, call->job).result ==
-		    GN_RESULT_NOT_FOUND) {
-		reply.result = GN_RESULT_NOT_LEADER;
+		    GN_RESULT_NOT_FOUND)
 		return reply;
-	}
 	spec = gn__job_spec__unpack(NULL, call->spec_len, call->spec);
 	if (!spec || gn_job_check(spec, NULL)) {
 		if (spec)
 			gn__job_spec__free_unpacked(spec, NULL);
 		reply.result = GN_RESULT_INVALID;
+		reply.reason = NULL;
 		return reply;
 	}
 	return gn_sched_submit(scheduler->sched, spec);
@@ -167,12 +198,16 @@
 		reply = gn_sched_cancel(scheduler->sched, call->job);
 		break;
 	default:
-		return gn_sched_count_waiting(scheduler->sched, call->queue);
+		reply = gn_sched_count_waiting(scheduler->sched, call->queue);
+		/* Tells schedulers that probe the leader. */
+		if (!scheduler_is_confirmed(scheduler))
+			reply.reason = SCHEDULER_STORE_AWAY;
+		return reply;
 	}
 	if (reply.result == GN_RESULT_NOT_FOUND &&
 	    !scheduler_knows_all_jobs(scheduler)) {
 		reply.result = GN_RESULT_NOT_LEADER;
-		reply.reason = "store away";
+		reply.reason = SCHEDULER_STORE_AWAY;
 	}
 	return reply;
 }
@@ -182,6 +217,8 @@
 	call->reply = decide_call(scheduler, call);
 	if (call->reply.version) {
 		g_ptr_array_add(scheduler->awaiting_store, call);
+	} else if (call->reply.result == GN_RESULT_NOT_LEADER) {
+		hold_or_refuse(scheduler, call, call->reply.reason);
 	} else {
 		const gn_sched_reply_t reply = call->reply;
 
@@ -231,16 +268,6 @@
 	return calls;
 }
 
-/* Holds a withdrawn call for the next leader, or refuses it. */
-static void return_call(scheduler_t *scheduler, scheduler_call_t *call)
-{
-	if (call->request && scheduler_may_hold(scheduler))
-		scheduler_hold(scheduler, call);
-	else
-		answer_result(scheduler, call, GN_RESULT_NOT_LEADER,
-			      "leadership lost");
-}
-
 void scheduler_fail_waiting_calls(scheduler_t *scheduler)
 {
 	GPtrArray *waiting = scheduler->awaiting_store;
@@ -250,7 +277,8 @@
 			withdraw_job(scheduler, g_ptr_array_index(waiting, 0));
 
 		for (guint i = 0; calls && i < calls->len; i++)
-			return_call(scheduler, g_ptr_array_index(calls, i));
+			hold_or_refuse(scheduler, g_ptr_array_index(calls, i),
+				       "leadership lost");
 		if (calls)
 			g_ptr_array_free(calls, TRUE);
 		else
@@ -262,12 +290,28 @@
 
 void scheduler_serve_forwarded_calls(scheduler_t *scheduler)
 {
-	GList *calls = g_hash_table_get_values(scheduler->forwarded);
+	GPtrArray *calls = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
 
+	g_hash_table_iter_init(&iter, scheduler->forwarded);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		g_ptr_array_add(calls, value);
 	g_hash_table_steal_all(scheduler->forwarded);
-	for (GList *item = calls; item; item = item->next)
-		serve_call(scheduler, item->data);
-	g_list_free(calls);
+	scheduler_sort_calls(calls);
+	for (guint i = 0; i < calls->len; i++)
+		serve_call(scheduler, g_ptr_array_index(calls, i));
+	g_ptr_array_free(calls, TRUE);
+}
+
+/* Serves the calls that this leader held because the store was away. */
+static void serve_held_calls(scheduler_t *scheduler)
+{
+	if (scheduler_is_serving(scheduler) &&
+	    g_hash_table_size(scheduler->forwarded) &&
+	    scheduler_is_confirmed(scheduler) &&
+	    scheduler_knows_all_jobs(scheduler))
+		scheduler_serve_forwarded_calls(scheduler);
 }
 
 /* ======   Callers   ====== */
@@ -283,6 +327,8 @@
 	memcpy(call->job, parsed->job, sizeof(call->job));
 	call->queue = g_strdup(parsed->queue->name);
 	call->received_us = now_us(scheduler);
+	call->deadline_us =
+		scheduler_get_deadline_us(scheduler, parsed->deadline_ms);
 	if (parsed->spec) {
 		call->spec_len = gn__job_spec__get_packed_size(parsed->spec);
 		call->spec = g_malloc(call->spec_len + 1);
@@ -293,9 +339,13 @@
 }
 
 static void refuse_request(scheduler_t *scheduler, gn_http_request_t *request,
-			   gn_job_result_t result, const char *reason)
+			   gn_job_result_t result, unsigned retry_after_s,
+			   const char *reason)
 {
-	const gn_sched_reply_t reply = { .result = result, .reason = reason };
+	const gn_sched_reply_t reply = { .result = result,
+					 .retry_after_ms =
+						 retry_after_s * MS_PER_S,
+					 .reason = reason };
 
 	gn_counter_inc(scheduler->counters.results[result]);
 	gn_event("call refused", "{s:s, s:s, s:s}", "path", request->path,
@@ -306,15 +356,13 @@
 static void dispatch_call(scheduler_t *scheduler, scheduler_call_t *call)
 {
 	gn_counter_inc(scheduler->counters.calls[call->kind]);
-	if (scheduler_is_serving(scheduler))
+	if (scheduler_is_serving(scheduler)) {
+		/* Held calls go before new ones. */
+		serve_held_calls(scheduler);
 		serve_call(scheduler, call);
-	else if (scheduler_forward(scheduler, call))
-		return;
-	else if (scheduler_may_hold(scheduler))
-		scheduler_hold(scheduler, call);
-	else
-		answer_result(scheduler, call, GN_RESULT_NOT_LEADER,
-			      "no leader");
+	} else if (!scheduler_forward(scheduler, call)) {
+		hold_or_refuse(scheduler, call, "no leader");
+	}
 }
 
 /* Whether this process may exit before the leader would answer. */
@@ -336,21 +384,23 @@
 
 	if (!scheduler->queues) {
 		refuse_request(scheduler, request, GN_RESULT_NOT_LEADER,
+			       scheduler_refuse_caller(scheduler, NULL,
+						       "no configuration yet"),
 			       "no configuration yet");
 		return;
 	}
 	if (is_closing(scheduler)) {
 		refuse_request(scheduler, request, GN_RESULT_NOT_LEADER,
-			       "stopping");
+			       STOPPING_RETRY_S, "stopping");
 		return;
 	}
 	code = scheduler->adapter->read_call(request, scheduler->queues, &call,
 					     &error);
 	if (code == GN_ERR_NOT_FOUND)
-		refuse_request(scheduler, request, GN_RESULT_NO_QUEUE,
+		refuse_request(scheduler, request, GN_RESULT_NO_QUEUE, 0,
 			       error.detail);
 	else if (code)
-		refuse_request(scheduler, request, GN_RESULT_INVALID,
+		refuse_request(scheduler, request, GN_RESULT_INVALID, 0,
 			       error.detail);
 	else
 		dispatch_call(scheduler,
@@ -377,6 +427,8 @@
 	call->spec_len = message->spec.len;
 	call->spec = g_memdup2(message->spec.data, message->spec.len);
 	call->received_us = now_us(scheduler);
+	/* The sender ends the call at the caller's own deadline. */
+	call->deadline_us = call->received_us + GN_OUTAGE_REMAINING_US;
 	if (scheduler_is_serving(scheduler))
 		serve_call(scheduler, call);
 	else
@@ -402,6 +454,8 @@
 		.reason = *message->reason ? message->reason : NULL,
 	};
 
+	bool stores = strcmp(message->reason, SCHEDULER_STORE_AWAY) != 0;
+
 	scheduler_record_leader_reply(scheduler, message);
 	if (!call || message->result >= GN_RESULT_COUNT ||
 	    message->phase >= GN_JOB_PHASE_COUNT)
@@ -409,6 +463,13 @@
 	/* Sent again once a leader serves; see scheduler_expire_calls(). */
 	if (reply.result == GN_RESULT_NOT_LEADER) {
 		call->sent = false;
+		if (is_certainly_undone(call)) {
+			g_hash_table_steal(scheduler->forwarded,
+					   &message->number);
+			hold_or_refuse(scheduler, call,
+				       stores ? "no leader"
+					      : SCHEDULER_STORE_AWAY);
+		}
 		return;
 	}
 	reply.result = scheduler_get_outcome(call->kind, reply.result,
@@ -429,18 +490,41 @@
 static bool is_forward_over(const scheduler_t *scheduler,
 			    const scheduler_call_t *call)
 {
-	return now_us(scheduler) - call->received_us >=
-		       SCHEDULER_FORWARD_TIMEOUT_US ||
-	       (is_certainly_undone(call) && !scheduler_may_hold(scheduler));
+	uint64_t time_us = now_us(scheduler);
+
+	if (time_us + ANSWER_MARGIN_US >= call->deadline_us)
+		return true;
+	/* The process ends soon; see scheduler/stop.h. */
+	if (scheduler->runtime->stopping &&
+	    time_us - call->received_us >= SCHEDULER_FORWARD_TIMEOUT_US)
+		return true;
+	if (is_certainly_undone(call))
+		return !scheduler_keeps_holding(scheduler, call);
+	return time_us - call->sent_us >= SCHEDULER_FORWARD_TIMEOUT_US;
 }
 
 static void answer_timeout(scheduler_t *scheduler, scheduler_call_t *call)
 {
-	answer_result(scheduler, call,
-		      may_have_taken_effect(call) ? GN_RESULT_UNKNOWN
-						  : GN_RESULT_NOT_LEADER,
-		      is_certainly_undone(call) ? "no leader"
-						: "no answer from the leader");
+	if (may_have_taken_effect(call))
+		answer_result(scheduler, call, GN_RESULT_UNKNOWN,
+			      "no answer from the leader");
+	else
+		refuse_call(scheduler, call,
+			    is_certainly_undone(call)
+				    ? "no leader"
+				    : "no answer from the leader");
+}
+
+/* Returns when a job that was not sent to the store is withdrawn. */
+static uint64_t get_unsent_limit_us(const scheduler_t *scheduler,
+				    const scheduler_call_t *call)
+{
+	gn_kv_health_t health = gn_kv_http_health(scheduler->kv_http);
+
+	if (health.answered_us > health.failed_us &&
+	    now_us(scheduler) - health.answered_us < STORE_ANSWERS_US)
+		return call->received_us + UNSENT_TIMEOUT_US;
+	return scheduler_get_wait_limit_us(call);
 }
 
 /* Returns the calls of a job that was withdrawn because it waited too long, or
@@ -453,7 +537,7 @@
 		scheduler_call_t *call = g_ptr_array_index(waiting, i);
 		GPtrArray *calls = NULL;
 
-		if (now_us(scheduler) - call->received_us >= UNSENT_TIMEOUT_US)
+		if (now_us(scheduler) >= get_unsent_limit_us(scheduler, call))
 			calls = withdraw_job(scheduler, call);
 		if (calls)
 			return calls;
@@ -467,8 +551,8 @@
 
 	while ((calls = withdraw_unsent_job(scheduler))) {
 		for (guint i = 0; i < calls->len; i++)
-			answer_result(scheduler, g_ptr_array_index(calls, i),
-				      GN_RESULT_NOT_LEADER, "store away");
+			refuse_call(scheduler, g_ptr_array_index(calls, i),
+				    SCHEDULER_STORE_AWAY);
 		g_ptr_array_free(calls, TRUE);
 	}
 }
@@ -481,7 +565,8 @@
 	for (guint i = waiting->len; i > 0; i--) {
 		scheduler_call_t *call = g_ptr_array_index(waiting, i - 1);
 
-		if (now_us(scheduler) - call->received_us < STORE_TIMEOUT_US)
+		if (now_us(scheduler) - call->received_us < STORE_TIMEOUT_US &&
+		    now_us(scheduler) + ANSWER_MARGIN_US < call->deadline_us)
 			continue;
 		g_ptr_array_remove_index_fast(waiting, i - 1);
 		answer_result(scheduler, call, GN_RESULT_UNKNOWN,
@@ -495,6 +580,7 @@
 	GHashTableIter iter;
 	gpointer value;
 
+	serve_held_calls(scheduler);
 	g_hash_table_iter_init(&iter, scheduler->forwarded);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		scheduler_call_t *call = value;
@@ -504,6 +590,7 @@
 		g_hash_table_iter_steal(&iter);
 		g_ptr_array_add(expired, call);
 	}
+	scheduler_sort_calls(expired);
 	for (guint i = 0; i < expired->len; i++)
 		answer_timeout(scheduler, g_ptr_array_index(expired, i));
 	g_ptr_array_free(expired, TRUE);
--- a/lib/scheduler/forward.c
+++ b/lib/scheduler/forward.c
@@ -6,7 +6,6 @@
 
 #include "common/event.h"
 #include "common/str.h"
-#include "scheduler/hold.h"
 #include "scheduler/scheduler_internal.h"
 
 /** Time without an answer from the leader after which the link reconnects. */
@@ -31,9 +30,18 @@
 void scheduler_record_leader_reply(scheduler_t *scheduler,
 				   const Gn__JobReply *message)
 {
+	bool stores = strcmp(message->reason, SCHEDULER_STORE_AWAY) != 0;
+
 	scheduler->leader_contact_us = gn_runtime_now_us(scheduler->runtime);
-	scheduler->leader_serves = message->result != GN_RESULT_NOT_LEADER;
-	if (scheduler->leader_serves)
+	scheduler->leader_answered_us = scheduler->leader_contact_us;
+	/* A leader without the store still serves the states of jobs. */
+	scheduler->leader_serves = message->result != GN_RESULT_NOT_LEADER ||
+				   (!stores && scheduler->leader_serves);
+	scheduler->leader_stores &= stores;
+	if (message->number != PROBE_NUMBER)
+		return;
+	scheduler->leader_stores = scheduler->leader_serves && stores;
+	if (scheduler->leader_stores)
 		scheduler->served_us = scheduler->leader_contact_us;
 }
 
@@ -60,6 +68,7 @@
 		    sizeof(scheduler->leader_address), gn_str_from(address));
 	scheduler->leader_contact_us = gn_runtime_now_us(scheduler->runtime);
 	scheduler->leader_serves = false;
+	scheduler->leader_stores = false;
 	scheduler->last_probe_us = 0;
 	if (gn_link_connect(scheduler, &config, &scheduler->leader_link,
 			    &error))
@@ -84,6 +93,8 @@
 	envelope.body_case = GN__ENVELOPE__BODY_JOB_CALL;
 	envelope.job_call = &message;
 	call->sent = true;
+	if (!call->sent_us)
+		call->sent_us = gn_runtime_now_us(scheduler->runtime);
 	return gn_link_send(scheduler->leader_link, NULL, &envelope);
 }
 
@@ -106,22 +117,48 @@
 	}
 }
 
-/* Sends the held calls to a leader that serves. */
+static gint compare_arrivals(gconstpointer a, gconstpointer b)
+{
+	const scheduler_call_t *left = *(scheduler_call_t *const *)a;
+	const scheduler_call_t *right = *(scheduler_call_t *const *)b;
+
+	if (left->received_us != right->received_us)
+		return left->received_us < right->received_us ? -1 : 1;
+	return left->number < right->number ? -1 : left->number > right->number;
+}
+
+void scheduler_sort_calls(GPtrArray *calls)
+{
+	g_ptr_array_sort(calls, compare_arrivals);
+}
+
+/* Sends the held calls to a leader that can store jobs, in the order of their
+ * arrival. */
 static void send_held_calls(scheduler_t *scheduler)
 {
+	GPtrArray *held;
 	GHashTableIter iter;
 	gpointer value;
 
-	if (!scheduler_can_forward(scheduler))
+	if (!scheduler_can_forward(scheduler) || !scheduler->leader_stores)
 		return;
+	held = g_ptr_array_new();
 	g_hash_table_iter_init(&iter, scheduler->forwarded);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		scheduler_call_t *call = value;
+		const scheduler_call_t *call = value;
+
+		if (!call->sent)
+			g_ptr_array_add(held, value);
+	}
+	scheduler_sort_calls(held);
+	for (guint i = 0; i < held->len; i++) {
+		scheduler_call_t *call = g_ptr_array_index(held, i);
 
 		/* A call that cannot be sent ends with its timeout. */
-		if (!call->sent && send_call(scheduler, call))
+		if (send_call(scheduler, call))
 			call->sent = false;
 	}
+	g_ptr_array_free(held, TRUE);
 }
 
 /* Requests a count for an empty queue name; the leader answers at once. */
@@ -183,6 +220,8 @@
 {
 	if (!scheduler_can_forward(scheduler))
 		return false;
+	/* Held calls go before new ones. */
+	send_held_calls(scheduler);
 	call->number = ++scheduler->last_number;
 	if (send_call(scheduler, call)) {
 		call->sent = false;
@@ -192,23 +231,3 @@
 	g_hash_table_insert(scheduler->forwarded, &call->number, call);
 	return true;
 }
-
-bool scheduler_may_hold(const scheduler_t *scheduler)
-{
-	const gn_settings_t *settings = scheduler->runtime->settings;
-	const scheduler_absence_t absence = {
-		.served_us = scheduler->served_us,
-		.store_answered_us = gn_lead_last_contact_us(scheduler->lead),
-		.lease_us = (uint64_t)settings->lease_ttl_ms * GN_US_PER_MS,
-	};
-
-	return scheduler_hold_is_useful(&absence,
-					gn_runtime_now_us(scheduler->runtime));
-}
-
-void scheduler_hold(scheduler_t *scheduler, scheduler_call_t *call)
-{
-	call->number = ++scheduler->last_number;
-	call->sent = false;
-	g_hash_table_insert(scheduler->forwarded, &call->number, call);
-}
--- a/lib/scheduler/scheduler.c
+++ b/lib/scheduler/scheduler.c
@@ -63,13 +63,20 @@
 	counters->writes = gn_counters_get(all, "scheduler.writes");
 	counters->orders = gn_counters_get(all, "scheduler.orders");
 	counters->elections = gn_counters_get(all, "scheduler.elections");
+	counters->outages = gn_counters_get(all, "scheduler.outages");
+	counters->held = gn_counters_get(all, "scheduler.held");
+	counters->held_refused = gn_counters_get(all, "scheduler.held_refused");
+	counters->holding = gn_counters_get(all, "scheduler.holding");
+	counters->outage_ms = gn_counters_get(all, "scheduler.outage_ms");
 	counters->call_time =
 		gn_histogram_create(scheduler, all, "scheduler.call_time");
 	counters->store_time =
 		gn_histogram_create(scheduler, all, "scheduler.store_time");
 	return complete && counters->call_time && counters->store_time &&
 	       counters->forwarded && counters->batches && counters->writes &&
-	       counters->orders && counters->elections;
+	       counters->orders && counters->elections && counters->outages &&
+	       counters->held && counters->held_refused && counters->holding &&
+	       counters->outage_ms;
 }
 
 static gn_code_t start_server(scheduler_t *scheduler, const char *address,
@@ -85,6 +92,7 @@
 		.timeout_ms = settings->http_timeout_ms,
 		.threads = settings->http_threads,
 		.body_max = GN_BODY_MAX,
+		.deadline_header = scheduler->adapter->deadline_header,
 		.counters = scheduler->runtime->counters,
 		.handler = handler,
 		.arg = scheduler,
@@ -218,6 +226,7 @@
 	scheduler->runtime = runtime;
 	scheduler->adapter = runtime->adapter;
 	gn_clock_init_wall(&scheduler->wall);
+	scheduler->started_us = gn_runtime_now_us(runtime);
 	scheduler->awaiting_store = g_ptr_array_new();
 	scheduler->forwarded = g_hash_table_new_full(
 		g_int64_hash, g_int64_equal, NULL, scheduler_call_free);
@@ -274,6 +283,7 @@
 	gn_lead_tick(scheduler->lead);
 	scheduler_forward_tick(scheduler);
 	scheduler_leading_tick(scheduler);
+	scheduler_outage_tick(scheduler);
 	scheduler_expire_calls(scheduler);
 	if (scheduler->runtime->stopping)
 		continue_stop(scheduler);
--- a/lib/scheduler/scheduler_internal.h
+++ b/lib/scheduler/scheduler_internal.h
@@ -16,11 +16,15 @@
 #include "http/server.h"
 #include "lead/lead.h"
 #include "ledger/ledger.h"
+#include "outage/outage.h"
 #include "platform/kv_http.h"
 #include "platform/watch.h"
 #include "sched/sched.h"
 #include "wire/link.h"
 
+/** Why a leader serves a request without storing, in answers and events. */
+#define SCHEDULER_STORE_AWAY "store away"
+
 typedef struct scheduler_s scheduler_t;
 
 /** Pending request from a caller or from another scheduler. */
@@ -45,6 +49,13 @@
 	/** An earlier leader may have carried it out without an answer. */
 	bool uncertain;
 	uint64_t received_us;
+	/** When it was first sent to a leader; 0: never. */
+	uint64_t sent_us;
+	/** When the caller gives up. */
+	uint64_t deadline_us;
+	/** When it is refused unless the end of an outage is in sight; 0: it
+	 * was never held. */
+	uint64_t hold_until_us;
 	/** Answer to send once the decision is durable. */
 	gn_sched_reply_t reply;
 } scheduler_call_t;
@@ -71,6 +82,11 @@
 	gn_counter_t *writes;
 	gn_counter_t *orders;
 	gn_counter_t *elections;
+	gn_counter_t *outages;
+	gn_counter_t *held;
+	gn_counter_t *held_refused;
+	gn_counter_t *holding; /**< Gauge: requests held now. */
+	gn_counter_t *outage_ms; /**< Gauge: age of the present outage. */
 	gn_histogram_t *call_time; /**< Time from request to answer. */
 	gn_histogram_t *store_time; /**< Time to store a write batch. */
 } scheduler_counters_t;
@@ -113,8 +129,14 @@
 	uint64_t leader_contact_us;
 	/** Whether the last answer showed that the leader serves requests. */
 	bool leader_serves;
-	/** When a leader, also this process, last served; 0 if never. */
+	/** Whether the leader could store jobs at its last answer. */
+	bool leader_stores;
+	uint64_t leader_answered_us; /**< Last answer of any leader. */
+	/** When a leader, also this process, last served and could store jobs;
+	 * 0 if never. */
 	uint64_t served_us;
+	uint64_t started_us; /**< Start of this process. */
+	gn_outage_t outage;
 	uint64_t last_probe_us;
 
 	bool resigned;
@@ -167,10 +189,44 @@
  * @return true if it was sent; @p call is then owned by scheduler_s.forwarded
  */
 bool scheduler_forward(scheduler_t *scheduler, scheduler_call_t *call);
-/** Whether a call may wait for the next leader; see scheduler/hold.h. */
+/** Sorts calls by the time of their arrival. */
+void scheduler_sort_calls(GPtrArray *calls);
+
+/* ======   outage.c   ====== */
+
+/** Updates what is known of an outage of the store. */
+void scheduler_outage_tick(scheduler_t *scheduler);
+/** Whether requests wait for a leader who is expected at a known time. */
 bool scheduler_may_hold(const scheduler_t *scheduler);
-/** Keeps a call in scheduler_s.forwarded until a leader serves. */
-void scheduler_hold(scheduler_t *scheduler, scheduler_call_t *call);
+/**
+ * Keeps a call in scheduler_s.forwarded until a leader serves, if
+ * outage/outage.h decides so.
+ * @return true if it is held; @p call is then owned by scheduler_s.forwarded
+ */
+bool scheduler_try_hold(scheduler_t *scheduler, scheduler_call_t *call);
+/** Whether a held call waits on. */
+bool scheduler_keeps_holding(const scheduler_t *scheduler,
+			     const scheduler_call_t *call);
+/** Whether the leader takes a submission that it may not be able to store. */
+bool scheduler_waits_for_store(const scheduler_t *scheduler,
+			       const scheduler_call_t *call);
+/**
+ * Decides and logs when a refused caller may return.
+ * @param call NULL if the request was not parsed
+ * @return the time after which it may, seconds
+ */
+unsigned scheduler_refuse_caller(scheduler_t *scheduler,
+				 const scheduler_call_t *call, const char *why);
+/**
+ * Returns the deadline on this process's clock.
+ * @param deadline_ms time in ms since 1970; 0: unknown
+ */
+uint64_t scheduler_get_deadline_us(const scheduler_t *scheduler,
+				   uint64_t deadline_ms);
+/** Returns until when a call may wait whose end is not in sight. */
+uint64_t scheduler_get_wait_limit_us(const scheduler_call_t *call);
+/** Returns a JSON object for the state dump. */
+json_t *scheduler_dump_outage(const scheduler_t *scheduler);
 
 /* ======   leading.c   ====== */
 
--- a/lib/scheduler/status.c
+++ b/lib/scheduler/status.c
@@ -50,6 +50,7 @@
 	json_object_set_new(json, "configuration",
 			    json_integer((json_int_t)version));
 	json_object_set_new(json, "scheduler", dump_jobs(scheduler));
+	json_object_set_new(json, "outage", scheduler_dump_outage(scheduler));
 	return json;
 }
 
--- a/tests/support/outage_model.h
+++ b/tests/support/outage_model.h
@@ -58,6 +58,10 @@
 	gn_outage_decision_t (*decide)(gn_outage_t *state,
 				       const gn_outage_view_t *view,
 				       uint64_t remaining_us);
+	/** Whether a leader takes a submission to wait for the service. */
+	bool (*waits_for_store)(const gn_outage_t *state,
+				const gn_outage_view_t *view,
+				uint64_t remaining_us);
 	/** Whether a held request waits on. */
 	bool (*keeps_holding)(const gn_outage_t *state,
 			      const gn_outage_view_t *view, uint64_t arrived_us,
