tests: demand profiles and worker sizes in the colocation model

The model only knew a constant demand on equal workers, and counted the jobs in time. It gains a demand that swings with a period of 17 s, a burst of 6 s, workers of size 1.0 and 1.5, and counts of the jobs that were late or never done while their result was of use.

--- a/tests/support/colocation_model.c
+++ b/tests/support/colocation_model.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "common/str.h"
+#include "sched/rank.h"
 #include "support/sched_rig.h"
 
 #define WORKERS 8
@@ -18,10 +19,15 @@
 
 #define TICK_MS 50
 #define LIST_MS 300
-#define DURATION_MS 30000
+#define DEFAULT_DURATION_MS 30000
 /** Batch jobs arrive from this time on, when the serving tasks have started. */
 #define BATCH_START_MS 3000
 
+#define SWING_PERIOD_MS 17000
+#define BURST_START_MS 20000
+#define BURST_MS 6000
+#define LARGE_FACTOR 1.5
+
 #define TARGET_MS 45
 /** Target divided by tail latency of a serving task without load. */
 #define UNLOADED_HEADROOM 4.5
@@ -42,6 +48,7 @@
 #define TASK_MILLI 1800
 #define TASK_MS 1700
 #define OBJECTIVE_MS (2 * TASK_MS + 1000)
+#define USEFUL_MS (GN_RANK_USEFUL_FACTOR * OBJECTIVE_MS)
 #define STOP_TICKS 4
 
 typedef struct model_run_s {
@@ -60,6 +67,7 @@
 typedef struct model_worker_s {
 	char name[16];
 	GPtrArray *runs; /* Of model_run_t. */
+	double cpu_milli;
 	uint64_t ends;
 } model_worker_t;
 
@@ -78,6 +86,7 @@
 	GHashTable *saved; /* Task to the work saved in its checkpoint. */
 	GArray *jobs; /* Of model_job_t. */
 	unsigned now_ms;
+	unsigned duration_ms;
 	double serving_ms;
 	double over_target_ms;
 	colocation_result_t result;
@@ -102,7 +111,7 @@
 /* Returns the share of its CPU demand that each best-effort task gets. */
 static double get_cpu_share(const model_t *m, const model_worker_t *worker)
 {
-	double left = CPU_MILLI;
+	double left = worker->cpu_milli;
 	double demand = 0;
 
 	for (guint i = 0; i < worker->runs->len; i++) {
@@ -126,7 +135,7 @@
 
 		if (!run->is_serving && !run->stopping)
 			headroom_loss += cpu_share * run->pace * TASK_MILLI /
-					 CPU_MILLI *
+					 worker->cpu_milli *
 					 get_weight(serving, run->image);
 	}
 	return headroom_loss;
@@ -227,7 +236,7 @@
 	list.life = life;
 	list.born_ms = 1;
 	list.service = service;
-	list.cpu_milli = CPU_MILLI;
+	list.cpu_milli = (uint32_t)worker->cpu_milli;
 	list.memory_mb = MEMORY_MB;
 	list.listed = true;
 	list.runs = g_new(Gn__WorkerRun *, worker->runs->len + 1);
@@ -330,6 +339,26 @@
 	}
 }
 
+/* Whether the time for which the job is of use is within the simulation. */
+static bool is_settled(const model_t *m, const model_job_t *job)
+{
+	return job->accepted_ms + USEFUL_MS <= m->duration_ms;
+}
+
+static void count_job(model_t *m, const model_job_t *job)
+{
+	unsigned took_ms = m->now_ms - job->accepted_ms;
+
+	m->result.in_time +=
+		job->accepted_ms + OBJECTIVE_MS <= m->duration_ms &&
+		took_ms <= OBJECTIVE_MS;
+	if (!is_settled(m, job))
+		return;
+	m->result.settled_in_time += took_ms <= OBJECTIVE_MS;
+	m->result.settled_late +=
+		took_ms > OBJECTIVE_MS && took_ms <= USEFUL_MS;
+}
+
 static void check_jobs(model_t *m)
 {
 	for (guint i = 0; i < m->jobs->len; i++) {
@@ -339,9 +368,7 @@
 		    rig_phase(&m->rig, job->id) != GN_JOB_COMPLETED)
 			continue;
 		job->finished = true;
-		m->result.in_time +=
-			job->accepted_ms + OBJECTIVE_MS <= DURATION_MS &&
-			m->now_ms - job->accepted_ms <= OBJECTIVE_MS;
+		count_job(m, job);
 	}
 }
 
@@ -382,7 +409,21 @@
 	g_array_append_val(m->jobs, job);
 	rig_submit(&m->rig, job.id, "batch", &step, 1);
 	/* Counts only jobs whose deadline is within the simulated time. */
-	m->result.jobs += m->now_ms + OBJECTIVE_MS <= DURATION_MS;
+	m->result.jobs += m->now_ms + OBJECTIVE_MS <= m->duration_ms;
+	m->result.settled += is_settled(m, &job);
+}
+
+/* Returns the batch jobs per second at the present time. */
+static double get_demand(const model_t *m)
+{
+	double demand = m->config->jobs_per_s *
+			(1 + m->config->swing * sin(2 * G_PI * m->now_ms /
+						    SWING_PERIOD_MS));
+
+	if (m->config->burst > 0 && m->now_ms >= BURST_START_MS &&
+	    m->now_ms < BURST_START_MS + BURST_MS)
+		demand *= m->config->burst;
+	return demand;
 }
 
 static void advance_model(model_t *m)
@@ -395,7 +436,7 @@
 		if ((m->now_ms / TICK_MS + i) % (LIST_MS / TICK_MS) == 0)
 			report(m, &m->workers[i], NULL);
 	if (m->now_ms > BATCH_START_MS &&
-	    g_rand_double(m->rand) < m->config->jobs_per_s * TICK_MS / 1000)
+	    g_rand_double(m->rand) < get_demand(m) * TICK_MS / 1000)
 		submit_batch(m);
 	apply_orders(m);
 	check_jobs(m);
@@ -403,7 +444,10 @@
 
 colocation_result_t colocation_run(const colocation_config_t *config)
 {
-	model_t m = { .config = config };
+	model_t m = { .config = config,
+		      .duration_ms = config->duration_ms
+					     ? config->duration_ms
+					     : DEFAULT_DURATION_MS };
 
 	rig_open(&m.rig);
 	m.rand = g_rand_new_with_seed(config->seed);
@@ -412,13 +456,18 @@
 	m.jobs = g_array_new(FALSE, FALSE, sizeof(model_job_t));
 	for (unsigned i = 0; i < WORKERS; i++) {
 		snprintf(m.workers[i].name, sizeof(m.workers[i].name), "%u", i);
+		m.workers[i].cpu_milli = CPU_MILLI;
+		if (config->mixed_sizes && i % 2)
+			m.workers[i].cpu_milli *= LARGE_FACTOR;
 		m.workers[i].runs = g_ptr_array_new_with_free_func(g_free);
 		report(&m, &m.workers[i], NULL);
 	}
 	submit_serving(&m);
 	apply_orders(&m);
-	while (m.now_ms < DURATION_MS)
+	while (m.now_ms < m.duration_ms)
 		advance_model(&m);
+	m.result.settled_never = m.result.settled - m.result.settled_in_time -
+				 m.result.settled_late;
 	m.result.over_target = m.over_target_ms / m.serving_ms;
 	for (unsigned i = 0; i < WORKERS; i++)
 		g_ptr_array_unref(m.workers[i].runs);
--- a/tests/support/colocation_model.h
+++ b/tests/support/colocation_model.h
@@ -23,6 +23,14 @@
 	/** Standard deviation of what else changes the headroom of each serving
 	 * task for some seconds, such as callers of its own. */
 	double unevenness;
+	/** Simulated time; 0 for 30 s. */
+	unsigned duration_ms;
+	/** Share by which the demand for batch jobs rises and falls around its
+	 * mean, with a period of 17 s. */
+	double swing;
+	/** Factor by which this demand is multiplied for 6 s; 0 for none. */
+	double burst;
+	bool mixed_sizes; /**< Every other worker is 1.5 times as large. */
 } colocation_config_t;
 
 /** Results of a simulation. */
@@ -32,9 +40,15 @@
 	double over_target; /**< Share of serving time over target. */
 	double longest_over_target_s; /**< Longest period of one task. */
 	unsigned stops; /**< Stopped best-effort runs. */
+	/** Jobs whose result would no longer be of use at the end of the
+	 * simulated time (GN_RANK_USEFUL_FACTOR). */
+	unsigned settled;
+	unsigned settled_in_time; /**< Jobs of these that were in time. */
+	unsigned settled_late; /**< Late, but while still of use. */
+	unsigned settled_never; /**< Not done while still of use. */
 } colocation_result_t;
 
-/** Simulates 30 seconds. */
+/** Runs a simulation. */
 colocation_result_t colocation_run(const colocation_config_t *config);
 
 #endif
