sched: the headroom that serving tasks keep is a setting

The headroom was the constant HEADROOM_GOAL (1.1) of sched_mix.c, so that fixed goals could only be compared by changing the code. It is now jobs.headroom_pct of a scheduler's settings, 110 by default.

test_fill and test_uneven are unchanged.

--- a/lib/config/settings.h
+++ b/lib/config/settings.h
@@ -60,6 +60,9 @@
 	 * An absence of a service counts this long, 0..600000, default 5000.
 	 */
 	unsigned notice_ms;
+	/** Headroom that serving tasks keep, 50..300 % of their latency
+	 * target, default 110. */
+	unsigned headroom_pct;
 	/** Cores of the host for this process, 0..4096, default 1. */
 	double cores;
 	/** Bandwidth of the host's link in Mbit/s, 0..1000000, default 1000. */
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -107,6 +107,8 @@
 	/** Time for which an absence of a serving task that the system
 	 * itself caused is counted. */
 	unsigned notice_ms;
+	/** Headroom that serving tasks keep beside best-effort tasks. */
+	double headroom_goal;
 } gn_sched_config_t;
 
 /**
--- a/lib/sched/sched_mix.c
+++ b/lib/sched/sched_mix.c
@@ -4,8 +4,6 @@
 
 /* See tests/support/colocation_model.h for the workload behind these values. */
 
-/** Headroom to be kept, which is target divided by tail latency. */
-#define HEADROOM_GOAL 1.1
 /** Share of the headroom above 1 that may be used in any case. */
 #define BUDGET_SHARE_MIN 0.25
 /** Budget of a task over its target even without best-effort tasks, where
@@ -26,7 +24,7 @@
 /* ======   Aggregation   ====== */
 
 /* Returns the headroom of @p task that best-effort tasks may use. */
-static double get_budget(const sched_task_t *task)
+static double get_budget(const gn_sched_t *sched, const sched_task_t *task)
 {
 	const gn_headroom_t *alone = &task->job->units[task->unit].baseline;
 
@@ -34,13 +32,14 @@
 		return BUDGET_UNKNOWN;
 	if (alone->value < 1)
 		return BUDGET_OVER_TARGET;
-	return fmax(alone->value - HEADROOM_GOAL,
+	return fmax(alone->value - sched->config.headroom_goal,
 		    BUDGET_SHARE_MIN * (alone->value - 1));
 }
 
-static void count_serving(sched_mix_t *mix, const sched_task_t *task)
+static void count_serving(const gn_sched_t *sched, sched_mix_t *mix,
+			  const sched_task_t *task)
 {
-	double budget = get_budget(task);
+	double budget = get_budget(sched, task);
 	sched_mix_serving_t *row;
 
 	for (size_t i = 0; i < mix->serving_count; i++) {
@@ -92,8 +91,8 @@
 	return (task->previous_reading + task->last_reading) / 2.0;
 }
 
-static void count_task(sched_mix_t *mix, const sched_worker_t *worker,
-		       const sched_task_t *task)
+static void count_task(const gn_sched_t *sched, sched_mix_t *mix,
+		       const sched_worker_t *worker, const sched_task_t *task)
 {
 	const Gn__JobStep *step = get_step(task);
 
@@ -102,7 +101,7 @@
 		count_use(mix, task->image,
 			  get_mean_cpu(task) / worker->capacity.cpu_milli);
 	else if (step->target_ms && !task->stopping)
-		count_serving(mix, task);
+		count_serving(sched, mix, task);
 }
 
 /* ======   Allocation   ====== */
@@ -192,7 +191,8 @@
 	mix->best_effort_count = 0;
 	mix->use_count = 0;
 	for (guint i = 0; i < worker->claims->len; i++)
-		count_task(mix, worker, g_ptr_array_index(worker->claims, i));
+		count_task(sched, mix, worker,
+			   g_ptr_array_index(worker->claims, i));
 	for (guint i = 0; i < worker->claims->len; i++) {
 		sched_task_t *task = g_ptr_array_index(worker->claims, i);
 
--- a/tests/support/colocation_model.c
+++ b/tests/support/colocation_model.c
@@ -449,7 +449,10 @@
 					     ? config->duration_ms
 					     : DEFAULT_DURATION_MS };
 
-	rig_open(&m.rig);
+	if (config->headroom_goal > 0)
+		rig_open_with_headroom(&m.rig, config->headroom_goal);
+	else
+		rig_open(&m.rig);
 	m.rand = g_rand_new_with_seed(config->seed);
 	m.saved =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
--- a/tests/support/run_model_leader.c
+++ b/tests/support/run_model_leader.c
@@ -36,6 +36,7 @@
 	.stop_ms = RM_STOP_MS,
 	.far_factor = 1,
 	.harm_ms = 4000,
+	.headroom_goal = 1.1,
 };
 
 /* ======   Callbacks   ====== */
--- a/tests/support/sched_rig.c
+++ b/tests/support/sched_rig.c
@@ -10,6 +10,7 @@
 #define MEMORY_MB 64000
 #define BATCH_MAX 16
 #define RUNS_MAX 8
+#define HEADROOM_GOAL 1.1
 
 static const gn_queue_t queues[] = {
 	{ .name = "quick",
@@ -107,7 +108,7 @@
 
 static void create_scheduler(sched_rig_t *rig)
 {
-	static const gn_sched_config_t config = {
+	const gn_sched_config_t config = {
 		.lease_ms = RIG_LEASE_MS,
 		.lease_max_ms = RIG_LEASE_MAX_MS,
 		.depose_ms = RIG_DEPOSE_MS,
@@ -115,6 +116,7 @@
 		.stop_ms = 500,
 		.far_factor = 2,
 		.harm_ms = 4000,
+		.headroom_goal = rig->headroom_goal,
 	};
 
 	rig->sched = gn_sched_create(NULL, &config, &rig->clock, &rig->wall,
@@ -133,8 +135,14 @@
 }
 
 void rig_open(sched_rig_t *rig)
+{
+	rig_open_with_headroom(rig, HEADROOM_GOAL);
+}
+
+void rig_open_with_headroom(sched_rig_t *rig, double goal)
 {
 	memset(rig, 0, sizeof(*rig));
+	rig->headroom_goal = goal;
 	rig->cpu_milli = CPU_MILLI;
 	gn_clock_init_paused(&rig->clock, START_US);
 	gn_clock_init_paused(&rig->wall, 2 * START_US);
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -42,6 +42,7 @@
 	uint64_t stored; /**< Number of stored batches. */
 	GHashTable *records; /**< Job ID to its stored Gn__JobRecord, owned. */
 	const Gn__Leave *leave; /**< Record that new leaders load, or NULL. */
+	double headroom_goal; /**< In the settings of the scheduler. */
 	uint32_t cpu_milli; /**< Capacity in the reports from now on. */
 	char last_event[32]; /**< Name of the last event. */
 	int64_t last_event_list_age_ms; /**< List age in that event. */
@@ -78,6 +79,8 @@
 #define RIG_GANG 16U
 
 void rig_open(sched_rig_t *rig);
+/** Opens the fixture with this headroom goal in the settings. */
+void rig_open_with_headroom(sched_rig_t *rig, double goal);
 void rig_close(sched_rig_t *rig);
 
 /**
