sched: tasks of late jobs use only headroom above a higher goal

A best-effort job that cannot be in time took headroom and processors from jobs that could, and brought serving tasks over their targets for a result that has lost most of its use.

With jobs.late_headroom_pct (150 on the platform, off by default), tasks of jobs that are late, or that the work ahead makes late, get what the others leave of the headroom above that value and of the processors. They are throttled at once when others are placed beside them. The rate of finished work is taken as short only if a job in time waits.

The model of test_fill and test_uneven now has the settings of the platform. The other tests of lib/sched keep the default, which is off.

--- a/lib/config/settings.h
+++ b/lib/config/settings.h
@@ -63,6 +63,9 @@
 	/** Headroom that serving tasks keep, 50..300 % of their latency
 	 * target, default 110. */
 	unsigned headroom_pct;
+	/** The same beside tasks of late jobs, 0..300 %, default 0, which
+	 * treats these like others. */
+	unsigned late_headroom_pct;
 	/** Cores of the host for this process, 0..4096, default 1. */
 	double cores;
 	/** Bandwidth of the host's link in Mbit/s, 0..1000000, default 1000. */
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -155,6 +155,8 @@
 		if (sched_job_is_finished(job))
 			continue;
 		figures.active_jobs++;
+		figures.late_jobs +=
+			job->late && sched_job_has_best_effort_work(job);
 		for (uint32_t k = 0; k < job->unit_count; k++)
 			if (job->units[k].ready)
 				figures.waiting_tasks += job->units[k].waiting;
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -109,6 +109,9 @@
 	unsigned notice_ms;
 	/** Headroom that serving tasks keep beside best-effort tasks. */
 	double headroom_goal;
+	/** Headroom that they keep beside best-effort tasks of jobs that cannot
+	 * be in time; 0 if these are treated like others. */
+	double late_headroom_goal;
 } gn_sched_config_t;
 
 /**
@@ -286,6 +289,9 @@
 	size_t workers; /**< Workers with a recent report. */
 	size_t claims;
 	size_t waiting_tasks; /**< Waiting tasks of ready steps. */
+	/** Jobs whose best-effort tasks may only use the headroom above
+	 * late_headroom_goal. */
+	size_t late_jobs;
 } gn_sched_stats_t;
 
 gn_sched_stats_t gn_sched_stats(const gn_sched_t *sched);
--- a/lib/sched/sched_claim.c
+++ b/lib/sched/sched_claim.c
@@ -44,6 +44,8 @@
 	task->pace_ordered_us = 0;
 	task->last_reading = 0;
 	task->previous_reading = 0;
+	if (!task->checkpoint)
+		task->progress_us = 0;
 	task->slow_since_us = 0;
 	task->very_slow_since_us = 0;
 	task->isolated = false;
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -63,6 +63,9 @@
 	 * the used CPU of a best-effort task in thousandths of a core. */
 	uint32_t last_reading;
 	uint32_t previous_reading; /**< Reading of the list before that. */
+	/** Run time at full speed that its work so far corresponds to, by the
+	 * used CPU of a best-effort task. */
+	uint64_t progress_us;
 	const char *image; /**< Interned. */
 	uint64_t slow_since_us; /**< Start of a low pace; 0 if not low. */
 	uint64_t very_slow_since_us; /**< Start of a very low pace; 0 if not. */
@@ -105,6 +108,12 @@
 	uint64_t deadline_us;
 	unsigned priority;
 	gn_rank_t rank; /**< Rank in the last pass, if tasks were waiting. */
+	/** It went ahead of others although it was not in time, and uses
+	 * headroom like a job in time until it ends. */
+	bool promoted;
+	/** Its best-effort tasks may only use the headroom above
+	 * late_headroom_goal. Updated at each pass. */
+	bool late;
 	/** Failed attempts of a task that make the job fail; 0 while its queue
 	 * is unknown, which only delays the decision. */
 	unsigned max_attempts;
@@ -244,6 +253,15 @@
  */
 uint64_t sched_job_mark_dirty(sched_job_t *job);
 bool sched_job_is_finished(const sched_job_t *job);
+/**
+ * Updates whether the job is late, which includes what its running tasks have
+ * done; its rank does not, and would show jobs as late that are nearly done.
+ * @param is_ranked whether it has waiting tasks, which work of other jobs may
+ *        delay
+ */
+void sched_job_update_late(sched_job_t *job, bool is_ranked, uint64_t now_us);
+/** Whether best-effort tasks of the job are left. */
+bool sched_job_has_best_effort_work(const sched_job_t *job);
 /** Recomputes the rank. */
 void sched_job_update_rank(sched_job_t *job, uint64_t now_us);
 /** Marks units as ready that are due and whose dependencies are done. */
@@ -418,6 +436,12 @@
 
 /** Updates the interference weights from the tail latencies of a new list. */
 void sched_learn_from_worker(gn_sched_t *sched, sched_worker_t *worker);
+/**
+ * Throttles the tasks of late jobs as far as the present claims require. Placed
+ * tasks of jobs in time take the headroom of those, and serving tasks would be
+ * over their targets if that were left until the next list.
+ */
+void sched_throttle_late_tasks(gn_sched_t *sched, sched_worker_t *worker);
 /** Throttles best-effort tasks by the headroom of serving tasks. */
 void sched_pace_worker(gn_sched_t *sched, sched_worker_t *worker);
 #endif
--- a/lib/sched/sched_job.c
+++ b/lib/sched/sched_job.c
@@ -52,6 +52,30 @@
 	}
 }
 
+/** Progress is known from lists that arrive each 300 ms, and runs begin before
+ * their first list. A job is late only if it is so by more than that. */
+#define LATE_MARGIN_US (500 * GN_US_PER_MS)
+
+/* Returns the length of the longest chain of dependent steps, which take these
+ * times. */
+static uint64_t add_up_chain_ms(const Gn__JobSpec *spec,
+				const uint64_t *step_ms)
+{
+	uint64_t ends_ms[GN_JOB_STEPS_MAX];
+	uint64_t longest_ms = 0;
+
+	for (size_t i = 0; i < spec->n_steps; i++) {
+		const Gn__JobStep *step = spec->steps[i];
+
+		ends_ms[i] = 0;
+		for (size_t k = 0; k < step->n_after; k++)
+			ends_ms[i] = MAX(ends_ms[i], ends_ms[step->after[k]]);
+		ends_ms[i] += step_ms[i];
+		longest_ms = MAX(longest_ms, ends_ms[i]);
+	}
+	return longest_ms;
+}
+
 /*
  * Returns the length of the longest chain of dependent steps by their estimated
  * run times. With @p units, the units of one occurrence, finished steps count
@@ -60,22 +84,45 @@
 static uint64_t get_longest_chain_ms(const Gn__JobSpec *spec,
 				     const sched_unit_t *units)
 {
-	uint64_t ends_ms[GN_JOB_STEPS_MAX];
-	uint64_t longest_ms = 0;
+	uint64_t step_ms[GN_JOB_STEPS_MAX];
 
 	for (size_t i = 0; i < spec->n_steps; i++) {
 		const Gn__JobStep *step = spec->steps[i];
+		bool is_left = !units || units[i].done < step->count;
 
-		ends_ms[i] = 0;
-		for (size_t k = 0; k < step->n_after; k++)
-			ends_ms[i] = MAX(ends_ms[i], ends_ms[step->after[k]]);
-		if (!units || units[i].done < step->count)
-			ends_ms[i] += step->estimate_ms;
-		longest_ms = MAX(longest_ms, ends_ms[i]);
+		step_ms[i] = is_left ? step->estimate_ms : 0;
+	}
+	return add_up_chain_ms(spec, step_ms);
+}
+
+/* Returns the longest estimated time that a task of the unit still runs. */
+static uint64_t get_remaining_ms(const sched_job_t *job,
+				 const sched_unit_t *unit)
+{
+	uint64_t longest_ms = 0;
+
+	for (uint32_t i = 0; i < unit->step->count; i++) {
+		const sched_task_t *task = &job->tasks[unit->first + i];
+		uint64_t done_ms = task->progress_us / GN_US_PER_MS;
+
+		if (task->state != GN_JOB_TASK_DONE &&
+		    done_ms < unit->step->estimate_ms)
+			longest_ms = MAX(longest_ms,
+					 unit->step->estimate_ms - done_ms);
 	}
 	return longest_ms;
 }
 
+/* Returns the longest remaining chain, less what unfinished tasks have done. */
+static uint64_t get_remaining_chain_ms(const sched_job_t *job)
+{
+	uint64_t step_ms[GN_JOB_STEPS_MAX];
+
+	for (size_t i = 0; i < job->spec->n_steps; i++)
+		step_ms[i] = get_remaining_ms(job, &job->units[i]);
+	return add_up_chain_ms(job->spec, step_ms);
+}
+
 /* Returns the remaining work in thousandths of a core times milliseconds. */
 static uint64_t get_remaining_work(const sched_job_t *job)
 {
@@ -90,6 +137,26 @@
 	return work;
 }
 
+void sched_job_update_late(sched_job_t *job, bool is_ranked, uint64_t now_us)
+{
+	if (job->sched->config.late_headroom_goal <= 0 || job->promoted) {
+		job->late = false;
+		return;
+	}
+	job->late = (is_ranked && job->rank.class == GN_RANK_INFEASIBLE) ||
+		    now_us + get_remaining_chain_ms(job) * GN_US_PER_MS >
+			    job->deadline_us + LATE_MARGIN_US;
+}
+
+bool sched_job_has_best_effort_work(const sched_job_t *job)
+{
+	for (uint32_t i = 0; i < job->unit_count; i++)
+		if (job->units[i].step->fills &&
+		    job->units[i].done < job->units[i].step->count)
+			return true;
+	return false;
+}
+
 void sched_job_update_rank(sched_job_t *job, uint64_t now_us)
 {
 	const gn_rank_job_t rank_job = {
--- a/lib/sched/sched_mix.c
+++ b/lib/sched/sched_mix.c
@@ -36,10 +36,25 @@
 		    BUDGET_SHARE_MIN * (alone->value - 1));
 }
 
+/* Returns the part of the headroom that tasks of late jobs may use. It has no
+ * least share: what late jobs could still earn is less than what the callers
+ * of the serving task would lose. */
+static double get_late_budget(const gn_sched_t *sched, const sched_task_t *task)
+{
+	const gn_headroom_t *alone = &task->job->units[task->unit].baseline;
+	double goal = sched->config.late_headroom_goal;
+
+	if (!alone->updated_us)
+		return fmax(0, BUDGET_UNKNOWN + sched->config.headroom_goal -
+				       goal);
+	return fmax(0, alone->value - goal);
+}
+
 static void count_serving(const gn_sched_t *sched, sched_mix_t *mix,
 			  const sched_task_t *task)
 {
 	double budget = get_budget(sched, task);
+	double late_budget = get_late_budget(sched, task);
 	sched_mix_serving_t *row;
 
 	for (size_t i = 0; i < mix->serving_count; i++) {
@@ -47,6 +62,7 @@
 		if (row->image != task->image)
 			continue;
 		row->budget = fmin(row->budget, budget);
+		row->late_budget = fmin(row->late_budget, late_budget);
 		return;
 	}
 	if (mix->serving_count == SCHED_MIX_SERVING_MAX)
@@ -54,6 +70,7 @@
 	row = &mix->serving[mix->serving_count++];
 	row->image = task->image;
 	row->budget = budget;
+	row->late_budget = late_budget;
 }
 
 static void count_use(sched_mix_t *mix, const char *image, double share)
@@ -70,15 +87,19 @@
 	mix->uses[mix->use_count++].share = share;
 }
 
-/* Returns the share of their CPU demand that best-effort tasks get when the
- * demand grows by @p added. */
-static double get_cpu_share(const sched_worker_t *worker, uint32_t added)
+/* Returns the share of their CPU demand that best-effort tasks of late jobs, or
+ * of the others, get when the demand of these grows by @p added. */
+static double get_cpu_share(const sched_worker_t *worker,
+			    const sched_mix_t *mix, uint32_t added, bool late)
 {
 	double reserved = worker->used.cpu_milli -
 			  (1 - SCHED_SERVING_CPU_SHARE) * worker->serving_milli;
 	double remaining = worker->capacity.cpu_milli - reserved;
-	double demand = (double)worker->best_effort_milli + added;
+	double in_time = (double)worker->best_effort_milli - mix->late_milli;
+	double demand = (late ? mix->late_milli : in_time) + added;
 
+	if (late)
+		remaining -= in_time;
 	if (demand <= 0 || remaining >= demand)
 		return 1;
 	return remaining > 0 ? remaining / demand : 0;
@@ -125,62 +146,76 @@
 	return max_cost;
 }
 
-/* Inserts a task in the order of cost. */
+static bool precedes(const sched_mix_best_effort_t *a,
+		     const sched_mix_best_effort_t *b)
+{
+	return a->late != b->late ? b->late : a->cost < b->cost;
+}
+
+/* Inserts a task in the order of headroom allocation. */
 static void add_best_effort(const gn_sched_t *sched, sched_mix_t *mix,
 			    sched_task_t *task)
 {
-	sched_mix_best_effort_t row = { .task = task };
+	sched_mix_best_effort_t row = { .task = task, .late = task->job->late };
 	size_t at = mix->best_effort_count;
 
 	if (at == SCHED_MIX_BEST_EFFORT_MAX)
 		return;
 	row.cost = load_weights(sched, mix, task->image, row.weights);
-	for (; at > 0 && mix->best_effort[at - 1].cost > row.cost; at--)
+	for (; at > 0 && precedes(&row, &mix->best_effort[at - 1]); at--)
 		mix->best_effort[at] = mix->best_effort[at - 1];
 	mix->best_effort[at] = row;
 	mix->best_effort_count++;
+	if (row.late)
+		mix->late_milli += get_step(task)->cpu_milli;
 }
 
-/* Returns the pace that the remaining budgets allow a task. */
+/* Returns the pace that the budgets allow a task when @p used of them is in
+ * use by the tasks that come before it. */
 static double get_pace(const sched_mix_t *mix, const float *weights,
-		       double share, const double *remaining)
+		       double share, const double *used, bool late)
 {
 	double pace = 1;
 
-	for (size_t i = 0; i < mix->serving_count; i++)
-		if (weights[i] * share > remaining[i])
-			pace = fmin(pace, fmax(0, remaining[i]) /
+	for (size_t i = 0; i < mix->serving_count; i++) {
+		const sched_mix_serving_t *serving = &mix->serving[i];
+		double budget = late ? serving->late_budget : serving->budget;
+
+		if (weights[i] * share > budget - used[i])
+			pace = fmin(pace, fmax(0, budget - used[i]) /
 						  (weights[i] * share));
+	}
 	return pace;
 }
 
 static void consume_budgets(const sched_mix_t *mix,
-			    const sched_mix_best_effort_t *row,
-			    double *remaining)
-{
-	for (size_t i = 0; i < mix->serving_count; i++)
-		remaining[i] -= row->pace * row->share * row->weights[i];
-}
-
-static void init_budgets(const sched_mix_t *mix, double *remaining)
+			    const sched_mix_best_effort_t *row, double *used)
 {
 	for (size_t i = 0; i < mix->serving_count; i++)
-		remaining[i] = mix->serving[i].budget;
+		used[i] += row->pace * row->share * row->weights[i];
 }
 
 static void allocate_headroom(sched_mix_t *mix, const sched_worker_t *worker)
 {
-	double remaining[SCHED_MIX_SERVING_MAX];
+	double used[SCHED_MIX_SERVING_MAX] = { 0 };
+	double late_share = get_cpu_share(worker, mix, 0, true);
 
-	mix->cpu_share = get_cpu_share(worker, 0);
-	init_budgets(mix, remaining);
+	mix->cpu_share = get_cpu_share(worker, mix, 0, false);
 	for (size_t i = 0; i < mix->best_effort_count; i++) {
 		sched_mix_best_effort_t *row = &mix->best_effort[i];
 
-		row->share = mix->cpu_share * get_step(row->task)->cpu_milli /
+		row->share = (double)get_step(row->task)->cpu_milli /
 			     worker->capacity.cpu_milli;
-		row->pace = get_pace(mix, row->weights, row->share, remaining);
-		consume_budgets(mix, row, remaining);
+		/* Processors are shared equally by all best-effort tasks, so
+		 * that those of late jobs have to be throttled to leave them
+		 * to the others. */
+		if (!row->late)
+			row->share *= mix->cpu_share;
+		row->pace = get_pace(mix, row->weights, row->share, used,
+				     row->late);
+		if (row->late)
+			row->pace = fmin(row->pace, late_share);
+		consume_budgets(mix, row, used);
 	}
 }
 
@@ -190,6 +225,7 @@
 	mix->serving_count = 0;
 	mix->best_effort_count = 0;
 	mix->use_count = 0;
+	mix->late_milli = 0;
 	for (guint i = 0; i < worker->claims->len; i++)
 		count_task(sched, mix, worker,
 			   g_ptr_array_index(worker->claims, i));
@@ -211,23 +247,27 @@
 
 /* ======   Added task   ====== */
 
-/* Sets the budgets that remain after all tasks of at most this cost. */
-static void get_remaining_budgets(const sched_mix_t *mix, double cost,
-				  double *remaining)
+/* Sums up what the tasks that come before the added one use of the budgets. */
+static void get_used_budgets(const sched_mix_t *mix, double cost, bool late,
+			     double *used)
 {
-	init_budgets(mix, remaining);
+	const sched_mix_best_effort_t added = { .cost = cost, .late = late };
+
+	for (size_t i = 0; i < mix->serving_count; i++)
+		used[i] = 0;
 	for (size_t i = 0; i < mix->best_effort_count; i++) {
-		if (mix->best_effort[i].cost > cost)
+		if (precedes(&added, &mix->best_effort[i]))
 			return;
-		consume_budgets(mix, &mix->best_effort[i], remaining);
+		consume_budgets(mix, &mix->best_effort[i], used);
 	}
 }
 
 static double get_processor_share(const sched_worker_t *worker,
+				  const sched_mix_t *mix,
 				  const sched_mix_candidate_t *added)
 {
-	return get_cpu_share(worker, added->cpu_milli) * added->cpu_milli /
-	       worker->capacity.cpu_milli;
+	return get_cpu_share(worker, mix, added->cpu_milli, added->late) *
+	       added->cpu_milli / worker->capacity.cpu_milli;
 }
 
 double sched_mix_speed(const gn_sched_t *sched, const sched_worker_t *worker,
@@ -235,17 +275,17 @@
 		       const sched_mix_candidate_t *added)
 {
 	float weights[SCHED_MIX_SERVING_MAX];
-	double remaining[SCHED_MIX_SERVING_MAX];
+	double used[SCHED_MIX_SERVING_MAX];
 	double cost = load_weights(sched, mix, added->image, weights);
 
 	/* A task beyond the limit would not be throttled. */
 	if (mix->best_effort_count == SCHED_MIX_BEST_EFFORT_MAX)
 		return SPEED_MIN;
-	get_remaining_budgets(mix, cost, remaining);
-	return fmax(get_cpu_share(worker, added->cpu_milli) *
+	get_used_budgets(mix, cost, added->late, used);
+	return fmax(get_cpu_share(worker, mix, added->cpu_milli, added->late) *
 			    get_pace(mix, weights,
-				     get_processor_share(worker, added),
-				     remaining),
+				     get_processor_share(worker, mix, added),
+				     used, added->late),
 		    SPEED_MIN);
 }
 
@@ -255,19 +295,21 @@
 			    const sched_mix_candidate_t *added)
 {
 	float weights[SCHED_MIX_SERVING_MAX];
-	double remaining[SCHED_MIX_SERVING_MAX];
+	double used[SCHED_MIX_SERVING_MAX];
 	double cost = load_weights(sched, mix, added->image, weights);
-	double share = get_processor_share(worker, added);
+	double share = get_processor_share(worker, mix, added);
 	double worst = 0;
 
-	get_remaining_budgets(mix, cost, remaining);
+	get_used_budgets(mix, cost, added->late, used);
 	for (size_t i = 0; i < mix->serving_count; i++) {
 		const sched_mix_serving_t *serving = &mix->serving[i];
 		double bound = gn_interference_weight_bound(
 			sched->interference, serving->image, added->image);
-		double used = serving->budget - remaining[i] + bound * share;
+		double budget =
+			added->late ? serving->late_budget : serving->budget;
 
-		worst = fmax(worst, used / fmax(BUDGET_MIN, serving->budget));
+		worst = fmax(worst, (used[i] + bound * share) /
+					    fmax(BUDGET_MIN, budget));
 	}
 	return fmin(worst, SCHED_BUDGET_USE_MAX);
 }
--- a/lib/sched/sched_order.c
+++ b/lib/sched/sched_order.c
@@ -90,37 +90,58 @@
 		g_ptr_array_sort(ranked, compare_jobs);
 }
 
-static bool has_best_effort_tasks(const sched_job_t *job)
+/* Whether the job may be promoted. Without waiting tasks, only the headroom
+ * that its running tasks may use would change. */
+static bool is_left_behind(const sched_job_t *job)
 {
-	return get_best_effort_work(job) > 0;
+	if (sched_job_is_finished(job) || !sched_job_has_best_effort_work(job))
+		return false;
+	return has_waiting_tasks(job) ? job->rank.class != GN_RANK_IN_TIME
+				      : job->late;
 }
 
 /* Returns the best-effort job that is not in time and was accepted first. */
-static sched_job_t *find_oldest_late_job(const GPtrArray *ranked)
+static sched_job_t *find_oldest_late_job(const gn_sched_t *sched)
 {
 	sched_job_t *oldest = NULL;
 
-	for (guint i = 0; i < ranked->len; i++) {
-		sched_job_t *job = g_ptr_array_index(ranked, i);
+	for (guint i = 0; i < sched->active->len; i++) {
+		sched_job_t *job = g_ptr_array_index(sched->active, i);
 
-		if (job->rank.class != GN_RANK_IN_TIME &&
-		    has_best_effort_tasks(job) &&
+		if (is_left_behind(job) &&
 		    (!oldest || job->accepted_us < oldest->accepted_us))
 			oldest = job;
 	}
 	return oldest;
 }
 
+static void log_promotion(const sched_job_t *job)
+{
+	const gn_sched_event_t event = {
+		.name = "late job ahead",
+		.job = job->spec->id,
+		.reason = "oldest job that is not in time",
+		.value = (int64_t)((sched_now_us(job->sched) -
+				    job->accepted_us) /
+				   GN_US_PER_MS),
+		.list_age_ms = -1,
+	};
+
+	job->sched->ops->log_event(job->sched->arg, &event);
+}
+
 /* Lets a late job go ahead of all others of its priority for this pass. */
 static void promote_late_job(gn_sched_t *sched, GPtrArray *ranked)
 {
-	sched_job_t *job = find_oldest_late_job(ranked);
+	sched_job_t *job = find_oldest_late_job(sched);
 
 	if (!job ||
 	    !gn_feasibility_allows_late(&sched->feasibility, job->accepted_us,
 					sched_now_us(sched)))
 		return;
 	sched->feasibility.late_promoted_us = sched_now_us(sched);
+	job->promoted = true;
+	log_promotion(job);
 	job->rank.class = GN_RANK_IN_TIME;
 	job->rank.effective_work = 0;
 	g_ptr_array_sort(ranked, compare_jobs);
@@ -142,6 +163,13 @@
 	g_ptr_array_sort(ranked, compare_jobs);
 	move_infeasible_back(sched, ranked);
 	promote_late_job(sched, ranked);
+	for (guint i = 0; i < sched->active->len; i++) {
+		sched_job_t *job = g_ptr_array_index(sched->active, i);
+
+		if (sched_job_has_best_effort_work(job))
+			sched_job_update_late(job, has_waiting_tasks(job),
+					      now_us);
+	}
 	return ranked;
 }
 
@@ -170,7 +198,9 @@
 	for (guint i = 0; i < ranked->len && !is_short; i++) {
 		const sched_job_t *job = g_ptr_array_index(ranked, i);
 
-		is_short = has_waiting_tasks(job) && has_best_effort_tasks(job);
+		/* Late jobs wait although there is capacity. */
+		is_short = has_waiting_tasks(job) &&
+			   sched_job_has_best_effort_work(job) && !job->late;
 	}
 	gn_feasibility_update(&sched->feasibility, is_short,
 			      get_usable_milli(all), sched_now_us(sched));
--- a/lib/sched/sched_pace.c
+++ b/lib/sched/sched_pace.c
@@ -199,6 +199,17 @@
 	}
 }
 
+static uint32_t get_percent(const sched_mix_best_effort_t *row)
+{
+	return (uint32_t)(PACE_FULL * row->pace);
+}
+
+static void set_row_pace(gn_sched_t *sched, const sched_mix_best_effort_t *row)
+{
+	set_pace(sched, row->task, get_percent(row),
+		 row->late ? "headroom for late jobs" : "headroom");
+}
+
 static void update_paces(gn_sched_t *sched, sched_worker_t *worker,
 			 const sched_mix_t *mix)
 {
@@ -206,12 +217,8 @@
 		pause_best_effort(sched, worker);
 		return;
 	}
-	for (size_t i = 0; i < mix->best_effort_count; i++) {
-		const sched_mix_best_effort_t *row = &mix->best_effort[i];
-
-		set_pace(sched, row->task, (uint32_t)(PACE_FULL * row->pace),
-			 "headroom");
-	}
+	for (size_t i = 0; i < mix->best_effort_count; i++)
+		set_row_pace(sched, &mix->best_effort[i]);
 }
 
 /* ======   Moves   ====== */
@@ -221,7 +228,8 @@
 {
 	const Gn__JobStep *step = get_step(task);
 	const gn_resource_vector_t resources = sched_step_resources(step);
-	const sched_mix_candidate_t added = { task->image, step->cpu_milli };
+	const sched_mix_candidate_t added = { task->image, step->cpu_milli,
+					      task->job->late };
 	GHashTableIter iter;
 	gpointer value;
 	double best = 0;
@@ -305,6 +313,19 @@
 	}
 }
 
+void sched_throttle_late_tasks(gn_sched_t *sched, sched_worker_t *worker)
+{
+	sched_mix_t mix;
+
+	sched_mix_get(sched, worker, &mix);
+	for (size_t i = 0; i < mix.best_effort_count; i++) {
+		const sched_mix_best_effort_t *row = &mix.best_effort[i];
+
+		if (row->late && get_percent(row) < row->task->pace_percent)
+			set_row_pace(sched, row);
+	}
+}
+
 void sched_pace_worker(gn_sched_t *sched, sched_worker_t *worker)
 {
 	sched_mix_t mix;
--- a/lib/sched/sched_pass.c
+++ b/lib/sched/sched_pass.c
@@ -50,6 +50,7 @@
 
 		if (!sched_worker_accepts_tasks(sched, worker))
 			continue;
+		all->mixes[all->count].late_milli = 0;
 		if (worker->capacity.cpu_milli)
 			sched_mix_get(sched, worker, &all->mixes[all->count]);
 		all->workers[all->count++] = worker;
@@ -100,7 +101,8 @@
 static double get_min_speed(const sched_candidates_t *all,
 			    const sched_job_t *job, const sched_unit_t *unit)
 {
-	if (is_idle_with_spare_cpu(all, job, unit))
+	/* A late job is not started only to be paused. */
+	if (!job->late && is_idle_with_spare_cpu(all, job, unit))
 		return 0;
 	return has_waited_for(job, unit, STARVED_US) ? STARVED_MIN_SPEED
 						     : MIN_SPEED;
@@ -156,7 +158,7 @@
 		update_best_effort_view(
 			all, at, sched,
 			&(sched_mix_candidate_t){ g_intern_string(step->image),
-						  step->cpu_milli });
+						  step->cpu_milli, job->late });
 }
 
 static void count_same_step(sched_candidates_t *all, const sched_job_t *job,
@@ -215,10 +217,10 @@
 	if (!wanted->best_effort)
 		return;
 	sched_mix_add(sched, &all->mixes[at], all->workers[at], task);
-	update_best_effort_view(
-		all, at, sched,
-		&(sched_mix_candidate_t){ task->image,
-					  wanted->best_effort_milli });
+	update_best_effort_view(all, at, sched,
+				&(sched_mix_candidate_t){
+					task->image, wanted->best_effort_milli,
+					task->job->late });
 }
 
 static void place_unit(gn_sched_t *sched, sched_candidates_t *all,
@@ -275,6 +277,14 @@
 	}
 }
 
+static void throttle_late_tasks(gn_sched_t *sched,
+				const sched_candidates_t *all)
+{
+	for (size_t i = 0; i < all->count; i++)
+		if (all->mixes[i].late_milli)
+			sched_throttle_late_tasks(sched, all->workers[i]);
+}
+
 static void run_pass(gn_sched_t *sched)
 {
 	sched_candidates_t all;
@@ -285,6 +295,7 @@
 	for (guint i = 0; i < ranked->len && all.count; i++)
 		place_job(sched, &all, g_ptr_array_index(ranked, i));
 	sched_isolate_release_workers(sched);
+	throttle_late_tasks(sched, &all);
 	if (all.count)
 		sched_update_feasibility(sched, &all, ranked);
 	g_free(all.workers);
--- a/lib/sched/sched_pass.h
+++ b/lib/sched/sched_pass.h
@@ -10,7 +10,8 @@
 /** Workers that may be given tasks in the current pass. */
 typedef struct sched_candidates_s {
 	sched_worker_t **workers;
-	/** Mix of each worker; uninitialized for workers without CPU. */
+	/** Mix of each worker; only late_milli is set for workers without
+	 * CPU. */
 	sched_mix_t *mixes;
 	gn_place_worker_t *views; /**< Input of gn_place() for the step. */
 	size_t count;
--- a/lib/sched/sched_report.c
+++ b/lib/sched/sched_report.c
@@ -34,6 +34,20 @@
 	sched_stop_attempt(sched, worker, run->task, run->attempt, "no claim");
 }
 
+/* Adds the time since the last list, at the share of its CPU that a best-effort
+ * run has used. */
+static void count_progress(sched_task_t *task, uint32_t used_milli)
+{
+	const Gn__JobStep *step = task->job->units[task->unit].step;
+	uint64_t passed_us =
+		sched_now_us(task->job->sched) - task->last_listed_us;
+
+	if (step->fills && step->cpu_milli)
+		task->progress_us += passed_us *
+				     MIN(used_milli, step->cpu_milli) /
+				     step->cpu_milli;
+}
+
 static void handle_run(gn_sched_t *sched, sched_worker_t *worker,
 		       const Gn__WorkerRun *run)
 {
@@ -44,6 +58,7 @@
 		return;
 	}
 	sched_mark_started(task);
+	count_progress(task, run->gauge);
 	task->last_listed_us = sched_now_us(sched);
 	task->list_made_us = worker->last_list_us;
 	/* Stored only with the job's next change. */
--- a/lib/scheduler/leading.c
+++ b/lib/scheduler/leading.c
@@ -359,6 +359,7 @@
 		.pace_ms = jobs->pace_ms,
 		.notice_ms = jobs->notice_ms,
 		.headroom_goal = jobs->headroom_pct / 100.0,
+		.late_headroom_goal = jobs->late_headroom_pct / 100.0,
 	};
 
 	return config;
--- a/tests/support/colocation_model.c
+++ b/tests/support/colocation_model.c
@@ -23,6 +23,10 @@
 /** Batch jobs arrive from this time on, when the serving tasks have started. */
 #define BATCH_START_MS 3000
 
+/** As on today's deployments; see platform/scheduler.toml.in. */
+#define HEADROOM_GOAL 1.1
+#define LATE_HEADROOM_GOAL 1.5
+
 #define SWING_PERIOD_MS 17000
 #define BURST_START_MS 20000
 #define BURST_MS 6000
@@ -450,9 +454,11 @@
 					     : DEFAULT_DURATION_MS };
 
 	if (config->headroom_goal > 0)
-		rig_open_with_headroom(&m.rig, config->headroom_goal);
+		rig_open_with_headroom(&m.rig, config->headroom_goal,
+				       config->late_headroom_goal);
 	else
-		rig_open(&m.rig);
+		rig_open_with_headroom(&m.rig, HEADROOM_GOAL,
+				       LATE_HEADROOM_GOAL);
 	m.rand = g_rand_new_with_seed(config->seed);
 	m.saved =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
--- a/tests/support/colocation_model.h
+++ b/tests/support/colocation_model.h
@@ -23,8 +23,10 @@
 	/** Standard deviation of what else changes the headroom of each serving
 	 * task for some seconds, such as callers of its own. */
 	double unevenness;
-	/** Headroom goal in the settings; 0 for that of the fixture. */
+	/** Headroom goal in the settings; 0 for both goals as deployed. */
 	double headroom_goal;
+	/** With that goal: the goal beside tasks of late jobs, 0 for none. */
+	double late_headroom_goal;
 	/** Simulated time; 0 for 30 s. */
 	unsigned duration_ms;
 	/** Share by which the demand for batch jobs rises and falls around its
--- a/tests/support/sched_rig.c
+++ b/tests/support/sched_rig.c
@@ -117,6 +117,7 @@
 		.far_factor = 2,
 		.harm_ms = 4000,
 		.headroom_goal = rig->headroom_goal,
+		.late_headroom_goal = rig->late_headroom_goal,
 	};
 
 	rig->sched = gn_sched_create(NULL, &config, &rig->clock, &rig->wall,
@@ -136,13 +137,14 @@
 
 void rig_open(sched_rig_t *rig)
 {
-	rig_open_with_headroom(rig, HEADROOM_GOAL);
+	rig_open_with_headroom(rig, HEADROOM_GOAL, 0);
 }
 
-void rig_open_with_headroom(sched_rig_t *rig, double goal)
+void rig_open_with_headroom(sched_rig_t *rig, double goal, double late_goal)
 {
 	memset(rig, 0, sizeof(*rig));
 	rig->headroom_goal = goal;
+	rig->late_headroom_goal = late_goal;
 	rig->cpu_milli = CPU_MILLI;
 	gn_clock_init_paused(&rig->clock, START_US);
 	gn_clock_init_paused(&rig->wall, 2 * START_US);
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -43,6 +43,7 @@
 	GHashTable *records; /**< Job ID to its stored Gn__JobRecord, owned. */
 	const Gn__Leave *leave; /**< Record that new leaders load, or NULL. */
 	double headroom_goal; /**< In the settings of the scheduler. */
+	double late_headroom_goal; /**< In the settings of the scheduler. */
 	uint32_t cpu_milli; /**< Capacity in the reports from now on. */
 	char last_event[32]; /**< Name of the last event. */
 	int64_t last_event_list_age_ms; /**< List age in that event. */
@@ -78,9 +79,10 @@
 #define RIG_INDEPENDENT 8U /**< Does not depend on the previous step. */
 #define RIG_GANG 16U
 
+/** Opens the fixture with the default settings. */
 void rig_open(sched_rig_t *rig);
-/** Opens the fixture with this headroom goal in the settings. */
-void rig_open_with_headroom(sched_rig_t *rig, double goal);
+/** Opens the fixture with these headroom goals in the settings. */
+void rig_open_with_headroom(sched_rig_t *rig, double goal, double late_goal);
 void rig_close(sched_rig_t *rig);
 
 /**
--- a/tests/unit/test_sched_fill.c
+++ b/tests/unit/test_sched_fill.c
@@ -242,6 +242,126 @@
 	rig_close(&rig);
 }
 
+/* ======   Late jobs   ====== */
+
+#define IN_TIME_JOB "00000000000000cc"
+#define LATE_HEADROOM 1.5
+/** From here on, the job with these tasks is late: 2 times 600 ms, 1,000 ms of
+ * its queue, and 500 ms of uncertainty. */
+#define LATE_AFTER_MS 2800
+/** Age at which the oldest late job goes ahead of others, and some time for a
+ * list and a pass. */
+#define PROMOTED_AFTER_MS 13000
+
+static const rig_step_t serving_step = { .count = 1,
+					 .cpu_milli = 1000,
+					 .flags = RIG_STANDING,
+					 .target_ms = 40,
+					 .image = "s" };
+static const rig_step_t best_effort_step = { .count = 1,
+					     .cpu_milli = 1000,
+					     .estimate_ms = 600,
+					     .flags = RIG_BEST_EFFORT,
+					     .image = "f" };
+
+/* Opens the fixture with a serving task that lists this tail. */
+static void open_beside_serving(sched_rig_t *rig, double late_goal,
+				uint32_t tail_ms)
+{
+	rig_open_with_headroom(rig, 1.1, late_goal);
+	rig_report(rig, "a", "1");
+	rig_submit(rig, RIG_JOB, "batch", &serving_step, 1);
+	rig_store(rig);
+	rig_report_tail(rig, "a", "1", RIG_TASK, 1, tail_ms);
+	rig_store(rig);
+	rig_clear(rig);
+}
+
+/* Runs past the deadline of a best-effort job, beside a serving task with
+ * headroom of 2, of which the task takes 0.625. Returns the last ordered pace, or 100 without one. */
+static int get_pace_of_late_task(double late_goal, unsigned ms)
+{
+	sched_rig_t rig;
+	int pace;
+
+	open_beside_serving(&rig, late_goal, 20);
+	rig_submit(&rig, OTHER, "batch", &best_effort_step, 1);
+	rig_store(&rig);
+	g_assert_nonnull(
+		rig_find_order(&rig, GN_RUN_ORDER_START, BEST_EFFORT_TASK));
+	report_both_for_ms(&rig, 20, ms);
+	pace = get_last_pace(&rig);
+	rig_close(&rig);
+	return pace < 0 ? 100 : pace;
+}
+
+/* Work that can only be late must not bring serving tasks near their target,
+ * and a job in time must not be slowed down by that rule. */
+static void test_late_tasks_use_only_the_higher_headroom(void)
+{
+	g_assert_cmpint(get_pace_of_late_task(LATE_HEADROOM, 1500), ==, 100);
+	g_assert_cmpint(get_pace_of_late_task(LATE_HEADROOM, LATE_AFTER_MS), <,
+			100);
+	g_assert_cmpint(get_pace_of_late_task(0, LATE_AFTER_MS), ==, 100);
+}
+
+/* Each job must end, so that one that is throttled as late gets its turn. */
+static void test_late_tasks_are_throttled_for_ever(void)
+{
+	g_assert_cmpint(get_pace_of_late_task(LATE_HEADROOM, PROMOTED_AFTER_MS),
+			==, 100);
+}
+
+/* The serving task has headroom of 1.9, which is enough for a task of a job in
+ * time alone. The order of starts must not depend on who came first. */
+static void test_waiting_late_tasks_come_after_others(void)
+{
+	sched_rig_t rig;
+
+	open_beside_serving(&rig, LATE_HEADROOM, 21);
+	/* A worker without a recent list gets no tasks, so the job waits until
+	 * it is late. */
+	rig_advance_ms(&rig, 1300);
+	rig_submit(&rig, OTHER, "batch", &best_effort_step, 1);
+	rig_advance_ms(&rig, LATE_AFTER_MS / 2);
+	rig_report_stale_list(&rig, "a", "1", 1300 + LATE_AFTER_MS / 2);
+	rig_advance_ms(&rig, LATE_AFTER_MS / 2);
+	rig_store(&rig);
+	g_assert_cmpuint(rig_count_orders(&rig, GN_RUN_ORDER_START), ==, 0);
+	for (unsigned ms = 0; ms < 5000; ms += 200) {
+		rig_advance_ms(&rig, 200);
+		rig_report_tail(&rig, "a", "1", RIG_TASK, 1,
+				ms / 200 % 2 ? 21 : 22);
+		rig_store(&rig);
+		if (ms == 1000)
+			rig_submit(&rig, IN_TIME_JOB, "batch",
+				   &best_effort_step, 1);
+	}
+	g_assert_nonnull(
+		rig_find_order(&rig, GN_RUN_ORDER_START, IN_TIME_JOB ".0.0.0"));
+	g_assert_null(
+		rig_find_order(&rig, GN_RUN_ORDER_START, BEST_EFFORT_TASK));
+	rig_close(&rig);
+}
+
+/* Beside a serving task that exceeds its target regardless of interference,
+ * there is never headroom for a late job, but it must end. */
+static void test_late_job_starves_beside_a_slow_serving_task(void)
+{
+	sched_rig_t rig;
+
+	open_beside_serving(&rig, LATE_HEADROOM, 60);
+	rig_submit(&rig, OTHER, "batch", &best_effort_step, 1);
+	for (unsigned ms = 0; ms < 20000; ms += 200) {
+		rig_advance_ms(&rig, 200);
+		rig_report_tail(&rig, "a", "1", RIG_TASK, 1, 60 + ms / 200 % 2);
+		rig_store(&rig);
+	}
+	g_assert_nonnull(
+		rig_find_order(&rig, GN_RUN_ORDER_START, BEST_EFFORT_TASK));
+	rig_close(&rig);
+}
+
 /* ======   Weights   ====== */
 
 /* Interference weights are stored with other writes for the next leader. */
@@ -299,6 +419,15 @@
 			test_pace_is_ordered_for_a_run_at_full_speed);
 	g_test_add_func("/sched_fill/best_effort_stays_paused_at_a_low_pace",
 			test_best_effort_stays_paused_at_a_low_pace);
+	g_test_add_func("/sched_fill/late_tasks_use_only_the_higher_headroom",
+			test_late_tasks_use_only_the_higher_headroom);
+	g_test_add_func("/sched_fill/late_tasks_are_throttled_for_ever",
+			test_late_tasks_are_throttled_for_ever);
+	g_test_add_func("/sched_fill/waiting_late_tasks_come_after_others",
+			test_waiting_late_tasks_come_after_others);
+	g_test_add_func(
+		"/sched_fill/late_job_starves_beside_a_slow_serving_task",
+		test_late_job_starves_beside_a_slow_serving_task);
 	g_test_add_func("/sched_fill/weights_are_stored",
 			test_weights_are_stored);
 	return g_test_run();
