sharing: the headroom that serving tasks keep follows the demand

No fixed headroom is right: with spare capacity, more of it serves callers better, and when best-effort work queues up, it makes jobs late.

lib/sharing decides the goal, between 0.9 and 1.5 and from 1.1 after an election, by the slack that waiting jobs lose, the rate of finished work, the free processors, and the serving tasks over their targets. It falls by 0.1 a second at most for jobs that can still be in time, and rises by 0.05 in 2 s after 20 s without such need, or longer if that was too early before, so that it does not swing with the demand. It does not fall unless serving tasks are well within the twentieth of the time that their target leaves. Late jobs, unknown tasks and wrong readings have no influence.

test_headroom, with the rule for late jobs.

--- a/lib/config/settings.h
+++ b/lib/config/settings.h
@@ -60,8 +60,8 @@
 	 * An absence of a service counts this long, 0..600000, default 5000.
 	 */
 	unsigned notice_ms;
-	/** Headroom that serving tasks keep, 50..300 % of their latency
-	 * target, default 110. */
+	/** Headroom that serving tasks keep, target over tail, 0..300 %,
+	 * default 110; 0 lets it follow the demand. */
 	unsigned headroom_pct;
 	/** The same beside tasks of late jobs, 0..300 %, default 0, which
 	 * treats these like others. */
--- a/lib/sched/feasibility.c
+++ b/lib/sched/feasibility.c
@@ -39,13 +39,18 @@
 	state->updated_us = now_us;
 }
 
+bool gn_feasibility_is_known(const gn_feasibility_t *state, uint64_t now_us)
+{
+	return state->started_us && state->cpu_milli > 0 &&
+	       now_us - state->started_us >= SMOOTHING_US;
+}
+
 bool gn_feasibility_check(const gn_feasibility_t *state, double ahead,
 			  double work, uint64_t deadline_us, uint64_t now_us)
 {
 	double left_ms;
 
-	if (!state->started_us || state->cpu_milli <= 0 ||
-	    now_us - state->started_us < SMOOTHING_US)
+	if (!gn_feasibility_is_known(state, now_us))
 		return true;
 	if (deadline_us <= now_us)
 		return false;
--- a/lib/sched/feasibility.h
+++ b/lib/sched/feasibility.h
@@ -62,6 +62,9 @@
 bool gn_feasibility_check(const gn_feasibility_t *state, double ahead,
 			  double work, uint64_t deadline_us, uint64_t now_us);
 
+/** Whether the rate is known, which takes 3 s from the first update. */
+bool gn_feasibility_is_known(const gn_feasibility_t *state, uint64_t now_us);
+
 /** Whether a job that is not in time may go ahead now; see late_promoted_us. */
 bool gn_feasibility_allows_late(const gn_feasibility_t *state,
 				uint64_t accepted_us, uint64_t now_us);
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -33,6 +33,12 @@
 	sched->ops->log_event(sched->arg, &event);
 }
 
+double sched_get_headroom_goal(const gn_sched_t *sched)
+{
+	return sched->config.headroom_goal > 0 ? sched->config.headroom_goal
+					       : sched->sharing.goal;
+}
+
 /* ======   Creation   ====== */
 
 static void free_job(gpointer job)
@@ -69,6 +75,7 @@
 	sched->workers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					       sched_worker_free);
 	sched->interference = gn_interference_create(sched);
+	gn_sharing_init(&sched->sharing);
 	sched->crash_events = sched_crash_create_events();
 	sched->active = g_ptr_array_new();
 	sched->writing = g_ptr_array_new();
@@ -145,6 +152,7 @@
 	gn_sched_stats_t figures = {
 		.jobs = g_hash_table_size(sched->jobs),
 		.claims = sched->claims,
+		.headroom_goal = sched_get_headroom_goal(sched),
 	};
 	GHashTableIter iter;
 	gpointer value;
@@ -166,3 +174,8 @@
 		figures.workers += sched_worker_is_live(sched, value);
 	return figures;
 }
+
+unsigned gn_sched_get_headroom_pct(const gn_sched_t *sched)
+{
+	return (unsigned)(100 * sched_get_headroom_goal(sched) + 0.5);
+}
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -107,7 +107,8 @@
 	/** Time for which an absence of a serving task that the system
 	 * itself caused is counted. */
 	unsigned notice_ms;
-	/** Headroom that serving tasks keep beside best-effort tasks. */
+	/** Headroom that serving tasks keep beside best-effort tasks; 0 if it
+	 * follows the demand (sharing/sharing.h). */
 	double headroom_goal;
 	/** Headroom that they keep beside best-effort tasks of jobs that cannot
 	 * be in time; 0 if these are treated like others. */
@@ -292,8 +293,12 @@
 	/** Jobs whose best-effort tasks may only use the headroom above
 	 * late_headroom_goal. */
 	size_t late_jobs;
+	double headroom_goal; /**< Headroom that serving tasks keep now. */
 } gn_sched_stats_t;
 
 gn_sched_stats_t gn_sched_stats(const gn_sched_t *sched);
 
+/** Returns the headroom that serving tasks keep now, in percent. */
+unsigned gn_sched_get_headroom_pct(const gn_sched_t *sched);
+
 #endif
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -14,6 +14,7 @@
 #include "sched/sched_crash.h"
 #include "sched/feasibility.h"
 #include "sched/sched.h"
+#include "sharing/sharing.h"
 
 /** Time after which an unanswered order is sent again. */
 #define SCHED_RESEND_US (300 * GN_US_PER_MS)
@@ -221,6 +222,7 @@
 	size_t claims;
 	gn_backlog_t backlog;
 	gn_feasibility_t feasibility;
+	gn_sharing_t sharing;
 	bool changed; /**< Placement may have a new result. */
 	GArray *crash_events; /**< Recent crashes; see sched_crash_events.c. */
 	/** Tasks waited for a start in isolation in the last pass. */
@@ -262,6 +264,12 @@
 void sched_job_update_late(sched_job_t *job, bool is_ranked, uint64_t now_us);
 /** Whether best-effort tasks of the job are left. */
 bool sched_job_has_best_effort_work(const sched_job_t *job);
+/** Longest remaining chain, less what unfinished tasks have done. */
+uint64_t sched_job_get_remaining_chain_ms(const sched_job_t *job);
+/** Slack that the job had when it was accepted. */
+uint64_t sched_job_get_initial_slack_ms(const sched_job_t *job);
+/** Headroom that serving tasks keep now. */
+double sched_get_headroom_goal(const gn_sched_t *sched);
 /** Recomputes the rank. */
 void sched_job_update_rank(sched_job_t *job, uint64_t now_us);
 /** Marks units as ready that are due and whose dependencies are done. */
--- a/lib/sched/sched_job.c
+++ b/lib/sched/sched_job.c
@@ -114,7 +114,7 @@
 }
 
 /* Returns the longest remaining chain, less what unfinished tasks have done. */
-static uint64_t get_remaining_chain_ms(const sched_job_t *job)
+uint64_t sched_job_get_remaining_chain_ms(const sched_job_t *job)
 {
 	uint64_t step_ms[GN_JOB_STEPS_MAX];
 
@@ -137,15 +137,25 @@
 	return work;
 }
 
+uint64_t sched_job_get_initial_slack_ms(const sched_job_t *job)
+{
+	uint64_t objective_ms =
+		(job->deadline_us - job->accepted_us) / GN_US_PER_MS;
+	uint64_t chain_ms = get_longest_chain_ms(job->spec, NULL);
+
+	return objective_ms > chain_ms ? objective_ms - chain_ms : 0;
+}
+
 void sched_job_update_late(sched_job_t *job, bool is_ranked, uint64_t now_us)
 {
 	if (job->sched->config.late_headroom_goal <= 0 || job->promoted) {
 		job->late = false;
 		return;
 	}
-	job->late = (is_ranked && job->rank.class == GN_RANK_INFEASIBLE) ||
-		    now_us + get_remaining_chain_ms(job) * GN_US_PER_MS >
-			    job->deadline_us + LATE_MARGIN_US;
+	job->late =
+		(is_ranked && job->rank.class == GN_RANK_INFEASIBLE) ||
+		now_us + sched_job_get_remaining_chain_ms(job) * GN_US_PER_MS >
+			job->deadline_us + LATE_MARGIN_US;
 }
 
 bool sched_job_has_best_effort_work(const sched_job_t *job)
--- a/lib/sched/sched_mix.c
+++ b/lib/sched/sched_mix.c
@@ -32,7 +32,7 @@
 		return BUDGET_UNKNOWN;
 	if (alone->value < 1)
 		return BUDGET_OVER_TARGET;
-	return fmax(alone->value - sched->config.headroom_goal,
+	return fmax(alone->value - sched_get_headroom_goal(sched),
 		    BUDGET_SHARE_MIN * (alone->value - 1));
 }
 
@@ -45,7 +45,7 @@
 	double goal = sched->config.late_headroom_goal;
 
 	if (!alone->updated_us)
-		return fmax(0, BUDGET_UNKNOWN + sched->config.headroom_goal -
+		return fmax(0, BUDGET_UNKNOWN + sched_get_headroom_goal(sched) -
 				       goal);
 	return fmax(0, alone->value - goal);
 }
--- a/lib/sched/sched_order.c
+++ b/lib/sched/sched_order.c
@@ -5,6 +5,7 @@
  * sched/rank.h orders the jobs by what they can still reach on their own, and
  * sched/feasibility.h moves those back that do not fit into the capacity.
  */
+#include <math.h>
 #include <string.h>
 
 #include "common/str.h"
@@ -190,6 +191,128 @@
 	return usable;
 }
 
+/* ======   Headroom   ====== */
+
+static void add_sharing_jobs(const gn_sched_t *sched, GArray *jobs)
+{
+	for (guint i = 0; i < sched->active->len; i++) {
+		const sched_job_t *job = g_ptr_array_index(sched->active, i);
+		gn_sharing_job_t row = {
+			.left_ms = ((int64_t)job->deadline_us -
+				    (int64_t)sched_now_us(sched)) /
+				   (int64_t)GN_US_PER_MS,
+		};
+
+		if (sched_job_is_finished(job))
+			continue;
+		row.work = get_best_effort_work(job);
+		if (row.work <= 0)
+			continue;
+		row.waits = has_waiting_tasks(job);
+		row.chain_ms = sched_job_get_remaining_chain_ms(job);
+		row.slack_ms = sched_job_get_initial_slack_ms(job);
+		g_array_append_val(jobs, row);
+	}
+}
+
+static void add_sharing_tasks(const gn_sched_t *sched,
+			      const sched_worker_t *worker, GArray *serving)
+{
+	for (guint i = 0; i < worker->claims->len; i++) {
+		const sched_task_t *task = g_ptr_array_index(worker->claims, i);
+		const Gn__JobStep *step = task->job->units[task->unit].step;
+		const gn_sharing_serving_t row = {
+			.target_ms = step->target_ms,
+			.tail_ms = task->last_reading,
+			.previous_tail_ms = task->previous_reading,
+			.fresh = sched_worker_has_fresh_list(sched, worker),
+			.shared = worker->best_effort > 0,
+		};
+
+		if (step->target_ms && task->listed && !task->stopping)
+			g_array_append_val(serving, row);
+	}
+}
+
+/* Returns the CPU that the best-effort tasks in the mix may use. */
+static double get_allowed_milli(const sched_worker_t *worker,
+				const sched_mix_t *mix)
+{
+	double allowed = 0;
+
+	for (size_t i = 0; i < mix->best_effort_count; i++)
+		allowed += mix->best_effort[i].pace *
+			   mix->best_effort[i].share *
+			   worker->capacity.cpu_milli;
+	return allowed;
+}
+
+static double get_running_milli(const sched_candidates_t *all)
+{
+	double running = 0;
+
+	for (size_t i = 0; i < all->count; i++)
+		if (all->workers[i]->capacity.cpu_milli)
+			running += get_allowed_milli(all->workers[i],
+						     &all->mixes[i]);
+	return running;
+}
+
+static void log_headroom(const gn_sched_t *sched)
+{
+	const gn_sharing_t *sharing = &sched->sharing;
+	const gn_sharing_view_t *view = &sharing->view;
+	char *reason = g_strdup_printf(
+		"%s (endangered work %.2f, strained %.2f, serving tasks over "
+		"target %.2f, unknown %.2f, free CPU %.2f, rate %.0f)",
+		sharing->reason, view->endangered, view->strained, view->over,
+		view->unknown, view->free, sched->feasibility.cpu_milli);
+	const gn_sched_event_t event = {
+		.name = "headroom",
+		.reason = reason,
+		.value = (int64_t)round(100 * sharing->goal),
+		.list_age_ms = -1,
+	};
+
+	sched->ops->log_event(sched->arg, &event);
+	g_free(reason);
+}
+
+void sched_update_headroom(gn_sched_t *sched, const sched_candidates_t *all)
+{
+	uint64_t now_us = sched_now_us(sched);
+	GArray *jobs;
+	GArray *serving;
+	GHashTableIter iter;
+	gpointer value;
+
+	if (sched->config.headroom_goal > 0 ||
+	    !gn_sharing_is_due(&sched->sharing, now_us))
+		return;
+	jobs = g_array_new(FALSE, FALSE, sizeof(gn_sharing_job_t));
+	serving = g_array_new(FALSE, FALSE, sizeof(gn_sharing_serving_t));
+	add_sharing_jobs(sched, jobs);
+	g_hash_table_iter_init(&iter, sched->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		add_sharing_tasks(sched, value, serving);
+	if (gn_sharing_update(
+		    &sched->sharing,
+		    &(gn_sharing_input_t){
+			    .jobs = (gn_sharing_job_t *)jobs->data,
+			    .job_count = jobs->len,
+			    .serving = (gn_sharing_serving_t *)serving->data,
+			    .serving_count = serving->len,
+			    .rate_known = gn_feasibility_is_known(
+				    &sched->feasibility, now_us),
+			    .rate_milli = sched->feasibility.cpu_milli,
+			    .usable_milli = get_usable_milli(all),
+			    .running_milli = get_running_milli(all) },
+		    now_us))
+		log_headroom(sched);
+	g_array_unref(jobs);
+	g_array_unref(serving);
+}
+
 void sched_update_feasibility(gn_sched_t *sched, const sched_candidates_t *all,
 			      const GPtrArray *ranked)
 {
--- a/lib/sched/sched_pass.c
+++ b/lib/sched/sched_pass.c
@@ -296,8 +296,10 @@
 		place_job(sched, &all, g_ptr_array_index(ranked, i));
 	sched_isolate_release_workers(sched);
 	throttle_late_tasks(sched, &all);
-	if (all.count)
+	if (all.count) {
 		sched_update_feasibility(sched, &all, ranked);
+		sched_update_headroom(sched, &all);
+	}
 	g_free(all.workers);
 	g_free(all.mixes);
 	g_free(all.views);
--- a/lib/sched/sched_pass.h
+++ b/lib/sched/sched_pass.h
@@ -26,6 +26,9 @@
 void sched_update_feasibility(gn_sched_t *sched, const sched_candidates_t *all,
 			      const GPtrArray *ranked);
 
+/** Updates the headroom that serving tasks keep, after a pass. */
+void sched_update_headroom(gn_sched_t *sched, const sched_candidates_t *all);
+
 /** Claims @p task for candidate @p at and updates its mix and view. */
 void sched_claim_on_candidate(sched_candidates_t *all, size_t at,
 			      sched_task_t *task, const gn_place_task_t *wanted,
--- a/lib/scheduler/leading.c
+++ b/lib/scheduler/leading.c
@@ -393,6 +393,7 @@
 	scheduler->ledger = NULL;
 	scheduler_fail_waiting_calls(scheduler);
 	TALLOC_FREE(scheduler->sched);
+	gn_counter_set(scheduler->counters.headroom_pct, 0);
 	g_hash_table_remove_all(scheduler->executors);
 }
 
@@ -414,6 +415,8 @@
 	if (!scheduler->ledger)
 		return;
 	gn_sched_run_pass(scheduler->sched);
+	gn_counter_set(scheduler->counters.headroom_pct,
+		       gn_sched_get_headroom_pct(scheduler->sched));
 	gn_ledger_send_next(scheduler->ledger);
 	if (scheduler->ledger)
 		scheduler_executors_flush(scheduler);
--- a/lib/scheduler/scheduler.c
+++ b/lib/scheduler/scheduler.c
@@ -63,13 +63,15 @@
 	counters->writes = gn_counters_get(all, "scheduler.writes");
 	counters->orders = gn_counters_get(all, "scheduler.orders");
 	counters->elections = gn_counters_get(all, "scheduler.elections");
+	counters->headroom_pct = gn_counters_get(all, "scheduler.headroom_pct");
 	counters->call_time =
 		gn_histogram_create(scheduler, all, "scheduler.call_time");
 	counters->store_time =
 		gn_histogram_create(scheduler, all, "scheduler.store_time");
 	return complete && counters->call_time && counters->store_time &&
 	       counters->forwarded && counters->batches && counters->writes &&
-	       counters->orders && counters->elections;
+	       counters->orders && counters->elections &&
+	       counters->headroom_pct;
 }
 
 static gn_code_t start_server(scheduler_t *scheduler, const char *address,
--- a/lib/scheduler/scheduler_internal.h
+++ b/lib/scheduler/scheduler_internal.h
@@ -71,6 +71,7 @@
 	gn_counter_t *writes;
 	gn_counter_t *orders;
 	gn_counter_t *elections;
+	gn_counter_t *headroom_pct; /**< Gauge; 0 unless leading. */
 	gn_histogram_t *call_time; /**< Time from request to answer. */
 	gn_histogram_t *store_time; /**< Time to store a write batch. */
 } scheduler_counters_t;
--- a/tests/support/colocation_model.c
+++ b/tests/support/colocation_model.c
@@ -24,7 +24,6 @@
 #define BATCH_START_MS 3000
 
 /** As on today's deployments; see platform/scheduler.toml.in. */
-#define HEADROOM_GOAL 1.1
 #define LATE_HEADROOM_GOAL 1.5
 
 #define SWING_PERIOD_MS 17000
@@ -91,6 +90,7 @@
 	GArray *jobs; /* Of model_job_t. */
 	unsigned now_ms;
 	unsigned duration_ms;
+	double headroom_goal; /* In the last tick. */
 	double serving_ms;
 	double over_target_ms;
 	colocation_result_t result;
@@ -430,6 +430,16 @@
 	return demand;
 }
 
+static void count_headroom(model_t *m)
+{
+	double goal = gn_sched_stats(m->rig.sched).headroom_goal;
+
+	m->result.mean_headroom_goal += goal * TICK_MS / m->duration_ms;
+	if (m->headroom_goal > 0)
+		m->result.headroom_travel += fabs(goal - m->headroom_goal);
+	m->headroom_goal = goal;
+}
+
 static void advance_model(model_t *m)
 {
 	m->now_ms += TICK_MS;
@@ -444,6 +454,7 @@
 		submit_batch(m);
 	apply_orders(m);
 	check_jobs(m);
+	count_headroom(m);
 }
 
 colocation_result_t colocation_run(const colocation_config_t *config)
@@ -453,12 +464,8 @@
 					     ? config->duration_ms
 					     : DEFAULT_DURATION_MS };
 
-	if (config->headroom_goal > 0)
-		rig_open_with_headroom(&m.rig, config->headroom_goal,
-				       config->late_headroom_goal);
-	else
-		rig_open_with_headroom(&m.rig, HEADROOM_GOAL,
-				       LATE_HEADROOM_GOAL);
+	rig_open_with_headroom(&m.rig, config->headroom_goal,
+			       config->ignore_late ? 0 : LATE_HEADROOM_GOAL);
 	m.rand = g_rand_new_with_seed(config->seed);
 	m.saved =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
--- a/tests/support/colocation_model.h
+++ b/tests/support/colocation_model.h
@@ -23,10 +23,9 @@
 	/** Standard deviation of what else changes the headroom of each serving
 	 * task for some seconds, such as callers of its own. */
 	double unevenness;
-	/** Headroom goal in the settings; 0 for both goals as deployed. */
+	/** Baseline: fixed headroom goal; 0 if it follows the demand. */
 	double headroom_goal;
-	/** With that goal: the goal beside tasks of late jobs, 0 for none. */
-	double late_headroom_goal;
+	bool ignore_late; /**< Baseline: late jobs are treated like others. */
 	/** Simulated time; 0 for 30 s. */
 	unsigned duration_ms;
 	/** Share by which the demand for batch jobs rises and falls around its
@@ -44,6 +43,8 @@
 	double over_target; /**< Share of serving time over target. */
 	double longest_over_target_s; /**< Longest period of one task. */
 	unsigned stops; /**< Stopped best-effort runs. */
+	double mean_headroom_goal;
+	double headroom_travel; /**< Sum of the changes of this goal. */
 	/** Jobs whose result would no longer be of use at the end of the
 	 * simulated time (GN_RANK_USEFUL_FACTOR). */
 	unsigned settled;
--- a/tests/unit/test_headroom.c
+++ b/tests/unit/test_headroom.c
@@ -10,9 +10,11 @@
 
 #define SEEDS 6
 #define DURATION_MS 60000
-#define LATE_GOAL 1.5
 /** Differences between such runs that mean nothing. */
 #define OVER_TARGET_NOISE 0.002
+/** Changes of the goal in 17 s, the period of a swing of demand: down and up
+ * again by two steps. */
+#define TRAVEL_MAX 0.4
 
 /** A load of the model. */
 typedef struct profile_s {
@@ -24,6 +26,7 @@
 } profile_t;
 
 static const profile_t profiles[] = {
+	{ .name = "quiet", .jobs_per_s = 0.15 },
 	{ .name = "light", .jobs_per_s = 0.4 },
 	{ .name = "overload", .jobs_per_s = 1.8 },
 	{ .name = "swing", .jobs_per_s = 0.9, .swing = 0.55 },
@@ -32,8 +35,7 @@
 };
 
 static colocation_result_t run_profile(const profile_t *profile,
-				       double headroom_goal,
-				       double late_headroom_goal)
+				       double headroom_goal, bool ignore_late)
 {
 	colocation_result_t all = { 0 };
 
@@ -45,7 +47,7 @@
 			.burst = profile->burst,
 			.mixed_sizes = profile->mixed_sizes,
 			.headroom_goal = headroom_goal,
-			.late_headroom_goal = late_headroom_goal,
+			.ignore_late = ignore_late,
 			.duration_ms = DURATION_MS,
 		};
 		const colocation_result_t one = colocation_run(&config);
@@ -54,17 +56,21 @@
 		all.settled_in_time += one.settled_in_time;
 		all.settled_late += one.settled_late;
 		all.settled_never += one.settled_never;
+		all.mean_headroom_goal += one.mean_headroom_goal / SEEDS;
+		all.headroom_travel += one.headroom_travel / SEEDS;
 		all.over_target += one.over_target / SEEDS;
 		all.longest_over_target_s = MAX(all.longest_over_target_s,
 						one.longest_over_target_s);
 	}
-	g_test_message(
-		"%s, goal %.1f, late %.1f: %.3f of the serving time within target, "
-		"at most %.2f s over it; of %u jobs %u in time, %u "
-		"late, %u never",
-		profile->name, headroom_goal, late_headroom_goal,
-		1 - all.over_target, all.longest_over_target_s, all.settled,
-		all.settled_in_time, all.settled_late, all.settled_never);
+	g_test_message("%s, goal %.1f%s: %.3f of the serving time within "
+		       "target, at most %.2f s over it; of %u jobs %u in time, "
+		       "%u late, %u never; mean goal %.2f, moved by %.2f",
+		       profile->name, headroom_goal,
+		       ignore_late ? ", late like others" : "",
+		       1 - all.over_target, all.longest_over_target_s,
+		       all.settled, all.settled_in_time, all.settled_late,
+		       all.settled_never, all.mean_headroom_goal,
+		       all.headroom_travel);
 	return all;
 }
 
@@ -74,9 +80,9 @@
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(profiles); i++) {
 		const colocation_result_t low =
-			run_profile(&profiles[i], 0.9, 0);
+			run_profile(&profiles[i], 0.9, true);
 		const colocation_result_t high =
-			run_profile(&profiles[i], 1.4, 0);
+			run_profile(&profiles[i], 1.4, true);
 
 		g_assert_cmpfloat(high.over_target, <, low.over_target);
 		g_assert_cmpuint(high.settled_in_time, <=,
@@ -99,9 +105,9 @@
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(profiles); i++) {
 		const colocation_result_t same =
-			run_profile(&profiles[i], 1.1, 0);
+			run_profile(&profiles[i], 1.1, true);
 		const colocation_result_t after =
-			run_profile(&profiles[i], 1.1, LATE_GOAL);
+			run_profile(&profiles[i], 1.1, false);
 
 		g_assert_cmpfloat(after.over_target, <,
 				  same.over_target + OVER_TARGET_NOISE);
@@ -112,6 +118,55 @@
 	}
 }
 
+/*
+ * Returns by how much @p one serves both kinds of callers better than @p other.
+ * A share of the serving time and the same share of the batch jobs count the
+ * same: each is what its callers need, the target or the deadline.
+ */
+static double get_gain(const colocation_result_t *one,
+		       const colocation_result_t *other)
+{
+	return other->over_target - one->over_target +
+	       ((double)one->settled_in_time - other->settled_in_time) /
+		       one->settled;
+}
+
+/* A goal that follows the demand must serve callers better on the whole than
+ * the one that a new leader begins with and than a high one. It must not lose
+ * what serving tasks are promised as a low one does, nor make more jobs late,
+ * nor swing with the demand. */
+static void test_following_goal_is_worse_than_a_fixed_one(void)
+{
+	static const double goals[] = { 0.9, 1.1, 1.4 };
+	double gains[G_N_ELEMENTS(goals)] = { 0 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(profiles); i++) {
+		const colocation_result_t following =
+			run_profile(&profiles[i], 0, false);
+
+		g_assert_cmpfloat(following.headroom_travel, <=,
+				  TRAVEL_MAX * DURATION_MS / 17000);
+		for (size_t k = 0; k < G_N_ELEMENTS(goals); k++) {
+			const colocation_result_t fixed =
+				run_profile(&profiles[i], goals[k], false);
+
+			gains[k] += get_gain(&following, &fixed);
+			if (k == 0)
+				g_assert_cmpfloat(following.over_target, <,
+						  fixed.over_target);
+			else
+				g_assert_cmpuint(following.settled_in_time +
+							 following.settled / 50,
+						 >=, fixed.settled_in_time);
+		}
+	}
+	for (size_t k = 0; k < G_N_ELEMENTS(goals); k++)
+		g_test_message("gain over goal %.1f: %.3f in %zu profiles",
+			       goals[k], gains[k], G_N_ELEMENTS(profiles));
+	g_assert_cmpfloat(gains[1], >, 0);
+	g_assert_cmpfloat(gains[2], >, 0);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -119,5 +174,7 @@
 			test_goal_trades_one_kind_of_callers_for_the_other);
 	g_test_add_func("/headroom/late_jobs_leave_headroom_to_others",
 			test_late_jobs_leave_headroom_to_others);
+	g_test_add_func("/headroom/following_goal_is_worse_than_a_fixed_one",
+			test_following_goal_is_worse_than_a_fixed_one);
 	return g_test_run();
 }
--- a/tests/unit/test_sched_fill.c
+++ b/tests/unit/test_sched_fill.c
@@ -362,6 +362,89 @@
 	rig_close(&rig);
 }
 
+/* ======   Headroom goal   ====== */
+
+/* Lists the serving task with this tail and stores, for this time. */
+static void report_serving_for_ms(sched_rig_t *rig, uint32_t tail_ms,
+				  unsigned ms)
+{
+	for (unsigned passed = 0; passed < ms; passed += 300) {
+		rig_advance_ms(rig, 300);
+		rig_report_tail(rig, "a", "1", RIG_TASK, 1, tail_ms);
+		rig_store(rig);
+	}
+}
+
+static void open_following(sched_rig_t *rig)
+{
+	rig_open_with_headroom(rig, 0, 0);
+	rig_report(rig, "a", "1");
+	rig_submit(rig, RIG_JOB, "batch", &serving_step, 1);
+	rig_store(rig);
+	report_serving_for_ms(rig, 20, 300);
+	g_assert_cmpuint(gn_sched_get_headroom_pct(rig->sched), ==, 110);
+}
+
+/* Placement must keep the headroom of now: a goal of 1.1 leaves 0.9 of the
+ * headroom of 2, one of 1.5 leaves 0.5, and the task takes 0.625. */
+static void test_placement_uses_another_headroom_goal(void)
+{
+	sched_rig_t rig;
+
+	open_following(&rig);
+	rig_submit(&rig, OTHER, "batch", &best_effort_step, 1);
+	rig_store(&rig);
+	g_assert_nonnull(
+		rig_find_order(&rig, GN_RUN_ORDER_START, BEST_EFFORT_TASK));
+	rig_close(&rig);
+	open_following(&rig);
+	report_serving_for_ms(&rig, 20, 60000);
+	g_assert_cmpuint(gn_sched_get_headroom_pct(rig.sched), ==, 150);
+	g_assert_cmpstr(rig.last_event, ==, "headroom");
+	rig_submit(&rig, OTHER, "batch", &best_effort_step, 1);
+	rig_store(&rig);
+	g_assert_null(
+		rig_find_order(&rig, GN_RUN_ORDER_START, BEST_EFFORT_TASK));
+	rig_close(&rig);
+}
+
+static void test_throttling_uses_another_headroom_goal(void)
+{
+	const rig_step_t long_step = { .count = 1,
+				       .cpu_milli = 1000,
+				       .estimate_ms = 600000,
+				       .flags = RIG_BEST_EFFORT,
+				       .image = "f" };
+	sched_rig_t rig;
+
+	open_following(&rig);
+	rig_submit(&rig, OTHER, "batch", &long_step, 1);
+	rig_store(&rig);
+	report_both_for_ms(&rig, 20, 3000);
+	g_assert_cmpint(get_last_pace(&rig), ==, -1);
+	report_both_for_ms(&rig, 20, 60000);
+	g_assert_cmpuint(gn_sched_get_headroom_pct(rig.sched), ==, 150);
+	g_assert_cmpint(get_last_pace(&rig), >, 0);
+	g_assert_cmpint(get_last_pace(&rig), <, 100);
+	rig_close(&rig);
+}
+
+/* The next leader knows neither the rate nor the demand. */
+static void test_new_leader_keeps_the_goal_of_another_load(void)
+{
+	sched_rig_t rig;
+
+	open_following(&rig);
+	report_serving_for_ms(&rig, 20, 60000);
+	g_assert_cmpuint(gn_sched_get_headroom_pct(rig.sched), ==, 150);
+	rig_change_leader(&rig);
+	rig_configure(&rig);
+	g_assert_cmpuint(gn_sched_get_headroom_pct(rig.sched), ==, 110);
+	report_serving_for_ms(&rig, 20, 3000);
+	g_assert_cmpuint(gn_sched_get_headroom_pct(rig.sched), ==, 110);
+	rig_close(&rig);
+}
+
 /* ======   Weights   ====== */
 
 /* Interference weights are stored with other writes for the next leader. */
@@ -428,6 +511,12 @@
 	g_test_add_func(
 		"/sched_fill/late_job_starves_beside_a_slow_serving_task",
 		test_late_job_starves_beside_a_slow_serving_task);
+	g_test_add_func("/sched_fill/placement_uses_another_headroom_goal",
+			test_placement_uses_another_headroom_goal);
+	g_test_add_func("/sched_fill/throttling_uses_another_headroom_goal",
+			test_throttling_uses_another_headroom_goal);
+	g_test_add_func("/sched_fill/new_leader_keeps_the_goal_of_another_load",
+			test_new_leader_keeps_the_goal_of_another_load);
 	g_test_add_func("/sched_fill/weights_are_stored",
 			test_weights_are_stored);
 	return g_test_run();
