tests: late tasks that run, and serving tasks without readings

Changes planted into a scratch copy showed three rules that no test covered: late tasks come after others of the same worker, a tail latency of 0 is unknown, and a jump of a tail is not counted before the next list confirms it. Each now has a test that fails without its rule. The test of wrong readings had too few of them to matter; it now has one of all tasks every 2 s.

--- a/tests/unit/test_sched_fill.c
+++ b/tests/unit/test_sched_fill.c
@@ -344,6 +344,25 @@
 	rig_close(&rig);
 }
 
+/* Of the headroom of 2, 0.9 may be used; both tasks together would take 1.25. A
+ * running late task must make way at once, also though it came first. */
+static void test_running_late_task_keeps_others_out(void)
+{
+	sched_rig_t rig;
+
+	open_beside_serving(&rig, LATE_HEADROOM, 20);
+	rig_submit(&rig, OTHER, "batch", &best_effort_step, 1);
+	rig_store(&rig);
+	report_both_for_ms(&rig, 20, LATE_AFTER_MS);
+	g_assert_cmpint(get_last_pace(&rig), >, 0);
+	rig_submit(&rig, IN_TIME_JOB, "batch", &best_effort_step, 1);
+	rig_store(&rig);
+	g_assert_nonnull(
+		rig_find_order(&rig, GN_RUN_ORDER_START, IN_TIME_JOB ".0.0.0"));
+	g_assert_cmpint(get_last_pace(&rig), ==, 0);
+	rig_close(&rig);
+}
+
 /* Beside a serving task that exceeds its target regardless of interference,
  * there is never headroom for a late job, but it must end. */
 static void test_late_job_starves_beside_a_slow_serving_task(void)
@@ -508,6 +527,8 @@
 			test_late_tasks_are_throttled_for_ever);
 	g_test_add_func("/sched_fill/waiting_late_tasks_come_after_others",
 			test_waiting_late_tasks_come_after_others);
+	g_test_add_func("/sched_fill/running_late_task_keeps_others_out",
+			test_running_late_task_keeps_others_out);
 	g_test_add_func(
 		"/sched_fill/late_job_starves_beside_a_slow_serving_task",
 		test_late_job_starves_beside_a_slow_serving_task);
--- a/tests/unit/test_sharing.c
+++ b/tests/unit/test_sharing.c
@@ -337,17 +337,30 @@
 	g_assert_cmpfloat(rig.sharing.view.unknown, >, 0.3);
 }
 
-/* Runs with an endangered job and returns the goal; every 10 s, one reading of
- * a third of the tasks is this. */
+/* A tail latency of 0 is none; such tasks may be over their targets. */
+static void test_tasks_without_tail_count_as_within_target(void)
+{
+	rig_t rig;
+
+	open_settled_rig(&rig);
+	for (size_t i = 0; i < TASKS / 3; i++)
+		rig.serving[i].tail_ms = 0;
+	set_endangered_job(&rig);
+	update_for_ms(&rig, 20000);
+	g_assert_cmpuint(rig.falls, ==, 0);
+}
+
+/* Runs with an endangered job and returns the goal; every 2 s, one reading of
+ * all tasks is this. */
 static double run_with_wrong_readings(double tail_ms)
 {
 	rig_t rig;
 
 	open_settled_rig(&rig);
 	for (unsigned ms = 0; ms < 40000; ms += TICK_MS) {
-		bool wrong = tail_ms >= 0 && ms % 10000 == 1000;
+		bool wrong = tail_ms >= 0 && ms % 2000 == 1000;
 
-		for (size_t i = 0; i < TASKS / 3; i++) {
+		for (size_t i = 0; i < TASKS; i++) {
 			gn_sharing_serving_t *task = &rig.serving[i];
 
 			task->previous_tail_ms = task->tail_ms;
@@ -431,6 +444,8 @@
 			test_slow_serving_tasks_alone_keep_the_goal_up);
 	g_test_add_func("/sharing/unknown_serving_tasks_count_as_within_target",
 			test_unknown_serving_tasks_count_as_within_target);
+	g_test_add_func("/sharing/tasks_without_tail_count_as_within_target",
+			test_tasks_without_tail_count_as_within_target);
 	g_test_add_func("/sharing/wrong_reading_changes_the_goal",
 			test_wrong_reading_changes_the_goal);
 	g_test_add_func("/sharing/lasting_jump_is_ignored",
