--- a/lib/sched/sched_pass.h
+++ b/lib/sched/sched_pass.h
@@ -10,7 +10,8 @@
 /** Workers that may be given tasks in the current pass. */
 typedef struct sched_candidates_s {
 	sched_worker_t **workers;
-	/** Mix of each worker; uninitialized for workers without CPU. */
+	/** Mix of each worker; only late_milli is set for workers without
+	 * CPU. */
 	sched_mix_t *mixes;
 	gn_place_worker_t *views; /**< Input of gn_place() for the step. */
 	size_t count;
@@ -25,6 +26,9 @@
 void sched_update_feasibility(gn_sched_t *sched, const sched_candidates_t *all,
 			      const GPtrArray *ranked);
 
+/** Updates the headroom that serving tasks keep, after a pass. */
+void sched_update_headroom(gn_sched_t *sched, const sched_candidates_t *all);
+
 /** Claims @p task for candidate @p at and updates its mix and view. */
 void sched_claim_on_candidate(sched_candidates_t *all, size_t at,
 			      sched_task_t *task, const gn_place_task_t *wanted,
--- a/lib/scheduler/leading.c
+++ b/lib/scheduler/leading.c
@@ -358,6 +358,8 @@
 		.harm_ms = jobs->harm_ms,
 		.pace_ms = jobs->pace_ms,
 		.notice_ms = jobs->notice_ms,
+		.headroom_goal = jobs->headroom_pct / 100.0,
+		.late_headroom_goal = jobs->late_headroom_pct / 100.0,
 	};
 
 	return config;
@@ -391,6 +393,7 @@
 	scheduler->ledger = NULL;
 	scheduler_fail_waiting_calls(scheduler);
 	TALLOC_FREE(scheduler->sched);
+	gn_counter_set(scheduler->counters.headroom_pct, 0);
 	g_hash_table_remove_all(scheduler->executors);
 }
 
@@ -412,6 +415,8 @@
 	if (!scheduler->ledger)
 		return;
 	gn_sched_run_pass(scheduler->sched);
+	gn_counter_set(scheduler->counters.headroom_pct,
+		       gn_sched_get_headroom_pct(scheduler->sched));
 	gn_ledger_send_next(scheduler->ledger);
 	if (scheduler->ledger)
 		scheduler_executors_flush(scheduler);
--- a/lib/scheduler/scheduler.c
+++ b/lib/scheduler/scheduler.c
@@ -68,6 +68,7 @@
 	counters->held_refused = gn_counters_get(all, "scheduler.held_refused");
 	counters->holding = gn_counters_get(all, "scheduler.holding");
 	counters->outage_ms = gn_counters_get(all, "scheduler.outage_ms");
+	counters->headroom_pct = gn_counters_get(all, "scheduler.headroom_pct");
 	counters->call_time =
 		gn_histogram_create(scheduler, all, "scheduler.call_time");
 	counters->store_time =
@@ -76,7 +77,7 @@
 	       counters->forwarded && counters->batches && counters->writes &&
 	       counters->orders && counters->elections && counters->outages &&
 	       counters->held && counters->held_refused && counters->holding &&
-	       counters->outage_ms;
+	       counters->outage_ms && counters->headroom_pct;
 }
 
 static gn_code_t start_server(scheduler_t *scheduler, const char *address,
--- a/lib/scheduler/scheduler_internal.h
+++ b/lib/scheduler/scheduler_internal.h
@@ -87,6 +87,7 @@
 	gn_counter_t *held_refused;
 	gn_counter_t *holding; /**< Gauge: requests held now. */
 	gn_counter_t *outage_ms; /**< Gauge: age of the present outage. */
+	gn_counter_t *headroom_pct; /**< Gauge; 0 unless leading. */
 	gn_histogram_t *call_time; /**< Time from request to answer. */
 	gn_histogram_t *store_time; /**< Time to store a write batch. */
 } scheduler_counters_t;
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -42,6 +42,8 @@
 	uint64_t stored; /**< Number of stored batches. */
 	GHashTable *records; /**< Job ID to its stored Gn__JobRecord, owned. */
 	const Gn__Leave *leave; /**< Record that new leaders load, or NULL. */
+	double headroom_goal; /**< In the settings of the scheduler. */
+	double late_headroom_goal; /**< In the settings of the scheduler. */
 	uint32_t cpu_milli; /**< Capacity in the reports from now on. */
 	/** Reports from now on are of executors that know no earlier life. */
 	bool first_life;
@@ -79,7 +81,10 @@
 #define RIG_INDEPENDENT 8U /**< Does not depend on the previous step. */
 #define RIG_GANG 16U
 
+/** Opens the fixture with the default settings. */
 void rig_open(sched_rig_t *rig);
+/** Opens the fixture with these headroom goals in the settings. */
+void rig_open_with_headroom(sched_rig_t *rig, double goal, double late_goal);
 void rig_close(sched_rig_t *rig);
 
 /**
