tests: count the returns in the outage model once

A macro evaluated the increment twice, so that the highest number of returns in 100 ms was too high; found by the linter.

--- a/tests/support/outage_model.c
+++ b/tests/support/outage_model.c
@@ -378,8 +378,8 @@
 		if (!caller->due_us || caller->due_us > m->now_us)
 			continue;
 		if (caller->tries)
-			m->result.returns_max =
-				MAX(m->result.returns_max, ++m->returns);
+			m->returns++;
+		m->result.returns_max = MAX(m->result.returns_max, m->returns);
 		try_again(m, caller);
 	}
 }
