crash: evidence in, verdict out, as a module of its own

Cause: one crash in isolation was proof if all crashes of the task had followed its starts within 150 ms and hardly any other worker had crashed. In a run of the soak a worker was ended 20 ms after an innocent task's start, and the next one 0 ms after its start in isolation; the job was given up. The scripted test of this course failed on the code before.

Change: lib/crash weighs each crash in isolation in decibans, ten times the logarithm of its likelihood if the task is the cause to that if it is not: crashes elsewhere in 60 s (twice those with no task that had just begun), crashes of this host without the task, tasks lost beside it, the time from the confirmed start to the report, earlier runs that lasted longer, and the other tasks of the step. No weight exceeds 25, and a proof needs 35, or 51 and more if other workers have crashed, so one crash never suffices. With four and five crashes less is needed, since a task must not be started three times more after three crashes. lib/sched fills in the evidence, logs it, and carries the verdict out. It takes all evidence of a crash before it counts any of it. Beside a task with three crashes only runs of a second are left. A new leader, which has seen no crash, takes lives that began within 60 s for crashes. Weight and crashes elsewhere are stored with the job in two new fields of TaskState; older builds ignore them.

--- a/lib/job/job.pb-c.c
+++ b/lib/job/job.pb-c.c
@@ -742,7 +742,7 @@
   (ProtobufCMessageInit) gn__job_spec__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gn__task_state__field_descriptors[17] =
+static const ProtobufCFieldDescriptor gn__task_state__field_descriptors[19] =
 {
   {
     "number",
@@ -948,6 +948,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crash_weight",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gn__TaskState, crash_weight),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "crashes_elsewhere",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gn__TaskState, crashes_elsewhere),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gn__task_state__field_indices_by_name[] = {
   2,   /* field[2] = attempt */
@@ -955,8 +979,10 @@
   7,   /* field[7] = born_ms */
   6,   /* field[6] = checkpoint */
   12,   /* field[12] = crash_age_ms */
+  17,   /* field[17] = crash_weight */
   9,   /* field[9] = crashed */
   8,   /* field[8] = crashes */
+  18,   /* field[18] = crashes_elsewhere */
   3,   /* field[3] = failed */
   4,   /* field[4] = host */
   14,   /* field[14] = isolated */
@@ -971,7 +997,7 @@
 static const ProtobufCIntRange gn__task_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor gn__task_state__descriptor =
 {
@@ -981,7 +1007,7 @@
   "Gn__TaskState",
   "gn",
   sizeof(Gn__TaskState),
-  17,
+  19,
   gn__task_state__field_descriptors,
   gn__task_state__field_indices_by_name,
   1,  gn__task_state__number_ranges,
--- a/lib/job/job.pb-c.h
+++ b/lib/job/job.pb-c.h
@@ -216,10 +216,18 @@
    * Crashes known to have followed the start closely.
    */
   uint32_t soon_crashes;
+  /*
+   * Sum of their weights as evidence, decibans.
+   */
+  uint32_t crash_weight;
+  /*
+   * Most crashes elsewhere at any of them.
+   */
+  uint32_t crashes_elsewhere;
 };
 #define GN__TASK_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gn__task_state__descriptor) \
-    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/lib/sched/sched_crash.c
+++ b/lib/sched/sched_crash.c
@@ -1,34 +1,17 @@
 /**
  * @file sched_crash.c
- * @brief Crashes of workers, and the tasks that may have caused them.
- *
- * Many tasks run on a worker when it crashes. One that runs beside the cause
- * again and again has as many crashes as the cause itself, so a count alone
- * proves nothing. Tasks that may be the cause are started again in isolation
- * (sched_isolate.c), and given up if their worker crashes then, too.
+ * @brief Crashes of workers, and the tasks that may have caused them: fills in
+ *        the evidence for crash/crash.h and carries out its verdict.
  */
 #include <string.h>
 
 #include "sched/sched_internal.h"
 
-/** Crashes after which a task is given up, if the starts since
- * SCHED_SUSPECT_CRASHES were in isolation. */
-#define CRASHES_MAX 5
-/** Confirmed starts in isolation on different hosts that end in a crash, after
- * which a task is given up. A single one may be that of a machine, but is
- * enough if all crashes have followed the starts closely while machines
- * hardly crash. */
-#define PROVEN_MAX 2
-/** The same for starts in a row on any hosts, confirmed or not, if so many were
- * confirmed in all. */
-#define ISOLATED_MAX 3
-#define BEGUN_MIN 2
-/** A crash that is reported this soon has followed the start closely. */
-#define SOON_US (150 * GN_US_PER_MS)
-/** A run that was listed for this long has not crashed its worker. */
-#define HARMLESS_MS 10000
 /** Names of workers that are kept for operators and callers. */
 #define WORKERS_MAX 8
+/** A crash of this weight counts as caused by the task, for the evidence about
+ * others. */
+#define EXPLAINING_WEIGHT 18
 
 bool sched_crash_ended_life(const sched_worker_t *worker, gn_life_t life)
 {
@@ -62,6 +45,11 @@
 						g_str_equal, NULL);
 }
 
+bool sched_crash_has_worker(const sched_task_t *task, const char *worker)
+{
+	return has_worker(&task->crashes, worker);
+}
+
 bool sched_crash_has_host(const sched_task_t *task, const char *host)
 {
 	const GPtrArray *workers = task->crashes.workers;
@@ -99,116 +87,220 @@
 		for (uint32_t k = 0; k < job->task_count; k++) {
 			sched_crashes_t *crashes = &job->tasks[k].crashes;
 
-			if (!crashes->suspect || crashes->isolated ||
+			if (!crashes->record.suspect ||
+			    crashes->record.isolated ||
 			    !have_common_worker(crashes, &cause->crashes))
 				continue;
-			crashes->suspect = false;
+			crashes->record.suspect = false;
 			sched_job_mark_dirty(job);
 		}
 	}
 }
 
-/* Whether all crashes followed the task's starts closely while machines hardly
- * crash. */
-static bool is_one_proof_enough(const sched_task_t *task)
+static void add_siblings(const sched_task_t *task,
+			 gn_crash_evidence_t *evidence)
 {
-	return task->crashes.soon == task->crashes.count &&
-	       !sched_crash_are_machines_failing(task->job->sched);
+	const sched_job_t *job = task->job;
+	const sched_unit_t *unit = &job->units[task->unit];
+
+	for (uint32_t i = 0; i < unit->step->count; i++) {
+		const sched_task_t *other = &job->tasks[unit->first + i];
+
+		if (other == task)
+			continue;
+		evidence->siblings_crashed +=
+			other->crashes.record.proven &&
+			!have_common_worker(&other->crashes, &task->crashes);
+		evidence->siblings_done += other->state == GN_JOB_TASK_DONE;
+	}
+}
+
+static void emit_evidence(const sched_task_t *task,
+			  const gn_crash_evidence_t *evidence, uint32_t weight)
+{
+	char text[256];
+
+	gn_crash_describe_evidence(evidence, weight, text, sizeof(text));
+	sched_emit_task_event(task->job->sched, "crash evidence", task, text,
+			      task->crashes.record.weight);
 }
 
 void sched_crash_count(sched_task_t *task, const sched_crashed_run_t *run)
 {
 	sched_crashes_t *crashes = &task->crashes;
 	g_autofree char *worker = sched_crash_name_worker(run->host, run->life);
-	bool is_new_host;
+	gn_crash_evidence_t evidence = run->evidence;
+	uint32_t weight;
 
-	if (run->listed_ms >= HARMLESS_MS || sched_job_is_finished(task->job) ||
+	if (evidence.listed_ms >= GN_CRASH_HARMLESS_MS ||
+	    sched_job_is_finished(task->job) ||
 	    task->state == GN_JOB_TASK_DONE || has_worker(crashes, worker))
 		return;
-	task->job->suspects += !crashes->count;
-	is_new_host = !sched_crash_has_host(task, run->host);
-	crashes->count++;
+	task->job->suspects += !crashes->record.count;
+	evidence.new_host = !sched_crash_has_host(task, run->host);
 	add_worker(crashes, worker);
-	crashes->age_ms = (uint32_t)MAX(run->listed_ms, crashes->age_ms);
-	crashes->begun += run->listed_ms >= 0;
-	crashes->soon += run->soon;
-	crashes->isolated = run->isolated ? crashes->isolated + 1 : 0;
-	/* Without a sign that the run began, the worker may have crashed
-	 * before. A host that crashes again may be faulty itself. */
-	if (run->isolated && run->listed_ms >= 0 && is_new_host) {
+	sched_crash_add_fleet_evidence(task, run->host, &evidence);
+	add_siblings(task, &evidence);
+	weight = gn_crash_add(&crashes->record, &evidence);
+	if (weight >= EXPLAINING_WEIGHT || sched_crash_is_at_limit(task)) {
 		sched_crash_explain_events(task);
-		crashes->proven += is_one_proof_enough(task) ? PROVEN_MAX : 1;
 		clear_others(task);
 	}
-	if (run->listed_ms < SCHED_PROVEN_MS)
-		crashes->suspect = true;
+	emit_evidence(task, &evidence, weight);
 	sched_job_mark_dirty(task->job);
 }
 
-bool sched_crash_count_claim(sched_task_t *task, bool is_reported)
+/* Time from the confirmed start to a report of the crash that comes now. */
+static int64_t get_delay_ms(const sched_task_t *task)
 {
 	uint64_t now_us = sched_now_us(task->job->sched);
-	const sched_crashed_run_t run = {
+
+	return (int64_t)((now_us - (task->listed ? task->first_listed_us
+						 : task->claimed_us)) /
+			 GN_US_PER_MS);
+}
+
+/* Whether the run had not lasted long enough to be harmless. */
+static bool is_rival(const sched_task_t *task)
+{
+	const gn_crash_record_t *record = &task->crashes.record;
+
+	return record->count &&
+	       sched_crash_listed_ms(task) < gn_crash_watch_ms(record);
+}
+
+/* Whether the task may have run on the worker's life. No call can have reached
+ * the worker without a start order. */
+static bool may_have_run(const sched_task_t *task, gn_life_t life)
+{
+	return task->start_sent && gn_life_matches(task->life, life);
+}
+
+/* A claim that was moved to this life to be stopped has not run there. */
+static bool is_only_stopped(const sched_task_t *task)
+{
+	return task->stopping && !task->listed;
+}
+
+static bool is_attended(const sched_worker_t *worker, gn_life_t life)
+{
+	for (guint i = 0; i < worker->claims->len; i++) {
+		const sched_task_t *task = g_ptr_array_index(worker->claims, i);
+
+		if (may_have_run(task, life) &&
+		    sched_crash_listed_ms(task) < GN_CRASH_YOUNG_MS)
+			return true;
+	}
+	return false;
+}
+
+void sched_crash_note(const sched_worker_t *worker, const gn_sched_t *sched)
+{
+	sched_crash_add_event(sched, worker->host, worker->life,
+			      is_attended(worker, worker->life));
+}
+
+/* Adds the other tasks that are lost with the worker. */
+static void add_others(const sched_task_t *task, gn_crash_evidence_t *evidence)
+{
+	const GPtrArray *claims = task->worker->claims;
+
+	for (guint i = 0; i < claims->len; i++) {
+		const sched_task_t *other = g_ptr_array_index(claims, i);
+
+		/* Whichever of its tasks is the cause, the job is given up. */
+		if (other->job == task->job || !may_have_run(other, task->life))
+			continue;
+		if (is_rival(other))
+			evidence->rivals++;
+		else if (sched_crash_listed_ms(other) < GN_CRASH_BEGUN_MS)
+			evidence->begun++;
+		else if (sched_crash_listed_ms(other) < GN_CRASH_YOUNG_MS)
+			evidence->young++;
+	}
+}
+
+static sched_crashed_run_t describe_run(const sched_task_t *task,
+					bool is_reported)
+{
+	sched_crashed_run_t run = {
 		.host = task->worker->host,
 		.life = task->life,
-		.listed_ms = sched_crash_listed_ms(task),
-		.isolated = task->isolated,
-		.soon = is_reported && task->listed &&
-			now_us - task->first_listed_us < SOON_US,
+		.evidence = {
+			.isolated = task->isolated,
+			.listed_ms = sched_crash_listed_ms(task),
+			.delay_ms = is_reported ? get_delay_ms(task) : -1,
+		},
 	};
 
-	/* No call can have reached the worker without a start order. */
-	if (!task->start_sent)
-		return false;
-	sched_emit_task_event(task->job->sched, "crash", task,
-			      task->isolated ? "in isolation"
-			      : task->listed ? "listed"
-					     : "not listed",
-			      run.listed_ms);
-	sched_crash_count(task, &run);
-	return true;
+	add_others(task, &run.evidence);
+	return run;
+}
+
+/* Counting changes what the tasks are to each other, so all the evidence is
+ * taken first. */
+int64_t sched_crash_count_claims(sched_worker_t *worker, gn_life_t life,
+				 bool is_reported)
+{
+	g_autoptr(GPtrArray) claims =
+		g_ptr_array_copy(worker->claims, NULL, NULL);
+	g_autofree sched_crashed_run_t *runs =
+		g_new(sched_crashed_run_t, claims->len + 1);
+	int64_t counted = 0;
+
+	for (guint i = 0; i < claims->len; i++)
+		runs[i] =
+			describe_run(g_ptr_array_index(claims, i), is_reported);
+	for (guint i = 0; i < claims->len; i++) {
+		sched_task_t *task = g_ptr_array_index(claims, i);
+
+		if (!may_have_run(task, life) ||
+		    (!is_reported && is_only_stopped(task)))
+			continue;
+		sched_emit_task_event(task->job->sched, "crash", task,
+				      task->isolated ? "in isolation"
+				      : task->listed ? "listed"
+						     : "not listed",
+				      runs[i].evidence.listed_ms);
+		sched_crash_count(task, &runs[i]);
+		counted++;
+	}
+	return counted;
 }
 
 void sched_crash_clear(sched_task_t *task)
 {
-	task->job->suspects -= task->crashes.count > 0;
+	task->job->suspects -= task->crashes.record.count > 0;
 	sched_crash_free(task);
 	task->crashes = (sched_crashes_t){ 0 };
 }
 
 void sched_crash_clear_proofs(sched_task_t *task)
 {
-	task->crashes.isolated = 0;
-	task->crashes.proven = 0;
+	gn_crash_withdraw_proofs(&task->crashes.record);
 }
 
 void sched_crash_clear_long_run(sched_task_t *task)
 {
-	if (!task->crashes.count || sched_crash_listed_ms(task) < HARMLESS_MS)
+	if (!task->crashes.record.count ||
+	    sched_crash_listed_ms(task) < GN_CRASH_HARMLESS_MS)
 		return;
 	sched_emit_task_event(task->job->sched, "cleared", task,
-			      "the run has lasted", task->crashes.count);
+			      "the run has lasted", task->crashes.record.count);
 	sched_crash_clear(task);
 	sched_job_mark_dirty(task->job);
 }
 
 /* ======   Consequences   ====== */
 
-bool sched_crash_is_suspect(const sched_task_t *task)
+gn_crash_verdict_t sched_crash_judge(const sched_task_t *task)
 {
-	return task->crashes.suspect ||
-	       task->crashes.count >= SCHED_SUSPECT_CRASHES;
+	return gn_crash_judge(&task->crashes.record);
 }
 
 bool sched_crash_is_at_limit(const sched_task_t *task)
 {
-	const sched_crashes_t *crashes = &task->crashes;
-
-	return crashes->proven >= PROVEN_MAX ||
-	       (crashes->isolated >= ISOLATED_MAX &&
-		crashes->begun >= BEGUN_MIN) ||
-	       (crashes->count >= CRASHES_MAX &&
-		crashes->isolated >= CRASHES_MAX - SCHED_SUSPECT_CRASHES);
+	return sched_crash_judge(task) == GN_CRASH_PROVEN;
 }
 
 char *sched_crash_describe(const sched_task_t *task)
@@ -219,7 +311,7 @@
 
 	gn_task_format_name(task->job->spec, task->number, name);
 	g_string_printf(text, "task %s has crashed %u workers", name,
-			task->crashes.count);
+			task->crashes.record.count);
 	for (guint i = 0; workers && i < workers->len; i++) {
 		const char *worker = g_ptr_array_index(workers, i);
 		const char *end = strrchr(worker, ' ');
@@ -235,33 +327,38 @@
 
 void sched_crash_load(sched_task_t *task, const Gn__TaskState *row)
 {
-	sched_crashes_t *crashes = &task->crashes;
+	gn_crash_record_t *record = &task->crashes.record;
 
 	if (row->status == GN_JOB_TASK_DONE)
 		return;
-	crashes->count = row->crashes;
-	crashes->isolated = row->isolated_crashes;
-	crashes->proven = row->proven_crashes;
-	crashes->age_ms = row->crash_age_ms;
-	crashes->soon = row->soon_crashes;
-	crashes->begun = row->begun_crashes;
-	crashes->suspect = row->suspect;
+	record->count = row->crashes;
+	record->isolated = row->isolated_crashes;
+	record->proven = row->proven_crashes;
+	record->age_ms = row->crash_age_ms;
+	record->soon = row->soon_crashes;
+	record->begun = row->begun_crashes;
+	record->weight = row->crash_weight;
+	record->elsewhere = row->crashes_elsewhere;
+	record->suspect = row->suspect;
 	for (size_t i = 0; i < row->n_crashed; i++)
-		add_worker(crashes, row->crashed[i]);
-	task->job->suspects += crashes->count > 0;
+		add_worker(&task->crashes, row->crashed[i]);
+	task->job->suspects += record->count > 0;
 }
 
 void sched_crash_store(const sched_task_t *task, Gn__TaskState *row)
 {
 	const sched_crashes_t *crashes = &task->crashes;
-
-	row->crashes = crashes->count;
-	row->isolated_crashes = crashes->isolated;
-	row->proven_crashes = crashes->proven;
-	row->crash_age_ms = crashes->age_ms;
-	row->soon_crashes = crashes->soon;
-	row->begun_crashes = crashes->begun;
-	row->suspect = crashes->suspect;
+	const gn_crash_record_t *record = &crashes->record;
+
+	row->crashes = record->count;
+	row->isolated_crashes = record->isolated;
+	row->proven_crashes = record->proven;
+	row->crash_age_ms = record->age_ms;
+	row->soon_crashes = record->soon;
+	row->begun_crashes = record->begun;
+	row->crash_weight = record->weight;
+	row->crashes_elsewhere = record->elsewhere;
+	row->suspect = record->suspect;
 	row->isolated = task->isolated;
 	if (!crashes->workers)
 		return;
--- a/lib/sched/sched_crash.h
+++ b/lib/sched/sched_crash.h
@@ -8,44 +8,30 @@
 
 #include <glib.h>
 
+#include "crash/crash.h"
 #include "job/job.h"
 #include "job/life.h"
 #include "sched/sched.h"
 
-/** Crashes from which on a task is started in isolation only. */
-#define SCHED_SUSPECT_CRASHES 3
-/** A run that lists have shown for this long did not crash its worker by its
- * start. */
-#define SCHED_PROVEN_MS 150
-
 typedef struct sched_job_s sched_job_t;
 typedef struct sched_task_s sched_task_t;
 typedef struct sched_worker_s sched_worker_t;
 
 /** Crashes of workers under a task. */
 typedef struct sched_crashes_s {
-	uint32_t count;
+	gn_crash_record_t record;
 	/** "HOST LIFE START" of the first of the workers, owned; NULL if
 	 * none. */
 	GPtrArray *workers;
-	/** Last crashes in a row after a start in isolation. */
-	uint32_t isolated;
-	/** Those of them whose start was confirmed, each on another host. */
-	uint32_t proven;
-	/** Longest time for which lists had shown a run that crashed, ms. */
-	uint32_t age_ms;
-	uint32_t begun; /**< Crashes after a start that was confirmed. */
-	uint32_t soon; /**< Crashes known to have followed the start closely. */
-	bool suspect; /**< The task may be the cause. */
 } sched_crashes_t;
 
 /** Run of a task on a worker that has crashed. */
 typedef struct sched_crashed_run_s {
 	const char *host;
 	gn_life_t life;
-	int64_t listed_ms; /**< As sched_crash_listed_ms() returns it. */
-	bool isolated; /**< It was started in isolation. */
-	bool soon; /**< The crash is known to have followed the start closely. */
+	/** What is known of the run and of the tasks beside it; the rest is
+	 * filled in by sched_crash_count(). */
+	gn_crash_evidence_t evidence;
 } sched_crashed_run_t;
 
 /* ======   sched_crash.c   ====== */
@@ -57,24 +43,29 @@
 bool sched_crash_ended_life(const sched_worker_t *worker, gn_life_t life);
 /** Time for which lists have shown the task's run, ms; below 0 if none has. */
 int64_t sched_crash_listed_ms(const sched_task_t *task);
+/** Remembers that the present life of the worker has crashed. */
+void sched_crash_note(const sched_worker_t *worker, const gn_sched_t *sched);
 /** Counts a crash of a worker on which the task may have run. */
 void sched_crash_count(sched_task_t *task, const sched_crashed_run_t *run);
 /**
- * Counts a crash of the worker that the task is claimed for.
+ * Counts a crash of a life of the worker for the tasks that are claimed for it.
  * @param is_reported the executor has just reported it
- * @return whether the task may have run there
+ * @return number of the tasks that may have run there
  */
-bool sched_crash_count_claim(sched_task_t *task, bool is_reported);
+int64_t sched_crash_count_claims(sched_worker_t *worker, gn_life_t life,
+				 bool is_reported);
 /** Forgets the crashes of a task. */
 void sched_crash_clear(sched_task_t *task);
 /** Forgets that the task crashed workers in isolation, since a run has not. */
 void sched_crash_clear_proofs(sched_task_t *task);
 /** Withdraws the suspicion from a task whose run has lasted long enough. */
 void sched_crash_clear_long_run(sched_task_t *task);
+/** Whether this worker, "HOST LIFE START", has crashed under the task. */
+bool sched_crash_has_worker(const sched_task_t *task, const char *worker);
 /** Whether a worker of the host has crashed under the task. */
 bool sched_crash_has_host(const sched_task_t *task, const char *host);
-/** Whether the next start of the task has to be in isolation. */
-bool sched_crash_is_suspect(const sched_task_t *task);
+/** Verdict on the task by the crashes under it. */
+gn_crash_verdict_t sched_crash_judge(const sched_task_t *task);
 /** Whether the task has to be given up for the crashes it has caused. */
 bool sched_crash_is_at_limit(const sched_task_t *task);
 /** Returns a text on the crashes under the task; free with g_free(). */
@@ -99,12 +90,22 @@
 GArray *sched_crash_create_events(void);
 /** Returns "HOST LIFE START"; free with g_free(). */
 char *sched_crash_name_worker(const char *host, gn_life_t life);
-/** Remembers the crash of a worker's life for a while. */
+/**
+ * Remembers the crash of a worker's life for a while.
+ * @param attended a task that had just begun may have caused it
+ */
 void sched_crash_add_event(const gn_sched_t *sched, const char *host,
-			   gn_life_t life);
+			   gn_life_t life, bool attended);
+/**
+ * Remembers that a worker may have crashed before this leader's time, since its
+ * life has begun lately.
+ */
+void sched_crash_infer_event(const gn_sched_t *sched, const char *host,
+			     gn_life_t life);
 /** Marks the crashes under a task as caused by it. */
 void sched_crash_explain_events(const sched_task_t *cause);
-/** Whether workers have crashed lately for no known reason. */
-bool sched_crash_are_machines_failing(const gn_sched_t *sched);
+/** Fills in the crashes that were not under the task. */
+void sched_crash_add_fleet_evidence(const sched_task_t *task, const char *host,
+				    gn_crash_evidence_t *evidence);
 
 #endif
--- a/lib/sched/sched_isolate.c
+++ b/lib/sched/sched_isolate.c
@@ -10,12 +10,8 @@
  */
 #include "sched/sched_pass.h"
 
-/** Isolation of a task with many crashes: that long beyond twice the age at which
- * it was last listed, since a list and its report may be as far apart. */
-#define PROVEN_LATE_MS 800
-#define PROVEN_MAX_MS 4000
-/** After waiting for this long, a suspect is started like other tasks, unless it
- * has had SCHED_SUSPECT_CRASHES. */
+/** After waiting for this long, a suspect is started like other tasks, unless the
+ * verdict is to start it in isolation only. */
 #define WAIT_MAX_US (4000 * GN_US_PER_MS)
 /** After waiting for this long, it is started on a host that has crashed under
  * it, too. */
@@ -79,39 +75,41 @@
 
 bool sched_isolate_is_awaited(const sched_task_t *task)
 {
-	return sched_crash_is_suspect(task) &&
-	       (get_waited_us(task) < WAIT_MAX_US ||
-		task->crashes.count >= SCHED_SUSPECT_CRASHES);
-}
-
-static int64_t get_proven_ms(const sched_task_t *task)
-{
-	int64_t late_ms = 2 * (int64_t)task->crashes.age_ms + PROVEN_LATE_MS;
+	gn_crash_verdict_t verdict = sched_crash_judge(task);
 
-	return task->crashes.count < SCHED_SUSPECT_CRASHES
-		       ? SCHED_PROVEN_MS
-		       : MIN(late_ms, PROVEN_MAX_MS);
+	return verdict >= GN_CRASH_ISOLATE ||
+	       (verdict == GN_CRASH_SUSPECT &&
+		get_waited_us(task) < WAIT_MAX_US);
 }
 
 void sched_isolate_end_if_proven(sched_task_t *task)
 {
-	if (!task->isolated ||
-	    sched_crash_listed_ms(task) < get_proven_ms(task))
+	if (!task->isolated || sched_crash_listed_ms(task) <
+				       gn_crash_watch_ms(&task->crashes.record))
 		return;
 	task->isolated = false;
 	sched_crash_clear_proofs(task);
 	task->job->sched->changed = true;
 }
 
+/* Time for which the tasks beside a start in isolation must have run. With many
+ * crashes, one of the next is the last, so none may be due to a task beside it
+ * that crashes its worker late. */
+static int64_t get_quiet_ms(const sched_task_t *task)
+{
+	return sched_crash_judge(task) >= GN_CRASH_ISOLATE ? GN_CRASH_YOUNG_MS
+							   : GN_CRASH_BEGUN_MS;
+}
+
 /* Whether no task of another job has begun on the worker lately. */
-static bool is_quiet(const sched_worker_t *worker, const sched_job_t *job)
+static bool is_quiet(const sched_worker_t *worker, const sched_job_t *job,
+		     int64_t quiet_ms)
 {
 	for (guint i = 0; i < worker->claims->len; i++) {
 		const sched_task_t *task = g_ptr_array_index(worker->claims, i);
 
 		if (task->job != job &&
-		    (task->isolated ||
-		     sched_crash_listed_ms(task) < SCHED_PROVEN_MS))
+		    (task->isolated || sched_crash_listed_ms(task) < quiet_ms))
 			return false;
 	}
 	return true;
@@ -147,7 +145,8 @@
 		const sched_worker_t *worker = all->workers[i];
 
 		if (!is_choice(choice, all, i) ||
-		    (choice->reserved && !is_quiet(worker, choice->task->job)))
+		    (choice->reserved && !is_quiet(worker, choice->task->job,
+						   get_quiet_ms(choice->task))))
 			continue;
 		if (best == GN_PLACE_NONE ||
 		    worker->claims->len < all->workers[best]->claims->len)
@@ -237,6 +236,7 @@
 	if (!is_gang_awaited(job, unit))
 		return false;
 	for (size_t i = 0; i < all->count; i++)
-		all->views[i].eligible &= is_quiet(all->workers[i], job);
+		all->views[i].eligible &=
+			is_quiet(all->workers[i], job, GN_CRASH_BEGUN_MS);
 	return true;
 }
--- a/lib/sched/sched_lapse.c
+++ b/lib/sched/sched_lapse.c
@@ -58,11 +58,14 @@
 		open->crash_counted = true;
 		sched_emit_worker_event(sched, "crash", worker,
 					"before a lapse", open->listed_ms);
-		sched_crash_count(task, &(sched_crashed_run_t){
-						.host = worker->host,
-						.life = open->life,
-						.listed_ms = open->listed_ms,
-						.isolated = open->isolated });
+		sched_crash_count(
+			task,
+			&(sched_crashed_run_t){
+				.host = worker->host,
+				.life = open->life,
+				.evidence = { .isolated = open->isolated,
+					      .listed_ms = open->listed_ms,
+					      .delay_ms = -1 } });
 		sched_job_check_limits(task->job);
 	}
 }
--- a/lib/sched/sched_report.c
+++ b/lib/sched/sched_report.c
@@ -151,9 +151,8 @@
 /* The run may have begun before the worker's life ended. */
 static void end_claim_of_ended_life(sched_task_t *task, const char *why)
 {
-	if (sched_crash_ended_life(task->worker, task->life) &&
-	    (!task->stopping || task->listed))
-		sched_crash_count_claim(task, false);
+	if (sched_crash_ended_life(task->worker, task->life))
+		sched_crash_count_claims(task->worker, task->life, false);
 	sched_release_claim(task, why);
 	sched_job_check_limits(task->job);
 }
--- a/lib/sched/sched_worker.c
+++ b/lib/sched/sched_worker.c
@@ -196,19 +196,6 @@
 	await_stored_jobs(sched, worker);
 }
 
-static int64_t count_crashed_claims(sched_worker_t *worker)
-{
-	int64_t crashed = 0;
-
-	for (guint i = 0; i < worker->claims->len; i++) {
-		sched_task_t *task = g_ptr_array_index(worker->claims, i);
-
-		if (gn_life_matches(task->life, worker->life))
-			crashed += sched_crash_count_claim(task, true);
-	}
-	return crashed;
-}
-
 /* A start call that is under way may reach the next life if that has the same
  * ID, so claims whose runs had not begun wait for the next life. */
 static void release_crashed_claims(sched_worker_t *worker)
@@ -238,8 +225,8 @@
 	if (worker->crashed || !sched_crash_ended_life(worker, worker->life))
 		return;
 	worker->crashed = true;
-	sched_crash_add_event(sched, worker->host, worker->life);
-	crashed = count_crashed_claims(worker);
+	sched_crash_note(worker, sched);
+	crashed = sched_crash_count_claims(worker, worker->life, true);
 	sched_emit_worker_event(sched, "crash", worker, "its process is gone",
 				crashed);
 	if (!crashed)
@@ -279,15 +266,45 @@
 	worker->list_expiry_us = MAX(worker->list_expiry_us, expiry_us);
 }
 
+static bool has_life(const GArray *lives, gn_life_t life)
+{
+	for (guint i = 0; i < lives->len; i++)
+		if (gn_life_matches(g_array_index(lives, gn_life_t, i), life))
+			return true;
+	return false;
+}
+
+/* Counts the crashes of lives before this one. */
+static int64_t count_crashes_of_other_lives(sched_worker_t *worker,
+					    gn_life_t life)
+{
+	g_autoptr(GArray) lives = g_array_new(FALSE, FALSE, sizeof(gn_life_t));
+	int64_t crashed = 0;
+
+	g_array_append_val(lives, life);
+	for (guint i = 0; i < worker->claims->len; i++) {
+		const sched_task_t *task = g_ptr_array_index(worker->claims, i);
+
+		if (has_life(lives, task->life))
+			continue;
+		g_array_append_val(lives, task->life);
+		if (sched_crash_ended_life(worker, task->life))
+			crashed += sched_crash_count_claims(worker, task->life,
+							    false);
+	}
+	return crashed;
+}
+
 /* Ends the claims of other lives, whose runs are over. */
 static void end_other_lives(const gn_sched_t *sched, sched_worker_t *worker,
 			    gn_life_t life)
 {
-	int64_t crashed = 0;
+	int64_t crashed;
 	guint i = 0;
 
 	if (*worker->life.id && sched_crash_ended_life(worker, worker->life))
-		sched_crash_add_event(sched, worker->host, worker->life);
+		sched_crash_note(worker, sched);
+	crashed = count_crashes_of_other_lives(worker, life);
 	/* Ending one gang member can release others, so start over. */
 	while (i < worker->claims->len) {
 		sched_task_t *task = g_ptr_array_index(worker->claims, i);
@@ -300,9 +317,6 @@
 			i++;
 			continue;
 		}
-		if (sched_crash_ended_life(worker, task->life) &&
-		    (!task->stopping || task->listed))
-			crashed += sched_crash_count_claim(task, false);
 		if (gn_life_same_id(task->life, life)) {
 			expect_longest_lease(sched, worker);
 			sched_stop_in_new_life(task, life);
@@ -372,6 +386,8 @@
 
 	if (is_present && worker->life.started_ms == life.started_ms)
 		return;
+	if (!*worker->life.id)
+		sched_crash_infer_event(sched, worker->host, life);
 	if (!is_present)
 		sched_lapse_count_crashes(sched, worker, life.started_ms);
 	end_other_lives(sched, worker, life);
--- a/tests/unit/test_sched_crash.c
+++ b/tests/unit/test_sched_crash.c
@@ -387,6 +387,50 @@
 	rig_close(&fleet.rig);
 }
 
+/* Starts the task's next attempt, whose worker crashes some time after the
+ * start is confirmed. Returns the name of its host. */
+static char crash_after_start(sched_rig_t *rig, const char *task,
+			      unsigned delay_ms)
+{
+	const rig_order_t *found;
+	rig_order_t start;
+
+	rig_advance_ms(rig, 20);
+	rig_store(rig);
+	found = rig_find_order(rig, GN_RUN_ORDER_START, task);
+	g_assert_nonnull(found);
+	start = *found;
+	rig_clear(rig);
+	rig_report_result(rig, start.host, "1", task, start.attempt,
+			  GN_ORDER_OUTCOME_STARTED);
+	if (delay_ms)
+		rig_advance_ms(rig, delay_ms);
+	rig_report_crash(rig, start.host, "1");
+	return start.host[0];
+}
+
+/* As in a run of the soak without a task that crashes workers: a worker was
+ * ended 20 ms after the task's start, and the next one 0 ms after its start in
+ * isolation. */
+static void test_task_is_given_up_for_one_crash_in_isolation(void)
+{
+	sched_rig_t rig;
+	char first;
+
+	rig_open(&rig);
+	for (char host = 'a'; host < 'a' + 12; host++)
+		rig_report(&rig, (char[]){ host, '\0' }, "1");
+	rig_submit(&rig, OTHER, "quick", &one_task, 1);
+	first = crash_after_start(&rig, OTHER ".0.0.0", 20);
+	g_assert_cmpint(crash_after_start(&rig, OTHER ".0.0.0", 0), !=, first);
+	g_assert_cmpint(rig_phase(&rig, OTHER), !=, GN_JOB_FAILED);
+	rig_advance_ms(&rig, 20);
+	rig_store(&rig);
+	g_assert_nonnull(
+		rig_find_order(&rig, GN_RUN_ORDER_START, OTHER ".0.0.0"));
+	rig_close(&rig);
+}
+
 static void test_task_is_given_up_for_leaves(void)
 {
 	fleet_t fleet;
@@ -441,6 +485,7 @@
 	ADD(tasks_of_a_crashed_worker_wait_until_it_is_back);
 	ADD(task_is_given_up_for_crashes_of_machines);
 	ADD(task_is_given_up_for_a_start_that_reached_no_worker);
+	ADD(task_is_given_up_for_one_crash_in_isolation);
 	ADD(task_is_given_up_for_leaves);
 	ADD(task_beside_a_deadly_one_is_given_up);
 #undef ADD
