--- a/tests/unit/test_sched_crash.c
+++ b/tests/unit/test_sched_crash.c
@@ -387,6 +387,54 @@
 	rig_close(&fleet.rig);
 }
 
+/* Starts the task's next attempt, whose worker crashes some time after the
+ * start is confirmed. Returns the order of the start. */
+static rig_order_t crash_after_start(sched_rig_t *rig, const char *task,
+				     unsigned delay_ms)
+{
+	const rig_order_t *found;
+	rig_order_t start;
+
+	rig_advance_ms(rig, 20);
+	rig_store(rig);
+	found = rig_find_order(rig, GN_RUN_ORDER_START, task);
+	g_assert_nonnull(found);
+	start = *found;
+	rig_clear(rig);
+	rig_report_result(rig, start.host, "1", task, start.attempt,
+			  GN_ORDER_OUTCOME_STARTED);
+	if (delay_ms)
+		rig_advance_ms(rig, delay_ms);
+	rig_report_crash(rig, start.host, "1");
+	return start;
+}
+
+/* As in a run of the soak without a task that crashes workers: a worker was
+ * ended 20 ms after the task's start, and the next one 0 ms after its start in
+ * isolation. */
+static void test_task_is_given_up_for_one_crash_in_isolation(void)
+{
+	static const char *const hosts[] = { "a", "b", "c", "d", "e", "f",
+					     "g", "h", "i", "j", "k", "l" };
+	sched_rig_t rig;
+	rig_order_t first;
+	rig_order_t second;
+
+	rig_open(&rig);
+	for (size_t i = 0; i < G_N_ELEMENTS(hosts); i++)
+		rig_report(&rig, hosts[i], "1");
+	rig_submit(&rig, OTHER, "quick", &one_task, 1);
+	first = crash_after_start(&rig, OTHER ".0.0.0", 20);
+	second = crash_after_start(&rig, OTHER ".0.0.0", 0);
+	g_assert_cmpstr(second.host, !=, first.host);
+	g_assert_cmpint(rig_phase(&rig, OTHER), !=, GN_JOB_FAILED);
+	rig_advance_ms(&rig, 20);
+	rig_store(&rig);
+	g_assert_nonnull(
+		rig_find_order(&rig, GN_RUN_ORDER_START, OTHER ".0.0.0"));
+	rig_close(&rig);
+}
+
 static void test_task_is_given_up_for_leaves(void)
 {
 	fleet_t fleet;
@@ -441,6 +489,7 @@
 	ADD(tasks_of_a_crashed_worker_wait_until_it_is_back);
 	ADD(task_is_given_up_for_crashes_of_machines);
 	ADD(task_is_given_up_for_a_start_that_reached_no_worker);
+	ADD(task_is_given_up_for_one_crash_in_isolation);
 	ADD(task_is_given_up_for_leaves);
 	ADD(task_beside_a_deadly_one_is_given_up);
 #undef ADD
