Wire: evacuated in WorkerOrders, cold_left_ms in WorkerReport

Executors have to learn that their data centre is evacuated, and the leader for how long a worker is slow after its start. The fields are 11 and 23, as docs/EVACUATION-AND-OVERLOAD.md has them; older builds skip them.

--- a/lib/wire/gypsumnotch.pb-c.c
+++ b/lib/wire/gypsumnotch.pb-c.c
@@ -3774,7 +3774,7 @@
   (ProtobufCMessageInit) gn__order_result__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gn__worker_report__field_descriptors[21] =
+static const ProtobufCFieldDescriptor gn__worker_report__field_descriptors[22] =
 {
   {
     "sequence",
@@ -4028,10 +4028,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cold_left_ms",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerReport, cold_left_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gn__worker_report__field_indices_by_name[] = {
   9,   /* field[9] = accelerators */
   3,   /* field[3] = born_ms */
+  21,   /* field[21] = cold_left_ms */
   7,   /* field[7] = cpu_milli */
   20,   /* field[20] = crashed */
   6,   /* field[6] = data_centre */
@@ -4056,7 +4069,7 @@
 {
   { 1, 0 },
   { 20, 18 },
-  { 0, 21 }
+  { 0, 22 }
 };
 const ProtobufCMessageDescriptor gn__worker_report__descriptor =
 {
@@ -4066,7 +4079,7 @@
   "Gn__WorkerReport",
   "gn",
   sizeof(Gn__WorkerReport),
-  21,
+  22,
   gn__worker_report__field_descriptors,
   gn__worker_report__field_indices_by_name,
   2,  gn__worker_report__number_ranges,
@@ -4215,7 +4228,7 @@
   (ProtobufCMessageInit) gn__worker_order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gn__worker_orders__field_descriptors[10] =
+static const ProtobufCFieldDescriptor gn__worker_orders__field_descriptors[11] =
 {
   {
     "sequence",
@@ -4337,12 +4350,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evacuated",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerOrders, evacuated),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gn__worker_orders__field_indices_by_name[] = {
   7,   /* field[7] = basis */
   8,   /* field[8] = born_ms */
   3,   /* field[3] = ends_stored */
   1,   /* field[1] = epoch */
+  10,   /* field[10] = evacuated */
   2,   /* field[2] = leader */
   9,   /* field[9] = leave_stored */
   4,   /* field[4] = life */
@@ -4353,7 +4379,7 @@
 static const ProtobufCIntRange gn__worker_orders__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor gn__worker_orders__descriptor =
 {
@@ -4363,7 +4389,7 @@
   "Gn__WorkerOrders",
   "gn",
   sizeof(Gn__WorkerOrders),
-  10,
+  11,
   gn__worker_orders__field_descriptors,
   gn__worker_orders__field_indices_by_name,
   1,  gn__worker_orders__number_ranges,
--- a/lib/wire/gypsumnotch.pb-c.h
+++ b/lib/wire/gypsumnotch.pb-c.h
@@ -716,10 +716,17 @@
    * The worker's process is gone, without
    */
   protobuf_c_boolean crashed;
+  /*
+   * having left.
+   */
+  /*
+   * Time until the worker is at full speed.
+   */
+  uint32_t cold_left_ms;
 };
 #define GN__WORKER_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gn__worker_report__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 /*
@@ -818,10 +825,17 @@
    * The worker has reported that this life
    */
   protobuf_c_boolean leave_stored;
+  /*
+   * has ended, and its releases are stored.
+   */
+  /*
+   * The worker's data centre takes no starts.
+   */
+  protobuf_c_boolean evacuated;
 };
 #define GN__WORKER_ORDERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gn__worker_orders__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0 }
 
 
 /* Gn__Envelope methods */
