--- a/lib/adapter/adapter.h
+++ b/lib/adapter/adapter.h
@@ -69,6 +69,8 @@
 	bool draining;
 	/** Minimum time until a draining server ends. */
 	uint32_t remaining_ms;
+	/** Time for which the server remains slow after its start. */
+	uint32_t cold_left_ms;
 } gn_worker_notice_t;
 
 /** The kinds of calls to a backend server. */
@@ -148,6 +150,11 @@
 	const gn_kv_codec_t *store;
 	/** Key of the configuration in the key-value service. */
 	const char *config_key;
+	/**
+	 * Prefix of the keys that evacuate a data centre, which end with its
+	 * name.
+	 */
+	const char *evacuation_prefix;
 
 	/**
 	 * Parses the operators' configuration.
--- a/lib/config/settings.h
+++ b/lib/config/settings.h
@@ -60,6 +60,12 @@
 	 * An absence of a service counts this long, 0..600000, default 5000.
 	 */
 	unsigned notice_ms;
+	/**
+	 * Time after the request to evacuate a data centre by which nothing
+	 * starts there any more, 0..600000, default 0 (no evacuations). At 2500
+	 * or less, executors start nothing.
+	 */
+	unsigned evacuate_ms;
 	/** Cores of the host for this process, 0..4096, default 1. */
 	double cores;
 	/** Bandwidth of the host's link in Mbit/s, 0..1000000, default 1000. */
