Watch: tell when the delivered keys were confirmed

Who acts on the absence of a key has to know how old that knowledge is. An answer counts from its arrival, but not from later than the end of its wait, so that an answer which was under way for long is not taken as recent. On request, the first watch after a failure does not wait, so that the knowledge is recent again soon.

--- a/lib/platform/watch.c
+++ b/lib/platform/watch.c
@@ -17,6 +17,10 @@
 	bool is_listed; /* If set, the next call is a watch, else a list. */
 	uint64_t revision;
 	uint64_t last_answer_us; /* 0: none yet. */
+	uint64_t confirmed_us; /* 0: none yet. */
+	uint32_t wait_ms; /* Wait of the call in progress. */
+	bool has_failed; /* The last call has failed. */
+	bool confirms_soon; /* The next call then does not wait. */
 	uint64_t due_us; /* When the next call is due. */
 	gn_backoff_t backoff;
 };
@@ -59,6 +63,11 @@
 	watch->backoff.limit_us = (uint64_t)backoff_ms * GN_US_PER_MS;
 }
 
+void gn_kv_watch_confirm_soon(gn_kv_watch_t *watch)
+{
+	watch->confirms_soon = true;
+}
+
 static void deliver(gn_kv_watch_t *watch, const gn_kv_result_t *result,
 		    bool whole)
 {
@@ -72,13 +81,19 @@
 
 static void schedule_retry(gn_kv_watch_t *watch)
 {
+	watch->has_failed = true;
 	watch->due_us = gn_clock_now_us(watch->clock) +
 			gn_backoff_next_us(&watch->backoff, watch->rand);
 }
 
-static void note_success(gn_kv_watch_t *watch)
+/* An answer that comes late may have been made when the wait was over. */
+static void note_success(gn_kv_watch_t *watch, uint64_t sent_us)
 {
+	uint64_t due_us = sent_us + (uint64_t)watch->wait_ms * GN_US_PER_MS;
+
 	watch->last_answer_us = gn_clock_now_us(watch->clock);
+	watch->confirmed_us = MIN(due_us, watch->last_answer_us);
+	watch->has_failed = false;
 	watch->due_us = watch->last_answer_us +
 			(uint64_t)watch->options.interval_ms * GN_US_PER_MS;
 	gn_backoff_reset(&watch->backoff);
@@ -93,7 +108,7 @@
 		schedule_retry(watch);
 		return;
 	}
-	note_success(watch);
+	note_success(watch, result->sent_us);
 	watch->is_listed = true;
 	deliver(watch, result, true);
 }
@@ -109,7 +124,7 @@
 		schedule_retry(watch);
 		return;
 	}
-	note_success(watch);
+	note_success(watch, result->sent_us);
 	deliver(watch, result, false);
 }
 
@@ -119,10 +134,12 @@
 
 	if (watch->call || gn_clock_now_us(watch->clock) < watch->due_us)
 		return;
+	watch->wait_ms = watch->options.wait_ms;
+	if (!watch->is_listed || (watch->has_failed && watch->confirms_soon))
+		watch->wait_ms = 0;
 	if (watch->is_listed)
-		watch->call =
-			gn_kv_watch(watch->kv, prefix, watch->revision,
-				    watch->options.wait_ms, on_changes, watch);
+		watch->call = gn_kv_watch(watch->kv, prefix, watch->revision,
+					  watch->wait_ms, on_changes, watch);
 	else
 		watch->call = gn_kv_list(watch->kv, prefix, on_list, watch);
 }
@@ -132,6 +149,11 @@
 	return watch->revision;
 }
 
+uint64_t gn_kv_watch_confirmed_us(const gn_kv_watch_t *watch)
+{
+	return watch->confirmed_us;
+}
+
 uint64_t gn_kv_watch_last_answer_us(const gn_kv_watch_t *watch)
 {
 	return watch->last_answer_us;
--- a/lib/platform/watch.h
+++ b/lib/platform/watch.h
@@ -58,12 +58,25 @@
  */
 void gn_kv_watch_limit_backoff(gn_kv_watch_t *watch, uint32_t backoff_ms);
 
+/**
+ * Makes the watch ask for changes without waiting after a failure, so that
+ * gn_kv_watch_confirmed_us() is recent again soon.
+ */
+void gn_kv_watch_confirm_soon(gn_kv_watch_t *watch);
+
 /** Starts the next call if it is due; to be called several times a second. */
 void gn_kv_watch_tick(gn_kv_watch_t *watch);
 
 /** Returns the newest revision that was delivered; 0: none yet. */
 uint64_t gn_kv_watch_revision(const gn_kv_watch_t *watch);
 
+/**
+ * Returns a time at which the delivered keys were those of the key-value
+ * service, on the clock; 0: none yet. An answer counts from when it arrived, but
+ * not from later than it was due.
+ */
+uint64_t gn_kv_watch_confirmed_us(const gn_kv_watch_t *watch);
+
 /** Returns when the key-value service last answered, on the clock; 0: never. */
 uint64_t gn_kv_watch_last_answer_us(const gn_kv_watch_t *watch);
 
