Executor: refuse starts while the data centre is evacuated

The leader's answers say whether it is. Starts in progress are refused, too, unless a list shows their runs; as with other refusals, their attempts are closed at the worker first. The outcome is one of its own. The tests of the grant set the age of before.

--- a/lib/executor/calls.c
+++ b/lib/executor/calls.c
@@ -49,6 +49,8 @@
 	result->verdict = outcome;
 	g_ptr_array_add(executor->results, result);
 	executor->report_due = true;
+	if (outcome == GN_ORDER_OUTCOME_EVACUATED)
+		gn_counter_inc(executor->starts_evacuated);
 	gn_event("order", "{s:s, s:I, s:s, s:s, s:I, s:I}", "task", order->task,
 		 "attempt", (json_int_t)order->attempt, "kind",
 		 gn_run_order_kind_name(order->kind), "outcome",
--- a/lib/executor/executor.c
+++ b/lib/executor/executor.c
@@ -3,6 +3,7 @@
 #include <curl/curl.h>
 
 #include "daemon/metrics.h"
+#include "evacuation/evacuation.h"
 #include "executor/executor_internal.h"
 
 /** Interval of the timers that repeat orders and send reports, milliseconds. */
@@ -120,6 +121,8 @@
 	executor->waiting_list.executor = executor;
 	executor->prompt_list.executor = executor;
 	executor->grant.lease_us = get_lease_us(&runtime->settings->jobs);
+	executor->grant.start_max_age_ms = gn_evacuation_start_max_age_ms(
+		runtime->settings->jobs.evacuate_ms, GN_GRANT_START_MAX_AGE_MS);
 	executor->orders =
 		gn_orders_create(executor, &runtime->clock, &executor->grant,
 				 &executor_orders_ops, executor);
@@ -127,9 +130,12 @@
 		g_ptr_array_new_with_free_func(executor_result_free);
 	executor->order_time = gn_histogram_create(executor, runtime->counters,
 						   "executor.order_time");
+	executor->starts_evacuated =
+		gn_counters_get(runtime->counters, "executor.starts_evacuated");
 	executor->schedulers = g_ptr_array_new_with_free_func(g_free);
 	talloc_set_destructor(executor, executor_destructor);
-	if (!executor->orders || !executor->order_time)
+	if (!executor->orders || !executor->order_time ||
+	    !executor->starts_evacuated)
 		return gn_error_set(error, GN_ERR_MEMORY, "start", NULL,
 				    "counters");
 	if (start_store(executor, error) || start_client(executor, error) ||
--- a/lib/executor/executor_internal.h
+++ b/lib/executor/executor_internal.h
@@ -58,6 +58,8 @@
 	gn_kv_http_t *kv_http;
 	gn_kv_t *kv;
 	gn_histogram_t *order_time; /**< Time from a call to its response. */
+	/** Starts refused because the data centre is evacuated. */
+	gn_counter_t *starts_evacuated;
 
 	/* ======   Worker   ====== */
 
@@ -112,6 +114,7 @@
 	/** Time of the leader's last answer, or of the connection if later. */
 	uint64_t leader_answered_us;
 	uint64_t epoch; /**< Epoch of the leader that answered last. */
+	bool evacuated; /**< Its last answer says so of the data centre. */
 	uint64_t sequence; /**< Sequence number of the last report. */
 	/** The last reports, by sequence modulo the history. */
 	executor_sent_report_t sent[EXECUTOR_REPORT_HISTORY];
--- a/lib/executor/grant.c
+++ b/lib/executor/grant.c
@@ -59,7 +59,9 @@
 	return reported_us < fresh_until_us ? reported_us : fresh_until_us;
 }
 
-bool gn_grant_may_start(uint64_t basis_us, uint64_t now_us)
+bool gn_grant_may_start(const gn_grant_t *grant, uint64_t basis_us,
+			uint64_t now_us)
 {
-	return now_us < basis_us + GN_GRANT_START_MAX_AGE_MS * GN_US_PER_MS;
+	return now_us <
+	       basis_us + (uint64_t)grant->start_max_age_ms * GN_US_PER_MS;
 }
--- a/lib/executor/grant.h
+++ b/lib/executor/grant.h
@@ -27,11 +27,17 @@
 #define GN_GRANT_START_MAX_AGE_MS 3000
 
 /**
- * The lease of one worker. Initialize with zeros, except for lease_us: then it
- * isn't extended before an answer and a clock reading are recorded.
+ * The lease of one worker. Initialize with zeros, except for lease_us and
+ * start_max_age_ms: then it isn't extended before an answer and a clock reading
+ * are recorded.
  */
 typedef struct gn_grant_s {
 	uint64_t lease_us; /**< Length of a lease. */
+	/**
+	 * As GN_GRANT_START_MAX_AGE_MS, and less if evacuations require it;
+	 * see gn_evacuation_start_max_age_ms().
+	 */
+	unsigned start_max_age_ms;
 	/** Time when the newest report with an answer was sent; 0 if none. */
 	uint64_t report_sent_us;
 	/** Last reading of the worker's clock; 0 if none. */
@@ -71,7 +77,8 @@
  * Whether a start may be sent now.
  * @param basis_us time of what the leader knew; see gn_grant_get_basis_us()
  */
-bool gn_grant_may_start(uint64_t basis_us, uint64_t now_us);
+bool gn_grant_may_start(const gn_grant_t *grant, uint64_t basis_us,
+			uint64_t now_us);
 
 /** Forgets the answers, the clock and the lease, since the worker has a new
  * life, which no earlier report named. */
--- a/lib/executor/leader.c
+++ b/lib/executor/leader.c
@@ -105,6 +105,19 @@
 	executor->leave_stored |= message->leave_stored;
 }
 
+static void record_evacuation(executor_t *executor,
+			      const Gn__WorkerOrders *message)
+{
+	if (!!message->evacuated != executor->evacuated)
+		gn_event("evacuation", "{s:s, s:s, s:I, s:I}", "data_centre",
+			 executor->notice.data_centre, "why",
+			 message->evacuated ? "begins" : "ends", "orders",
+			 (json_int_t)gn_orders_count(executor->orders), "epoch",
+			 (json_int_t)message->epoch);
+	executor->evacuated = message->evacuated;
+	gn_orders_set_evacuated(executor->orders, executor->evacuated);
+}
+
 static void on_orders(executor_t *executor, const Gn__WorkerOrders *message)
 {
 	if (!message->epoch) {
@@ -126,6 +139,7 @@
 	if (message->unsure)
 		request_schedulers(executor);
 	record_answer(executor, message->sequence);
+	record_evacuation(executor, message);
 	if (gn_life_matches((gn_life_t){ message->life, message->born_ms },
 			    executor_get_life(executor)))
 		record_stored(executor, message);
@@ -145,6 +159,17 @@
 
 /* ======   Reports   ====== */
 
+static uint32_t get_cold_left_ms(const executor_t *executor)
+{
+	uint64_t passed_ms =
+		(executor_now_us(executor) - executor->described_us) /
+		GN_US_PER_MS;
+
+	return passed_ms < executor->notice.cold_left_ms
+		       ? executor->notice.cold_left_ms - (uint32_t)passed_ms
+		       : 0;
+}
+
 static void describe_worker(executor_t *executor, Gn__WorkerReport *report)
 {
 	gn_worker_notice_t *notice = &executor->notice;
@@ -162,6 +187,7 @@
 	report->n_labels = g_strv_length(notice->labels);
 	report->draining = notice->draining || executor->worker_left;
 	report->remaining_ms = notice->remaining_ms;
+	report->cold_left_ms = get_cold_left_ms(executor);
 }
 
 /* Returns UINT32_MAX if this process has no list of the worker's life. */
--- a/lib/executor/orders.c
+++ b/lib/executor/orders.c
@@ -24,6 +24,7 @@
 	void *arg;
 	gn_life_t life; /**< Life of the worker; interned ID. */
 	bool refuses_starts; /**< The worker is leaving. */
+	bool evacuated; /**< Its data centre is evacuated. */
 	/** gn_order_t by "TASK ATTEMPT", or by "pTASK ATTEMPT" for a pace. */
 	GHashTable *table;
 	/** refused_t by "TASK ATTEMPT": starts that were reported as refused. */
@@ -299,8 +300,12 @@
 	gn_orders_t *orders = order->orders;
 	uint64_t now_us = get_now_us(orders);
 
+	if (orders->evacuated) {
+		check_run(order, GN_ORDER_OUTCOME_EVACUATED);
+		return false;
+	}
 	if (orders->refuses_starts ||
-	    !gn_grant_may_start(order->basis_us, now_us)) {
+	    !gn_grant_may_start(orders->grant, order->basis_us, now_us)) {
 		check_run(order, GN_ORDER_OUTCOME_NOT_STARTED);
 		return false;
 	}
@@ -615,6 +620,27 @@
 	orders->refuses_starts = false;
 }
 
+void gn_orders_set_evacuated(gn_orders_t *orders, bool evacuated)
+{
+	GList *all;
+
+	if (orders->evacuated == evacuated)
+		return;
+	orders->evacuated = evacuated;
+	if (!evacuated)
+		return;
+	/* Starts in progress are refused now, not at their next repetition. A
+	 * call that is under way is waited for. */
+	all = g_hash_table_get_values(orders->table);
+	for (GList *item = all; item; item = item->next) {
+		gn_order_t *order = item->data;
+
+		if (order->kind == GN_RUN_ORDER_START && !order->call_pending)
+			send_order(order);
+	}
+	g_list_free(all);
+}
+
 void gn_orders_refuse_starts(gn_orders_t *orders)
 {
 	orders->refuses_starts = true;
--- a/lib/executor/orders.h
+++ b/lib/executor/orders.h
@@ -108,6 +108,14 @@
 /** Accepts starts again, as the worker's process was not gone. */
 void gn_orders_accept_starts(gn_orders_t *orders);
 
+/**
+ * Refuses starts while the data centre is evacuated, as the leader's answers
+ * say. Starts in progress are refused, too, unless a list shows their runs; their
+ * attempts are closed before the refusal is reported. It holds over the
+ * worker's lives.
+ */
+void gn_orders_set_evacuated(gn_orders_t *orders, bool evacuated);
+
 /**
  * Handles an order of the leader.
  * @param basis_us when the newest report that the leader knew was sent
--- a/lib/executor/worker.c
+++ b/lib/executor/worker.c
@@ -335,6 +335,8 @@
 			    json_string(executor->leader_address));
 	json_object_set_new(json, "epoch",
 			    json_integer((json_int_t)executor->epoch));
+	json_object_set_new(json, "evacuated",
+			    json_boolean(executor->evacuated));
 	json_object_set_new(json, "runs",
 			    json_integer((json_int_t)executor->run_count));
 	json_object_set_new(
--- a/lib/job/job.c
+++ b/lib/job/job.c
@@ -70,8 +70,9 @@
 const char *gn_run_order_outcome_name(gn_run_order_outcome_t outcome)
 {
 	static const char *const names[GN_ORDER_OUTCOME_COUNT] = {
-		"started",   "no-room",	  "ended", "not-started",
-		"no-ticket", "malformed", "gone",  "life-ended"
+		"started",     "no-room",    "ended",
+		"not-started", "no-ticket",  "malformed",
+		"gone",	       "life-ended", "evacuated"
 	};
 
 	return GET_NAME(names, outcome);
--- a/lib/job/job.h
+++ b/lib/job/job.h
@@ -107,6 +107,8 @@
 	GN_ORDER_OUTCOME_GONE,
 	/** The worker's life is over, whether the run had begun or not. */
 	GN_ORDER_OUTCOME_LIFE_ENDED,
+	/** Certainly not started: the data centre is evacuated. */
+	GN_ORDER_OUTCOME_EVACUATED,
 	GN_ORDER_OUTCOME_COUNT
 } gn_run_order_outcome_t;
 
--- a/tests/contract/test_executor.c
+++ b/tests/contract/test_executor.c
@@ -205,6 +205,7 @@
 	executor->runtime = &rig->runtime;
 	executor->adapter = &adapter;
 	executor->grant.lease_us = LEASE_US;
+	executor->grant.start_max_age_ms = GN_GRANT_START_MAX_AGE_MS;
 	executor->old_links = talloc_new(executor);
 	executor->orders = gn_orders_create(executor, &rig->runtime.clock,
 					    &executor->grant,
@@ -214,6 +215,8 @@
 	executor->results =
 		g_ptr_array_new_with_free_func(executor_result_free);
 	executor->schedulers = g_ptr_array_new_with_free_func(g_free);
+	executor->starts_evacuated = gn_counters_get(
+		rig->runtime.counters, "executor.starts_evacuated");
 	executor->order_time = gn_histogram_create(
 		executor, rig->runtime.counters, "executor.order_time");
 	start_http(executor);
--- a/tests/support/run_model_executor.c
+++ b/tests/support/run_model_executor.c
@@ -86,6 +86,7 @@
 	executor->serial = ++model->serial;
 	executor->ctx = talloc_new(NULL);
 	executor->grant.lease_us = RM_LEASE_MS * RM_MS;
+	executor->grant.start_max_age_ms = GN_GRANT_START_MAX_AGE_MS;
 	if (model->options.bug == RUN_MODEL_BUG_LONG_LEASE)
 		executor->grant.lease_us *= 2;
 	executor->orders =
--- a/tests/unit/test_grant.c
+++ b/tests/unit/test_grant.c
@@ -8,7 +8,8 @@
 
 static gn_grant_t create_grant(void)
 {
-	gn_grant_t grant = { .lease_us = LEASE_US };
+	gn_grant_t grant = { .lease_us = LEASE_US,
+			     .start_max_age_ms = GN_GRANT_START_MAX_AGE_MS };
 
 	return grant;
 }
@@ -104,10 +105,13 @@
  */
 static void test_starts_expire_before_claims(void)
 {
-	g_assert_true(gn_grant_may_start(START_US, START_US + 1));
-	g_assert_false(gn_grant_may_start(
-		START_US, START_US + GN_GRANT_START_MAX_AGE_MS * GN_US_PER_MS));
-	g_assert_false(gn_grant_may_start(0, START_US));
+	const gn_grant_t grant = create_grant();
+
+	g_assert_true(gn_grant_may_start(&grant, START_US, START_US + 1));
+	g_assert_false(gn_grant_may_start(&grant, START_US,
+					  START_US + GN_GRANT_START_MAX_AGE_MS *
+							     GN_US_PER_MS));
+	g_assert_false(gn_grant_may_start(&grant, 0, START_US));
 	g_assert_cmpuint(GN_GRANT_START_MAX_AGE_MS * GN_US_PER_MS, <, LEASE_US);
 }
 
@@ -127,12 +131,13 @@
 /* An executor that was frozen knows the capacity of before. */
 static void test_old_capacity_is_a_fresh_basis(void)
 {
+	const gn_grant_t grant = create_grant();
 	uint64_t thawed_us = START_US + 5 * GN_US_PER_S;
 
 	g_assert_cmpuint(gn_grant_get_basis_us(START_US, START_US), ==,
 			 START_US);
 	g_assert_false(gn_grant_may_start(
-		gn_grant_get_basis_us(thawed_us, START_US), thawed_us));
+		&grant, gn_grant_get_basis_us(thawed_us, START_US), thawed_us));
 }
 
 int main(int argc, char **argv)
--- a/tests/unit/test_orders.c
+++ b/tests/unit/test_orders.c
@@ -82,6 +82,7 @@
 	memset(rig, 0, sizeof(*rig));
 	gn_clock_init_paused(&rig->clock, GN_US_PER_S);
 	rig->grant.lease_us = LEASE_US;
+	rig->grant.start_max_age_ms = GN_GRANT_START_MAX_AGE_MS;
 	rig->refusal = refusal;
 	rig->outcome = -1;
 	rig->trace = g_string_new(NULL);
