Scheduler: start nothing in evacuated data centres

No code read the operators' requests. Schedulers now watch them in the same call as the configuration. The leader places nothing in an evacuated data centre, gives up the claims there that are not confirmed, and neither sends nor repeats start orders. Answers to executors say whether their data centre is evacuated. Cold workers count as slower.

--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -44,6 +44,7 @@
 {
 	g_hash_table_destroy(sched->workers);
 	g_hash_table_destroy(sched->jobs);
+	g_hash_table_destroy(sched->evacuated);
 	g_array_unref(sched->crash_events);
 	g_ptr_array_free(sched->active, TRUE);
 	g_ptr_array_free(sched->writing, TRUE);
@@ -68,6 +69,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_job);
 	sched->workers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					       sched_worker_free);
+	sched->evacuated =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	sched->interference = gn_interference_create(sched);
 	sched->crash_events = sched_crash_create_events();
 	sched->active = g_ptr_array_new();
@@ -91,6 +94,68 @@
 	sched->changed = true;
 }
 
+/* ======   Evacuations   ====== */
+
+bool sched_knows_evacuations(const gn_sched_t *sched)
+{
+	return !sched->evacuations ||
+	       gn_evacuations_may_start(sched->evacuations,
+					sched_now_us(sched));
+}
+
+/* Applies the evacuations to the workers of a data centre, and logs it. */
+static void change_evacuation(gn_sched_t *sched, const char *data_centre)
+{
+	bool begins = gn_evacuations_contain(sched->evacuations, data_centre);
+	gn_sched_event_t event = { .name = "evacuation",
+				   .reason = begins ? "begins" : "ends",
+				   .data_centre = data_centre,
+				   .list_age_ms = -1 };
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, sched->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		sched_worker_t *worker = value;
+
+		if (g_strcmp0(worker->data_centre, data_centre) != 0)
+			continue;
+		sched_worker_check_evacuation(sched, worker);
+		event.workers++;
+		event.value += (int64_t)sched_evacuate_starts(worker);
+	}
+	sched->ops->log_event(sched->arg, &event);
+}
+
+void gn_sched_set_evacuations(gn_sched_t *sched, const gn_evacuations_t *set)
+{
+	GList *before = g_hash_table_get_keys(sched->evacuated);
+
+	sched->evacuations = set;
+	for (size_t i = 0; i < gn_evacuations_count(set); i++) {
+		const char *name = gn_evacuations_get(set, i)->data_centre;
+
+		if (g_hash_table_add(sched->evacuated, g_strdup(name)))
+			change_evacuation(sched, name);
+	}
+	for (GList *item = before; item; item = item->next) {
+		if (gn_evacuations_contain(set, item->data))
+			continue;
+		change_evacuation(sched, item->data);
+		g_hash_table_remove(sched->evacuated, item->data);
+	}
+	g_list_free(before);
+	sched->changed = true;
+}
+
+bool gn_sched_is_evacuated(const gn_sched_t *sched, const char *host)
+{
+	const sched_worker_t *worker =
+		g_hash_table_lookup(sched->workers, host);
+
+	return worker && worker->evacuated;
+}
+
 /* ======   Time   ====== */
 
 static bool is_job_active(const sched_job_t *job)
@@ -145,6 +210,9 @@
 	gn_sched_stats_t figures = {
 		.jobs = g_hash_table_size(sched->jobs),
 		.claims = sched->claims,
+		.evacuation_claims = sched->evacuation_claims,
+		.held_back_starts = sched->held_back_starts,
+		.held_back_passes = sched->held_back_passes,
 	};
 	GHashTableIter iter;
 	gpointer value;
@@ -160,7 +228,12 @@
 				figures.waiting_tasks += job->units[k].waiting;
 	}
 	g_hash_table_iter_init(&iter, sched->workers);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		figures.workers += sched_worker_is_live(sched, value);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const sched_worker_t *worker = value;
+		bool is_live = sched_worker_is_live(sched, worker);
+
+		figures.workers += is_live;
+		figures.evacuated_workers += is_live && worker->evacuated;
+	}
 	return figures;
 }
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -29,6 +29,7 @@
 #include <talloc.h>
 
 #include "common/clock.h"
+#include "evacuation/evacuation.h"
 #include "job/job.h"
 #include "job/life.h"
 #include "queue/queue.h"
@@ -61,6 +62,9 @@
 	int64_t value; /**< The meaning depends on the event. */
 	/** Age of the worker's last list of runs, ms; below 0 if none. */
 	int64_t list_age_ms;
+	/** Data centre of an event "evacuation"; else NULL. */
+	const char *data_centre;
+	uint64_t workers; /**< Workers that are known there. */
 } gn_sched_event_t;
 
 /** Callbacks of the scheduler. */
@@ -125,6 +129,19 @@
  */
 void gn_sched_configure(gn_sched_t *sched, const gn_queues_t *queues);
 
+/**
+ * Sets the evacuated data centres, and has to be called after each change of the
+ * set. Nothing is started there: workers are not eligible, and claims whose
+ * starts they have not confirmed are given up. Runs in progress go on. Nothing is
+ * started anywhere while gn_evacuations_may_start() does not hold. Without a
+ * call, there are no evacuations.
+ * @param set must stay valid until the end of the scheduler
+ */
+void gn_sched_set_evacuations(gn_sched_t *sched, const gn_evacuations_t *set);
+
+/** Whether the data centre of @p host is known and evacuated. */
+bool gn_sched_is_evacuated(const gn_sched_t *sched, const char *host);
+
 /* ======   Callers   ====== */
 
 /** Answer to a caller's request. */
@@ -284,6 +301,15 @@
 	size_t workers; /**< Workers with a recent report. */
 	size_t claims;
 	size_t waiting_tasks; /**< Waiting tasks of ready steps. */
+	/** Live workers in evacuated data centres. */
+	size_t evacuated_workers;
+	/** Claims given up because of evacuations. */
+	uint64_t evacuation_claims;
+	/** Starts not ordered because of an evacuation, or because the set of
+	 * evacuations was too old. */
+	uint64_t held_back_starts;
+	/** Placement passes not run because that set was too old. */
+	uint64_t held_back_passes;
 } gn_sched_stats_t;
 
 gn_sched_stats_t gn_sched_stats(const gn_sched_t *sched);
--- a/lib/sched/sched_claim.c
+++ b/lib/sched/sched_claim.c
@@ -190,6 +190,17 @@
 				    &order);
 }
 
+/* Whether no evacuation prevents the start, as far as is known. */
+static bool is_evacuation_clear(const sched_task_t *task)
+{
+	gn_sched_t *sched = task->job->sched;
+
+	if (!task->worker->evacuated && sched_knows_evacuations(sched))
+		return true;
+	sched->held_back_starts++;
+	return false;
+}
+
 /*
  * Whether a start may be ordered now. Without a fresh list, it could take
  * effect after the claim has expired. A restored claim needs a list first,
@@ -199,7 +210,8 @@
 {
 	const gn_sched_t *sched = task->job->sched;
 
-	return !task->listed && (!task->restored || task->worker->has_listed) &&
+	return !task->listed && is_evacuation_clear(task) &&
+	       (!task->restored || task->worker->has_listed) &&
 	       sched_worker_is_live(sched, task->worker) &&
 	       sched_worker_has_fresh_list(sched, task->worker);
 }
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -7,6 +7,7 @@
 
 #include <glib.h>
 
+#include "evacuation/cold.h"
 #include "sched/backlog.h"
 #include "sched/interference.h"
 #include "sched/place.h"
@@ -147,6 +148,8 @@
 	char *machine; /**< Name of the host that the worker announces. */
 	char **labels;
 	bool draining;
+	bool evacuated; /**< Its data centre is evacuated. */
+	gn_cold_t cold;
 	gn_resource_vector_t capacity;
 	/** The capacity has shrunk, and starts may not fit; see
 	 * sched_shrink.c. */
@@ -202,6 +205,14 @@
 	const gn_sched_ops_t *ops;
 	void *arg;
 	const gn_queues_t *queues;
+	/** NULL: there are no evacuations. */
+	const gn_evacuations_t *evacuations;
+	/** Names of the data centres that were evacuated in the last call of
+	 * gn_sched_set_evacuations(), owned. */
+	GHashTable *evacuated;
+	uint64_t evacuation_claims; /**< As in gn_sched_stats_t. */
+	uint64_t held_back_starts; /**< As in gn_sched_stats_t. */
+	uint64_t held_back_passes; /**< As in gn_sched_stats_t. */
 	GHashTable *jobs; /**< Job ID to sched_job_t, owned. */
 	/** Name of the executor to sched_worker_t, owned. */
 	GHashTable *workers;
@@ -379,6 +390,11 @@
 /** Age of the worker's last list in ms; below 0 without list or worker. */
 int64_t sched_list_age_ms(const gn_sched_t *sched,
 			  const sched_worker_t *worker);
+/** Sets whether the worker's data centre is evacuated. */
+void sched_worker_check_evacuation(const gn_sched_t *sched,
+				   sched_worker_t *worker);
+/** Whether the evacuations are known well enough to start tasks. */
+bool sched_knows_evacuations(const gn_sched_t *sched);
 /** Whether the worker may be given tasks at all. */
 bool sched_worker_accepts_tasks(const gn_sched_t *sched,
 				const sched_worker_t *worker);
@@ -408,6 +424,13 @@
 
 /* ======   sched_shrink.c   ====== */
 
+/**
+ * Gives up the claims whose starts the worker has not confirmed, since its data
+ * centre is evacuated. A claim of an earlier leader may be running, so it is
+ * kept until the worker has listed its runs.
+ * @return number of claims
+ */
+uint64_t sched_evacuate_starts(sched_worker_t *worker);
 /** Sets the capacity that the worker announces. */
 void sched_shrink_note(sched_worker_t *worker,
 		       const gn_resource_vector_t *capacity);
--- a/lib/sched/sched_pass.c
+++ b/lib/sched/sched_pass.c
@@ -146,8 +146,8 @@
 	view->serving = worker->serving;
 	view->best_effort = worker->best_effort;
 	view->best_effort_milli = worker->best_effort_milli;
-	view->slowness =
-		worker->health.slowness > 0 ? worker->health.slowness : 1;
+	view->slowness = gn_cold_get_slowness(
+		&worker->cold, worker->health.slowness, sched_now_us(sched));
 	view->same_image = count_same_image(worker, step);
 	view->near = !*step->rack || !strcmp(step->rack, worker->rack);
 	view->best_effort_speed = 1;
@@ -299,6 +299,10 @@
 
 	if (!sched->changed || !sched->queues || now_us < sched->pass_due_us)
 		return;
+	if (!sched_knows_evacuations(sched)) {
+		sched->held_back_passes++;
+		return;
+	}
 	sched->changed = false;
 	run_pass(sched);
 	sched->pass_due_us =
--- a/lib/sched/sched_report.c
+++ b/lib/sched/sched_report.c
@@ -199,6 +199,10 @@
 			sched_now_us(sched) + SCHED_FULL_BACKOFF_US;
 		sched_release_claim(task, outcome);
 		break;
+	case GN_ORDER_OUTCOME_EVACUATED:
+		/* The worker is healthy. */
+		sched_release_claim(task, outcome);
+		break;
 	case GN_ORDER_OUTCOME_LIFE_ENDED:
 		end_claim_of_ended_life(task, outcome);
 		break;
@@ -245,6 +249,9 @@
 	if (*report->life && life.started_ms >= worker->life.started_ms) {
 		sched_worker_begin_life(sched, worker, life);
 		sched_worker_describe(worker, report);
+		sched_worker_check_evacuation(sched, worker);
+		gn_cold_record(&worker->cold, report->cold_left_ms,
+			       sched_now_us(sched));
 	}
 	if (!gn_life_matches(life, worker->life))
 		return 0;
@@ -271,6 +278,7 @@
 		worker->crashed = false;
 	for (size_t i = 0; i < report->n_results; i++)
 		handle_result(sched, worker, report->results[i]);
+	sched_evacuate_starts(worker);
 	sched_worker_retire_ends(worker);
 	if (was_open != sched_worker_accepts_tasks(sched, worker))
 		sched->changed = true;
--- a/lib/sched/sched_shrink.c
+++ b/lib/sched/sched_shrink.c
@@ -1,10 +1,11 @@
 /**
  * @file sched_shrink.c
- * @brief Workers whose capacity has shrunk below what their claims use.
+ * @brief Starts that are given up: on workers whose capacity has shrunk below
+ *        what their claims use, and in evacuated data centres.
  *
  * Runs may go on, but a start would bring a worker that does not guard its
  * capacity over it. So the starts that are not confirmed yet are given up, as
- * far as they do not fit.
+ * far as they do not fit. In an evacuated data centre, all of them are.
  */
 #include "sched/sched_internal.h"
 
@@ -64,6 +65,33 @@
 	return newest;
 }
 
+/* Returns a claim to be given up for an evacuation, or NULL. */
+static sched_task_t *find_evacuated(const sched_worker_t *worker)
+{
+	for (guint i = 0; i < worker->claims->len; i++) {
+		sched_task_t *task = g_ptr_array_index(worker->claims, i);
+
+		if (may_give_up(task) &&
+		    (!task->restored || worker->has_listed))
+			return task;
+	}
+	return NULL;
+}
+
+uint64_t sched_evacuate_starts(sched_worker_t *worker)
+{
+	uint64_t count = 0;
+	sched_task_t *task;
+
+	/* Giving one gang member up can release others, so search again. */
+	while (worker->evacuated && (task = find_evacuated(worker))) {
+		task->job->sched->evacuation_claims++;
+		count++;
+		sched_stop_run(task, "its data centre is evacuated");
+	}
+	return count;
+}
+
 void sched_shrink_give_up_starts(sched_worker_t *worker)
 {
 	static const gn_resource_vector_t nothing = { 0 };
--- a/lib/sched/sched_worker.c
+++ b/lib/sched/sched_worker.c
@@ -75,13 +75,21 @@
 			 GN_US_PER_MS);
 }
 
+void sched_worker_check_evacuation(const gn_sched_t *sched,
+				   sched_worker_t *worker)
+{
+	worker->evacuated =
+		sched->evacuations &&
+		gn_evacuations_contain(sched->evacuations, worker->data_centre);
+}
+
 bool sched_worker_accepts_tasks(const gn_sched_t *sched,
 				const sched_worker_t *worker)
 {
 	uint64_t now_us = sched_now_us(sched);
 
-	return !worker->draining && !worker->crashed && *worker->life.id &&
-	       sched_worker_is_live(sched, worker) &&
+	return !worker->draining && !worker->evacuated && !worker->crashed &&
+	       *worker->life.id && sched_worker_is_live(sched, worker) &&
 	       sched_worker_has_fresh_list(sched, worker) &&
 	       now_us >= worker->full_until_us;
 }
@@ -388,6 +396,7 @@
 	worker->ends_seen = 0;
 	worker->ends_durable = 0;
 	memset(&worker->health, 0, sizeof(worker->health));
+	memset(&worker->cold, 0, sizeof(worker->cold));
 	memset(&worker->unclaimed_use, 0, sizeof(worker->unclaimed_use));
 	worker->full_until_us = 0;
 	worker->last_list_us = 0;
--- a/lib/scheduler/executors.c
+++ b/lib/scheduler/executors.c
@@ -132,6 +132,8 @@
 	message.born_ms = life.started_ms;
 	message.leave_stored =
 		gn_sched_is_leave_durable(scheduler->sched, executor->host);
+	message.evacuated =
+		gn_sched_is_evacuated(scheduler->sched, executor->host);
 	message.unsure = may_be_superseded(scheduler);
 	message.sequence = executor->unanswered_sequence;
 	message.basis = executor->last_sequence;
--- a/lib/scheduler/leading.c
+++ b/lib/scheduler/leading.c
@@ -83,10 +83,30 @@
 	scheduler_answer_durable_calls(arg, job, version);
 }
 
+static void log_evacuation(const scheduler_t *scheduler,
+			   const gn_sched_event_t *event)
+{
+	uint64_t age_us = gn_evacuations_age_us(scheduler->evacuations,
+						now_us(scheduler));
+
+	gn_event("evacuation", "{s:s, s:s, s:I, s:I, s:I, s:I, s:I}",
+		 "data_centre", event->data_centre, "why", event->reason,
+		 "revision",
+		 (json_int_t)gn_evacuations_revision(scheduler->evacuations),
+		 "age_ms", (json_int_t)(age_us / GN_US_PER_MS), "claims",
+		 (json_int_t)event->value, "workers",
+		 (json_int_t)event->workers, "epoch",
+		 (json_int_t)scheduler->epoch);
+}
+
 static void log_event(void *arg, const gn_sched_event_t *event)
 {
 	const scheduler_t *scheduler = arg;
 
+	if (event->data_centre) {
+		log_evacuation(scheduler, event);
+		return;
+	}
 	gn_event(event->name,
 		 "{s:s*, s:s*, s:I, s:s*, s:s*, s:s*, s:I, s:I, s:I}", "job",
 		 event->job, "task", event->task, "attempt",
@@ -380,6 +400,9 @@
 		abort();
 	if (scheduler->queues)
 		gn_sched_configure(scheduler->sched, scheduler->queues);
+	if (scheduler->evacuations)
+		gn_sched_set_evacuations(scheduler->sched,
+					 scheduler->evacuations);
 	begin_loading(scheduler);
 }
 
@@ -417,6 +440,19 @@
 		scheduler_executors_flush(scheduler);
 }
 
+static void update_gauges(const scheduler_t *scheduler)
+{
+	const scheduler_counters_t *counters = &scheduler->counters;
+	gn_sched_stats_t stats;
+
+	if (!scheduler->evacuations)
+		return;
+	stats = gn_sched_stats(scheduler->sched);
+	gn_counter_set(counters->evacuation_claims, stats.evacuation_claims);
+	gn_counter_set(counters->held_back_starts, stats.held_back_starts);
+	gn_counter_set(counters->held_back_passes, stats.held_back_passes);
+}
+
 void scheduler_leading_tick(scheduler_t *scheduler)
 {
 	scheduler_loading_t *loading = scheduler->loading;
@@ -431,6 +467,7 @@
 	if (now_us(scheduler) - scheduler->last_tick_us >= TICK_INTERVAL_US) {
 		scheduler->last_tick_us = now_us(scheduler);
 		gn_sched_tick(scheduler->sched);
+		update_gauges(scheduler);
 	}
 	scheduler_run_pass(scheduler);
 }
--- a/lib/scheduler/scheduler.c
+++ b/lib/scheduler/scheduler.c
@@ -63,13 +63,22 @@
 	counters->writes = gn_counters_get(all, "scheduler.writes");
 	counters->orders = gn_counters_get(all, "scheduler.orders");
 	counters->elections = gn_counters_get(all, "scheduler.elections");
+	counters->evacuations = gn_counters_get(all, "scheduler.evacuations");
+	counters->evacuation_claims =
+		gn_counters_get(all, "scheduler.evacuation_claims");
+	counters->held_back_starts =
+		gn_counters_get(all, "scheduler.held_back_starts");
+	counters->held_back_passes =
+		gn_counters_get(all, "scheduler.held_back_passes");
 	counters->call_time =
 		gn_histogram_create(scheduler, all, "scheduler.call_time");
 	counters->store_time =
 		gn_histogram_create(scheduler, all, "scheduler.store_time");
 	return complete && counters->call_time && counters->store_time &&
 	       counters->forwarded && counters->batches && counters->writes &&
-	       counters->orders && counters->elections;
+	       counters->orders && counters->elections &&
+	       counters->evacuations && counters->evacuation_claims &&
+	       counters->held_back_starts && counters->held_back_passes;
 }
 
 static gn_code_t start_server(scheduler_t *scheduler, const char *address,
@@ -270,7 +279,7 @@
 {
 	scheduler_t *scheduler = state;
 
-	gn_kv_watch_tick(scheduler->config_watch);
+	scheduler_config_tick(scheduler);
 	gn_lead_tick(scheduler->lead);
 	scheduler_forward_tick(scheduler);
 	scheduler_leading_tick(scheduler);
--- a/lib/scheduler/scheduler_internal.h
+++ b/lib/scheduler/scheduler_internal.h
@@ -13,6 +13,7 @@
 #include "adapter/adapter.h"
 #include "common/histogram.h"
 #include "daemon/runtime.h"
+#include "evacuation/evacuation.h"
 #include "http/server.h"
 #include "lead/lead.h"
 #include "ledger/ledger.h"
@@ -71,6 +72,11 @@
 	gn_counter_t *writes;
 	gn_counter_t *orders;
 	gn_counter_t *elections;
+	gn_counter_t *evacuations; /**< Gauge: evacuated data centres. */
+	/** Gauges of the present leadership, from gn_sched_stats_t. */
+	gn_counter_t *evacuation_claims;
+	gn_counter_t *held_back_starts;
+	gn_counter_t *held_back_passes;
 	gn_histogram_t *call_time; /**< Time from request to answer. */
 	gn_histogram_t *store_time; /**< Time to store a write batch. */
 } scheduler_counters_t;
@@ -88,7 +94,10 @@
 	gn_kv_http_t *kv_http;
 	gn_kv_t *kv;
 
+	/** Watches the configuration and the evacuations. */
 	gn_kv_watch_t *config_watch;
+	/** NULL if this deployment has no evacuations. */
+	gn_evacuations_t *evacuations;
 	gn_queues_t *queues; /**< Configuration; NULL until it is read. */
 
 	gn_lead_t *lead;
@@ -124,10 +133,15 @@
 /* ======   config.c   ====== */
 
 /**
- * Starts to watch the operators' configuration of queues and services.
+ * Starts to watch the operators' configuration of queues and services, and the
+ * data centres that they evacuate.
  * @return GN_OK or GN_ERR_MEMORY
  */
 gn_code_t scheduler_watch_config(scheduler_t *scheduler, gn_error_t *error);
+/** Begins the next call of the watch if it is due. */
+void scheduler_config_tick(scheduler_t *scheduler);
+/** Returns the evacuated data centres for the state dump. */
+json_t *scheduler_dump_evacuations(const scheduler_t *scheduler);
 
 /* ======   calls.c   ====== */
 
--- a/lib/scheduler/status.c
+++ b/lib/scheduler/status.c
@@ -29,11 +29,13 @@
 
 	if (scheduler->sched)
 		stats = gn_sched_stats(scheduler->sched);
-	return json_pack(
-		"{s:I, s:I, s:I, s:I, s:I}", "jobs", (json_int_t)stats.jobs,
-		"active_jobs", (json_int_t)stats.active_jobs, "workers",
-		(json_int_t)stats.workers, "claims", (json_int_t)stats.claims,
-		"waiting_tasks", (json_int_t)stats.waiting_tasks);
+	return json_pack("{s:I, s:I, s:I, s:I, s:I, s:I}", "jobs",
+			 (json_int_t)stats.jobs, "active_jobs",
+			 (json_int_t)stats.active_jobs, "workers",
+			 (json_int_t)stats.workers, "claims",
+			 (json_int_t)stats.claims, "waiting_tasks",
+			 (json_int_t)stats.waiting_tasks, "evacuated_workers",
+			 (json_int_t)stats.evacuated_workers);
 }
 
 static json_t *dump(const scheduler_t *scheduler)
@@ -50,6 +52,9 @@
 	json_object_set_new(json, "configuration",
 			    json_integer((json_int_t)version));
 	json_object_set_new(json, "scheduler", dump_jobs(scheduler));
+	if (scheduler->evacuations)
+		json_object_set_new(json, "evacuations",
+				    scheduler_dump_evacuations(scheduler));
 	return json;
 }
 
