Tests: evacuations in the leader and in the executors

Each test guards against one way by which a start could reach a worker of an evacuated data centre, or by which an evacuation could harm more than it has to: leader change, no leader, service down, short evacuation, no configuration yet, several at once, unknown data centre, repeated and late orders, a refusal held against the worker, gangs, racks and labels.

--- a/tests/contract/test_executor.c
+++ b/tests/contract/test_executor.c
@@ -36,6 +36,8 @@
 	uint64_t lease_until_ms; /**< Lease of the last call with one. */
 	uint64_t discarded_ends; /**< Ends to discard by the last list call. */
 	unsigned reported_results; /**< Results in the reports sent. */
+	unsigned starts; /**< Calls for starts. */
+	uint32_t reported_cold_left_ms; /**< In the last report. */
 	bool reported_left; /**< The last report said that the worker left. */
 	bool reported_crashed; /**< It said that the worker has crashed. */
 } rig_t;
@@ -60,6 +62,7 @@
 	(void)peer;
 	rig->reported_results += envelope->worker_report->n_results;
 	rig->reported_left = envelope->worker_report->left;
+	rig->reported_cold_left_ms = envelope->worker_report->cold_left_ms;
 	rig->reported_crashed = envelope->worker_report->crashed;
 	return GN_OK;
 }
@@ -83,6 +86,7 @@
 	g_snprintf(http->url, sizeof(http->url), "http://%s/x", call->address);
 	if (call->kind == GN_WORKER_LIST)
 		rig->discarded_ends = call->ends_stored;
+	rig->starts += call->kind == GN_WORKER_START;
 	if (call->lease_until_ms)
 		rig->lease_until_ms = call->lease_until_ms;
 	return true;
@@ -676,6 +680,51 @@
 	close_rig();
 }
 
+/* A leader with this epoch answers whether the data centre is evacuated. */
+static void answer_evacuated(uint64_t epoch, bool evacuated)
+{
+	Gn__WorkerOrders orders = GN__WORKER_ORDERS__INIT;
+	Gn__Envelope envelope = GN__ENVELOPE__INIT;
+
+	envelope.body_case = GN__ENVELOPE__BODY_WORKER_ORDERS;
+	envelope.worker_orders = &orders;
+	orders.epoch = epoch;
+	orders.evacuated = evacuated;
+	rig->leader_handler(rig->executor, NULL, &envelope);
+}
+
+/* Guards against an answer of a leader that has been superseded, and of a
+ * scheduler that does not lead. */
+static void test_older_leader_ends_an_evacuation(void)
+{
+	open_rig();
+	answer_evacuated(2, true);
+	answer_evacuated(1, false);
+	answer_evacuated(0, false);
+	g_assert_true(rig->executor->evacuated);
+	send_order(GN_RUN_ORDER_START, EARLIER_MS);
+	g_assert_cmpuint(rig->starts, ==, 0);
+	answer_evacuated(3, false);
+	g_assert_false(rig->executor->evacuated);
+	close_rig();
+}
+
+/* The heartbeat ages until the next one. */
+static void test_cold_time_falls_between_heartbeats(void)
+{
+	open_rig();
+	rig->executor->notice.cold_left_ms = 3000;
+	executor_report(rig->executor);
+	g_assert_cmpuint(rig->reported_cold_left_ms, ==, 3000);
+	gn_clock_advance(&rig->runtime.clock, GN_US_PER_S);
+	executor_report(rig->executor);
+	g_assert_cmpuint(rig->reported_cold_left_ms, ==, 2000);
+	gn_clock_advance(&rig->runtime.clock, 5 * GN_US_PER_S);
+	executor_report(rig->executor);
+	g_assert_cmpuint(rig->reported_cold_left_ms, ==, 0);
+	close_rig();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -732,5 +781,9 @@
 			test_older_list_replaces_a_newer_one);
 	g_test_add_func("/executor/report_with_an_old_list_extends_the_lease",
 			test_report_with_an_old_list_extends_the_lease);
+	g_test_add_func("/executor/older_leader_ends_an_evacuation",
+			test_older_leader_ends_an_evacuation);
+	g_test_add_func("/executor/cold_time_falls_between_heartbeats",
+			test_cold_time_falls_between_heartbeats);
 	return g_test_run();
 }
--- a/tests/support/sched_rig.c
+++ b/tests/support/sched_rig.c
@@ -10,6 +10,8 @@
 #define MEMORY_MB 64000
 #define BATCH_MAX 16
 #define RUNS_MAX 8
+#define EVACUATIONS_MAX 8
+#define EVACUATION_PREFIX "out/"
 
 static const gn_queue_t queues[] = {
 	{ .name = "quick",
@@ -53,6 +55,10 @@
 
 /** State of a host's worker. */
 typedef struct rig_host_s {
+	char data_centre[GN_NAME_MAX + 1];
+	char rack[GN_NAME_MAX + 1];
+	char label[GN_NAME_MAX + 1]; /**< Empty if it has none. */
+	char *labels[1]; /**< Points to the label. */
 	uint64_t restarts; /**< Restarts under the same ID. */
 	uint64_t ends; /**< Number of the last end of its life. */
 } rig_host_t;
@@ -88,6 +94,11 @@
 
 	g_strlcpy(rig->last_event, event->name, sizeof(rig->last_event));
 	rig->last_event_list_age_ms = event->list_age_ms;
+	if (!event->data_centre)
+		return;
+	rig->evacuation_claims = event->value;
+	rig->evacuation_workers = event->workers;
+	rig->evacuation_events++;
 }
 
 static void request_advice(void *arg, const char *step,
@@ -150,6 +161,7 @@
 void rig_close(sched_rig_t *rig)
 {
 	talloc_free(rig->sched);
+	talloc_free(rig->evacuations);
 	g_array_unref(rig->orders);
 	g_hash_table_destroy(rig->hosts);
 	g_hash_table_destroy(rig->records);
@@ -159,9 +171,48 @@
 {
 	gn_clock_advance(&rig->clock, (uint64_t)ms * GN_US_PER_MS);
 	gn_clock_advance(&rig->wall, (uint64_t)ms * GN_US_PER_MS);
+	if (rig->evacuations && rig->evacuations_revision &&
+	    !rig->evacuations_lost)
+		gn_evacuations_confirm(rig->evacuations,
+				       gn_clock_now_us(&rig->clock));
 	gn_sched_tick(rig->sched);
 }
 
+/* ======   Evacuations   ====== */
+
+void rig_enable_evacuations(sched_rig_t *rig)
+{
+	if (rig->evacuations)
+		talloc_free(rig->evacuations);
+	rig->evacuations_revision = 0;
+	rig->evacuations = gn_evacuations_create(NULL, EVACUATION_PREFIX);
+	gn_sched_set_evacuations(rig->sched, rig->evacuations);
+}
+
+void rig_evacuate(sched_rig_t *rig, const char *names)
+{
+	g_auto(GStrv) all = g_strsplit(names, ",", -1);
+	gn_kv_entry_t entries[EVACUATIONS_MAX] = { 0 };
+	gn_kv_update_t update = { .is_snapshot = true, .entries = entries };
+
+	update.revision = ++rig->evacuations_revision;
+	for (; all[update.count]; update.count++) {
+		gn_kv_entry_t *entry = &entries[update.count];
+		char *key =
+			g_strconcat(EVACUATION_PREFIX, all[update.count], NULL);
+
+		g_assert_cmpuint(update.count, <, EVACUATIONS_MAX);
+		g_free(all[update.count]);
+		all[update.count] = key;
+		entry->key = gn_str_from(key);
+		entry->value = GN_STR("{}");
+		entry->revision = update.revision;
+	}
+	gn_evacuations_update(rig->evacuations, &update, NULL, NULL);
+	gn_evacuations_confirm(rig->evacuations, gn_clock_now_us(&rig->clock));
+	gn_sched_set_evacuations(rig->sched, rig->evacuations);
+}
+
 void rig_clear(sched_rig_t *rig)
 {
 	g_array_set_size(rig->orders, 0);
@@ -185,6 +236,10 @@
 	step->per_worker = source->per_worker;
 	step->target_ms = source->target_ms;
 	step->image = strdup(source->image ? source->image : "");
+	if (source->rack)
+		step->rack = strdup(source->rack);
+	if (source->label)
+		step->label = strdup(source->label);
 	if (number && !(source->flags & RIG_INDEPENDENT)) {
 		step->after = malloc(sizeof(*step->after));
 		step->after[0] = number - 1;
@@ -299,6 +354,16 @@
 	return host;
 }
 
+void rig_locate(sched_rig_t *rig, const char *host, const char *data_centre,
+		const char *rack, const char *label)
+{
+	rig_host_t *state = get_host(rig, host);
+
+	g_strlcpy(state->data_centre, data_centre, sizeof(state->data_centre));
+	g_strlcpy(state->rack, rack, sizeof(state->rack));
+	g_strlcpy(state->label, label ? label : "", sizeof(state->label));
+}
+
 void rig_restart_worker(sched_rig_t *rig, const char *host)
 {
 	rig_host_t *state = get_host(rig, host);
@@ -317,14 +382,20 @@
 static void init_report(sched_rig_t *rig, Gn__WorkerReport *report,
 			const char *host, const char *life)
 {
+	rig_host_t *state = get_host(rig, host);
+
 	gn__worker_report__init(report);
 	report->host = (char *)host;
 	report->life = (char *)life;
 	report->born_ms = rig_get_life_start_ms(rig, host, life);
 	report->service = (char *)"s";
 	report->machine = empty_text;
-	report->data_centre = empty_text;
-	report->rack = empty_text;
+	report->data_centre = state->data_centre;
+	report->rack = state->rack;
+	report->cold_left_ms = rig->cold_left_ms;
+	state->labels[0] = state->label;
+	report->labels = state->labels;
+	report->n_labels = *state->label != '\0';
 	report->cpu_milli = rig->cpu_milli;
 	report->memory_mb = MEMORY_MB;
 	report->listed = true;
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -43,6 +43,15 @@
 	GHashTable *records; /**< Job ID to its stored Gn__JobRecord, owned. */
 	const Gn__Leave *leave; /**< Record that new leaders load, or NULL. */
 	uint32_t cpu_milli; /**< Capacity in the reports from now on. */
+	/** Evacuations, or NULL. */
+	gn_evacuations_t *evacuations;
+	uint64_t evacuations_revision;
+	/** The key-value service does not confirm them as time passes. */
+	bool evacuations_lost;
+	int64_t evacuation_claims; /**< Of the last event "evacuation". */
+	uint64_t evacuation_workers; /**< Of the last event "evacuation". */
+	unsigned evacuation_events; /**< Number of these events. */
+	uint32_t cold_left_ms; /**< In the reports from now on. */
 	char last_event[32]; /**< Name of the last event. */
 	int64_t last_event_list_age_ms; /**< List age in that event. */
 	unsigned advice_requests; /**< Requests to the adviser. */
@@ -60,6 +69,8 @@
 	uint32_t per_worker;
 	uint32_t target_ms;
 	const char *image;
+	const char *rack; /**< Rack of its data, or NULL. */
+	const char *label; /**< Label that its workers need, or NULL. */
 } rig_step_t;
 
 /** Run in a list for rig_report_runs(). */
@@ -88,6 +99,20 @@
 /** Gives the scheduler its configuration. */
 void rig_configure(sched_rig_t *rig);
 
+/**
+ * Turns evacuations on; they are not known before rig_evacuate(). Opens the
+ * scheduler's view of them again after rig_change_leader().
+ */
+void rig_enable_evacuations(sched_rig_t *rig);
+/**
+ * Evacuates these data centres and no others, and confirms it.
+ * @param names separated by commas; may be empty
+ */
+void rig_evacuate(sched_rig_t *rig, const char *names);
+/** Says where @p host is in the reports from now on. @p label may be NULL. */
+void rig_locate(sched_rig_t *rig, const char *host, const char *data_centre,
+		const char *rack, const char *label);
+
 /** Advances both clocks and calls gn_sched_tick(). */
 void rig_advance_ms(sched_rig_t *rig, unsigned ms);
 /** Discards the recorded orders. */
--- a/tests/unit/test_orders.c
+++ b/tests/unit/test_orders.c
@@ -779,6 +779,125 @@
 	}
 }
 
+/* ======   Evacuations   ====== */
+
+/* As a leaving worker, but with an outcome of its own. */
+static void test_evacuated_data_centre_gets_no_start(void)
+{
+	rig_t rig;
+
+	rig_open(&rig, GN_WORKER_OK);
+	rig.is_healthy = true;
+	play(&rig, STEP_MS);
+	gn_orders_set_evacuated(rig.orders, true);
+	order(&rig, GN_RUN_ORDER_START, 1);
+	play(&rig, 500);
+	g_assert_false(rig.runs);
+	g_assert_cmpint(rig.outcome, ==, GN_ORDER_OUTCOME_EVACUATED);
+	g_assert_cmpuint(rig.closed_attempt, ==, 1);
+	/* The flag is not the worker's. */
+	gn_orders_begin_life(rig.orders, life);
+	order(&rig, GN_RUN_ORDER_START, 2);
+	play(&rig, 500);
+	g_assert_false(rig.runs);
+	rig_close(&rig);
+}
+
+/* Guards against a start that is held or repeated in the executor. */
+static void test_start_in_progress_is_closed_by_an_evacuation(void)
+{
+	rig_t rig;
+
+	rig_open(&rig, GN_WORKER_UNANSWERED);
+	play(&rig, STEP_MS);
+	order(&rig, GN_RUN_ORDER_START, 1);
+	play(&rig, 200);
+	gn_orders_set_evacuated(rig.orders, true);
+	rig.is_healthy = true;
+	play(&rig, 500);
+	g_assert_false(rig.runs);
+	g_assert_cmpint(rig.outcome, ==, GN_ORDER_OUTCOME_EVACUATED);
+	g_assert_cmpuint(rig.closed_attempt, ==, 1);
+	/* The leader has repeated the order meanwhile. */
+	gn_orders_set_evacuated(rig.orders, false);
+	order(&rig, GN_RUN_ORDER_START, 1);
+	play(&rig, 500);
+	g_assert_false(rig.runs);
+	order(&rig, GN_RUN_ORDER_START, 2);
+	play(&rig, 500);
+	g_assert_true(rig.runs);
+	rig_close(&rig);
+}
+
+/* A start that waits for a lease has made no call yet. */
+static void test_start_without_a_lease_is_closed_by_an_evacuation(void)
+{
+	rig_t rig;
+
+	rig_open(&rig, GN_WORKER_OK);
+	rig.is_healthy = true;
+	order(&rig, GN_RUN_ORDER_START, 1);
+	gn_orders_set_evacuated(rig.orders, true);
+	play(&rig, 500);
+	g_assert_false(rig.runs);
+	g_assert_cmpint(rig.outcome, ==, GN_ORDER_OUTCOME_EVACUATED);
+	rig_close(&rig);
+}
+
+/* A call under way may have begun the run, which then goes on. */
+static void test_run_that_has_begun_is_kept_in_an_evacuation(void)
+{
+	rig_t rig;
+
+	rig_open(&rig, GN_WORKER_OK);
+	rig.is_healthy = true;
+	play(&rig, STEP_MS);
+	order(&rig, GN_RUN_ORDER_START, 1);
+	gn_orders_set_evacuated(rig.orders, true);
+	rig.runs = true;
+	answer_call(&rig, GN_WORKER_UNANSWERED);
+	play(&rig, 500);
+	g_assert_true(rig.runs);
+	g_assert_cmpint(rig.outcome, ==, GN_ORDER_OUTCOME_STARTED);
+	rig_close(&rig);
+}
+
+/* Stops and paces go on. */
+static void test_stop_is_carried_out_in_an_evacuation(void)
+{
+	rig_t rig;
+
+	rig_open(&rig, GN_WORKER_OK);
+	rig.is_healthy = true;
+	play(&rig, STEP_MS);
+	order(&rig, GN_RUN_ORDER_START, 1);
+	play(&rig, 500);
+	gn_orders_set_evacuated(rig.orders, true);
+	order_pace(&rig, 50);
+	order(&rig, GN_RUN_ORDER_STOP, 1);
+	play(&rig, 500);
+	g_assert_cmpuint(rig.percent, ==, 50);
+	g_assert_false(rig.runs);
+	g_assert_cmpint(rig.outcome, ==, GN_ORDER_OUTCOME_GONE);
+	rig_close(&rig);
+}
+
+/* Without an answer of a leader, the age of the order limits the start. */
+static void test_start_without_a_leader_ends_before_the_bound(void)
+{
+	rig_t rig;
+
+	rig_open(&rig, GN_WORKER_OK);
+	rig.is_healthy = true;
+	rig.grant.start_max_age_ms = 2500;
+	order(&rig, GN_RUN_ORDER_START, 1);
+	gn_clock_advance(&rig.clock, 2500 * GN_US_PER_MS);
+	play(&rig, 500);
+	g_assert_false(rig.runs);
+	g_assert_cmpint(rig.outcome, ==, GN_ORDER_OUTCOME_NOT_STARTED);
+	rig_close(&rig);
+}
+
 int main(int argc, char **argv)
 {
 	static const struct {
@@ -848,6 +967,18 @@
 		  test_pace_ordered_during_a_pace_call_is_lost },
 		{ "/orders/unanswered_pace_is_not_repeated",
 		  test_unanswered_pace_is_not_repeated },
+		{ "/orders/evacuated_data_centre_gets_no_start",
+		  test_evacuated_data_centre_gets_no_start },
+		{ "/orders/start_in_progress_is_closed_by_an_evacuation",
+		  test_start_in_progress_is_closed_by_an_evacuation },
+		{ "/orders/start_without_a_lease_is_closed_by_an_evacuation",
+		  test_start_without_a_lease_is_closed_by_an_evacuation },
+		{ "/orders/run_that_has_begun_is_kept_in_an_evacuation",
+		  test_run_that_has_begun_is_kept_in_an_evacuation },
+		{ "/orders/stop_is_carried_out_in_an_evacuation",
+		  test_stop_is_carried_out_in_an_evacuation },
+		{ "/orders/start_without_a_leader_ends_before_the_bound",
+		  test_start_without_a_leader_ends_before_the_bound },
 	};
 
 	g_test_init(&argc, &argv, NULL);
