Run walk: evacuations

Random walks of leader, executors and workers evacuate the workers' data centres, also for less than a second, while the leader's watch is late or has no answer. No start may begin 5 s after the request, whatever fails meanwhile; calls that take effect late are not excused.

--- a/tests/support/run_model.c
+++ b/tests/support/run_model.c
@@ -197,6 +197,7 @@
 		if (model->options.shrinks)
 			rm_at(model, RM_START_US + rm_draw_us(model, 500, 4000),
 			      rm_faults_shrink, worker, NULL);
+		rm_evacuations_start(model, worker);
 		rm_at(model, RM_START_US + rm_draw_us(model, 0, TICK_MS),
 		      tick_worker, worker, NULL);
 		rm_at(model, RM_START_US + rm_draw_us(model, 0, TICK_MS),
--- a/tests/support/run_model.h
+++ b/tests/support/run_model.h
@@ -58,7 +58,11 @@
 	Y(jobs_failed_by_crashes) \
 	Y(jobs_failed_wrongly)    \
 	Y(shrinks)                \
-	Y(starts_given_up)
+	Y(starts_given_up)        \
+	Y(evacuations)            \
+	Y(evacuation_claims)      \
+	Y(refused_evacuated)      \
+	Y(starts_in_evacuations)
 
 /** Jobs in a walk. */
 #define RUN_MODEL_JOBS 18
@@ -90,7 +94,12 @@
 	RUN_MODEL_BUG_LIFE_BY_ID,
 	/** Executors end before a leader has stored that their worker left. */
 	RUN_MODEL_BUG_EARLY_END,
-	RUN_MODEL_BUG_COUNT
+	/** Number of the bugs above, which show without evacuations. */
+	RUN_MODEL_BUG_COUNT,
+	/** Leaders take an old set of evacuations as recent. */
+	RUN_MODEL_BUG_OLD_EVACUATIONS = RUN_MODEL_BUG_COUNT,
+	/** Leaders read no evacuations. */
+	RUN_MODEL_BUG_NO_EVACUATIONS
 } run_model_bug_t;
 
 /** Options of a walk. */
@@ -102,6 +111,8 @@
 	bool deadly;
 	/** The capacity of workers shrinks and grows again. */
 	bool shrinks;
+	/** The data centres of workers are evacuated and return. */
+	bool evacuations;
 	/** Print the last events of the task at a violation. */
 	bool print;
 } run_model_options_t;
--- a/tests/support/run_model_executor.c
+++ b/tests/support/run_model_executor.c
@@ -52,6 +52,8 @@
 	result->verdict = outcome;
 	g_ptr_array_add(executor->results, result);
 	executor->report_due = true;
+	executor->model->counts->refused_evacuated +=
+		outcome == GN_ORDER_OUTCOME_EVACUATED;
 	rm_log(executor->model, "executor", executor->at, "reports",
 	       rm_find_task(executor->model, order->task), order->attempt,
 	       gn_run_order_outcome_name(outcome));
@@ -71,6 +73,13 @@
 
 /* ======   Start and stop   ====== */
 
+static unsigned get_start_max_age_ms(const run_model_t *model)
+{
+	return gn_evacuation_start_max_age_ms(
+		model->options.evacuations ? RM_EVACUATE_MS : 0,
+		GN_GRANT_START_MAX_AGE_MS);
+}
+
 void rm_executor_start(run_model_t *model, rm_executor_t *executor)
 {
 	const unsigned at = executor->at;
@@ -86,7 +95,7 @@
 	executor->serial = ++model->serial;
 	executor->ctx = talloc_new(NULL);
 	executor->grant.lease_us = RM_LEASE_MS * RM_MS;
-	executor->grant.start_max_age_ms = GN_GRANT_START_MAX_AGE_MS;
+	executor->grant.start_max_age_ms = get_start_max_age_ms(model);
 	if (model->options.bug == RUN_MODEL_BUG_LONG_LEASE)
 		executor->grant.lease_us *= 2;
 	executor->orders =
--- a/tests/support/run_model_faults.c
+++ b/tests/support/run_model_faults.c
@@ -9,8 +9,6 @@
 /** Chance that the next fault follows closely on the same machine. */
 #define PAIR_CHANCE 0.3
 #define PAIR_MAX_MS 200
-/** Executors find a new leader and report their lists within this. */
-#define SETTLE_MS 2500
 /** A worker that leaves has ended after the first time, its machine has got
  * SIGTERM after the second, and both together take the third at most. */
 #define LEAVE_END_MS 400
@@ -35,7 +33,7 @@
 	uint64_t last_us = RM_START_US + RM_FAULTS_MS * RM_MS;
 
 	end_us = MIN(end_us, last_us);
-	rm_faults_extend(model, end_us + SETTLE_MS * RM_MS);
+	rm_faults_extend(model, end_us + RM_SETTLE_MS * RM_MS);
 	return end_us;
 }
 
@@ -157,7 +155,7 @@
 		model->counts->crashes_by_tasks++;
 		count_crashed_runs(model, worker);
 		rm_worker_crash(model, worker);
-		rm_faults_extend(model, boots_us + SETTLE_MS * RM_MS);
+		rm_faults_extend(model, boots_us + RM_SETTLE_MS * RM_MS);
 		rm_at(model, boots_us, boot_worker, worker, NULL);
 	}
 	g_free(data);
--- a/tests/support/run_model_internal.h
+++ b/tests/support/run_model_internal.h
@@ -140,6 +140,18 @@
 /** Records that a fault lasts until @p until_us. */
 void rm_faults_extend(run_model_t *model, uint64_t until_us);
 
+/* ======   run_model_evacuation.c   ====== */
+
+/** Begins the requests at the data centre of a worker. */
+void rm_evacuations_start(run_model_t *model, rm_worker_t *worker);
+/** Gives a leader its view of the evacuations, which it has yet to read. */
+void rm_evacuations_open(rm_leader_t *leader);
+/** Lets the leader read the requests and confirms them when that is due. */
+void rm_evacuations_tick(rm_leader_t *leader);
+/** Checks a start against the bound of evacuations. */
+void rm_check_evacuated_start(run_model_t *model, const rm_worker_t *worker,
+			      const rm_task_t *task);
+
 /* ======   run_model_check.c   ====== */
 
 void rm_violate(run_model_t *model, const rm_task_t *task, const char *text);
--- a/tests/support/run_model_leader.c
+++ b/tests/support/run_model_leader.c
@@ -78,6 +78,9 @@
 	leader->model->counts->starts_given_up +=
 		event->reason &&
 		!strcmp(event->reason, "the worker's capacity has shrunk");
+	leader->model->counts->evacuation_claims +=
+		event->reason &&
+		!strcmp(event->reason, "its data centre is evacuated");
 	if (event->reason && !strcmp(event->name, "worker"))
 		return;
 	rm_log(leader->model, "leader", (unsigned)leader->epoch,
@@ -117,6 +120,7 @@
 	for (unsigned i = 0; i < RM_WORKERS; i++)
 		g_ptr_array_unref(leader->peers[i].orders);
 	talloc_free(leader->sched);
+	talloc_free(leader->evacuations);
 	if (model->leader == leader)
 		model->leader = NULL;
 	memset(leader, 0, sizeof(*leader));
@@ -173,6 +177,8 @@
 	for (unsigned i = 0; i < RM_WORKERS; i++)
 		leader->peers[i].orders =
 			g_ptr_array_new_with_free_func(free_order);
+	if (model->options.evacuations)
+		rm_evacuations_open(leader);
 	model->leader = leader;
 	rm_log(model, "leader", (unsigned)leader->epoch, "is elected", NULL, 0,
 	       NULL);
@@ -207,6 +213,7 @@
 	message.life = (char *)life.id;
 	message.born_ms = life.started_ms;
 	message.leave_stored = gn_sched_is_leave_durable(leader->sched, host);
+	message.evacuated = gn_sched_is_evacuated(leader->sched, host);
 	message.unsure = rm_now_us(leader->model) - leader->confirmed_us >
 			 RM_LEADER_TTL_MS * RM_MS;
 	message.sequence = peer->unanswered_sequence;
@@ -251,6 +258,7 @@
 	if (leader == leader->model->leader &&
 	    now_us - leader->confirmed_us >= CONFIRM_INTERVAL_US)
 		leader->confirmed_us = now_us;
+	rm_evacuations_tick(leader);
 	if (now_us - leader->sched_tick_us >= TICK_INTERVAL_US) {
 		leader->sched_tick_us = now_us;
 		gn_sched_tick(leader->sched);
--- a/tests/support/run_model_reports.c
+++ b/tests/support/run_model_reports.c
@@ -76,6 +76,7 @@
 	if (message->unsure)
 		look_up_leader(executor);
 	record_answer(executor, message);
+	gn_orders_set_evacuated(executor->orders, message->evacuated);
 	for (size_t i = 0; i < message->n_orders; i++)
 		gn_orders_handle(executor->orders, message->orders[i],
 				 get_basis_us(executor, message));
@@ -120,13 +121,16 @@
 {
 	Gn__WorkerReport report = GN__WORKER_REPORT__INIT;
 	char host[8];
+	char data_centre[8];
 
 	executor->report_due = false;
 	executor->reported_us = rm_now_us(executor->model);
 	if (!executor->connection)
 		return;
 	g_snprintf(host, sizeof(host), "h%u", executor->at);
+	g_snprintf(data_centre, sizeof(data_centre), "d%u", executor->at);
 	report.host = host;
+	report.data_centre = data_centre;
 	report.sequence = ++executor->sequence;
 	if (executor->worker_known)
 		describe_worker(executor, &report);
--- a/tests/support/run_model_types.h
+++ b/tests/support/run_model_types.h
@@ -6,6 +6,7 @@
 #define GN_TESTS_RUN_MODEL_TYPES_H
 
 #include "adapter/adapter.h"
+#include "evacuation/evacuation.h"
 #include "executor/gone.h"
 #include "executor/orders.h"
 #include "sched/sched.h"
@@ -46,6 +47,10 @@
 /** Longest time after which an unanswered call takes effect. */
 #define RM_LATE_MIN_MS 2000
 #define RM_LATE_MAX_MS 12000
+/** Time after a request by which no start begins in the data centre. */
+#define RM_EVACUATE_MS 5000
+/** Executors find a new leader and report their lists within this. */
+#define RM_SETTLE_MS 2500
 /** Time without confirmation after which another scheduler may lead. */
 #define RM_LEADER_TTL_MS 1000
 
@@ -276,6 +281,9 @@
 	bool superseded; /**< Another leads; it doesn't know. */
 	uint64_t confirmed_us; /**< Last confirmation by the store. */
 	uint64_t sched_tick_us;
+	/** Its view of the evacuations; NULL without any. */
+	gn_evacuations_t *evacuations;
+	uint64_t evacuations_due_us; /**< Next answer of the store's watch. */
 	rm_peer_t peers[RM_WORKERS];
 	gn_sched_write_t writes[RM_BATCH_MAX];
 	size_t write_count; /**< 0 if no batch is in flight. */
@@ -311,6 +319,9 @@
 	rm_job_t jobs[RM_JOBS];
 	GHashTable *tasks; /**< Task name to rm_task_t. */
 	GHashTable *jobs_by_id;
+	/** When each worker's data centre was evacuated; 0 if it isn't. */
+	uint64_t evacuated_us[RM_WORKERS];
+	uint64_t evacuations_revision; /**< Of the last request. */
 	uint64_t calm_us; /**< Since when, or from when, there is no fault. */
 	GArray *log; /**< Of rm_line_t. */
 	const char *violation;
--- a/tests/unit/test_run_walk.c
+++ b/tests/unit/test_run_walk.c
@@ -51,6 +51,34 @@
 	return run_walk(seed, &options, counts);
 }
 
+static const char *run_evacuating(guint32 seed, unsigned mutant,
+				  uint64_t *counts)
+{
+	static const run_model_bug_t bugs[] = {
+		RUN_MODEL_BUG_NONE,
+		RUN_MODEL_BUG_OLD_EVACUATIONS,
+		RUN_MODEL_BUG_NO_EVACUATIONS,
+	};
+	run_model_options_t options = { .bug = bugs[mutant],
+					.same_id = seed % 2,
+					.evacuations = true };
+
+	return run_walk(seed, &options, counts);
+}
+
+/* Guards against walks in which no evacuation hits a start. */
+static void test_evacuations_hit_starts(void)
+{
+	run_model_options_t options = { .evacuations = true };
+	run_model_counts_t counts = { 0 };
+
+	for (guint32 seed = 1; seed <= 40; seed++)
+		run_model_walk(seed, &options, &counts);
+	g_assert_cmpuint(counts.evacuations, >, 100);
+	g_assert_cmpuint(counts.evacuation_claims, >, 0);
+	g_assert_cmpuint(counts.starts_in_evacuations, >, 0);
+}
+
 /** The same seed must give the same walk, so that failures can be replayed. */
 static void test_replay(void)
 {
@@ -82,9 +110,27 @@
 		.run = run_same_id,
 	};
 
+	static const gn_walk_mutant_t evacuation_mutants[] = {
+		{ "none", 0, 0 },
+		{ "old-evacuations", 1, 100 },
+		{ "no-evacuations", 1, 100 },
+	};
+	static const gn_walk_plan_t evacuating = {
+		.path = "/run-walk-evacuations",
+		.walks = 200,
+		.counts = run_model_walk_counts,
+		.count_count = RUN_MODEL_COUNT_COUNT,
+		.mutants = evacuation_mutants,
+		.mutant_count = G_N_ELEMENTS(evacuation_mutants),
+		.run = run_evacuating,
+	};
+
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/run-walk/replay", test_replay);
 	gn_walk_add(&plan);
 	gn_walk_add(&same_id);
+	g_test_add_func("/run-walk-evacuations/hit-starts",
+			test_evacuations_hit_starts);
+	gn_walk_add(&evacuating);
 	return g_test_run();
 }
