Scheduler: keep the names of evacuated data centres alive

gn_sched_set_evacuations() lists the names that were evacuated before, then adds the present ones. Adding a name that is there replaces and frees the one in the list, which was read afterwards: a use after free whenever the set changed while a data centre stayed evacuated.

--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -135,8 +135,11 @@
 	for (size_t i = 0; i < gn_evacuations_count(set); i++) {
 		const char *name = gn_evacuations_get(set, i)->data_centre;
 
-		if (g_hash_table_add(sched->evacuated, g_strdup(name)))
-			change_evacuation(sched, name);
+		/* Adding a name again would free the one in the list. */
+		if (g_hash_table_contains(sched->evacuated, name))
+			continue;
+		g_hash_table_add(sched->evacuated, g_strdup(name));
+		change_evacuation(sched, name);
 	}
 	for (GList *item = before; item; item = item->next) {
 		if (gn_evacuations_contain(set, item->data))
