Watch: read all pages of a list

The watch took the first page of a truncated list as all keys, so that those of the other pages counted as deleted. An evacuation on a later page would have been withdrawn for the scheduler that listed. The pages are now joined and delivered as of the first one, from which the watch goes on.

--- a/lib/platform/watch.c
+++ b/lib/platform/watch.c
@@ -1,6 +1,7 @@
 #include "platform/watch.h"
 
 #include <assert.h>
+#include <stdlib.h>
 
 #include "common/str.h"
 #include "platform/backoff.h"
@@ -23,6 +24,12 @@
 	bool confirms_soon; /* The next call then does not wait. */
 	uint64_t due_us; /* When the next call is due. */
 	gn_backoff_t backoff;
+
+	/* Pages of a list that is not complete; NULL if there are none. */
+	gn_kv_entry_t *listed; /* Copies, allocated by talloc. */
+	size_t listed_count;
+	uint64_t listed_revision; /* Revision of the first page. */
+	uint64_t listed_sent_us; /* When it was requested. */
 };
 
 gn_kv_watch_t *gn_kv_watch_create(TALLOC_CTX *parent, gn_kv_t *kv,
@@ -99,20 +106,79 @@
 	gn_backoff_reset(&watch->backoff);
 }
 
+/* ======   Lists   ====== */
+
+static void drop_pages(gn_kv_watch_t *watch)
+{
+	TALLOC_FREE(watch->listed);
+	watch->listed_count = 0;
+}
+
+static gn_str_t copy_text(TALLOC_CTX *parent, gn_str_t text)
+{
+	return (gn_str_t){ talloc_memdup(parent, text.data, text.len),
+			   text.len };
+}
+
+static void keep_page(gn_kv_watch_t *watch, const gn_kv_result_t *result)
+{
+	if (!watch->listed) {
+		watch->listed_revision = result->revision;
+		watch->listed_sent_us = result->sent_us;
+	}
+	watch->listed = talloc_realloc(watch, watch->listed, gn_kv_entry_t,
+				       watch->listed_count + result->count + 1);
+	if (!watch->listed)
+		abort(); /* GLib also aborts when out of memory. */
+	for (size_t i = 0; i < result->count; i++) {
+		gn_kv_entry_t *entry = &watch->listed[watch->listed_count++];
+
+		*entry = result->entries[i];
+		entry->key = copy_text(watch->listed, entry->key);
+		entry->value = copy_text(watch->listed, entry->value);
+		entry->change_id = copy_text(watch->listed, entry->change_id);
+	}
+}
+
+/*
+ * Delivers all pages as of the first one. What later pages have read of later
+ * changes, the watch delivers again.
+ */
+static void deliver_pages(gn_kv_watch_t *watch)
+{
+	const gn_kv_result_t whole = { .revision = watch->listed_revision,
+				       .entries = watch->listed,
+				       .count = watch->listed_count };
+
+	deliver(watch, &whole, true);
+	drop_pages(watch);
+}
+
 static void on_list(void *context, const gn_kv_result_t *result)
 {
 	gn_kv_watch_t *watch = context;
 
 	watch->call = 0;
 	if (result->code != GN_OK || result->revision < watch->revision) {
+		drop_pages(watch);
 		schedule_retry(watch);
 		return;
 	}
-	note_success(watch, result->sent_us);
+	keep_page(watch, result);
+	if (result->more && result->count) {
+		watch->call = gn_kv_list_after(
+			watch->kv, gn_str_from(watch->prefix),
+			watch->listed[watch->listed_count - 1].key, on_list,
+			watch);
+		return;
+	}
+	note_success(watch, watch->listed_sent_us);
 	watch->is_listed = true;
-	deliver(watch, result, true);
+	deliver_pages(watch);
 }
 
+/* ======   Changes   ====== */
+
 static void on_changes(void *context, const gn_kv_result_t *result)
 {
 	gn_kv_watch_t *watch = context;
--- a/tests/contract/test_kv_watch.c
+++ b/tests/contract/test_kv_watch.c
@@ -233,6 +233,195 @@
 	g_assert_null(gn_kv_watch_create(NULL, NULL, &clock, NULL, &options));
 }
 
+/* ======   Long lists   ====== */
+
+/** A service whose lists have one key a page. */
+typedef struct pages_s {
+	gn_kv_t kv;
+	unsigned lists; /**< Calls for the first page. */
+	bool fails; /**< The second page has no answer, once. */
+	gn_kv_done_t done; /**< Of the call in progress; NULL if none is. */
+	void *context;
+	char after[8]; /**< Key after which the page begins. */
+	uint64_t watched_from; /**< Revision in the last watch call. */
+	uint32_t wait_ms; /**< Wait of the last watch call. */
+	unsigned snapshots;
+	size_t delivered; /**< Keys in the last snapshot. */
+} pages_t;
+
+static gn_kv_call_t list_page(gn_kv_t *kv, gn_str_t prefix, gn_str_t after,
+			      gn_kv_done_t done, void *context)
+{
+	pages_t *pages = (pages_t *)(void *)kv;
+
+	g_assert_true(gn_str_equal(prefix, GN_STR("p/")));
+	gn_str_copy(pages->after, sizeof(pages->after), after);
+	pages->done = done;
+	pages->context = context;
+	return 1;
+}
+
+static gn_kv_call_t list_first_page(gn_kv_t *kv, gn_str_t prefix,
+				    gn_kv_done_t done, void *context)
+{
+	((pages_t *)(void *)kv)->lists++;
+	return list_page(kv, prefix, GN_STR(""), done, context);
+}
+
+static gn_kv_call_t watch_pages(gn_kv_t *kv, gn_str_t prefix, uint64_t from,
+				uint32_t wait_ms, gn_kv_done_t done,
+				void *context)
+{
+	pages_t *pages = (pages_t *)(void *)kv;
+
+	(void)prefix;
+	pages->watched_from = from;
+	pages->wait_ms = wait_ms;
+	pages->done = done;
+	pages->context = context;
+	return 2;
+}
+
+static void cancel_pages(gn_kv_t *kv, gn_kv_call_t call)
+{
+	(void)kv;
+	(void)call;
+}
+
+/* Answers with the key after the last one of p/a, p/b and p/c. */
+static void answer_page(pages_t *pages)
+{
+	static const char *const keys[] = { "p/a", "p/b", "p/c" };
+	const gn_error_t error = { 0 };
+	gn_kv_entry_t entry = { .value = GN_STR("v"), .revision = 1 };
+	gn_kv_result_t result = { .error = &error,
+				  .entries = &entry,
+				  .count = 1 };
+	size_t page = 0;
+
+	while (strcmp(keys[page], pages->after) <= 0)
+		page++;
+	entry.key = gn_str_from(keys[page]);
+	result.revision = 10 + page;
+	result.more = page + 1 < G_N_ELEMENTS(keys);
+	if (page == 1 && pages->fails) {
+		pages->fails = false;
+		result.code = GN_ERR_UNAVAILABLE;
+	}
+	pages->done(pages->context, &result);
+}
+
+static void on_pages_update(void *context, const gn_kv_update_t *news)
+{
+	pages_t *pages = context;
+
+	pages->snapshots += news->is_snapshot;
+	pages->delivered = news->count;
+	for (size_t i = 0; i < news->count; i++)
+		g_assert_true(
+			gn_str_equal(news->entries[i].value, GN_STR("v")));
+	g_assert_cmpuint(news->revision, ==, 10);
+}
+
+static const gn_kv_ops_t pages_ops = { .list = list_first_page,
+				       .list_after = list_page,
+				       .watch = watch_pages,
+				       .cancel = cancel_pages };
+
+/*
+ * Guards against a list whose first page is taken as all of it, so that the keys
+ * of the others count as deleted.
+ */
+static void test_list_of_several_pages(void)
+{
+	pages_t pages = { .kv = { &pages_ops }, .fails = true };
+	gn_kv_watch_options_t options = { "p/", 1000, 0, on_pages_update,
+					  &pages };
+	GRand *rand = g_rand_new_with_seed(1);
+	gn_kv_watch_t *watch;
+	gn_clock_t clock;
+
+	gn_clock_init_paused(&clock, GN_US_PER_S);
+	watch = gn_kv_watch_create(NULL, &pages.kv, &clock, rand, &options);
+	gn_kv_watch_tick(watch);
+	answer_page(&pages);
+	g_assert_cmpuint(pages.snapshots, ==, 0);
+	/* The list begins anew after a failure. */
+	answer_page(&pages);
+	gn_clock_advance(&clock, 10 * GN_US_PER_S);
+	gn_kv_watch_tick(watch);
+	g_assert_cmpuint(pages.lists, ==, 2);
+	for (unsigned i = 0; i < 3; i++)
+		answer_page(&pages);
+	g_assert_cmpuint(pages.snapshots, ==, 1);
+	g_assert_cmpuint(pages.delivered, ==, 3);
+	/* Changes since the first page are watched for. */
+	gn_kv_watch_tick(watch);
+	g_assert_cmpuint(pages.watched_from, ==, 10);
+	gn_kv_watch_free(watch);
+	g_rand_free(rand);
+}
+
+/* ======   Age   ====== */
+
+/* Answers the watch call in progress without changes. */
+static void answer_watch(pages_t *pages, gn_code_t code, uint64_t sent_us)
+{
+	const gn_error_t error = { 0 };
+	const gn_kv_result_t result = { .code = code,
+					.error = &error,
+					.revision = 10,
+					.sent_us = sent_us };
+
+	pages->done(pages->context, &result);
+}
+
+/* Guards against an answer that was under way for long and counts as recent. */
+static void test_confirmation_counts_no_later_than_the_wait(void)
+{
+	pages_t pages = { .kv = { &pages_ops } };
+	gn_kv_watch_options_t options = { "p/", 1000, 0, on_pages_update,
+					  &pages };
+	GRand *rand = g_rand_new_with_seed(1);
+	const uint64_t start_us = GN_US_PER_S;
+	gn_kv_watch_t *watch;
+	gn_clock_t clock;
+
+	gn_clock_init_paused(&clock, start_us);
+	watch = gn_kv_watch_create(NULL, &pages.kv, &clock, rand, &options);
+	gn_kv_watch_confirm_soon(watch);
+	g_assert_cmpuint(gn_kv_watch_confirmed_us(watch), ==, 0);
+	gn_kv_watch_tick(watch);
+	for (unsigned i = 0; i < 3; i++)
+		answer_page(&pages);
+	/* In time, before the wait is over. */
+	gn_kv_watch_tick(watch);
+	g_assert_cmpuint(pages.wait_ms, ==, 1000);
+	gn_clock_advance(&clock, 600 * GN_US_PER_MS);
+	answer_watch(&pages, GN_OK, start_us);
+	g_assert_cmpuint(gn_kv_watch_confirmed_us(watch), ==,
+			 start_us + 600 * GN_US_PER_MS);
+	/* Late. */
+	gn_kv_watch_tick(watch);
+	gn_clock_advance(&clock, 1900 * GN_US_PER_MS);
+	answer_watch(&pages, GN_OK, start_us + 600 * GN_US_PER_MS);
+	g_assert_cmpuint(gn_kv_watch_confirmed_us(watch), ==,
+			 start_us + 1600 * GN_US_PER_MS);
+	/* A failure confirms nothing, and the next call does not wait. */
+	gn_kv_watch_tick(watch);
+	answer_watch(&pages, GN_ERR_UNAVAILABLE, start_us);
+	g_assert_cmpuint(gn_kv_watch_confirmed_us(watch), ==,
+			 start_us + 1600 * GN_US_PER_MS);
+	gn_clock_advance(&clock, 10 * GN_US_PER_S);
+	gn_kv_watch_tick(watch);
+	g_assert_cmpuint(pages.wait_ms, ==, 0);
+	answer_watch(&pages, GN_OK, gn_clock_now_us(&clock));
+	gn_kv_watch_tick(watch);
+	g_assert_cmpuint(pages.wait_ms, ==, 1000);
+	gn_kv_watch_free(watch);
+	g_rand_free(rand);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -245,5 +434,9 @@
 	g_test_add_func("/kv/watch/call-rate", test_call_rate);
 	g_test_add_func("/kv/watch/outage-rate", test_outage_rate);
 	g_test_add_func("/kv/watch/options", test_options);
+	g_test_add_func("/kv/watch/list-of-several-pages",
+			test_list_of_several_pages);
+	g_test_add_func("/kv/watch/confirmation-counts-no-later-than-the-wait",
+			test_confirmation_counts_no_later_than_the_wait);
 	return g_test_run();
 }
