Watch: give up a call whose answer is overdue

A lost answer to a watch was noticed at the client's timeout, 2 s after the call. The evacuations were then last confirmed up to 3 s ago, so that the leader started nothing for about a second. With gn_kv_watch_confirm_soon(), a call is given up 300 ms after its answer was due; the limit doubles up to 4.8 s while no answer comes, so that a slow service is not asked in vain.

--- a/lib/platform/watch.c
+++ b/lib/platform/watch.c
@@ -7,6 +7,12 @@
 #include "platform/backoff.h"
 
 #define INTERVAL_MAX_MS 60000
+/**
+ * With gn_kv_watch_confirm_soon(), time for which an answer may be overdue. It
+ * doubles with each call given up, so that a slow service is not asked in vain.
+ */
+#define OVERDUE_US (300 * GN_US_PER_MS)
+#define OVERDUE_DOUBLINGS_MAX 4
 
 struct gn_kv_watch_s {
 	gn_kv_t *kv;
@@ -22,6 +28,8 @@
 	uint32_t wait_ms; /* Wait of the call in progress. */
 	bool has_failed; /* The last call has failed. */
 	bool confirms_soon; /* The next call then does not wait. */
+	uint64_t called_us; /* When the call in progress was sent. */
+	unsigned given_up; /* Calls given up since the last answer. */
 	uint64_t due_us; /* When the next call is due. */
 	gn_backoff_t backoff;
 
@@ -101,6 +109,7 @@
 	watch->last_answer_us = gn_clock_now_us(watch->clock);
 	watch->confirmed_us = MIN(due_us, watch->last_answer_us);
 	watch->has_failed = false;
+	watch->given_up = 0;
 	watch->due_us = watch->last_answer_us +
 			(uint64_t)watch->options.interval_ms * GN_US_PER_MS;
 	gn_backoff_reset(&watch->backoff);
@@ -194,12 +203,31 @@
 	deliver(watch, result, false);
 }
 
+static void give_up_overdue_call(gn_kv_watch_t *watch)
+{
+	uint64_t due_us =
+		watch->called_us + (uint64_t)watch->wait_ms * GN_US_PER_MS;
+
+	if (!watch->call || !watch->confirms_soon ||
+	    gn_clock_now_us(watch->clock) <
+		    due_us + (OVERDUE_US << watch->given_up))
+		return;
+	gn_kv_cancel(watch->kv, watch->call);
+	watch->call = 0;
+	drop_pages(watch);
+	watch->has_failed = true;
+	watch->given_up = MIN(watch->given_up + 1, OVERDUE_DOUBLINGS_MAX);
+	watch->due_us = 0;
+}
+
 void gn_kv_watch_tick(gn_kv_watch_t *watch)
 {
 	gn_str_t prefix = gn_str_from(watch->prefix);
 
+	give_up_overdue_call(watch);
 	if (watch->call || gn_clock_now_us(watch->clock) < watch->due_us)
 		return;
+	watch->called_us = gn_clock_now_us(watch->clock);
 	watch->wait_ms = watch->options.wait_ms;
 	if (!watch->is_listed || (watch->has_failed && watch->confirms_soon))
 		watch->wait_ms = 0;
--- a/tests/contract/test_kv_watch.c
+++ b/tests/contract/test_kv_watch.c
@@ -245,6 +245,7 @@
 	char after[8]; /**< Key after which the page begins. */
 	uint64_t watched_from; /**< Revision in the last watch call. */
 	uint32_t wait_ms; /**< Wait of the last watch call. */
+	unsigned cancelled; /**< Calls. */
 	unsigned snapshots;
 	size_t delivered; /**< Keys in the last snapshot. */
 } pages_t;
@@ -284,8 +285,8 @@
 
 static void cancel_pages(gn_kv_t *kv, gn_kv_call_t call)
 {
-	(void)kv;
-	(void)call;
+	g_assert_cmpuint(call, !=, 0);
+	((pages_t *)(void *)kv)->cancelled++;
 }
 
 /* Answers with the key after the last one of p/a, p/b and p/c. */
@@ -422,6 +423,48 @@
 	g_rand_free(rand);
 }
 
+/*
+ * Guards against a lost answer that leaves the keys unconfirmed until the client's
+ * timeout, and against a slow service whose answers are never awaited.
+ */
+static void test_overdue_call_is_given_up(void)
+{
+	pages_t pages = { .kv = { &pages_ops } };
+	gn_kv_watch_options_t options = { "p/", 1000, 0, on_pages_update,
+					  &pages };
+	GRand *rand = g_rand_new_with_seed(1);
+	unsigned limit_ms = 300;
+	gn_kv_watch_t *watch;
+	gn_clock_t clock;
+
+	gn_clock_init_paused(&clock, GN_US_PER_S);
+	watch = gn_kv_watch_create(NULL, &pages.kv, &clock, rand, &options);
+	gn_kv_watch_confirm_soon(watch);
+	gn_kv_watch_tick(watch);
+	for (unsigned i = 0; i < 3; i++)
+		answer_page(&pages);
+	gn_kv_watch_tick(watch);
+	gn_clock_advance(&clock, 1299 * GN_US_PER_MS);
+	gn_kv_watch_tick(watch);
+	g_assert_cmpuint(pages.cancelled, ==, 0);
+	gn_clock_advance(&clock, GN_US_PER_MS);
+	for (unsigned i = 1; i <= 6; i++) {
+		gn_kv_watch_tick(watch);
+		g_assert_cmpuint(pages.cancelled, ==, i);
+		g_assert_cmpuint(pages.wait_ms, ==, 0);
+		limit_ms = MIN(2 * limit_ms, 4800);
+		gn_clock_advance(&clock, (limit_ms - 1) * GN_US_PER_MS);
+		gn_kv_watch_tick(watch);
+		g_assert_cmpuint(pages.cancelled, ==, i);
+		gn_clock_advance(&clock, GN_US_PER_MS);
+	}
+	answer_watch(&pages, GN_OK, gn_clock_now_us(&clock));
+	gn_kv_watch_tick(watch);
+	g_assert_cmpuint(pages.wait_ms, ==, 1000);
+	gn_kv_watch_free(watch);
+	g_rand_free(rand);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -438,5 +481,7 @@
 			test_list_of_several_pages);
 	g_test_add_func("/kv/watch/confirmation-counts-no-later-than-the-wait",
 			test_confirmation_counts_no_later_than_the_wait);
+	g_test_add_func("/kv/watch/overdue-call-is-given-up",
+			test_overdue_call_is_given_up);
 	return g_test_run();
 }
