--- a/tests/contract/test_kv_watch.c
+++ b/tests/contract/test_kv_watch.c
@@ -300,7 +300,8 @@
 				  .count = 1 };
 	size_t page = 0;
 
-	while (strcmp(keys[page], pages->after) <= 0)
+	while (page + 1 < G_N_ELEMENTS(keys) &&
+	       strcmp(keys[page], pages->after) <= 0)
 		page++;
 	entry.key = gn_str_from(keys[page]);
 	result.revision = 10 + page;
