Gypsumnotchctl: list evacuations

'evacuations' shows what a scheduler knows, from its state dump, with what is wrong with a request. The dump has a row for each data centre. The age in the line 'evacuation' is that of the update, not of the answer before it: 990 ms were logged for an update that had just come.

--- a/lib/queries/queries.h
+++ b/lib/queries/queries.h
@@ -28,6 +28,10 @@
 /** Runs change ID: prints the outcome of a change. */
 int gn_query_change(gn_ctl_t *ctl, int argc, char **argv);
 
+/** Runs evacuations: prints the data centres that a scheduler knows as
+ * evacuated. */
+int gn_query_evacuations(gn_ctl_t *ctl, int argc, char **argv);
+
 /** Runs dump: prints the full state of a process as JSON. */
 int gn_query_dump(gn_ctl_t *ctl, int argc, char **argv);
 
--- a/lib/queries/query_state.c
+++ b/lib/queries/query_state.c
@@ -39,6 +39,19 @@
 	{ NULL, NULL },
 };
 
+static const gn_ctl_column_t evacuation_columns[] = {
+	{ "DATA CENTRE", "data_centre" },
+	{ "REVISION", "revision" },
+	{ "FAULT", "fault" },
+	{ NULL, NULL },
+};
+
+static const gn_ctl_column_t evacuations_columns[] = {
+	{ "REVISION", "revision" },
+	{ "AGE MS", "age_ms" },
+	{ NULL, NULL },
+};
+
 static void print_status(gn_ctl_t *ctl, const json_t *object)
 {
 	gn_ctl_print_record(ctl->out, status_columns, object);
@@ -61,6 +74,16 @@
 	gn_ctl_print_record(ctl->out, job_columns, object);
 }
 
+/* Part of the state dump of a scheduler. */
+static void print_evacuations(gn_ctl_t *ctl, const json_t *object)
+{
+	const json_t *evacuations = json_object_get(object, "evacuations");
+
+	gn_ctl_print_table(ctl->out, evacuation_columns,
+			   json_object_get(evacuations, "data_centres"));
+	gn_ctl_print_record(ctl->out, evacuations_columns, evacuations);
+}
+
 static void print_dump(gn_ctl_t *ctl, const json_t *object)
 {
 	gn_ctl_print_json(ctl->out, object);
@@ -70,6 +93,8 @@
 static const gn_ctl_view_t hosts_view = { "hosts", print_hosts };
 static const gn_ctl_view_t jobs_view = { "jobs", print_jobs };
 static const gn_ctl_view_t job_view = { "id", print_job };
+static const gn_ctl_view_t evacuations_view = { "evacuations",
+						print_evacuations };
 static const gn_ctl_view_t dump_view = { NULL, print_dump };
 
 /** Runs a query that has no arguments. */
@@ -104,6 +129,11 @@
 	return run_simple_query(ctl, argc, argv, "/v1/jobs", &jobs_view);
 }
 
+int gn_query_evacuations(gn_ctl_t *ctl, int argc, char **argv)
+{
+	return run_simple_query(ctl, argc, argv, "/dump", &evacuations_view);
+}
+
 int gn_query_dump(gn_ctl_t *ctl, int argc, char **argv)
 {
 	return run_simple_query(ctl, argc, argv, "/dump", &dump_view);
--- a/lib/scheduler/config.c
+++ b/lib/scheduler/config.c
@@ -78,6 +78,13 @@
 	}
 }
 
+static void confirm_evacuations(scheduler_t *scheduler)
+{
+	gn_evacuations_confirm(
+		scheduler->evacuations,
+		gn_kv_watch_confirmed_us(scheduler->config_watch));
+}
+
 static void update_evacuations(scheduler_t *scheduler,
 			       const gn_kv_update_t *update)
 {
@@ -86,6 +93,7 @@
 	bool changed =
 		gn_evacuations_update(set, update, log_ignored, scheduler);
 
+	confirm_evacuations(scheduler);
 	log_faults(set, before);
 	if (!changed)
 		return;
@@ -102,13 +110,18 @@
 	const gn_evacuations_t *set = scheduler->evacuations;
 	uint64_t age_us = gn_evacuations_age_us(
 		set, gn_runtime_now_us(scheduler->runtime));
-	json_t *names = json_array();
+	json_t *rows = json_array();
+
+	for (size_t i = 0; i < gn_evacuations_count(set); i++) {
+		const gn_evacuation_t *row = gn_evacuations_get(set, i);
 
-	for (size_t i = 0; i < gn_evacuations_count(set); i++)
 		json_array_append_new(
-			names,
-			json_string(gn_evacuations_get(set, i)->data_centre));
-	return json_pack("{s:o, s:I, s:I}", "data_centres", names, "revision",
+			rows, json_pack("{s:s, s:I, s:s*}", "data_centre",
+					row->data_centre, "revision",
+					(json_int_t)row->revision, "fault",
+					row->fault));
+	}
+	return json_pack("{s:o, s:I, s:I}", "data_centres", rows, "revision",
 			 (json_int_t)gn_evacuations_revision(set), "age_ms",
 			 age_us == UINT64_MAX
 				 ? (json_int_t)-1
@@ -133,9 +146,7 @@
 {
 	gn_kv_watch_tick(scheduler->config_watch);
 	if (scheduler->evacuations)
-		gn_evacuations_confirm(
-			scheduler->evacuations,
-			gn_kv_watch_confirmed_us(scheduler->config_watch));
+		confirm_evacuations(scheduler);
 }
 
 /* Returns the longest prefix of both. */
--- a/tests/contract/test_ctl.c
+++ b/tests/contract/test_ctl.c
@@ -264,6 +264,22 @@
 	{ "dump", "dump", ANSWER, 200, NULL, "{\"b\":[1],\"a\":{}}",
 	  "GET /dump\n\n", GN_CTL_EXIT_OK,
 	  "{\n  \"a\": {},\n  \"b\": [\n    1\n  ]\n}\n", "" },
+	{ "evacuations", "evacuations", ANSWER, 200, NULL,
+	  "{\"role\":\"scheduler\",\"evacuations\":{\"data_centres\":["
+	  "{\"data_centre\":\"rey-a\",\"revision\":12},"
+	  "{\"data_centre\":\"rey-b\",\"revision\":9,"
+	  "\"fault\":\"its value is not an object\"}],"
+	  "\"revision\":15,\"age_ms\":420}}",
+	  "GET /dump\n\n", GN_CTL_EXIT_OK,
+	  "DATA CENTRE  REVISION  FAULT\n"
+	  "rey-a        12        -\n"
+	  "rey-b        9         its value is not an object\n"
+	  "REVISION  15\n"
+	  "AGE MS    420\n",
+	  "" },
+	{ "evacuations-of-another", "evacuations", ANSWER, 200, NULL,
+	  "{\"role\":\"entry\"}", "GET /dump\n\n", GN_CTL_EXIT_FAILED, "",
+	  "evacuations: rejected\n" },
 	{ "query-lost", "hosts", CLOSE, 0, NULL, "", "",
 	  GN_CTL_EXIT_UNREACHABLE, "",
 	  "hosts: unreachable: Server returned nothing (no headers, no "
