Tests: starts in isolation avoid evacuated data centres

A suspect is started on another host than the one that has crashed, but not on one that is evacuated; with both evacuated, it waits.

--- a/tests/unit/test_sched_evacuation.c
+++ b/tests/unit/test_sched_evacuation.c
@@ -194,6 +194,39 @@
 	rig_close(&rig);
 }
 
+/* Starts a task on "a", which crashes under it, evacuates these, and returns where
+ * the task is started in isolation. */
+static char get_host_of_isolated_start(const char *evacuated)
+{
+	const rig_order_t *order;
+	sched_rig_t rig;
+	char host;
+
+	open_with_start_on_a(&rig, &one_task);
+	rig_report_result(&rig, "a", "1", TASK, 1, GN_ORDER_OUTCOME_STARTED);
+	rig_report_crash(&rig, "a", "1");
+	rig_evacuate(&rig, evacuated);
+	for (unsigned t = 0; t < 3000; t += 100) {
+		rig_report(&rig, "a", "2");
+		rig_report(&rig, "b", "1");
+		rig_advance_ms(&rig, 100);
+		rig_store(&rig);
+	}
+	order = rig_find_order(&rig, GN_RUN_ORDER_START, TASK);
+	host = order ? *order->host : '-';
+	rig_close(&rig);
+	return host;
+}
+
+/* The host that has crashed is only the second choice. */
+static void test_start_in_isolation_goes_elsewhere(void)
+{
+	g_assert_cmpint(get_host_of_isolated_start(""), ==, 'b');
+	g_assert_cmpint(get_host_of_isolated_start("x"), ==, 'b');
+	g_assert_cmpint(get_host_of_isolated_start("y"), ==, 'a');
+	g_assert_cmpint(get_host_of_isolated_start("x,y"), ==, '-');
+}
+
 /* ======   Work in progress   ====== */
 
 static void check_run_goes_on(const rig_step_t *step)
@@ -526,6 +559,8 @@
 		  test_rack_is_left_and_label_is_waited_for },
 		{ "gang-is-placed-where-all-members-may-go",
 		  test_gang_is_placed_where_all_members_may_go },
+		{ "start-in-isolation-goes-elsewhere",
+		  test_start_in_isolation_goes_elsewhere },
 		{ "runs-go-on-and-start-again-elsewhere",
 		  test_runs_go_on_and_start_again_elsewhere },
 		{ "unconfirmed-start-is-given-up",
