--- a/tests/unit/test_evacuation.c
+++ b/tests/unit/test_evacuation.c
@@ -3,6 +3,7 @@
 #include "common/str.h"
 #include "evacuation/cold.h"
 #include "evacuation/evacuation.h"
+#include "wire/gypsumnotch.pb-c.h"
 
 #define PREFIX "ops/out/"
 #define NOW_US (100 * GN_US_PER_S)
@@ -265,6 +266,52 @@
 	g_assert_cmpfloat(gn_cold_get_slowness(&cold, 3, NOW_US), ==, 3);
 }
 
+/* ======   Messages   ====== */
+
+/* Guards against descriptors of the message code that do not fit the messages. */
+static void test_fields_survive_the_wire(void)
+{
+	Gn__WorkerReport report = GN__WORKER_REPORT__INIT;
+	Gn__WorkerOrders orders = GN__WORKER_ORDERS__INIT;
+	uint8_t data[64];
+	Gn__WorkerReport *report_read;
+	Gn__WorkerOrders *orders_read;
+
+	report.cold_left_ms = 1250;
+	report.crashed = true;
+	report_read = gn__worker_report__unpack(
+		NULL, gn__worker_report__pack(&report, data), data);
+	g_assert_cmpuint(report_read->cold_left_ms, ==, 1250);
+	g_assert_true(report_read->crashed);
+	gn__worker_report__free_unpacked(report_read, NULL);
+	orders.evacuated = true;
+	orders.basis = 3;
+	orders_read = gn__worker_orders__unpack(
+		NULL, gn__worker_orders__pack(&orders, data), data);
+	g_assert_true(orders_read->evacuated);
+	g_assert_cmpuint(orders_read->basis, ==, 3);
+	g_assert_false(orders_read->leave_stored);
+	gn__worker_orders__free_unpacked(orders_read, NULL);
+}
+
+static void check_names(const ProtobufCMessageDescriptor *descriptor)
+{
+	for (unsigned i = 0; i < descriptor->n_fields; i++) {
+		const ProtobufCFieldDescriptor *field = &descriptor->fields[i];
+
+		g_assert_true(protobuf_c_message_descriptor_get_field_by_name(
+				      descriptor, field->name) == field);
+		g_assert_true(protobuf_c_message_descriptor_get_field(
+				      descriptor, field->id) == field);
+	}
+}
+
+static void test_descriptors_are_sorted(void)
+{
+	check_names(&gn__worker_report__descriptor);
+	check_names(&gn__worker_orders__descriptor);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -290,5 +337,9 @@
 			test_cold_worker_warms_up);
 	g_test_add_func("/cold/measured-slowness-counts-if-higher",
 			test_measured_slowness_counts_if_higher);
+	g_test_add_func("/evacuation-wire/fields-survive-the-wire",
+			test_fields_survive_the_wire);
+	g_test_add_func("/evacuation-wire/descriptors-are-sorted",
+			test_descriptors_are_sorted);
 	return g_test_run();
 }
