--- a/tests/unit/test_sched_evacuation.c
+++ b/tests/unit/test_sched_evacuation.c
@@ -196,11 +196,11 @@
 
 /* Starts a task on "a", which crashes under it, evacuates these, and returns where
  * the task is started in isolation. */
-static char get_host_of_isolated_start(const char *evacuated)
+static guchar get_host_of_isolated_start(const char *evacuated)
 {
 	const rig_order_t *order;
 	sched_rig_t rig;
-	char host;
+	guchar host;
 
 	open_with_start_on_a(&rig, &one_task);
 	rig_report_result(&rig, "a", "1", TASK, 1, GN_ORDER_OUTCOME_STARTED);
@@ -213,7 +213,7 @@
 		rig_store(&rig);
 	}
 	order = rig_find_order(&rig, GN_RUN_ORDER_START, TASK);
-	host = order ? *order->host : '-';
+	host = order ? (guchar)*order->host : '-';
 	rig_close(&rig);
 	return host;
 }
@@ -221,10 +221,10 @@
 /* The host that has crashed is only the second choice. */
 static void test_start_in_isolation_goes_elsewhere(void)
 {
-	g_assert_cmpint(get_host_of_isolated_start(""), ==, 'b');
-	g_assert_cmpint(get_host_of_isolated_start("x"), ==, 'b');
-	g_assert_cmpint(get_host_of_isolated_start("y"), ==, 'a');
-	g_assert_cmpint(get_host_of_isolated_start("x,y"), ==, '-');
+	g_assert_cmpuint(get_host_of_isolated_start(""), ==, 'b');
+	g_assert_cmpuint(get_host_of_isolated_start("x"), ==, 'b');
+	g_assert_cmpuint(get_host_of_isolated_start("y"), ==, 'a');
+	g_assert_cmpuint(get_host_of_isolated_start("x,y"), ==, '-');
 }
 
 /* ======   Work in progress   ====== */
