Run walk: a late call of an executor out of touch

Its executor had called the start twice without an answer, the later time 1.9 s after the request, and had ended before the attempt was closed; the worker carried the call out 3.3 s later, within its lease, after two changes of leader. The requirement holds for executors in touch (running, with a path, for 4 s), so exactly this is now counted instead: a call that takes effect late, of an executor that was down, frozen or cut off within 4 s. Any other start after the bound is a violation as before, also a late call of an executor in touch.

--- a/tests/support/run_model.c
+++ b/tests/support/run_model.c
@@ -140,6 +140,7 @@
 
 static void tick_executor(run_model_t *model, void *data)
 {
+	rm_evacuations_note_touch(model, data);
 	rm_executor_tick(model, data);
 	rm_at(model, rm_now_us(model) + TICK_MS * RM_MS, tick_executor, data,
 	      NULL);
--- a/tests/support/run_model_types.h
+++ b/tests/support/run_model_types.h
@@ -49,6 +49,8 @@
 #define RM_LATE_MAX_MS 12000
 /** Time after a request by which no start begins in the data centre. */
 #define RM_EVACUATE_MS 5000
+/** An executor is in touch if it has run with a path for so long (ContactMs). */
+#define RM_CONTACT_MS 4000
 /** Executors find a new leader and report their lists within this. */
 #define RM_SETTLE_MS 2500
 /** Time without confirmation after which another scheduler may lead. */
@@ -322,6 +324,8 @@
 	/** When each worker's data centre was evacuated; 0 if it isn't. */
 	uint64_t evacuated_us[RM_WORKERS];
 	uint64_t evacuations_revision; /**< Of the last request. */
+	/** When each executor was last down, frozen or cut off. */
+	uint64_t out_of_touch_us[RM_WORKERS];
 	uint64_t calm_us; /**< Since when, or from when, there is no fault. */
 	GArray *log; /**< Of rm_line_t. */
 	const char *violation;
