--- a/lib/adapter/adapter.h
+++ b/lib/adapter/adapter.h
@@ -71,6 +71,8 @@
 	bool draining;
 	/** Minimum time until a draining server ends. */
 	uint32_t remaining_ms;
+	/** Time for which the server remains slow after its start. */
+	uint32_t cold_left_ms;
 } gn_worker_notice_t;
 
 /** The kinds of calls to a backend server. */
@@ -152,6 +154,11 @@
 	const char *config_key;
 	/** Name of the header with the deadline of a caller's request. */
 	const char *deadline_header;
+	/**
+	 * Prefix of the keys that evacuate a data centre, which end with its
+	 * name.
+	 */
+	const char *evacuation_prefix;
 
 	/**
 	 * Parses the operators' configuration.
--- a/lib/sched/sched_report.c
+++ b/lib/sched/sched_report.c
@@ -213,6 +213,10 @@
 			sched_now_us(sched) + SCHED_FULL_BACKOFF_US;
 		sched_release_claim(task, outcome);
 		break;
+	case GN_ORDER_OUTCOME_EVACUATED:
+		/* The worker is healthy. */
+		sched_release_claim(task, outcome);
+		break;
 	case GN_ORDER_OUTCOME_LIFE_ENDED:
 		end_claim_of_ended_life(task, outcome);
 		break;
@@ -260,6 +264,9 @@
 		worker->host_restarted = report->first_life;
 		sched_worker_begin_life(sched, worker, life);
 		sched_worker_describe(worker, report);
+		sched_worker_check_evacuation(sched, worker);
+		gn_cold_record(&worker->cold, report->cold_left_ms,
+			       sched_now_us(sched));
 	}
 	if (!gn_life_matches(life, worker->life))
 		return 0;
@@ -286,6 +293,7 @@
 		worker->crashed = false;
 	for (size_t i = 0; i < report->n_results; i++)
 		handle_result(sched, worker, report->results[i]);
+	sched_evacuate_starts(worker);
 	sched_worker_retire_ends(worker);
 	if (was_open != sched_worker_accepts_tasks(sched, worker))
 		sched->changed = true;
--- a/lib/scheduler/scheduler.c
+++ b/lib/scheduler/scheduler.c
@@ -69,6 +69,13 @@
 	counters->holding = gn_counters_get(all, "scheduler.holding");
 	counters->outage_ms = gn_counters_get(all, "scheduler.outage_ms");
 	counters->headroom_pct = gn_counters_get(all, "scheduler.headroom_pct");
+	counters->evacuations = gn_counters_get(all, "scheduler.evacuations");
+	counters->evacuation_claims =
+		gn_counters_get(all, "scheduler.evacuation_claims");
+	counters->held_back_starts =
+		gn_counters_get(all, "scheduler.held_back_starts");
+	counters->held_back_passes =
+		gn_counters_get(all, "scheduler.held_back_passes");
 	counters->call_time =
 		gn_histogram_create(scheduler, all, "scheduler.call_time");
 	counters->store_time =
@@ -77,7 +84,9 @@
 	       counters->forwarded && counters->batches && counters->writes &&
 	       counters->orders && counters->elections && counters->outages &&
 	       counters->held && counters->held_refused && counters->holding &&
-	       counters->outage_ms && counters->headroom_pct;
+	       counters->outage_ms && counters->headroom_pct &&
+	       counters->evacuations && counters->evacuation_claims &&
+	       counters->held_back_starts && counters->held_back_passes;
 }
 
 static gn_code_t start_server(scheduler_t *scheduler, const char *address,
@@ -280,7 +289,7 @@
 {
 	scheduler_t *scheduler = state;
 
-	gn_kv_watch_tick(scheduler->config_watch);
+	scheduler_config_tick(scheduler);
 	gn_lead_tick(scheduler->lead);
 	scheduler_forward_tick(scheduler);
 	scheduler_leading_tick(scheduler);
--- a/lib/scheduler/status.c
+++ b/lib/scheduler/status.c
@@ -29,14 +29,15 @@
 
 	if (scheduler->sched)
 		stats = gn_sched_stats(scheduler->sched);
-	return json_pack("{s:I, s:I, s:I, s:I, s:I, s:I, s:f}", "jobs",
+	return json_pack("{s:I, s:I, s:I, s:I, s:I, s:I, s:f, s:I}", "jobs",
 			 (json_int_t)stats.jobs, "active_jobs",
 			 (json_int_t)stats.active_jobs, "workers",
 			 (json_int_t)stats.workers, "claims",
 			 (json_int_t)stats.claims, "waiting_tasks",
 			 (json_int_t)stats.waiting_tasks, "late_jobs",
 			 (json_int_t)stats.late_jobs, "headroom_goal",
-			 stats.headroom_goal);
+			 stats.headroom_goal, "evacuated_workers",
+			 (json_int_t)stats.evacuated_workers);
 }
 
 static json_t *dump(const scheduler_t *scheduler)
@@ -54,6 +55,9 @@
 			    json_integer((json_int_t)version));
 	json_object_set_new(json, "scheduler", dump_jobs(scheduler));
 	json_object_set_new(json, "outage", scheduler_dump_outage(scheduler));
+	if (scheduler->evacuations)
+		json_object_set_new(json, "evacuations",
+				    scheduler_dump_evacuations(scheduler));
 	return json;
 }
 
--- a/lib/wire/gypsumnotch.pb-c.c
+++ b/lib/wire/gypsumnotch.pb-c.c
@@ -3774,7 +3774,7 @@
   (ProtobufCMessageInit) gn__order_result__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gn__worker_report__field_descriptors[22] =
+static const ProtobufCFieldDescriptor gn__worker_report__field_descriptors[23] =
 {
   {
     "sequence",
@@ -4028,6 +4028,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cold_left_ms",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerReport, cold_left_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "first_life",
     24,
@@ -4044,12 +4056,13 @@
 static const unsigned gn__worker_report__field_indices_by_name[] = {
   9,   /* field[9] = accelerators */
   3,   /* field[3] = born_ms */
+  21,   /* field[21] = cold_left_ms */
   7,   /* field[7] = cpu_milli */
   20,   /* field[20] = crashed */
   6,   /* field[6] = data_centre */
   11,   /* field[11] = draining */
   15,   /* field[15] = ends */
-  21,   /* field[21] = first_life */
+  22,   /* field[22] = first_life */
   1,   /* field[1] = host */
   10,   /* field[10] = labels */
   18,   /* field[18] = left */
@@ -4065,12 +4078,11 @@
   0,   /* field[0] = sequence */
   5,   /* field[5] = service */
 };
-static const ProtobufCIntRange gn__worker_report__number_ranges[3 + 1] =
+static const ProtobufCIntRange gn__worker_report__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 20, 18 },
-  { 24, 21 },
-  { 0, 22 }
+  { 0, 23 }
 };
 const ProtobufCMessageDescriptor gn__worker_report__descriptor =
 {
@@ -4080,10 +4092,10 @@
   "Gn__WorkerReport",
   "gn",
   sizeof(Gn__WorkerReport),
-  22,
+  23,
   gn__worker_report__field_descriptors,
   gn__worker_report__field_indices_by_name,
-  3,  gn__worker_report__number_ranges,
+  2,  gn__worker_report__number_ranges,
   (ProtobufCMessageInit) gn__worker_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -4229,7 +4241,7 @@
   (ProtobufCMessageInit) gn__worker_order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gn__worker_orders__field_descriptors[10] =
+static const ProtobufCFieldDescriptor gn__worker_orders__field_descriptors[11] =
 {
   {
     "sequence",
@@ -4351,12 +4363,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evacuated",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerOrders, evacuated),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gn__worker_orders__field_indices_by_name[] = {
   7,   /* field[7] = basis */
   8,   /* field[8] = born_ms */
   3,   /* field[3] = ends_stored */
   1,   /* field[1] = epoch */
+  10,   /* field[10] = evacuated */
   2,   /* field[2] = leader */
   9,   /* field[9] = leave_stored */
   4,   /* field[4] = life */
@@ -4367,7 +4392,7 @@
 static const ProtobufCIntRange gn__worker_orders__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor gn__worker_orders__descriptor =
 {
@@ -4377,7 +4402,7 @@
   "Gn__WorkerOrders",
   "gn",
   sizeof(Gn__WorkerOrders),
-  10,
+  11,
   gn__worker_orders__field_descriptors,
   gn__worker_orders__field_indices_by_name,
   1,  gn__worker_orders__number_ranges,
--- a/tests/support/run_model.c
+++ b/tests/support/run_model.c
@@ -140,6 +140,7 @@
 
 static void tick_executor(run_model_t *model, void *data)
 {
+	rm_evacuations_note_touch(model, data);
 	rm_executor_tick(model, data);
 	rm_at(model, rm_now_us(model) + TICK_MS * RM_MS, tick_executor, data,
 	      NULL);
@@ -197,6 +198,7 @@
 		if (model->options.shrinks)
 			rm_at(model, RM_START_US + rm_draw_us(model, 500, 4000),
 			      rm_faults_shrink, worker, NULL);
+		rm_evacuations_start(model, worker);
 		rm_at(model, RM_START_US + rm_draw_us(model, 0, TICK_MS),
 		      tick_worker, worker, NULL);
 		rm_at(model, RM_START_US + rm_draw_us(model, 0, TICK_MS),
