Feasibility: error of the rate, and when a late job goes ahead

A decision on which jobs are accepted needs to know how far the rate of finished work may be off, and the earliest time at which a late job goes ahead of others. Both were known only inside this module.

Adds the smoothed variance of the readings, from which the standard error of the rate follows, whether the rate is known, and the time of a late job's turn.

--- a/lib/sched/feasibility.c
+++ b/lib/sched/feasibility.c
@@ -18,6 +18,8 @@
 			   double usable_milli, uint64_t now_us)
 {
 	uint64_t passed_us = now_us - state->updated_us;
+	double weight;
+	double error;
 	double rate;
 
 	if (state->started_us && passed_us < UPDATE_US)
@@ -31,21 +33,47 @@
 		/* Without a shortage, less work is finished than could be. */
 		if (!is_short && rate < usable_milli)
 			rate = usable_milli;
-		state->cpu_milli +=
-			(1 - exp(-(double)passed_us / SMOOTHING_US)) *
-			(rate - state->cpu_milli);
+		weight = 1 - exp(-(double)passed_us / SMOOTHING_US);
+		error = rate - state->cpu_milli;
+		state->cpu_milli += weight * error;
+		state->variance = (1 - weight) *
+				  (state->variance + weight * error * error);
 	}
 	state->done = 0;
 	state->updated_us = now_us;
 }
 
+bool gn_feasibility_is_known(const gn_feasibility_t *state, uint64_t now_us)
+{
+	return state->started_us && state->cpu_milli > 0 &&
+	       now_us - state->started_us >= SMOOTHING_US;
+}
+
+double gn_feasibility_get_error(const gn_feasibility_t *state)
+{
+	/* Of an exponentially weighted mean of independent readings. */
+	const double weight = 1 - exp(-(double)UPDATE_US / SMOOTHING_US);
+
+	return sqrt(state->variance * weight / (2 - weight));
+}
+
+uint64_t gn_feasibility_get_late_start_us(const gn_feasibility_t *state,
+					  size_t late_ahead, uint64_t now_us)
+{
+	uint64_t aged_us = now_us + GN_FEASIBILITY_LATE_AGE_MS * GN_US_PER_MS;
+	uint64_t turn_us = state->late_promoted_us +
+			   (late_ahead + 1) * GN_FEASIBILITY_LATE_INTERVAL_MS *
+				   GN_US_PER_MS;
+
+	return aged_us > turn_us ? aged_us : turn_us;
+}
+
 bool gn_feasibility_check(const gn_feasibility_t *state, double ahead,
 			  double work, uint64_t deadline_us, uint64_t now_us)
 {
 	double left_ms;
 
-	if (!state->started_us || state->cpu_milli <= 0 ||
-	    now_us - state->started_us < SMOOTHING_US)
+	if (!gn_feasibility_is_known(state, now_us))
 		return true;
 	if (deadline_us <= now_us)
 		return false;
--- a/lib/sched/feasibility.h
+++ b/lib/sched/feasibility.h
@@ -23,6 +23,7 @@
 #define GN_SCHED_FEASIBILITY_H
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 /** Age from which a job that is not in time may go ahead of others. */
@@ -34,6 +35,8 @@
 typedef struct gn_feasibility_s {
 	/** Smoothed rate, thousandths of a core. */
 	double cpu_milli;
+	/** Smoothed variance of the rate between two updates. */
+	double variance;
 	/** Work finished since updated_us, thousandths of a core times ms. */
 	double done;
 	uint64_t started_us; /**< First update; 0 before it. */
@@ -62,6 +65,19 @@
 bool gn_feasibility_check(const gn_feasibility_t *state, double ahead,
 			  double work, uint64_t deadline_us, uint64_t now_us);
 
+/** Whether the rate is known; it is not for 3 s after the first update. */
+bool gn_feasibility_is_known(const gn_feasibility_t *state, uint64_t now_us);
+
+/** Returns the standard error of the rate, thousandths of a core. */
+double gn_feasibility_get_error(const gn_feasibility_t *state);
+
+/**
+ * Returns the earliest time at which a job accepted now may go ahead although
+ * it is late, behind @p late_ahead late jobs accepted before it.
+ */
+uint64_t gn_feasibility_get_late_start_us(const gn_feasibility_t *state,
+					  size_t late_ahead, uint64_t now_us);
+
 /** Whether a job that is not in time may go ahead now; see late_promoted_us. */
 bool gn_feasibility_allows_late(const gn_feasibility_t *state,
 				uint64_t accepted_us, uint64_t now_us);
--- a/tests/unit/test_feasibility.c
+++ b/tests/unit/test_feasibility.c
@@ -245,6 +245,47 @@
 		gn_feasibility_allows_late(&state, 0, now_us + interval_us));
 }
 
+/* Guards against a job that is said to go ahead later than it may. */
+static void test_late_start_is_when_a_late_job_is_promoted(void)
+{
+	const uint64_t now_us = 100 * GN_US_PER_S;
+	gn_feasibility_t state = { .late_promoted_us = now_us };
+	uint64_t late_us = gn_feasibility_get_late_start_us(&state, 0, now_us);
+
+	g_assert_true(gn_feasibility_allows_late(&state, now_us, late_us));
+	g_assert_false(gn_feasibility_allows_late(&state, now_us, late_us - 1));
+	g_assert_cmpuint(
+		gn_feasibility_get_late_start_us(&state, 9, now_us), ==,
+		now_us + 10 * GN_FEASIBILITY_LATE_INTERVAL_MS * GN_US_PER_MS);
+}
+
+/* Guards against a rate that is taken as exact while readings differ, or as
+ * known after an election. */
+static void test_error_of_the_rate(void)
+{
+	gn_feasibility_t state = { 0 };
+	uint64_t now_us = GN_US_PER_S;
+
+	gn_feasibility_update(&state, true, 1000, now_us);
+	g_assert_false(gn_feasibility_is_known(&state, now_us));
+	for (unsigned i = 0; i < 300; i++) {
+		now_us += GN_US_PER_S / 5;
+		gn_feasibility_count_done(&state, 1000 * 200);
+		gn_feasibility_update(&state, true, 1000, now_us);
+		g_assert_cmpfloat(gn_feasibility_get_error(&state), <, 1e-6);
+	}
+	g_assert_true(gn_feasibility_is_known(&state, now_us));
+	/* Readings of 0 and 2,000: the standard deviation is 1,000, and that of
+	 * the smoothed rate 18 % of it. */
+	for (unsigned i = 0; i < 300; i++) {
+		now_us += GN_US_PER_S / 5;
+		gn_feasibility_count_done(&state, i % 2 ? 0 : 2000 * 200);
+		gn_feasibility_update(&state, true, 1000, now_us);
+	}
+	g_assert_cmpfloat(gn_feasibility_get_error(&state), >, 150);
+	g_assert_cmpfloat(gn_feasibility_get_error(&state), <, 210);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -254,5 +295,10 @@
 			test_nothing_changes_without_overload);
 	g_test_add_func("/feasibility/late-jobs-are-promoted",
 			test_late_jobs_are_promoted);
+	g_test_add_func(
+		"/feasibility/late-start-is-when-a-late-job-is-promoted",
+		test_late_start_is_when_a_late_job_is_promoted);
+	g_test_add_func("/feasibility/error-of-the-rate",
+			test_error_of_the_rate);
 	return g_test_run();
 }
