Scheduler: refuse jobs by forecast, where the settings ask for it

Only the limit of the backlog refused jobs, so a caller whose job could not end while of use was not told.

With "[jobs] forecast = 1", the leader asks lib/forecast for each new job of a known queue whose steps are all best-effort, after the limit of the backlog. The job is ranked as the next pass would rank it, which gives the work ahead. Declared run times are used. Refusals, returns and accepted exceptions are logged as "forecast" with their inputs; the counters scheduler.forecast.* count the reasons. The setting is off by default, and no template sets it.

--- a/lib/config/settings.c
+++ b/lib/config/settings.c
@@ -222,6 +222,7 @@
 	ROUNDED("harm_ms", jobs.harm_ms, 1, 600000, 4000),
 	ROUNDED("pace_ms", jobs.pace_ms, 0, 60000, 100),
 	ROUNDED("notice_ms", jobs.notice_ms, 0, 600000, 5000),
+	NUMBER("forecast", jobs.forecast, 0, 1, 0),
 	{ .key = "cores",
 	  .read = gn_schema_number,
 	  MEMBER(jobs.cores),
--- a/lib/config/settings.h
+++ b/lib/config/settings.h
@@ -60,6 +60,8 @@
 	 * An absence of a service counts this long, 0..600000, default 5000.
 	 */
 	unsigned notice_ms;
+	/** 1: refuse jobs that cannot end while of use; 0..1, default 0. */
+	unsigned forecast;
 	/** Cores of the host for this process, 0..4096, default 1. */
 	double cores;
 	/** Bandwidth of the host's link in Mbit/s, 0..1000000, default 1000. */
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -29,6 +29,7 @@
 #include <talloc.h>
 
 #include "common/clock.h"
+#include "forecast/forecast.h"
 #include "job/job.h"
 #include "job/life.h"
 #include "queue/queue.h"
@@ -107,6 +108,8 @@
 	/** Time for which an absence of a serving task that the system
 	 * itself caused is counted. */
 	unsigned notice_ms;
+	/** Refuse jobs that cannot end while of use; see forecast/forecast.h. */
+	bool forecast;
 } gn_sched_config_t;
 
 /**
@@ -139,6 +142,8 @@
 	/** Version of the job that must be durable before the answer is sent; 0
 	 * if it can be sent at once. */
 	uint64_t version;
+	/** What decided on a submitted job. */
+	gn_forecast_reason_t forecast;
 } gn_sched_reply_t;
 
 /**
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -215,6 +215,9 @@
 	size_t claims;
 	gn_backlog_t backlog;
 	gn_feasibility_t feasibility;
+	gn_forecast_t *forecast;
+	/** Best-effort tasks waited after the last pass. */
+	bool best_effort_waits;
 	bool changed; /**< Placement may have a new result. */
 	GArray *crash_events; /**< Recent crashes; see sched_crash_events.c. */
 	/** Tasks waited for a start in isolation in the last pass. */
@@ -265,6 +268,25 @@
 /** Starts the removal of jobs whose retention time has passed. */
 void sched_jobs_expire(gn_sched_t *sched);
 
+/* ======   sched_order.c   ====== */
+
+/** Load that a job which is not ranked yet meets. */
+typedef struct sched_load_s {
+	double ahead; /**< Best-effort work that ranks ahead of the job. */
+	size_t late; /**< Other jobs with best-effort work that are late. */
+} sched_load_t;
+
+/** Returns the best-effort work left in a job, thousandths of a core times
+ * ms. */
+double sched_job_get_best_effort_work(const sched_job_t *job);
+/** Ranks a new job as the next pass would, and returns the load it meets. */
+sched_load_t sched_job_get_load(sched_job_t *job);
+
+/* ======   sched_pass.c   ====== */
+
+/** Whether a worker has room for a task of a ready step of the job. */
+bool sched_job_has_room(sched_job_t *job);
+
 /* ======   sched_claim.c   ====== */
 
 /** Resources that a task of @p step reserves on a worker. */
--- a/lib/sched/sched_job.c
+++ b/lib/sched/sched_job.c
@@ -369,9 +369,94 @@
 				stats.workers, sched_now_us(sched));
 }
 
+/* Whether the rate of best-effort work says when the job ends. */
+static bool can_forecast(const sched_job_t *job)
+{
+	const gn_sched_t *sched = job->sched;
+
+	/* The objective of a job of an unknown queue is not known. */
+	if (!sched->config.forecast || job->spec->repeats || !sched->queues ||
+	    !gn_queues_find(sched->queues, job->spec->queue))
+		return false;
+	for (size_t i = 0; i < job->spec->n_steps; i++)
+		if (!job->spec->steps[i]->fills ||
+		    job->spec->steps[i]->standing)
+			return false;
+	return true;
+}
+
+/* Logs a decision that refuses, or that departs from the forecast. */
+static void log_forecast(const sched_job_t *job,
+			 const gn_forecast_input_t *input,
+			 const gn_forecast_decision_t *decision)
+{
+	char why[200];
+	const gn_sched_event_t event = { .name = "forecast",
+					 .job = input->job,
+					 .reason = why,
+					 .value = decision->retry_ms,
+					 .list_age_ms = -1 };
+
+	if (!decision->returned && (decision->reason == GN_FORECAST_USEFUL ||
+				    decision->reason == GN_FORECAST_NO_RATE))
+		return;
+	g_snprintf(why, sizeof(why),
+		   "%s%s: ends in %" G_GUINT64_FORMAT
+		   " ms, objective %" G_GUINT64_FORMAT
+		   " ms, core-s ahead %.0f, promised %.0f, cores %.1f+-%.1f",
+		   gn_forecast_reason_name(decision->reason),
+		   decision->returned ? ", returned" : "",
+		   decision->end_us > input->now_us
+			   ? (decision->end_us - input->now_us) / GN_US_PER_MS
+			   : 0,
+		   input->objective_us / GN_US_PER_MS, input->ahead / 1e6,
+		   decision->promised / 1e6, input->rate_milli / 1e3,
+		   input->spread_milli / 1e3);
+	job->sched->ops->log_event(job->sched->arg, &event);
+}
+
+static gn_forecast_decision_t decide_forecast(sched_job_t *job)
+{
+	gn_sched_t *sched = job->sched;
+	const gn_feasibility_t *feasibility = &sched->feasibility;
+	const sched_load_t load = sched_job_get_load(job);
+	uint64_t now_us = sched_now_us(sched);
+	gn_forecast_input_t input = {
+		.job = job->spec->id,
+		.queue = job->spec->queue,
+		.now_us = now_us,
+		.chain_us =
+			get_longest_chain_ms(job->spec, NULL) * GN_US_PER_MS,
+		.work = sched_job_get_best_effort_work(job),
+		.objective_us = job->deadline_us - job->accepted_us,
+		.ahead = load.ahead,
+		.late_start_us = gn_feasibility_get_late_start_us(
+			feasibility, load.late, now_us),
+	};
+	gn_forecast_decision_t decision;
+
+	if (gn_feasibility_is_known(feasibility, now_us)) {
+		input.rate_milli = feasibility->cpu_milli;
+		input.spread_milli = gn_feasibility_get_error(feasibility);
+		input.has_free_capacity =
+			!sched->best_effort_waits || sched_job_has_room(job);
+	}
+	decision = gn_forecast_decide(sched->forecast, &input);
+	log_forecast(job, &input, &decision);
+	return decision;
+}
+
+/* Removes a job that was refused when it was submitted. */
+static void drop_refused(gn_sched_t *sched, sched_job_t *job)
+{
+	g_ptr_array_remove_fast(sched->active, job);
+	g_hash_table_remove(sched->jobs, job->spec->id);
+}
+
 gn_sched_reply_t gn_sched_submit(gn_sched_t *sched, Gn__JobSpec *spec)
 {
 	sched_job_t *job = find_job(sched, spec->id);
+	gn_forecast_decision_t decision = { 0 };
 	gn_sched_reply_t reply = { 0 };
 	unsigned retry_ms;
 
@@ -391,6 +476,16 @@
 	}
 	job = sched_job_create(sched, spec, sched_wall_ms(sched));
 	sched_job_update_units(job);
+	if (can_forecast(job))
+		decision = decide_forecast(job);
+	reply.forecast = decision.reason;
+	if (decision.reason == GN_FORECAST_NO_USE) {
+		drop_refused(sched, job);
+		reply.result = GN_RESULT_REFUSED;
+		reply.retry_after_ms = decision.retry_ms;
+		reply.reason = "no use by forecast";
+		return reply;
+	}
 	reply.version = sched_job_mark_dirty(job);
 	return reply;
 }
--- a/lib/sched/sched_order.c
+++ b/lib/sched/sched_order.c
@@ -34,7 +34,7 @@
  * Returns the best-effort work that is left, in thousandths of a core times
  * milliseconds. Claimed tasks count half, since they are under way.
  */
-static double get_best_effort_work(const sched_job_t *job)
+double sched_job_get_best_effort_work(const sched_job_t *job)
 {
 	double work = 0;
 
@@ -60,7 +60,7 @@
 		const sched_job_t *job = g_ptr_array_index(sched->active, i);
 
 		if (!sched_job_is_finished(job) && !has_waiting_tasks(job))
-			work += get_best_effort_work(job);
+			work += sched_job_get_best_effort_work(job);
 	}
 	return work;
 }
@@ -74,7 +74,7 @@
 
 	for (guint i = 0; i < ranked->len; i++) {
 		sched_job_t *job = g_ptr_array_index(ranked, i);
-		double work = get_best_effort_work(job);
+		double work = sched_job_get_best_effort_work(job);
 
 		if (work <= 0 || job->rank.class != GN_RANK_IN_TIME)
 			continue;
@@ -92,7 +92,7 @@
 
 static bool has_best_effort_tasks(const sched_job_t *job)
 {
-	return get_best_effort_work(job) > 0;
+	return sched_job_get_best_effort_work(job) > 0;
 }
 
 /* Returns the best-effort job that is not in time and was accepted first. */
@@ -172,6 +172,47 @@
 
 		is_short = has_waiting_tasks(job) && has_best_effort_tasks(job);
 	}
+	sched->best_effort_waits = is_short;
 	gn_feasibility_update(&sched->feasibility, is_short,
 			      get_usable_milli(all), sched_now_us(sched));
 }
+
+/* ======   Load ahead of a new job   ====== */
+
+static sched_load_t get_load(const sched_job_t *job)
+{
+	const gn_sched_t *sched = job->sched;
+	sched_load_t load = { 0 };
+
+	for (guint i = 0; i < sched->active->len; i++) {
+		sched_job_t *other = g_ptr_array_index(sched->active, i);
+		double work = sched_job_get_best_effort_work(other);
+
+		if (other == job || sched_job_is_finished(other) || work <= 0)
+			continue;
+		/* Jobs accepted since the last pass have no rank yet. */
+		if (!other->rank.accepted_us)
+			sched_job_update_rank(other, sched_now_us(sched));
+		if (!has_waiting_tasks(other) ||
+		    gn_rank_compare(&other->rank, &job->rank) < 0)
+			load.ahead += work;
+		load.late += other->rank.class != GN_RANK_IN_TIME;
+	}
+	return load;
+}
+
+sched_load_t sched_job_get_load(sched_job_t *job)
+{
+	uint64_t now_us = sched_now_us(job->sched);
+	sched_load_t load;
+
+	sched_job_update_rank(job, now_us);
+	load = get_load(job);
+	if (job->rank.class != GN_RANK_IN_TIME ||
+	    gn_feasibility_check(&job->sched->feasibility, load.ahead,
+				 sched_job_get_best_effort_work(job),
+				 job->deadline_us, now_us))
+		return load;
+	job->rank.class = GN_RANK_INFEASIBLE;
+	return get_load(job);
+}
--- a/lib/sched/sched_pass.c
+++ b/lib/sched/sched_pass.c
@@ -260,6 +260,20 @@
 	}
 }
 
+static bool has_room_for_unit(gn_sched_t *sched, sched_candidates_t *all,
+			      const sched_job_t *job, const sched_unit_t *unit)
+{
+	double min_speed = get_min_speed(all, job, unit);
+
+	for (size_t i = 0; i < all->count; i++) {
+		update_view(all, i, sched, job, unit);
+		if (all->views[i].eligible && !all->workers[i]->isolates &&
+		    all->views[i].best_effort_speed >= min_speed)
+			return true;
+	}
+	return false;
+}
+
 static void place_job(gn_sched_t *sched, sched_candidates_t *all,
 		      sched_job_t *job)
 {
@@ -275,6 +289,27 @@
 	}
 }
 
+static void free_candidates(sched_candidates_t *all)
+{
+	g_free(all->workers);
+	g_free(all->mixes);
+	g_free(all->views);
+}
+
+bool sched_job_has_room(sched_job_t *job)
+{
+	sched_candidates_t all;
+	bool has_room = false;
+
+	get_candidates(job->sched, &all);
+	for (uint32_t i = 0; i < job->unit_count && !has_room; i++)
+		has_room = job->units[i].ready &&
+			   has_room_for_unit(job->sched, &all, job,
+					     &job->units[i]);
+	free_candidates(&all);
+	return has_room;
+}
+
 static void run_pass(gn_sched_t *sched)
 {
 	sched_candidates_t all;
@@ -287,9 +322,7 @@
 	sched_isolate_release_workers(sched);
 	if (all.count)
 		sched_update_feasibility(sched, &all, ranked);
-	g_free(all.workers);
-	g_free(all.mixes);
-	g_free(all.views);
+	free_candidates(&all);
 	g_ptr_array_unref(ranked);
 }
 
--- a/lib/scheduler/calls.c
+++ b/lib/scheduler/calls.c
@@ -149,7 +149,9 @@
 		reply.result = GN_RESULT_INVALID;
 		return reply;
 	}
-	return gn_sched_submit(scheduler->sched, spec);
+	reply = gn_sched_submit(scheduler->sched, spec);
+	gn_counter_inc(scheduler->counters.forecasts[reply.forecast]);
+	return reply;
 }
 
 static gn_sched_reply_t decide_call(scheduler_t *scheduler,
--- a/lib/scheduler/leading.c
+++ b/lib/scheduler/leading.c
@@ -358,6 +358,7 @@
 		.harm_ms = jobs->harm_ms,
 		.pace_ms = jobs->pace_ms,
 		.notice_ms = jobs->notice_ms,
+		.forecast = jobs->forecast != 0,
 	};
 
 	return config;
--- a/lib/scheduler/scheduler.c
+++ b/lib/scheduler/scheduler.c
@@ -46,6 +46,14 @@
 		"scheduler.results.unknown",  "scheduler.results.invalid",
 		"scheduler.results.no_queue",
 	};
+	static const char *const forecast_names[GN_FORECAST_REASON_COUNT] = {
+		"scheduler.forecast.not_asked",
+		"scheduler.forecast.useful",
+		"scheduler.forecast.no_rate",
+		"scheduler.forecast.free_capacity",
+		"scheduler.forecast.queue_share",
+		"scheduler.forecast.refused",
+	};
 	gn_counters_t *all = scheduler->runtime->counters;
 	scheduler_counters_t *counters = &scheduler->counters;
 	bool complete = true;
@@ -58,6 +66,11 @@
 		counters->results[i] = gn_counters_get(all, result_names[i]);
 		complete &= counters->results[i] != NULL;
 	}
+	for (int i = 0; i < GN_FORECAST_REASON_COUNT; i++) {
+		counters->forecasts[i] =
+			gn_counters_get(all, forecast_names[i]);
+		complete &= counters->forecasts[i] != NULL;
+	}
 	counters->forwarded = gn_counters_get(all, "scheduler.handed_on");
 	counters->batches = gn_counters_get(all, "scheduler.batches");
 	counters->writes = gn_counters_get(all, "scheduler.writes");
--- a/lib/scheduler/scheduler_internal.h
+++ b/lib/scheduler/scheduler_internal.h
@@ -66,6 +66,8 @@
 typedef struct scheduler_counters_s {
 	gn_counter_t *calls[GN_CALL_KIND_COUNT];
 	gn_counter_t *results[GN_RESULT_COUNT];
+	/** Submissions by what decided the forecast. */
+	gn_counter_t *forecasts[GN_FORECAST_REASON_COUNT];
 	gn_counter_t *forwarded;
 	gn_counter_t *batches;
 	gn_counter_t *writes;
--- a/tests/support/sched_rig.c
+++ b/tests/support/sched_rig.c
@@ -107,7 +107,7 @@
 
 static void create_scheduler(sched_rig_t *rig)
 {
-	static const gn_sched_config_t config = {
+	const gn_sched_config_t config = {
 		.lease_ms = RIG_LEASE_MS,
 		.lease_max_ms = RIG_LEASE_MAX_MS,
 		.depose_ms = RIG_DEPOSE_MS,
@@ -115,6 +115,7 @@
 		.stop_ms = 500,
 		.far_factor = 2,
 		.harm_ms = 4000,
+		.forecast = rig->forecast,
 	};
 
 	rig->sched = gn_sched_create(NULL, &config, &rig->clock, &rig->wall,
@@ -132,9 +133,10 @@
 	gn__job_record__free_unpacked(record, NULL);
 }
 
-void rig_open(sched_rig_t *rig)
+static void open_rig(sched_rig_t *rig, bool forecast)
 {
 	memset(rig, 0, sizeof(*rig));
+	rig->forecast = forecast;
 	rig->cpu_milli = CPU_MILLI;
 	gn_clock_init_paused(&rig->clock, START_US);
 	gn_clock_init_paused(&rig->wall, 2 * START_US);
@@ -147,6 +149,16 @@
 	rig_configure(rig);
 }
 
+void rig_open(sched_rig_t *rig)
+{
+	open_rig(rig, false);
+}
+
+void rig_open_with_forecast(sched_rig_t *rig)
+{
+	open_rig(rig, true);
+}
+
 void rig_close(sched_rig_t *rig)
 {
 	talloc_free(rig->sched);
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -41,6 +41,7 @@
 	GHashTable *hosts; /**< Name of a host to its state, owned. */
 	uint64_t stored; /**< Number of stored batches. */
 	GHashTable *records; /**< Job ID to its stored Gn__JobRecord, owned. */
+	bool forecast; /**< Jobs are refused by forecast. */
 	const Gn__Leave *leave; /**< Record that new leaders load, or NULL. */
 	uint32_t cpu_milli; /**< Capacity in the reports from now on. */
 	/** Reports from now on are of executors that know no earlier life. */
@@ -80,6 +81,8 @@
 #define RIG_GANG 16U
 
 void rig_open(sched_rig_t *rig);
+/** Opens the fixture with refusals by forecast. */
+void rig_open_with_forecast(sched_rig_t *rig);
 void rig_close(sched_rig_t *rig);
 
 /**
