--- a/lib/config/settings.h
+++ b/lib/config/settings.h
@@ -72,6 +72,8 @@
 	 * or less, executors start nothing.
 	 */
 	unsigned evacuate_ms;
+	/** 1: refuse jobs that cannot end while of use; 0..1, default 0. */
+	unsigned forecast;
 	/** Cores of the host for this process, 0..4096, default 1. */
 	double cores;
 	/** Bandwidth of the host's link in Mbit/s, 0..1000000, default 1000. */
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -30,6 +30,7 @@
 
 #include "common/clock.h"
 #include "evacuation/evacuation.h"
+#include "forecast/forecast.h"
 #include "job/job.h"
 #include "job/life.h"
 #include "queue/queue.h"
@@ -117,6 +118,8 @@
 	/** Headroom that they keep beside best-effort tasks of jobs that cannot
 	 * be in time; 0 if these are treated like others. */
 	double late_headroom_goal;
+	/** Refuse jobs that cannot end while of use; see forecast/forecast.h. */
+	bool forecast;
 } gn_sched_config_t;
 
 /**
@@ -162,6 +165,8 @@
 	/** Version of the job that must be durable before the answer is sent; 0
 	 * if it can be sent at once. */
 	uint64_t version;
+	/** What decided on a submitted job. */
+	gn_forecast_reason_t forecast;
 } gn_sched_reply_t;
 
 /**
--- a/lib/scheduler/leading.c
+++ b/lib/scheduler/leading.c
@@ -380,6 +380,7 @@
 		.notice_ms = jobs->notice_ms,
 		.headroom_goal = jobs->headroom_pct / 100.0,
 		.late_headroom_goal = jobs->late_headroom_pct / 100.0,
+		.forecast = jobs->forecast != 0,
 	};
 
 	return config;
--- a/tests/support/sched_rig.c
+++ b/tests/support/sched_rig.c
@@ -129,6 +129,7 @@
 		.harm_ms = 4000,
 		.headroom_goal = rig->headroom_goal,
 		.late_headroom_goal = rig->late_headroom_goal,
+		.forecast = rig->forecast,
 	};
 
 	rig->sched = gn_sched_create(NULL, &config, &rig->clock, &rig->wall,
@@ -146,16 +147,13 @@
 	gn__job_record__free_unpacked(record, NULL);
 }
 
-void rig_open(sched_rig_t *rig)
-{
-	rig_open_with_headroom(rig, HEADROOM_GOAL, 0);
-}
-
-void rig_open_with_headroom(sched_rig_t *rig, double goal, double late_goal)
+static void open_rig(sched_rig_t *rig, double goal, double late_goal,
+		     bool forecast)
 {
 	memset(rig, 0, sizeof(*rig));
 	rig->headroom_goal = goal;
 	rig->late_headroom_goal = late_goal;
+	rig->forecast = forecast;
 	rig->cpu_milli = CPU_MILLI;
 	gn_clock_init_paused(&rig->clock, START_US);
 	gn_clock_init_paused(&rig->wall, 2 * START_US);
@@ -168,6 +166,21 @@
 	rig_configure(rig);
 }
 
+void rig_open(sched_rig_t *rig)
+{
+	open_rig(rig, HEADROOM_GOAL, 0, false);
+}
+
+void rig_open_with_headroom(sched_rig_t *rig, double goal, double late_goal)
+{
+	open_rig(rig, goal, late_goal, false);
+}
+
+void rig_open_with_forecast(sched_rig_t *rig)
+{
+	open_rig(rig, HEADROOM_GOAL, 0, true);
+}
+
 void rig_close(sched_rig_t *rig)
 {
 	talloc_free(rig->sched);
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -41,6 +41,7 @@
 	GHashTable *hosts; /**< Name of a host to its state, owned. */
 	uint64_t stored; /**< Number of stored batches. */
 	GHashTable *records; /**< Job ID to its stored Gn__JobRecord, owned. */
+	bool forecast; /**< Jobs are refused by forecast. */
 	const Gn__Leave *leave; /**< Record that new leaders load, or NULL. */
 	double headroom_goal; /**< In the settings of the scheduler. */
 	double late_headroom_goal; /**< In the settings of the scheduler. */
@@ -96,6 +97,8 @@
 void rig_open(sched_rig_t *rig);
 /** Opens the fixture with these headroom goals in the settings. */
 void rig_open_with_headroom(sched_rig_t *rig, double goal, double late_goal);
+/** Opens the fixture with refusals by forecast. */
+void rig_open_with_forecast(sched_rig_t *rig);
 void rig_close(sched_rig_t *rig);
 
 /**
