Forecast: do not count a caller's own work as ahead of it

A caller who returned early was judged like one that comes first, but its own remembered work counted as ahead of it.

--- a/lib/forecast/forecast.c
+++ b/lib/forecast/forecast.c
@@ -94,23 +94,26 @@
 }
 
 /*
- * Returns the work of refused callers that goes ahead of the job. Only those
- * before @p own count; NULL stands for all. A larger job does not go ahead of a
- * smaller one when it returns (sched/rank.h), and one that returns too late for
- * this job cannot.
+ * Returns the work of refused callers that goes ahead of the job. One that has
+ * returned at its time (@p in_time) goes before those after its place @p own.
+ * A larger job does not go ahead of a smaller one when it returns
+ * (sched/rank.h), and one that returns too late for this job cannot.
  */
 static double get_promised(const gn_forecast_t *forecast,
-			   const gn_forecast_input_t *input, const GList *own)
+			   const gn_forecast_input_t *input, const GList *own,
+			   bool in_time)
 {
 	uint64_t until_us =
 		input->now_us + GN_RANK_USEFUL_FACTOR * input->objective_us;
 	double work = 0;
 
-	for (const GList *node = forecast->refused.head; node && node != own;
+	for (const GList *node = forecast->refused.head; node;
 	     node = node->next) {
 		const refused_t *refused = node->data;
 
-		if (refused->due_us <= until_us &&
+		if (node == own && in_time)
+			break;
+		if (node != own && refused->due_us <= until_us &&
 		    refused->work <= input->work &&
 		    keeps_place(refused, input->now_us))
 			work += refused->work;
@@ -242,17 +245,15 @@
 					  const gn_forecast_input_t *input)
 {
 	gn_forecast_decision_t decision = { 0 };
-	const GList *place;
+	bool in_time;
 	GList *node;
 
 	expire(forecast, input->now_us);
 	node = g_hash_table_lookup(forecast->by_job, input->job);
 	/* A caller who returns too early is treated as one that comes first. */
-	place = node && ((refused_t *)node->data)->due_us <= input->now_us
-			? node
-			: NULL;
+	in_time = node && ((refused_t *)node->data)->due_us <= input->now_us;
 	decision.returned = node != NULL;
-	decision.promised = get_promised(forecast, input, place);
+	decision.promised = get_promised(forecast, input, node, in_time);
 	if (input->rate_milli > 0)
 		decision.end_us = get_earliest_end_us(input, decision.promised);
 	decision.reason = find_reason(forecast, input, decision.end_us);
