Tests: a place that lapses is one that would count

The job that came after the place had lapsed was smaller than the one that held it, so the place did not count in any case. A place that never lapsed passed the test; it fails it now.

--- a/tests/unit/test_forecast.c
+++ b/tests/unit/test_forecast.c
@@ -234,9 +234,13 @@
 
 	input.work = 900e6;
 	retry_ms = gn_forecast_decide(forecast, &input).retry_ms;
-	input = make_input("b");
-	input.ahead = 1000e6;
-	input.now_us += (retry_ms + GN_FORECAST_GRACE_MS) * GN_US_PER_MS + 1;
+	input.job = "b";
+	input.ahead = 0;
+	input.now_us += (retry_ms + GN_FORECAST_GRACE_MS) * GN_US_PER_MS;
+	g_assert_cmpfloat(gn_forecast_decide(forecast, &input).promised, ==,
+			  900e6);
+	input.job = "c";
+	input.now_us++;
 	g_assert_cmpfloat(gn_forecast_decide(forecast, &input).promised, ==, 0);
 	talloc_free(forecast);
 }
