--- a/lib/job/job.pb-c.c
+++ b/lib/job/job.pb-c.c
@@ -322,6 +322,51 @@
   assert(message->base.descriptor == &gn__disturbance__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gn__run_time__init
+                     (Gn__RunTime         *message)
+{
+  static const Gn__RunTime init_value = GN__RUN_TIME__INIT;
+  *message = init_value;
+}
+size_t gn__run_time__get_packed_size
+                     (const Gn__RunTime *message)
+{
+  assert(message->base.descriptor == &gn__run_time__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gn__run_time__pack
+                     (const Gn__RunTime *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gn__run_time__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gn__run_time__pack_to_buffer
+                     (const Gn__RunTime *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gn__run_time__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gn__RunTime *
+       gn__run_time__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gn__RunTime *)
+     protobuf_c_message_unpack (&gn__run_time__descriptor,
+                                allocator, len, data);
+}
+void   gn__run_time__free_unpacked
+                     (Gn__RunTime *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gn__run_time__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gn__disturbances__init
                      (Gn__Disturbances         *message)
 {
@@ -1244,7 +1289,97 @@
   (ProtobufCMessageInit) gn__disturbance__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gn__disturbances__field_descriptors[1] =
+static const ProtobufCFieldDescriptor gn__run_time__field_descriptors[5] =
+{
+  {
+    "queue",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gn__RunTime, queue),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "image",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gn__RunTime, image),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ratio",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Gn__RunTime, ratio),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "spread",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Gn__RunTime, spread),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "count",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gn__RunTime, count),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gn__run_time__field_indices_by_name[] = {
+  4,   /* field[4] = count */
+  1,   /* field[1] = image */
+  0,   /* field[0] = queue */
+  2,   /* field[2] = ratio */
+  3,   /* field[3] = spread */
+};
+static const ProtobufCIntRange gn__run_time__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor gn__run_time__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gn.RunTime",
+  "RunTime",
+  "Gn__RunTime",
+  "gn",
+  sizeof(Gn__RunTime),
+  5,
+  gn__run_time__field_descriptors,
+  gn__run_time__field_indices_by_name,
+  1,  gn__run_time__number_ranges,
+  (ProtobufCMessageInit) gn__run_time__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gn__disturbances__field_descriptors[2] =
 {
   {
     "pairs",
@@ -1258,14 +1393,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "run_times",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gn__Disturbances, n_run_times),
+    offsetof(Gn__Disturbances, run_times),
+    &gn__run_time__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gn__disturbances__field_indices_by_name[] = {
   0,   /* field[0] = pairs */
+  1,   /* field[1] = run_times */
 };
 static const ProtobufCIntRange gn__disturbances__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor gn__disturbances__descriptor =
 {
@@ -1275,7 +1423,7 @@
   "Gn__Disturbances",
   "gn",
   sizeof(Gn__Disturbances),
-  1,
+  2,
   gn__disturbances__field_descriptors,
   gn__disturbances__field_indices_by_name,
   1,  gn__disturbances__number_ranges,
--- a/lib/job/job.pb-c.h
+++ b/lib/job/job.pb-c.h
@@ -22,6 +22,7 @@
 typedef struct Gn__JobRecord Gn__JobRecord;
 typedef struct Gn__Leave Gn__Leave;
 typedef struct Gn__Disturbance Gn__Disturbance;
+typedef struct Gn__RunTime Gn__RunTime;
 typedef struct Gn__Disturbances Gn__Disturbances;
 
 
@@ -304,15 +305,46 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
+/*
+ * Learned run time of the tasks of a queue with this image.
+ */
+struct  Gn__RunTime
+{
+  ProtobufCMessage base;
+  char *queue;
+  char *image;
+  /*
+   * Real run time divided by the declared one.
+   */
+  double ratio;
+  /*
+   * Mean deviation of the ratio's logarithm.
+   */
+  double spread;
+  /*
+   * Ends that it was learned from.
+   */
+  uint32_t count;
+};
+#define GN__RUN_TIME__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gn__run_time__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
 struct  Gn__Disturbances
 {
   ProtobufCMessage base;
   size_t n_pairs;
   Gn__Disturbance **pairs;
+  /*
+   * Unknown to older builds.
+   */
+  size_t n_run_times;
+  Gn__RunTime **run_times;
 };
 #define GN__DISTURBANCES__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gn__disturbances__descriptor) \
-    , 0,NULL }
+    , 0,NULL, 0,NULL }
 
 
 /* Gn__JobStep methods */
@@ -448,6 +480,25 @@
 void   gn__disturbance__free_unpacked
                      (Gn__Disturbance *message,
                       ProtobufCAllocator *allocator);
+/* Gn__RunTime methods */
+void   gn__run_time__init
+                     (Gn__RunTime         *message);
+size_t gn__run_time__get_packed_size
+                     (const Gn__RunTime   *message);
+size_t gn__run_time__pack
+                     (const Gn__RunTime   *message,
+                      uint8_t             *out);
+size_t gn__run_time__pack_to_buffer
+                     (const Gn__RunTime   *message,
+                      ProtobufCBuffer     *buffer);
+Gn__RunTime *
+       gn__run_time__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gn__run_time__free_unpacked
+                     (Gn__RunTime *message,
+                      ProtobufCAllocator *allocator);
 /* Gn__Disturbances methods */
 void   gn__disturbances__init
                      (Gn__Disturbances         *message);
@@ -490,6 +541,9 @@
 typedef void (*Gn__Disturbance_Closure)
                  (const Gn__Disturbance *message,
                   void *closure_data);
+typedef void (*Gn__RunTime_Closure)
+                 (const Gn__RunTime *message,
+                  void *closure_data);
 typedef void (*Gn__Disturbances_Closure)
                  (const Gn__Disturbances *message,
                   void *closure_data);
@@ -506,6 +560,7 @@
 extern const ProtobufCMessageDescriptor gn__job_record__descriptor;
 extern const ProtobufCMessageDescriptor gn__leave__descriptor;
 extern const ProtobufCMessageDescriptor gn__disturbance__descriptor;
+extern const ProtobufCMessageDescriptor gn__run_time__descriptor;
 extern const ProtobufCMessageDescriptor gn__disturbances__descriptor;
 
 PROTOBUF_C__END_DECLS
