estimate: run times are learned from ends, per queue and image

Callers' declared run times are wrong by a factor that depends on the kind of work, and 3 % of the runs take seven times as long as the others. The remaining chain and work of jobs were computed from the declared times.

Objectives stay computed from the declared times. A job looks its values up once a second, so that a pass stays as it is.

sched_rig keeps what was learned over rig_change_leader(), as the store does.

--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -69,6 +69,7 @@
 	sched->workers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					       sched_worker_free);
 	sched->interference = gn_interference_create(sched);
+	sched->estimate = gn_estimate_create(sched);
 	sched->crash_events = sched_crash_create_events();
 	sched->active = g_ptr_array_new();
 	sched->writing = g_ptr_array_new();
@@ -145,6 +146,7 @@
 	gn_sched_stats_t figures = {
 		.jobs = g_hash_table_size(sched->jobs),
 		.claims = sched->claims,
+		.run_times = gn_estimate_count(sched->estimate),
 	};
 	GHashTableIter iter;
 	gpointer value;
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -225,7 +225,8 @@
 	const char *job; /**< Job ID; valid until the write batch ends. */
 	bool remove; /**< Delete the job from the store. */
 	bool with_spec; /**< First write of a job, which includes its spec. */
-	/** The write holds interference weights and belongs to no job. */
+	/** The write holds what was learned, which is interference weights and
+	 * run times, and belongs to no job. */
 	bool interference;
 	/** Packed Disturbances if interference is set, JobRecord if with_spec
 	 * is set, else JobState; free with free(). */
@@ -260,7 +261,7 @@
 			    const Gn__JobState *state);
 
 /**
- * Loads the interference weights that an earlier leader stored.
+ * Loads the interference weights and run times that an earlier leader stored.
  * @return GN_OK, or GN_ERR_INVALID if @p data is malformed
  */
 gn_code_t gn_sched_load_interference(gn_sched_t *sched, const uint8_t *data,
@@ -284,6 +285,7 @@
 	size_t workers; /**< Workers with a recent report. */
 	size_t claims;
 	size_t waiting_tasks; /**< Waiting tasks of ready steps. */
+	size_t run_times; /**< Queues and images with learned run times. */
 } gn_sched_stats_t;
 
 gn_sched_stats_t gn_sched_stats(const gn_sched_t *sched);
--- a/lib/sched/sched_claim.c
+++ b/lib/sched/sched_claim.c
@@ -47,6 +47,7 @@
 	task->slow_since_us = 0;
 	task->very_slow_since_us = 0;
 	task->isolated = false;
+	task->resumed = task->checkpoint != NULL;
 	task->claimed_us = sched_now_us(job->sched);
 	gn_resource_vector_add(&worker->used, &resources);
 	g_ptr_array_add(worker->claims, task);
@@ -308,12 +309,63 @@
 		gn_health_succeed(health, 0, 0);
 }
 
+/* Whether the run was near its data, and a gang near its other members. */
+static bool was_near(const sched_task_t *task)
+{
+	const Gn__JobStep *step = get_step(task);
+	const char *rack = task->worker->rack;
+
+	if (*step->rack && g_strcmp0(step->rack, rack) != 0)
+		return false;
+	return !step->gang || !step->same_rack ||
+	       sched_gang_is_in_one_rack(task);
+}
+
+/* Logs the learned value in percent of the declared time. */
+static void log_learned_run_time(const sched_task_t *task)
+{
+	const char *queue = task->job->spec->queue;
+	const gn_estimate_value_t value =
+		gn_estimate_get(task->job->sched->estimate, queue, task->image);
+	g_autofree char *why =
+		g_strdup_printf("queue %s, image %s, %u ends, spread %.2f",
+				queue, task->image, value.count, value.spread);
+
+	sched_emit_task_event(task->job->sched, "run time", task, why,
+			      (int64_t)(100 * value.ratio + 0.5));
+}
+
+/* Learns the run time of a task that is done. */
+static void learn_run_time(const sched_task_t *task)
+{
+	const Gn__JobStep *step = get_step(task);
+	gn_sched_t *sched = task->job->sched;
+	const gn_estimate_run_t run = {
+		.took_us = sched_now_us(sched) - task->claimed_us,
+		.declared_us = (uint64_t)step->estimate_ms * GN_US_PER_MS,
+		.slowness = task->worker->health.slowness,
+		.altered = task->resumed || task->pace_ordered_us ||
+			   !was_near(task)
+	};
+
+	/* The start of a claim that an earlier leader made is unknown. */
+	if (step->standing || task->restored)
+		return;
+	if (!gn_estimate_learn(sched->estimate, task->job->spec->queue,
+			       step->image, &run))
+		return;
+	sched->learned = true;
+	log_learned_run_time(task);
+}
+
 void sched_handle_end(sched_task_t *task, gn_end_kind_t how,
 		      const char *checkpoint)
 {
 	sched_emit_task_event(task->job->sched, "end", task,
 			      gn_end_kind_name(how), 0);
 	sched_mark_started(task);
+	if (how == GN_END_DONE)
+		learn_run_time(task);
 	update_health(task, how);
 	sched_set_checkpoint(task, checkpoint);
 	if (how == GN_END_DONE && sched_is_gang(task))
--- a/lib/sched/sched_gang.c
+++ b/lib/sched/sched_gang.c
@@ -66,6 +66,20 @@
 	return failed;
 }
 
+bool sched_gang_is_in_one_rack(const sched_task_t *task)
+{
+	const sched_unit_t *unit = get_unit(task);
+
+	for (uint32_t i = 0; i < unit->step->count; i++) {
+		const sched_task_t *member = get_member(task->job, unit, i);
+
+		if (member->state == GN_JOB_TASK_CLAIMED &&
+		    g_strcmp0(member->worker->rack, task->worker->rack) != 0)
+			return false;
+	}
+	return true;
+}
+
 void sched_gang_set_checkpoint(sched_task_t *task, const char *checkpoint)
 {
 	const sched_unit_t *unit = get_unit(task);
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -7,6 +7,7 @@
 
 #include <glib.h>
 
+#include "estimate/estimate.h"
 #include "sched/backlog.h"
 #include "sched/interference.h"
 #include "sched/place.h"
@@ -69,9 +70,17 @@
 	uint32_t moves; /**< Number of moves because of a low pace. */
 	/** The claim is a start in isolation whose outcome is awaited. */
 	bool isolated;
+	bool resumed; /**< The claim's run starts from a checkpoint. */
 	uint64_t released_us; /**< Time at which it last began to wait. */
 } sched_task_t;
 
+/** Expected run time of a step's tasks; see estimate/estimate.h. */
+typedef struct sched_run_time_s {
+	uint64_t run_ms; /**< The declared time until enough ends are known. */
+	double spread; /**< Mean deviation; 0.1 stands for 10 %. */
+	uint32_t count; /**< Ends that it was learned from. */
+} sched_run_time_t;
+
 /** Step of one occurrence; its tasks become ready together. */
 typedef struct sched_unit_s {
 	const Gn__JobStep *step;
@@ -99,6 +108,8 @@
 	uint32_t task_count;
 	sched_unit_t *units;
 	uint32_t unit_count;
+	sched_run_time_t *run_times; /**< One per step of the spec. */
+	uint64_t run_times_us; /**< Time of their last update. */
 	uint32_t done;
 	uint32_t claimed;
 	/** Monotonic clock; a job done by then is in time. */
@@ -207,6 +218,7 @@
 	GHashTable *workers;
 	GPtrArray *active; /**< Jobs that are unfinished or have claims. */
 	gn_interference_t *interference;
+	gn_estimate_t *estimate;
 	GQueue dirty; /**< Jobs to be stored. */
 	GPtrArray *writing; /**< Jobs in the current write batch. */
 	size_t claims;
@@ -217,8 +229,9 @@
 	/** Tasks waited for a start in isolation in the last pass. */
 	bool suspects_wait;
 	uint64_t pass_due_us; /**< Time before which no pass runs. */
-	bool learned; /**< Weights have changed since they were last stored. */
-	/** Time before which weights are not stored. */
+	/** Weights or run times have changed since they were last stored. */
+	bool learned;
+	/** Time before which they are not stored. */
 	uint64_t learned_due_us;
 };
 
@@ -244,6 +257,11 @@
  */
 uint64_t sched_job_mark_dirty(sched_job_t *job);
 bool sched_job_is_finished(const sched_job_t *job);
+/** Returns the expected run time of the tasks of @p unit. */
+const sched_run_time_t *sched_job_run_time(const sched_job_t *job,
+					   const sched_unit_t *unit);
+/** Updates the expected run times from what has been learned. */
+void sched_job_update_run_times(sched_job_t *job);
 /** Recomputes the rank. */
 void sched_job_update_rank(sched_job_t *job, uint64_t now_us);
 /** Marks units as ready that are due and whose dependencies are done. */
@@ -318,6 +336,8 @@
 void sched_gang_complete(sched_task_t *task);
 /** Counts the failed attempts of all members. */
 uint32_t sched_gang_failures(const sched_task_t *task);
+/** Whether all claimed members are in one rack. */
+bool sched_gang_is_in_one_rack(const sched_task_t *task);
 /** Sets the checkpoint of all members. */
 void sched_gang_set_checkpoint(sched_task_t *task, const char *checkpoint);
 
--- a/lib/sched/sched_job.c
+++ b/lib/sched/sched_job.c
@@ -11,6 +11,9 @@
 #define DEFAULT_PRIORITY 9
 #define DEFAULT_STRETCH 2.0
 #define DEFAULT_TARGET_MS 1000
+/** Interval between updates of a job's expected run times. Many jobs may wait,
+ * so they are not looked up in each pass. */
+#define RUN_TIMES_INTERVAL_US (1000 * GN_US_PER_MS)
 
 /* ======   Creation and configuration   ====== */
 
@@ -52,13 +55,37 @@
 	}
 }
 
+/* ======   Run times   ====== */
+
+void sched_job_update_run_times(sched_job_t *job)
+{
+	job->run_times_us = sched_now_us(job->sched);
+	for (size_t i = 0; i < job->spec->n_steps; i++) {
+		const Gn__JobStep *step = job->spec->steps[i];
+		const gn_estimate_value_t value = gn_estimate_get(
+			job->sched->estimate, job->spec->queue, step->image);
+
+		job->run_times[i] = (sched_run_time_t){
+			.run_ms = gn_estimate_run_ms(&value, step->estimate_ms),
+			.spread = value.spread,
+			.count = value.count
+		};
+	}
+}
+
+const sched_run_time_t *sched_job_run_time(const sched_job_t *job,
+					   const sched_unit_t *unit)
+{
+	return &job->run_times[unit->step_number];
+}
+
 /*
- * Returns the length of the longest chain of dependent steps by their estimated
- * run times. With @p units, the units of one occurrence, finished steps count
- * as zero.
+ * Returns the length of the longest chain of dependent steps: with @p job by the
+ * expected run times, with the finished steps of its first occurrence as zero;
+ * else by the declared ones.
  */
 static uint64_t get_longest_chain_ms(const Gn__JobSpec *spec,
-				     const sched_unit_t *units)
+				     const sched_job_t *job)
 {
 	uint64_t ends_ms[GN_JOB_STEPS_MAX];
 	uint64_t longest_ms = 0;
@@ -69,8 +96,10 @@
 		ends_ms[i] = 0;
 		for (size_t k = 0; k < step->n_after; k++)
 			ends_ms[i] = MAX(ends_ms[i], ends_ms[step->after[k]]);
-		if (!units || units[i].done < step->count)
+		if (!job)
 			ends_ms[i] += step->estimate_ms;
+		else if (job->units[i].done < step->count)
+			ends_ms[i] += job->run_times[i].run_ms;
 		longest_ms = MAX(longest_ms, ends_ms[i]);
 	}
 	return longest_ms;
@@ -82,25 +111,27 @@
 	uint64_t work = 0;
 
 	for (uint32_t i = 0; i < job->unit_count; i++) {
-		const Gn__JobStep *step = job->units[i].step;
+		const sched_unit_t *unit = &job->units[i];
 
-		work += (uint64_t)(step->count - job->units[i].done) *
-			step->cpu_milli * step->estimate_ms;
+		work += (uint64_t)(unit->step->count - unit->done) *
+			unit->step->cpu_milli *
+			sched_job_run_time(job, unit)->run_ms;
 	}
 	return work;
 }
 
 void sched_job_update_rank(sched_job_t *job, uint64_t now_us)
 {
-	const gn_rank_job_t rank_job = {
+	gn_rank_job_t rank_job = {
 		.priority = job->priority,
 		.accepted_us = job->accepted_us,
 		.deadline_us = job->deadline_us,
-		.chain_us = get_longest_chain_ms(job->spec, job->units) *
-			    GN_US_PER_MS,
-		.work = get_remaining_work(job),
 	};
 
+	if (now_us - job->run_times_us >= RUN_TIMES_INTERVAL_US)
+		sched_job_update_run_times(job);
+	rank_job.chain_us = get_longest_chain_ms(job->spec, job) * GN_US_PER_MS;
+	rank_job.work = get_remaining_work(job);
 	job->rank = gn_rank_compute(&rank_job, now_us);
 }
 
@@ -144,6 +175,8 @@
 	job->pending_starts = g_ptr_array_new();
 	create_units(job);
 	create_tasks(job);
+	job->run_times = g_new0(sched_run_time_t, spec->n_steps);
+	sched_job_update_run_times(job);
 	sched_job_configure(job);
 	g_hash_table_insert(sched->jobs, spec->id, job);
 	g_ptr_array_add(sched->active, job);
@@ -161,6 +194,7 @@
 	g_free(job->failure);
 	g_free(job->tasks);
 	g_free(job->units);
+	g_free(job->run_times);
 	g_ptr_array_free(job->pending_starts, TRUE);
 	gn__job_spec__free_unpacked(job->spec, NULL);
 	g_free(job);
@@ -243,22 +277,24 @@
 void sched_job_task_done(sched_task_t *task)
 {
 	sched_job_t *job = task->job;
-	const Gn__JobStep *step = job->units[task->unit].step;
+	sched_unit_t *unit = &job->units[task->unit];
+	const Gn__JobStep *step = unit->step;
 
 	task->state = GN_JOB_TASK_DONE;
 	sched_crash_clear(task);
 	job->done++;
 	if (step->fills)
-		gn_feasibility_count_done(&job->sched->feasibility,
-					  (double)step->cpu_milli *
-						  step->estimate_ms);
-	job->units[task->unit].done++;
+		gn_feasibility_count_done(
+			&job->sched->feasibility,
+			(double)step->cpu_milli *
+				(double)sched_job_run_time(job, unit)->run_ms);
+	unit->done++;
 	sched_job_mark_dirty(job);
 	if (sched_job_is_finished(job))
 		return;
 	if (job->done == job->task_count)
 		sched_job_finish(job, GN_JOB_COMPLETED, "all tasks done");
-	else if (is_unit_done(&job->units[task->unit]))
+	else if (is_unit_done(unit))
 		sched_job_update_units(job);
 }
 
--- a/lib/sched/sched_order.c
+++ b/lib/sched/sched_order.c
@@ -46,7 +46,7 @@
 
 		if (step->fills)
 			work += (left - claimed / 2) * step->cpu_milli *
-				step->estimate_ms;
+				(double)sched_job_run_time(job, unit)->run_ms;
 	}
 	return work;
 }
--- a/lib/sched/sched_store.c
+++ b/lib/sched/sched_store.c
@@ -8,8 +8,8 @@
 #include "common/str.h"
 #include "sched/sched_internal.h"
 
-/** Minimum interval between writes of the weights, which join other write
- * batches. */
+/** Minimum interval between writes of the weights and run times, which join
+ * other write batches. */
 #define LEARNED_INTERVAL_US (2000 * GN_US_PER_MS)
 
 /* ======   Encoding   ====== */
@@ -81,10 +81,22 @@
 
 static void pack_learned(gn_sched_t *sched, gn_sched_write_t *write)
 {
+	size_t weights_len;
+	size_t run_times_len;
+	uint8_t *weights =
+		gn_interference_pack(sched->interference, &weights_len);
+	uint8_t *run_times = gn_estimate_pack(sched->estimate, &run_times_len);
+
 	memset(write, 0, sizeof(*write));
 	write->job = empty_text;
 	write->interference = true;
-	write->value = gn_interference_pack(sched->interference, &write->len);
+	/* Messages that follow each other are read as one. */
+	write->len = weights_len + run_times_len;
+	write->value = realloc(weights, write->len + 1);
+	if (!write->value)
+		abort();
+	memcpy(write->value + weights_len, run_times, run_times_len);
+	free(run_times);
 	sched->learned = false;
 	sched->learned_due_us = sched_now_us(sched) + LEARNED_INTERVAL_US;
 }
@@ -108,7 +120,7 @@
 			pack_job(job, write);
 		g_ptr_array_add(sched->writing, job);
 	}
-	/* Not urgent, so the weights wait for a write batch with space left. */
+	/* Not urgent, so they wait for a write batch with space left. */
 	if (sched->learned && count < max &&
 	    sched_now_us(sched) >= sched->learned_due_us)
 		pack_learned(sched, &writes[count++]);
@@ -253,7 +265,11 @@
 gn_code_t gn_sched_load_interference(gn_sched_t *sched, const uint8_t *data,
 				     size_t len)
 {
-	return gn_interference_unpack(sched->interference, data, len);
+	gn_code_t weights =
+		gn_interference_unpack(sched->interference, data, len);
+	gn_code_t run_times = gn_estimate_unpack(sched->estimate, data, len);
+
+	return weights ? weights : run_times;
 }
 
 void gn_sched_load_leave(gn_sched_t *sched, const Gn__Leave *leave)
@@ -281,6 +297,8 @@
 
 static void resume_job(sched_job_t *job)
 {
+	/* The run times may have been loaded after the job. */
+	sched_job_update_run_times(job);
 	/* An earlier leader may not have known the limit. */
 	sched_job_check_limits(job);
 	if (!sched_job_is_finished(job)) {
--- a/lib/scheduler/status.c
+++ b/lib/scheduler/status.c
@@ -29,11 +29,13 @@
 
 	if (scheduler->sched)
 		stats = gn_sched_stats(scheduler->sched);
-	return json_pack(
-		"{s:I, s:I, s:I, s:I, s:I}", "jobs", (json_int_t)stats.jobs,
-		"active_jobs", (json_int_t)stats.active_jobs, "workers",
-		(json_int_t)stats.workers, "claims", (json_int_t)stats.claims,
-		"waiting_tasks", (json_int_t)stats.waiting_tasks);
+	return json_pack("{s:I, s:I, s:I, s:I, s:I, s:I}", "jobs",
+			 (json_int_t)stats.jobs, "active_jobs",
+			 (json_int_t)stats.active_jobs, "workers",
+			 (json_int_t)stats.workers, "claims",
+			 (json_int_t)stats.claims, "waiting_tasks",
+			 (json_int_t)stats.waiting_tasks, "run_times",
+			 (json_int_t)stats.run_times);
 }
 
 static json_t *dump(const scheduler_t *scheduler)
--- a/tests/support/sched_rig.c
+++ b/tests/support/sched_rig.c
@@ -153,6 +153,7 @@
 	g_array_unref(rig->orders);
 	g_hash_table_destroy(rig->hosts);
 	g_hash_table_destroy(rig->records);
+	g_bytes_unref(rig->learned);
 }
 
 void rig_advance_ms(sched_rig_t *rig, unsigned ms)
@@ -213,8 +214,11 @@
 {
 	Gn__JobRecord *record;
 
-	if (write->interference)
+	if (write->interference) {
+		g_bytes_unref(rig->learned);
+		rig->learned = g_bytes_new(write->value, write->len);
 		return;
+	}
 	if (write->remove) {
 		g_hash_table_remove(rig->records, write->job);
 	} else if (write->with_spec) {
@@ -256,6 +260,18 @@
 	return gn__job_spec__unpack(NULL, len, data);
 }
 
+static void load_learned(sched_rig_t *rig)
+{
+	gconstpointer data;
+	gsize len;
+
+	if (!rig->learned)
+		return;
+	data = g_bytes_get_data(rig->learned, &len);
+	g_assert_cmpint(gn_sched_load_interference(rig->sched, data, len), ==,
+			GN_OK);
+}
+
 void rig_change_leader(sched_rig_t *rig)
 {
 	GHashTableIter iter;
@@ -272,6 +288,7 @@
 						  record->state),
 				==, GN_OK);
 	}
+	load_learned(rig);
 	if (rig->leave)
 		gn_sched_load_leave(rig->sched, rig->leave);
 	gn_sched_finish_loading(rig->sched);
@@ -394,8 +411,9 @@
 	rig_report_tail(rig, host, life, task, attempt, 0);
 }
 
-uint64_t rig_report_end(sched_rig_t *rig, const char *host, const char *life,
-			const char *task, uint32_t attempt, gn_end_kind_t how)
+static uint64_t report_end(sched_rig_t *rig, const char *host, const char *life,
+			   const char *task, uint32_t attempt,
+			   gn_end_kind_t how, const char *checkpoint)
 {
 	Gn__WorkerReport report;
 	Gn__WorkerEnd end = GN__WORKER_END__INIT;
@@ -406,12 +424,25 @@
 	end.task = (char *)task;
 	end.attempt = attempt;
 	end.how = how;
-	end.checkpoint = empty_text;
+	end.checkpoint = (char *)checkpoint;
 	report.ends = ends;
 	report.n_ends = 1;
 	return gn_sched_handle_report(rig->sched, &report);
 }
 
+uint64_t rig_report_end(sched_rig_t *rig, const char *host, const char *life,
+			const char *task, uint32_t attempt, gn_end_kind_t how)
+{
+	return report_end(rig, host, life, task, attempt, how, "");
+}
+
+void rig_report_checkpoint_end(sched_rig_t *rig, const char *host,
+			       const char *life, const char *task,
+			       uint32_t attempt)
+{
+	report_end(rig, host, life, task, attempt, GN_END_STOPPED, "c1");
+}
+
 void rig_report_result(sched_rig_t *rig, const char *host, const char *life,
 		       const char *task, uint32_t attempt,
 		       gn_run_order_outcome_t outcome)
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -41,6 +41,7 @@
 	GHashTable *hosts; /**< Name of a host to its state, owned. */
 	uint64_t stored; /**< Number of stored batches. */
 	GHashTable *records; /**< Job ID to its stored Gn__JobRecord, owned. */
+	GBytes *learned; /**< Stored weights and run times, or NULL. */
 	const Gn__Leave *leave; /**< Record that new leaders load, or NULL. */
 	uint32_t cpu_milli; /**< Capacity in the reports from now on. */
 	char last_event[32]; /**< Name of the last event. */
@@ -144,6 +145,12 @@
 uint64_t rig_report_end(sched_rig_t *rig, const char *host, const char *life,
 			const char *task, uint32_t attempt, gn_end_kind_t how);
 
+/** Sends a report whose list shows one more end, of a stopped run with a
+ * checkpoint. */
+void rig_report_checkpoint_end(sched_rig_t *rig, const char *host,
+			       const char *life, const char *task,
+			       uint32_t attempt);
+
 /** Sends a report without a new list, but with the outcome of an order. */
 void rig_report_result(sched_rig_t *rig, const char *host, const char *life,
 		       const char *task, uint32_t attempt,
