--- a/lib/wire/gypsumnotch.pb-c.h
+++ b/lib/wire/gypsumnotch.pb-c.h
@@ -585,7 +585,7 @@
   uint64_t waiting;
   uint32_t retry_after_ms;
   /*
-   * Reason of a refusal.
+   * Reason of a refusal or a failed job.
    */
   char *reason;
 };
