tests: hosts of the scheduler's fixture have racks

rig_set_rack() and rig_drain() change what a host reports, and a step can name a rack and ask for a gang in one rack. test_estimate uses it to show that far runs are not learned (far_ends_are_not_learned).

--- a/tests/support/sched_rig.c
+++ b/tests/support/sched_rig.c
@@ -55,6 +55,8 @@
 typedef struct rig_host_s {
 	uint64_t restarts; /**< Restarts under the same ID. */
 	uint64_t ends; /**< Number of the last end of its life. */
+	const char *rack; /**< NULL for an empty name. */
+	bool draining;
 } rig_host_t;
 
 /* ======   Callbacks and fixture   ====== */
@@ -183,6 +185,8 @@
 	step->checkpoints = (source->flags & RIG_CHECKPOINTS) != 0;
 	step->fills = (source->flags & RIG_BEST_EFFORT) != 0;
 	step->gang = (source->flags & RIG_GANG) != 0;
+	step->same_rack = (source->flags & RIG_SAME_RACK) != 0;
+	step->rack = strdup(source->rack ? source->rack : "");
 	step->per_worker = source->per_worker;
 	step->target_ms = source->target_ms;
 	step->image = strdup(source->image ? source->image : "");
@@ -324,6 +328,16 @@
 	state->ends = 0;
 }
 
+void rig_set_rack(sched_rig_t *rig, const char *host, const char *rack)
+{
+	get_host(rig, host)->rack = rack;
+}
+
+void rig_drain(sched_rig_t *rig, const char *host)
+{
+	get_host(rig, host)->draining = true;
+}
+
 uint64_t rig_get_life_start_ms(sched_rig_t *rig, const char *host,
 			       const char *life)
 {
@@ -342,6 +356,9 @@
 	report->machine = empty_text;
 	report->data_centre = empty_text;
 	report->rack = empty_text;
+	if (get_host(rig, host)->rack)
+		report->rack = (char *)get_host(rig, host)->rack;
+	report->draining = get_host(rig, host)->draining;
 	report->cpu_milli = rig->cpu_milli;
 	report->memory_mb = MEMORY_MB;
 	report->listed = true;
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -61,6 +61,7 @@
 	uint32_t per_worker;
 	uint32_t target_ms;
 	const char *image;
+	const char *rack; /**< Rack of the data, or NULL. */
 } rig_step_t;
 
 /** Run in a list for rig_report_runs(). */
@@ -77,6 +78,7 @@
 #define RIG_BEST_EFFORT 4U
 #define RIG_INDEPENDENT 8U /**< Does not depend on the previous step. */
 #define RIG_GANG 16U
+#define RIG_SAME_RACK 32U /**< The gang is faster in one rack. */
 
 void rig_open(sched_rig_t *rig);
 void rig_close(sched_rig_t *rig);
@@ -122,6 +124,11 @@
  */
 void rig_restart_worker(sched_rig_t *rig, const char *host);
 
+/** Sets the rack of @p host in the reports from now on. */
+void rig_set_rack(sched_rig_t *rig, const char *host, const char *rack);
+/** Lets the worker of @p host drain in the reports from now on. */
+void rig_drain(sched_rig_t *rig, const char *host);
+
 /** Returns the start of the present life of @p host. */
 uint64_t rig_get_life_start_ms(sched_rig_t *rig, const char *host,
 			       const char *life);
--- a/tests/unit/test_estimate.c
+++ b/tests/unit/test_estimate.c
@@ -451,6 +451,20 @@
 	rig_close(&rig);
 }
 
+/* Guards against far runs that are taken for usual ones. */
+static void test_far_ends_are_not_learned(void)
+{
+	rig_step_t step = short_step;
+	sched_rig_t rig;
+
+	step.rack = "elsewhere";
+	rig_open(&rig);
+	for (unsigned i = 0; i < 2 * GN_ESTIMATE_ENDS_MIN; i++)
+		run_job(&rig, i + 1, &step, 2000);
+	g_assert_null(rig.learned);
+	rig_close(&rig);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -478,5 +492,7 @@
 			test_rank_uses_learned_times);
 	g_test_add_func("/estimate/other_ends_are_not_learned",
 			test_other_ends_are_not_learned);
+	g_test_add_func("/estimate/far_ends_are_not_learned",
+			test_far_ends_are_not_learned);
 	return g_test_run();
 }
