locality: tasks wait for a near worker if that ends them earlier

A task with data on a rack was placed far as soon as all near workers were full, and a gang on several racks as soon as it fit into none, though a near worker might be free a moment later and a far run takes far_factor times as long.

lib/locality decides by expected cost: it compares the expected ends of the runs on near workers, with the tasks that wait ahead, to what a near run saves, and bounds the wait by the deadline. A wait has an end that is known when it begins; it ends early when it no longer pays. lib/sched fills in the inputs for each pass and counts the outcomes; nothing is stored, and no capacity is reserved. Where no step names a rack and no gang asks for one, nothing is asked.

Tasks that wait by this decision are not counted as a shortage of capacity, and do not accept unhealthy workers or low speeds for it.

--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -141,6 +141,11 @@
 
 /* ======   Statistics   ====== */
 
+gn_sched_near_stats_t gn_sched_near_stats(const gn_sched_t *sched)
+{
+	return sched->near_stats;
+}
+
 gn_sched_stats_t gn_sched_stats(const gn_sched_t *sched)
 {
 	gn_sched_stats_t figures = {
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -278,6 +278,21 @@
 
 /* ======   Statistics   ====== */
 
+/** What waits for workers near their data have brought; see
+ * locality/locality.h. A gang counts as one task. */
+typedef struct gn_sched_near_stats_s {
+	uint64_t waits; /**< Waits begun. */
+	uint64_t near; /**< Starts near after a wait. */
+	uint64_t far; /**< Starts far after a wait. */
+	/** Expected time that near starts have won against far ones at once. */
+	uint64_t won_ms;
+	/** Time waited before far starts, or beyond what a near start saved. */
+	uint64_t lost_ms;
+} gn_sched_near_stats_t;
+
+/** Returns the figures since the scheduler was created. */
+gn_sched_near_stats_t gn_sched_near_stats(const gn_sched_t *sched);
+
 /** Statistics for metrics and the state dump. */
 typedef struct gn_sched_stats_s {
 	size_t jobs;
--- a/lib/sched/sched_claim.c
+++ b/lib/sched/sched_claim.c
@@ -48,6 +48,8 @@
 	task->very_slow_since_us = 0;
 	task->isolated = false;
 	task->resumed = task->checkpoint != NULL;
+	task->near_wait_us = 0;
+	task->near_wait_until_us = 0;
 	task->claimed_us = sched_now_us(job->sched);
 	gn_resource_vector_add(&worker->used, &resources);
 	g_ptr_array_add(worker->claims, task);
--- a/lib/sched/sched_gang.c
+++ b/lib/sched/sched_gang.c
@@ -146,6 +146,59 @@
 	return false;
 }
 
+/* Sets the time at which the rack is expected to have places for all members;
+ * returns false if it never has. */
+static bool get_place_in_rack(const sched_candidates_t *all,
+			      const sched_job_t *job, const sched_unit_t *unit,
+			      const char *rack, double slowness,
+			      gn_locality_time_t *place)
+{
+	GArray *places = g_array_new(FALSE, FALSE, sizeof(*place));
+	size_t last =
+		unit->step->count - 1 + sched_near_count_awaited(all, rack);
+	bool found;
+
+	sched_near_get_places(all, job, unit, rack, slowness, places);
+	found = last < places->len;
+	if (found)
+		*place = g_array_index(places, gn_locality_time_t, last);
+	g_array_unref(places);
+	return found;
+}
+
+/* Whether a gang that fits into no rack now waits for one instead of starting on
+ * several.
+ * @param at candidate of one of its members otherwise */
+static bool waits_for_rack(sched_candidates_t *all, const sched_job_t *job,
+			   const sched_unit_t *unit, size_t at)
+{
+	double slowness = all->views[at].slowness;
+	GHashTable *seen;
+	gn_locality_time_t best = { 0, 0 };
+	const char *best_rack = NULL;
+
+	if (!unit->step->same_rack)
+		return false;
+	seen = g_hash_table_new(g_str_hash, g_str_equal);
+	for (size_t i = 0; i < all->count; i++) {
+		const char *rack = all->workers[i]->rack;
+		gn_locality_time_t place;
+
+		if (!g_hash_table_add(seen, (gpointer)rack) ||
+		    !get_place_in_rack(all, job, unit, rack, slowness,
+				       &place) ||
+		    (best_rack && place.ms + place.deviation_ms >=
+					  best.ms + best.deviation_ms))
+			continue;
+		best = place;
+		best_rack = rack;
+	}
+	g_hash_table_destroy(seen);
+	return sched_near_waits(all, get_member(job, unit, 0),
+				best_rack ? best_rack : "",
+				best_rack ? &best : NULL, unit->step->count);
+}
+
 static uint32_t get_next_attempt(const sched_job_t *job,
 				 const sched_unit_t *unit)
 {
@@ -163,13 +216,17 @@
 	uint32_t members = unit->step->count;
 	uint32_t attempt = get_next_attempt(job, unit);
 	size_t *chosen;
+	bool is_near;
 
-	if (unit->waiting < members)
+	if (!members || unit->waiting < members)
 		return;
 	chosen = g_new(size_t, members);
-	if ((unit->step->same_rack &&
-	     choose_workers_in_any_rack(all, wanted, chosen, members)) ||
-	    choose_workers(wanted, all->views, all->count, chosen, members))
+	is_near = unit->step->same_rack &&
+		  choose_workers_in_any_rack(all, wanted, chosen, members);
+	if (is_near ||
+	    (choose_workers(wanted, all->views, all->count, chosen, members) &&
+	     (isolated || !waits_for_rack(all, job, unit, chosen[0])))) {
+		sched_near_end_wait(get_member(job, unit, 0), is_near);
 		for (uint32_t i = 0; i < members; i++) {
 			sched_task_t *member = get_member(job, unit, i);
 
@@ -177,5 +234,6 @@
 						 attempt);
 			member->isolated = isolated;
 		}
+	}
 	g_free(chosen);
 }
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -71,6 +71,11 @@
 	/** The claim is a start in isolation whose outcome is awaited. */
 	bool isolated;
 	bool resumed; /**< The claim's run starts from a checkpoint. */
+	/** Start of its wait for a near worker, and the time at which it ends at
+	 * the latest; 0 if it does not wait. A gang has them in its first
+	 * member. */
+	uint64_t near_wait_us;
+	uint64_t near_wait_until_us;
 	uint64_t released_us; /**< Time at which it last began to wait. */
 } sched_task_t;
 
@@ -91,6 +96,9 @@
 	uint32_t done;
 	bool ready; /**< Due, and all steps that it waits for are done. */
 	uint64_t waiting_us; /**< Time at which a task last began to wait. */
+	/** Tasks that waited for near workers in the last pass, though others
+	 * were free. */
+	uint32_t near_waiting;
 	struct sched_advice_s *advice; /**< NULL before the first request. */
 	/** Index at which the search for a waiting task begins. */
 	uint32_t search_from;
@@ -115,6 +123,7 @@
 	/** Monotonic clock; a job done by then is in time. */
 	uint64_t deadline_us;
 	unsigned priority;
+	uint64_t chain_us; /**< Remaining chain at the last update of rank. */
 	gn_rank_t rank; /**< Rank in the last pass, if tasks were waiting. */
 	/** Failed attempts of a task that make the job fail; 0 while its queue
 	 * is unknown, which only delays the decision. */
@@ -219,6 +228,7 @@
 	GPtrArray *active; /**< Jobs that are unfinished or have claims. */
 	gn_interference_t *interference;
 	gn_estimate_t *estimate;
+	gn_sched_near_stats_t near_stats;
 	GQueue dirty; /**< Jobs to be stored. */
 	GPtrArray *writing; /**< Jobs in the current write batch. */
 	size_t claims;
--- a/lib/sched/sched_job.c
+++ b/lib/sched/sched_job.c
@@ -130,7 +130,8 @@
 
 	if (now_us - job->run_times_us >= RUN_TIMES_INTERVAL_US)
 		sched_job_update_run_times(job);
-	rank_job.chain_us = get_longest_chain_ms(job->spec, job) * GN_US_PER_MS;
+	job->chain_us = get_longest_chain_ms(job->spec, job) * GN_US_PER_MS;
+	rank_job.chain_us = job->chain_us;
 	rank_job.work = get_remaining_work(job);
 	job->rank = gn_rank_compute(&rank_job, now_us);
 }
--- a/lib/sched/sched_order.c
+++ b/lib/sched/sched_order.c
@@ -162,6 +162,18 @@
 	return usable;
 }
 
+/* Whether tasks wait for capacity, and not only for near workers. */
+static bool is_short_of_capacity(const sched_job_t *job)
+{
+	if (sched_job_is_finished(job))
+		return false;
+	for (uint32_t i = 0; i < job->unit_count; i++)
+		if (job->units[i].ready &&
+		    job->units[i].waiting > job->units[i].near_waiting)
+			return true;
+	return false;
+}
+
 void sched_update_feasibility(gn_sched_t *sched, const sched_candidates_t *all,
 			      const GPtrArray *ranked)
 {
@@ -170,7 +182,8 @@
 	for (guint i = 0; i < ranked->len && !is_short; i++) {
 		const sched_job_t *job = g_ptr_array_index(ranked, i);
 
-		is_short = has_waiting_tasks(job) && has_best_effort_tasks(job);
+		is_short =
+			is_short_of_capacity(job) && has_best_effort_tasks(job);
 	}
 	gn_feasibility_update(&sched->feasibility, is_short,
 			      get_usable_milli(all), sched_now_us(sched));
--- a/lib/sched/sched_pass.h
+++ b/lib/sched/sched_pass.h
@@ -5,6 +5,7 @@
 #ifndef GN_SCHED_SCHED_PASS_H
 #define GN_SCHED_SCHED_PASS_H
 
+#include "locality/locality.h"
 #include "sched/sched_mix.h"
 
 /** Workers that may be given tasks in the current pass. */
@@ -15,6 +16,9 @@
 	gn_place_worker_t *views; /**< Input of gn_place() for the step. */
 	size_t count;
 	double used_fraction; /**< Share of their CPU reserved by claims. */
+	/** Rack to the number of tasks that wait for it, of the jobs placed
+	 * before; NULL if there are none. */
+	GHashTable *awaited;
 } sched_candidates_t;
 
 /** Returns the jobs with waiting tasks in the order in which to place them; free
@@ -41,6 +45,34 @@
 				 const sched_job_t *job,
 				 const sched_unit_t *unit);
 
+/* ======   Waits for near workers   ====== */
+
+/**
+ * Adds the times at which workers of @p rack are expected to have a place for a
+ * task, sorted. Those that are slow or unhealthy are left out.
+ * @param slowness slowness of the worker that would be taken instead
+ * @param places array of gn_locality_time_t
+ */
+void sched_near_get_places(const sched_candidates_t *all,
+			   const sched_job_t *job, const sched_unit_t *unit,
+			   const char *rack, double slowness, GArray *places);
+/** Returns the number of tasks that wait for @p rack, of the jobs placed
+ * before. */
+size_t sched_near_count_awaited(const sched_candidates_t *all,
+				const char *rack);
+/**
+ * Decides whether a task, or the gang of a first member, waits for a near
+ * worker, and begins or ends its wait.
+ * @param place expected time of its place; NULL if none is expected
+ * @param count number of tasks that wait with it
+ */
+bool sched_near_waits(sched_candidates_t *all, sched_task_t *task,
+		      const char *rack, const gn_locality_time_t *place,
+		      uint32_t count);
+/** Counts the outcome of the wait, if any, of a task or gang that is about to be
+ * claimed. */
+void sched_near_end_wait(sched_task_t *task, bool is_near);
+
 /** Claims all members of a gang or none.
  * @param isolated whether the start is in isolation */
 void sched_gang_place(sched_candidates_t *all, sched_job_t *job,
--- a/lib/scheduler/leading.c
+++ b/lib/scheduler/leading.c
@@ -378,6 +378,7 @@
 				&scheduler->wall, &sched_ops, scheduler);
 	if (!scheduler->sched)
 		abort();
+	scheduler->near_counted = gn_sched_near_stats(scheduler->sched);
 	if (scheduler->queues)
 		gn_sched_configure(scheduler->sched, scheduler->queues);
 	begin_loading(scheduler);
@@ -417,6 +418,20 @@
 		scheduler_executors_flush(scheduler);
 }
 
+static void count_near_waits(scheduler_t *scheduler)
+{
+	const scheduler_counters_t *counters = &scheduler->counters;
+	const gn_sched_near_stats_t before = scheduler->near_counted;
+	const gn_sched_near_stats_t now = gn_sched_near_stats(scheduler->sched);
+
+	gn_counter_add(counters->near_waits, now.waits - before.waits);
+	gn_counter_add(counters->near_starts, now.near - before.near);
+	gn_counter_add(counters->far_starts, now.far - before.far);
+	gn_counter_add(counters->near_won_ms, now.won_ms - before.won_ms);
+	gn_counter_add(counters->near_lost_ms, now.lost_ms - before.lost_ms);
+	scheduler->near_counted = now;
+}
+
 void scheduler_leading_tick(scheduler_t *scheduler)
 {
 	scheduler_loading_t *loading = scheduler->loading;
@@ -431,6 +446,7 @@
 	if (now_us(scheduler) - scheduler->last_tick_us >= TICK_INTERVAL_US) {
 		scheduler->last_tick_us = now_us(scheduler);
 		gn_sched_tick(scheduler->sched);
+		count_near_waits(scheduler);
 	}
 	scheduler_run_pass(scheduler);
 }
--- a/lib/scheduler/scheduler.c
+++ b/lib/scheduler/scheduler.c
@@ -63,6 +63,15 @@
 	counters->writes = gn_counters_get(all, "scheduler.writes");
 	counters->orders = gn_counters_get(all, "scheduler.orders");
 	counters->elections = gn_counters_get(all, "scheduler.elections");
+	counters->near_waits = gn_counters_get(all, "scheduler.near.waits");
+	counters->near_starts = gn_counters_get(all, "scheduler.near.starts");
+	counters->far_starts =
+		gn_counters_get(all, "scheduler.near.far_starts");
+	counters->near_won_ms = gn_counters_get(all, "scheduler.near.won_ms");
+	counters->near_lost_ms = gn_counters_get(all, "scheduler.near.lost_ms");
+	complete &= counters->near_waits && counters->near_starts &&
+		    counters->far_starts && counters->near_won_ms &&
+		    counters->near_lost_ms;
 	counters->call_time =
 		gn_histogram_create(scheduler, all, "scheduler.call_time");
 	counters->store_time =
--- a/lib/scheduler/scheduler_internal.h
+++ b/lib/scheduler/scheduler_internal.h
@@ -71,6 +71,11 @@
 	gn_counter_t *writes;
 	gn_counter_t *orders;
 	gn_counter_t *elections;
+	gn_counter_t *near_waits;
+	gn_counter_t *near_starts;
+	gn_counter_t *far_starts;
+	gn_counter_t *near_won_ms;
+	gn_counter_t *near_lost_ms;
 	gn_histogram_t *call_time; /**< Time from request to answer. */
 	gn_histogram_t *store_time; /**< Time to store a write batch. */
 } scheduler_counters_t;
@@ -94,6 +99,8 @@
 	gn_lead_t *lead;
 	uint64_t epoch; /**< Epoch of this leader; 0 if not the leader. */
 	gn_sched_t *sched; /**< NULL if not the leader. */
+	/** What the counters have of gn_sched_near_stats(). */
+	gn_sched_near_stats_t near_counted;
 	gn_ledger_t *ledger; /**< NULL until the leader has loaded all jobs. */
 	struct scheduler_loading_s *loading; /**< NULL unless loading jobs. */
 	GHashTable *executors; /**< Maps a name to scheduler_executor_t. */
