--- a/lib/config/settings.h
+++ b/lib/config/settings.h
@@ -60,6 +60,12 @@
 	 * An absence of a service counts this long, 0..600000, default 5000.
 	 */
 	unsigned notice_ms;
+	/** Headroom that serving tasks keep, target over tail, 0..300 %,
+	 * default 110; 0 lets it follow the demand. */
+	unsigned headroom_pct;
+	/** The same beside tasks of late jobs, 0..300 %, default 0, which
+	 * treats these like others. */
+	unsigned late_headroom_pct;
 	/** Cores of the host for this process, 0..4096, default 1. */
 	double cores;
 	/** Bandwidth of the host's link in Mbit/s, 0..1000000, default 1000. */
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -107,6 +107,12 @@
 	/** Time for which an absence of a serving task that the system
 	 * itself caused is counted. */
 	unsigned notice_ms;
+	/** Headroom that serving tasks keep beside best-effort tasks; 0 if it
+	 * follows the demand (sharing/sharing.h). */
+	double headroom_goal;
+	/** Headroom that they keep beside best-effort tasks of jobs that cannot
+	 * be in time; 0 if these are treated like others. */
+	double late_headroom_goal;
 } gn_sched_config_t;
 
 /**
@@ -301,8 +307,15 @@
 	size_t claims;
 	size_t waiting_tasks; /**< Waiting tasks of ready steps. */
 	size_t run_times; /**< Queues and images with learned run times. */
+	/** Jobs whose best-effort tasks may only use the headroom above
+	 * late_headroom_goal. */
+	size_t late_jobs;
+	double headroom_goal; /**< Headroom that serving tasks keep now. */
 } gn_sched_stats_t;
 
 gn_sched_stats_t gn_sched_stats(const gn_sched_t *sched);
 
+/** Returns the headroom that serving tasks keep now, in percent. */
+unsigned gn_sched_get_headroom_pct(const gn_sched_t *sched);
+
 #endif
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -15,6 +15,7 @@
 #include "sched/sched_crash.h"
 #include "sched/feasibility.h"
 #include "sched/sched.h"
+#include "sharing/sharing.h"
 
 /** Time after which an unanswered order is sent again. */
 #define SCHED_RESEND_US (300 * GN_US_PER_MS)
@@ -64,6 +65,9 @@
 	 * the used CPU of a best-effort task in thousandths of a core. */
 	uint32_t last_reading;
 	uint32_t previous_reading; /**< Reading of the list before that. */
+	/** Run time at full speed that its work so far corresponds to, by the
+	 * used CPU of a best-effort task. */
+	uint64_t progress_us;
 	const char *image; /**< Interned. */
 	uint64_t slow_since_us; /**< Start of a low pace; 0 if not low. */
 	uint64_t very_slow_since_us; /**< Start of a very low pace; 0 if not. */
@@ -125,6 +129,12 @@
 	unsigned priority;
 	uint64_t chain_us; /**< Remaining chain at the last update of rank. */
 	gn_rank_t rank; /**< Rank in the last pass, if tasks were waiting. */
+	/** It went ahead of others although it was not in time, and uses
+	 * headroom like a job in time until it ends. */
+	bool promoted;
+	/** Its best-effort tasks may only use the headroom above
+	 * late_headroom_goal. Updated at each pass. */
+	bool late;
 	/** Failed attempts of a task that make the job fail; 0 while its queue
 	 * is unknown, which only delays the decision. */
 	unsigned max_attempts;
@@ -191,6 +201,9 @@
 	bool has_listed; /**< This life has sent a list. */
 	bool left; /**< This life has ended. */
 	bool crashed; /**< Its process is gone, as the executor has found. */
+	/** The executor has restarted since the life before this one, as after a
+	 * loss of the host's power: no task is the cause of that. */
+	bool host_restarted;
 	/** Reserved for starts in isolation; see sched_isolate.c. */
 	bool isolates;
 	/** Attempts that this life may begin although their claims have
@@ -234,6 +247,7 @@
 	size_t claims;
 	gn_backlog_t backlog;
 	gn_feasibility_t feasibility;
+	gn_sharing_t sharing;
 	bool changed; /**< Placement may have a new result. */
 	GArray *crash_events; /**< Recent crashes; see sched_crash_events.c. */
 	/** Tasks waited for a start in isolation in the last pass. */
@@ -272,6 +286,21 @@
 					   const sched_unit_t *unit);
 /** Updates the expected run times from what has been learned. */
 void sched_job_update_run_times(sched_job_t *job);
+/**
+ * Updates whether the job is late, which includes what its running tasks have
+ * done; its rank does not, and would show jobs as late that are nearly done.
+ * @param is_ranked whether it has waiting tasks, which work of other jobs may
+ *        delay
+ */
+void sched_job_update_late(sched_job_t *job, bool is_ranked, uint64_t now_us);
+/** Whether best-effort tasks of the job are left. */
+bool sched_job_has_best_effort_work(const sched_job_t *job);
+/** Longest remaining chain, less what unfinished tasks have done. */
+uint64_t sched_job_get_remaining_chain_ms(const sched_job_t *job);
+/** Slack that the job had when it was accepted. */
+uint64_t sched_job_get_initial_slack_ms(const sched_job_t *job);
+/** Headroom that serving tasks keep now. */
+double sched_get_headroom_goal(const gn_sched_t *sched);
 /** Recomputes the rank. */
 void sched_job_update_rank(sched_job_t *job, uint64_t now_us);
 /** Marks units as ready that are due and whose dependencies are done. */
@@ -448,6 +477,12 @@
 
 /** Updates the interference weights from the tail latencies of a new list. */
 void sched_learn_from_worker(gn_sched_t *sched, sched_worker_t *worker);
+/**
+ * Throttles the tasks of late jobs as far as the present claims require. Placed
+ * tasks of jobs in time take the headroom of those, and serving tasks would be
+ * over their targets if that were left until the next list.
+ */
+void sched_throttle_late_tasks(gn_sched_t *sched, sched_worker_t *worker);
 /** Throttles best-effort tasks by the headroom of serving tasks. */
 void sched_pace_worker(gn_sched_t *sched, sched_worker_t *worker);
 #endif
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -43,7 +43,11 @@
 	GHashTable *records; /**< Job ID to its stored Gn__JobRecord, owned. */
 	GBytes *learned; /**< Stored weights and run times, or NULL. */
 	const Gn__Leave *leave; /**< Record that new leaders load, or NULL. */
+	double headroom_goal; /**< In the settings of the scheduler. */
+	double late_headroom_goal; /**< In the settings of the scheduler. */
 	uint32_t cpu_milli; /**< Capacity in the reports from now on. */
+	/** Reports from now on are of executors that know no earlier life. */
+	bool first_life;
 	char last_event[32]; /**< Name of the last event. */
 	int64_t last_event_list_age_ms; /**< List age in that event. */
 	unsigned advice_requests; /**< Requests to the adviser. */
@@ -80,7 +84,10 @@
 #define RIG_GANG 16U
 #define RIG_SAME_RACK 32U /**< The gang is faster in one rack. */
 
+/** Opens the fixture with the default settings. */
 void rig_open(sched_rig_t *rig);
+/** Opens the fixture with these headroom goals in the settings. */
+void rig_open_with_headroom(sched_rig_t *rig, double goal, double late_goal);
 void rig_close(sched_rig_t *rig);
 
 /**
--- a/tests/unit/test_sched_fill.c
+++ b/tests/unit/test_sched_fill.c
@@ -242,6 +242,228 @@
 	rig_close(&rig);
 }
 
+/* ======   Late jobs   ====== */
+
+#define IN_TIME_JOB "00000000000000cc"
+#define LATE_HEADROOM 1.5
+/** From here on, the job with these tasks is late: 2 times 600 ms, 1,000 ms of
+ * its queue, and 500 ms of uncertainty. */
+#define LATE_AFTER_MS 2800
+/** Age at which the oldest late job goes ahead of others, and some time for a
+ * list and a pass. */
+#define PROMOTED_AFTER_MS 13000
+
+static const rig_step_t serving_step = { .count = 1,
+					 .cpu_milli = 1000,
+					 .flags = RIG_STANDING,
+					 .target_ms = 40,
+					 .image = "s" };
+static const rig_step_t best_effort_step = { .count = 1,
+					     .cpu_milli = 1000,
+					     .estimate_ms = 600,
+					     .flags = RIG_BEST_EFFORT,
+					     .image = "f" };
+
+/* Opens the fixture with a serving task that lists this tail. */
+static void open_beside_serving(sched_rig_t *rig, double late_goal,
+				uint32_t tail_ms)
+{
+	rig_open_with_headroom(rig, 1.1, late_goal);
+	rig_report(rig, "a", "1");
+	rig_submit(rig, RIG_JOB, "batch", &serving_step, 1);
+	rig_store(rig);
+	rig_report_tail(rig, "a", "1", RIG_TASK, 1, tail_ms);
+	rig_store(rig);
+	rig_clear(rig);
+}
+
+/* Runs past the deadline of a best-effort job, beside a serving task with
+ * headroom of 2, of which the task takes 0.625. Returns the last ordered pace, or 100 without one. */
+static int get_pace_of_late_task(double late_goal, unsigned ms)
+{
+	sched_rig_t rig;
+	int pace;
+
+	open_beside_serving(&rig, late_goal, 20);
+	rig_submit(&rig, OTHER, "batch", &best_effort_step, 1);
+	rig_store(&rig);
+	g_assert_nonnull(
+		rig_find_order(&rig, GN_RUN_ORDER_START, BEST_EFFORT_TASK));
+	report_both_for_ms(&rig, 20, ms);
+	pace = get_last_pace(&rig);
+	rig_close(&rig);
+	return pace < 0 ? 100 : pace;
+}
+
+/* Work that can only be late must not bring serving tasks near their target,
+ * and a job in time must not be slowed down by that rule. */
+static void test_late_tasks_use_only_the_higher_headroom(void)
+{
+	g_assert_cmpint(get_pace_of_late_task(LATE_HEADROOM, 1500), ==, 100);
+	g_assert_cmpint(get_pace_of_late_task(LATE_HEADROOM, LATE_AFTER_MS), <,
+			100);
+	g_assert_cmpint(get_pace_of_late_task(0, LATE_AFTER_MS), ==, 100);
+}
+
+/* Each job must end, so that one that is throttled as late gets its turn. */
+static void test_late_tasks_are_throttled_for_ever(void)
+{
+	g_assert_cmpint(get_pace_of_late_task(LATE_HEADROOM, PROMOTED_AFTER_MS),
+			==, 100);
+}
+
+/* The serving task has headroom of 1.9, which is enough for a task of a job in
+ * time alone. The order of starts must not depend on who came first. */
+static void test_waiting_late_tasks_come_after_others(void)
+{
+	sched_rig_t rig;
+
+	open_beside_serving(&rig, LATE_HEADROOM, 21);
+	/* A worker without a recent list gets no tasks, so the job waits until
+	 * it is late. */
+	rig_advance_ms(&rig, 1300);
+	rig_submit(&rig, OTHER, "batch", &best_effort_step, 1);
+	rig_advance_ms(&rig, LATE_AFTER_MS / 2);
+	rig_report_stale_list(&rig, "a", "1", 1300 + LATE_AFTER_MS / 2);
+	rig_advance_ms(&rig, LATE_AFTER_MS / 2);
+	rig_store(&rig);
+	g_assert_cmpuint(rig_count_orders(&rig, GN_RUN_ORDER_START), ==, 0);
+	for (unsigned ms = 0; ms < 5000; ms += 200) {
+		rig_advance_ms(&rig, 200);
+		rig_report_tail(&rig, "a", "1", RIG_TASK, 1,
+				ms / 200 % 2 ? 21 : 22);
+		rig_store(&rig);
+		if (ms == 1000)
+			rig_submit(&rig, IN_TIME_JOB, "batch",
+				   &best_effort_step, 1);
+	}
+	g_assert_nonnull(
+		rig_find_order(&rig, GN_RUN_ORDER_START, IN_TIME_JOB ".0.0.0"));
+	g_assert_null(
+		rig_find_order(&rig, GN_RUN_ORDER_START, BEST_EFFORT_TASK));
+	rig_close(&rig);
+}
+
+/* Of the headroom of 2, 0.9 may be used; both tasks together would take 1.25. A
+ * running late task must make way at once, also though it came first. */
+static void test_running_late_task_keeps_others_out(void)
+{
+	sched_rig_t rig;
+
+	open_beside_serving(&rig, LATE_HEADROOM, 20);
+	rig_submit(&rig, OTHER, "batch", &best_effort_step, 1);
+	rig_store(&rig);
+	report_both_for_ms(&rig, 20, LATE_AFTER_MS);
+	g_assert_cmpint(get_last_pace(&rig), >, 0);
+	rig_submit(&rig, IN_TIME_JOB, "batch", &best_effort_step, 1);
+	rig_store(&rig);
+	g_assert_nonnull(
+		rig_find_order(&rig, GN_RUN_ORDER_START, IN_TIME_JOB ".0.0.0"));
+	g_assert_cmpint(get_last_pace(&rig), ==, 0);
+	rig_close(&rig);
+}
+
+/* Beside a serving task that exceeds its target regardless of interference,
+ * there is never headroom for a late job, but it must end. */
+static void test_late_job_starves_beside_a_slow_serving_task(void)
+{
+	sched_rig_t rig;
+
+	open_beside_serving(&rig, LATE_HEADROOM, 60);
+	rig_submit(&rig, OTHER, "batch", &best_effort_step, 1);
+	for (unsigned ms = 0; ms < 20000; ms += 200) {
+		rig_advance_ms(&rig, 200);
+		rig_report_tail(&rig, "a", "1", RIG_TASK, 1, 60 + ms / 200 % 2);
+		rig_store(&rig);
+	}
+	g_assert_nonnull(
+		rig_find_order(&rig, GN_RUN_ORDER_START, BEST_EFFORT_TASK));
+	rig_close(&rig);
+}
+
+/* ======   Headroom goal   ====== */
+
+/* Lists the serving task with this tail and stores, for this time. */
+static void report_serving_for_ms(sched_rig_t *rig, uint32_t tail_ms,
+				  unsigned ms)
+{
+	for (unsigned passed = 0; passed < ms; passed += 300) {
+		rig_advance_ms(rig, 300);
+		rig_report_tail(rig, "a", "1", RIG_TASK, 1, tail_ms);
+		rig_store(rig);
+	}
+}
+
+static void open_following(sched_rig_t *rig)
+{
+	rig_open_with_headroom(rig, 0, 0);
+	rig_report(rig, "a", "1");
+	rig_submit(rig, RIG_JOB, "batch", &serving_step, 1);
+	rig_store(rig);
+	report_serving_for_ms(rig, 20, 300);
+	g_assert_cmpuint(gn_sched_get_headroom_pct(rig->sched), ==, 110);
+}
+
+/* Placement must keep the headroom of now: a goal of 1.1 leaves 0.9 of the
+ * headroom of 2, one of 1.5 leaves 0.5, and the task takes 0.625. */
+static void test_placement_uses_another_headroom_goal(void)
+{
+	sched_rig_t rig;
+
+	open_following(&rig);
+	rig_submit(&rig, OTHER, "batch", &best_effort_step, 1);
+	rig_store(&rig);
+	g_assert_nonnull(
+		rig_find_order(&rig, GN_RUN_ORDER_START, BEST_EFFORT_TASK));
+	rig_close(&rig);
+	open_following(&rig);
+	report_serving_for_ms(&rig, 20, 60000);
+	g_assert_cmpuint(gn_sched_get_headroom_pct(rig.sched), ==, 150);
+	g_assert_cmpstr(rig.last_event, ==, "headroom");
+	rig_submit(&rig, OTHER, "batch", &best_effort_step, 1);
+	rig_store(&rig);
+	g_assert_null(
+		rig_find_order(&rig, GN_RUN_ORDER_START, BEST_EFFORT_TASK));
+	rig_close(&rig);
+}
+
+static void test_throttling_uses_another_headroom_goal(void)
+{
+	const rig_step_t long_step = { .count = 1,
+				       .cpu_milli = 1000,
+				       .estimate_ms = 600000,
+				       .flags = RIG_BEST_EFFORT,
+				       .image = "f" };
+	sched_rig_t rig;
+
+	open_following(&rig);
+	rig_submit(&rig, OTHER, "batch", &long_step, 1);
+	rig_store(&rig);
+	report_both_for_ms(&rig, 20, 3000);
+	g_assert_cmpint(get_last_pace(&rig), ==, -1);
+	report_both_for_ms(&rig, 20, 60000);
+	g_assert_cmpuint(gn_sched_get_headroom_pct(rig.sched), ==, 150);
+	g_assert_cmpint(get_last_pace(&rig), >, 0);
+	g_assert_cmpint(get_last_pace(&rig), <, 100);
+	rig_close(&rig);
+}
+
+/* The next leader knows neither the rate nor the demand. */
+static void test_new_leader_keeps_the_goal_of_another_load(void)
+{
+	sched_rig_t rig;
+
+	open_following(&rig);
+	report_serving_for_ms(&rig, 20, 60000);
+	g_assert_cmpuint(gn_sched_get_headroom_pct(rig.sched), ==, 150);
+	rig_change_leader(&rig);
+	rig_configure(&rig);
+	g_assert_cmpuint(gn_sched_get_headroom_pct(rig.sched), ==, 110);
+	report_serving_for_ms(&rig, 20, 3000);
+	g_assert_cmpuint(gn_sched_get_headroom_pct(rig.sched), ==, 110);
+	rig_close(&rig);
+}
+
 /* ======   Weights   ====== */
 
 /* Interference weights are stored with other writes for the next leader. */
@@ -299,6 +521,23 @@
 			test_pace_is_ordered_for_a_run_at_full_speed);
 	g_test_add_func("/sched_fill/best_effort_stays_paused_at_a_low_pace",
 			test_best_effort_stays_paused_at_a_low_pace);
+	g_test_add_func("/sched_fill/late_tasks_use_only_the_higher_headroom",
+			test_late_tasks_use_only_the_higher_headroom);
+	g_test_add_func("/sched_fill/late_tasks_are_throttled_for_ever",
+			test_late_tasks_are_throttled_for_ever);
+	g_test_add_func("/sched_fill/waiting_late_tasks_come_after_others",
+			test_waiting_late_tasks_come_after_others);
+	g_test_add_func("/sched_fill/running_late_task_keeps_others_out",
+			test_running_late_task_keeps_others_out);
+	g_test_add_func(
+		"/sched_fill/late_job_starves_beside_a_slow_serving_task",
+		test_late_job_starves_beside_a_slow_serving_task);
+	g_test_add_func("/sched_fill/placement_uses_another_headroom_goal",
+			test_placement_uses_another_headroom_goal);
+	g_test_add_func("/sched_fill/throttling_uses_another_headroom_goal",
+			test_throttling_uses_another_headroom_goal);
+	g_test_add_func("/sched_fill/new_leader_keeps_the_goal_of_another_load",
+			test_new_leader_keeps_the_goal_of_another_load);
 	g_test_add_func("/sched_fill/weights_are_stored",
 			test_weights_are_stored);
 	return g_test_run();
