--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -78,6 +78,7 @@
 	sched->evacuated =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	sched->interference = gn_interference_create(sched);
+	sched->estimate = gn_estimate_create(sched);
 	gn_sharing_init(&sched->sharing);
 	sched->forecast = gn_forecast_create(sched);
 	sched->crash_events = sched_crash_create_events();
@@ -216,11 +217,17 @@
 
 /* ======   Statistics   ====== */
 
+gn_sched_near_stats_t gn_sched_near_stats(const gn_sched_t *sched)
+{
+	return sched->near_stats;
+}
+
 gn_sched_stats_t gn_sched_stats(const gn_sched_t *sched)
 {
 	gn_sched_stats_t figures = {
 		.jobs = g_hash_table_size(sched->jobs),
 		.claims = sched->claims,
+		.run_times = gn_estimate_count(sched->estimate),
 		.headroom_goal = sched_get_headroom_goal(sched),
 		.evacuation_claims = sched->evacuation_claims,
 		.held_back_starts = sched->held_back_starts,
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -253,7 +253,8 @@
 	const char *job; /**< Job ID; valid until the write batch ends. */
 	bool remove; /**< Delete the job from the store. */
 	bool with_spec; /**< First write of a job, which includes its spec. */
-	/** The write holds interference weights and belongs to no job. */
+	/** The write holds what was learned, which is interference weights and
+	 * run times, and belongs to no job. */
 	bool interference;
 	/** Packed Disturbances if interference is set, JobRecord if with_spec
 	 * is set, else JobState; free with free(). */
@@ -288,7 +289,7 @@
 			    const Gn__JobState *state);
 
 /**
- * Loads the interference weights that an earlier leader stored.
+ * Loads the interference weights and run times that an earlier leader stored.
  * @return GN_OK, or GN_ERR_INVALID if @p data is malformed
  */
 gn_code_t gn_sched_load_interference(gn_sched_t *sched, const uint8_t *data,
@@ -305,6 +306,21 @@
 
 /* ======   Statistics   ====== */
 
+/** What waits for workers near their data have brought; see
+ * locality/locality.h. A gang counts as one task. */
+typedef struct gn_sched_near_stats_s {
+	uint64_t waits; /**< Waits begun. */
+	uint64_t near; /**< Starts near after a wait. */
+	uint64_t far; /**< Starts far after a wait. */
+	/** Expected time that near starts have won against far ones at once. */
+	uint64_t won_ms;
+	/** Time waited before far starts, or beyond what a near start saved. */
+	uint64_t lost_ms;
+} gn_sched_near_stats_t;
+
+/** Returns the figures since the scheduler was created. */
+gn_sched_near_stats_t gn_sched_near_stats(const gn_sched_t *sched);
+
 /** Statistics for metrics and the state dump. */
 typedef struct gn_sched_stats_s {
 	size_t jobs;
@@ -312,6 +328,7 @@
 	size_t workers; /**< Workers with a recent report. */
 	size_t claims;
 	size_t waiting_tasks; /**< Waiting tasks of ready steps. */
+	size_t run_times; /**< Queues and images with learned run times. */
 	/** Jobs whose best-effort tasks may only use the headroom above
 	 * late_headroom_goal. */
 	size_t late_jobs;
--- a/lib/sched/sched_job.c
+++ b/lib/sched/sched_job.c
@@ -11,6 +11,9 @@
 #define DEFAULT_PRIORITY 9
 #define DEFAULT_STRETCH 2.0
 #define DEFAULT_TARGET_MS 1000
+/** Interval between updates of a job's expected run times. Many jobs may wait,
+ * so they are not looked up in each pass. */
+#define RUN_TIMES_INTERVAL_US (1000 * GN_US_PER_MS)
 
 /* ======   Creation and configuration   ====== */
 
@@ -52,6 +55,30 @@
 	}
 }
 
+/* ======   Run times   ====== */
+
+void sched_job_update_run_times(sched_job_t *job)
+{
+	job->run_times_us = sched_now_us(job->sched);
+	for (size_t i = 0; i < job->spec->n_steps; i++) {
+		const Gn__JobStep *step = job->spec->steps[i];
+		const gn_estimate_value_t value = gn_estimate_get(
+			job->sched->estimate, job->spec->queue, step->image);
+
+		job->run_times[i] = (sched_run_time_t){
+			.run_ms = gn_estimate_run_ms(&value, step->estimate_ms),
+			.spread = value.spread,
+			.count = value.count
+		};
+	}
+}
+
+const sched_run_time_t *sched_job_run_time(const sched_job_t *job,
+					   const sched_unit_t *unit)
+{
+	return &job->run_times[unit->step_number];
+}
+
 /** Progress is known from lists that arrive each 300 ms, and runs begin before
  * their first list. A job is late only if it is so by more than that. */
 #define LATE_MARGIN_US (500 * GN_US_PER_MS)
@@ -77,38 +104,41 @@
 }
 
 /*
- * Returns the length of the longest chain of dependent steps by their estimated
- * run times. With @p units, the units of one occurrence, finished steps count
- * as zero.
+ * Returns the length of the longest chain of dependent steps: with @p job by the
+ * expected run times, with the finished steps of its first occurrence as zero;
+ * else by the declared ones.
  */
 static uint64_t get_longest_chain_ms(const Gn__JobSpec *spec,
-				     const sched_unit_t *units)
+				     const sched_job_t *job)
 {
 	uint64_t step_ms[GN_JOB_STEPS_MAX];
 
 	for (size_t i = 0; i < spec->n_steps; i++) {
 		const Gn__JobStep *step = spec->steps[i];
-		bool is_left = !units || units[i].done < step->count;
 
-		step_ms[i] = is_left ? step->estimate_ms : 0;
+		if (!job)
+			step_ms[i] = step->estimate_ms;
+		else if (job->units[i].done < step->count)
+			step_ms[i] = job->run_times[i].run_ms;
+		else
+			step_ms[i] = 0;
 	}
 	return add_up_chain_ms(spec, step_ms);
 }
 
-/* Returns the longest estimated time that a task of the unit still runs. */
+/* Returns the longest expected time that a task of the unit still runs. */
 static uint64_t get_remaining_ms(const sched_job_t *job,
 				 const sched_unit_t *unit)
 {
+	uint64_t run_ms = sched_job_run_time(job, unit)->run_ms;
 	uint64_t longest_ms = 0;
 
 	for (uint32_t i = 0; i < unit->step->count; i++) {
 		const sched_task_t *task = &job->tasks[unit->first + i];
 		uint64_t done_ms = task->progress_us / GN_US_PER_MS;
 
-		if (task->state != GN_JOB_TASK_DONE &&
-		    done_ms < unit->step->estimate_ms)
-			longest_ms = MAX(longest_ms,
-					 unit->step->estimate_ms - done_ms);
+		if (task->state != GN_JOB_TASK_DONE && done_ms < run_ms)
+			longest_ms = MAX(longest_ms, run_ms - done_ms);
 	}
 	return longest_ms;
 }
@@ -129,10 +159,11 @@
 	uint64_t work = 0;
 
 	for (uint32_t i = 0; i < job->unit_count; i++) {
-		const Gn__JobStep *step = job->units[i].step;
+		const sched_unit_t *unit = &job->units[i];
 
-		work += (uint64_t)(step->count - job->units[i].done) *
-			step->cpu_milli * step->estimate_ms;
+		work += (uint64_t)(unit->step->count - unit->done) *
+			unit->step->cpu_milli *
+			sched_job_run_time(job, unit)->run_ms;
 	}
 	return work;
 }
@@ -169,15 +200,17 @@
 
 void sched_job_update_rank(sched_job_t *job, uint64_t now_us)
 {
-	const gn_rank_job_t rank_job = {
+	gn_rank_job_t rank_job = {
 		.priority = job->priority,
 		.accepted_us = job->accepted_us,
 		.deadline_us = job->deadline_us,
-		.chain_us = get_longest_chain_ms(job->spec, job->units) *
-			    GN_US_PER_MS,
-		.work = get_remaining_work(job),
 	};
 
+	if (now_us - job->run_times_us >= RUN_TIMES_INTERVAL_US)
+		sched_job_update_run_times(job);
+	job->chain_us = get_longest_chain_ms(job->spec, job) * GN_US_PER_MS;
+	rank_job.chain_us = job->chain_us;
+	rank_job.work = get_remaining_work(job);
 	job->rank = gn_rank_compute(&rank_job, now_us);
 }
 
@@ -221,6 +254,8 @@
 	job->pending_starts = g_ptr_array_new();
 	create_units(job);
 	create_tasks(job);
+	job->run_times = g_new0(sched_run_time_t, spec->n_steps);
+	sched_job_update_run_times(job);
 	sched_job_configure(job);
 	g_hash_table_insert(sched->jobs, spec->id, job);
 	g_ptr_array_add(sched->active, job);
@@ -238,6 +273,7 @@
 	g_free(job->failure);
 	g_free(job->tasks);
 	g_free(job->units);
+	g_free(job->run_times);
 	g_ptr_array_free(job->pending_starts, TRUE);
 	gn__job_spec__free_unpacked(job->spec, NULL);
 	g_free(job);
@@ -320,22 +356,24 @@
 void sched_job_task_done(sched_task_t *task)
 {
 	sched_job_t *job = task->job;
-	const Gn__JobStep *step = job->units[task->unit].step;
+	sched_unit_t *unit = &job->units[task->unit];
+	const Gn__JobStep *step = unit->step;
 
 	task->state = GN_JOB_TASK_DONE;
 	sched_crash_clear(task);
 	job->done++;
 	if (step->fills)
-		gn_feasibility_count_done(&job->sched->feasibility,
-					  (double)step->cpu_milli *
-						  step->estimate_ms);
-	job->units[task->unit].done++;
+		gn_feasibility_count_done(
+			&job->sched->feasibility,
+			(double)step->cpu_milli *
+				(double)sched_job_run_time(job, unit)->run_ms);
+	unit->done++;
 	sched_job_mark_dirty(job);
 	if (sched_job_is_finished(job))
 		return;
 	if (job->done == job->task_count)
 		sched_job_finish(job, GN_JOB_COMPLETED, "all tasks done");
-	else if (is_unit_done(&job->units[task->unit]))
+	else if (is_unit_done(unit))
 		sched_job_update_units(job);
 }
 
--- a/lib/sched/sched_order.c
+++ b/lib/sched/sched_order.c
@@ -47,7 +47,7 @@
 
 		if (step->fills)
 			work += (left - claimed / 2) * step->cpu_milli *
-				step->estimate_ms;
+				(double)sched_job_run_time(job, unit)->run_ms;
 	}
 	return work;
 }
@@ -191,6 +191,18 @@
 	return usable;
 }
 
+/* Whether tasks wait for capacity, and not only for near workers. */
+static bool is_short_of_capacity(const sched_job_t *job)
+{
+	if (sched_job_is_finished(job))
+		return false;
+	for (uint32_t i = 0; i < job->unit_count; i++)
+		if (job->units[i].ready &&
+		    job->units[i].waiting > job->units[i].near_waiting)
+			return true;
+	return false;
+}
+
 /* ======   Headroom   ====== */
 
 static void add_sharing_jobs(const gn_sched_t *sched, GArray *jobs)
@@ -322,7 +334,7 @@
 		const sched_job_t *job = g_ptr_array_index(ranked, i);
 
 		/* Late jobs wait although there is capacity. */
-		is_short = has_waiting_tasks(job) &&
+		is_short = is_short_of_capacity(job) &&
 			   sched_job_has_best_effort_work(job) && !job->late;
 	}
 	sched->best_effort_waits = is_short;
--- a/lib/scheduler/leading.c
+++ b/lib/scheduler/leading.c
@@ -401,6 +401,7 @@
 				&scheduler->wall, &sched_ops, scheduler);
 	if (!scheduler->sched)
 		abort();
+	scheduler->near_counted = gn_sched_near_stats(scheduler->sched);
 	if (scheduler->queues)
 		gn_sched_configure(scheduler->sched, scheduler->queues);
 	if (scheduler->evacuations)
@@ -459,6 +460,20 @@
 	gn_counter_set(counters->held_back_passes, stats.held_back_passes);
 }
 
+static void count_near_waits(scheduler_t *scheduler)
+{
+	const scheduler_counters_t *counters = &scheduler->counters;
+	const gn_sched_near_stats_t before = scheduler->near_counted;
+	const gn_sched_near_stats_t now = gn_sched_near_stats(scheduler->sched);
+
+	gn_counter_add(counters->near_waits, now.waits - before.waits);
+	gn_counter_add(counters->near_starts, now.near - before.near);
+	gn_counter_add(counters->far_starts, now.far - before.far);
+	gn_counter_add(counters->near_won_ms, now.won_ms - before.won_ms);
+	gn_counter_add(counters->near_lost_ms, now.lost_ms - before.lost_ms);
+	scheduler->near_counted = now;
+}
+
 void scheduler_leading_tick(scheduler_t *scheduler)
 {
 	scheduler_loading_t *loading = scheduler->loading;
@@ -474,6 +489,7 @@
 		scheduler->last_tick_us = now_us(scheduler);
 		gn_sched_tick(scheduler->sched);
 		update_gauges(scheduler);
+		count_near_waits(scheduler);
 	}
 	scheduler_run_pass(scheduler);
 }
--- a/lib/scheduler/scheduler.c
+++ b/lib/scheduler/scheduler.c
@@ -76,6 +76,15 @@
 	counters->writes = gn_counters_get(all, "scheduler.writes");
 	counters->orders = gn_counters_get(all, "scheduler.orders");
 	counters->elections = gn_counters_get(all, "scheduler.elections");
+	counters->near_waits = gn_counters_get(all, "scheduler.near.waits");
+	counters->near_starts = gn_counters_get(all, "scheduler.near.starts");
+	counters->far_starts =
+		gn_counters_get(all, "scheduler.near.far_starts");
+	counters->near_won_ms = gn_counters_get(all, "scheduler.near.won_ms");
+	counters->near_lost_ms = gn_counters_get(all, "scheduler.near.lost_ms");
+	complete &= counters->near_waits && counters->near_starts &&
+		    counters->far_starts && counters->near_won_ms &&
+		    counters->near_lost_ms;
 	counters->outages = gn_counters_get(all, "scheduler.outages");
 	counters->held = gn_counters_get(all, "scheduler.held");
 	counters->held_refused = gn_counters_get(all, "scheduler.held_refused");
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -42,6 +42,7 @@
 	uint64_t stored; /**< Number of stored batches. */
 	GHashTable *records; /**< Job ID to its stored Gn__JobRecord, owned. */
 	bool forecast; /**< Jobs are refused by forecast. */
+	GBytes *learned; /**< Stored weights and run times, or NULL. */
 	const Gn__Leave *leave; /**< Record that new leaders load, or NULL. */
 	double headroom_goal; /**< In the settings of the scheduler. */
 	double late_headroom_goal; /**< In the settings of the scheduler. */
@@ -92,6 +93,7 @@
 #define RIG_BEST_EFFORT 4U
 #define RIG_INDEPENDENT 8U /**< Does not depend on the previous step. */
 #define RIG_GANG 16U
+#define RIG_SAME_RACK 32U /**< The gang is faster in one rack. */
 
 /** Opens the fixture with the default settings. */
 void rig_open(sched_rig_t *rig);
@@ -156,6 +158,11 @@
  */
 void rig_restart_worker(sched_rig_t *rig, const char *host);
 
+/** Sets the rack of @p host in the reports from now on. */
+void rig_set_rack(sched_rig_t *rig, const char *host, const char *rack);
+/** Lets the worker of @p host drain in the reports from now on. */
+void rig_drain(sched_rig_t *rig, const char *host);
+
 /** Returns the start of the present life of @p host. */
 uint64_t rig_get_life_start_ms(sched_rig_t *rig, const char *host,
 			       const char *life);
@@ -179,6 +186,12 @@
 uint64_t rig_report_end(sched_rig_t *rig, const char *host, const char *life,
 			const char *task, uint32_t attempt, gn_end_kind_t how);
 
+/** Sends a report whose list shows one more end, of a stopped run with a
+ * checkpoint. */
+void rig_report_checkpoint_end(sched_rig_t *rig, const char *host,
+			       const char *life, const char *task,
+			       uint32_t attempt);
+
 /** Sends a report without a new list, but with the outcome of an order. */
 void rig_report_result(sched_rig_t *rig, const char *host, const char *life,
 		       const char *task, uint32_t attempt,
