sched: lapsed attempts are stored for the next leader

The worker's next life shows the crash, as it began before the lapse, but by then another leader may lead. Lapsed attempts were kept in the leader's memory only, so the crash was never counted and the task was started once more than it may be. Such an attempt was not closed by a stop either.

Change: the last four lapsed attempts of a task are stored with it in a new field of TaskState, and loaded by the next leader, which counts the crash or sends the stop. Only attempts of other lives are dropped when it hears of a worker for the first time.

--- a/lib/job/job.pb-c.c
+++ b/lib/job/job.pb-c.c
@@ -742,7 +742,7 @@
   (ProtobufCMessageInit) gn__job_spec__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gn__task_state__field_descriptors[19] =
+static const ProtobufCFieldDescriptor gn__task_state__field_descriptors[20] =
 {
   {
     "number",
@@ -972,6 +972,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "open_attempts",
+    20,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Gn__TaskState, n_open_attempts),
+    offsetof(Gn__TaskState, open_attempts),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gn__task_state__field_indices_by_name[] = {
   2,   /* field[2] = attempt */
@@ -989,6 +1001,7 @@
   10,   /* field[10] = isolated_crashes */
   5,   /* field[5] = life */
   0,   /* field[0] = number */
+  19,   /* field[19] = open_attempts */
   11,   /* field[11] = proven_crashes */
   15,   /* field[15] = soon_crashes */
   1,   /* field[1] = status */
@@ -997,7 +1010,7 @@
 static const ProtobufCIntRange gn__task_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor gn__task_state__descriptor =
 {
@@ -1007,7 +1020,7 @@
   "Gn__TaskState",
   "gn",
   sizeof(Gn__TaskState),
-  19,
+  20,
   gn__task_state__field_descriptors,
   gn__task_state__field_indices_by_name,
   1,  gn__task_state__number_ranges,
--- a/lib/job/job.pb-c.h
+++ b/lib/job/job.pb-c.h
@@ -224,10 +224,16 @@
    * Most crashes elsewhere at any of them.
    */
   uint32_t crashes_elsewhere;
+  /*
+   * Attempts whose claims have lapsed, which the worker may still begin:
+   * "HOST LIFE START ATTEMPT LAPSED_MS LISTED_MS ISOLATED", the newest last.
+   */
+  size_t n_open_attempts;
+  char **open_attempts;
 };
 #define GN__TASK_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gn__task_state__descriptor) \
-    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL }
 
 
 /*
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -42,6 +42,9 @@
 	uint32_t failed; /**< Attempts that count against the limit. */
 	char *checkpoint; /**< Owned; free with g_free(). NULL if none. */
 	sched_crashes_t crashes;
+	/** Attempts that have lapsed, as stored for the next leader; owned, NULL
+	 * if none. */
+	GPtrArray *open_attempts;
 
 	sched_worker_t *worker; /**< Worker of the claim, or NULL. */
 	gn_life_t life; /**< Life of the claim's worker; interned ID. */
@@ -394,12 +397,18 @@
 /* ======   sched_lapse.c   ====== */
 
 GArray *sched_lapse_create(void);
-/** Counts the crash of a worker under the attempts that have lapsed, if a life
- * that started at @p started_ms shows that it came before the lapse. */
+/** Counts the crash of a worker under the attempts that have lapsed, if the start
+ * of its new life shows that it came before the lapse. */
 void sched_lapse_count_crashes(gn_sched_t *sched, sched_worker_t *worker,
-			       uint64_t started_ms);
-/** Records the attempt of a claim that is about to lapse. */
-void sched_lapse_record(sched_worker_t *worker, const sched_task_t *task);
+			       gn_life_t life);
+/** Records the attempt of a claim that is about to lapse; it is stored with the
+ * job. */
+void sched_lapse_record(sched_worker_t *worker, sched_task_t *task);
+/** Copies the lapsed attempts of a stored task. */
+void sched_lapse_load(sched_task_t *task, const Gn__TaskState *row);
+void sched_lapse_store(const sched_task_t *task, Gn__TaskState *row);
+/** Removes the attempts that calls for the worker's new life cannot begin. */
+void sched_lapse_forget_other_lives(sched_worker_t *worker, gn_life_t life);
 /** Removes an attempt that the worker can no longer begin. */
 void sched_lapse_close(sched_worker_t *worker, const char *task,
 		       uint32_t attempt);
--- a/lib/sched/sched_job.c
+++ b/lib/sched/sched_job.c
@@ -155,6 +155,8 @@
 	for (uint32_t i = 0; i < job->task_count; i++) {
 		g_free(job->tasks[i].checkpoint);
 		sched_crash_free(&job->tasks[i]);
+		if (job->tasks[i].open_attempts)
+			g_ptr_array_unref(job->tasks[i].open_attempts);
 	}
 	for (uint32_t i = 0; i < job->unit_count; i++)
 		sched_advice_free(job->units[i].advice);
--- a/lib/sched/sched_lapse.c
+++ b/lib/sched/sched_lapse.c
@@ -7,11 +7,16 @@
  * been restarted. So the attempts are closed by stops once the worker is heard
  * again.
  */
+#include <inttypes.h>
+#include <stdio.h>
 #include <string.h>
 
 #include "common/str.h"
 #include "sched/sched_internal.h"
 
+/** Newest attempts of a task that are stored for the next leader. */
+#define STORED_MAX 4
+
 /** An attempt that the worker may still begin. */
 typedef struct open_attempt_s {
 	char task[GN_TASK_NAME_SIZE];
@@ -24,7 +29,22 @@
 	bool crash_counted;
 } open_attempt_t;
 
-void sched_lapse_record(sched_worker_t *worker, const sched_task_t *task)
+static void store_with_job(sched_task_t *task, const char *host,
+			   const open_attempt_t *open)
+{
+	if (!task->open_attempts)
+		task->open_attempts = g_ptr_array_new_with_free_func(g_free);
+	if (task->open_attempts->len == STORED_MAX)
+		g_ptr_array_remove_index(task->open_attempts, 0);
+	g_ptr_array_add(
+		task->open_attempts,
+		g_strdup_printf(
+			"%s %s %" PRIu64 " %u %" PRIu64 " %" PRId64 " %d", host,
+			open->life.id, open->life.started_ms, open->attempt,
+			open->lapsed_ms, open->listed_ms, open->isolated));
+}
+
+void sched_lapse_record(sched_worker_t *worker, sched_task_t *task)
 {
 	open_attempt_t open = {
 		.attempt = task->attempt,
@@ -39,10 +59,65 @@
 		return;
 	gn_task_format_name(task->job->spec, task->number, open.task);
 	g_array_append_val(worker->open_attempts, open);
+	store_with_job(task, worker->host, &open);
+}
+
+/* Reads what store_with_job() wrote. */
+static bool parse(const char *text, char *host, char *life,
+		  open_attempt_t *open)
+{
+	int isolated;
+
+	G_STATIC_ASSERT(GN_NAME_MAX == 63);
+	if (sscanf(text,
+		   "%63s %63s %" SCNu64 " %" SCNu32 " %" SCNu64 " %" SCNd64
+		   " %d",
+		   host, life, &open->life.started_ms, &open->attempt,
+		   &open->lapsed_ms, &open->listed_ms, &isolated) != 7)
+		return false;
+	open->isolated = isolated;
+	open->life.id = g_intern_string(life);
+	return true;
+}
+
+void sched_lapse_load(sched_task_t *task, const Gn__TaskState *row)
+{
+	for (size_t i = 0; i < row->n_open_attempts; i++) {
+		open_attempt_t open = { 0 };
+		char host[GN_NAME_MAX + 1];
+		char life[GN_NAME_MAX + 1];
+
+		if (!parse(row->open_attempts[i], host, life, &open))
+			continue;
+		gn_task_format_name(task->job->spec, task->number, open.task);
+		g_array_append_val(
+			sched_worker_get(task->job->sched, host)->open_attempts,
+			open);
+		store_with_job(task, host, &open);
+	}
+}
+
+void sched_lapse_store(const sched_task_t *task, Gn__TaskState *row)
+{
+	if (!task->open_attempts || task->state == GN_JOB_TASK_DONE)
+		return;
+	row->open_attempts = (char **)task->open_attempts->pdata;
+	row->n_open_attempts = task->open_attempts->len;
+}
+
+void sched_lapse_forget_other_lives(sched_worker_t *worker, gn_life_t life)
+{
+	GArray *all = worker->open_attempts;
+
+	for (guint i = all->len; i > 0; i--)
+		if (!gn_life_same_id(
+			    g_array_index(all, open_attempt_t, i - 1).life,
+			    life))
+			g_array_remove_index_fast(all, i - 1);
 }
 
 void sched_lapse_count_crashes(gn_sched_t *sched, sched_worker_t *worker,
-			       uint64_t started_ms)
+			       gn_life_t life)
 {
 	if (!sched_crash_ended_life(worker, worker->life))
 		return;
@@ -53,7 +128,8 @@
 
 		/* A worker that ended later had killed the run by then. */
 		if (!task || open->crash_counted ||
-		    started_ms > open->lapsed_ms)
+		    gn_life_matches(open->life, life) ||
+		    life.started_ms > open->lapsed_ms)
 			continue;
 		open->crash_counted = true;
 		sched_emit_worker_event(sched, "crash", worker,
--- a/lib/sched/sched_store.c
+++ b/lib/sched/sched_store.c
@@ -39,6 +39,7 @@
 	if (task->state != GN_JOB_TASK_DONE && task->checkpoint)
 		state->checkpoint = task->checkpoint;
 	sched_crash_store(task, state);
+	sched_lapse_store(task, state);
 }
 
 static void pack_job(const sched_job_t *job, gn_sched_write_t *write)
@@ -211,6 +212,8 @@
 	task->failed = row->failed;
 	task->released_us = sched_now_us(job->sched);
 	sched_crash_load(task, row);
+	if (row->status != GN_JOB_TASK_DONE)
+		sched_lapse_load(task, row);
 	if (*row->checkpoint)
 		task->checkpoint = g_strdup(row->checkpoint);
 	if (row->status == GN_JOB_TASK_DONE) {
--- a/lib/sched/sched_worker.c
+++ b/lib/sched/sched_worker.c
@@ -389,13 +389,12 @@
 	if (!*worker->life.id)
 		sched_crash_infer_event(sched, worker->host, life);
 	if (!is_present)
-		sched_lapse_count_crashes(sched, worker, life.started_ms);
+		sched_lapse_count_crashes(sched, worker, life);
 	end_other_lives(sched, worker, life);
 	/* Calls for an earlier life with the same ID may reach this one. */
 	if (gn_life_same_id(worker->life, life))
 		expect_longest_lease(sched, worker);
-	else
-		g_array_set_size(worker->open_attempts, 0);
+	sched_lapse_forget_other_lives(worker, life);
 	worker->life = life;
 	/* Only its start time was unknown. */
 	if (is_present)
--- a/tests/unit/test_sched_crash.c
+++ b/tests/unit/test_sched_crash.c
@@ -435,6 +435,43 @@
 	rig_close(&rig);
 }
 
+/* Returns the crashes of the only task of OTHER, as stored. */
+static uint32_t get_stored_crashes(const sched_rig_t *rig)
+{
+	const Gn__JobRecord *record = g_hash_table_lookup(rig->records, OTHER);
+
+	return record->state->tasks[0]->crashes;
+}
+
+/* The executor freezes while its worker crashes, the claim lapses, and the next
+ * leader hears of the worker's new life. */
+static void test_crash_before_a_lapse_is_forgotten_with_the_leader(void)
+{
+	const rig_order_t *found;
+	sched_rig_t rig;
+	rig_order_t start;
+
+	rig_open(&rig);
+	rig_report(&rig, "a", "1");
+	rig_report(&rig, "b", "1");
+	rig_submit(&rig, OTHER, "quick", &one_task, 1);
+	rig_store(&rig);
+	found = rig_find_order(&rig, GN_RUN_ORDER_START, OTHER ".0.0.0");
+	g_assert_nonnull(found);
+	start = *found;
+	rig_report_result(&rig, start.host, "1", OTHER ".0.0.0", 1,
+			  GN_ORDER_OUTCOME_STARTED);
+	rig_advance_ms(&rig, 5000);
+	rig_store(&rig);
+	g_assert_cmpuint(get_stored_crashes(&rig), ==, 0);
+	rig_change_leader(&rig);
+	rig_configure(&rig);
+	rig_report(&rig, start.host, "2");
+	rig_store(&rig);
+	g_assert_cmpuint(get_stored_crashes(&rig), ==, 1);
+	rig_close(&rig);
+}
+
 static void test_task_is_given_up_for_leaves(void)
 {
 	fleet_t fleet;
@@ -490,6 +527,7 @@
 	ADD(task_is_given_up_for_crashes_of_machines);
 	ADD(task_is_given_up_for_a_start_that_reached_no_worker);
 	ADD(task_is_given_up_for_one_crash_in_isolation);
+	ADD(crash_before_a_lapse_is_forgotten_with_the_leader);
 	ADD(task_is_given_up_for_leaves);
 	ADD(task_beside_a_deadly_one_is_given_up);
 #undef ADD
