tests: the run model keeps the details of its log itself

The evidence of crashes makes many different lines. The model interned them, and GLib replaces its table of interned strings after 2,048 of them without freeing it, which the address sanitizer reported as a leak of 16,384 bytes in test_run_walk and test_crash_walk. Both pass with it now.

--- a/tests/support/run_model.c
+++ b/tests/support/run_model.c
@@ -175,6 +175,7 @@
 	gn_clock_init_paused(&model->clock, RM_START_US);
 	gn_clock_init_paused(&model->wall, RM_WALL_MS * RM_MS);
 	model->events = g_sequence_new(free_event);
+	model->texts = g_string_chunk_new(1024);
 	model->log = g_array_new(FALSE, FALSE, sizeof(rm_line_t));
 	model->tasks = g_hash_table_new(g_str_hash, g_str_equal);
 	model->jobs_by_id = g_hash_table_new(g_str_hash, g_str_equal);
@@ -235,6 +236,7 @@
 	}
 	close_jobs(model);
 	g_array_unref(model->log);
+	g_string_chunk_free(model->texts);
 	g_rand_free(model->rand);
 }
 
--- a/tests/support/run_model_leader.c
+++ b/tests/support/run_model_leader.c
@@ -82,7 +82,9 @@
 		return;
 	rm_log(leader->model, "leader", (unsigned)leader->epoch,
 	       g_intern_string(event->name), task, event->attempt,
-	       g_intern_string(event->reason ? event->reason : event->host));
+	       g_string_chunk_insert_const(leader->model->texts,
+					   event->reason ? event->reason
+							 : event->host));
 }
 
 static void request_advice(void *arg, const char *step,
--- a/tests/support/run_model_types.h
+++ b/tests/support/run_model_types.h
@@ -289,7 +289,7 @@
 	const char *who;
 	unsigned at;
 	const char *what;
-	const char *detail; /**< Static or interned; may be NULL. */
+	const char *detail; /**< Lives as long as the model; may be NULL. */
 	const rm_task_t *task; /**< NULL if it concerns all tasks. */
 	uint32_t attempt;
 } rm_line_t;
@@ -314,6 +314,7 @@
 	GHashTable *jobs_by_id;
 	uint64_t calm_us; /**< Since when, or from when, there is no fault. */
 	GArray *log; /**< Of rm_line_t. */
+	GStringChunk *texts; /**< Details in the log. */
 	const char *violation;
 	const rm_task_t *violated; /**< NULL if no task is concerned. */
 };
