sched: no start before the list of a worker that has shrunk

Change: no start is ordered while it is not settled which starts fit a smaller capacity, that is until the next list. The test of this course failed before (2 starts ordered, 0 expected).

--- a/lib/sched/sched_claim.c
+++ b/lib/sched/sched_claim.c
@@ -199,6 +199,9 @@
 {
 	const gn_sched_t *sched = task->job->sched;
 
+	/* The next list shows which starts still fit. */
+	if (task->worker->shrunk)
+		return false;
 	return !task->listed && (!task->restored || task->worker->has_listed) &&
 	       sched_worker_is_live(sched, task->worker) &&
 	       sched_worker_has_fresh_list(sched, task->worker);
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -981,6 +981,30 @@
 	rig_close(&rig);
 }
 
+/* The report that shows the smaller capacity has no list, so that nothing is
+ * given up yet. */
+static void test_claim_is_started_before_the_list_of_a_shrunk_worker(void)
+{
+	sched_rig_t rig;
+	gn_sched_write_t write;
+
+	rig_open(&rig);
+	rig_report(&rig, "a", "1");
+	rig_submit(&rig, JOB, "quick", &two_halves, 1);
+	gn_sched_run_pass(rig.sched);
+	g_assert_cmpuint(gn_sched_begin_batch(rig.sched, &write, 1), ==, 1);
+	free(write.value);
+	rig.cpu_milli = 2000;
+	rig_report_stale_list(&rig, "a", "1", 0);
+	gn_sched_confirm_batch(rig.sched);
+	rig_advance_ms(&rig, 20);
+	g_assert_cmpuint(rig_count_orders(&rig, GN_RUN_ORDER_START), ==, 0);
+	rig_report(&rig, "a", "1");
+	rig_advance_ms(&rig, 20);
+	g_assert_cmpuint(rig_count_orders(&rig, GN_RUN_ORDER_START), ==, 1);
+	rig_close(&rig);
+}
+
 static void test_new_leader_starts_on_a_worker_that_has_shrunk(void)
 {
 	sched_rig_t rig;
@@ -1429,6 +1453,8 @@
 		  test_start_is_repeated_on_a_worker_that_has_shrunk },
 		{ "stored_claim_is_started_on_a_worker_that_has_shrunk",
 		  test_stored_claim_is_started_on_a_worker_that_has_shrunk },
+		{ "claim_is_started_before_the_list_of_a_shrunk_worker",
+		  test_claim_is_started_before_the_list_of_a_shrunk_worker },
 		{ "new_leader_starts_on_a_worker_that_has_shrunk",
 		  test_new_leader_starts_on_a_worker_that_has_shrunk },
 		{ "worker_that_has_grown_again_stays_empty",
