crash: a crash that nobody reports weighs little while others crash

Change: a crash that the executor has not reported weighs at most 6 while other workers crash, and 1 if the start was not confirmed. A task that crashes its worker leaves the executor, which reports it. The weight needed with a fifth crash is 11 instead of 10. While nothing else crashes, as in test_sched_crash, unreported crashes weigh what they did.

--- a/lib/crash/crash.c
+++ b/lib/crash/crash.c
@@ -28,6 +28,9 @@
 #define UNSEEN_WEIGHT_MAX 18
 #define REFUSED_WEIGHT_MAX 5
 #define POOR_WEIGHT_MAX 3
+/** The same for a crash that was not reported while others crash: a task that
+ * crashes its worker leaves the executor, which reports it. */
+#define SILENT_WEIGHT_MAX 6
 /** Taken off if an earlier run had lasted for longer than this one did: most
  * tasks that crash their workers do so after the same time. */
 #define OUTLIVED_WEIGHT 10
@@ -44,7 +47,7 @@
 #define LATE_COUNT 4
 #define LATE_WEIGHT 36
 #define LAST_COUNT 5
-#define LAST_WEIGHT 10
+#define LAST_WEIGHT 11
 #define LAST_ISOLATED 2
 /** A crash that is reported this soon has followed the start closely. */
 #define SOON_MS 150
@@ -72,9 +75,13 @@
 
 static uint32_t get_weight_max(const gn_crash_evidence_t *evidence)
 {
-	if (evidence->listed_ms < 0)
-		return evidence->delay_ms >= 0 ? REFUSED_WEIGHT_MAX
-					       : POOR_WEIGHT_MAX;
+	bool is_reported = evidence->delay_ms >= 0;
+	bool is_begun = evidence->listed_ms >= 0;
+
+	if (!is_reported && evidence->elsewhere)
+		return is_begun ? SILENT_WEIGHT_MAX : 1;
+	if (!is_begun)
+		return is_reported ? REFUSED_WEIGHT_MAX : POOR_WEIGHT_MAX;
 	return evidence->delay_ms > 0 ? GN_CRASH_WEIGHT_MAX : UNSEEN_WEIGHT_MAX;
 }
 
