--- a/lib/sched/sched_claim.c
+++ b/lib/sched/sched_claim.c
@@ -215,6 +215,9 @@
 {
 	const gn_sched_t *sched = task->job->sched;
 
+	/* The next list shows which starts still fit. */
+	if (task->worker->shrunk)
+		return false;
 	return !task->listed && is_evacuation_clear(task) &&
 	       (!task->restored || task->worker->has_listed) &&
 	       sched_worker_is_live(sched, task->worker) &&
--- a/lib/scheduler/status.c
+++ b/lib/scheduler/status.c
@@ -30,8 +30,7 @@
 	if (scheduler->sched)
 		stats = gn_sched_stats(scheduler->sched);
 	return json_pack("{s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:f, s:I}",
-			 "jobs",
-			 (json_int_t)stats.jobs, "active_jobs",
+			 "jobs", (json_int_t)stats.jobs, "active_jobs",
 			 (json_int_t)stats.active_jobs, "workers",
 			 (json_int_t)stats.workers, "claims",
 			 (json_int_t)stats.claims, "waiting_tasks",
