executor: ends listed after the deregistration of a worker are reported

A worker may list the end of a run after it has announced its leave. The executor did not pass such a list on, and the leader released the claim once the worker had ended, so that the task ran again.

test_executor ends_of_a_worker_that_left_are_not_reported failed before.

--- a/lib/executor/leader.c
+++ b/lib/executor/leader.c
@@ -208,7 +208,7 @@
 	report->left = executor->worker_ended;
 	report->crashed = executor->gone.gone && !executor->worker_left;
 	report->first_life = executor->first_life;
-	report->listed = executor->list_unreported && !executor->worker_left;
+	report->listed = executor->list_unreported;
 	report->ends = executor->ends;
 	report->n_ends = executor->end_count;
 	if (!report->listed)
--- a/tests/contract/test_executor.c
+++ b/tests/contract/test_executor.c
@@ -38,6 +38,7 @@
 	unsigned reported_results; /**< Results in the reports sent. */
 	unsigned starts; /**< Calls for starts. */
 	uint32_t reported_cold_left_ms; /**< In the last report. */
+	size_t reported_ends; /**< Ends in the lists that were reported. */
 	bool reported_left; /**< The last report said that the worker left. */
 	bool reported_crashed; /**< It said that the worker has crashed. */
 } rig_t;
@@ -61,6 +62,8 @@
 	(void)link;
 	(void)peer;
 	rig->reported_results += envelope->worker_report->n_results;
+	if (envelope->worker_report->listed)
+		rig->reported_ends += envelope->worker_report->n_ends;
 	rig->reported_left = envelope->worker_report->left;
 	rig->reported_cold_left_ms = envelope->worker_report->cold_left_ms;
 	rig->reported_crashed = envelope->worker_report->crashed;
@@ -636,6 +639,21 @@
 	answer_list(CLOCK_MS);
 }
 
+/*
+ * Guards against the loss of an end that the worker lists after its
+ * deregistration: the leader would release the claim when the worker has ended,
+ * and the task would run again.
+ */
+static void test_ends_of_a_worker_that_left_are_not_reported(void)
+{
+	open_rig();
+	send_deregistration(EARLIER_MS);
+	request_ends(1);
+	g_assert_cmpuint(rig->reported_ends, ==, 1);
+	g_assert_false(rig->reported_left);
+	close_rig();
+}
+
 /* A worker restarted under its ID would discard its own ends, unseen. */
 static void test_ends_are_discarded_again_without_need(void)
 {
@@ -745,6 +763,8 @@
 			test_start_of_an_unknown_start_time_is_sent);
 	g_test_add_func("/executor/results_of_an_earlier_life_are_not_reported",
 			test_results_of_an_earlier_life_are_not_reported);
+	g_test_add_func("/executor/ends_of_a_worker_that_left_are_not_reported",
+			test_ends_of_a_worker_that_left_are_not_reported);
 	g_test_add_func("/executor/ends_are_discarded_again_without_need",
 			test_ends_are_discarded_again_without_need);
 	g_test_add_func(
--- a/tests/support/run_model_reports.c
+++ b/tests/support/run_model_reports.c
@@ -108,7 +108,7 @@
 	report->draining = executor->worker_left;
 	report->left = executor->worker_ended;
 	report->crashed = executor->gone.gone && !executor->worker_left;
-	report->listed = executor->list_unreported && !executor->worker_left;
+	report->listed = executor->list_unreported;
 	report->ends = executor->listed.ends;
 	report->n_ends = executor->listed.end_count;
 	if (!report->listed)
