--- a/lib/sched/sched_pace.c
+++ b/lib/sched/sched_pace.c
@@ -10,7 +10,6 @@
  * moved to another worker, if it can resume from a checkpoint and would run
  * faster there.
  */
-#include "move/move.h"
 #include "sched/sched_mix.h"
 
 /** A tail latency over its target for this long is an emergency. */
@@ -28,12 +27,11 @@
 /** A task at or below this pace, in percent, for this long may be moved. */
 #define LOW_PACE 50
 #define LOW_PACE_US (800 * GN_US_PER_MS)
-/** Share of full speed at which a task that waits is placed; MIN_SPEED of
- * sched_pass.c. */
-#define PLACED_SPEED 0.95
+/** Share of full speed that a move must gain at least. */
+#define MOVE_GAIN_MIN 0.4
 #define MOVES_MAX 12
-/** A task at or below this pace, in percent, for this long is moved even if no
- * worker would run it faster now, to make way for others. */
+/** A task at or below this pace, in percent, for this long is moved in any
+ * case, to make way for others. */
 #define VERY_LOW_PACE 35
 #define VERY_LOW_PACE_US (1200 * GN_US_PER_MS)
 
@@ -276,20 +274,6 @@
 	return since_us && sched_now_us(sched) - since_us >= duration_us;
 }
 
-static bool does_move_pay(const gn_sched_t *sched, const sched_task_t *task,
-			  double speed, double other_speed)
-{
-	const gn_move_task_t move = {
-		.estimate_ms = get_step(task)->estimate_ms,
-		.done_ms = (double)task->progress_us / GN_US_PER_MS,
-		.speed = speed,
-		.other_speed = other_speed,
-		.restore_ms = sched->config.restore_ms,
-	};
-
-	return gn_move_pays(&move);
-}
-
 /* Returns why the task should leave its worker, or NULL. */
 static const char *get_move_reason(gn_sched_t *sched, sched_task_t *task,
 				   double cpu_share)
@@ -299,14 +283,13 @@
 	track_low_pace(sched, task);
 	if (task->moves >= MOVES_MAX)
 		return NULL;
-	if (has_lasted(sched, task->very_slow_since_us, VERY_LOW_PACE_US) &&
-	    does_move_pay(sched, task, speed, PLACED_SPEED))
+	if (has_lasted(sched, task->very_slow_since_us, VERY_LOW_PACE_US))
 		return "crawls";
 	if (!has_lasted(sched, task->slow_since_us, LOW_PACE_US))
 		return NULL;
 	/* Restarts the interval, which limits how often this is computed. */
 	task->slow_since_us = sched_now_us(sched);
-	return does_move_pay(sched, task, speed, get_best_speed(sched, task))
+	return get_best_speed(sched, task) >= MOVE_GAIN_MIN + speed
 		       ? "faster on another worker"
 		       : NULL;
 }
