--- a/tests/support/outage_model.c
+++ b/tests/support/outage_model.c
@@ -25,6 +25,8 @@
 /** Delay after a connection that is refused by a scheduler that restarts. */
 #define RECONNECT_US (1 * GN_US_PER_S)
 #define CALLERS_MAX 8192
+/** Callers with less time than this do not try again. */
+#define PATIENCE_MIN_US (200 * MS)
 
 typedef struct model_caller_s {
 	uint64_t first_us; /* First try. */
@@ -128,10 +130,26 @@
 		m->result.in_time++;
 }
 
+/* Shortens the delay of a caller that would give up meanwhile. Returns false if
+ * it gives up now. */
+static bool limit_by_patience(const model_t *m, const model_caller_t *caller,
+			      uint64_t *delay_us)
+{
+	uint64_t end_us = caller->first_us + m->c->patience_us;
+
+	if (!m->c->patience_us)
+		return true;
+	if (m->now_us + PATIENCE_MIN_US > end_us)
+		return false;
+	*delay_us = MIN(*delay_us, (end_us - m->now_us) / 2);
+	return true;
+}
+
 static void return_later(model_t *m, model_caller_t *caller, uint64_t delay_us)
 {
 	m->result.refusals++;
-	if (caller->tries > OUTAGE_MODEL_RETRIES) {
+	if (caller->tries > OUTAGE_MODEL_RETRIES ||
+	    !limit_by_patience(m, caller, &delay_us)) {
 		m->result.refused_for_good++;
 		return;
 	}
--- a/tests/support/outage_model.h
+++ b/tests/support/outage_model.h
@@ -33,6 +33,9 @@
 	bool leads; /**< The leader is the one that is cut off. */
 	/** Schedulers 1 and 2 are restarted in the middle of the outage. */
 	bool restarts;
+	/** Time from the first try after which callers give up, and until which
+	 * they return sooner than they are told if need be; 0: none. */
+	uint64_t patience_us;
 	guint32 seed;
 } outage_model_case_t;
 
--- a/tests/unit/test_outage.c
+++ b/tests/unit/test_outage.c
@@ -125,6 +125,28 @@
 	  0 },
 };
 
+/*
+ * Guards against the loss of more callers than by a constant where callers give
+ * up 3 s after their first try, whatever they are told. Those of the first 1.2 s
+ * cannot be served, since the service is away for longer than they wait.
+ */
+static void test_impatient_callers_are_lost(void)
+{
+	const model_case_t c = {
+		"impatient-4.2s",
+		{ .length_us = 4200 * MS, ALL_CUT, .patience_us = 3 * S },
+		true,
+		0
+	};
+	const outage_model_result_t before =
+		run_seeds(&c, &outage_model_constant_rule);
+	const outage_model_result_t after = run_seeds(&c, &outage_model_rule);
+
+	g_assert_cmpuint(after.refused_for_good, <=, before.refused_for_good);
+	g_assert_cmpuint(after.refusals, <, before.refusals);
+	g_assert_cmpuint(after.timeouts, ==, 0);
+}
+
 static void test_model(gconstpointer data)
 {
 	const model_case_t *c = data;
@@ -593,6 +615,8 @@
 		g_test_add_data_func(path, &hold_cases[i], test_hold);
 		g_free(path);
 	}
+	g_test_add_func("/outage/impatient_callers_are_lost",
+			test_impatient_callers_are_lost);
 	g_test_add_func("/outage/nobody-is-refused-during-an-election",
 			test_nobody_is_refused_during_an_election);
 	g_test_add_func("/outage/nobody-waits-beyond-a-deadline",
