runtime, scheduler: log late ticks, clock steps and the configuration's age

Each daemon now logs a tick that is 250 ms late by the boot clock ("late tick") and a step of the time of day ("clock step"), and counts them. A scheduler logs when its configuration has not been confirmed for 2 s, with the time since the key-value service answered any call; a refused call has the version and the age; the age is in /dump and in a gauge.

No decision changes.

--- a/lib/daemon/runtime.c
+++ b/lib/daemon/runtime.c
@@ -8,6 +8,7 @@
 
 #include "common/event.h"
 #include "common/log.h"
+#include "daemon/tick_monitor.h"
 
 /** One thread suffices for in-process traffic and a few hundred peers. */
 #define ZMQ_IO_THREADS 1
@@ -18,6 +19,10 @@
 	const gn_role_ops_t *role;
 	void *state;
 	bool done;
+	gn_clock_t wall; /* Read for the log only. */
+	gn_tick_monitor_t monitor;
+	gn_counter_t *late_ticks;
+	gn_counter_t *clock_steps;
 } daemon_t;
 
 uint64_t gn_runtime_random_id(void)
@@ -95,6 +100,25 @@
 	       grace_us;
 }
 
+static void monitor_tick(daemon_t *daemon)
+{
+	gn_tick_reading_t reading = gn_tick_monitor_record(
+		&daemon->monitor, gn_runtime_now_us(&daemon->runtime),
+		gn_clock_now_us(&daemon->wall));
+	bool is_late = gn_tick_is_late(&reading);
+	bool has_step = gn_tick_has_step(&reading);
+
+	if (!is_late && !has_step)
+		return;
+	if (is_late)
+		gn_counter_inc(daemon->late_ticks);
+	if (has_step)
+		gn_counter_inc(daemon->clock_steps);
+	gn_event(is_late ? "late tick" : "clock step", "{s:I, s:I}", "late_ms",
+		 (json_int_t)(reading.late_us / GN_US_PER_MS), "step_ms",
+		 (json_int_t)(reading.step_us / GN_US_PER_MS));
+}
+
 static bool schedule_tick(daemon_t *daemon);
 
 static void on_tick(struct tevent_context *events, struct tevent_timer *timer,
@@ -106,6 +130,7 @@
 	(void)events;
 	(void)timer;
 	(void)now;
+	monitor_tick(daemon);
 	daemon->role->tick(daemon->state);
 	if (runtime->stopping && daemon->role->is_stopped(daemon->state)) {
 		daemon->done = true;
@@ -126,10 +151,22 @@
 		daemon->role->next_tick_ms(daemon->state) * GN_US_PER_MS;
 	struct timeval next = tevent_timeval_current_ofs(0, usecs);
 
+	gn_tick_monitor_expect(&daemon->monitor,
+			       gn_runtime_now_us(&daemon->runtime) + usecs);
 	return tevent_add_timer(daemon->runtime.events, daemon, next, on_tick,
 				daemon) != NULL;
 }
 
+static bool open_monitor(daemon_t *daemon)
+{
+	gn_counters_t *counters = daemon->runtime.counters;
+
+	gn_clock_init_wall(&daemon->wall);
+	daemon->late_ticks = gn_counters_get(counters, "runtime.late_ticks");
+	daemon->clock_steps = gn_counters_get(counters, "runtime.clock_steps");
+	return daemon->late_ticks && daemon->clock_steps;
+}
+
 static gn_code_t open_runtime(daemon_t *daemon, const gn_settings_t *settings,
 			      gn_error_t *error)
 {
@@ -142,7 +179,8 @@
 	runtime->events = tevent_context_init(daemon);
 	runtime->counters = gn_counters_create(daemon);
 	runtime->zmq = zmq_ctx_new();
-	if (!runtime->events || !runtime->counters || !runtime->zmq)
+	if (!runtime->events || !runtime->counters || !runtime->zmq ||
+	    !open_monitor(daemon))
 		return gn_error_set(error, GN_ERR_MEMORY, "start", NULL,
 				    "out of memory");
 	zmq_ctx_set(runtime->zmq, ZMQ_IO_THREADS, ZMQ_IO_THREADS);
--- a/lib/scheduler/calls.c
+++ b/lib/scheduler/calls.c
@@ -350,8 +350,12 @@
 					 .reason = reason };
 
 	gn_counter_inc(scheduler->counters.results[result]);
-	gn_event("call refused", "{s:s, s:s, s:s}", "path", request->path,
-		 "result", gn_job_result_name(result), "why", reason);
+	gn_event("call refused", "{s:s, s:s, s:s, s:I, s:I}", "path",
+		 request->path, "result", gn_job_result_name(result), "why",
+		 reason, "configuration",
+		 (json_int_t)(scheduler->queues ? scheduler->queues->version
+						: 0),
+		 "age_ms", (json_int_t)scheduler_config_age_ms(scheduler));
 	answer_http(scheduler, request, GN_CALL_STATE, &reply);
 }
 
--- a/lib/scheduler/config.c
+++ b/lib/scheduler/config.c
@@ -14,6 +14,9 @@
 #define WATCH_WAIT_MS 1000
 /** Maximum delay after a failure; a new configuration must apply soon. */
 #define WATCH_BACKOFF_MS 300
+/** Age from which an unconfirmed configuration is logged; a watch that works
+ * confirms it about once per WATCH_WAIT_MS. */
+#define UNCONFIRMED_MS 2000
 
 static void apply_config(scheduler_t *scheduler, gn_queues_t *queues,
 			 uint64_t revision)
@@ -142,8 +145,43 @@
 		handle_entry(context, &update->entries[i]);
 }
 
+int64_t scheduler_config_age_ms(const scheduler_t *scheduler)
+{
+	uint64_t confirmed_us =
+		gn_kv_watch_confirmed_us(scheduler->config_watch);
+	uint64_t now_us = gn_runtime_now_us(scheduler->runtime);
+
+	return confirmed_us ? (int64_t)((now_us - confirmed_us) / GN_US_PER_MS)
+			    : -1;
+}
+
+/* Logs when the configuration has become unconfirmed, and when that ends. */
+static void monitor_age(scheduler_t *scheduler)
+{
+	gn_kv_health_t health = gn_kv_http_health(scheduler->kv_http);
+	uint64_t silent_us =
+		gn_runtime_now_us(scheduler->runtime) - health.answered_us;
+	int64_t age_ms = scheduler_config_age_ms(scheduler);
+	bool is_old = age_ms >= UNCONFIRMED_MS;
+
+	gn_counter_set(scheduler->counters.config_age_ms,
+		       age_ms < 0 ? 0 : (uint64_t)age_ms);
+	if (is_old == scheduler->config_is_old)
+		return;
+	scheduler->config_is_old = is_old;
+	gn_event(is_old ? "configuration unconfirmed"
+			: "configuration confirmed",
+		 "{s:I, s:I, s:I}", "version",
+		 (json_int_t)(scheduler->queues ? scheduler->queues->version
+						: 0),
+		 "age_ms", (json_int_t)age_ms, "store_silent_ms",
+		 health.answered_us ? (json_int_t)(silent_us / GN_US_PER_MS)
+				    : -1);
+}
+
 void scheduler_config_tick(scheduler_t *scheduler)
 {
+	monitor_age(scheduler);
 	gn_kv_watch_tick(scheduler->config_watch);
 	if (scheduler->evacuations)
 		confirm_evacuations(scheduler);
--- a/lib/scheduler/scheduler.c
+++ b/lib/scheduler/scheduler.c
@@ -91,6 +91,8 @@
 	counters->holding = gn_counters_get(all, "scheduler.holding");
 	counters->outage_ms = gn_counters_get(all, "scheduler.outage_ms");
 	counters->headroom_pct = gn_counters_get(all, "scheduler.headroom_pct");
+	counters->config_age_ms =
+		gn_counters_get(all, "scheduler.configuration_age_ms");
 	counters->evacuations = gn_counters_get(all, "scheduler.evacuations");
 	counters->evacuation_claims =
 		gn_counters_get(all, "scheduler.evacuation_claims");
@@ -107,8 +109,9 @@
 	       counters->orders && counters->elections && counters->outages &&
 	       counters->held && counters->held_refused && counters->holding &&
 	       counters->outage_ms && counters->headroom_pct &&
-	       counters->evacuations && counters->evacuation_claims &&
-	       counters->held_back_starts && counters->held_back_passes;
+	       counters->config_age_ms && counters->evacuations &&
+	       counters->evacuation_claims && counters->held_back_starts &&
+	       counters->held_back_passes;
 }
 
 static gn_code_t start_server(scheduler_t *scheduler, const char *address,
--- a/lib/scheduler/scheduler_internal.h
+++ b/lib/scheduler/scheduler_internal.h
@@ -96,6 +96,8 @@
 	gn_counter_t *holding; /**< Gauge: requests held now. */
 	gn_counter_t *outage_ms; /**< Gauge: age of the present outage. */
 	gn_counter_t *headroom_pct; /**< Gauge; 0 unless leading. */
+	/** Gauge: time since the configuration was confirmed. */
+	gn_counter_t *config_age_ms;
 	gn_counter_t *evacuations; /**< Gauge: evacuated data centres. */
 	/** Gauges of the present leadership, from gn_sched_stats_t. */
 	gn_counter_t *evacuation_claims;
@@ -123,6 +125,7 @@
 	/** NULL if this deployment has no evacuations. */
 	gn_evacuations_t *evacuations;
 	gn_queues_t *queues; /**< Configuration; NULL until it is read. */
+	bool config_is_old; /**< It was logged as unconfirmed. */
 
 	gn_lead_t *lead;
 	uint64_t epoch; /**< Epoch of this leader; 0 if not the leader. */
@@ -172,6 +175,8 @@
 gn_code_t scheduler_watch_config(scheduler_t *scheduler, gn_error_t *error);
 /** Begins the next call of the watch if it is due. */
 void scheduler_config_tick(scheduler_t *scheduler);
+/** Returns the time since the configuration was confirmed; -1: never. */
+int64_t scheduler_config_age_ms(const scheduler_t *scheduler);
 /** Returns the evacuated data centres for the state dump. */
 json_t *scheduler_dump_evacuations(const scheduler_t *scheduler);
 
--- a/lib/scheduler/status.c
+++ b/lib/scheduler/status.c
@@ -54,6 +54,9 @@
 			    json_integer((json_int_t)scheduler->epoch));
 	json_object_set_new(json, "configuration",
 			    json_integer((json_int_t)version));
+	json_object_set_new(
+		json, "configuration_age_ms",
+		json_integer((json_int_t)scheduler_config_age_ms(scheduler)));
 	json_object_set_new(json, "scheduler", dump_jobs(scheduler));
 	json_object_set_new(json, "outage", scheduler_dump_outage(scheduler));
 	if (scheduler->evacuations)
