runtime: a late tick has the rounds of the loop; no step at the first tick

The first tick logged the whole offset of the clocks as a step, since the due time was set before it; test_tick_monitor covers that now.

--- a/lib/daemon/runtime.c
+++ b/lib/daemon/runtime.c
@@ -114,9 +114,10 @@
 		gn_counter_inc(daemon->late_ticks);
 	if (has_step)
 		gn_counter_inc(daemon->clock_steps);
-	gn_event(is_late ? "late tick" : "clock step", "{s:I, s:I}", "late_ms",
-		 (json_int_t)(reading.late_us / GN_US_PER_MS), "step_ms",
-		 (json_int_t)(reading.step_us / GN_US_PER_MS));
+	gn_event(is_late ? "late tick" : "clock step", "{s:I, s:I, s:I}",
+		 "late_ms", (json_int_t)(reading.late_us / GN_US_PER_MS),
+		 "step_ms", (json_int_t)(reading.step_us / GN_US_PER_MS),
+		 "rounds", (json_int_t)reading.rounds);
 }
 
 static bool schedule_tick(daemon_t *daemon);
@@ -234,9 +235,11 @@
 	       settings->name);
 	gn_event("start", "{s:s, s:s, s:s}", "role", role->name, "version",
 		 GN_VERSION, "data_centre", settings->data_centre);
-	while (!daemon->done)
+	while (!daemon->done) {
 		if (tevent_loop_once(daemon->runtime.events))
 			daemon->done = true;
+		gn_tick_monitor_count_round(&daemon->monitor);
+	}
 	gn_log(LOG_NOTICE, "stop", NULL, "%s %s stopped", role->name,
 	       settings->name);
 	gn_event("stop", "{s:s}", "role", role->name);
--- a/lib/daemon/tick_monitor.h
+++ b/lib/daemon/tick_monitor.h
@@ -3,8 +3,9 @@
  * @brief Measures how late the ticks of a daemon are, and steps of the time of
  * day between them.
  *
- * A late tick means that deadlines, leases and watches were not served in time:
- * the process was paused or overloaded, or the timer did not wake it.
+ * A late tick means that deadlines, leases and watches were not served in time.
+ * If the loop handled other events meanwhile, the process was not paused, and the
+ * timer did not wake it in time.
  */
 #ifndef GN_DAEMON_TICK_MONITOR_H
 #define GN_DAEMON_TICK_MONITOR_H
@@ -18,9 +19,11 @@
 
 /** State between two ticks; zero it before the first use. */
 typedef struct gn_tick_monitor_s {
-	uint64_t due_us; /**< When the next tick is due; 0: no tick was. */
+	bool has_tick; /**< There was a tick. */
+	uint64_t due_us; /**< When the next tick is due. */
 	/** Time of day less the boot clock at the last tick. */
 	int64_t offset_us;
+	uint64_t rounds; /**< Rounds of the loop since the last tick. */
 } gn_tick_monitor_t;
 
 /** What a tick has shown. */
@@ -28,8 +31,12 @@
 	uint64_t late_us; /**< By the boot clock; 0 if the tick was in time. */
 	/** Step of the time of day since the last tick; negative: set back. */
 	int64_t step_us;
+	uint64_t rounds; /**< Rounds of the loop since the last tick. */
 } gn_tick_reading_t;
 
+/** Records a round of the event loop. */
+void gn_tick_monitor_count_round(gn_tick_monitor_t *monitor);
+
 /**
  * Records a tick.
  * @param boot_us the boot clock
--- a/tests/unit/test_tick_monitor.c
+++ b/tests/unit/test_tick_monitor.c
@@ -33,11 +33,14 @@
 	const uint64_t boot_us = 1000 * GN_US_PER_S;
 	const uint64_t wall_us = 1700000000 * (uint64_t)GN_US_PER_S;
 	gn_tick_monitor_t monitor = { 0 };
-	gn_tick_reading_t reading =
-		gn_tick_monitor_record(&monitor, boot_us, wall_us);
+	gn_tick_reading_t reading;
 
+	gn_tick_monitor_expect(&monitor, boot_us);
+	reading = gn_tick_monitor_record(&monitor, boot_us, wall_us);
 	g_assert_cmpuint(reading.late_us, ==, 0);
 	g_assert_cmpint(reading.step_us, ==, 0);
+	gn_tick_monitor_count_round(&monitor);
+	gn_tick_monitor_count_round(&monitor);
 	gn_tick_monitor_expect(&monitor, boot_us + DUE_MS * GN_US_PER_MS);
 	reading = gn_tick_monitor_record(
 		&monitor, boot_us + c->boot_ms * GN_US_PER_MS,
@@ -45,6 +48,7 @@
 	g_assert_cmpuint(reading.late_us, ==, c->late_ms * GN_US_PER_MS);
 	g_assert_cmpint(reading.step_us, ==,
 			(int64_t)c->step_ms * GN_US_PER_MS);
+	g_assert_cmpuint(reading.rounds, ==, 2);
 	g_assert_true(gn_tick_is_late(&reading) == c->is_late);
 	g_assert_true(gn_tick_has_step(&reading) == c->has_step);
 }
