--- a/lib/platform/wake_timer.c
+++ b/lib/common/wake_timer.c
@@ -1,4 +1,4 @@
-#include "platform/wake_timer_internal.h"
+#include "common/wake_timer.h"
 
 #include <sys/timerfd.h>
 #include <unistd.h>
--- a/lib/platform/wake_timer_internal.h
+++ b/lib/common/wake_timer.h
@@ -1,12 +1,12 @@
 /**
- * @file wake_timer_internal.h
+ * @file wake_timer.h
  * @brief Timer of the control loop that also runs while the host is suspended.
  *
  * The timers of tevent follow the wall clock, which can jump. This one is a
  * timerfd on CLOCK_BOOTTIME that the loop watches.
  */
-#ifndef GN_PLATFORM_WAKE_TIMER_INTERNAL_H
-#define GN_PLATFORM_WAKE_TIMER_INTERNAL_H
+#ifndef GN_COMMON_WAKE_TIMER_H
+#define GN_COMMON_WAKE_TIMER_H
 
 #include <talloc.h>
 #include <tevent.h>
--- a/lib/platform/curl_loop.c
+++ b/lib/platform/curl_loop.c
@@ -1,6 +1,6 @@
 #include "platform/curl_loop_internal.h"
 
-#include "platform/wake_timer_internal.h"
+#include "common/wake_timer.h"
 
 /** Maximum number of idle connections that libcurl keeps open. */
 #define IDLE_CONNECTIONS 4L
--- a/lib/platform/kv_http_internal.h
+++ b/lib/platform/kv_http_internal.h
@@ -12,7 +12,7 @@
 #include "platform/curl_loop_internal.h"
 #include "platform/kv_http.h"
 #include "platform/kv_json.h"
-#include "platform/wake_timer_internal.h"
+#include "common/wake_timer.h"
 
 /* ======   Counters   ====== */
 
