runtime: ticks follow the boot clock

Cause: a daemon's periodic work (watches, leases, probes, deadlines, the executor's lists) hung on a tevent timer, which is due at a time of day. When the time of day is set back, the next tick waits for that much longer, while requests arrive by file descriptors and are served by what was known before.

The test ticks_go_on_when_time_of_day_is_set_back failed before with a gap of 6.01 s.

The tick is now a timerfd on CLOCK_BOOTTIME, the clock of all deadlines, as libcurl's timers were already. No timer of tevent is left. The boot clock never steps and goes on through a suspension.

--- a/lib/daemon/runtime.c
+++ b/lib/daemon/runtime.c
@@ -8,6 +8,7 @@
 
 #include "common/event.h"
 #include "common/log.h"
+#include "common/wake_timer.h"
 #include "daemon/tick_monitor.h"
 
 /** One thread suffices for in-process traffic and a few hundred peers. */
@@ -20,6 +21,7 @@
 	void *state;
 	bool done;
 	gn_clock_t wall; /* Read for the log only. */
+	gn_wake_timer_t *tick_timer;
 	gn_tick_monitor_t monitor;
 	gn_counter_t *late_ticks;
 	gn_counter_t *clock_steps;
@@ -120,17 +122,22 @@
 		 "rounds", (json_int_t)reading.rounds);
 }
 
-static bool schedule_tick(daemon_t *daemon);
+static void schedule_tick(daemon_t *daemon)
+{
+	uint64_t delay_us =
+		(uint64_t)daemon->role->next_tick_ms(daemon->state) *
+		GN_US_PER_MS;
 
-static void on_tick(struct tevent_context *events, struct tevent_timer *timer,
-		    struct timeval now, void *data)
+	gn_tick_monitor_expect(&daemon->monitor,
+			       gn_runtime_now_us(&daemon->runtime) + delay_us);
+	gn_wake_timer_start(daemon->tick_timer, delay_us);
+}
+
+static void on_tick(void *context)
 {
-	daemon_t *daemon = data;
+	daemon_t *daemon = context;
 	gn_runtime_t *runtime = &daemon->runtime;
 
-	(void)events;
-	(void)timer;
-	(void)now;
 	monitor_tick(daemon);
 	daemon->role->tick(daemon->state);
 	if (runtime->stopping && daemon->role->is_stopped(daemon->state)) {
@@ -141,21 +148,8 @@
 		       runtime->settings->stop_grace_ms);
 		daemon->done = true;
 	}
-	if (!daemon->done && !schedule_tick(daemon))
-		daemon->done = true;
-}
-
-/* The timer only wakes the event loop; deadlines are measured on the clock. */
-static bool schedule_tick(daemon_t *daemon)
-{
-	unsigned usecs =
-		daemon->role->next_tick_ms(daemon->state) * GN_US_PER_MS;
-	struct timeval next = tevent_timeval_current_ofs(0, usecs);
-
-	gn_tick_monitor_expect(&daemon->monitor,
-			       gn_runtime_now_us(&daemon->runtime) + usecs);
-	return tevent_add_timer(daemon->runtime.events, daemon, next, on_tick,
-				daemon) != NULL;
+	if (!daemon->done)
+		schedule_tick(daemon);
 }
 
 static bool open_monitor(daemon_t *daemon)
@@ -184,6 +178,11 @@
 	    !open_monitor(daemon))
 		return gn_error_set(error, GN_ERR_MEMORY, "start", NULL,
 				    "out of memory");
+	daemon->tick_timer =
+		gn_wake_timer_create(daemon, runtime->events, on_tick, daemon);
+	if (!daemon->tick_timer)
+		return gn_error_set(error, GN_ERR_SYSTEM, "start", NULL,
+				    "cannot create the timer");
 	zmq_ctx_set(runtime->zmq, ZMQ_IO_THREADS, ZMQ_IO_THREADS);
 	zmq_ctx_set(runtime->zmq, ZMQ_MAX_SOCKETS, ZMQ_SOCKETS_MAX);
 	signal(SIGPIPE, SIG_IGN);
@@ -198,8 +197,11 @@
 	return GN_OK;
 }
 
-static void close_runtime(gn_runtime_t *runtime)
+static void close_runtime(daemon_t *daemon)
 {
+	gn_runtime_t *runtime = &daemon->runtime;
+
+	TALLOC_FREE(daemon->tick_timer);
 	TALLOC_FREE(runtime->events);
 	if (runtime->zmq)
 		zmq_ctx_term(runtime->zmq);
@@ -226,11 +228,7 @@
 	code = role->start(&daemon->runtime, &daemon->state, error);
 	if (code)
 		goto out;
-	if (!schedule_tick(daemon)) {
-		code = gn_error_set(error, GN_ERR_MEMORY, "start", NULL,
-				    "out of memory for the timer");
-		goto out;
-	}
+	schedule_tick(daemon);
 	gn_log(LOG_NOTICE, "start", NULL, "%s %s started", role->name,
 	       settings->name);
 	gn_event("start", "{s:s, s:s, s:s}", "role", role->name, "version",
@@ -245,7 +243,7 @@
 	gn_event("stop", "{s:s}", "role", role->name);
 out:
 	TALLOC_FREE(daemon->state);
-	close_runtime(&daemon->runtime);
+	close_runtime(daemon);
 	talloc_free(daemon);
 	return code;
 }
