watch: confirm the keys at once after a late answer, also of the configuration

On deployments without evacuations, an overdue call of this watch was not given up before the client's timeout, so a connection that goes silent left the configuration unconfirmed for 2.1 s and more, as long as a change may take to apply.

Cause: an answer that comes long after its wait was over confirms the end of the wait only, and the next call waited again; and the early end of overdue calls was tied to evacuations.

With gn_kv_watch_confirm_soon(), the call after a late answer does not wait, once, so that a slow service is not asked without pause. Schedulers always use it for the configuration.

--- a/lib/platform/watch.c
+++ b/lib/platform/watch.c
@@ -27,6 +27,7 @@
 	uint64_t confirmed_us; /* 0: none yet. */
 	uint32_t wait_ms; /* Wait of the call in progress. */
 	bool has_failed; /* The last call has failed. */
+	bool was_late; /* Its answer came long after the wait was over. */
 	bool confirms_soon; /* The next call then does not wait. */
 	uint64_t called_us; /* When the call in progress was sent. */
 	unsigned given_up; /* Calls given up since the last answer. */
@@ -108,6 +109,8 @@
 
 	watch->last_answer_us = gn_clock_now_us(watch->clock);
 	watch->confirmed_us = MIN(due_us, watch->last_answer_us);
+	watch->was_late =
+		watch->wait_ms && watch->last_answer_us > due_us + OVERDUE_US;
 	watch->has_failed = false;
 	watch->given_up = 0;
 	watch->due_us = watch->last_answer_us +
@@ -220,6 +223,12 @@
 	watch->due_us = 0;
 }
 
+/* Whether the keys have to be confirmed at once. */
+static bool is_confirmation_urgent(const gn_kv_watch_t *watch)
+{
+	return watch->confirms_soon && (watch->has_failed || watch->was_late);
+}
+
 void gn_kv_watch_tick(gn_kv_watch_t *watch)
 {
 	gn_str_t prefix = gn_str_from(watch->prefix);
@@ -229,7 +238,7 @@
 		return;
 	watch->called_us = gn_clock_now_us(watch->clock);
 	watch->wait_ms = watch->options.wait_ms;
-	if (!watch->is_listed || (watch->has_failed && watch->confirms_soon))
+	if (!watch->is_listed || is_confirmation_urgent(watch))
 		watch->wait_ms = 0;
 	if (watch->is_listed)
 		watch->call = gn_kv_watch(watch->kv, prefix, watch->revision,
--- a/lib/platform/watch.h
+++ b/lib/platform/watch.h
@@ -59,9 +59,10 @@
 void gn_kv_watch_limit_backoff(gn_kv_watch_t *watch, uint32_t backoff_ms);
 
 /**
- * Keeps gn_kv_watch_confirmed_us() recent in spite of failures: the watch asks for
- * changes without waiting after one, and gives up a call soon after its answer was
- * due instead of at the client's timeout.
+ * Keeps gn_kv_watch_confirmed_us() recent in spite of failures and pauses of the
+ * process: the watch asks for changes without waiting after a failure or a late
+ * answer, and gives up a call soon after its answer was due instead of at the
+ * client's timeout.
  */
 void gn_kv_watch_confirm_soon(gn_kv_watch_t *watch);
 
--- a/lib/scheduler/config.c
+++ b/lib/scheduler/config.c
@@ -234,7 +234,6 @@
 		return gn_error_set(error, GN_ERR_MEMORY, "start", NULL,
 				    "configuration watch");
 	gn_kv_watch_limit_backoff(scheduler->config_watch, WATCH_BACKOFF_MS);
-	if (scheduler->evacuations)
-		gn_kv_watch_confirm_soon(scheduler->config_watch);
+	gn_kv_watch_confirm_soon(scheduler->config_watch);
 	return GN_OK;
 }
--- a/tests/contract/test_kv_watch.c
+++ b/tests/contract/test_kv_watch.c
@@ -411,6 +411,7 @@
 			 start_us + 1600 * GN_US_PER_MS);
 	/* A failure confirms nothing, and the next call does not wait. */
 	gn_kv_watch_tick(watch);
+	g_assert_cmpuint(pages.wait_ms, ==, 0);
 	answer_watch(&pages, GN_ERR_UNAVAILABLE, start_us);
 	g_assert_cmpuint(gn_kv_watch_confirmed_us(watch), ==,
 			 start_us + 1600 * GN_US_PER_MS);
@@ -466,6 +467,38 @@
 	g_rand_free(rand);
 }
 
+/* Guards against keys that stay unconfirmed for a wait after a pause. */
+static void test_late_answer_is_confirmed_at_once(void)
+{
+	pages_t pages = { .kv = { &pages_ops } };
+	gn_kv_watch_options_t options = { "p/", 1000, 0, on_pages_update,
+					  &pages };
+	GRand *rand = g_rand_new_with_seed(1);
+	gn_kv_watch_t *watch;
+	gn_clock_t clock;
+
+	gn_clock_init_paused(&clock, GN_US_PER_S);
+	watch = gn_kv_watch_create(NULL, &pages.kv, &clock, rand, &options);
+	gn_kv_watch_confirm_soon(watch);
+	gn_kv_watch_tick(watch);
+	for (unsigned i = 0; i < 3; i++)
+		answer_page(&pages);
+	gn_kv_watch_tick(watch);
+	g_assert_cmpuint(pages.wait_ms, ==, 1000);
+	gn_clock_advance(&clock, 5 * GN_US_PER_S);
+	answer_watch(&pages, GN_OK, GN_US_PER_S);
+	gn_kv_watch_tick(watch);
+	g_assert_cmpuint(pages.wait_ms, ==, 0);
+	gn_clock_advance(&clock, 400 * GN_US_PER_MS);
+	answer_watch(&pages, GN_OK, 6 * GN_US_PER_S);
+	g_assert_cmpuint(gn_kv_watch_confirmed_us(watch), ==, 6 * GN_US_PER_S);
+	/* A slow service is not asked without pause. */
+	gn_kv_watch_tick(watch);
+	g_assert_cmpuint(pages.wait_ms, ==, 1000);
+	gn_kv_watch_free(watch);
+	g_rand_free(rand);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -484,5 +517,7 @@
 			test_confirmation_counts_no_later_than_the_wait);
 	g_test_add_func("/kv/watch/overdue-call-is-given-up",
 			test_overdue_call_is_given_up);
+	g_test_add_func("/kv/watch/late-answer-is-confirmed-at-once",
+			test_late_answer_is_confirmed_at_once);
 	return g_test_run();
 }
