scheduler: a leader refuses forwarded requests for a queue that was dropped

Cause: only the scheduler that read the request looked the queue up; the leader took what was forwarded to it, or held from before, by the name alone. So one scheduler that is behind was enough.

A forwarded request now has the version of the configuration that has its queue. A leader that is at least as new and has no such queue answers "no queue". It does not if the sender is ahead of it, or if the job is known: it was accepted before. 0, from an earlier version of the program, is not checked.

call_for_a_dropped_queue_from_a_scheduler_that_is_behind fails without the check. It runs the whole scheduler with stand-ins for HTTP, links and the key-value service on the paused clock.

--- a/lib/scheduler/calls.c
+++ b/lib/scheduler/calls.c
@@ -160,24 +160,42 @@
 
 /* ======   Decisions   ====== */
 
+/*
+ * Whether a configuration that is no older than the one that has the queue of
+ * @p call has dropped it. The scheduler that forwarded the call may be behind.
+ */
+static bool is_queue_dropped(const scheduler_t *scheduler,
+			     const scheduler_call_t *call)
+{
+	const gn_queues_t *queues = scheduler->queues;
+
+	return queues && call->configuration &&
+	       call->configuration <= queues->version &&
+	       !gn_queues_find(queues, call->queue);
+}
+
 static gn_sched_reply_t submit_job(scheduler_t *scheduler,
 				   const scheduler_call_t *call)
 {
 	gn_sched_reply_t reply = { .result = GN_RESULT_NOT_LEADER,
 				   .reason = SCHEDULER_STORE_AWAY };
+	bool is_new = gn_sched_get_state(scheduler->sched, call->job).result ==
+		      GN_RESULT_NOT_FOUND;
 	Gn__JobSpec *spec;
 
-	if ((!scheduler_is_confirmed(scheduler) ||
-	     !scheduler_waits_for_store(scheduler, call)) &&
-	    gn_sched_get_state(scheduler->sched, call->job).result ==
-		    GN_RESULT_NOT_FOUND)
+	if (is_new && (!scheduler_is_confirmed(scheduler) ||
+		       !scheduler_waits_for_store(scheduler, call)))
 		return reply;
+	reply.reason = NULL;
+	if (is_new && is_queue_dropped(scheduler, call)) {
+		reply.result = GN_RESULT_NO_QUEUE;
+		return reply;
+	}
 	spec = gn__job_spec__unpack(NULL, call->spec_len, call->spec);
 	if (!spec || gn_job_check(spec, NULL)) {
 		if (spec)
 			gn__job_spec__free_unpacked(spec, NULL);
 		reply.result = GN_RESULT_INVALID;
-		reply.reason = NULL;
 		return reply;
 	}
 	reply = gn_sched_submit(scheduler->sched, spec);
@@ -201,6 +219,8 @@
 		break;
 	default:
 		reply = gn_sched_count_waiting(scheduler->sched, call->queue);
+		if (is_queue_dropped(scheduler, call))
+			reply.result = GN_RESULT_NO_QUEUE;
 		/* Tells schedulers that probe the leader. */
 		if (!scheduler_is_confirmed(scheduler))
 			reply.reason = SCHEDULER_STORE_AWAY;
@@ -328,6 +348,7 @@
 	call->kind = parsed->kind;
 	memcpy(call->job, parsed->job, sizeof(call->job));
 	call->queue = g_strdup(parsed->queue->name);
+	call->configuration = scheduler->queues->version;
 	call->received_us = now_us(scheduler);
 	call->deadline_us =
 		scheduler_get_deadline_us(scheduler, parsed->deadline_ms);
@@ -430,6 +451,7 @@
 	call->kind = (gn_job_call_kind_t)message->kind;
 	gn_str_copy(call->job, sizeof(call->job), gn_str_from(message->job));
 	call->queue = g_strdup(message->queue);
+	call->configuration = message->configuration;
 	call->spec_len = message->spec.len;
 	call->spec = g_memdup2(message->spec.data, message->spec.len);
 	call->received_us = now_us(scheduler);
--- a/lib/scheduler/forward.c
+++ b/lib/scheduler/forward.c
@@ -86,6 +86,7 @@
 	message.number = call->number;
 	message.kind = call->kind;
 	message.queue = call->queue;
+	message.configuration = call->configuration;
 	message.job = call->job;
 	message.spec.data = call->spec;
 	message.spec.len = call->spec_len;
--- a/lib/scheduler/scheduler_internal.h
+++ b/lib/scheduler/scheduler_internal.h
@@ -40,6 +40,8 @@
 	char job[GN_JOB_ID_LEN + 1];
 	/** Queue name, owned; an empty name marks a probe of the leader. */
 	char *queue;
+	/** Version of the configuration that has the queue; 0: unknown. */
+	uint64_t configuration;
 	/** Packed JobSpec of a submission, owned; otherwise NULL. */
 	uint8_t *spec;
 	size_t spec_len;
--- a/lib/wire/gypsumnotch.pb-c.c
+++ b/lib/wire/gypsumnotch.pb-c.c
@@ -3337,7 +3337,7 @@
   (ProtobufCMessageInit) gn__peer_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gn__job_call__field_descriptors[5] =
+static const ProtobufCFieldDescriptor gn__job_call__field_descriptors[6] =
 {
   {
     "number",
@@ -3399,8 +3399,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "configuration",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gn__JobCall, configuration),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gn__job_call__field_indices_by_name[] = {
+  5,   /* field[5] = configuration */
   3,   /* field[3] = job */
   1,   /* field[1] = kind */
   0,   /* field[0] = number */
@@ -3410,7 +3423,7 @@
 static const ProtobufCIntRange gn__job_call__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor gn__job_call__descriptor =
 {
@@ -3420,7 +3433,7 @@
   "Gn__JobCall",
   "gn",
   sizeof(Gn__JobCall),
-  5,
+  6,
   gn__job_call__field_descriptors,
   gn__job_call__field_indices_by_name,
   1,  gn__job_call__number_ranges,
--- a/lib/wire/gypsumnotch.pb-c.h
+++ b/lib/wire/gypsumnotch.pb-c.h
@@ -558,10 +558,14 @@
    * A serialized JobSpec; set in a submit only.
    */
   ProtobufCBinaryData spec;
+  /*
+   * Version that has the queue; 0: unknown.
+   */
+  uint64_t configuration;
 };
 #define GN__JOB_CALL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gn__job_call__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL} }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0 }
 
 
 /*
--- /dev/null
+++ b/tests/contract/test_scheduler.c
@@ -0,0 +1,325 @@
+/*
+ * A scheduler that answers by its configuration, with stand-ins for the HTTP
+ * server, the links and the key-value service, on the paused clock.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/str.h"
+#include "scheduler/scheduler.h"
+#include "scheduler/scheduler_internal.h"
+#include "support/fake_kv.h"
+
+#define CONFIG_KEY "op/config"
+#define HOST "front-1"
+#define ADDRESS "127.0.0.1:1"
+#define JOB "00000000000000aa"
+#define START_US (1000 * GN_US_PER_S)
+#define STEP_US (2 * GN_US_PER_MS)
+
+/** The scheduler, and the stand-ins for its peers. */
+typedef struct rig_s {
+	gn_runtime_t runtime;
+	gn_settings_t settings;
+	kv_state_t *state;
+	fake_kv_t *fake;
+	scheduler_t *scheduler;
+	gn_link_config_t link; /**< Of the scheduler, for other schedulers. */
+	Gn__JobReply reply; /**< The last reply to another scheduler. */
+	unsigned replies;
+	gn_http_request_t request;
+	unsigned answers;
+	/** Calls to the key-value service that are not the watch's are
+	 * answered now. */
+	bool service_answers;
+} rig_t;
+
+static rig_t *rig;
+
+/* ======   Stand-ins   ====== */
+
+gn_code_t gn_link_listen(TALLOC_CTX *parent, const gn_link_config_t *config,
+			 gn_link_t **link, gn_error_t *error)
+{
+	(void)error;
+	rig->link = *config;
+	*link = talloc_new(parent);
+	return GN_OK;
+}
+
+gn_code_t gn_link_connect(TALLOC_CTX *parent, const gn_link_config_t *config,
+			  gn_link_t **link, gn_error_t *error)
+{
+	(void)config;
+	(void)error;
+	*link = talloc_new(parent);
+	return GN_OK;
+}
+
+gn_code_t gn_link_send(gn_link_t *link, const gn_link_peer_t *peer,
+		       Gn__Envelope *envelope)
+{
+	(void)link;
+	(void)peer;
+	if (envelope->body_case != GN__ENVELOPE__BODY_JOB_REPLY)
+		return GN_OK;
+	rig->reply = *envelope->job_reply;
+	rig->replies++;
+	return GN_OK;
+}
+
+gn_code_t gn_http_server_start(TALLOC_CTX *parent,
+			       const gn_http_server_config_t *config,
+			       gn_http_server_t **server, gn_error_t *error)
+{
+	(void)config;
+	(void)error;
+	*server = talloc_new(parent);
+	return GN_OK;
+}
+
+void gn_http_server_answer(gn_http_server_t *server, gn_http_request_t *request)
+{
+	(void)server;
+	g_assert_true(request == &rig->request);
+	rig->answers++;
+}
+
+void gn_http_server_quiesce(gn_http_server_t *server)
+{
+	(void)server;
+}
+
+size_t gn_http_server_pending(const gn_http_server_t *server)
+{
+	(void)server;
+	return 0;
+}
+
+gn_kv_http_t *gn_kv_http_create(TALLOC_CTX *parent,
+				const gn_kv_http_options_t *options)
+{
+	(void)options;
+	return talloc_new(parent);
+}
+
+gn_kv_t *gn_kv_http_client(gn_kv_http_t *http)
+{
+	(void)http;
+	return fake_kv_client(rig->fake);
+}
+
+gn_kv_health_t gn_kv_http_health(const gn_kv_http_t *http)
+{
+	uint64_t now_us = gn_clock_now_us(&rig->runtime.clock);
+	gn_kv_health_t health = { .answered_us = START_US };
+
+	(void)http;
+	if (rig->service_answers)
+		health.answered_us = now_us;
+	else
+		health.failed_us = now_us;
+	return health;
+}
+
+/* ======   Adapter   ====== */
+
+/* A configuration is its version and the names of its queues; the path of a
+ * request is "/" and a queue's name. */
+static gn_code_t read_config(TALLOC_CTX *parent, gn_str_t text,
+			     gn_queues_t **result, gn_error_t *error)
+{
+	char *copy = g_strndup(text.data, text.len);
+	char **words = g_strsplit(copy, " ", -1);
+	gn_queues_t *queues = talloc_zero(parent, gn_queues_t);
+	gn_queue_t *rows;
+
+	(void)error;
+	queues->version = g_ascii_strtoull(words[0], NULL, 10);
+	queues->queue_count = g_strv_length(words) - 1;
+	rows = talloc_zero_array(queues, gn_queue_t, queues->queue_count);
+	for (size_t i = 0; i < queues->queue_count; i++) {
+		rows[i].name = talloc_strdup(queues, words[i + 1]);
+		rows[i].host = "";
+		rows[i].prefix = talloc_asprintf(queues, "/%s", words[i + 1]);
+		rows[i].service = "service";
+		rows[i].max_attempts = 1;
+		rows[i].stretch = 1;
+	}
+	queues->queues = rows;
+	g_strfreev(words);
+	g_free(copy);
+	*result = queues;
+	return GN_OK;
+}
+
+static gn_code_t read_call(const gn_http_request_t *request,
+			   const gn_queues_t *queues, gn_job_call_t *call,
+			   gn_error_t *error)
+{
+	memset(call, 0, sizeof(*call));
+	call->kind = GN_CALL_COUNT_WAITING;
+	call->queue = gn_queues_find_for_request(queues, GN_STR(""),
+						 gn_str_from(request->path));
+	return call->queue ? GN_OK
+			   : gn_error_set(error, GN_ERR_NOT_FOUND, "request",
+					  NULL, "no queue");
+}
+
+static void write_answer(const gn_job_answer_t *answer, gn_http_answer_t *http)
+{
+	http->status = answer->result;
+	http->retry_after_s = answer->retry_after_s;
+}
+
+static const gn_adapter_t adapter = { .config_key = CONFIG_KEY,
+				      .read_config = read_config,
+				      .read_call = read_call,
+				      .write_answer = write_answer };
+
+/* ======   Fixture   ====== */
+
+static void set_config(const char *text)
+{
+	const kv_item_t *item = kv_state_find(rig->state, CONFIG_KEY);
+	const gn_kv_put_t put = { .key = GN_STR(CONFIG_KEY),
+				  .value = gn_str_from(text),
+				  .change_id = GN_STR("x"),
+				  .expected = item ? item->revision : 0 };
+	kv_answer_t answer;
+
+	kv_answer_init(&answer);
+	kv_state_put(rig->state, gn_clock_now_us(&rig->runtime.clock), &put,
+		     &answer);
+	g_assert_cmpint(answer.code, ==, GN_OK);
+	kv_answer_clear(&answer);
+}
+
+static void run_ms(unsigned ms)
+{
+	for (unsigned i = 0; i * STEP_US < ms * GN_US_PER_MS; i++) {
+		gn_clock_advance(&rig->runtime.clock, STEP_US);
+		fake_kv_run(rig->fake);
+		gn_scheduler_role.tick(rig->scheduler);
+	}
+}
+
+static void open_rig(const char *config)
+{
+	gn_error_t error = { 0 };
+	void *state = NULL;
+
+	rig = g_new0(rig_t, 1);
+	rig->service_answers = true;
+	rig->settings.name = HOST;
+	rig->settings.link_listen = ADDRESS;
+	rig->settings.lease_ttl_ms = 1000;
+	rig->settings.jobs.lease_ms = 4000;
+	rig->settings.jobs.lease_max_ms = 10000;
+	rig->settings.jobs.depose_ms = 5000;
+	rig->settings.jobs.retain_s = 150;
+	rig->settings.jobs.far_factor = 2;
+	rig->settings.jobs.cores = 1;
+	rig->settings.jobs.link_mbps = 1000;
+	gn_clock_init_paused(&rig->runtime.clock, START_US);
+	rig->runtime.adapter = &adapter;
+	rig->runtime.settings = &rig->settings;
+	rig->runtime.counters = gn_counters_create(NULL);
+	rig->runtime.rand = g_rand_new_with_seed(1);
+	rig->runtime.incarnation = 1;
+	rig->state = kv_state_create();
+	rig->fake = fake_kv_create(rig->state, &rig->runtime.clock, 1);
+	set_config(config);
+	g_assert_cmpint(gn_scheduler_role.start(&rig->runtime, &state, &error),
+			==, GN_OK);
+	rig->scheduler = state;
+	run_ms(1000);
+	g_assert_true(scheduler_is_serving(rig->scheduler));
+}
+
+static void close_rig(void)
+{
+	talloc_free(rig->scheduler);
+	fake_kv_free(rig->fake);
+	kv_state_free(rig->state);
+	g_rand_free(rig->runtime.rand);
+	talloc_free(rig->runtime.counters);
+	g_free(rig);
+}
+
+/* ======   Requests that other schedulers forward   ====== */
+
+static const gn_link_peer_t peer = { .len = 1 };
+
+static void assert_forwarded(gn_job_call_kind_t kind, uint64_t configuration,
+			     gn_job_result_t result)
+{
+	Gn__JobStep step = GN__JOB_STEP__INIT;
+	Gn__JobStep *steps[] = { &step };
+	Gn__JobSpec spec = GN__JOB_SPEC__INIT;
+	Gn__JobCall call = GN__JOB_CALL__INIT;
+	Gn__Envelope envelope = GN__ENVELOPE__INIT;
+	char job[] = JOB;
+	char queue[] = "old";
+	uint8_t packed[256];
+
+	step.count = 1;
+	step.estimate_ms = 1000;
+	spec.id = job;
+	spec.queue = queue;
+	spec.steps = steps;
+	spec.n_steps = 1;
+	call.number = 1;
+	call.kind = kind;
+	call.job = job;
+	call.queue = queue;
+	call.configuration = configuration;
+	call.spec.data = packed;
+	call.spec.len = gn__job_spec__pack(&spec, packed);
+	envelope.body_case = GN__ENVELOPE__BODY_JOB_CALL;
+	envelope.job_call = &call;
+	rig->replies = 0;
+	rig->link.handler(rig->link.arg, &peer, &envelope);
+	run_ms(100);
+	g_assert_cmpuint(rig->replies, ==, 1);
+	g_assert_cmpint(rig->reply.result, ==, result);
+}
+
+static void test_call_for_a_dropped_queue_from_a_scheduler_that_is_behind(void)
+{
+	open_rig("1 old");
+	assert_forwarded(GN_CALL_COUNT_WAITING, 1, GN_RESULT_OK);
+	set_config("2 new");
+	run_ms(100);
+	assert_forwarded(GN_CALL_COUNT_WAITING, 1, GN_RESULT_NO_QUEUE);
+	assert_forwarded(GN_CALL_SUBMIT, 1, GN_RESULT_NO_QUEUE);
+	/* The sender knows more than this leader. */
+	assert_forwarded(GN_CALL_COUNT_WAITING, 3, GN_RESULT_OK);
+	/* An earlier version of the sender's program. */
+	assert_forwarded(GN_CALL_COUNT_WAITING, 0, GN_RESULT_OK);
+	close_rig();
+}
+
+static void test_job_that_was_accepted_is_known_after_its_queue(void)
+{
+	open_rig("1 old");
+	assert_forwarded(GN_CALL_SUBMIT, 1, GN_RESULT_OK);
+	set_config("2 new");
+	run_ms(100);
+	assert_forwarded(GN_CALL_SUBMIT, 1, GN_RESULT_OK);
+	assert_forwarded(GN_CALL_STATE, 1, GN_RESULT_OK);
+	close_rig();
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func(
+		"/scheduler/call_for_a_dropped_queue_from_a_scheduler_"
+		"that_is_behind",
+		test_call_for_a_dropped_queue_from_a_scheduler_that_is_behind);
+	g_test_add_func(
+		"/scheduler/job_that_was_accepted_is_known_after_its_queue",
+		test_job_that_was_accepted_is_known_after_its_queue);
+	return g_test_run();
+}
