--- a/lib/scheduler/calls.c
+++ b/lib/scheduler/calls.c
@@ -27,8 +27,6 @@
 #define STORE_ANSWERS_US (400 * GN_US_PER_MS)
 /** A call is answered this long before its caller gives up. */
 #define ANSWER_MARGIN_US (200 * GN_US_PER_MS)
-/** Delay before the caller of a stopping scheduler may retry elsewhere. */
-#define STOPPING_RETRY_S 1
 #define MS_PER_S 1000
 
 /* ======   Answers   ====== */
@@ -47,8 +45,9 @@
 	return (reply->retry_after_ms + MS_PER_S - 1) / MS_PER_S;
 }
 
-static void answer_http(scheduler_t *scheduler, gn_http_request_t *request,
-			gn_job_call_kind_t kind, const gn_sched_reply_t *reply)
+void scheduler_answer_http(scheduler_t *scheduler, gn_http_request_t *request,
+			   gn_job_call_kind_t kind,
+			   const gn_sched_reply_t *reply)
 {
 	const gn_job_answer_t answer = { .kind = kind,
 					 .result = reply->result,
@@ -118,7 +117,8 @@
 	    reply->result == GN_RESULT_OK)
 		gn_outage_count_served(&scheduler->outage, now_us(scheduler));
 	if (call->request)
-		answer_http(scheduler, call->request, call->kind, reply);
+		scheduler_answer_http(scheduler, call->request, call->kind,
+				      reply);
 	else
 		answer_peer(scheduler, call, reply);
 	scheduler_call_free(call);
@@ -336,51 +336,7 @@
 		scheduler_serve_forwarded_calls(scheduler);
 }
 
-/* ======   Callers   ====== */
-
-static scheduler_call_t *create_call(scheduler_t *scheduler,
-				     gn_http_request_t *request,
-				     gn_job_call_t *parsed)
-{
-	scheduler_call_t *call = g_new0(scheduler_call_t, 1);
-
-	call->request = request;
-	call->kind = parsed->kind;
-	memcpy(call->job, parsed->job, sizeof(call->job));
-	call->queue = g_strdup(parsed->queue->name);
-	call->configuration = scheduler->queues->version;
-	call->received_us = now_us(scheduler);
-	call->deadline_us =
-		scheduler_get_deadline_us(scheduler, parsed->deadline_ms);
-	if (parsed->spec) {
-		call->spec_len = gn__job_spec__get_packed_size(parsed->spec);
-		call->spec = g_malloc(call->spec_len + 1);
-		gn__job_spec__pack(parsed->spec, call->spec);
-		gn__job_spec__free_unpacked(parsed->spec, NULL);
-	}
-	return call;
-}
-
-static void refuse_request(scheduler_t *scheduler, gn_http_request_t *request,
-			   gn_job_result_t result, unsigned retry_after_s,
-			   const char *reason)
-{
-	const gn_sched_reply_t reply = { .result = result,
-					 .retry_after_ms =
-						 retry_after_s * MS_PER_S,
-					 .reason = reason };
-
-	gn_counter_inc(scheduler->counters.results[result]);
-	gn_event("call refused", "{s:s, s:s, s:s, s:I, s:I}", "path",
-		 request->path, "result", gn_job_result_name(result), "why",
-		 reason, "configuration",
-		 (json_int_t)(scheduler->queues ? scheduler->queues->version
-						: 0),
-		 "age_ms", (json_int_t)scheduler_config_age_ms(scheduler));
-	answer_http(scheduler, request, GN_CALL_STATE, &reply);
-}
-
-static void dispatch_call(scheduler_t *scheduler, scheduler_call_t *call)
+void scheduler_dispatch_call(scheduler_t *scheduler, scheduler_call_t *call)
 {
 	gn_counter_inc(scheduler->counters.calls[call->kind]);
 	if (scheduler_is_serving(scheduler)) {
@@ -392,48 +348,6 @@
 	}
 }
 
-/* Whether this process may exit before the leader would answer. */
-static bool is_closing(const scheduler_t *scheduler)
-{
-	const gn_runtime_t *runtime = scheduler->runtime;
-
-	return runtime->stopping &&
-	       !scheduler_stop_accepts_requests(now_us(scheduler) -
-						runtime->stop_requested_us);
-}
-
-void scheduler_on_http(void *arg, gn_http_request_t *request)
-{
-	scheduler_t *scheduler = arg;
-	gn_error_t error = { 0 };
-	gn_job_call_t call;
-	gn_code_t code;
-
-	if (!scheduler->queues) {
-		refuse_request(scheduler, request, GN_RESULT_NOT_LEADER,
-			       scheduler_refuse_caller(scheduler, NULL,
-						       "no configuration yet"),
-			       "no configuration yet");
-		return;
-	}
-	if (is_closing(scheduler)) {
-		refuse_request(scheduler, request, GN_RESULT_NOT_LEADER,
-			       STOPPING_RETRY_S, "stopping");
-		return;
-	}
-	code = scheduler->adapter->read_call(request, scheduler->queues, &call,
-					     &error);
-	if (code == GN_ERR_NOT_FOUND)
-		refuse_request(scheduler, request, GN_RESULT_NO_QUEUE, 0,
-			       error.detail);
-	else if (code)
-		refuse_request(scheduler, request, GN_RESULT_INVALID, 0,
-			       error.detail);
-	else
-		dispatch_call(scheduler,
-			      create_call(scheduler, request, &call));
-}
-
 /* ======   Other schedulers   ====== */
 
 void scheduler_on_job_call(scheduler_t *scheduler, const gn_link_peer_t *peer,
--- a/lib/scheduler/scheduler_internal.h
+++ b/lib/scheduler/scheduler_internal.h
@@ -182,10 +182,19 @@
 /** Returns the evacuated data centres for the state dump. */
 json_t *scheduler_dump_evacuations(const scheduler_t *scheduler);
 
-/* ======   calls.c   ====== */
+/* ======   requests.c   ====== */
 
 /** Handles a caller's HTTP request. */
 void scheduler_on_http(void *arg, gn_http_request_t *request);
+
+/* ======   calls.c   ====== */
+
+/** Serves, forwards, holds or refuses a call, which it takes over. */
+void scheduler_dispatch_call(scheduler_t *scheduler, scheduler_call_t *call);
+/** Answers a caller's request. */
+void scheduler_answer_http(scheduler_t *scheduler, gn_http_request_t *request,
+			   gn_job_call_kind_t kind,
+			   const gn_sched_reply_t *reply);
 /** Handles a request that another scheduler forwarded. */
 void scheduler_on_job_call(scheduler_t *scheduler, const gn_link_peer_t *peer,
 			   const Gn__JobCall *message);
