scheduler: an old configuration refuses no queue as unknown

The ticks that did not come were one way to it. A pause of the process, a cut and a lost watch are others: the first requests after them are served before the next answer of the watch.

Cause: a scheduler answered by the configuration at hand, whatever its age, and "no such queue" is final for a caller.

An unknown queue is refused only by a configuration that was confirmed within the bound for changes (jobs.configuration_ms), less 0.3 s for the way of the answer. Else the request waits for a confirmation for up to 0.3 s, which takes one call, and is then refused with a time to return. A known queue is treated alike while the key-value service answers other calls, if the answer depends on the queue. In an outage it is served as before: jobs cannot be stored then, and whoever leads looks the queue up again.

Without the decision, new_queue_is_not_refused_as_unknown_after_a_pause, dropped_queue_takes_nothing_after_a_pause and unconfirmed_request_is_refused_with_a_time_to_return fail.

--- a/lib/config/settings.c
+++ b/lib/config/settings.c
@@ -225,6 +225,7 @@
 	ROUNDED("headroom_pct", jobs.headroom_pct, 0, 300, 110),
 	ROUNDED("late_headroom_pct", jobs.late_headroom_pct, 0, 300, 0),
 	ROUNDED("evacuate_ms", jobs.evacuate_ms, 0, 600000, 0),
+	ROUNDED("configuration_ms", jobs.configuration_ms, 1500, 600000, 2000),
 	NUMBER("forecast", jobs.forecast, 0, 1, 0),
 	{ .key = "cores",
 	  .read = gn_schema_number,
--- a/lib/config/settings.h
+++ b/lib/config/settings.h
@@ -72,6 +72,9 @@
 	 * or less, executors start nothing.
 	 */
 	unsigned evacuate_ms;
+	/** Time in which a change of the configuration is in force,
+	 * 1500..600000, default 2000. */
+	unsigned configuration_ms;
 	/** 1: refuse jobs that cannot end while of use; 0..1, default 0. */
 	unsigned forecast;
 	/** Cores of the host for this process, 0..4096, default 1. */
--- a/lib/scheduler/scheduler.c
+++ b/lib/scheduler/scheduler.c
@@ -93,6 +93,10 @@
 	counters->headroom_pct = gn_counters_get(all, "scheduler.headroom_pct");
 	counters->config_age_ms =
 		gn_counters_get(all, "scheduler.configuration_age_ms");
+	counters->config_waits =
+		gn_counters_get(all, "scheduler.configuration_waits");
+	counters->config_refused =
+		gn_counters_get(all, "scheduler.configuration_refused");
 	counters->evacuations = gn_counters_get(all, "scheduler.evacuations");
 	counters->evacuation_claims =
 		gn_counters_get(all, "scheduler.evacuation_claims");
@@ -109,7 +113,8 @@
 	       counters->orders && counters->elections && counters->outages &&
 	       counters->held && counters->held_refused && counters->holding &&
 	       counters->outage_ms && counters->headroom_pct &&
-	       counters->config_age_ms && counters->evacuations &&
+	       counters->config_age_ms && counters->config_waits &&
+	       counters->config_refused && counters->evacuations &&
 	       counters->evacuation_claims && counters->held_back_starts &&
 	       counters->held_back_passes;
 }
@@ -243,6 +248,7 @@
 	scheduler->config_watch = NULL;
 	TALLOC_FREE(scheduler->kv_http);
 	g_hash_table_destroy(scheduler->forwarded);
+	g_array_free(scheduler->unconfirmed, TRUE);
 	g_hash_table_destroy(scheduler->executors);
 	g_ptr_array_free(scheduler->awaiting_store, TRUE);
 	return 0;
@@ -263,6 +269,7 @@
 	gn_clock_init_wall(&scheduler->wall);
 	scheduler->started_us = gn_runtime_now_us(runtime);
 	scheduler->awaiting_store = g_ptr_array_new();
+	scheduler->unconfirmed = scheduler_create_unconfirmed();
 	scheduler->forwarded = g_hash_table_new_full(
 		g_int64_hash, g_int64_equal, NULL, scheduler_call_free);
 	scheduler->executors = g_hash_table_new_full(
@@ -320,6 +327,7 @@
 	scheduler_leading_tick(scheduler);
 	scheduler_outage_tick(scheduler);
 	scheduler_expire_calls(scheduler);
+	scheduler_serve_unconfirmed(scheduler);
 	if (scheduler->runtime->stopping)
 		continue_stop(scheduler);
 }
--- a/lib/scheduler/scheduler_internal.h
+++ b/lib/scheduler/scheduler_internal.h
@@ -100,6 +100,10 @@
 	gn_counter_t *headroom_pct; /**< Gauge; 0 unless leading. */
 	/** Gauge: time since the configuration was confirmed. */
 	gn_counter_t *config_age_ms;
+	/** Requests that waited, and were refused, for want of a confirmation.
+	 */
+	gn_counter_t *config_waits;
+	gn_counter_t *config_refused;
 	gn_counter_t *evacuations; /**< Gauge: evacuated data centres. */
 	/** Gauges of the present leadership, from gn_sched_stats_t. */
 	gn_counter_t *evacuation_claims;
@@ -128,6 +132,8 @@
 	gn_evacuations_t *evacuations;
 	gn_queues_t *queues; /**< Configuration; NULL until it is read. */
 	bool config_is_old; /**< It was logged as unconfirmed. */
+	/** Requests that wait until the configuration is confirmed. */
+	GArray *unconfirmed;
 
 	gn_lead_t *lead;
 	uint64_t epoch; /**< Epoch of this leader; 0 if not the leader. */
@@ -186,6 +192,10 @@
 
 /** Handles a caller's HTTP request. */
 void scheduler_on_http(void *arg, gn_http_request_t *request);
+/** Serves or refuses the requests that have waited for a confirmation. */
+void scheduler_serve_unconfirmed(scheduler_t *scheduler);
+/** Returns an empty list of such requests. */
+GArray *scheduler_create_unconfirmed(void);
 
 /* ======   calls.c   ====== */
 
--- a/tests/contract/test_scheduler.c
+++ b/tests/contract/test_scheduler.c
@@ -16,6 +16,9 @@
 #define JOB "00000000000000aa"
 #define START_US (1000 * GN_US_PER_S)
 #define STEP_US (2 * GN_US_PER_MS)
+#define PAUSE_MS 5000
+/** Time to live of a leader's lease that lasts beyond a pause. */
+#define TTL_MS 8000
 
 /** The scheduler, and the stand-ins for its peers. */
 typedef struct rig_s {
@@ -29,6 +32,7 @@
 	unsigned replies;
 	gn_http_request_t request;
 	unsigned answers;
+	char path[8];
 	/** Calls to the key-value service that are not the watch's are
 	 * answered now. */
 	bool service_answers;
@@ -140,7 +144,7 @@
 	rows = talloc_zero_array(queues, gn_queue_t, queues->queue_count);
 	for (size_t i = 0; i < queues->queue_count; i++) {
 		rows[i].name = talloc_strdup(queues, words[i + 1]);
-		rows[i].host = "";
+		rows[i].host = "host";
 		rows[i].prefix = talloc_asprintf(queues, "/%s", words[i + 1]);
 		rows[i].service = "service";
 		rows[i].max_attempts = 1;
@@ -159,7 +163,7 @@
 {
 	memset(call, 0, sizeof(*call));
 	call->kind = GN_CALL_COUNT_WAITING;
-	call->queue = gn_queues_find_for_request(queues, GN_STR(""),
+	call->queue = gn_queues_find_for_request(queues, GN_STR("host"),
 						 gn_str_from(request->path));
 	return call->queue ? GN_OK
 			   : gn_error_set(error, GN_ERR_NOT_FOUND, "request",
@@ -213,12 +217,13 @@
 	rig->service_answers = true;
 	rig->settings.name = HOST;
 	rig->settings.link_listen = ADDRESS;
-	rig->settings.lease_ttl_ms = 1000;
+	rig->settings.lease_ttl_ms = TTL_MS;
 	rig->settings.jobs.lease_ms = 4000;
 	rig->settings.jobs.lease_max_ms = 10000;
 	rig->settings.jobs.depose_ms = 5000;
 	rig->settings.jobs.retain_s = 150;
 	rig->settings.jobs.far_factor = 2;
+	rig->settings.jobs.configuration_ms = 2000;
 	rig->settings.jobs.cores = 1;
 	rig->settings.jobs.link_mbps = 1000;
 	gn_clock_init_paused(&rig->runtime.clock, START_US);
@@ -311,6 +316,92 @@
 	close_rig();
 }
 
+/* ======   Requests of callers   ====== */
+
+static void send_request(const char *path)
+{
+	memset(&rig->request, 0, sizeof(rig->request));
+	g_strlcpy(rig->path, path, sizeof(rig->path));
+	rig->request.method = GN_HTTP_GET;
+	rig->request.path = rig->path;
+	rig->answers = 0;
+	scheduler_on_http(rig->scheduler, &rig->request);
+}
+
+static void assert_answer(gn_job_result_t result)
+{
+	g_assert_cmpuint(rig->answers, ==, 1);
+	g_assert_cmpint(rig->request.answer.status, ==, result);
+}
+
+/* The process stands still, and the configuration changes meanwhile. */
+static void pause_with_change(const char *config)
+{
+	run_ms(500);
+	gn_clock_advance(&rig->runtime.clock, PAUSE_MS * GN_US_PER_MS);
+	set_config(config);
+}
+
+static void test_new_queue_is_not_refused_as_unknown_after_a_pause(void)
+{
+	open_rig("1 old");
+	pause_with_change("2 old new");
+	send_request("/new");
+	g_assert_cmpuint(rig->answers, ==, 0);
+	run_ms(250);
+	assert_answer(GN_RESULT_OK);
+	close_rig();
+}
+
+static void test_unknown_queue_is_refused_once_confirmed(void)
+{
+	open_rig("1 old");
+	pause_with_change("2 old new");
+	send_request("/odd");
+	g_assert_cmpuint(rig->answers, ==, 0);
+	run_ms(250);
+	assert_answer(GN_RESULT_NO_QUEUE);
+	send_request("/odd");
+	assert_answer(GN_RESULT_NO_QUEUE);
+	close_rig();
+}
+
+static void test_dropped_queue_takes_nothing_after_a_pause(void)
+{
+	open_rig("1 old");
+	pause_with_change("2 new");
+	send_request("/old");
+	g_assert_cmpuint(rig->answers, ==, 0);
+	run_ms(250);
+	assert_answer(GN_RESULT_NO_QUEUE);
+	close_rig();
+}
+
+static void test_unconfirmed_request_is_refused_with_a_time_to_return(void)
+{
+	open_rig("1 old");
+	fake_kv_faults(rig->fake)->cut = true;
+	run_ms(2500);
+	send_request("/new");
+	run_ms(290);
+	g_assert_cmpuint(rig->answers, ==, 0);
+	run_ms(20);
+	assert_answer(GN_RESULT_NOT_LEADER);
+	g_assert_cmpuint(rig->request.answer.retry_after_s, >=, 1);
+	close_rig();
+}
+
+static void test_known_queue_is_served_in_an_outage(void)
+{
+	open_rig("1 old");
+	fake_kv_faults(rig->fake)->cut = true;
+	rig->service_answers = false;
+	run_ms(2500);
+	send_request("/old");
+	assert_answer(GN_RESULT_OK);
+	close_rig();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -321,5 +412,17 @@
 	g_test_add_func(
 		"/scheduler/job_that_was_accepted_is_known_after_its_queue",
 		test_job_that_was_accepted_is_known_after_its_queue);
+	g_test_add_func(
+		"/scheduler/new_queue_is_not_refused_as_unknown_after_a_pause",
+		test_new_queue_is_not_refused_as_unknown_after_a_pause);
+	g_test_add_func("/scheduler/unknown_queue_is_refused_once_confirmed",
+			test_unknown_queue_is_refused_once_confirmed);
+	g_test_add_func("/scheduler/dropped_queue_takes_nothing_after_a_pause",
+			test_dropped_queue_takes_nothing_after_a_pause);
+	g_test_add_func(
+		"/scheduler/unconfirmed_request_is_refused_with_a_time_to_return",
+		test_unconfirmed_request_is_refused_with_a_time_to_return);
+	g_test_add_func("/scheduler/known_queue_is_served_in_an_outage",
+			test_known_queue_is_served_in_an_outage);
 	return g_test_run();
 }
