scheduler: an own pause is no outage

Cause, of the same class as the incident: the process took the time in which it could hear nobody for silence of the leader and of the key-value service, and estimated the rest of an outage from it.

Silence counts from the end of a pause: a scheduler that had no tick for 250 ms counts as paused until the next one, also for a request that is handled before that tick.

own_pause_is_no_outage fails without it.

--- a/lib/scheduler/outage.c
+++ b/lib/scheduler/outage.c
@@ -13,6 +13,8 @@
  * forwarded requests before the leader can answer. */
 #define REMAINING_MIN_US (700 * GN_US_PER_MS)
 #define US_PER_MS GN_US_PER_MS
+/** Time without a tick from which the process counts as paused. */
+#define PAUSE_US (250 * GN_US_PER_MS)
 
 static const gn_outage_failure_t failures[] = {
 	[GN_KV_NO_FAILURE] = GN_OUTAGE_NONE,
@@ -26,10 +28,34 @@
 	return gn_runtime_now_us(scheduler->runtime);
 }
 
+static uint64_t get_resumed_us(const scheduler_t *scheduler)
+{
+	uint64_t time_us = now_us(scheduler);
+
+	if (scheduler->ticked_us && time_us - scheduler->ticked_us >= PAUSE_US)
+		return time_us;
+	return scheduler->resumed_us;
+}
+
+void scheduler_record_tick(scheduler_t *scheduler)
+{
+	scheduler->resumed_us = get_resumed_us(scheduler);
+	scheduler->ticked_us = now_us(scheduler);
+}
+
+/* Nobody can be heard during a pause, so that silence counts from its end. */
+static uint64_t leave_out_pause_us(const scheduler_t *scheduler,
+				   uint64_t heard_us)
+{
+	return heard_us ? MAX(heard_us, get_resumed_us(scheduler)) : 0;
+}
+
 static bool is_leader_silent(const scheduler_t *scheduler)
 {
 	return scheduler->leader_link && scheduler->leader_answered_us &&
-	       now_us(scheduler) - scheduler->leader_answered_us >
+	       now_us(scheduler) - leave_out_pause_us(
+					   scheduler,
+					   scheduler->leader_answered_us) >
 		       LEADER_SILENT_US;
 }
 
@@ -62,10 +88,12 @@
 	gn_outage_view_t view = {
 		.now_us = now_us(scheduler),
 		.started_us = scheduler->started_us,
-		.answered_us = health.answered_us,
+		.answered_us =
+			leave_out_pause_us(scheduler, health.answered_us),
 		.failed_us = health.failed_us,
 		.failure = failures[health.failure],
-		.served_us = scheduler->served_us,
+		.served_us =
+			leave_out_pause_us(scheduler, scheduler->served_us),
 		.leads = scheduler_is_serving(scheduler),
 		.leader_silent = is_leader_silent(scheduler),
 		.lease_us = (uint64_t)settings->lease_ttl_ms * GN_US_PER_MS,
--- a/lib/scheduler/scheduler.c
+++ b/lib/scheduler/scheduler.c
@@ -321,6 +321,7 @@
 {
 	scheduler_t *scheduler = state;
 
+	scheduler_record_tick(scheduler);
 	scheduler_config_tick(scheduler);
 	gn_lead_tick(scheduler->lead);
 	scheduler_forward_tick(scheduler);
--- a/lib/scheduler/scheduler_internal.h
+++ b/lib/scheduler/scheduler_internal.h
@@ -146,6 +146,10 @@
 	/** Calls (scheduler_call_t) that are answered once they are stored. */
 	GPtrArray *awaiting_store;
 	uint64_t last_tick_us;
+	uint64_t ticked_us; /**< Time of the last tick; 0 before the first. */
+	/** When this process went on after a pause; 0 if it was never paused.
+	 */
+	uint64_t resumed_us;
 
 	gn_link_t *leader_link; /**< NULL if no other leader is known. */
 	/** Address that leader_link connects to. */
@@ -244,6 +248,8 @@
 
 /* ======   outage.c   ====== */
 
+/** Records a tick, the first one after a pause as its end. */
+void scheduler_record_tick(scheduler_t *scheduler);
 /** Updates what is known of an outage of the store. */
 void scheduler_outage_tick(scheduler_t *scheduler);
 /** Whether requests wait for a leader who is expected at a known time. */
--- a/tests/contract/test_scheduler.c
+++ b/tests/contract/test_scheduler.c
@@ -36,6 +36,7 @@
 	/** Calls to the key-value service that are not the watch's are
 	 * answered now. */
 	bool service_answers;
+	uint64_t answered_us; /**< Their last answer; 0: now. */
 } rig_t;
 
 static rig_t *rig;
@@ -119,7 +120,9 @@
 	gn_kv_health_t health = { .answered_us = START_US };
 
 	(void)http;
-	if (rig->service_answers)
+	if (rig->answered_us)
+		health.answered_us = rig->answered_us;
+	else if (rig->service_answers)
 		health.answered_us = now_us;
 	else
 		health.failed_us = now_us;
@@ -129,7 +132,7 @@
 /* ======   Adapter   ====== */
 
 /* A configuration is its version and the names of its queues; the path of a
- * request is "/" and a queue's name. */
+ * request is "/" and a queue's name, followed by "/" for the state of the job. */
 static gn_code_t read_config(TALLOC_CTX *parent, gn_str_t text,
 			     gn_queues_t **result, gn_error_t *error)
 {
@@ -162,7 +165,9 @@
 			   gn_error_t *error)
 {
 	memset(call, 0, sizeof(*call));
-	call->kind = GN_CALL_COUNT_WAITING;
+	call->kind = strchr(request->path + 1, '/') ? GN_CALL_STATE
+						    : GN_CALL_COUNT_WAITING;
+	g_strlcpy(call->job, JOB, sizeof(call->job));
 	call->queue = gn_queues_find_for_request(queues, GN_STR("host"),
 						 gn_str_from(request->path));
 	return call->queue ? GN_OK
@@ -391,6 +396,21 @@
 	close_rig();
 }
 
+static void test_own_pause_is_no_outage(void)
+{
+	open_rig("1 old");
+	rig->settings.lease_ttl_ms = 1000;
+	pause_with_change("2 old");
+	rig->answered_us =
+		gn_clock_now_us(&rig->runtime.clock) - PAUSE_MS * GN_US_PER_MS;
+	send_request("/old/");
+	g_assert_cmpuint(rig->answers, ==, 0);
+	rig->answered_us = 0;
+	run_ms(100);
+	assert_answer(GN_RESULT_NOT_FOUND);
+	close_rig();
+}
+
 static void test_known_queue_is_served_in_an_outage(void)
 {
 	open_rig("1 old");
@@ -422,6 +442,8 @@
 	g_test_add_func(
 		"/scheduler/unconfirmed_request_is_refused_with_a_time_to_return",
 		test_unconfirmed_request_is_refused_with_a_time_to_return);
+	g_test_add_func("/scheduler/own_pause_is_no_outage",
+			test_own_pause_is_no_outage);
 	g_test_add_func("/scheduler/known_queue_is_served_in_an_outage",
 			test_known_queue_is_served_in_an_outage);
 	return g_test_run();
