--- a/lib/adapter/adapter.h
+++ b/lib/adapter/adapter.h
@@ -133,6 +133,7 @@
 	/** Ended runs in the order of their numbers; as runs. */
 	Gn__WorkerEnd **ends;
 	size_t end_count;
+	size_t refused_rows; /**< Malformed rows, which are left out. */
 } gn_worker_answer_t;
 
 /* ======   Advice   ====== */
--- a/lib/executor/executor_internal.h
+++ b/lib/executor/executor_internal.h
@@ -60,6 +60,8 @@
 	gn_histogram_t *order_time; /**< Time from a call to its response. */
 	/** Starts refused because the data centre is evacuated. */
 	gn_counter_t *starts_evacuated;
+	gn_counter_t *refused_rows; /**< Malformed rows in lists. */
+	gn_counter_t *refused_heartbeats;
 
 	/* ======   Worker   ====== */
 
@@ -94,6 +96,7 @@
 	size_t run_count;
 	Gn__WorkerEnd **ends; /**< In the order of their numbers. */
 	size_t end_count;
+	size_t refused_row_count; /**< Malformed rows that it had. */
 	uint64_t ends_stored; /**< The leader has stored ends up to this one. */
 	/** A request since the last list found no process of the worker. */
 	bool is_process_gone;
--- a/lib/executor/worker.c
+++ b/lib/executor/worker.c
@@ -93,6 +93,24 @@
 		       : LIST_RETRY_DELAY_US;
 }
 
+/* A malformed row stays in the list until it has ended, so each number of them
+ * is logged once. */
+static void count_refused_rows(executor_t *executor,
+			       const gn_worker_answer_t *answer)
+{
+	size_t known = executor->refused_row_count;
+
+	executor->refused_row_count = answer->refused_rows;
+	if (answer->refused_rows <= known)
+		return;
+	gn_counter_add(executor->refused_rows, answer->refused_rows - known);
+	gn_event("list rows refused", "{s:s, s:I, s:I, s:I}", "life",
+		 executor->notice.life, "refused",
+		 (json_int_t)answer->refused_rows, "runs",
+		 (json_int_t)answer->run_count, "ends",
+		 (json_int_t)answer->end_count);
+}
+
 /* Keeps a list unless a newer one came before, on another connection. */
 static void store_list(executor_t *executor, TALLOC_CTX *list,
 		       const gn_worker_answer_t *answer)
@@ -101,6 +119,7 @@
 		talloc_free(list);
 		return;
 	}
+	count_refused_rows(executor, answer);
 	talloc_free(executor->list);
 	executor->list = list;
 	executor->list_clock_ms = answer->clock_ms;
@@ -267,6 +286,7 @@
 	executor->list_clock_ms = 0;
 	executor->run_count = 0;
 	executor->end_count = 0;
+	executor->refused_row_count = 0;
 	executor->list_unreported = false;
 	executor->ends_stored = 0;
 	executor->is_process_gone = false;
@@ -372,6 +392,7 @@
 	code = executor->adapter->read_notice(executor, request, &notice,
 					      &error);
 	if (code == GN_ERR_INVALID) {
+		gn_counter_inc(executor->refused_heartbeats);
 		gn_event("heartbeat refused", "{s:s, s:s}", "peer", error.peer,
 			 "why", error.detail);
 		talloc_free(notice.labels);
--- a/tests/contract/test_executor.c
+++ b/tests/contract/test_executor.c
@@ -222,6 +222,10 @@
 	executor->results =
 		g_ptr_array_new_with_free_func(executor_result_free);
 	executor->schedulers = g_ptr_array_new_with_free_func(g_free);
+	executor->refused_rows =
+		gn_counters_get(rig->runtime.counters, "executor.rows_refused");
+	executor->refused_heartbeats = gn_counters_get(
+		rig->runtime.counters, "executor.heartbeats_refused");
 	executor->starts_evacuated = gn_counters_get(
 		rig->runtime.counters, "executor.starts_evacuated");
 	executor->order_time = gn_histogram_create(
