executor: a heartbeat that cannot be the worker's changes nothing

What callers would see (a report of operators of a similar system): one odd heartbeat, and the executor follows its worker no more. A start far in the future made it take up a life that does not exist and ignore all heartbeats of the real one; a huge sequence number made them seem outdated; a port out of range was taken as it came.

Cause: a heartbeat that could be parsed was believed.

After an odd sequence number of a life that was not known, lower ones are taken again.

odd_heartbeat_leaves_the_worker fails without the check (200 for 400).

--- a/lib/executor/executor.c
+++ b/lib/executor/executor.c
@@ -117,6 +117,7 @@
 	*state = executor;
 	executor->runtime = runtime;
 	executor->adapter = runtime->adapter;
+	gn_clock_init_wall(&executor->wall);
 	executor->old_links = talloc_new(executor);
 	executor->waiting_list.executor = executor;
 	executor->prompt_list.executor = executor;
--- a/lib/executor/executor_internal.h
+++ b/lib/executor/executor_internal.h
@@ -53,6 +53,7 @@
 struct executor_s {
 	gn_runtime_t *runtime;
 	const gn_adapter_t *adapter;
+	gn_clock_t wall; /**< Wall clock. */
 	gn_http_server_t *server; /**< For heartbeats and the state dump. */
 	gn_http_client_t *client; /**< For calls to the worker. */
 	gn_kv_http_t *kv_http;
--- a/lib/executor/worker.c
+++ b/lib/executor/worker.c
@@ -9,6 +9,7 @@
 #include "executor/attempt.h"
 #include "executor/ends.h"
 #include "executor/executor_internal.h"
+#include "executor/notice.h"
 #include "http/reply.h"
 #include "http/status.h"
 
@@ -311,7 +312,7 @@
 	/* Ignores heartbeats of an earlier life or out of order. */
 	if (executor->worker_known &&
 	    (notice->life_started_ms < executor->notice.life_started_ms ||
-	     (is_same && notice->sequence <= executor->notice.sequence))) {
+	     gn_notice_is_outdated(notice, &executor->notice))) {
 		talloc_free(notice->labels);
 		return;
 	}
@@ -367,6 +368,27 @@
 	return json;
 }
 
+/* Whether the notice cannot be one of the worker; then it is logged. */
+static bool is_refused(executor_t *executor, const gn_worker_notice_t *notice)
+{
+	const gn_notice_view_t view = {
+		.worker_address =
+			executor->runtime->settings->jobs.worker_address,
+		.wall_ms = gn_clock_now_us(&executor->wall) / GN_US_PER_MS,
+		.last = executor->worker_known ? &executor->notice : NULL,
+	};
+	const char *fault = gn_notice_get_fault(notice, &view);
+
+	if (!fault)
+		return false;
+	gn_counter_inc(executor->refused_heartbeats);
+	gn_event("heartbeat refused", "{s:s, s:s, s:s, s:I, s:I}", "peer",
+		 notice->life, "why", fault, "address", notice->address,
+		 "born_ms", (json_int_t)notice->life_started_ms, "sequence",
+		 (json_int_t)notice->sequence);
+	return true;
+}
+
 static void reply_status(executor_t *executor, gn_http_request_t *request,
 			 unsigned status)
 {
@@ -403,6 +425,11 @@
 						      : HTTP_BAD_REQUEST);
 		return;
 	}
+	if (is_refused(executor, &notice)) {
+		talloc_free(notice.labels);
+		reply_status(executor, request, HTTP_BAD_REQUEST);
+		return;
+	}
 	if (notice.deregisters)
 		on_leave(executor, &notice);
 	else
--- a/tests/contract/test_executor.c
+++ b/tests/contract/test_executor.c
@@ -115,16 +115,16 @@
 
 static void on_notice_answered(void *arg, const gn_http_call_t *call)
 {
-	bool *done = arg;
+	unsigned *status = arg;
 
-	g_assert_cmpuint(call->status, ==, 200);
-	*done = true;
+	*status = call->status;
 }
 
-static void send_notice(uint64_t started_ms)
+/* Returns the status of the answer. */
+static unsigned send_notice(uint64_t started_ms)
 {
 	gn_http_call_t *call = gn_http_call_create();
-	bool done = false;
+	unsigned status = 0;
 
 	g_strlcpy(rig->notice.life, ID, sizeof(rig->notice.life));
 	rig->notice.life_started_ms = started_ms;
@@ -132,22 +132,23 @@
 	g_snprintf(call->url, sizeof(call->url), "http://%s/x", rig->address);
 	call->timeout_ms = TIMEOUT_MS;
 	call->done = on_notice_answered;
-	call->arg = &done;
+	call->arg = &status;
 	gn_http_client_call(rig->executor->client, call);
-	while (!done)
+	while (!status)
 		g_assert_cmpint(tevent_loop_once(rig->runtime.events), ==, 0);
+	return status;
 }
 
 static void send_heartbeat(uint64_t started_ms)
 {
 	rig->notice.sequence++;
-	send_notice(started_ms);
+	g_assert_cmpuint(send_notice(started_ms), ==, 200);
 }
 
 static void send_deregistration(uint64_t started_ms)
 {
 	rig->notice.deregisters = true;
-	send_notice(started_ms);
+	g_assert_cmpuint(send_notice(started_ms), ==, 200);
 	rig->notice.deregisters = false;
 }
 
@@ -209,6 +210,9 @@
 	rig->runtime.settings = &rig->settings;
 	rig->runtime.adapter = &adapter;
 	gn_clock_init_paused(&rig->runtime.clock, START_US);
+	gn_clock_init_paused(&executor->wall, START_US);
+	g_strlcpy(rig->notice.address, rig->settings.jobs.worker_address,
+		  sizeof(rig->notice.address));
 	executor->runtime = &rig->runtime;
 	executor->adapter = &adapter;
 	executor->grant.lease_us = LEASE_US;
@@ -747,6 +751,23 @@
 	close_rig();
 }
 
+static void test_odd_heartbeat_leaves_the_worker(void)
+{
+	open_rig();
+	g_assert_cmpuint(send_notice(INT64_MAX), ==, 400);
+	g_strlcpy(rig->notice.address, "127.0.0.1:65536",
+		  sizeof(rig->notice.address));
+	g_assert_cmpuint(send_notice(LATER_MS), ==, 400);
+	g_assert_cmpuint(gn_counter_read(rig->executor->refused_heartbeats), ==,
+			 2);
+	g_strlcpy(rig->notice.address, rig->settings.jobs.worker_address,
+		  sizeof(rig->notice.address));
+	g_assert_cmpuint(rig->executor->notice.life_started_ms, ==, EARLIER_MS);
+	send_heartbeat(LATER_MS);
+	g_assert_cmpuint(rig->executor->notice.life_started_ms, ==, LATER_MS);
+	close_rig();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -809,5 +830,7 @@
 			test_older_leader_ends_an_evacuation);
 	g_test_add_func("/executor/cold_time_falls_between_heartbeats",
 			test_cold_time_falls_between_heartbeats);
+	g_test_add_func("/executor/odd_heartbeat_leaves_the_worker",
+			test_odd_heartbeat_leaves_the_worker);
 	return g_test_run();
 }
