platform: a malformed item of the store's answers costs that item alone

Lists, changes and conflicts are read item by item; a malformed one is left out, counted (platform.entries_refused) and logged, and the next page begins after it.

--- a/lib/platform/kv.c
+++ b/lib/platform/kv.c
@@ -69,6 +69,13 @@
 		kv->ops->cancel(kv, call);
 }
 
+gn_str_t gn_kv_last_key(const gn_kv_result_t *result)
+{
+	if (result->last_key.len || !result->count)
+		return result->last_key;
+	return result->entries[result->count - 1].key;
+}
+
 bool gn_kv_is_key_text(gn_str_t text, size_t max)
 {
 	if (text.len > max)
--- a/lib/platform/kv.h
+++ b/lib/platform/kv.h
@@ -81,9 +81,18 @@
 	size_t count; /**< Number of entries. */
 	uint64_t lease; /**< The new lease of a grant. */
 	bool more; /**< A list omitted keys after its last entry. */
+	size_t refused; /**< Malformed entries, which are left out. */
+	/**
+	 * Last key of a list whose last entry is left out; else empty. See
+	 * gn_kv_last_key().
+	 */
+	gn_str_t last_key;
 	uint64_t sent_us; /**< When the call was sent, on the client's clock. */
 } gn_kv_result_t;
 
+/** Returns the key after which the next page of a list begins; empty: none. */
+gn_str_t gn_kv_last_key(const gn_kv_result_t *result);
+
 /** Callback that receives the result of a call. */
 typedef void (*gn_kv_done_t)(void *context, const gn_kv_result_t *result);
 
--- a/lib/platform/kv_http_counters.c
+++ b/lib/platform/kv_http_counters.c
@@ -29,9 +29,12 @@
 	counters->unknown = gn_counters_get(set, "platform.unknown");
 	counters->stale = gn_counters_get(set, "platform.stale");
 	counters->conflict = gn_counters_get(set, "platform.conflict");
+	counters->entries_refused =
+		gn_counters_get(set, "platform.entries_refused");
 	return complete && counters->waiting_watches &&
 	       counters->rate_refused && counters->unavailable &&
-	       counters->unknown && counters->stale && counters->conflict;
+	       counters->unknown && counters->stale && counters->conflict &&
+	       counters->entries_refused;
 }
 
 void gn_kv_http_count_call(const gn_kv_http_counters_t *counters,
--- a/lib/platform/kv_http_end.c
+++ b/lib/platform/kv_http_end.c
@@ -2,8 +2,10 @@
  * @file kv_http_end.c
  * @brief Turns the end of a transfer into the result of its call.
  */
+#include <jansson.h>
 #include <stdlib.h>
 
+#include "common/event.h"
 #include "common/str.h"
 #include "platform/kv_http_internal.h"
 
@@ -91,6 +93,13 @@
 				       "answer is older than an earlier one");
 		return;
 	}
+	if (result->refused) {
+		gn_counter_add(http->counters.entries_refused, result->refused);
+		gn_event("entries refused", "{s:s, s:I, s:I}", "call",
+			 gn_kv_kind_name(call->request.kind), "refused",
+			 (json_int_t)result->refused, "entries",
+			 (json_int_t)result->count);
+	}
 	if (result->revision > http->newest_revision)
 		http->newest_revision = result->revision;
 	finish(call, result, gn_code_name(result->code));
--- a/lib/platform/kv_http_internal.h
+++ b/lib/platform/kv_http_internal.h
@@ -25,6 +25,7 @@
 	gn_counter_t *unknown;
 	gn_counter_t *stale;
 	gn_counter_t *conflict;
+	gn_counter_t *entries_refused;
 } gn_kv_http_counters_t;
 
 /**
--- a/lib/platform/watch.c
+++ b/lib/platform/watch.c
@@ -177,11 +177,10 @@
 		return;
 	}
 	keep_page(watch, result);
-	if (result->more && result->count) {
+	if (result->more && gn_kv_last_key(result).len) {
 		watch->call = gn_kv_list_after(
 			watch->kv, gn_str_from(watch->prefix),
-			watch->listed[watch->listed_count - 1].key, on_list,
-			watch);
+			gn_kv_last_key(result), on_list, watch);
 		return;
 	}
 	note_success(watch, watch->listed_sent_us);
