scheduler, executor: odd entries in the store and odd reports cost no other

Causes, each with a test that fails without its part of the fix: - An executor took any entry with an '@' for that of the leader, and connected to it last: with an entry "x@127.0.0.1:99999" it stayed at that address. Now the leader key alone names the leader, and addresses are checked, ports included (odd_scheduler_entries_hide_no_leader). - A leader key with a value that names nobody, bound to no lease, was held for ever, and no scheduler could lead. It is taken over, on the condition of its revision; the chain key fences as ever (odd_leader_key_is_taken_over, eight values). - A job under another key than its own, or with a claim without a host, was loaded; one row out of range lost all learned values after it. Each is refused alone now (odd_jobs_cost_no_other, ten odd entries). - A report without a host, with a name that is too long or a start in the future made up a worker, or hid the real one. Ends and outcomes of kinds that are not known released claims, as if the run were over (odd_reports_cost_no_other).

Counters scheduler.entries_refused, scheduler.reports_refused and executor.entries_refused; each entry has a log line.

--- a/lib/estimate/estimate.c
+++ b/lib/estimate/estimate.c
@@ -333,7 +333,7 @@
 
 		if (!is_row_valid(row)) {
 			code = GN_ERR_INVALID;
-			break;
+			continue;
 		}
 		pair = get_or_create_pair(estimate, row->queue, row->image);
 		pair->mean = log(row->ratio);
--- a/lib/executor/executor_internal.h
+++ b/lib/executor/executor_internal.h
@@ -63,6 +63,7 @@
 	gn_counter_t *starts_evacuated;
 	gn_counter_t *refused_rows; /**< Malformed rows in lists. */
 	gn_counter_t *refused_heartbeats;
+	gn_counter_t *refused_entries; /**< Malformed entries of the store. */
 
 	/* ======   Worker   ====== */
 
--- a/lib/executor/leader.c
+++ b/lib/executor/leader.c
@@ -25,6 +25,29 @@
 static void connect_to(executor_t *executor, const char *address,
 		       const char *why);
 
+static void refuse_entry(executor_t *executor, const gn_kv_entry_t *entry)
+{
+	gn_counter_inc(executor->refused_entries);
+	gn_event("entry refused", "{s:s%, s:s}", "key", entry->key.data,
+		 entry->key.len, "why", "its value names no scheduler");
+}
+
+static void add_scheduler(executor_t *executor, const gn_kv_entry_t *entry)
+{
+	bool leads = gn_str_equal(entry->key, GN_STR(GN_LEAD_KEY));
+	char address[GN_ADDRESS_MAX + 1];
+
+	if (!(leads ? gn_lead_read_value(entry->value, address)
+		    : gn_lead_read_presence(entry->value, address))) {
+		refuse_entry(executor, entry);
+		return;
+	}
+	g_ptr_array_insert(executor->schedulers, leads ? 0 : -1,
+			   g_strdup(address));
+	if (leads && strcmp(address, executor->leader_address) != 0)
+		connect_to(executor, address, "listed as leader in the store");
+}
+
 static void on_schedulers_listed(void *context, const gn_kv_result_t *result)
 {
 	executor_t *executor = context;
@@ -33,24 +56,8 @@
 	if (result->code != GN_OK || !result->count)
 		return;
 	g_ptr_array_set_size(executor->schedulers, 0);
-	for (size_t i = 0; i < result->count; i++) {
-		gn_str_t value = result->entries[i].value;
-		const char *at = memchr(value.data, '@', value.len);
-		gsize skip = at ? (gsize)(at + 1 - value.data) : 0;
-		char *address = g_strndup(value.data + skip, value.len - skip);
-
-		/*
-		 * The value of the leader's key is its incarnation, an '@' and
-		 * its address.
-		 */
-		if (at)
-			g_ptr_array_insert(executor->schedulers, 0, address);
-		else
-			g_ptr_array_add(executor->schedulers, address);
-		if (at && strcmp(address, executor->leader_address) != 0)
-			connect_to(executor, address,
-				   "listed as leader in the store");
-	}
+	for (size_t i = 0; i < result->count; i++)
+		add_scheduler(executor, &result->entries[i]);
 	executor->next_scheduler = 0;
 }
 
--- a/lib/executor/notice.c
+++ b/lib/executor/notice.c
@@ -4,6 +4,7 @@
 
 #include "common/str.h"
 #include "config/address.h"
+#include "job/life.h"
 
 /* Compares the addresses, not their texts. */
 static bool is_same_address(const char *left, const char *right)
@@ -53,7 +54,7 @@
 		return "its address is malformed";
 	if (is_foreign(notice, view))
 		return "its address is not that of the worker";
-	if (notice->life_started_ms > view->wall_ms + GN_NOTICE_AHEAD_MS)
+	if (notice->life_started_ms > view->wall_ms + GN_LIFE_AHEAD_MS)
 		return "its start is in the future";
 	if (notice->cpu_milli > GN_NOTICE_CAPACITY_MAX ||
 	    notice->memory_mb > GN_NOTICE_CAPACITY_MAX ||
--- a/lib/executor/notice.h
+++ b/lib/executor/notice.h
@@ -10,8 +10,6 @@
 
 #include "adapter/adapter.h"
 
-/** Time by which a start may lie ahead of the time of day, which may be wrong. */
-#define GN_NOTICE_AHEAD_MS (24 * 3600 * 1000ULL)
 /** Number of heartbeats that may be lost between two of a life. */
 #define GN_NOTICE_SEQUENCE_GAP 1000000
 /** Maximum of each capacity. */
--- a/lib/job/life.h
+++ b/lib/job/life.h
@@ -15,6 +15,9 @@
 /** Prefix of the keys in the store that record lives that have ended. */
 #define GN_LEAVE_PREFIX "gn/left/"
 
+/** Time by which a start may lie ahead of the time of day, which may be wrong. */
+#define GN_LIFE_AHEAD_MS (24 * 3600 * 1000ULL)
+
 /** A life of a worker. */
 typedef struct gn_life_s {
 	const char *id; /**< Not owned; empty if no life is known. */
--- a/lib/lead/lead.c
+++ b/lib/lead/lead.c
@@ -5,11 +5,11 @@
 #include <string.h>
 
 #include "common/str.h"
+#include "config/address.h"
 #include "member/lease.h"
 #include "platform/backoff.h"
 #include "platform/watch.h"
 
-#define LEADER_KEY GN_LEAD_LIVE_PREFIX "leader"
 #define PRESENCE_PREFIX GN_LEAD_LIVE_PREFIX "members/"
 /**
  * Maximum duration of one watch call. It is short because a connection may
@@ -19,6 +19,8 @@
 /** Maximum retry delay; without a leader nothing is scheduled. */
 #define BACKOFF_MAX_MS 300
 
+/** Length of the incarnation in the value of the leader key. */
+#define INCARNATION_LEN 16
 /** Size of the value "INCARNATION@ADDRESS", including the terminator. */
 #define VALUE_SIZE (GN_ADDRESS_MAX + 32)
 
@@ -115,11 +117,11 @@
 		{ GN_STR(GN_LEAD_CHAIN_KEY), lead->chain_revision },
 		/* This may be this process's own key if an earlier response
 		 * was lost. */
-		{ GN_STR(LEADER_KEY), lead->leader_key_revision },
+		{ GN_STR(GN_LEAD_KEY), lead->leader_key_revision },
 	};
 	const gn_kv_put_t puts[] = {
 		{ .key = GN_STR(GN_LEAD_CHAIN_KEY), .value = value },
-		{ .key = GN_STR(LEADER_KEY),
+		{ .key = GN_STR(GN_LEAD_KEY),
 		  .value = value,
 		  .lease = gn_lease_id(lead->lease) },
 	};
@@ -132,12 +134,39 @@
 	lead->call = gn_kv_txn(lead->options.kv, &txn, on_key_acquired, lead);
 }
 
+bool gn_lead_read_presence(gn_str_t value, char *address)
+{
+	struct sockaddr_storage parsed;
+
+	return !gn_address_parse(value, &parsed) &&
+	       !gn_str_copy(address, GN_ADDRESS_MAX + 1, value);
+}
+
+bool gn_lead_read_value(gn_str_t value, char *address)
+{
+	if (value.len <= INCARNATION_LEN || value.data[INCARNATION_LEN] != '@')
+		return false;
+	for (size_t i = 0; i < INCARNATION_LEN; i++)
+		if (!g_ascii_isxdigit(value.data[i]))
+			return false;
+	value.data += INCARNATION_LEN + 1;
+	value.len -= INCARNATION_LEN + 1;
+	return gn_lead_read_presence(value, address);
+}
+
+/* A key with a malformed value is free: nobody leads by it, and it may not be
+ * bound to a lease. */
 static void set_holder(gn_lead_t *lead, const gn_kv_entry_t *entry)
 {
-	lead->is_held = !entry->deleted;
+	char address[GN_ADDRESS_MAX + 1];
+
 	lead->holder[0] = '\0';
+	lead->is_held =
+		!entry->deleted && gn_lead_read_value(entry->value, address);
 	if (lead->is_held)
 		gn_str_copy(lead->holder, sizeof(lead->holder), entry->value);
+	else if (!entry->deleted && lead->options.ops->malformed)
+		lead->options.ops->malformed(lead->options.arg, GN_LEAD_KEY);
 }
 
 /* Decides on the key as read now, since the watch may be behind. */
@@ -153,7 +182,7 @@
 	}
 	if (result->code == GN_OK) {
 		set_holder(lead, &result->entries[0]);
-		if (!strcmp(lead->holder, lead->value)) {
+		if (!lead->is_held || !strcmp(lead->holder, lead->value)) {
 			lead->leader_key_revision = result->entries[0].revision;
 			start_acquire(lead);
 			return;
@@ -175,7 +204,7 @@
 		back_off(lead);
 		return;
 	}
-	lead->call = gn_kv_get(lead->options.kv, GN_STR(LEADER_KEY),
+	lead->call = gn_kv_get(lead->options.kv, GN_STR(GN_LEAD_KEY),
 			       on_leader_read, lead);
 }
 
@@ -220,7 +249,7 @@
 	}
 	lead->is_holder_known = true;
 	for (size_t i = 0; i < update->count; i++)
-		if (gn_str_equal(update->entries[i].key, GN_STR(LEADER_KEY)))
+		if (gn_str_equal(update->entries[i].key, GN_STR(GN_LEAD_KEY)))
 			set_holder(lead, &update->entries[i]);
 	if (lead->stage == STAGE_LEAD &&
 	    (!lead->is_held || strcmp(lead->holder, lead->value) != 0))
--- a/lib/lead/lead.h
+++ b/lib/lead/lead.h
@@ -12,6 +12,7 @@
 #define GN_LEAD_LEAD_H
 
 #include <glib.h>
+#include <stdbool.h>
 #include <talloc.h>
 
 #include "common/clock.h"
@@ -21,6 +22,8 @@
 #define GN_LEAD_CHAIN_KEY "gn/chain"
 /** Prefix of the keys that are bound to leases. */
 #define GN_LEAD_LIVE_PREFIX "gn/live/"
+/** Key that the leader holds. */
+#define GN_LEAD_KEY GN_LEAD_LIVE_PREFIX "leader"
 
 typedef struct gn_lead_s gn_lead_t;
 
@@ -33,8 +36,26 @@
 	void (*elected)(void *arg, uint64_t epoch);
 	/** This process is no longer the leader; @p why is static text. */
 	void (*deposed)(void *arg, const char *why);
+	/**
+	 * The leader key has a value that names no leader, and is free for that
+	 * reason; may be NULL.
+	 */
+	void (*malformed)(void *arg, const char *key);
 } gn_lead_ops_t;
 
+/**
+ * Reads the address of the leader in the value of its key.
+ * @param address buffer of GN_ADDRESS_MAX + 1 bytes
+ * @return false if the value is malformed
+ */
+bool gn_lead_read_value(gn_str_t value, char *address);
+
+/**
+ * Reads the address in the value of a scheduler's own key, which shows that it
+ * is alive. Arguments and result are as for gn_lead_read_value().
+ */
+bool gn_lead_read_presence(gn_str_t value, char *address);
+
 /** Options; all objects pointed to must outlive the election. */
 typedef struct gn_lead_options_s {
 	gn_kv_t *kv;
--- a/lib/sched/interference.c
+++ b/lib/sched/interference.c
@@ -283,7 +283,7 @@
 
 		if (!is_row_valid(row)) {
 			code = GN_ERR_INVALID;
-			break;
+			continue;
 		}
 		pair = get_or_create_pair(interference,
 					  g_intern_string(row->serves),
--- a/lib/sched/sched_report.c
+++ b/lib/sched/sched_report.c
@@ -147,6 +147,11 @@
 	end = g_new0(sched_end_t, 1);
 	end->number = listed->number;
 	g_queue_push_tail(&worker->ends, end);
+	if (listed->how >= GN_END_KIND_COUNT) {
+		/* The run is no longer listed, and is stopped for that. */
+		log_unclaimed_end(sched, worker, listed);
+		return;
+	}
 	if (is_claimed_run(task, worker, listed->attempt)) {
 		sched_handle_end(task, (gn_end_kind_t)listed->how,
 				 listed->checkpoint);
@@ -186,6 +191,8 @@
 		return;
 	}
 	sched_emit_task_event(sched, "order", task, outcome, 0);
+	if (result->verdict >= GN_ORDER_OUTCOME_COUNT)
+		return;
 	switch ((gn_run_order_outcome_t)result->verdict) {
 	case GN_ORDER_OUTCOME_STARTED:
 		/* The run starts at full pace and may have to be throttled. */
--- a/lib/sched/sched_store.c
+++ b/lib/sched/sched_store.c
@@ -199,6 +199,11 @@
 
 /* ======   Loading   ====== */
 
+static bool is_name(const char *text)
+{
+	return *text && strlen(text) <= GN_NAME_MAX;
+}
+
 static gn_code_t check_states(const sched_job_t *job, const Gn__JobState *state)
 {
 	if (state->phase >= GN_JOB_PHASE_COUNT)
@@ -209,6 +214,9 @@
 		if (row->number >= job->task_count ||
 		    row->status > GN_JOB_TASK_DONE)
 			return GN_ERR_INVALID;
+		if (row->status == GN_JOB_TASK_CLAIMED &&
+		    (!is_name(row->host) || !is_name(row->life)))
+			return GN_ERR_INVALID;
 	}
 	return GN_OK;
 }
--- a/lib/scheduler/executors.c
+++ b/lib/scheduler/executors.c
@@ -4,7 +4,9 @@
  */
 #include <string.h>
 
+#include "common/event.h"
 #include "common/str.h"
+#include "job/life.h"
 #include "scheduler/scheduler_internal.h"
 
 /* ======   Order queue   ====== */
@@ -170,6 +172,44 @@
 	send_orders(scheduler, peer, &message);
 }
 
+static bool is_name(const char *text)
+{
+	return strlen(text) <= GN_NAME_MAX;
+}
+
+/* Returns why the report cannot be used, or NULL. */
+static const char *get_report_fault(const scheduler_t *scheduler,
+				    const Gn__WorkerReport *report)
+{
+	uint64_t wall_ms = gn_clock_now_us(&scheduler->wall) / GN_US_PER_MS;
+
+	if (!*report->host || !is_name(report->host))
+		return "it names no host";
+	if (!is_name(report->life) || !is_name(report->service) ||
+	    !is_name(report->data_centre) || !is_name(report->rack) ||
+	    !is_name(report->machine))
+		return "a name is too long";
+	/* Later reports would seem to be of an earlier life. */
+	if (report->born_ms > wall_ms + GN_LIFE_AHEAD_MS)
+		return "the worker's start is in the future";
+	return NULL;
+}
+
+static bool is_refused(const scheduler_t *scheduler,
+		       const Gn__WorkerReport *report)
+{
+	const char *fault = get_report_fault(scheduler, report);
+
+	if (!fault)
+		return false;
+	gn_counter_inc(scheduler->counters.refused_reports);
+	gn_event("report refused", "{s:s*, s:s*, s:I, s:s}", "host",
+		 is_name(report->host) ? report->host : NULL, "life",
+		 is_name(report->life) ? report->life : NULL, "born_ms",
+		 (json_int_t)report->born_ms, "why", fault);
+	return true;
+}
+
 void scheduler_on_report(scheduler_t *scheduler, const gn_link_peer_t *peer,
 			 const Gn__WorkerReport *report)
 {
@@ -183,6 +223,8 @@
 		redirect_executor(scheduler, peer);
 		return;
 	}
+	if (is_refused(scheduler, report))
+		return;
 	executor = get_or_create_executor(scheduler, report->host);
 	executor->peer = *peer;
 	executor->unanswered_sequence = report->sequence;
--- a/lib/scheduler/leading.c
+++ b/lib/scheduler/leading.c
@@ -182,6 +182,21 @@
 	[LOAD_LEAVES] = GN_LEAVE_PREFIX,
 };
 
+static void refuse_job(const scheduler_t *scheduler, const char *id,
+		       const char *why)
+{
+	gn_counter_inc(scheduler->counters.refused_entries);
+	gn_event("job unreadable", "{s:s, s:s}", "job", id, "why", why);
+}
+
+static void refuse_entry(const scheduler_t *scheduler, const char *event,
+			 gn_str_t key)
+{
+	gn_counter_inc(scheduler->counters.refused_entries);
+	gn_event(event, "{s:s%, s:s}", "key", key.data, key.len, "why",
+		 "its value in the store is malformed");
+}
+
 static void parse_job(scheduler_loading_t *loading, const gn_kv_entry_t *entry)
 {
 	bool is_spec = loading->stage == LOAD_SPECS;
@@ -195,8 +210,8 @@
 	else
 		value = gn__job_state__unpack(NULL, entry->value.len, data);
 	if (!value) {
-		gn_event("job unreadable", "{s:s, s:s}", "job", id, "why",
-			 "its value in the store is malformed");
+		refuse_job(loading->scheduler, id,
+			   "its value in the store is malformed");
 		g_free(id);
 		return;
 	}
@@ -210,9 +225,8 @@
 	if (gn_sched_load_interference(loading->scheduler->sched,
 				       (const uint8_t *)entry->value.data,
 				       entry->value.len))
-		gn_event("learned unreadable", "{s:s, s:s}", "key",
-			 GN_LEDGER_LEARNED_KEY, "why",
-			 "its value in the store is malformed");
+		refuse_entry(loading->scheduler, "learned unreadable",
+			     entry->key);
 }
 
 static void parse_leave(scheduler_loading_t *loading,
@@ -224,9 +238,8 @@
 	if (leave)
 		g_ptr_array_add(loading->leaves, leave);
 	else
-		gn_event("leave unreadable", "{s:s%, s:s}", "key",
-			 entry->key.data, entry->key.len, "why",
-			 "its value in the store is malformed");
+		refuse_entry(loading->scheduler, "leave unreadable",
+			     entry->key);
 }
 
 static void parse_entry(scheduler_loading_t *loading,
@@ -244,12 +257,16 @@
 		     const Gn__JobState *state)
 {
 	Gn__JobSpec *spec = g_hash_table_lookup(loading->specs, id);
-
-	if (!spec ||
-	    gn_sched_load_job(loading->scheduler->sched, spec, state)) {
-		gn_event("job unreadable", "{s:s, s:s}", "job", id, "why",
-			 spec ? "state does not match spec"
-			      : "the store has no spec");
+	const char *why = NULL;
+
+	if (!spec)
+		why = "the store has no spec";
+	else if (strcmp(spec->id, id) != 0)
+		why = "its ID is not that of its key";
+	else if (gn_sched_load_job(loading->scheduler->sched, spec, state))
+		why = "state does not match spec";
+	if (why) {
+		refuse_job(loading->scheduler, id, why);
 		return;
 	}
 	g_hash_table_steal_extended(loading->specs, id, (gpointer *)&id, NULL);
@@ -321,8 +338,8 @@
 		parse_entry(loading, &result->entries[i]);
 	g_free(loading->last_key);
 	loading->last_key = NULL;
-	if (result->more && result->count) {
-		gn_str_t last = result->entries[result->count - 1].key;
+	if (result->more && gn_kv_last_key(result).len) {
+		gn_str_t last = gn_kv_last_key(result);
 
 		loading->last_key = g_strndup(last.data, last.len);
 		request_page(loading);
@@ -431,7 +448,13 @@
 	scheduler_end_leadership(scheduler);
 }
 
-const gn_lead_ops_t scheduler_lead_ops = { on_elected, on_deposed };
+static void on_malformed(void *arg, const char *key)
+{
+	refuse_entry(arg, "entry refused", gn_str_from(key));
+}
+
+const gn_lead_ops_t scheduler_lead_ops = { on_elected, on_deposed,
+					   on_malformed };
 
 /* ======   Scheduling   ====== */
 
--- a/lib/scheduler/scheduler.c
+++ b/lib/scheduler/scheduler.c
@@ -97,6 +97,10 @@
 		gn_counters_get(all, "scheduler.configuration_waits");
 	counters->config_refused =
 		gn_counters_get(all, "scheduler.configuration_refused");
+	counters->refused_entries =
+		gn_counters_get(all, "scheduler.entries_refused");
+	counters->refused_reports =
+		gn_counters_get(all, "scheduler.reports_refused");
 	counters->evacuations = gn_counters_get(all, "scheduler.evacuations");
 	counters->evacuation_claims =
 		gn_counters_get(all, "scheduler.evacuation_claims");
@@ -114,7 +118,8 @@
 	       counters->held && counters->held_refused && counters->holding &&
 	       counters->outage_ms && counters->headroom_pct &&
 	       counters->config_age_ms && counters->config_waits &&
-	       counters->config_refused && counters->evacuations &&
+	       counters->config_refused && counters->refused_entries &&
+	       counters->refused_reports && counters->evacuations &&
 	       counters->evacuation_claims && counters->held_back_starts &&
 	       counters->held_back_passes;
 }
--- a/lib/scheduler/scheduler_internal.h
+++ b/lib/scheduler/scheduler_internal.h
@@ -104,6 +104,8 @@
 	 */
 	gn_counter_t *config_waits;
 	gn_counter_t *config_refused;
+	gn_counter_t *refused_entries; /**< Malformed entries of the store. */
+	gn_counter_t *refused_reports; /**< Malformed reports. */
 	gn_counter_t *evacuations; /**< Gauge: evacuated data centres. */
 	/** Gauges of the present leadership, from gn_sched_stats_t. */
 	gn_counter_t *evacuation_claims;
--- a/tests/contract/test_executor.c
+++ b/tests/contract/test_executor.c
@@ -228,6 +228,8 @@
 	executor->schedulers = g_ptr_array_new_with_free_func(g_free);
 	executor->refused_rows =
 		gn_counters_get(rig->runtime.counters, "executor.rows_refused");
+	executor->refused_entries = gn_counters_get(rig->runtime.counters,
+						    "executor.entries_refused");
 	executor->refused_heartbeats = gn_counters_get(
 		rig->runtime.counters, "executor.heartbeats_refused");
 	executor->starts_evacuated = gn_counters_get(
@@ -768,6 +770,53 @@
 	close_rig();
 }
 
+static void put_key(kv_state_t *state, const char *key, const char *value)
+{
+	const gn_kv_put_t put = { .key = gn_str_from(key),
+				  .value = gn_str_from(value),
+				  .change_id = GN_STR("x") };
+	kv_answer_t answer;
+
+	kv_answer_init(&answer);
+	kv_state_put(state, gn_clock_now_us(&rig->runtime.clock), &put,
+		     &answer);
+	g_assert_cmpint(answer.code, ==, GN_OK);
+	kv_answer_clear(&answer);
+}
+
+static void test_odd_scheduler_entries_hide_no_leader(void)
+{
+	kv_state_t *state = kv_state_create();
+	executor_t *executor;
+	fake_kv_t *fake;
+
+	open_rig();
+	executor = rig->executor;
+	put_key(state, "gn/live/leader", "00000000000000aa@127.0.0.1:7");
+	put_key(state, "gn/live/members/a", "127.0.0.1:8");
+	put_key(state, "gn/live/members/b", "127.0.0.1:65536");
+	put_key(state, "gn/live/members/c", "00000000000000aa@127.0.0.1:9");
+	put_key(state, "gn/live/members/d", "[[[[");
+	put_key(state, "gn/live/odd", "x@127.0.0.1:99999");
+	fake = fake_kv_create(state, &rig->runtime.clock, 1);
+	executor->kv = fake_kv_client(fake);
+	executor->lookup = 0;
+	gn_clock_advance(&rig->runtime.clock, GN_US_PER_S);
+	executor_leader_tick(executor);
+	for (unsigned i = 0; i < 10; i++) {
+		gn_clock_advance(&rig->runtime.clock, 2 * GN_US_PER_MS);
+		fake_kv_run(fake);
+	}
+	g_assert_cmpstr(executor->leader_address, ==, "127.0.0.1:7");
+	g_assert_cmpuint(executor->schedulers->len, ==, 2);
+	g_assert_cmpstr(g_ptr_array_index(executor->schedulers, 1), ==,
+			"127.0.0.1:8");
+	g_assert_cmpuint(gn_counter_read(executor->refused_entries), ==, 4);
+	close_rig();
+	fake_kv_free(fake);
+	kv_state_free(state);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -832,5 +881,7 @@
 			test_cold_time_falls_between_heartbeats);
 	g_test_add_func("/executor/odd_heartbeat_leaves_the_worker",
 			test_odd_heartbeat_leaves_the_worker);
+	g_test_add_func("/executor/odd_scheduler_entries_hide_no_leader",
+			test_odd_scheduler_entries_hide_no_leader);
 	return g_test_run();
 }
--- a/tests/contract/test_lead.c
+++ b/tests/contract/test_lead.c
@@ -17,6 +17,7 @@
 	GRand *rand;
 	uint64_t epoch; /* 0 if it is not the leader */
 	unsigned election_count;
+	unsigned malformed_count;
 } scheduler_t;
 
 typedef struct rig_s {
@@ -41,7 +42,15 @@
 	scheduler->epoch = 0;
 }
 
-static const gn_lead_ops_t lead_ops = { on_elected, on_deposed };
+static void on_malformed(void *arg, const char *key)
+{
+	scheduler_t *scheduler = arg;
+
+	g_assert_cmpstr(key, ==, GN_LEAD_KEY);
+	scheduler->malformed_count++;
+}
+
+static const gn_lead_ops_t lead_ops = { on_elected, on_deposed, on_malformed };
 
 static void open_scheduler(rig_t *rig, unsigned number)
 {
@@ -419,6 +428,55 @@
 	}
 }
 
+/* Writes the leader key on behalf of another writer, without a lease. */
+static void overwrite_leader_key(rig_t *rig, const char *value)
+{
+	const kv_item_t *item = kv_state_find(rig->state, GN_LEAD_KEY);
+	const gn_kv_put_t put = { .key = GN_STR(GN_LEAD_KEY),
+				  .value = gn_str_from(value),
+				  .change_id = GN_STR("x"),
+				  .expected = item ? item->revision : 0 };
+	kv_answer_t answer;
+
+	kv_answer_init(&answer);
+	kv_state_put(rig->state, gn_clock_now_us(&rig->clock), &put, &answer);
+	g_assert_cmpint(answer.code, ==, GN_OK);
+	kv_answer_clear(&answer);
+}
+
+static void test_odd_leader_key_is_taken_over(void)
+{
+	static const char *const values[] = {
+		"",
+		"[[[[",
+		"10.0.0.1:1",
+		"0000000000000064@",
+		"0000000000000064@10.0.0.1:65536",
+		"0000000000000064@10.0.0.1:99999999999999999999",
+		"000000000000006g@10.0.0.1:1",
+		"0000000000000064@10.0.0.1:1@10.0.0.2:1",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(values); i++) {
+		rig_t rig = { 0 };
+
+		rig_open_all(&rig);
+		overwrite_leader_key(&rig, values[i]);
+		run_ms(&rig, 1000);
+		g_assert_nonnull(find_leader(&rig));
+		overwrite_leader_key(&rig, values[i]);
+		run_ms(&rig, 1000);
+		g_assert_nonnull(find_leader(&rig));
+		for (unsigned n = 0; n < SCHEDULERS; n++) {
+			g_assert_nonnull(
+				gn_lead_address(rig.schedulers[n].lead));
+			g_assert_cmpuint(rig.schedulers[n].malformed_count, >=,
+					 2);
+		}
+		rig_close_all(&rig);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -441,5 +499,7 @@
 	g_test_add_func("/ledger/nothing_of_a_deposed_leader_takes_effect",
 			test_deposed_leader_cannot_write);
 	g_test_add_func("/ledger/walk", test_all_jobs_stored_under_faults);
+	g_test_add_func("/lead/odd_leader_key_is_taken_over",
+			test_odd_leader_key_is_taken_over);
 	return g_test_run();
 }
--- a/tests/contract/test_scheduler.c
+++ b/tests/contract/test_scheduler.c
@@ -188,11 +188,11 @@
 
 /* ======   Fixture   ====== */
 
-static void set_config(const char *text)
+static void set_key(const char *key, gn_str_t value)
 {
-	const kv_item_t *item = kv_state_find(rig->state, CONFIG_KEY);
-	const gn_kv_put_t put = { .key = GN_STR(CONFIG_KEY),
-				  .value = gn_str_from(text),
+	const kv_item_t *item = kv_state_find(rig->state, key);
+	const gn_kv_put_t put = { .key = gn_str_from(key),
+				  .value = value,
 				  .change_id = GN_STR("x"),
 				  .expected = item ? item->revision : 0 };
 	kv_answer_t answer;
@@ -204,6 +204,11 @@
 	kv_answer_clear(&answer);
 }
 
+static void set_config(const char *text)
+{
+	set_key(CONFIG_KEY, gn_str_from(text));
+}
+
 static void run_ms(unsigned ms)
 {
 	for (unsigned i = 0; i * STEP_US < ms * GN_US_PER_MS; i++) {
@@ -213,11 +218,9 @@
 	}
 }
 
-static void open_rig(const char *config)
+/* Creates the rig without the scheduler. */
+static void create_rig(const char *config)
 {
-	gn_error_t error = { 0 };
-	void *state = NULL;
-
 	rig = g_new0(rig_t, 1);
 	rig->service_answers = true;
 	rig->settings.name = HOST;
@@ -240,6 +243,13 @@
 	rig->state = kv_state_create();
 	rig->fake = fake_kv_create(rig->state, &rig->runtime.clock, 1);
 	set_config(config);
+}
+
+static void start_scheduler(void)
+{
+	gn_error_t error = { 0 };
+	void *state = NULL;
+
 	g_assert_cmpint(gn_scheduler_role.start(&rig->runtime, &state, &error),
 			==, GN_OK);
 	rig->scheduler = state;
@@ -247,6 +257,12 @@
 	g_assert_true(scheduler_is_serving(rig->scheduler));
 }
 
+static void open_rig(const char *config)
+{
+	create_rig(config);
+	start_scheduler();
+}
+
 static void close_rig(void)
 {
 	talloc_free(rig->scheduler);
@@ -261,31 +277,38 @@
 
 static const gn_link_peer_t peer = { .len = 1 };
 
-static void assert_forwarded(gn_job_call_kind_t kind, uint64_t configuration,
-			     gn_job_result_t result)
+/* Returns the length of a packed job of one task. */
+static size_t pack_job(const char *id, uint8_t *packed)
 {
 	Gn__JobStep step = GN__JOB_STEP__INIT;
 	Gn__JobStep *steps[] = { &step };
 	Gn__JobSpec spec = GN__JOB_SPEC__INIT;
+
+	step.count = 1;
+	step.estimate_ms = 1000;
+	spec.id = (char *)id;
+	spec.queue = (char *)"old";
+	spec.steps = steps;
+	spec.n_steps = 1;
+	return gn__job_spec__pack(&spec, packed);
+}
+
+static void assert_forwarded(gn_job_call_kind_t kind, uint64_t configuration,
+			     gn_job_result_t result)
+{
 	Gn__JobCall call = GN__JOB_CALL__INIT;
 	Gn__Envelope envelope = GN__ENVELOPE__INIT;
 	char job[] = JOB;
 	char queue[] = "old";
 	uint8_t packed[256];
 
-	step.count = 1;
-	step.estimate_ms = 1000;
-	spec.id = job;
-	spec.queue = queue;
-	spec.steps = steps;
-	spec.n_steps = 1;
 	call.number = 1;
 	call.kind = kind;
 	call.job = job;
 	call.queue = queue;
 	call.configuration = configuration;
 	call.spec.data = packed;
-	call.spec.len = gn__job_spec__pack(&spec, packed);
+	call.spec.len = pack_job(JOB, packed);
 	envelope.body_case = GN__ENVELOPE__BODY_JOB_CALL;
 	envelope.job_call = &call;
 	rig->replies = 0;
@@ -422,6 +445,92 @@
 	close_rig();
 }
 
+/* ======   Entries of other writers   ====== */
+
+static void put_job(const char *key_id, const char *spec_id, uint32_t status,
+		    const char *host)
+{
+	Gn__TaskState task = GN__TASK_STATE__INIT;
+	Gn__TaskState *tasks[] = { &task };
+	Gn__JobState state = GN__JOB_STATE__INIT;
+	g_autofree char *spec_key = g_strconcat("gn/jobs/", key_id, NULL);
+	g_autofree char *state_key = g_strconcat("gn/states/", key_id, NULL);
+	uint8_t packed[256];
+
+	set_key(spec_key,
+		(gn_str_t){ (char *)packed, pack_job(spec_id, packed) });
+	task.status = status;
+	task.host = (char *)host;
+	task.life = (char *)host;
+	state.tasks = tasks;
+	state.n_tasks = 1;
+	set_key(state_key, (gn_str_t){ (char *)packed,
+				       gn__job_state__pack(&state, packed) });
+}
+
+static void test_odd_jobs_cost_no_other(void)
+{
+	static const char long_host[] =
+		"0123456789012345678901234567890123456789012345678901234567890123";
+
+	create_rig("1 old");
+	put_job(JOB, JOB, 0, "");
+	put_job("00000000000000ab", "00000000000000ac", 0, "");
+	put_job("00000000000000ad", "00000000000000ad", 99, "");
+	put_job("00000000000000ae", "00000000000000ae", GN_JOB_TASK_CLAIMED,
+		"");
+	put_job("00000000000000af", "00000000000000af", GN_JOB_TASK_CLAIMED,
+		long_host);
+	put_job("odd", "odd", 0, "");
+	set_key("gn/jobs/00000000000000b0", GN_STR("[[[["));
+	set_key("gn/states/00000000000000b0", GN_STR("\xff\xff\xff\xff\xff"));
+	set_key("gn/states/00000000000000b1", GN_STR(""));
+	set_key("gn/learned", GN_STR("{\"a\":1e999}"));
+	set_key("gn/left/odd", GN_STR("\xff\xff"));
+	start_scheduler();
+	assert_forwarded(GN_CALL_STATE, 1, GN_RESULT_OK);
+	g_assert_cmpuint(
+		gn_counter_read(rig->scheduler->counters.refused_entries), ==,
+		10);
+	close_rig();
+}
+
+static void report_as(const char *host, const char *life, uint64_t born_ms)
+{
+	Gn__WorkerReport report = GN__WORKER_REPORT__INIT;
+	Gn__Envelope envelope = GN__ENVELOPE__INIT;
+
+	report.host = (char *)host;
+	report.life = (char *)life;
+	report.born_ms = born_ms;
+	report.service = (char *)"service";
+	report.list_age_ms = UINT32_MAX;
+	report.cpu_milli = 4000;
+	report.memory_mb = 1000;
+	envelope.body_case = GN__ENVELOPE__BODY_WORKER_REPORT;
+	envelope.worker_report = &report;
+	rig->link.handler(rig->link.arg, &peer, &envelope);
+}
+
+static void test_odd_reports_cost_no_other(void)
+{
+	static const char long_name[] =
+		"0123456789012345678901234567890123456789012345678901234567890123";
+
+	open_rig("1 old");
+	report_as("side-1", "i-1", 1000);
+	report_as("", "i-1", 1000);
+	report_as(long_name, "i-1", 1000);
+	report_as("side-1", long_name, 2000);
+	report_as("side-1", "i-2", UINT64_MAX);
+	report_as("side-1", "i-3", 3000);
+	g_assert_cmpuint(
+		gn_counter_read(rig->scheduler->counters.refused_reports), ==,
+		4);
+	g_assert_cmpuint(gn_sched_stats(rig->scheduler->sched).workers, ==, 1);
+	close_rig();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -446,5 +555,9 @@
 			test_own_pause_is_no_outage);
 	g_test_add_func("/scheduler/known_queue_is_served_in_an_outage",
 			test_known_queue_is_served_in_an_outage);
+	g_test_add_func("/scheduler/odd_jobs_cost_no_other",
+			test_odd_jobs_cost_no_other);
+	g_test_add_func("/scheduler/odd_reports_cost_no_other",
+			test_odd_reports_cost_no_other);
 	return g_test_run();
 }
--- a/tests/unit/test_notice.c
+++ b/tests/unit/test_notice.c
@@ -2,6 +2,7 @@
 #include <glib.h>
 
 #include "executor/notice.h"
+#include "job/life.h"
 
 #define WORKER "10.0.0.9:8080"
 #define NOW_MS 1700000000000ULL
@@ -34,7 +35,7 @@
 	{ "name", "worker:8080", BORN_MS, 4000, 8, true, false },
 	{ "other-port", "10.0.0.9:8081", BORN_MS, 4000, 8, true, false },
 	{ "other-worker", "10.0.0.8:8080", BORN_MS + 1, 4000, 1, true, false },
-	{ "start-far-ahead", WORKER, NOW_MS + 2 * GN_NOTICE_AHEAD_MS, 4000, 1,
+	{ "start-far-ahead", WORKER, NOW_MS + 2 * GN_LIFE_AHEAD_MS, 4000, 1,
 	  true, false },
 	{ "largest-start", WORKER, INT64_MAX, 4000, 1, true, false },
 	{ "capacity-too-large", WORKER, BORN_MS, 1000000001, 8, true, false },
