gypsumnotchctl: a value out of range costs no other row

One number that no 64-bit integer or double holds, or one value nested 2048 levels deep, and a list of hosts or jobs was "rejected: HTTP status 200". The other rows are printed now, and standard error has the number of such values (hosts-with-odd-rows, which fails on the code before).

--- a/lib/ctl/ctl_http.c
+++ b/lib/ctl/ctl_http.c
@@ -4,6 +4,8 @@
 #include <string.h>
 #include <sys/random.h>
 
+#include "common/json_bound.h"
+
 #define STEP "ask-entry"
 #define CONNECT_TIMEOUT_MS 2000L
 /** Size of a generated identifier before hexadecimal encoding, bytes. */
@@ -142,8 +144,9 @@
 	curl_easy_getinfo(curl, CURLINFO_RETRY_AFTER, &retry_after_s);
 	answer->status = (unsigned)status;
 	answer->retry_after_s = (unsigned)retry_after_s;
-	answer->json =
-		json_loadb(body->data ? body->data : "", body->len, 0, NULL);
+	answer->json = gn_json_parse_bounded(
+		(gn_str_t){ body->data ? body->data : "", body->len },
+		&answer->replaced, NULL);
 	if (answer->json && !json_is_object(answer->json)) {
 		json_decref(answer->json);
 		answer->json = NULL;
--- a/lib/ctl/ctl_http.h
+++ b/lib/ctl/ctl_http.h
@@ -36,6 +36,8 @@
 	unsigned status; /**< HTTP status. */
 	unsigned retry_after_s; /**< Retry-After in seconds, or 0. */
 	json_t *json; /**< Body; NULL if it is not a JSON object. */
+	/** Values in it that were out of range or nested too deeply. */
+	size_t replaced;
 } gn_ctl_answer_t;
 
 /**
--- a/lib/ctl/ctl_outcome.c
+++ b/lib/ctl/ctl_outcome.c
@@ -276,6 +276,10 @@
 		gn_ctl_print_json(ctl->out, answer->json);
 	else
 		view->print(ctl, answer->json);
+	if (answer->replaced)
+		fprintf(ctl->err,
+			"%s: %zu values are out of range or nested too deeply\n",
+			ctl->name, answer->replaced);
 	talloc_free(answer);
 	return status;
 }
--- a/tests/contract/test_ctl.c
+++ b/tests/contract/test_ctl.c
@@ -207,6 +207,19 @@
 	  "k?[2J   -            -       -               silent  -         -  "
 	  "    -\n",
 	  "" },
+	{ "hosts-with-odd-rows", "hosts", ANSWER, 200, NULL,
+	  "{\"hosts\":[7,[[[1]]],{\"name\":99999999999999999999},"
+	  "{\"name\":\"a\",\"running_tasks\":1e999},"
+	  "{\"name\":\"rey-01\",\"running_tasks\":12}]}",
+	  "GET /v1/hosts\n\n", GN_CTL_EXIT_OK,
+	  "NAME    DATA CENTRE  RACK  SERVICE  STATE  REQUESTS  TASKS  "
+	  "REVISION\n"
+	  "-       -            -     -        -      -         -      -\n"
+	  "-       -            -     -        -      -         -      -\n"
+	  "no      -            -     -        -      -         -      -\n"
+	  "a       -            -     -        -      -         no     -\n"
+	  "rey-01  -            -     -        -      -         12     -\n",
+	  "hosts: 2 values are out of range or nested too deeply\n" },
 	{ "jobs-none", "jobs", ANSWER, 200, NULL, "{\"jobs\":[]}",
 	  "GET /v1/jobs\n\n", GN_CTL_EXIT_OK,
 	  "ID  CLASS  TEAM  KIND  STATE  WORKER  ATTEMPTS  REASON\n", "" },
