--- a/lib/executor/worker.c
+++ b/lib/executor/worker.c
@@ -354,6 +354,9 @@
 
 	json_object_set_new(json, "role", json_string("executor"));
 	json_object_set_new(json, "life", json_string(executor->notice.life));
+	json_object_set_new(
+		json, "born_ms",
+		json_integer((json_int_t)executor->notice.life_started_ms));
 	json_object_set_new(json, "leader",
 			    json_string(executor->leader_address));
 	json_object_set_new(json, "epoch",
