executor: the last list of a worker that has ended is repeated until stored

Cause: a list is marked as reported when it is sent. If that report is lost, with its leader or its connection, the next list shows the ends again, but a worker that has ended lists no more. The next report says that it left, and the new leader releases the claims of runs that were done.

While the process of the worker is gone and ends are not stored, each report has the last list.

ends_of_a_worker_that_ended_are_reported_until_stored fails without it (0 ends for 1).

--- a/lib/executor/executor_internal.h
+++ b/lib/executor/executor_internal.h
@@ -138,6 +138,8 @@
 void executor_on_http(void *arg, gn_http_request_t *request);
 /** Returns the worker's life; its ID is empty before the first heartbeat. */
 gn_life_t executor_get_life(const executor_t *executor);
+/** Whether the list has ends that the leader has not stored. */
+bool executor_has_unstored_ends(const executor_t *executor);
 /** Requests the worker's list when it is due. */
 void executor_worker_tick(executor_t *executor);
 /**
--- a/lib/executor/leader.c
+++ b/lib/executor/leader.c
@@ -209,13 +209,24 @@
 	return (uint32_t)age_ms;
 }
 
+/*
+ * Whether the last list of a process that is gone has to be repeated: the report
+ * with it may have been lost, and no other list follows.
+ */
+static bool is_last_list_due(const executor_t *executor)
+{
+	return (executor->worker_ended || executor->gone.gone) &&
+	       executor_has_unstored_ends(executor);
+}
+
 static void add_list(executor_t *executor, Gn__WorkerReport *report)
 {
 	report->list_age_ms = get_list_age_ms(executor);
 	report->left = executor->worker_ended;
 	report->crashed = executor->gone.gone && !executor->worker_left;
 	report->first_life = executor->first_life;
-	report->listed = executor->list_unreported;
+	report->listed =
+		executor->list_unreported || is_last_list_due(executor);
 	report->ends = executor->ends;
 	report->n_ends = executor->end_count;
 	if (!report->listed)
--- a/lib/executor/worker.c
+++ b/lib/executor/worker.c
@@ -215,7 +215,7 @@
 		executor_report(executor);
 }
 
-static bool has_unstored_ends(const executor_t *executor)
+bool executor_has_unstored_ends(const executor_t *executor)
 {
 	return executor->end_count &&
 	       executor->ends[executor->end_count - 1]->number >
@@ -256,7 +256,8 @@
 
 void executor_worker_tick(executor_t *executor)
 {
-	bool waits = !executor->worker_left && !has_unstored_ends(executor);
+	bool waits =
+		!executor->worker_left && !executor_has_unstored_ends(executor);
 
 	if (!executor->worker_known || executor->worker_ended)
 		return;
--- a/tests/contract/test_executor.c
+++ b/tests/contract/test_executor.c
@@ -649,6 +649,13 @@
 	answer_list(CLOCK_MS);
 }
 
+static void request_list_of_no_process(void)
+{
+	gn_clock_advance(&rig->runtime.clock, GN_US_PER_S);
+	executor_worker_tick(rig->executor);
+	answer_call(GN_WORKER_UNSENT, EARLIER_MS);
+}
+
 /*
  * Guards against the loss of an end that the worker lists after its
  * deregistration: the leader would release the claim when the worker has ended,
@@ -664,6 +671,24 @@
 	close_rig();
 }
 
+/* Guards against a done task that runs again since the last report of its end was
+ * lost with its leader. */
+static void test_ends_of_a_worker_that_ended_are_reported_until_stored(void)
+{
+	open_rig();
+	send_deregistration(EARLIER_MS);
+	request_ends(1);
+	request_list_of_no_process();
+	g_assert_true(rig->reported_left);
+	rig->reported_ends = 0;
+	executor_report(rig->executor);
+	g_assert_cmpuint(rig->reported_ends, ==, 1);
+	rig->executor->ends_stored = 7;
+	executor_report(rig->executor);
+	g_assert_cmpuint(rig->reported_ends, ==, 1);
+	close_rig();
+}
+
 /* A worker restarted under its ID would discard its own ends, unseen. */
 static void test_ends_are_discarded_again_without_need(void)
 {
@@ -883,5 +908,9 @@
 			test_odd_heartbeat_leaves_the_worker);
 	g_test_add_func("/executor/odd_scheduler_entries_hide_no_leader",
 			test_odd_scheduler_entries_hide_no_leader);
+	g_test_add_func(
+		"/executor/ends_of_a_worker_that_ended_are_reported_"
+		"until_stored",
+		test_ends_of_a_worker_that_ended_are_reported_until_stored);
 	return g_test_run();
 }
--- a/tests/support/run_model_executor.c
+++ b/tests/support/run_model_executor.c
@@ -238,7 +238,7 @@
 		rm_executor_report(executor);
 }
 
-static bool has_unstored_ends(const rm_executor_t *executor)
+bool rm_executor_has_unstored_ends(const rm_executor_t *executor)
 {
 	const gn_worker_answer_t *listed = &executor->listed;
 
@@ -282,7 +282,8 @@
 
 void rm_executor_tick_list(rm_executor_t *executor)
 {
-	bool waits = !executor->worker_left && !has_unstored_ends(executor);
+	bool waits = !executor->worker_left &&
+		     !rm_executor_has_unstored_ends(executor);
 
 	if (!executor->worker_known || executor->worker_ended)
 		return;
--- a/tests/support/run_model_internal.h
+++ b/tests/support/run_model_internal.h
@@ -61,6 +61,7 @@
 
 /* ======   run_model_executor.c   ====== */
 
+bool rm_executor_has_unstored_ends(const rm_executor_t *executor);
 void rm_executor_start(run_model_t *model, rm_executor_t *executor);
 void rm_executor_stop(run_model_t *model, rm_executor_t *executor);
 /** Ends the process, and starts it again at @p start_us. */
--- a/tests/support/run_model_reports.c
+++ b/tests/support/run_model_reports.c
@@ -96,6 +96,12 @@
 	return (uint32_t)age_ms;
 }
 
+static bool is_last_list_due(const rm_executor_t *executor)
+{
+	return (executor->worker_ended || executor->gone.gone) &&
+	       rm_executor_has_unstored_ends(executor);
+}
+
 static void describe_worker(rm_executor_t *executor, Gn__WorkerReport *report)
 {
 	report->life = executor->life;
@@ -108,7 +114,8 @@
 	report->draining = executor->worker_left;
 	report->left = executor->worker_ended;
 	report->crashed = executor->gone.gone && !executor->worker_left;
-	report->listed = executor->list_unreported;
+	report->listed =
+		executor->list_unreported || is_last_list_due(executor);
 	report->ends = executor->listed.ends;
 	report->n_ends = executor->listed.end_count;
 	if (!report->listed)
