scheduler: a step of the time of day is followed only once it has lasted

lib/common/day_clock is the boot clock plus an offset that was observed. A step is taken over once it has been observed for as long as the offset before it, and after 60 s at the latest; changes below 0.25 s at once. A process that starts while its time of day is wrong follows the next step soon, for the same reason. The time of day of log lines is still that of the host.

time_of_day_that_is_set_forward_is_not_followed_at_once could not pass before.

--- a/lib/common/clock.c
+++ b/lib/common/clock.c
@@ -31,26 +31,45 @@
 	return clock->paused_us;
 }
 
+static uint64_t offset_now_us(const gn_clock_t *clock)
+{
+	return gn_clock_now_us(clock->base) + (uint64_t)*clock->offset_us;
+}
+
+static const gn_clock_ops_t offset_ops = { offset_now_us };
 static const gn_clock_ops_t boot_ops = { boot_now_us };
 static const gn_clock_ops_t wall_ops = { wall_now_us };
 static const gn_clock_ops_t paused_ops = { paused_now_us };
 
 void gn_clock_init_boot(gn_clock_t *clock)
 {
-	clock->ops = &boot_ops;
-	clock->paused_us = 0;
+	const gn_clock_t boot = { .ops = &boot_ops };
+
+	*clock = boot;
 }
 
 void gn_clock_init_wall(gn_clock_t *clock)
 {
-	clock->ops = &wall_ops;
-	clock->paused_us = 0;
+	const gn_clock_t wall = { .ops = &wall_ops };
+
+	*clock = wall;
 }
 
 void gn_clock_init_paused(gn_clock_t *clock, uint64_t now_us)
 {
-	clock->ops = &paused_ops;
-	clock->paused_us = now_us;
+	const gn_clock_t paused = { .ops = &paused_ops, .paused_us = now_us };
+
+	*clock = paused;
+}
+
+void gn_clock_init_offset(gn_clock_t *clock, const gn_clock_t *base,
+			  const int64_t *offset_us)
+{
+	const gn_clock_t sum = { .ops = &offset_ops,
+				 .base = base,
+				 .offset_us = offset_us };
+
+	*clock = sum;
 }
 
 void gn_clock_advance(gn_clock_t *clock, uint64_t step_us)
--- a/lib/scheduler/scheduler.c
+++ b/lib/scheduler/scheduler.c
@@ -259,6 +259,16 @@
 	return 0;
 }
 
+static void open_wall_clock(scheduler_t *scheduler)
+{
+	const gn_clock_t *boot = &scheduler->runtime->clock;
+
+	gn_clock_init_wall(&scheduler->host_wall);
+	gn_day_clock_init(&scheduler->day, gn_clock_now_us(boot),
+			  gn_clock_now_us(&scheduler->host_wall));
+	gn_clock_init_offset(&scheduler->wall, boot, &scheduler->day.offset_us);
+}
+
 static gn_code_t scheduler_start(gn_runtime_t *runtime, void **state,
 				 gn_error_t *error)
 {
@@ -271,7 +281,7 @@
 	*state = scheduler;
 	scheduler->runtime = runtime;
 	scheduler->adapter = runtime->adapter;
-	gn_clock_init_wall(&scheduler->wall);
+	open_wall_clock(scheduler);
 	scheduler->started_us = gn_runtime_now_us(runtime);
 	scheduler->awaiting_store = g_ptr_array_new();
 	scheduler->unconfirmed = scheduler_create_unconfirmed();
@@ -326,6 +336,9 @@
 {
 	scheduler_t *scheduler = state;
 
+	gn_day_clock_update(&scheduler->day,
+			    gn_runtime_now_us(scheduler->runtime),
+			    gn_clock_now_us(&scheduler->host_wall));
 	scheduler_record_tick(scheduler);
 	scheduler_config_tick(scheduler);
 	gn_lead_tick(scheduler->lead);
--- a/lib/scheduler/scheduler_internal.h
+++ b/lib/scheduler/scheduler_internal.h
@@ -11,6 +11,7 @@
 #include <glib.h>
 
 #include "adapter/adapter.h"
+#include "common/day_clock.h"
 #include "common/histogram.h"
 #include "daemon/runtime.h"
 #include "evacuation/evacuation.h"
@@ -118,7 +119,9 @@
 struct scheduler_s {
 	gn_runtime_t *runtime;
 	const gn_adapter_t *adapter;
-	gn_clock_t wall; /**< Wall clock. */
+	gn_clock_t host_wall; /**< The host's time of day, which may jump. */
+	gn_day_clock_t day;
+	gn_clock_t wall; /**< The time of day by day_clock.h. */
 	scheduler_counters_t counters;
 	gn_http_server_t *server; /**< Serves callers. */
 	gn_http_server_t *status_server; /**< Serves readiness and /dump. */
--- a/tests/contract/test_scheduler.c
+++ b/tests/contract/test_scheduler.c
@@ -445,6 +445,38 @@
 	close_rig();
 }
 
+/* ======   Time of day   ====== */
+
+static void run_both_clocks_ms(unsigned ms)
+{
+	for (unsigned i = 0; i < ms; i += 10) {
+		run_ms(10);
+		gn_clock_advance(&rig->scheduler->host_wall, 10 * GN_US_PER_MS);
+	}
+}
+
+/* Due times and deadlines would be early by the step. */
+static void test_time_of_day_that_is_set_forward_is_not_followed_at_once(void)
+{
+	const uint64_t noon_us = 1700000000 * (uint64_t)GN_US_PER_S;
+	scheduler_t *scheduler;
+
+	open_rig("1 old");
+	scheduler = rig->scheduler;
+	gn_clock_init_paused(&scheduler->host_wall, noon_us);
+	gn_day_clock_init(&scheduler->day,
+			  gn_runtime_now_us(scheduler->runtime), noon_us);
+	run_both_clocks_ms(10000);
+	gn_clock_advance(&scheduler->host_wall, 6 * GN_US_PER_S);
+	run_both_clocks_ms(5000);
+	g_assert_cmpuint(gn_clock_now_us(&scheduler->wall), <=,
+			 noon_us + 15 * GN_US_PER_S);
+	run_both_clocks_ms(6000);
+	g_assert_cmpuint(gn_clock_now_us(&scheduler->wall), >=,
+			 noon_us + 26 * GN_US_PER_S);
+	close_rig();
+}
+
 /* ======   Entries of other writers   ====== */
 
 static void put_job(const char *key_id, const char *spec_id, uint32_t status,
@@ -559,5 +591,9 @@
 			test_odd_jobs_cost_no_other);
 	g_test_add_func("/scheduler/odd_reports_cost_no_other",
 			test_odd_reports_cost_no_other);
+	g_test_add_func(
+		"/scheduler/time_of_day_that_is_set_forward_is_not_"
+		"followed_at_once",
+		test_time_of_day_that_is_set_forward_is_not_followed_at_once);
 	return g_test_run();
 }
