--- a/lib/platform/kv_http_internal.h
+++ b/lib/platform/kv_http_internal.h
@@ -8,11 +8,11 @@
 #include <curl/curl.h>
 #include <glib.h>
 
+#include "common/wake_timer.h"
 #include "platform/budget.h"
 #include "platform/curl_loop_internal.h"
 #include "platform/kv_http.h"
 #include "platform/kv_json.h"
-#include "common/wake_timer.h"
 
 /* ======   Counters   ====== */
 
--- a/lib/scheduler/calls.c
+++ b/lib/scheduler/calls.c
@@ -88,8 +88,6 @@
 static void log_call(const scheduler_t *scheduler, const scheduler_call_t *call,
 		     const gn_sched_reply_t *reply)
 {
-	const gn_queues_t *queues = scheduler->queues;
-
 	/* Successful queries of a state are frequent and change nothing, and
 	 * neither do probes, which name no queue. */
 	if ((call->kind == GN_CALL_STATE && reply->result == GN_RESULT_OK) ||
@@ -101,7 +99,7 @@
 		 gn_job_result_name(reply->result), "phase",
 		 gn_job_phase_name(reply->phase), "why", reply->reason, "epoch",
 		 (json_int_t)scheduler->epoch, "configuration",
-		 (json_int_t)(queues ? queues->version : 0), "took_us",
+		 (json_int_t)scheduler_config_version(scheduler), "took_us",
 		 (json_int_t)(now_us(scheduler) - call->received_us));
 }
 
--- a/lib/scheduler/config.c
+++ b/lib/scheduler/config.c
@@ -145,6 +145,11 @@
 		handle_entry(context, &update->entries[i]);
 }
 
+uint64_t scheduler_config_version(const scheduler_t *scheduler)
+{
+	return scheduler->queues ? scheduler->queues->version : 0;
+}
+
 int64_t scheduler_config_age_ms(const scheduler_t *scheduler)
 {
 	uint64_t confirmed_us =
@@ -172,9 +177,8 @@
 	gn_event(is_old ? "configuration unconfirmed"
 			: "configuration confirmed",
 		 "{s:I, s:I, s:I}", "version",
-		 (json_int_t)(scheduler->queues ? scheduler->queues->version
-						: 0),
-		 "age_ms", (json_int_t)age_ms, "store_silent_ms",
+		 (json_int_t)scheduler_config_version(scheduler), "age_ms",
+		 (json_int_t)age_ms, "store_silent_ms",
 		 health.answered_us ? (json_int_t)(silent_us / GN_US_PER_MS)
 				    : -1);
 }
--- a/lib/scheduler/executors.c
+++ b/lib/scheduler/executors.c
@@ -172,7 +172,7 @@
 	send_orders(scheduler, peer, &message);
 }
 
-static bool is_name(const char *text)
+static bool fits_name(const char *text)
 {
 	return strlen(text) <= GN_NAME_MAX;
 }
@@ -183,11 +183,11 @@
 {
 	uint64_t wall_ms = gn_clock_now_us(&scheduler->wall) / GN_US_PER_MS;
 
-	if (!*report->host || !is_name(report->host))
+	if (!*report->host || !fits_name(report->host))
 		return "it names no host";
-	if (!is_name(report->life) || !is_name(report->service) ||
-	    !is_name(report->data_centre) || !is_name(report->rack) ||
-	    !is_name(report->machine))
+	if (!fits_name(report->life) || !fits_name(report->service) ||
+	    !fits_name(report->data_centre) || !fits_name(report->rack) ||
+	    !fits_name(report->machine))
 		return "a name is too long";
 	/* Later reports would seem to be of an earlier life. */
 	if (report->born_ms > wall_ms + GN_LIFE_AHEAD_MS)
@@ -204,8 +204,8 @@
 		return false;
 	gn_counter_inc(scheduler->counters.refused_reports);
 	gn_event("report refused", "{s:s*, s:s*, s:I, s:s}", "host",
-		 is_name(report->host) ? report->host : NULL, "life",
-		 is_name(report->life) ? report->life : NULL, "born_ms",
+		 fits_name(report->host) ? report->host : NULL, "life",
+		 fits_name(report->life) ? report->life : NULL, "born_ms",
 		 (json_int_t)report->born_ms, "why", fault);
 	return true;
 }
--- a/lib/scheduler/leading.c
+++ b/lib/scheduler/leading.c
@@ -312,8 +312,7 @@
 		 (json_int_t)g_hash_table_size(loading->states), "took_us",
 		 (json_int_t)(now_us(scheduler) - loading->start_us),
 		 "configuration",
-		 scheduler->queues ? (json_int_t)scheduler->queues->version
-				   : 0);
+		 (json_int_t)scheduler_config_version(scheduler));
 	scheduler->loading = NULL;
 	talloc_free(loading);
 	begin_serving(scheduler);
--- a/lib/scheduler/requests.c
+++ b/lib/scheduler/requests.c
@@ -61,9 +61,8 @@
 	gn_event("call refused", "{s:s, s:s, s:s, s:I, s:I}", "path",
 		 request->path, "result", gn_job_result_name(result), "why",
 		 reason, "configuration",
-		 (json_int_t)(scheduler->queues ? scheduler->queues->version
-						: 0),
-		 "age_ms", (json_int_t)scheduler_config_age_ms(scheduler));
+		 (json_int_t)scheduler_config_version(scheduler), "age_ms",
+		 (json_int_t)scheduler_config_age_ms(scheduler));
 	scheduler_answer_http(scheduler, request, GN_CALL_STATE, &reply);
 }
 
--- a/lib/scheduler/scheduler_internal.h
+++ b/lib/scheduler/scheduler_internal.h
@@ -192,6 +192,8 @@
 gn_code_t scheduler_watch_config(scheduler_t *scheduler, gn_error_t *error);
 /** Begins the next call of the watch if it is due. */
 void scheduler_config_tick(scheduler_t *scheduler);
+/** Returns the version of the configuration; 0 without one. */
+uint64_t scheduler_config_version(const scheduler_t *scheduler);
 /** Returns the time since the configuration was confirmed; -1: never. */
 int64_t scheduler_config_age_ms(const scheduler_t *scheduler);
 /** Returns the evacuated data centres for the state dump. */
--- a/lib/scheduler/status.c
+++ b/lib/scheduler/status.c
@@ -45,15 +45,15 @@
 {
 	json_t *json = gn_runtime_dump(scheduler->runtime);
 	const char *leader = gn_lead_address(scheduler->lead);
-	uint64_t version = scheduler->queues ? scheduler->queues->version : 0;
 
 	json_object_set_new(json, "role", json_string("scheduler"));
 	json_object_set_new(json, "ready", json_boolean(is_ready(scheduler)));
 	json_object_set_new(json, "leader", json_string(leader ? leader : ""));
 	json_object_set_new(json, "epoch",
 			    json_integer((json_int_t)scheduler->epoch));
-	json_object_set_new(json, "configuration",
-			    json_integer((json_int_t)version));
+	json_object_set_new(
+		json, "configuration",
+		json_integer((json_int_t)scheduler_config_version(scheduler)));
 	json_object_set_new(
 		json, "configuration_age_ms",
 		json_integer((json_int_t)scheduler_config_age_ms(scheduler)));
