--- a/tests/unit/test_run_walk.c
+++ b/tests/unit/test_run_walk.c
@@ -112,7 +112,7 @@
 
 	static const gn_walk_mutant_t evacuation_mutants[] = {
 		{ "none", 0, 0 },
-		{ "old-evacuations", 1, 100 },
+		{ "old-evacuations", 1, 400 },
 		{ "no-evacuations", 1, 100 },
 	};
 	static const gn_walk_plan_t evacuating = {
