--- a/tests/contract/test_scheduler.c
+++ b/tests/contract/test_scheduler.c
@@ -10,7 +10,7 @@
 #include "scheduler/scheduler_internal.h"
 #include "support/fake_kv.h"
 
-#define CONFIG_KEY "op/config"
+#define CONFIG_KEY "configuration"
 #define HOST "front-1"
 #define ADDRESS "127.0.0.1:1"
 #define JOB "00000000000000aa"
