--- a/review/common.sh
+++ b/review/common.sh
@@ -29,7 +29,7 @@
 	{
 		echo
 		echo "what the workers saw (ms since 1970, worker, event, task, attempt, detail):"
-		cat "$work"/journal 2>/dev/null | ${JOURNAL_FILTER:-cat}
+		cat "$work"/journal 2>/dev/null
 	} >>"$record"
 	[ -n "${KEEP:-}" ] && echo "logs in $work" || rm -rf "$work"
 }
