sched, executor: a life under a known ID gets a fencing token of its own

Cause: a list request names the worker's ID and carries the leader's epoch. Both are the same in the next life, so a request of before the crash that is carried out late discards ends of the new life by the numbers of the former one. The worker believes that a call is for it by its ID and by a token that does not rise between two lives of one leader.

Change: the leader gives each life under an ID that it knows the revision of a write begun after it heard of the life, and orders no start there before. The executor raises the token by one itself at its first call, for the time until then; it does so only under a leader that gives tokens. Executors of the former version see a later epoch. A write batch may be empty but for the chain key; the ledger took one without writes for none.

Why it works: calls for earlier lives carry at most the token before, and the worker refuses them from the first call of ours on, so before it can have an end of a run that we ordered.

--- a/lib/executor/executor_internal.h
+++ b/lib/executor/executor_internal.h
@@ -121,6 +121,10 @@
 	/** Time of the leader's last answer, or of the connection if later. */
 	uint64_t leader_answered_us;
 	uint64_t epoch; /**< Epoch of the leader that answered last. */
+	/** This leader gives a later epoch to a life under a known ID. */
+	bool leader_fences_lives;
+	/** Lowest fencing token for calls to the worker's present life. */
+	uint64_t fence;
 	bool evacuated; /**< Its last answer says so of the data centre. */
 	uint64_t sequence; /**< Sequence number of the last report. */
 	/** The last reports, by sequence modulo the history. */
--- a/lib/executor/leader.c
+++ b/lib/executor/leader.c
@@ -143,6 +143,7 @@
 			 (json_int_t)message->epoch);
 		executor->epoch = message->epoch;
 	}
+	executor->leader_fences_lives = message->fences_lives;
 	if (message->unsure)
 		request_schedulers(executor);
 	record_answer(executor, message->sequence);
--- a/lib/executor/worker.c
+++ b/lib/executor/worker.c
@@ -38,7 +38,7 @@
 
 	call->address = executor->runtime->settings->jobs.worker_address;
 	call->life = executor->worker_known ? executor->notice.life : "";
-	call->epoch = executor->epoch;
+	call->epoch = MAX(executor->epoch, executor->fence);
 	if (!http || !executor->adapter->write_worker_call(call, http)) {
 		free(http);
 		return false;
@@ -270,9 +270,22 @@
 
 /* ======   Heartbeats   ====== */
 
+/*
+ * Fences off calls for an earlier life under the same ID from the first call of
+ * this one on. The leader's next epoch is not lower, and another process of this
+ * executor has to learn that.
+ */
+static void raise_fence(executor_t *executor, const gn_worker_notice_t *notice)
+{
+	if (executor->worker_known && executor->leader_fences_lives &&
+	    !strcmp(executor->notice.life, notice->life))
+		executor->fence = MAX(executor->epoch, executor->fence) + 1;
+}
+
 static void reset_for_life(executor_t *executor,
 			   const gn_worker_notice_t *notice)
 {
+	raise_fence(executor, notice);
 	gn_event("worker", "{s:s, s:I, s:s, s:s, s:i, s:i}", "life",
 		 notice->life, "born_ms", (json_int_t)notice->life_started_ms,
 		 "service", notice->service, "rack", notice->rack, "cpu_milli",
--- a/lib/ledger/ledger.c
+++ b/lib/ledger/ledger.c
@@ -26,8 +26,8 @@
 	uint64_t batch_number; /**< Number of the current write batch. */
 	char marker[MARKER_SIZE]; /**< Marker of the current write batch. */
 	gn_sched_write_t writes[BATCH_JOBS_MAX];
-	/** Writes in the current write batch, 0 if none. */
-	size_t write_count;
+	bool has_batch; /**< A write batch is in progress. */
+	size_t write_count; /**< Writes in it; 0 for a fencing token alone. */
 	uint64_t began_us; /**< When the current write batch was collected. */
 	uint64_t retry_at_us; /**< Earliest time of the next attempt. */
 	gn_kv_call_t call; /**< Transaction in flight, 0 if none. */
@@ -137,6 +137,7 @@
 	for (size_t i = 0; i < ledger->write_count; i++)
 		free(ledger->writes[i].value);
 	ledger->write_count = 0;
+	ledger->has_batch = false;
 }
 
 static void finish_batch(gn_ledger_t *ledger, uint64_t revision,
@@ -147,7 +148,7 @@
 	ledger->revision = revision;
 	free_batch(ledger);
 	gn_backoff_reset(&ledger->backoff);
-	gn_sched_confirm_batch(ledger->options.sched);
+	gn_sched_confirm_batch(ledger->options.sched, revision);
 	ledger->options.ops->stored(ledger->options.arg, sent_us, writes);
 }
 
@@ -210,11 +211,12 @@
 
 	if (ledger->call || now_us < ledger->retry_at_us)
 		return;
-	if (!ledger->write_count) {
+	if (!ledger->has_batch) {
 		if (!gn_sched_is_dirty(ledger->options.sched))
 			return;
 		ledger->write_count = gn_sched_begin_batch(
 			ledger->options.sched, ledger->writes, BATCH_JOBS_MAX);
+		ledger->has_batch = true;
 		ledger->began_us = now_us;
 		snprintf(ledger->marker, sizeof(ledger->marker),
 			 "%016" PRIx64 "-%" PRIu64, ledger->options.incarnation,
@@ -249,13 +251,12 @@
 
 bool gn_ledger_is_idle(const gn_ledger_t *ledger)
 {
-	return !ledger->write_count &&
-	       !gn_sched_is_dirty(ledger->options.sched);
+	return !ledger->has_batch && !gn_sched_is_dirty(ledger->options.sched);
 }
 
 uint64_t gn_ledger_batch_age_us(const gn_ledger_t *ledger)
 {
-	if (!ledger->write_count)
+	if (!ledger->has_batch)
 		return 0;
 	return gn_clock_now_us(ledger->options.clock) - ledger->began_us;
 }
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -50,6 +50,7 @@
 {
 	g_hash_table_destroy(sched->workers);
 	g_hash_table_destroy(sched->jobs);
+	g_hash_table_destroy(sched->life_ids);
 	g_hash_table_destroy(sched->evacuated);
 	g_array_unref(sched->crash_events);
 	g_ptr_array_free(sched->active, TRUE);
@@ -73,6 +74,7 @@
 	sched->arg = arg;
 	sched->jobs =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_job);
+	sched->life_ids = g_hash_table_new(NULL, NULL);
 	sched->workers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					       sched_worker_free);
 	sched->evacuated =
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -216,6 +216,14 @@
  */
 bool gn_sched_is_leave_durable(const gn_sched_t *sched, const char *host);
 
+/**
+ * Returns the lowest fencing token that may be sent to @p host; 0 if the
+ * leader's epoch will do. It is the revision of a write made in the present
+ * life, so the worker refuses calls for its earlier lives, which name its ID
+ * only and may be executed late.
+ */
+uint64_t gn_sched_get_fence(const gn_sched_t *sched, const char *host);
+
 /* ======   Advice   ====== */
 
 /** Permission of a worker to run a step. */
@@ -262,7 +270,8 @@
 	size_t len;
 } gn_sched_write_t;
 
-/** Whether any job has changes to be stored. */
+/** Whether a write batch is needed, for changes to be stored or for a fencing
+ * token; one for a token alone has no writes. */
 bool gn_sched_is_dirty(const gn_sched_t *sched);
 
 /**
@@ -273,8 +282,11 @@
 size_t gn_sched_begin_batch(gn_sched_t *sched, gn_sched_write_t *writes,
 			    size_t max);
 
-/** Ends the write batch as durable. */
-void gn_sched_confirm_batch(gn_sched_t *sched);
+/**
+ * Ends the write batch as durable.
+ * @param revision revision of the store after it
+ */
+void gn_sched_confirm_batch(gn_sched_t *sched, uint64_t revision);
 
 /** Ends the write batch as certainly not stored; its jobs are dirty again. */
 void gn_sched_requeue_batch(gn_sched_t *sched);
--- a/lib/sched/sched_claim.c
+++ b/lib/sched/sched_claim.c
@@ -209,14 +209,15 @@
 /*
  * Whether a start may be ordered now. Without a fresh list, it could take
  * effect after the claim has expired. A restored claim needs a list first,
- * since an earlier leader may have started the run.
+ * since an earlier leader may have started the run. Without a fencing token of
+ * its life, a late call for an earlier one could discard the run's end.
  */
 static bool may_order_start(const sched_task_t *task)
 {
 	const gn_sched_t *sched = task->job->sched;
 
 	/* The next list shows which starts still fit. */
-	if (task->worker->shrunk)
+	if (task->worker->shrunk || task->worker->fence_batch)
 		return false;
 	return !task->listed && is_evacuation_clear(task) &&
 	       (!task->restored || task->worker->has_listed) &&
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -205,6 +205,11 @@
 	/** Time of the last list of runs; 0 if never. */
 	uint64_t last_list_us;
 	bool has_listed; /**< This life has sent a list. */
+	/** As gn_sched_get_fence() returns it. */
+	uint64_t fence;
+	/** Number of the write batch that gives this life its fencing token; 0
+	 * if none is needed. */
+	uint64_t fence_batch;
 	bool left; /**< This life has ended. */
 	bool crashed; /**< Its process is gone, as the executor has found. */
 	/** The executor has restarted since the life before this one, as after a
@@ -258,6 +263,11 @@
 	gn_sched_near_stats_t near_stats;
 	GQueue dirty; /**< Jobs to be stored. */
 	GPtrArray *writing; /**< Jobs in the current write batch. */
+	uint64_t batches; /**< Number of write batches begun. */
+	/** Write batches that are needed for fencing tokens. */
+	uint64_t batches_needed;
+	/** Interned IDs of all lives that have been reported. */
+	GHashTable *life_ids;
 	size_t claims;
 	gn_backlog_t backlog;
 	gn_feasibility_t feasibility;
@@ -460,6 +470,11 @@
  */
 void sched_worker_begin_life(gn_sched_t *sched, sched_worker_t *worker,
 			     gn_life_t life);
+/**
+ * Raises the fencing tokens of the lives that awaited a write batch.
+ * @param revision revision of the store after a batch that has ended
+ */
+void sched_workers_raise_fences(gn_sched_t *sched, uint64_t revision);
 /** Updates what the worker announces about itself. */
 void sched_worker_describe(sched_worker_t *worker,
 			   const Gn__WorkerReport *report);
--- a/lib/sched/sched_store.c
+++ b/lib/sched/sched_store.c
@@ -77,7 +77,8 @@
 
 bool gn_sched_is_dirty(const gn_sched_t *sched)
 {
-	return !g_queue_is_empty((GQueue *)&sched->dirty);
+	return !g_queue_is_empty((GQueue *)&sched->dirty) ||
+	       sched->batches_needed > sched->batches;
 }
 
 static void pack_learned(gn_sched_t *sched, gn_sched_write_t *write)
@@ -108,6 +109,7 @@
 	size_t count = 0;
 	sched_job_t *job;
 
+	sched->batches++;
 	while (count < max && (job = g_queue_pop_head(&sched->dirty))) {
 		gn_sched_write_t *write = &writes[count++];
 
@@ -165,8 +167,10 @@
 		sched_worker_retire_ends(value);
 }
 
-void gn_sched_confirm_batch(gn_sched_t *sched)
+void gn_sched_confirm_batch(gn_sched_t *sched, uint64_t revision)
 {
+	/* Starts that follow from this batch carry the new tokens. */
+	sched_workers_raise_fences(sched, revision);
 	for (guint i = 0; i < sched->writing->len; i++) {
 		sched_job_t *job = g_ptr_array_index(sched->writing, i);
 
--- a/lib/sched/sched_worker.c
+++ b/lib/sched/sched_worker.c
@@ -388,6 +388,41 @@
 		worker->labels[i] = g_strdup(report->labels[i]);
 }
 
+/* Calls for an earlier life with the same ID carry at most the present token, so
+ * a new one fences them off. */
+static void request_fence(gn_sched_t *sched, sched_worker_t *worker)
+{
+	worker->fence_batch = sched->batches + 1;
+	sched->batches_needed = worker->fence_batch;
+}
+
+void sched_workers_raise_fences(gn_sched_t *sched, uint64_t revision)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, sched->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		sched_worker_t *worker = value;
+
+		if (!worker->fence_batch ||
+		    worker->fence_batch > sched->batches)
+			continue;
+		worker->fence = revision;
+		worker->fence_batch = 0;
+		sched_emit_worker_event(sched, "fence", worker, "new life",
+					(int64_t)revision);
+	}
+}
+
+uint64_t gn_sched_get_fence(const gn_sched_t *sched, const char *host)
+{
+	const sched_worker_t *worker =
+		g_hash_table_lookup(sched->workers, host);
+
+	return worker ? worker->fence : 0;
+}
+
 void sched_worker_begin_life(gn_sched_t *sched, sched_worker_t *worker,
 			     gn_life_t life)
 {
@@ -404,6 +439,9 @@
 	if (gn_life_same_id(worker->life, life))
 		expect_longest_lease(sched, worker);
 	sched_lapse_forget_other_lives(worker, life);
+	if (!is_present &&
+	    !g_hash_table_add(sched->life_ids, (gpointer)life.id))
+		request_fence(sched, worker);
 	worker->life = life;
 	/* Only its start time was unknown. */
 	if (is_present)
--- a/lib/scheduler/executors.c
+++ b/lib/scheduler/executors.c
@@ -124,11 +124,13 @@
 	gn_life_t life;
 	uint64_t ends = gn_sched_get_durable_ends(scheduler->sched,
 						  executor->host, &life);
+	uint64_t fence = gn_sched_get_fence(scheduler->sched, executor->host);
 
 	if (!executor->unanswered_sequence && !executor->orders->len &&
-	    ends == executor->ends_sent)
+	    ends == executor->ends_sent && fence == executor->fence_sent)
 		return;
-	message.epoch = scheduler->epoch;
+	message.epoch = MAX(scheduler->epoch, fence);
+	message.fences_lives = true;
 	message.ends_stored = ends;
 	message.life = (char *)life.id;
 	message.born_ms = life.started_ms;
@@ -144,6 +146,7 @@
 	send_orders(scheduler, &executor->peer, &message);
 	executor->unanswered_sequence = 0;
 	executor->ends_sent = ends;
+	executor->fence_sent = fence;
 	g_ptr_array_set_size(executor->orders, 0);
 }
 
--- a/lib/scheduler/scheduler_internal.h
+++ b/lib/scheduler/scheduler_internal.h
@@ -74,6 +74,8 @@
 	uint64_t last_sequence;
 	/** Highest number of a durable end that was sent to the executor. */
 	uint64_t ends_sent;
+	uint64_t
+		fence_sent; /**< Last fencing token that was sent; 0 if none. */
 	GPtrArray *orders; /**< Unsent Gn__WorkerOrder messages. */
 } scheduler_executor_t;
 
--- a/lib/wire/gypsumnotch.pb-c.c
+++ b/lib/wire/gypsumnotch.pb-c.c
@@ -4254,7 +4254,7 @@
   (ProtobufCMessageInit) gn__worker_order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gn__worker_orders__field_descriptors[11] =
+static const ProtobufCFieldDescriptor gn__worker_orders__field_descriptors[12] =
 {
   {
     "sequence",
@@ -4388,6 +4388,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "fences_lives",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerOrders, fences_lives),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gn__worker_orders__field_indices_by_name[] = {
   7,   /* field[7] = basis */
@@ -4395,6 +4407,7 @@
   3,   /* field[3] = ends_stored */
   1,   /* field[1] = epoch */
   10,   /* field[10] = evacuated */
+  11,   /* field[11] = fences_lives */
   2,   /* field[2] = leader */
   9,   /* field[9] = leave_stored */
   4,   /* field[4] = life */
@@ -4405,7 +4418,7 @@
 static const ProtobufCIntRange gn__worker_orders__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor gn__worker_orders__descriptor =
 {
@@ -4415,7 +4428,7 @@
   "Gn__WorkerOrders",
   "gn",
   sizeof(Gn__WorkerOrders),
-  11,
+  12,
   gn__worker_orders__field_descriptors,
   gn__worker_orders__field_indices_by_name,
   1,  gn__worker_orders__number_ranges,
--- a/lib/wire/gypsumnotch.pb-c.h
+++ b/lib/wire/gypsumnotch.pb-c.h
@@ -840,10 +840,14 @@
    * The worker's data centre takes no starts.
    */
   protobuf_c_boolean evacuated;
+  /*
+   * A life under an ID that was used before
+   */
+  protobuf_c_boolean fences_lives;
 };
 #define GN__WORKER_ORDERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gn__worker_orders__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0, 0 }
 
 
 /* Gn__Envelope methods */
--- a/tests/contract/test_executor.c
+++ b/tests/contract/test_executor.c
@@ -35,6 +35,7 @@
 	bool answered; /**< The worker has answered. */
 	uint64_t lease_until_ms; /**< Lease of the last call with one. */
 	uint64_t discarded_ends; /**< Ends to discard by the last list call. */
+	uint64_t fence; /**< Fencing token of the last call. */
 	unsigned reported_results; /**< Results in the reports sent. */
 	unsigned starts; /**< Calls for starts. */
 	uint32_t reported_cold_left_ms; /**< In the last report. */
@@ -90,6 +91,7 @@
 	if (call->kind == GN_WORKER_LIST)
 		rig->discarded_ends = call->ends_stored;
 	rig->starts += call->kind == GN_WORKER_START;
+	rig->fence = call->epoch;
 	if (call->lease_until_ms)
 		rig->lease_until_ms = call->lease_until_ms;
 	return true;
@@ -763,6 +765,39 @@
 }
 
 /* The heartbeat ages until the next one. */
+/* Returns the fencing token of the first call to a life that began after one
+ * under the same ID, while the leader is of @p epoch. */
+static uint64_t get_first_fence(uint64_t epoch, bool fences_lives)
+{
+	Gn__WorkerOrders message = GN__WORKER_ORDERS__INIT;
+	Gn__Envelope envelope = GN__ENVELOPE__INIT;
+	uint64_t fence;
+
+	open_rig();
+	message.epoch = epoch;
+	message.fences_lives = fences_lives;
+	envelope.body_case = GN__ENVELOPE__BODY_WORKER_ORDERS;
+	envelope.worker_orders = &message;
+	rig->leader_handler(rig->executor, NULL, &envelope);
+	answer_call(GN_WORKER_UNANSWERED, EARLIER_MS);
+	g_assert_cmpuint(rig->fence, ==, epoch);
+	send_heartbeat(LATER_MS);
+	advance_ms(100);
+	executor_worker_tick(rig->executor);
+	fence = rig->fence;
+	close_rig();
+	return fence;
+}
+
+/* Guards against calls for the earlier life that the new one carries out before
+ * its leader knows it. A leader of an older build would not give this token to
+ * another process of the executor. */
+static void test_first_call_of_a_life_fences_off_the_earlier_one(void)
+{
+	g_assert_cmpuint(get_first_fence(7, true), ==, 8);
+	g_assert_cmpuint(get_first_fence(7, false), ==, 7);
+}
+
 static void test_cold_time_falls_between_heartbeats(void)
 {
 	open_rig();
@@ -902,6 +937,9 @@
 			test_report_with_an_old_list_extends_the_lease);
 	g_test_add_func("/executor/older_leader_ends_an_evacuation",
 			test_older_leader_ends_an_evacuation);
+	g_test_add_func(
+		"/executor/first_call_of_a_life_fences_off_the_earlier_one",
+		test_first_call_of_a_life_fences_off_the_earlier_one);
 	g_test_add_func("/executor/cold_time_falls_between_heartbeats",
 			test_cold_time_falls_between_heartbeats);
 	g_test_add_func("/executor/odd_heartbeat_leaves_the_worker",
--- a/tests/contract/test_scheduler.c
+++ b/tests/contract/test_scheduler.c
@@ -29,6 +29,8 @@
 	scheduler_t *scheduler;
 	gn_link_config_t link; /**< Of the scheduler, for other schedulers. */
 	Gn__JobReply reply; /**< The last reply to another scheduler. */
+	uint64_t epoch; /**< Epoch of the last message to an executor. */
+	uint64_t reports; /**< Number of reports sent as executors. */
 	unsigned replies;
 	gn_http_request_t request;
 	unsigned answers;
@@ -66,6 +68,8 @@
 {
 	(void)link;
 	(void)peer;
+	if (envelope->body_case == GN__ENVELOPE__BODY_WORKER_ORDERS)
+		rig->epoch = envelope->worker_orders->epoch;
 	if (envelope->body_case != GN__ENVELOPE__BODY_JOB_REPLY)
 		return GN_OK;
 	rig->reply = *envelope->job_reply;
@@ -535,6 +539,7 @@
 	report.host = (char *)host;
 	report.life = (char *)life;
 	report.born_ms = born_ms;
+	report.sequence = ++rig->reports;
 	report.service = (char *)"service";
 	report.list_age_ms = UINT32_MAX;
 	report.cpu_milli = 4000;
@@ -544,6 +549,33 @@
 	rig->link.handler(rig->link.arg, &peer, &envelope);
 }
 
+/*
+ * Guards against calls to a worker that a call for its earlier life under the
+ * same ID can follow, and against a write batch that is begun again while one
+ * without writes is in flight.
+ */
+static void test_new_life_of_a_worker_has_a_later_epoch(void)
+{
+	uint64_t epoch;
+
+	open_rig("1 old");
+	report_as("side-1", "i-1", 1000);
+	epoch = rig->epoch;
+	g_assert_cmpuint(epoch, >, 0);
+	run_ms(100);
+	report_as("side-1", "i-1", 1000);
+	g_assert_cmpuint(rig->epoch, ==, epoch);
+	report_as("side-1", "i-1", 2000);
+	run_ms(100);
+	g_assert_cmpuint(rig->epoch, >, epoch);
+	epoch = rig->epoch;
+	report_as("side-2", "i-2", 2000);
+	g_assert_cmpuint(rig->epoch, <, epoch);
+	g_assert_true(scheduler_is_serving(rig->scheduler));
+	g_assert_true(gn_ledger_is_idle(rig->scheduler->ledger));
+	close_rig();
+}
+
 static void test_odd_reports_cost_no_other(void)
 {
 	static const char long_name[] =
@@ -591,6 +623,8 @@
 			test_odd_jobs_cost_no_other);
 	g_test_add_func("/scheduler/odd_reports_cost_no_other",
 			test_odd_reports_cost_no_other);
+	g_test_add_func("/scheduler/new_life_of_a_worker_has_a_later_epoch",
+			test_new_life_of_a_worker_has_a_later_epoch);
 	g_test_add_func(
 		"/scheduler/time_of_day_that_is_set_forward_is_not_"
 		"followed_at_once",
--- a/tests/support/run_model_calls.c
+++ b/tests/support/run_model_calls.c
@@ -83,13 +83,23 @@
 
 /* ======   Calls   ====== */
 
+/*
+ * A later process under the same ID carries out late calls, too. Not starts: no
+ * one can keep a process from them before it is called for the first time.
+ */
+static bool is_start_for_earlier_process(const rm_worker_t *worker,
+					 const rm_call_t *call)
+{
+	return call->delayed && call->call.kind == GN_WORKER_START &&
+	       worker->serial != call->worker_serial;
+}
+
 static void on_arrival(run_model_t *model, void *data)
 {
 	rm_call_t *call = data;
 	rm_worker_t *worker = &model->workers[call->at];
 
-	if (worker->up &&
-	    (!call->delayed || worker->serial == call->worker_serial)) {
+	if (worker->up && !is_start_for_earlier_process(worker, call)) {
 		rm_worker_handle(model, worker, call);
 	} else if (!call->silent) {
 		call->answer.outcome = GN_WORKER_UNSENT;
@@ -155,7 +165,7 @@
 	call->executor_serial = executor->serial;
 	call->worker_serial = model->workers[executor->at].serial;
 	call->call = *message;
-	call->call.epoch = executor->epoch;
+	call->call.epoch = MAX(executor->epoch, executor->fence);
 	g_strlcpy(call->task, message->task ? message->task : "",
 		  sizeof(call->task));
 	g_strlcpy(call->life, executor->life, sizeof(call->life));
--- a/tests/support/run_model_executor.c
+++ b/tests/support/run_model_executor.c
@@ -303,6 +303,8 @@
 {
 	rm_log(executor->model, "executor", executor->at, "knows life", NULL, 0,
 	       g_intern_string(life));
+	if (executor->worker_known && !strcmp(executor->life, life))
+		executor->fence = MAX(executor->epoch, executor->fence) + 1;
 	gn_orders_begin_life(executor->orders, (gn_life_t){ life, born_ms });
 	g_ptr_array_set_size(executor->results, 0);
 	gn_grant_reset(&executor->grant);
--- a/tests/support/run_model_leader.c
+++ b/tests/support/run_model_leader.c
@@ -203,15 +203,17 @@
 	gn_life_t life;
 	char host[8];
 	uint64_t ends;
+	uint64_t fence;
 
 	g_snprintf(host, sizeof(host), "h%u", at);
 	ends = gn_sched_get_durable_ends(leader->sched, host, &life);
 	if (leader->model->options.bug == RUN_MODEL_BUG_EARLY_NOTE)
 		ends = leader->model->workers[at].ends;
+	fence = gn_sched_get_fence(leader->sched, host);
 	if (!peer->unanswered_sequence && !peer->orders->len &&
-	    ends == peer->ends_sent)
+	    ends == peer->ends_sent && fence == peer->fence_sent)
 		return;
-	message.epoch = leader->epoch;
+	message.epoch = MAX(leader->epoch, fence);
 	message.ends_stored = ends;
 	message.life = (char *)life.id;
 	message.born_ms = life.started_ms;
@@ -226,6 +228,7 @@
 	rm_link_send_orders(leader, at, &message);
 	peer->unanswered_sequence = 0;
 	peer->ends_sent = ends;
+	peer->fence_sent = fence;
 	g_ptr_array_set_size(peer->orders, 0);
 }
 
--- a/tests/support/run_model_store.c
+++ b/tests/support/run_model_store.c
@@ -70,6 +70,7 @@
 	for (size_t i = 0; i < leader->write_count; i++)
 		free(leader->writes[i].value);
 	leader->write_count = 0;
+	leader->has_batch = false;
 }
 
 /* ======   Write batches   ====== */
@@ -80,13 +81,13 @@
 
 	g_free(data);
 	/* A deposed leader hears nothing more of its batch. */
-	if (!leader || leader != model->leader || !leader->write_count)
+	if (!leader || leader != model->leader || !leader->has_batch)
 		return;
 	apply_batch(leader);
 	free_batch(leader);
 	leader->confirmed_us = rm_now_us(model);
 	if (model->options.bug != RUN_MODEL_BUG_EARLY_START)
-		gn_sched_confirm_batch(leader->sched);
+		gn_sched_confirm_batch(leader->sched, ++model->epoch);
 	rm_leader_run_pass(leader);
 }
 
@@ -95,9 +96,10 @@
 	run_model_t *model = leader->model;
 	bool slow;
 
-	if (leader->write_count || leader != model->leader ||
+	if (leader->has_batch || leader != model->leader ||
 	    !gn_sched_is_dirty(leader->sched))
 		return;
+	leader->has_batch = true;
 	leader->write_count = gn_sched_begin_batch(
 		leader->sched, leader->writes, RM_BATCH_MAX);
 	slow = rm_in_faults(model) && rm_draw(model, SLOW_CHANCE);
@@ -107,14 +109,14 @@
 	      on_stored, g_memdup2(&leader->epoch, sizeof(leader->epoch)),
 	      g_free);
 	if (model->options.bug == RUN_MODEL_BUG_EARLY_START)
-		gn_sched_confirm_batch(leader->sched);
+		gn_sched_confirm_batch(leader->sched, ++model->epoch);
 }
 
 void rm_store_end_batch(rm_leader_t *leader)
 {
 	run_model_t *model = leader->model;
 
-	if (!leader->write_count)
+	if (!leader->has_batch)
 		return;
 	/* The next leader's election decides, by the chain key. */
 	if (leader == model->leader && rm_draw(model, 0.5)) {
--- a/tests/support/run_model_types.h
+++ b/tests/support/run_model_types.h
@@ -149,8 +149,7 @@
 	unsigned refs;
 	unsigned at; /**< Index of the executor and its worker. */
 	uint64_t executor_serial;
-	/** Process that it is for; late calls end with it. */
-	uint64_t worker_serial;
+	uint64_t worker_serial; /**< Process that it is for. */
 	gn_worker_call_t call;
 	char task[GN_TASK_NAME_SIZE];
 	char life[GN_NAME_MAX + 1];
@@ -250,6 +249,7 @@
 	uint64_t answered_us;
 	uint64_t lookup_us; /**< Time of the next lookup in the store. */
 	uint64_t epoch;
+	uint64_t fence;
 	uint64_t sequence;
 	uint64_t described_us;
 	uint64_t sent_us[RM_REPORT_HISTORY];
@@ -273,6 +273,7 @@
 	uint64_t unanswered_sequence;
 	uint64_t last_sequence;
 	uint64_t ends_sent;
+	uint64_t fence_sent;
 	GPtrArray *orders; /**< Of Gn__WorkerOrder. */
 } rm_peer_t;
 
@@ -289,7 +290,8 @@
 	uint64_t evacuations_due_us; /**< Next answer of the store's watch. */
 	rm_peer_t peers[RM_WORKERS];
 	gn_sched_write_t writes[RM_BATCH_MAX];
-	size_t write_count; /**< 0 if no batch is in flight. */
+	bool has_batch; /**< A batch is in flight. */
+	size_t write_count;
 } rm_leader_t;
 
 /* ======   The model   ====== */
@@ -314,7 +316,7 @@
 	GSequence *events;
 	uint64_t event_serial;
 	uint64_t serial; /**< Last number of a process or connection. */
-	uint64_t epoch;
+	uint64_t epoch; /**< Last revision of an election or a batch. */
 	rm_worker_t workers[RM_WORKERS];
 	rm_executor_t executors[RM_WORKERS];
 	rm_leader_t leaders[RM_LEADERS];
--- a/tests/support/sched_rig.c
+++ b/tests/support/sched_rig.c
@@ -325,7 +325,7 @@
 			apply_write(rig, &writes[i]);
 			free(writes[i].value);
 		}
-		gn_sched_confirm_batch(rig->sched);
+		gn_sched_confirm_batch(rig->sched, ++rig->revision);
 		rig->stored++;
 	}
 }
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -40,6 +40,7 @@
 	GArray *orders; /**< Of rig_order_t, since the last rig_clear(). */
 	GHashTable *hosts; /**< Name of a host to its state, owned. */
 	uint64_t stored; /**< Number of stored batches. */
+	uint64_t revision; /**< Of the last of them. */
 	GHashTable *records; /**< Job ID to its stored Gn__JobRecord, owned. */
 	bool forecast; /**< Jobs are refused by forecast. */
 	GBytes *learned; /**< Stored weights and run times, or NULL. */
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -26,7 +26,7 @@
 	free(write.value);
 	rig_advance_ms(&rig, 500);
 	g_assert_cmpuint(rig_count_orders(&rig, GN_RUN_ORDER_START), ==, 0);
-	gn_sched_confirm_batch(rig.sched);
+	gn_sched_confirm_batch(rig.sched, ++rig.revision);
 	g_assert_cmpuint(rig_count_orders(&rig, GN_RUN_ORDER_START), ==, 1);
 	rig_close(&rig);
 }
@@ -78,7 +78,7 @@
 	free(write.value);
 	rig_advance_ms(&rig, 3000);
 	rig_report_stale_list(&rig, "a", "1", 3000);
-	gn_sched_confirm_batch(rig.sched);
+	gn_sched_confirm_batch(rig.sched, ++rig.revision);
 	g_assert_cmpuint(rig_count_orders(&rig, GN_RUN_ORDER_START), ==, 0);
 	rig_report(&rig, "a", "1");
 	rig_advance_ms(&rig, 400);
@@ -872,7 +872,7 @@
 	g_assert_cmpuint(gn_sched_begin_batch(rig.sched, &write, 1), ==, 1);
 	g_assert_true(write.remove);
 	g_assert_cmpint(rig_phase(&rig, JOB), ==, GN_JOB_COMPLETED);
-	gn_sched_confirm_batch(rig.sched);
+	gn_sched_confirm_batch(rig.sched, ++rig.revision);
 	g_assert_cmpint(gn_sched_get_state(rig.sched, JOB).result, ==,
 			GN_RESULT_NOT_FOUND);
 	rig_close(&rig);
@@ -976,7 +976,7 @@
 	free(write.value);
 	rig.cpu_milli = 2000;
 	rig_report(&rig, "a", "1");
-	gn_sched_confirm_batch(rig.sched);
+	gn_sched_confirm_batch(rig.sched, ++rig.revision);
 	g_assert_cmpuint(rig_count_orders(&rig, GN_RUN_ORDER_START), ==, 1);
 	rig_close(&rig);
 }
@@ -996,7 +996,7 @@
 	free(write.value);
 	rig.cpu_milli = 2000;
 	rig_report_stale_list(&rig, "a", "1", 0);
-	gn_sched_confirm_batch(rig.sched);
+	gn_sched_confirm_batch(rig.sched, ++rig.revision);
 	rig_advance_ms(&rig, 20);
 	g_assert_cmpuint(rig_count_orders(&rig, GN_RUN_ORDER_START), ==, 0);
 	rig_report(&rig, "a", "1");
--- a/tests/unit/test_sched_evacuation.c
+++ b/tests/unit/test_sched_evacuation.c
@@ -288,7 +288,7 @@
 	g_assert_cmpuint(gn_sched_begin_batch(rig.sched, &write, 1), ==, 1);
 	free(write.value);
 	rig_evacuate(&rig, "x");
-	gn_sched_confirm_batch(rig.sched);
+	gn_sched_confirm_batch(rig.sched, ++rig.revision);
 	pass_ms(&rig, 1000);
 	for (guint i = 0; i < rig.orders->len; i++)
 		g_assert_cmpstr(g_array_index(rig.orders, rig_order_t, i).host,
@@ -485,7 +485,7 @@
 		rig_advance_ms(&rig, 100);
 	}
 	/* The write was stored, and its answer comes late. */
-	gn_sched_confirm_batch(rig.sched);
+	gn_sched_confirm_batch(rig.sched, ++rig.revision);
 	rig_submit(&rig, "00000000000000bb", "quick", &one_task, 1);
 	pass_ms(&rig, 1000);
 	g_assert_cmpuint(rig_count_orders(&rig, GN_RUN_ORDER_START), ==, 0);
--- a/tests/unit/test_sched_fill.c
+++ b/tests/unit/test_sched_fill.c
@@ -494,7 +494,7 @@
 			==, GN_OK);
 	for (size_t i = 0; i < count; i++)
 		free(writes[i].value);
-	gn_sched_confirm_batch(rig.sched);
+	gn_sched_confirm_batch(rig.sched, ++rig.revision);
 	rig_close(&rig);
 	rig_close(&successor);
 }
