sched: a job's queue is stored with the job

Cause: a job had its service, limits, priority and objective from the queue of its name in the configuration. A leader kept them in memory when the queue was removed; the next one read only the newest configuration, where the service of the job was "", which no worker has.

Change: the queue is stored with the spec at acceptance, and with the state once the configuration has changed it. A leader takes the stored queue where the configuration has neither its name nor a queue with its host and prefix. The count of waiting jobs follows a queue to its new name, and the objective of a job no longer falls back to defaults when its queue is removed.

Both builds beside each other: the former ignores the fields; it drops the one in the state and keeps the one in the spec. Jobs that it accepted get theirs stored by the first leader of this build.

--- a/lib/job/job.pb-c.c
+++ b/lib/job/job.pb-c.c
@@ -52,6 +52,51 @@
   assert(message->base.descriptor == &gn__job_step__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gn__job_queue__init
+                     (Gn__JobQueue         *message)
+{
+  static const Gn__JobQueue init_value = GN__JOB_QUEUE__INIT;
+  *message = init_value;
+}
+size_t gn__job_queue__get_packed_size
+                     (const Gn__JobQueue *message)
+{
+  assert(message->base.descriptor == &gn__job_queue__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gn__job_queue__pack
+                     (const Gn__JobQueue *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gn__job_queue__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gn__job_queue__pack_to_buffer
+                     (const Gn__JobQueue *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gn__job_queue__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gn__JobQueue *
+       gn__job_queue__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gn__JobQueue *)
+     protobuf_c_message_unpack (&gn__job_queue__descriptor,
+                                allocator, len, data);
+}
+void   gn__job_queue__free_unpacked
+                     (Gn__JobQueue *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gn__job_queue__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gn__job_spec__init
                      (Gn__JobSpec         *message)
 {
@@ -671,7 +716,149 @@
   (ProtobufCMessageInit) gn__job_step__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gn__job_spec__field_descriptors[7] =
+static const ProtobufCFieldDescriptor gn__job_queue__field_descriptors[9] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gn__JobQueue, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "host",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gn__JobQueue, host),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prefix",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gn__JobQueue, prefix),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gn__JobQueue, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "priority",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gn__JobQueue, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "max_attempts",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gn__JobQueue, max_attempts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stretch",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Gn__JobQueue, stretch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gn__JobQueue, target_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "advised",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gn__JobQueue, advised),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gn__job_queue__field_indices_by_name[] = {
+  8,   /* field[8] = advised */
+  1,   /* field[1] = host */
+  5,   /* field[5] = max_attempts */
+  0,   /* field[0] = name */
+  2,   /* field[2] = prefix */
+  4,   /* field[4] = priority */
+  3,   /* field[3] = service */
+  6,   /* field[6] = stretch */
+  7,   /* field[7] = target_ms */
+};
+static const ProtobufCIntRange gn__job_queue__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor gn__job_queue__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gn.JobQueue",
+  "JobQueue",
+  "Gn__JobQueue",
+  "gn",
+  sizeof(Gn__JobQueue),
+  9,
+  gn__job_queue__field_descriptors,
+  gn__job_queue__field_indices_by_name,
+  1,  gn__job_queue__number_ranges,
+  (ProtobufCMessageInit) gn__job_queue__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gn__job_spec__field_descriptors[8] =
 {
   {
     "id",
@@ -757,8 +944,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "accepted_by",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Gn__JobSpec, accepted_by),
+    &gn__job_queue__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gn__job_spec__field_indices_by_name[] = {
+  7,   /* field[7] = accepted_by */
   5,   /* field[5] = first_due_ms */
   0,   /* field[0] = id */
   6,   /* field[6] = interval_ms */
@@ -770,7 +970,7 @@
 static const ProtobufCIntRange gn__job_spec__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor gn__job_spec__descriptor =
 {
@@ -780,7 +980,7 @@
   "Gn__JobSpec",
   "gn",
   sizeof(Gn__JobSpec),
-  7,
+  8,
   gn__job_spec__field_descriptors,
   gn__job_spec__field_indices_by_name,
   1,  gn__job_spec__number_ranges,
@@ -1072,7 +1272,7 @@
   (ProtobufCMessageInit) gn__task_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gn__job_state__field_descriptors[3] =
+static const ProtobufCFieldDescriptor gn__job_state__field_descriptors[4] =
 {
   {
     "phase",
@@ -1110,16 +1310,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "queue",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Gn__JobState, queue),
+    &gn__job_queue__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gn__job_state__field_indices_by_name[] = {
   2,   /* field[2] = accepted_ms */
   0,   /* field[0] = phase */
+  3,   /* field[3] = queue */
   1,   /* field[1] = tasks */
 };
 static const ProtobufCIntRange gn__job_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor gn__job_state__descriptor =
 {
@@ -1129,7 +1342,7 @@
   "Gn__JobState",
   "gn",
   sizeof(Gn__JobState),
-  3,
+  4,
   gn__job_state__field_descriptors,
   gn__job_state__field_indices_by_name,
   1,  gn__job_state__number_ranges,
--- a/lib/job/job.pb-c.h
+++ b/lib/job/job.pb-c.h
@@ -16,6 +16,7 @@
 
 
 typedef struct Gn__JobStep Gn__JobStep;
+typedef struct Gn__JobQueue Gn__JobQueue;
 typedef struct Gn__JobSpec Gn__JobSpec;
 typedef struct Gn__TaskState Gn__TaskState;
 typedef struct Gn__JobState Gn__JobState;
@@ -111,7 +112,40 @@
 
 
 /*
- * A job as submitted by a caller; never changes.
+ * What a job has from its queue. Unknown to older builds.
+ */
+struct  Gn__JobQueue
+{
+  ProtobufCMessage base;
+  char *name;
+  /*
+   * Host name of the requests.
+   */
+  char *host;
+  /*
+   * Prefix of their paths.
+   */
+  char *prefix;
+  /*
+   * Service whose workers run the tasks.
+   */
+  char *service;
+  uint32_t priority;
+  uint32_t max_attempts;
+  double stretch;
+  uint32_t target_ms;
+  /*
+   * Starts need a ticket.
+   */
+  protobuf_c_boolean advised;
+};
+#define GN__JOB_QUEUE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gn__job_queue__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+
+
+/*
+ * A job as submitted by a caller; never changes once it is accepted.
  */
 struct  Gn__JobSpec
 {
@@ -139,10 +173,14 @@
    * Time between occurrences.
    */
   uint64_t interval_ms;
+  /*
+   * The queue when the job was accepted.
+   */
+  Gn__JobQueue *accepted_by;
 };
 #define GN__JOB_SPEC__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gn__job_spec__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, 0, 0, 0, NULL }
 
 
 /*
@@ -253,10 +291,14 @@
    * Time since 1970.
    */
   uint64_t accepted_ms;
+  /*
+   * The queue, if it has changed since.
+   */
+  Gn__JobQueue *queue;
 };
 #define GN__JOB_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gn__job_state__descriptor) \
-    , 0, 0,NULL, 0 }
+    , 0, 0,NULL, 0, NULL }
 
 
 /*
@@ -380,6 +422,25 @@
 void   gn__job_step__free_unpacked
                      (Gn__JobStep *message,
                       ProtobufCAllocator *allocator);
+/* Gn__JobQueue methods */
+void   gn__job_queue__init
+                     (Gn__JobQueue         *message);
+size_t gn__job_queue__get_packed_size
+                     (const Gn__JobQueue   *message);
+size_t gn__job_queue__pack
+                     (const Gn__JobQueue   *message,
+                      uint8_t             *out);
+size_t gn__job_queue__pack_to_buffer
+                     (const Gn__JobQueue   *message,
+                      ProtobufCBuffer     *buffer);
+Gn__JobQueue *
+       gn__job_queue__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gn__job_queue__free_unpacked
+                     (Gn__JobQueue *message,
+                      ProtobufCAllocator *allocator);
 /* Gn__JobSpec methods */
 void   gn__job_spec__init
                      (Gn__JobSpec         *message);
@@ -537,6 +598,9 @@
 typedef void (*Gn__JobStep_Closure)
                  (const Gn__JobStep *message,
                   void *closure_data);
+typedef void (*Gn__JobQueue_Closure)
+                 (const Gn__JobQueue *message,
+                  void *closure_data);
 typedef void (*Gn__JobSpec_Closure)
                  (const Gn__JobSpec *message,
                   void *closure_data);
@@ -568,6 +632,7 @@
 /* --- descriptors --- */
 
 extern const ProtobufCMessageDescriptor gn__job_step__descriptor;
+extern const ProtobufCMessageDescriptor gn__job_queue__descriptor;
 extern const ProtobufCMessageDescriptor gn__job_spec__descriptor;
 extern const ProtobufCMessageDescriptor gn__task_state__descriptor;
 extern const ProtobufCMessageDescriptor gn__job_state__descriptor;
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -9,6 +9,7 @@
 
 #include "evacuation/cold.h"
 #include "estimate/estimate.h"
+#include "queue/queue_record.h"
 #include "sched/backlog.h"
 #include "sched/interference.h"
 #include "sched/place.h"
@@ -147,6 +148,10 @@
 	char *failure;
 	bool advised; /**< Starts need tickets. */
 	const char *service; /**< Interned. */
+	/** The job's queue as the configuration had it last, interned; only the
+	 * name is known before that for a job of an older build. */
+	gn_queue_t queue;
+	bool queue_known; /**< More than the name is known. */
 	GPtrArray *pending_starts; /**< Tasks whose claim is not durable yet. */
 
 	uint64_t version; /**< Version of the state in memory. */
@@ -300,8 +305,11 @@
 sched_job_t *sched_job_create(gn_sched_t *sched, Gn__JobSpec *spec,
 			      uint64_t accepted_ms);
 void sched_job_free(sched_job_t *job);
-/** Applies the limits of the job's queue from the configuration. */
+/** Applies the limits of the job's queue from the configuration, or those of
+ * before if it has the queue no more. */
 void sched_job_configure(sched_job_t *job);
+/** Takes over the queue that is stored with the job. */
+void sched_job_load_queue(sched_job_t *job, const Gn__JobState *state);
 /**
  * Marks the job as changed, so that it is stored with the next write batch.
  * @return version that includes the change
--- a/lib/sched/sched_job.c
+++ b/lib/sched/sched_job.c
@@ -214,25 +214,63 @@
 	job->rank = gn_rank_compute(&rank_job, now_us);
 }
 
+/* A job keeps what it has from its queue when the queue is removed. */
+static void update_queue(sched_job_t *job, const gn_queues_t *queues)
+{
+	const gn_queue_t *queue = gn_queues_find_successor(queues, &job->queue);
+
+	if (!queue || (job->queue_known && gn_queue_equal(queue, &job->queue)))
+		return;
+	gn_queue_copy(&job->queue, queue);
+	job->queue_known = true;
+	/* The next leader may never know this queue. */
+	if (job->stored && !job->removing && !sched_job_is_finished(job))
+		sched_job_mark_dirty(job);
+}
+
 void sched_job_configure(sched_job_t *job)
 {
 	const gn_queues_t *queues = job->sched->queues;
-	const gn_queue_t *queue =
-		queues ? gn_queues_find(queues, job->spec->queue) : NULL;
-	double stretch = queue ? queue->stretch : DEFAULT_STRETCH;
-	unsigned target_ms = queue ? queue->target_ms : DEFAULT_TARGET_MS;
-	uint64_t objective_ms =
-		(uint64_t)(stretch * get_longest_chain_ms(job->spec, NULL)) +
-		target_ms;
-
+	const gn_queue_t *queue = &job->queue;
+	uint64_t objective_ms;
+
+	if (queues)
+		update_queue(job, queues);
+	objective_ms =
+		(uint64_t)((job->queue_known ? queue->stretch
+					     : DEFAULT_STRETCH) *
+			   (double)get_longest_chain_ms(job->spec, NULL)) +
+		(job->queue_known ? queue->target_ms : DEFAULT_TARGET_MS);
 	job->deadline_us = job->accepted_us + objective_ms * GN_US_PER_MS;
-	/* A job keeps its limits when its queue is removed. */
-	if (!queue)
+	/* Limits that were stored may have been raised since. */
+	if (!queues || !job->queue_known)
 		return;
 	job->priority = queue->priority;
 	job->max_attempts = queue->max_attempts;
 	job->advised = queue->advised;
-	job->service = g_intern_string(queue->service);
+	job->service = queue->service;
+}
+
+void sched_job_load_queue(sched_job_t *job, const Gn__JobState *state)
+{
+	const Gn__JobQueue *record =
+		state->queue ? state->queue : job->spec->accepted_by;
+
+	job->queue_known = record != NULL;
+	if (record)
+		gn_queue_from_record(&job->queue, record);
+	sched_job_configure(job);
+}
+
+/* Stores the queue with the job as it is accepted. */
+static void record_queue(sched_job_t *job)
+{
+	Gn__JobSpec *spec = job->spec;
+
+	if (spec->accepted_by)
+		gn__job_queue__free_unpacked(spec->accepted_by, NULL);
+	spec->accepted_by =
+		job->queue_known ? gn_queue_to_record(&job->queue) : NULL;
 }
 
 sched_job_t *sched_job_create(gn_sched_t *sched, Gn__JobSpec *spec,
@@ -251,6 +289,7 @@
 	job->accepted_us = now_us > age_us ? now_us - age_us : 0;
 	job->priority = DEFAULT_PRIORITY;
 	job->service = "";
+	job->queue.name = g_intern_string(spec->queue);
 	job->pending_starts = g_ptr_array_new();
 	create_units(job);
 	create_tasks(job);
@@ -492,8 +531,7 @@
 	const gn_sched_t *sched = job->sched;
 
 	/* The objective of a job of an unknown queue is not known. */
-	if (!sched->config.forecast || job->spec->repeats || !sched->queues ||
-	    !gn_queues_find(sched->queues, job->spec->queue))
+	if (!sched->config.forecast || job->spec->repeats || !job->queue_known)
 		return false;
 	for (size_t i = 0; i < job->spec->n_steps; i++)
 		if (!job->spec->steps[i]->fills ||
@@ -603,6 +641,7 @@
 		reply.reason = "no use by forecast";
 		return reply;
 	}
+	record_queue(job);
 	reply.version = sched_job_mark_dirty(job);
 	return reply;
 }
@@ -650,7 +689,7 @@
 		const sched_job_t *job = g_ptr_array_index(sched->active, i);
 
 		if (job->phase == GN_JOB_QUEUED &&
-		    !strcmp(job->spec->queue, queue))
+		    !strcmp(job->queue.name, queue))
 			reply.waiting++;
 	}
 	return reply;
--- a/lib/sched/sched_store.c
+++ b/lib/sched/sched_store.c
@@ -42,6 +42,21 @@
 	sched_lapse_store(task, state);
 }
 
+/* Returns NULL if the queue is stored with the spec. */
+static Gn__JobQueue *create_queue_record(const sched_job_t *job)
+{
+	gn_queue_t accepted_by;
+
+	if (!job->queue_known)
+		return NULL;
+	if (!job->spec->accepted_by)
+		return gn_queue_to_record(&job->queue);
+	gn_queue_from_record(&accepted_by, job->spec->accepted_by);
+	return gn_queue_equal(&accepted_by, &job->queue)
+		       ? NULL
+		       : gn_queue_to_record(&job->queue);
+}
+
 static void pack_job(const sched_job_t *job, gn_sched_write_t *write)
 {
 	Gn__TaskState *states = g_new(Gn__TaskState, job->task_count);
@@ -51,6 +66,7 @@
 
 	state.phase = job->phase;
 	state.accepted_ms = job->accepted_ms;
+	state.queue = create_queue_record(job);
 	state.tasks = rows;
 	for (uint32_t i = 0; i < job->task_count; i++) {
 		if (!has_state(&job->tasks[i]))
@@ -69,6 +85,8 @@
 		gn__job_record__pack(&record, write->value);
 	else
 		gn__job_state__pack(&state, write->value);
+	if (state.queue)
+		gn__job_queue__free_unpacked(state.queue, NULL);
 	g_free(states);
 	g_free(rows);
 }
@@ -272,6 +290,7 @@
 	}
 	job->phase = (gn_job_phase_t)state->phase;
 	job->stored = true;
+	sched_job_load_queue(job, state);
 	for (size_t i = 0; i < state->n_tasks; i++)
 		load_task(job, state->tasks[i]);
 	return GN_OK;
