executor, sched: a life ends by the word of its worker, not by a heartbeat

Cause: the executor took any heartbeat with a later start for a new life of its worker, and the leader any report for the present state, though a claim that it had loaded named a later life. Neither proves that a life is over; the process at the worker's address can be asked.

Change: the executor asks the worker before it begins a life that a heartbeat announces; the life before goes on meanwhile, and the heartbeat is refused if another life answers, or none within 5 s. The leader takes no report of a life that began before one it knows by a report or a stored claim, and none whose service neither the configuration nor a job names.

Both builds beside each other: nothing that is sent or stored changes. A former executor may still report the foreign life; the leader ignores it, and the run lapses as the leader expects.

--- /dev/null
+++ b/lib/executor/announce.c
@@ -0,0 +1,156 @@
+/**
+ * @file announce.c
+ * @brief Lives that heartbeats announce, until the worker confirms them.
+ *
+ * A heartbeat proves nothing: it may have been delayed, or come from another
+ * writer. Only the process at the worker's address says which life is there.
+ * Until it does, the life before goes on, if there is one.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/event.h"
+#include "executor/attempt.h"
+#include "executor/executor_internal.h"
+
+/** Delay before the worker is asked again. */
+#define RETRY_DELAY_US (25 * GN_US_PER_MS)
+/** An announced life is given up this long after its last heartbeat. */
+#define EXPIRY_US (5000 * GN_US_PER_MS)
+
+/** A call in progress that asks which life is there. */
+typedef struct question_s {
+	executor_t *executor;
+	char id[GN_NAME_MAX + 1];
+	uint64_t started_ms;
+} question_t;
+
+static void forget(executor_announced_t *announced)
+{
+	talloc_free(announced->notice.labels);
+	announced->notice.labels = NULL;
+	announced->known = false;
+	announced->tries = 0;
+}
+
+static void refuse(executor_t *executor, const char *why)
+{
+	const gn_worker_notice_t *notice = &executor->announced.notice;
+
+	gn_counter_inc(executor->refused_heartbeats);
+	gn_event("heartbeat refused", "{s:s, s:s, s:s, s:I, s:s, s:I}", "peer",
+		 notice->life, "why", why, "address", notice->address,
+		 "born_ms", (json_int_t)notice->life_started_ms, "life",
+		 executor->notice.life, "life_born_ms",
+		 (json_int_t)executor->notice.life_started_ms);
+	forget(&executor->announced);
+}
+
+static void confirm(executor_t *executor)
+{
+	gn_worker_notice_t notice = executor->announced.notice;
+
+	/* Its labels pass to the worker. */
+	executor->announced.notice.labels = NULL;
+	forget(&executor->announced);
+	executor_begin_life(executor, &notice);
+}
+
+/*
+ * Whether a response without a list shows that the addressed process is there.
+ * Without an epoch, this process has not heard from a leader since its start,
+ * and a worker that has refuses its calls.
+ */
+static bool is_present(const executor_t *executor,
+		       const gn_worker_answer_t *answer)
+{
+	return answer->outcome == GN_WORKER_OK ||
+	       (answer->outcome == GN_WORKER_FENCED && !executor->epoch);
+}
+
+static bool is_announced(const question_t *question,
+			 const executor_announced_t *announced)
+{
+	return announced->known &&
+	       !strcmp(question->id, announced->notice.life) &&
+	       question->started_ms == announced->notice.life_started_ms;
+}
+
+static void handle_answer(const question_t *question,
+			  const gn_worker_answer_t *answer)
+{
+	executor_t *executor = question->executor;
+	bool is_same_start = !answer->life_started_ms ||
+			     !question->started_ms ||
+			     answer->life_started_ms == question->started_ms;
+
+	if (answer->outcome == GN_WORKER_LIFE_ENDED)
+		refuse(executor,
+		       "another life answers at the worker's address");
+	else if (!is_same_start)
+		refuse(executor, "the worker says that it started at another "
+				 "time");
+	else if (is_present(executor, answer))
+		confirm(executor);
+}
+
+static void on_answer(void *arg, const gn_http_call_t *http)
+{
+	question_t *question = arg;
+	executor_t *executor = question->executor;
+	TALLOC_CTX *scratch = talloc_new(executor);
+	gn_worker_answer_t answer;
+
+	executor->announced.pending = false;
+	executor->announced.due_us = executor_now_us(executor) + RETRY_DELAY_US;
+	executor->adapter->read_worker_answer(scratch, GN_WORKER_LIST, http,
+					      &answer);
+	if (is_announced(question, &executor->announced))
+		handle_answer(question, &answer);
+	else
+		executor->announced.due_us = 0;
+	talloc_free(scratch);
+	g_free(question);
+}
+
+static void ask(executor_t *executor)
+{
+	executor_announced_t *announced = &executor->announced;
+	question_t *question = g_new0(question_t, 1);
+	gn_worker_call_t call = { .kind = GN_WORKER_LIST };
+
+	question->executor = executor;
+	g_strlcpy(question->id, announced->notice.life, sizeof(question->id));
+	question->started_ms = announced->notice.life_started_ms;
+	call.life = question->id;
+	announced->pending = executor_call_worker(
+		executor, &call, gn_attempt_timeout_ms(++announced->tries),
+		on_answer, question);
+	if (!announced->pending)
+		g_free(question);
+}
+
+void executor_announce(executor_t *executor, const gn_worker_notice_t *notice)
+{
+	executor_announced_t *announced = &executor->announced;
+
+	talloc_free(announced->notice.labels);
+	announced->notice = *notice;
+	announced->known = true;
+	announced->heard_us = executor_now_us(executor);
+	if (!announced->pending)
+		ask(executor);
+}
+
+void executor_announce_tick(executor_t *executor)
+{
+	executor_announced_t *announced = &executor->announced;
+	uint64_t now_us = executor_now_us(executor);
+
+	if (!announced->known || announced->pending)
+		return;
+	if (now_us - announced->heard_us >= EXPIRY_US)
+		refuse(executor, "no worker confirms it");
+	else if (now_us >= announced->due_us)
+		ask(executor);
+}
--- a/lib/executor/executor.c
+++ b/lib/executor/executor.c
@@ -159,6 +159,7 @@
 {
 	executor_t *executor = state;
 
+	executor_announce_tick(executor);
 	executor_worker_tick(executor);
 	gn_orders_tick(executor->orders);
 	executor_leader_tick(executor);
--- a/lib/executor/executor_internal.h
+++ b/lib/executor/executor_internal.h
@@ -38,6 +38,16 @@
 	unsigned attempts; /**< Requests since the last list. */
 } executor_list_t;
 
+/** A life that a heartbeat has announced and the worker has not confirmed. */
+typedef struct executor_announced_s {
+	bool known; /**< There is one. */
+	bool pending; /**< The worker is being asked. */
+	gn_worker_notice_t notice; /**< The newest heartbeat of it. */
+	uint64_t heard_us; /**< Time of that heartbeat. */
+	uint64_t due_us; /**< Earliest time of the next question. */
+	unsigned tries; /**< Questions about it. */
+} executor_announced_t;
+
 /** Number of recent reports whose answers are still accepted. */
 #define EXECUTOR_REPORT_HISTORY 64
 
@@ -67,8 +77,9 @@
 
 	/* ======   Worker   ====== */
 
+	executor_announced_t announced;
 	gn_worker_notice_t notice; /**< Newest heartbeat of the worker. */
-	bool worker_known; /**< A heartbeat was received. */
+	bool worker_known; /**< The worker has confirmed a life. */
 	/** This process has known no earlier life of the worker. */
 	bool first_life;
 	uint64_t described_us; /**< Time of the newest heartbeat. */
@@ -142,13 +153,20 @@
 void executor_on_http(void *arg, gn_http_request_t *request);
 /** Returns the worker's life; its ID is empty before the first heartbeat. */
 gn_life_t executor_get_life(const executor_t *executor);
+/**
+ * Begins a life that the worker has confirmed; the one before is over.
+ * @param notice its labels pass to the executor
+ */
+void executor_begin_life(executor_t *executor,
+			 const gn_worker_notice_t *notice);
 /** Whether the list has ends that the leader has not stored. */
 bool executor_has_unstored_ends(const executor_t *executor);
 /** Requests the worker's list when it is due. */
 void executor_worker_tick(executor_t *executor);
 /**
  * Calls the worker. The HTTP client frees its call after @p done.
- * @param call filled in with the worker's address and life and the epoch
+ * @param call filled in with the worker's address, its life unless one is
+ *        given, and the fencing token
  * @return false if out of memory: @p done won't be called
  */
 bool executor_call_worker(executor_t *executor, gn_worker_call_t *call,
@@ -167,6 +185,16 @@
 void executor_record_clock(executor_t *executor,
 			   const gn_worker_answer_t *answer);
 
+/* ======   announce.c   ====== */
+
+/**
+ * Asks the worker to confirm the life of a heartbeat, and begins it then.
+ * @param notice its labels pass to the executor
+ */
+void executor_announce(executor_t *executor, const gn_worker_notice_t *notice);
+/** Asks again when it is due. */
+void executor_announce_tick(executor_t *executor);
+
 /* ======   calls.c   ====== */
 
 /** Carries out the orders by calls to the worker; the argument is the
--- a/lib/executor/worker.c
+++ b/lib/executor/worker.c
@@ -37,7 +37,9 @@
 	gn_http_call_t *http = gn_http_call_create();
 
 	call->address = executor->runtime->settings->jobs.worker_address;
-	call->life = executor->worker_known ? executor->notice.life : "";
+	if (!call->life)
+		call->life =
+			executor->worker_known ? executor->notice.life : "";
 	call->epoch = MAX(executor->epoch, executor->fence);
 	if (!http || !executor->adapter->write_worker_call(call, http)) {
 		free(http);
@@ -316,6 +318,29 @@
 	executor->prompt_list.attempts = 0;
 }
 
+/* Takes over what the worker says about itself. */
+static void take_notice(executor_t *executor, const gn_worker_notice_t *notice)
+{
+	if (notice->draining && !executor->worker_draining_us) {
+		executor->worker_draining_us = executor_now_us(executor);
+		gn_orders_refuse_starts(executor->orders);
+		gn_event("worker draining", "{s:s, s:i}", "life", notice->life,
+			 "remaining_ms", (int)notice->remaining_ms);
+	}
+	talloc_free(executor->notice.labels);
+	executor->notice = *notice;
+	executor->worker_known = true;
+	executor->described_us = executor_now_us(executor);
+}
+
+void executor_begin_life(executor_t *executor, const gn_worker_notice_t *notice)
+{
+	executor->first_life = !executor->worker_known;
+	reset_for_life(executor, notice);
+	take_notice(executor, notice);
+	executor_report(executor);
+}
+
 static void on_heartbeat(executor_t *executor, const gn_worker_notice_t *notice)
 {
 	bool is_same =
@@ -331,20 +356,11 @@
 		return;
 	}
 	if (!is_same) {
-		executor->first_life = !executor->worker_known;
-		reset_for_life(executor, notice);
-	}
-	if (notice->draining && !executor->worker_draining_us) {
-		executor->worker_draining_us = executor_now_us(executor);
-		gn_orders_refuse_starts(executor->orders);
-		gn_event("worker draining", "{s:s, s:i}", "life", notice->life,
-			 "remaining_ms", (int)notice->remaining_ms);
+		executor_announce(executor, notice);
+		return;
 	}
-	talloc_free(executor->notice.labels);
-	executor->notice = *notice;
-	executor->worker_known = true;
-	executor->described_us = executor_now_us(executor);
-	if (!is_same || notice->draining)
+	take_notice(executor, notice);
+	if (notice->draining)
 		executor_report(executor);
 }
 
--- a/lib/queue/queue.c
+++ b/lib/queue/queue.c
@@ -55,6 +55,14 @@
 	return NULL;
 }
 
+bool gn_queues_name_service(const gn_queues_t *queues, const char *name)
+{
+	for (size_t i = 0; i < queues->queue_count; i++)
+		if (!strcmp(queues->queues[i].service, name))
+			return true;
+	return gn_queues_find_service(queues, name) != NULL;
+}
+
 const gn_queue_service_t *gn_queues_find_service(const gn_queues_t *queues,
 						 const char *name)
 {
--- a/lib/queue/queue.h
+++ b/lib/queue/queue.h
@@ -65,6 +65,9 @@
 /** Returns the queue with this name, or NULL. */
 const gn_queue_t *gn_queues_find(const gn_queues_t *queues, const char *name);
 
+/** Whether a service or a queue has this service's name. */
+bool gn_queues_name_service(const gn_queues_t *queues, const char *name);
+
 /** Returns the service with this name, or NULL. */
 const gn_queue_service_t *gn_queues_find_service(const gn_queues_t *queues,
 						 const char *name);
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -472,6 +472,12 @@
 uint64_t sched_lease_us(unsigned lease_ms);
 /** Releases the claims of workers whose leases have expired. */
 void sched_expire_leases(gn_sched_t *sched);
+/**
+ * Whether a life of the worker that began after @p life is known, from a report
+ * or from a claim that an earlier leader has stored. A report of @p life was
+ * delayed then.
+ */
+bool sched_worker_is_outlived(const sched_worker_t *worker, gn_life_t life);
 /**
  * Begins a life, unless it is the present one: resets the state of the worker,
  * since a new life has no earlier runs or ends, and ends the claims of others.
--- a/lib/sched/sched_report.c
+++ b/lib/sched/sched_report.c
@@ -256,6 +256,24 @@
 		worker->last_list_us + SCHED_CLOCK_READING_MAX_US + lease_us);
 }
 
+/*
+ * Whether there may be workers of this service. A report that names another
+ * describes no worker to use, and does not end the life of one.
+ */
+static bool is_service_known(const gn_sched_t *sched, const char *service)
+{
+	if (!sched->queues || gn_queues_name_service(sched->queues, service))
+		return true;
+	/* A job keeps its service when its queue is removed. */
+	for (guint i = 0; i < sched->active->len; i++) {
+		const sched_job_t *job = g_ptr_array_index(sched->active, i);
+
+		if (!strcmp(job->service, service))
+			return true;
+	}
+	return false;
+}
+
 uint64_t gn_sched_handle_report(gn_sched_t *sched,
 				const Gn__WorkerReport *report)
 {
@@ -267,7 +285,8 @@
 	bool was_open = sched_worker_accepts_tasks(sched, worker);
 
 	worker->last_report_us = sched_now_us(sched);
-	if (*report->life && life.started_ms >= worker->life.started_ms) {
+	if (*report->life && is_service_known(sched, report->service) &&
+	    !sched_worker_is_outlived(worker, life)) {
 		worker->host_restarted = report->first_life;
 		sched_worker_begin_life(sched, worker, life);
 		sched_worker_describe(worker, report);
--- a/lib/sched/sched_worker.c
+++ b/lib/sched/sched_worker.c
@@ -388,6 +388,19 @@
 		worker->labels[i] = g_strdup(report->labels[i]);
 }
 
+bool sched_worker_is_outlived(const sched_worker_t *worker, gn_life_t life)
+{
+	if (worker->life.started_ms > life.started_ms)
+		return true;
+	for (guint i = 0; i < worker->claims->len; i++) {
+		const sched_task_t *task = g_ptr_array_index(worker->claims, i);
+
+		if (life.started_ms && task->life.started_ms > life.started_ms)
+			return true;
+	}
+	return false;
+}
+
 /* Calls for an earlier life with the same ID carry at most the present token, so
  * a new one fences them off. */
 static void request_fence(gn_sched_t *sched, sched_worker_t *worker)
--- a/tests/contract/test_executor.c
+++ b/tests/contract/test_executor.c
@@ -123,13 +123,11 @@
 }
 
 /* Returns the status of the answer. */
-static unsigned send_notice(uint64_t started_ms)
+static unsigned post_notice(void)
 {
 	gn_http_call_t *call = gn_http_call_create();
 	unsigned status = 0;
 
-	g_strlcpy(rig->notice.life, ID, sizeof(rig->notice.life));
-	rig->notice.life_started_ms = started_ms;
 	call->method = GN_HTTP_POST;
 	g_snprintf(call->url, sizeof(call->url), "http://%s/x", rig->address);
 	call->timeout_ms = TIMEOUT_MS;
@@ -141,10 +139,29 @@
 	return status;
 }
 
+static unsigned send_notice(uint64_t started_ms)
+{
+	g_strlcpy(rig->notice.life, ID, sizeof(rig->notice.life));
+	rig->notice.life_started_ms = started_ms;
+	return post_notice();
+}
+
+/* Lets the worker answer, as rig->answer says, which life is there. */
+static void answer_question(void)
+{
+	while (rig->executor->announced.pending)
+		g_assert_cmpint(tevent_loop_once(rig->runtime.events), ==, 0);
+}
+
 static void send_heartbeat(uint64_t started_ms)
 {
+	const gn_worker_answer_t answer = rig->answer;
+
 	rig->notice.sequence++;
+	rig->answer = (gn_worker_answer_t){ .life_started_ms = started_ms };
 	g_assert_cmpuint(send_notice(started_ms), ==, 200);
+	answer_question();
+	rig->answer = answer;
 }
 
 static void send_deregistration(uint64_t started_ms)
@@ -813,6 +830,80 @@
 	close_rig();
 }
 
+/* A heartbeat announces a life that @p answer then speaks of. */
+static void announce(const char *life, uint64_t started_ms,
+		     gn_worker_answer_t answer)
+{
+	rig->answer = answer;
+	rig->notice.sequence++;
+	g_strlcpy(rig->notice.life, life, sizeof(rig->notice.life));
+	rig->notice.life_started_ms = started_ms;
+	g_assert_cmpuint(post_notice(), ==, 200);
+	answer_question();
+}
+
+static void assert_life(const char *life, uint64_t started_ms)
+{
+	g_assert_true(gn_life_matches(executor_get_life(rig->executor),
+				      (gn_life_t){ life, started_ms }));
+}
+
+/* Guards against the end of a life by a heartbeat of another writer. */
+static void test_life_goes_on_until_the_worker_confirms_another(void)
+{
+	const gn_worker_answer_t other = { .outcome = GN_WORKER_LIFE_ENDED };
+	const gn_worker_answer_t none = { .outcome = GN_WORKER_UNANSWERED };
+	const gn_worker_answer_t yes = { .life_started_ms = LATER_MS };
+
+	open_rig();
+	announce("i-2", LATER_MS, other);
+	assert_life(ID, EARLIER_MS);
+	g_assert_cmpuint(gn_counter_read(rig->executor->refused_heartbeats), ==,
+			 1);
+	announce("i-2", LATER_MS, none);
+	assert_life(ID, EARLIER_MS);
+	rig->answer = yes;
+	advance_ms(100);
+	executor_announce_tick(rig->executor);
+	answer_question();
+	assert_life("i-2", LATER_MS);
+	close_rig();
+}
+
+/* Guards against a delayed heartbeat of an earlier life under the same ID, which
+ * is the first that this process gets. */
+static void test_worker_says_when_its_life_began(void)
+{
+	const gn_worker_answer_t later = { .life_started_ms = LATER_MS };
+
+	open_rig();
+	rig->executor->worker_known = false;
+	announce(ID, EARLIER_MS, later);
+	g_assert_false(rig->executor->worker_known);
+	announce(ID, LATER_MS, later);
+	assert_life(ID, LATER_MS);
+	close_rig();
+}
+
+/* Guards against a question that is asked for ever, and against an executor
+ * that has restarted and waits for a worker that refuses it until it knows the
+ * leader. */
+static void test_announced_life_expires_or_is_refused_by_fence(void)
+{
+	const gn_worker_answer_t none = { .outcome = GN_WORKER_UNANSWERED };
+	const gn_worker_answer_t fenced = { .outcome = GN_WORKER_FENCED };
+
+	open_rig();
+	announce("i-2", LATER_MS, none);
+	advance_ms(6000);
+	executor_announce_tick(rig->executor);
+	g_assert_false(rig->executor->announced.known);
+	assert_life(ID, EARLIER_MS);
+	announce("i-2", LATER_MS, fenced);
+	assert_life("i-2", LATER_MS);
+	close_rig();
+}
+
 static void test_odd_heartbeat_leaves_the_worker(void)
 {
 	open_rig();
@@ -942,6 +1033,14 @@
 		test_first_call_of_a_life_fences_off_the_earlier_one);
 	g_test_add_func("/executor/cold_time_falls_between_heartbeats",
 			test_cold_time_falls_between_heartbeats);
+	g_test_add_func(
+		"/executor/life_goes_on_until_the_worker_confirms_another",
+		test_life_goes_on_until_the_worker_confirms_another);
+	g_test_add_func("/executor/worker_says_when_its_life_began",
+			test_worker_says_when_its_life_began);
+	g_test_add_func(
+		"/executor/announced_life_expires_or_is_refused_by_fence",
+		test_announced_life_expires_or_is_refused_by_fence);
 	g_test_add_func("/executor/odd_heartbeat_leaves_the_worker",
 			test_odd_heartbeat_leaves_the_worker);
 	g_test_add_func("/executor/odd_scheduler_entries_hide_no_leader",
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -438,6 +438,49 @@
 	rig_close(&rig);
 }
 
+/* Guards against a report that waited for the next leader, of a life before the
+ * one that the claim names. */
+static void test_delayed_report_of_a_former_life_ends_no_claim(void)
+{
+	Gn__WorkerReport report = GN__WORKER_REPORT__INIT;
+	sched_rig_t rig;
+
+	rig_open_with_stored_claim(&rig,
+				   &(rig_step_t){ .count = 1,
+						  .cpu_milli = 1000,
+						  .estimate_ms = 1000 },
+				   true);
+	report.host = (char *)"a";
+	report.life = (char *)"0";
+	report.born_ms = rig_get_life_start_ms(&rig, "a", "1") - 1;
+	report.service = (char *)"s";
+	gn_sched_handle_report(rig.sched, &report);
+	g_assert_cmpuint(gn_sched_stats(rig.sched).claims, ==, 1);
+	rig_close(&rig);
+}
+
+/* Guards against the end of a life by a report of an executor of an older build,
+ * which has taken over the heartbeat of another writer. */
+static void test_report_with_an_unknown_service_ends_no_life(void)
+{
+	Gn__WorkerReport report = GN__WORKER_REPORT__INIT;
+	sched_rig_t rig;
+
+	rig_open_with_running_task(&rig, &(rig_step_t){ .count = 1,
+							.cpu_milli = 1000,
+							.estimate_ms = 1000 });
+	report.host = (char *)"a";
+	report.life = (char *)"2";
+	report.born_ms = rig_get_life_start_ms(&rig, "a", "1") + 1;
+	report.service = (char *)"other";
+	gn_sched_handle_report(rig.sched, &report);
+	g_assert_cmpuint(gn_sched_stats(rig.sched).claims, ==, 1);
+	report.service = (char *)"s";
+	gn_sched_handle_report(rig.sched, &report);
+	g_assert_cmpuint(gn_sched_stats(rig.sched).claims, ==, 0);
+	rig_close(&rig);
+}
+
 static void test_report_of_an_earlier_life_with_the_same_id_is_ignored(void)
 {
 	sched_rig_t rig;
@@ -1401,6 +1444,10 @@
 		  test_claim_without_a_start_is_released_by_a_restart },
 		{ "claim_lapses_before_the_lease_of_a_restarted_worker",
 		  test_claim_lapses_before_the_lease_of_a_restarted_worker },
+		{ "delayed_report_of_a_former_life_ends_no_claim",
+		  test_delayed_report_of_a_former_life_ends_no_claim },
+		{ "report_with_an_unknown_service_ends_no_life",
+		  test_report_with_an_unknown_service_ends_no_life },
 		{ "report_of_an_earlier_life_with_the_same_id_is_ignored",
 		  test_report_of_an_earlier_life_with_the_same_id_is_ignored },
 		{ "lapsed_attempt_stays_open", test_lapsed_attempt_stays_open },
