sched: occurrences are in memory from their due time to their end

What callers saw: some 45 jobs of 17,520 occurrences, the first due tomorrow, brought each leader over its memory, one after the other.

Cause: a job took memory for each task of each occurrence when it was accepted or loaded, 350 bytes each. The door counted ready tasks only, so a job that is due later, or a step that waits for another, cost nothing there.

Change: lib/occurrence decides which occurrences are open. One is opened when it is due, up to 2,000 tasks a job, and closed once it is done. The leader counts the open tasks of unfinished jobs, ready or not, and refuses jobs beyond 150,000 with a time to return; the specifications of all jobs have a bound of 48 MiB. Units and tasks are reached by pointers, not by their number in the job.

Both builds beside each other: the stored rows are the same; a closed occurrence keeps its rows as done, which the former build needs.

--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -206,8 +206,10 @@
 	for (guint i = 0; i < sched->active->len; i++) {
 		sched_job_t *job = g_ptr_array_index(sched->active, i);
 
-		if (job->spec->repeats && !sched_job_is_finished(job))
-			sched_job_update_units(job);
+		if (!job->spec->repeats || sched_job_is_finished(job))
+			continue;
+		sched_occurrences_close_done(job);
+		sched_job_update_units(job);
 	}
 	send_due_orders(sched);
 	sched_jobs_expire(sched);
@@ -246,9 +248,13 @@
 		figures.active_jobs++;
 		figures.late_jobs +=
 			job->late && sched_job_has_best_effort_work(job);
-		for (uint32_t k = 0; k < job->unit_count; k++)
-			if (job->units[k].ready)
-				figures.waiting_tasks += job->units[k].waiting;
+		for (guint k = 0; k < job->units->len; k++) {
+			const sched_unit_t *unit =
+				g_ptr_array_index(job->units, k);
+
+			if (unit->ready)
+				figures.waiting_tasks += unit->waiting;
+		}
 	}
 	g_hash_table_iter_init(&iter, sched->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -36,6 +36,10 @@
 #include "queue/queue.h"
 #include "wire/gypsumnotch.pb-c.h"
 
+/** Estimated memory of all jobs beside their open tasks, bytes. A job that does
+ * not fit is refused. */
+#define GN_SCHED_SPEC_BYTES_MAX (48 * 1024 * 1024)
+
 typedef struct gn_sched_s gn_sched_t;
 
 /** Order to the executor of a worker. */
--- a/lib/sched/sched_advice.c
+++ b/lib/sched/sched_advice.c
@@ -109,7 +109,7 @@
 
 void sched_advice_drop_ticket(const sched_task_t *task)
 {
-	const sched_unit_t *unit = &task->job->units[task->unit];
+	const sched_unit_t *unit = task->unit;
 
 	if (unit->advice)
 		g_hash_table_remove(unit->advice->tickets, task->life.id);
@@ -200,16 +200,13 @@
 	char id[GN_JOB_ID_LEN + 1];
 	gn_task_position_t place;
 	sched_job_t *job;
-	uint32_t number;
 
 	snprintf(name, sizeof(name), "%s.0", step);
 	if (gn_task_parse_name(name, id, &place))
 		return NULL;
 	job = g_hash_table_lookup(sched->jobs, id);
-	if (!job || place.step >= job->spec->n_steps)
-		return NULL;
-	number = place.occurrence * job->spec->n_steps + place.step;
-	return number < job->unit_count ? &job->units[number] : NULL;
+	return job ? sched_job_find_unit(job, place.occurrence, place.step)
+		   : NULL;
 }
 
 static void store_ticket(sched_advice_t *advice, gn_life_t life,
--- a/lib/sched/sched_claim.c
+++ b/lib/sched/sched_claim.c
@@ -19,7 +19,7 @@
 
 static const Gn__JobStep *get_step(const sched_task_t *task)
 {
-	return task->job->units[task->unit].step;
+	return task->unit->step;
 }
 
 /* ======   Claim and release   ====== */
@@ -59,7 +59,7 @@
 	worker->serving_milli += step->target_ms ? step->cpu_milli : 0;
 	worker->best_effort += step->fills;
 	worker->best_effort_milli += step->fills ? step->cpu_milli : 0;
-	job->units[task->unit].waiting--;
+	task->unit->waiting--;
 	job->claimed++;
 	job->sched->claims++;
 }
@@ -110,7 +110,7 @@
 void sched_release_claim(sched_task_t *task, const char *why)
 {
 	sched_job_t *job = task->job;
-	sched_unit_t *unit = &job->units[task->unit];
+	sched_unit_t *unit = task->unit;
 
 	sched_emit_task_event(job->sched, "release", task, why, 0);
 	detach_claim(task);
@@ -133,7 +133,7 @@
 
 void sched_complete_waiting(sched_task_t *task)
 {
-	task->job->units[task->unit].waiting--;
+	task->unit->waiting--;
 	sched_job_task_done(task);
 }
 
@@ -184,8 +184,7 @@
 		.payload = { (const char *)job->spec->payload.data,
 			     job->spec->payload.len },
 		.checkpoint = task->checkpoint ? task->checkpoint : "",
-		.ticket = sched_advice_ticket(job, &job->units[task->unit],
-					      task->life),
+		.ticket = sched_advice_ticket(job, task->unit, task->life),
 		.percent = task->pace_percent,
 	};
 
--- a/lib/sched/sched_crash.c
+++ b/lib/sched/sched_crash.c
@@ -81,11 +81,14 @@
 
 	for (guint i = 0; i < sched->active->len; i++) {
 		sched_job_t *job = g_ptr_array_index(sched->active, i);
+		sched_task_iter_t tasks;
+		sched_task_t *task;
 
 		if (!job->suspects || job == cause->job)
 			continue;
-		for (uint32_t k = 0; k < job->task_count; k++) {
-			sched_crashes_t *crashes = &job->tasks[k].crashes;
+		tasks = (sched_task_iter_t){ .job = job };
+		while ((task = sched_task_iter_next(&tasks))) {
+			sched_crashes_t *crashes = &task->crashes;
 
 			if (!crashes->record.suspect ||
 			    crashes->record.isolated ||
@@ -100,11 +103,10 @@
 static void add_siblings(const sched_task_t *task,
 			 gn_crash_evidence_t *evidence)
 {
-	const sched_job_t *job = task->job;
-	const sched_unit_t *unit = &job->units[task->unit];
+	const sched_unit_t *unit = task->unit;
 
 	for (uint32_t i = 0; i < unit->step->count; i++) {
-		const sched_task_t *other = &job->tasks[unit->first + i];
+		const sched_task_t *other = &unit->tasks[i];
 
 		if (other == task)
 			continue;
--- a/lib/sched/sched_gang.c
+++ b/lib/sched/sched_gang.c
@@ -14,7 +14,7 @@
 
 static sched_unit_t *get_unit(const sched_task_t *task)
 {
-	return &task->job->units[task->unit];
+	return task->unit;
 }
 
 bool sched_is_gang(const sched_task_t *task)
@@ -22,12 +22,6 @@
 	return get_unit(task)->step->gang;
 }
 
-static sched_task_t *get_member(const sched_job_t *job,
-				const sched_unit_t *unit, uint32_t index)
-{
-	return &job->tasks[unit->first + index];
-}
-
 /* ======   Ends   ====== */
 
 void sched_gang_stop(sched_task_t *task, const char *why)
@@ -35,7 +29,7 @@
 	const sched_unit_t *unit = get_unit(task);
 
 	for (uint32_t i = 0; i < unit->step->count; i++) {
-		sched_task_t *member = get_member(task->job, unit, i);
+		sched_task_t *member = &unit->tasks[i];
 
 		if (member != task && member->state == GN_JOB_TASK_CLAIMED)
 			sched_stop_run(member, why);
@@ -47,7 +41,7 @@
 	const sched_unit_t *unit = get_unit(task);
 
 	for (uint32_t i = 0; i < unit->step->count; i++) {
-		sched_task_t *member = get_member(task->job, unit, i);
+		sched_task_t *member = &unit->tasks[i];
 
 		if (member->state == GN_JOB_TASK_CLAIMED)
 			sched_complete_claim(member);
@@ -62,7 +56,7 @@
 	uint32_t failed = 0;
 
 	for (uint32_t i = 0; i < unit->step->count; i++)
-		failed += get_member(task->job, unit, i)->failed;
+		failed += unit->tasks[i].failed;
 	return failed;
 }
 
@@ -71,7 +65,7 @@
 	const sched_unit_t *unit = get_unit(task);
 
 	for (uint32_t i = 0; i < unit->step->count; i++) {
-		const sched_task_t *member = get_member(task->job, unit, i);
+		const sched_task_t *member = &unit->tasks[i];
 
 		if (member->state == GN_JOB_TASK_CLAIMED &&
 		    g_strcmp0(member->worker->rack, task->worker->rack) != 0)
@@ -85,7 +79,7 @@
 	const sched_unit_t *unit = get_unit(task);
 
 	for (uint32_t i = 0; i < unit->step->count; i++) {
-		sched_task_t *member = get_member(task->job, unit, i);
+		sched_task_t *member = &unit->tasks[i];
 
 		g_free(member->checkpoint);
 		member->checkpoint = g_strdup(checkpoint);
@@ -194,18 +188,17 @@
 		best_rack = rack;
 	}
 	g_hash_table_destroy(seen);
-	return sched_near_waits(all, get_member(job, unit, 0),
+	return sched_near_waits(all, &unit->tasks[0],
 				best_rack ? best_rack : "",
 				best_rack ? &best : NULL, unit->step->count);
 }
 
-static uint32_t get_next_attempt(const sched_job_t *job,
-				 const sched_unit_t *unit)
+static uint32_t get_next_attempt(const sched_unit_t *unit)
 {
 	uint32_t attempt = 0;
 
 	for (uint32_t i = 0; i < unit->step->count; i++)
-		attempt = MAX(attempt, get_member(job, unit, i)->attempt);
+		attempt = MAX(attempt, unit->tasks[i].attempt);
 	return attempt + 1;
 }
 
@@ -214,7 +207,7 @@
 		      bool isolated)
 {
 	uint32_t members = unit->step->count;
-	uint32_t attempt = get_next_attempt(job, unit);
+	uint32_t attempt = get_next_attempt(unit);
 	size_t *chosen;
 	bool is_near;
 
@@ -226,9 +219,9 @@
 	if (is_near ||
 	    (choose_workers(wanted, all->views, all->count, chosen, members) &&
 	     (isolated || !waits_for_rack(all, job, unit, chosen[0])))) {
-		sched_near_end_wait(get_member(job, unit, 0), is_near);
+		sched_near_end_wait(&unit->tasks[0], is_near);
 		for (uint32_t i = 0; i < members; i++) {
-			sched_task_t *member = get_member(job, unit, i);
+			sched_task_t *member = &unit->tasks[i];
 
 			sched_claim_on_candidate(all, chosen[i], member, wanted,
 						 attempt);
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -9,6 +9,7 @@
 
 #include "evacuation/cold.h"
 #include "estimate/estimate.h"
+#include "occurrence/occurrence.h"
 #include "queue/queue_record.h"
 #include "sched/backlog.h"
 #include "sched/interference.h"
@@ -40,7 +41,7 @@
 typedef struct sched_task_s {
 	sched_job_t *job;
 	uint32_t number;
-	uint32_t unit; /**< Index into the units of the job. */
+	struct sched_unit_s *unit;
 	gn_job_task_state_t state;
 	uint32_t attempt; /**< Attempt number of the last claim. */
 	uint32_t failed; /**< Attempts that count against the limit. */
@@ -101,6 +102,7 @@
 	uint32_t step_number;
 	uint32_t occurrence;
 	uint32_t first; /**< Number of the first task. */
+	sched_task_t *tasks;
 	uint32_t waiting; /**< Tasks in GN_JOB_TASK_WAITING. */
 	uint32_t done;
 	bool ready; /**< Due, and all steps that it waits for are done. */
@@ -121,10 +123,17 @@
 	uint64_t accepted_ms; /**< Wall clock, since 1970. */
 	uint64_t accepted_us; /**< Monotonic clock. */
 	uint64_t finished_us;
-	sched_task_t *tasks;
-	uint32_t task_count;
-	sched_unit_t *units;
-	uint32_t unit_count;
+	uint32_t width; /**< Tasks of one occurrence. */
+	uint32_t task_count; /**< Tasks of all occurrences. */
+	gn_occurrences_t all;
+	/** Open occurrences, in their order; a job without repeats has one. */
+	GPtrArray *occurrences;
+	/** The steps of the open occurrences, sched_unit_t, in their order. */
+	GPtrArray *units;
+	/** Tasks of open occurrences, while the job is unfinished. */
+	size_t open_tasks;
+	/** Estimated memory that it needs besides its open tasks. */
+	size_t spec_bytes;
 	sched_run_time_t *run_times; /**< One per step of the spec. */
 	uint64_t run_times_us; /**< Time of their last update. */
 	uint32_t done;
@@ -274,6 +283,8 @@
 	/** Interned IDs of all lives that have been reported. */
 	GHashTable *life_ids;
 	size_t claims;
+	size_t open_tasks; /**< Of all jobs. */
+	size_t spec_bytes; /**< Of all jobs. */
 	gn_backlog_t backlog;
 	gn_feasibility_t feasibility;
 	gn_sharing_t sharing;
@@ -354,6 +365,38 @@
 /** Starts the removal of jobs whose retention time has passed. */
 void sched_jobs_expire(gn_sched_t *sched);
 
+/* ======   sched_occurrence.c   ====== */
+
+/** Creates the occurrences of a new job; opens that of a job without repeats. */
+void sched_occurrences_create(sched_job_t *job);
+void sched_occurrences_free(sched_job_t *job);
+/** Stops counting the open tasks of a finished job. */
+void sched_occurrences_release(sched_job_t *job);
+/** Opens an occurrence that waits. */
+void sched_occurrence_open(sched_job_t *job, uint32_t number);
+/** Opens the occurrences that are due, as far as there is room. */
+void sched_occurrences_open_due(sched_job_t *job);
+/** Closes the occurrences that are done: their tasks are freed. */
+void sched_occurrences_close_done(sched_job_t *job);
+/** Number of occurrences that are neither open nor done. */
+uint32_t sched_job_waiting_occurrences(const sched_job_t *job);
+/** Returns the step of an open occurrence, or NULL. */
+sched_unit_t *sched_job_find_unit(const sched_job_t *job, uint32_t occurrence,
+				  uint32_t step);
+/** Returns the task with this number, or NULL if its occurrence is not open. */
+sched_task_t *sched_job_get_task(const sched_job_t *job, uint32_t number);
+
+/** Position among the tasks of the open occurrences; only the job is set at
+ * first. */
+typedef struct sched_task_iter_s {
+	const sched_job_t *job;
+	guint unit;
+	uint32_t index;
+} sched_task_iter_t;
+
+/** Returns the next task, or NULL. No occurrence may be closed meanwhile. */
+sched_task_t *sched_task_iter_next(sched_task_iter_t *tasks);
+
 /* ======   sched_order.c   ====== */
 
 /** Load that a job which is not ranked yet meets. */
--- a/lib/sched/sched_isolate.c
+++ b/lib/sched/sched_isolate.c
@@ -204,7 +204,7 @@
 
 	any_speed.min_speed = 0;
 	for (uint32_t i = 0; job->suspects && i < unit->step->count; i++) {
-		sched_task_t *task = &job->tasks[unit->first + i];
+		sched_task_t *task = &unit->tasks[i];
 		size_t at;
 
 		if (task->state != GN_JOB_TASK_WAITING ||
@@ -224,7 +224,7 @@
 static bool is_gang_awaited(const sched_job_t *job, const sched_unit_t *unit)
 {
 	for (uint32_t i = 0; job->suspects && i < unit->step->count; i++)
-		if (sched_isolate_is_awaited(&job->tasks[unit->first + i]))
+		if (sched_isolate_is_awaited(&unit->tasks[i]))
 			return true;
 	return false;
 }
--- a/lib/sched/sched_job.c
+++ b/lib/sched/sched_job.c
@@ -15,46 +15,6 @@
  * so they are not looked up in each pass. */
 #define RUN_TIMES_INTERVAL_US (1000 * GN_US_PER_MS)
 
-/* ======   Creation and configuration   ====== */
-
-static void create_units(sched_job_t *job)
-{
-	const Gn__JobSpec *spec = job->spec;
-	uint32_t first = 0;
-
-	job->unit_count = gn_job_occurrences(spec) * spec->n_steps;
-	job->units = g_new0(sched_unit_t, job->unit_count);
-	for (uint32_t i = 0; i < job->unit_count; i++) {
-		sched_unit_t *unit = &job->units[i];
-
-		unit->step_number = i % spec->n_steps;
-		unit->occurrence = i / spec->n_steps;
-		unit->step = spec->steps[unit->step_number];
-		unit->first = first;
-		unit->waiting = unit->step->count;
-		first += unit->step->count;
-	}
-	job->task_count = first;
-}
-
-static void create_tasks(sched_job_t *job)
-{
-	job->tasks = g_new0(sched_task_t, job->task_count);
-	for (uint32_t i = 0; i < job->unit_count; i++) {
-		const sched_unit_t *unit = &job->units[i];
-
-		for (uint32_t k = 0; k < unit->step->count; k++) {
-			sched_task_t *task = &job->tasks[unit->first + k];
-
-			task->job = job;
-			task->number = unit->first + k;
-			task->unit = i;
-			task->pace_percent = 100;
-			task->image = g_intern_string(unit->step->image);
-		}
-	}
-}
-
 /* ======   Run times   ====== */
 
 void sched_job_update_run_times(sched_job_t *job)
@@ -103,6 +63,15 @@
 	return longest_ms;
 }
 
+/* Whether a step of the first occurrence is done. */
+static bool is_first_done(const sched_job_t *job, uint32_t step)
+{
+	const sched_unit_t *unit = sched_job_find_unit(job, 0, step);
+
+	return unit ? unit->done == unit->step->count
+		    : gn_occurrences_get(&job->all, 0) == GN_OCCURRENCE_DONE;
+}
+
 /*
  * Returns the length of the longest chain of dependent steps: with @p job by the
  * expected run times, with the finished steps of its first occurrence as zero;
@@ -118,10 +87,10 @@
 
 		if (!job)
 			step_ms[i] = step->estimate_ms;
-		else if (job->units[i].done < step->count)
-			step_ms[i] = job->run_times[i].run_ms;
-		else
+		else if (is_first_done(job, (uint32_t)i))
 			step_ms[i] = 0;
+		else
+			step_ms[i] = job->run_times[i].run_ms;
 	}
 	return add_up_chain_ms(spec, step_ms);
 }
@@ -134,7 +103,7 @@
 	uint64_t longest_ms = 0;
 
 	for (uint32_t i = 0; i < unit->step->count; i++) {
-		const sched_task_t *task = &job->tasks[unit->first + i];
+		const sched_task_t *task = &unit->tasks[i];
 		uint64_t done_ms = task->progress_us / GN_US_PER_MS;
 
 		if (task->state != GN_JOB_TASK_DONE && done_ms < run_ms)
@@ -148,8 +117,16 @@
 {
 	uint64_t step_ms[GN_JOB_STEPS_MAX];
 
-	for (size_t i = 0; i < job->spec->n_steps; i++)
-		step_ms[i] = get_remaining_ms(job, &job->units[i]);
+	for (uint32_t i = 0; i < job->spec->n_steps; i++) {
+		const sched_unit_t *unit = sched_job_find_unit(job, 0, i);
+
+		if (unit)
+			step_ms[i] = get_remaining_ms(job, unit);
+		else
+			step_ms[i] = is_first_done(job, i)
+					     ? 0
+					     : job->run_times[i].run_ms;
+	}
 	return add_up_chain_ms(job->spec, step_ms);
 }
 
@@ -158,13 +135,18 @@
 {
 	uint64_t work = 0;
 
-	for (uint32_t i = 0; i < job->unit_count; i++) {
-		const sched_unit_t *unit = &job->units[i];
+	for (guint i = 0; i < job->units->len; i++) {
+		const sched_unit_t *unit = g_ptr_array_index(job->units, i);
 
 		work += (uint64_t)(unit->step->count - unit->done) *
 			unit->step->cpu_milli *
 			sched_job_run_time(job, unit)->run_ms;
 	}
+	for (size_t i = 0; i < job->spec->n_steps; i++)
+		work += (uint64_t)sched_job_waiting_occurrences(job) *
+			job->spec->steps[i]->count *
+			job->spec->steps[i]->cpu_milli *
+			job->run_times[i].run_ms;
 	return work;
 }
 
@@ -191,9 +173,15 @@
 
 bool sched_job_has_best_effort_work(const sched_job_t *job)
 {
-	for (uint32_t i = 0; i < job->unit_count; i++)
-		if (job->units[i].step->fills &&
-		    job->units[i].done < job->units[i].step->count)
+	for (guint i = 0; i < job->units->len; i++) {
+		const sched_unit_t *unit = g_ptr_array_index(job->units, i);
+
+		if (unit->step->fills && unit->done < unit->step->count)
+			return true;
+	}
+	for (size_t i = 0; i < job->spec->n_steps; i++)
+		if (job->spec->steps[i]->fills &&
+		    sched_job_waiting_occurrences(job))
 			return true;
 	return false;
 }
@@ -273,6 +261,17 @@
 		job->queue_known ? gn_queue_to_record(&job->queue) : NULL;
 }
 
+/* Estimates the memory that a job needs besides its open tasks, bytes. */
+static size_t get_spec_bytes(const Gn__JobSpec *spec)
+{
+	size_t text = gn__job_spec__get_packed_size(spec);
+	size_t steps = spec->n_steps *
+		       (sizeof(Gn__JobStep) + sizeof(sched_run_time_t));
+
+	return sizeof(sched_job_t) + sizeof(*spec) + 2 * text + steps +
+	       gn_job_occurrences(spec) / 4;
+}
+
 sched_job_t *sched_job_create(gn_sched_t *sched, Gn__JobSpec *spec,
 			      uint64_t accepted_ms)
 {
@@ -285,14 +284,15 @@
 
 	job->sched = sched;
 	job->spec = spec;
+	job->spec_bytes = get_spec_bytes(spec);
+	sched->spec_bytes += job->spec_bytes;
 	job->accepted_ms = accepted_ms;
 	job->accepted_us = now_us > age_us ? now_us - age_us : 0;
 	job->priority = DEFAULT_PRIORITY;
 	job->service = "";
 	job->queue.name = g_intern_string(spec->queue);
 	job->pending_starts = g_ptr_array_new();
-	create_units(job);
-	create_tasks(job);
+	sched_occurrences_create(job);
 	job->run_times = g_new0(sched_run_time_t, spec->n_steps);
 	sched_job_update_run_times(job);
 	sched_job_configure(job);
@@ -303,17 +303,9 @@
 
 void sched_job_free(sched_job_t *job)
 {
-	for (uint32_t i = 0; i < job->task_count; i++) {
-		g_free(job->tasks[i].checkpoint);
-		sched_crash_free(&job->tasks[i]);
-		if (job->tasks[i].open_attempts)
-			g_ptr_array_unref(job->tasks[i].open_attempts);
-	}
-	for (uint32_t i = 0; i < job->unit_count; i++)
-		sched_advice_free(job->units[i].advice);
+	sched_occurrences_free(job);
+	job->sched->spec_bytes -= job->spec_bytes;
 	g_free(job->failure);
-	g_free(job->tasks);
-	g_free(job->units);
 	g_free(job->run_times);
 	g_ptr_array_free(job->pending_starts, TRUE);
 	gn__job_spec__free_unpacked(job->spec, NULL);
@@ -341,18 +333,16 @@
 	char id[GN_JOB_ID_LEN + 1];
 	gn_task_position_t place;
 	sched_job_t *job;
-	uint32_t unit;
+	sched_unit_t *unit;
 
 	if (gn_task_parse_name(name, id, &place))
 		return NULL;
 	job = g_hash_table_lookup(sched->jobs, id);
-	if (!job || place.step >= job->spec->n_steps)
-		return NULL;
-	unit = place.occurrence * job->spec->n_steps + place.step;
-	if (unit >= job->unit_count ||
-	    place.index >= job->units[unit].step->count)
-		return NULL;
-	return &job->tasks[job->units[unit].first + place.index];
+	unit = job ? sched_job_find_unit(job, place.occurrence, place.step)
+		   : NULL;
+	return unit && place.index < unit->step->count
+		       ? &unit->tasks[place.index]
+		       : NULL;
 }
 
 /* ======   Steps   ====== */
@@ -362,29 +352,20 @@
 	return unit->done == unit->step->count;
 }
 
-/* Returns the time at which an occurrence may start, since 1970. */
-static uint64_t get_due_ms(const sched_job_t *job, uint32_t occurrence)
-{
-	return job->spec->first_due_ms + occurrence * job->spec->interval_ms;
-}
-
 static bool is_unit_ready(const sched_job_t *job, const sched_unit_t *unit)
 {
-	uint32_t base = unit->occurrence * job->spec->n_steps;
-
-	if (job->spec->repeats &&
-	    sched_wall_ms(job->sched) < get_due_ms(job, unit->occurrence))
-		return false;
 	for (size_t i = 0; i < unit->step->n_after; i++)
-		if (!is_unit_done(&job->units[base + unit->step->after[i]]))
+		if (!is_unit_done(sched_job_find_unit(job, unit->occurrence,
+						      unit->step->after[i])))
 			return false;
 	return true;
 }
 
 void sched_job_update_units(sched_job_t *job)
 {
-	for (uint32_t i = 0; i < job->unit_count; i++) {
-		sched_unit_t *unit = &job->units[i];
+	sched_occurrences_open_due(job);
+	for (guint i = 0; i < job->units->len; i++) {
+		sched_unit_t *unit = g_ptr_array_index(job->units, i);
 
 		if (unit->ready || !is_unit_ready(job, unit))
 			continue;
@@ -397,7 +378,7 @@
 void sched_job_task_done(sched_task_t *task)
 {
 	sched_job_t *job = task->job;
-	sched_unit_t *unit = &job->units[task->unit];
+	sched_unit_t *unit = task->unit;
 	const Gn__JobStep *step = unit->step;
 
 	task->state = GN_JOB_TASK_DONE;
@@ -425,13 +406,16 @@
 					 .reason = why,
 					 .value = (int64_t)job->done,
 					 .list_age_ms = -1 };
+	sched_task_iter_t tasks = { .job = job };
+	sched_task_t *task;
 
 	job->phase = phase;
 	job->finished_us = sched_now_us(job->sched);
 	job->sched->ops->log_event(job->sched->arg, &event);
-	for (uint32_t i = 0; i < job->task_count; i++)
-		if (job->tasks[i].state == GN_JOB_TASK_CLAIMED)
-			sched_stop_run(&job->tasks[i], why);
+	while ((task = sched_task_iter_next(&tasks)))
+		if (task->state == GN_JOB_TASK_CLAIMED)
+			sched_stop_run(task, why);
+	sched_occurrences_release(job);
 	sched_job_mark_dirty(job);
 }
 
@@ -444,9 +428,12 @@
 /* Returns the first task because of which the job fails, or NULL. */
 static const sched_task_t *find_task_at_limit(const sched_job_t *job)
 {
-	for (uint32_t i = 0; i < job->task_count; i++)
-		if (is_at_limit(&job->tasks[i]))
-			return &job->tasks[i];
+	sched_task_iter_t tasks = { .job = job };
+	const sched_task_t *task;
+
+	while ((task = sched_task_iter_next(&tasks)))
+		if (is_at_limit(task))
+			return task;
 	return NULL;
 }
 
@@ -525,6 +512,20 @@
 				stats.workers, sched_now_us(sched));
 }
 
+/* Returns why there is no memory for the job, or NULL. */
+static const char *get_memory_fault(const gn_sched_t *sched,
+				    const Gn__JobSpec *spec)
+{
+	size_t width = spec->repeats ? 0 : gn_job_tasks_per_occurrence(spec);
+
+	if (!gn_occurrence_may_accept(width, sched->open_tasks))
+		return "limit of " G_STRINGIFY(
+			GN_OCCURRENCE_TASKS_MAX) " unfinished tasks";
+	if (sched->spec_bytes + get_spec_bytes(spec) > GN_SCHED_SPEC_BYTES_MAX)
+		return "limit of 48 MiB for the specifications of jobs";
+	return NULL;
+}
+
 /* Whether the rate of best-effort work says when the job ends. */
 static bool can_forecast(const sched_job_t *job)
 {
@@ -622,11 +623,12 @@
 		return reply;
 	}
 	retry_ms = get_backlog_retry_ms(sched, spec);
-	if (retry_ms) {
+	reply.reason = retry_ms ? "backlog" : get_memory_fault(sched, spec);
+	if (reply.reason) {
 		gn__job_spec__free_unpacked(spec, NULL);
 		reply.result = GN_RESULT_REFUSED;
-		reply.retry_after_ms = retry_ms;
-		reply.reason = "backlog";
+		reply.retry_after_ms =
+			retry_ms ? retry_ms : GN_BACKLOG_RETRY_MAX_MS;
 		return reply;
 	}
 	job = sched_job_create(sched, spec, sched_wall_ms(sched));
--- a/lib/sched/sched_mix.c
+++ b/lib/sched/sched_mix.c
@@ -18,7 +18,7 @@
 
 static const Gn__JobStep *get_step(const sched_task_t *task)
 {
-	return task->job->units[task->unit].step;
+	return task->unit->step;
 }
 
 /* ======   Aggregation   ====== */
@@ -26,7 +26,7 @@
 /* Returns the headroom of @p task that best-effort tasks may use. */
 static double get_budget(const gn_sched_t *sched, const sched_task_t *task)
 {
-	const gn_headroom_t *alone = &task->job->units[task->unit].baseline;
+	const gn_headroom_t *alone = &task->unit->baseline;
 
 	if (!alone->updated_us)
 		return BUDGET_UNKNOWN;
@@ -41,7 +41,7 @@
  * of the serving task would lose. */
 static double get_late_budget(const gn_sched_t *sched, const sched_task_t *task)
 {
-	const gn_headroom_t *alone = &task->job->units[task->unit].baseline;
+	const gn_headroom_t *alone = &task->unit->baseline;
 	double goal = sched->config.late_headroom_goal;
 
 	if (!alone->updated_us)
--- a/lib/sched/sched_order.c
+++ b/lib/sched/sched_order.c
@@ -25,9 +25,12 @@
 	if (sched_job_is_finished(job) ||
 	    job->done + job->claimed >= job->task_count)
 		return false;
-	for (uint32_t i = 0; i < job->unit_count; i++)
-		if (job->units[i].ready && job->units[i].waiting)
+	for (guint i = 0; i < job->units->len; i++) {
+		const sched_unit_t *unit = g_ptr_array_index(job->units, i);
+
+		if (unit->ready && unit->waiting)
 			return true;
+	}
 	return false;
 }
 
@@ -39,8 +42,8 @@
 {
 	double work = 0;
 
-	for (uint32_t i = 0; i < job->unit_count; i++) {
-		const sched_unit_t *unit = &job->units[i];
+	for (guint i = 0; i < job->units->len; i++) {
+		const sched_unit_t *unit = g_ptr_array_index(job->units, i);
 		const Gn__JobStep *step = unit->step;
 		double left = (double)(step->count - unit->done);
 		double claimed = left - unit->waiting;
@@ -49,6 +52,14 @@
 			work += (left - claimed / 2) * step->cpu_milli *
 				(double)sched_job_run_time(job, unit)->run_ms;
 	}
+	for (size_t i = 0; i < job->spec->n_steps; i++) {
+		const Gn__JobStep *step = job->spec->steps[i];
+
+		if (step->fills)
+			work += (double)sched_job_waiting_occurrences(job) *
+				step->count * step->cpu_milli *
+				(double)job->run_times[i].run_ms;
+	}
 	return work;
 }
 
@@ -196,10 +207,12 @@
 {
 	if (sched_job_is_finished(job))
 		return false;
-	for (uint32_t i = 0; i < job->unit_count; i++)
-		if (job->units[i].ready &&
-		    job->units[i].waiting > job->units[i].near_waiting)
+	for (guint i = 0; i < job->units->len; i++) {
+		const sched_unit_t *unit = g_ptr_array_index(job->units, i);
+
+		if (unit->ready && unit->waiting > unit->near_waiting)
 			return true;
+	}
 	return false;
 }
 
@@ -232,7 +245,7 @@
 {
 	for (guint i = 0; i < worker->claims->len; i++) {
 		const sched_task_t *task = g_ptr_array_index(worker->claims, i);
-		const Gn__JobStep *step = task->job->units[task->unit].step;
+		const Gn__JobStep *step = task->unit->step;
 		const gn_sharing_serving_t row = {
 			.target_ms = step->target_ms,
 			.tail_ms = task->last_reading,
--- a/lib/sched/sched_pace.c
+++ b/lib/sched/sched_pace.c
@@ -37,7 +37,7 @@
 
 static const Gn__JobStep *get_step(const sched_task_t *task)
 {
-	return task->job->units[task->unit].step;
+	return task->unit->step;
 }
 
 static bool is_best_effort(const sched_task_t *task)
@@ -75,9 +75,8 @@
 		sched->learned = true;
 		gn_interference_update(sched->interference, task->image,
 				       target_ms / task->last_reading,
-				       &task->job->units[task->unit].baseline,
-				       mix.uses, mix.use_count,
-				       sched_now_us(sched));
+				       &task->unit->baseline, mix.uses,
+				       mix.use_count, sched_now_us(sched));
 	}
 }
 
--- a/lib/sched/sched_pass.c
+++ b/lib/sched/sched_pass.c
@@ -69,7 +69,7 @@
 	for (guint i = 0; step->target_ms && i < worker->claims->len; i++) {
 		const sched_task_t *task = g_ptr_array_index(worker->claims, i);
 
-		count += task->job->units[task->unit].step->target_ms &&
+		count += task->unit->step->target_ms &&
 			 !strcmp(task->image, step->image);
 	}
 	return count;
@@ -164,11 +164,10 @@
 						  step->cpu_milli, job->late });
 }
 
-static void count_same_step(sched_candidates_t *all, const sched_job_t *job,
-			    const sched_unit_t *unit)
+static void count_same_step(sched_candidates_t *all, const sched_unit_t *unit)
 {
 	for (uint32_t i = 0; i < unit->step->count; i++) {
-		const sched_task_t *task = &job->tasks[unit->first + i];
+		const sched_task_t *task = &unit->tasks[i];
 
 		if (task->state != GN_JOB_TASK_CLAIMED)
 			continue;
@@ -232,7 +231,7 @@
 		    gn_locality_run_t *run)
 {
 	const gn_sched_t *sched = task->job->sched;
-	const sched_unit_t *unit = &task->job->units[task->unit];
+	const sched_unit_t *unit = task->unit;
 	const Gn__JobStep *step = unit->step;
 	const sched_run_time_t *time = sched_job_run_time(task->job, unit);
 	double run_ms = (double)time->run_ms;
@@ -274,7 +273,7 @@
 	for (guint i = 0; i < worker->claims->len; i++) {
 		const sched_task_t *task = g_ptr_array_index(worker->claims, i);
 
-		input.same_step += &task->job->units[task->unit] == unit;
+		input.same_step += task->unit == unit;
 		count += get_run(task, unit, &runs[count]);
 	}
 	count = gn_locality_find_places(&input, &need, runs, count, found,
@@ -300,7 +299,7 @@
 	const sched_job_t *job = task->job;
 
 	return (job->sched->config.far_factor - 1) *
-	       (double)sched_job_run_time(job, &job->units[task->unit])->run_ms;
+	       (double)sched_job_run_time(job, task->unit)->run_ms;
 }
 
 static double get_waited_ms(const sched_task_t *task)
@@ -339,7 +338,7 @@
 		      uint32_t count)
 {
 	const sched_job_t *job = task->job;
-	sched_unit_t *unit = &task->job->units[task->unit];
+	sched_unit_t *unit = task->unit;
 	const sched_run_time_t *time = sched_job_run_time(job, unit);
 	uint64_t now_us = sched_now_us(job->sched);
 	const gn_locality_task_t input = {
@@ -435,7 +434,7 @@
 			   const gn_place_task_t *wanted, size_t at,
 			   near_queue_t *near)
 {
-	const sched_unit_t *unit = &task->job->units[task->unit];
+	const sched_unit_t *unit = task->unit;
 
 	if (!near->is_begun) {
 		if (!are_near_workers_full(all, wanted))
@@ -459,11 +458,10 @@
 
 /* Returns the next waiting task of @p unit that may be started beside others,
  * or NULL. */
-static sched_task_t *find_waiting_task(sched_job_t *job, sched_unit_t *unit)
+static sched_task_t *find_waiting_task(sched_unit_t *unit)
 {
 	while (unit->search_from < unit->step->count) {
-		sched_task_t *task =
-			&job->tasks[unit->first + unit->search_from];
+		sched_task_t *task = &unit->tasks[unit->search_from];
 
 		if (task->state == GN_JOB_TASK_WAITING &&
 		    !sched_isolate_is_awaited(task))
@@ -496,15 +494,15 @@
 					task->job->late });
 }
 
-static void place_tasks(sched_candidates_t *all, sched_job_t *job,
-			sched_unit_t *unit, const gn_place_task_t *wanted)
+static void place_tasks(sched_candidates_t *all, sched_unit_t *unit,
+			const gn_place_task_t *wanted)
 {
 	bool has_rack = *unit->step->rack != 0;
 	near_queue_t near = { .is_begun = false };
 	sched_task_t *task;
 	size_t at;
 
-	while ((task = find_waiting_task(job, unit))) {
+	while ((task = find_waiting_task(unit))) {
 		at = gn_place(wanted, all->views, all->count);
 		if (at == GN_PLACE_NONE) {
 			/* They compete for the rack as well. */
@@ -543,7 +541,7 @@
 		update_view(all, i, sched, job, unit);
 	unit->near_waiting = 0;
 	if (step->per_worker)
-		count_same_step(all, job, unit);
+		count_same_step(all, unit);
 	if (step->gang) {
 		bool isolated = sched_isolate_restrict_gang(all, job, unit);
 
@@ -554,7 +552,7 @@
 	}
 	sched_isolate_place(all, job, unit, &wanted);
 	exclude_reserved(all);
-	place_tasks(all, job, unit, &wanted);
+	place_tasks(all, unit, &wanted);
 }
 
 static bool has_room_for_unit(gn_sched_t *sched, sched_candidates_t *all,
@@ -574,8 +572,8 @@
 static void place_job(gn_sched_t *sched, sched_candidates_t *all,
 		      sched_job_t *job)
 {
-	for (uint32_t i = 0; i < job->unit_count; i++) {
-		sched_unit_t *unit = &job->units[i];
+	for (guint i = 0; i < job->units->len; i++) {
+		sched_unit_t *unit = g_ptr_array_index(job->units, i);
 
 		if (!unit->ready || !unit->waiting)
 			continue;
@@ -609,10 +607,12 @@
 	bool has_room = false;
 
 	get_candidates(job->sched, &all);
-	for (uint32_t i = 0; i < job->unit_count && !has_room; i++)
-		has_room = job->units[i].ready &&
-			   has_room_for_unit(job->sched, &all, job,
-					     &job->units[i]);
+	for (guint i = 0; i < job->units->len && !has_room; i++) {
+		sched_unit_t *unit = g_ptr_array_index(job->units, i);
+
+		has_room = unit->ready &&
+			   has_room_for_unit(job->sched, &all, job, unit);
+	}
 	free_candidates(&all);
 	return has_room;
 }
--- a/lib/sched/sched_report.c
+++ b/lib/sched/sched_report.c
@@ -23,8 +23,7 @@
 			       const Gn__WorkerRun *run,
 			       const sched_task_t *task)
 {
-	const Gn__JobStep *step =
-		task ? task->job->units[task->unit].step : NULL;
+	const Gn__JobStep *step = task ? task->unit->step : NULL;
 
 	if (step) {
 		gn_resource_vector_t resources = sched_step_resources(step);
@@ -38,7 +37,7 @@
  * run has used. */
 static void count_progress(sched_task_t *task, uint32_t used_milli)
 {
-	const Gn__JobStep *step = task->job->units[task->unit].step;
+	const Gn__JobStep *step = task->unit->step;
 	uint64_t passed_us =
 		sched_now_us(task->job->sched) - task->last_listed_us;
 
@@ -197,7 +196,7 @@
 	case GN_ORDER_OUTCOME_STARTED:
 		/* The run starts at full pace and may have to be throttled. */
 		sched_mark_started(task);
-		if (task->job->units[task->unit].step->fills)
+		if (task->unit->step->fills)
 			sched_pace_worker(sched, worker);
 		break;
 	case GN_ORDER_OUTCOME_MALFORMED:
--- a/lib/sched/sched_shrink.c
+++ b/lib/sched/sched_shrink.c
@@ -42,7 +42,7 @@
 	for (guint i = 0; i < worker->claims->len; i++) {
 		const sched_task_t *task = g_ptr_array_index(worker->claims, i);
 		const gn_resource_vector_t resources =
-			sched_step_resources(task->job->units[task->unit].step);
+			sched_step_resources(task->unit->step);
 
 		if (task->stopping && !task->listed)
 			gn_resource_vector_subtract(&use, &resources);
--- a/lib/sched/sched_store.c
+++ b/lib/sched/sched_store.c
@@ -57,23 +57,47 @@
 		       : gn_queue_to_record(&job->queue);
 }
 
+/* Adds the tasks of an occurrence that is closed. */
+static void pack_done(const sched_job_t *job, uint32_t occurrence,
+		      Gn__JobState *state, Gn__TaskState *states)
+{
+	for (uint32_t i = 0; i < job->width; i++) {
+		Gn__TaskState *row = &states[state->n_tasks];
+
+		gn__task_state__init(row);
+		row->number = occurrence * job->width + i;
+		row->status = GN_JOB_TASK_DONE;
+		/* Older builds expect a task without an attempt to wait. */
+		row->attempt = 1;
+		row->host = empty_text;
+		row->life = empty_text;
+		row->checkpoint = empty_text;
+		state->tasks[state->n_tasks++] = row;
+	}
+}
+
 static void pack_job(const sched_job_t *job, gn_sched_write_t *write)
 {
 	Gn__TaskState *states = g_new(Gn__TaskState, job->task_count);
 	Gn__TaskState **rows = g_new(Gn__TaskState *, job->task_count);
 	Gn__JobRecord record = GN__JOB_RECORD__INIT;
 	Gn__JobState state = GN__JOB_STATE__INIT;
+	sched_task_iter_t tasks = { .job = job };
+	const sched_task_t *task;
 
 	state.phase = job->phase;
 	state.accepted_ms = job->accepted_ms;
 	state.queue = create_queue_record(job);
 	state.tasks = rows;
-	for (uint32_t i = 0; i < job->task_count; i++) {
-		if (!has_state(&job->tasks[i]))
+	while ((task = sched_task_iter_next(&tasks))) {
+		if (!has_state(task))
 			continue;
 		rows[state.n_tasks] = &states[state.n_tasks];
-		pack_task(&job->tasks[i], &states[state.n_tasks++]);
+		pack_task(task, &states[state.n_tasks++]);
 	}
+	for (uint32_t i = 0; i < job->all.count; i++)
+		if (gn_occurrences_get(&job->all, i) == GN_OCCURRENCE_DONE)
+			pack_done(job, i, &state, states);
 	record.spec = job->spec;
 	record.state = &state;
 	write->len = write->with_spec ? gn__job_record__get_packed_size(&record)
@@ -159,9 +183,12 @@
 /* No start was sent, since the claims are not durable. */
 static void release_unstored_claims(sched_job_t *job)
 {
-	for (uint32_t i = 0; i < job->task_count && job->claimed; i++)
-		if (job->tasks[i].state == GN_JOB_TASK_CLAIMED)
-			sched_release_claim(&job->tasks[i], "withdrawn");
+	sched_task_iter_t tasks = { .job = job };
+	sched_task_t *task;
+
+	while (job->claimed && (task = sched_task_iter_next(&tasks)))
+		if (task->state == GN_JOB_TASK_CLAIMED)
+			sched_release_claim(task, "withdrawn");
 }
 
 bool gn_sched_withdraw(gn_sched_t *sched, const char *id)
@@ -245,11 +272,13 @@
 
 static void load_task(sched_job_t *job, const Gn__TaskState *row)
 {
-	sched_task_t *task = &job->tasks[row->number];
-	sched_unit_t *unit = &job->units[task->unit];
+	sched_task_t *task = sched_job_get_task(job, row->number);
+	sched_unit_t *unit;
 
-	if (task->state != GN_JOB_TASK_WAITING)
+	/* Its occurrence is done, or the row is there twice. */
+	if (!task || task->state != GN_JOB_TASK_WAITING)
 		return;
+	unit = task->unit;
 	task->attempt = row->attempt;
 	task->failed = row->failed;
 	task->released_us = sched_now_us(job->sched);
@@ -271,6 +300,33 @@
 	}
 }
 
+/* Opens the occurrences that have begun and are not done. */
+static void load_occurrences(sched_job_t *job, const Gn__JobState *state)
+{
+	uint32_t *done;
+
+	if (!job->spec->repeats)
+		return;
+	done = g_new0(uint32_t, job->all.count);
+	for (size_t i = 0; i < state->n_tasks; i++)
+		if (state->tasks[i]->status == GN_JOB_TASK_DONE)
+			done[state->tasks[i]->number / job->width]++;
+	for (size_t i = 0; i < state->n_tasks; i++) {
+		uint32_t number = state->tasks[i]->number / job->width;
+
+		if (gn_occurrences_get(&job->all, number) !=
+		    GN_OCCURRENCE_WAITING)
+			continue;
+		if (done[number] < job->width) {
+			sched_occurrence_open(job, number);
+			continue;
+		}
+		gn_occurrences_set(&job->all, number, GN_OCCURRENCE_DONE);
+		job->done += job->width;
+	}
+	g_free(done);
+}
+
 gn_code_t gn_sched_load_job(gn_sched_t *sched, Gn__JobSpec *spec,
 			    const Gn__JobState *state)
 {
@@ -291,6 +347,7 @@
 	job->phase = (gn_job_phase_t)state->phase;
 	job->stored = true;
 	sched_job_load_queue(job, state);
+	load_occurrences(job, state);
 	for (size_t i = 0; i < state->n_tasks; i++)
 		load_task(job, state->tasks[i]);
 	return GN_OK;
@@ -331,6 +388,9 @@
 
 static void resume_job(sched_job_t *job)
 {
+	sched_task_iter_t tasks = { .job = job };
+	sched_task_t *task;
+
 	/* The run times may have been loaded after the job. */
 	sched_job_update_run_times(job);
 	/* An earlier leader may not have known the limit. */
@@ -340,9 +400,10 @@
 		return;
 	}
 	job->finished_us = sched_now_us(job->sched);
-	for (uint32_t i = 0; i < job->task_count; i++)
-		if (job->tasks[i].state == GN_JOB_TASK_CLAIMED)
-			job->tasks[i].stopping = true;
+	sched_occurrences_release(job);
+	while ((task = sched_task_iter_next(&tasks)))
+		if (task->state == GN_JOB_TASK_CLAIMED)
+			task->stopping = true;
 }
 
 void gn_sched_finish_loading(gn_sched_t *sched)
--- a/tests/support/sched_rig.c
+++ b/tests/support/sched_rig.c
@@ -286,6 +286,9 @@
 	for (size_t i = 0; i < count; i++)
 		spec->steps[spec->n_steps++] =
 			create_step(&steps[i], (uint32_t)i);
+	spec->repeats = rig->repeats;
+	spec->first_due_ms = rig->first_due_ms;
+	spec->interval_ms = rig->interval_ms;
 	g_assert_cmpint(gn_job_check(spec, NULL), ==, GN_OK);
 	return gn_sched_submit(rig->sched, spec);
 }
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -41,6 +41,10 @@
 	GHashTable *hosts; /**< Name of a host to its state, owned. */
 	uint64_t stored; /**< Number of stored batches. */
 	uint64_t revision; /**< Of the last of them. */
+	/** Occurrences of the jobs submitted from now on; 0: no repeats. */
+	uint32_t repeats;
+	uint64_t first_due_ms; /**< When the first is due, since 1970. */
+	uint64_t interval_ms; /**< Time between them. */
 	GHashTable *records; /**< Job ID to its stored Gn__JobRecord, owned. */
 	bool forecast; /**< Jobs are refused by forecast. */
 	GBytes *learned; /**< Stored weights and run times, or NULL. */
