executor, sched: a run is gone only by a list that shows all ends

Cause: a worker lists 500 ends at a time. The executor took a run that such a list shows neither as running nor as ended for gone, and a new leader repeated starts on the strength of it. The outcome "gone" is final.

Change: the adapter says whether a list may have been cut, and the report of the executor passes it on. The executor decides no absence by a cut list, and the leader repeats a restored start only after a whole one of this life.

Both builds beside each other: for an executor of the former build, which does not say it, a list without ends is whole. A former leader ignores the field.

Evidence: test_orders list_that_was_cut_decides_no_absence, test_sched restored_start_is_repeated_only_after_a_whole_list fail without the checks.

--- a/lib/adapter/adapter.h
+++ b/lib/adapter/adapter.h
@@ -133,6 +133,9 @@
 	/** Ended runs in the order of their numbers; as runs. */
 	Gn__WorkerEnd **ends;
 	size_t end_count;
+	/** The list has the longest part of the ends that a response can have; there
+	 * may be later ones. */
+	bool ends_cut;
 	size_t refused_rows; /**< Malformed rows, which are left out. */
 } gn_worker_answer_t;
 
--- a/lib/executor/executor_internal.h
+++ b/lib/executor/executor_internal.h
@@ -109,6 +109,7 @@
 	size_t run_count;
 	Gn__WorkerEnd **ends; /**< In the order of their numbers. */
 	size_t end_count;
+	bool ends_cut; /**< There may be later ends. */
 	size_t refused_row_count; /**< Malformed rows that it had. */
 	uint64_t ends_stored; /**< The leader has stored ends up to this one. */
 	/** A request since the last list found no process of the worker. */
--- a/lib/executor/leader.c
+++ b/lib/executor/leader.c
@@ -230,6 +230,7 @@
 		executor->list_unreported || is_last_list_due(executor);
 	report->ends = executor->ends;
 	report->n_ends = executor->end_count;
+	report->whole = !executor->ends_cut;
 	if (!report->listed)
 		return;
 	report->runs = executor->runs;
--- a/lib/executor/orders.c
+++ b/lib/executor/orders.c
@@ -542,6 +542,9 @@
 			finish_order(order, GN_ORDER_OUTCOME_STARTED);
 	} else if (is_end_listed(list, order)) {
 		remove_order(order);
+	} else if (list->ends_cut) {
+		/* The run's end may be among those that are not shown. */
+		return;
 	} else if (order->check_only &&
 		   order->stop_outcome != GN_ORDER_OUTCOME_GONE) {
 		/* Closes the attempt at the worker: a repeated order or a late
--- a/lib/executor/orders.h
+++ b/lib/executor/orders.h
@@ -15,7 +15,7 @@
  * have repeated the order before it learns of the refusal. So the attempt is
  * closed at the worker first: a stop makes the worker refuse this attempt from
  * then on, whoever orders it, also after a restart of the executor. A run is
- * gone once a list requested after the stop doesn't show it.
+ * gone once a whole list requested after the stop doesn't show it.
  */
 #ifndef GN_EXECUTOR_ORDERS_H
 #define GN_EXECUTOR_ORDERS_H
--- a/lib/executor/worker.c
+++ b/lib/executor/worker.c
@@ -130,6 +130,7 @@
 	executor->run_count = answer->run_count;
 	executor->ends = answer->ends;
 	executor->end_count = answer->end_count;
+	executor->ends_cut = answer->ends_cut;
 	executor->list_unreported = true;
 	if (answer->end_count)
 		executor->list_due_us =
@@ -303,6 +304,7 @@
 	executor->list_clock_ms = 0;
 	executor->run_count = 0;
 	executor->end_count = 0;
+	executor->ends_cut = false;
 	executor->refused_row_count = 0;
 	executor->list_unreported = false;
 	executor->ends_stored = 0;
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -218,7 +218,7 @@
 	uint64_t list_expiry_us;
 	/** Time of the last list of runs; 0 if never. */
 	uint64_t last_list_us;
-	bool has_listed; /**< This life has sent a list. */
+	bool has_listed; /**< This life has sent a list with all its ends. */
 	/** As gn_sched_get_fence() returns it. */
 	uint64_t fence;
 	/** Number of the write batch that gives this life its fencing token; 0
--- a/lib/sched/sched_report.c
+++ b/lib/sched/sched_report.c
@@ -306,7 +306,8 @@
 		handle_runs(sched, worker, report);
 		stop_missing_runs(sched, worker, report);
 		sched_shrink_give_up_starts(worker);
-		worker->has_listed = true;
+		/* Executors of older builds do not say whether it is whole. */
+		worker->has_listed |= report->whole || !report->n_ends;
 		sched_learn_from_worker(sched, worker);
 		sched_pace_worker(sched, worker);
 	}
--- a/lib/wire/gypsumnotch.pb-c.c
+++ b/lib/wire/gypsumnotch.pb-c.c
@@ -3787,7 +3787,7 @@
   (ProtobufCMessageInit) gn__order_result__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gn__worker_report__field_descriptors[23] =
+static const ProtobufCFieldDescriptor gn__worker_report__field_descriptors[24] =
 {
   {
     "sequence",
@@ -4065,6 +4065,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "whole",
+    25,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerReport, whole),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gn__worker_report__field_indices_by_name[] = {
   9,   /* field[9] = accelerators */
@@ -4090,12 +4102,13 @@
   14,   /* field[14] = runs */
   0,   /* field[0] = sequence */
   5,   /* field[5] = service */
+  23,   /* field[23] = whole */
 };
 static const ProtobufCIntRange gn__worker_report__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 20, 18 },
-  { 0, 23 }
+  { 0, 24 }
 };
 const ProtobufCMessageDescriptor gn__worker_report__descriptor =
 {
@@ -4105,7 +4118,7 @@
   "Gn__WorkerReport",
   "gn",
   sizeof(Gn__WorkerReport),
-  23,
+  24,
   gn__worker_report__field_descriptors,
   gn__worker_report__field_indices_by_name,
   2,  gn__worker_report__number_ranges,
--- a/lib/wire/gypsumnotch.pb-c.h
+++ b/lib/wire/gypsumnotch.pb-c.h
@@ -727,6 +727,13 @@
    * Time until the worker is at full speed.
    */
   uint32_t cold_left_ms;
+  /*
+   * The list has all ends of the life that
+   */
+  protobuf_c_boolean whole;
+  /*
+   * are not stored.
+   */
   /*
    * The sender knows no earlier life of the
    */
@@ -734,7 +741,7 @@
 };
 #define GN__WORKER_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gn__worker_report__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/tests/support/run_model.h
+++ b/tests/support/run_model.h
@@ -19,53 +19,54 @@
 #include "support/walk.h"
 
 /** Counted events: those that occur in any set of walks, X, and rare ones, Y. */
-#define RUN_MODEL_COUNTS(X, Y)    \
-	X(starts)                 \
-	X(starts_again)           \
-	X(stops)                  \
-	X(stops_of_missing_runs)  \
-	X(ends_done)              \
-	X(ends_failed)            \
-	X(ends_lapsed)            \
-	X(ends_noted)             \
-	X(refused_unhealthy)      \
-	X(refused_room)           \
-	X(refused_old)            \
-	X(refused_late)           \
-	X(refused_fence)          \
-	X(refused_life)           \
-	X(calls_lost)             \
-	X(answers_lost)           \
-	X(calls_delayed)          \
-	Y(delayed_starts)         \
-	X(links_cut)              \
-	X(messages_lost)          \
-	X(executor_restarts)      \
-	X(executor_freezes)       \
-	X(worker_restarts)        \
-	X(worker_leaves)          \
-	X(leaves_stored)          \
-	X(late_configurations)    \
-	X(failovers)              \
-	X(rival_leaders)          \
-	X(batches_lost)           \
-	X(batches_applied_unseen) \
-	X(cancels)                \
-	X(jobs_failed)            \
-	Y(unclaimed_runs)         \
-	Y(crashes_by_tasks)       \
-	Y(runs_crashed)           \
-	Y(crashing_tasks)         \
-	Y(runs_lost_beside)       \
-	Y(jobs_failed_by_crashes) \
-	Y(jobs_failed_wrongly)    \
-	Y(shrinks)                \
-	Y(starts_given_up)        \
-	Y(evacuations)            \
-	Y(evacuation_claims)      \
-	Y(refused_evacuated)      \
-	Y(starts_in_evacuations)  \
-	Y(late_starts_out_of_touch)
+#define RUN_MODEL_COUNTS(X, Y)      \
+	X(starts)                   \
+	X(starts_again)             \
+	X(stops)                    \
+	X(stops_of_missing_runs)    \
+	X(ends_done)                \
+	X(ends_failed)              \
+	X(ends_lapsed)              \
+	X(ends_noted)               \
+	X(refused_unhealthy)        \
+	X(refused_room)             \
+	X(refused_old)              \
+	X(refused_late)             \
+	X(refused_fence)            \
+	X(refused_life)             \
+	X(calls_lost)               \
+	X(answers_lost)             \
+	X(calls_delayed)            \
+	Y(delayed_starts)           \
+	X(links_cut)                \
+	X(messages_lost)            \
+	X(executor_restarts)        \
+	X(executor_freezes)         \
+	X(worker_restarts)          \
+	X(worker_leaves)            \
+	X(leaves_stored)            \
+	X(late_configurations)      \
+	X(failovers)                \
+	X(rival_leaders)            \
+	X(batches_lost)             \
+	X(batches_applied_unseen)   \
+	X(cancels)                  \
+	X(jobs_failed)              \
+	Y(unclaimed_runs)           \
+	Y(crashes_by_tasks)         \
+	Y(runs_crashed)             \
+	Y(crashing_tasks)           \
+	Y(runs_lost_beside)         \
+	Y(jobs_failed_by_crashes)   \
+	Y(jobs_failed_wrongly)      \
+	Y(shrinks)                  \
+	Y(starts_given_up)          \
+	Y(evacuations)              \
+	Y(evacuation_claims)        \
+	Y(refused_evacuated)        \
+	Y(starts_in_evacuations)    \
+	Y(late_starts_out_of_touch) \
+	Y(lists_cut)
 
 /** Jobs in a walk. */
 #define RUN_MODEL_JOBS 18
--- a/tests/support/run_model_reports.c
+++ b/tests/support/run_model_reports.c
@@ -118,6 +118,7 @@
 		executor->list_unreported || is_last_list_due(executor);
 	report->ends = executor->listed.ends;
 	report->n_ends = executor->listed.end_count;
+	report->whole = !executor->listed.ends_cut;
 	if (!report->listed)
 		return;
 	report->runs = executor->listed.runs;
--- a/tests/support/run_model_types.h
+++ b/tests/support/run_model_types.h
@@ -40,6 +40,8 @@
 #define RM_HOLD_MAX_MS 6000
 /** Longest time in which a worker stops a run. */
 #define RM_STOP_MS 500
+/** Ends that a list shows at most. */
+#define RM_LIST_ENDS_MAX 2
 /** Time that an executor has to end by itself, and how long its orders in
  * progress may delay that. */
 #define RM_GRACE_MS 6000
--- a/tests/support/run_model_worker.c
+++ b/tests/support/run_model_worker.c
@@ -98,14 +98,17 @@
 	return row;
 }
 
-static void write_lists(const rm_worker_t *worker, rm_call_t *call)
+static void write_lists(run_model_t *model, const rm_worker_t *worker,
+			rm_call_t *call)
 {
 	gn_worker_answer_t *answer = &call->answer;
 	TALLOC_CTX *ctx = talloc_new(NULL);
 
 	call->lists = ctx;
 	answer->run_count = worker->runs->len;
-	answer->end_count = worker->listed_ends->len;
+	answer->end_count = MIN(worker->listed_ends->len, RM_LIST_ENDS_MAX);
+	answer->ends_cut = answer->end_count == RM_LIST_ENDS_MAX;
+	model->counts->lists_cut += worker->listed_ends->len > RM_LIST_ENDS_MAX;
 	answer->runs =
 		talloc_array(ctx, Gn__WorkerRun *, answer->run_count + 1);
 	answer->ends =
@@ -113,7 +116,7 @@
 	for (guint i = 0; i < worker->runs->len; i++)
 		answer->runs[i] =
 			copy_run(ctx, g_ptr_array_index(worker->runs, i));
-	for (guint i = 0; i < worker->listed_ends->len; i++)
+	for (guint i = 0; i < answer->end_count; i++)
 		answer->ends[i] = copy_end(
 			ctx, &g_array_index(worker->listed_ends, rm_end_t, i));
 }
@@ -129,7 +132,7 @@
 			call->answer.life_started_ms = worker->born_ms;
 	}
 	if (outcome == GN_WORKER_OK && call->call.kind == GN_WORKER_LIST)
-		write_lists(worker, call);
+		write_lists(model, worker, call);
 	if (!call->silent)
 		rm_call_answer(model, call);
 }
--- a/tests/unit/test_orders.c
+++ b/tests/unit/test_orders.c
@@ -178,6 +178,15 @@
 	gn_orders_handle_list(rig->orders, &answer, sent_us);
 }
 
+/* The worker lists as many ends as a response can have, none of the run. */
+static void list_cut(rig_t *rig)
+{
+	const gn_worker_answer_t answer = { .ends_cut = true };
+
+	gn_orders_handle_list(rig->orders, &answer,
+			      gn_clock_now_us(&rig->clock));
+}
+
 /* The worker lists what it runs. */
 static void list(rig_t *rig)
 {
@@ -608,6 +617,23 @@
 }
 
 /* A run may have begun between the first list and the stop. */
+/* Guards against a run that is reported as gone while its end is listed
+ * later. */
+static void test_list_that_was_cut_decides_no_absence(void)
+{
+	rig_t rig;
+
+	rig_open(&rig, GN_WORKER_OK);
+	play(&rig, STEP_MS);
+	order(&rig, GN_RUN_ORDER_START, 1);
+	answer_call(&rig, GN_WORKER_RUN_OVER);
+	list_cut(&rig);
+	g_assert_cmpuint(gn_orders_count(rig.orders), ==, 1);
+	list_at(&rig, gn_clock_now_us(&rig.clock), 0, 1);
+	g_assert_cmpuint(gn_orders_count(rig.orders), ==, 0);
+	rig_close(&rig);
+}
+
 static void test_list_from_before_the_stop_decides(void)
 {
 	uint64_t before_us;
@@ -949,6 +975,8 @@
 		  test_stop_during_check_is_ignored },
 		{ "/orders/list_from_before_the_refusal_decides",
 		  test_list_from_before_the_refusal_decides },
+		{ "/orders/list_that_was_cut_decides_no_absence",
+		  test_list_that_was_cut_decides_no_absence },
 		{ "/orders/list_from_before_the_stop_decides",
 		  test_list_from_before_the_stop_decides },
 		{ "/orders/refusal_is_reported_without_an_answer_to_the_stop",
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -438,6 +438,42 @@
 	rig_close(&rig);
 }
 
+/* Guards against a start that is repeated while the end of its run is listed
+ * later. */
+static void test_restored_start_is_repeated_only_after_a_whole_list(void)
+{
+	Gn__WorkerEnd end = GN__WORKER_END__INIT;
+	Gn__WorkerEnd *ends[] = { &end };
+	Gn__WorkerReport report = GN__WORKER_REPORT__INIT;
+	sched_rig_t rig;
+
+	rig_open_with_stored_claim(&rig,
+				   &(rig_step_t){ .count = 1,
+						  .cpu_milli = 1000,
+						  .estimate_ms = 1000 },
+				   true);
+	end.number = 1;
+	end.task = (char *)"00000000000000ff.0.0.0";
+	end.attempt = 1;
+	report.host = (char *)"a";
+	report.life = (char *)"1";
+	report.born_ms = rig_get_life_start_ms(&rig, "a", "1");
+	report.service = (char *)"s";
+	report.cpu_milli = 4000;
+	report.memory_mb = 64000;
+	report.listed = true;
+	report.ends = ends;
+	report.n_ends = 1;
+	gn_sched_handle_report(rig.sched, &report);
+	rig_advance_ms(&rig, 400);
+	g_assert_cmpuint(rig_count_orders(&rig, GN_RUN_ORDER_START), ==, 0);
+	report.whole = true;
+	gn_sched_handle_report(rig.sched, &report);
+	rig_advance_ms(&rig, 400);
+	g_assert_cmpuint(rig_count_orders(&rig, GN_RUN_ORDER_START), ==, 1);
+	rig_close(&rig);
+}
+
 /* Guards against a report that waited for the next leader, of a life before the
  * one that the claim names. */
 static void test_delayed_report_of_a_former_life_ends_no_claim(void)
@@ -1444,6 +1480,8 @@
 		  test_claim_without_a_start_is_released_by_a_restart },
 		{ "claim_lapses_before_the_lease_of_a_restarted_worker",
 		  test_claim_lapses_before_the_lease_of_a_restarted_worker },
+		{ "restored_start_is_repeated_only_after_a_whole_list",
+		  test_restored_start_is_repeated_only_after_a_whole_list },
 		{ "delayed_report_of_a_former_life_ends_no_claim",
 		  test_delayed_report_of_a_former_life_ends_no_claim },
 		{ "report_with_an_unknown_service_ends_no_life",
