executor: an answer counts in the life in which its call was sent

The first run outlasted its lease as the leader knew it and was stopped only when its executor was back.

Cause, as reproduced: a call for a worker's earlier life under the same ID has a time on the clock of that life. Carried out late, it extends the lease in the present life to the maximum, after the leader's allowance for that has passed. Of another path to the same, this is the change: only lists say whose they are, so the clock in the answer to a start that was read after the heartbeat of the next life was taken for the new one, and gave such leases.

--- a/lib/executor/calls.c
+++ b/lib/executor/calls.c
@@ -14,7 +14,8 @@
 	TALLOC_CTX *scratch = talloc_new(executor);
 	gn_worker_answer_t answer;
 
-	executor_read_answer(executor, scratch, sent->kind, http, &answer);
+	executor_read_answer(executor, scratch, sent->kind, http, sent->lives,
+			     &answer);
 	gn_histogram_add(executor->order_time,
 			 executor_now_us(executor) - sent->sent_us);
 	executor_record_clock(executor, &answer);
@@ -25,6 +26,9 @@
 static bool send_call(void *arg, gn_worker_call_t *call, unsigned timeout_ms,
 		      gn_order_call_t *sent)
 {
+	const executor_t *executor = arg;
+
+	sent->lives = executor->lives;
 	return executor_call_worker(arg, call, timeout_ms, on_answer, sent);
 }
 
--- a/lib/executor/executor_internal.h
+++ b/lib/executor/executor_internal.h
@@ -35,6 +35,7 @@
 	executor_t *executor;
 	bool pending; /**< The request is in progress. */
 	uint64_t sent_us; /**< Time of the last request. */
+	uint64_t lives; /**< Number of lives known when it was sent. */
 	unsigned attempts; /**< Requests since the last list. */
 } executor_list_t;
 
@@ -80,6 +81,7 @@
 	executor_announced_t announced;
 	gn_worker_notice_t notice; /**< Newest heartbeat of the worker. */
 	bool worker_known; /**< The worker has confirmed a life. */
+	uint64_t lives; /**< Number of lives that were confirmed. */
 	/** This process has known no earlier life of the worker. */
 	bool first_life;
 	uint64_t described_us; /**< Time of the newest heartbeat. */
@@ -175,12 +177,15 @@
 /**
  * Parses the response to a call of @p kind. One of another life than the known
  * one counts as unanswered and has no clock: a call names the ID only, so a
- * later life with this ID may have answered it, or an earlier one.
+ * later life with this ID may have answered it, or an earlier one. So does the
+ * answer to a call that was sent in an earlier life: not all answers say whose
+ * they are.
  * @param parent talloc parent of the runs and ends
+ * @param lives number of lives that were known when the call was sent
  */
 void executor_read_answer(const executor_t *executor, TALLOC_CTX *parent,
 			  gn_worker_call_kind_t kind,
-			  const gn_http_call_t *http,
+			  const gn_http_call_t *http, uint64_t lives,
 			  gn_worker_answer_t *answer);
 /** Records the worker's clock from a response to any call. */
 void executor_record_clock(executor_t *executor,
--- a/lib/executor/orders.h
+++ b/lib/executor/orders.h
@@ -65,6 +65,8 @@
 	void *arg; /**< The argument of the callbacks. */
 	gn_worker_call_kind_t kind;
 	uint64_t sent_us;
+	/** Number of lives that the sender had known. */
+	uint64_t lives;
 } gn_order_call_t;
 
 /** Callbacks of the orders. */
--- a/lib/executor/worker.c
+++ b/lib/executor/worker.c
@@ -76,11 +76,11 @@
 
 void executor_read_answer(const executor_t *executor, TALLOC_CTX *parent,
 			  gn_worker_call_kind_t kind,
-			  const gn_http_call_t *http,
+			  const gn_http_call_t *http, uint64_t lives,
 			  gn_worker_answer_t *answer)
 {
 	executor->adapter->read_worker_answer(parent, kind, http, answer);
-	if (is_current_life(executor, answer))
+	if (lives == executor->lives && is_current_life(executor, answer))
 		return;
 	/* Each life has its own runs and its own clock. */
 	answer->outcome = GN_WORKER_UNANSWERED;
@@ -189,7 +189,8 @@
 	gn_worker_answer_t answer;
 
 	request->pending = false;
-	executor_read_answer(executor, list, GN_WORKER_LIST, http, &answer);
+	executor_read_answer(executor, list, GN_WORKER_LIST, http,
+			     request->lives, &answer);
 	if (is_proof_of_end(request, answer.outcome)) {
 		executor->is_process_gone = true;
 		if (executor->worker_left)
@@ -241,6 +242,7 @@
 		call.lease_until_ms =
 			gn_grant_extend_until_ms(&executor->grant, now_us);
 	request->sent_us = now_us;
+	request->lives = executor->lives;
 	request->attempts++;
 	request->pending = executor_call_worker(
 		executor, &call,
@@ -338,6 +340,7 @@
 void executor_begin_life(executor_t *executor, const gn_worker_notice_t *notice)
 {
 	executor->first_life = !executor->worker_known;
+	executor->lives++;
 	reset_for_life(executor, notice);
 	take_notice(executor, notice);
 	executor_report(executor);
--- a/tests/contract/test_executor.c
+++ b/tests/contract/test_executor.c
@@ -743,6 +743,24 @@
 }
 
 /* A lease counted on the clock of another life would end at a wrong time. */
+/* Guards against a lease on the clock of an earlier life, which the worker takes
+ * for one of the longest: the answer to a start does not say whose it is. */
+static void test_answer_that_waited_for_a_new_life_has_no_clock(void)
+{
+	gn_worker_notice_t notice;
+
+	open_rig();
+	send_order(GN_RUN_ORDER_START, EARLIER_MS);
+	notice = rig->notice;
+	notice.life_started_ms = LATER_MS;
+	notice.labels = talloc_zero_array(rig->executor, char *, 1);
+	executor_begin_life(rig->executor, &notice);
+	answer_call(GN_WORKER_OK, 0);
+	g_assert_cmpuint(rig->executor->grant.clock_ms, ==, 0);
+	g_assert_cmpuint(rig->executor->results->len, ==, 0);
+	close_rig();
+}
+
 static void test_clock_of_another_life_is_not_recorded(void)
 {
 	open_rig();
@@ -978,6 +996,9 @@
 		test_start_answered_by_another_life_is_unanswered);
 	g_test_add_func("/executor/stop_answered_by_another_life_is_repeated",
 			test_stop_answered_by_another_life_is_repeated);
+	g_test_add_func(
+		"/executor/answer_that_waited_for_a_new_life_has_no_clock",
+		test_answer_that_waited_for_a_new_life_has_no_clock);
 	g_test_add_func("/executor/clock_of_another_life_is_not_recorded",
 			test_clock_of_another_life_is_not_recorded);
 	g_test_add_func(
