scheduler: orders beyond one message are sent in parts

Cause: all orders for an executor went into one message. A link closes the connection on one of over 1 MiB, and the leader repeated all of them in one again, for ever.

Change: orders are sent in parts of at most half a body, or one order, each with the epoch and the basis of the whole.

--- a/lib/scheduler/executors.c
+++ b/lib/scheduler/executors.c
@@ -9,6 +9,9 @@
 #include "job/life.h"
 #include "scheduler/scheduler_internal.h"
 
+/** Size of the orders in one message, bytes. Links take GN_BODY_MAX. */
+#define ORDERS_SIZE_MAX (GN_BODY_MAX / 2)
+
 /* ======   Order queue   ====== */
 
 static void free_order(gpointer data)
@@ -117,6 +120,39 @@
 	       (uint64_t)settings->lease_ttl_ms * GN_US_PER_MS;
 }
 
+/* Returns the number of the orders from @p first on that fit into a message; at
+ * least one. */
+static size_t count_fitting(const GPtrArray *orders, size_t first)
+{
+	size_t size = 0;
+	size_t count = 0;
+
+	for (size_t i = first; i < orders->len; i++) {
+		size += gn__worker_order__get_packed_size(
+			g_ptr_array_index(orders, i));
+		if (count && size > ORDERS_SIZE_MAX)
+			break;
+		count++;
+	}
+	return count;
+}
+
+/* An executor closes the connection on a message that is too large. */
+static void send_in_parts(scheduler_t *scheduler,
+			  const scheduler_executor_t *executor,
+			  Gn__WorkerOrders *message)
+{
+	size_t first = 0;
+
+	do {
+		message->n_orders = count_fitting(executor->orders, first);
+		message->orders =
+			(Gn__WorkerOrder **)executor->orders->pdata + first;
+		send_orders(scheduler, &executor->peer, message);
+		first += message->n_orders;
+	} while (first < executor->orders->len);
+}
+
 static void flush_executor(scheduler_t *scheduler,
 			   scheduler_executor_t *executor)
 {
@@ -141,9 +177,7 @@
 	message.unsure = may_be_superseded(scheduler);
 	message.sequence = executor->unanswered_sequence;
 	message.basis = executor->last_sequence;
-	message.n_orders = executor->orders->len;
-	message.orders = (Gn__WorkerOrder **)executor->orders->pdata;
-	send_orders(scheduler, &executor->peer, &message);
+	send_in_parts(scheduler, executor, &message);
 	executor->unanswered_sequence = 0;
 	executor->ends_sent = ends;
 	executor->fence_sent = fence;
--- a/tests/contract/test_scheduler.c
+++ b/tests/contract/test_scheduler.c
@@ -30,6 +30,8 @@
 	gn_link_config_t link; /**< Of the scheduler, for other schedulers. */
 	Gn__JobReply reply; /**< The last reply to another scheduler. */
 	uint64_t epoch; /**< Epoch of the last message to an executor. */
+	size_t orders; /**< Orders in all messages to executors. */
+	size_t largest; /**< Size of the largest of these messages, bytes. */
 	uint64_t reports; /**< Number of reports sent as executors. */
 	unsigned replies;
 	gn_http_request_t request;
@@ -68,8 +70,12 @@
 {
 	(void)link;
 	(void)peer;
-	if (envelope->body_case == GN__ENVELOPE__BODY_WORKER_ORDERS)
+	if (envelope->body_case == GN__ENVELOPE__BODY_WORKER_ORDERS) {
 		rig->epoch = envelope->worker_orders->epoch;
+		rig->orders += envelope->worker_orders->n_orders;
+		rig->largest = MAX(rig->largest,
+				   gn__envelope__get_packed_size(envelope));
+	}
 	if (envelope->body_case != GN__ENVELOPE__BODY_JOB_REPLY)
 		return GN_OK;
 	rig->reply = *envelope->job_reply;
@@ -576,6 +582,32 @@
 	close_rig();
 }
 
+/* Guards against starts that never arrive, as their message is too large, and
+ * that are repeated with all others for ever. */
+static void test_orders_beyond_a_message_are_sent_in_parts(void)
+{
+	static char payload[GN_JOB_PAYLOAD_MAX];
+	const gn_run_order_t order = {
+		.kind = GN_RUN_ORDER_START,
+		.task = JOB ".0.0.0",
+		.attempt = 1,
+		.life = { "i-1", 1000 },
+		.payload = { payload, sizeof(payload) },
+		.checkpoint = "",
+		.ticket = "",
+	};
+
+	open_rig("1 old");
+	report_as("side-1", "i-1", 1000);
+	for (unsigned i = 0; i < 100; i++)
+		scheduler_add_order(rig->scheduler, "side-1", &order);
+	rig->orders = 0;
+	run_ms(100);
+	g_assert_cmpuint(rig->orders, ==, 100);
+	g_assert_cmpuint(rig->largest, <, GN_BODY_MAX);
+	close_rig();
+}
+
 static void test_odd_reports_cost_no_other(void)
 {
 	static const char long_name[] =
@@ -625,6 +657,8 @@
 			test_odd_reports_cost_no_other);
 	g_test_add_func("/scheduler/new_life_of_a_worker_has_a_later_epoch",
 			test_new_life_of_a_worker_has_a_later_epoch);
+	g_test_add_func("/scheduler/orders_beyond_a_message_are_sent_in_parts",
+			test_orders_beyond_a_message_are_sent_in_parts);
 	g_test_add_func(
 		"/scheduler/time_of_day_that_is_set_forward_is_not_"
 		"followed_at_once",
