sched: a state that does not fit into a value is made to fit

Cause: the state of a job had no bound, and a refusal that is final was taken for a passing one.

Change: a state that is too large is stored without checkpoints, which costs time only after a change of leader. If that does not suffice, claims for which no start was sent are released and fewer tasks of the job are claimed at a time. What still does not fit is left out of the batch until the job changes, with a log line; the other jobs are stored.

--- a/lib/ledger/ledger.c
+++ b/lib/ledger/ledger.c
@@ -20,6 +20,8 @@
 /** Buffer size of a marker, "INCARNATION-NUMBER" with its terminator. */
 #define MARKER_SIZE 48
 
+G_STATIC_ASSERT(GN_SCHED_VALUE_MAX <= GN_KV_VALUE_MAX);
+
 struct gn_ledger_s {
 	gn_ledger_options_t options;
 	uint64_t revision; /**< Last known revision of the chain key. */
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -260,6 +260,11 @@
 
 /* ======   Storage   ====== */
 
+/** Maximum size of the value of a write, bytes. A state that is larger is stored
+ * without checkpoints, and with fewer tasks claimed at a time. If that does not
+ * suffice, it is not written until the job has changed; the other jobs are. */
+#define GN_SCHED_VALUE_MAX (1024 * 1024)
+
 /** One write to the store. */
 typedef struct gn_sched_write_s {
 	const char *job; /**< Job ID; valid until the write batch ends. */
@@ -268,7 +273,7 @@
 	/** The write holds what was learned, which is interference weights and
 	 * run times, and belongs to no job. */
 	bool interference;
-	/** Packed Disturbances if interference is set, JobRecord if with_spec
+	/** Of GN_SCHED_VALUE_MAX bytes at most. Packed Disturbances if interference is set, JobRecord if with_spec
 	 * is set, else JobState; free with free(). */
 	uint8_t *value;
 	size_t len;
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -138,6 +138,9 @@
 	uint64_t run_times_us; /**< Time of their last update. */
 	uint32_t done;
 	uint32_t claimed;
+	/** Maximum number of claimed tasks whose state can be stored; 0 if it is not
+	 * known to be too large. */
+	uint32_t claims_max;
 	/** Monotonic clock; a job done by then is in time. */
 	uint64_t deadline_us;
 	unsigned priority;
--- a/lib/sched/sched_pass.c
+++ b/lib/sched/sched_pass.c
@@ -460,6 +460,10 @@
  * or NULL. */
 static sched_task_t *find_waiting_task(sched_unit_t *unit)
 {
+	const sched_job_t *job = unit->tasks->job;
+
+	if (job->claims_max && job->claimed >= job->claims_max)
+		return NULL;
 	while (unit->search_from < unit->step->count) {
 		sched_task_t *task = &unit->tasks[unit->search_from];
 
--- a/lib/sched/sched_store.c
+++ b/lib/sched/sched_store.c
@@ -21,7 +21,8 @@
 	return task->state != GN_JOB_TASK_WAITING || task->attempt;
 }
 
-static void pack_task(const sched_task_t *task, Gn__TaskState *state)
+static void pack_task(const sched_task_t *task, bool with_checkpoint,
+		      Gn__TaskState *state)
 {
 	gn__task_state__init(state);
 	state->number = task->number;
@@ -36,7 +37,8 @@
 		state->life = (char *)task->life.id;
 		state->born_ms = task->life.started_ms;
 	}
-	if (task->state != GN_JOB_TASK_DONE && task->checkpoint)
+	if (with_checkpoint && task->state != GN_JOB_TASK_DONE &&
+	    task->checkpoint)
 		state->checkpoint = task->checkpoint;
 	sched_crash_store(task, state);
 	sched_lapse_store(task, state);
@@ -76,7 +78,8 @@
 	}
 }
 
-static void pack_job(const sched_job_t *job, gn_sched_write_t *write)
+static void pack_job(const sched_job_t *job, bool with_checkpoints,
+		     gn_sched_write_t *write)
 {
 	Gn__TaskState *states = g_new(Gn__TaskState, job->task_count);
 	Gn__TaskState **rows = g_new(Gn__TaskState *, job->task_count);
@@ -93,7 +96,7 @@
 		if (!has_state(task))
 			continue;
 		rows[state.n_tasks] = &states[state.n_tasks];
-		pack_task(task, &states[state.n_tasks++]);
+		pack_task(task, with_checkpoints, &states[state.n_tasks++]);
 	}
 	for (uint32_t i = 0; i < job->all.count; i++)
 		if (gn_occurrences_get(&job->all, i) == GN_OCCURRENCE_DONE)
@@ -145,6 +148,50 @@
 	sched->learned_due_us = sched_now_us(sched) + LEARNED_INTERVAL_US;
 }
 
+/*
+ * Releases the claims for which no start was sent, and lets fewer tasks of the
+ * job be claimed at a time. Returns whether there were any.
+ */
+static bool reduce_claims(sched_job_t *job)
+{
+	sched_task_iter_t tasks = { .job = job };
+	sched_task_t *task;
+	bool reduced = false;
+
+	job->claims_max = MAX(job->claimed / 2, 1);
+	while ((task = sched_task_iter_next(&tasks))) {
+		if (task->state != GN_JOB_TASK_CLAIMED || task->start_sent)
+			continue;
+		sched_release_claim(task, "the state is too large");
+		reduced = true;
+	}
+	return reduced;
+}
+
+/* Packs a job into a value that the store takes. Without checkpoints, tasks only
+ * lose time after a change of leader. Returns false if it is too large. */
+static bool pack_to_fit(sched_job_t *job, gn_sched_write_t *write)
+{
+	gn_sched_event_t event = { .name = "state too large",
+				   .job = job->spec->id,
+				   .reason = "it is not stored now",
+				   .list_age_ms = -1 };
+
+	pack_job(job, true, write);
+	if (write->len <= GN_SCHED_VALUE_MAX)
+		return true;
+	free(write->value);
+	pack_job(job, false, write);
+	if (write->len <= GN_SCHED_VALUE_MAX)
+		return true;
+	free(write->value);
+	event.value = (int64_t)write->len;
+	if (reduce_claims(job))
+		event.reason = "fewer tasks are claimed";
+	job->sched->ops->log_event(job->sched->arg, &event);
+	return false;
+}
+
 size_t gn_sched_begin_batch(gn_sched_t *sched, gn_sched_write_t *writes,
 			    size_t max)
 {
@@ -153,16 +200,17 @@
 
 	sched->batches++;
 	while (count < max && (job = g_queue_pop_head(&sched->dirty))) {
-		gn_sched_write_t *write = &writes[count++];
+		gn_sched_write_t *write = &writes[count];
 
 		memset(write, 0, sizeof(*write));
 		job->dirty = false;
-		job->writing_version = job->version;
 		write->job = job->spec->id;
 		write->remove = job->removing;
 		write->with_spec = !job->stored;
-		if (!write->remove)
-			pack_job(job, write);
+		if (!write->remove && !pack_to_fit(job, write))
+			continue;
+		count++;
+		job->writing_version = job->version;
 		g_ptr_array_add(sched->writing, job);
 	}
 	/* Not urgent, so they wait for a write batch with space left. */
