--- a/lib/executor/announce.c
+++ b/lib/executor/announce.c
@@ -25,7 +25,7 @@
 	uint64_t started_ms;
 } question_t;
 
-static void forget(executor_announced_t *announced)
+static void clear_announced(executor_announced_t *announced)
 {
 	talloc_free(announced->notice.labels);
 	announced->notice.labels = NULL;
@@ -33,7 +33,7 @@
 	announced->tries = 0;
 }
 
-static void refuse(executor_t *executor, const char *why)
+static void refuse_announced(executor_t *executor, const char *why)
 {
 	const gn_worker_notice_t *notice = &executor->announced.notice;
 
@@ -43,29 +43,30 @@
 		 "born_ms", (json_int_t)notice->life_started_ms, "life",
 		 executor->notice.life, "life_born_ms",
 		 (json_int_t)executor->notice.life_started_ms);
-	forget(&executor->announced);
+	clear_announced(&executor->announced);
 }
 
-static void confirm(executor_t *executor)
+static void begin_announced(executor_t *executor)
 {
 	gn_worker_notice_t notice = executor->announced.notice;
 
 	/* Its labels pass to the worker. */
 	executor->announced.notice.labels = NULL;
-	forget(&executor->announced);
+	clear_announced(&executor->announced);
 	executor_begin_life(executor, &notice);
 }
 
 /*
- * Whether a response without a list shows that the addressed process is there.
- * Without an epoch, this process has not heard from a leader since its start,
- * and a worker that has refuses its calls.
+ * Whether the addressed process is there. One that refuses the fencing token is,
+ * too: another process of this executor had a later one, and the leader gives
+ * it again once it knows the life. Where a life would be ended by that, a list
+ * is waited for.
  */
 static bool is_present(const executor_t *executor,
 		       const gn_worker_answer_t *answer)
 {
 	return answer->outcome == GN_WORKER_OK ||
-	       (answer->outcome == GN_WORKER_FENCED && !executor->epoch);
+	       (answer->outcome == GN_WORKER_FENCED && !executor->worker_known);
 }
 
 static bool is_announced(const question_t *question,
@@ -85,13 +86,15 @@
 			     answer->life_started_ms == question->started_ms;
 
 	if (answer->outcome == GN_WORKER_LIFE_ENDED)
-		refuse(executor,
-		       "another life answers at the worker's address");
+		refuse_announced(
+			executor,
+			"another life answers at the worker's address");
 	else if (!is_same_start)
-		refuse(executor, "the worker says that it started at another "
-				 "time");
+		refuse_announced(
+			executor,
+			"the worker says that it started at another time");
 	else if (is_present(executor, answer))
-		confirm(executor);
+		begin_announced(executor);
 }
 
 static void on_answer(void *arg, const gn_http_call_t *http)
@@ -113,7 +116,7 @@
 	g_free(question);
 }
 
-static void ask(executor_t *executor)
+static void ask_worker(executor_t *executor)
 {
 	executor_announced_t *announced = &executor->announced;
 	question_t *question = g_new0(question_t, 1);
@@ -139,7 +142,7 @@
 	announced->known = true;
 	announced->heard_us = executor_now_us(executor);
 	if (!announced->pending)
-		ask(executor);
+		ask_worker(executor);
 }
 
 void executor_announce_tick(executor_t *executor)
@@ -150,7 +153,7 @@
 	if (!announced->known || announced->pending)
 		return;
 	if (now_us - announced->heard_us >= EXPIRY_US)
-		refuse(executor, "no worker confirms it");
+		refuse_announced(executor, "no worker confirms it");
 	else if (now_us >= announced->due_us)
-		ask(executor);
+		ask_worker(executor);
 }
--- a/lib/occurrence/occurrence.h
+++ b/lib/occurrence/occurrence.h
@@ -47,7 +47,7 @@
 uint32_t gn_occurrences_first_waiting(gn_occurrences_t *all);
 
 /** What decides on one more occurrence. */
-typedef struct gn_occurrence_room_t {
+typedef struct gn_occurrence_room_s {
 	size_t width; /**< Tasks of an occurrence of the job. */
 	size_t job_tasks; /**< Open tasks of the job. */
 	size_t all_tasks; /**< Open tasks of all unfinished jobs. */
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -273,8 +273,9 @@
 	/** The write holds what was learned, which is interference weights and
 	 * run times, and belongs to no job. */
 	bool interference;
-	/** Of GN_SCHED_VALUE_MAX bytes at most. Packed Disturbances if interference is set, JobRecord if with_spec
-	 * is set, else JobState; free with free(). */
+	/** Of GN_SCHED_VALUE_MAX bytes at most. Packed Disturbances if
+	 * interference is set, JobRecord if with_spec is set, else JobState;
+	 * free with free(). */
 	uint8_t *value;
 	size_t len;
 } gn_sched_write_t;
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -41,7 +41,7 @@
 typedef struct sched_task_s {
 	sched_job_t *job;
 	uint32_t number;
-	struct sched_unit_s *unit;
+	struct sched_unit_s *unit; /**< Its step in its occurrence. */
 	gn_job_task_state_t state;
 	uint32_t attempt; /**< Attempt number of the last claim. */
 	uint32_t failed; /**< Attempts that count against the limit. */
@@ -125,9 +125,9 @@
 	uint64_t finished_us;
 	uint32_t width; /**< Tasks of one occurrence. */
 	uint32_t task_count; /**< Tasks of all occurrences. */
-	gn_occurrences_t all;
+	gn_occurrences_t occurrence_states;
 	/** Open occurrences, in their order; a job without repeats has one. */
-	GPtrArray *occurrences;
+	GPtrArray *open_occurrences;
 	/** The steps of the open occurrences, sched_unit_t, in their order. */
 	GPtrArray *units;
 	/** Tasks of open occurrences, while the job is unfinished. */
--- a/lib/sched/sched_job.c
+++ b/lib/sched/sched_job.c
@@ -69,7 +69,8 @@
 	const sched_unit_t *unit = sched_job_find_unit(job, 0, step);
 
 	return unit ? unit->done == unit->step->count
-		    : gn_occurrences_get(&job->all, 0) == GN_OCCURRENCE_DONE;
+		    : gn_occurrences_get(&job->occurrence_states, 0) ==
+			       GN_OCCURRENCE_DONE;
 }
 
 /*
@@ -268,7 +269,7 @@
 	size_t steps = spec->n_steps *
 		       (sizeof(Gn__JobStep) + sizeof(sched_run_time_t));
 
-	return sizeof(sched_job_t) + sizeof(*spec) + 2 * text + steps +
+	return sizeof(sched_job_t) + sizeof(*spec) + text + steps +
 	       gn_job_occurrences(spec) / 4;
 }
 
--- a/lib/sched/sched_occurrence.c
+++ b/lib/sched/sched_occurrence.c
@@ -40,17 +40,26 @@
 		init_task(job, unit, i);
 }
 
+static void add_units(sched_job_t *job, sched_occurrence_t *occurrence)
+{
+	for (size_t i = 0; i < occurrence->step_count; i++)
+		g_ptr_array_add(job->units, &occurrence->units[i]);
+}
+
 /* Lists the units of all open occurrences, in their order. */
 static void list_units(sched_job_t *job)
 {
 	g_ptr_array_set_size(job->units, 0);
-	for (guint i = 0; i < job->occurrences->len; i++) {
-		sched_occurrence_t *occurrence =
-			g_ptr_array_index(job->occurrences, i);
+	for (guint i = 0; i < job->open_occurrences->len; i++)
+		add_units(job, g_ptr_array_index(job->open_occurrences, i));
+}
 
-		for (size_t k = 0; k < job->spec->n_steps; k++)
-			g_ptr_array_add(job->units, &occurrence->units[k]);
-	}
+static uint32_t get_last_number(const sched_job_t *job)
+{
+	const sched_occurrence_t *last = g_ptr_array_index(
+		job->open_occurrences, job->open_occurrences->len - 1);
+
+	return last->number;
 }
 
 static gint compare_occurrences(gconstpointer a, gconstpointer b)
@@ -87,8 +96,8 @@
 	job->width = gn_job_tasks_per_occurrence(job->spec);
 	job->task_count = count * job->width;
 	job->units = g_ptr_array_new();
-	job->occurrences = g_ptr_array_new_with_free_func(free_occurrence);
-	gn_occurrences_init(&job->all, count);
+	job->open_occurrences = g_ptr_array_new_with_free_func(free_occurrence);
+	gn_occurrences_init(&job->occurrence_states, count);
 	if (!job->spec->repeats)
 		sched_occurrence_open(job, 0);
 }
@@ -97,8 +106,8 @@
 {
 	sched_occurrences_release(job);
 	g_ptr_array_unref(job->units);
-	g_ptr_array_unref(job->occurrences);
-	gn_occurrences_clear(&job->all);
+	g_ptr_array_unref(job->open_occurrences);
+	gn_occurrences_clear(&job->occurrence_states);
 }
 
 void sched_occurrences_release(sched_job_t *job)
@@ -110,6 +119,7 @@
 void sched_occurrence_open(sched_job_t *job, uint32_t number)
 {
 	sched_occurrence_t *occurrence = g_new0(sched_occurrence_t, 1);
+	bool is_last;
 
 	occurrence->number = number;
 	occurrence->step_count = job->spec->n_steps;
@@ -118,10 +128,15 @@
 	occurrence->tasks = g_new0(sched_task_t, job->width);
 	for (uint32_t i = 0; i < job->spec->n_steps; i++)
 		init_unit(job, occurrence, i);
-	g_ptr_array_add(job->occurrences, occurrence);
-	g_ptr_array_sort(job->occurrences, compare_occurrences);
-	list_units(job);
-	gn_occurrences_set(&job->all, number, GN_OCCURRENCE_OPEN);
+	is_last = !job->open_occurrences->len || get_last_number(job) < number;
+	g_ptr_array_add(job->open_occurrences, occurrence);
+	if (is_last) {
+		add_units(job, occurrence);
+	} else {
+		g_ptr_array_sort(job->open_occurrences, compare_occurrences);
+		list_units(job);
+	}
+	gn_occurrences_set(&job->occurrence_states, number, GN_OCCURRENCE_OPEN);
 	job->open_tasks += job->width;
 	job->sched->open_tasks += job->width;
 }
@@ -134,16 +149,17 @@
 
 void sched_occurrences_open_due(sched_job_t *job)
 {
-	uint32_t number = gn_occurrences_first_waiting(&job->all);
+	uint32_t number = gn_occurrences_first_waiting(&job->occurrence_states);
 	uint64_t wall_ms = sched_wall_ms(job->sched);
 
-	while (number < job->all.count && wall_ms >= get_due_ms(job, number) &&
+	while (number < job->occurrence_states.count &&
+	       wall_ms >= get_due_ms(job, number) &&
 	       gn_occurrence_may_open(&(gn_occurrence_room_t){
 		       .width = job->width,
 		       .job_tasks = job->open_tasks,
 		       .all_tasks = job->sched->open_tasks })) {
 		sched_occurrence_open(job, number);
-		number = gn_occurrences_first_waiting(&job->all);
+		number = gn_occurrences_first_waiting(&job->occurrence_states);
 	}
 }
 
@@ -161,15 +177,15 @@
 {
 	bool closed = false;
 
-	for (guint i = job->occurrences->len; i > 0; i--) {
+	for (guint i = job->open_occurrences->len; i > 0; i--) {
 		const sched_occurrence_t *occurrence =
-			g_ptr_array_index(job->occurrences, i - 1);
+			g_ptr_array_index(job->open_occurrences, i - 1);
 
 		if (!is_occurrence_done(job, occurrence))
 			continue;
-		gn_occurrences_set(&job->all, occurrence->number,
+		gn_occurrences_set(&job->occurrence_states, occurrence->number,
 				   GN_OCCURRENCE_DONE);
-		g_ptr_array_remove_index(job->occurrences, i - 1);
+		g_ptr_array_remove_index(job->open_occurrences, i - 1);
 		job->open_tasks -= job->width;
 		job->sched->open_tasks -= job->width;
 		closed = true;
@@ -182,14 +198,14 @@
 				  uint32_t step)
 {
 	guint low = 0;
-	guint high = job->occurrences->len;
+	guint high = job->open_occurrences->len;
 
 	if (step >= job->spec->n_steps)
 		return NULL;
 	while (low < high) {
 		guint middle = (low + high) / 2;
 		const sched_occurrence_t *found =
-			g_ptr_array_index(job->occurrences, middle);
+			g_ptr_array_index(job->open_occurrences, middle);
 
 		if (found->number == occurrence)
 			return &found->units[step];
@@ -212,7 +228,8 @@
 
 uint32_t sched_job_waiting_occurrences(const sched_job_t *job)
 {
-	return job->all.count - job->all.open - job->all.done;
+	return job->occurrence_states.count - job->occurrence_states.open -
+	       job->occurrence_states.done;
 }
 
 sched_task_t *sched_task_iter_next(sched_task_iter_t *tasks)
--- a/lib/sched/sched_store.c
+++ b/lib/sched/sched_store.c
@@ -98,8 +98,9 @@
 		rows[state.n_tasks] = &states[state.n_tasks];
 		pack_task(task, with_checkpoints, &states[state.n_tasks++]);
 	}
-	for (uint32_t i = 0; i < job->all.count; i++)
-		if (gn_occurrences_get(&job->all, i) == GN_OCCURRENCE_DONE)
+	for (uint32_t i = 0; i < job->occurrence_states.count; i++)
+		if (gn_occurrences_get(&job->occurrence_states, i) ==
+		    GN_OCCURRENCE_DONE)
 			pack_done(job, i, &state, states);
 	record.spec = job->spec;
 	record.state = &state;
@@ -355,21 +356,22 @@
 
 	if (!job->spec->repeats)
 		return;
-	done = g_new0(uint32_t, job->all.count);
+	done = g_new0(uint32_t, job->occurrence_states.count);
 	for (size_t i = 0; i < state->n_tasks; i++)
 		if (state->tasks[i]->status == GN_JOB_TASK_DONE)
 			done[state->tasks[i]->number / job->width]++;
 	for (size_t i = 0; i < state->n_tasks; i++) {
 		uint32_t number = state->tasks[i]->number / job->width;
 
-		if (gn_occurrences_get(&job->all, number) !=
+		if (gn_occurrences_get(&job->occurrence_states, number) !=
 		    GN_OCCURRENCE_WAITING)
 			continue;
 		if (done[number] < job->width) {
 			sched_occurrence_open(job, number);
 			continue;
 		}
-		gn_occurrences_set(&job->all, number, GN_OCCURRENCE_DONE);
+		gn_occurrences_set(&job->occurrence_states, number,
+				   GN_OCCURRENCE_DONE);
 		job->done += job->width;
 	}
 	g_free(done);
--- a/tests/contract/test_executor.c
+++ b/tests/contract/test_executor.c
@@ -904,8 +904,7 @@
 }
 
 /* Guards against a question that is asked for ever, and against an executor
- * that has restarted and waits for a worker that refuses it until it knows the
- * leader. */
+ * that has restarted and never knows a worker that refuses its token. */
 static void test_announced_life_expires_or_is_refused_by_fence(void)
 {
 	const gn_worker_answer_t none = { .outcome = GN_WORKER_UNANSWERED };
@@ -918,6 +917,9 @@
 	g_assert_false(rig->executor->announced.known);
 	assert_life(ID, EARLIER_MS);
 	announce("i-2", LATER_MS, fenced);
+	assert_life(ID, EARLIER_MS);
+	rig->executor->worker_known = false;
+	announce("i-2", LATER_MS, fenced);
 	assert_life("i-2", LATER_MS);
 	close_rig();
 }
