Review: add case 11, late calls that the next life of a worker carries out

Seen: a task runs twice at a time after calls to start it got no answer and the worker restarted under its Id.

Cause as far as known: a claim that is reported as not started is released although a call for it may still be carried out, unless it had been moved to a later life before.

--- a/review/stand-3.c
+++ b/review/stand-3.c
@@ -22,6 +22,7 @@
  */
 #define _GNU_SOURCE
 #include <arpa/inet.h>
+#include <dirent.h>
 #include <fcntl.h>
 #include <inttypes.h>
 #include <jansson.h>
@@ -154,6 +155,10 @@
 	unsigned fails_from_ms;
 	unsigned fails_to_ms;
 	const char *gangs;
+	unsigned late_from_ms;
+	unsigned late_to_ms;
+	const char *held; /* folder of the calls that are carried out late */
+	unsigned held_count;
 	int journal;
 	bool draining;
 	uint64_t born_ms;
@@ -423,6 +428,62 @@
 	return reason ? 409 : 200;
 }
 
+/* ======   Calls that are carried out late   ====== */
+
+#define LATE_MIN_MS 2000
+#define LATE_MS 6000
+#define LATE_MAX_MS 12000
+
+/* The next process under the ID finds it by its name. */
+static void hold_back(const json_t *body)
+{
+	char path[512];
+
+	snprintf(path, sizeof(path), "%s/%s.%" PRIu64 ".%u", w.held, w.id,
+		 read_ms(CLOCK_BOOTTIME), w.held_count++);
+	if (json_dump_file(body, path, JSON_COMPACT))
+		abort();
+	note(read_ms(CLOCK_BOOTTIME), "unanswered", get_text(body, "Task"),
+	     get_number(body, "Attempt"), "-");
+}
+
+static void carry_out(const char *path, const char *why)
+{
+	json_t *body = json_load_file(path, 0, NULL);
+	json_t *answer = json_object();
+
+	unlink(path);
+	note(read_ms(CLOCK_BOOTTIME), why, get_text(body, "Task"),
+	     get_number(body, "Attempt"), "-");
+	serve("/run-start", body, answer);
+	json_decref(answer);
+	json_decref(body);
+}
+
+/* Carries out the calls whose age is between these. */
+static void carry_out_held(uint64_t min_ms, uint64_t max_ms, const char *why)
+{
+	size_t len = strlen(w.id);
+	struct dirent *entry;
+	DIR *folder = w.held ? opendir(w.held) : NULL;
+
+	while (folder && (entry = readdir(folder))) {
+		char path[512];
+		uint64_t age_ms;
+
+		if (strncmp(entry->d_name, w.id, len) != 0 ||
+		    entry->d_name[len] != '.')
+			continue;
+		age_ms = read_ms(CLOCK_BOOTTIME) -
+			 strtoull(entry->d_name + len + 1, NULL, 10);
+		snprintf(path, sizeof(path), "%s/%s", w.held, entry->d_name);
+		if (age_ms >= min_ms && age_ms <= max_ms)
+			carry_out(path, why);
+	}
+	if (folder)
+		closedir(folder);
+}
+
 typedef struct text_s {
 	char *data;
 	size_t len;
@@ -462,6 +523,15 @@
 	answer = json_object();
 	pthread_mutex_lock(&w.lock);
 	tick();
+	if (w.held && !strcmp(url, "/run-start") &&
+	    clock_ms() >= w.late_from_ms && clock_ms() < w.late_to_ms) {
+		hold_back(body);
+		pthread_mutex_unlock(&w.lock);
+		json_decref(body);
+		json_decref(answer);
+		usleep(1000 * 1000);
+		return MHD_NO;
+	}
 	if (!strcmp(url, "/drain")) {
 		w.draining = true;
 		status = 200;
@@ -500,6 +570,7 @@
 		usleep(TICK_US);
 		pthread_mutex_lock(&w.lock);
 		tick();
+		carry_out_held(LATE_MS, LATE_MAX_MS, "late");
 		pthread_mutex_unlock(&w.lock);
 	}
 	return arg;
@@ -572,6 +643,12 @@
 			 sscanf(value, "%u:%u", &w.shrink_at_ms,
 				&w.shrink_to) == 2)
 			continue;
+		else if (!strcmp(argv[i], "--held"))
+			w.held = value;
+		else if (!strcmp(argv[i], "--late") &&
+			 sscanf(value, "%u:%u", &w.late_from_ms,
+				&w.late_to_ms) == 2)
+			continue;
 		else if (!strcmp(argv[i], "--gangs"))
 			w.gangs = value;
 		else if (!strcmp(argv[i], "--fails") &&
@@ -590,8 +667,12 @@
 	/* The lease of a life that begins now is over. */
 	w.origin_ms = read_ms(CLOCK_BOOTTIME) - 1;
 	pthread_mutex_init(&w.lock, NULL);
-	if (w.journal < 0 ||
-	    !MHD_start_daemon(MHD_USE_THREAD_PER_CONNECTION |
+	if (w.journal < 0)
+		return 2;
+	note(read_ms(CLOCK_BOOTTIME), "life", "-", 0, "-");
+	/* What the process before this one has left unanswered. */
+	carry_out_held(LATE_MIN_MS, LATE_MAX_MS, "late");
+	if (!MHD_start_daemon(MHD_USE_THREAD_PER_CONNECTION |
 				      MHD_USE_INTERNAL_POLLING_THREAD,
 			      (uint16_t)atoi(port), NULL, NULL, on_request,
 			      NULL, MHD_OPTION_SOCK_ADDR,
@@ -605,7 +686,6 @@
 			      MHD_OPTION_END) ||
 	    pthread_create(&thread, NULL, run_ticks, NULL))
 		return 2;
-	note(read_ms(CLOCK_BOOTTIME), "life", "-", 0, "-");
 	for (;;) {
 		if (w.shrink_at_ms && clock_ms() >= w.shrink_at_ms)
 			w.cpu = w.shrink_to;
