--- a/review/common-3.sh
+++ b/review/common-3.sh
@@ -32,7 +32,7 @@
 		kill -KILL "$pid" 2>/dev/null
 	done
 	wait 2>/dev/null
-	rm -rf "$folder"
+	rm -rf "$folder" "${ports_lock:-}"
 }
 
 is_free() {
@@ -48,7 +48,10 @@
 				is_free $((base + i + k)) || continue 3
 			done
 		done
-		return
+		# Another script may look for ports in the same moment.
+		ports_lock=${TMPDIR:-/tmp}/review-3-ports-$base
+		mkdir "$ports_lock" 2>/dev/null && return
+		ports_lock=
 	done
 	fail_to_run "no free ports"
 }
--- a/review/stand-3.c
+++ b/review/stand-3.c
@@ -8,6 +8,7 @@
  * until it is stopped; without "first" each run ends so. "cpu=MILLI" at its end is
  * what a task uses. With --shrink AT:MILLI, the worker's capacity is MILLI from the
  * heartbeat on that it sends AT ms after its start; it doesn't guard its capacity.
+ * With --checkpoints LENGTH, each run has a checkpoint of that length.
  * With --fails FROM:TO, all that it starts between these times, in ms after its
  * start, ends as failed within 100 ms. With --gangs FOLDER, the tasks of a step are a
  * gang: one that fails leaves a file there, by which the others of that run end as
@@ -38,11 +39,12 @@
 #include <time.h>
 #include <unistd.h>
 
-#define RUNS_MAX 4096
-#define ENDS_MAX 8192
+#define RUNS_MAX 20000
+#define ENDS_MAX 20000
 #define LISTED_MAX 500
 #define WAIT_MAX_MS 2000
 #define TICK_US 5000
+#define LEAVE_MS 2500
 
 static uint64_t read_ms(clockid_t id)
 {
@@ -155,8 +157,10 @@
 	unsigned fails_from_ms;
 	unsigned fails_to_ms;
 	const char *gangs;
+	char checkpoint[1024];
 	unsigned late_from_ms;
 	unsigned late_to_ms;
+	unsigned late_first; /* 0: all of them */
 	const char *held; /* folder of the calls that are carried out late */
 	unsigned held_count;
 	int journal;
@@ -371,14 +375,15 @@
 			json_array_append_new(
 				running,
 				json_pack("[s,I,s,i,i]", w.runs[i].task,
-					  (json_int_t)w.runs[i].attempt, "",
+					  (json_int_t)w.runs[i].attempt,
+					  w.checkpoint,
 					  100, 0));
 	for (unsigned i = 0; i < w.end_count && i < LISTED_MAX; i++)
 		json_array_append_new(
 			ended,
 			json_pack("[I,s,I,s,s]", (json_int_t)w.ends[i].number,
 				  w.ends[i].task, (json_int_t)w.ends[i].attempt,
-				  w.ends[i].how, ""));
+				  w.ends[i].how, w.checkpoint));
 	json_object_set_new(answer, "Running", running);
 	json_object_set_new(answer, "EndedRuns", ended);
 }
@@ -524,7 +529,8 @@
 	pthread_mutex_lock(&w.lock);
 	tick();
 	if (w.held && !strcmp(url, "/run-start") &&
-	    clock_ms() >= w.late_from_ms && clock_ms() < w.late_to_ms) {
+	    clock_ms() >= w.late_from_ms && clock_ms() < w.late_to_ms &&
+	    (!w.late_first || w.held_count < w.late_first)) {
 		hold_back(body);
 		pthread_mutex_unlock(&w.lock);
 		json_decref(body);
@@ -532,7 +538,7 @@
 		usleep(1000 * 1000);
 		return MHD_NO;
 	}
-	if (!strcmp(url, "/drain")) {
+	if (!strcmp(url, "/leave")) {
 		w.draining = true;
 		status = 200;
 	} else if (instance && strcmp(instance, w.id) != 0) {
@@ -576,15 +582,18 @@
 	return arg;
 }
 
-static void send_heartbeat(void)
+/* Returns whether it was acknowledged that the worker drains. */
+static bool send_heartbeat(void)
 {
+	bool drains = w.draining;
+	bool is_acknowledged;
 	char answer[512];
 	char path[128];
 	json_t *body = json_pack(
 		"{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:{s:i,s:i,s:i},s:[s,s],s:I,s:I,s:I}",
 		"Service", w.service, "Address", w.address, "Zone", w.zone,
 		"Version", "v1", "Slots", 8, "State",
-		w.draining ? "draining" : "ready", "ColdLeftMs", 0, "Capacity",
+		drains ? "draining" : "ready", "ColdLeftMs", 0, "Capacity",
 		"Cpu", (int)w.cpu, "MemMb", 64000, "Gpu", 0, "Labels", w.kind,
 		w.rack, "ClockMs", (json_int_t)clock_ms(), "Seq",
 		(json_int_t)++w.sequence, "born", (json_int_t)w.born_ms);
@@ -592,9 +601,9 @@
 	char detail[16];
 
 	snprintf(path, sizeof(path), "/instances/%s/heartbeat", w.id);
-	if (call("POST", w.beat, w.beat, path, text, 1000, answer,
-		 sizeof(answer)) == 200 &&
-	    w.announced != w.cpu) {
+	is_acknowledged = call("POST", w.beat, w.beat, path, text, 1000,
+			       answer, sizeof(answer)) == 200;
+	if (is_acknowledged && w.announced != w.cpu) {
 		pthread_mutex_lock(&w.lock);
 		w.announced = w.cpu;
 		snprintf(detail, sizeof(detail), "%u/%u", get_used(), w.cpu);
@@ -603,6 +612,28 @@
 	}
 	free(text);
 	json_decref(body);
+	return is_acknowledged && drains;
+}
+
+/* Goes on for LEAVE_MS after the acknowledgement, then ends. */
+static void leave_if_drained(bool is_acknowledged)
+{
+	static uint64_t acknowledged_ms;
+	char answer[512];
+	char path[128];
+	char body[64];
+
+	if (!w.draining || (!acknowledged_ms && !is_acknowledged))
+		return;
+	if (!acknowledged_ms)
+		acknowledged_ms = clock_ms();
+	if (clock_ms() - acknowledged_ms < LEAVE_MS)
+		return;
+	snprintf(path, sizeof(path), "/instances/%s/deregister", w.id);
+	snprintf(body, sizeof(body), "{\"born\":%" PRIu64 "}", w.born_ms);
+	call("POST", w.beat, w.beat, path, body, 1000, answer, sizeof(answer));
+	note(read_ms(CLOCK_BOOTTIME), "death", "-", 0, "left");
+	exit(0);
 }
 
 static int run_worker(int argc, char **argv)
@@ -645,10 +676,15 @@
 			continue;
 		else if (!strcmp(argv[i], "--held"))
 			w.held = value;
+		else if (!strcmp(argv[i], "--late-first"))
+			w.late_first = (unsigned)atoi(value);
 		else if (!strcmp(argv[i], "--late") &&
 			 sscanf(value, "%u:%u", &w.late_from_ms,
 				&w.late_to_ms) == 2)
 			continue;
+		else if (!strcmp(argv[i], "--checkpoints"))
+			memset(w.checkpoint, 'c',
+			       (size_t)atoi(value) % sizeof(w.checkpoint));
 		else if (!strcmp(argv[i], "--gangs"))
 			w.gangs = value;
 		else if (!strcmp(argv[i], "--fails") &&
@@ -689,7 +725,7 @@
 	for (;;) {
 		if (w.shrink_at_ms && clock_ms() >= w.shrink_at_ms)
 			w.cpu = w.shrink_to;
-		send_heartbeat();
+		leave_if_drained(send_heartbeat());
 		usleep(w.beat_ms * 1000);
 	}
 }
