--- a/review/stand-3.c
+++ b/review/stand-3.c
@@ -5,16 +5,23 @@
  * stand-3 worker OPTIONS runs a worker as the users' PROTOCOL.md describes it. The
  * spec of a job says how its tasks end, "ms=TIME how=END first=N": a run of an
  * attempt up to N ends as END after TIME on the worker's clock, a later one runs
- * until it is stopped; without "first" each run ends so. "cpu=MILLI" at its end is
- * what a task uses. With --shrink AT:MILLI, the worker's capacity is MILLI from the
- * heartbeat on that it sends AT ms after its start; it doesn't guard its capacity.
- * With --checkpoints LENGTH, each run has a checkpoint of that length.
- * With --fails FROM:TO, all that it starts between these times, in ms after its
- * start, ends as failed within 100 ms. With --gangs FOLDER, the tasks of a step are a
- * gang: one that fails leaves a file there, by which the others of that run end as
- * broken. Each start and end is
- * appended to the journal: time (ms, boot clock), worker, event, task, attempt,
- * detail.
+ * until it is stopped; with N = 0 each run ends so, with TIME = 0 none. Each start
+ * and end is appended to the journal: time (ms, boot clock), worker, event, task,
+ * attempt, detail.
+ *
+ * --fails FROM:TO: all that it starts between these times, in ms after its start,
+ * ends as failed within 100 ms.
+ *
+ * --gangs FOLDER: the tasks of a step are a gang. One that fails leaves a file in the
+ * folder, by which the others of that run end as broken.
+ *
+ * --late FROM:TO --held FOLDER: calls to start a task that come between these times,
+ * the first N of them with --late-first N, get no answer and are carried out late: by
+ * the next process under the ID, if that is there 2 to 12 s after they came, or else
+ * 6 s after.
+ *
+ * POST /leave lets the worker report that it drains, serve for 2.5 s after that was
+ * acknowledged, deregister and end.
  *
  * stand-3 call METHOD IP:PORT HOST PATH [BODY] sends one request and prints the
  * status and the body; the status is 0 without an answer.
@@ -39,8 +46,8 @@
 #include <time.h>
 #include <unistd.h>
 
-#define RUNS_MAX 20000
-#define ENDS_MAX 20000
+#define RUNS_MAX 4096
+#define ENDS_MAX 8192
 #define LISTED_MAX 500
 #define WAIT_MAX_MS 2000
 #define TICK_US 5000
@@ -127,7 +134,6 @@
 	uint64_t closed;
 	bool running;
 	bool stopping;
-	unsigned cpu;
 	uint64_t end_ms; /* 0: it has none */
 	char how[16];
 } run_t;
@@ -148,16 +154,12 @@
 	const char *kind;
 	char address[32];
 	unsigned cpu;
-	unsigned announced; /* capacity of the last heartbeat acknowledged */
 	unsigned hold_max_ms;
 	unsigned stop_ms;
 	unsigned beat_ms;
-	unsigned shrink_at_ms; /* 0: never */
-	unsigned shrink_to;
 	unsigned fails_from_ms;
 	unsigned fails_to_ms;
 	const char *gangs;
-	char checkpoint[1024];
 	unsigned late_from_ms;
 	unsigned late_to_ms;
 	unsigned late_first; /* 0: all of them */
@@ -293,16 +295,6 @@
 		w.lease_ms = until;
 }
 
-/* Returns what the runs use, also those that are being stopped. */
-static unsigned get_used(void)
-{
-	unsigned used = 0;
-
-	for (unsigned i = 0; i < w.run_count; i++)
-		used += w.runs[i].running ? w.runs[i].cpu : 0;
-	return used;
-}
-
 static const char *start_run(const json_t *body)
 {
 	run_t *run = get_run(get_text(body, "Task"));
@@ -311,7 +303,6 @@
 	unsigned ms = 0;
 	unsigned first = 0;
 	char how[16] = "done";
-	char used[32];
 
 	if (get_number(body, "DeadlineMs") <= clock_ms())
 		return "late";
@@ -321,8 +312,6 @@
 	if (run->running || attempt <= run->closed)
 		return "old";
 	sscanf(spec, "ms=%u how=%15s first=%u", &ms, how, &first);
-	if (strstr(spec, "cpu="))
-		run->cpu = (unsigned)atoi(strstr(spec, "cpu=") + 4);
 	run->attempt = attempt;
 	run->running = true;
 	run->stopping = false;
@@ -332,8 +321,7 @@
 		run->end_ms = clock_ms() + 100;
 		snprintf(run->how, sizeof(run->how), "failed");
 	}
-	snprintf(used, sizeof(used), "%u/%u", get_used(), w.announced);
-	note(w.origin_ms + clock_ms(), "start", run->task, attempt, used);
+	note(w.origin_ms + clock_ms(), "start", run->task, attempt, "-");
 	return NULL;
 }
 
@@ -375,15 +363,14 @@
 			json_array_append_new(
 				running,
 				json_pack("[s,I,s,i,i]", w.runs[i].task,
-					  (json_int_t)w.runs[i].attempt,
-					  w.checkpoint,
+					  (json_int_t)w.runs[i].attempt, "",
 					  100, 0));
 	for (unsigned i = 0; i < w.end_count && i < LISTED_MAX; i++)
 		json_array_append_new(
 			ended,
 			json_pack("[I,s,I,s,s]", (json_int_t)w.ends[i].number,
 				  w.ends[i].task, (json_int_t)w.ends[i].attempt,
-				  w.ends[i].how, w.checkpoint));
+				  w.ends[i].how, ""));
 	json_object_set_new(answer, "Running", running);
 	json_object_set_new(answer, "EndedRuns", ended);
 }
@@ -598,18 +585,10 @@
 		w.rack, "ClockMs", (json_int_t)clock_ms(), "Seq",
 		(json_int_t)++w.sequence, "born", (json_int_t)w.born_ms);
 	char *text = json_dumps(body, JSON_COMPACT);
-	char detail[16];
 
 	snprintf(path, sizeof(path), "/instances/%s/heartbeat", w.id);
 	is_acknowledged = call("POST", w.beat, w.beat, path, text, 1000,
 			       answer, sizeof(answer)) == 200;
-	if (is_acknowledged && w.announced != w.cpu) {
-		pthread_mutex_lock(&w.lock);
-		w.announced = w.cpu;
-		snprintf(detail, sizeof(detail), "%u/%u", get_used(), w.cpu);
-		note(read_ms(CLOCK_BOOTTIME), "acknowledged", "-", 0, detail);
-		pthread_mutex_unlock(&w.lock);
-	}
 	free(text);
 	json_decref(body);
 	return is_acknowledged && drains;
@@ -668,12 +647,6 @@
 			w.zone = value;
 		else if (!strcmp(argv[i], "--journal"))
 			journal = value;
-		else if (!strcmp(argv[i], "--cpu"))
-			w.cpu = (unsigned)atoi(value);
-		else if (!strcmp(argv[i], "--shrink") &&
-			 sscanf(value, "%u:%u", &w.shrink_at_ms,
-				&w.shrink_to) == 2)
-			continue;
 		else if (!strcmp(argv[i], "--held"))
 			w.held = value;
 		else if (!strcmp(argv[i], "--late-first"))
@@ -682,9 +655,6 @@
 			 sscanf(value, "%u:%u", &w.late_from_ms,
 				&w.late_to_ms) == 2)
 			continue;
-		else if (!strcmp(argv[i], "--checkpoints"))
-			memset(w.checkpoint, 'c',
-			       (size_t)atoi(value) % sizeof(w.checkpoint));
 		else if (!strcmp(argv[i], "--gangs"))
 			w.gangs = value;
 		else if (!strcmp(argv[i], "--fails") &&
@@ -723,8 +693,6 @@
 	    pthread_create(&thread, NULL, run_ticks, NULL))
 		return 2;
 	for (;;) {
-		if (w.shrink_at_ms && clock_ms() >= w.shrink_at_ms)
-			w.cpu = w.shrink_to;
 		leave_if_drained(send_heartbeat());
 		usleep(w.beat_ms * 1000);
 	}
