Wire: an executor tells which start calls are open

Fields only, nothing sets or reads them yet. A leader knows of calls without an answer beside a run or a result only, so that it loses sight of them when a claim is released or another leader is elected, and it cannot tell since when a life refuses the calls for former ones.

--- a/lib/wire/gypsumnotch.pb-c.c
+++ b/lib/wire/gypsumnotch.pb-c.c
@@ -1177,6 +1177,51 @@
   assert(message->base.descriptor == &gn__order_result__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gn__open_start__init
+                     (Gn__OpenStart         *message)
+{
+  static const Gn__OpenStart init_value = GN__OPEN_START__INIT;
+  *message = init_value;
+}
+size_t gn__open_start__get_packed_size
+                     (const Gn__OpenStart *message)
+{
+  assert(message->base.descriptor == &gn__open_start__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gn__open_start__pack
+                     (const Gn__OpenStart *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gn__open_start__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gn__open_start__pack_to_buffer
+                     (const Gn__OpenStart *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gn__open_start__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gn__OpenStart *
+       gn__open_start__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gn__OpenStart *)
+     protobuf_c_message_unpack (&gn__open_start__descriptor,
+                                allocator, len, data);
+}
+void   gn__open_start__free_unpacked
+                     (Gn__OpenStart *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gn__open_start__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gn__worker_report__init
                      (Gn__WorkerReport         *message)
 {
@@ -3813,7 +3858,84 @@
   (ProtobufCMessageInit) gn__order_result__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gn__worker_report__field_descriptors[26] =
+static const ProtobufCFieldDescriptor gn__open_start__field_descriptors[4] =
+{
+  {
+    "task",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gn__OpenStart, task),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempt",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gn__OpenStart, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gn__OpenStart, left_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "former",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gn__OpenStart, former),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gn__open_start__field_indices_by_name[] = {
+  1,   /* field[1] = attempt */
+  3,   /* field[3] = former */
+  2,   /* field[2] = left_ms */
+  0,   /* field[0] = task */
+};
+static const ProtobufCIntRange gn__open_start__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor gn__open_start__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gn.OpenStart",
+  "OpenStart",
+  "Gn__OpenStart",
+  "gn",
+  sizeof(Gn__OpenStart),
+  4,
+  gn__open_start__field_descriptors,
+  gn__open_start__field_indices_by_name,
+  1,  gn__open_start__number_ranges,
+  (ProtobufCMessageInit) gn__open_start__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gn__worker_report__field_descriptors[31] =
 {
   {
     "sequence",
@@ -4127,6 +4249,66 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "open_starts",
+    28,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gn__WorkerReport, n_open_starts),
+    offsetof(Gn__WorkerReport, open_starts),
+    &gn__open_start__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unknown_starts_ms",
+    29,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerReport, unknown_starts_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lists_open_starts",
+    30,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerReport, lists_open_starts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "list_token",
+    31,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerReport, list_token),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "life_age_ms",
+    32,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerReport, life_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gn__worker_report__field_indices_by_name[] = {
   9,   /* field[9] = accelerators */
@@ -4143,10 +4325,14 @@
   10,   /* field[10] = labels */
   18,   /* field[18] = left */
   2,   /* field[2] = life */
+  30,   /* field[30] = life_age_ms */
   19,   /* field[19] = list_age_ms */
+  29,   /* field[29] = list_token */
   13,   /* field[13] = listed */
+  28,   /* field[28] = lists_open_starts */
   4,   /* field[4] = machine */
   8,   /* field[8] = memory_mb */
+  26,   /* field[26] = open_starts */
   17,   /* field[17] = rack */
   12,   /* field[12] = remaining_ms */
   16,   /* field[16] = results */
@@ -4154,13 +4340,14 @@
   0,   /* field[0] = sequence */
   5,   /* field[5] = service */
   24,   /* field[24] = tracks_starts */
+  27,   /* field[27] = unknown_starts_ms */
   23,   /* field[23] = whole */
 };
 static const ProtobufCIntRange gn__worker_report__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 20, 18 },
-  { 0, 26 }
+  { 0, 31 }
 };
 const ProtobufCMessageDescriptor gn__worker_report__descriptor =
 {
@@ -4170,7 +4357,7 @@
   "Gn__WorkerReport",
   "gn",
   sizeof(Gn__WorkerReport),
-  26,
+  31,
   gn__worker_report__field_descriptors,
   gn__worker_report__field_indices_by_name,
   2,  gn__worker_report__number_ranges,
--- a/lib/wire/gypsumnotch.pb-c.h
+++ b/lib/wire/gypsumnotch.pb-c.h
@@ -41,6 +41,7 @@
 typedef struct Gn__WorkerRun Gn__WorkerRun;
 typedef struct Gn__WorkerEnd Gn__WorkerEnd;
 typedef struct Gn__OrderResult Gn__OrderResult;
+typedef struct Gn__OpenStart Gn__OpenStart;
 typedef struct Gn__WorkerReport Gn__WorkerReport;
 typedef struct Gn__WorkerOrder Gn__WorkerOrder;
 typedef struct Gn__WorkerOrders Gn__WorkerOrders;
@@ -670,6 +671,28 @@
     , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
+/*
+ * A start call without an answer, which the worker may still carry out.
+ */
+struct  Gn__OpenStart
+{
+  ProtobufCMessage base;
+  char *task;
+  uint32_t attempt;
+  /*
+   * Time for which it may be carried out.
+   */
+  uint32_t left_ms;
+  /*
+   * Sent in a former life of the worker.
+   */
+  protobuf_c_boolean former;
+};
+#define GN__OPEN_START__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gn__open_start__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
 /*
  * Executor to the leader: the state of the worker on its host.
  */
@@ -760,10 +783,40 @@
    * Runs and results say whether they are
    */
   protobuf_c_boolean tracks_starts;
+  /*
+   * settled.
+   */
+  /*
+   * All that the sender knows of.
+   */
+  size_t n_open_starts;
+  Gn__OpenStart **open_starts;
+  /*
+   * Time for which a call of an earlier process
+   */
+  uint32_t unknown_starts_ms;
+  /*
+   * of the sender may be carried out.
+   */
+  /*
+   * The two fields above are set.
+   */
+  protobuf_c_boolean lists_open_starts;
+  /*
+   * Fencing token of the call that the last list
+   */
+  uint64_t list_token;
+  /*
+   * answers.
+   */
+  /*
+   * Time since the life has answered a call with
+   */
+  uint32_t life_age_ms;
 };
 #define GN__WORKER_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gn__worker_report__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0 }
 
 
 /*
@@ -1387,6 +1440,25 @@
 void   gn__order_result__free_unpacked
                      (Gn__OrderResult *message,
                       ProtobufCAllocator *allocator);
+/* Gn__OpenStart methods */
+void   gn__open_start__init
+                     (Gn__OpenStart         *message);
+size_t gn__open_start__get_packed_size
+                     (const Gn__OpenStart   *message);
+size_t gn__open_start__pack
+                     (const Gn__OpenStart   *message,
+                      uint8_t             *out);
+size_t gn__open_start__pack_to_buffer
+                     (const Gn__OpenStart   *message,
+                      ProtobufCBuffer     *buffer);
+Gn__OpenStart *
+       gn__open_start__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gn__open_start__free_unpacked
+                     (Gn__OpenStart *message,
+                      ProtobufCAllocator *allocator);
 /* Gn__WorkerReport methods */
 void   gn__worker_report__init
                      (Gn__WorkerReport         *message);
@@ -1524,6 +1596,9 @@
 typedef void (*Gn__OrderResult_Closure)
                  (const Gn__OrderResult *message,
                   void *closure_data);
+typedef void (*Gn__OpenStart_Closure)
+                 (const Gn__OpenStart *message,
+                  void *closure_data);
 typedef void (*Gn__WorkerReport_Closure)
                  (const Gn__WorkerReport *message,
                   void *closure_data);
@@ -1566,6 +1641,7 @@
 extern const ProtobufCMessageDescriptor gn__worker_run__descriptor;
 extern const ProtobufCMessageDescriptor gn__worker_end__descriptor;
 extern const ProtobufCMessageDescriptor gn__order_result__descriptor;
+extern const ProtobufCMessageDescriptor gn__open_start__descriptor;
 extern const ProtobufCMessageDescriptor gn__worker_report__descriptor;
 extern const ProtobufCMessageDescriptor gn__worker_order__descriptor;
 extern const ProtobufCMessageDescriptor gn__worker_orders__descriptor;
