Run walk: late calls reach every later life

Late calls reached the next life by chance only, about one start in a walk; no worker returned under its ID after a leave; no leader handed over as planned; lives were too young and cuts too rare for a lease that a list for a former life has extended to last beyond the end that the leader expects.

Change: option later_lives, for the recut and the closed-run walk. Calls without an answer are kept, and each later life under the ID carries out some soon after its start, so that any attempt can begin, also one whose claim was released in its own life. Episodes have a pause before the crash, in which claims are released, or a planned leave, after which the worker may return under its ID with or without its executor's process. Leaders resign as in continue_stop() between crash and start or start and cut, and redirect executors. Workers are up to 60 s old at the begin, and grant 10 s as real ones do. Half of the walks have few other faults, longer cuts, and jobs that are submitted soon after a start. All other checks are as they were.

--- a/tests/support/run_model.c
+++ b/tests/support/run_model.c
@@ -9,6 +9,8 @@
 /** Interval of the processes' timers, as in the daemon. */
 #define TICK_MS 10
 #define CHECK_MS 50
+/** Chance of few other faults with later_lives. */
+#define CALM_CHANCE 0.5
 
 typedef struct event_s {
 	uint64_t time_us;
@@ -185,6 +187,7 @@
 	model->tasks = g_hash_table_new(g_str_hash, g_str_equal);
 	model->jobs_by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	model->calm_us = RM_START_US;
+	model->calm = options->later_lives && rm_draw(model, CALM_CHANCE);
 	rm_jobs_create(model);
 }
 
@@ -239,6 +242,7 @@
 		g_array_unref(worker->listed_ends);
 		g_hash_table_destroy(worker->closed);
 		g_hash_table_destroy(worker->known_over);
+		g_ptr_array_unref(worker->delayed);
 		if (worker->waiting)
 			rm_call_unref(worker->waiting);
 	}
--- a/tests/support/run_model.h
+++ b/tests/support/run_model.h
@@ -75,7 +75,13 @@
 	Y(link_recuts)              \
 	Y(worker_recuts)            \
 	Y(leader_kills_before_cuts) \
-	Y(runs_past_lease)
+	Y(runs_past_lease)          \
+	Y(calls_at_returns)         \
+	Y(lists_for_former_life)    \
+	Y(starts_after_leave)       \
+	Y(worker_returns)           \
+	Y(hand_overs)               \
+	Y(redirects)
 
 /** Jobs in a walk. */
 #define RUN_MODEL_JOBS 18
@@ -129,6 +135,10 @@
 	/** Workers go dark, restart under the ID that they had and are cut off
 	 * soon after, and some tasks are long. */
 	bool recut;
+	/** Late calls reach every later life under the ID, also soon after its
+	 * start; workers that left return under their IDs; leaders hand over
+	 * as planned; and workers grant the longest lease of real ones. */
+	bool later_lives;
 	/** Leaders keep no claim for a start call that has had no answer. */
 	bool keeps_no_claims;
 	/** Start calls of runs that were known to be over in a former life are
--- a/tests/support/run_model_calls.c
+++ b/tests/support/run_model_calls.c
@@ -8,6 +8,11 @@
 #define WAY_MAX_MS 8
 /** Chance of a fate other than an answer, outside spells. */
 #define BASE_CHANCE 0.01
+/** Chance that a call for a former life takes effect within this time after the
+ * start of the next one. */
+#define RETURN_CHANCE 0.5
+#define CALM_RETURN_CHANCE 0.9
+#define RETURN_MAX_MS 150
 
 void rm_call_unref(gpointer data)
 {
@@ -91,9 +96,12 @@
 	rm_call_t *call = data;
 	rm_worker_t *worker = &model->workers[call->at];
 
-	if (rm_recut_is_dark(model, worker)) {
+	if (call->arrived) {
+		/* It has reached the next life already. */
+	} else if (rm_recut_is_dark(model, worker)) {
 		model->counts->calls_in_dark++;
 	} else if (worker->up) {
+		call->arrived = true;
 		rm_worker_handle(model, worker, call);
 	} else if (!call->silent) {
 		call->answer.outcome = GN_WORKER_UNSENT;
@@ -102,6 +110,29 @@
 	rm_call_unref(call);
 }
 
+void rm_calls_reach_life(run_model_t *model, rm_worker_t *worker)
+{
+	uint64_t now_us = rm_now_us(model);
+	uint64_t from_us = MAX(now_us, worker->dark_us);
+
+	for (guint i = worker->delayed->len; i; i--) {
+		rm_call_t *call = g_ptr_array_index(worker->delayed, i - 1);
+
+		if (call->arrived ||
+		    now_us - call->sent_us > RM_LATE_MAX_MS * RM_MS) {
+			g_ptr_array_remove_index_fast(worker->delayed, i - 1);
+			continue;
+		}
+		if (!rm_draw(model,
+			     model->calm ? CALM_RETURN_CHANCE : RETURN_CHANCE))
+			continue;
+		model->counts->calls_at_returns++;
+		call->refs++;
+		rm_at(model, from_us + rm_draw_us(model, 0, RETURN_MAX_MS),
+		      on_arrival, call, rm_call_unref);
+	}
+}
+
 /* Returns when the call arrives; 0 if never. */
 static uint64_t draw_fate(run_model_t *model, rm_call_t *call)
 {
@@ -116,7 +147,7 @@
 	if (!rm_in_faults(model) || !rm_draw(model, chance))
 		return now_us + way_us;
 	call->silent = true;
-	switch (g_rand_int_range(model->rand, 0, 3)) {
+	switch (g_rand_int_range(model->rand, 0, model->calm ? 12 : 3)) {
 	case 0:
 		model->counts->calls_lost++;
 		return 0;
@@ -157,6 +188,7 @@
 	uint64_t arrival_us;
 
 	call->refs = 2;
+	call->sent_us = rm_now_us(model);
 	call->at = executor->at;
 	call->executor_serial = executor->serial;
 	call->worker_serial = model->workers[executor->at].serial;
@@ -169,6 +201,10 @@
 	call->list = list;
 	arrival_us = draw_fate(model, call);
 	log_call(executor, call, arrival_us);
+	if (call->delayed && model->options.later_lives) {
+		call->refs++;
+		g_ptr_array_add(model->workers[executor->at].delayed, call);
+	}
 	rm_at(model, rm_now_us(model) + timeout_ms * RM_MS, on_timeout, call,
 	      rm_call_unref);
 	if (arrival_us)
--- a/tests/support/run_model_evacuation.c
+++ b/tests/support/run_model_evacuation.c
@@ -131,7 +131,8 @@
 	uint64_t now_us = rm_now_us(model);
 
 	if (!executor->up || rm_executor_is_frozen(executor) ||
-	    now_us < executor->cut_us)
+	    now_us < executor->cut_us ||
+	    rm_recut_is_dark(model, &model->workers[executor->at]))
 		model->out_of_touch_us[executor->at] = now_us;
 }
 
@@ -152,7 +153,8 @@
 	if (rm_now_us(model) <= since_us + RM_EVACUATE_MS * RM_MS)
 		return;
 	/* Nobody can take back a call that the worker carries out late, if the
-	 * executor has ended or is cut off before it has closed the attempt. */
+	 * executor has ended, or it or the worker is cut off before it has closed
+	 * the attempt. */
 	if (late && !is_in_touch(model, worker->at))
 		model->counts->late_starts_out_of_touch++;
 	else
--- a/tests/support/run_model_faults.c
+++ b/tests/support/run_model_faults.c
@@ -6,6 +6,8 @@
 
 #define INTERVAL_MIN_MS 50
 #define INTERVAL_MAX_MS 900
+/** The interval is so many times longer in a calm walk. */
+#define CALM_FACTOR 8
 /** Chance that the next fault follows closely on the same machine. */
 #define PAIR_CHANCE 0.3
 #define PAIR_MAX_MS 200
@@ -17,6 +19,17 @@
 /** A worker that crashed under a task is back after this. */
 #define BOOT_MIN_MS 500
 #define BOOT_MAX_MS 3500
+/** Chance that a worker that left returns under its ID, and that its executor
+ * is stopped in the meantime. */
+#define LEAVE_RETURN_CHANCE 0.6
+#define LEAVE_STOP_CHANCE 0.5
+/** A leader that stops waits so long for its write batch, redirects executors
+ * for some time after it has resigned, and the next one is elected soon. */
+#define RESIGN_TIMEOUT_MS 400
+#define REDIRECT_MS 3700
+#define ELECTION_MIN_MS 20
+#define ELECTION_MAX_MS 100
+#define POLL_MS 10
 
 typedef void (*fault_t)(run_model_t *model, unsigned at);
 
@@ -219,13 +232,24 @@
 		rm_worker_boot(model, worker, false);
 }
 
-/* A worker leaves and ends, its machine is stopped, and another one comes. */
-static void leave(run_model_t *model, unsigned at)
+static void return_worker(run_model_t *model, void *data)
+{
+	rm_worker_t *worker = data;
+
+	if (worker->up)
+		return;
+	model->counts->worker_returns++;
+	rm_worker_boot(model, worker, true);
+	worker->returned = true;
+}
+
+void rm_faults_leave(run_model_t *model, unsigned at)
 {
 	rm_worker_t *worker = &model->workers[at];
 	rm_executor_t *executor = &model->executors[at];
 	uint64_t now_us = rm_now_us(model);
 	uint64_t end_us = now_us + rm_draw_us(model, 0, LEAVE_END_MS);
+	bool returns;
 
 	if (!worker->up || !executor->up || !executor->worker_known ||
 	    executor->born_ms != worker->born_ms || executor->worker_left ||
@@ -237,11 +261,15 @@
 	rm_log(model, "worker", at, "leaves", NULL, 0, NULL);
 	rm_executor_on_leave(executor);
 	at_process(model, end_us, end_worker, at, worker->serial, NULL);
-	at_process(model, end_us + rm_draw_us(model, 0, LEAVE_SIGTERM_MS),
-		   stop_executor, at, executor->serial, NULL);
+	returns = model->options.later_lives &&
+		  rm_draw(model, LEAVE_RETURN_CHANCE);
+	if (!returns || rm_draw(model, LEAVE_STOP_CHANCE))
+		at_process(model,
+			   end_us + rm_draw_us(model, 0, LEAVE_SIGTERM_MS),
+			   stop_executor, at, executor->serial, NULL);
 	rm_at(model,
 	      rm_faults_draw_end_us(model, LEAVE_MAX_MS, 2 * LEAVE_MAX_MS),
-	      replace_worker, worker, NULL);
+	      returns ? return_worker : replace_worker, worker, NULL);
 }
 
 /* ======   Executors and links   ====== */
@@ -305,6 +333,57 @@
 	rm_faults_end_leader(model);
 }
 
+/** A leader that is to stop. */
+typedef struct stop_s {
+	uint64_t epoch;
+	uint64_t since_us;
+} stop_t;
+
+static void elect_soon(run_model_t *model, void *data)
+{
+	(void)data;
+	rm_leader_elect(model, rm_draw_us(model, 0, ELECTION_MAX_MS));
+}
+
+/* Follows continue_stop() in lib/scheduler/scheduler.c. */
+static void resign(run_model_t *model, void *data)
+{
+	const stop_t *stop = data;
+	rm_leader_t *leader = rm_leader_find(model, stop->epoch);
+	uint64_t now_us = rm_now_us(model);
+
+	if (!leader || leader != model->leader) {
+		g_free(data);
+		return;
+	}
+	if (leader->has_batch &&
+	    now_us - stop->since_us <= RESIGN_TIMEOUT_MS * RM_MS) {
+		rm_at(model, now_us + POLL_MS * RM_MS, resign, data, g_free);
+		return;
+	}
+	rm_log(model, "leader", (unsigned)leader->epoch, "hands over", NULL, 0,
+	       NULL);
+	model->resigned_epoch = leader->epoch;
+	model->resigned_until_us = stop->since_us + REDIRECT_MS * RM_MS;
+	rm_leader_end(leader);
+	rm_at(model,
+	      now_us + rm_draw_us(model, ELECTION_MIN_MS, ELECTION_MAX_MS),
+	      elect_soon, NULL, NULL);
+	g_free(data);
+}
+
+void rm_faults_hand_over(run_model_t *model)
+{
+	const stop_t stop = { model->leader ? model->leader->epoch : 0,
+			      rm_now_us(model) };
+
+	if (!model->leader || !model->leader->serving)
+		return;
+	model->counts->hand_overs++;
+	rm_faults_extend(model, stop.since_us + RM_SETTLE_MS * RM_MS);
+	resign(model, g_memdup2(&stop, sizeof(stop)));
+}
+
 /* The leader loses the store and still answers; another is elected. */
 static void supersede_leader(run_model_t *model, unsigned at)
 {
@@ -331,6 +410,8 @@
 {
 	uint64_t delay_us = rm_draw_us(model, INTERVAL_MIN_MS, INTERVAL_MAX_MS);
 
+	if (model->calm)
+		delay_us *= CALM_FACTOR;
 	if (rm_draw(model, PAIR_CHANCE))
 		delay_us = rm_draw_us(model, 0, PAIR_MAX_MS);
 	else
@@ -345,17 +426,12 @@
 		fault_t begin;
 		int weight;
 	} faults[] = {
-		{ be_unhealthy, 6 },
-		{ be_lossy, 5 },
-		{ be_full, 2 },
-		{ restart_worker, 2 },
-		{ restart_executor, 2 },
-		{ freeze_executor, 1 },
-		{ cut_link, 3 },
-		{ slow_link, 5 },
-		{ end_leader, 1 },
-		{ supersede_leader, 1 },
-		{ leave, 1 },
+		{ be_unhealthy, 6 },	 { be_lossy, 5 },
+		{ be_full, 2 },		 { restart_worker, 2 },
+		{ restart_executor, 2 }, { freeze_executor, 1 },
+		{ cut_link, 3 },	 { slow_link, 5 },
+		{ end_leader, 1 },	 { supersede_leader, 1 },
+		{ rm_faults_leave, 1 },
 	};
 	unsigned at = GPOINTER_TO_UINT(data);
 	int left = 0;
--- a/tests/support/run_model_internal.h
+++ b/tests/support/run_model_internal.h
@@ -41,6 +41,8 @@
 void rm_worker_settle(run_model_t *model, rm_worker_t *worker);
 /** Brings the runs and leases of all workers up to date. */
 void rm_workers_settle(run_model_t *model);
+/** Returns the longest lease that workers grant. */
+unsigned rm_hold_max_ms(const run_model_t *model);
 void rm_worker_extend_lease(run_model_t *model, rm_worker_t *worker,
 			    uint64_t until_ms);
 uint32_t rm_worker_used_milli(const rm_worker_t *worker);
@@ -63,6 +65,9 @@
 /** Sends the answer of a call that was carried out. */
 void rm_call_answer(run_model_t *model, rm_call_t *call);
 void rm_call_unref(gpointer call);
+/** Lets some of the calls for former lives that may still take effect reach the
+ * life that begins. */
+void rm_calls_reach_life(run_model_t *model, rm_worker_t *worker);
 
 /* ======   run_model_executor.c   ====== */
 
@@ -131,6 +136,8 @@
 /* ======   run_model_jobs.c   ====== */
 
 void rm_jobs_create(run_model_t *model);
+/** Lets a job be submitted soon that is due later. */
+void rm_jobs_submit_soon(run_model_t *model);
 /** Submits and cancels the jobs that are due. */
 void rm_jobs_tick(run_model_t *model, void *data);
 
@@ -153,6 +160,12 @@
 			      uint64_t boot_us, rm_action_t boot);
 /** Ends the leader if one serves; another one is elected. */
 void rm_faults_end_leader(run_model_t *model);
+/** A worker leaves and ends, its machine is stopped, and another one comes, or
+ * the same one returns. */
+void rm_faults_leave(run_model_t *model, unsigned at);
+/** Stops the leader's process as planned if it serves; another one is elected
+ * once it has resigned. */
+void rm_faults_hand_over(run_model_t *model);
 /** Records that a fault lasts until @p until_us. */
 void rm_faults_extend(run_model_t *model, uint64_t until_us);
 
--- a/tests/support/run_model_jobs.c
+++ b/tests/support/run_model_jobs.c
@@ -10,10 +10,13 @@
 #define CALLERS_MS 100
 /** The last job is submitted by then, while faults still begin. */
 #define SUBMIT_MAX_MS 14000
+/** A job that is submitted soon is so within this. */
+#define SOON_MAX_MS 600
 #define DURATION_MIN_MS 60
 #define DURATION_MAX_MS 1200
 /** Chance that the tasks of a step are long, if some are. */
 #define LONG_CHANCE 0.15
+#define CALM_LONG_CHANCE 0.5
 #define LONG_MIN_MS 8000
 #define LONG_MAX_MS 15000
 /** Every so many jobs, one lasts until it is cancelled. */
@@ -37,7 +40,8 @@
 	Gn__JobStep *step = malloc(sizeof(*step));
 
 	gn__job_step__init(step);
-	step->count = (uint32_t)g_rand_int_range(model->rand, 1, 4);
+	step->count =
+		(uint32_t)g_rand_int_range(model->rand, 1, model->calm ? 2 : 4);
 	/* All standing tasks together leave room for each other task. */
 	step->cpu_milli =
 		standing ? 500
@@ -45,7 +49,8 @@
 	step->memory_mb = 1;
 	step->estimate_ms = (uint32_t)g_rand_int_range(
 		model->rand, DURATION_MIN_MS, DURATION_MAX_MS);
-	if (model->options.recut && rm_draw(model, LONG_CHANCE))
+	if (model->options.recut &&
+	    rm_draw(model, model->calm ? CALM_LONG_CHANCE : LONG_CHANCE))
 		step->estimate_ms = (uint32_t)g_rand_int_range(
 			model->rand, LONG_MIN_MS, LONG_MAX_MS);
 	step->standing = standing;
@@ -106,7 +111,7 @@
 
 	g_snprintf(job->id, sizeof(job->id), "%016x", number + 1);
 	job->submit_us = RM_START_US + rm_draw_us(model, 0, SUBMIT_MAX_MS);
-	job->standing = number % STANDING_INTERVAL == 0;
+	job->standing = !model->calm && number % STANDING_INTERVAL == 0;
 	if (rm_draw(model, CANCEL_CHANCE))
 		job->cancel_us = job->submit_us + rm_draw_us(model, 0, 1500);
 	spec = create_spec(model, job);
@@ -127,6 +132,25 @@
 		create_job(model, i);
 }
 
+void rm_jobs_submit_soon(run_model_t *model)
+{
+	uint64_t now_us = rm_now_us(model);
+	uint64_t earlier_us;
+
+	for (unsigned i = 0; i < RM_JOBS; i++) {
+		rm_job_t *job = &model->jobs[i];
+
+		if (job->submit_us < now_us + SOON_MAX_MS * RM_MS)
+			continue;
+		earlier_us = job->submit_us - now_us -
+			     rm_draw_us(model, 0, SOON_MAX_MS);
+		job->submit_us -= earlier_us;
+		if (job->cancel_us)
+			job->cancel_us -= earlier_us;
+		return;
+	}
+}
+
 /* ======   Callers   ====== */
 
 static void submit(run_model_t *model, rm_job_t *job)
--- a/tests/support/run_model_leader.c
+++ b/tests/support/run_model_leader.c
@@ -30,7 +30,6 @@
 
 static const gn_sched_config_t config = {
 	.lease_ms = RM_LEASE_MS,
-	.lease_max_ms = RM_HOLD_MAX_MS,
 	.late_call_ms = RM_LATE_MAX_MS,
 	.depose_ms = RM_DEPOSE_MS,
 	.retain_ms = 600000,
@@ -174,6 +173,7 @@
 	run_model_t *model = leader->model;
 	gn_sched_config_t present = config;
 
+	present.lease_max_ms = rm_hold_max_ms(model);
 	if (model->options.keeps_no_claims) {
 		present.late_call_ms = 0;
 		present.lease_max_ms = 0;
--- a/tests/support/run_model_link.c
+++ b/tests/support/run_model_link.c
@@ -99,13 +99,40 @@
 
 /* ======   Reports   ====== */
 
+static void on_redirect(run_model_t *model, void *data)
+{
+	message_t *message = data;
+	rm_executor_t *executor = &model->executors[message->at];
+
+	if (executor->up && !rm_executor_is_frozen(executor) &&
+	    is_open(model, message) && model->leader &&
+	    model->leader->epoch != executor->target) {
+		model->counts->redirects++;
+		rm_link_connect(executor, model->leader->epoch);
+	}
+	g_free(message);
+}
+
+/* A process that has handed over names the next leader once that is known. */
+static void redirect(run_model_t *model, const message_t *message)
+{
+	if (message->target != model->resigned_epoch ||
+	    rm_now_us(model) >= model->resigned_until_us || !model->leader)
+		return;
+	rm_at(model, rm_now_us(model) + rm_draw_us(model, 0, WAY_QUICK_MS),
+	      on_redirect, g_memdup2(message, sizeof(*message)), g_free);
+}
+
 static void on_report(run_model_t *model, void *data)
 {
 	message_t *message = data;
 	rm_leader_t *leader = rm_leader_find(model, message->target);
+	bool arrives = is_open(model, message);
 	Gn__WorkerReport *report;
 
-	if (is_open(model, message) && leader && leader->serving) {
+	if (arrives && !leader)
+		redirect(model, message);
+	if (arrives && leader && leader->serving) {
 		report = gn__worker_report__unpack(NULL, message->len,
 						   message->data);
 		rm_leader_on_report(leader, message->connection, report);
--- a/tests/support/run_model_runs.c
+++ b/tests/support/run_model_runs.c
@@ -144,12 +144,18 @@
 	return call->worker_serial != worker->serial;
 }
 
+unsigned rm_hold_max_ms(const run_model_t *model)
+{
+	return model->options.later_lives ? RM_LATER_HOLD_MAX_MS
+					  : RM_HOLD_MAX_MS;
+}
+
 void rm_worker_extend_lease(run_model_t *model, rm_worker_t *worker,
 			    uint64_t until_ms)
 {
 	uint64_t clock_ms = rm_worker_clock_ms(model, worker);
 
-	until_ms = MIN(until_ms, clock_ms + RM_HOLD_MAX_MS);
+	until_ms = MIN(until_ms, clock_ms + rm_hold_max_ms(model));
 	if (until_ms > clock_ms && until_ms > worker->lease_until_ms)
 		worker->lease_until_ms = until_ms;
 }
@@ -194,11 +200,10 @@
  * can keep the next process from carrying out another start call for it before
  * its first call (KNOWN-RED.txt).
  */
-static bool is_known_over(const run_model_t *model, const rm_worker_t *worker,
-			  const rm_task_t *task, const rm_call_t *call)
+static bool is_known_over(const rm_worker_t *worker, const rm_task_t *task,
+			  const rm_call_t *call)
 {
-	return !model->options.closed_runs &&
-	       rm_is_for_former_life(worker, call) &&
+	return rm_is_for_former_life(worker, call) &&
 	       call->call.attempt <= get_known_over(worker, task);
 }
 
@@ -226,9 +231,10 @@
 		return GN_WORKER_OK;
 	}
 	model->counts->starts_of_known_ends +=
-		is_known_over(model, worker, task, call);
+		is_known_over(worker, task, call);
 	if (attempt <= get_closed(worker, task) ||
-	    is_known_over(model, worker, task, call)) {
+	    (!model->options.closed_runs &&
+	     is_known_over(worker, task, call))) {
 		model->counts->refused_old++;
 		return GN_WORKER_RUN_OVER;
 	}
@@ -241,8 +247,11 @@
 	model->counts->delayed_starts += call->delayed;
 	model->counts->starts_for_former_life +=
 		rm_is_for_former_life(worker, call);
+	model->counts->starts_after_leave +=
+		rm_is_for_former_life(worker, call) && worker->returned;
 	rm_check_start(model, worker, task);
-	rm_check_evacuated_start(model, worker, task, call->delayed);
+	if (!model->options.later_lives || !rm_is_for_former_life(worker, call))
+		rm_check_evacuated_start(model, worker, task, call->delayed);
 	add_run(model, worker, task, call);
 	return GN_WORKER_OK;
 }
--- a/tests/support/run_model_types.h
+++ b/tests/support/run_model_types.h
@@ -39,6 +39,8 @@
 #define RM_DEPOSE_MS 5000
 /** Longest lease that a worker grants. */
 #define RM_HOLD_MAX_MS 6000
+/** The same with later_lives, as for real workers. */
+#define RM_LATER_HOLD_MAX_MS 10000
 /** Longest time in which a worker stops a run. */
 #define RM_STOP_MS 500
 /** Ends that a list shows at most. */
@@ -165,6 +167,8 @@
 	unsigned list; /**< Kind of the list. */
 	bool silent; /**< Gets no answer. */
 	bool delayed; /**< Takes effect after newer calls. */
+	bool arrived;
+	uint64_t sent_us;
 	bool answered;
 	gn_worker_answer_t answer;
 	TALLOC_CTX *lists; /**< Owner of the lists in the answer. */
@@ -194,6 +198,8 @@
 	/** rm_task_t to the highest attempt whose end was noted or that was
 	 * stopped, in any life under this ID. */
 	GHashTable *known_over;
+	GPtrArray *delayed; /**< Of rm_call_t that may still arrive. */
+	bool returned; /**< Its life follows one that left under its ID. */
 	rm_call_t *waiting; /**< List that waits for an end. */
 	uint64_t waiting_until_us;
 	uint64_t heartbeat_us; /**< Time of the next heartbeat. */
@@ -325,6 +331,9 @@
 	run_model_options_t options;
 	run_model_counts_t *counts;
 	GRand *rand;
+	/** There are few faults beside the restarts that are followed by cuts, and
+	 * these and the tasks are long, so that leases end. */
+	bool calm;
 	gn_clock_t clock;
 	gn_clock_t wall;
 	GSequence *events;
@@ -335,6 +344,10 @@
 	rm_executor_t executors[RM_WORKERS];
 	rm_leader_t leaders[RM_LEADERS];
 	rm_leader_t *leader; /**< The one that the store accepts, or NULL. */
+	/** Epoch of the last leader that handed over, whose process redirects
+	 * reports until a time; 0 if none. */
+	uint64_t resigned_epoch;
+	uint64_t resigned_until_us;
 	rm_job_t jobs[RM_JOBS];
 	GHashTable *tasks; /**< Task name to rm_task_t. */
 	GHashTable *jobs_by_id;
--- a/tests/support/run_model_worker.c
+++ b/tests/support/run_model_worker.c
@@ -9,6 +9,8 @@
 #include "common/str.h"
 
 #define HEARTBEAT_MS 500
+/** Longest age of a worker at the begin of a walk. */
+#define AGE_MAX_MS 60000
 
 /* ======   Lives   ====== */
 
@@ -23,17 +25,23 @@
 
 void rm_worker_boot(run_model_t *model, rm_worker_t *worker, bool same_id)
 {
+	uint64_t age_us = 0;
+
 	if (!worker->runs) {
+		if (model->options.later_lives)
+			age_us = rm_draw_us(model, 0, AGE_MAX_MS);
 		worker->runs = g_ptr_array_new_with_free_func(g_free);
 		worker->listed_ends =
 			g_array_new(FALSE, FALSE, sizeof(rm_end_t));
 		worker->closed = g_hash_table_new(NULL, NULL);
 		worker->known_over = g_hash_table_new(NULL, NULL);
+		worker->delayed = g_ptr_array_new_with_free_func(rm_call_unref);
 	}
 	worker->up = true;
 	worker->serial = ++model->serial;
-	worker->born_us = rm_now_us(model);
-	worker->born_ms = gn_clock_now_us(&model->wall) / GN_US_PER_MS;
+	worker->born_us = rm_now_us(model) - age_us;
+	worker->born_ms =
+		(gn_clock_now_us(&model->wall) - age_us) / GN_US_PER_MS;
 	if (!same_id)
 		g_hash_table_remove_all(worker->known_over);
 	if (!same_id)
@@ -46,8 +54,11 @@
 	worker->ends = 0;
 	worker->heartbeats = 0;
 	worker->heartbeat_us = rm_now_us(model) + rm_draw_us(model, 0, 300);
+	worker->returned = false;
 	rm_log(model, "worker", worker->at, "boots", NULL, 0,
 	       g_intern_string(worker->life));
+	if (same_id && model->options.later_lives)
+		rm_calls_reach_life(model, worker);
 }
 
 void rm_worker_crash(run_model_t *model, rm_worker_t *worker)
@@ -170,6 +181,11 @@
 static void handle_list(run_model_t *model, rm_worker_t *worker,
 			rm_call_t *call)
 {
+	if (rm_is_for_former_life(worker, call)) {
+		model->counts->lists_for_former_life++;
+		rm_log(model, "worker", worker->at, "lists for a former life",
+		       NULL, 0, NULL);
+	}
 	note_ends(model, worker, call);
 	rm_worker_extend_lease(model, worker, call->call.lease_until_ms);
 	if (worker->listed_ends->len || !call->call.wait_ms || call->silent) {
--- a/tests/unit/test_closed_run_walk.c
+++ b/tests/unit/test_closed_run_walk.c
@@ -17,6 +17,8 @@
 		.bug = (run_model_bug_t)mutant,
 		.same_id = true,
 		.recut = true,
+		.later_lives = true,
+		.evacuations = seed % 4 == 0,
 		.closed_runs = true,
 		.print = traces < TRACES_MAX,
 	};
--- a/tests/unit/test_recut_walk.c
+++ b/tests/unit/test_recut_walk.c
@@ -15,8 +15,9 @@
 	static unsigned traces;
 	run_model_options_t options = { .bug = (run_model_bug_t)mutant,
 					.same_id = true,
-					.recut = true };
-
+					.recut = true,
+					.later_lives = true,
+					.evacuations = seed % 4 == 0 };
 	const char *violation;
 
 	options.print = traces < TRACES_MAX;
@@ -29,7 +30,9 @@
 /* Guards against walks in which no restart is followed by a cut. */
 static void test_recuts_hit_runs(void)
 {
-	run_model_options_t options = { .same_id = true, .recut = true };
+	run_model_options_t options = { .same_id = true,
+					.recut = true,
+					.later_lives = true };
 	run_model_counts_t counts = { 0 };
 
 	for (guint32 seed = 1; seed <= 40; seed++)
@@ -41,6 +44,10 @@
 	g_assert_cmpuint(counts.leader_kills_before_cuts, >, 10);
 	g_assert_cmpuint(counts.runs_past_lease, >, 40);
 	g_assert_cmpuint(counts.starts_for_former_life, >, 0);
+	g_assert_cmpuint(counts.lists_for_former_life, >, 20);
+	g_assert_cmpuint(counts.worker_returns, >, 0);
+	g_assert_cmpuint(counts.hand_overs, >, 20);
+	g_assert_cmpuint(counts.redirects, >, 20);
 }
 
 int main(int argc, char **argv)
