Scheduler log: show the basis of decisions on claims, and hand-overs

A lapse or a release doesn't say whether a start call was open, how old the leadership was, or when the leader first heard of the worker's life; a planned hand-over has a line at its end only, without its claims.

Change, of lines only:

- Leader's lines on a claim: settled, ordered_age_ms.
- Leader's lines with a host: serving_ms, heard_ms.
- resigning, resign: epoch, since_us, claims, unsettled.

A leader has no number of calls; the executor's lines have it. No expected output of a scenario has these lines.

--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -12,13 +12,26 @@
 	return gn_clock_now_us(sched->wall) / GN_US_PER_MS;
 }
 
+static int64_t get_age_ms(const gn_sched_t *sched, uint64_t time_us)
+{
+	uint64_t now_us = sched_now_us(sched);
+
+	if (!time_us)
+		return -1;
+	/* An earlier leader may have ordered a start until now. */
+	return time_us < now_us ? (int64_t)((now_us - time_us) / GN_US_PER_MS)
+				: 0;
+}
+
 void sched_emit_event(const gn_sched_t *sched, gn_sched_event_t *event,
 		      const sched_worker_t *worker)
 {
 	event->list_age_ms = sched_list_age_ms(sched, worker);
+	event->serving_ms = get_age_ms(sched, sched->created_us);
 	if (worker) {
 		event->host = worker->host;
 		event->fence = worker->fence;
+		event->heard_ms = get_age_ms(sched, worker->first_heard_us);
 	}
 	if (worker && !event->life.id)
 		event->life = worker->life;
@@ -40,6 +53,9 @@
 		.life = task->life,
 		.reason = why,
 		.value = value,
+		.claimed = task->worker != NULL,
+		.settled = task->settled,
+		.ordered_age_ms = get_age_ms(sched, task->start_ordered_us),
 	};
 
 	gn_task_format_name(task->job->spec, task->number, name);
@@ -85,6 +101,7 @@
 	sched->wall = wall;
 	sched->ops = ops;
 	sched->arg = arg;
+	sched->created_us = sched_now_us(sched);
 	sched->jobs =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_job);
 	sched->life_ids = g_hash_table_new(NULL, NULL);
@@ -280,6 +297,25 @@
 	return figures;
 }
 
+size_t gn_sched_count_unsettled(const gn_sched_t *sched)
+{
+	GHashTableIter iter;
+	gpointer value;
+	size_t count = 0;
+
+	g_hash_table_iter_init(&iter, sched->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const GPtrArray *claims = ((sched_worker_t *)value)->claims;
+
+		for (guint i = 0; i < claims->len; i++) {
+			const sched_task_t *task = g_ptr_array_index(claims, i);
+
+			count += !task->settled;
+		}
+	}
+	return count;
+}
+
 unsigned gn_sched_get_headroom_pct(const gn_sched_t *sched)
 {
 	return (unsigned)(100 * sched_get_headroom_goal(sched) + 0.5);
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -75,6 +75,15 @@
 	int64_t value; /**< The meaning depends on the event. */
 	/** Age of the worker's last list of runs, ms; below 0 if none. */
 	int64_t list_age_ms;
+	/** Time since the worker's present life was first heard of, ms; below 0
+	 * if none was. Only with a host, as serving_ms. */
+	int64_t heard_ms;
+	int64_t serving_ms; /**< Time since the scheduler was created, ms. */
+	bool claimed; /**< It is about a claim; the next two apply. */
+	bool settled; /**< No start call for the claim can be under way. */
+	/** Time since the last start order for the claim, ms; below 0 if there
+	 * was none. At least this if an earlier leader ordered it. */
+	int64_t ordered_age_ms;
 	/** Data centre of an event "evacuation"; else NULL. */
 	const char *data_centre;
 	uint64_t workers; /**< Workers that are known there. */
@@ -379,6 +388,10 @@
 
 gn_sched_stats_t gn_sched_stats(const gn_sched_t *sched);
 
+/** Counts the claims for which a start call may be under way, or is yet to be
+ * made. */
+size_t gn_sched_count_unsettled(const gn_sched_t *sched);
+
 /** Returns the headroom that serving tasks keep now, in percent. */
 unsigned gn_sched_get_headroom_pct(const gn_sched_t *sched);
 
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -226,6 +226,8 @@
 	uint32_t best_effort; /**< Number of claimed best-effort tasks. */
 	/** CPU that the best-effort tasks could use. */
 	uint32_t best_effort_milli;
+	/** Time of the first report of the present life; 0 if none. */
+	uint64_t first_heard_us;
 	uint64_t last_report_us; /**< Time of the last report; 0 if never. */
 	/** Time by which each lease that the last report allows has expired. No
 	 * lease outlasts the earlier of this and list_expiry_us. */
@@ -277,6 +279,7 @@
 	const gn_clock_t *wall;
 	const gn_sched_ops_t *ops;
 	void *arg;
+	uint64_t created_us;
 	const gn_queues_t *queues;
 	/** NULL: there are no evacuations. */
 	const gn_evacuations_t *evacuations;
--- a/lib/scheduler/leading.c
+++ b/lib/scheduler/leading.c
@@ -101,36 +101,64 @@
 
 /** Members of each line about a decision. */
 #define EVENT_MEMBERS "s:s*, s:s*, s:I, s:s*, s:s*, s:I, s:I, s:I"
+/** Members that a line about a worker adds. */
+#define WORKER_MEMBERS ", s:s, s:I, s:I, s:I, s:I"
+/** Members that a line about a claim adds. */
+#define CLAIM_MEMBERS ", s:b, s:I"
+/** Members for another life than the one above. */
+#define OTHER_LIFE_MEMBERS ", s:s, s:I"
+
+/** Values of EVENT_MEMBERS and WORKER_MEMBERS. */
+#define EVENT_VALUES(event, leader_epoch)                                   \
+	"job", (event)->job, "task", (event)->task, "attempt",              \
+		(json_int_t)(event)->attempt, "host", (event)->host, "why", \
+		(event)->reason, "value", (json_int_t)(event)->value,       \
+		"list_age_ms", (json_int_t)(event)->list_age_ms, "epoch",   \
+		(json_int_t)(leader_epoch), "life", (event)->life.id,       \
+		"born_ms", (json_int_t)(event)->life.started_ms, "token",   \
+		(json_int_t)MAX(leader_epoch, (event)->fence), "heard_ms",  \
+		(json_int_t)(event)->heard_ms, "serving_ms",                \
+		(json_int_t)(event)->serving_ms
+/** Values of OTHER_LIFE_MEMBERS. */
+#define OTHER_LIFE_VALUES(event)                                  \
+	"worker_life", (event)->worker_life.id, "worker_born_ms", \
+		(json_int_t)(event)->worker_life.started_ms
 
 /* The members that a shorter format leaves out are the last ones. */
 static const char *get_event_format(const gn_sched_event_t *event)
 {
 	if (event->worker_life.id)
-		return "{" EVENT_MEMBERS ", s:s, s:I, s:I, s:s, s:I}";
+		return "{" EVENT_MEMBERS WORKER_MEMBERS OTHER_LIFE_MEMBERS "}";
 	if (event->host)
-		return "{" EVENT_MEMBERS ", s:s, s:I, s:I}";
+		return "{" EVENT_MEMBERS WORKER_MEMBERS "}";
 	return event->life.id ? "{" EVENT_MEMBERS ", s:s, s:I}"
 			      : "{" EVENT_MEMBERS "}";
 }
 
+static const char *get_claim_format(const gn_sched_event_t *event)
+{
+	if (event->worker_life.id)
+		return "{" EVENT_MEMBERS WORKER_MEMBERS CLAIM_MEMBERS
+			OTHER_LIFE_MEMBERS "}";
+	return "{" EVENT_MEMBERS WORKER_MEMBERS CLAIM_MEMBERS "}";
+}
+
 static void log_event(void *arg, const gn_sched_event_t *event)
 {
 	const scheduler_t *scheduler = arg;
 
-	if (event->data_centre) {
+	if (event->data_centre)
 		log_evacuation(scheduler, event);
-		return;
-	}
-	gn_event(event->name, get_event_format(event), "job", event->job,
-		 "task", event->task, "attempt", (json_int_t)event->attempt,
-		 "host", event->host, "why", event->reason, "value",
-		 (json_int_t)event->value, "list_age_ms",
-		 (json_int_t)event->list_age_ms, "epoch",
-		 (json_int_t)scheduler->epoch, "life", event->life.id,
-		 "born_ms", (json_int_t)event->life.started_ms, "token",
-		 (json_int_t)MAX(scheduler->epoch, event->fence), "worker_life",
-		 event->worker_life.id, "worker_born_ms",
-		 (json_int_t)event->worker_life.started_ms);
+	else if (event->claimed)
+		gn_event(event->name, get_claim_format(event),
+			 EVENT_VALUES(event, scheduler->epoch), "settled",
+			 event->settled, "ordered_age_ms",
+			 (json_int_t)event->ordered_age_ms,
+			 OTHER_LIFE_VALUES(event));
+	else
+		gn_event(event->name, get_event_format(event),
+			 EVENT_VALUES(event, scheduler->epoch),
+			 OTHER_LIFE_VALUES(event));
 }
 
 static void request_advice(void *arg, const char *step,
--- a/lib/scheduler/scheduler.c
+++ b/lib/scheduler/scheduler.c
@@ -310,6 +310,21 @@
 
 /* ======   Timers and stop   ====== */
 
+/* Both lines of a hand-over have these, so that its claims can be compared. */
+static void log_hand_over(const scheduler_t *scheduler, const char *event)
+{
+	const gn_sched_t *sched = scheduler->sched;
+	uint64_t since_us = gn_runtime_now_us(scheduler->runtime) -
+			    scheduler->runtime->stop_requested_us;
+
+	gn_event(event, "{s:I, s:I, s:I, s:I}", "epoch",
+		 (json_int_t)scheduler->epoch, "since_us", (json_int_t)since_us,
+		 "claims",
+		 (json_int_t)(sched ? gn_sched_stats(sched).claims : 0),
+		 "unsettled",
+		 (json_int_t)(sched ? gn_sched_count_unsettled(sched) : 0));
+}
+
 /* Resigns leadership, then stops accepting connections. */
 static void continue_stop(scheduler_t *scheduler)
 {
@@ -319,9 +334,7 @@
 	if (!scheduler->resigned &&
 	    (!scheduler->ledger || gn_ledger_is_idle(scheduler->ledger) ||
 	     since_us > RESIGN_TIMEOUT_US)) {
-		gn_event("resign", "{s:I, s:I}", "epoch",
-			 (json_int_t)scheduler->epoch, "since_us",
-			 (json_int_t)since_us);
+		log_hand_over(scheduler, "resign");
 		scheduler->resigned = true;
 		scheduler_end_leadership(scheduler);
 		gn_lead_resign(scheduler->lead);
@@ -360,9 +373,12 @@
 
 static void scheduler_stop(void *state)
 {
+	const scheduler_t *scheduler = state;
+
 	/* The load balancer learns of the stop from the readiness check; the
 	 * rest happens in continue_stop(). */
-	(void)state;
+	if (scheduler->epoch)
+		log_hand_over(scheduler, "resigning");
 }
 
 static bool scheduler_is_stopped(const void *state)
--- a/tests/contract/test_scheduler.c
+++ b/tests/contract/test_scheduler.c
@@ -8,6 +8,7 @@
 #include "common/str.h"
 #include "scheduler/scheduler.h"
 #include "scheduler/scheduler_internal.h"
+#include "support/capture.h"
 #include "support/fake_kv.h"
 
 #define CONFIG_KEY "configuration"
@@ -665,6 +666,118 @@
 	close_rig();
 }
 
+/* ======   Log lines   ====== */
+
+static void refuse_start(void)
+{
+	Gn__OrderResult result = GN__ORDER_RESULT__INIT;
+	Gn__OrderResult *results[] = { &result };
+	Gn__WorkerReport report = GN__WORKER_REPORT__INIT;
+	Gn__Envelope envelope = GN__ENVELOPE__INIT;
+
+	result.task = (char *)JOB ".0.0.0";
+	result.verdict = GN_ORDER_OUTCOME_NO_ROOM;
+	report.host = (char *)"side-1";
+	report.life = (char *)"side-1";
+	report.born_ms = 1000;
+	report.sequence = ++rig->reports;
+	report.service = (char *)"service";
+	report.list_age_ms = UINT32_MAX;
+	report.results = results;
+	report.n_results = 1;
+	envelope.body_case = GN__ENVELOPE__BODY_WORKER_REPORT;
+	envelope.worker_report = &report;
+	rig->link.handler(rig->link.arg, &peer, &envelope);
+}
+
+static bool has_member(const json_t *lines, const char *member)
+{
+	return json_object_get(json_array_get(lines, 0), member) != NULL;
+}
+
+/* Guards against lines that lack the ages of their leader and of its claims. */
+static void test_lines_on_a_claim_do_not_show_their_basis(void)
+{
+	static const char *const events[] = { "worker", "release" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(events); i++) {
+		bool is_claim = !strcmp(events[i], "release");
+		capture_t capture;
+		json_t *lines;
+
+		create_rig("1 old");
+		put_job(JOB, JOB, GN_JOB_TASK_CLAIMED, "side-1");
+		start_scheduler();
+		begin_capture(&capture);
+		refuse_start();
+		lines = end_capture(&capture, events[i]);
+		g_assert_cmpuint(json_array_size(lines), >=, 1);
+		g_assert_cmpint(read_number(lines, 0, "serving_ms"), >, 900);
+		g_assert_cmpint(read_number(lines, 0, "serving_ms"), <=, 1000);
+		read_number(lines, 0, "heard_ms");
+		g_assert_cmpint(has_member(lines, "settled"), ==, is_claim);
+		g_assert_cmpint(has_member(lines, "ordered_age_ms"), ==,
+				is_claim);
+		g_assert_false(has_member(lines, "worker_life"));
+		json_decref(lines);
+		close_rig();
+	}
+}
+
+/* The life of the claim is another one than that of the worker. */
+static void test_release_of_another_life_does_not_show_both(void)
+{
+	capture_t capture;
+	json_t *lines;
+
+	create_rig("1 old");
+	put_job(JOB, JOB, GN_JOB_TASK_CLAIMED, "side-1");
+	start_scheduler();
+	begin_capture(&capture);
+	report_as("side-1", "i-1", 1000);
+	lines = end_capture(&capture, "release");
+	g_assert_cmpuint(json_array_size(lines), ==, 1);
+	g_assert_true(has_member(lines, "settled"));
+	g_assert_true(has_member(lines, "worker_life"));
+	g_assert_cmpint(read_number(lines, 0, "worker_born_ms"), ==, 0);
+	json_decref(lines);
+	close_rig();
+}
+
+static void stop_scheduler(void)
+{
+	rig->runtime.stopping = true;
+	rig->runtime.stop_requested_us = gn_clock_now_us(&rig->runtime.clock);
+	gn_scheduler_role.stop(rig->scheduler);
+	run_ms(500);
+}
+
+static void test_planned_hand_over_does_not_show_its_claims(void)
+{
+	static const char *const events[] = { "resigning", "resign" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(events); i++) {
+		capture_t capture;
+		uint64_t epoch;
+		json_t *lines;
+
+		create_rig("1 old");
+		/* A claim without a time is of an older build, and settled. */
+		put_job(JOB, JOB, GN_JOB_TASK_CLAIMED, "side-1");
+		start_scheduler();
+		epoch = rig->scheduler->epoch;
+		begin_capture(&capture);
+		stop_scheduler();
+		lines = end_capture(&capture, events[i]);
+		g_assert_cmpuint(json_array_size(lines), ==, 1);
+		g_assert_cmpint(read_number(lines, 0, "epoch"), ==, epoch);
+		g_assert_cmpint(read_number(lines, 0, "claims"), ==, 1);
+		g_assert_cmpint(read_number(lines, 0, "unsettled"), ==, 0);
+		json_decref(lines);
+		close_rig();
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -704,5 +817,11 @@
 		"/scheduler/time_of_day_that_is_set_forward_is_not_"
 		"followed_at_once",
 		test_time_of_day_that_is_set_forward_is_not_followed_at_once);
+	g_test_add_func("/scheduler/lines_on_a_claim_do_not_show_their_basis",
+			test_lines_on_a_claim_do_not_show_their_basis);
+	g_test_add_func("/scheduler/release_of_another_life_does_not_show_both",
+			test_release_of_another_life_does_not_show_both);
+	g_test_add_func("/scheduler/planned_hand_over_does_not_show_its_claims",
+			test_planned_hand_over_does_not_show_its_claims);
 	return g_test_run();
 }
--- a/tests/support/sched_rig.c
+++ b/tests/support/sched_rig.c
@@ -99,6 +99,11 @@
 	rig->last_event_life = event->life;
 	rig->last_event_worker_life = event->worker_life;
 	rig->last_event_fence = event->fence;
+	rig->last_event_heard_ms = event->heard_ms;
+	rig->last_event_serving_ms = event->serving_ms;
+	rig->last_event_claimed = event->claimed;
+	rig->last_event_settled = event->settled;
+	rig->last_event_ordered_age_ms = event->ordered_age_ms;
 	rig->ignored_reports += !strcmp(event->name, "report ignored");
 	if (!event->data_centre)
 		return;
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -76,6 +76,12 @@
 	/** Present life of the worker in that event. */
 	gn_life_t last_event_worker_life;
 	uint64_t last_event_fence; /**< Fencing token in that event. */
+	/** Ages and state of the claim in that event. */
+	int64_t last_event_heard_ms;
+	int64_t last_event_serving_ms;
+	bool last_event_claimed;
+	bool last_event_settled;
+	int64_t last_event_ordered_age_ms;
 	unsigned ignored_reports; /**< Events "report ignored". */
 	unsigned advice_requests; /**< Requests to the adviser. */
 	char requested_step
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -1491,6 +1491,68 @@
 	rig_close(&rig);
 }
 
+static void test_release_does_not_show_an_open_call(void)
+{
+	sched_rig_t rig;
+
+	rig_open(&rig);
+	rig.tracks_starts = true;
+	rig_report(&rig, "a", "1");
+	g_assert_cmpstr(rig.last_event, ==, "worker");
+	g_assert_false(rig.last_event_claimed);
+	rig_submit(&rig, JOB, "quick", &one_task, 1);
+	gn_sched_run_pass(rig.sched);
+	g_assert_cmpstr(rig.last_event, ==, "claim");
+	g_assert_true(rig.last_event_claimed);
+	g_assert_cmpint(rig.last_event_ordered_age_ms, ==, -1);
+	rig_store(&rig);
+	rig_advance_ms(&rig, 200);
+	rig_report_result(&rig, "a", "1", TASK, 1,
+			  GN_ORDER_OUTCOME_NOT_STARTED);
+	g_assert_cmpstr(rig.last_event, ==, "release");
+	g_assert_true(rig.last_event_claimed);
+	g_assert_false(rig.last_event_settled);
+	g_assert_cmpint(rig.last_event_ordered_age_ms, ==, 200);
+	rig_close(&rig);
+}
+
+static void test_release_of_a_settled_claim_shows_an_open_call(void)
+{
+	sched_rig_t rig;
+
+	rig_open(&rig);
+	rig.tracks_starts = true;
+	rig_report(&rig, "a", "1");
+	rig_submit(&rig, JOB, "quick", &one_task, 1);
+	rig_store(&rig);
+	g_assert_cmpuint(gn_sched_count_unsettled(rig.sched), ==, 1);
+	rig.settled = true;
+	rig_report_run(&rig, "a", "1", TASK, 1);
+	g_assert_cmpuint(gn_sched_count_unsettled(rig.sched), ==, 0);
+	rig_report_end(&rig, "a", "1", TASK, 1, GN_END_FAILED);
+	g_assert_cmpstr(rig.last_event, ==, "release");
+	g_assert_true(rig.last_event_settled);
+	rig_close(&rig);
+}
+
+/* The new leader has not heard of the worker, and takes the former one to have
+ * ordered starts for as long as it may. */
+static void test_release_does_not_show_the_age_of_its_leader(void)
+{
+	sched_rig_t rig;
+	unsigned ms = 0;
+
+	rig_open_with_stored_claim(&rig, &one_task, true);
+	g_assert_cmpuint(gn_sched_count_unsettled(rig.sched), ==, 1);
+	for (; ms < 40000 && gn_sched_stats(rig.sched).claims; ms += 200)
+		rig_advance_ms(&rig, 200);
+	g_assert_cmpstr(rig.last_event, ==, "release");
+	g_assert_cmpint(rig.last_event_heard_ms, ==, -1);
+	g_assert_cmpint(rig.last_event_serving_ms, ==, ms);
+	g_assert_cmpint(rig.last_event_ordered_age_ms, ==, ms - RIG_DEPOSE_MS);
+	rig_close(&rig);
+}
+
 static void test_report_of_a_former_life_is_ignored_silently(void)
 {
 	Gn__WorkerReport report = GN__WORKER_REPORT__INIT;
@@ -1668,6 +1730,12 @@
 	g_test_add_func(
 		"/sched/lapse_of_an_unknown_life_seems_to_be_of_a_known_one",
 		test_lapse_of_an_unknown_life_seems_to_be_of_a_known_one);
+	g_test_add_func("/sched/release_does_not_show_an_open_call",
+			test_release_does_not_show_an_open_call);
+	g_test_add_func("/sched/release_of_a_settled_claim_shows_an_open_call",
+			test_release_of_a_settled_claim_shows_an_open_call);
+	g_test_add_func("/sched/release_does_not_show_the_age_of_its_leader",
+			test_release_does_not_show_the_age_of_its_leader);
 	g_test_add_func("/sched/report_of_a_former_life_is_ignored_silently",
 			test_report_of_a_former_life_is_ignored_silently);
 	return g_test_run();
