--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,8 @@
 TESTS := $(patsubst %.c,$(BUILD)/%,$(sort $(wildcard tests/unit/test_*.c tests/contract/test_*.c \
 	platform/tests/test_*.c)))
 SOAK_MAINS := platform/soak/soak.c platform/soak/store.c platform/soak/worker.c
-SOAK_PARTS := $(filter-out $(SOAK_MAINS),$(sort $(wildcard platform/soak/*.c)))
+SOAK_CUT := $(BUILD)/platform/soak/cut.so
+SOAK_PARTS := $(filter-out $(SOAK_MAINS) platform/soak/cut.c,$(sort $(wildcard platform/soak/*.c)))
 SOAK := $(SOAK_MAINS:%.c=$(BUILD)/%)
 BENCHES := $(patsubst %.c,$(BUILD)/%,$(sort $(wildcard tests/bench/*.c)))
 
@@ -46,7 +47,7 @@
 .PHONY: all check bench demo format lint proto clean install-deps
 .SECONDARY:
 
-all: $(PROGRAMS) $(STANDINS) $(TESTS) $(BENCHES) $(SOAK)
+all: $(PROGRAMS) $(STANDINS) $(TESTS) $(BENCHES) $(SOAK) $(SOAK_CUT)
 
 $(BUILD)/%.pb-c.o: %.pb-c.c
 	@mkdir -p $(@D)
@@ -83,6 +84,11 @@
 		$(SUPPORT_OBJ) $(LIB)
 	$(LINK) $@ $^ $(LDLIBS)
 
+# Loaded into executors of the soak; a sanitizer's runtime comes with those.
+$(SOAK_CUT): platform/soak/cut.c
+	@mkdir -p $(@D)
+	$(CC) -std=c11 -O2 -fPIC -shared $(WARNINGS) $(CPPFLAGS) -o $@ $<
+
 check: all
 	tests/run.sh $(BUILD)
 
