Executor: tell which start calls are open

Now each attempt with such calls can be listed with the time that its last open call has left, and whether all of them were sent in a former life; and the time for which calls of an earlier process of the executor may be carried out. An answer belongs to the last call, since the calls for an attempt are sent one by one, so that the time counts from the last call without an answer. A life under another ID refuses calls for the one before, so that they are forgotten then. Nothing reads this yet.

--- a/lib/executor/orders.c
+++ b/lib/executor/orders.c
@@ -655,6 +655,22 @@
 	return gn_starts_are_open(orders->starts);
 }
 
+size_t gn_orders_count_open_starts(const gn_orders_t *orders)
+{
+	return gn_starts_count_open(orders->starts);
+}
+
+uint64_t gn_orders_unknown_starts_us(const gn_orders_t *orders)
+{
+	return gn_starts_unknown_left_us(orders->starts);
+}
+
+void gn_orders_describe_starts(const gn_orders_t *orders, TALLOC_CTX *parent,
+			       Gn__WorkerReport *report)
+{
+	gn_starts_describe(orders->starts, parent, report);
+}
+
 /* ======   Lives   ====== */
 
 static void drop_all(gn_orders_t *orders)
@@ -685,7 +701,11 @@
 
 void gn_orders_begin_life(gn_orders_t *orders, gn_life_t life)
 {
-	gn_starts_begin_life(orders->starts);
+	/* Before the first life, an earlier process may have called this ID. */
+	gn_starts_begin_life(orders->starts,
+			     !*orders->life.id ||
+				     gn_life_compare(life, orders->life) !=
+					     GN_LIFE_OTHER);
 	orders->life.id = g_intern_string(life.id);
 	orders->life.started_ms = life.started_ms;
 	orders->refuses_starts = false;
--- a/lib/executor/orders.h
+++ b/lib/executor/orders.h
@@ -108,7 +108,8 @@
 
 /**
  * Begins a life of the worker. Orders for the previous one are dropped without
- * an outcome, since its runs are over.
+ * an outcome, since its runs are over. Its open start calls are forgotten if the
+ * new life has another ID, and so refuses them.
  */
 void gn_orders_begin_life(gn_orders_t *orders, gn_life_t life);
 
@@ -160,6 +161,19 @@
 
 /** Whether a start call of this process can be under way. */
 bool gn_orders_have_open_starts(const gn_orders_t *orders);
+/** Returns the number of attempts with such calls. */
+size_t gn_orders_count_open_starts(const gn_orders_t *orders);
+/** Returns the time for which a start call of an earlier process of the executor
+ * can be under way; 0 if none can. */
+uint64_t gn_orders_unknown_starts_us(const gn_orders_t *orders);
+
+/**
+ * Sets open_starts, unknown_starts_ms and lists_open_starts of a report, which
+ * has to be sent before the orders change.
+ * @param parent talloc parent of the rows
+ */
+void gn_orders_describe_starts(const gn_orders_t *orders, TALLOC_CTX *parent,
+			       Gn__WorkerReport *report);
 
 /** Returns the number of orders in progress. */
 size_t gn_orders_count(const gn_orders_t *orders);
--- a/lib/executor/starts.c
+++ b/lib/executor/starts.c
@@ -1,6 +1,7 @@
 #include "executor/starts.h"
 
 #include <glib.h>
+#include <stdlib.h>
 
 #include "job/job.h"
 
@@ -11,9 +12,18 @@
 
 /** The start calls for one attempt of a task. */
 typedef struct attempt_s {
+	char task[GN_TASK_NAME_SIZE];
+	uint32_t attempt;
 	uint64_t last_us; /**< Time of the order, or of the last call. */
 	unsigned unanswered; /**< Calls without an answer. */
+	/** Of these, those sent in the worker's present life. */
+	unsigned unanswered_now;
+	uint64_t open_us; /**< Time of the last call without an answer. */
+	/** Time of the one before. The calls for an attempt are sent one by one,
+	 * so that an answer is to the last of them. */
+	uint64_t open_before_us;
 	bool confirmed; /**< The worker's present life has confirmed the run. */
+	bool began; /**< Some life of the worker has confirmed the run. */
 	/** No earlier process of the executor has sent calls. */
 	bool known;
 } attempt_t;
@@ -22,6 +32,8 @@
 	const gn_clock_t *clock;
 	uint64_t late_us;
 	uint64_t created_us;
+	/** No earlier process has known the present ID. */
+	bool knows_id;
 	uint64_t tick_us; /**< Time of the next search for old calls. */
 	GHashTable *table; /**< attempt_t by "TASK ATTEMPT". */
 };
@@ -72,6 +84,8 @@
 		return entry;
 	write_key(key, task, attempt);
 	entry = g_new0(attempt_t, 1);
+	g_strlcpy(entry->task, task, sizeof(entry->task));
+	entry->attempt = attempt;
 	entry->last_us = gn_clock_now_us(starts->clock);
 	g_hash_table_insert(starts->table, g_strdup(key), entry);
 	return entry;
@@ -83,6 +97,24 @@
 	return gn_clock_now_us(starts->clock) - sent_us >= starts->late_us;
 }
 
+static bool is_open(const gn_starts_t *starts, const attempt_t *entry)
+{
+	return entry->unanswered && !is_over(starts, entry->open_us);
+}
+
+/* Returns the time for which a call sent at this time may be carried out. */
+static uint64_t get_left_us(const gn_starts_t *starts, uint64_t sent_us)
+{
+	uint64_t age_us = gn_clock_now_us(starts->clock) - sent_us;
+
+	return age_us < starts->late_us ? starts->late_us - age_us : 0;
+}
+
+static uint32_t round_up_ms(uint64_t us)
+{
+	return (uint32_t)((us + GN_US_PER_MS - 1) / GN_US_PER_MS);
+}
+
 void gn_starts_record_order(gn_starts_t *starts, const char *task,
 			    uint32_t attempt, bool first)
 {
@@ -98,7 +130,10 @@
 	attempt_t *entry = get_attempt(starts, task, attempt);
 
 	entry->unanswered++;
+	entry->unanswered_now++;
 	entry->last_us = gn_clock_now_us(starts->clock);
+	entry->open_before_us = entry->open_us;
+	entry->open_us = entry->last_us;
 }
 
 void gn_starts_record_answer(gn_starts_t *starts, const char *task,
@@ -106,24 +141,41 @@
 {
 	attempt_t *entry = find_attempt(starts, task, attempt);
 
-	if (entry && entry->unanswered)
-		entry->unanswered--;
+	if (!entry || !entry->unanswered)
+		return;
+	entry->unanswered--;
+	if (entry->unanswered_now)
+		entry->unanswered_now--;
+	entry->open_us = entry->open_before_us;
 }
 
 void gn_starts_record_run(gn_starts_t *starts, const char *task,
 			  uint32_t attempt)
 {
-	get_attempt(starts, task, attempt)->confirmed = true;
+	attempt_t *entry = get_attempt(starts, task, attempt);
+
+	entry->confirmed = true;
+	entry->began = true;
 }
 
-void gn_starts_begin_life(gn_starts_t *starts)
+void gn_starts_begin_life(gn_starts_t *starts, bool same_id)
 {
 	GHashTableIter iter;
 	gpointer value;
 
+	if (!same_id) {
+		g_hash_table_remove_all(starts->table);
+		/* An earlier process has called lives of other IDs only. */
+		starts->knows_id = true;
+		return;
+	}
 	g_hash_table_iter_init(&iter, starts->table);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		((attempt_t *)value)->confirmed = false;
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		attempt_t *entry = value;
+
+		entry->confirmed = false;
+		entry->unanswered_now = 0;
+	}
 }
 
 bool gn_starts_is_confirmed(const gn_starts_t *starts, const char *task,
@@ -139,26 +191,84 @@
 {
 	const attempt_t *entry = find_attempt(starts, task, attempt);
 
-	if (entry && entry->unanswered && !is_over(starts, entry->last_us))
+	if (entry && is_open(starts, entry))
 		return false;
-	return (entry && entry->known) || is_over(starts, starts->created_us);
+	return (entry && entry->known) || !gn_starts_unknown_left_us(starts);
 }
 
-bool gn_starts_are_open(const gn_starts_t *starts)
+bool gn_starts_never_began(const gn_starts_t *starts, const char *task,
+			   uint32_t attempt)
+{
+	const attempt_t *entry = find_attempt(starts, task, attempt);
+
+	return entry && entry->known && !entry->began && !entry->unanswered;
+}
+
+size_t gn_starts_count_open(const gn_starts_t *starts)
 {
 	GHashTableIter iter;
 	gpointer value;
+	size_t count = 0;
 
 	g_hash_table_iter_init(&iter, starts->table);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const attempt_t *entry = value;
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		count += is_open(starts, value);
+	return count;
+}
 
-		if (entry->unanswered && !is_over(starts, entry->last_us))
-			return true;
+bool gn_starts_are_open(const gn_starts_t *starts)
+{
+	return gn_starts_count_open(starts) != 0;
+}
+
+uint64_t gn_starts_unknown_left_us(const gn_starts_t *starts)
+{
+	return starts->knows_id ? 0 : get_left_us(starts, starts->created_us);
+}
+
+/* ======   Reports   ====== */
+
+static void describe_attempt(const gn_starts_t *starts, attempt_t *entry,
+			     Gn__OpenStart *row)
+{
+	gn__open_start__init(row);
+	row->task = entry->task;
+	row->attempt = entry->attempt;
+	row->left_ms = round_up_ms(get_left_us(starts, entry->open_us));
+	row->former = !entry->unanswered_now;
+}
+
+void gn_starts_describe(const gn_starts_t *starts, TALLOC_CTX *parent,
+			Gn__WorkerReport *report)
+{
+	size_t count = gn_starts_count_open(starts);
+	size_t max = MIN(count, GN_STARTS_REPORT_MAX);
+	Gn__OpenStart *rows = talloc_array(parent, Gn__OpenStart, max);
+	Gn__OpenStart **list = talloc_array(parent, Gn__OpenStart *, max);
+	GHashTableIter iter;
+	gpointer value;
+	size_t n = 0;
+
+	if (!rows || !list)
+		abort(); /* GLib aborts too when out of memory. */
+	g_hash_table_iter_init(&iter, starts->table);
+	while (n < max && g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (!is_open(starts, value))
+			continue;
+		describe_attempt(starts, value, &rows[n]);
+		list[n] = &rows[n];
+		n++;
 	}
-	return false;
+	report->lists_open_starts = true;
+	report->open_starts = list;
+	report->n_open_starts = n;
+	report->unknown_starts_ms =
+		round_up_ms(count > max ? starts->late_us
+					: gn_starts_unknown_left_us(starts));
 }
 
+/* ======   Time   ====== */
+
 static gboolean is_forgotten(gpointer key, gpointer value, gpointer data)
 {
 	const attempt_t *entry = value;
--- a/lib/executor/starts.h
+++ b/lib/executor/starts.h
@@ -14,10 +14,15 @@
 #define GN_EXECUTOR_STARTS_H
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 #include <talloc.h>
 
 #include "common/clock.h"
+#include "wire/gypsumnotch.pb-c.h"
+
+/** Maximum number of attempts with open calls in a report. */
+#define GN_STARTS_REPORT_MAX 2000
 
 typedef struct gn_starts_s gn_starts_t;
 
@@ -45,8 +50,12 @@
 /** Records that the worker has confirmed the run. */
 void gn_starts_record_run(gn_starts_t *starts, const char *task,
 			  uint32_t attempt);
-/** Forgets which runs are confirmed, since the worker has a new life. */
-void gn_starts_begin_life(gn_starts_t *starts);
+/**
+ * Forgets which runs are confirmed, since the worker has a new life.
+ * @param same_id it has the ID of the life before, so that it carries out calls
+ *        for that one; otherwise it refuses them, and they are forgotten
+ */
+void gn_starts_begin_life(gn_starts_t *starts, bool same_id);
 
 /** Whether the worker has confirmed the run in its present life, so that no call
  * is needed if the start is ordered again. */
@@ -57,9 +66,34 @@
 bool gn_starts_is_settled(const gn_starts_t *starts, const char *task,
 			  uint32_t attempt);
 
+/**
+ * Whether the attempt has certainly not begun, unless by a call that the worker
+ * receives later: the executor was ordered to start it in this process first,
+ * and each call was answered, none of them as carried out.
+ */
+bool gn_starts_never_began(const gn_starts_t *starts, const char *task,
+			   uint32_t attempt);
+
 /** Whether any start call of this process can be under way. */
 bool gn_starts_are_open(const gn_starts_t *starts);
 
+/** Returns the number of attempts with start calls of this process that can be
+ * under way, among them those whose answer is still waited for. */
+size_t gn_starts_count_open(const gn_starts_t *starts);
+
+/** Returns the time for which a start call of an earlier process of the executor
+ * can be under way; 0 if none can. */
+uint64_t gn_starts_unknown_left_us(const gn_starts_t *starts);
+
+/**
+ * Sets the fields of a report on start calls that can be under way. Beyond
+ * GN_STARTS_REPORT_MAX attempts, the others count as calls of an earlier process.
+ * @param parent talloc parent of the rows, whose names belong to @p starts: send
+ *        the report before this changes
+ */
+void gn_starts_describe(const gn_starts_t *starts, TALLOC_CTX *parent,
+			Gn__WorkerReport *report);
+
 /** Forgets the calls that can no longer be carried out. */
 void gn_starts_tick(gn_starts_t *starts);
 
