Executor: refuse starts at a process that is gone

No list follows if the process has crashed, so that the leader gets no result, takes the call for one that may be carried out and keeps the claim for the late calls and the longest lease. The same goes for starts ordered once the process is known to be gone, and for refused ones whose closing stop gets no answer.

Such a start is now reported as refused at once, if the attempt has certainly not begun: this process was ordered first to start it, each call was answered, and none of them as carried out. With a call without an answer, and for an order that an earlier process may have had, the next life decides as before. It holds too for a worker that has left and ended. That starts are refused while a worker leaves is apart from that now: a worker that answers again gets none if it leaves.

--- a/lib/executor/orders.c
+++ b/lib/executor/orders.c
@@ -26,6 +26,7 @@
 	void *arg;
 	gn_life_t life; /**< Life of the worker; interned ID. */
 	bool refuses_starts; /**< The worker is leaving. */
+	bool is_gone; /**< Its process is gone. */
 	bool evacuated; /**< Its data centre is evacuated. */
 	/** gn_order_t by "TASK ATTEMPT", or by "pTASK ATTEMPT" for a pace. */
 	GHashTable *table;
@@ -316,7 +317,7 @@
 		check_run(order, GN_ORDER_OUTCOME_EVACUATED);
 		return false;
 	}
-	if (orders->refuses_starts ||
+	if (orders->refuses_starts || orders->is_gone ||
 	    !gn_grant_may_start(orders->grant, order->basis_us, now_us)) {
 		check_run(order, GN_ORDER_OUTCOME_NOT_STARTED);
 		return false;
@@ -552,13 +553,44 @@
 	}
 }
 
+/* Whether the outcome of the order says that its run has not begun. */
+static bool is_start(const gn_order_t *order)
+{
+	return order->kind == GN_RUN_ORDER_START ||
+	       (order->kind == GN_RUN_ORDER_STOP &&
+		order->stop_outcome != GN_ORDER_OUTCOME_GONE);
+}
+
+/* Reports the starts that have not begun at a process that is gone. Nothing has
+ * to be closed there, as no call for them is under way. */
+static void refuse_starts_at_gone(gn_orders_t *orders)
+{
+	GList *all = g_hash_table_get_values(orders->table);
+
+	for (GList *item = all; item; item = item->next) {
+		gn_order_t *order = item->data;
+
+		if (order->call_pending || !is_start(order) ||
+		    !gn_starts_never_began(orders->starts, order->task,
+					   order->attempt))
+			continue;
+		finish_order(order, order->kind == GN_RUN_ORDER_START
+					    ? GN_ORDER_OUTCOME_NOT_STARTED
+					    : order->stop_outcome);
+	}
+	g_list_free(all);
+}
+
 void gn_orders_tick(gn_orders_t *orders)
 {
 	uint64_t now_us = get_now_us(orders);
-	GList *all = g_hash_table_get_values(orders->table);
+	GList *all;
 
 	g_hash_table_foreach_remove(orders->refused, is_refusal_over, &now_us);
 	gn_starts_tick(orders->starts);
+	if (orders->is_gone)
+		refuse_starts_at_gone(orders);
+	all = g_hash_table_get_values(orders->table);
 	for (GList *item = all; item; item = item->next) {
 		gn_order_t *order = item->data;
 
@@ -709,6 +741,7 @@
 	orders->life.id = g_intern_string(life.id);
 	orders->life.started_ms = life.started_ms;
 	orders->refuses_starts = false;
+	orders->is_gone = false;
 	drop_all(orders);
 }
 
@@ -717,11 +750,6 @@
 	return orders->life;
 }
 
-void gn_orders_accept_starts(gn_orders_t *orders)
-{
-	orders->refuses_starts = false;
-}
-
 void gn_orders_set_evacuated(gn_orders_t *orders, bool evacuated)
 {
 	GList *all;
@@ -747,3 +775,10 @@
 {
 	orders->refuses_starts = true;
 }
+
+void gn_orders_record_gone(gn_orders_t *orders, bool is_gone)
+{
+	orders->is_gone = is_gone;
+	if (is_gone)
+		refuse_starts_at_gone(orders);
+}
--- a/lib/executor/orders.h
+++ b/lib/executor/orders.h
@@ -117,13 +117,18 @@
 gn_life_t gn_orders_get_life(const gn_orders_t *orders);
 
 /**
- * Refuses starts until the next life, because the worker is leaving or its
- * process is gone. A call names the worker's ID only, so one that is repeated
- * could reach the next process.
+ * Refuses starts until the next life, because the worker is leaving. A call names
+ * the worker's ID only, so one that is repeated could reach the next process.
  */
 void gn_orders_refuse_starts(gn_orders_t *orders);
-/** Accepts starts again, as the worker's process was not gone. */
-void gn_orders_accept_starts(gn_orders_t *orders);
+/**
+ * Records that the worker's process is gone, or that it was not. Starts are
+ * refused while it is, until the next life. No list follows that could decide
+ * those in progress, so a start that has certainly not begun is reported as
+ * refused at once, unless a call of an earlier process of the executor may have
+ * begun it. The others wait for the next life.
+ */
+void gn_orders_record_gone(gn_orders_t *orders, bool is_gone);
 
 /**
  * Refuses starts while the data centre is evacuated, as the leader's answers
@@ -152,7 +157,7 @@
  * that await one; 0 if none does. */
 uint64_t gn_orders_list_needed_since_us(const gn_orders_t *orders);
 
-/** Sends the calls that are due. */
+/** Sends the calls that are due, and refuses the starts that cannot begin. */
 void gn_orders_tick(gn_orders_t *orders);
 
 /** Whether no start call for this attempt can be under way; see starts.h. */
--- a/lib/executor/worker.c
+++ b/lib/executor/worker.c
@@ -255,6 +255,7 @@
 		return;
 	log_life(executor, "worker ended");
 	executor->worker_ended = true;
+	gn_orders_record_gone(executor->orders, true);
 	executor_report(executor);
 }
 
@@ -265,7 +266,7 @@
 		return;
 	executor_fence_next_life(executor, "the present one has crashed");
 	log_life(executor, "worker crashed");
-	gn_orders_refuse_starts(executor->orders);
+	gn_orders_record_gone(executor->orders, true);
 	executor_report(executor);
 }
 
@@ -274,8 +275,7 @@
 	if (!gn_gone_record_response(&executor->gone))
 		return;
 	log_life(executor, "worker answers again");
-	if (!executor->worker_draining_us)
-		gn_orders_accept_starts(executor->orders);
+	gn_orders_record_gone(executor->orders, false);
 }
 
 static void note_token(executor_t *executor, const gn_worker_answer_t *answer)
--- a/tests/support/run_model_executor.c
+++ b/tests/support/run_model_executor.c
@@ -203,6 +203,7 @@
 	rm_log(executor->model, "executor", executor->at, "knows the end", NULL,
 	       0, NULL);
 	executor->worker_ended = true;
+	gn_orders_record_gone(executor->orders, true);
 	rm_executor_report(executor);
 }
 
@@ -236,7 +237,7 @@
 		rm_log(executor->model, "executor", executor->at,
 		       "knows the crash", NULL, 0, NULL);
 		gn_token_raise(&executor->token, executor->epoch);
-		gn_orders_refuse_starts(executor->orders);
+		gn_orders_record_gone(executor->orders, true);
 		rm_executor_report(executor);
 	}
 	if (call->answer.outcome != GN_WORKER_OK || !executor->worker_known) {
@@ -250,7 +251,7 @@
 		return;
 	}
 	if (gn_gone_record_response(&executor->gone))
-		gn_orders_accept_starts(executor->orders);
+		gn_orders_record_gone(executor->orders, false);
 	rm_executor_record_clock(executor, &call->answer);
 	executor->is_process_gone = false;
 	request->attempts = 0;
--- a/tests/unit/test_orders.c
+++ b/tests/unit/test_orders.c
@@ -113,8 +113,11 @@
 	g_string_free(rig->trace, TRUE);
 }
 
-static void order_for(rig_t *rig, gn_life_t to, gn_run_order_kind_t kind,
-		      uint32_t attempt, uint32_t percent)
+/** Which start order of an attempt it is. */
+typedef enum turn_e { REPEATED, FIRST } turn_t;
+
+static void order_in_turn(rig_t *rig, gn_life_t to, gn_run_order_kind_t kind,
+			  uint32_t attempt, uint32_t percent, turn_t turn)
 {
 	Gn__WorkerOrder message = GN__WORKER_ORDER__INIT;
 
@@ -124,9 +127,16 @@
 	message.life = (char *)to.id;
 	message.born_ms = to.started_ms;
 	message.percent = percent;
+	message.first = turn == FIRST;
 	gn_orders_handle(rig->orders, &message, gn_clock_now_us(&rig->clock));
 }
 
+static void order_for(rig_t *rig, gn_life_t to, gn_run_order_kind_t kind,
+		      uint32_t attempt, uint32_t percent)
+{
+	order_in_turn(rig, to, kind, attempt, percent, REPEATED);
+}
+
 static void order(rig_t *rig, gn_run_order_kind_t kind, uint32_t attempt)
 {
 	order_for(rig, life, kind, attempt, 0);
@@ -960,6 +970,154 @@
 	rig_close(&rig);
 }
 
+/* ======   A process that is gone   ====== */
+
+typedef struct gone_s {
+	const char *name;
+	turn_t turn; /**< Of the order to start. */
+	/** Answers to the calls for the start before the process is gone. */
+	gn_worker_call_outcome_t answers[2];
+	unsigned answer_count;
+	const char *trace; /**< From when the process is gone. */
+} gone_t;
+
+static const gone_t gone_cases[] = {
+	{ "ordered-by-then",
+	  FIRST,
+	  { 0 },
+	  0,
+	  "take start 1\nreport not-started 1\n" },
+	{ "ordered-again-by-then", REPEATED, { 0 }, 0, "take start 1\n" },
+	{ "refused-connection",
+	  FIRST,
+	  { GN_WORKER_UNSENT },
+	  1,
+	  "report not-started 1\n" },
+	{ "refused-connection-to-a-later-order",
+	  REPEATED,
+	  { GN_WORKER_UNSENT },
+	  1,
+	  "" },
+	{ "unanswered", FIRST, { GN_WORKER_UNANSWERED }, 1, "" },
+	{ "unanswered-then-refused",
+	  FIRST,
+	  { GN_WORKER_UNANSWERED, GN_WORKER_UNSENT },
+	  2,
+	  "" },
+	{ "late-then-refused",
+	  FIRST,
+	  { GN_WORKER_LEASE_EXPIRED, GN_WORKER_UNSENT },
+	  2,
+	  "report not-started 1\n" },
+	{ "waits-for-its-next-call",
+	  FIRST,
+	  { GN_WORKER_LEASE_EXPIRED },
+	  1,
+	  "report not-started 1\n" },
+	{ "over-as-the-worker-says", FIRST, { GN_WORKER_RUN_OVER }, 1, "" },
+	{ "begun", FIRST, { GN_WORKER_OK }, 1, "" },
+};
+
+static void test_process_is_gone(gconstpointer data)
+{
+	const gone_t *c = data;
+	rig_t rig;
+
+	rig_open(&rig, GN_WORKER_OK);
+	play(&rig, STEP_MS);
+	if (c->answer_count)
+		order_in_turn(&rig, life, GN_RUN_ORDER_START, 1, 0, c->turn);
+	for (unsigned i = 0; i < c->answer_count; i++) {
+		gn_clock_advance(&rig.clock, 100 * GN_US_PER_MS);
+		gn_orders_tick(rig.orders);
+		answer_call(&rig, c->answers[i]);
+	}
+	g_string_truncate(rig.trace, 0);
+	gn_orders_record_gone(rig.orders, true);
+	if (!c->answer_count)
+		order_in_turn(&rig, life, GN_RUN_ORDER_START, 1, 0, c->turn);
+	gn_orders_tick(rig.orders);
+	g_assert_cmpstr(rig.trace->str, ==, c->trace);
+	g_assert_cmpuint(g_queue_get_length(&rig.calls), ==, 0);
+	rig_close(&rig);
+}
+
+/* The call was under way when the process was found to be gone. */
+static void test_call_ends_after_its_process(void)
+{
+	rig_t rig;
+
+	rig_open(&rig, GN_WORKER_OK);
+	play(&rig, STEP_MS);
+	order_in_turn(&rig, life, GN_RUN_ORDER_START, 1, 0, FIRST);
+	g_string_truncate(rig.trace, 0);
+	gn_orders_record_gone(rig.orders, true);
+	gn_orders_tick(rig.orders);
+	g_assert_cmpstr(rig.trace->str, ==, "");
+	answer_call(&rig, GN_WORKER_UNSENT);
+	gn_orders_tick(rig.orders);
+	g_assert_cmpstr(rig.trace->str, ==, "report not-started 1\n");
+	g_assert_true(gn_orders_is_settled(rig.orders, TASK, 1));
+	rig_close(&rig);
+}
+
+/* The stop that closes the attempt after a refusal gets no answer any more. */
+static void test_refused_attempt_need_not_be_closed(void)
+{
+	rig_t rig;
+
+	rig_open(&rig, GN_WORKER_OK);
+	play(&rig, STEP_MS);
+	order_in_turn(&rig, life, GN_RUN_ORDER_START, 1, 0, FIRST);
+	answer_call(&rig, GN_WORKER_FULL);
+	answer_call(&rig, GN_WORKER_UNSENT);
+	g_string_truncate(rig.trace, 0);
+	gn_orders_record_gone(rig.orders, true);
+	g_assert_cmpstr(rig.trace->str, ==, "report no-room 1\n");
+	rig_close(&rig);
+}
+
+/* A stop of the leader has no outcome: the run may have ended on its own. */
+static void test_stop_has_no_outcome(void)
+{
+	rig_t rig;
+
+	rig_open(&rig, GN_WORKER_OK);
+	play(&rig, STEP_MS);
+	order_in_turn(&rig, life, GN_RUN_ORDER_START, 1, 0, FIRST);
+	answer_call(&rig, GN_WORKER_OK);
+	order(&rig, GN_RUN_ORDER_STOP, 1);
+	answer_call(&rig, GN_WORKER_UNSENT);
+	g_string_truncate(rig.trace, 0);
+	gn_orders_record_gone(rig.orders, true);
+	gn_orders_tick(rig.orders);
+	g_assert_cmpstr(rig.trace->str, ==, "");
+	rig_close(&rig);
+}
+
+/* The leader repeats the order before it has the outcome. */
+static void test_process_was_not_gone(void)
+{
+	rig_t rig;
+
+	rig_open(&rig, GN_WORKER_OK);
+	rig.is_healthy = true;
+	play(&rig, STEP_MS);
+	gn_orders_record_gone(rig.orders, true);
+	order_in_turn(&rig, life, GN_RUN_ORDER_START, 1, 0, FIRST);
+	play(&rig, STEP_MS);
+	g_assert_cmpint(rig.outcome, ==, GN_ORDER_OUTCOME_NOT_STARTED);
+	gn_orders_record_gone(rig.orders, false);
+	order(&rig, GN_RUN_ORDER_START, 1);
+	play(&rig, 500);
+	g_assert_false(rig.runs);
+	order_in_turn(&rig, life, GN_RUN_ORDER_START, 2, 0, FIRST);
+	play(&rig, 500);
+	g_assert_true(rig.runs);
+	g_assert_cmpint(rig.outcome, ==, GN_ORDER_OUTCOME_STARTED);
+	rig_close(&rig);
+}
+
 int main(int argc, char **argv)
 {
 	static const struct {
@@ -1045,6 +1203,12 @@
 		  test_stop_is_carried_out_in_an_evacuation },
 		{ "/orders/start_without_a_leader_ends_before_the_bound",
 		  test_start_without_a_leader_ends_before_the_bound },
+		{ "/orders/call_ends_after_its_process",
+		  test_call_ends_after_its_process },
+		{ "/orders/refused_attempt_need_not_be_closed",
+		  test_refused_attempt_need_not_be_closed },
+		{ "/orders/stop_has_no_outcome", test_stop_has_no_outcome },
+		{ "/orders/process_was_not_gone", test_process_was_not_gone },
 	};
 
 	g_test_init(&argc, &argv, NULL);
@@ -1052,6 +1216,13 @@
 		     test_repeated_start_runs_after_refusal);
 	add_refusals("/orders/repeated_start_runs_after_executor_restart",
 		     test_repeated_start_runs_after_executor_restart);
+	for (size_t i = 0; i < G_N_ELEMENTS(gone_cases); i++) {
+		g_autofree char *path = g_strconcat("/orders/process_is_gone/",
+						    gone_cases[i].name, NULL);
+
+		g_test_add_data_func(path, &gone_cases[i],
+				     test_process_is_gone);
+	}
 	for (size_t i = 0; i < G_N_ELEMENTS(tests); i++)
 		g_test_add_func(tests[i].path, tests[i].run);
 	return g_test_run();
