Executor: fence off starts that carry a raised token

Cause, found by reading: the token is raised once for the next life, when a refused connection, a heartbeat or an answer tells that it may be there. If the present life goes on, or the executor still sends starts for it, these carry the raised token, and the next life, which begins with the same one, carries them out.

A start call that is sent now makes the next raise take effect. The highest token that calls for former lives may have carried can be asked for, which the age of a life needs.

--- a/lib/executor/token.c
+++ b/lib/executor/token.c
@@ -14,6 +14,17 @@
 	return true;
 }
 
+void gn_token_record_start(gn_token_t *token)
+{
+	token->is_raised = false;
+}
+
+uint64_t gn_token_get_former(const gn_token_t *token, uint64_t epoch)
+{
+	return token->is_raised ? token->lowest - 1
+				: gn_token_get(token, epoch);
+}
+
 void gn_token_begin_life(gn_token_t *token)
 {
 	token->is_raised = false;
