Executor: report open start calls and the age of a life

Each report has the open start calls, the time for which calls of an earlier process may be carried out, the token of the last list, and the time since the present life has answered a list with a later token than the start calls for former lives (lib/ executor/life_age.h). If an earlier process may have sent such calls, this process cannot know their token: then only an epoch at least as high as the leader's present one counts, and the age starts over when the epoch rises. A leader that does not fence lives gets no age. The leader does not read these fields yet.

--- a/lib/executor/executor_internal.h
+++ b/lib/executor/executor_internal.h
@@ -21,6 +21,7 @@
 #include "executor/token.h"
 #include "executor/gone.h"
 #include "executor/grant.h"
+#include "executor/life_age.h"
 #include "executor/orders.h"
 #include "http/client.h"
 #include "http/server.h"
@@ -37,6 +38,7 @@
 	bool pending; /**< The request is in progress. */
 	uint64_t sent_us; /**< Time of the last request. */
 	uint64_t lives; /**< Number of lives known when it was sent. */
+	uint64_t token; /**< Fencing token that it carries. */
 	unsigned attempts; /**< Requests since the last list. */
 } executor_list_t;
 
@@ -107,6 +109,7 @@
 	/** Time of the first heartbeat that says draining; 0 if none does. */
 	uint64_t worker_draining_us;
 	gn_grant_t grant; /**< Clock and lease of the worker. */
+	gn_life_age_t life_age; /**< Since when it refuses former calls. */
 
 	/* ======   List of the worker   ====== */
 
@@ -119,6 +122,8 @@
 	TALLOC_CTX *list; /**< Owner of the runs and ends. */
 	/** Reading of the worker's clock in this list; 0 without a list. */
 	uint64_t list_clock_ms;
+	/** Fencing token of the request for this list; 0 without a list. */
+	uint64_t list_token;
 	Gn__WorkerRun **runs;
 	size_t run_count;
 	Gn__WorkerEnd **ends; /**< In the order of their numbers. */
--- a/lib/executor/leader.c
+++ b/lib/executor/leader.c
@@ -221,6 +221,16 @@
 	       executor_has_unstored_ends(executor);
 }
 
+/* Returns UINT32_MAX if the worker may carry out start calls for former lives. */
+static uint32_t get_life_age_ms(const executor_t *executor)
+{
+	/* Another leader gives the same token to a life under a known ID. */
+	if (!executor->leader_fences_lives)
+		return UINT32_MAX;
+	return gn_life_age_get_ms(&executor->life_age, executor->epoch,
+				  executor_now_us(executor));
+}
+
 static void add_list(executor_t *executor, Gn__WorkerReport *report)
 {
 	report->list_age_ms = get_list_age_ms(executor);
@@ -234,6 +244,8 @@
 	report->n_ends = executor->end_count;
 	report->whole = !executor->ends_cut;
 	report->tracks_starts = true;
+	report->list_token = executor->list_token;
+	report->life_age_ms = get_life_age_ms(executor);
 	if (!report->listed)
 		return;
 	for (size_t i = 0; i < executor->run_count; i++)
@@ -269,21 +281,27 @@
 void executor_report(executor_t *executor)
 {
 	Gn__WorkerReport report = GN__WORKER_REPORT__INIT;
+	TALLOC_CTX *scratch;
+	gn_code_t code;
 
 	executor->report_due = false;
 	executor->reported_us = executor_now_us(executor);
 	if (!executor->link)
 		return;
+	scratch = talloc_new(executor);
 	report.host = (char *)executor->runtime->settings->name;
 	report.sequence = ++executor->sequence;
 	if (executor->worker_known) {
 		describe_worker(executor, &report);
 		add_list(executor, &report);
+		gn_orders_describe_starts(executor->orders, scratch, &report);
 	}
 	report.results = (Gn__OrderResult **)executor->results->pdata;
 	report.n_results = executor->results->len;
 	record_report(executor, &report);
-	if (send_report(executor, &report))
+	code = send_report(executor, &report);
+	talloc_free(scratch);
+	if (code)
 		return;
 	/* The leader repeats an order whose result was lost with the report. */
 	g_ptr_array_set_size(executor->results, 0);
--- a/lib/executor/worker.c
+++ b/lib/executor/worker.c
@@ -171,10 +171,21 @@
 static void fence_begun_life(executor_t *executor,
 			     const gn_worker_notice_t *notice)
 {
-	if (executor->worker_known && executor->leader_fences_lives &&
-	    gn_life_compare(executor_get_life(executor),
-			    gn_notice_get_life(notice)) != GN_LIFE_OTHER)
+	bool has_known_id =
+		executor->worker_known &&
+		gn_life_compare(executor_get_life(executor),
+				gn_notice_get_life(notice)) != GN_LIFE_OTHER;
+	bool has_unknown_calls =
+		executor->first_life ||
+		(has_known_id && gn_orders_unknown_starts_us(executor->orders));
+
+	if (has_known_id && executor->leader_fences_lives)
 		raise_fence(executor, "it has begun");
+	gn_life_age_begin(&executor->life_age,
+			  has_known_id ? gn_token_get_former(&executor->token,
+							     executor->epoch)
+				       : 0,
+			  has_unknown_calls);
 	gn_token_begin_life(&executor->token);
 }
 
@@ -213,7 +224,7 @@
 
 /* Keeps a list unless a newer one came before, on another connection. */
 static void store_list(executor_t *executor, TALLOC_CTX *list,
-		       const gn_worker_answer_t *answer)
+		       const gn_worker_answer_t *answer, uint64_t token)
 {
 	if (answer->clock_ms < executor->list_clock_ms) {
 		talloc_free(list);
@@ -223,6 +234,7 @@
 	talloc_free(executor->list);
 	executor->list = list;
 	executor->list_clock_ms = answer->clock_ms;
+	executor->list_token = token;
 	executor->runs = answer->runs;
 	executor->run_count = answer->run_count;
 	executor->ends = answer->ends;
@@ -319,6 +331,8 @@
 		return;
 	}
 	on_response(executor);
+	gn_life_age_record_list(&executor->life_age, request->token,
+				executor->epoch, executor_now_us(executor));
 	executor_record_clock(executor, &answer);
 	executor->is_process_gone = false;
 	request->attempts = 0;
@@ -327,7 +341,7 @@
 			? executor_now_us(executor) + LIST_RETRY_DELAY_US
 			: 0;
 	gn_orders_handle_list(executor->orders, &answer, request->sent_us);
-	store_list(executor, list, &answer);
+	store_list(executor, list, &answer, request->token);
 	if (executor->end_count)
 		executor_report(executor);
 }
@@ -361,6 +375,7 @@
 		executor, &call,
 		wait_ms + gn_attempt_timeout_ms(request->attempts), on_list,
 		request);
+	request->token = call.epoch;
 }
 
 /* Whether no list was requested yet that could decide all orders. */
@@ -407,6 +422,7 @@
 	talloc_free(executor->list);
 	executor->list = NULL;
 	executor->list_clock_ms = 0;
+	executor->list_token = 0;
 	executor->run_count = 0;
 	executor->end_count = 0;
 	executor->ends_cut = false;
