Executor: fence off every call that would do harm in the next life

Cause, by reading: the token is raised once for the next life. Calls for the list that are sent after it, while the life before may still be there, carry the raised token, and extend the lease or discard ends in the next life, which begins with the same token.

As for starts, such a call makes the next raise take effect, so that the first call for the next life has a later token than all of them. test_token covers it; the run walks count the calls in the same way.

--- a/lib/executor/calls.c
+++ b/lib/executor/calls.c
@@ -40,12 +40,10 @@
 static bool send_call(void *arg, gn_worker_call_t *call, unsigned timeout_ms,
 		      gn_order_call_t *sent)
 {
-	executor_t *executor = arg;
+	const executor_t *executor = arg;
 
 	sent->lives = executor->lives;
 	sent->clock_ms = executor->grant.clock_ms;
-	if (call->kind == GN_WORKER_START)
-		gn_token_record_start(&executor->token);
 	return executor_call_worker(arg, call, timeout_ms, on_answer, sent);
 }
 
--- a/lib/executor/token.c
+++ b/lib/executor/token.c
@@ -14,7 +14,7 @@
 	return true;
 }
 
-void gn_token_record_start(gn_token_t *token)
+void gn_token_record_call(gn_token_t *token)
 {
 	token->is_raised = false;
 }
--- a/lib/executor/token.h
+++ b/lib/executor/token.h
@@ -29,13 +29,14 @@
 bool gn_token_raise(gn_token_t *token, uint64_t epoch);
 
 /**
- * Records that a start call is sent with the present token. If the token was
- * raised for the next life, the call has to be fenced off, too, so it can be
- * raised once more.
+ * Records that a call is sent with the present token that would do harm in the next
+ * life: it starts a run, extends the lease or discards ends. If the token was
+ * raised for that life, the call has to be fenced off, too, so it can be raised
+ * once more.
  */
-void gn_token_record_start(gn_token_t *token);
+void gn_token_record_call(gn_token_t *token);
 
-/** Returns the highest token that start calls for the present life and former
+/** Returns the highest token that such calls for the present life and former
  * ones may have carried, as far as this process knows. */
 uint64_t gn_token_get_former(const gn_token_t *token, uint64_t epoch);
 
--- a/lib/executor/worker.c
+++ b/lib/executor/worker.c
@@ -52,6 +52,9 @@
 		call->life =
 			executor->worker_known ? executor->notice.life : "";
 	call->epoch = executor_get_token(executor);
+	if (call->kind == GN_WORKER_START || call->lease_until_ms ||
+	    call->ends_stored)
+		gn_token_record_call(&executor->token);
 	if (!http || !executor->adapter->write_worker_call(call, http)) {
 		free(http);
 		return false;
--- a/tests/support/run_model_calls.c
+++ b/tests/support/run_model_calls.c
@@ -162,6 +162,9 @@
 	call->worker_serial = model->workers[executor->at].serial;
 	call->call = *message;
 	call->call.epoch = gn_token_get(&executor->token, executor->epoch);
+	if (message->kind == GN_WORKER_START || message->lease_until_ms ||
+	    message->ends_stored)
+		gn_token_record_call(&executor->token);
 	g_strlcpy(call->task, message->task ? message->task : "",
 		  sizeof(call->task));
 	g_strlcpy(call->life, executor->life, sizeof(call->life));
--- a/tests/support/run_model_executor.c
+++ b/tests/support/run_model_executor.c
@@ -31,11 +31,7 @@
 static bool send_call(void *arg, gn_worker_call_t *call, unsigned timeout_ms,
 		      gn_order_call_t *sent)
 {
-	rm_executor_t *executor = arg;
-
-	if (call->kind == GN_WORKER_START)
-		gn_token_record_start(&executor->token);
-	rm_call_send(executor, call, timeout_ms, sent, 0);
+	rm_call_send(arg, call, timeout_ms, sent, 0);
 	return true;
 }
 
--- a/tests/unit/test_token.c
+++ b/tests/unit/test_token.c
@@ -41,7 +41,7 @@
 	gn_token_t token = { 0 };
 
 	g_assert_true(gn_token_raise(&token, 7));
-	gn_token_record_start(&token);
+	gn_token_record_call(&token);
 	g_assert_true(gn_token_raise(&token, 7));
 	g_assert_cmpuint(gn_token_get(&token, 7), ==, 9);
 	g_assert_false(gn_token_raise(&token, 7));
@@ -55,7 +55,7 @@
 	gn_token_raise(&token, 7);
 	g_assert_cmpuint(gn_token_get_former(&token, 7), ==, 7);
 	g_assert_cmpuint(gn_token_get_former(&token, 12), ==, 7);
-	gn_token_record_start(&token);
+	gn_token_record_call(&token);
 	g_assert_cmpuint(gn_token_get_former(&token, 12), ==, 12);
 	gn_token_raise(&token, 12);
 	g_assert_cmpuint(gn_token_get_former(&token, 12), ==, 12);
