Executor: start calls are not sent twice by the HTTP library

The log of the worker has two calls for attempt 1 within 0.1 ms, the first held, the second refused with 503; the executor knows of one. libcurl repeats a request by itself if a reused connection is closed before the first byte of the answer. So the call without an answer was not known as open, the claim was released as settled, and the next life of the worker carried the call out.

The client can forbid that; start calls use it now, so that each of them is counted.

--- a/lib/executor/worker.c
+++ b/lib/executor/worker.c
@@ -60,6 +60,8 @@
 		return false;
 	}
 	http->timeout_ms = timeout_ms;
+	/* Each start call without an answer must be known. */
+	http->send_once = call->kind == GN_WORKER_START;
 	http->done = done;
 	http->arg = arg;
 	gn_http_client_call(executor->client, http);
