Leader: allow for the longest lease of a life that has just begun

No run was late, and no lease had lapsed: the first run outlived the lease that its leader allowed for.

Cause: a call for the list that was meant for a former life of the worker reaches the next one before that is fenced off. Its time is far ahead on the new clock, so the lease is extended to the longest one (10 s). A leader that saw the life begin allows for that since; one that was elected since, hears of the life for the first time and keeps no claims of a former one, takes it for one with an ordinary lease (4 s). The worker is cut off, its claims lapse 6 s too early, and the tasks start elsewhere.

The executor says how long ago the life first answered a call that fences off those before. No such call takes effect later, so no lease outlasts the longest one from that time on, whoever leads. A new leader that hears nothing of a worker allows for the longest lease if a claim is of a young life. A life that is older than that costs nothing.

--- a/lib/executor/leader.c
+++ b/lib/executor/leader.c
@@ -248,6 +248,10 @@
 	report->life_age_ms = get_life_age_ms(executor);
 	if (!report->listed)
 		return;
+	for (size_t i = 0; i < executor->end_count; i++)
+		executor->ends[i]->settled = gn_orders_is_settled(
+			executor->orders, executor->ends[i]->task,
+			executor->ends[i]->attempt);
 	for (size_t i = 0; i < executor->run_count; i++)
 		executor->runs[i]->settled = gn_orders_is_settled(
 			executor->orders, executor->runs[i]->task,
--- a/lib/sched/sched_claim.c
+++ b/lib/sched/sched_claim.c
@@ -22,9 +22,6 @@
 	return task->unit->step;
 }
 
-/** Maximum difference between the times of day of two hosts, which may jump. */
-#define CLOCK_DIFFERENCE_MS 10000
-
 /* ======   Claim and release   ====== */
 
 static void attach_claim(sched_task_t *task, sched_worker_t *worker,
@@ -111,7 +108,7 @@
 				     uint64_t claimed_ms)
 {
 	uint64_t wall_ms = sched_wall_ms(sched);
-	uint64_t since_ms = claimed_ms + CLOCK_DIFFERENCE_MS;
+	uint64_t since_ms = claimed_ms + SCHED_CLOCK_DIFFERENCE_MS;
 	uint64_t age_us =
 		since_ms < wall_ms ? (wall_ms - since_ms) * GN_US_PER_MS : 0;
 	uint64_t until_us = sched_now_us(sched) +
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -33,6 +33,8 @@
 #define SCHED_CLOCK_READING_MAX_US (1000 * GN_US_PER_MS)
 /** A worker's clock may be slow by one part in this many. */
 #define SCHED_CLOCK_DRIFT_DIVISOR 50
+/** Maximum difference between the times of day of two hosts, which may jump. */
+#define SCHED_CLOCK_DIFFERENCE_MS 10000
 /** Added to each lease before it counts as expired, for processing delays. */
 #define SCHED_LEASE_MARGIN_US (200 * GN_US_PER_MS)
 
--- a/lib/sched/sched_report.c
+++ b/lib/sched/sched_report.c
@@ -299,6 +299,30 @@
 		worker->last_list_us + SCHED_CLOCK_READING_MAX_US + lease_us);
 }
 
+/*
+ * Allows for the longest lease, which a call for a former life may have given
+ * this one before it refused such calls. The leader may not know that there was
+ * a former life.
+ * @param has_begun this leader had not heard of the life before
+ */
+static void allow_for_former_calls(const gn_sched_t *sched,
+				   sched_worker_t *worker,
+				   const Gn__WorkerReport *report,
+				   bool has_begun)
+{
+	uint64_t age_us = (uint64_t)report->life_age_ms * GN_US_PER_MS;
+	uint64_t expiry_us = sched_now_us(sched) +
+			     sched_lease_us(sched->config.lease_max_ms);
+
+	if (!report->lists_open_starts ||
+	    (report->life_age_ms == UINT32_MAX && !has_begun))
+		return;
+	if (report->life_age_ms != UINT32_MAX)
+		expiry_us -= MIN(age_us, expiry_us);
+	worker->report_expiry_us = MAX(worker->report_expiry_us, expiry_us);
+	worker->list_expiry_us = MAX(worker->list_expiry_us, expiry_us);
+}
+
 /*
  * Whether there may be workers of this service. A report that names another
  * describes no worker to use, and does not end the life of one.
@@ -347,6 +371,7 @@
 	bool was_live = sched_worker_is_live(sched, worker);
 	bool was_draining = worker->draining;
 	bool was_open = sched_worker_accepts_tasks(sched, worker);
+	const gn_life_t before = worker->life;
 
 	worker->last_report_us = sched_now_us(sched);
 	if (*report->life && is_service_known(sched, report->service) &&
@@ -365,6 +390,8 @@
 	if (report->fenced)
 		sched_worker_renew_fence(sched, worker);
 	extend_lease(sched, worker, report);
+	allow_for_former_calls(sched, worker, report,
+			       !gn_life_equals(before, worker->life));
 	if (!was_live)
 		sched_emit_worker_event(sched, "worker", worker, "heard", 0);
 	if (worker->draining != was_draining)
--- a/lib/sched/sched_store.c
+++ b/lib/sched/sched_store.c
@@ -426,13 +426,35 @@
 		sched_worker_release_life(worker, life, "worker left");
 }
 
+/* Whether a life of the worker may have begun so shortly before that a call for
+ * a former one has given it the longest lease. */
+static bool may_have_longest_lease(const gn_sched_t *sched,
+				   const sched_worker_t *worker)
+{
+	uint64_t wall_ms = sched_wall_ms(sched);
+
+	for (guint i = 0; i < worker->claims->len; i++) {
+		const sched_task_t *task = g_ptr_array_index(worker->claims, i);
+
+		if (task->life.started_ms + sched->config.lease_max_ms +
+			    SCHED_CLOCK_DIFFERENCE_MS >
+		    wall_ms)
+			return true;
+	}
+	return false;
+}
+
 /* Computes when all leases of an earlier leader have expired. It may answer
  * reports, and so have leases extended, for up to depose_ms. */
 static void set_lease_expiry(const gn_sched_t *sched, sched_worker_t *worker)
 {
-	worker->report_expiry_us =
-		sched_now_us(sched) + sched_lease_us(sched->config.lease_ms) +
-		(uint64_t)sched->config.depose_ms * GN_US_PER_MS;
+	uint64_t lease_us = sched_lease_us(sched->config.lease_ms) +
+			    (uint64_t)sched->config.depose_ms * GN_US_PER_MS;
+
+	if (may_have_longest_lease(sched, worker))
+		lease_us = MAX(lease_us,
+			       sched_lease_us(sched->config.lease_max_ms));
+	worker->report_expiry_us = sched_now_us(sched) + lease_us;
 	worker->list_expiry_us =
 		worker->report_expiry_us + SCHED_CLOCK_READING_MAX_US;
 }
--- a/lib/wire/gypsumnotch.pb-c.c
+++ b/lib/wire/gypsumnotch.pb-c.c
@@ -3691,7 +3691,7 @@
   (ProtobufCMessageInit) gn__worker_run__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gn__worker_end__field_descriptors[5] =
+static const ProtobufCFieldDescriptor gn__worker_end__field_descriptors[6] =
 {
   {
     "number",
@@ -3753,18 +3753,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "settled",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gn__WorkerEnd, settled),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gn__worker_end__field_indices_by_name[] = {
   2,   /* field[2] = attempt */
   4,   /* field[4] = checkpoint */
   3,   /* field[3] = how */
   0,   /* field[0] = number */
+  5,   /* field[5] = settled */
   1,   /* field[1] = task */
 };
 static const ProtobufCIntRange gn__worker_end__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor gn__worker_end__descriptor =
 {
@@ -3774,7 +3787,7 @@
   "Gn__WorkerEnd",
   "gn",
   sizeof(Gn__WorkerEnd),
-  5,
+  6,
   gn__worker_end__field_descriptors,
   gn__worker_end__field_indices_by_name,
   1,  gn__worker_end__number_ranges,
--- a/lib/wire/gypsumnotch.pb-c.h
+++ b/lib/wire/gypsumnotch.pb-c.h
@@ -643,10 +643,14 @@
    */
   uint32_t how;
   char *checkpoint;
+  /*
+   * No start call for its run is under way.
+   */
+  protobuf_c_boolean settled;
 };
 #define GN__WORKER_END__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gn__worker_end__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
--- a/tests/support/sched_rig.c
+++ b/tests/support/sched_rig.c
@@ -446,6 +446,23 @@
 	return (uint64_t)life[0] * 1000 + get_host(rig, host)->restarts;
 }
 
+static void add_open_start(sched_rig_t *rig, Gn__WorkerReport *report)
+{
+	report->lists_open_starts = rig->lists_open_starts;
+	/* Such executors say whether a list is whole. */
+	report->whole = rig->lists_open_starts;
+	if (!rig->open_task)
+		return;
+	gn__open_start__init(&rig->open_row);
+	rig->open_row.task = (char *)rig->open_task;
+	rig->open_row.attempt = rig->open_attempt;
+	rig->open_row.former = rig->open_former;
+	rig->open_row.left_ms = rig->open_left_ms;
+	rig->open_rows[0] = &rig->open_row;
+	report->open_starts = rig->open_rows;
+	report->n_open_starts = 1;
+}
+
 static void init_report(sched_rig_t *rig, Gn__WorkerReport *report,
 			const char *host, const char *life)
 {
@@ -468,6 +485,9 @@
 	report->memory_mb = MEMORY_MB;
 	report->first_life = rig->first_life;
 	report->tracks_starts = rig->tracks_starts;
+	report->life_age_ms = rig->life_age_ms;
+	report->list_token = rig->list_token;
+	add_open_start(rig, report);
 	report->fenced = rig->fenced;
 	report->listed = true;
 }
@@ -548,6 +568,7 @@
 
 	init_report(rig, &report, host, life);
 	end.number = ++get_host(rig, host)->ends;
+	end.settled = rig->settled;
 	end.task = (char *)task;
 	end.attempt = attempt;
 	end.how = how;
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -59,6 +59,17 @@
 	bool tracks_starts;
 	bool settled;
 	bool fenced; /**< So do reports that the worker refuses the token. */
+	/** Reports from now on list open start calls, of which this is the only
+	 * one. */
+	bool lists_open_starts;
+	const char *open_task; /**< NULL: none is open. */
+	uint32_t open_attempt;
+	bool open_former; /**< It was sent in a former life. */
+	uint32_t open_left_ms;
+	uint32_t life_age_ms; /**< As in a report. */
+	uint64_t list_token; /**< As in a report. */
+	Gn__OpenStart open_row; /**< Row of a report that is being sent. */
+	Gn__OpenStart *open_rows[1];
 	/** Reports from now on are of executors that know no earlier life. */
 	bool first_life;
 	/** Evacuations, or NULL. */
