--- a/lib/executor/leave.c
+++ b/lib/executor/leave.c
@@ -14,6 +14,20 @@
  * worker of which they know nothing for less than that. */
 #define RECORD_TTL_MS 60000
 
+/* The next leader must not take runs for over that these may begin. */
+static void add_open_starts(const executor_t *executor, TALLOC_CTX *parent,
+			    Gn__Leave *leave)
+{
+	Gn__WorkerReport report = GN__WORKER_REPORT__INIT;
+
+	gn_orders_describe_starts(executor->orders, parent, &report);
+	leave->open_starts = talloc_array(parent, char *, report.n_open_starts);
+	for (size_t i = 0; i < report.n_open_starts; i++)
+		leave->open_starts[leave->n_open_starts++] = talloc_asprintf(
+			parent, "%s %u", report.open_starts[i]->task,
+			report.open_starts[i]->attempt);
+}
+
 static gn_lease_t *create_record(executor_t *executor)
 {
 	const gn_runtime_t *runtime = executor->runtime;
@@ -21,6 +35,7 @@
 		GN_LEAVE_PREFIX "%016" PRIx64 "-%" PRIu64, runtime->incarnation,
 		executor->notice.life_started_ms);
 	Gn__Leave leave = GN__LEAVE__INIT;
+	TALLOC_CTX *scratch = talloc_new(executor);
 	g_autofree char *value = NULL;
 	gn_lease_options_t options = {
 		.kv = executor->kv,
@@ -33,9 +48,11 @@
 	leave.host = (char *)runtime->settings->name;
 	leave.life = executor->notice.life;
 	leave.born_ms = executor->notice.life_started_ms;
+	add_open_starts(executor, scratch, &leave);
 	options.value.len = gn__leave__get_packed_size(&leave);
 	value = g_malloc(options.value.len);
 	gn__leave__pack(&leave, (uint8_t *)value);
+	talloc_free(scratch);
 	options.value.data = value;
 	return gn_lease_create(executor, &options);
 }
--- /dev/null
+++ b/lib/hold/calls.h
@@ -0,0 +1,98 @@
+/**
+ * @file calls.h
+ * @brief Start calls without an answer, by task and worker.
+ *
+ * Such a call may be carried out later, also by the next life of its worker
+ * under the same ID, which knows nothing of the runs and stops before. In the
+ * life in which it was sent it does no harm: the attempt was closed there. So
+ * while it is open, its task may start on that life only. It is outlived once a
+ * later life, which refuses it by its fencing token, has listed without a run of
+ * the task; a life after that one could still carry it out, so the worker stays
+ * the preferred one.
+ *
+ * The record holds calls whatever became of the claim that they were for. It
+ * does no I/O and reads no clock.
+ */
+#ifndef GN_HOLD_CALLS_H
+#define GN_HOLD_CALLS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <talloc.h>
+
+#include "job/life.h"
+
+typedef struct gn_calls_s gn_calls_t;
+
+/** An open call. */
+typedef struct gn_call_s {
+	const char *host; /**< Executor of the worker; interned. */
+	/** Life in which it was sent; its ID is interned. */
+	gn_life_t life;
+	uint32_t attempt;
+	uint64_t until_us; /**< It is not carried out later. */
+	bool outlived;
+} gn_call_t;
+
+/** Where a task may start. */
+typedef enum gn_calls_place_e {
+	GN_CALLS_ANYWHERE = 0,
+	GN_CALLS_PREFERRED, /**< Anywhere, but better on one host. */
+	GN_CALLS_ONE_LIFE, /**< Only in one life of a worker. */
+	GN_CALLS_NOWHERE
+} gn_calls_place_t;
+
+/** What a report of a host says of its open calls. */
+typedef struct gn_calls_report_s {
+	const char *host; /**< Interned. */
+	gn_life_t life; /**< Present life; its ID is interned. */
+	uint64_t now_us;
+	bool process_gone; /**< The life has ended and nothing runs. */
+	/** The present life refuses calls for former ones. */
+	bool fenced;
+	/** It has a list of runs that is not older than that. */
+	bool listed;
+	/** Whether a call is still open; NULL if the host may not know all. */
+	bool (*is_open)(const void *arg, const char *task, uint32_t attempt);
+	/** Whether the list has a run of the task. */
+	bool (*has_run)(const void *arg, const char *task);
+	const void *arg;
+} gn_calls_report_t;
+
+/** Creates an empty record; NULL if out of memory. */
+gn_calls_t *gn_calls_create(TALLOC_CTX *parent);
+
+/** Adds a call, or sets until when the same one is open. Of a known call, the
+ * life stays as it is. */
+void gn_calls_note(gn_calls_t *calls, const char *task, const gn_call_t *call);
+
+/** Returns where the task may start. @p where receives the call that decides
+ * it, unless that is anywhere. */
+gn_calls_place_t gn_calls_get_place(const gn_calls_t *calls, const char *task,
+				    gn_call_t *where);
+
+/** Returns until when a call for the task is open that is not outlived; 0 if
+ * there is none.
+ * @param host only for calls to this host; interned */
+uint64_t gn_calls_open_until_us(const gn_calls_t *calls, const char *task,
+				const char *host);
+
+/** Updates the calls to a host. Returns whether tasks may start on more workers
+ * since calls for former lives are over or outlived. */
+bool gn_calls_handle_report(gn_calls_t *calls, const gn_calls_report_t *report);
+
+/**
+ * Drops the calls that cannot be carried out any more.
+ * @param lease_max_us longest lease of a run that one may have begun
+ */
+void gn_calls_expire(gn_calls_t *calls, uint64_t now_us, uint64_t lease_max_us);
+
+/** Returns the calls for the task, or NULL, and their number. */
+const gn_call_t *gn_calls_get(const gn_calls_t *calls, const char *task,
+			      size_t *count);
+
+/** Returns the number of tasks with open calls. */
+size_t gn_calls_count(const gn_calls_t *calls);
+
+#endif
--- a/lib/job/job.pb-c.c
+++ b/lib/job/job.pb-c.c
@@ -987,7 +987,7 @@
   (ProtobufCMessageInit) gn__job_spec__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gn__task_state__field_descriptors[22] =
+static const ProtobufCFieldDescriptor gn__task_state__field_descriptors[23] =
 {
   {
     "number",
@@ -1253,6 +1253,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "open_calls",
+    23,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Gn__TaskState, n_open_calls),
+    offsetof(Gn__TaskState, open_calls),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gn__task_state__field_indices_by_name[] = {
   2,   /* field[2] = attempt */
@@ -1272,6 +1284,7 @@
   5,   /* field[5] = life */
   0,   /* field[0] = number */
   19,   /* field[19] = open_attempts */
+  22,   /* field[22] = open_calls */
   11,   /* field[11] = proven_crashes */
   21,   /* field[21] = settled */
   15,   /* field[15] = soon_crashes */
@@ -1281,7 +1294,7 @@
 static const ProtobufCIntRange gn__task_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 22 }
+  { 0, 23 }
 };
 const ProtobufCMessageDescriptor gn__task_state__descriptor =
 {
@@ -1291,7 +1304,7 @@
   "Gn__TaskState",
   "gn",
   sizeof(Gn__TaskState),
-  22,
+  23,
   gn__task_state__field_descriptors,
   gn__task_state__field_indices_by_name,
   1,  gn__task_state__number_ranges,
@@ -1426,7 +1439,7 @@
   (ProtobufCMessageInit) gn__job_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gn__leave__field_descriptors[3] =
+static const ProtobufCFieldDescriptor gn__leave__field_descriptors[4] =
 {
   {
     "host",
@@ -1464,16 +1477,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "open_starts",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Gn__Leave, n_open_starts),
+    offsetof(Gn__Leave, open_starts),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gn__leave__field_indices_by_name[] = {
   2,   /* field[2] = born_ms */
   0,   /* field[0] = host */
   1,   /* field[1] = life */
+  3,   /* field[3] = open_starts */
 };
 static const ProtobufCIntRange gn__leave__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor gn__leave__descriptor =
 {
@@ -1483,7 +1509,7 @@
   "Gn__Leave",
   "gn",
   sizeof(Gn__Leave),
-  3,
+  4,
   gn__leave__field_descriptors,
   gn__leave__field_indices_by_name,
   1,  gn__leave__number_ranges,
--- a/lib/job/job.pb-c.h
+++ b/lib/job/job.pb-c.h
@@ -280,10 +280,16 @@
    * No start call for the claim is under way.
    */
   protobuf_c_boolean settled;
+  /*
+   * Start calls for released claims that may still be carried out: "HOST LIFE
+   * START ATTEMPT UNTIL_MS OUTLIVED", the time since 1970.
+   */
+  size_t n_open_calls;
+  char **open_calls;
 };
 #define GN__TASK_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gn__task_state__descriptor) \
-    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0 }
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL }
 
 
 /*
@@ -338,10 +344,15 @@
    * Start of the life, since 1970.
    */
   uint64_t born_ms;
+  /*
+   * Start calls that may still be carried out: "TASK ATTEMPT".
+   */
+  size_t n_open_starts;
+  char **open_starts;
 };
 #define GN__LEAVE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gn__leave__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL }
 
 
 /*
--- a/lib/sched/sched.c
+++ b/lib/sched/sched.c
@@ -1,5 +1,7 @@
 #include "sched/sched.h"
 
+#include <stdlib.h>
+
 #include "sched/sched_internal.h"
 
 uint64_t sched_now_us(const gn_sched_t *sched)
@@ -114,6 +116,9 @@
 	gn_sharing_init(&sched->sharing);
 	sched->forecast = gn_forecast_create(sched);
 	sched->crash_events = sched_crash_create_events();
+	sched->calls = gn_calls_create(sched);
+	if (!sched->calls)
+		abort();
 	sched->active = g_ptr_array_new();
 	sched->writing = g_ptr_array_new();
 	g_queue_init(&sched->dirty);
@@ -233,6 +238,7 @@
 void gn_sched_tick(gn_sched_t *sched)
 {
 	sched_expire_leases(sched);
+	sched_calls_expire(sched);
 	for (guint i = 0; i < sched->active->len; i++) {
 		sched_job_t *job = g_ptr_array_index(sched->active, i);
 
--- a/lib/sched/sched.h
+++ b/lib/sched/sched.h
@@ -119,6 +119,8 @@
 	unsigned late_call_ms;
 	/** Maximum time for which a deposed leader still answers reports. */
 	unsigned depose_ms;
+	/** Epoch of this leader, the lowest fencing token of its orders. */
+	uint64_t epoch;
 	/** Minimum time for which a finished job can be queried. */
 	unsigned retain_ms;
 	/** Maximum time that a worker takes to stop a run. */
--- /dev/null
+++ b/lib/sched/sched_calls.c
@@ -0,0 +1,389 @@
+/**
+ * @file sched_calls.c
+ * @brief Start calls that may still be carried out: fills in hold/calls.h from
+ *        reports and released claims, and asks it before a task starts.
+ */
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "executor/grant.h"
+#include "sched/sched_pass.h"
+
+/** Size of the key of a call with its terminator, bytes. */
+#define KEY_SIZE (GN_TASK_NAME_SIZE + 16)
+/** Start of a former life that is not known. */
+#define UNKNOWN_FORMER_MS 1
+
+struct sched_calls_view_s {
+	GHashTable *open; /**< "TASK ATTEMPT" of each open call. */
+	GHashTable *runs; /**< Names of the tasks that run; not owned. */
+	bool is_complete; /**< The executor knows all calls. */
+};
+
+static void write_key(char key[KEY_SIZE], const char *task, uint32_t attempt)
+{
+	g_snprintf(key, KEY_SIZE, "%s %u", task, attempt);
+}
+
+uint64_t sched_late_us(const gn_sched_t *sched)
+{
+	return (uint64_t)sched->config.late_call_ms * GN_US_PER_MS;
+}
+
+/* ======   Reports   ====== */
+
+static bool is_open(const void *arg, const char *task, uint32_t attempt)
+{
+	const sched_calls_view_t *view = arg;
+	char key[KEY_SIZE];
+
+	write_key(key, task, attempt);
+	return g_hash_table_contains(view->open, key);
+}
+
+static bool has_run(const void *arg, const char *task)
+{
+	const sched_calls_view_t *view = arg;
+
+	return g_hash_table_contains(view->runs, task);
+}
+
+static sched_calls_view_t *create_view(const Gn__WorkerReport *report)
+{
+	sched_calls_view_t *view = g_new0(sched_calls_view_t, 1);
+
+	view->open =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	view->runs = g_hash_table_new(g_str_hash, g_str_equal);
+	view->is_complete =
+		report->lists_open_starts && !report->unknown_starts_ms;
+	for (size_t i = 0; i < report->n_open_starts; i++) {
+		const Gn__OpenStart *call = report->open_starts[i];
+		char key[KEY_SIZE];
+
+		write_key(key, call->task, call->attempt);
+		g_hash_table_add(view->open, g_strdup(key));
+	}
+	for (size_t i = 0; i < report->n_runs; i++)
+		g_hash_table_add(view->runs, report->runs[i]->task);
+	return view;
+}
+
+void sched_calls_free_view(sched_calls_view_t *view)
+{
+	g_hash_table_destroy(view->open);
+	g_hash_table_destroy(view->runs);
+	g_free(view);
+}
+
+static void note_listed(const gn_sched_t *sched, const sched_worker_t *worker,
+			const Gn__OpenStart *listed)
+{
+	uint64_t left_us = (uint64_t)listed->left_ms * GN_US_PER_MS;
+	const gn_call_t call = {
+		.host = g_intern_string(worker->host),
+		.life = { worker->life.id, listed->former
+						   ? UNKNOWN_FORMER_MS
+						   : worker->life.started_ms },
+		.attempt = listed->attempt,
+		.until_us = sched_now_us(sched) +
+			    MIN(left_us, sched_late_us(sched)),
+	};
+
+	if (strlen(listed->task) < GN_TASK_NAME_SIZE)
+		gn_calls_note(sched->calls, listed->task, &call);
+}
+
+/* Whether the present life refuses all calls for former ones. */
+static bool is_fenced(const gn_sched_t *sched, const sched_worker_t *worker,
+		      const Gn__WorkerReport *report)
+{
+	return report->lists_open_starts && report->life_age_ms != UINT32_MAX &&
+	       !worker->fence_batch &&
+	       report->list_token >= MAX(worker->fence, sched->config.epoch);
+}
+
+/* Claims of an earlier leader: whether a start call for them is open is stored as
+ * it was before the start. */
+static void settle_restored(const gn_sched_t *sched, sched_worker_t *worker,
+			    const Gn__WorkerReport *report,
+			    const sched_calls_view_t *view)
+{
+	/* The executor takes no more orders of that leader. */
+	if (!view->is_complete || report->list_token < sched->config.epoch)
+		return;
+	for (guint i = 0; i < worker->claims->len; i++) {
+		sched_task_t *task = g_ptr_array_index(worker->claims, i);
+		char name[GN_TASK_NAME_SIZE];
+
+		if (!task->restored || task->last_order_us ||
+		    !gn_life_matches(task->life, worker->life))
+			continue;
+		gn_task_format_name(task->job->spec, task->number, name);
+		task->settled |= !is_open(view, name, task->attempt);
+	}
+}
+
+sched_calls_view_t *sched_calls_handle_report(gn_sched_t *sched,
+					      const sched_worker_t *worker,
+					      const Gn__WorkerReport *report)
+{
+	sched_calls_view_t *view = create_view(report);
+	const gn_calls_report_t summary = {
+		.host = g_intern_string(worker->host),
+		.life = worker->life,
+		.now_us = sched_now_us(sched),
+		.process_gone = report->crashed || report->left,
+		.fenced = is_fenced(sched, worker, report),
+		.listed = report->listed,
+		.is_open = view->is_complete ? is_open : NULL,
+		.has_run = has_run,
+		.arg = view,
+	};
+
+	for (size_t i = 0; i < report->n_open_starts; i++)
+		note_listed(sched, worker, report->open_starts[i]);
+	if (gn_calls_count(sched->calls) &&
+	    gn_calls_handle_report(sched->calls, &summary))
+		sched->changed = true;
+	settle_restored(sched, (sched_worker_t *)worker, report, view);
+	return view;
+}
+
+/* ======   Claims   ====== */
+
+static uint64_t get_open_until_us(const sched_task_t *task)
+{
+	const gn_sched_t *sched = task->job->sched;
+	char name[GN_TASK_NAME_SIZE];
+
+	if (!gn_calls_count(sched->calls))
+		return 0;
+	gn_task_format_name(task->job->spec, task->number, name);
+	return gn_calls_open_until_us(sched->calls, name,
+				      g_intern_string(task->worker->host));
+}
+
+bool sched_calls_are_settled(const sched_task_t *task)
+{
+	return task->settled && !get_open_until_us(task);
+}
+
+static bool may_run_begin(const sched_task_t *task,
+			  const sched_calls_view_t *view)
+{
+	char name[GN_TASK_NAME_SIZE];
+
+	if (!view->is_complete)
+		return task->start_ordered_us && !sched_calls_are_settled(task);
+	if (get_open_until_us(task))
+		return true;
+	gn_task_format_name(task->job->spec, task->number, name);
+	return is_open(view, name, task->attempt);
+}
+
+void sched_calls_release_gone(sched_worker_t *worker,
+			      const sched_calls_view_t *view, const char *why)
+{
+	guint i = 0;
+
+	/* Releasing one gang member can release others, so start over. */
+	while (i < worker->claims->len) {
+		sched_task_t *task = g_ptr_array_index(worker->claims, i);
+		sched_job_t *job = task->job;
+
+		if (!gn_life_matches(task->life, worker->life) ||
+		    may_run_begin(task, view)) {
+			i++;
+			continue;
+		}
+		task->settled = true;
+		sched_release_claim(task, why);
+		sched_job_check_limits(job);
+		i = 0;
+	}
+}
+
+void sched_calls_keep(const sched_task_t *task)
+{
+	gn_sched_t *sched = task->job->sched;
+	const sched_worker_t *worker = task->worker;
+	char name[GN_TASK_NAME_SIZE];
+	const gn_call_t call = {
+		.host = g_intern_string(worker->host),
+		.life = task->life,
+		.attempt = task->attempt,
+		/* The executor sends the call of an older order no more. */
+		.until_us = task->start_ordered_us +
+			    GN_GRANT_START_MAX_AGE_MS * GN_US_PER_MS +
+			    sched_late_us(sched),
+	};
+
+	if (!task->start_ordered_us || task->settled ||
+	    sched_now_us(sched) >= call.until_us)
+		return;
+	/* A process under another ID refuses the calls. */
+	if (*worker->life.id &&
+	    gn_life_compare(task->life, worker->life) == GN_LIFE_OTHER)
+		return;
+	gn_task_format_name(task->job->spec, task->number, name);
+	gn_calls_note(sched->calls, name, &call);
+	sched_emit_task_event(sched, "open call", task,
+			      "a start may still be carried out",
+			      (int64_t)((call.until_us - sched_now_us(sched)) /
+					GN_US_PER_MS));
+}
+
+/* ======   Placement   ====== */
+
+static gn_calls_place_t get_place(const sched_task_t *task, gn_call_t *where)
+{
+	const gn_sched_t *sched = task->job->sched;
+	char name[GN_TASK_NAME_SIZE];
+
+	if (!gn_calls_count(sched->calls))
+		return GN_CALLS_ANYWHERE;
+	gn_task_format_name(task->job->spec, task->number, name);
+	return gn_calls_get_place(sched->calls, name, where);
+}
+
+bool sched_calls_leave_free(const sched_task_t *task)
+{
+	gn_call_t where;
+
+	return get_place(task, &where) == GN_CALLS_ANYWHERE;
+}
+
+bool sched_calls_allow(const sched_task_t *task, const sched_worker_t *worker)
+{
+	gn_call_t where;
+
+	switch (get_place(task, &where)) {
+	case GN_CALLS_ANYWHERE:
+	case GN_CALLS_PREFERRED:
+		return true;
+	case GN_CALLS_ONE_LIFE:
+		return !strcmp(where.host, worker->host) &&
+		       gn_life_matches(where.life, worker->life);
+	default:
+		return false;
+	}
+}
+
+static size_t find_candidate(const sched_candidates_t *all,
+			     const gn_place_worker_t *views,
+			     const gn_call_t *where,
+			     const gn_place_task_t *wanted)
+{
+	for (size_t i = 0; i < all->count; i++)
+		if (!strcmp(all->workers[i]->host, where->host))
+			return gn_place(wanted, &views[i], 1) == GN_PLACE_NONE
+				       ? GN_PLACE_NONE
+				       : i;
+	return GN_PLACE_NONE;
+}
+
+size_t sched_calls_choose(const sched_candidates_t *all,
+			  const gn_place_worker_t *views,
+			  const sched_task_t *task,
+			  const gn_place_task_t *wanted)
+{
+	gn_call_t where;
+	gn_calls_place_t place = get_place(task, &where);
+	size_t at = GN_PLACE_NONE;
+
+	if (place == GN_CALLS_ONE_LIFE || place == GN_CALLS_PREFERRED)
+		at = find_candidate(all, views, &where, wanted);
+	if (place == GN_CALLS_NOWHERE || place == GN_CALLS_ONE_LIFE)
+		return at != GN_PLACE_NONE &&
+				       sched_calls_allow(task, all->workers[at])
+			       ? at
+			       : GN_PLACE_NONE;
+	return at == GN_PLACE_NONE ? gn_place(wanted, views, all->count) : at;
+}
+
+/* ======   Time and storage   ====== */
+
+void sched_calls_expire(gn_sched_t *sched)
+{
+	if (gn_calls_count(sched->calls))
+		gn_calls_expire(sched->calls, sched_now_us(sched),
+				sched_lease_us(sched->config.lease_max_ms));
+}
+
+void sched_calls_store(const sched_task_t *task, Gn__TaskState *row)
+{
+	const gn_sched_t *sched = task->job->sched;
+	uint64_t now_us = sched_now_us(sched);
+	char name[GN_TASK_NAME_SIZE];
+	const gn_call_t *calls;
+	size_t count;
+
+	if (task->state == GN_JOB_TASK_DONE || !gn_calls_count(sched->calls))
+		return;
+	gn_task_format_name(task->job->spec, task->number, name);
+	calls = gn_calls_get(sched->calls, name, &count);
+	if (!count)
+		return;
+	row->open_calls = g_new(char *, count);
+	for (size_t i = 0; i < count; i++) {
+		uint64_t left_us = calls[i].until_us > now_us
+					   ? calls[i].until_us - now_us
+					   : 0;
+
+		row->open_calls[row->n_open_calls++] = g_strdup_printf(
+			"%s %s %" PRIu64 " %u %" PRIu64 " %d", calls[i].host,
+			calls[i].life.id, calls[i].life.started_ms,
+			calls[i].attempt,
+			sched_wall_ms(sched) + left_us / GN_US_PER_MS,
+			calls[i].outlived);
+	}
+}
+
+void sched_calls_free_store(Gn__TaskState *row)
+{
+	for (size_t i = 0; i < row->n_open_calls; i++)
+		g_free(row->open_calls[i]);
+	g_free(row->open_calls);
+}
+
+static bool parse(const char *text, gn_call_t *call, uint64_t *until_ms)
+{
+	char host[GN_NAME_MAX + 1];
+	char life[GN_NAME_MAX + 1];
+	int outlived;
+
+	G_STATIC_ASSERT(GN_NAME_MAX == 63);
+	if (sscanf(text, "%63s %63s %" SCNu64 " %" SCNu32 " %" SCNu64 " %d",
+		   host, life, &call->life.started_ms, &call->attempt, until_ms,
+		   &outlived) != 6)
+		return false;
+	call->host = g_intern_string(host);
+	call->life.id = g_intern_string(life);
+	call->outlived = outlived;
+	return true;
+}
+
+void sched_calls_load(const sched_task_t *task, const Gn__TaskState *row)
+{
+	const gn_sched_t *sched = task->job->sched;
+	uint64_t wall_ms = sched_wall_ms(sched);
+	char name[GN_TASK_NAME_SIZE];
+
+	gn_task_format_name(task->job->spec, task->number, name);
+	for (size_t i = 0; i < row->n_open_calls; i++) {
+		gn_call_t call = { 0 };
+		uint64_t until_ms;
+		uint64_t left_us;
+
+		if (!parse(row->open_calls[i], &call, &until_ms) ||
+		    until_ms + SCHED_CLOCK_DIFFERENCE_MS <= wall_ms)
+			continue;
+		left_us = (until_ms + SCHED_CLOCK_DIFFERENCE_MS - wall_ms) *
+			  GN_US_PER_MS;
+		call.until_us = sched_now_us(sched) +
+				MIN(left_us, sched_late_us(sched));
+		gn_calls_note(sched->calls, name, &call);
+	}
+}
--- a/lib/sched/sched_gang.c
+++ b/lib/sched/sched_gang.c
@@ -88,33 +88,47 @@
 
 /* ======   Placement   ====== */
 
-/* Chooses a worker for each member. Leaves the views unchanged. */
-static bool choose_workers(const gn_place_task_t *wanted,
-			   gn_place_worker_t *views, size_t count,
-			   size_t *chosen, uint32_t members)
+/* Chooses workers for the members that may start anywhere, or for the others. */
+static bool choose_for(const sched_candidates_t *all, const sched_unit_t *unit,
+		       const gn_place_task_t *wanted, gn_place_worker_t *views,
+		       size_t *chosen, bool are_free)
 {
-	gn_place_worker_t *before = g_memdup2(views, count * sizeof(*views));
-	bool complete = true;
-
-	for (uint32_t i = 0; complete && i < members; i++) {
-		chosen[i] = gn_place(wanted, views, count);
-		complete = chosen[i] != GN_PLACE_NONE;
-		if (!complete)
-			break;
+	for (uint32_t i = 0; i < unit->step->count; i++) {
+		const sched_task_t *member = &unit->tasks[i];
+
+		if (sched_calls_leave_free(member) != are_free)
+			continue;
+		chosen[i] = sched_calls_choose(all, views, member, wanted);
+		if (chosen[i] == GN_PLACE_NONE)
+			return false;
 		gn_resource_vector_add(&views[chosen[i]].used,
 				       &wanted->resources);
 		views[chosen[i]].same_step++;
 	}
-	memcpy(views, before, count * sizeof(*views));
+	return true;
+}
+
+/* Chooses a worker for each member. Leaves the views unchanged. */
+static bool choose_workers(const sched_candidates_t *all,
+			   const sched_unit_t *unit,
+			   const gn_place_task_t *wanted,
+			   gn_place_worker_t *views, size_t *chosen)
+{
+	size_t size = all->count * sizeof(*views);
+	gn_place_worker_t *before = g_memdup2(views, size);
+	bool complete = choose_for(all, unit, wanted, views, chosen, false) &&
+			choose_for(all, unit, wanted, views, chosen, true);
+
+	memcpy(views, before, size);
 	g_free(before);
 	return complete;
 }
 
 /* Chooses a worker of this rack for each member. */
 static bool choose_workers_in_rack(const sched_candidates_t *all,
+				   const sched_unit_t *unit,
 				   const gn_place_task_t *wanted,
-				   const char *rack, size_t *chosen,
-				   uint32_t members)
+				   const char *rack, size_t *chosen)
 {
 	gn_place_worker_t *views =
 		g_memdup2(all->views, all->count * sizeof(*views));
@@ -123,19 +137,20 @@
 	for (size_t i = 0; i < all->count; i++)
 		if (strcmp(all->workers[i]->rack, rack) != 0)
 			views[i].eligible = false;
-	complete = choose_workers(wanted, views, all->count, chosen, members);
+	complete = choose_workers(all, unit, wanted, views, chosen);
 	g_free(views);
 	return complete;
 }
 
 static bool choose_workers_in_any_rack(const sched_candidates_t *all,
+				       const sched_unit_t *unit,
 				       const gn_place_task_t *wanted,
-				       size_t *chosen, uint32_t members)
+				       size_t *chosen)
 {
 	for (size_t i = 0; i < all->count; i++)
 		if (all->views[i].eligible &&
-		    choose_workers_in_rack(all, wanted, all->workers[i]->rack,
-					   chosen, members))
+		    choose_workers_in_rack(all, unit, wanted,
+					   all->workers[i]->rack, chosen))
 			return true;
 	return false;
 }
@@ -215,9 +230,9 @@
 		return;
 	chosen = g_new(size_t, members);
 	is_near = unit->step->same_rack &&
-		  choose_workers_in_any_rack(all, wanted, chosen, members);
+		  choose_workers_in_any_rack(all, unit, wanted, chosen);
 	if (is_near ||
-	    (choose_workers(wanted, all->views, all->count, chosen, members) &&
+	    (choose_workers(all, unit, wanted, all->views, chosen) &&
 	     (isolated || !waits_for_rack(all, job, unit, chosen[0])))) {
 		sched_near_end_wait(&unit->tasks[0], is_near);
 		for (uint32_t i = 0; i < members; i++) {
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -9,6 +9,7 @@
 
 #include "evacuation/cold.h"
 #include "estimate/estimate.h"
+#include "hold/calls.h"
 #include "occurrence/occurrence.h"
 #include "queue/queue_record.h"
 #include "sched/backlog.h"
@@ -40,6 +41,9 @@
 
 /* ======   Tasks   ====== */
 
+/** What a report says of start calls; see sched_calls.c. */
+typedef struct sched_calls_view_s sched_calls_view_t;
+
 typedef struct sched_task_s {
 	sched_job_t *job;
 	uint32_t number;
@@ -305,6 +309,7 @@
 	uint64_t batches_needed;
 	/** Interned IDs of all lives that have been reported. */
 	GHashTable *life_ids;
+	gn_calls_t *calls; /**< Start calls without an answer. */
 	size_t claims;
 	size_t open_tasks; /**< Of all jobs. */
 	size_t spec_bytes; /**< Of all jobs. */
@@ -528,13 +533,12 @@
 void sched_emit_worker_event(const gn_sched_t *sched, const char *what,
 			     const sched_worker_t *worker, const char *why,
 			     int64_t value);
-/** Releases all claims of a worker. */
-void sched_worker_release_claims(sched_worker_t *worker, const char *why);
-/** Releases the claims of one life of a worker. */
-void sched_worker_release_life(sched_worker_t *worker, gn_life_t life,
-			       const char *why);
+/** Releases the claims of one life of a worker that left, as its executor has
+ * recorded it. */
+void sched_worker_load_leave(sched_worker_t *worker, const Gn__Leave *leave);
 /** Ends the present life of a worker, and releases its claims. */
-void sched_worker_leave(gn_sched_t *sched, sched_worker_t *worker);
+void sched_worker_leave(gn_sched_t *sched, sched_worker_t *worker,
+			const sched_calls_view_t *view);
 /** Counts the crash of the worker's present life, and releases the claims whose
  * runs had begun. */
 void sched_worker_crash(const gn_sched_t *sched, sched_worker_t *worker);
@@ -617,6 +621,36 @@
 /** Orders the stops that are due. */
 void sched_lapse_send_stops(gn_sched_t *sched, sched_worker_t *worker);
 
+/* ======   sched_calls.c   ====== */
+
+/** Returns the longest time after which a call without an answer is carried
+ * out. */
+uint64_t sched_late_us(const gn_sched_t *sched);
+/** Updates the open calls to a worker. Free the result with
+ * sched_calls_free_view(). */
+sched_calls_view_t *sched_calls_handle_report(gn_sched_t *sched,
+					      const sched_worker_t *worker,
+					      const Gn__WorkerReport *report);
+void sched_calls_free_view(sched_calls_view_t *view);
+/** Releases the claims of a worker whose process is gone, but not those of runs
+ * that a start call may still begin. */
+void sched_calls_release_gone(sched_worker_t *worker,
+			      const sched_calls_view_t *view, const char *why);
+/** Keeps the calls for a claim that is about to be released. */
+void sched_calls_keep(const sched_task_t *task);
+/** Whether no start call to the worker of the claim is open, of any attempt. */
+bool sched_calls_are_settled(const sched_task_t *task);
+/** Whether the task may start anywhere, as far as open calls matter. */
+bool sched_calls_leave_free(const sched_task_t *task);
+/** Whether the task may start on the worker, as far as open calls matter. */
+bool sched_calls_allow(const sched_task_t *task, const sched_worker_t *worker);
+/** Drops the calls that cannot be carried out any more. */
+void sched_calls_expire(gn_sched_t *sched);
+/** Copies the open calls of a task; free with sched_calls_free_store(). */
+void sched_calls_store(const sched_task_t *task, Gn__TaskState *row);
+void sched_calls_free_store(Gn__TaskState *row);
+void sched_calls_load(const sched_task_t *task, const Gn__TaskState *row);
+
 /* ======   sched_shrink.c   ====== */
 
 /**
--- a/lib/sched/sched_isolate.c
+++ b/lib/sched/sched_isolate.c
@@ -131,6 +131,7 @@
 	const sched_worker_t *worker = all->workers[at];
 
 	return worker->isolates == choice->reserved &&
+	       sched_calls_allow(choice->task, worker) &&
 	       (choice->any_host ||
 		!sched_crash_has_host(choice->task, worker->host)) &&
 	       gn_place(choice->wanted, &all->views[at], 1) != GN_PLACE_NONE;
--- a/lib/sched/sched_lapse.c
+++ b/lib/sched/sched_lapse.c
@@ -187,7 +187,7 @@
 	const gn_sched_config_t *config = &sched->config;
 
 	return (gn_hold_limits_t){
-		.late_us = (uint64_t)config->late_call_ms * GN_US_PER_MS,
+		.late_us = sched_late_us(sched),
 		.lease_max_us = sched_lease_us(config->lease_max_ms),
 	};
 }
@@ -198,7 +198,7 @@
 
 	return (gn_hold_claim_t){
 		.start_sent = task->start_ordered_us != 0,
-		.settled = task->settled,
+		.settled = sched_calls_are_settled(task),
 		/* The executor sends the call of an older order no more. */
 		.last_call_us = task->start_ordered_us +
 				GN_GRANT_START_MAX_AGE_MS * GN_US_PER_MS,
--- a/lib/sched/sched_pass.c
+++ b/lib/sched/sched_pass.c
@@ -456,19 +456,23 @@
 		all->views[i].eligible &= !all->workers[i]->isolates;
 }
 
-/* Returns the next waiting task of @p unit that may be started beside others,
- * or NULL. */
-static sched_task_t *find_waiting_task(sched_unit_t *unit)
+static bool is_at_claims_max(const sched_job_t *job)
 {
-	const sched_job_t *job = unit->tasks->job;
+	return job->claims_max && job->claimed >= job->claims_max;
+}
 
-	if (job->claims_max && job->claimed >= job->claims_max)
+/* Returns the next waiting task of @p unit that may be started beside others and
+ * on any worker, or NULL. */
+static sched_task_t *find_waiting_task(sched_unit_t *unit)
+{
+	if (is_at_claims_max(unit->tasks->job))
 		return NULL;
 	while (unit->search_from < unit->step->count) {
 		sched_task_t *task = &unit->tasks[unit->search_from];
 
 		if (task->state == GN_JOB_TASK_WAITING &&
-		    !sched_isolate_is_awaited(task))
+		    !sched_isolate_is_awaited(task) &&
+		    sched_calls_leave_free(task))
 			return task;
 		unit->search_from++;
 	}
@@ -498,6 +502,31 @@
 					task->job->late });
 }
 
+/* Places the tasks that may start on some workers only, because of start calls
+ * that are open. */
+static void place_bound_tasks(sched_candidates_t *all, sched_unit_t *unit,
+			      const gn_place_task_t *wanted)
+{
+	const gn_sched_t *sched = unit->tasks->job->sched;
+
+	if (!gn_calls_count(sched->calls))
+		return;
+	for (uint32_t i = 0; i < unit->step->count; i++) {
+		sched_task_t *task = &unit->tasks[i];
+		size_t at;
+
+		if (task->state != GN_JOB_TASK_WAITING ||
+		    is_at_claims_max(task->job) ||
+		    sched_isolate_is_awaited(task) ||
+		    sched_calls_leave_free(task))
+			continue;
+		at = sched_calls_choose(all, all->views, task, wanted);
+		if (at != GN_PLACE_NONE)
+			sched_claim_on_candidate(all, at, task, wanted,
+						 task->attempt + 1);
+	}
+}
+
 static void place_tasks(sched_candidates_t *all, sched_unit_t *unit,
 			const gn_place_task_t *wanted)
 {
@@ -556,6 +585,7 @@
 	}
 	sched_isolate_place(all, job, unit, &wanted);
 	exclude_reserved(all);
+	place_bound_tasks(all, unit, &wanted);
 	place_tasks(all, unit, &wanted);
 }
 
--- a/lib/sched/sched_pass.h
+++ b/lib/sched/sched_pass.h
@@ -49,6 +49,14 @@
 				 const sched_job_t *job,
 				 const sched_unit_t *unit);
 
+/** Returns the candidate for a task that may have open start calls, or
+ * GN_PLACE_NONE.
+ * @param views of the candidates */
+size_t sched_calls_choose(const sched_candidates_t *all,
+			  const gn_place_worker_t *views,
+			  const sched_task_t *task,
+			  const gn_place_task_t *wanted);
+
 /* ======   Waits for near workers   ====== */
 
 /**
--- a/lib/sched/sched_report.c
+++ b/lib/sched/sched_report.c
@@ -158,6 +158,7 @@
 }
 
 static void handle_listed_end(gn_sched_t *sched, sched_worker_t *worker,
+			      const Gn__WorkerReport *report,
 			      const Gn__WorkerEnd *listed)
 {
 	sched_task_t *task = sched_find_task(sched, listed->task);
@@ -176,6 +177,7 @@
 		return;
 	}
 	if (is_claimed_run(task, worker, listed->attempt)) {
+		task->settled |= listed->settled || !report->lists_open_starts;
 		sched_handle_end(task, (gn_end_kind_t)listed->how,
 				 listed->checkpoint);
 	} else if (is_late_done(task, listed)) {
@@ -207,7 +209,9 @@
 			    const Gn__WorkerReport *report,
 			    const Gn__OrderResult *result)
 {
-	if (result->settled || !report->tracks_starts)
+	/* Otherwise the next start waits until the call is outlived. */
+	if (result->settled || !report->tracks_starts ||
+	    report->lists_open_starts)
 		return false;
 	return (result->verdict == GN_ORDER_OUTCOME_GONE ||
 		result->verdict == GN_ORDER_OUTCOME_NOT_STARTED) &&
@@ -231,6 +235,7 @@
 	sched_emit_task_event(sched, "order", task, outcome, 0);
 	if (result->verdict >= GN_ORDER_OUTCOME_COUNT)
 		return;
+	task->settled |= result->settled || !report->tracks_starts;
 	if (may_begin_later(task, report, result)) {
 		sched_stop_run(task, "a start call may still be carried out");
 		return;
@@ -239,7 +244,6 @@
 	case GN_ORDER_OUTCOME_STARTED:
 		/* The run starts at full pace and may have to be throttled. */
 		sched_mark_started(task);
-		task->settled |= result->settled || !report->tracks_starts;
 		if (task->unit->step->fills)
 			sched_pace_worker(sched, worker);
 		break;
@@ -268,6 +272,8 @@
 		sched_release_claim(task, outcome);
 		break;
 	case GN_ORDER_OUTCOME_LIFE_ENDED:
+		/* A process under another ID refuses the calls. */
+		task->settled = true;
 		end_claim_of_ended_life(task, outcome);
 		break;
 	default:
@@ -372,6 +378,7 @@
 	bool was_draining = worker->draining;
 	bool was_open = sched_worker_accepts_tasks(sched, worker);
 	const gn_life_t before = worker->life;
+	sched_calls_view_t *view;
 
 	worker->last_report_us = sched_now_us(sched);
 	if (*report->life && is_service_known(sched, report->service) &&
@@ -392,13 +399,15 @@
 	extend_lease(sched, worker, report);
 	allow_for_former_calls(sched, worker, report,
 			       !gn_life_equals(before, worker->life));
+	view = sched_calls_handle_report(sched, worker, report);
 	if (!was_live)
 		sched_emit_worker_event(sched, "worker", worker, "heard", 0);
 	if (worker->draining != was_draining)
 		sched_emit_worker_event(sched, "worker", worker, "draining", 0);
 	if (report->listed) {
 		for (size_t i = 0; i < report->n_ends; i++)
-			handle_listed_end(sched, worker, report->ends[i]);
+			handle_listed_end(sched, worker, report,
+					  report->ends[i]);
 		handle_runs(sched, worker, report);
 		stop_missing_runs(sched, worker, report);
 		sched_shrink_give_up_starts(worker);
@@ -408,15 +417,19 @@
 		sched_pace_worker(sched, worker);
 	}
 	if (report->left)
-		sched_worker_leave(sched, worker);
+		sched_worker_leave(sched, worker, view);
 	else if (report->crashed)
 		sched_worker_crash(sched, worker);
 	else
 		worker->crashed = false;
+	if (report->crashed && report->lists_open_starts)
+		sched_calls_release_gone(worker, view,
+					 "the worker has crashed");
 	for (size_t i = 0; i < report->n_results; i++)
 		handle_result(sched, worker, report, report->results[i]);
 	sched_evacuate_starts(worker);
 	sched_worker_retire_ends(worker);
+	sched_calls_free_view(view);
 	if (was_open != sched_worker_accepts_tasks(sched, worker))
 		sched->changed = true;
 	return worker->ends_durable;
--- a/lib/sched/sched_store.c
+++ b/lib/sched/sched_store.c
@@ -44,6 +44,7 @@
 		state->checkpoint = task->checkpoint;
 	sched_crash_store(task, state);
 	sched_lapse_store(task, state);
+	sched_calls_store(task, state);
 }
 
 /* Returns NULL if the queue is stored with the spec. */
@@ -117,6 +118,8 @@
 		gn__job_state__pack(&state, write->value);
 	if (state.queue)
 		gn__job_queue__free_unpacked(state.queue, NULL);
+	for (size_t i = 0; i < state.n_tasks; i++)
+		sched_calls_free_store(rows[i]);
 	g_free(states);
 	g_free(rows);
 }
@@ -334,8 +337,10 @@
 	task->failed = row->failed;
 	task->released_us = sched_now_us(job->sched);
 	sched_crash_load(task, row);
-	if (row->status != GN_JOB_TASK_DONE)
+	if (row->status != GN_JOB_TASK_DONE) {
 		sched_lapse_load(task, row);
+		sched_calls_load(task, row);
+	}
 	if (*row->checkpoint)
 		task->checkpoint = g_strdup(row->checkpoint);
 	if (row->status == GN_JOB_TASK_DONE) {
@@ -418,12 +423,11 @@
 {
 	sched_worker_t *worker =
 		g_hash_table_lookup(sched->workers, leave->host);
-	const gn_life_t life = { leave->life, leave->born_ms };
 
 	/* Without its start, a life cannot be told from one under the same
 	 * ID. */
 	if (worker && leave->born_ms)
-		sched_worker_release_life(worker, life, "worker left");
+		sched_worker_load_leave(worker, leave);
 }
 
 /* Whether a life of the worker may have begun so shortly before that a call for
--- a/lib/sched/sched_worker.c
+++ b/lib/sched/sched_worker.c
@@ -135,27 +135,38 @@
 
 /* ======   Release of claims   ====== */
 
-void sched_worker_release_claims(sched_worker_t *worker, const char *why)
+/* Whether a start call for the claim was open when its worker's executor recorded
+ * the leave. */
+static bool is_open_at_leave(const sched_task_t *task, const Gn__Leave *leave)
 {
-	while (worker->claims->len)
-		sched_release_claim(g_ptr_array_index(worker->claims, 0), why);
+	char name[GN_TASK_NAME_SIZE];
+	g_autofree char *call = NULL;
+
+	gn_task_format_name(task->job->spec, task->number, name);
+	call = g_strdup_printf("%s %u", name, task->attempt);
+	for (size_t i = 0; i < leave->n_open_starts; i++)
+		if (!strcmp(leave->open_starts[i], call))
+			return true;
+	return false;
 }
 
-void sched_worker_release_life(sched_worker_t *worker, gn_life_t life,
-			       const char *why)
+void sched_worker_load_leave(sched_worker_t *worker, const Gn__Leave *leave)
 {
+	const gn_life_t life = { leave->life, leave->born_ms };
 	guint i = 0;
 
 	/* Releasing one gang member can release others, so start over. */
 	while (i < worker->claims->len) {
 		sched_task_t *task = g_ptr_array_index(worker->claims, i);
 
-		if (gn_life_matches(task->life, life)) {
-			sched_release_claim(task, why);
-			i = 0;
-		} else {
+		if (!gn_life_matches(task->life, life) ||
+		    is_open_at_leave(task, leave)) {
 			i++;
+			continue;
 		}
+		task->settled = true;
+		sched_release_claim(task, "worker left");
+		i = 0;
 	}
 }
 
@@ -184,9 +195,10 @@
 		await_job(worker, g_ptr_array_index(sched->writing, i));
 }
 
-void sched_worker_leave(gn_sched_t *sched, sched_worker_t *worker)
+void sched_worker_leave(gn_sched_t *sched, sched_worker_t *worker,
+			const sched_calls_view_t *view)
 {
-	sched_worker_release_claims(worker, "worker left");
+	sched_calls_release_gone(worker, view, "worker left");
 	/* No call can reach it any more. */
 	g_array_set_size(worker->open_attempts, 0);
 	if (worker->left)
@@ -205,7 +217,7 @@
 		sched_task_t *task = g_ptr_array_index(worker->claims, i);
 		sched_job_t *job = task->job;
 
-		if (!task->listed || !task->settled ||
+		if (!task->listed || !sched_calls_are_settled(task) ||
 		    !gn_life_matches(task->life, worker->life)) {
 			i++;
 			continue;
--- a/lib/scheduler/leading.c
+++ b/lib/scheduler/leading.c
@@ -423,7 +423,8 @@
 
 /* ======   Leadership   ====== */
 
-static gn_sched_config_t get_sched_config(const gn_settings_t *settings)
+static gn_sched_config_t get_sched_config(const gn_settings_t *settings,
+					  uint64_t epoch)
 {
 	const gn_jobs_settings_t *jobs = &settings->jobs;
 	gn_sched_config_t config = {
@@ -431,6 +432,7 @@
 		.lease_max_ms = jobs->lease_max_ms,
 		.late_call_ms = jobs->late_call_ms,
 		.depose_ms = jobs->depose_ms,
+		.epoch = epoch,
 		.retain_ms = jobs->retain_s * MS_PER_S,
 		.stop_ms = jobs->stop_ms,
 		.early_ms = jobs->early_ms,
@@ -451,7 +453,7 @@
 {
 	scheduler_t *scheduler = arg;
 	const gn_sched_config_t config =
-		get_sched_config(scheduler->runtime->settings);
+		get_sched_config(scheduler->runtime->settings, epoch);
 
 	gn_event("elected", "{s:I}", "epoch", (json_int_t)epoch);
 	gn_counter_inc(scheduler->counters.elections);
--- /dev/null
+++ b/tests/unit/test_sched_calls.c
@@ -0,0 +1,285 @@
+/* Start calls without an answer whose claims are over. */
+#include "support/sched_rig.h"
+
+#define TASK RIG_TASK
+#define LATE_MS RIG_LATE_CALL_MS
+#define OLD_LIFE_MS 60000
+
+static const rig_step_t one_task = { .count = 1,
+				     .cpu_milli = 1000,
+				     .estimate_ms = 600 };
+
+static void open_rig(sched_rig_t *rig)
+{
+	rig_open(rig);
+	rig->tracks_starts = true;
+	rig->lists_open_starts = true;
+	rig->settled = true;
+	rig->life_age_ms = OLD_LIFE_MS;
+	rig_report(rig, "a", "1");
+}
+
+static void submit(sched_rig_t *rig)
+{
+	rig_submit(rig, RIG_JOB, "batch", &one_task, 1);
+	rig_store(rig);
+	g_assert_nonnull(rig_find_order(rig, GN_RUN_ORDER_START, TASK));
+	rig_clear(rig);
+}
+
+/* A call for the first attempt has no answer. */
+static void set_open(sched_rig_t *rig, unsigned left_ms)
+{
+	rig->open_task = TASK;
+	rig->open_attempt = 1;
+	rig->open_left_ms = left_ms;
+	rig->settled = false;
+}
+
+static void set_answered(sched_rig_t *rig)
+{
+	rig->open_task = NULL;
+	rig->settled = true;
+}
+
+static const char *get_start_host(sched_rig_t *rig)
+{
+	const rig_order_t *order;
+
+	rig_store(rig);
+	order = rig_find_order(rig, GN_RUN_ORDER_START, TASK);
+	return order ? order->host : "";
+}
+
+/* Lets worker a refuse the start of the task, with an open call for it. */
+static void refuse_start(sched_rig_t *rig)
+{
+	open_rig(rig);
+	submit(rig);
+	set_open(rig, LATE_MS);
+	rig_report_result(rig, "a", "1", TASK, 1, GN_ORDER_OUTCOME_NOT_STARTED);
+	g_assert_cmpuint(gn_sched_stats(rig->sched).claims, ==, 0);
+}
+
+static void report_both(sched_rig_t *rig)
+{
+	const char *open_task = rig->open_task;
+
+	rig_report(rig, "a", "1");
+	rig->open_task = NULL;
+	rig_report(rig, "b", "2");
+	rig->open_task = open_task;
+}
+
+static void test_task_with_an_open_call_starts_on_its_worker(void)
+{
+	sched_rig_t rig;
+
+	refuse_start(&rig);
+	for (unsigned i = 0; i < 10; i++) {
+		report_both(&rig);
+		rig_advance_ms(&rig, 400);
+	}
+	report_both(&rig);
+	g_assert_cmpstr(get_start_host(&rig), ==, "a");
+	rig_close(&rig);
+}
+
+static void test_answered_call_holds_no_task(void)
+{
+	sched_rig_t rig;
+
+	open_rig(&rig);
+	submit(&rig);
+	rig_report_result(&rig, "a", "1", TASK, 1,
+			  GN_ORDER_OUTCOME_NOT_STARTED);
+	rig_report(&rig, "b", "2");
+	g_assert_cmpstr(get_start_host(&rig), ==, "b");
+	rig_close(&rig);
+}
+
+/* The next life of worker a may carry the call out. */
+static void crash_after_refusal(sched_rig_t *rig)
+{
+	refuse_start(rig);
+	rig_report_crash(rig, "a", "1");
+	rig->open_task = NULL;
+	rig_report(rig, "b", "2");
+	g_assert_cmpstr(get_start_host(rig), ==, "");
+	set_open(rig, LATE_MS);
+}
+
+static void test_crash_with_an_open_call_holds_a_released_task(void)
+{
+	sched_rig_t rig;
+
+	crash_after_refusal(&rig);
+	rig_advance_ms(&rig, 400);
+	rig_restart_worker(&rig, "a");
+	rig.life_age_ms = UINT32_MAX;
+	rig.open_former = true;
+	rig_report(&rig, "a", "1");
+	g_assert_cmpstr(get_start_host(&rig), ==, "");
+	/* It lists without the run, to a call that fences off the other. */
+	rig.life_age_ms = 10;
+	rig.list_token = rig.revision;
+	rig_report(&rig, "a", "1");
+	g_assert_cmpstr(get_start_host(&rig), ==, "a");
+	rig_close(&rig);
+}
+
+static void test_late_run_in_the_next_life_holds_its_task(void)
+{
+	sched_rig_t rig;
+
+	crash_after_refusal(&rig);
+	rig_restart_worker(&rig, "a");
+	rig.open_former = true;
+	rig_report(&rig, "a", "1");
+	rig_store(&rig);
+	rig.list_token = rig.revision;
+	rig_report_run(&rig, "a", "1", TASK, 1);
+	g_assert_cmpstr(get_start_host(&rig), ==, "");
+	g_assert_nonnull(rig_find_order(&rig, GN_RUN_ORDER_STOP, TASK));
+	rig_close(&rig);
+}
+
+static void test_outlived_call_lets_a_task_start_elsewhere(void)
+{
+	sched_rig_t rig;
+
+	crash_after_refusal(&rig);
+	rig_advance_ms(&rig, 400);
+	rig_restart_worker(&rig, "a");
+	rig.open_former = true;
+	rig_drain(&rig, "a");
+	rig_report(&rig, "a", "1");
+	rig_store(&rig);
+	rig.list_token = rig.revision;
+	rig_report(&rig, "a", "1");
+	rig.open_task = NULL;
+	rig_report(&rig, "b", "2");
+	g_assert_cmpstr(get_start_host(&rig), ==, "b");
+	rig_close(&rig);
+}
+
+static void test_call_for_another_id_holds_no_task(void)
+{
+	sched_rig_t rig;
+
+	crash_after_refusal(&rig);
+	set_answered(&rig);
+	rig_report(&rig, "a", "3");
+	g_assert_cmpstr(get_start_host(&rig), !=, "");
+	rig_close(&rig);
+}
+
+static void test_open_call_of_a_lost_worker_holds_no_longer_than_it_can(void)
+{
+	sched_rig_t rig;
+
+	crash_after_refusal(&rig);
+	for (unsigned ms = 0; ms <= LATE_MS; ms += 500) {
+		rig.open_left_ms = LATE_MS - ms;
+		rig_report_crash(&rig, "a", "1");
+		rig_advance_ms(&rig, 500);
+	}
+	set_answered(&rig);
+	rig_report_crash(&rig, "a", "1");
+	rig_report(&rig, "b", "2");
+	g_assert_cmpstr(get_start_host(&rig), ==, "b");
+	rig_close(&rig);
+}
+
+static void test_new_leader_knows_the_open_calls(void)
+{
+	sched_rig_t rig;
+
+	refuse_start(&rig);
+	rig_advance_ms(&rig, 400);
+	rig_store(&rig);
+	rig_change_leader(&rig);
+	rig_configure(&rig);
+	set_answered(&rig);
+	rig_report(&rig, "b", "2");
+	g_assert_cmpstr(get_start_host(&rig), ==, "");
+	rig_close(&rig);
+}
+
+static void test_crash_releases_a_claim_whose_start_came_to_no_process(void)
+{
+	sched_rig_t rig;
+
+	open_rig(&rig);
+	submit(&rig);
+	rig_report_crash(&rig, "a", "1");
+	g_assert_cmpuint(gn_sched_stats(rig.sched).claims, ==, 0);
+	rig_close(&rig);
+}
+
+static void test_crash_keeps_a_claim_whose_start_has_no_answer(void)
+{
+	sched_rig_t rig;
+
+	open_rig(&rig);
+	submit(&rig);
+	set_open(&rig, LATE_MS);
+	rig_report_crash(&rig, "a", "1");
+	g_assert_cmpuint(gn_sched_stats(rig.sched).claims, ==, 1);
+	rig_close(&rig);
+}
+
+static void test_leave_holds_a_task_with_an_open_call(void)
+{
+	sched_rig_t rig;
+
+	open_rig(&rig);
+	submit(&rig);
+	set_open(&rig, LATE_MS);
+	rig_report_run(&rig, "a", "1", TASK, 1);
+	rig_report_leave(&rig, "a", "1");
+	rig.open_task = NULL;
+	rig_report(&rig, "b", "2");
+	g_assert_cmpstr(get_start_host(&rig), ==, "");
+	rig_close(&rig);
+}
+
+int main(int argc, char **argv)
+{
+	static const struct {
+		const char *name;
+		void (*run)(void);
+	} tests[] = {
+		{ "task_with_an_open_call_starts_on_its_worker",
+		  test_task_with_an_open_call_starts_on_its_worker },
+		{ "answered_call_holds_no_task",
+		  test_answered_call_holds_no_task },
+		{ "crash_with_an_open_call_holds_a_released_task",
+		  test_crash_with_an_open_call_holds_a_released_task },
+		{ "late_run_in_the_next_life_holds_its_task",
+		  test_late_run_in_the_next_life_holds_its_task },
+		{ "outlived_call_lets_a_task_start_elsewhere",
+		  test_outlived_call_lets_a_task_start_elsewhere },
+		{ "call_for_another_id_holds_no_task",
+		  test_call_for_another_id_holds_no_task },
+		{ "open_call_of_a_lost_worker_holds_no_longer_than_it_can",
+		  test_open_call_of_a_lost_worker_holds_no_longer_than_it_can },
+		{ "new_leader_knows_the_open_calls",
+		  test_new_leader_knows_the_open_calls },
+		{ "crash_releases_a_claim_whose_start_came_to_no_process",
+		  test_crash_releases_a_claim_whose_start_came_to_no_process },
+		{ "crash_keeps_a_claim_whose_start_has_no_answer",
+		  test_crash_keeps_a_claim_whose_start_has_no_answer },
+		{ "leave_holds_a_task_with_an_open_call",
+		  test_leave_holds_a_task_with_an_open_call },
+	};
+
+	g_test_init(&argc, &argv, NULL);
+	for (size_t i = 0; i < G_N_ELEMENTS(tests); i++) {
+		g_autofree char *path =
+			g_strconcat("/sched-calls/", tests[i].name, NULL);
+
+		g_test_add_func(path, tests[i].run);
+	}
+	return g_test_run();
+}
