Leader: keep the end of a run while a start call for its task is open

The worker forgets an end once LastSeen reaches it, and the end of a run proves nothing of the next life.

The end is acted on as it is read, and the job shown as completed; only what is passed on as stored stops before it, for as long as a start call for the task is open, 12 s at most. Ends behind it wait as well. A list that is full holds nothing back, since no later ends would be seen.

Evidence: test_sched_calls.

--- a/lib/sched/sched_calls.c
+++ b/lib/sched/sched_calls.c
@@ -303,6 +303,20 @@
 	return at == GN_PLACE_NONE ? gn_place(wanted, views, all->count) : at;
 }
 
+/* ======   Ends   ====== */
+
+bool sched_calls_hold_end(const gn_sched_t *sched, const sched_worker_t *worker,
+			  const char *task)
+{
+	uint64_t until_us = gn_calls_open_until_us(
+		sched->calls, task, g_intern_string(worker->host));
+
+	/* The worker lists no ends after those of a full list, and one that is
+	 * gone discards none. */
+	return sched_now_us(sched) < until_us && !worker->ends_cut &&
+	       !worker->left && !worker->crashed;
+}
+
 /* ======   Time and storage   ====== */
 
 void sched_calls_expire(gn_sched_t *sched)
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -201,6 +201,9 @@
 typedef struct sched_end_s {
 	/** For the end of the life, the number of the last end received. */
 	uint64_t number;
+	/** Task of a run that a late start call may begin again; owned, NULL if
+	 * there is none. */
+	char *open_task;
 	sched_job_t *job; /**< NULL if nothing has to be stored. */
 	uint64_t version; /**< Job version that must be durable. */
 } sched_end_t;
@@ -248,6 +251,8 @@
 	/** Number of the write batch that gives this life its fencing token; 0
 	 * if none is needed. */
 	uint64_t fence_batch;
+	/** The last list may lack ends after those that it has. */
+	bool ends_cut;
 	bool left; /**< This life has ended. */
 	bool crashed; /**< Its process is gone, as the executor has found. */
 	/** The executor has restarted since the life before this one, as after a
@@ -566,8 +571,9 @@
 /** Updates what the worker announces about itself. */
 void sched_worker_describe(sched_worker_t *worker,
 			   const Gn__WorkerReport *report);
-/** Drops the leading ends that are durable and advances ends_durable. */
-void sched_worker_retire_ends(sched_worker_t *worker);
+/** Drops the leading ends that are durable, and whose runs cannot begin again,
+ * and advances ends_durable. */
+void sched_worker_retire_ends(const gn_sched_t *sched, sched_worker_t *worker);
 /** Whether the executor has reported recently. */
 bool sched_worker_is_live(const gn_sched_t *sched,
 			  const sched_worker_t *worker);
@@ -644,6 +650,9 @@
 bool sched_calls_leave_free(const sched_task_t *task);
 /** Whether the task may start on the worker, as far as open calls matter. */
 bool sched_calls_allow(const sched_task_t *task, const sched_worker_t *worker);
+/** Whether the end of a run must not be discarded yet. */
+bool sched_calls_hold_end(const gn_sched_t *sched, const sched_worker_t *worker,
+			  const char *task);
 /** Drops the calls that cannot be carried out any more. */
 void sched_calls_expire(gn_sched_t *sched);
 /** Copies the open calls of a task; free with sched_calls_free_store(). */
--- a/lib/sched/sched_report.c
+++ b/lib/sched/sched_report.c
@@ -170,6 +170,8 @@
 	sched_lapse_close(worker, listed->task, listed->attempt);
 	end = g_new0(sched_end_t, 1);
 	end->number = listed->number;
+	if (sched_calls_hold_end(sched, worker, listed->task))
+		end->open_task = g_strdup(listed->task);
 	g_queue_push_tail(&worker->ends, end);
 	if (listed->how >= GN_END_KIND_COUNT) {
 		/* The run is no longer listed, and is stopped for that. */
@@ -405,6 +407,7 @@
 	if (worker->draining != was_draining)
 		sched_emit_worker_event(sched, "worker", worker, "draining", 0);
 	if (report->listed) {
+		worker->ends_cut = report->lists_open_starts && !report->whole;
 		for (size_t i = 0; i < report->n_ends; i++)
 			handle_listed_end(sched, worker, report,
 					  report->ends[i]);
@@ -428,7 +431,7 @@
 	for (size_t i = 0; i < report->n_results; i++)
 		handle_result(sched, worker, report, report->results[i]);
 	sched_evacuate_starts(worker);
-	sched_worker_retire_ends(worker);
+	sched_worker_retire_ends(sched, worker);
 	sched_calls_free_view(view);
 	if (was_open != sched_worker_accepts_tasks(sched, worker))
 		sched->changed = true;
--- a/lib/sched/sched_store.c
+++ b/lib/sched/sched_store.c
@@ -263,7 +263,7 @@
 
 	g_hash_table_iter_init(&iter, sched->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		sched_worker_retire_ends(value);
+		sched_worker_retire_ends(sched, value);
 }
 
 void gn_sched_confirm_batch(gn_sched_t *sched, uint64_t revision)
--- a/lib/sched/sched_worker.c
+++ b/lib/sched/sched_worker.c
@@ -25,6 +25,12 @@
 	return worker;
 }
 
+static void free_end(sched_end_t *end)
+{
+	g_free(end->open_task);
+	g_free(end);
+}
+
 static void drop_ends(sched_worker_t *worker)
 {
 	sched_end_t *end;
@@ -32,7 +38,7 @@
 	while ((end = g_queue_pop_head(&worker->ends))) {
 		if (end->job)
 			end->job->pending_ends--;
-		g_free(end);
+		free_end(end);
 	}
 }
 
@@ -451,6 +457,7 @@
 	worker->full_until_us = 0;
 	worker->last_list_us = 0;
 	worker->has_listed = false;
+	worker->ends_cut = false;
 	worker->left = false;
 	worker->crashed = false;
 	sched_emit_worker_event(sched, "worker", worker,
@@ -478,17 +485,20 @@
 
 /* ======   Ends   ====== */
 
-void sched_worker_retire_ends(sched_worker_t *worker)
+void sched_worker_retire_ends(const gn_sched_t *sched, sched_worker_t *worker)
 {
 	sched_end_t *end;
 
 	while ((end = g_queue_peek_head(&worker->ends))) {
 		if (end->job && end->job->durable_version < end->version)
 			return;
+		if (end->open_task &&
+		    sched_calls_hold_end(sched, worker, end->open_task))
+			return;
 		if (end->job)
 			end->job->pending_ends--;
 		worker->ends_durable = end->number;
-		g_free(g_queue_pop_head(&worker->ends));
+		free_end(g_queue_pop_head(&worker->ends));
 	}
 }
 
--- a/tests/unit/test_sched_calls.c
+++ b/tests/unit/test_sched_calls.c
@@ -244,6 +244,23 @@
 	rig_close(&rig);
 }
 
+/* The job is completed at once; only the worker keeps the end for longer. */
+static void test_end_is_not_discarded_while_a_start_is_open(void)
+{
+	sched_rig_t rig;
+
+	open_rig(&rig);
+	submit(&rig);
+	set_open(&rig, LATE_MS);
+	rig_report_end(&rig, "a", "1", TASK, 1, GN_END_DONE);
+	rig_store(&rig);
+	g_assert_cmpint(rig_phase(&rig, RIG_JOB), ==, GN_JOB_COMPLETED);
+	g_assert_cmpuint(rig_report(&rig, "a", "1"), ==, 0);
+	set_answered(&rig);
+	g_assert_cmpuint(rig_report(&rig, "a", "1"), ==, 1);
+	rig_close(&rig);
+}
+
 int main(int argc, char **argv)
 {
 	static const struct {
@@ -272,6 +289,8 @@
 		  test_crash_keeps_a_claim_whose_start_has_no_answer },
 		{ "leave_holds_a_task_with_an_open_call",
 		  test_leave_holds_a_task_with_an_open_call },
+		{ "end_is_not_discarded_while_a_start_is_open",
+		  test_end_is_not_discarded_while_a_start_is_open },
 	};
 
 	g_test_init(&argc, &argv, NULL);
