Scheduler log: tell when a life was first heard of

The member heard_ms of the leader's lines was -1, as nothing recorded when the present life was first heard.

--- a/lib/sched/sched_worker.c
+++ b/lib/sched/sched_worker.c
@@ -448,6 +448,7 @@
 	/* Only its start time was unknown. */
 	if (is_present)
 		return;
+	worker->first_heard_us = sched_now_us(sched);
 	drop_ends(worker);
 	worker->ends_seen = 0;
 	worker->ends_durable = 0;
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -1553,6 +1553,31 @@
 	rig_close(&rig);
 }
 
+static void test_lines_do_not_show_when_a_life_was_first_heard_of(void)
+{
+	sched_rig_t rig;
+
+	rig_open(&rig);
+	rig_report(&rig, "a", "1");
+	rig_advance_ms(&rig, 500);
+	rig_report(&rig, "a", "1");
+	g_assert_cmpint(rig.last_event_heard_ms, ==, 0);
+	rig_restart_worker(&rig, "a");
+	rig_report(&rig, "a", "1");
+	g_assert_cmpstr(rig.last_event, ==, "worker");
+	g_assert_cmpint(rig.last_event_heard_ms, ==, 0);
+	g_assert_cmpint(rig.last_event_serving_ms, ==, 500);
+	rig_advance_ms(&rig, 300);
+	rig_store(&rig);
+	rig_report(&rig, "a", "1");
+	rig_submit(&rig, JOB, "quick", &one_task, 1);
+	gn_sched_run_pass(rig.sched);
+	g_assert_cmpstr(rig.last_event, ==, "claim");
+	g_assert_cmpint(rig.last_event_heard_ms, ==, 300);
+	g_assert_cmpint(rig.last_event_serving_ms, ==, 800);
+	rig_close(&rig);
+}
+
 static void test_report_of_a_former_life_is_ignored_silently(void)
 {
 	Gn__WorkerReport report = GN__WORKER_REPORT__INIT;
@@ -1736,6 +1761,9 @@
 			test_release_of_a_settled_claim_shows_an_open_call);
 	g_test_add_func("/sched/release_does_not_show_the_age_of_its_leader",
 			test_release_does_not_show_the_age_of_its_leader);
+	g_test_add_func(
+		"/sched/lines_do_not_show_when_a_life_was_first_heard_of",
+		test_lines_do_not_show_when_a_life_was_first_heard_of);
 	g_test_add_func("/sched/report_of_a_former_life_is_ignored_silently",
 			test_report_of_a_former_life_is_ignored_silently);
 	return g_test_run();
