Executor: log open start calls; test its reports

`start call open` is written for the first such call of an order, all are counted in `executor.starts_unanswered`, and the state dump has the attempts with open calls, the time for which those of an earlier process may be carried out, and the token of the last list. The contract test of the executor checks this and the fields of the reports, over a restart of the worker under its ID and after a crash that was none.

--- a/lib/executor/calls.c
+++ b/lib/executor/calls.c
@@ -5,6 +5,42 @@
 #include "common/event.h"
 #include "executor/executor_internal.h"
 
+/* ======   Log   ====== */
+
+/** Members of a line about an order that depend on the event. */
+typedef struct order_line_s {
+	const char *text_name;
+	const char *text; /**< NULL leaves the member out. */
+	const char *number_name;
+	uint64_t number;
+	uint64_t token; /**< Fencing token of its calls; 0 if there are none. */
+} order_line_t;
+
+/** Members of a line about an order, without those of another life. */
+#define ORDER_MEMBERS "s:s, s:I, s:s, s:s*, s:I, s:s, s:I, s:I, s:I"
+
+/*
+ * Logs a line about an order. The members for_life and for_born_ms are the life
+ * that the leader names, if the worker has another one.
+ */
+static void log_order(const executor_t *executor, const char *event,
+		      const gn_order_t *order, const order_line_t *line)
+{
+	const gn_life_t life = gn_orders_get_life(order->orders);
+
+	gn_event(event,
+		 gn_life_equals(order->life, life) ? "{" ORDER_MEMBERS "}"
+						   : "{" ORDER_MEMBERS
+						     ", s:s, s:I}",
+		 "task", order->task, "attempt", (json_int_t)order->attempt,
+		 "kind", gn_run_order_kind_name(order->kind), line->text_name,
+		 line->text, line->number_name, (json_int_t)line->number,
+		 "life", life.id, "born_ms", (json_int_t)life.started_ms,
+		 "token", (json_int_t)line->token, "epoch",
+		 (json_int_t)executor->epoch, "for_life", order->life.id,
+		 "for_born_ms", (json_int_t)order->life.started_ms);
+}
+
 /* ======   Calls   ====== */
 
 /* The answer names no life, but a clock that is behind the one before the call is
@@ -20,6 +56,28 @@
 	answer->clock_ms = 0;
 }
 
+/* The worker may still carry out the call. One line for an order is enough, as
+ * later calls only last longer. */
+static void record_open_start(executor_t *executor, const gn_order_call_t *sent)
+{
+	gn_order_t *order = sent->order;
+	uint64_t late_ms = executor->runtime->settings->jobs.late_call_ms;
+	uint64_t age_ms =
+		(executor_now_us(executor) - sent->sent_us) / GN_US_PER_MS;
+
+	gn_counter_inc(executor->starts_unanswered);
+	/* A worker under another ID refuses it. */
+	if (order->open_logged ||
+	    gn_life_compare(order->life, gn_orders_get_life(order->orders)) ==
+		    GN_LIFE_OTHER)
+		return;
+	order->open_logged = true;
+	log_order(executor, "start call open", order,
+		  &(order_line_t){ "why", NULL, "left_ms",
+				   late_ms > age_ms ? late_ms - age_ms : 0,
+				   order->token });
+}
+
 static void on_answer(void *arg, const gn_http_call_t *http)
 {
 	gn_order_call_t *sent = arg;
@@ -33,6 +91,9 @@
 	gn_histogram_add(executor->order_time,
 			 executor_now_us(executor) - sent->sent_us);
 	executor_record_clock(executor, &answer);
+	if (sent->kind == GN_WORKER_START &&
+	    answer.outcome == GN_WORKER_UNANSWERED)
+		record_open_start(executor, sent);
 	gn_orders_handle_answer(sent, answer.outcome);
 	talloc_free(scratch);
 }
@@ -49,42 +110,6 @@
 	return executor_call_worker(arg, call, timeout_ms, on_answer, sent);
 }
 
-/* ======   Log   ====== */
-
-/** Members of a line about an order that depend on the event. */
-typedef struct order_line_s {
-	const char *text_name;
-	const char *text; /**< NULL leaves the member out. */
-	const char *number_name;
-	uint64_t number;
-	uint64_t token; /**< Fencing token of its calls; 0 if there are none. */
-} order_line_t;
-
-/** Members of a line about an order, without those of another life. */
-#define ORDER_MEMBERS "s:s, s:I, s:s, s:s*, s:I, s:s, s:I, s:I, s:I"
-
-/*
- * Logs a line about an order. The members for_life and for_born_ms are the life
- * that the leader names, if the worker has another one.
- */
-static void log_order(const executor_t *executor, const char *event,
-		      const gn_order_t *order, const order_line_t *line)
-{
-	const gn_life_t life = gn_orders_get_life(order->orders);
-
-	gn_event(event,
-		 gn_life_equals(order->life, life) ? "{" ORDER_MEMBERS "}"
-						   : "{" ORDER_MEMBERS
-						     ", s:s, s:I}",
-		 "task", order->task, "attempt", (json_int_t)order->attempt,
-		 "kind", gn_run_order_kind_name(order->kind), line->text_name,
-		 line->text, line->number_name, (json_int_t)line->number,
-		 "life", life.id, "born_ms", (json_int_t)life.started_ms,
-		 "token", (json_int_t)line->token, "epoch",
-		 (json_int_t)executor->epoch, "for_life", order->life.id,
-		 "for_born_ms", (json_int_t)order->life.started_ms);
-}
-
 /* ======   Outcomes   ====== */
 
 void executor_result_free(gpointer result)
--- a/lib/executor/executor.c
+++ b/lib/executor/executor.c
@@ -134,6 +134,8 @@
 						   "executor.order_time");
 	executor->starts_evacuated =
 		gn_counters_get(runtime->counters, "executor.starts_evacuated");
+	executor->starts_unanswered = gn_counters_get(
+		runtime->counters, "executor.starts_unanswered");
 	executor->refused_rows =
 		gn_counters_get(runtime->counters, "executor.rows_refused");
 	executor->refused_heartbeats = gn_counters_get(
@@ -145,8 +147,8 @@
 	executor->schedulers = g_ptr_array_new_with_free_func(g_free);
 	talloc_set_destructor(executor, executor_destructor);
 	if (!executor->orders || !executor->order_time ||
-	    !executor->starts_evacuated || !executor->refused_rows ||
-	    !executor->refused_heartbeats ||
+	    !executor->starts_evacuated || !executor->starts_unanswered ||
+	    !executor->refused_rows || !executor->refused_heartbeats ||
 	    !executor->answers_of_other_lives || !executor->refused_entries)
 		return gn_error_set(error, GN_ERR_MEMORY, "start", NULL,
 				    "counters");
--- a/lib/executor/executor_internal.h
+++ b/lib/executor/executor_internal.h
@@ -82,6 +82,7 @@
 	gn_histogram_t *order_time; /**< Time from a call to its response. */
 	/** Starts refused because the data centre is evacuated. */
 	gn_counter_t *starts_evacuated;
+	gn_counter_t *starts_unanswered; /**< Start calls without an answer. */
 	gn_counter_t *refused_rows; /**< Malformed rows in lists. */
 	gn_counter_t *refused_heartbeats;
 	/** Answers that another life gave, or to calls for an earlier one. */
--- a/lib/executor/orders.h
+++ b/lib/executor/orders.h
@@ -60,6 +60,7 @@
 	unsigned tries; /**< Number of calls sent for this kind of order. */
 	unsigned calls; /**< Number of all calls sent. */
 	uint64_t token; /**< Fencing token of the last call; 0 without one. */
+	bool open_logged; /**< That a start call has no answer was logged. */
 } gn_order_t;
 
 /** A call in progress; its order isn't freed before. */
--- a/lib/executor/worker.c
+++ b/lib/executor/worker.c
@@ -523,6 +523,17 @@
 	json_object_set_new(
 		json, "orders",
 		json_integer((json_int_t)gn_orders_count(executor->orders)));
+	json_object_set_new(
+		json, "open_starts",
+		json_integer((json_int_t)gn_orders_count_open_starts(
+			executor->orders)));
+	json_object_set_new(
+		json, "unknown_starts_ms",
+		json_integer((json_int_t)(gn_orders_unknown_starts_us(
+						  executor->orders) /
+					  GN_US_PER_MS)));
+	json_object_set_new(json, "list_token",
+			    json_integer((json_int_t)executor->list_token));
 	return json;
 }
 
--- a/tests/contract/test_executor.c
+++ b/tests/contract/test_executor.c
@@ -47,6 +47,8 @@
 	size_t reported_ends; /**< Ends in the lists that were reported. */
 	bool reported_left; /**< The last report said that the worker left. */
 	bool reported_crashed; /**< It said that the worker has crashed. */
+	Gn__WorkerReport reported; /**< The last report; its rows are gone. */
+	Gn__OpenStart reported_start; /**< Its first open start call. */
 } rig_t;
 
 static rig_t *rig;
@@ -73,6 +75,9 @@
 	rig->reported_left = envelope->worker_report->left;
 	rig->reported_cold_left_ms = envelope->worker_report->cold_left_ms;
 	rig->reported_crashed = envelope->worker_report->crashed;
+	rig->reported = *envelope->worker_report;
+	if (rig->reported.n_open_starts)
+		rig->reported_start = *rig->reported.open_starts[0];
 	return GN_OK;
 }
 
@@ -224,6 +229,7 @@
 	rig->executor = executor;
 	rig->settings.name = HOST;
 	rig->settings.jobs.worker_address = "127.0.0.1:1";
+	rig->settings.jobs.late_call_ms = LATE_US / GN_US_PER_MS;
 	/* The address depends on the process id, so that runs don't collide. */
 	g_snprintf(rig->address, sizeof(rig->address), "127.78.%u.%u:%u",
 		   (unsigned)getpid() / 250 % 250, 1 + (unsigned)getpid() % 250,
@@ -258,6 +264,8 @@
 		rig->runtime.counters, "executor.heartbeats_refused");
 	executor->answers_of_other_lives = gn_counters_get(
 		rig->runtime.counters, "executor.answers_of_other_lives");
+	executor->starts_unanswered = gn_counters_get(
+		rig->runtime.counters, "executor.starts_unanswered");
 	executor->starts_evacuated = gn_counters_get(
 		rig->runtime.counters, "executor.starts_evacuated");
 	executor->order_time = gn_histogram_create(
@@ -619,6 +627,144 @@
 	rig->leader_handler(rig->executor, NULL, &envelope);
 }
 
+static void request_list_refused(gn_worker_call_outcome_t outcome)
+{
+	gn_clock_advance(&rig->runtime.clock, GN_US_PER_S);
+	executor_worker_tick(rig->executor);
+	answer_call(outcome, EARLIER_MS);
+}
+
+/* Two start calls without an answer; the first one is logged. */
+static void test_open_start_call_is_logged_once(void)
+{
+	capture_t capture;
+	json_t *lines;
+
+	open_rig();
+	rig->executor->epoch = 7;
+	begin_capture(&capture);
+	send_order(GN_RUN_ORDER_START, EARLIER_MS);
+	answer_call(GN_WORKER_UNANSWERED, 0);
+	advance_ms(100);
+	answer_call(GN_WORKER_UNANSWERED, 0);
+	lines = end_capture(&capture, "start call open");
+	g_assert_cmpuint(gn_counter_read(rig->executor->starts_unanswered), ==,
+			 2);
+	g_assert_cmpuint(json_array_size(lines), ==, 1);
+	g_assert_cmpint(read_number(lines, 0, "attempt"), ==, 1);
+	g_assert_cmpint(read_number(lines, 0, "born_ms"), ==, EARLIER_MS);
+	g_assert_cmpint(read_number(lines, 0, "token"), ==, 7);
+	g_assert_cmpint(read_number(lines, 0, "left_ms"), ==,
+			LATE_US / GN_US_PER_MS);
+	json_decref(lines);
+	close_rig();
+}
+
+static void report_after_ms(unsigned ms)
+{
+	gn_clock_advance(&rig->runtime.clock, ms * GN_US_PER_MS);
+	executor_report(rig->executor);
+}
+
+static void test_report_has_open_starts_in_the_next_life(void)
+{
+	open_rig();
+	rig->executor->epoch = 7;
+	send_order(GN_RUN_ORDER_START, EARLIER_MS);
+	answer_call(GN_WORKER_UNANSWERED, 0);
+	report_after_ms(2000);
+	g_assert_true(rig->reported.lists_open_starts);
+	g_assert_false(rig->reported.listed);
+	g_assert_cmpuint(rig->reported.unknown_starts_ms, ==, 10000);
+	g_assert_cmpuint(rig->reported.n_open_starts, ==, 1);
+	g_assert_cmpstr(rig->reported_start.task, ==, TASK);
+	g_assert_cmpuint(rig->reported_start.left_ms, ==, 10000);
+	g_assert_false(rig->reported_start.former);
+	send_heartbeat(LATER_MS);
+	report_after_ms(1000);
+	g_assert_cmpuint(rig->reported.n_open_starts, ==, 1);
+	g_assert_cmpuint(rig->reported_start.left_ms, ==, 9000);
+	g_assert_true(rig->reported_start.former);
+	report_after_ms(9000);
+	g_assert_cmpuint(rig->reported.n_open_starts, ==, 0);
+	g_assert_cmpuint(rig->reported.unknown_starts_ms, ==, 0);
+	close_rig();
+}
+
+/* Lists the runs of the life that started at this time, and reports them. */
+static void report_list(uint64_t started_ms)
+{
+	executor_worker_tick(rig->executor);
+	answer_call(GN_WORKER_OK, started_ms);
+	executor_report(rig->executor);
+}
+
+static void test_age_of_a_life_counts_from_a_list_with_its_token(void)
+{
+	open_rig();
+	rig->executor->epoch = 7;
+	rig->executor->leader_fences_lives = true;
+	report_after_ms(LATE_US / GN_US_PER_MS);
+	g_assert_cmpuint(rig->reported.list_token, ==, 0);
+	g_assert_cmpuint(rig->reported.life_age_ms, ==, UINT32_MAX);
+	report_list(EARLIER_MS);
+	g_assert_cmpuint(rig->reported.list_token, ==, 7);
+	g_assert_cmpuint(rig->reported.life_age_ms, ==, 0);
+	send_heartbeat(LATER_MS);
+	g_assert_cmpuint(rig->reported.list_token, ==, 0);
+	g_assert_cmpuint(rig->reported.life_age_ms, ==, UINT32_MAX);
+	report_list(LATER_MS);
+	g_assert_cmpuint(rig->reported.list_token, ==, 8);
+	g_assert_cmpuint(rig->reported.life_age_ms, ==, 0);
+	rig->executor->epoch = 9;
+	report_after_ms(3000);
+	g_assert_cmpuint(rig->reported.life_age_ms, ==, 3000);
+	rig->executor->leader_fences_lives = false;
+	report_after_ms(1);
+	g_assert_cmpuint(rig->reported.life_age_ms, ==, UINT32_MAX);
+	close_rig();
+}
+
+/* An earlier process may have sent starts with the token of this epoch. */
+static void test_age_of_the_first_life_starts_over_with_the_epoch(void)
+{
+	open_rig();
+	rig->executor->epoch = 7;
+	rig->executor->leader_fences_lives = true;
+	report_list(EARLIER_MS);
+	report_after_ms(1000);
+	g_assert_cmpuint(rig->reported.life_age_ms, ==, 1000);
+	rig->executor->epoch = 8;
+	report_after_ms(1000);
+	g_assert_cmpuint(rig->reported.life_age_ms, ==, UINT32_MAX);
+	report_list(EARLIER_MS);
+	report_after_ms(1000);
+	g_assert_cmpuint(rig->reported.life_age_ms, ==, 1000);
+	close_rig();
+}
+
+/* The worker that was taken for gone goes on, and a start is sent to it. */
+static void test_start_after_a_wrong_crash_is_fenced_off(void)
+{
+	open_rig();
+	rig->executor->epoch = 7;
+	rig->executor->leader_fences_lives = true;
+	rig->executor->leader_renews_tokens = true;
+	request_list_refused(GN_WORKER_UNSENT);
+	request_list_refused(GN_WORKER_UNSENT);
+	g_assert_true(rig->reported_crashed);
+	request_list_refused(GN_WORKER_OK);
+	g_assert_cmpuint(rig->fence, ==, 8);
+	allow_leases();
+	send_order(GN_RUN_ORDER_START, EARLIER_MS);
+	answer_call(GN_WORKER_UNANSWERED, 0);
+	g_assert_cmpuint(rig->fence, ==, 8);
+	send_heartbeat(LATER_MS);
+	report_list(LATER_MS);
+	g_assert_cmpuint(rig->reported.list_token, ==, 9);
+	close_rig();
+}
+
 /* The leader lets the claims lapse by the age of the worker's list. */
 static void test_report_with_an_old_list_extends_the_lease(void)
 {
@@ -665,13 +811,6 @@
 	close_rig();
 }
 
-static void request_list_refused(gn_worker_call_outcome_t outcome)
-{
-	gn_clock_advance(&rig->runtime.clock, GN_US_PER_S);
-	executor_worker_tick(rig->executor);
-	answer_call(outcome, EARLIER_MS);
-}
-
 static void test_crash_is_reported_only_with_the_next_life(void)
 {
 	open_rig();
@@ -1221,6 +1360,18 @@
 			test_older_list_replaces_a_newer_one);
 	g_test_add_func("/executor/report_with_an_old_list_extends_the_lease",
 			test_report_with_an_old_list_extends_the_lease);
+	g_test_add_func("/executor/open_start_call_is_logged_once",
+			test_open_start_call_is_logged_once);
+	g_test_add_func("/executor/report_has_open_starts_in_the_next_life",
+			test_report_has_open_starts_in_the_next_life);
+	g_test_add_func(
+		"/executor/age_of_a_life_counts_from_a_list_with_its_token",
+		test_age_of_a_life_counts_from_a_list_with_its_token);
+	g_test_add_func(
+		"/executor/age_of_the_first_life_starts_over_with_the_epoch",
+		test_age_of_the_first_life_starts_over_with_the_epoch);
+	g_test_add_func("/executor/start_after_a_wrong_crash_is_fenced_off",
+			test_start_after_a_wrong_crash_is_fenced_off);
 	g_test_add_func("/executor/older_leader_ends_an_evacuation",
 			test_older_leader_ends_an_evacuation);
 	g_test_add_func(
