Leader: release claims at the end of a life, and let the record hold their tasks

Cause, found by the run walks: a claim of a life that has ended was kept where a call for another attempt was open, or where the process of the executor was too young to know all calls, so that the next leader waited for the longest lease. The record of open calls holds the task anyway, so the claim itself need not stand.

At the end of a life each claim is released whose calls the executor knows, with a call that is open noted. The executor knows those that it was first ordered to make, even if its process is young: the leader tells by the time of the claim, or by rows for attempts of which no call is open. The age of a life no longer starts over with each election once no call of an earlier process can be carried out.

The walks' executors fill in the new fields by the same functions, and their leaders know their epochs.

--- a/lib/executor/life_age.h
+++ b/lib/executor/life_age.h
@@ -18,9 +18,10 @@
 typedef struct gn_life_age_s {
 	uint64_t
 		former; /**< Start calls for former lives have no higher token. */
-	/** An earlier process may have used the token of the epoch, so that only a
-	 * later epoch is certain. */
-	bool follows_epoch;
+	/** Until then, a call of an earlier process with the token of the epoch may
+	 * be carried out, so that only a later epoch is certain; 0 if none can. */
+	uint64_t unknown_until_us;
+	uint64_t first_us; /**< Time of the first list; 0 without one. */
 	uint64_t epoch; /**< Epoch at the list that counts. */
 	uint64_t since_us; /**< Time of the list that counts; 0 without one. */
 } gn_life_age_t;
@@ -29,10 +30,12 @@
  * Begins a life.
  * @param former highest token of start calls for former lives under the same ID;
  *        0 if it has another ID than the one before, or if none is known
- * @param follows_epoch a start call of an earlier process of the executor, which
- *        is not counted in @p former, may be carried out by this life
+ * @param unknown_until_us until then, this life may carry out a call of an
+ *        earlier process of the executor, which is not counted in @p former; 0
+ *        if there is none
  */
-void gn_life_age_begin(gn_life_age_t *age, uint64_t former, bool follows_epoch);
+void gn_life_age_begin(gn_life_age_t *age, uint64_t former,
+		       uint64_t unknown_until_us);
 
 /**
  * Records a list of the present life, requested in this life.
--- a/lib/executor/orders.c
+++ b/lib/executor/orders.c
@@ -692,6 +692,11 @@
 	return gn_starts_count_open(orders->starts);
 }
 
+uint64_t gn_orders_unknown_until_us(const gn_orders_t *orders)
+{
+	return gn_starts_unknown_until_us(orders->starts);
+}
+
 uint64_t gn_orders_unknown_starts_us(const gn_orders_t *orders)
 {
 	return gn_starts_unknown_left_us(orders->starts);
--- a/lib/executor/orders.h
+++ b/lib/executor/orders.h
@@ -172,6 +172,8 @@
 /** Returns the time for which a start call of an earlier process of the executor
  * can be under way; 0 if none can. */
 uint64_t gn_orders_unknown_starts_us(const gn_orders_t *orders);
+/** Returns until when that is; 0 if no such call is possible. */
+uint64_t gn_orders_unknown_until_us(const gn_orders_t *orders);
 
 /**
  * Sets open_starts, unknown_starts_ms and lists_open_starts of a report, which
--- a/lib/executor/starts.c
+++ b/lib/executor/starts.c
@@ -221,6 +221,11 @@
 	return gn_starts_count_open(starts) != 0;
 }
 
+uint64_t gn_starts_unknown_until_us(const gn_starts_t *starts)
+{
+	return starts->knows_id ? 0 : starts->created_us + starts->late_us;
+}
+
 uint64_t gn_starts_unknown_left_us(const gn_starts_t *starts)
 {
 	return starts->knows_id ? 0 : get_left_us(starts, starts->created_us);
@@ -234,15 +239,29 @@
 	gn__open_start__init(row);
 	row->task = entry->task;
 	row->attempt = entry->attempt;
-	row->left_ms = round_up_ms(get_left_us(starts, entry->open_us));
+	row->left_ms =
+		is_open(starts, entry)
+			? round_up_ms(get_left_us(starts, entry->open_us))
+			: 0;
 	row->former = !entry->unanswered_now;
 }
 
+/* At the end of a life, the leader decides on claims of which it may not know who
+ * has ordered their starts. */
+static bool is_described(const gn_starts_t *starts, const attempt_t *entry,
+			 const Gn__WorkerReport *report)
+{
+	return is_open(starts, entry) ||
+	       (entry->known && (report->left || report->crashed) &&
+		gn_starts_unknown_left_us(starts));
+}
+
 void gn_starts_describe(const gn_starts_t *starts, TALLOC_CTX *parent,
 			Gn__WorkerReport *report)
 {
-	size_t count = gn_starts_count_open(starts);
-	size_t max = MIN(count, GN_STARTS_REPORT_MAX);
+	size_t open = gn_starts_count_open(starts);
+	size_t max =
+		MIN(g_hash_table_size(starts->table), GN_STARTS_REPORT_MAX);
 	Gn__OpenStart *rows = talloc_array(parent, Gn__OpenStart, max);
 	Gn__OpenStart **list = talloc_array(parent, Gn__OpenStart *, max);
 	GHashTableIter iter;
@@ -253,7 +272,7 @@
 		abort(); /* GLib aborts too when out of memory. */
 	g_hash_table_iter_init(&iter, starts->table);
 	while (n < max && g_hash_table_iter_next(&iter, NULL, &value)) {
-		if (!is_open(starts, value))
+		if (!is_described(starts, value, report))
 			continue;
 		describe_attempt(starts, value, &rows[n]);
 		list[n] = &rows[n];
@@ -263,8 +282,8 @@
 	report->open_starts = list;
 	report->n_open_starts = n;
 	report->unknown_starts_ms =
-		round_up_ms(count > max ? starts->late_us
-					: gn_starts_unknown_left_us(starts));
+		round_up_ms(open > max ? starts->late_us
+				       : gn_starts_unknown_left_us(starts));
 }
 
 /* ======   Time   ====== */
--- a/lib/executor/starts.h
+++ b/lib/executor/starts.h
@@ -84,6 +84,8 @@
 /** Returns the time for which a start call of an earlier process of the executor
  * can be under way; 0 if none can. */
 uint64_t gn_starts_unknown_left_us(const gn_starts_t *starts);
+/** Returns until when that is; 0 if no such call is possible. */
+uint64_t gn_starts_unknown_until_us(const gn_starts_t *starts);
 
 /**
  * Sets the fields of a report on start calls that can be under way. Beyond
--- a/lib/executor/worker.c
+++ b/lib/executor/worker.c
@@ -186,11 +186,13 @@
 
 	if (has_known_id && executor->leader_fences_lives)
 		raise_fence(executor, "it has begun");
-	gn_life_age_begin(&executor->life_age,
-			  has_known_id ? gn_token_get_former(&executor->token,
-							     executor->epoch)
-				       : 0,
-			  has_unknown_calls);
+	gn_life_age_begin(
+		&executor->life_age,
+		has_known_id
+			? gn_token_get_former(&executor->token, executor->epoch)
+			: 0,
+		has_unknown_calls ? gn_orders_unknown_until_us(executor->orders)
+				  : 0);
 	gn_token_begin_life(&executor->token);
 }
 
--- a/lib/sched/sched_calls.c
+++ b/lib/sched/sched_calls.c
@@ -19,6 +19,9 @@
 	GHashTable *open; /**< "TASK ATTEMPT" of each open call. */
 	GHashTable *runs; /**< Names of the tasks that run; not owned. */
 	bool is_complete; /**< The executor knows all calls. */
+	/** It knows those for claims made since, and for these "TASK ATTEMPT". */
+	uint64_t known_from_us;
+	GHashTable *known;
 };
 
 static void write_key(char key[KEY_SIZE], const char *task, uint32_t attempt)
@@ -49,21 +52,39 @@
 	return g_hash_table_contains(view->runs, task);
 }
 
-static sched_calls_view_t *create_view(const Gn__WorkerReport *report)
+/* Returns when the process of the executor began, at the latest. */
+static uint64_t get_known_from_us(const gn_sched_t *sched,
+				  const Gn__WorkerReport *report)
+{
+	uint64_t now_us = sched_now_us(sched);
+	uint64_t unknown_us =
+		(uint64_t)report->unknown_starts_ms * GN_US_PER_MS;
+
+	if (!report->lists_open_starts)
+		return UINT64_MAX;
+	return now_us + unknown_us - MIN(sched_late_us(sched), now_us);
+}
+
+static sched_calls_view_t *create_view(const gn_sched_t *sched,
+				       const Gn__WorkerReport *report)
 {
 	sched_calls_view_t *view = g_new0(sched_calls_view_t, 1);
 
 	view->open =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	view->known =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	view->runs = g_hash_table_new(g_str_hash, g_str_equal);
 	view->is_complete =
 		report->lists_open_starts && !report->unknown_starts_ms;
+	view->known_from_us = get_known_from_us(sched, report);
 	for (size_t i = 0; i < report->n_open_starts; i++) {
 		const Gn__OpenStart *call = report->open_starts[i];
 		char key[KEY_SIZE];
 
 		write_key(key, call->task, call->attempt);
-		g_hash_table_add(view->open, g_strdup(key));
+		g_hash_table_add(call->left_ms ? view->open : view->known,
+				 g_strdup(key));
 	}
 	for (size_t i = 0; i < report->n_runs; i++)
 		g_hash_table_add(view->runs, report->runs[i]->task);
@@ -73,6 +94,7 @@
 void sched_calls_free_view(sched_calls_view_t *view)
 {
 	g_hash_table_destroy(view->open);
+	g_hash_table_destroy(view->known);
 	g_hash_table_destroy(view->runs);
 	g_free(view);
 }
@@ -91,7 +113,7 @@
 			    MIN(left_us, sched_late_us(sched)),
 	};
 
-	if (strlen(listed->task) < GN_TASK_NAME_SIZE)
+	if (listed->left_ms && strlen(listed->task) < GN_TASK_NAME_SIZE)
 		gn_calls_note(sched->calls, listed->task, &call);
 }
 
@@ -129,7 +151,7 @@
 					      const sched_worker_t *worker,
 					      const Gn__WorkerReport *report)
 {
-	sched_calls_view_t *view = create_view(report);
+	sched_calls_view_t *view = create_view(sched, report);
 	const gn_calls_report_t summary = {
 		.host = g_intern_string(worker->host),
 		.life = worker->life,
@@ -170,17 +192,28 @@
 	return task->settled && !get_open_until_us(task);
 }
 
-static bool may_run_begin(const sched_task_t *task,
-			  const sched_calls_view_t *view)
+/* Whether the executor knows all start calls for the claim. */
+static bool knows_calls(const sched_calls_view_t *view,
+			const sched_task_t *task)
 {
+	char key[KEY_SIZE];
 	char name[GN_TASK_NAME_SIZE];
 
-	if (!view->is_complete)
-		return task->start_ordered_us && !sched_calls_are_settled(task);
-	if (get_open_until_us(task))
+	if (view->is_complete ||
+	    (!task->restored && task->claimed_us >= view->known_from_us))
 		return true;
 	gn_task_format_name(task->job->spec, task->number, name);
-	return is_open(view, name, task->attempt);
+	write_key(key, name, task->attempt);
+	return g_hash_table_contains(view->known, key) ||
+	       g_hash_table_contains(view->open, key);
+}
+
+static void settle_claim(const sched_calls_view_t *view, sched_task_t *task)
+{
+	char name[GN_TASK_NAME_SIZE];
+
+	gn_task_format_name(task->job->spec, task->number, name);
+	task->settled = !is_open(view, name, task->attempt);
 }
 
 void sched_calls_release_gone(sched_worker_t *worker,
@@ -192,13 +225,16 @@
 	while (i < worker->claims->len) {
 		sched_task_t *task = g_ptr_array_index(worker->claims, i);
 		sched_job_t *job = task->job;
+		bool is_known = knows_calls(view, task);
 
 		if (!gn_life_matches(task->life, worker->life) ||
-		    may_run_begin(task, view)) {
+		    (!is_known && task->start_ordered_us &&
+		     !sched_calls_are_settled(task))) {
 			i++;
 			continue;
 		}
-		task->settled = true;
+		if (is_known)
+			settle_claim(view, task);
 		sched_release_claim(task, why);
 		sched_job_check_limits(job);
 		i = 0;
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -638,8 +638,8 @@
 					      const sched_worker_t *worker,
 					      const Gn__WorkerReport *report);
 void sched_calls_free_view(sched_calls_view_t *view);
-/** Releases the claims of a worker whose process is gone, but not those of runs
- * that a start call may still begin. */
+/** Releases the claims of a worker whose process is gone. Without knowledge of
+ * the start calls for them, those that are not settled stay. */
 void sched_calls_release_gone(sched_worker_t *worker,
 			      const sched_calls_view_t *view, const char *why);
 /** Keeps the calls for a claim that is about to be released. */
--- a/lib/wire/gypsumnotch.pb-c.h
+++ b/lib/wire/gypsumnotch.pb-c.h
@@ -684,9 +684,13 @@
   char *task;
   uint32_t attempt;
   /*
-   * Time for which it may be carried out.
+   * Time for which it may be carried out; 0 if
    */
   uint32_t left_ms;
+  /*
+   * all calls of the attempt are known and
+   * answered.
+   */
   /*
    * Sent in a former life of the worker.
    */
@@ -791,10 +795,14 @@
    * settled.
    */
   /*
-   * All that the sender knows of.
+   * All that the sender knows of; at the
    */
   size_t n_open_starts;
   Gn__OpenStart **open_starts;
+  /*
+   * end of a life, also those that are not open
+   * if it may not know all.
+   */
   /*
    * Time for which a call of an earlier process
    */
--- a/tests/support/run_model_leader.c
+++ b/tests/support/run_model_leader.c
@@ -174,6 +174,8 @@
 	run_model_t *model = leader->model;
 	gn_sched_config_t present = config;
 
+	present.epoch = leader->epoch;
+
 	if (model->options.keeps_no_claims) {
 		present.late_call_ms = 0;
 		present.lease_max_ms = 0;
--- a/tests/support/run_model_types.h
+++ b/tests/support/run_model_types.h
@@ -9,6 +9,7 @@
 #include "evacuation/evacuation.h"
 #include "executor/token.h"
 #include "executor/gone.h"
+#include "executor/life_age.h"
 #include "executor/orders.h"
 #include "sched/sched.h"
 #include "support/run_model.h"
@@ -251,6 +252,8 @@
 	uint64_t list_due_us;
 	bool list_unreported;
 	uint64_t list_clock_ms; /**< Clock of the worker in this list. */
+	uint64_t list_token; /**< Token of the call that it answers. */
+	gn_life_age_t life_age;
 	TALLOC_CTX *list;
 	gn_worker_answer_t listed;
 	uint64_t ends_stored;
