Leader: an executor without a worker ends no hold

Its reports, which name no life, were taken for those of a life under another ID, which refuses the calls, so that the new leader dropped what it had loaded, and a task ran twice. The regression test fails before.

The executor sends no lease to a process that is gone: the next one would take it for a time on its own clock. The walk with closed runs lists 500 ends, as workers do: a full list holds nothing back, and two ends would always be full. It plays 200 walks, 100 before.

--- a/lib/executor/worker.c
+++ b/lib/executor/worker.c
@@ -371,8 +371,9 @@
 		call.ends_stored =
 			gn_ends_to_discard(executor->ends, executor->end_count,
 					   executor->ends_stored);
-	/* A worker that left is only asked whether it has ended. */
-	if (!executor->worker_left)
+	/* A worker that left is only asked whether it has ended; the next process
+	 * would take the lease for one on its own clock. */
+	if (!executor->worker_left && !executor->is_process_gone)
 		call.lease_until_ms =
 			gn_grant_extend_until_ms(&executor->grant, now_us);
 	request->sent_us = now_us;
--- a/lib/sched/sched_calls.c
+++ b/lib/sched/sched_calls.c
@@ -166,7 +166,8 @@
 
 	for (size_t i = 0; i < report->n_open_starts; i++)
 		note_listed(sched, worker, report->open_starts[i]);
-	if (gn_calls_count(sched->calls) &&
+	/* Without a life, the executor does not know the ID. */
+	if (*worker->life.id && gn_calls_count(sched->calls) &&
 	    gn_calls_handle_report(sched->calls, &summary))
 		sched->changed = true;
 	settle_restored(sched, (sched_worker_t *)worker, report, view);
--- a/tests/support/run_model_executor.c
+++ b/tests/support/run_model_executor.c
@@ -292,7 +292,7 @@
 		call.ends_stored = gn_ends_to_discard(
 			executor->listed.ends, executor->listed.end_count,
 			executor->ends_stored);
-	if (!executor->worker_left)
+	if (!executor->worker_left && !executor->is_process_gone)
 		call.lease_until_ms =
 			gn_grant_extend_until_ms(&executor->grant, now_us);
 	request->sent_us = now_us;
--- a/tests/support/run_model_types.h
+++ b/tests/support/run_model_types.h
@@ -44,6 +44,9 @@
 #define RM_STOP_MS 500
 /** Ends that a list shows at most. */
 #define RM_LIST_ENDS_MAX 2
+/** The same with closed_runs, as real workers: the leader holds back no ends of a
+ * list that is full. */
+#define RM_LIST_ENDS_REAL_MAX 500
 /** Time that an executor has to end by itself, and how long its orders in
  * progress may delay that. */
 #define RM_GRACE_MS 6000
--- a/tests/support/run_model_worker.c
+++ b/tests/support/run_model_worker.c
@@ -124,13 +124,15 @@
 			rm_call_t *call)
 {
 	gn_worker_answer_t *answer = &call->answer;
+	guint max = model->options.closed_runs ? RM_LIST_ENDS_REAL_MAX
+					       : RM_LIST_ENDS_MAX;
 	TALLOC_CTX *ctx = talloc_new(NULL);
 
 	call->lists = ctx;
 	answer->run_count = worker->runs->len;
-	answer->end_count = MIN(worker->listed_ends->len, RM_LIST_ENDS_MAX);
-	answer->ends_cut = answer->end_count == RM_LIST_ENDS_MAX;
-	model->counts->lists_cut += worker->listed_ends->len > RM_LIST_ENDS_MAX;
+	answer->end_count = MIN(worker->listed_ends->len, max);
+	answer->ends_cut = answer->end_count == max;
+	model->counts->lists_cut += worker->listed_ends->len > max;
 	answer->runs =
 		talloc_array(ctx, Gn__WorkerRun *, answer->run_count + 1);
 	answer->ends =
--- a/tests/unit/test_closed_run_walk.c
+++ b/tests/unit/test_closed_run_walk.c
@@ -31,7 +31,7 @@
 {
 	static const gn_walk_plan_t plan = {
 		.path = "/run-walk-closed-runs",
-		.walks = 100,
+		.walks = 200,
 		.counts = run_model_walk_counts,
 		.count_count = RUN_MODEL_COUNT_COUNT,
 		.run = run,
--- a/tests/unit/test_sched_calls.c
+++ b/tests/unit/test_sched_calls.c
@@ -206,6 +206,22 @@
 	rig_close(&rig);
 }
 
+/* Its executor was restarted, and has not heard of a worker. */
+static void test_executor_without_a_worker_ends_no_hold(void)
+{
+	sched_rig_t rig;
+
+	refuse_start(&rig);
+	rig_store(&rig);
+	rig_change_leader(&rig);
+	rig_configure(&rig);
+	set_answered(&rig);
+	rig_report(&rig, "a", "");
+	rig_report(&rig, "b", "2");
+	g_assert_cmpstr(get_start_host(&rig), ==, "");
+	rig_close(&rig);
+}
+
 static void test_crash_releases_a_claim_whose_start_came_to_no_process(void)
 {
 	sched_rig_t rig;
@@ -285,6 +301,8 @@
 		  test_open_call_of_a_lost_worker_holds_no_longer_than_it_can },
 		{ "new_leader_knows_the_open_calls",
 		  test_new_leader_knows_the_open_calls },
+		{ "executor_without_a_worker_ends_no_hold",
+		  test_executor_without_a_worker_ends_no_hold },
 		{ "crash_releases_a_claim_whose_start_came_to_no_process",
 		  test_crash_releases_a_claim_whose_start_came_to_no_process },
 		{ "crash_holds_a_task_whose_start_has_no_answer",
