--- a/lib/executor/worker.c
+++ b/lib/executor/worker.c
@@ -52,11 +52,16 @@
 		call->life =
 			executor->worker_known ? executor->notice.life : "";
 	call->epoch = executor_get_token(executor);
+	if (call->kind == GN_WORKER_START || call->lease_until_ms ||
+	    call->ends_stored)
+		gn_token_record_call(&executor->token);
 	if (!http || !executor->adapter->write_worker_call(call, http)) {
 		free(http);
 		return false;
 	}
 	http->timeout_ms = timeout_ms;
+	/* Each start call without an answer must be known. */
+	http->send_once = call->kind == GN_WORKER_START;
 	http->done = done;
 	http->arg = arg;
 	gn_http_client_call(executor->client, http);
@@ -171,10 +176,23 @@
 static void fence_begun_life(executor_t *executor,
 			     const gn_worker_notice_t *notice)
 {
-	if (executor->worker_known && executor->leader_fences_lives &&
-	    gn_life_compare(executor_get_life(executor),
-			    gn_notice_get_life(notice)) != GN_LIFE_OTHER)
+	bool has_known_id =
+		executor->worker_known &&
+		gn_life_compare(executor_get_life(executor),
+				gn_notice_get_life(notice)) != GN_LIFE_OTHER;
+	bool has_unknown_calls =
+		executor->first_life ||
+		(has_known_id && gn_orders_unknown_starts_us(executor->orders));
+
+	if (has_known_id && executor->leader_fences_lives)
 		raise_fence(executor, "it has begun");
+	gn_life_age_begin(
+		&executor->life_age,
+		has_known_id
+			? gn_token_get_former(&executor->token, executor->epoch)
+			: 0,
+		has_unknown_calls ? gn_orders_unknown_until_us(executor->orders)
+				  : 0);
 	gn_token_begin_life(&executor->token);
 }
 
@@ -213,7 +231,7 @@
 
 /* Keeps a list unless a newer one came before, on another connection. */
 static void store_list(executor_t *executor, TALLOC_CTX *list,
-		       const gn_worker_answer_t *answer)
+		       const gn_worker_answer_t *answer, uint64_t token)
 {
 	if (answer->clock_ms < executor->list_clock_ms) {
 		talloc_free(list);
@@ -223,6 +241,7 @@
 	talloc_free(executor->list);
 	executor->list = list;
 	executor->list_clock_ms = answer->clock_ms;
+	executor->list_token = token;
 	executor->runs = answer->runs;
 	executor->run_count = answer->run_count;
 	executor->ends = answer->ends;
@@ -255,6 +274,7 @@
 		return;
 	log_life(executor, "worker ended");
 	executor->worker_ended = true;
+	gn_orders_record_gone(executor->orders, true);
 	executor_report(executor);
 }
 
@@ -265,7 +285,7 @@
 		return;
 	executor_fence_next_life(executor, "the present one has crashed");
 	log_life(executor, "worker crashed");
-	gn_orders_refuse_starts(executor->orders);
+	gn_orders_record_gone(executor->orders, true);
 	executor_report(executor);
 }
 
@@ -274,8 +294,7 @@
 	if (!gn_gone_record_response(&executor->gone))
 		return;
 	log_life(executor, "worker answers again");
-	if (!executor->worker_draining_us)
-		gn_orders_accept_starts(executor->orders);
+	gn_orders_record_gone(executor->orders, false);
 }
 
 static void note_token(executor_t *executor, const gn_worker_answer_t *answer)
@@ -319,6 +338,8 @@
 		return;
 	}
 	on_response(executor);
+	gn_life_age_record_list(&executor->life_age, request->token,
+				executor->epoch, executor_now_us(executor));
 	executor_record_clock(executor, &answer);
 	executor->is_process_gone = false;
 	request->attempts = 0;
@@ -327,7 +348,7 @@
 			? executor_now_us(executor) + LIST_RETRY_DELAY_US
 			: 0;
 	gn_orders_handle_list(executor->orders, &answer, request->sent_us);
-	store_list(executor, list, &answer);
+	store_list(executor, list, &answer, request->token);
 	if (executor->end_count)
 		executor_report(executor);
 }
@@ -350,8 +371,9 @@
 		call.ends_stored =
 			gn_ends_to_discard(executor->ends, executor->end_count,
 					   executor->ends_stored);
-	/* A worker that left is only asked whether it has ended. */
-	if (!executor->worker_left)
+	/* A worker that left is only asked whether it has ended; the next process
+	 * would take the lease for one on its own clock. */
+	if (!executor->worker_left && !executor->is_process_gone)
 		call.lease_until_ms =
 			gn_grant_extend_until_ms(&executor->grant, now_us);
 	request->sent_us = now_us;
@@ -361,6 +383,7 @@
 		executor, &call,
 		wait_ms + gn_attempt_timeout_ms(request->attempts), on_list,
 		request);
+	request->token = call.epoch;
 }
 
 /* Whether no list was requested yet that could decide all orders. */
@@ -407,6 +430,7 @@
 	talloc_free(executor->list);
 	executor->list = NULL;
 	executor->list_clock_ms = 0;
+	executor->list_token = 0;
 	executor->run_count = 0;
 	executor->end_count = 0;
 	executor->ends_cut = false;
@@ -507,6 +531,17 @@
 	json_object_set_new(
 		json, "orders",
 		json_integer((json_int_t)gn_orders_count(executor->orders)));
+	json_object_set_new(
+		json, "open_starts",
+		json_integer((json_int_t)gn_orders_count_open_starts(
+			executor->orders)));
+	json_object_set_new(
+		json, "unknown_starts_ms",
+		json_integer((json_int_t)(gn_orders_unknown_starts_us(
+						  executor->orders) /
+					  GN_US_PER_MS)));
+	json_object_set_new(json, "list_token",
+			    json_integer((json_int_t)executor->list_token));
 	return json;
 }
 
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -9,6 +9,7 @@
 
 #include "evacuation/cold.h"
 #include "estimate/estimate.h"
+#include "hold/calls.h"
 #include "occurrence/occurrence.h"
 #include "queue/queue_record.h"
 #include "sched/backlog.h"
@@ -33,11 +34,16 @@
 #define SCHED_CLOCK_READING_MAX_US (1000 * GN_US_PER_MS)
 /** A worker's clock may be slow by one part in this many. */
 #define SCHED_CLOCK_DRIFT_DIVISOR 50
+/** Maximum difference between the times of day of two hosts, which may jump. */
+#define SCHED_CLOCK_DIFFERENCE_MS 10000
 /** Added to each lease before it counts as expired, for processing delays. */
 #define SCHED_LEASE_MARGIN_US (200 * GN_US_PER_MS)
 
 /* ======   Tasks   ====== */
 
+/** What a report says of start calls; see sched_calls.c. */
+typedef struct sched_calls_view_s sched_calls_view_t;
+
 typedef struct sched_task_s {
 	sched_job_t *job;
 	uint32_t number;
@@ -195,6 +201,9 @@
 typedef struct sched_end_s {
 	/** For the end of the life, the number of the last end received. */
 	uint64_t number;
+	/** Task of a run that a late start call may begin again; owned, NULL if
+	 * there is none. */
+	char *open_task;
 	sched_job_t *job; /**< NULL if nothing has to be stored. */
 	uint64_t version; /**< Job version that must be durable. */
 } sched_end_t;
@@ -226,6 +235,8 @@
 	uint32_t best_effort; /**< Number of claimed best-effort tasks. */
 	/** CPU that the best-effort tasks could use. */
 	uint32_t best_effort_milli;
+	/** Time of the first report of the present life; 0 if none. */
+	uint64_t first_heard_us;
 	uint64_t last_report_us; /**< Time of the last report; 0 if never. */
 	/** Time by which each lease that the last report allows has expired. No
 	 * lease outlasts the earlier of this and list_expiry_us. */
@@ -240,6 +251,8 @@
 	/** Number of the write batch that gives this life its fencing token; 0
 	 * if none is needed. */
 	uint64_t fence_batch;
+	/** The last list may lack ends after those that it has. */
+	bool ends_cut;
 	bool left; /**< This life has ended. */
 	bool crashed; /**< Its process is gone, as the executor has found. */
 	/** The executor has restarted since the life before this one, as after a
@@ -277,6 +290,7 @@
 	const gn_clock_t *wall;
 	const gn_sched_ops_t *ops;
 	void *arg;
+	uint64_t created_us;
 	const gn_queues_t *queues;
 	/** NULL: there are no evacuations. */
 	const gn_evacuations_t *evacuations;
@@ -300,6 +314,7 @@
 	uint64_t batches_needed;
 	/** Interned IDs of all lives that have been reported. */
 	GHashTable *life_ids;
+	gn_calls_t *calls; /**< Start calls without an answer. */
 	size_t claims;
 	size_t open_tasks; /**< Of all jobs. */
 	size_t spec_bytes; /**< Of all jobs. */
@@ -523,13 +538,12 @@
 void sched_emit_worker_event(const gn_sched_t *sched, const char *what,
 			     const sched_worker_t *worker, const char *why,
 			     int64_t value);
-/** Releases all claims of a worker. */
-void sched_worker_release_claims(sched_worker_t *worker, const char *why);
-/** Releases the claims of one life of a worker. */
-void sched_worker_release_life(sched_worker_t *worker, gn_life_t life,
-			       const char *why);
+/** Releases the claims of one life of a worker that left, as its executor has
+ * recorded it. */
+void sched_worker_load_leave(sched_worker_t *worker, const Gn__Leave *leave);
 /** Ends the present life of a worker, and releases its claims. */
-void sched_worker_leave(gn_sched_t *sched, sched_worker_t *worker);
+void sched_worker_leave(gn_sched_t *sched, sched_worker_t *worker,
+			const sched_calls_view_t *view);
 /** Counts the crash of the worker's present life, and releases the claims whose
  * runs had begun. */
 void sched_worker_crash(const gn_sched_t *sched, sched_worker_t *worker);
@@ -557,8 +571,9 @@
 /** Updates what the worker announces about itself. */
 void sched_worker_describe(sched_worker_t *worker,
 			   const Gn__WorkerReport *report);
-/** Drops the leading ends that are durable and advances ends_durable. */
-void sched_worker_retire_ends(sched_worker_t *worker);
+/** Drops the leading ends that are durable, and whose runs cannot begin again,
+ * and advances ends_durable. */
+void sched_worker_retire_ends(const gn_sched_t *sched, sched_worker_t *worker);
 /** Whether the executor has reported recently. */
 bool sched_worker_is_live(const gn_sched_t *sched,
 			  const sched_worker_t *worker);
@@ -612,6 +627,39 @@
 /** Orders the stops that are due. */
 void sched_lapse_send_stops(gn_sched_t *sched, sched_worker_t *worker);
 
+/* ======   sched_calls.c   ====== */
+
+/** Returns the longest time after which a call without an answer is carried
+ * out. */
+uint64_t sched_late_us(const gn_sched_t *sched);
+/** Updates the open calls to a worker. Free the result with
+ * sched_calls_free_view(). */
+sched_calls_view_t *sched_calls_handle_report(gn_sched_t *sched,
+					      const sched_worker_t *worker,
+					      const Gn__WorkerReport *report);
+void sched_calls_free_view(sched_calls_view_t *view);
+/** Releases the claims of a worker whose process is gone. Without knowledge of
+ * the start calls for them, those that are not settled stay. */
+void sched_calls_release_gone(sched_worker_t *worker,
+			      const sched_calls_view_t *view, const char *why);
+/** Keeps the calls for a claim that is about to be released. */
+void sched_calls_keep(const sched_task_t *task);
+/** Whether no start call to the worker of the claim is open, of any attempt. */
+bool sched_calls_are_settled(const sched_task_t *task);
+/** Whether the task may start anywhere, as far as open calls matter. */
+bool sched_calls_leave_free(const sched_task_t *task);
+/** Whether the task may start on the worker, as far as open calls matter. */
+bool sched_calls_allow(const sched_task_t *task, const sched_worker_t *worker);
+/** Whether the end of a run must not be discarded yet. */
+bool sched_calls_hold_end(const gn_sched_t *sched, const sched_worker_t *worker,
+			  const char *task);
+/** Drops the calls that cannot be carried out any more. */
+void sched_calls_expire(gn_sched_t *sched);
+/** Copies the open calls of a task; free with sched_calls_free_store(). */
+void sched_calls_store(const sched_task_t *task, Gn__TaskState *row);
+void sched_calls_free_store(Gn__TaskState *row);
+void sched_calls_load(const sched_task_t *task, const Gn__TaskState *row);
+
 /* ======   sched_shrink.c   ====== */
 
 /**
--- a/lib/sched/sched_store.c
+++ b/lib/sched/sched_store.c
@@ -44,6 +44,7 @@
 		state->checkpoint = task->checkpoint;
 	sched_crash_store(task, state);
 	sched_lapse_store(task, state);
+	sched_calls_store(task, state);
 }
 
 /* Returns NULL if the queue is stored with the spec. */
@@ -117,6 +118,8 @@
 		gn__job_state__pack(&state, write->value);
 	if (state.queue)
 		gn__job_queue__free_unpacked(state.queue, NULL);
+	for (size_t i = 0; i < state.n_tasks; i++)
+		sched_calls_free_store(rows[i]);
 	g_free(states);
 	g_free(rows);
 }
@@ -260,7 +263,7 @@
 
 	g_hash_table_iter_init(&iter, sched->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		sched_worker_retire_ends(value);
+		sched_worker_retire_ends(sched, value);
 }
 
 void gn_sched_confirm_batch(gn_sched_t *sched, uint64_t revision)
@@ -334,8 +337,10 @@
 	task->failed = row->failed;
 	task->released_us = sched_now_us(job->sched);
 	sched_crash_load(task, row);
-	if (row->status != GN_JOB_TASK_DONE)
+	if (row->status != GN_JOB_TASK_DONE) {
 		sched_lapse_load(task, row);
+		sched_calls_load(task, row);
+	}
 	if (*row->checkpoint)
 		task->checkpoint = g_strdup(row->checkpoint);
 	if (row->status == GN_JOB_TASK_DONE) {
@@ -418,21 +423,42 @@
 {
 	sched_worker_t *worker =
 		g_hash_table_lookup(sched->workers, leave->host);
-	const gn_life_t life = { leave->life, leave->born_ms };
 
 	/* Without its start, a life cannot be told from one under the same
 	 * ID. */
 	if (worker && leave->born_ms)
-		sched_worker_release_life(worker, life, "worker left");
+		sched_worker_load_leave(worker, leave);
+}
+
+/* Whether a life of the worker may have begun so shortly before that a call for
+ * a former one has given it the longest lease. */
+static bool may_have_longest_lease(const gn_sched_t *sched,
+				   const sched_worker_t *worker)
+{
+	uint64_t wall_ms = sched_wall_ms(sched);
+
+	for (guint i = 0; i < worker->claims->len; i++) {
+		const sched_task_t *task = g_ptr_array_index(worker->claims, i);
+
+		if (task->life.started_ms + sched->config.lease_max_ms +
+			    SCHED_CLOCK_DIFFERENCE_MS >
+		    wall_ms)
+			return true;
+	}
+	return false;
 }
 
 /* Computes when all leases of an earlier leader have expired. It may answer
  * reports, and so have leases extended, for up to depose_ms. */
 static void set_lease_expiry(const gn_sched_t *sched, sched_worker_t *worker)
 {
-	worker->report_expiry_us =
-		sched_now_us(sched) + sched_lease_us(sched->config.lease_ms) +
-		(uint64_t)sched->config.depose_ms * GN_US_PER_MS;
+	uint64_t lease_us = sched_lease_us(sched->config.lease_ms) +
+			    (uint64_t)sched->config.depose_ms * GN_US_PER_MS;
+
+	if (may_have_longest_lease(sched, worker))
+		lease_us = MAX(lease_us,
+			       sched_lease_us(sched->config.lease_max_ms));
+	worker->report_expiry_us = sched_now_us(sched) + lease_us;
 	worker->list_expiry_us =
 		worker->report_expiry_us + SCHED_CLOCK_READING_MAX_US;
 }
--- a/tests/support/run_model_executor.c
+++ b/tests/support/run_model_executor.c
@@ -179,6 +179,7 @@
 	call->lists = NULL;
 	executor->listed = call->answer;
 	executor->list_clock_ms = call->answer.clock_ms;
+	executor->list_token = call->call.epoch;
 	executor->list_unreported = true;
 	if (call->answer.end_count)
 		executor->list_due_us =
@@ -203,6 +204,7 @@
 	rm_log(executor->model, "executor", executor->at, "knows the end", NULL,
 	       0, NULL);
 	executor->worker_ended = true;
+	gn_orders_record_gone(executor->orders, true);
 	rm_executor_report(executor);
 }
 
@@ -236,7 +238,7 @@
 		rm_log(executor->model, "executor", executor->at,
 		       "knows the crash", NULL, 0, NULL);
 		gn_token_raise(&executor->token, executor->epoch);
-		gn_orders_refuse_starts(executor->orders);
+		gn_orders_record_gone(executor->orders, true);
 		rm_executor_report(executor);
 	}
 	if (call->answer.outcome != GN_WORKER_OK || !executor->worker_known) {
@@ -250,7 +252,7 @@
 		return;
 	}
 	if (gn_gone_record_response(&executor->gone))
-		gn_orders_accept_starts(executor->orders);
+		gn_orders_record_gone(executor->orders, false);
 	rm_executor_record_clock(executor, &call->answer);
 	executor->is_process_gone = false;
 	request->attempts = 0;
@@ -260,6 +262,8 @@
 			: 0;
 	gn_orders_handle_list(executor->orders, &call->answer,
 			      request->sent_us);
+	gn_life_age_record_list(&executor->life_age, call->call.epoch,
+				executor->epoch, rm_now_us(executor->model));
 	store_list(executor, call);
 	if (executor->listed.end_count)
 		rm_executor_report(executor);
@@ -288,7 +292,7 @@
 		call.ends_stored = gn_ends_to_discard(
 			executor->listed.ends, executor->listed.end_count,
 			executor->ends_stored);
-	if (!executor->worker_left)
+	if (!executor->worker_left && !executor->is_process_gone)
 		call.lease_until_ms =
 			gn_grant_extend_until_ms(&executor->grant, now_us);
 	request->sent_us = now_us;
@@ -330,8 +334,21 @@
 {
 	rm_log(executor->model, "executor", executor->at, "knows life", NULL, 0,
 	       g_intern_string(life));
-	if (executor->worker_known && !strcmp(executor->life, life))
+	bool has_known_id =
+		executor->worker_known && !strcmp(executor->life, life);
+	bool has_unknown_calls =
+		!executor->worker_known ||
+		(has_known_id && gn_orders_unknown_starts_us(executor->orders));
+
+	if (has_known_id)
 		gn_token_raise(&executor->token, executor->epoch);
+	gn_life_age_begin(
+		&executor->life_age,
+		has_known_id
+			? gn_token_get_former(&executor->token, executor->epoch)
+			: 0,
+		has_unknown_calls ? gn_orders_unknown_until_us(executor->orders)
+				  : 0);
 	gn_token_begin_life(&executor->token);
 	executor->fenced = false;
 	gn_orders_begin_life(executor->orders, (gn_life_t){ life, born_ms });
@@ -342,6 +359,7 @@
 	memset(&executor->listed, 0, sizeof(executor->listed));
 	executor->list_unreported = false;
 	executor->list_clock_ms = 0;
+	executor->list_token = 0;
 	executor->ends_stored = 0;
 	executor->is_process_gone = false;
 	gn_gone_reset(&executor->gone);
--- a/tests/support/run_model_leader.c
+++ b/tests/support/run_model_leader.c
@@ -173,6 +173,7 @@
 	run_model_t *model = leader->model;
 	gn_sched_config_t present = config;
 
+	present.epoch = leader->epoch;
 	present.lease_max_ms = rm_hold_max_ms(model);
 	if (model->options.keeps_no_claims) {
 		present.late_call_ms = 0;
--- a/tests/support/run_model_types.h
+++ b/tests/support/run_model_types.h
@@ -9,6 +9,7 @@
 #include "evacuation/evacuation.h"
 #include "executor/token.h"
 #include "executor/gone.h"
+#include "executor/life_age.h"
 #include "executor/orders.h"
 #include "sched/sched.h"
 #include "support/run_model.h"
@@ -45,6 +46,9 @@
 #define RM_STOP_MS 500
 /** Ends that a list shows at most. */
 #define RM_LIST_ENDS_MAX 2
+/** The same with closed_runs, as real workers: the leader holds back no ends of a
+ * list that is full. */
+#define RM_LIST_ENDS_REAL_MAX 500
 /** Time that an executor has to end by itself, and how long its orders in
  * progress may delay that. */
 #define RM_GRACE_MS 6000
@@ -257,6 +261,8 @@
 	uint64_t list_due_us;
 	bool list_unreported;
 	uint64_t list_clock_ms; /**< Clock of the worker in this list. */
+	uint64_t list_token; /**< Token of the call that it answers. */
+	gn_life_age_t life_age;
 	TALLOC_CTX *list;
 	gn_worker_answer_t listed;
 	uint64_t ends_stored;
