Leader: a task whose late run is listed waits, and third lives are held

- A run without a claim is being stopped; its task started again beside it, on the same worker.
The record notes listed runs as well, and a task that runs starts nowhere.
- A call that one life had outlived was carried out by the life after it.
An outlived call now binds its task to the life that has outlived it, which may take it at once; elsewhere it starts only if that life is there and cannot take it.
- A suspect that was bound to the host where it had crashed was given up for crashes there.
It waits until the call is over.

--- a/lib/hold/calls.c
+++ b/lib/hold/calls.c
@@ -50,7 +50,8 @@
 		if (known->host != call->host ||
 		    known->attempt != call->attempt)
 			continue;
-		known->until_us = call->until_us;
+		known->until_us = MAX(known->until_us, call->until_us);
+		known->runs |= call->runs;
 		return;
 	}
 	g_array_append_val(row, *call);
@@ -83,6 +84,8 @@
 	const gn_call_t *row = gn_calls_get(calls, task, &count);
 
 	for (size_t i = 0; i < count; i++) {
+		if (row[i].runs)
+			return GN_CALLS_NOWHERE;
 		if (row[i].outlived && place == GN_CALLS_ONE_LIFE)
 			continue;
 		if (!row[i].outlived && place == GN_CALLS_ONE_LIFE &&
@@ -122,18 +125,16 @@
 
 	if (relation == GN_LIFE_OTHER)
 		return true;
-	if (is_open)
+	if (is_open || call->runs)
 		return false;
 	return relation == GN_LIFE_SAME || report->process_gone ||
-	       (report->listed && !report->has_run(report->arg, task));
+	       report->listed;
 }
 
-static bool is_outlived(const gn_call_t *call, const char *task,
-			const gn_calls_report_t *report)
+static bool is_outlived(const gn_call_t *call, const gn_calls_report_t *report)
 {
-	return report->fenced && report->listed &&
-	       gn_life_compare(call->life, report->life) == GN_LIFE_FORMER &&
-	       !report->has_run(report->arg, task);
+	return report->fenced && report->listed && !call->runs &&
+	       gn_life_compare(call->life, report->life) == GN_LIFE_FORMER;
 }
 
 static bool update_row(GArray *row, const char *task,
@@ -146,10 +147,16 @@
 
 		if (call->host != report->host)
 			continue;
+		if (gn_life_compare(call->life, report->life) == GN_LIFE_FORMER)
+			call->outlived = false;
+		if (report->listed || report->process_gone)
+			call->runs = !report->process_gone &&
+				     report->has_run(report->arg, task);
 		if (is_over(call, task, report)) {
 			changed |= !gn_life_matches(call->life, report->life);
 			g_array_remove_index_fast(row, i - 1);
-		} else if (!call->outlived && is_outlived(call, task, report)) {
+		} else if (!call->outlived && is_outlived(call, report)) {
+			call->life = report->life;
 			call->outlived = true;
 			changed = true;
 		}
--- a/lib/hold/calls.h
+++ b/lib/hold/calls.h
@@ -7,8 +7,9 @@
  * life in which it was sent it does no harm: the attempt was closed there. So
  * while it is open, its task may start on that life only. It is outlived once a
  * later life, which refuses it by its fencing token, has listed without a run of
- * the task; a life after that one could still carry it out, so the worker stays
- * the preferred one.
+ * the task, which may then start there. The life after that one could still carry
+ * the call out, so the task starts elsewhere only if the present life is there and
+ * cannot take it.
  *
  * The record holds calls whatever became of the claim that they were for. It
  * does no I/O and reads no clock.
@@ -28,17 +29,21 @@
 /** An open call. */
 typedef struct gn_call_s {
 	const char *host; /**< Executor of the worker; interned. */
-	/** Life in which it was sent; its ID is interned. */
+	/** Life in which it was sent, or the last that has outlived it; its ID is
+	 * interned. */
 	gn_life_t life;
 	uint32_t attempt;
 	uint64_t until_us; /**< It is not carried out later. */
 	bool outlived;
+	bool runs; /**< The last list has a run of the task. */
 } gn_call_t;
 
 /** Where a task may start. */
 typedef enum gn_calls_place_e {
 	GN_CALLS_ANYWHERE = 0,
-	GN_CALLS_PREFERRED, /**< Anywhere, but better on one host. */
+	/** In one life of a worker, or anywhere while that life cannot take the
+	 * task. */
+	GN_CALLS_PREFERRED,
 	GN_CALLS_ONE_LIFE, /**< Only in one life of a worker. */
 	GN_CALLS_NOWHERE
 } gn_calls_place_t;
@@ -63,8 +68,8 @@
 /** Creates an empty record; NULL if out of memory. */
 gn_calls_t *gn_calls_create(TALLOC_CTX *parent);
 
-/** Adds a call, or sets until when the same one is open. Of a known call, the
- * life stays as it is. */
+/** Adds a call, or sets until when the same one is open and whether its task
+ * runs. Of a known call, the life stays as it is. */
 void gn_calls_note(gn_calls_t *calls, const char *task, const gn_call_t *call);
 
 /** Returns where the task may start. @p where receives the call that decides
--- a/lib/sched/sched_calls.c
+++ b/lib/sched/sched_calls.c
@@ -18,6 +18,7 @@
 struct sched_calls_view_s {
 	GHashTable *open; /**< "TASK ATTEMPT" of each open call. */
 	GHashTable *runs; /**< Names of the tasks that run; not owned. */
+	bool tracks; /**< The executor tells which starts are settled. */
 	bool is_complete; /**< The executor knows all calls. */
 	/** It knows those for claims made since, and for these "TASK ATTEMPT". */
 	uint64_t known_from_us;
@@ -75,6 +76,7 @@
 	view->known =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	view->runs = g_hash_table_new(g_str_hash, g_str_equal);
+	view->tracks = report->tracks_starts;
 	view->is_complete =
 		report->lists_open_starts && !report->unknown_starts_ms;
 	view->known_from_us = get_known_from_us(sched, report);
@@ -229,19 +231,35 @@
 		bool is_known = knows_calls(view, task);
 
 		if (!gn_life_matches(task->life, worker->life) ||
-		    (!is_known && task->start_ordered_us &&
+		    (!is_known && view->tracks && task->start_ordered_us &&
 		     !sched_calls_are_settled(task))) {
 			i++;
 			continue;
 		}
 		if (is_known)
 			settle_claim(view, task);
+		task->settled |= !view->tracks;
 		sched_release_claim(task, why);
 		sched_job_check_limits(job);
 		i = 0;
 	}
 }
 
+void sched_calls_note_run(const gn_sched_t *sched, const sched_worker_t *worker,
+			  const Gn__WorkerRun *run)
+{
+	const gn_call_t call = {
+		.host = g_intern_string(worker->host),
+		.life = worker->life,
+		.attempt = run->attempt,
+		.until_us = sched_now_us(sched),
+		.runs = true,
+	};
+
+	if (strlen(run->task) < GN_TASK_NAME_SIZE)
+		gn_calls_note(sched->calls, run->task, &call);
+}
+
 void sched_calls_keep(const sched_task_t *task)
 {
 	gn_sched_t *sched = task->job->sched;
@@ -292,35 +310,46 @@
 	return get_place(task, &where) == GN_CALLS_ANYWHERE;
 }
 
+static bool is_life_of(const sched_worker_t *worker, const gn_call_t *call)
+{
+	return !strcmp(worker->host, call->host) &&
+	       gn_life_matches(call->life, worker->life);
+}
+
+/* Whether the life is there, and is none that takes the task now or soon. */
+static bool is_unable(const sched_task_t *task, const gn_call_t *call)
+{
+	const gn_sched_t *sched = task->job->sched;
+	const Gn__JobStep *step = task->unit->step;
+	const gn_resource_vector_t resources = sched_step_resources(step);
+	const gn_resource_vector_t unused = { 0 };
+	const sched_worker_t *worker =
+		g_hash_table_lookup(sched->workers, call->host);
+
+	return worker && is_life_of(worker, call) && !worker->left &&
+	       !worker->crashed && sched_worker_is_live(sched, worker) &&
+	       sched_worker_has_fresh_list(sched, worker) &&
+	       !(sched_worker_is_eligible(sched, worker, task->job, step) &&
+		 gn_resource_vector_fits(&worker->capacity, &unused,
+					 &resources));
+}
+
 bool sched_calls_allow(const sched_task_t *task, const sched_worker_t *worker)
 {
 	gn_call_t where;
 
 	switch (get_place(task, &where)) {
 	case GN_CALLS_ANYWHERE:
-	case GN_CALLS_PREFERRED:
 		return true;
+	case GN_CALLS_PREFERRED:
+		return is_life_of(worker, &where) || is_unable(task, &where);
 	case GN_CALLS_ONE_LIFE:
-		return !strcmp(where.host, worker->host) &&
-		       gn_life_matches(where.life, worker->life);
+		return is_life_of(worker, &where);
 	default:
 		return false;
 	}
 }
 
-static size_t find_candidate(const sched_candidates_t *all,
-			     const gn_place_worker_t *views,
-			     const gn_call_t *where,
-			     const gn_place_task_t *wanted)
-{
-	for (size_t i = 0; i < all->count; i++)
-		if (!strcmp(all->workers[i]->host, where->host))
-			return gn_place(wanted, &views[i], 1) == GN_PLACE_NONE
-				       ? GN_PLACE_NONE
-				       : i;
-	return GN_PLACE_NONE;
-}
-
 size_t sched_calls_choose(const sched_candidates_t *all,
 			  const gn_place_worker_t *views,
 			  const sched_task_t *task,
@@ -328,16 +357,15 @@
 {
 	gn_call_t where;
 	gn_calls_place_t place = get_place(task, &where);
-	size_t at = GN_PLACE_NONE;
-
-	if (place == GN_CALLS_ONE_LIFE || place == GN_CALLS_PREFERRED)
-		at = find_candidate(all, views, &where, wanted);
-	if (place == GN_CALLS_NOWHERE || place == GN_CALLS_ONE_LIFE)
-		return at != GN_PLACE_NONE &&
-				       sched_calls_allow(task, all->workers[at])
-			       ? at
-			       : GN_PLACE_NONE;
-	return at == GN_PLACE_NONE ? gn_place(wanted, views, all->count) : at;
+
+	if (place == GN_CALLS_ANYWHERE ||
+	    (place == GN_CALLS_PREFERRED && is_unable(task, &where)))
+		return gn_place(wanted, views, all->count);
+	for (size_t i = 0; place != GN_CALLS_NOWHERE && i < all->count; i++)
+		if (is_life_of(all->workers[i], &where) &&
+		    gn_place(wanted, &views[i], 1) != GN_PLACE_NONE)
+			return i;
+	return GN_PLACE_NONE;
 }
 
 /* ======   Ends   ====== */
--- a/lib/sched/sched_claim.c
+++ b/lib/sched/sched_claim.c
@@ -137,8 +137,8 @@
 	sched_job_t *job = task->job;
 	sched_unit_t *unit = task->unit;
 
-	sched_emit_task_event(job->sched, "release", task, why, 0);
 	sched_calls_keep(task);
+	sched_emit_task_event(job->sched, "release", task, why, 0);
 	detach_claim(task);
 	task->state = GN_JOB_TASK_WAITING;
 	unit->waiting++;
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -642,6 +642,9 @@
  * the start calls for them, those that are not settled stay. */
 void sched_calls_release_gone(sched_worker_t *worker,
 			      const sched_calls_view_t *view, const char *why);
+/** Holds a task of which the worker's list has a run without a claim. */
+void sched_calls_note_run(const gn_sched_t *sched, const sched_worker_t *worker,
+			  const Gn__WorkerRun *run);
 /** Keeps the calls for a claim that is about to be released. */
 void sched_calls_keep(const sched_task_t *task);
 /** Whether no start call to the worker of the claim is open, of any attempt. */
--- a/lib/sched/sched_isolate.c
+++ b/lib/sched/sched_isolate.c
@@ -130,9 +130,13 @@
 {
 	const sched_worker_t *worker = all->workers[at];
 
+	/* One that is bound to a host would have all its crashes there. */
+	bool any_host =
+		choice->any_host && sched_calls_leave_free(choice->task);
+
 	return worker->isolates == choice->reserved &&
 	       sched_calls_allow(choice->task, worker) &&
-	       (choice->any_host ||
+	       (any_host ||
 		!sched_crash_has_host(choice->task, worker->host)) &&
 	       gn_place(choice->wanted, &all->views[at], 1) != GN_PLACE_NONE;
 }
--- a/lib/sched/sched_report.c
+++ b/lib/sched/sched_report.c
@@ -30,6 +30,7 @@
 
 		gn_resource_vector_add(&worker->unclaimed_use, &resources);
 	}
+	sched_calls_note_run(sched, worker, run);
 	sched_stop_attempt(sched, worker, run->task, run->attempt, "no claim");
 }
 
--- a/lib/sched/sched_worker.c
+++ b/lib/sched/sched_worker.c
@@ -94,9 +94,8 @@
 {
 	uint64_t now_us = sched_now_us(sched);
 
-	return !worker->draining && !worker->evacuated && !worker->left &&
-	       !worker->crashed && *worker->life.id &&
-	       sched_worker_is_live(sched, worker) &&
+	return !worker->draining && !worker->evacuated && !worker->crashed &&
+	       *worker->life.id && sched_worker_is_live(sched, worker) &&
 	       sched_worker_has_fresh_list(sched, worker) &&
 	       now_us >= worker->full_until_us;
 }
--- a/tests/unit/test_sched_calls.c
+++ b/tests/unit/test_sched_calls.c
@@ -255,6 +255,7 @@
 	submit(&rig);
 	set_open(&rig, LATE_MS);
 	rig_report_run(&rig, "a", "1", TASK, 1);
+	rig_drain(&rig, "a");
 	rig_report_leave(&rig, "a", "1");
 	rig.open_task = NULL;
 	rig_report(&rig, "b", "2");
