--- a/lib/executor/worker.c
+++ b/lib/executor/worker.c
@@ -366,8 +366,10 @@
 	uint64_t now_us = executor_now_us(executor);
 	gn_worker_call_t call = { .kind = GN_WORKER_LIST, .wait_ms = wait_ms };
 
-	/* After a failure, the next process may answer: it has other ends. */
-	if (!executor->is_process_gone && !request->attempts)
+	/* After a failure, the next process may answer: it has other ends. One
+	 * request at a time discards them, so that no failure is overlooked. */
+	if (request == &executor->waiting_list && !executor->is_process_gone &&
+	    !request->attempts)
 		call.ends_stored =
 			gn_ends_to_discard(executor->ends, executor->end_count,
 					   executor->ends_stored);
--- a/lib/sched/sched_calls.c
+++ b/lib/sched/sched_calls.c
@@ -316,7 +316,7 @@
 	       gn_life_matches(call->life, worker->life);
 }
 
-/* Whether the life is there, and is none that takes the task now or soon. */
+/* Whether the life is there, goes on, and does not take the task now or soon. */
 static bool is_unable(const sched_task_t *task, const gn_call_t *call)
 {
 	const gn_sched_t *sched = task->job->sched;
@@ -326,8 +326,9 @@
 	const sched_worker_t *worker =
 		g_hash_table_lookup(sched->workers, call->host);
 
-	return worker && is_life_of(worker, call) && !worker->left &&
-	       !worker->crashed && sched_worker_is_live(sched, worker) &&
+	return worker && is_life_of(worker, call) && !worker->draining &&
+	       !worker->left && !worker->crashed &&
+	       sched_worker_is_live(sched, worker) &&
 	       sched_worker_has_fresh_list(sched, worker) &&
 	       !(sched_worker_is_eligible(sched, worker, task->job, step) &&
 		 gn_resource_vector_fits(&worker->capacity, &unused,
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -254,6 +254,7 @@
 	/** The last list may lack ends after those that it has. */
 	bool ends_cut;
 	bool left; /**< This life has ended. */
+	bool left_with_claims; /**< Some were kept when that was reported. */
 	bool crashed; /**< Its process is gone, as the executor has found. */
 	/** The executor has restarted since the life before this one, as after a
 	 * loss of the host's power: no task is the cause of that. */
--- a/lib/sched/sched_report.c
+++ b/lib/sched/sched_report.c
@@ -119,26 +119,25 @@
 	       (listed->attempt < task->attempt && !sched_is_gang(task));
 }
 
-/*
- * Whether a run of an earlier attempt has succeeded, which a late call has begun
- * in this life, while the present attempt is only being stopped here.
- */
-static bool is_done_before_stop(const sched_task_t *task,
-				const sched_worker_t *worker,
-				const Gn__WorkerEnd *listed)
+/* Whether a run of an earlier attempt has succeeded, which a late call has begun,
+ * while the task is claimed again. */
+static bool is_done_before_claim(const sched_task_t *task,
+				 const sched_worker_t *worker,
+				 const Gn__WorkerEnd *listed)
 {
-	return task && task->state == GN_JOB_TASK_CLAIMED && task->moved &&
-	       !task->listed && task->worker == worker &&
+	return task && task->state == GN_JOB_TASK_CLAIMED && !task->listed &&
+	       (task->worker == worker || !task->start_ordered_us) &&
 	       !sched_is_gang(task) && listed->attempt < task->attempt &&
 	       listed->how == GN_END_DONE;
 }
 
-/* The attempt stays open: its start may still be carried out. */
-static void complete_stopped_claim(sched_task_t *task, sched_worker_t *worker)
+/* The present attempt stays open and is stopped: its start may still be carried
+ * out. */
+static void complete_claim_early(sched_task_t *task)
 {
 	sched_emit_task_event(task->job->sched, "end", task,
 			      "done, in an earlier attempt", 0);
-	sched_lapse_record(worker, task);
+	sched_lapse_record(task->worker, task);
 	sched_complete_claim(task);
 }
 
@@ -185,8 +184,8 @@
 				 listed->checkpoint);
 	} else if (is_late_done(task, listed)) {
 		sched_handle_late_done(task, worker);
-	} else if (is_done_before_stop(task, worker, listed)) {
-		complete_stopped_claim(task, worker);
+	} else if (is_done_before_claim(task, worker, listed)) {
+		complete_claim_early(task);
 	} else {
 		log_unclaimed_end(sched, worker, listed);
 		return;
--- a/lib/sched/sched_worker.c
+++ b/lib/sched/sched_worker.c
@@ -204,10 +204,13 @@
 void sched_worker_leave(gn_sched_t *sched, sched_worker_t *worker,
 			const sched_calls_view_t *view)
 {
+	bool had_claims = worker->left_with_claims;
+
 	sched_calls_release_gone(worker, view, "worker left");
+	worker->left_with_claims = worker->claims->len != 0;
 	/* No call can reach it any more. */
 	g_array_set_size(worker->open_attempts, 0);
-	if (worker->left)
+	if (worker->left && !had_claims)
 		return;
 	worker->left = true;
 	await_stored_jobs(sched, worker);
@@ -460,6 +463,7 @@
 	worker->has_listed = false;
 	worker->ends_cut = false;
 	worker->left = false;
+	worker->left_with_claims = false;
 	worker->crashed = false;
 	sched_emit_worker_event(sched, "worker", worker,
 				worker->host_restarted
--- a/tests/support/run_model_executor.c
+++ b/tests/support/run_model_executor.c
@@ -288,7 +288,8 @@
 		.wait_ms = wait_ms,
 	};
 
-	if (!executor->is_process_gone && !request->attempts)
+	if (kind == RM_LIST_WAITING && !executor->is_process_gone &&
+	    !request->attempts)
 		call.ends_stored = gn_ends_to_discard(
 			executor->listed.ends, executor->listed.end_count,
 			executor->ends_stored);
--- a/tests/unit/test_sched_calls.c
+++ b/tests/unit/test_sched_calls.c
@@ -144,25 +144,46 @@
 	rig_close(&rig);
 }
 
+/* The next life has outlived the call. */
+static void outlive(sched_rig_t *rig, uint32_t cpu_milli)
+{
+	uint32_t usual_milli = rig->cpu_milli;
+
+	rig_advance_ms(rig, 400);
+	rig_restart_worker(rig, "a");
+	rig->open_former = true;
+	rig->cpu_milli = cpu_milli;
+	rig_report(rig, "a", "1");
+	rig_store(rig);
+	rig->list_token = rig->revision;
+	rig_report(rig, "a", "1");
+	rig->cpu_milli = usual_milli;
+	rig->open_task = NULL;
+	rig_report(rig, "b", "2");
+}
+
 static void test_outlived_call_lets_a_task_start_elsewhere(void)
 {
 	sched_rig_t rig;
 
 	crash_after_refusal(&rig);
-	rig_advance_ms(&rig, 400);
-	rig_restart_worker(&rig, "a");
-	rig.open_former = true;
-	rig_drain(&rig, "a");
-	rig_report(&rig, "a", "1");
-	rig_store(&rig);
-	rig.list_token = rig.revision;
-	rig_report(&rig, "a", "1");
-	rig.open_task = NULL;
-	rig_report(&rig, "b", "2");
+	outlive(&rig, one_task.cpu_milli - 1);
 	g_assert_cmpstr(get_start_host(&rig), ==, "b");
 	rig_close(&rig);
 }
 
+/* The life after it could still carry the call out. */
+static void test_outlived_call_holds_a_task_while_its_worker_drains(void)
+{
+	sched_rig_t rig;
+
+	crash_after_refusal(&rig);
+	rig_drain(&rig, "a");
+	outlive(&rig, 4000);
+	g_assert_cmpstr(get_start_host(&rig), ==, "");
+	rig_close(&rig);
+}
+
 static void test_call_for_another_id_holds_no_task(void)
 {
 	sched_rig_t rig;
@@ -296,6 +317,8 @@
 		  test_late_run_in_the_next_life_holds_its_task },
 		{ "outlived_call_lets_a_task_start_elsewhere",
 		  test_outlived_call_lets_a_task_start_elsewhere },
+		{ "outlived_call_holds_a_task_while_its_worker_drains",
+		  test_outlived_call_holds_a_task_while_its_worker_drains },
 		{ "call_for_another_id_holds_no_task",
 		  test_call_for_another_id_holds_no_task },
 		{ "open_call_of_a_lost_worker_holds_no_longer_than_it_can",
