--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,8 @@
 TESTS := $(patsubst %.c,$(BUILD)/%,$(sort $(wildcard tests/unit/test_*.c tests/contract/test_*.c \
 	platform/tests/test_*.c)))
 SOAK_MAINS := platform/soak/soak.c platform/soak/store.c platform/soak/worker.c
-SOAK_PARTS := $(filter-out $(SOAK_MAINS),$(sort $(wildcard platform/soak/*.c)))
+SOAK_EXECUTOR := $(BUILD)/platform/soak/executor
+SOAK_PARTS := $(filter-out $(SOAK_MAINS) platform/soak/cut.c,$(sort $(wildcard platform/soak/*.c)))
 SOAK := $(SOAK_MAINS:%.c=$(BUILD)/%)
 BENCHES := $(patsubst %.c,$(BUILD)/%,$(sort $(wildcard tests/bench/*.c)))
 
@@ -46,7 +47,7 @@
 .PHONY: all check bench demo format lint proto clean install-deps
 .SECONDARY:
 
-all: $(PROGRAMS) $(STANDINS) $(TESTS) $(BENCHES) $(SOAK)
+all: $(PROGRAMS) $(STANDINS) $(TESTS) $(BENCHES) $(SOAK) $(SOAK_EXECUTOR)
 
 $(BUILD)/%.pb-c.o: %.pb-c.c
 	@mkdir -p $(@D)
@@ -72,6 +73,10 @@
 $(BUILD)/gypsumnotchctl: $(patsubst %.c,$(BUILD)/%.o,$(sort $(wildcard programs/gypsumnotchctl/*.c))) $(LIB)
 	$(LINK) $@ $^ $(LDLIBS)
 
+$(SOAK_EXECUTOR): $(patsubst %.c,$(BUILD)/%.o,$(sort $(wildcard programs/gypsumnotchd/*.c)) \
+		platform/soak/cut.c) $(LIB)
+	$(LINK) $@ $^ $(LDLIBS)
+
 $(BUILD)/tests/%: $(BUILD)/tests/%.o $(SUPPORT_OBJ) $(LIB)
 	$(LINK) $@ $^ $(LDLIBS)
 
