Leader: look only tasks with open calls up in the record

A pass formatted the name of each waiting task while any call was open, which some start call always is. A flag of the task tells which to look up. The linter took an array of the gang's placement for uninitialised; it is zeroed.

--- a/lib/sched/sched_calls.c
+++ b/lib/sched/sched_calls.c
@@ -101,6 +101,16 @@
 	g_free(view);
 }
 
+static void note_call(const gn_sched_t *sched, const char *name,
+		      const gn_call_t *call)
+{
+	sched_task_t *task = sched_find_task(sched, name);
+
+	gn_calls_note(sched->calls, name, call);
+	if (task)
+		task->has_calls = true;
+}
+
 static void note_listed(const gn_sched_t *sched, const sched_worker_t *worker,
 			const Gn__OpenStart *listed)
 {
@@ -116,7 +126,7 @@
 	};
 
 	if (listed->left_ms && strlen(listed->task) < GN_TASK_NAME_SIZE)
-		gn_calls_note(sched->calls, listed->task, &call);
+		note_call(sched, listed->task, &call);
 }
 
 /* Whether the present life refuses all calls for former ones. */
@@ -183,7 +193,7 @@
 	const gn_sched_t *sched = task->job->sched;
 	char name[GN_TASK_NAME_SIZE];
 
-	if (!gn_calls_count(sched->calls))
+	if (!task->has_calls || !gn_calls_count(sched->calls))
 		return 0;
 	gn_task_format_name(task->job->spec, task->number, name);
 	return gn_calls_open_until_us(sched->calls, name,
@@ -257,7 +267,7 @@
 	};
 
 	if (strlen(run->task) < GN_TASK_NAME_SIZE)
-		gn_calls_note(sched->calls, run->task, &call);
+		note_call(sched, run->task, &call);
 }
 
 void sched_calls_keep(const sched_task_t *task)
@@ -283,7 +293,7 @@
 	    gn_life_compare(task->life, worker->life) == GN_LIFE_OTHER)
 		return;
 	gn_task_format_name(task->job->spec, task->number, name);
-	gn_calls_note(sched->calls, name, &call);
+	note_call(sched, name, &call);
 	sched_emit_task_event(sched, "open call", task,
 			      "a start may still be carried out",
 			      (int64_t)((call.until_us - sched_now_us(sched)) /
@@ -297,7 +307,7 @@
 	const gn_sched_t *sched = task->job->sched;
 	char name[GN_TASK_NAME_SIZE];
 
-	if (!gn_calls_count(sched->calls))
+	if (!task->has_calls || !gn_calls_count(sched->calls))
 		return GN_CALLS_ANYWHERE;
 	gn_task_format_name(task->job->spec, task->number, name);
 	return gn_calls_get_place(sched->calls, name, where);
@@ -400,7 +410,7 @@
 	const gn_call_t *calls;
 	size_t count;
 
-	if (task->state == GN_JOB_TASK_DONE || !gn_calls_count(sched->calls))
+	if (task->state == GN_JOB_TASK_DONE || !task->has_calls)
 		return;
 	gn_task_format_name(task->job->spec, task->number, name);
 	calls = gn_calls_get(sched->calls, name, &count);
@@ -464,6 +474,6 @@
 			  GN_US_PER_MS;
 		call.until_us = sched_now_us(sched) +
 				MIN(left_us, sched_late_us(sched));
-		gn_calls_note(sched->calls, name, &call);
+		note_call(sched, name, &call);
 	}
 }
--- a/lib/sched/sched_gang.c
+++ b/lib/sched/sched_gang.c
@@ -228,7 +228,7 @@
 
 	if (!members || unit->waiting < members)
 		return;
-	chosen = g_new(size_t, members);
+	chosen = g_new0(size_t, members);
 	is_near = unit->step->same_rack &&
 		  choose_workers_in_any_rack(all, unit, wanted, chosen);
 	if (is_near ||
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -76,6 +76,7 @@
 	uint64_t claimed_ms;
 	/** The claim was moved to a later life with the same ID. */
 	bool moved;
+	bool has_calls; /**< There may be open start calls. */
 	bool stopping; /**< Stop orders are sent until the run ends. */
 	uint64_t last_order_us; /**< Time of the last order. */
 	/** Time at which the run was first listed. */
