--- a/lib/sched/sched_worker.c
+++ b/lib/sched/sched_worker.c
@@ -260,7 +260,7 @@
 	const sched_worker_t *worker =
 		g_hash_table_lookup(sched->workers, host);
 
-	return worker && worker->left &&
+	return worker && worker->left && !worker->left_with_claims &&
 	       g_queue_is_empty((GQueue *)&worker->ends);
 }
 
--- a/tests/support/sched_rig.c
+++ b/tests/support/sched_rig.c
@@ -449,6 +449,7 @@
 static void add_open_start(sched_rig_t *rig, Gn__WorkerReport *report)
 {
 	report->lists_open_starts = rig->lists_open_starts;
+	report->unknown_starts_ms = rig->unknown_starts_ms;
 	/* Such executors say whether a list is whole. */
 	report->whole = rig->lists_open_starts;
 	if (!rig->open_task)
--- a/tests/support/sched_rig.h
+++ b/tests/support/sched_rig.h
@@ -66,6 +66,7 @@
 	uint32_t open_attempt;
 	bool open_former; /**< It was sent in a former life. */
 	uint32_t open_left_ms;
+	uint32_t unknown_starts_ms; /**< As in a report. */
 	uint32_t life_age_ms; /**< As in a report. */
 	uint64_t list_token; /**< As in a report. */
 	Gn__OpenStart open_row; /**< Row of a report that is being sent. */
