HTTP client: a request that was read does not count as unsent

The worker held a start call and crashed; its executor reported the start as refused after one call, settled, and the next life carried it out while the task ran elsewhere.

Cause: libcurl connects again for a request whose reused connection was closed without an answer, before it finds that it must not send it twice. That connection was refused, as the worker was gone, and the call passed for one that came to no process.

A call whose body was read by the client has been sent. test_http_client fails without this (GN_ERR_UNAVAILABLE).

Only calls that are known to be open hold an end.

--- a/lib/http/client.c
+++ b/lib/http/client.c
@@ -321,11 +321,15 @@
 	end_call(client, call, GN_ERR_UNAVAILABLE);
 }
 
-/* Whether nothing of the request was sent, so that it can't have run. */
-static bool is_unsent(CURL *easy, CURLcode result)
+/* Whether nothing of the request was sent, so that it can't have run. libcurl may
+ * fail to connect for a repetition that it is not allowed to send. */
+static bool is_unsent(const transfer_t *transfer, CURLcode result)
 {
+	CURL *easy = transfer->easy;
 	long request_size = 0;
 
+	if (transfer->body_sent)
+		return false;
 	if (result == CURLE_COULDNT_CONNECT)
 		return true;
 	curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &request_size);
@@ -344,7 +348,7 @@
 {
 	if (result == CURLE_OK)
 		return GN_OK;
-	if (is_unsent(transfer->easy, result))
+	if (is_unsent(transfer, result))
 		return GN_ERR_UNAVAILABLE;
 	if (transfer->too_long || result == CURLE_PARTIAL_FILE)
 		return GN_ERR_TRUNCATED;
--- a/lib/sched/sched_calls.c
+++ b/lib/sched/sched_calls.c
@@ -381,24 +381,6 @@
 
 /* ======   Ends   ====== */
 
-void sched_calls_note_end(const gn_sched_t *sched, const sched_worker_t *worker,
-			  const Gn__WorkerReport *report,
-			  const Gn__WorkerEnd *listed, bool is_settled)
-{
-	uint64_t left_us = (uint64_t)report->unknown_starts_ms * GN_US_PER_MS;
-	const gn_call_t call = {
-		.host = g_intern_string(worker->host),
-		.life = worker->life,
-		.attempt = listed->attempt,
-		.until_us = sched_now_us(sched) +
-			    MIN(left_us, sched_late_us(sched)),
-	};
-
-	if (report->lists_open_starts && left_us && !listed->settled &&
-	    !is_settled && strlen(listed->task) < GN_TASK_NAME_SIZE)
-		note_call(sched, listed->task, &call);
-}
-
 bool sched_calls_hold_end(const gn_sched_t *sched, const sched_worker_t *worker,
 			  const char *task)
 {
--- a/lib/sched/sched_internal.h
+++ b/lib/sched/sched_internal.h
@@ -655,11 +655,6 @@
 bool sched_calls_leave_free(const sched_task_t *task);
 /** Whether the task may start on the worker, as far as open calls matter. */
 bool sched_calls_allow(const sched_task_t *task, const sched_worker_t *worker);
-/** Notes a call of an earlier process of the executor for a run that has ended,
- * unless it is known that none is open. */
-void sched_calls_note_end(const gn_sched_t *sched, const sched_worker_t *worker,
-			  const Gn__WorkerReport *report,
-			  const Gn__WorkerEnd *listed, bool is_settled);
 /** Whether the end of a run must not be discarded yet. */
 bool sched_calls_hold_end(const gn_sched_t *sched, const sched_worker_t *worker,
 			  const char *task);
--- a/lib/sched/sched_report.c
+++ b/lib/sched/sched_report.c
@@ -170,9 +170,6 @@
 	sched_lapse_close(worker, listed->task, listed->attempt);
 	end = g_new0(sched_end_t, 1);
 	end->number = listed->number;
-	sched_calls_note_end(sched, worker, report, listed,
-			     is_claimed_run(task, worker, listed->attempt) &&
-				     task->settled);
 	if (sched_calls_hold_end(sched, worker, listed->task))
 		end->open_task = g_strdup(listed->task);
 	g_queue_push_tail(&worker->ends, end);
