Recut walk: guard against walks without returns after a leave

The walk could lose these without a failure. 40 seeds have 289 late calls at a start, 23 returns and 2 starts by a call for the life that left.

--- a/tests/unit/test_recut_walk.c
+++ b/tests/unit/test_recut_walk.c
@@ -45,7 +45,9 @@
 	g_assert_cmpuint(counts.runs_past_lease, >, 40);
 	g_assert_cmpuint(counts.starts_for_former_life, >, 0);
 	g_assert_cmpuint(counts.lists_for_former_life, >, 20);
-	g_assert_cmpuint(counts.worker_returns, >, 0);
+	g_assert_cmpuint(counts.calls_at_returns, >, 80);
+	g_assert_cmpuint(counts.worker_returns, >, 10);
+	g_assert_cmpuint(counts.starts_after_leave, >, 0);
 	g_assert_cmpuint(counts.hand_overs, >, 20);
 	g_assert_cmpuint(counts.redirects, >, 20);
 }
