--- a/lib/sched/sched_worker.c
+++ b/lib/sched/sched_worker.c
@@ -208,7 +208,7 @@
 
 	sched_calls_release_gone(worker, view, "worker left");
 	worker->left_with_claims = worker->claims->len != 0;
-	/* No call can reach it any more. */
+	/* The record has the calls that may reach the next life. */
 	g_array_set_size(worker->open_attempts, 0);
 	if (worker->left && !had_claims)
 		return;
