Leader: an outlived call holds the ends of its task, too

Such a call holds ends like any that has no answer: it costs only where an open call and a crash met.

--- a/lib/hold/calls.c
+++ b/lib/hold/calls.c
@@ -95,30 +95,30 @@
 	return place;
 }
 
-static uint64_t get_until_us(const gn_calls_t *calls, const char *task,
-			     const char *host, bool with_pending)
+uint64_t gn_calls_silent_until_us(const gn_calls_t *calls, const char *task,
+				  const char *host)
 {
 	uint64_t until_us = 0;
 	size_t count;
 	const gn_call_t *row = gn_calls_get(calls, task, &count);
 
 	for (size_t i = 0; i < count; i++)
-		if (row[i].host == host && !row[i].outlived &&
-		    (with_pending || !row[i].pending))
+		if (row[i].host == host && !row[i].pending)
 			until_us = MAX(until_us, row[i].until_us);
 	return until_us;
 }
 
-uint64_t gn_calls_silent_until_us(const gn_calls_t *calls, const char *task,
-				  const char *host)
-{
-	return get_until_us(calls, task, host, false);
-}
-
 uint64_t gn_calls_open_until_us(const gn_calls_t *calls, const char *task,
 				const char *host)
 {
-	return get_until_us(calls, task, host, true);
+	uint64_t until_us = 0;
+	size_t count;
+	const gn_call_t *row = gn_calls_get(calls, task, &count);
+
+	for (size_t i = 0; i < count; i++)
+		if (row[i].host == host && !row[i].outlived)
+			until_us = MAX(until_us, row[i].until_us);
+	return until_us;
 }
 
 /* ======   Changes   ====== */
--- a/lib/hold/calls.h
+++ b/lib/hold/calls.h
@@ -80,12 +80,13 @@
 gn_calls_place_t gn_calls_get_place(const gn_calls_t *calls, const char *task,
 				    gn_call_t *where);
 
-/** Returns until when a call for the task is open that has ended without an answer
- * and is not outlived; 0 if there is none.
+/** Returns until when a call for the task is open that has ended without an answer,
+ * for the present life or one after it; 0 if there is none.
  * @param host only for calls to this host; interned */
 uint64_t gn_calls_silent_until_us(const gn_calls_t *calls, const char *task,
 				  const char *host);
-/** The same, with those in progress. */
+/** Returns until when a call is open that is not outlived, or in progress; 0 if
+ * there is none. */
 uint64_t gn_calls_open_until_us(const gn_calls_t *calls, const char *task,
 				const char *host);
 
